--- /dev/null
+++ b/crates/pistachiotrack-core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Who gets the next free slot: contracts, classes and deadlines.
--- /dev/null
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -0,0 +1,32 @@
+//! Decisions of the pistachiotrack proxy fleet, without any input or output.
+//!
+//! Every part is a plain struct that takes typed events together with a
+//! monotonic [`time::Time`] and returns typed actions. Nothing here opens a
+//! socket, reads a clock or starts a thread, so the daemon, the fault matrix,
+//! the fuzzers and the experiments all run the same code.
+
+pub mod admin;
+pub mod admission;
+pub mod config;
+pub mod config_sync;
+pub mod contract;
+pub mod customer;
+pub mod data_centre;
+pub mod endpoint;
+pub mod header;
+pub mod health;
+pub mod idempotency;
+pub mod membership;
+pub mod message;
+pub mod name;
+pub mod ownership;
+pub mod pause;
+pub mod refusal;
+pub mod request;
+pub mod retry;
+pub mod rule;
+pub mod service;
+pub mod shard;
+pub mod steering;
+pub mod time;
+pub mod vm;
--- /dev/null
+++ b/crates/pistachiotrack-core/src/message.rs
@@ -0,0 +1,1 @@
+//! Datagrams between VMs, encoded with `postcard`.
--- /dev/null
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Budgets of retries and hedges.
--- /dev/null
+++ b/crates/pistachiotrack-core/src/time.rs
@@ -0,0 +1,61 @@
+//! Monotonic time as the decisions see it.
+
+use std::{
+    ops::{Add, AddAssign},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// A moment on one process's monotonic clock, in microseconds since an
+/// arbitrary start.
+///
+/// Values of two processes must not be compared.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Time = Time(0);
+
+    /// Builds a time from microseconds since the start of the clock.
+    pub const fn from_micros(micros: u64) -> Time {
+        Time(micros)
+    }
+
+    /// Builds a time from milliseconds since the start of the clock.
+    pub const fn from_millis(millis: u64) -> Time {
+        Time(millis * 1000)
+    }
+
+    /// Returns the microseconds since the start of the clock.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the milliseconds since the start of the clock, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1000
+    }
+
+    /// Returns the time passed since `earlier`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, rhs: Duration) -> Time {
+        Time(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
+
+impl AddAssign<Duration> for Time {
+    fn add_assign(&mut self, rhs: Duration) {
+        *self = *self + rhs;
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the thin path lands.
+
+fn main() {}
