--- a/crates/pistachiotrack-core/src/idempotency.rs
+++ b/crates/pistachiotrack-core/src/idempotency.rs
@@ -1,7 +1,16 @@
 //! Idempotency keys: joins duplicates of a request at the shard's owner.
+//!
+//! The table knows only what this owner has seen within its bounds. A repeat
+//! that is not on record is answered with "unknown" and never run, because
+//! another owner may have run the first.
 
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use crate::{name::Name, request::RequestId, time::Time};
+
 /// Largest body that is kept for duplicates.
 pub const MAX_STORED_BODY_BYTES: usize = 16 * 1024;
 
@@ -15,3 +24,339 @@
     /// The whole body.
     pub body: Vec<u8>,
 }
+
+/// Bounds of the keys on record.
+#[derive(Clone, Debug)]
+pub struct KeySettings {
+    /// Keys on record; the oldest finished one is forgotten for a new one.
+    pub max_keys: usize,
+    /// Bytes of all stored bodies; the oldest body is dropped for a new one,
+    /// its key stays.
+    pub max_body_bytes: usize,
+    /// Time after which a finished key is forgotten.
+    pub max_age: Duration,
+    /// Time that a stored answer may take to follow the end of its body.
+    pub store_grace: Duration,
+    /// Keys that are handed over; the newest go first.
+    pub max_hand_over_keys: usize,
+    /// Bytes of stored bodies that are handed over.
+    pub max_hand_over_bytes: usize,
+}
+
+impl Default for KeySettings {
+    fn default() -> KeySettings {
+        KeySettings {
+            max_keys: 8_192,
+            max_body_bytes: 2 * 1024 * 1024,
+            max_age: Duration::from_secs(600),
+            store_grace: Duration::from_millis(200),
+            max_hand_over_keys: 1_024,
+            max_hand_over_bytes: 256 * 1024,
+        }
+    }
+}
+
+/// A key on record as an owner tells its successor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyHandOver {
+    /// Customer that the key belongs to.
+    pub customer: Name,
+    /// The key.
+    pub key: Name,
+    /// Time since the request came.
+    pub age_ms: u64,
+    /// The stored answer; `None` if the outcome is unknown or not stored.
+    pub answer: Option<Arc<StoredAnswer>>,
+}
+
+/// What becomes of a request with a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// It is the first and may run.
+    Run,
+    /// The first is in flight; it waits for the first's answer.
+    Join,
+    /// The first has been answered.
+    Replay(Arc<StoredAnswer>),
+    /// The first may have run and its answer is not held.
+    Lost,
+    /// It is a repeat and its first is not on record.
+    NoRecord,
+    /// Every key on record is in flight; it can't be recorded.
+    Full,
+}
+
+type KeyId = (Name, Name);
+
+#[derive(Clone, Debug)]
+enum State {
+    /// The first is in flight, or its answer is on its way.
+    InFlight {
+        waiters: Vec<RequestId>,
+    },
+    Stored(Arc<StoredAnswer>),
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    since: Time,
+    serial: u64,
+    state: State,
+}
+
+/// The keys on record of one shard.
+#[derive(Clone, Debug)]
+pub struct KeyTable {
+    settings: KeySettings,
+    records: FxHashMap<KeyId, Record>,
+    in_flight: FxHashMap<RequestId, KeyId>,
+    /// Finished records, oldest first; an entry whose serial is not its
+    /// record's is stale.
+    finished: VecDeque<(KeyId, u64)>,
+    /// Records with a body, oldest first; stale entries as above.
+    stored: VecDeque<(KeyId, u64)>,
+    /// Requests whose body ended and whose answer may still be stored.
+    ending: VecDeque<(Time, RequestId)>,
+    body_bytes: usize,
+    next_serial: u64,
+}
+
+impl KeyTable {
+    /// Creates an empty table.
+    pub fn new(settings: KeySettings) -> KeyTable {
+        KeyTable {
+            settings,
+            records: FxHashMap::default(),
+            in_flight: FxHashMap::default(),
+            finished: VecDeque::new(),
+            stored: VecDeque::new(),
+            ending: VecDeque::new(),
+            body_bytes: 0,
+            next_serial: 0,
+        }
+    }
+
+    /// Returns the number of keys on record.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no key is on record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Decides what becomes of a request with a key.
+    pub fn claim(
+        &mut self,
+        now: Time,
+        customer: &Name,
+        key: &Name,
+        request: RequestId,
+        repeat: bool,
+    ) -> Claim {
+        self.forget_old(now);
+        let id = (customer.clone(), key.clone());
+        if let Some(record) = self.records.get_mut(&id) {
+            return match &mut record.state {
+                State::InFlight { waiters } => {
+                    waiters.push(request);
+                    Claim::Join
+                }
+                State::Stored(answer) => Claim::Replay(answer.clone()),
+                State::Lost => Claim::Lost,
+            };
+        }
+        if repeat {
+            return Claim::NoRecord;
+        }
+        if self.records.len() >= self.settings.max_keys && !self.forget_oldest() {
+            return Claim::Full;
+        }
+        let state = State::InFlight { waiters: Vec::new() };
+        self.insert(now, id.clone(), state);
+        self.in_flight.insert(request, id);
+        Claim::Run
+    }
+
+    /// Notes that the first was certainly not run; returns the requests that
+    /// waited for it.
+    pub fn on_not_run(&mut self, request: RequestId) -> Vec<RequestId> {
+        let Some(id) = self.in_flight.remove(&request) else { return Vec::new() };
+        match self.records.remove(&id).map(|record| record.state) {
+            Some(State::InFlight { waiters }) => waiters,
+            _ => Vec::new(),
+        }
+    }
+
+    /// Notes that the first may have run and that its answer is lost; returns
+    /// the requests that waited for it.
+    pub fn on_lost(&mut self, request: RequestId) -> Vec<RequestId> {
+        self.finish(request, State::Lost)
+    }
+
+    /// Notes that the first's answer has come whole; it may be stored yet.
+    pub fn on_answered(&mut self, now: Time, request: RequestId) {
+        if self.in_flight.contains_key(&request) {
+            self.ending.push_back((now, request));
+        }
+    }
+
+    /// Stores the first's answer; returns the requests that waited for it.
+    pub fn on_stored(&mut self, request: RequestId, answer: &Arc<StoredAnswer>) -> Vec<RequestId> {
+        if answer.body.len() > MAX_STORED_BODY_BYTES {
+            return Vec::new();
+        }
+        let waiters = self.finish(request, State::Stored(answer.clone()));
+        self.bound_bodies();
+        waiters
+    }
+
+    /// Takes a waiting request out, whose caller or deadline is gone.
+    pub fn leave(&mut self, customer: &Name, key: &Name, request: RequestId) {
+        let id = (customer.clone(), key.clone());
+        if let Some(State::InFlight { waiters }) =
+            self.records.get_mut(&id).map(|record| &mut record.state)
+        {
+            waiters.retain(|waiter| *waiter != request);
+        }
+    }
+
+    /// Gives up on answers that were not stored in time; returns the requests
+    /// that waited for them.
+    pub fn on_tick(&mut self, now: Time) -> Vec<RequestId> {
+        let mut waiters = Vec::new();
+        while let Some((ended_at, request)) = self.ending.front().copied() {
+            if now < ended_at + self.settings.store_grace {
+                break;
+            }
+            self.ending.pop_front();
+            waiters.extend(self.on_lost(request));
+        }
+        self.forget_old(now);
+        waiters
+    }
+
+    /// Returns what a successor needs to know, the newest keys first.
+    ///
+    /// A key whose first is still in flight is handed over without an answer:
+    /// the successor can't know the outcome.
+    pub fn hand_over(&self, now: Time) -> Vec<KeyHandOver> {
+        let mut records: Vec<_> = self.records.iter().collect();
+        records.sort_by_key(|(_, record)| std::cmp::Reverse(record.serial));
+        records.truncate(self.settings.max_hand_over_keys);
+        let mut bytes_left = self.settings.max_hand_over_bytes;
+        let mut keys = Vec::with_capacity(records.len());
+        for ((customer, key), record) in records {
+            let answer = match &record.state {
+                State::Stored(answer) if answer.body.len() <= bytes_left => Some(answer.clone()),
+                _ => None,
+            };
+            bytes_left -= answer.as_ref().map_or(0, |answer| answer.body.len());
+            keys.push(KeyHandOver {
+                customer: customer.clone(),
+                key: key.clone(),
+                age_ms: now.since(record.since).as_millis() as u64,
+                answer,
+            });
+        }
+        keys
+    }
+
+    /// Takes what a predecessor knew; what is on record here stays.
+    pub fn on_hand_over(&mut self, now: Time, keys: &[KeyHandOver]) {
+        for handed in keys.iter().rev() {
+            let id = (handed.customer.clone(), handed.key.clone());
+            if self.records.contains_key(&id) {
+                continue;
+            }
+            if self.records.len() >= self.settings.max_keys && !self.forget_oldest() {
+                return;
+            }
+            let state = handed.answer.clone().map_or(State::Lost, State::Stored);
+            let age_us = handed.age_ms.saturating_mul(1000);
+            let since = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            self.insert_finished(since, id, state);
+        }
+        self.bound_bodies();
+    }
+
+    fn finish(&mut self, request: RequestId, state: State) -> Vec<RequestId> {
+        let Some(id) = self.in_flight.remove(&request) else { return Vec::new() };
+        let Some(record) = self.records.remove(&id) else { return Vec::new() };
+        let State::InFlight { waiters } = record.state else { return Vec::new() };
+        self.insert_finished(record.since, id, state);
+        waiters
+    }
+
+    fn insert(&mut self, since: Time, id: KeyId, state: State) -> u64 {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        self.records.insert(id, Record { since, serial, state });
+        serial
+    }
+
+    fn insert_finished(&mut self, since: Time, id: KeyId, state: State) {
+        let body_bytes = body_bytes(&state);
+        let is_stored = matches!(state, State::Stored(_));
+        let serial = self.insert(since, id.clone(), state);
+        self.body_bytes += body_bytes;
+        if is_stored {
+            self.stored.push_back((id.clone(), serial));
+        }
+        self.finished.push_back((id, serial));
+    }
+
+    fn forget_old(&mut self, now: Time) {
+        while let Some((id, serial)) = self.finished.front() {
+            let record = self.records.get(id).filter(|record| record.serial == *serial);
+            if record.is_some_and(|record| now < record.since + self.settings.max_age) {
+                break;
+            }
+            if record.is_none() {
+                self.finished.pop_front();
+            } else {
+                self.forget_oldest();
+            }
+        }
+        while let Some((id, serial)) = self.stored.front() {
+            if self.records.get(id).is_some_and(|record| record.serial == *serial) {
+                break;
+            }
+            self.stored.pop_front();
+        }
+    }
+
+    /// Forgets the oldest finished key and returns whether there was one.
+    fn forget_oldest(&mut self) -> bool {
+        while let Some((id, serial)) = self.finished.pop_front() {
+            if self.records.get(&id).is_none_or(|record| record.serial != serial) {
+                continue;
+            }
+            if let Some(record) = self.records.remove(&id) {
+                self.body_bytes -= body_bytes(&record.state);
+            }
+            return true;
+        }
+        false
+    }
+
+    fn bound_bodies(&mut self) {
+        while self.body_bytes > self.settings.max_body_bytes {
+            let Some((id, serial)) = self.stored.pop_front() else { return };
+            let Some(record) = self.records.get_mut(&id) else { continue };
+            if record.serial == serial {
+                self.body_bytes -= body_bytes(&record.state);
+                record.state = State::Lost;
+            }
+        }
+    }
+}
+
+fn body_bytes(state: &State) -> usize {
+    match state {
+        State::Stored(answer) => answer.body.len(),
+        _ => 0,
+    }
+}
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod header;
 pub mod health;
 pub mod idempotency;
+pub mod limit;
 pub mod membership;
 pub mod message;
 pub mod name;
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -1,23 +1,48 @@
 //! The owner of a shard: decides which request goes to which endpoint when.
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+mod action;
+mod ending;
+mod flow;
+mod pool;
+mod state;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+pub use self::action::{Dispatch, ShardAction};
+use self::{
+    pool::Pool,
+    state::{Attempt, Live, Phase},
+};
 use crate::{
     admin::EndpointStatus,
+    admission::AdmissionQueue,
     config::Config,
     endpoint::Endpoint,
-    health::{HealthAction, HealthHandOver, PathAnswer},
-    idempotency::StoredAnswer,
+    health::{
+        AttemptKind, EjectReason, Health, HealthHandOver, HealthSettings, PathAnswer, Standing,
+    },
+    idempotency::{KeyHandOver, KeySettings, KeyTable, StoredAnswer},
     name::Name,
-    ownership::{ShardId, shard_endpoints},
-    refusal::{Execution, Reason, Refusal},
-    request::{AttemptId, BodyEnd, ConnectionChoice, Outcome, Report, Request, RequestId},
+    ownership::{ShardId, shard_count, shard_endpoints},
+    request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
+    retry::{BudgetSettings, RecentLatency, RetryBudget, UsualTime},
+    service::{DEFAULT_PROBE_PATH, Service},
     time::Time,
 };
 
+/// Longest time for which a new owner allows for its predecessor's work.
+const MAX_SETTLE: Duration = Duration::from_secs(2);
+/// Pause after which another VM may have taken the shard over and back.
+const TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
+/// Multiple of the usual service time for which a predecessor's requests are
+/// counted against their endpoints.
+const FOREIGN_TIMES_USUAL: u32 = 2;
+/// Time after which a health check without any report is forgotten.
+const LOST_PROBE_AGE: Duration = Duration::from_secs(5);
+
 /// How far this VM may go with the shard's endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShardMode {
@@ -42,82 +67,6 @@
     }
 }
 
-/// One dispatch of a request to an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Dispatch {
-    /// Request to send.
-    pub request: RequestId,
-    /// Identity of this attempt.
-    pub attempt: AttemptId,
-    /// Endpoint to send it to.
-    pub endpoint: Name,
-    /// Address of the endpoint.
-    pub address: SocketAddr,
-    /// What the connection must be like.
-    pub connection: ConnectionChoice,
-    /// Moment after which not even the first byte may be written.
-    pub not_after: Time,
-    /// Moment at which the attempt is reported as timed out.
-    pub time_limit: Time,
-}
-
-/// What the caller of a shard has to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ShardAction {
-    /// Sends a request to an endpoint.
-    Dispatch(Dispatch),
-    /// Ends an attempt: closes its connection, so that the endpoint stops.
-    Cancel {
-        /// Request of the attempt.
-        request: RequestId,
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// Passes the answer of an attempt, which has begun, to the caller.
-    Deliver {
-        /// Request that is answered.
-        request: RequestId,
-        /// Attempt whose answer is passed on.
-        attempt: AttemptId,
-    },
-    /// Answers a duplicate with the answer of the first.
-    Replay {
-        /// Request that is answered.
-        request: RequestId,
-        /// The stored answer.
-        answer: Arc<StoredAnswer>,
-    },
-    /// Refuses a request; final.
-    Refuse {
-        /// The request.
-        request: RequestId,
-        /// What the caller is told.
-        refusal: Refusal,
-    },
-    /// Sends a health check.
-    Probe {
-        /// Identity of the attempt.
-        attempt: AttemptId,
-        /// Endpoint to check.
-        endpoint: Name,
-        /// Address of the endpoint.
-        address: SocketAddr,
-        /// Path of the health check.
-        path: Name,
-        /// Moment at which the probe is reported as timed out.
-        time_limit: Time,
-    },
-    /// Asks VMs elsewhere whether they reach an endpoint.
-    CheckPath {
-        /// The endpoint.
-        endpoint: Name,
-        /// Address of the endpoint.
-        address: SocketAddr,
-    },
-    /// Something that belongs into the log.
-    Health(HealthAction),
-}
-
 /// What an owner tells its successor.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShardHandOver {
@@ -127,224 +76,377 @@
     pub health: Vec<HealthHandOver>,
     /// Requests still in flight by endpoint.
     pub in_flight: Vec<(Name, u32)>,
-}
-
-#[derive(Clone, Debug)]
-struct Slot {
-    endpoint: Endpoint,
-    in_flight: u32,
+    /// Usual time for which a request holds its slot, if known.
+    #[serde(default)]
+    pub usual_service_us: Option<u64>,
+    /// Idempotency keys on record, the newest first, within bounds.
+    #[serde(default)]
+    pub keys: Vec<KeyHandOver>,
 }
 
 /// The decisions about one shard.
 #[derive(Clone, Debug)]
 pub struct Shard {
     id: ShardId,
-    slots: Vec<Slot>,
-    queue: VecDeque<Request>,
-    running: FxHashMap<AttemptId, (Request, Name)>,
+    pool: Pool,
+    health: Health,
+    queue: AdmissionQueue,
+    queue_limit: usize,
+    probe_path: Name,
+    settle: Duration,
+    live: FxHashMap<RequestId, Live>,
+    attempts: FxHashMap<AttemptId, Attempt>,
+    /// Waiting requests by the moment at which they have no time left.
+    expiry: BTreeSet<(Time, RequestId)>,
+    /// Requests in flight by the moment at which a hedge is due.
+    hedges: BTreeSet<(Time, RequestId)>,
+    keys: KeyTable,
+    budget: RetryBudget,
+    latency: RecentLatency,
+    usual: UsualTime,
     next_attempt: u64,
+    out: Vec<ShardAction>,
 }
 
 impl Shard {
     /// Creates a shard from the configuration.
-    pub fn new(now: Time, id: ShardId, config: &Config, _settings: ShardSettings) -> Shard {
+    ///
+    /// For a short time only half of the slots are used, as a predecessor's
+    /// work may still run; [`Shard::on_hand_over`] ends that time.
+    pub fn new(now: Time, id: ShardId, config: &Config, settings: ShardSettings) -> Shard {
+        let service = config.service(&id.service);
+        let endpoints = service.map(|service| endpoints(service, &id)).unwrap_or_default();
+        let mut pool = Pool::new(settings.mode, settings.seed);
+        pool.set_endpoints(endpoints.iter().copied());
+        let mut health_settings = HealthSettings::default();
+        if let Some(service) = service {
+            health_settings.sensitivity = service.sensitivity;
+        }
+        let floor = service.map_or(0, |service| shard_floor(service, endpoints.len()));
+        let candidates = pool.candidates();
+        let health = Health::new(now, health_settings, &candidates, floor, settings.seed);
         let mut shard = Shard {
             id,
-            slots: Vec::new(),
-            queue: VecDeque::new(),
-            running: FxHashMap::default(),
+            pool,
+            health,
+            queue: AdmissionQueue::default(),
+            queue_limit: 0,
+            probe_path: Name::from(DEFAULT_PROBE_PATH),
+            settle: MAX_SETTLE,
+            live: FxHashMap::default(),
+            attempts: FxHashMap::default(),
+            expiry: BTreeSet::new(),
+            hedges: BTreeSet::new(),
+            keys: KeyTable::new(KeySettings::default()),
+            budget: RetryBudget::new(now, BudgetSettings::default()),
+            latency: RecentLatency::default(),
+            usual: UsualTime::default(),
             next_attempt: 1,
+            out: Vec::new(),
         };
-        shard.on_config(now, config);
+        shard.set_service(config);
+        shard.pool.settle_until(now + shard.settle);
+        shard.pool.refresh(now, &shard.health);
         shard
     }
 
     /// Takes a new configuration.
-    pub fn on_config(&mut self, _now: Time, config: &Config) -> Vec<ShardAction> {
-        let endpoints = config
-            .service(&self.id.service)
-            .map(|service| shard_endpoints(service, self.id.index))
-            .unwrap_or_default();
-        self.slots = endpoints
-            .into_iter()
-            .map(|endpoint| Slot {
-                endpoint: endpoint.clone(),
-                in_flight: self.running.values().filter(|(_, name)| *name == endpoint.name).count()
-                    as u32,
-            })
-            .collect();
-        self.dispatch()
+    pub fn on_config(&mut self, now: Time, config: &Config) -> Vec<ShardAction> {
+        let service = config.service(&self.id.service);
+        let endpoints = service.map(|service| endpoints(service, &self.id)).unwrap_or_default();
+        self.pool.set_endpoints(endpoints.iter().copied());
+        self.set_service(config);
+        let floor = service.map_or(0, |service| shard_floor(service, endpoints.len()));
+        let actions = self.health.on_config(now, &self.pool.candidates(), floor);
+        self.on_health_actions(now, actions);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
     }
 
     /// Changes how far this VM may go.
-    pub fn set_mode(&mut self, _now: Time, _mode: ShardMode) -> Vec<ShardAction> {
-        Vec::new()
+    pub fn set_mode(&mut self, now: Time, mode: ShardMode) -> Vec<ShardAction> {
+        if mode == ShardMode::Owner && self.pool.mode() == ShardMode::Careful {
+            self.pool.settle_until(now + self.settle);
+        }
+        self.pool.set_mode(mode);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
     }
 
     /// Takes a request.
-    pub fn on_request(&mut self, _now: Time, request: Request) -> Vec<ShardAction> {
-        self.queue.push_back(request);
-        self.dispatch()
+    pub fn on_request(&mut self, now: Time, request: Request) -> Vec<ShardAction> {
+        let id = request.id;
+        self.pool.release_due(now);
+        self.expire(now);
+        self.live.insert(id, Live::new(request));
+        self.intake(now, id);
+        self.advance(now)
     }
 
     /// Takes how an attempt ended or how its answer began.
     ///
     /// After [`Outcome::Answered`], and only then, [`Shard::on_body_end`]
-    /// follows.
+    /// follows; any other outcome of an attempt whose answer has begun counts
+    /// as the end of its body.
     pub fn on_outcome(
         &mut self,
-        _now: Time,
+        now: Time,
         attempt: AttemptId,
         outcome: Outcome,
-        _report: Report,
+        report: Report,
     ) -> Vec<ShardAction> {
-        let Some((request, _)) = self.running.get(&attempt) else { return Vec::new() };
-        let request = request.id;
-        if matches!(outcome, Outcome::Answered { .. }) {
-            return vec![ShardAction::Deliver { request, attempt }];
+        let Some(of) = self.attempts.get_mut(&attempt) else { return Vec::new() };
+        if of.answered {
+            return self.on_body_end(now, attempt, BodyEnd::CallerGone);
         }
-        self.release(attempt);
-        let execution =
-            if outcome.certainly_not_run() { Execution::NotRun } else { Execution::Unknown };
-        let refusal = Refusal { execution, reason: Reason::AnswerLost, retry_after_ms: Some(100) };
-        let mut actions = vec![ShardAction::Refuse { request, refusal }];
-        actions.extend(self.dispatch());
-        actions
+        of.answered = matches!(outcome, Outcome::Answered { .. });
+        let of = of.clone();
+        let mut actions = self.health.on_outcome(now, attempt, outcome);
+        if of.answered || outcome == Outcome::Shed {
+            actions.extend(self.health.on_report(now, &of.endpoint, report));
+        }
+        self.on_health_actions(now, actions);
+        self.on_evidence(now, &of, outcome);
+        self.pool.refresh(now, &self.health);
+        if let Outcome::Answered { status, .. } = outcome {
+            if let Some(request) = of.request {
+                self.on_answer(now, attempt, request, status);
+            }
+        } else {
+            self.end_attempt(now, attempt, outcome.certainly_not_run());
+            self.on_failure(now, attempt, &of, outcome);
+        }
+        self.advance(now)
     }
 
     /// Takes the end of an answer's body.
-    pub fn on_body_end(
-        &mut self,
-        _now: Time,
-        attempt: AttemptId,
-        _end: BodyEnd,
-    ) -> Vec<ShardAction> {
-        self.release(attempt);
-        self.dispatch()
+    pub fn on_body_end(&mut self, now: Time, attempt: AttemptId, end: BodyEnd) -> Vec<ShardAction> {
+        let Some(of) = self.attempts.get(&attempt).cloned() else { return Vec::new() };
+        let actions = self.health.on_body_end(now, attempt, end);
+        self.on_health_actions(now, actions);
+        if end == BodyEnd::Complete {
+            self.on_complete(now, &of);
+        }
+        self.end_attempt(now, attempt, end == BodyEnd::Complete);
+        if let Some(request) = of.request {
+            self.on_key_body_end(now, request, end);
+        }
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
     }
 
     /// Keeps a small whole answer for duplicates of its request.
     pub fn on_stored_answer(
         &mut self,
-        _now: Time,
-        _request: RequestId,
-        _answer: StoredAnswer,
+        now: Time,
+        request: RequestId,
+        answer: StoredAnswer,
     ) -> Vec<ShardAction> {
-        Vec::new()
+        let answer = Arc::new(answer);
+        for waiter in self.keys.on_stored(request, &answer) {
+            if self.forget(waiter).is_some() {
+                let answer = answer.clone();
+                self.out.push(ShardAction::Replay { request: waiter, answer });
+            }
+        }
+        self.advance(now)
     }
 
     /// Notes that the caller went away before its answer began.
-    pub fn on_cancel(&mut self, _now: Time, request: RequestId) -> Vec<ShardAction> {
-        self.queue.retain(|queued| queued.id != request);
-        let attempts: Vec<AttemptId> = self
-            .running
-            .iter()
-            .filter(|(_, (running, _))| running.id == request)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        attempts.into_iter().map(|attempt| ShardAction::Cancel { request, attempt }).collect()
+    ///
+    /// Attempts in flight are cancelled. A key stays on record until the
+    /// outcome of its attempt is known.
+    pub fn on_cancel(&mut self, now: Time, request: RequestId) -> Vec<ShardAction> {
+        let Some(live) = self.live.get(&request) else { return Vec::new() };
+        let was_running = live.phase == Phase::Running;
+        for attempt in &live.in_flight {
+            self.out.push(ShardAction::Cancel { request, attempt: *attempt });
+        }
+        if self.forget(request) == Some(true) && !was_running {
+            let waiters = self.keys.on_not_run(request);
+            self.intake_again(now, waiters);
+        }
+        self.advance(now)
     }
 
     /// Takes the answer to [`ShardAction::CheckPath`].
     pub fn on_path_answer(
         &mut self,
-        _now: Time,
-        _endpoint: &Name,
-        _answer: PathAnswer,
+        now: Time,
+        endpoint: &Name,
+        answer: PathAnswer,
     ) -> Vec<ShardAction> {
-        Vec::new()
+        let actions = self.health.on_path_answer(now, endpoint, answer);
+        self.on_health_actions(now, actions);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
     }
 
     /// Does what is due.
     pub fn on_tick(&mut self, now: Time) -> Vec<ShardAction> {
-        let mut actions = Vec::new();
-        self.queue.retain(|request| {
-            let expired = request.deadline <= now;
-            if expired {
-                let refusal = Refusal {
-                    execution: Execution::NotRun,
-                    reason: Reason::DeadlinePassed,
-                    retry_after_ms: None,
-                };
-                actions.push(ShardAction::Refuse { request: request.id, refusal });
-            }
-            !expired
-        });
-        actions
+        self.forget_lost_probes(now);
+        let actions = self.health.on_tick(now);
+        self.on_health_actions(now, actions);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
     }
 
     /// Notes that this process was paused for `gap`.
-    pub fn on_pause(&mut self, now: Time, _gap: Duration) -> Vec<ShardAction> {
-        self.on_tick(now)
+    ///
+    /// A paused process wakes up with requests whose callers have given up
+    /// and may believe that it owns what another VM has taken over. Requests
+    /// out of time are refused first, nothing is dispatched in this call, and
+    /// after a long pause the limits are halved as after a takeover.
+    pub fn on_pause(&mut self, now: Time, gap: Duration) -> Vec<ShardAction> {
+        self.health.on_pause(now, gap);
+        self.hedges.clear();
+        self.expire(now);
+        if gap >= TAKEOVER_PAUSE {
+            self.pool.settle_until(now + self.settle);
+        }
+        self.pool.refresh(now, &self.health);
+        std::mem::take(&mut self.out)
     }
 
     /// Returns what a successor needs to know.
-    pub fn hand_over(&self, _now: Time) -> ShardHandOver {
-        ShardHandOver { shard: self.id.clone(), health: Vec::new(), in_flight: Vec::new() }
+    pub fn hand_over(&self, now: Time) -> ShardHandOver {
+        ShardHandOver {
+            shard: self.id.clone(),
+            health: self.health.hand_over(now),
+            in_flight: self.pool.in_use().map(|(name, count)| (name.clone(), count)).collect(),
+            usual_service_us: self.usual.value().map(|usual| usual.as_micros() as u64),
+            keys: self.keys.hand_over(now),
+        }
     }
 
     /// Takes what a predecessor knew.
-    pub fn on_hand_over(&mut self, _now: Time, _from: &ShardHandOver) -> Vec<ShardAction> {
-        Vec::new()
+    ///
+    /// Its requests in flight count against their endpoints until about twice
+    /// the usual service time has passed.
+    pub fn on_hand_over(&mut self, now: Time, from: &ShardHandOver) -> Vec<ShardAction> {
+        if from.shard != self.id {
+            return Vec::new();
+        }
+        let actions = self.health.on_hand_over(now, &from.health);
+        self.on_health_actions(now, actions);
+        self.keys.on_hand_over(now, &from.keys);
+        if let (None, Some(usual_us)) = (self.usual.value(), from.usual_service_us) {
+            self.usual.seed(Duration::from_micros(usual_us));
+        }
+        let allowance = self.usual.value().map_or(self.settle, |usual| usual * FOREIGN_TIMES_USUAL);
+        let until = now + allowance.min(self.settle);
+        for (endpoint, in_flight) in &from.in_flight {
+            self.pool.set_foreign(endpoint, *in_flight, until);
+        }
+        self.pool.settle_until(now);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
     }
 
     /// Returns the expected wait of a new request.
     pub fn queue_wait(&self, _now: Time) -> Duration {
-        Duration::ZERO
+        if self.queue.is_empty() && self.pool.has_free_slot() {
+            return Duration::ZERO;
+        }
+        self.drain_time(self.queue.len() as f64 + 1.0)
     }
 
     /// Returns whether further ejections are held back.
     pub fn at_floor(&self) -> bool {
-        false
+        self.health.at_floor()
     }
 
     /// Returns the endpoints for the admin port.
     pub fn endpoints(&self, _now: Time) -> Vec<EndpointStatus> {
-        self.slots
-            .iter()
-            .map(|slot| EndpointStatus {
-                service: self.id.service.clone(),
-                endpoint: slot.endpoint.name.clone(),
-                state: Name::from("healthy"),
-                in_flight: slot.in_flight,
-                limit: slot.endpoint.slots,
-                evidence: 0.0,
-                reason: None,
+        self.pool
+            .configured()
+            .map(|slots| {
+                let name = &slots.endpoint.name;
+                EndpointStatus {
+                    service: self.id.service.clone(),
+                    endpoint: name.clone(),
+                    state: Name::from(state_name(self.health.standing(name))),
+                    in_flight: slots.in_flight,
+                    limit: slots.limit,
+                    evidence: self.health.evidence(name),
+                    reason: self.health.last_reason(name).map(reason_name).map(Name::from),
+                }
             })
             .collect()
     }
 
-    fn release(&mut self, attempt: AttemptId) {
-        let Some((_, name)) = self.running.remove(&attempt) else { return };
-        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.endpoint.name == name) {
-            slot.in_flight -= 1;
-        }
+    /// Does what has become possible, and returns all actions of the event.
+    fn advance(&mut self, now: Time) -> Vec<ShardAction> {
+        self.pool.release_due(now);
+        let waiters = self.keys.on_tick(now);
+        self.refuse_waiters(now, waiters);
+        self.expire(now);
+        self.dispatch_queue(now);
+        self.dispatch_hedges(now);
+        std::mem::take(&mut self.out)
     }
 
-    fn dispatch(&mut self) -> Vec<ShardAction> {
-        let mut actions = Vec::new();
-        while !self.queue.is_empty() {
-            let free = self
-                .slots
-                .iter_mut()
-                .filter(|slot| !slot.endpoint.leaving && slot.in_flight < slot.endpoint.slots)
-                .min_by_key(|slot| slot.in_flight);
-            let Some(slot) = free else { break };
-            let Some(request) = self.queue.pop_front() else { break };
-            slot.in_flight += 1;
-            let attempt = AttemptId(self.next_attempt);
-            self.next_attempt += 1;
-            actions.push(ShardAction::Dispatch(Dispatch {
-                request: request.id,
-                attempt,
-                endpoint: slot.endpoint.name.clone(),
-                address: slot.endpoint.address,
-                connection: ConnectionChoice::Any,
-                not_after: request.deadline,
-                time_limit: request.deadline,
-            }));
-            self.running.insert(attempt, (request, slot.endpoint.name.clone()));
+    fn set_service(&mut self, config: &Config) {
+        let Some(service) = config.service(&self.id.service) else {
+            self.queue_limit = 0;
+            return;
+        };
+        self.queue_limit = service.queue_limit.div_ceil(shard_count(service)) as usize;
+        self.probe_path = service.probe_path.clone();
+        self.settle = Duration::from_millis(service.timeout_ms).min(MAX_SETTLE);
+        let weights = config
+            .customers
+            .iter()
+            .flat_map(|customer| {
+                customer.contracts.iter().map(move |contract| (customer, contract))
+            })
+            .filter(|(_, contract)| contract.service == self.id.service)
+            .map(|(customer, contract)| (customer.name.clone(), contract.slots))
+            .collect();
+        self.queue.set_weights(weights);
+    }
+
+    /// Releases the slots of health checks whose end was never reported.
+    fn forget_lost_probes(&mut self, now: Time) {
+        let lost: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, of)| of.kind == AttemptKind::Probe)
+            .filter(|(_, of)| now >= of.time_limit + LOST_PROBE_AGE)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in lost {
+            self.end_attempt(now, attempt, true);
         }
-        actions
+    }
+}
+
+fn endpoints<'a>(service: &'a Service, id: &ShardId) -> Vec<&'a Endpoint> {
+    shard_endpoints(service, id.index)
+}
+
+/// Returns the shard's part of the service's floor, rounded up.
+fn shard_floor(service: &Service, shard_endpoints: usize) -> u32 {
+    let all = service.endpoints.len().max(1) as u64;
+    (u64::from(service.floor) * shard_endpoints as u64).div_ceil(all) as u32
+}
+
+fn state_name(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Healthy => "healthy",
+        Standing::Suspect => "suspect",
+        Standing::HeldByFloor => "held_by_floor",
+        Standing::Ejected => "ejected",
+        Standing::Trial => "trial",
+        Standing::SlowStart => "slow_start",
+        Standing::Draining => "draining",
+    }
+}
+
+fn reason_name(reason: EjectReason) -> &'static str {
+    match reason {
+        EjectReason::Failures => "failures",
+        EjectReason::Slow => "slow",
+        EjectReason::Unreachable => "unreachable",
     }
 }
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -0,0 +1,88 @@
+//! What a shard asks its caller to do.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::{
+    health::HealthAction,
+    idempotency::StoredAnswer,
+    name::Name,
+    refusal::Refusal,
+    request::{AttemptId, ConnectionChoice, RequestId},
+    time::Time,
+};
+
+/// One dispatch of a request to an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispatch {
+    /// Request to send.
+    pub request: RequestId,
+    /// Identity of this attempt.
+    pub attempt: AttemptId,
+    /// Endpoint to send it to.
+    pub endpoint: Name,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// What the connection must be like.
+    pub connection: ConnectionChoice,
+    /// Moment after which not even the first byte may be written.
+    pub not_after: Time,
+    /// Moment at which the attempt is reported as timed out.
+    pub time_limit: Time,
+}
+
+/// What the caller of a shard has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ShardAction {
+    /// Sends a request to an endpoint.
+    Dispatch(Dispatch),
+    /// Ends an attempt: closes its connection, so that the endpoint stops.
+    Cancel {
+        /// Request of the attempt.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Passes the answer of an attempt, which has begun, to the caller.
+    Deliver {
+        /// Request that is answered.
+        request: RequestId,
+        /// Attempt whose answer is passed on.
+        attempt: AttemptId,
+    },
+    /// Answers a duplicate with the answer of the first.
+    Replay {
+        /// Request that is answered.
+        request: RequestId,
+        /// The stored answer.
+        answer: Arc<StoredAnswer>,
+    },
+    /// Refuses a request; final.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// What the caller is told.
+        refusal: Refusal,
+    },
+    /// Sends a health check.
+    Probe {
+        /// Identity of the attempt.
+        attempt: AttemptId,
+        /// Endpoint to check.
+        endpoint: Name,
+        /// Address of the endpoint.
+        address: SocketAddr,
+        /// Path of the health check.
+        path: Name,
+        /// Moment at which the probe is reported as timed out.
+        time_limit: Time,
+    },
+    /// Asks VMs elsewhere whether they reach an endpoint.
+    CheckPath {
+        /// The endpoint.
+        endpoint: Name,
+        /// Address of the endpoint.
+        address: SocketAddr,
+    },
+    /// Something that belongs into the log.
+    Health(HealthAction),
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -0,0 +1,329 @@
+//! From a request's arrival to its dispatch.
+
+use std::time::Duration;
+
+use super::{
+    Dispatch, Shard, ShardAction,
+    pool::{Pick, Wanted},
+    state::{Attempt, Live, Phase},
+};
+use crate::{
+    admission::Ticket,
+    health::{AttemptKind, Standing},
+    idempotency::Claim,
+    name::Name,
+    refusal::{Execution, Reason, Refusal},
+    request::{AttemptId, Class, ConnectionChoice, RequestId, remaining},
+    time::Time,
+};
+
+/// Dispatches of one request at most, hedges included.
+pub(super) const MAX_ATTEMPTS: usize = 3;
+/// Multiple of the usual service time that a request on an endpoint under
+/// trial must have left, so that a retry can still mend a failure.
+const TRIAL_TIMES_USUAL: u32 = 4;
+/// Time that it must have left while the usual service time is unknown.
+const TRIAL_MIN_LEFT: Duration = Duration::from_millis(500);
+/// Multiple of the 95th percentile after which an attempt that can be retried
+/// is given up.
+const GIVE_UP_TIMES_P95: u32 = 4;
+/// Shortest age of an attempt at which a hedge is sent.
+const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
+/// Shortest time that a refused caller is asked to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Time that a caller is asked to wait while no endpoint gets work.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time allowed for a health check.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Shard {
+    /// Decides what becomes of a request that has just come.
+    pub(super) fn intake(&mut self, now: Time, id: RequestId) {
+        let Some(live) = self.live.get(&id) else { return };
+        let request = &live.request;
+        if request.idempotent {
+            return self.admit(now, id);
+        }
+        let Some(key) = request.key.clone() else {
+            if request.repeat {
+                return self.refuse(now, id, unknown(Reason::NoRecord));
+            }
+            return self.admit(now, id);
+        };
+        let (customer, repeat, deadline) =
+            (request.customer.clone(), request.repeat, request.deadline);
+        match self.keys.claim(now, &customer, &key, id, repeat) {
+            Claim::Run => {
+                if let Some(live) = self.live.get_mut(&id) {
+                    live.holds_key = true;
+                }
+                self.admit(now, id);
+            }
+            Claim::Join => {
+                if let Some(live) = self.live.get_mut(&id) {
+                    live.phase = Phase::Joined;
+                    live.not_after = deadline;
+                }
+                self.expiry.insert((deadline, id));
+            }
+            Claim::Replay(answer) => {
+                self.live.remove(&id);
+                self.out.push(ShardAction::Replay { request: id, answer });
+            }
+            Claim::Lost => self.refuse(now, id, unknown(Reason::Duplicate)),
+            Claim::NoRecord => self.refuse(now, id, unknown(Reason::NoRecord)),
+            Claim::Full => self.refuse(now, id, not_run(Reason::QueueFull, None)),
+        }
+    }
+
+    fn admit(&mut self, now: Time, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let left = remaining(live.request.deadline, now);
+        if left.is_zero() {
+            return self.refuse(now, id, not_run(Reason::DeadlinePassed, None));
+        }
+        let reserve = self.usual.value().unwrap_or_default().min(left / 2) / 2;
+        live.not_after = now + (left - reserve);
+        let (customer, class) = (live.request.customer.clone(), live.request.class);
+        if self.pool.usable(live.request.idempotent) == 0 {
+            let hint = self.retry_hint(NO_ENDPOINT_RETRY_AFTER);
+            return self.refuse(now, id, not_run(Reason::NoEndpoint, hint));
+        }
+        let wait = self.expected_wait(&customer, class);
+        let needed = wait + self.usual.value().unwrap_or_default();
+        if !wait.is_zero() && needed > left {
+            let hint = self.retry_hint(needed - left);
+            return self.refuse(now, id, not_run(Reason::WaitTooLong, hint));
+        }
+        let is_full = self.queue.len() >= self.queue_limit;
+        if is_full && (!self.queue.is_empty() || !self.pool.has_free_slot()) {
+            let hint = self.retry_hint(self.queue_wait(now));
+            let refusal = not_run(Reason::QueueFull, hint);
+            let Some(victim) = self.queue.victim(&customer, class) else {
+                return self.refuse(now, id, refusal);
+            };
+            self.refuse_unless_run(now, victim, refusal);
+        }
+        self.enqueue(id);
+    }
+
+    /// Puts a request into the queue, whatever the queue's limit.
+    pub(super) fn enqueue(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        live.phase = Phase::Queued;
+        let ticket = Ticket { deadline: live.request.deadline, request: id };
+        self.queue.push(&live.request.customer, live.request.class, ticket);
+        self.expiry.insert((live.not_after, id));
+    }
+
+    /// Returns the expected wait of a customer's new request.
+    pub(super) fn expected_wait(&self, customer: &Name, class: Class) -> Duration {
+        if self.queue.is_empty() && self.pool.has_free_slot() {
+            return Duration::ZERO;
+        }
+        self.drain_time(self.queue.ahead(customer, class))
+    }
+
+    /// Returns the time in which so many requests leave the queue.
+    pub(super) fn drain_time(&self, requests: f64) -> Duration {
+        let usual = self.usual.value().unwrap_or_default();
+        usual.mul_f64(requests / f64::from(self.pool.capacity().max(1)))
+    }
+
+    /// Dispatches what waits as long as there are free slots.
+    pub(super) fn dispatch_queue(&mut self, now: Time) {
+        while let Some(id) = self.queue.peek() {
+            let Some(live) = self.live.get(&id) else {
+                self.queue.pop();
+                continue;
+            };
+            if self.pool.usable(live.request.idempotent) == 0 {
+                let hint = self.retry_hint(NO_ENDPOINT_RETRY_AFTER);
+                self.refuse_unless_run(now, id, not_run(Reason::NoEndpoint, hint));
+                continue;
+            }
+            let Some(pick) = self.pick(now, id, true) else { return };
+            self.queue.pop();
+            if let Some(live) = self.live.get(&id) {
+                self.expiry.remove(&(live.not_after, id));
+            }
+            self.start(now, id, pick);
+        }
+    }
+
+    /// Sends a second attempt for requests whose first is slow.
+    ///
+    /// Only idle slots are used: while requests wait, a hedge would take the
+    /// place of one that has not had its first attempt.
+    pub(super) fn dispatch_hedges(&mut self, now: Time) {
+        while let Some((at, id)) = self.hedges.first().copied() {
+            if at > now {
+                return;
+            }
+            self.hedges.pop_first();
+            let is_due = self.live.get(&id).is_some_and(|live| {
+                live.phase == Phase::Running
+                    && live.in_flight.len() == 1
+                    && live.tried.len() < MAX_ATTEMPTS
+                    && now < live.not_after
+            });
+            if !is_due || !self.queue.is_empty() {
+                continue;
+            }
+            let Some(pick) = self.pick(now, id, false) else { continue };
+            if pick.standing != Standing::Trial && self.budget.take(now) {
+                self.start(now, id, pick);
+            }
+        }
+    }
+
+    fn pick(&mut self, now: Time, id: RequestId, allow_tried: bool) -> Option<Pick> {
+        let live = self.live.get(&id)?;
+        let left = remaining(live.request.deadline, now);
+        let needed = self.usual.value().map_or(TRIAL_MIN_LEFT, |usual| usual * TRIAL_TIMES_USUAL);
+        let may_try = live.tried.is_empty() && left >= needed && self.pool.usable(true) > 1;
+        self.pool.pick(Wanted {
+            idempotent: live.request.idempotent,
+            may_try,
+            tried: &live.tried,
+            allow_tried,
+        })
+    }
+
+    fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
+        let attempt = self.next_attempt_id();
+        let time_limit = self.time_limit(now, id, pick.standing);
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let kind =
+            if pick.standing == Standing::Trial { AttemptKind::Trial } else { AttemptKind::Work };
+        let connection = connection(live, pick.standing);
+        live.phase = Phase::Running;
+        live.in_flight.push(attempt);
+        live.tried.push(pick.name.clone());
+        let class = live.request.class;
+        if live.request.idempotent
+            && live.request.hedge
+            && live.in_flight.len() == 1
+            && let Some(age) = self.latency.p95()
+        {
+            self.hedges.insert((now + age.max(MIN_HEDGE_AGE), id));
+        }
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                request: Some(id),
+                customer: Some(live.request.customer.clone()),
+                endpoint: pick.name.clone(),
+                kind,
+                dispatched_at: now,
+                time_limit,
+                answered: false,
+            },
+        );
+        self.out.push(ShardAction::Dispatch(Dispatch {
+            request: id,
+            attempt,
+            endpoint: pick.name.clone(),
+            address: pick.address,
+            connection,
+            not_after: live.not_after,
+            time_limit,
+        }));
+        self.pool.acquire(&pick.name);
+        self.health.on_dispatch(now, attempt, &pick.name, class, kind);
+    }
+
+    /// Returns the moment at which an attempt is given up.
+    ///
+    /// An endpoint that hangs shows by silence until the deadline, when a
+    /// retry is too late. An idempotent request that has another endpoint
+    /// left is therefore given up halfway, unless that is within the usual
+    /// latencies.
+    fn time_limit(&self, now: Time, id: RequestId, standing: Standing) -> Time {
+        let Some(live) = self.live.get(&id) else { return now };
+        let deadline = live.request.deadline;
+        let can_retry = live.request.idempotent
+            && live.tried.len() + 1 < MAX_ATTEMPTS
+            && self.pool.usable(true) > 1;
+        if !can_retry {
+            return deadline;
+        }
+        let half = remaining(deadline, now) / 2;
+        let patience = self.latency.p95().map(|p95| p95 * GIVE_UP_TIMES_P95);
+        let allowed = match patience {
+            Some(patience) if standing == Standing::Trial => half.min(patience),
+            Some(patience) => half.max(patience),
+            None => half,
+        };
+        (now + allowed).min(deadline)
+    }
+
+    /// Sends a health check, if a slot is free for it.
+    pub(super) fn start_probe(&mut self, now: Time, endpoint: Name) {
+        let Some(address) = self.pool.address(&endpoint) else { return };
+        if !self.pool.may_probe(&endpoint) {
+            return;
+        }
+        let attempt = self.next_attempt_id();
+        let time_limit = now + PROBE_TIMEOUT;
+        self.pool.acquire(&endpoint);
+        self.health.on_dispatch(now, attempt, &endpoint, Class::Batch, AttemptKind::Probe);
+        self.out.push(ShardAction::Probe {
+            attempt,
+            endpoint: endpoint.clone(),
+            address,
+            path: self.probe_path.clone(),
+            time_limit,
+        });
+        let probe = Attempt {
+            request: None,
+            customer: None,
+            endpoint,
+            kind: AttemptKind::Probe,
+            dispatched_at: now,
+            time_limit,
+            answered: false,
+        };
+        self.attempts.insert(attempt, probe);
+    }
+
+    /// Returns a retry hint that spreads the callers that get it.
+    pub(super) fn retry_hint(&mut self, wait: Duration) -> Option<u64> {
+        let wait_ms = wait.max(MIN_RETRY_AFTER).as_millis() as u64;
+        Some(wait_ms + self.pool.random_below(wait_ms / 2))
+    }
+
+    fn next_attempt_id(&mut self) -> AttemptId {
+        let attempt = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        attempt
+    }
+}
+
+/// Returns what the connection of the next attempt must be like.
+///
+/// A pooled connection can have gone silent while the endpoint is well. A
+/// request that must not be repeated would be lost on it with an unknown
+/// outcome, so it gets one that has answered lately, or a new one if there
+/// are doubts about the endpoint. A retry after a pooled connection failed
+/// gets a new one, which tells the two causes apart.
+fn connection(live: &Live, standing: Standing) -> ConnectionChoice {
+    let in_doubt = matches!(standing, Standing::Suspect | Standing::HeldByFloor | Standing::Trial);
+    if live.needs_fresh || standing == Standing::Trial {
+        ConnectionChoice::Fresh
+    } else if live.request.idempotent {
+        ConnectionChoice::Any
+    } else if in_doubt {
+        ConnectionChoice::Fresh
+    } else {
+        ConnectionChoice::Lively
+    }
+}
+
+pub(super) fn not_run(reason: Reason, retry_after_ms: Option<u64>) -> Refusal {
+    Refusal { execution: Execution::NotRun, reason, retry_after_ms }
+}
+
+pub(super) fn unknown(reason: Reason) -> Refusal {
+    Refusal { execution: Execution::Unknown, reason, retry_after_ms: None }
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -0,0 +1,350 @@
+//! Slots of the shard's endpoints: who holds them and which one is next.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::ShardMode;
+use crate::{
+    endpoint::Endpoint,
+    health::{Candidate, Health, Standing},
+    limit::AdaptiveLimit,
+    name::Name,
+    time::Time,
+};
+
+/// Part of all slots that a VM uses that is not the owner, as a divisor.
+const CAREFUL_DIVISOR: u32 = 4;
+/// Part of an endpoint's slots that is used while a predecessor's work may
+/// still run, as a divisor.
+const SETTLING_DIVISOR: u32 = 2;
+/// One of so many idempotent requests treats a suspect endpoint like others,
+/// so that the evidence for or against it goes on.
+const EXPLORE_ONE_IN: u32 = 8;
+
+/// Slots of one endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Slots {
+    pub(super) endpoint: Endpoint,
+    pub(super) standing: Standing,
+    pub(super) in_flight: u32,
+    /// Requests that may be in flight now.
+    pub(super) limit: u32,
+    is_configured: bool,
+    adaptive: AdaptiveLimit,
+    foreign: u32,
+    foreign_until: Time,
+}
+
+impl Slots {
+    fn accepts_work(&self) -> bool {
+        self.is_configured
+            && !self.endpoint.leaving
+            && !matches!(self.standing, Standing::Ejected | Standing::Draining)
+    }
+}
+
+/// What the endpoint of an attempt must be like.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted<'a> {
+    pub(super) idempotent: bool,
+    /// Whether a failure on an endpoint under trial can still be mended.
+    pub(super) may_try: bool,
+    pub(super) tried: &'a [Name],
+    /// Whether an endpoint that was tried already is better than none.
+    pub(super) allow_tried: bool,
+}
+
+/// Whether it was tried, rank of its standing, load and a random tie-break;
+/// the least is chosen.
+type PickOrder = (bool, u32, u32, u32);
+
+/// The endpoint chosen for an attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Pick {
+    pub(super) name: Name,
+    pub(super) address: SocketAddr,
+    pub(super) standing: Standing,
+}
+
+/// The endpoints of a shard with the slots in use.
+#[derive(Clone, Debug)]
+pub(super) struct Pool {
+    slots: BTreeMap<Name, Slots>,
+    mode: ShardMode,
+    settled_at: Time,
+    in_flight: u32,
+    in_flight_limit: u32,
+    capacity: u32,
+    /// Slots whose attempt ended without an answer, by the time they are free.
+    lingering: BTreeSet<(Time, u64, Name)>,
+    next_serial: u64,
+    rng: Pcg32,
+}
+
+impl Pool {
+    pub(super) fn new(mode: ShardMode, seed: u64) -> Pool {
+        Pool {
+            slots: BTreeMap::new(),
+            mode,
+            settled_at: Time::ZERO,
+            in_flight: 0,
+            in_flight_limit: 0,
+            capacity: 0,
+            lingering: BTreeSet::new(),
+            next_serial: 0,
+            rng: Pcg32::seed_from_u64(seed),
+        }
+    }
+
+    pub(super) fn mode(&self) -> ShardMode {
+        self.mode
+    }
+
+    pub(super) fn set_mode(&mut self, mode: ShardMode) {
+        self.mode = mode;
+    }
+
+    /// Halves the limits until `until`.
+    ///
+    /// A predecessor that didn't hand over may still have work in flight,
+    /// which would show as slots used twice and as sheds. Its work ends
+    /// within a request's time allowed, which bounds the wait.
+    pub(super) fn settle_until(&mut self, until: Time) {
+        self.settled_at = until;
+    }
+
+    /// Takes the endpoints of the configuration. One that is gone keeps its
+    /// slots in use until they are released, and gets no new work.
+    pub(super) fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = &'a Endpoint>) {
+        for slots in self.slots.values_mut() {
+            slots.is_configured = false;
+        }
+        for endpoint in endpoints {
+            let slots = self.slots.entry(endpoint.name.clone()).or_insert_with(|| Slots {
+                endpoint: endpoint.clone(),
+                standing: Standing::Healthy,
+                in_flight: 0,
+                limit: 0,
+                is_configured: true,
+                adaptive: AdaptiveLimit::new(endpoint.slots),
+                foreign: 0,
+                foreign_until: Time::ZERO,
+            });
+            slots.is_configured = true;
+            slots.adaptive.set_max(endpoint.slots);
+            slots.endpoint = endpoint.clone();
+        }
+        self.slots.retain(|_, slots| slots.is_configured || slots.in_flight > 0);
+    }
+
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        self.configured()
+            .map(|slots| Candidate {
+                name: slots.endpoint.name.clone(),
+                leaving: slots.endpoint.leaving,
+            })
+            .collect()
+    }
+
+    /// Works out the limits anew.
+    pub(super) fn refresh(&mut self, now: Time, health: &Health) {
+        let is_settling = now < self.settled_at;
+        let mut all_slots = 0;
+        self.capacity = 0;
+        for (name, slots) in &mut self.slots {
+            slots.standing = health.standing(name);
+            if now >= slots.foreign_until {
+                slots.foreign = 0;
+            }
+            let share = health.share(now, name);
+            slots.limit = limit(slots, share, self.mode, is_settling);
+            if slots.accepts_work() {
+                self.capacity += slots.limit;
+            }
+            if slots.is_configured {
+                all_slots += slots.endpoint.slots;
+            }
+        }
+        self.in_flight_limit = match self.mode {
+            ShardMode::Owner => u32::MAX,
+            ShardMode::Careful => (all_slots / CAREFUL_DIVISOR).max(1),
+        };
+        self.capacity = self.capacity.min(self.in_flight_limit);
+    }
+
+    /// Returns the requests that may be in flight at the same time.
+    pub(super) fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    /// Returns the number of endpoints that get work.
+    pub(super) fn usable(&self, idempotent: bool) -> usize {
+        self.slots
+            .values()
+            .filter(|slots| slots.accepts_work())
+            .filter(|slots| idempotent || slots.standing != Standing::Trial)
+            .count()
+    }
+
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.in_flight < self.in_flight_limit
+            && self.slots.values().any(|slots| {
+                slots.accepts_work()
+                    && slots.standing != Standing::Trial
+                    && slots.in_flight < slots.limit
+            })
+    }
+
+    /// Chooses the endpoint of an attempt among those with a free slot.
+    ///
+    /// Least loaded first. A suspect endpoint is handicapped by a slot for
+    /// idempotent requests and comes last for others, which can't be mended
+    /// by a retry.
+    pub(super) fn pick(&mut self, wanted: Wanted<'_>) -> Option<Pick> {
+        if self.in_flight >= self.in_flight_limit {
+            return None;
+        }
+        let explores = wanted.idempotent && self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN);
+        let mut best: Option<(PickOrder, &Slots)> = None;
+        for slots in self.slots.values() {
+            if !slots.accepts_work() || slots.in_flight >= slots.limit {
+                continue;
+            }
+            let is_tried = wanted.tried.contains(&slots.endpoint.name);
+            if is_tried && !wanted.allow_tried {
+                continue;
+            }
+            let is_trial = slots.standing == Standing::Trial;
+            if is_trial && (is_tried || !wanted.idempotent || !wanted.may_try) {
+                continue;
+            }
+            let rank = match slots.standing {
+                Standing::Suspect => 1,
+                Standing::HeldByFloor => 2,
+                _ => 0,
+            };
+            let (order, handicap) = match (wanted.idempotent, explores) {
+                (false, _) => (rank, 0),
+                (true, false) => (0, rank),
+                (true, true) => (0, 0),
+            };
+            let load =
+                if is_trial { 0 } else { 1 + (slots.in_flight + handicap) * 1000 / slots.limit };
+            let key = (is_tried, order, load, self.rng.next_u32());
+            if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
+                best = Some((key, slots));
+            }
+        }
+        best.map(|(_, slots)| Pick {
+            name: slots.endpoint.name.clone(),
+            address: slots.endpoint.address,
+            standing: slots.standing,
+        })
+    }
+
+    /// Returns the address of an endpoint that is configured.
+    pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
+        let slots = self.slots.get(name).filter(|slots| slots.is_configured)?;
+        Some(slots.endpoint.address)
+    }
+
+    /// Returns whether a health check would keep within the endpoint's slots.
+    pub(super) fn may_probe(&self, name: &str) -> bool {
+        self.slots.get(name).is_some_and(|slots| {
+            slots.is_configured && slots.in_flight + slots.foreign < slots.endpoint.slots
+        })
+    }
+
+    pub(super) fn acquire(&mut self, name: &str) {
+        if let Some(slots) = self.slots.get_mut(name) {
+            slots.in_flight += 1;
+            self.in_flight += 1;
+        }
+    }
+
+    pub(super) fn release(&mut self, name: &str) {
+        let Some(slots) = self.slots.get_mut(name) else { return };
+        slots.in_flight -= 1;
+        self.in_flight -= 1;
+        if !slots.is_configured && slots.in_flight == 0 {
+            self.slots.remove(name);
+        }
+    }
+
+    /// Releases a slot at `until` only.
+    ///
+    /// When a connection breaks or an attempt is given up, the endpoint may
+    /// still be at work on it; using the slot at once shows as more work at
+    /// the endpoint than it has slots. Work that goes on ends within about
+    /// the usual service time.
+    pub(super) fn release_later(&mut self, name: &Name, until: Time) {
+        self.next_serial += 1;
+        self.lingering.insert((until, self.next_serial, name.clone()));
+    }
+
+    pub(super) fn release_due(&mut self, now: Time) {
+        while self.lingering.first().is_some_and(|(until, ..)| *until <= now) {
+            if let Some((_, _, name)) = self.lingering.pop_first() {
+                self.release(&name);
+            }
+        }
+    }
+
+    pub(super) fn on_success(&mut self, name: &str) {
+        if let Some(slots) = self.slots.get_mut(name) {
+            slots.adaptive.on_success();
+        }
+    }
+
+    pub(super) fn on_shed(&mut self, now: Time, name: &str, round: Duration) {
+        if let Some(slots) = self.slots.get_mut(name) {
+            slots.adaptive.on_shed(now, round);
+        }
+    }
+
+    /// Counts a predecessor's requests against an endpoint until `until`.
+    pub(super) fn set_foreign(&mut self, name: &str, in_flight: u32, until: Time) {
+        if let Some(slots) = self.slots.get_mut(name) {
+            slots.foreign = in_flight;
+            slots.foreign_until = until;
+        }
+    }
+
+    /// Returns a random number below `bound`.
+    pub(super) fn random_below(&mut self, bound: u64) -> u64 {
+        self.rng.next_u64() % bound.max(1)
+    }
+
+    pub(super) fn configured(&self) -> impl Iterator<Item = &Slots> {
+        self.slots.values().filter(|slots| slots.is_configured)
+    }
+
+    pub(super) fn in_use(&self) -> impl Iterator<Item = (&Name, u32)> {
+        self.slots
+            .iter()
+            .filter(|(_, slots)| slots.in_flight > 0)
+            .map(|(name, slots)| (name, slots.in_flight))
+    }
+}
+
+fn limit(slots: &Slots, share: f64, mode: ShardMode, is_settling: bool) -> u32 {
+    if !slots.accepts_work() || slots.endpoint.slots == 0 {
+        return 0;
+    }
+    let all = slots.endpoint.slots;
+    let mut limit = ((f64::from(all) * share) as u32).clamp(1, all);
+    limit = limit.min(slots.adaptive.value().max(1));
+    if is_settling {
+        limit = limit.min((all / SETTLING_DIVISOR).max(1));
+    }
+    if mode == ShardMode::Careful || slots.standing == Standing::Trial {
+        limit = 1;
+    }
+    limit.min(all.saturating_sub(slots.foreign))
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -0,0 +1,75 @@
+//! Requests and attempts that a shard has in hand.
+
+use crate::{
+    health::AttemptKind,
+    name::Name,
+    request::{AttemptId, Request, RequestId},
+    time::Time,
+};
+
+/// Where a request without a final answer stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It has just come.
+    New,
+    /// It waits for a slot.
+    Queued,
+    /// It waits for the answer of the first request with its key.
+    Joined,
+    /// At least one attempt is in flight.
+    Running,
+}
+
+/// A request without a final answer.
+#[derive(Clone, Debug)]
+pub(super) struct Live {
+    pub(super) request: Request,
+    pub(super) phase: Phase,
+    /// Moment after which a dispatch leaves no time for a useful answer.
+    pub(super) not_after: Time,
+    pub(super) in_flight: Vec<AttemptId>,
+    pub(super) tried: Vec<Name>,
+    /// Whether an attempt that has ended may have been run.
+    pub(super) may_have_run: bool,
+    /// Whether the next attempt needs a new connection.
+    pub(super) needs_fresh: bool,
+    /// Whether a failure status has been retried.
+    pub(super) status_retried: bool,
+    /// Whether it is the first with its key.
+    pub(super) holds_key: bool,
+}
+
+impl Live {
+    pub(super) fn new(request: Request) -> Live {
+        Live {
+            not_after: request.deadline,
+            request,
+            phase: Phase::New,
+            in_flight: Vec::new(),
+            tried: Vec::new(),
+            may_have_run: false,
+            needs_fresh: false,
+            status_retried: false,
+            holds_key: false,
+        }
+    }
+
+    /// Returns whether it may be dispatched again as far as its runs go.
+    pub(super) fn may_run_again(&self) -> bool {
+        self.request.idempotent || !self.may_have_run
+    }
+}
+
+/// An attempt whose slot is held.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    /// The request, unless it is a health check.
+    pub(super) request: Option<RequestId>,
+    pub(super) customer: Option<Name>,
+    pub(super) endpoint: Name,
+    pub(super) kind: AttemptKind,
+    pub(super) dispatched_at: Time,
+    pub(super) time_limit: Time,
+    /// Whether the answer has begun.
+    pub(super) answered: bool,
+}
