--- /dev/null
+++ b/crates/pistachiotrack-core/tests/shard.rs
@@ -0,0 +1,255 @@
+//! Stories of picking, limits, retries, hedges and hand-over of a shard.
+
+mod shard_support;
+
+use std::collections::BTreeSet;
+
+use pistachiotrack_core::{
+    name::Name,
+    refusal::{Execution, Reason},
+    request::{AttemptId, BodyEnd, ConnectionChoice, Outcome, Report, RequestId},
+    shard::{Shard, ShardAction, ShardMode, ShardSettings},
+    time::Time,
+};
+use shard_support::{World, answered, config, request, shard_id};
+
+fn world(endpoints: u32, slots: u32) -> World {
+    World::new(config(endpoints, slots, &[("a", 1)]))
+}
+
+fn endpoint(world: &World, attempt: AttemptId) -> Name {
+    world.attempts[&attempt].dispatch.endpoint.clone()
+}
+
+fn serve(world: &mut World, count: u32, ms: u64) {
+    for _ in 0..count {
+        let id = world.send(10_000, |_| {});
+        world.now += std::time::Duration::from_millis(ms);
+        world.answer(world.attempt(id));
+    }
+}
+
+// Two requests come at once. The second goes to the other endpoint, not to a
+// second slot of the first, since the least loaded one answers soonest.
+#[test]
+fn least_loaded_endpoint_is_next() {
+    let mut world = world(3, 2);
+    let ids: Vec<RequestId> = (0..3).map(|_| world.send(1_000, |_| {})).collect();
+    let used: BTreeSet<Name> = ids.iter().map(|id| endpoint(&world, world.attempt(*id))).collect();
+    assert_eq!(used.len(), 3);
+}
+
+// An endpoint works on an answer's body after its head. Were the slot free at
+// the head, a slow body would show as one request too many at the endpoint.
+#[test]
+fn slot_is_held_until_the_body_ends() {
+    let mut world = world(1, 1);
+    let first = world.send(1_000, |_| {});
+    let second = world.send(1_000, |_| {});
+    world.outcome(world.attempt(first), answered(200));
+    assert!(world.attempts_of(second).is_empty());
+    world.body_end(world.attempt(first), BodyEnd::Complete);
+    assert_eq!(world.attempts_of(second).len(), 1);
+}
+
+// A connection breaks while the endpoint works. The endpoint doesn't notice
+// and goes on; a request sent to the slot at once would be one too many.
+#[test]
+fn slot_of_a_broken_attempt_is_held_for_a_while() {
+    let mut world = world(1, 1);
+    serve(&mut world, 5, 100);
+    let first = world.send(1_000, |request| request.idempotent = false);
+    let second = world.send(1_000, |_| {});
+    world.outcome(world.attempt(first), Outcome::Broken { fresh_connection: true });
+    assert!(world.attempts_of(second).is_empty());
+    world.tick(150);
+    assert_eq!(world.attempts_of(second).len(), 1);
+}
+
+// An endpoint with three slots sheds because a neighbour takes its processor.
+// The limit falls, so that requests wait here and not in sheds, and recovers
+// with the answers that come.
+#[test]
+fn sheds_lower_the_limit_and_answers_raise_it() {
+    let mut world = world(1, 3);
+    serve(&mut world, 10, 10);
+    for _ in 0..4 {
+        let id = world.send(1_000, |_| {});
+        world.outcome(world.attempt(id), Outcome::Shed);
+        world.drain();
+    }
+    let lowered = world.shard.endpoints(world.now)[0].limit;
+    assert_eq!(lowered, 1);
+    serve(&mut world, 20, 10);
+    assert_eq!(world.shard.endpoints(world.now)[0].limit, 3);
+}
+
+// One endpoint fails grayly: it answers 503 at once and is therefore the least
+// loaded. The caller gets the other endpoint's answer.
+#[test]
+fn failure_status_is_retried_elsewhere_once() {
+    let mut world = world(3, 1);
+    let id = world.send(1_000, |_| {});
+    let first = world.attempt(id);
+    world.outcome(first, answered(503));
+    let second = world.attempt(id);
+    assert_ne!(endpoint(&world, first), endpoint(&world, second));
+    world.outcome(second, answered(503));
+    assert!(world.is_delivered(id), "the second failure is passed on as it is");
+}
+
+// A booking answered with 500 may have been made. Its answer is passed on as
+// it is and nothing is sent again.
+#[test]
+fn failure_status_of_a_booking_is_delivered() {
+    let mut world = world(3, 1);
+    let id = world.send(1_000, |request| request.idempotent = false);
+    world.outcome(world.attempt(id), answered(500));
+    assert!(world.is_delivered(id));
+    assert_eq!(world.attempts_of(id).len(), 1);
+}
+
+// A pooled connection has gone silent while the endpoint is well. The retry
+// must not meet another silent one.
+#[test]
+fn retry_after_a_pooled_connection_uses_a_new_one() {
+    let mut world = world(1, 2);
+    let id = world.send(1_000, |_| {});
+    world.outcome(world.attempt(id), Outcome::Broken { fresh_connection: false });
+    let retry = world.attempt(id);
+    assert_eq!(world.attempts[&retry].dispatch.connection, ConnectionChoice::Fresh);
+}
+
+// An endpoint hangs: it takes requests and never answers. Were an attempt
+// waited for until the deadline, no time would be left for another endpoint.
+#[test]
+fn attempt_that_can_be_retried_is_given_up_early() {
+    let mut world = world(2, 1);
+    let lookup = world.send(1_000, |_| {});
+    let booking = world.send(1_000, |request| request.idempotent = false);
+    let limit = |id| world.attempts[&world.attempt(id)].dispatch.time_limit;
+    assert!(limit(lookup) < world.deadline(600));
+    assert_eq!(limit(booking), world.deadline(1_000));
+}
+
+// Every endpoint breaks connections. Retries must not multiply the load: they
+// stay within what earlier answers have earned and a small burst.
+#[test]
+fn sick_service_makes_no_retry_storm() {
+    let mut world = world(4, 2);
+    let requests = 300;
+    for _ in 0..requests {
+        let id = world.send(200, |_| {});
+        while let Some(attempt) = world.in_flight().first().copied() {
+            world.outcome(attempt, Outcome::Broken { fresh_connection: true });
+        }
+        assert!(!world.requests[&id].finals.is_empty());
+        world.now += std::time::Duration::from_millis(10);
+        world.tick(190);
+    }
+    let retries = world.attempts.len() - requests;
+    assert!(retries <= 10 + 60 + 1, "{retries} retries in a minute without an answer");
+}
+
+// One endpoint straggles. A hedged lookup asks a second one when the first is
+// slower than 95 in 100 answers; the first answer is passed on, the other
+// attempt is cancelled and its late answer reaches nobody.
+#[test]
+fn hedge_delivers_the_first_answer_only() {
+    let mut world = world(3, 1);
+    serve(&mut world, 40, 10);
+    let id = world.send(1_000, |request| request.hedge = true);
+    let slow = world.attempt(id);
+    world.tick(5);
+    assert_eq!(world.attempts_of(id).len(), 1, "too early");
+    world.tick(20);
+    let hedge = world.attempt(id);
+    assert_ne!(endpoint(&world, slow), endpoint(&world, hedge));
+    world.answer(hedge);
+    assert!(world.is_delivered(id) && world.attempts[&slow].cancelled);
+    world.outcome(slow, answered(200));
+    world.body_end(slow, BodyEnd::Complete);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+// A VM is paused and wakes with a queue whose callers have given up. They are
+// refused, truthfully as not run, before anything is dispatched.
+#[test]
+fn pause_refuses_before_it_dispatches() {
+    let mut world = world(1, 1);
+    let first = world.send(10_000, |_| {});
+    let late = world.send(500, |request| request.idempotent = false);
+    let waiting = world.send(10_000, |_| {});
+    world.pause(3_000);
+    assert_eq!(world.refusal(late), Some((Execution::NotRun, Reason::DeadlinePassed)));
+    world.answer(world.attempt(first));
+    assert_eq!(world.attempts_of(waiting).len(), 1);
+}
+
+// An endpoint says in an answer that it is leaving. The next request goes
+// elsewhere, in the same event already.
+#[test]
+fn draining_report_ends_new_work_at_once() {
+    let mut world = world(2, 1);
+    let ids: Vec<RequestId> = (0..4).map(|_| world.send(1_000, |_| {})).collect();
+    let attempt = world.attempt(ids[0]);
+    let name = endpoint(&world, attempt);
+    world.outcome_with(attempt, answered(200), Report { in_flight: None, draining: true });
+    world.body_end(attempt, BodyEnd::Complete);
+    world.answer(world.attempt(ids[1]));
+    assert_ne!(endpoint(&world, world.attempt(ids[2])), name);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+// The owner can't be reached and every VM serves by itself. Each one uses a
+// quarter of the slots and one per endpoint, so that together they shed
+// rather than swamp.
+#[test]
+fn careful_mode_uses_a_part_of_the_slots() {
+    let mut world = world(4, 2);
+    world.set_mode(ShardMode::Careful);
+    for _ in 0..6 {
+        world.send(1_000, |_| {});
+    }
+    assert_eq!(world.in_flight().len(), 2);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+fn dispatched(actions: &[ShardAction]) -> usize {
+    actions.iter().filter(|action| matches!(action, ShardAction::Dispatch(_))).count()
+}
+
+fn fill(shard: &mut Shard, now: Time, first_id: u64) -> usize {
+    let deadline = now + std::time::Duration::from_secs(10);
+    (0..6).map(|n| dispatched(&shard.on_request(now, request(first_id + n, deadline)))).sum()
+}
+
+// An owner dies without a word. Its requests are still at work at the
+// endpoints, which the successor can't know; it starts with half the slots.
+#[test]
+fn takeover_without_hand_over_starts_with_half_the_slots() {
+    let config = config(1, 4, &[]);
+    let mut shard = Shard::new(Time::ZERO, shard_id(), &config, ShardSettings::default());
+    assert_eq!(fill(&mut shard, Time::ZERO, 1), 2);
+    let later = Time::from_millis(3_000);
+    assert_eq!(dispatched(&shard.on_tick(later)), 2);
+}
+
+// An owner hands over with three requests in flight. The successor uses the
+// one slot left, and all of them once the old work has had time to end.
+#[test]
+fn handed_over_work_counts_until_it_ages_out() {
+    let config = config(1, 4, &[]);
+    let mut old = Shard::new(Time::ZERO, shard_id(), &config, ShardSettings::default());
+    let settled = Time::from_millis(5_000);
+    old.on_tick(settled);
+    assert_eq!(fill(&mut old, settled, 1), 4);
+    old.on_outcome(settled, AttemptId(1), answered(200), Report::default());
+    let mut handed = old.hand_over(settled);
+    handed.in_flight[0].1 = 3;
+    handed.usual_service_us = Some(100_000);
+    let mut shard = Shard::new(settled, shard_id(), &config, ShardSettings::default());
+    shard.on_hand_over(settled, &handed);
+    assert_eq!(fill(&mut shard, settled, 1), 1);
+    assert_eq!(dispatched(&shard.on_tick(Time::from_millis(5_201))), 3);
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -0,0 +1,452 @@
+//! A naive oracle that watches every action of a shard.
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use pistachiotrack_core::{
+    config::Config,
+    contract::Contract,
+    customer::Customer,
+    endpoint::Endpoint,
+    idempotency::StoredAnswer,
+    name::Name,
+    ownership::ShardId,
+    refusal::{Execution, Reason},
+    request::{AttemptId, BodyEnd, Class, ConnectionChoice, Outcome, Report, Request, RequestId},
+    service::Service,
+    shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
+    time::Time,
+};
+
+pub(crate) const SERVICE: &str = "booking";
+
+/// Returns a configuration with one shard of `endpoints` with `slots` each.
+pub(crate) fn config(endpoints: u32, slots: u32, contracts: &[(&str, u32)]) -> Config {
+    let endpoint = |number: u32| Endpoint {
+        name: Name::from(format!("e{number}")),
+        address: format!("127.0.0.1:{}", 9000 + number).parse().unwrap(),
+        data_centre: Name::from("dc"),
+        slots,
+        connections: 400,
+        leaving: false,
+    };
+    let customer = |(name, slots): &(&str, u32)| Customer {
+        name: Name::from(*name),
+        contracts: vec![Contract { service: Name::from(SERVICE), slots: *slots }],
+    };
+    Config {
+        version: 1,
+        deployment: Name::from("test"),
+        entry_lifetime_ms: 5_000,
+        data_centres: Vec::new(),
+        services: vec![Service {
+            name: Name::from(SERVICE),
+            floor: 1,
+            sensitivity: 0.5,
+            timeout_ms: 1_000,
+            queue_limit: 8,
+            shard_endpoints: 64,
+            probe_path: Name::from("/healthz"),
+            endpoints: (0..endpoints).map(endpoint).collect(),
+        }],
+        customers: contracts.iter().map(customer).collect(),
+        rules: Vec::new(),
+    }
+}
+
+pub(crate) fn shard_id() -> ShardId {
+    ShardId { service: Name::from(SERVICE), index: 0 }
+}
+
+pub(crate) fn request(id: u64, deadline: Time) -> Request {
+    Request {
+        id: RequestId(id),
+        customer: Name::from("a"),
+        class: Class::Standard,
+        deadline,
+        idempotent: true,
+        hedge: false,
+        key: None,
+        repeat: false,
+    }
+}
+
+pub(crate) fn answered(status: u16) -> Outcome {
+    Outcome::Answered { status, fresh_connection: false }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    InFlight,
+    Answered,
+    NotRun,
+    MaybeRun,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct ModelAttempt {
+    pub(crate) dispatch: Dispatch,
+    pub(crate) state: State,
+    pub(crate) cancelled: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct ModelRequest {
+    pub(crate) request: Request,
+    pub(crate) finals: Vec<ShardAction>,
+    pub(crate) cancelled: bool,
+    pub(crate) delivered: Option<AttemptId>,
+}
+
+/// A shard, the truth about what it sent, and the violations found.
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) config: Config,
+    pub(crate) mode: ShardMode,
+    pub(crate) shard: Shard,
+    pub(crate) requests: BTreeMap<RequestId, ModelRequest>,
+    pub(crate) attempts: BTreeMap<AttemptId, ModelAttempt>,
+    /// Endpoints whose last word, newer than the configuration, is that they
+    /// leave.
+    pub(crate) draining: Vec<Name>,
+    pub(crate) probes: Vec<AttemptId>,
+    pub(crate) answers: BTreeMap<(Name, Name), StoredAnswer>,
+    pub(crate) violations: Vec<String>,
+    next_request: u64,
+}
+
+impl World {
+    /// Creates a world whose shard has settled.
+    pub(crate) fn new(config: Config) -> World {
+        let settings = ShardSettings { mode: ShardMode::Owner, seed: 7 };
+        let shard = Shard::new(Time::ZERO, shard_id(), &config, settings);
+        let mut world = World {
+            now: Time::ZERO,
+            config,
+            mode: ShardMode::Owner,
+            shard,
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            draining: Vec::new(),
+            probes: Vec::new(),
+            answers: BTreeMap::new(),
+            violations: Vec::new(),
+            next_request: 1,
+        };
+        world.tick(5_000);
+        world
+    }
+
+    pub(crate) fn deadline(&self, in_ms: u64) -> Time {
+        self.now + Duration::from_millis(in_ms)
+    }
+
+    /// Sends a request that is due in `in_ms`.
+    pub(crate) fn send(&mut self, in_ms: u64, change: impl FnOnce(&mut Request)) -> RequestId {
+        let mut request = request(self.next_request, self.deadline(in_ms));
+        self.next_request += 1;
+        change(&mut request);
+        let id = request.id;
+        let model = ModelRequest {
+            request: request.clone(),
+            finals: Vec::new(),
+            cancelled: false,
+            delivered: None,
+        };
+        self.requests.insert(id, model);
+        let actions = self.shard.on_request(self.now, request);
+        self.check(actions);
+        id
+    }
+
+    pub(crate) fn outcome(&mut self, attempt: AttemptId, outcome: Outcome) {
+        self.outcome_with(attempt, outcome, Report::default());
+    }
+
+    pub(crate) fn outcome_with(&mut self, attempt: AttemptId, outcome: Outcome, report: Report) {
+        if let Some(model) = self.attempts.get_mut(&attempt) {
+            model.state = match outcome {
+                Outcome::Answered { .. } => State::Answered,
+                _ if outcome.certainly_not_run() => State::NotRun,
+                _ => State::MaybeRun,
+            };
+            let from_endpoint = matches!(outcome, Outcome::Answered { .. } | Outcome::Shed);
+            if from_endpoint {
+                let endpoint = &model.dispatch.endpoint;
+                self.draining.retain(|name| name != endpoint);
+                if report.draining {
+                    self.draining.push(endpoint.clone());
+                }
+            }
+        }
+        let actions = self.shard.on_outcome(self.now, attempt, outcome, report);
+        self.check(actions);
+    }
+
+    pub(crate) fn body_end(&mut self, attempt: AttemptId, end: BodyEnd) {
+        if let Some(model) = self.attempts.get_mut(&attempt) {
+            model.state = State::MaybeRun;
+        }
+        let actions = self.shard.on_body_end(self.now, attempt, end);
+        self.check(actions);
+    }
+
+    /// Answers an attempt with a whole answer.
+    pub(crate) fn answer(&mut self, attempt: AttemptId) {
+        self.outcome(attempt, answered(200));
+        self.body_end(attempt, BodyEnd::Complete);
+    }
+
+    pub(crate) fn store(&mut self, id: RequestId, body: &[u8]) {
+        let answer = StoredAnswer { status: 200, content_type: None, body: body.to_vec() };
+        let request = &self.requests[&id].request;
+        if let (Some(key), false) = (&request.key, request.idempotent) {
+            self.answers.insert((request.customer.clone(), key.clone()), answer.clone());
+        }
+        let actions = self.shard.on_stored_answer(self.now, id, answer);
+        self.check(actions);
+    }
+
+    pub(crate) fn cancel(&mut self, id: RequestId) {
+        if let Some(model) = self.requests.get_mut(&id) {
+            model.cancelled = true;
+        }
+        let actions = self.shard.on_cancel(self.now, id);
+        self.check(actions);
+    }
+
+    pub(crate) fn tick(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        let actions = self.shard.on_tick(self.now);
+        self.check(actions);
+    }
+
+    pub(crate) fn pause(&mut self, ms: u64) {
+        let gap = Duration::from_millis(ms);
+        self.now += gap;
+        let actions = self.shard.on_pause(self.now, gap);
+        let dispatched = actions.iter().any(|action| matches!(action, ShardAction::Dispatch(_)));
+        self.expect(!dispatched, || "dispatch within on_pause".to_owned());
+        self.check(actions);
+    }
+
+    pub(crate) fn configure(&mut self, config: Config) {
+        self.config = config;
+        self.draining.clear();
+        let actions = self.shard.on_config(self.now, &self.config.clone());
+        self.check(actions);
+    }
+
+    pub(crate) fn set_mode(&mut self, mode: ShardMode) {
+        self.mode = mode;
+        let actions = self.shard.set_mode(self.now, mode);
+        self.check(actions);
+    }
+
+    pub(crate) fn in_flight(&self) -> Vec<AttemptId> {
+        self.with_state(State::InFlight)
+    }
+
+    pub(crate) fn with_state(&self, state: State) -> Vec<AttemptId> {
+        let attempts = self.attempts.iter().filter(|(_, model)| model.state == state);
+        attempts.map(|(attempt, _)| *attempt).collect()
+    }
+
+    pub(crate) fn attempts_of(&self, id: RequestId) -> Vec<AttemptId> {
+        let attempts = self.attempts.iter().filter(|(_, model)| model.dispatch.request == id);
+        attempts.map(|(attempt, _)| *attempt).collect()
+    }
+
+    /// Returns the last attempt of a request.
+    pub(crate) fn attempt(&self, id: RequestId) -> AttemptId {
+        *self.attempts_of(id).last().expect("the request was dispatched")
+    }
+
+    /// Returns how a request was refused, if it was.
+    pub(crate) fn refusal(&self, id: RequestId) -> Option<(Execution, Reason)> {
+        match self.requests[&id].finals.first() {
+            Some(ShardAction::Refuse { refusal, .. }) => Some((refusal.execution, refusal.reason)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn is_delivered(&self, id: RequestId) -> bool {
+        matches!(self.requests[&id].finals.first(), Some(ShardAction::Deliver { .. }))
+    }
+
+    pub(crate) fn is_replayed(&self, id: RequestId) -> bool {
+        matches!(self.requests[&id].finals.first(), Some(ShardAction::Replay { .. }))
+    }
+
+    /// Reports everything in flight as lost and lets all time run out.
+    pub(crate) fn drain(&mut self) {
+        for _ in 0..50 {
+            for attempt in self.with_state(State::InFlight) {
+                self.outcome(attempt, Outcome::TimedOut { fresh_connection: true });
+            }
+            for attempt in self.with_state(State::Answered) {
+                self.body_end(attempt, BodyEnd::Cut);
+            }
+            for probe in std::mem::take(&mut self.probes) {
+                self.outcome(probe, Outcome::ConnectFailed);
+            }
+            self.tick(1_000);
+        }
+        for (id, model) in &self.requests {
+            let wanted = usize::from(!model.cancelled);
+            if model.finals.len() < wanted {
+                self.violations.push(format!("{id:?} has no final action"));
+            }
+        }
+        let probing = !self.probes.is_empty();
+        for status in self.shard.endpoints(self.now) {
+            if status.in_flight > 0 && !probing {
+                self.violations.push(format!("{} leaks a slot", status.endpoint));
+            }
+        }
+    }
+
+    /// Checks the actions of one event against the truth.
+    pub(crate) fn check(&mut self, actions: Vec<ShardAction>) {
+        for action in actions {
+            match action {
+                ShardAction::Dispatch(dispatch) => self.check_dispatch(dispatch),
+                ShardAction::Cancel { attempt, .. } => {
+                    let known = self.attempts.get_mut(&attempt).is_some_and(|model| {
+                        let first = !model.cancelled;
+                        model.cancelled = true;
+                        first
+                    });
+                    self.expect(known, || format!("{attempt:?} cancelled without need"));
+                }
+                ShardAction::Deliver { request, attempt } => {
+                    let begun = self.attempts.get(&attempt).is_some_and(|model| {
+                        model.dispatch.request == request
+                            && !model.cancelled
+                            && model.state == State::Answered
+                    });
+                    self.expect(begun, || format!("{request:?} delivered without an answer"));
+                    self.finish(request, ShardAction::Deliver { request, attempt });
+                }
+                ShardAction::Replay { request, answer } => {
+                    let asked = &self.requests[&request].request;
+                    let key = asked.key.clone().map(|key| (asked.customer.clone(), key));
+                    let stored = key.and_then(|key| self.answers.get(&key));
+                    let is_same = stored == Some(&*answer);
+                    self.expect(is_same, || format!("{request:?} got another one's answer"));
+                    self.finish(request, ShardAction::Replay { request, answer });
+                }
+                ShardAction::Refuse { request, refusal } => {
+                    if refusal.execution == Execution::NotRun {
+                        self.check_not_run(request);
+                    }
+                    self.finish(request, ShardAction::Refuse { request, refusal });
+                }
+                ShardAction::Probe { attempt, .. } => self.probes.push(attempt),
+                ShardAction::CheckPath { .. } | ShardAction::Health(_) => {}
+            }
+        }
+        self.check_floor();
+    }
+
+    fn check_dispatch(&mut self, dispatch: Dispatch) {
+        let model = self.requests[&dispatch.request].clone();
+        let (request, now) = (&model.request, self.now);
+        self.expect(model.finals.is_empty() && !model.cancelled, || {
+            format!("{:?} dispatched after its end", request.id)
+        });
+        self.expect(
+            now < dispatch.not_after
+                && dispatch.not_after <= request.deadline
+                && dispatch.time_limit > now
+                && dispatch.time_limit <= request.deadline,
+            || format!("{dispatch:?} at {now:?} out of time"),
+        );
+        if !request.idempotent {
+            self.expect(self.may_run(request), || format!("{:?} run twice", request.id));
+            self.expect(!request.repeat, || format!("{:?} repeat run", request.id));
+            self.expect(dispatch.connection != ConnectionChoice::Any, || {
+                format!("{:?} on any connection", request.id)
+            });
+        }
+        self.attempts.insert(
+            dispatch.attempt,
+            ModelAttempt { dispatch: dispatch.clone(), state: State::InFlight, cancelled: false },
+        );
+        self.check_endpoint(&dispatch);
+    }
+
+    fn check_endpoint(&mut self, dispatch: &Dispatch) {
+        let endpoints = self.config.services[0].endpoints.clone();
+        let endpoint = endpoints.iter().find(|endpoint| endpoint.name == dispatch.endpoint);
+        let takes_work = endpoint.is_some_and(|endpoint| !endpoint.leaving);
+        self.expect(takes_work && !self.draining.contains(&dispatch.endpoint), || {
+            format!("{dispatch:?} to a leaving endpoint")
+        });
+        let status = self.shard.endpoints(self.now);
+        let state = status.iter().find(|status| status.endpoint == dispatch.endpoint);
+        self.expect(
+            state.is_some_and(|status| !matches!(&*status.state, "ejected" | "draining")),
+            || format!("{dispatch:?} to {state:?}"),
+        );
+        let busy = |name: Option<&Name>| {
+            self.attempts
+                .values()
+                .filter(|model| matches!(model.state, State::InFlight | State::Answered))
+                .filter(|model| name.is_none_or(|name| model.dispatch.endpoint == *name))
+                .count() as u32
+        };
+        let (here, all) = (busy(Some(&dispatch.endpoint)), busy(None));
+        let slots = endpoint.map_or(0, |endpoint| endpoint.slots);
+        let total: u32 = endpoints.iter().map(|endpoint| endpoint.slots).sum();
+        let fits = match self.mode {
+            ShardMode::Owner => here <= slots,
+            ShardMode::Careful => here <= 1 && all <= (total / 4).max(1),
+        };
+        self.expect(fits, || format!("{dispatch:?}: {here} of {slots} slots, {all} of {total}"));
+    }
+
+    /// Returns whether no attempt of the request, or of another one with its
+    /// key, may have run.
+    fn may_run(&self, request: &Request) -> bool {
+        self.attempts.values().all(|model| {
+            let other = &self.requests[&model.dispatch.request].request;
+            let same_key = !other.idempotent
+                && !request.idempotent
+                && request.key.is_some()
+                && other.key == request.key
+                && other.customer == request.customer;
+            model.state == State::NotRun || (other.id != request.id && !same_key)
+        })
+    }
+
+    fn check_not_run(&mut self, id: RequestId) {
+        let request = self.requests[&id].request.clone();
+        self.expect(self.may_run(&request), || format!("{id:?} wrongly called not run"));
+    }
+
+    fn check_floor(&mut self) {
+        let status = self.shard.endpoints(self.now);
+        let alive = status.iter().filter(|status| &*status.state != "draining").count();
+        let working = status
+            .iter()
+            .filter(|status| !matches!(&*status.state, "ejected" | "draining" | "trial"))
+            .count();
+        let floor = (self.config.services[0].floor as usize).min(alive);
+        self.expect(working >= floor, || format!("{working} working, floor {floor}"));
+    }
+
+    fn finish(&mut self, id: RequestId, action: ShardAction) {
+        let Some(model) = self.requests.get_mut(&id) else { return };
+        model.finals.push(action);
+        let (finals, cancelled) = (model.finals.len(), model.cancelled);
+        self.expect(finals == 1 && !cancelled, || format!("{id:?} ended {finals} times"));
+    }
+
+    fn expect(&mut self, holds: bool, violation: impl FnOnce() -> String) {
+        if !holds {
+            let violation = violation();
+            self.violations.push(violation);
+        }
+    }
+}
