Add stand-ins of platform, endpoint and caller

Cause: daemons, experiments and the demo need something to read, to serve and to answer on one machine. Change: example configurations and daemon settings of both deployments; the platform with long-poll watch and availability switches; endpoints with slots and a fault switchboard; a caller that keeps entries for their lifetime; a ledger of what was really run; a registry of experiments.

--- /dev/null
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -0,0 +1,247 @@
+//! A stand-in of a caller: asks for entries, keeps the answer for its lifetime
+//! and sends work to the first one.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body::Incoming};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use pistachiotrack_core::{
+    header,
+    request::Class,
+    steering::{Entry, EntryAnswer},
+};
+use rustc_hash::FxHashMap;
+use tokio::sync::Mutex;
+
+use crate::work::{SERVICE_US, WORK_ID, WorkId, is_answer_to};
+
+/// Time allowed for an answer about entries.
+const ENTRIES_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time that a caller goes on waiting after the deadline it gave.
+const GRACE: Duration = Duration::from_millis(1_500);
+/// Time allowed for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A kind of request that a caller sends.
+#[derive(Clone, Debug)]
+pub struct Operation {
+    /// Customer that the caller acts for.
+    pub customer: &'static str,
+    /// Service that the request is for.
+    pub service: &'static str,
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path.
+    pub path: &'static str,
+    /// Class.
+    pub class: Class,
+    /// Whether the request must not be repeated.
+    pub non_idempotent: bool,
+    /// Time after which the answer is of no use.
+    pub deadline_ms: u64,
+    /// Requests a second.
+    pub rate_per_s: f64,
+}
+
+/// What came of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The whole answer to this request, with success.
+    Ok,
+    /// The endpoint's own failure.
+    Failed,
+    /// A whole answer that isn't the one to this request.
+    WrongAnswer,
+    /// A refusal that says the request was not run.
+    RefusedNotRun,
+    /// A refusal that says the request may have run.
+    Unknown,
+    /// No VM could be connected to; nothing was sent.
+    NoVm,
+    /// Neither a whole answer nor a refusal.
+    Lost,
+}
+
+/// A request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// The work.
+    pub id: WorkId,
+    /// Whether the request must not be repeated.
+    pub non_idempotent: bool,
+    /// Moment of sending.
+    pub sent: Instant,
+    /// Time from sending to the end of the answer.
+    pub latency_us: u64,
+    /// Time that the endpoint says it worked.
+    pub service_us: Option<u64>,
+    /// What came of it.
+    pub ending: Ending,
+}
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A caller with its connections and the entries that it knows.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: HttpClient,
+    known: Arc<Vec<SocketAddr>>,
+    entries: Arc<Mutex<FxHashMap<&'static str, Kept>>>,
+    direct: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    entries: Vec<Entry>,
+    until: Instant,
+}
+
+impl Caller {
+    /// Creates a caller that asks the VMs at `known` for entries.
+    pub fn new(known: Vec<SocketAddr>) -> Caller {
+        Caller { client: client(), known: Arc::new(known), entries: Arc::default(), direct: false }
+    }
+
+    /// Creates a caller that connects to the endpoints at `addresses` itself,
+    /// each in turn.
+    pub fn direct(addresses: Vec<SocketAddr>) -> Caller {
+        Caller { direct: true, ..Caller::new(addresses) }
+    }
+
+    /// Sends one piece of work and waits for what comes of it.
+    pub async fn send(&self, operation: &Operation, id: WorkId) -> Sample {
+        let sent = Instant::now();
+        let allowed = Duration::from_millis(operation.deadline_ms) + GRACE;
+        let exchange = tokio::time::timeout(allowed, self.exchange(operation, id)).await;
+        let (ending, service_us) = exchange.unwrap_or((Ending::Lost, None));
+        Sample {
+            id,
+            non_idempotent: operation.non_idempotent,
+            sent,
+            latency_us: sent.elapsed().as_micros() as u64,
+            service_us,
+            ending,
+        }
+    }
+
+    async fn exchange(&self, operation: &Operation, id: WorkId) -> (Ending, Option<u64>) {
+        for address in self.addresses(operation, id).await {
+            let Ok(request) = request(operation, id, address) else { break };
+            match self.client.request(request).await {
+                Ok(answer) => return judge(id, answer).await,
+                Err(error) if error.is_connect() => {}
+                Err(_) => return (Ending::Lost, None),
+            }
+        }
+        (Ending::NoVm, None)
+    }
+
+    async fn addresses(&self, operation: &Operation, id: WorkId) -> Vec<SocketAddr> {
+        if self.direct {
+            return vec![self.known[id.0 as usize % self.known.len()]];
+        }
+        if self.is_due(operation.service).await
+            && let Some(found) = self.ask(operation, id).await
+        {
+            self.entries.lock().await.insert(operation.service, found);
+        }
+        let kept = self.entries.lock().await;
+        kept.get(operation.service)
+            .map(|kept| kept.entries.iter().map(|entry| entry.address).collect())
+            .unwrap_or_default()
+    }
+
+    /// Returns whether this request has to ask for entries; the others go on
+    /// with the old ones meanwhile.
+    async fn is_due(&self, service: &str) -> bool {
+        let mut entries = self.entries.lock().await;
+        let Some(kept) = entries.get_mut(service) else { return true };
+        let now = Instant::now();
+        if kept.until > now {
+            return false;
+        }
+        kept.until = now + ENTRIES_TIMEOUT;
+        true
+    }
+
+    async fn ask(&self, operation: &Operation, id: WorkId) -> Option<Kept> {
+        let start = id.0 as usize % self.known.len();
+        let (before, after) = self.known.split_at(start);
+        for address in after.iter().chain(before) {
+            let answer = tokio::time::timeout(ENTRIES_TIMEOUT, self.ask_vm(operation, *address));
+            if let Ok(Ok(answer)) = answer.await
+                && !answer.entries.is_empty()
+            {
+                let until = Instant::now() + Duration::from_millis(answer.lifetime_ms);
+                return Some(Kept { entries: answer.entries, until });
+            }
+        }
+        None
+    }
+
+    async fn ask_vm(
+        &self,
+        operation: &Operation,
+        address: SocketAddr,
+    ) -> anyhow::Result<EntryAnswer> {
+        let uri = format!("http://{address}{}?service={}", header::ENTRIES_PATH, operation.service);
+        let request =
+            Request::get(uri).header(header::CUSTOMER, operation.customer).body(Full::default())?;
+        let answer = self.client.request(request).await?;
+        anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
+        let body = answer.into_body().collect().await?.to_bytes();
+        Ok(serde_json::from_slice(&body)?)
+    }
+}
+
+fn client() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector)
+}
+
+fn request(
+    operation: &Operation,
+    id: WorkId,
+    address: SocketAddr,
+) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let body = if operation.method == "GET" { Bytes::new() } else { Bytes::from(id.0.to_string()) };
+    Request::builder()
+        .method(operation.method)
+        .uri(format!("http://{address}{}", operation.path))
+        .header(header::CUSTOMER, operation.customer)
+        .header(header::SERVICE, operation.service)
+        .header(header::CLASS, operation.class.as_str())
+        .header(header::DEADLINE_MS, operation.deadline_ms)
+        .header(WORK_ID, id.0)
+        .body(Full::new(body))
+}
+
+async fn judge(id: WorkId, answer: Response<Incoming>) -> (Ending, Option<u64>) {
+    let refusal = text(&answer, header::OUTCOME).map(str::to_owned);
+    let service_us = text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
+    let status = answer.status();
+    let Ok(body) = answer.into_body().collect().await else { return (Ending::Lost, None) };
+    let ending = match refusal.as_deref() {
+        Some("not-run") => Ending::RefusedNotRun,
+        Some(_) => Ending::Unknown,
+        None if !status.is_success() => Ending::Failed,
+        None if is_answer_to(id, &body.to_bytes()) => Ending::Ok,
+        None => Ending::WrongAnswer,
+    };
+    (ending, service_us)
+}
+
+fn text<'a>(answer: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
+    answer.headers().get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -0,0 +1,339 @@
+//! A stand-in of an endpoint with a few slots and a switchboard of faults.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, body::Incoming, header::HeaderValue};
+use pistachiotrack_core::{header, service::DEFAULT_PROBE_PATH};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+use crate::{
+    fault::Faults,
+    ledger::Ledger,
+    server::{Answer, Server, empty},
+    work::{SERVICE_US, WORK_ID, WORKED_BY, WorkId, answer_body},
+};
+
+/// Settings of an endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointSettings {
+    /// Name, sent in the answers.
+    pub name: String,
+    /// Requests worked on at the same time.
+    pub slots: u32,
+    /// Requests that may wait for a slot; those above are shed.
+    pub queue_limit: u32,
+    /// Median time of a piece of work.
+    pub median_ms: f64,
+    /// Spread of the logarithm of that time.
+    pub sigma: f64,
+    /// Time that a health check occupies a slot.
+    pub probe_ms: u64,
+    /// Seed of the times.
+    pub seed: u64,
+}
+
+impl Default for EndpointSettings {
+    fn default() -> EndpointSettings {
+        EndpointSettings {
+            name: "endpoint".to_owned(),
+            slots: 2,
+            queue_limit: 4,
+            median_ms: 30.0,
+            sigma: 0.3,
+            probe_ms: 25,
+            seed: 1,
+        }
+    }
+}
+
+/// What an endpoint counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointCounts {
+    /// Pieces of work that arrived.
+    pub arrivals: u64,
+    /// Health checks that arrived.
+    pub probes: u64,
+    /// Requests refused unrun.
+    pub shed: u64,
+    /// Pieces of work whose connection was closed before the answer.
+    pub cancelled: u64,
+    /// Most requests at once, worked on and waiting.
+    pub peak: u32,
+}
+
+/// A running endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: EndpointSettings,
+    slots: Semaphore,
+    held: AtomicU32,
+    faults: Mutex<Faults>,
+    random: Mutex<Pcg64Mcg>,
+    ledger: Arc<Ledger>,
+    arrivals: Mutex<Vec<Instant>>,
+    probes: AtomicU64,
+    shed: AtomicU64,
+    cancelled: AtomicU64,
+    peak: AtomicU32,
+}
+
+impl Endpoint {
+    /// Starts an endpoint on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be had.
+    pub async fn start(
+        settings: EndpointSettings,
+        ledger: Arc<Ledger>,
+    ) -> std::io::Result<Endpoint> {
+        let shared = Arc::new(Shared {
+            slots: Semaphore::new(settings.slots as usize),
+            held: AtomicU32::new(0),
+            faults: Mutex::default(),
+            random: Mutex::new(Pcg64Mcg::seed_from_u64(settings.seed)),
+            ledger,
+            arrivals: Mutex::default(),
+            probes: AtomicU64::new(0),
+            shed: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+            peak: AtomicU32::new(0),
+            settings,
+        });
+        let handler = Arc::clone(&shared);
+        let server =
+            Server::start(move |request, opened| Arc::clone(&handler).answer(request, opened))
+                .await?;
+        Ok(Endpoint { shared, server })
+    }
+
+    /// Returns the address that the endpoint serves on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the name of the endpoint.
+    pub fn name(&self) -> &str {
+        &self.shared.settings.name
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Returns what was counted so far.
+    pub fn counts(&self) -> EndpointCounts {
+        EndpointCounts {
+            arrivals: lock(&self.shared.arrivals).len() as u64,
+            probes: self.shared.probes.load(Ordering::Relaxed),
+            shed: self.shared.shed.load(Ordering::Relaxed),
+            cancelled: self.shared.cancelled.load(Ordering::Relaxed),
+            peak: self.shared.peak.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the moments after `since` at which work arrived.
+    pub fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
+        lock(&self.shared.arrivals).iter().copied().filter(|at| *at >= since).collect()
+    }
+}
+
+impl Shared {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>, opened: Instant) -> Answer {
+        let arrived = Instant::now();
+        if self.faults(arrived).silences(opened) {
+            return std::future::pending().await;
+        }
+        let mut answer = match request.uri().path() {
+            DEFAULT_PROBE_PATH => self.probe().await,
+            _ => self.work(request, arrived).await,
+        };
+        if self.faults(Instant::now()).silences(opened) {
+            return std::future::pending().await;
+        }
+        self.report(answer.headers_mut());
+        answer
+    }
+
+    async fn probe(&self) -> Answer {
+        self.probes.fetch_add(1, Ordering::Relaxed);
+        let Some(held) = self.hold() else { return self.refuse() };
+        let Ok(_permit) = held.slot().await else { return empty(503) };
+        if self.faults(Instant::now()).hang {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(Duration::from_millis(self.settings.probe_ms)).await;
+        empty(200)
+    }
+
+    async fn work(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
+        let Some(id) = work_id(request.headers()) else { return empty(400) };
+        let deadline = time_left(request.headers()).map(|left| arrived + left);
+        lock(&self.arrivals).push(arrived);
+        let cancelled = CancelCount::new(&self.cancelled);
+        let answer = self.work_in_time(id, request, deadline).await;
+        cancelled.disarm();
+        answer
+    }
+
+    async fn work_in_time(
+        &self,
+        id: WorkId,
+        request: Request<Incoming>,
+        deadline: Option<Instant>,
+    ) -> Answer {
+        if self.faults(Instant::now()).shedding {
+            return self.refuse();
+        }
+        let Some(held) = self.hold() else { return self.refuse() };
+        let permit = tokio::select! {
+            permit = held.slot() => permit,
+            () = passed(deadline) => return self.refuse(),
+        };
+        let Ok(_permit) = permit else { return empty(503) };
+        if http_body_util::BodyExt::collect(request.into_body()).await.is_err() {
+            return empty(400);
+        }
+        self.ledger.record(id);
+        tokio::select! {
+            answer = self.run(id) => answer,
+            () = passed(deadline) => empty(504),
+        }
+    }
+
+    async fn run(&self, id: WorkId) -> Answer {
+        let start = Instant::now();
+        let faults = self.faults(start);
+        if faults.hang {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(self.service_time(faults.factor(start))).await;
+        let failed = faults.failing_share > lock(&self.random).random::<f64>();
+        let mut answer = if failed { empty(500) } else { Answer::new(Full::new(answer_body(id))) };
+        let spent_us = start.elapsed().as_micros() as u64;
+        answer.headers_mut().insert(SERVICE_US, HeaderValue::from(spent_us));
+        answer
+    }
+
+    fn service_time(&self, factor: f64) -> Duration {
+        let (left, right): (f64, f64) = {
+            let mut random = lock(&self.random);
+            (random.random(), random.random())
+        };
+        let normal = (-2.0 * (1.0 - left).ln()).sqrt() * (std::f64::consts::TAU * right).cos();
+        let time_ms = self.settings.median_ms * (self.settings.sigma * normal).exp() * factor;
+        Duration::from_secs_f64(time_ms / 1000.0)
+    }
+
+    fn refuse(&self) -> Answer {
+        self.shed.fetch_add(1, Ordering::Relaxed);
+        let mut answer = empty(503);
+        answer.headers_mut().insert(header::NOT_RUN, HeaderValue::from_static("true"));
+        answer
+    }
+
+    fn report(&self, headers: &mut HeaderMap) {
+        let faults = self.faults(Instant::now());
+        let load = faults.reported_load.unwrap_or(self.held.load(Ordering::Relaxed));
+        headers.insert(header::LOAD, HeaderValue::from(load));
+        if faults.draining {
+            headers.insert(header::DRAINING, HeaderValue::from_static("true"));
+        }
+        if let Ok(name) = HeaderValue::from_str(&self.settings.name) {
+            headers.insert(WORKED_BY, name);
+        }
+    }
+
+    fn hold(&self) -> Option<Held<'_>> {
+        let most = self.settings.slots + self.settings.queue_limit;
+        let before = self.held.fetch_add(1, Ordering::Relaxed);
+        let held = Held { shared: self };
+        if before >= most {
+            return None;
+        }
+        self.peak.fetch_max(before + 1, Ordering::Relaxed);
+        Some(held)
+    }
+
+    fn faults(&self, now: Instant) -> Faults {
+        lock(&self.faults).at(now)
+    }
+}
+
+/// A request that the endpoint holds, waiting or worked on.
+struct Held<'a> {
+    shared: &'a Shared,
+}
+
+impl<'a> Held<'a> {
+    async fn slot(&self) -> Result<SemaphorePermit<'a>, tokio::sync::AcquireError> {
+        self.shared.slots.acquire().await
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.shared.held.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a cancellation when it is dropped before it is disarmed.
+struct CancelCount<'a> {
+    count: &'a AtomicU64,
+    armed: AtomicBool,
+}
+
+impl<'a> CancelCount<'a> {
+    fn new(count: &'a AtomicU64) -> CancelCount<'a> {
+        CancelCount { count, armed: AtomicBool::new(true) }
+    }
+
+    fn disarm(&self) {
+        self.armed.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Drop for CancelCount<'_> {
+    fn drop(&mut self) {
+        if self.armed.load(Ordering::Relaxed) {
+            self.count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+async fn passed(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn work_id(headers: &HeaderMap) -> Option<WorkId> {
+    WorkId::parse(headers.get(WORK_ID)?.to_str().ok()?)
+}
+
+fn time_left(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::DEADLINE_MS)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_millis)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -0,0 +1,26 @@
+//! Experiments: ours against a baseline, in the same run.
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+
+/// Names of the experiments, in the order in which `list` shows them.
+const NAMES: &[&str] = &[];
+
+/// Runs the experiment that the arguments name.
+///
+/// # Errors
+///
+/// Returns an error if there is no such experiment or if it could not be run.
+pub fn run(mut arguments: pico_args::Arguments) -> anyhow::Result<ExitCode> {
+    let name = arguments.subcommand()?.context("no experiment named; try `list`")?;
+    match name.as_str() {
+        "list" => list(),
+        _ => anyhow::bail!("unknown experiment {name:?}; try `list`"),
+    }
+}
+
+fn list() -> anyhow::Result<ExitCode> {
+    NAMES.iter().for_each(|name| println!("{name}"));
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -1,3 +1,39 @@
-//! Placeholder until the thin path lands.
+//! The command-line tool that runs the demo and the experiments.
 
-fn main() {}
+use std::process::ExitCode;
+
+use anyhow::Context;
+use pistachiotrack_standins::experiment;
+
+const HELP: &str = "\
+Usage: pistachiotrack-standins COMMAND [OPTIONS]
+
+Commands:
+  experiment NAME [--json] [--seed N]   run one experiment
+  help                                  show this text
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> anyhow::Result<ExitCode> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let command = arguments.subcommand()?.context("no command; try `help`")?;
+    match command.as_str() {
+        "experiment" => experiment::run(arguments),
+        "help" => help(),
+        _ => anyhow::bail!("unknown command {command:?}; try `help`"),
+    }
+}
+
+fn help() -> anyhow::Result<ExitCode> {
+    print!("{HELP}");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/platform.rs
@@ -0,0 +1,192 @@
+//! A stand-in of the platform: the configuration service and the list of VMs.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, body::Incoming};
+use pistachiotrack_core::{config::Config, vm::VmList};
+use tokio::sync::watch;
+
+use crate::server::{Answer, Server, empty};
+
+/// How the platform's services answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Availability {
+    /// As they should.
+    #[default]
+    Up,
+    /// With 503.
+    Refusing,
+    /// Not at all.
+    Hanging,
+}
+
+/// Longest time that a watch waits.
+pub const MAX_WAIT_MS: u64 = 60_000;
+
+#[derive(Clone, Debug, Default)]
+struct Value {
+    version: u64,
+    json: Bytes,
+}
+
+/// The values that the platform holds and how it answers.
+#[derive(Clone, Debug, Default)]
+struct State {
+    deployment: String,
+    config: Value,
+    previous_config: Option<Value>,
+    stale: bool,
+    vms: Value,
+    availability: Availability,
+}
+
+/// A running platform; only the tool itself can change what it holds.
+#[derive(Debug)]
+pub struct Platform {
+    state: watch::Sender<State>,
+    calls: Arc<AtomicU64>,
+    server: Server,
+}
+
+impl Platform {
+    /// Starts a platform that holds nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be had.
+    pub async fn start(deployment: &str) -> std::io::Result<Platform> {
+        let state = State { deployment: deployment.to_owned(), ..State::default() };
+        let (state, view) = watch::channel(state);
+        let calls = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&calls);
+        let server = Server::start(move |request, _| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            answer(view.clone(), request)
+        })
+        .await?;
+        Ok(Platform { state, calls, server })
+    }
+
+    /// Returns the address that daemons read from.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the number of calls so far; a waiting watch is one call.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Publishes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be written as JSON.
+    pub fn publish(&self, config: &Config) -> serde_json::Result<()> {
+        self.publish_bytes(config.version, serde_json::to_vec(config)?);
+        Ok(())
+    }
+
+    /// Publishes a value that may not be a valid configuration.
+    pub fn publish_bytes(&self, version: u64, json: Vec<u8>) {
+        let value = Value { version, json: Bytes::from(json) };
+        self.state.send_modify(|state| {
+            let previous = std::mem::replace(&mut state.config, value);
+            state.previous_config = (previous.version > 0).then_some(previous);
+        });
+    }
+
+    /// Serves the value before the newest one, or the newest one again.
+    pub fn set_stale(&self, stale: bool) {
+        self.state.send_modify(|state| state.stale = stale);
+    }
+
+    /// Publishes a list of VMs; a list that isn't published lags.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be written as JSON.
+    pub fn publish_vms(&self, list: &VmList) -> serde_json::Result<()> {
+        let value = Value { version: list.version, json: serde_json::to_vec(list)?.into() };
+        self.state.send_modify(|state| state.vms = value);
+        Ok(())
+    }
+
+    /// Sets how the services answer.
+    pub fn set_availability(&self, availability: Availability) {
+        self.state.send_modify(|state| state.availability = availability);
+    }
+}
+
+impl State {
+    fn value(&self, path: &str) -> Option<Value> {
+        if path == "/v1/vms" {
+            return Some(self.vms.clone());
+        }
+        let deployment = path.strip_prefix("/v1/config/")?;
+        if deployment != self.deployment {
+            return None;
+        }
+        let previous = self.previous_config.as_ref().filter(|_| self.stale);
+        Some(previous.unwrap_or(&self.config).clone())
+    }
+}
+
+async fn answer(mut view: watch::Receiver<State>, request: Request<Incoming>) -> Answer {
+    if request.method() != Method::GET {
+        return empty(405);
+    }
+    let path = request.uri().path();
+    if view.borrow().value(path).is_none() {
+        return empty(404);
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let after = number(query, "after");
+    let wait_ms = number(query, "wait_ms").unwrap_or(0).min(MAX_WAIT_MS);
+    let give_up = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let state = view.borrow_and_update().clone();
+        let hanging = state.availability == Availability::Hanging;
+        if state.availability == Availability::Refusing {
+            return empty(503);
+        }
+        if !hanging && let Some(found) = newer_than(&state, path, after) {
+            return found;
+        }
+        tokio::select! {
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return empty(503);
+                }
+            }
+            () = tokio::time::sleep_until(give_up), if !hanging => {
+                return if after.is_some() { empty(204) } else { empty(404) };
+            }
+        }
+    }
+}
+
+fn newer_than(state: &State, path: &str, after: Option<u64>) -> Option<Answer> {
+    let value = state.value(path)?;
+    if value.version == 0 || after.is_some_and(|after| value.version <= after) {
+        return None;
+    }
+    Some(Answer::new(Full::new(value.json)))
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/server.rs
@@ -0,0 +1,97 @@
+//! A small HTTP server that ends with the value that stands for it.
+
+use std::{convert::Infallible, future::Future, net::SocketAddr, time::Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::{JoinHandle, JoinSet},
+};
+
+/// An answer of a stand-in.
+pub type Answer = Response<Full<Bytes>>;
+
+/// A running server; dropping it closes its port and all its connections.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts a server on a free loopback port.
+    ///
+    /// `handler` gets each request with the moment at which its connection was
+    /// opened. Its future is dropped when the other side closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be had.
+    pub async fn start<H, F>(handler: H) -> std::io::Result<Server>
+    where
+        H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        Ok(Server { address, task: tokio::spawn(accept(listener, handler)) })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve(stream, handler.clone()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Request<Incoming>, Instant) -> F + Send + Sync,
+    F: Future<Output = Answer> + Send,
+{
+    let opened = Instant::now();
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let answer = handler(request, opened);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    // An error here means that the other side broke the connection off.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// Returns an answer without a body.
+pub fn empty(status: u16) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    answer
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/tests/endpoint.rs
@@ -0,0 +1,147 @@
+//! The endpoint stand-in shows each fault of its switchboard, and the caller
+//! stand-in tells what came of its work.
+
+use std::{sync::Arc, time::Instant};
+
+use pistachiotrack_core::request::Class;
+use pistachiotrack_standins::{
+    caller::{Caller, Ending, Operation},
+    endpoint::{Endpoint, EndpointSettings},
+    fault::{COLD_FACTOR, Faults},
+    ledger::Ledger,
+    work::{BODY_BYTES, WorkId, answer_body, is_answer_to},
+};
+
+const QUICK: Operation = Operation {
+    customer: "timeliten",
+    service: "slot-search",
+    method: "POST",
+    path: "/bookings",
+    class: Class::Interactive,
+    non_idempotent: true,
+    deadline_ms: 20_000,
+    rate_per_s: 1.0,
+};
+
+async fn endpoint(settings: EndpointSettings) -> (Endpoint, Arc<Ledger>, Caller) {
+    let ledger = Arc::new(Ledger::default());
+    let endpoint = Endpoint::start(settings, Arc::clone(&ledger)).await.expect("endpoint");
+    let caller = Caller::direct(vec![endpoint.address()]);
+    (endpoint, ledger, caller)
+}
+
+fn quick() -> EndpointSettings {
+    EndpointSettings { median_ms: 1.0, probe_ms: 1, ..EndpointSettings::default() }
+}
+
+#[tokio::test]
+async fn work_is_run_once_and_its_answer_is_its_own() {
+    let (endpoint, ledger, caller) = endpoint(quick()).await;
+    for id in (0..20).map(WorkId) {
+        let sample = caller.send(&QUICK, id).await;
+        assert_eq!(sample.ending, Ending::Ok);
+        assert!(sample.service_us.is_some_and(|spent| spent <= sample.latency_us));
+        assert_eq!(ledger.executions(id), 1);
+    }
+    assert_eq!(endpoint.counts().arrivals, 20);
+}
+
+#[test]
+fn a_cut_or_foreign_body_is_not_the_answer() {
+    let body = answer_body(WorkId(7));
+    assert_eq!(body.len(), BODY_BYTES);
+    assert!(is_answer_to(WorkId(7), &body));
+    assert!(!is_answer_to(WorkId(8), &body));
+    assert!(!is_answer_to(WorkId(7), &body[..BODY_BYTES - 1]));
+}
+
+/// Callers get failures from an endpoint whose health check passes: the
+/// failure is gray.
+#[tokio::test]
+async fn a_gray_endpoint_fails_work_only() {
+    let (endpoint, ledger, caller) = endpoint(quick()).await;
+    endpoint.set_faults(Faults::gray());
+    assert_eq!(caller.send(&QUICK, WorkId(1)).await.ending, Ending::Failed);
+    assert_eq!(ledger.executions(WorkId(1)), 1, "a failed run is a run");
+    let probe = Operation { path: "/healthz", ..QUICK };
+    caller.send(&probe, WorkId(2)).await;
+    assert_eq!(endpoint.counts().probes, 1);
+    assert_eq!(endpoint.counts().shed, 0);
+}
+
+/// An endpoint gets more work than its slots and queue hold: the rest is
+/// refused and was really not run.
+#[tokio::test]
+async fn work_above_the_queue_is_shed_unrun() {
+    let settings = EndpointSettings { slots: 1, queue_limit: 1, ..EndpointSettings::default() };
+    let (endpoint, ledger, caller) = endpoint(settings).await;
+    endpoint.set_faults(Faults { slow_factor: 10.0, ..Faults::default() });
+    let sends = (0..5).map(|id| caller.send(&QUICK, WorkId(id)));
+    let samples = futures_util::future::join_all(sends).await;
+    let run = samples.iter().filter(|sample| sample.ending == Ending::Ok).count();
+    assert_eq!(run, 2);
+    assert_eq!(endpoint.counts().shed, 3);
+    assert_eq!(endpoint.counts().peak, 2);
+    for sample in samples {
+        let executions = u32::from(sample.ending == Ending::Ok);
+        assert_eq!(ledger.executions(sample.id), executions);
+    }
+}
+
+/// A caller gives up on a request that hangs: its connection is closed, and
+/// the slot is free for the next one.
+#[tokio::test]
+async fn a_closed_connection_frees_the_slot() {
+    let (endpoint, _, caller) =
+        endpoint(EndpointSettings { slots: 1, queue_limit: 8, ..quick() }).await;
+    endpoint.set_faults(Faults::hang());
+    let given_up = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.send(&QUICK, WorkId(1)).await }
+    });
+    while endpoint.counts().arrivals == 0 {
+        tokio::task::yield_now().await;
+    }
+    given_up.abort();
+    while endpoint.counts().cancelled == 0 {
+        tokio::task::yield_now().await;
+    }
+    endpoint.set_faults(Faults::default());
+    assert_eq!(caller.send(&QUICK, WorkId(2)).await.ending, Ending::Ok);
+}
+
+/// Something between the two ends has lost track of the open connections: work
+/// on them is neither run nor answered, work on new ones is.
+#[tokio::test]
+async fn old_connections_go_silent_and_new_ones_work() {
+    let (endpoint, ledger, caller) = endpoint(quick()).await;
+    assert_eq!(caller.send(&QUICK, WorkId(1)).await.ending, Ending::Ok);
+    endpoint.set_faults(Faults::silent_connections(Instant::now()));
+    let short = Operation { deadline_ms: 10, ..QUICK };
+    assert_eq!(caller.send(&short, WorkId(2)).await.ending, Ending::Lost);
+    assert_eq!(ledger.executions(WorkId(2)), 0);
+    let other = Caller::direct(vec![endpoint.address()]);
+    assert_eq!(other.send(&QUICK, WorkId(3)).await.ending, Ending::Ok);
+}
+
+#[tokio::test]
+async fn work_stops_at_the_deadline() {
+    let (endpoint, _, caller) = endpoint(quick()).await;
+    endpoint.set_faults(Faults { slow_factor: 1e6, ..Faults::default() });
+    let short = Operation { deadline_ms: 20, ..QUICK };
+    assert_eq!(caller.send(&short, WorkId(1)).await.ending, Ending::Failed);
+}
+
+#[test]
+fn faults_flap_and_a_cold_start_ends() {
+    let now = Instant::now();
+    let after = |ms| now + std::time::Duration::from_millis(ms);
+    let flapping = Faults::gray().flapping(now, 100);
+    assert_eq!(flapping.at(after(50)).failing_share, 1.0);
+    assert_eq!(flapping.at(after(150)), Faults::default());
+    assert_eq!(flapping.at(after(250)).failing_share, 1.0);
+    let cold = Faults::cold_start(now);
+    assert_eq!(cold.factor(now), COLD_FACTOR);
+    assert!(cold.factor(after(1_000)) < COLD_FACTOR);
+    assert_eq!(cold.factor(after(60_000)), 1.0);
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/tests/examples.rs
@@ -0,0 +1,104 @@
+//! The example files have the shape that the daemon and the tool read.
+
+use std::{collections::BTreeSet, fs, path::PathBuf};
+
+use pistachiotrack_core::{config::Config, rule::RuleAction};
+
+fn example(name: &str) -> Vec<u8> {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    fs::read(path).expect("example file")
+}
+
+fn config(name: &str) -> Config {
+    Config::parse(name, &example(name)).expect("valid configuration")
+}
+
+fn sizes(config: &Config) -> Vec<(&str, usize, u32)> {
+    config
+        .services
+        .iter()
+        .map(|service| (service.name.as_str(), service.endpoints.len(), service.endpoints[0].slots))
+        .collect()
+}
+
+#[test]
+fn sizes_are_those_of_the_deployments() {
+    let timeliten = config("timeliten.config.json");
+    assert_eq!(
+        sizes(&timeliten),
+        [("slot-search", 6, 2), ("booking", 14, 2), ("centre-calendars", 14, 2)]
+    );
+    let tlmocnik = config("tlmocnik.config.json");
+    assert_eq!(
+        sizes(&tlmocnik),
+        [
+            ("availability-calendar", 6, 3),
+            ("hearing-booking", 14, 3),
+            ("interpreter-register", 16, 3)
+        ]
+    );
+    for config in [timeliten, tlmocnik] {
+        assert_eq!(config.data_centres.len(), 3);
+        let endpoints = config.services.iter().flat_map(|service| &service.endpoints);
+        assert!(endpoints.clone().all(|endpoint| endpoint.connections == 400));
+        let addresses: BTreeSet<_> = endpoints.clone().map(|endpoint| endpoint.address).collect();
+        assert_eq!(addresses.len(), endpoints.count(), "addresses are distinct");
+    }
+}
+
+#[test]
+fn contracts_share_out_exactly_the_slots() {
+    for name in ["timeliten.config.json", "tlmocnik.config.json"] {
+        let config = config(name);
+        for service in &config.services {
+            let slots: u32 = service.endpoints.iter().map(|endpoint| endpoint.slots).sum();
+            let sold: u32 = config
+                .customers
+                .iter()
+                .flat_map(|customer| &customer.contracts)
+                .filter(|contract| contract.service == service.name)
+                .map(|contract| contract.slots)
+                .sum();
+            assert_eq!(sold, slots, "{name}: {}", service.name);
+        }
+    }
+}
+
+#[test]
+fn work_that_changes_something_is_never_repeated() {
+    for name in ["timeliten.config.json", "tlmocnik.config.json"] {
+        for rule in config(name).rules {
+            let RuleAction::Route(route) = rule.then else { continue };
+            let reads = rule.when.method.is_some_and(|method| method.as_str() == "GET");
+            assert_eq!(route.idempotent, reads, "{name}: {}", rule.name);
+            assert!(route.idempotent || !route.hedge, "{name}: {}", rule.name);
+        }
+    }
+}
+
+#[test]
+fn daemon_settings_name_what_a_daemon_needs() {
+    for name in ["timeliten.daemon.json", "tlmocnik.daemon.json"] {
+        let settings: serde_json::Value = serde_json::from_slice(&example(name)).expect("JSON");
+        let keys: Vec<&str> =
+            settings.as_object().expect("object").keys().map(String::as_str).collect();
+        let expected = [
+            "admin_address",
+            "caller_address",
+            "data_centre",
+            "deployment",
+            "peer_address",
+            "platform_address",
+            "vm",
+        ];
+        assert_eq!(keys, expected);
+        let config = config(&name.replace("daemon", "config"));
+        assert_eq!(settings["deployment"], config.deployment.as_str());
+        assert!(
+            config
+                .data_centres
+                .iter()
+                .any(|centre| settings["data_centre"] == centre.name.as_str())
+        );
+    }
+}
