Add the demo

Cause: both deployments have to be seen at work with real daemons, a sick endpoint and a planned stop. Change: load at a given rate, daemons as child processes that end with the tool, a watch on the admin ports, counts checked against the ledger, and the report as a table and as JSON.

--- /dev/null
+++ b/crates/pistachiotrack-standins/src/admin.rs
@@ -0,0 +1,67 @@
+//! Asks a daemon's admin port.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use pistachiotrack_core::admin::{EndpointStatus, MemberStatus, Status};
+use serde::de::DeserializeOwned;
+
+/// Time allowed for an answer.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A client of admin ports.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl Default for Admin {
+    fn default() -> Admin {
+        Admin { client: Client::builder(TokioExecutor::new()).build_http() }
+    }
+}
+
+impl Admin {
+    /// Asks for the status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no valid answer in time.
+    pub async fn status(&self, address: SocketAddr) -> anyhow::Result<Status> {
+        self.ask(address, "/status").await
+    }
+
+    /// Asks for the endpoints of the shards that the VM owns.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no valid answer in time.
+    pub async fn endpoints(&self, address: SocketAddr) -> anyhow::Result<Vec<EndpointStatus>> {
+        self.ask(address, "/endpoints").await
+    }
+
+    /// Asks for the members that the VM knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no valid answer in time.
+    pub async fn members(&self, address: SocketAddr) -> anyhow::Result<Vec<MemberStatus>> {
+        self.ask(address, "/members").await
+    }
+
+    async fn ask<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> anyhow::Result<T> {
+        let uri = format!("http://{address}{path}").parse()?;
+        let exchange = async {
+            let answer = self.client.get(uri).await?;
+            anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
+            Ok(answer.into_body().collect().await?.to_bytes())
+        };
+        let body = tokio::time::timeout(TIMEOUT, exchange).await??;
+        Ok(serde_json::from_slice(&body)?)
+    }
+}
--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -86,6 +86,22 @@
     pub service_us: Option<u64>,
     /// What came of it.
     pub ending: Ending,
+    /// Reason of the refusal, if it was one.
+    pub reason: Option<Box<str>>,
+}
+
+/// What a caller learns from an exchange.
+#[derive(Debug)]
+struct Exchange {
+    ending: Ending,
+    service_us: Option<u64>,
+    reason: Option<Box<str>>,
+}
+
+impl From<Ending> for Exchange {
+    fn from(ending: Ending) -> Exchange {
+        Exchange { ending, service_us: None, reason: None }
+    }
 }
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -122,7 +138,7 @@
         let sent = Instant::now();
         let allowed = Duration::from_millis(operation.deadline_ms) + GRACE;
         let exchange = tokio::time::timeout(allowed, self.exchange(operation, id)).await;
-        let (ending, service_us) = exchange.unwrap_or((Ending::Lost, None));
+        let Exchange { ending, service_us, reason } = exchange.unwrap_or(Ending::Lost.into());
         Sample {
             id,
             non_idempotent: operation.non_idempotent,
@@ -130,19 +146,20 @@
             latency_us: sent.elapsed().as_micros() as u64,
             service_us,
             ending,
+            reason,
         }
     }
 
-    async fn exchange(&self, operation: &Operation, id: WorkId) -> (Ending, Option<u64>) {
+    async fn exchange(&self, operation: &Operation, id: WorkId) -> Exchange {
         for address in self.addresses(operation, id).await {
             let Ok(request) = request(operation, id, address) else { break };
             match self.client.request(request).await {
                 Ok(answer) => return judge(id, answer).await,
                 Err(error) if error.is_connect() => {}
-                Err(_) => return (Ending::Lost, None),
+                Err(_) => return Ending::Lost.into(),
             }
         }
-        (Ending::NoVm, None)
+        Ending::NoVm.into()
     }
 
     async fn addresses(&self, operation: &Operation, id: WorkId) -> Vec<SocketAddr> {
@@ -227,11 +244,12 @@
         .body(Full::new(body))
 }
 
-async fn judge(id: WorkId, answer: Response<Incoming>) -> (Ending, Option<u64>) {
+async fn judge(id: WorkId, answer: Response<Incoming>) -> Exchange {
     let refusal = text(&answer, header::OUTCOME).map(str::to_owned);
+    let reason = text(&answer, header::REASON).map(Box::from);
     let service_us = text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
     let status = answer.status();
-    let Ok(body) = answer.into_body().collect().await else { return (Ending::Lost, None) };
+    let Ok(body) = answer.into_body().collect().await else { return Ending::Lost.into() };
     let ending = match refusal.as_deref() {
         Some("not-run") => Ending::RefusedNotRun,
         Some(_) => Ending::Unknown,
@@ -239,7 +257,7 @@
         None if is_answer_to(id, &body.to_bytes()) => Ending::Ok,
         None => Ending::WrongAnswer,
     };
-    (ending, service_us)
+    Exchange { ending, service_us, reason }
 }
 
 fn text<'a>(answer: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -0,0 +1,196 @@
+//! Daemons as processes of their own.
+
+use std::{
+    fs::{self, File},
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{ExitStatus, Stdio},
+};
+
+use anyhow::Context;
+use serde::Serialize;
+use tokio::{
+    io::AsyncWriteExt,
+    process::{Child, Command},
+};
+
+const BINARY: &str = "pistachiotrackd";
+
+/// Settings of a daemon, as the daemon reads them.
+#[derive(Clone, Debug, Serialize)]
+pub struct DaemonSettings {
+    /// Name of the VM.
+    pub vm: String,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Deployment served.
+    pub deployment: String,
+    /// Address that callers connect to.
+    pub caller_address: SocketAddr,
+    /// Address that other VMs use.
+    pub peer_address: SocketAddr,
+    /// Address of the admin port.
+    pub admin_address: SocketAddr,
+    /// Address of the platform.
+    pub platform_address: SocketAddr,
+}
+
+/// The daemon's executable.
+#[derive(Clone, Debug)]
+pub struct DaemonBinary {
+    path: PathBuf,
+    log_directory: Option<PathBuf>,
+}
+
+impl DaemonBinary {
+    /// Finds the executable next to the tool's own and has cargo build it if it
+    /// is missing or older than the tool.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the executable can't be built.
+    pub fn find(log_directory: Option<PathBuf>) -> anyhow::Result<DaemonBinary> {
+        let tool = std::env::current_exe()?;
+        let directory = tool.parent().context("the tool is in no directory")?;
+        let path = directory.join(BINARY);
+        if !is_up_to_date(&path, &tool) {
+            build(directory)?;
+        }
+        anyhow::ensure!(path.exists(), "{} is missing", path.display());
+        if let Some(directory) = &log_directory {
+            fs::create_dir_all(directory)?;
+        }
+        Ok(DaemonBinary { path, log_directory })
+    }
+
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be started.
+    pub async fn start(&self, settings: DaemonSettings) -> anyhow::Result<Daemon> {
+        let log = match &self.log_directory {
+            Some(directory) => {
+                let name = format!("{}-{}.log", settings.deployment, settings.vm);
+                Stdio::from(File::options().create(true).append(true).open(directory.join(name))?)
+            }
+            None => Stdio::null(),
+        };
+        let mut child = Command::new(&self.path)
+            .args(["--settings", "/dev/stdin"])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("starting {}", self.path.display()))?;
+        let mut stdin = child.stdin.take().context("no standard input")?;
+        let sent = stdin.write_all(&serde_json::to_vec(&settings)?).await;
+        sent.with_context(|| format!("the daemon of {} takes no settings", settings.vm))?;
+        drop(stdin);
+        Ok(Daemon { settings, child })
+    }
+}
+
+fn is_up_to_date(binary: &Path, tool: &Path) -> bool {
+    let changed = |path: &Path| fs::metadata(path).and_then(|metadata| metadata.modified()).ok();
+    changed(binary).is_some_and(|binary| changed(tool).is_some_and(|tool| binary >= tool))
+}
+
+fn build(directory: &Path) -> anyhow::Result<()> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = std::process::Command::new(cargo);
+    command.args(["build", "-p", BINARY]).current_dir(env!("CARGO_MANIFEST_DIR"));
+    if directory.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.status().context("running cargo")?;
+    anyhow::ensure!(status.success(), "cargo build -p {BINARY}: {status}");
+    Ok(())
+}
+
+/// A running daemon; dropping it ends its process.
+#[derive(Debug)]
+pub struct Daemon {
+    settings: DaemonSettings,
+    child: Child,
+}
+
+impl Daemon {
+    /// Returns the settings that the daemon runs with.
+    pub fn settings(&self) -> &DaemonSettings {
+        &self.settings
+    }
+
+    /// Asks the daemon to stop gracefully.
+    pub fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Ends the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be ended.
+    pub async fn kill(&mut self) -> std::io::Result<()> {
+        self.child.kill().await
+    }
+
+    /// Waits for the process to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its status can't be had.
+    pub async fn wait(&mut self) -> std::io::Result<ExitStatus> {
+        self.child.wait().await
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    #[allow(unsafe_code)]
+    fn signal(&self, signal: libc::c_int) {
+        let Some(pid) = self.child.id() else { return };
+        // SAFETY: kill takes plain numbers. The child has not been waited for, so
+        // its id can't belong to another process.
+        unsafe { libc::kill(pid as libc::pid_t, signal) };
+    }
+}
+
+/// First of the ports given to daemons. They lie below those that the system
+/// gives to outgoing connections, so that none is taken between the moment at
+/// which it is found free and the daemon's start.
+const FIRST_PORT: u16 = 20_000;
+/// Number of the ports given to daemons.
+const PORTS: u16 = 12_000;
+
+/// Returns free loopback addresses; each is free for TCP and for UDP.
+///
+/// # Errors
+///
+/// Returns an error if there are too few free ports.
+pub fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let start = rand::random_range(0..PORTS);
+    let ports = (0..PORTS).map(|offset| FIRST_PORT + (start + offset) % PORTS);
+    let free: Vec<SocketAddr> = ports
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .filter(|address| TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok())
+        .take(count)
+        .collect();
+    if free.len() < count {
+        return Err(std::io::ErrorKind::AddrInUse.into());
+    }
+    Ok(free)
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -0,0 +1,217 @@
+//! The demo: both deployments with their real sizes, a sick endpoint and a
+//! planned stop in each, and what the callers saw of it.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    caller::{Caller, Operation},
+    daemon::{DaemonBinary, DaemonSettings},
+    demo::report::{DeploymentReport, Report, Stop},
+    deployment::{Deployment, Kind},
+    ejection::EjectionWatch,
+    fault::Faults,
+    fleet::{Fleet, stop_gracefully},
+    load::{LoadSettings, WorkIds, drive},
+    runtime,
+    workload::operations,
+};
+
+mod report;
+
+/// Settings of the demo.
+#[derive(Clone, Debug)]
+pub struct DemoSettings {
+    /// VMs of each deployment.
+    pub vms: usize,
+    /// Time of the load.
+    pub duration: Duration,
+    /// Share of the slots that the load uses.
+    pub load: f64,
+    /// Seed of the load and of the endpoints.
+    pub seed: u64,
+    /// Directory that the daemons' logs are written to.
+    pub log_directory: Option<PathBuf>,
+    /// Whether the last line is the report as JSON.
+    pub json: bool,
+}
+
+/// VMs of each deployment in the small demo.
+const VMS: usize = 6;
+/// VMs of each deployment in the full one.
+const FULL_VMS: usize = 44;
+/// Share of the slots that the direct baseline uses.
+const DIRECT_LOAD: f64 = 0.1;
+/// Time of the direct baseline.
+const DIRECT_DURATION: Duration = Duration::from_secs(3);
+/// Separate callers of each deployment.
+const CALLERS: usize = 4;
+/// Time allowed for the daemons to serve.
+const START_LIMIT: Duration = Duration::from_secs(60);
+/// Time allowed for a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(60);
+/// Lag of the platform's list of VMs behind a planned stop.
+const LIST_LAG: Duration = Duration::from_millis(1_500);
+
+impl Default for DemoSettings {
+    fn default() -> DemoSettings {
+        DemoSettings {
+            vms: VMS,
+            duration: Duration::from_secs(20),
+            load: 0.6,
+            seed: 1,
+            log_directory: None,
+            json: false,
+        }
+    }
+}
+
+impl DemoSettings {
+    /// Takes the settings from the command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an option is unknown or has no valid value.
+    pub fn from_arguments(mut arguments: pico_args::Arguments) -> anyhow::Result<DemoSettings> {
+        let default = DemoSettings::default();
+        let vms = if arguments.contains("--full") { FULL_VMS } else { VMS };
+        let settings = DemoSettings {
+            vms: arguments.opt_value_from_str("--vms")?.unwrap_or(vms),
+            duration: arguments
+                .opt_value_from_str("--seconds")?
+                .map_or(default.duration, Duration::from_secs),
+            load: arguments.opt_value_from_str("--load")?.unwrap_or(default.load),
+            seed: arguments.opt_value_from_str("--seed")?.unwrap_or(default.seed),
+            log_directory: arguments.opt_value_from_str("--logs")?,
+            json: arguments.contains("--json"),
+        };
+        let rest = arguments.finish();
+        anyhow::ensure!(rest.is_empty(), "unexpected arguments {rest:?}");
+        anyhow::ensure!(settings.vms >= 2, "--vms must be at least 2");
+        anyhow::ensure!(settings.load > 0.0, "--load must be above 0");
+        Ok(settings)
+    }
+}
+
+/// Runs the demo and prints its report.
+///
+/// # Errors
+///
+/// Returns an error if something can't be started or a daemon doesn't become
+/// ready.
+pub fn run(settings: DemoSettings) -> anyhow::Result<ExitCode> {
+    let report = runtime::run(measure(&settings))?;
+    print!("{report}");
+    if settings.json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn measure(settings: &DemoSettings) -> anyhow::Result<Report> {
+    let binary = DaemonBinary::find(settings.log_directory.clone())?;
+    let [left, right] = Kind::ALL;
+    let (left, right) = tokio::try_join!(
+        measure_deployment(left, &binary, settings),
+        measure_deployment(right, &binary, settings)
+    )?;
+    Ok(Report::new(vec![left, right], settings.vms))
+}
+
+async fn measure_deployment(
+    kind: Kind,
+    binary: &DaemonBinary,
+    settings: &DemoSettings,
+) -> anyhow::Result<DeploymentReport> {
+    let deployment = Deployment::start(kind, settings.seed).await?;
+    let mut fleet = Fleet::start(binary, &deployment, settings.vms).await?;
+    let ready = fleet.wait_until_serving(START_LIMIT).await?;
+    let load =
+        LoadSettings { duration: DIRECT_DURATION, ids: WorkIds::default(), seed: settings.seed };
+    let direct = direct_baseline(&deployment, &load).await;
+
+    let callers: Vec<Caller> =
+        (0..CALLERS).map(|_| Caller::new(fleet.caller_addresses())).collect();
+    let operations = operations(kind.work(), &deployment.config, settings.load);
+    let load = LoadSettings { duration: settings.duration, ..load };
+    let watch = EjectionWatch::start(fleet.admin_addresses());
+    let start = Instant::now();
+    let (samples, disturbed) = tokio::join!(
+        drive(&callers, &operations, load),
+        disturb(&deployment, &mut fleet, settings.duration)
+    );
+    let disturbed = disturbed?;
+    Ok(DeploymentReport::new(report::Run {
+        deployment: &deployment,
+        ready,
+        direct,
+        samples,
+        ejections: watch.ejections(),
+        fault: disturbed.fault,
+        end: start + settings.duration,
+        stop: disturbed.stop,
+    }))
+}
+
+/// Sends a little work straight to the endpoints of each service.
+async fn direct_baseline(
+    deployment: &Deployment,
+    load: &LoadSettings,
+) -> Vec<crate::caller::Sample> {
+    let operations = operations(deployment.kind.work(), &deployment.config, DIRECT_LOAD);
+    let mut samples = Vec::new();
+    for service in &deployment.config.services {
+        let addresses = service.endpoints.iter().map(|endpoint| endpoint.address).collect();
+        let own: Vec<Operation> = operations
+            .iter()
+            .filter(|operation| operation.service == service.name.as_str())
+            .cloned()
+            .collect();
+        let load = LoadSettings {
+            duration: load.duration / deployment.config.services.len() as u32,
+            ..load.clone()
+        };
+        samples.extend(drive(&[Caller::direct(addresses)], &own, load).await);
+    }
+    samples
+}
+
+/// What was done to a deployment during the load.
+struct Disturbance {
+    fault: Instant,
+    stop: Stop,
+}
+
+/// Makes one endpoint fail grayly after a quarter of the time and stops one VM
+/// after half of it.
+async fn disturb(
+    deployment: &Deployment,
+    fleet: &mut Fleet,
+    duration: Duration,
+) -> anyhow::Result<Disturbance> {
+    tokio::time::sleep(duration / 4).await;
+    let fault = Instant::now();
+    deployment.endpoint(sick_endpoint(deployment.kind))?.set_faults(Faults::gray());
+    tokio::time::sleep(duration / 4).await;
+    let vm = fleet.busiest().await?;
+    let mut daemon = fleet.take(&vm)?;
+    let (ended, listed) = tokio::join!(stop_gracefully(&mut daemon, STOP_LIMIT), async {
+        tokio::time::sleep(LIST_LAG).await;
+        fleet.publish_leaving(deployment, &vm)
+    });
+    listed?;
+    let (status, took) = ended?;
+    let DaemonSettings { vm, .. } = daemon.settings().clone();
+    Ok(Disturbance { fault, stop: Stop { vm, exit_code: status.code(), took } })
+}
+
+/// Returns the endpoint that is made sick.
+pub(crate) fn sick_endpoint(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Tlmocnik => "availability-calendar-02",
+        Kind::Timeliten => "slot-search-03",
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/deployment.rs
@@ -0,0 +1,127 @@
+//! A deployment's platform and endpoints, with its example configuration.
+
+use std::{sync::Arc, time::Instant};
+
+use anyhow::Context;
+use pistachiotrack_core::config::Config;
+
+use crate::{
+    endpoint::{Endpoint, EndpointSettings},
+    ledger::Ledger,
+    platform::Platform,
+    workload::{SIGMA, ServiceWork, TIMELITEN, TLMOCNIK},
+};
+
+/// Which of the deployments.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The court interpreters' rosters.
+    Tlmocnik,
+    /// The job centres' meetings.
+    Timeliten,
+}
+
+impl Kind {
+    /// Both deployments.
+    pub const ALL: [Kind; 2] = [Kind::Timeliten, Kind::Tlmocnik];
+
+    /// Returns what the callers ask for.
+    pub fn work(self) -> &'static [ServiceWork] {
+        match self {
+            Kind::Tlmocnik => TLMOCNIK,
+            Kind::Timeliten => TIMELITEN,
+        }
+    }
+
+    /// Returns the example configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the example is not valid.
+    pub fn config(self) -> anyhow::Result<Config> {
+        let (file, json) = match self {
+            Kind::Tlmocnik => (
+                "tlmocnik.config.json",
+                include_bytes!("../../../examples/tlmocnik.config.json").as_slice(),
+            ),
+            Kind::Timeliten => (
+                "timeliten.config.json",
+                include_bytes!("../../../examples/timeliten.config.json").as_slice(),
+            ),
+        };
+        Ok(Config::parse(file, json)?)
+    }
+}
+
+/// A running platform with running endpoints.
+#[derive(Debug)]
+pub struct Deployment {
+    /// Which deployment.
+    pub kind: Kind,
+    /// Configuration with the endpoints' real addresses, as published first.
+    pub config: Config,
+    /// The platform.
+    pub platform: Platform,
+    /// The endpoints, in the order of the configuration.
+    pub endpoints: Vec<Endpoint>,
+    /// What was really run.
+    pub ledger: Arc<Ledger>,
+}
+
+impl Deployment {
+    /// Starts the endpoints and a platform that holds their configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the example is not valid or a port can't be had.
+    pub async fn start(kind: Kind, seed: u64) -> anyhow::Result<Deployment> {
+        let mut config = kind.config()?;
+        let ledger = Arc::new(Ledger::default());
+        let mut endpoints = Vec::new();
+        for service in &mut config.services {
+            let median_ms = kind
+                .work()
+                .iter()
+                .find(|work| work.service == service.name.as_str())
+                .map(|work| work.median_ms)
+                .with_context(|| format!("no work for service {}", service.name))?;
+            for endpoint in &mut service.endpoints {
+                let settings = EndpointSettings {
+                    name: endpoint.name.to_string(),
+                    slots: endpoint.slots,
+                    median_ms,
+                    sigma: SIGMA,
+                    seed: seed + endpoints.len() as u64,
+                    ..EndpointSettings::default()
+                };
+                let running = Endpoint::start(settings, Arc::clone(&ledger)).await?;
+                endpoint.address = running.address();
+                endpoints.push(running);
+            }
+        }
+        let platform = Platform::start(&config.deployment).await?;
+        platform.publish(&config)?;
+        Ok(Deployment { kind, config, platform, endpoints, ledger })
+    }
+
+    /// Returns an endpoint by name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none of that name.
+    pub fn endpoint(&self, name: &str) -> anyhow::Result<&Endpoint> {
+        self.endpoints
+            .iter()
+            .find(|endpoint| endpoint.name() == name)
+            .with_context(|| format!("no endpoint {name}"))
+    }
+
+    /// Returns the work that arrived at an endpoint since a moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is none of that name.
+    pub fn arrivals_since(&self, name: &str, since: Instant) -> anyhow::Result<Vec<Instant>> {
+        Ok(self.endpoint(name)?.arrivals_since(since))
+    }
+}
--- a/crates/pistachiotrack-standins/src/lib.rs
+++ b/crates/pistachiotrack-standins/src/lib.rs
@@ -4,11 +4,21 @@
 //! Everything here runs inside one process, on loopback; only the daemons are
 //! processes of their own.
 
+pub mod admin;
 pub mod caller;
+pub mod daemon;
+pub mod demo;
+pub mod deployment;
+pub mod ejection;
 pub mod endpoint;
 pub mod experiment;
 pub mod fault;
+pub mod fleet;
 pub mod ledger;
+pub mod load;
 pub mod platform;
+pub mod runtime;
 pub mod server;
+pub mod summary;
 pub mod work;
+pub mod workload;
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/load.rs
@@ -0,0 +1,85 @@
+//! Sends work at a given rate, whatever becomes of it.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::task::JoinSet;
+
+use crate::{
+    caller::{Caller, Operation, Sample},
+    work::WorkId,
+};
+
+/// Hands out identities of work that are unique in the run.
+#[derive(Clone, Debug, Default)]
+pub struct WorkIds(Arc<AtomicU64>);
+
+impl WorkIds {
+    fn next(&self) -> WorkId {
+        WorkId(self.0.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// Settings of a load.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Time for which new work is sent.
+    pub duration: Duration,
+    /// Identities of the work.
+    pub ids: WorkIds,
+    /// Seed of the times between requests.
+    pub seed: u64,
+}
+
+/// Sends each operation at its rate and returns what came of the work.
+///
+/// Work is sent without waiting for earlier answers, by the callers in turn.
+pub async fn drive(
+    callers: &[Caller],
+    operations: &[Operation],
+    settings: LoadSettings,
+) -> Vec<Sample> {
+    let mut streams = JoinSet::new();
+    for (index, operation) in operations.iter().enumerate() {
+        let settings = LoadSettings { seed: settings.seed + index as u64, ..settings.clone() };
+        streams.spawn(stream(callers.to_vec(), operation.clone(), settings));
+    }
+    streams.join_all().await.into_iter().flatten().collect()
+}
+
+async fn stream(callers: Vec<Caller>, operation: Operation, settings: LoadSettings) -> Vec<Sample> {
+    let mut random = Pcg64Mcg::seed_from_u64(settings.seed);
+    let end = Instant::now() + settings.duration;
+    let mut next = Instant::now();
+    let mut sends = JoinSet::new();
+    let operation = Arc::new(operation);
+    loop {
+        next += gap(&mut random, operation.rate_per_s);
+        if next >= end {
+            break;
+        }
+        tokio::time::sleep_until(next.into()).await;
+        let id = settings.ids.next();
+        let caller = callers[id.0 as usize % callers.len()].clone();
+        let operation = Arc::clone(&operation);
+        sends.spawn(async move { caller.send(&operation, id).await });
+    }
+    sends.join_all().await
+}
+
+/// Returns the time to the next request of a Poisson process.
+fn gap(random: &mut Pcg64Mcg, rate_per_s: f64) -> Duration {
+    let uniform: f64 = random.random();
+    let gap_s = -(1.0 - uniform).ln() / rate_per_s;
+    Duration::try_from_secs_f64(gap_s).unwrap_or(MAX_GAP).min(MAX_GAP)
+}
+
+/// Longest time between two requests, so that a rate of zero ends as well.
+const MAX_GAP: Duration = Duration::from_secs(3_600);
--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -3,12 +3,17 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use pistachiotrack_standins::experiment;
+use pistachiotrack_standins::{
+    demo::{self, DemoSettings},
+    experiment,
+};
 
 const HELP: &str = "\
 Usage: pistachiotrack-standins COMMAND [OPTIONS]
 
 Commands:
+  demo [--full] [--json] [--seconds N] [--vms N] [--load SHARE] [--seed N] [--logs DIRECTORY]
+                                        run both deployments with faults
   experiment NAME [--json] [--seed N]   run one experiment
   help                                  show this text
 ";
@@ -27,6 +32,7 @@
     let mut arguments = pico_args::Arguments::from_env();
     let command = arguments.subcommand()?.context("no command; try `help`")?;
     match command.as_str() {
+        "demo" => demo::run(DemoSettings::from_arguments(arguments)?),
         "experiment" => experiment::run(arguments),
         "help" => help(),
         _ => anyhow::bail!("unknown command {command:?}; try `help`"),
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/summary.rs
@@ -0,0 +1,129 @@
+//! What a run's requests came to, checked against what was really run.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::{
+    caller::{Ending, Sample},
+    ledger::Ledger,
+};
+
+/// Counts of a run's requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Requests sent.
+    pub requests: u64,
+    /// Whole answers with success.
+    pub ok: u64,
+    /// Failures answered by endpoints.
+    pub endpoint_failed: u64,
+    /// Refusals that say the request was not run.
+    pub refused_not_run: u64,
+    /// Refusals that say the request may have run.
+    pub unknown: u64,
+    /// Requests for which no VM could be connected to.
+    pub no_vm: u64,
+    /// Requests that got neither a whole answer nor a refusal, and successes
+    /// that no endpoint ran.
+    pub lost: u64,
+    /// Requests not to be repeated that ran more than once.
+    pub doubled: u64,
+    /// Whole answers that belong to another request.
+    pub wrong_answer: u64,
+    /// Refusals that wrongly say the request was not run.
+    pub false_not_run: u64,
+    /// Refusals by reason.
+    pub reasons: BTreeMap<String, u64>,
+}
+
+impl Counts {
+    /// Counts the samples of one deployment.
+    pub fn of(samples: &[Sample], ledger: &Ledger) -> Counts {
+        let mut counts = Counts::default();
+        for sample in samples {
+            counts.add(sample, ledger.executions(sample.id));
+        }
+        counts
+    }
+
+    /// Adds the counts of another deployment.
+    pub fn merge(&mut self, other: &Counts) {
+        self.requests += other.requests;
+        self.ok += other.ok;
+        self.endpoint_failed += other.endpoint_failed;
+        self.refused_not_run += other.refused_not_run;
+        self.unknown += other.unknown;
+        self.no_vm += other.no_vm;
+        self.lost += other.lost;
+        self.doubled += other.doubled;
+        self.wrong_answer += other.wrong_answer;
+        self.false_not_run += other.false_not_run;
+        for (reason, count) in &other.reasons {
+            *self.reasons.entry(reason.clone()).or_default() += count;
+        }
+    }
+
+    /// Returns whether nothing was lost, doubled, wrongly answered or wrongly
+    /// called not run.
+    pub fn is_clean(&self) -> bool {
+        self.lost + self.doubled + self.wrong_answer + self.false_not_run == 0
+    }
+
+    /// Returns the share of requests that ended in success.
+    pub fn goodput(&self) -> f64 {
+        self.ok as f64 / self.requests.max(1) as f64
+    }
+
+    fn add(&mut self, sample: &Sample, executions: u32) {
+        self.requests += 1;
+        if sample.non_idempotent && executions > 1 {
+            self.doubled += 1;
+        }
+        match sample.ending {
+            Ending::Ok if executions == 0 => self.lost += 1,
+            Ending::Ok => self.ok += 1,
+            Ending::Failed => self.endpoint_failed += 1,
+            Ending::WrongAnswer => self.wrong_answer += 1,
+            Ending::RefusedNotRun => self.refused_not_run += 1,
+            Ending::Unknown => self.unknown += 1,
+            Ending::NoVm => self.no_vm += 1,
+            Ending::Lost => self.lost += 1,
+        }
+        if sample.ending == Ending::RefusedNotRun && executions > 0 {
+            self.false_not_run += 1;
+        }
+        if let Some(reason) = &sample.reason {
+            *self.reasons.entry(reason.to_string()).or_default() += 1;
+        }
+    }
+}
+
+/// Percentiles of the time that the way to the endpoint and back adds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Added {
+    /// Median.
+    pub p50_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+impl Added {
+    /// Takes the time at the caller minus the endpoint's own, of all successes.
+    pub fn of<'a>(samples: impl IntoIterator<Item = &'a Sample>) -> Added {
+        let mut added_us: Vec<u64> = samples
+            .into_iter()
+            .filter(|sample| sample.ending == Ending::Ok)
+            .filter_map(|sample| Some(sample.latency_us.saturating_sub(sample.service_us?)))
+            .collect();
+        added_us.sort_unstable();
+        Added { p50_ms: percentile_ms(&added_us, 0.5), p99_ms: percentile_ms(&added_us, 0.99) }
+    }
+}
+
+/// Returns a percentile of sorted microseconds in milliseconds, by nearest rank.
+pub fn percentile_ms(sorted_us: &[u64], share: f64) -> f64 {
+    let rank = (share * sorted_us.len() as f64).ceil() as usize;
+    let value_us = sorted_us.get(rank.saturating_sub(1)).copied().unwrap_or(0);
+    value_us as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/tests/summary.rs
@@ -0,0 +1,83 @@
+//! What is counted of a run, checked against what was really run.
+
+use std::time::{Duration, Instant};
+
+use pistachiotrack_standins::{
+    caller::{Ending, Sample},
+    ejection::{QUIET, work_stopped_after},
+    ledger::Ledger,
+    summary::{Added, Counts, percentile_ms},
+    work::WorkId,
+};
+
+fn sample(id: u64, ending: Ending) -> Sample {
+    Sample {
+        id: WorkId(id),
+        non_idempotent: true,
+        sent: Instant::now(),
+        latency_us: 31_000 + id,
+        service_us: Some(30_000),
+        ending,
+        reason: None,
+    }
+}
+
+#[test]
+fn harm_is_told_from_the_ledger() {
+    let ledger = Ledger::default();
+    for id in [1, 2, 2, 4, 6] {
+        ledger.record(WorkId(id));
+    }
+    let samples = [
+        sample(1, Ending::Ok),
+        sample(2, Ending::Unknown),
+        sample(3, Ending::Ok),
+        sample(4, Ending::RefusedNotRun),
+        sample(5, Ending::RefusedNotRun),
+        Sample { non_idempotent: false, ..sample(6, Ending::WrongAnswer) },
+        sample(7, Ending::Lost),
+    ];
+    let counts = Counts::of(&samples, &ledger);
+    assert_eq!(counts.requests, 7);
+    assert_eq!(counts.ok, 1);
+    assert_eq!(counts.doubled, 1, "2 ran twice");
+    assert_eq!(counts.lost, 2, "3 was never run, 7 has no answer");
+    assert_eq!(counts.false_not_run, 1, "4 ran");
+    assert_eq!(counts.refused_not_run, 2);
+    assert_eq!(counts.wrong_answer, 1);
+    assert!(!counts.is_clean());
+    assert!(Counts::of(&samples[..1], &ledger).is_clean());
+}
+
+#[test]
+fn repeated_work_that_may_be_repeated_is_not_doubled() {
+    let ledger = Ledger::default();
+    ledger.record(WorkId(1));
+    ledger.record(WorkId(1));
+    let lookup = Sample { non_idempotent: false, ..sample(1, Ending::Ok) };
+    assert!(Counts::of(&[lookup], &ledger).is_clean());
+}
+
+#[test]
+fn percentiles_are_by_nearest_rank() {
+    let sorted_us: Vec<u64> = (1..=100).map(|value| value * 1_000).collect();
+    assert_eq!(percentile_ms(&sorted_us, 0.5), 50.0);
+    assert_eq!(percentile_ms(&sorted_us, 0.99), 99.0);
+    assert_eq!(percentile_ms(&[], 0.99), 0.0);
+    let samples: Vec<Sample> = (0..3).map(|id| sample(id, Ending::Ok)).collect();
+    assert_eq!(Added::of(&samples), Added { p50_ms: 1.001, p99_ms: 1.002 });
+}
+
+#[test]
+fn work_has_stopped_before_the_first_quiet_time() {
+    let fault = Instant::now();
+    let at = |ms| fault + Duration::from_millis(ms);
+    let quiet_ms = QUIET.as_millis() as u64;
+    let until_300 = [at(100), at(200), at(300)];
+    let stopped = Some(Duration::from_millis(300));
+    assert_eq!(work_stopped_after(&until_300, fault, at(300 + quiet_ms)), stopped);
+    assert_eq!(work_stopped_after(&until_300, fault, at(299 + quiet_ms)), None);
+    let trial_later = [at(100), at(300), at(300 + quiet_ms), at(301 + quiet_ms)];
+    assert_eq!(work_stopped_after(&trial_later, fault, at(60_000)), stopped);
+    assert_eq!(work_stopped_after(&[], fault, at(60_000)), Some(Duration::ZERO));
+}
