Measure admission under overload against three baselines

Cause: nothing showed what the admission decisions are worth above capacity. Change: add the experiment 'overload': 14 endpoints of 2 slots in logical time, four customers and three classes between 0.6 and 4 times the capacity; the owner against 48 VMs with the same decisions and no shared view, 48 VMs in careful mode, and one unbounded first-come-first-served queue.

--- a/crates/pistachiotrack-standins/src/experiment.rs
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -1,11 +1,13 @@
 //! Experiments: ours against a baseline, in the same run.
 
+mod overload;
+
 use std::process::ExitCode;
 
 use anyhow::Context;
 
 /// Names of the experiments, in the order in which `list` shows them.
-const NAMES: &[&str] = &[];
+const NAMES: &[&str] = &["overload"];
 
 /// Runs the experiment that the arguments name.
 ///
@@ -16,6 +18,7 @@
     let name = arguments.subcommand()?.context("no experiment named; try `list`")?;
     match name.as_str() {
         "list" => list(),
+        "overload" => overload::run(arguments),
         _ => anyhow::bail!("unknown experiment {name:?}; try `list`"),
     }
 }
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/experiment/overload.rs
@@ -0,0 +1,66 @@
+//! The experiment `overload`: a service between 0.6 and 4 times its capacity.
+//!
+//! All in logical time and from a seed, so that a run can be repeated.
+
+mod balancer;
+mod endpoint;
+mod report;
+mod simulation;
+mod workload;
+
+use std::process::ExitCode;
+
+use pistachiotrack_core::shard::ShardMode;
+
+use self::{
+    balancer::{Balancer, Fifo, Fleet},
+    report::{Row, print_table},
+    simulation::Simulation,
+    workload::{Workload, config},
+};
+
+/// Offered load relative to the endpoints' capacity.
+const LOADS: [f64; 5] = [0.6, 1.0, 1.5, 2.0, 4.0];
+/// Entry VMs of a deployment of today.
+const VMS: usize = 48;
+/// Seed where the command line names none.
+const DEFAULT_SEED: u64 = 1;
+
+/// Runs the experiment and prints its rows.
+///
+/// # Errors
+///
+/// Returns an error if the arguments are not understood.
+pub(super) fn run(mut arguments: pico_args::Arguments) -> anyhow::Result<ExitCode> {
+    let as_json = arguments.contains("--json");
+    let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
+    let rest = arguments.finish();
+    anyhow::ensure!(rest.is_empty(), "unexpected arguments {rest:?}");
+    let rows: Vec<Row> = LOADS
+        .into_iter()
+        .flat_map(|load| balancers(seed).map(|(name, balancer)| (load, name, balancer)))
+        .map(|(load, name, balancer)| measure(load, seed, name, balancer))
+        .collect();
+    if as_json {
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+    } else {
+        print_table(seed, &rows);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Returns ours and the baselines, all before the same work.
+fn balancers(seed: u64) -> [(&'static str, Box<dyn Balancer>); 4] {
+    let config = config();
+    [
+        ("owner", Box::new(Fleet::new(&config, 1, ShardMode::Owner, seed))),
+        ("alone", Box::new(Fleet::new(&config, VMS, ShardMode::Owner, seed))),
+        ("careful", Box::new(Fleet::new(&config, VMS, ShardMode::Careful, seed))),
+        ("fifo", Box::new(Fifo::new(&config))),
+    ]
+}
+
+fn measure(load: f64, seed: u64, name: &str, balancer: Box<dyn Balancer>) -> Row {
+    let simulation = Simulation::new(Workload::new(load, seed), balancer);
+    Row::new(name, load, &simulation.run())
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
@@ -0,0 +1,170 @@
+//! Ours and the baselines behind one interface.
+
+use std::collections::VecDeque;
+
+use pistachiotrack_core::{
+    config::Config,
+    name::Name,
+    ownership::ShardId,
+    refusal::Execution,
+    request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
+    shard::{Shard, ShardAction, ShardMode, ShardSettings},
+    time::Time,
+};
+use rustc_hash::FxHashMap;
+
+use super::workload::SERVICE;
+
+/// Identifies an attempt: the VM and its own number for it.
+pub(super) type Tag = (usize, AttemptId);
+
+/// What a balancer does.
+#[derive(Clone, Debug)]
+pub(super) enum Command {
+    /// Sends a request to an endpoint.
+    Send { tag: Tag, request: RequestId, endpoint: Name, time_limit: Time },
+    /// Ends an attempt.
+    Cancel { tag: Tag },
+    /// Passes an attempt's answer on.
+    Deliver { request: RequestId },
+    /// Refuses a request.
+    Refuse { request: RequestId, execution: Execution },
+}
+
+/// Decides which request goes where when.
+pub(super) trait Balancer {
+    fn on_request(&mut self, now: Time, request: Request) -> Vec<Command>;
+    fn on_outcome(&mut self, now: Time, tag: Tag, outcome: Outcome) -> Vec<Command>;
+    fn on_body_end(&mut self, now: Time, tag: Tag) -> Vec<Command>;
+    fn on_tick(&mut self, now: Time) -> Vec<Command>;
+}
+
+/// VMs that run the core's decisions, each on its own.
+///
+/// With one VM it is the owner that all requests are sent to; with many, each
+/// gets an equal part of the requests and sees only its own.
+pub(super) struct Fleet {
+    shards: Vec<Shard>,
+    next_vm: usize,
+}
+
+impl Fleet {
+    pub(super) fn new(config: &Config, vms: usize, mode: ShardMode, seed: u64) -> Fleet {
+        let shard = |vm: usize| {
+            let id = ShardId { service: Name::from(SERVICE), index: 0 };
+            let settings = ShardSettings { mode, seed: seed + vm as u64 };
+            Shard::new(Time::ZERO, id, config, settings)
+        };
+        Fleet { shards: (0..vms).map(shard).collect(), next_vm: 0 }
+    }
+}
+
+impl Balancer for Fleet {
+    fn on_request(&mut self, now: Time, request: Request) -> Vec<Command> {
+        let vm = self.next_vm;
+        self.next_vm = (vm + 1) % self.shards.len();
+        commands(vm, self.shards[vm].on_request(now, request))
+    }
+
+    fn on_outcome(&mut self, now: Time, tag: Tag, outcome: Outcome) -> Vec<Command> {
+        let actions = self.shards[tag.0].on_outcome(now, tag.1, outcome, Report::default());
+        commands(tag.0, actions)
+    }
+
+    fn on_body_end(&mut self, now: Time, tag: Tag) -> Vec<Command> {
+        commands(tag.0, self.shards[tag.0].on_body_end(now, tag.1, BodyEnd::Complete))
+    }
+
+    fn on_tick(&mut self, now: Time) -> Vec<Command> {
+        let ticks = self.shards.iter_mut().enumerate();
+        ticks.flat_map(|(vm, shard)| commands(vm, shard.on_tick(now))).collect()
+    }
+}
+
+fn commands(vm: usize, actions: Vec<ShardAction>) -> Vec<Command> {
+    let command = |action| match action {
+        ShardAction::Dispatch(dispatch) => Some(Command::Send {
+            tag: (vm, dispatch.attempt),
+            request: dispatch.request,
+            endpoint: dispatch.endpoint,
+            time_limit: dispatch.time_limit,
+        }),
+        ShardAction::Cancel { attempt, .. } => Some(Command::Cancel { tag: (vm, attempt) }),
+        ShardAction::Deliver { request, .. } => Some(Command::Deliver { request }),
+        ShardAction::Refuse { request, refusal } => {
+            Some(Command::Refuse { request, execution: refusal.execution })
+        }
+        ShardAction::Replay { .. }
+        | ShardAction::Probe { .. }
+        | ShardAction::CheckPath { .. }
+        | ShardAction::Health(_) => None,
+    };
+    actions.into_iter().filter_map(command).collect()
+}
+
+/// One queue without bounds for all, first come, first served, with the slots
+/// kept and deadlines unheeded.
+pub(super) struct Fifo {
+    free: Vec<Name>,
+    queue: VecDeque<RequestId>,
+    running: FxHashMap<AttemptId, (RequestId, Name)>,
+    next_attempt: u64,
+}
+
+impl Fifo {
+    pub(super) fn new(config: &Config) -> Fifo {
+        let endpoints = config.services.iter().flat_map(|service| &service.endpoints);
+        let slots =
+            endpoints.flat_map(|endpoint| (0..endpoint.slots).map(move |_| endpoint.name.clone()));
+        Fifo {
+            free: slots.collect(),
+            queue: VecDeque::new(),
+            running: FxHashMap::default(),
+            next_attempt: 1,
+        }
+    }
+
+    fn send(&mut self) -> Vec<Command> {
+        let mut commands = Vec::new();
+        while let (Some(endpoint), Some(request)) = (self.free.last(), self.queue.front()) {
+            let attempt = AttemptId(self.next_attempt);
+            self.next_attempt += 1;
+            let (endpoint, request) = (endpoint.clone(), *request);
+            self.free.pop();
+            self.queue.pop_front();
+            self.running.insert(attempt, (request, endpoint.clone()));
+            let time_limit = Time::from_micros(u64::MAX);
+            commands.push(Command::Send { tag: (0, attempt), request, endpoint, time_limit });
+        }
+        commands
+    }
+}
+
+impl Balancer for Fifo {
+    fn on_request(&mut self, _now: Time, request: Request) -> Vec<Command> {
+        self.queue.push_back(request.id);
+        self.send()
+    }
+
+    fn on_outcome(&mut self, now: Time, tag: Tag, outcome: Outcome) -> Vec<Command> {
+        let Some((request, _)) = self.running.get(&tag.1) else { return Vec::new() };
+        if matches!(outcome, Outcome::Answered { .. }) {
+            return vec![Command::Deliver { request: *request }];
+        }
+        let refused = Command::Refuse { request: *request, execution: Execution::Unknown };
+        let mut commands = self.on_body_end(now, tag);
+        commands.push(refused);
+        commands
+    }
+
+    fn on_body_end(&mut self, _now: Time, tag: Tag) -> Vec<Command> {
+        if let Some((_, endpoint)) = self.running.remove(&tag.1) {
+            self.free.insert(0, endpoint);
+        }
+        self.send()
+    }
+
+    fn on_tick(&mut self, _now: Time) -> Vec<Command> {
+        Vec::new()
+    }
+}
