Reserve the 95th percentile of the answer time, not half the mean

Change: a request is admitted and dispatched only while the time to an answer that 95 of 100 need still fits before its deadline.

--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -82,15 +82,15 @@
         if left.is_zero() {
             return self.refuse(now, id, not_run(Reason::DeadlinePassed, None));
         }
-        let reserve = self.usual.value().unwrap_or_default().min(left / 2) / 2;
-        live.not_after = now + (left - reserve);
+        let answer_time = self.latency.p95().or(self.usual.value()).unwrap_or_default();
+        live.not_after = now + (left - answer_time.min(left / 2));
         let (customer, class) = (live.request.customer.clone(), live.request.class);
         if self.pool.usable(live.request.idempotent) == 0 {
             let hint = self.retry_hint(NO_ENDPOINT_RETRY_AFTER);
             return self.refuse(now, id, not_run(Reason::NoEndpoint, hint));
         }
         let wait = self.expected_wait(&customer, class);
-        let needed = wait + self.usual.value().unwrap_or_default();
+        let needed = wait + answer_time;
         if !wait.is_zero() && needed > left {
             let hint = self.retry_hint(needed - left);
             return self.refuse(now, id, not_run(Reason::WaitTooLong, hint));
