Admit requests with twice the answer time to spare

Cause: the expected wait is a mean; requests admitted on it alone came to their turn with just the reserved time left, and one in twenty of those was lost with its slot held to the end. Change: admission asks for the wait and twice the reserved answer time.

--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -90,7 +90,7 @@
             return self.refuse(now, id, not_run(Reason::NoEndpoint, hint));
         }
         let wait = self.expected_wait(&customer, class);
-        let needed = wait + answer_time;
+        let needed = wait + answer_time * 2;
         if !wait.is_zero() && needed > left {
             let hint = self.retry_hint(needed - left);
             return self.refuse(now, id, not_run(Reason::WaitTooLong, hint));
