--- /dev/null
+++ b/crates/pistachiotrack-core/tests/admission.rs
@@ -0,0 +1,235 @@
+//! Stories of the queue: shares, classes, deadlines and refusals.
+
+mod shard_support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use pistachiotrack_core::{
+    admission::{AdmissionQueue, Ticket},
+    name::Name,
+    refusal::{Execution, Reason},
+    request::{Class, RequestId},
+    shard::ShardAction,
+    time::Time,
+};
+use quickcheck::{Gen, QuickCheck};
+use shard_support::{World, config};
+
+fn queue(contracts: &[(&str, u32)]) -> AdmissionQueue {
+    let mut queue = AdmissionQueue::default();
+    queue.set_weights(contracts.iter().map(|(name, slots)| (Name::from(*name), *slots)).collect());
+    queue
+}
+
+fn ticket(id: u64, deadline_ms: u64) -> Ticket {
+    Ticket { deadline: Time::from_millis(deadline_ms), request: RequestId(id) }
+}
+
+/// Puts `count` requests of a customer into the queue, numbered from `first`.
+fn fill(queue: &mut AdmissionQueue, customer: &str, class: Class, first: u64, count: u64) {
+    for id in first..first + count {
+        queue.push(&Name::from(customer), class, ticket(id, 1_000 + id));
+    }
+}
+
+fn pop(queue: &mut AdmissionQueue, count: usize) -> Vec<u64> {
+    (0..count).filter_map(|_| queue.pop()).map(|request| request.0).collect()
+}
+
+// A clerk waits on the phone while batch jobs pull calendars. The
+// clerk's lookup goes first, and among lookups the one due first.
+#[test]
+fn urgent_class_then_earliest_deadline_goes_first() {
+    let mut queue = queue(&[("a", 1)]);
+    let a = Name::from("a");
+    queue.push(&a, Class::Batch, ticket(1, 100));
+    queue.push(&a, Class::Interactive, ticket(2, 900));
+    queue.push(&a, Class::Interactive, ticket(3, 500));
+    queue.push(&a, Class::Standard, ticket(4, 50));
+    assert_eq!(pop(&mut queue, 4), [3, 2, 4, 1]);
+}
+
+// Two customers send more than there is room for. One bought three times as
+// much as the other and gets three times as many turns.
+#[test]
+fn shares_follow_the_contracts() {
+    let mut queue = queue(&[("a", 3), ("b", 1)]);
+    fill(&mut queue, "a", Class::Standard, 0, 100);
+    fill(&mut queue, "b", Class::Standard, 1_000, 100);
+    let of_a = pop(&mut queue, 80).iter().filter(|id| **id < 1_000).count();
+    assert!((59..=61).contains(&of_a), "{of_a} of 80");
+}
+
+// One customer marks everything as interactive. It would take the slots that
+// another one, with batch work, has bought.
+#[test]
+fn class_does_not_take_another_customers_share() {
+    let mut queue = queue(&[("a", 1), ("b", 1)]);
+    fill(&mut queue, "a", Class::Interactive, 0, 100);
+    fill(&mut queue, "b", Class::Batch, 1_000, 100);
+    let of_b = pop(&mut queue, 80).iter().filter(|id| **id >= 1_000).count();
+    assert!((37..=40).contains(&of_b), "{of_b} of 80");
+}
+
+// A customer was idle for long and comes back. It must not claim the turns it
+// did not use, which would starve the others for as long.
+#[test]
+fn idle_time_earns_no_credit() {
+    let mut queue = queue(&[("a", 1), ("b", 1)]);
+    fill(&mut queue, "a", Class::Standard, 0, 100);
+    pop(&mut queue, 50);
+    fill(&mut queue, "b", Class::Standard, 1_000, 100);
+    let of_a = pop(&mut queue, 20).iter().filter(|id| **id < 1_000).count();
+    assert!((9..=11).contains(&of_a), "{of_a} of 20");
+}
+
+// A customer without a contract uses what is idle, and only that.
+#[test]
+fn customer_without_contract_waits_for_all_others() {
+    let mut queue = queue(&[("a", 1)]);
+    fill(&mut queue, "none", Class::Interactive, 1_000, 5);
+    fill(&mut queue, "a", Class::Batch, 0, 5);
+    let order = pop(&mut queue, 10);
+    assert!(order[..5].iter().all(|id| *id < 1_000), "{order:?}");
+}
+
+// A customer's lookups never end. Its own overnight work goes on, slowly.
+#[test]
+fn own_urgent_work_does_not_starve_batch() {
+    let mut queue = queue(&[("a", 1)]);
+    fill(&mut queue, "a", Class::Batch, 1_000, 10);
+    fill(&mut queue, "a", Class::Interactive, 0, 100);
+    let batch = pop(&mut queue, 80).iter().filter(|id| **id >= 1_000).count();
+    assert_eq!(batch, 10);
+}
+
+// One customer's requests take four times as long as another's. Contracts are
+// slots, so it gets a quarter of the turns.
+#[test]
+fn long_requests_cost_more_of_the_share() {
+    let mut queue = queue(&[("a", 1), ("b", 1)]);
+    fill(&mut queue, "a", Class::Standard, 0, 200);
+    fill(&mut queue, "b", Class::Standard, 1_000, 200);
+    for _ in 0..100 {
+        queue.on_held(&Name::from("a"), 1.6);
+        queue.on_held(&Name::from("b"), 0.4);
+    }
+    let of_a = pop(&mut queue, 100).iter().filter(|id| **id < 1_000).count();
+    assert!((19..=21).contains(&of_a), "{of_a} of 100");
+}
+
+// Requests come, go and are served in any order. Each one is served once or
+// taken out once, and none is left behind.
+#[test]
+fn queue_neither_loses_nor_repeats() {
+    fn holds(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut queue = queue(&[("a", 3), ("b", 1)]);
+        let mut waiting = BTreeSet::new();
+        for (id, (kind, customer, class)) in steps.into_iter().enumerate() {
+            let customer = Name::from(["a", "b", "none"][usize::from(customer) % 3]);
+            let class = Class::ALL[usize::from(class) % 3];
+            let ticket = ticket(id as u64, u64::from(kind));
+            match kind % 4 {
+                0 => {
+                    let peeked = queue.peek();
+                    let popped = queue.pop();
+                    let known = waiting
+                        .iter()
+                        .find(|(_, _, t): &&(Name, Class, Ticket)| Some(t.request) == popped);
+                    if peeked != popped || known.is_none() != popped.is_none() {
+                        return false;
+                    }
+                    if let Some(known) = known.cloned() {
+                        waiting.remove(&known);
+                    }
+                }
+                1 => {
+                    let Some(first) = waiting.first().cloned() else { continue };
+                    let (customer, class, ticket) = &first;
+                    if !queue.remove(customer, *class, *ticket)
+                        || queue.remove(customer, *class, *ticket)
+                    {
+                        return false;
+                    }
+                    waiting.remove(&first);
+                }
+                _ => {
+                    queue.push(&customer, class, ticket);
+                    waiting.insert((customer, class, ticket));
+                }
+            }
+            if queue.len() != waiting.len() {
+                return false;
+            }
+        }
+        pop(&mut queue, waiting.len() + 1).len() == waiting.len()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 0xad01))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+/// Returns a world with one busy slot that usually takes 100 ms.
+fn busy_world() -> World {
+    let mut world = World::new(config(1, 1, &[("a", 3), ("b", 1)]));
+    for _ in 0..40 {
+        let id = world.send(10_000, |_| {});
+        world.now += Duration::from_millis(100);
+        world.answer(world.attempt(id));
+    }
+    world.send(10_000, |_| {});
+    world
+}
+
+// A caller's request can't be answered in time. It hears so at once and can
+// go elsewhere, rather than after it has waited for nothing.
+#[test]
+fn hopeless_request_is_refused_at_once() {
+    let mut world = busy_world();
+    for _ in 0..5 {
+        world.send(10_000, |_| {});
+    }
+    let id = world.send(300, |request| request.idempotent = false);
+    assert_eq!(world.refusal(id), Some((Execution::NotRun, Reason::WaitTooLong)));
+    let Some(ShardAction::Refuse { refusal, .. }) = world.requests[&id].finals.first() else {
+        panic!("not refused");
+    };
+    assert!(refusal.retry_after_ms.is_some_and(|ms| (300..2_000).contains(&ms)), "{refusal:?}");
+}
+
+// One customer has filled the queue. Another one that has bought its share
+// still gets in; the crowd's least urgent request is refused for it.
+#[test]
+fn full_queue_makes_room_at_the_crowds_expense() {
+    let mut world = busy_world();
+    let crowd: Vec<RequestId> = (0..8).map(|_| world.send(10_000, |_| {})).collect();
+    let more = world.send(10_000, |_| {});
+    assert_eq!(world.refusal(more), Some((Execution::NotRun, Reason::QueueFull)));
+    let other = world.send(10_000, |request| request.customer = Name::from("b"));
+    assert!(world.requests[&other].finals.is_empty());
+    let refused = crowd.iter().filter(|id| world.refusal(**id).is_some()).count();
+    assert_eq!(refused, 1);
+}
+
+// A request's time runs out while it waits. It is refused as not run, which
+// the caller can trust, and is not dispatched for nothing.
+#[test]
+fn request_expires_in_the_queue() {
+    let mut world = busy_world();
+    let id = world.send(1_000, |request| request.idempotent = false);
+    world.tick(950);
+    assert_eq!(world.refusal(id), Some((Execution::NotRun, Reason::DeadlinePassed)));
+}
+
+// All endpoints leave. Whoever waits hears at once that there is nobody.
+#[test]
+fn queue_is_refused_when_no_endpoint_is_left() {
+    let mut world = busy_world();
+    let id = world.send(10_000, |_| {});
+    let mut empty = world.config.clone();
+    empty.services[0].endpoints[0].leaving = true;
+    world.configure(empty);
+    assert_eq!(world.refusal(id), Some((Execution::NotRun, Reason::NoEndpoint)));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
