--- /dev/null
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -0,0 +1,101 @@
+//! The admin port, which operators' tools read.
+
+use std::{convert::Infallible, sync::Arc};
+
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use kameo::actor::ActorRef;
+use pistachiotrack_core::{
+    admin::{EndpointStatus, MemberStatus, Status},
+    membership::MemberState,
+    name::Name,
+};
+
+use crate::{
+    answer,
+    body::AnswerBody,
+    context::Context,
+    fleet::{Fleet, Source, SourceStatus},
+    shard_actor::Endpoints,
+    shard_table::shard_name,
+};
+
+/// Answers an operator's tool.
+pub(crate) async fn handle(
+    context: Arc<Context>,
+    fleet: ActorRef<Fleet>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    if request.method() != Method::GET {
+        return Ok(answer::plain(StatusCode::METHOD_NOT_ALLOWED));
+    }
+    Ok(match request.uri().path() {
+        "/status" => answer::json(&status(&context, &fleet).await),
+        "/endpoints" => answer::json(&endpoints(&context).await),
+        "/members" => answer::json(&members(&context)),
+        "/histograms" => answer::json(&context.total.statuses()),
+        "/histograms/added" => answer::json(&context.added.statuses()),
+        _ => answer::plain(StatusCode::NOT_FOUND),
+    })
+}
+
+async fn status(context: &Context, fleet: &ActorRef<Fleet>) -> Status {
+    let view = context.view();
+    let source = fleet.ask(SourceStatus).await.unwrap_or_else(|_| Source::default());
+    let mut shards: Vec<Name> = view.ownership.owned().map(shard_name).collect();
+    shards.sort();
+    Status {
+        vm: context.me.name.clone(),
+        data_centre: context.me.data_centre.clone(),
+        state: Name::from(context.life_state().as_str()),
+        deployment: context.settings.deployment.clone(),
+        config_version: view.active.as_ref().map(|active| active.config.version),
+        config_error: source.config_error,
+        platform_age_ms: source.platform_age_ms,
+        shards,
+        live_vms: view.live_vms(),
+        counters: context.metrics.counters(),
+    }
+}
+
+async fn endpoints(context: &Context) -> Vec<EndpointStatus> {
+    let mut endpoints = Vec::new();
+    for (_, shard) in context.shards.running() {
+        // A shard that has just stopped has no endpoints to show.
+        endpoints.extend(shard.ask(Endpoints).await.unwrap_or_default());
+    }
+    endpoints.sort_by(|a, b| (&a.service, &a.endpoint).cmp(&(&b.service, &b.endpoint)));
+    endpoints
+}
+
+fn members(context: &Context) -> Vec<MemberStatus> {
+    let view = context.view();
+    let mut members: Vec<MemberStatus> = view
+        .members
+        .iter()
+        .map(|member| MemberStatus {
+            vm: member.vm.name.clone(),
+            data_centre: member.vm.data_centre.clone(),
+            state: Name::from(state_name(member.state)),
+            incarnation: member.vm.incarnation,
+            config_version: member.config_version,
+        })
+        .collect();
+    members.push(MemberStatus {
+        vm: context.me.name.clone(),
+        data_centre: context.me.data_centre.clone(),
+        state: Name::from(state_name(MemberState::Alive)),
+        incarnation: context.me.incarnation,
+        config_version: view.active.as_ref().map(|active| active.config.version),
+    });
+    members.sort_by(|a, b| a.vm.cmp(&b.vm));
+    members
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -0,0 +1,89 @@
+//! Answers that the daemon makes by itself.
+
+use bytes::Bytes;
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use pistachiotrack_core::{
+    header,
+    idempotency::StoredAnswer,
+    refusal::{Execution, Reason, Refusal},
+};
+use serde::Serialize;
+
+use crate::{body::AnswerBody, headers};
+
+/// Returns the answer that tells a caller of a refusal.
+pub(crate) fn refusal(refusal: Refusal) -> Response<AnswerBody> {
+    refusal_with_status(status(refusal.reason), refusal)
+}
+
+/// Returns the answer that tells a caller of a refusal, with a given status.
+pub(crate) fn refusal_with_status(status: StatusCode, refusal: Refusal) -> Response<AnswerBody> {
+    let text = format!("{} {}\n", refusal.execution.as_str(), refusal.reason.as_str());
+    let mut response = Response::new(AnswerBody::whole(text.into()));
+    *response.status_mut() = status;
+    let fields = response.headers_mut();
+    fields.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    fields.insert(header::OUTCOME, HeaderValue::from_static(refusal.execution.as_str()));
+    fields.insert(header::REASON, HeaderValue::from_static(refusal.reason.as_str()));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        headers::set_number(fields, header::RETRY_AFTER_MS, retry_after_ms);
+    }
+    response
+}
+
+/// Returns the refusal of a request that was certainly not run.
+pub(crate) fn not_run(reason: Reason) -> Response<AnswerBody> {
+    refusal(Refusal { execution: Execution::NotRun, reason, retry_after_ms: None })
+}
+
+/// Returns an answer that was kept for duplicates.
+pub(crate) fn replay(stored: &StoredAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::from(stored.body.clone())));
+    *response.status_mut() =
+        StatusCode::from_u16(stored.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let content_type =
+        stored.content_type.as_ref().and_then(|value| HeaderValue::from_str(value).ok());
+    if let Some(content_type) = content_type {
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+/// Returns a value as JSON.
+pub(crate) fn json<T: Serialize>(value: &T) -> Response<AnswerBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            let mut response = Response::new(AnswerBody::whole(body.into()));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Returns an answer without a body.
+pub(crate) fn plain(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        Reason::Rule => StatusCode::FORBIDDEN,
+        Reason::AnswerLost => StatusCode::BAD_GATEWAY,
+        Reason::NoRecord | Reason::Duplicate => StatusCode::CONFLICT,
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::WaitTooLong
+        | Reason::NoConfig
+        | Reason::NoEndpoint
+        | Reason::Stopping
+        | Reason::Paused => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/body.rs
@@ -0,0 +1,250 @@
+//! Bodies of answers on their way to the caller.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{
+    Response,
+    body::{Body, Frame, Incoming, SizeHint},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    http::response::Parts,
+};
+use kameo::actor::ActorRef;
+use pistachiotrack_core::{
+    idempotency::{MAX_STORED_BODY_BYTES, StoredAnswer},
+    request::{AttemptId, BodyEnd, RequestId},
+};
+use tokio::time::Sleep;
+
+use crate::{
+    connection::Connection,
+    connection_pool::ConnectionPool,
+    shard_actor::{BodyEnded, ShardActor},
+};
+
+/// Why an answer's body was cut short.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AnswerBodyError {
+    /// The other end broke off.
+    #[error("answer broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// No further part came in time.
+    #[error("answer stalled")]
+    Stalled,
+    /// The answer had no length, so that its end can't be told from a cut.
+    #[error("answer without length ended")]
+    NoLength,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// A whole body in memory.
+    Whole(Option<Bytes>),
+    /// A body that is passed on as it arrives.
+    Relayed(Box<RelayedBody>),
+}
+
+impl AnswerBody {
+    /// Returns a body that is in memory.
+    pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
+        AnswerBody::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+
+    /// Returns a body that is passed on from a connection.
+    pub(crate) fn relayed(
+        parts: &Parts,
+        incoming: Incoming,
+        connection: Connection,
+        pool: Arc<ConnectionPool>,
+        idle_limit: Duration,
+        watch: Option<AnswerWatch>,
+    ) -> AnswerBody {
+        let has_length = parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
+        let mut body = RelayedBody {
+            incoming,
+            connection: Some(connection),
+            pool,
+            idle_limit,
+            idle: None,
+            has_length,
+            watch,
+        };
+        if body.incoming.is_end_stream() {
+            body.finish(BodyEnd::Complete);
+        }
+        AnswerBody::Relayed(Box::new(body))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerBodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            AnswerBody::Relayed(relayed) => relayed.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Whole(bytes) => bytes.is_none(),
+            AnswerBody::Relayed(relayed) => relayed.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            AnswerBody::Relayed(relayed) => relayed.incoming.size_hint(),
+        }
+    }
+}
+
+/// A body that is passed on as it arrives.
+///
+/// Failure guarded against: an endpoint dies in the middle of its answer, and
+/// the caller takes half a roster for the whole. It shows as a body that ends
+/// early. The guard holds because every end other than the announced one is an
+/// error here, upon which the server closes the caller's connection without
+/// ending the body.
+#[derive(Debug)]
+pub(crate) struct RelayedBody {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    pool: Arc<ConnectionPool>,
+    idle_limit: Duration,
+    idle: Option<Pin<Box<Sleep>>>,
+    has_length: bool,
+    watch: Option<AnswerWatch>,
+}
+
+impl RelayedBody {
+    fn poll(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
+            return self.poll_idle(cx);
+        };
+        self.idle = None;
+        match frame {
+            Some(Ok(frame)) => {
+                if let (Some(watch), Some(data)) = (&mut self.watch, frame.data_ref()) {
+                    watch.note(data);
+                }
+                if self.incoming.is_end_stream() {
+                    self.finish(BodyEnd::Complete);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                self.finish(BodyEnd::Cut);
+                Poll::Ready(Some(Err(AnswerBodyError::Broken(error))))
+            }
+            None if self.has_length || self.connection.is_none() => {
+                self.finish(BodyEnd::Complete);
+                Poll::Ready(None)
+            }
+            None => {
+                self.finish(BodyEnd::Cut);
+                Poll::Ready(Some(Err(AnswerBodyError::NoLength)))
+            }
+        }
+    }
+
+    fn poll_idle(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        let idle_limit = self.idle_limit;
+        let idle = self.idle.get_or_insert_with(|| Box::pin(tokio::time::sleep(idle_limit)));
+        std::task::ready!(idle.as_mut().poll(cx));
+        self.finish(BodyEnd::Cut);
+        Poll::Ready(Some(Err(AnswerBodyError::Stalled)))
+    }
+
+    fn finish(&mut self, end: BodyEnd) {
+        let Some(connection) = self.connection.take() else { return };
+        if end == BodyEnd::Complete {
+            self.pool.check_in(connection);
+        }
+        if let Some(watch) = self.watch.take() {
+            watch.finish(end);
+        }
+    }
+}
+
+impl Drop for RelayedBody {
+    fn drop(&mut self) {
+        self.finish(BodyEnd::CallerGone);
+    }
+}
+
+/// Tells a shard how the body of an answer ended.
+#[derive(Debug)]
+pub(crate) struct AnswerWatch {
+    /// The shard.
+    pub(crate) shard: ActorRef<ShardActor>,
+    /// Attempt whose answer it is.
+    pub(crate) attempt: AttemptId,
+    /// Copy of the answer that is kept for duplicates of the request.
+    pub(crate) copy: Option<AnswerCopy>,
+}
+
+impl AnswerWatch {
+    fn note(&mut self, data: &Bytes) {
+        let Some(copy) = &mut self.copy else { return };
+        if copy.answer.body.len() + data.len() > MAX_STORED_BODY_BYTES {
+            self.copy = None;
+            return;
+        }
+        copy.answer.body.extend_from_slice(data);
+    }
+
+    fn finish(self, end: BodyEnd) {
+        let stored =
+            self.copy.filter(|_| end == BodyEnd::Complete).map(|copy| (copy.request, copy.answer));
+        let ended = BodyEnded { attempt: self.attempt, end, stored };
+        // A stopped shard keeps no account of attempts.
+        let _ = self.shard.tell(ended).try_send();
+    }
+}
+
+/// A copy of an answer while it passes.
+#[derive(Debug)]
+pub(crate) struct AnswerCopy {
+    request: RequestId,
+    answer: StoredAnswer,
+}
+
+impl AnswerCopy {
+    /// Begins a copy of the answer to `request`.
+    pub(crate) fn begin(request: RequestId, parts: &Parts) -> AnswerCopy {
+        let content_type =
+            parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).map(String::from);
+        let answer = StoredAnswer { status: parts.status.as_u16(), content_type, body: Vec::new() };
+        AnswerCopy { request, answer }
+    }
+}
+
+/// Returns the response made of `parts` and `body`.
+pub(crate) fn response(parts: Parts, body: AnswerBody) -> Response<AnswerBody> {
+    Response::from_parts(parts, body)
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/exit_codes.rs
@@ -0,0 +1,30 @@
+//! Exit codes of the daemon.
+
+use std::process::ExitCode as ProcessExitCode;
+
+/// How the daemon ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExitCode {
+    /// It stopped as asked, or only printed its help or version.
+    Success,
+    /// It started but failed while running.
+    RuntimeError,
+    /// The command line is not valid.
+    UsageError,
+    /// The settings file can't be read or holds an invalid value.
+    SettingsError,
+    /// An address of the settings can't be bound.
+    BindError,
+}
+
+impl From<ExitCode> for ProcessExitCode {
+    fn from(code: ExitCode) -> ProcessExitCode {
+        ProcessExitCode::from(match code {
+            ExitCode::Success => 0,
+            ExitCode::RuntimeError => 1,
+            ExitCode::UsageError => 2,
+            ExitCode::SettingsError => 3,
+            ExitCode::BindError => 4,
+        })
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -0,0 +1,350 @@
+//! The actor that holds this VM's picture of the fleet: members, owners and the
+//! configuration.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use kameo::{
+    Actor,
+    actor::{ActorRef, WeakActorRef},
+    error::Infallible,
+    message::{Context as MessageContext, Message},
+};
+use pistachiotrack_core::{
+    config::Config,
+    config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings},
+    membership::{Membership, MembershipAction, MembershipSettings},
+    name::Name,
+    ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
+    time::Time,
+    vm::VmList,
+};
+use tokio::{net::UdpSocket, sync::watch};
+
+use crate::{
+    context::Context,
+    platform::{Platform, PlatformError},
+    shard_actor::{NewConfig, Retire},
+    shard_table::shard_name,
+    timer::TimerEvent,
+    udp,
+    view::{ActiveConfig, FleetView},
+};
+
+/// Time between two updates of the owners without any known cause, which lets
+/// hysteresis come to its end.
+const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two sweeps of the connection pools.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the fleet actor is started with.
+pub(crate) struct FleetArgs {
+    /// What all parts share.
+    pub(crate) context: Arc<Context>,
+    /// Where snapshots are published.
+    pub(crate) view: watch::Sender<Arc<FleetView>>,
+    /// Socket of the membership messages.
+    pub(crate) socket: Arc<UdpSocket>,
+    /// Seed of every random choice.
+    pub(crate) seed: u64,
+}
+
+/// The actor that holds this VM's picture of the fleet.
+pub(crate) struct Fleet {
+    context: Arc<Context>,
+    view: watch::Sender<Arc<FleetView>>,
+    socket: Arc<UdpSocket>,
+    platform: Platform,
+    actor_ref: WeakActorRef<Fleet>,
+    membership: Membership,
+    ownership: Ownership,
+    sync: ConfigSync,
+    active: Option<Arc<ActiveConfig>>,
+    config_error: Option<String>,
+    platform_failures: u32,
+    platform_heard: Option<Time>,
+    ownership_updated: Time,
+    swept: Time,
+}
+
+impl Actor for Fleet {
+    type Args = FleetArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: FleetArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
+        let FleetArgs { context, view, socket, seed } = args;
+        let now = context.clock.now();
+        let me = context.me.clone();
+        let settings = &context.settings;
+        let platform = Platform::new(settings.platform_address, settings.deployment.clone());
+        tokio::spawn(platform.clone().watch_vms(actor_ref.clone()));
+        let sync_settings = ConfigSyncSettings::default();
+        let deployment = settings.deployment.clone();
+        Ok(Fleet {
+            membership: Membership::new(now, me.clone(), MembershipSettings::default(), seed),
+            ownership: Ownership::new(me.clone(), OwnershipSettings::default()),
+            sync: ConfigSync::new(me, deployment, sync_settings, seed),
+            context,
+            view,
+            socket,
+            platform,
+            actor_ref: actor_ref.downgrade(),
+            active: None,
+            config_error: None,
+            platform_failures: 0,
+            platform_heard: None,
+            ownership_updated: now,
+            swept: now,
+        })
+    }
+}
+
+impl Message<TimerEvent> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, event: TimerEvent, _: &mut MessageContext<Self, ()>) {
+        match event {
+            TimerEvent::Tick(now) => self.on_tick(now),
+            TimerEvent::Paused { now, gap } => self.membership.on_pause(now, gap),
+        }
+    }
+}
+
+/// A datagram of another VM.
+pub(crate) struct Datagram {
+    /// Sender.
+    pub(crate) from: SocketAddr,
+    /// Encoded message.
+    pub(crate) bytes: Vec<u8>,
+}
+
+impl Message<Datagram> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Datagram, _: &mut MessageContext<Self, ()>) {
+        let now = self.context.clock.now();
+        match self.membership.on_datagram(now, message.from, &message.bytes) {
+            Ok(actions) => self.apply_membership(now, actions),
+            Err(error) => {
+                log::debug!("event=datagram_invalid from={} error={error:?}", message.from);
+            }
+        }
+    }
+}
+
+/// The platform's answer to a watch of the configuration.
+pub(crate) struct PlatformValue(pub(crate) Result<Option<Bytes>, PlatformError>);
+
+impl Message<PlatformValue> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, message: PlatformValue, _: &mut MessageContext<Self, ()>) {
+        let now = self.context.clock.now();
+        match message.0 {
+            Ok(value) => {
+                self.platform_failures = 0;
+                self.platform_heard = Some(now);
+                let actions = self.sync.on_platform_value(now, value.as_deref());
+                self.apply_config(now, actions);
+            }
+            Err(error) => {
+                self.platform_failures = self.platform_failures.saturating_add(1);
+                log::warn!("event=config_unavailable error={:?}", error.to_string());
+                self.sync.on_platform_error(now);
+            }
+        }
+    }
+}
+
+/// The platform's list of VMs.
+pub(crate) struct VmsListed(pub(crate) VmList);
+
+impl Message<VmsListed> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, message: VmsListed, _: &mut MessageContext<Self, ()>) {
+        let now = self.context.clock.now();
+        let actions = self.membership.on_vm_list(now, &message.0);
+        self.apply_membership(now, actions);
+        self.update_ownership(now);
+    }
+}
+
+/// Tells the other VMs that this one is stopping.
+pub(crate) struct Leave;
+
+impl Message<Leave> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut MessageContext<Self, ()>) {
+        let now = self.context.clock.now();
+        let actions = self.membership.leave(now);
+        self.apply_membership(now, actions);
+    }
+}
+
+/// Asks for what the admin port shows of the configuration's source.
+pub(crate) struct SourceStatus;
+
+/// Where the configuration comes from and whether it can be used.
+#[derive(Clone, Debug, Default, kameo::Reply)]
+pub(crate) struct Source {
+    /// Why the newest published configuration was not accepted.
+    pub(crate) config_error: Option<String>,
+    /// Time since the platform's service last answered.
+    pub(crate) platform_age_ms: Option<u64>,
+}
+
+impl Message<SourceStatus> for Fleet {
+    type Reply = Source;
+
+    async fn handle(&mut self, _: SourceStatus, _: &mut MessageContext<Self, Source>) -> Source {
+        let now = self.context.clock.now();
+        Source {
+            config_error: self.config_error.clone(),
+            platform_age_ms: self.platform_heard.map(|heard| now.since(heard).as_millis() as u64),
+        }
+    }
+}
+
+impl Fleet {
+    fn on_tick(&mut self, now: Time) {
+        let actions = self.membership.on_tick(now);
+        self.apply_membership(now, actions);
+        let actions = self.sync.on_tick(now, self.membership.members());
+        self.apply_config(now, actions);
+        if now.since(self.ownership_updated) >= OWNERSHIP_INTERVAL {
+            self.update_ownership(now);
+        }
+        if now.since(self.swept) >= SWEEP_INTERVAL {
+            self.swept = now;
+            self.context.endpoints.sweep();
+            self.context.peers.sweep();
+        }
+    }
+
+    fn apply_membership(&mut self, now: Time, actions: Vec<MembershipAction>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, bytes } => udp::send(&self.socket, to, &bytes),
+                MembershipAction::Changed { vm } => {
+                    self.log_member(&vm);
+                    changed = true;
+                }
+                MembershipAction::ConfigVersion { vm, version } => {
+                    self.on_peer_version(now, &vm, version);
+                }
+            }
+        }
+        if changed {
+            self.update_ownership(now);
+        }
+    }
+
+    fn log_member(&self, vm: &Name) {
+        let member = self.membership.members().find(|member| member.vm.name == *vm);
+        if let Some(member) = member {
+            log::info!("event=member_changed vm={vm} state={:?}", member.state);
+        }
+    }
+
+    fn on_peer_version(&mut self, now: Time, vm: &Name, version: u64) {
+        let peer = self.membership.members().find(|member| member.vm.name == *vm);
+        let Some(peer) = peer.map(|member| member.vm.clone()) else { return };
+        let actions = self.sync.on_peer_version(now, &peer, version);
+        self.apply_config(now, actions);
+    }
+
+    fn apply_config(&mut self, now: Time, actions: Vec<ConfigAction>) {
+        for action in actions {
+            match action {
+                ConfigAction::Watch { after } => self.watch(after),
+                ConfigAction::Pull { vm, .. } => {
+                    let actions = self.sync.on_peer_answer(now, &vm.name, None);
+                    self.apply_config(now, actions);
+                }
+                ConfigAction::InForce(config) => self.put_in_force(now, config),
+                ConfigAction::Rejected(error) => {
+                    log::error!("event=config_rejected error={:?}", error.to_string());
+                    self.config_error = Some(error.to_string());
+                }
+                ConfigAction::Stale { offered } => {
+                    log::warn!(
+                        "event=config_stale offered={offered} in_force={:?}",
+                        self.sync.version()
+                    );
+                }
+            }
+        }
+    }
+
+    fn watch(&self, after: Option<u64>) {
+        let Some(fleet) = self.actor_ref.upgrade() else { return };
+        let platform = self.platform.clone();
+        tokio::spawn(platform.watch_config(after, self.platform_failures, fleet));
+    }
+
+    fn put_in_force(&mut self, now: Time, config: Arc<Config>) {
+        log::info!("event=config_in_force version={}", config.version);
+        self.config_error = None;
+        self.membership.set_config_version(config.version);
+        for (_, shard) in self.context.shards.running() {
+            // A shard whose actor has stopped starts anew with this one.
+            let _ = shard.tell(NewConfig(Arc::clone(&config))).try_send();
+        }
+        self.active = Some(Arc::new(ActiveConfig::new(config)));
+        self.update_ownership(now);
+        self.retire_shards();
+    }
+
+    /// Stops the shards that the configuration no longer has.
+    fn retire_shards(&self) {
+        let Some(active) = &self.active else { return };
+        let exists = |shard: &pistachiotrack_core::ownership::ShardId| {
+            active.service(&shard.service).is_some_and(|service| shard.index < shard_count(service))
+        };
+        for (id, shard) in self.context.shards.running() {
+            if !exists(&id) {
+                let _ = shard.tell(Retire).try_send();
+            }
+        }
+        self.context.shards.retain(exists);
+    }
+
+    fn update_ownership(&mut self, now: Time) {
+        self.ownership_updated = now;
+        if let Some(active) = &self.active {
+            let config = Arc::clone(&active.config);
+            let changes = self.ownership.update(now, &config, self.membership.members());
+            self.publish();
+            for change in changes {
+                self.apply_ownership(&config, change);
+            }
+        } else {
+            self.publish();
+        }
+    }
+
+    fn apply_ownership(&self, config: &Arc<Config>, change: OwnershipChange) {
+        match change {
+            OwnershipChange::Gained(shard) => {
+                log::info!("event=shard_gained shard={}", shard_name(&shard));
+                self.context.shards.own(&shard, config);
+            }
+            OwnershipChange::Lost { shard, to } => {
+                log::info!("event=shard_lost shard={} to={to}", shard_name(&shard));
+                self.context.shards.disown(&shard);
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let view = FleetView {
+            active: self.active.clone(),
+            ownership: self.ownership.clone(),
+            members: self.membership.members().cloned().collect(),
+        };
+        self.view.send_replace(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/headers.rs
@@ -0,0 +1,79 @@
+//! Headers that must not travel on, and those that the fleet adds.
+
+use hyper::{
+    HeaderMap,
+    header::{
+        CONNECTION, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+        TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+use pistachiotrack_core::header;
+
+/// Headers that belong to one connection and not to the request.
+const HOP_BY_HOP: [HeaderName; 7] =
+    [CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// Headers by which VMs talk to each other; callers may not set them.
+const INTERNAL_REQUEST: [&str; 3] = [header::HOP, header::ROUTE, header::REQUEST_ID];
+
+/// Headers by which the fleet speaks to callers; endpoints may not set them.
+const INTERNAL_ANSWER: [&str; 5] =
+    [header::OUTCOME, header::REASON, header::RETRY_AFTER_MS, header::ENDPOINT, header::OWNER];
+
+/// Removes the headers that belong to one connection, those that `connection`
+/// names included.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
+}
+
+/// Removes what a caller's request must not carry into the fleet.
+pub(crate) fn strip_from_caller(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    headers.remove(EXPECT);
+    for name in INTERNAL_REQUEST {
+        headers.remove(name);
+    }
+}
+
+/// Removes what an endpoint's answer must not carry to a caller.
+pub(crate) fn strip_from_endpoint(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    for name in INTERNAL_ANSWER {
+        headers.remove(name);
+    }
+}
+
+/// Returns a header's value as text, if it is there and is text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Sets a header to a text that may hold any character; one that HTTP does not
+/// allow leaves the header out.
+pub(crate) fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Sets a header to a number.
+pub(crate) fn set_number(headers: &mut HeaderMap, name: &'static str, value: u64) {
+    headers.insert(name, HeaderValue::from(value));
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -0,0 +1,38 @@
+//! The daemon of pistachiotrack: the same program on every VM of a deployment.
+//!
+//! It accepts callers' requests, sends each to the shard that its rules name and
+//! from there to an endpoint. Every decision is taken by `pistachiotrack-core`;
+//! this crate translates sockets, timers and signals into its events and its
+//! actions back into bytes.
+
+mod admin;
+mod answer;
+mod attempt;
+mod body;
+mod clock;
+mod connection;
+mod connection_pool;
+mod context;
+pub mod daemon;
+mod exchange;
+mod fleet;
+mod forward;
+mod forwarded_route;
+mod guarded_stream;
+mod headers;
+mod histogram;
+mod inbound;
+mod listener;
+pub mod logging;
+mod metrics;
+mod platform;
+mod probe;
+mod proxy;
+mod request_body;
+mod request_task;
+pub mod settings;
+mod shard_actor;
+mod shard_table;
+mod timer;
+mod udp;
+mod view;
--- /dev/null
+++ b/crates/pistachiotrackd/src/listener.rs
@@ -0,0 +1,106 @@
+//! Accepts connections and serves HTTP/1.1 on them within limits.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+};
+use tokio_util::task::TaskTracker;
+
+use crate::{body::AnswerBody, context::Context, metrics::Event, settings::Limits};
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// A port of the daemon.
+pub(crate) struct Listener {
+    /// Socket that connections come in at.
+    pub(crate) socket: TcpListener,
+    /// Connections open at the same time.
+    pub(crate) max_connections: usize,
+    /// Becomes true when no further request is taken.
+    pub(crate) stopping: watch::Receiver<bool>,
+    /// Knows the connections that are still served.
+    pub(crate) connections: TaskTracker,
+}
+
+impl Listener {
+    /// Serves connections with `handler` until the daemon stops.
+    pub(crate) async fn serve<H, F>(self, context: Arc<Context>, handler: H)
+    where
+        H: Fn(Arc<Context>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Result<Response<AnswerBody>, Infallible>> + Send + 'static,
+    {
+        let places = Arc::new(Semaphore::new(self.max_connections));
+        let mut stopping = self.stopping.clone();
+        loop {
+            let accepted = tokio::select! {
+                () = stopped(&mut stopping) => return,
+                accepted = self.socket.accept() => accepted,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("event=accept_failed error={:?}", error.to_string());
+                    tokio::time::sleep(ACCEPT_BACKOFF).await;
+                    continue;
+                }
+            };
+            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                context.metrics.count(Event::ConnectionTurnedAway);
+                continue;
+            };
+            let context = Arc::clone(&context);
+            let stopping = self.stopping.clone();
+            self.connections.spawn(connection(stream, place, context, handler.clone(), stopping));
+        }
+    }
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    _place: OwnedSemaphorePermit,
+    context: Arc<Context>,
+    handler: H,
+    mut stopping: watch::Receiver<bool>,
+) where
+    H: Fn(Arc<Context>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, Infallible>> + Send + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=connection_ended error={:?}", error.to_string());
+        return;
+    }
+    let builder = builder(&context.settings.limits);
+    let service = service_fn(move |request| handler(Arc::clone(&context), request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stopped(&mut stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=connection_ended error={error:?}");
+    }
+}
+
+async fn stopped(stopping: &mut watch::Receiver<bool>) {
+    // An error means that the daemon is gone, which is a stop as well.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+}
+
+fn builder(limits: &Limits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
+        .max_headers(limits.header_count)
+        .max_buf_size(limits.header_bytes);
+    builder
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/logging.rs
@@ -0,0 +1,28 @@
+//! Logs: one line of key=value pairs for each event, on standard error.
+
+use std::io::Write;
+
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::Record;
+
+use crate::settings::Settings;
+
+/// Starts the logger of the process.
+///
+/// # Errors
+///
+/// Returns an error if a logger runs already.
+pub fn start(settings: &Settings) -> Result<LoggerHandle, FlexiLoggerError> {
+    Logger::try_with_str(settings.log_level.as_str())?.log_to_stderr().format(line).start()
+}
+
+fn line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+    write!(
+        out,
+        "time={} level={} module={} {}",
+        now.format_rfc3339(),
+        record.level().as_str().to_ascii_lowercase(),
+        record.target(),
+        record.args()
+    )
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/probe.rs
@@ -0,0 +1,110 @@
+//! Health checks of endpoints.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{HOST, HeaderValue},
+};
+use kameo::actor::ActorRef;
+use pistachiotrack_core::{
+    name::Name,
+    request::{AttemptId, BodyEnd, ConnectionChoice, Outcome, Report},
+    time::Time,
+};
+
+use crate::{
+    attempt::{outcome_of_error, report},
+    clock::Clock,
+    connection_pool::ConnectionPool,
+    exchange::{self, BegunAnswer, RequestHead, Target},
+    request_body::RequestBody,
+    shard_actor::{AttemptOutcome, BodyEnded, ShardActor},
+};
+
+/// Connections that a health check may need besides the budget of real work.
+const PROBE_BUDGET: u32 = u32::MAX;
+
+/// A health check of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Probe {
+    /// Identity of the attempt.
+    pub(crate) attempt: AttemptId,
+    /// Endpoint to check.
+    pub(crate) endpoint: Name,
+    /// Address of the endpoint.
+    pub(crate) address: SocketAddr,
+    /// Path of the health check.
+    pub(crate) path: Name,
+    /// Moment at which the probe has timed out.
+    pub(crate) time_limit: Time,
+}
+
+impl Probe {
+    /// Sends the health check and tells the shard how it ended.
+    pub(crate) async fn run(
+        self,
+        shard: ActorRef<ShardActor>,
+        pool: Arc<ConnectionPool>,
+        clock: Clock,
+    ) {
+        let (outcome, report, answer) = match self.exchange(&pool, clock).await {
+            Ok(answer) => {
+                let status = answer.parts.status.as_u16();
+                let outcome = Outcome::Answered { status, fresh_connection: answer.fresh };
+                (outcome, report(&answer.parts.headers), Some(answer))
+            }
+            Err(outcome) => (outcome, Report::default(), None),
+        };
+        log::debug!("event=probe endpoint={} outcome={outcome:?}", self.endpoint);
+        let attempt = self.attempt;
+        // A stopped shard needs no outcome.
+        let _ = shard.tell(AttemptOutcome { attempt, outcome, report }).try_send();
+        if let Some(answer) = answer {
+            let end = self.read_body(answer, &pool, clock).await;
+            let _ = shard.tell(BodyEnded { attempt, end, stored: None }).try_send();
+        }
+    }
+
+    async fn exchange(&self, pool: &ConnectionPool, clock: Clock) -> Result<BegunAnswer, Outcome> {
+        let uri: Uri = self.path.parse().unwrap_or_default();
+        let mut headers = HeaderMap::new();
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        let head = RequestHead { method: Method::GET, uri, headers };
+        let target = Target {
+            address: self.address,
+            choice: ConnectionChoice::Fresh,
+            budget: PROBE_BUDGET,
+            not_after: self.time_limit,
+            time_limit: self.time_limit,
+        };
+        let body = RequestBody::Whole(None);
+        exchange::run(pool, clock, target, head, &body).await.map_err(|e| outcome_of_error(&e))
+    }
+
+    async fn read_body(
+        &self,
+        mut answer: BegunAnswer,
+        pool: &ConnectionPool,
+        clock: Clock,
+    ) -> BodyEnd {
+        let whole = async {
+            while let Some(frame) = answer.body.frame().await {
+                if frame.is_err() {
+                    return BodyEnd::Cut;
+                }
+            }
+            BodyEnd::Complete
+        };
+        let end = tokio::time::timeout_at(clock.instant(self.time_limit), whole)
+            .await
+            .unwrap_or(BodyEnd::Cut);
+        if end == BodyEnd::Complete {
+            pool.check_in(answer.connection);
+        }
+        end
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -0,0 +1,371 @@
+//! What happens to a request at the VM that it comes in at.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, http::request};
+use pistachiotrack_core::{
+    header,
+    name::Name,
+    ownership::{ShardId, rendezvous_shard, shard_count},
+    refusal::{Execution, Reason, Refusal},
+    request::{Class, RequestId},
+    rule::{Refuse, Route, RuleAction, Subject},
+    service::Service,
+    shard::ShardMode,
+    steering,
+    time::Time,
+};
+
+use crate::{
+    answer,
+    body::AnswerBody,
+    context::Context,
+    forward::{self, ForwardError},
+    forwarded_route::ForwardedRoute,
+    headers,
+    inbound::{Inbound, caller_deadline, origin_form},
+    metrics::Event,
+    request_body::{BodyLimits, RequestBody, RequestBodyError},
+    request_task::{self, Served},
+    view::{ActiveConfig, FleetView},
+};
+
+/// Start of the paths that the daemon answers by itself.
+const OWN_PATHS: &str = "/pistachiotrack/";
+/// Time after which a caller may ask a VM again that has no configuration yet.
+const NO_CONFIG_RETRY_MS: u64 = 1_000;
+/// Most characters of a customer's name.
+const MAX_CUSTOMER_CHARS: usize = 256;
+
+/// Answers a caller.
+pub(crate) async fn handle_caller(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    if request.uri().path() == header::ENTRIES_PATH {
+        return Ok(entries(&context, request.uri().query()));
+    }
+    if request.uri().path().starts_with(OWN_PATHS) {
+        return Ok(answer::plain(StatusCode::NOT_FOUND));
+    }
+    context.metrics.count(Event::Request);
+    let received = context.clock.now();
+    let response = match receive(&context, request, received).await {
+        Ok(inbound) => {
+            let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
+            let served = serve(&context, inbound).await;
+            measure(&context, &customer, class, received, &served);
+            served.response
+        }
+        Err(response) => *response,
+    };
+    count_answer(&context, &response);
+    Ok(response)
+}
+
+/// Answers another VM that sends on a request.
+pub(crate) async fn handle_peer(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    context.metrics.count(Event::PeerRequest);
+    let response = match receive_forwarded(&context, request).await {
+        Ok(inbound) => {
+            let served = serve_here(&context, inbound).await;
+            forward::mark_endpoint_time(served)
+        }
+        Err(response) => *response,
+    };
+    Ok(response)
+}
+
+fn measure(context: &Context, customer: &Name, class: Class, received: Time, served: &Served) {
+    let total = context.clock.now().since(received);
+    context.total.record(customer, class, total);
+    context.metrics.time(class, total);
+    if let Some(endpoint_time) = served.endpoint_time {
+        context.added.record(customer, class, total.saturating_sub(endpoint_time));
+    }
+}
+
+fn count_answer(context: &Context, response: &Response<AnswerBody>) {
+    let event = match headers::text(response.headers(), header::OUTCOME) {
+        None => Event::Answer,
+        Some(outcome) if outcome == Execution::NotRun.as_str() => Event::RefusedNotRun,
+        Some(_) => Event::RefusedUnknown,
+    };
+    context.metrics.count(event);
+}
+
+fn entries(context: &Context, query: Option<&str>) -> Response<AnswerBody> {
+    let view = context.view();
+    let Some(active) = &view.active else { return no_config() };
+    let service = query
+        .into_iter()
+        .flat_map(|query| query.split('&'))
+        .find_map(|pair| pair.strip_prefix("service="))
+        .unwrap_or_default();
+    let members = view.members.iter();
+    let entries = steering::entries(&active.config, &view.ownership, &context.me, members, service);
+    answer::json(&entries)
+}
+
+fn no_config() -> Response<AnswerBody> {
+    answer::refusal(Refusal {
+        execution: Execution::NotRun,
+        reason: Reason::NoConfig,
+        retry_after_ms: Some(NO_CONFIG_RETRY_MS),
+    })
+}
+
+type Refused = Box<Response<AnswerBody>>;
+
+/// Takes in a caller's request and decides where it goes.
+async fn receive(
+    context: &Context,
+    request: Request<Incoming>,
+    received: Time,
+) -> Result<Inbound, Refused> {
+    let (mut parts, body) = request.into_parts();
+    let view = context.view();
+    let Some(active) = &view.active else { return Err(Box::new(no_config())) };
+    headers::strip_from_caller(&mut parts.headers);
+    let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
+    let deadline = caller_deadline(&parts.headers, received).map_err(|_| bad_request())?;
+    let asked = Asked::read(&parts).ok_or_else(bad_request)?;
+    let rule = asked.decide(context, active, &parts);
+    let route = match rule {
+        Some(RuleAction::Route(route)) => route,
+        Some(RuleAction::Refuse(refuse)) => return Err(Box::new(refused_by_rule(refuse))),
+        None => return Err(Box::new(answer::not_run(Reason::Rule))),
+    };
+    let Some(service) = active.service(&route.service) else {
+        return Err(Box::new(answer::not_run(Reason::Rule)));
+    };
+    let id = context.next_request();
+    let key = headers::text(&parts.headers, header::KEY);
+    let forwarded_route = ForwardedRoute {
+        shard: choose_shard(context, &view, service, key, id),
+        customer: Name::from(asked.customer),
+        class: route.class.unwrap_or(asked.class),
+        idempotent: route.idempotent,
+        hedge: route.hedge,
+    };
+    let limit = received + Duration::from_millis(timeout_ms(route, service));
+    let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
+    let body = read_body(context, body, deadline).await?;
+    Ok(Inbound {
+        id,
+        fleet_id: context.fleet_id(id),
+        route: forwarded_route,
+        method: parts.method.clone(),
+        uri: origin_form(&parts),
+        headers: parts.headers,
+        body,
+        deadline,
+    })
+}
+
+fn timeout_ms(route: &Route, service: &Service) -> u64 {
+    route.timeout_ms.unwrap_or(service.timeout_ms)
+}
+
+fn refused_by_rule(refuse: &Refuse) -> Response<AnswerBody> {
+    let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
+    let refusal = Refusal {
+        execution: Execution::NotRun,
+        reason: Reason::Rule,
+        retry_after_ms: refuse.retry_after_ms,
+    };
+    answer::refusal_with_status(status, refusal)
+}
+
+/// What a caller asks for in the fleet's own headers.
+struct Asked<'a> {
+    customer: &'a str,
+    class: Class,
+    service: Option<&'a str>,
+}
+
+impl<'a> Asked<'a> {
+    /// Reads the headers; `None` if the customer is missing or the class is
+    /// unknown.
+    fn read(parts: &'a request::Parts) -> Option<Asked<'a>> {
+        let customer = headers::text(&parts.headers, header::CUSTOMER)?;
+        if customer.is_empty() || customer.len() > MAX_CUSTOMER_CHARS {
+            return None;
+        }
+        let class = match headers::text(&parts.headers, header::CLASS) {
+            Some(class) => Class::parse(class)?,
+            None => Class::default(),
+        };
+        Some(Asked { customer, class, service: headers::text(&parts.headers, header::SERVICE) })
+    }
+
+    fn decide<'c>(
+        &self,
+        context: &Context,
+        active: &'c ActiveConfig,
+        parts: &request::Parts,
+    ) -> Option<&'c RuleAction> {
+        let fields = text_fields(&parts.headers);
+        let subject = Subject {
+            customer: self.customer,
+            method: parts.method.as_str(),
+            path: parts.uri.path(),
+            headers: &fields,
+            class: self.class,
+            service: self.service,
+            data_centre: &context.me.data_centre,
+        };
+        active.rules.decide(&subject, &context.shards).map(|rule| &rule.then)
+    }
+}
+
+fn text_fields(fields: &HeaderMap) -> Vec<(&str, &str)> {
+    fields
+        .iter()
+        .filter_map(|(name, value)| value.to_str().ok().map(|value| (name.as_str(), value)))
+        .collect()
+}
+
+/// Returns the shard of a service that takes a request: the one of its key; or
+/// one that this VM owns, which saves the hop; or any.
+fn choose_shard(
+    context: &Context,
+    view: &FleetView,
+    service: &Service,
+    key: Option<&str>,
+    id: RequestId,
+) -> ShardId {
+    let count = shard_count(service);
+    let shard = |index| ShardId { service: service.name.clone(), index };
+    if count == 1 {
+        return shard(0);
+    }
+    if let Some(key) = key {
+        return shard(rendezvous_shard(key, count));
+    }
+    let first = (id.0 % u64::from(count)) as u32;
+    let mut turned = (0..count).map(|offset| shard((first + offset) % count));
+    let is_mine = |shard: &ShardId| {
+        view.ownership.owner(shard).is_some_and(|owner| owner.name == context.me.name)
+    };
+    turned.find(is_mine).unwrap_or_else(|| shard(first))
+}
+
+async fn read_body(
+    context: &Context,
+    body: Incoming,
+    deadline: Time,
+) -> Result<RequestBody, Refused> {
+    let limits = &context.settings.limits;
+    let limits = BodyLimits {
+        body_bytes: limits.body_bytes,
+        buffered_bytes: limits.buffered_body_bytes,
+        idle: Duration::from_millis(limits.body_idle_ms),
+    };
+    let read = RequestBody::read(body, limits);
+    match tokio::time::timeout_at(context.clock.instant(deadline), read).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(RequestBodyError::TooLarge { .. })) => Err(Box::new(too_large())),
+        Ok(Err(_)) => Err(Box::new(answer::not_run(Reason::BadRequest))),
+        Err(_) => Err(Box::new(answer::not_run(Reason::DeadlinePassed))),
+    }
+}
+
+fn too_large() -> Response<AnswerBody> {
+    let refusal =
+        Refusal { execution: Execution::NotRun, reason: Reason::BadRequest, retry_after_ms: None };
+    answer::refusal_with_status(StatusCode::PAYLOAD_TOO_LARGE, refusal)
+}
+
+/// Takes in a request that another VM sends on.
+async fn receive_forwarded(
+    context: &Context,
+    request: Request<Incoming>,
+) -> Result<Inbound, Refused> {
+    let received = context.clock.now();
+    let (mut parts, body) = request.into_parts();
+    let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
+    let route = headers::text(&parts.headers, header::ROUTE)
+        .and_then(ForwardedRoute::decode)
+        .filter(|_| parts.headers.contains_key(header::HOP))
+        .ok_or_else(bad_request)?;
+    let deadline =
+        caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
+    let id = context.next_request();
+    let fleet_id = headers::text(&parts.headers, header::REQUEST_ID)
+        .map_or_else(|| context.fleet_id(id), Name::from);
+    headers::strip_from_caller(&mut parts.headers);
+    let body = read_body(context, body, deadline).await?;
+    Ok(Inbound {
+        id,
+        fleet_id,
+        route,
+        method: parts.method.clone(),
+        uri: origin_form(&parts),
+        headers: parts.headers,
+        body,
+        deadline,
+    })
+}
+
+/// Has a caller's request served: here if this VM owns the shard, else by the
+/// owner, else here in careful mode.
+async fn serve(context: &Arc<Context>, inbound: Inbound) -> Served {
+    let owner = {
+        let view = context.view();
+        let owner = view.ownership.owner(&inbound.route.shard);
+        owner.filter(|owner| owner.name != context.me.name).cloned()
+    };
+    let Some(owner) = owner else { return serve_here(context, inbound).await };
+    context.metrics.count(Event::Forwarded);
+    let error = match forward::send(context, &owner, &inbound).await {
+        Ok(served) => return served,
+        Err(error) => error,
+    };
+    context.metrics.count(Event::ForwardFailed);
+    log::info!(
+        "event=forward_failed request={} owner={} error={:?}",
+        inbound.fleet_id,
+        owner.name,
+        error.to_string()
+    );
+    if may_serve_after(context, &inbound, &error) {
+        return serve_here(context, inbound).await;
+    }
+    let refusal =
+        Refusal { execution: error.execution(), reason: Reason::AnswerLost, retry_after_ms: None };
+    Served { response: answer::refusal(refusal), endpoint_time: None }
+}
+
+/// Returns whether a request may be served here after sending it on has failed.
+///
+/// Failure guarded against: the owner dispatched a booking and then became
+/// unreachable, and the entry VM dispatches it again. It shows as a doubled
+/// booking. The guard holds because a request that must not be repeated is
+/// served here only if no byte of it went to the owner.
+fn may_serve_after(context: &Context, inbound: &Inbound, error: &ForwardError) -> bool {
+    if !inbound.body.is_at_hand() || context.clock.now() >= inbound.deadline {
+        return false;
+    }
+    error.is_unsent() || inbound.route.idempotent
+}
+
+/// Has a request served by this VM's actor of the shard.
+async fn serve_here(context: &Arc<Context>, inbound: Inbound) -> Served {
+    let shard = {
+        let view = context.view();
+        let Some(active) = &view.active else {
+            return Served { response: no_config(), endpoint_time: None };
+        };
+        let owner = view.ownership.owner(&inbound.route.shard);
+        let mode = match owner.is_some_and(|owner| owner.name == context.me.name) {
+            true => ShardMode::Owner,
+            false => ShardMode::Careful,
+        };
+        context.shards.find_or_start(&inbound.route.shard, &active.config, mode)
+    };
+    request_task::serve(context, shard, inbound).await
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -0,0 +1,331 @@
+//! The part of a request's life at the VM that dispatches it: does what the
+//! shard decides and builds the answer.
+
+use std::{
+    future::{Future, poll_fn},
+    pin::Pin,
+    sync::Arc,
+    task::Poll,
+    time::Duration,
+};
+
+use futures_util::FutureExt;
+use hyper::Response;
+use kameo::actor::ActorRef;
+use pistachiotrack_core::{
+    header,
+    name::Name,
+    refusal::{Execution, Reason, Refusal},
+    request::{AttemptId, BodyEnd, Outcome, Report},
+    shard::Dispatch,
+};
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+
+use crate::{
+    answer,
+    attempt::{self, AttemptEnd},
+    body::{self, AnswerBody, AnswerCopy, AnswerWatch},
+    context::Context,
+    exchange::BegunAnswer,
+    headers,
+    inbound::Inbound,
+    metrics::Event,
+    shard_actor::{AttemptOutcome, BodyEnded, CallerGone, Command, ShardActor, Submit},
+};
+
+/// Time after the deadline for which the shard's own refusal is waited for.
+const WATCHDOG_GRACE: Duration = Duration::from_millis(500);
+
+/// An answer and how long the endpoint took to begin it.
+pub(crate) struct Served {
+    /// The answer.
+    pub(crate) response: Response<AnswerBody>,
+    /// Time between sending the request and the answer's head, if an endpoint
+    /// answered.
+    pub(crate) endpoint_time: Option<Duration>,
+}
+
+impl Served {
+    fn refused(refusal: Refusal) -> Served {
+        Served { response: answer::refusal(refusal), endpoint_time: None }
+    }
+}
+
+/// Has a request served by a shard of this VM.
+pub(crate) async fn serve(
+    context: &Arc<Context>,
+    shard: ActorRef<ShardActor>,
+    inbound: Inbound,
+) -> Served {
+    let (sender, commands) = mpsc::unbounded_channel();
+    let request = inbound.request();
+    let submit = Submit { request, commands: sender };
+    if shard.tell(submit).try_send().is_err() {
+        return Served::refused(not_run(Reason::NoEndpoint));
+    }
+    let task = RequestTask {
+        budget: connection_budget(context, &inbound),
+        context: Arc::clone(context),
+        shard,
+        inbound: Arc::new(inbound),
+        commands,
+        running: Vec::new(),
+        answered: Vec::new(),
+        may_have_run: false,
+        finished: false,
+    };
+    task.run().await
+}
+
+/// Returns how many connections this VM may have open to an endpoint: its part
+/// of what the endpoint accepts, but enough for the endpoint's slots.
+fn connection_budget(context: &Context, inbound: &Inbound) -> u32 {
+    let view = context.view();
+    let endpoint = view
+        .active
+        .as_ref()
+        .and_then(|active| active.service(&inbound.route.shard.service))
+        .and_then(|service| service.endpoints.first());
+    let Some(endpoint) = endpoint else { return MIN_CONNECTION_BUDGET };
+    (endpoint.connections / view.live_vms()).max(endpoint.slots).max(MIN_CONNECTION_BUDGET)
+}
+
+/// Connections to an endpoint that a VM may have open in any case.
+const MIN_CONNECTION_BUDGET: u32 = 2;
+
+type RunningAttempt = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+
+/// A request that a shard decides about.
+///
+/// Dropping it ends all its attempts by closing their connections and tells the
+/// shard, which is what happens when the caller goes away.
+struct RequestTask {
+    budget: u32,
+    context: Arc<Context>,
+    shard: ActorRef<ShardActor>,
+    inbound: Arc<Inbound>,
+    commands: UnboundedReceiver<Command>,
+    running: Vec<(AttemptId, RunningAttempt)>,
+    answered: Vec<Answered>,
+    may_have_run: bool,
+    finished: bool,
+}
+
+/// An answer that has begun and waits for the shard's decision.
+struct Answered {
+    attempt: AttemptId,
+    endpoint: Name,
+    answer: Box<BegunAnswer>,
+}
+
+enum Step {
+    Command(Option<Command>),
+    Ended(AttemptId, AttemptEnd),
+    Overdue,
+}
+
+impl RequestTask {
+    async fn run(mut self) -> Served {
+        let overdue = self.context.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
+        let watchdog = tokio::time::sleep_until(overdue);
+        tokio::pin!(watchdog);
+        loop {
+            let step = tokio::select! {
+                biased;
+                command = self.commands.recv() => Step::Command(command),
+                (attempt, end) = next_end(&mut self.running) => Step::Ended(attempt, end),
+                () = &mut watchdog => Step::Overdue,
+            };
+            let served = match step {
+                Step::Command(Some(command)) => self.on_command(command),
+                Step::Command(None) => Some(self.give_up(Reason::NoEndpoint)),
+                Step::Ended(attempt, end) => self.on_end(attempt, end),
+                Step::Overdue => Some(self.give_up(Reason::DeadlinePassed)),
+            };
+            if let Some(served) = served {
+                return served;
+            }
+        }
+    }
+
+    fn on_command(&mut self, command: Command) -> Option<Served> {
+        match command {
+            Command::Dispatch(dispatch) => return self.dispatch(dispatch),
+            Command::Cancel(attempt) => self.cancel(attempt),
+            Command::Deliver(attempt) => return self.deliver(attempt),
+            Command::Replay(stored) => {
+                self.finished = true;
+                let response = answer::replay(&stored);
+                return Some(Served { response, endpoint_time: None });
+            }
+            Command::Refuse(refusal) => {
+                self.finished = true;
+                return Some(Served::refused(refusal));
+            }
+        }
+        None
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) -> Option<Served> {
+        let attempt = dispatch.attempt;
+        if self.must_not_be_sent_again() {
+            log::error!(
+                "event=second_dispatch_held_back request={} endpoint={}",
+                self.inbound.fleet_id,
+                dispatch.endpoint
+            );
+            self.tell_outcome(attempt, Outcome::NotSent, Report::default());
+            return None;
+        }
+        if !self.inbound.body.is_at_hand() {
+            self.tell_outcome(attempt, Outcome::NotSent, Report::default());
+            return Some(self.give_up(Reason::NoEndpoint));
+        }
+        self.context.metrics.count(Event::Dispatch);
+        let context = Arc::clone(&self.context);
+        let inbound = Arc::clone(&self.inbound);
+        let running = attempt::run(context, inbound, dispatch, self.budget);
+        self.running.push((attempt, Box::pin(running)));
+        None
+    }
+
+    /// Failure guarded against: a booking is sent to two endpoints. It shows as
+    /// a doubled booking. The guard holds because every attempt of a request
+    /// passes here, and an attempt counts as sent until it has ended in a way
+    /// that excludes it.
+    fn must_not_be_sent_again(&self) -> bool {
+        let sent = self.may_have_run || !self.running.is_empty() || !self.answered.is_empty();
+        sent && !self.inbound.route.idempotent
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        if let Some(index) = self.running.iter().position(|(id, _)| *id == attempt) {
+            drop(self.running.swap_remove(index));
+            self.may_have_run = true;
+            self.tell_outcome(attempt, Outcome::Cancelled, Report::default());
+        }
+        if let Some(index) = self.answered.iter().position(|answered| answered.attempt == attempt) {
+            drop(self.answered.swap_remove(index));
+            self.tell_body_end(attempt);
+        }
+    }
+
+    fn on_end(&mut self, attempt: AttemptId, end: AttemptEnd) -> Option<Served> {
+        self.may_have_run |= !end.outcome.certainly_not_run();
+        if end.outcome == Outcome::NotSent {
+            self.context.metrics.count(Event::HeldBack);
+        }
+        if let Some(answer) = end.answer {
+            self.answered.push(Answered { attempt, endpoint: end.endpoint, answer });
+        }
+        self.tell_outcome(attempt, end.outcome, end.report);
+        None
+    }
+
+    fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
+        let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
+        let Answered { endpoint, answer, .. } = self.answered.swap_remove(index);
+        self.finished = true;
+        let BegunAnswer { mut parts, body, connection, sent, .. } = *answer;
+        let endpoint_time = self.context.clock.now().since(sent);
+        let copy = self.inbound.key().map(|_| AnswerCopy::begin(self.inbound.id, &parts));
+        let watch = AnswerWatch { shard: self.shard.clone(), attempt, copy };
+        let body = AnswerBody::relayed(
+            &parts,
+            body,
+            connection,
+            Arc::clone(&self.context.endpoints),
+            Duration::from_millis(self.context.settings.limits.body_idle_ms),
+            Some(watch),
+        );
+        headers::strip_from_endpoint(&mut parts.headers);
+        headers::set(&mut parts.headers, header::ENDPOINT, &endpoint);
+        headers::set(&mut parts.headers, header::OWNER, &self.context.me.name);
+        let response = body::response(parts, body);
+        Some(Served { response, endpoint_time: Some(endpoint_time) })
+    }
+
+    /// Refuses the request without the shard's decision and tells the shard.
+    fn give_up(&mut self, reason: Reason) -> Served {
+        let may_have_run =
+            self.may_have_run || !self.running.is_empty() || !self.answered.is_empty();
+        if may_have_run {
+            let reason = if reason == Reason::NoEndpoint { Reason::AnswerLost } else { reason };
+            let execution = Execution::Unknown;
+            return Served::refused(Refusal { execution, reason, retry_after_ms: None });
+        }
+        Served::refused(not_run(reason))
+    }
+
+    /// Returns the next command that was not read when the commands were closed.
+    ///
+    /// Failure guarded against: a dispatch is sent at the moment at which the
+    /// caller goes away, nobody reports its end, and its slot stays taken. The
+    /// guard holds because a command that is just being sent makes the receiver
+    /// pending, and is waited for.
+    fn next_unread(&mut self) -> Option<Command> {
+        loop {
+            match tokio::task::unconstrained(self.commands.recv()).now_or_never() {
+                Some(command) => return command,
+                None => std::thread::yield_now(),
+            }
+        }
+    }
+
+    fn tell_outcome(&self, attempt: AttemptId, outcome: Outcome, report: Report) {
+        // A stopped shard closes the commands, which ends this task.
+        let _ = self.shard.tell(AttemptOutcome { attempt, outcome, report }).try_send();
+    }
+
+    fn tell_body_end(&self, attempt: AttemptId) {
+        let ended = BodyEnded { attempt, end: BodyEnd::CallerGone, stored: None };
+        let _ = self.shard.tell(ended).try_send();
+    }
+}
+
+impl Drop for RequestTask {
+    fn drop(&mut self) {
+        self.commands.close();
+        while let Some(command) = self.next_unread() {
+            match command {
+                Command::Dispatch(dispatch) => {
+                    self.tell_outcome(dispatch.attempt, Outcome::NotSent, Report::default());
+                }
+                Command::Cancel(_) => {}
+                Command::Deliver(_) | Command::Replay(_) | Command::Refuse(_) => {
+                    self.finished = true;
+                }
+            }
+        }
+        for (attempt, running) in std::mem::take(&mut self.running) {
+            drop(running);
+            self.tell_outcome(attempt, Outcome::Cancelled, Report::default());
+        }
+        for answered in std::mem::take(&mut self.answered) {
+            drop(answered.answer);
+            self.tell_body_end(answered.attempt);
+        }
+        if !self.finished {
+            self.context.metrics.count(Event::CallerGone);
+            let _ = self.shard.tell(CallerGone(self.inbound.id)).try_send();
+        }
+    }
+}
+
+/// Waits until one of the running attempts has ended and removes it.
+async fn next_end(running: &mut Vec<(AttemptId, RunningAttempt)>) -> (AttemptId, AttemptEnd) {
+    poll_fn(|cx| {
+        for index in 0..running.len() {
+            if let Poll::Ready(end) = running[index].1.as_mut().poll(cx) {
+                let (attempt, _) = running.swap_remove(index);
+                return Poll::Ready((attempt, end));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+fn not_run(reason: Reason) -> Refusal {
+    Refusal { execution: Execution::NotRun, reason, retry_after_ms: None }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -0,0 +1,325 @@
+//! The actor around the decisions of one shard.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, PoisonError},
+};
+
+use kameo::{
+    Actor,
+    actor::{ActorRef, WeakActorRef},
+    error::Infallible,
+    message::{Context, Message},
+};
+use pistachiotrack_core::{
+    admin::EndpointStatus,
+    config::Config,
+    health::PathAnswer,
+    idempotency::StoredAnswer,
+    ownership::ShardId,
+    refusal::Refusal,
+    request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
+    shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
+    time::Time,
+};
+use rustc_hash::FxHashMap;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::{
+    clock::Clock,
+    connection_pool::ConnectionPool,
+    probe::Probe,
+    shard_table::{FactsTable, ShardFacts},
+    timer::TimerEvent,
+};
+
+/// What a shard tells the task of a request.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Sends the request to an endpoint.
+    Dispatch(Dispatch),
+    /// Ends an attempt by closing its connection.
+    Cancel(AttemptId),
+    /// Passes on the answer of an attempt; final.
+    Deliver(AttemptId),
+    /// Answers with the answer of an earlier request; final.
+    Replay(Arc<StoredAnswer>),
+    /// Refuses the request; final.
+    Refuse(Refusal),
+}
+
+/// What a shard's actor is started with.
+pub(crate) struct ShardArgs {
+    /// The shard.
+    pub(crate) id: ShardId,
+    /// Configuration in force.
+    pub(crate) config: Arc<Config>,
+    /// Mode at the start.
+    pub(crate) mode: ShardMode,
+    /// Seed of every random choice.
+    pub(crate) seed: u64,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Connections to endpoints.
+    pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Where the shard's live facts are published.
+    pub(crate) facts: FactsTable,
+}
+
+/// The actor around the decisions of one shard.
+///
+/// The tasks of requests do the sending; the actor only decides. Of every
+/// attempt that a request's task was told of, the task reports the end; of one
+/// that it could not be told of any more, the actor does.
+pub(crate) struct ShardActor {
+    id: ShardId,
+    shard: Shard,
+    clock: Clock,
+    endpoints: Arc<ConnectionPool>,
+    facts: FactsTable,
+    actor_ref: WeakActorRef<ShardActor>,
+    requests: FxHashMap<RequestId, UnboundedSender<Command>>,
+    retired: bool,
+}
+
+impl Actor for ShardActor {
+    type Args = ShardArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: ShardArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
+        #[allow(clippy::needless_update, reason = "further settings keep their defaults")]
+        let settings =
+            ShardSettings { mode: args.mode, seed: args.seed, ..ShardSettings::default() };
+        let shard = Shard::new(args.clock.now(), args.id.clone(), &args.config, settings);
+        Ok(ShardActor {
+            id: args.id,
+            shard,
+            clock: args.clock,
+            endpoints: args.endpoints,
+            facts: args.facts,
+            actor_ref: actor_ref.downgrade(),
+            requests: FxHashMap::default(),
+            retired: false,
+        })
+    }
+}
+
+/// Asks for a request to be served.
+pub(crate) struct Submit {
+    /// The request.
+    pub(crate) request: Request,
+    /// Where its task takes commands.
+    pub(crate) commands: UnboundedSender<Command>,
+}
+
+impl Message<Submit> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Submit, _: &mut Context<Self, ()>) {
+        self.requests.insert(message.request.id, message.commands);
+        let actions = self.shard.on_request(self.clock.now(), message.request);
+        self.apply(actions);
+    }
+}
+
+/// Tells how an attempt ended or how its answer began.
+pub(crate) struct AttemptOutcome {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
+    /// How it ended or began.
+    pub(crate) outcome: Outcome,
+    /// What the endpoint reports.
+    pub(crate) report: Report,
+}
+
+impl Message<AttemptOutcome> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: AttemptOutcome, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let actions = self.shard.on_outcome(now, message.attempt, message.outcome, message.report);
+        self.apply(actions);
+    }
+}
+
+/// Tells how the body of an attempt's answer ended.
+pub(crate) struct BodyEnded {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
+    /// How the body ended.
+    pub(crate) end: BodyEnd,
+    /// The whole answer, if it is kept for duplicates of the request.
+    pub(crate) stored: Option<(RequestId, StoredAnswer)>,
+}
+
+impl Message<BodyEnded> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: BodyEnded, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        if let Some((request, answer)) = message.stored {
+            let actions = self.shard.on_stored_answer(now, request, answer);
+            self.apply(actions);
+        }
+        let actions = self.shard.on_body_end(now, message.attempt, message.end);
+        self.apply(actions);
+    }
+}
+
+/// Tells that a caller went away before its answer began.
+pub(crate) struct CallerGone(pub(crate) RequestId);
+
+impl Message<CallerGone> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: CallerGone, _: &mut Context<Self, ()>) {
+        self.requests.remove(&message.0);
+        let actions = self.shard.on_cancel(self.clock.now(), message.0);
+        self.apply(actions);
+    }
+}
+
+/// Gives a shard a new configuration.
+pub(crate) struct NewConfig(pub(crate) Arc<Config>);
+
+impl Message<NewConfig> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: NewConfig, _: &mut Context<Self, ()>) {
+        let actions = self.shard.on_config(self.clock.now(), &message.0);
+        self.apply(actions);
+    }
+}
+
+/// Changes how far this VM may go.
+pub(crate) struct SetMode(pub(crate) ShardMode);
+
+impl Message<SetMode> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetMode, _: &mut Context<Self, ()>) {
+        let actions = self.shard.set_mode(self.clock.now(), message.0);
+        self.apply(actions);
+    }
+}
+
+/// Stops the shard's actor when its last request has been answered.
+pub(crate) struct Retire;
+
+impl Message<Retire> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Retire, _: &mut Context<Self, ()>) {
+        self.retired = true;
+    }
+}
+
+/// Asks for the endpoints of the shard.
+pub(crate) struct Endpoints;
+
+impl Message<Endpoints> for ShardActor {
+    type Reply = Vec<EndpointStatus>;
+
+    async fn handle(
+        &mut self,
+        _: Endpoints,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Vec<EndpointStatus> {
+        self.shard.endpoints(self.clock.now())
+    }
+}
+
+impl Message<TimerEvent> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: TimerEvent, context: &mut Context<Self, ()>) {
+        let actions = match event {
+            TimerEvent::Tick(now) => {
+                self.publish_facts(now);
+                self.shard.on_tick(now)
+            }
+            TimerEvent::Paused { now, gap } => self.shard.on_pause(now, gap),
+        };
+        self.apply(actions);
+        if self.retired && self.requests.is_empty() {
+            context.stop();
+        }
+    }
+}
+
+impl ShardActor {
+    fn apply(&mut self, actions: Vec<ShardAction>) {
+        let mut pending = VecDeque::from(actions);
+        while let Some(action) = pending.pop_front() {
+            pending.extend(self.apply_one(action));
+        }
+    }
+
+    /// Does one action and returns what follows from its failure.
+    fn apply_one(&mut self, action: ShardAction) -> Vec<ShardAction> {
+        match action {
+            ShardAction::Dispatch(dispatch) => return self.dispatch(dispatch),
+            ShardAction::Cancel { request, attempt } => {
+                // A request whose task has ended has ended its attempts too.
+                if let Some(commands) = self.requests.get(&request) {
+                    let _ = commands.send(Command::Cancel(attempt));
+                }
+            }
+            ShardAction::Deliver { request, attempt } => {
+                self.finish(request, Command::Deliver(attempt));
+            }
+            ShardAction::Replay { request, answer } => {
+                self.finish(request, Command::Replay(answer));
+            }
+            ShardAction::Refuse { request, refusal } => {
+                self.finish(request, Command::Refuse(refusal));
+            }
+            ShardAction::Probe { attempt, endpoint, address, path, time_limit } => {
+                let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
+                let probe = Probe { attempt, endpoint, address, path, time_limit };
+                let pool = Arc::clone(&self.endpoints);
+                tokio::spawn(probe.run(shard, pool, self.clock));
+            }
+            ShardAction::CheckPath { endpoint, .. } => {
+                let now = self.clock.now();
+                return self.shard.on_path_answer(now, &endpoint, PathAnswer::NoAnswer);
+            }
+            ShardAction::Health(health) => {
+                log::info!(
+                    "event=health service={} shard={} action={health:?}",
+                    self.id.service,
+                    self.id.index
+                );
+            }
+        }
+        Vec::new()
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) -> Vec<ShardAction> {
+        let attempt = dispatch.attempt;
+        let sent = self
+            .requests
+            .get(&dispatch.request)
+            .is_some_and(|commands| commands.send(Command::Dispatch(dispatch)).is_ok());
+        if sent {
+            return Vec::new();
+        }
+        self.shard.on_outcome(self.clock.now(), attempt, Outcome::NotSent, Report::default())
+    }
+
+    fn finish(&mut self, request: RequestId, command: Command) {
+        if let Some(commands) = self.requests.remove(&request) {
+            // The caller may have gone away; the task has told so then.
+            let _ = commands.send(command);
+        }
+    }
+
+    fn publish_facts(&self, now: Time) {
+        let facts = ShardFacts {
+            at_floor: self.shard.at_floor(),
+            queue_wait_ms: self.shard.queue_wait(now).as_millis() as u64,
+        };
+        let mut table = self.facts.write().unwrap_or_else(PoisonError::into_inner);
+        table.insert(self.id.clone(), facts);
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -0,0 +1,142 @@
+//! The shards that this VM works on, as owner or in the owner's place.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use kameo::{
+    actor::{ActorRef, Spawn},
+    mailbox,
+};
+use pistachiotrack_core::{
+    config::Config, name::Name, ownership::ShardId, rule::Facts, shard::ShardMode,
+};
+use rustc_hash::FxHashMap;
+
+use crate::{
+    clock::Clock,
+    connection_pool::ConnectionPool,
+    shard_actor::{SetMode, ShardActor, ShardArgs},
+    timer::{Subscribe, TimerService},
+};
+
+/// Live facts about a shard that rules may ask for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ShardFacts {
+    /// Whether further ejections are held back.
+    pub(crate) at_floor: bool,
+    /// Expected wait of a new request.
+    pub(crate) queue_wait_ms: u64,
+}
+
+/// Facts of all shards that this VM works on.
+pub(crate) type FactsTable = Arc<RwLock<FxHashMap<ShardId, ShardFacts>>>;
+
+/// The actors of the shards that this VM works on.
+#[derive(Debug)]
+pub(crate) struct ShardTable {
+    actors: RwLock<FxHashMap<ShardId, ActorRef<ShardActor>>>,
+    facts: FactsTable,
+    clock: Clock,
+    endpoints: Arc<ConnectionPool>,
+    timer: ActorRef<TimerService>,
+    seed: u64,
+}
+
+impl ShardTable {
+    /// Creates an empty table.
+    pub(crate) fn new(
+        clock: Clock,
+        endpoints: Arc<ConnectionPool>,
+        timer: ActorRef<TimerService>,
+        seed: u64,
+    ) -> ShardTable {
+        let actors = RwLock::default();
+        ShardTable { actors, facts: FactsTable::default(), clock, endpoints, timer, seed }
+    }
+
+    /// Returns the actor of a shard, if it runs.
+    pub(crate) fn find(&self, shard: &ShardId) -> Option<ActorRef<ShardActor>> {
+        let actors = self.actors.read().unwrap_or_else(PoisonError::into_inner);
+        actors.get(shard).filter(|actor| actor.is_alive()).cloned()
+    }
+
+    /// Returns the actor of a shard and starts it in `mode` if it doesn't run.
+    pub(crate) fn find_or_start(
+        &self,
+        shard: &ShardId,
+        config: &Arc<Config>,
+        mode: ShardMode,
+    ) -> ActorRef<ShardActor> {
+        if let Some(actor) = self.find(shard) {
+            return actor;
+        }
+        let mut actors = self.actors.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(actor) = actors.get(shard).filter(|actor| actor.is_alive()) {
+            return actor.clone();
+        }
+        let args = ShardArgs {
+            id: shard.clone(),
+            config: Arc::clone(config),
+            mode,
+            seed: self.seed,
+            clock: self.clock,
+            endpoints: Arc::clone(&self.endpoints),
+            facts: Arc::clone(&self.facts),
+        };
+        let actor = ShardActor::spawn_with_mailbox(args, mailbox::unbounded());
+        // The timer service outlives every shard but at the process's end.
+        let _ = self.timer.tell(Subscribe(actor.clone().recipient())).try_send();
+        actors.insert(shard.clone(), actor.clone());
+        actor
+    }
+
+    /// Starts a shard as its owner or makes a running one the owner.
+    pub(crate) fn own(&self, shard: &ShardId, config: &Arc<Config>) {
+        let actor = self.find_or_start(shard, config, ShardMode::Owner);
+        let _ = actor.tell(SetMode(ShardMode::Owner)).try_send();
+    }
+
+    /// Makes a shard careful because another VM owns it now.
+    pub(crate) fn disown(&self, shard: &ShardId) {
+        if let Some(actor) = self.find(shard) {
+            let _ = actor.tell(SetMode(ShardMode::Careful)).try_send();
+        }
+    }
+
+    /// Returns all running shards.
+    pub(crate) fn running(&self) -> Vec<(ShardId, ActorRef<ShardActor>)> {
+        let actors = self.actors.read().unwrap_or_else(PoisonError::into_inner);
+        actors.iter().map(|(id, actor)| (id.clone(), actor.clone())).collect()
+    }
+
+    /// Stops the shards that `keep` does not hold for.
+    pub(crate) fn retain(&self, keep: impl Fn(&ShardId) -> bool) {
+        let mut actors = self.actors.write().unwrap_or_else(PoisonError::into_inner);
+        actors.retain(|id, _| keep(id));
+        let mut facts = self.facts.write().unwrap_or_else(PoisonError::into_inner);
+        facts.retain(|id, _| keep(id));
+    }
+
+    fn facts_of<'a>(
+        facts: &'a FxHashMap<ShardId, ShardFacts>,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a ShardFacts> {
+        facts.iter().filter(move |(id, _)| id.service.as_str() == service).map(|(_, facts)| facts)
+    }
+}
+
+impl Facts for ShardTable {
+    fn service_at_floor(&self, service: &str) -> bool {
+        let facts = self.facts.read().unwrap_or_else(PoisonError::into_inner);
+        ShardTable::facts_of(&facts, service).any(|facts| facts.at_floor)
+    }
+
+    fn queue_wait_ms(&self, service: &str) -> u64 {
+        let facts = self.facts.read().unwrap_or_else(PoisonError::into_inner);
+        ShardTable::facts_of(&facts, service).map(|facts| facts.queue_wait_ms).max().unwrap_or(0)
+    }
+}
+
+/// Returns the name under which a shard is shown and logged.
+pub(crate) fn shard_name(shard: &ShardId) -> Name {
+    Name::from(format!("{}/{}", shard.service, shard.index))
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/serve.rs
@@ -0,0 +1,56 @@
+//! Requests from a caller through one daemon to an endpoint and back.
+
+mod testenv;
+
+use hyper::Method;
+use pistachiotrack_core::header;
+use testenv::{Deployment, client, endpoint::Endpoint};
+
+#[tokio::test]
+async fn answers_come_from_the_endpoint_of_the_matching_rule() {
+    let search = Endpoint::answering("free slots").await;
+    let booking = Endpoint::answering("booked").await;
+    let deployment = Deployment::start(&[search.address], &[booking.address]).await;
+
+    let found = client::send(deployment.address(), client::get("/slots?day=3")).await.unwrap();
+    assert_eq!(found.status(), 200);
+    assert_eq!(found.body(), "free slots");
+    assert_eq!(client::field(&found, header::ENDPOINT), Some("slot-search-0"));
+    assert_eq!(client::field(&found, header::OWNER), Some("vm-01"));
+    assert_eq!(client::field(&found, header::OUTCOME), None);
+
+    let request = client::request(Method::POST, "/bookings", "slot 7");
+    let booked = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(booked.body(), "booked");
+
+    let searches = search.received();
+    assert_eq!(searches.len(), 1);
+    assert_eq!(searches[0].uri(), "/slots?day=3");
+    assert!(searches[0].headers().contains_key(header::REQUEST_ID));
+    assert!(searches[0].headers().contains_key(header::DEADLINE_MS));
+    let bookings = booking.received();
+    assert_eq!(bookings.len(), 1);
+    assert_eq!(bookings[0].body(), "slot 7");
+}
+
+#[tokio::test]
+async fn entries_name_the_owner() {
+    let search = Endpoint::answering("").await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    let path = format!("{}?service=slot-search", header::ENTRIES_PATH);
+    let answer = client::admin(deployment.address(), &path).await;
+    assert_eq!(answer["entries"][0]["address"], deployment.address().to_string());
+    assert_eq!(answer["lifetime_ms"], 5000);
+}
+
+#[tokio::test]
+async fn a_rule_refuses_without_running() {
+    let search = Endpoint::answering("").await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    let refused = client::send(deployment.address(), client::get("/closed")).await.unwrap();
+    assert_eq!(refused.status(), 403);
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("not-run"));
+    assert_eq!(client::field(&refused, header::REASON), Some("rule"));
+    assert_eq!(client::field(&refused, header::RETRY_AFTER_MS), Some("250"));
+    assert!(search.received().is_empty());
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/testenv/client.rs
@@ -0,0 +1,125 @@
+//! A caller.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+    header::HOST,
+};
+use hyper_util::rt::TokioIo;
+use pistachiotrack_core::header;
+use serde_json::Value;
+use tokio::{net::TcpStream, task::JoinHandle};
+
+use super::CUSTOMER;
+
+/// Returns a request of the tests' customer.
+pub(crate) fn request(method: Method, path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, "fleet")
+        .header(header::CUSTOMER, CUSTOMER)
+        .body(Full::new(body.into()))
+        .unwrap()
+}
+
+/// Returns a lookup of the tests' customer.
+pub(crate) fn get(path: &str) -> Request<Full<Bytes>> {
+    request(Method::GET, path, "")
+}
+
+/// Returns a request with one more header.
+pub(crate) fn with(
+    mut request: Request<Full<Bytes>>,
+    name: &'static str,
+    value: &str,
+) -> Request<Full<Bytes>> {
+    request.headers_mut().insert(name, value.parse().unwrap());
+    request
+}
+
+/// A connection of a caller.
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Connects to a VM.
+    pub(crate) async fn open(address: SocketAddr) -> Connection {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Connection { sender, driver }
+    }
+
+    /// Sends a request and returns the answer when it has begun.
+    pub(crate) async fn begin(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.sender.ready().await?;
+        self.sender.send_request(request).await
+    }
+
+    /// Sends a request and returns the whole answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Bytes>> {
+        whole(self.begin(request).await?).await
+    }
+
+    /// Breaks the connection off.
+    pub(crate) fn abort(self) {
+        self.driver.abort();
+    }
+}
+
+/// Reads the rest of an answer.
+pub(crate) async fn whole(response: Response<Incoming>) -> hyper::Result<Response<Bytes>> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Response::from_parts(parts, body))
+}
+
+/// Sends a request on a connection of its own and returns the whole answer.
+pub(crate) async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> hyper::Result<Response<Bytes>> {
+    Connection::open(address).await.send(request).await
+}
+
+/// Returns a header of an answer as text.
+pub(crate) fn field<'a>(response: &'a Response<Bytes>, name: &str) -> Option<&'a str> {
+    response.headers().get(name).map(|value| value.to_str().unwrap())
+}
+
+/// Returns what the admin port answers to `path`.
+pub(crate) async fn admin(address: SocketAddr, path: &str) -> Value {
+    let response = send(address, get(path)).await.unwrap();
+    serde_json::from_slice(response.body()).unwrap()
+}
+
+/// Time between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Waits until what the admin port answers to `path` fulfils `condition`.
+pub(crate) async fn wait_for(address: SocketAddr, path: &str, condition: impl Fn(&Value) -> bool) {
+    while !condition(&admin(address, path).await) {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Waits until a daemon serves.
+pub(crate) async fn wait_until_serving(admin_address: SocketAddr) {
+    wait_for(admin_address, "/status", |status| status["state"] == "serving").await;
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -0,0 +1,107 @@
+//! Fakes at the daemon's interfaces, all in the test's own process and on
+//! ports that the system chooses.
+
+#![allow(dead_code, reason = "every test file uses a part of it")]
+
+pub(crate) mod client;
+pub(crate) mod endpoint;
+pub(crate) mod platform;
+
+use std::{net::SocketAddr, path::Path};
+
+use pistachiotrackd::{daemon::Daemon, settings::Settings};
+use serde_json::{Value, json};
+
+use self::platform::Platform;
+
+/// Customer of every test.
+pub(crate) const CUSTOMER: &str = "timeliten";
+/// Service whose requests may be repeated.
+pub(crate) const SEARCH: &str = "slot-search";
+/// Service whose requests must not be repeated.
+pub(crate) const BOOKING: &str = "booking";
+
+/// Returns settings for a daemon named `vm` that reads from `platform`.
+pub(crate) fn settings(vm: &str, platform: SocketAddr, limits: Value) -> Settings {
+    let json = json!({
+        "vm": vm,
+        "data_centre": "oslo-1",
+        "deployment": "timeliten",
+        "caller_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "admin_address": "127.0.0.1:0",
+        "platform_address": platform,
+        "entry_drain_ms": 0,
+        "limits": limits,
+    });
+    Settings::parse(Path::new("test.json"), json.to_string().as_bytes()).unwrap()
+}
+
+/// Returns a configuration in which the first endpoints serve searches, which
+/// may be repeated, and the second ones bookings, which may not.
+pub(crate) fn config(version: u64, search: &[SocketAddr], booking: &[SocketAddr]) -> Value {
+    json!({
+        "version": version,
+        "deployment": "timeliten",
+        "data_centres": [{"name": "oslo-1", "region": "oslo"}],
+        "services": [service(SEARCH, search), service(BOOKING, booking)],
+        "customers": [{"name": CUSTOMER, "contracts": [
+            {"service": SEARCH, "slots": 12}, {"service": BOOKING, "slots": 28}]}],
+        "rules": [
+            {"name": "search", "when": {"path_prefix": "/slots"},
+             "then": {"route": {"service": SEARCH, "idempotent": true}}},
+            {"name": "hedged-search", "when": {"path_prefix": "/hedged"},
+             "then": {"route": {"service": SEARCH, "idempotent": true, "hedge": true}}},
+            {"name": "booking", "when": {"path_prefix": "/bookings"},
+             "then": {"route": {"service": BOOKING}}},
+            {"name": "closed", "when": {"path_prefix": "/closed"},
+             "then": {"refuse": {"status": 403, "retry_after_ms": 250}}}
+        ]
+    })
+}
+
+fn service(name: &str, endpoints: &[SocketAddr]) -> Value {
+    let endpoints: Vec<Value> = endpoints
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            json!({"name": format!("{name}-{index}"), "address": address,
+                   "data_centre": "oslo-1", "slots": 2})
+        })
+        .collect();
+    json!({"name": name, "floor": 1, "sensitivity": 0.5, "timeout_ms": 3000,
+           "endpoints": endpoints})
+}
+
+/// A platform and one daemon that serves.
+pub(crate) struct Deployment {
+    /// The platform.
+    pub(crate) platform: Platform,
+    /// The daemon.
+    pub(crate) daemon: Daemon,
+}
+
+impl Deployment {
+    /// Starts a platform with a configuration and a daemon that has read it.
+    pub(crate) async fn start(search: &[SocketAddr], booking: &[SocketAddr]) -> Deployment {
+        Deployment::start_with_limits(search, booking, json!({})).await
+    }
+
+    /// Starts a platform and a daemon with limits of its own.
+    pub(crate) async fn start_with_limits(
+        search: &[SocketAddr],
+        booking: &[SocketAddr],
+        limits: Value,
+    ) -> Deployment {
+        let platform = Platform::start().await;
+        platform.publish_config(config(1, search, booking));
+        let daemon = Daemon::start(settings("vm-01", platform.address, limits)).await.unwrap();
+        client::wait_until_serving(daemon.admin_address()).await;
+        Deployment { platform, daemon }
+    }
+
+    /// Returns the address that callers connect to.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.daemon.caller_address()
+    }
+}
