Check, index and spread the configuration

Cause: values were taken unchecked, rules were scanned one by one and every VM watched the platform by itself. Change: Config::parse checks names, references and limits; RuleSet looks rules up by the set of their conditions and explains a decision; ConfigSync lets a few VMs per data centre watch and the others pull deltas from peers.

--- a/crates/pistachiotrack-core/src/config.rs
+++ b/crates/pistachiotrack-core/src/config.rs
@@ -1,8 +1,21 @@
 //! The configuration of a deployment: one versioned JSON value, kept by the
 //! platform and only read here.
 
+mod check;
+mod content;
+mod delta;
+mod index;
+mod warning;
+
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    check::{MAX_DURATION_MS, MAX_ENTRY_LIFETIME_MS},
+    content::{Content, ContentHash},
+    delta::{Delta, DeltaError},
+    index::IndexedConfig,
+    warning::ConfigWarning,
+};
 use crate::{
     customer::Customer, data_centre::DataCentre, name::Name, rule::Rule, service::Service,
 };
@@ -53,19 +66,76 @@
 impl Config {
     /// Parses and checks a configuration value.
     ///
+    /// The verdict depends on the bytes alone, so it is the same on every VM
+    /// and in the command-line tool.
+    ///
     /// # Errors
     ///
     /// Returns the first problem found, with the field and its value.
     pub fn parse(file: &str, json: &[u8]) -> Result<Config, ConfigError> {
-        serde_json::from_slice(json).map_err(|error| ConfigError {
-            file: Name::from(file),
-            field: "json".to_owned(),
-            problem: error.to_string(),
-        })
+        let config = Config::decode(file, json)?;
+        match config.check(file).into_iter().next() {
+            Some(error) => Err(error),
+            None => Ok(config),
+        }
+    }
+
+    /// Returns every problem of a configuration value; none if it is valid.
+    pub fn problems(file: &str, json: &[u8]) -> Vec<ConfigError> {
+        match Config::decode(file, json) {
+            Ok(config) => config.check(file),
+            Err(error) => vec![error],
+        }
+    }
+
+    /// Returns every problem of a decoded configuration, in the order of its
+    /// fields; none if it is valid.
+    pub fn check(&self, file: &str) -> Vec<ConfigError> {
+        check::check(self, file)
     }
 
-    /// Returns a service by name.
+    /// Returns what is valid but probably not meant, such as rules that no
+    /// request can reach.
+    pub fn warnings(&self) -> Vec<ConfigWarning> {
+        warning::warnings(self)
+    }
+
+    /// Returns a service by name, by a linear scan; [`IndexedConfig`] is for
+    /// the path of a request.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name.as_str() == name)
     }
+
+    /// Returns a customer by name, by a linear scan; [`IndexedConfig`] is for
+    /// the path of a request.
+    pub fn customer(&self, name: &str) -> Option<&Customer> {
+        self.customers.iter().find(|customer| customer.name.as_str() == name)
+    }
+
+    fn decode(file: &str, json: &[u8]) -> Result<Config, ConfigError> {
+        if json.len() > MAX_VALUE_BYTES {
+            return Err(ConfigError {
+                file: Name::from(file),
+                field: "value".to_owned(),
+                problem: format!(
+                    "{} bytes long; at most {MAX_VALUE_BYTES} are allowed",
+                    json.len()
+                ),
+            });
+        }
+        serde_json::from_slice(json).map_err(|_| decode_error(file, json))
+    }
+}
+
+/// Decodes a refused value again to name the field at fault; the tracking
+/// decoder is too slow for values that are accepted.
+fn decode_error(file: &str, json: &[u8]) -> ConfigError {
+    let mut decoder = serde_json::Deserializer::from_slice(json);
+    let decoded = serde_path_to_error::deserialize::<_, Config>(&mut decoder);
+    let (field, problem) = match decoded {
+        Err(error) => (error.path().to_string(), error.into_inner().to_string()),
+        Ok(_) => ("json".to_owned(), "more text after the value".to_owned()),
+    };
+    let field = if field == "." { "json".to_owned() } else { field };
+    ConfigError { file: Name::from(file), field, problem }
 }
--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -1,35 +1,39 @@
 //! How a configuration gets to every VM: a few watch the platform, the others
 //! pull from peers, and versions only go up.
 
-use std::sync::Arc;
+mod history;
+mod platform;
+mod pull;
+mod settings;
+mod store;
+mod wire;
 
+use std::{sync::Arc, time::Duration};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use self::{
+    platform::{PlatformSchedule, Role},
+    pull::Pulls,
+    store::{Offer, Store, Verdict},
+    wire::{Answer, AnswerRef, Question},
+};
+pub use self::{settings::ConfigSyncSettings, wire::MAX_ANSWER_BYTES};
 use crate::{
-    config::{Config, ConfigError},
-    membership::Member,
+    config::{Config, ConfigError, ContentHash},
+    membership::{Member, MemberState},
     name::Name,
     time::Time,
     vm::Vm,
 };
 
-/// Settings of the configuration's spread.
-#[derive(Clone, Debug)]
-pub struct ConfigSyncSettings {
-    /// VMs of each data centre that watch the platform.
-    pub watchers_per_data_centre: u32,
-    /// Time after which a waiting watch is ended by the platform.
-    pub watch_timeout_ms: u64,
-}
-
-impl Default for ConfigSyncSettings {
-    fn default() -> ConfigSyncSettings {
-        ConfigSyncSettings { watchers_per_data_centre: 2, watch_timeout_ms: 30_000 }
-    }
-}
-
 /// What the caller of the spread has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigAction {
-    /// Reads the platform's value, waiting for one newer than `after`.
+    /// Reads the platform's value, waiting for one newer than `after`. A watch
+    /// that is still waiting is given up first.
     Watch {
         /// Version already held.
         after: Option<u64>,
@@ -55,53 +59,110 @@
 /// The configuration of this VM and where to get a newer one.
 #[derive(Clone, Debug)]
 pub struct ConfigSync {
-    config: Option<Arc<Config>>,
-    watching: bool,
+    me: Vm,
+    deployment: Name,
+    settings: ConfigSyncSettings,
+    rng: Pcg64Mcg,
+    store: Store,
+    platform: PlatformSchedule,
+    pulls: Pulls,
+    rejected: Option<RejectedValue>,
+    listed_vms: Option<usize>,
+}
+
+#[derive(Clone, Debug)]
+struct RejectedValue {
+    /// Version of the value, where it could be read.
+    version: Option<u64>,
+    fingerprint: ContentHash,
+    error: ConfigError,
+    hold_until: Time,
 }
 
 impl ConfigSync {
     /// Creates the spread of one deployment, without a configuration.
-    pub fn new(_me: Vm, _deployment: Name, _settings: ConfigSyncSettings, _seed: u64) -> Self {
-        ConfigSync { config: None, watching: false }
+    pub fn new(me: Vm, deployment: Name, settings: ConfigSyncSettings, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let platform = PlatformSchedule::new(settings.clone(), &mut rng);
+        ConfigSync {
+            me,
+            deployment,
+            settings,
+            rng,
+            store: Store::default(),
+            platform,
+            pulls: Pulls::default(),
+            rejected: None,
+            listed_vms: None,
+        }
+    }
+
+    /// Notes how many VMs the platform lists, so that the first reads of a
+    /// large fleet are spread before its members have found each other.
+    pub fn on_listed_vms(&mut self, count: usize) {
+        self.listed_vms = Some(count);
     }
 
     /// Does what is due.
     pub fn on_tick<'a>(
         &mut self,
-        _now: Time,
-        _members: impl Iterator<Item = &'a Member>,
+        now: Time,
+        members: impl Iterator<Item = &'a Member>,
     ) -> Vec<ConfigAction> {
-        if self.watching {
-            return Vec::new();
+        let mut count = 0;
+        let mut better_watchers = 0;
+        let my_score = watch_score(&self.deployment, &self.me);
+        for member in members {
+            if member.vm.name == self.me.name {
+                continue;
+            }
+            count += 1;
+            self.note_member(member);
+            if self.may_watch(member) && watch_score(&self.deployment, &member.vm) > my_score {
+                better_watchers += 1;
+            }
+        }
+        self.pulls.on_tick(now, &mut self.rng);
+        let mut actions = self.pull(now);
+        let role = self.role(better_watchers);
+        let fleet_vms = self.fleet_vms(count);
+        if self.platform.begin(now, role, fleet_vms, &mut self.rng) {
+            actions.push(ConfigAction::Watch { after: self.watch_after(now) });
         }
-        self.watching = true;
-        vec![ConfigAction::Watch { after: self.version() }]
+        actions
     }
 
     /// Takes the platform's answer to a watch; `None` if nothing newer came.
-    pub fn on_platform_value(&mut self, _now: Time, value: Option<&[u8]>) -> Vec<ConfigAction> {
-        self.watching = false;
-        let Some(value) = value else { return Vec::new() };
-        let config = match Config::parse("platform", value) {
-            Ok(config) => config,
-            Err(error) => return vec![ConfigAction::Rejected(error)],
+    pub fn on_platform_value(&mut self, now: Time, value: Option<&[u8]>) -> Vec<ConfigAction> {
+        self.platform.on_answer(now);
+        let Some(value) = value else {
+            self.platform.on_nothing_newer();
+            return Vec::new();
         };
-        if Some(config.version) <= self.version() {
-            return vec![ConfigAction::Stale { offered: config.version }];
+        let actions = self.take_platform_value(now, value);
+        if actions.iter().any(|action| matches!(action, ConfigAction::InForce(_))) {
+            self.platform.on_newer(now);
+        } else {
+            // A platform that sends an unusable value answers every watch at
+            // once; without a wait the same megabyte would come in a loop.
+            self.platform.on_failure(now, &mut self.rng);
         }
-        let config = Arc::new(config);
-        self.config = Some(Arc::clone(&config));
-        vec![ConfigAction::InForce(config)]
+        actions
     }
 
     /// Notes that a watch failed.
-    pub fn on_platform_error(&mut self, _now: Time) {
-        self.watching = false;
+    pub fn on_platform_error(&mut self, now: Time) {
+        self.platform.on_failure(now, &mut self.rng);
     }
 
     /// Notes the version that a peer reports.
-    pub fn on_peer_version(&mut self, _now: Time, _peer: &Vm, _version: u64) -> Vec<ConfigAction> {
-        Vec::new()
+    pub fn on_peer_version(&mut self, now: Time, peer: &Vm, version: u64) -> Vec<ConfigAction> {
+        if Some(version) <= self.version() {
+            self.pulls.forget(&peer.name);
+            return Vec::new();
+        }
+        self.pulls.note(peer, version);
+        self.pull(now)
     }
 
     /// Answers a peer's question.
@@ -109,27 +170,256 @@
     /// # Errors
     ///
     /// Returns an error if the question can't be decoded.
-    pub fn answer(&self, _request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
-        Ok(Vec::new())
+    pub fn answer(&self, request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
+        let question: Question = postcard::from_bytes(request)?;
+        postcard::to_stdvec(&self.answer_to(&question))
     }
 
     /// Takes a peer's answer; `None` if it could not be had.
     pub fn on_peer_answer(
         &mut self,
-        _now: Time,
-        _peer: &Name,
-        _answer: Option<&[u8]>,
+        now: Time,
+        peer: &Name,
+        answer: Option<&[u8]>,
     ) -> Vec<ConfigAction> {
-        Vec::new()
+        self.pulls.on_end(peer);
+        let offer = answer.and_then(decode_answer).and_then(|answer| self.open(answer));
+        let mut actions = match offer {
+            Some(offer) => self.take_peer_offer(now, peer, offer),
+            None => {
+                self.pulls.pause_peer(now, peer, &mut self.rng);
+                Vec::new()
+            }
+        };
+        actions.extend(self.pull(now));
+        actions
     }
 
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<&Arc<Config>> {
-        self.config.as_ref()
+        self.store.config()
     }
 
     /// Returns the version in force.
     pub fn version(&self) -> Option<u64> {
-        self.config.as_ref().map(|config| config.version)
+        self.store.config().map(|config| config.version)
+    }
+
+    /// Returns the content hash of the configuration in force.
+    pub fn content(&self) -> Option<ContentHash> {
+        self.store.held().map(|(_, content)| content)
+    }
+
+    /// Returns why the newest published value isn't in force, if it isn't.
+    pub fn last_error(&self) -> Option<&ConfigError> {
+        self.rejected.as_ref().map(|rejected| &rejected.error)
+    }
+
+    /// Returns the time since the platform last answered this VM, or `None` if
+    /// it never has; VMs that don't watch ask it rarely.
+    pub fn platform_silent_for(&self, now: Time) -> Option<Duration> {
+        self.platform.silent_for(now)
+    }
+
+    fn role(&self, better_watchers: u32) -> Role {
+        if better_watchers < self.settings.watchers_per_data_centre.max(1) {
+            return Role::Watcher;
+        }
+        if self.store.config().is_none() { Role::Cold } else { Role::Follower }
+    }
+
+    fn may_watch(&self, member: &Member) -> bool {
+        member.state == MemberState::Alive && member.vm.data_centre == self.me.data_centre
+    }
+
+    fn fleet_vms(&self, members: usize) -> usize {
+        match self.listed_vms {
+            Some(listed) => listed.max(members + 1),
+            None if members == 0 => self.settings.assumed_fleet_vms as usize,
+            None => members + 1,
+        }
+    }
+
+    fn watch_after(&self, now: Time) -> Option<u64> {
+        let held_back = self.rejected.as_ref().filter(|rejected| now < rejected.hold_until);
+        self.version().max(held_back.and_then(|rejected| rejected.version))
+    }
+
+    fn note_member(&mut self, member: &Member) {
+        match (member.state, member.config_version) {
+            (MemberState::Dead, _) => self.pulls.forget(&member.vm.name),
+            (MemberState::Alive | MemberState::Leaving, Some(version))
+                if Some(version) > self.version() =>
+            {
+                self.pulls.note(&member.vm, version);
+            }
+            _ => {}
+        }
+    }
+
+    fn pull(&mut self, now: Time) -> Vec<ConfigAction> {
+        let timeout = Duration::from_millis(self.settings.pull_timeout_ms);
+        let near = &self.me.data_centre;
+        let Some(vm) = self.pulls.begin(now, near, timeout, &mut self.rng) else {
+            return Vec::new();
+        };
+        let question = Question {
+            deployment: self.deployment.clone(),
+            held: self.store.held().filter(|_| !self.pulls.whole),
+            newer_than: self.version(),
+        };
+        match postcard::to_stdvec(&question) {
+            Ok(request) => vec![ConfigAction::Pull { vm, request }],
+            Err(_) => {
+                self.pulls.on_end(&vm.name);
+                Vec::new()
+            }
+        }
+    }
+
+    fn answer_to(&self, question: &Question) -> AnswerRef<'_> {
+        if question.deployment != self.deployment {
+            return AnswerRef::Nothing;
+        }
+        self.store.answer(question)
+    }
+
+    /// Turns a peer's answer into a configuration, or notes why it can't.
+    fn open(&mut self, answer: Answer) -> Option<Offer> {
+        match answer {
+            Answer::Nothing => None,
+            Answer::Whole { content: hash, config } => {
+                Offer::whole(config).filter(|offer| offer.content.hash == hash)
+            }
+            Answer::Deltas(encoded) => {
+                let offer = self.store.open_deltas(encoded);
+                // The base differs from the peer's although the version is the
+                // same, or the delta is damaged: only the whole value helps.
+                self.pulls.whole = offer.is_none();
+                offer
+            }
+        }
+    }
+
+    fn take_peer_offer(&mut self, now: Time, peer: &Name, offer: Offer) -> Vec<ConfigAction> {
+        let source = format!("peer {peer}");
+        let (version, fingerprint) = (offer.config.version, offer.content.hash);
+        if let Some(error) = self.problem(&source, &offer.config) {
+            self.pulls.pause_peer(now, peer, &mut self.rng);
+            self.pulls.refuse_version(now, version);
+            return self.reject(now, Some(version), fingerprint, error);
+        }
+        let actions = self.compare(now, &source, offer);
+        if actions.iter().any(|action| matches!(action, ConfigAction::InForce(_))) {
+            self.platform.on_peer_change(now);
+        } else {
+            self.pulls.pause_peer(now, peer, &mut self.rng);
+        }
+        actions
+    }
+
+    fn take_platform_value(&mut self, now: Time, value: &[u8]) -> Vec<ConfigAction> {
+        let fingerprint = ContentHash::of_bytes(value);
+        let known = self.rejected.as_mut().filter(|known| known.fingerprint == fingerprint);
+        if let Some(known) = known {
+            known.hold_until = now + Duration::from_millis(self.settings.rejected_hold_ms);
+            return Vec::new();
+        }
+        let parsed = Config::parse("platform", value);
+        let config = match parsed {
+            Ok(config) => config,
+            Err(error) => return self.reject(now, version_of(value), fingerprint, error),
+        };
+        if let Some(error) = self.problem("platform", &config) {
+            return self.reject(now, Some(config.version), fingerprint, error);
+        }
+        // A platform that came back stale may be the first that a new VM
+        // hears; it would put a version in force that the fleet has left.
+        let newest = self.pulls.newest(now);
+        if self.version().is_none() && newest > Some(config.version) {
+            let mut actions = vec![ConfigAction::Stale { offered: config.version }];
+            actions.extend(self.pull(now));
+            return actions;
+        }
+        let Some(offer) = Offer::whole(config) else { return Vec::new() };
+        self.compare(now, "platform", offer)
+    }
+
+    fn problem(&self, source: &str, config: &Config) -> Option<ConfigError> {
+        if config.deployment != self.deployment {
+            let (wanted, found) = (self.deployment.as_str(), config.deployment.as_str());
+            return Some(ConfigError {
+                file: Name::from(source),
+                field: "deployment".to_owned(),
+                problem: format!("{found:?} is not this deployment, {wanted:?}"),
+            });
+        }
+        config.check(source).into_iter().next()
+    }
+
+    fn compare(&mut self, now: Time, source: &str, offer: Offer) -> Vec<ConfigAction> {
+        let version = offer.config.version;
+        match self.store.verdict(&offer) {
+            Verdict::Newer => self.accept(offer),
+            Verdict::Same => Vec::new(),
+            Verdict::Older => vec![ConfigAction::Stale { offered: version }],
+            Verdict::Conflict => {
+                let error = ConfigError {
+                    file: Name::from(source),
+                    field: "version".to_owned(),
+                    problem: format!("{version} is in force with another content"),
+                };
+                self.reject(now, Some(version), offer.content.hash, error)
+            }
+        }
+    }
+
+    fn accept(&mut self, offer: Offer) -> Vec<ConfigAction> {
+        let config = self.store.accept(offer);
+        let overtakes = |rejected: &RejectedValue| {
+            rejected.version.is_none_or(|version| config.version > version)
+        };
+        if self.rejected.as_ref().is_some_and(overtakes) {
+            self.rejected = None;
+        }
+        self.pulls.on_held(config.version);
+        vec![ConfigAction::InForce(config)]
+    }
+
+    fn reject(
+        &mut self,
+        now: Time,
+        version: Option<u64>,
+        fingerprint: ContentHash,
+        error: ConfigError,
+    ) -> Vec<ConfigAction> {
+        let hold_until = now + Duration::from_millis(self.settings.rejected_hold_ms);
+        let known = self.rejected.as_ref().is_some_and(|it| it.fingerprint == fingerprint);
+        self.rejected =
+            Some(RejectedValue { version, fingerprint, error: error.clone(), hold_until });
+        if known { Vec::new() } else { vec![ConfigAction::Rejected(error)] }
+    }
+}
+
+/// Returns the place of a VM among those that could watch; the largest do.
+fn watch_score(deployment: &str, vm: &Vm) -> u64 {
+    let seed = xxh3_64(deployment.as_bytes());
+    xxh3_64_with_seed(vm.name.as_bytes(), seed)
+}
+
+fn decode_answer(bytes: &[u8]) -> Option<Answer> {
+    if bytes.len() > MAX_ANSWER_BYTES {
+        return None;
+    }
+    let (answer, rest) = postcard::take_from_bytes(bytes).ok()?;
+    rest.is_empty().then_some(answer)
+}
+
+/// Returns the version of a value that can't be accepted, if it has one.
+fn version_of(value: &[u8]) -> Option<u64> {
+    #[derive(serde::Deserialize)]
+    struct Version {
+        version: u64,
     }
+    serde_json::from_slice(value).ok().map(|Version { version }| version)
 }
--- /dev/null
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -0,0 +1,162 @@
+//! When to read the platform, so that all VMs together read little.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use crate::{config_sync::ConfigSyncSettings, time::Time};
+
+/// Time after which a watch that should have ended counts as lost.
+const WATCH_GRACE: Duration = Duration::from_secs(10);
+/// Shortest time between two watches that brought nothing newer.
+const MIN_WATCH_GAP: Duration = Duration::from_secs(1);
+const MAX_BACKOFF_DOUBLINGS: u32 = 16;
+
+/// Why this VM reads the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Role {
+    /// It is one of its data centre's watchers.
+    Watcher,
+    /// Others watch; it has no configuration yet.
+    Cold,
+    /// Others watch; it has a configuration.
+    Follower,
+}
+
+/// The schedule of one VM's calls to the platform.
+#[derive(Clone, Debug)]
+pub(super) struct PlatformSchedule {
+    settings: ConfigSyncSettings,
+    /// This VM's place in every jittered wait that the whole fleet begins at
+    /// the same moment.
+    place: f64,
+    started: Option<Time>,
+    outstanding: Option<Time>,
+    /// Beginning of the last watch, ended or not.
+    begun: Time,
+    /// Time over which the fleet's calls are spread at its present size.
+    spread: Duration,
+    not_before: Time,
+    failures: u32,
+    answered: Option<Time>,
+    /// Last sign that changes still reach this VM.
+    confirmed: Time,
+}
+
+impl PlatformSchedule {
+    pub(super) fn new(settings: ConfigSyncSettings, rng: &mut impl Rng) -> PlatformSchedule {
+        PlatformSchedule {
+            settings,
+            place: rng.random(),
+            started: None,
+            outstanding: None,
+            begun: Time::ZERO,
+            spread: Duration::ZERO,
+            not_before: Time::ZERO,
+            failures: 0,
+            answered: None,
+            confirmed: Time::ZERO,
+        }
+    }
+
+    /// Returns whether a watch begins now, and notes that it does.
+    pub(super) fn begin(
+        &mut self,
+        now: Time,
+        role: Role,
+        fleet_vms: usize,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let started = *self.started.get_or_insert(now);
+        self.confirmed = self.confirmed.max(started);
+        self.spread = spread(fleet_vms, self.settings.first_reads_per_second);
+        self.give_up_lost_watch(now, rng);
+        if self.outstanding.is_some() || now < self.not_before {
+            return false;
+        }
+        if now < self.earliest(started, role, fleet_vms) {
+            return false;
+        }
+        self.outstanding = Some(now);
+        self.begun = now;
+        true
+    }
+
+    /// Notes a value or the end of a watch without one.
+    pub(super) fn on_answer(&mut self, now: Time) {
+        self.answered = Some(now);
+        self.confirmed = now;
+        self.outstanding = None;
+        // A platform that ends watches at once would be asked without pause.
+        self.not_before = self.not_before.max(self.begun + MIN_WATCH_GAP);
+    }
+
+    /// Notes that a value newer than the one held came.
+    pub(super) fn on_newer(&mut self, now: Time) {
+        self.failures = 0;
+        self.not_before = now;
+    }
+
+    /// Notes that the platform knows nothing newer.
+    pub(super) fn on_nothing_newer(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Notes a call that failed, or brought a value that can't be taken.
+    pub(super) fn on_failure(&mut self, now: Time, rng: &mut impl Rng) {
+        self.outstanding = None;
+        let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
+        let longest_ms = self.settings.max_backoff_ms.max(self.spread.as_millis() as u64);
+        let delay_ms = self.settings.min_backoff_ms.saturating_mul(1 << doublings).min(longest_ms);
+        self.failures = self.failures.saturating_add(1);
+        let jittered_ms = delay_ms as f64 * rng.random_range(0.5..1.5);
+        self.not_before = now + Duration::from_millis(jittered_ms as u64);
+    }
+
+    /// Notes that a newer version came from a peer.
+    pub(super) fn on_peer_change(&mut self, now: Time) {
+        self.confirmed = now;
+    }
+
+    /// Returns the time since the platform last answered this VM.
+    pub(super) fn silent_for(&self, now: Time) -> Option<Duration> {
+        self.answered.map(|answered| now.since(answered))
+    }
+
+    /// Returns the moment before which no read begins.
+    fn earliest(&self, started: Time, role: Role, fleet_vms: usize) -> Time {
+        match role {
+            // When the whole fleet starts at once, each VM knows nobody alive
+            // and takes itself for a watcher. The platform would see all of
+            // them in the same second; the spread keeps them under its rate.
+            Role::Watcher => started + self.spread.mul_f64(self.place),
+            Role::Cold => {
+                let wait = Duration::from_millis(self.settings.cold_read_after_ms);
+                started + wait + self.spread.mul_f64(self.place)
+            }
+            // All watchers may be cut off from the platform while this VM is
+            // not. The wait grows with the fleet, so that all followers
+            // together call at a fixed rate whatever their number, also when
+            // the platform is away and every call fails.
+            Role::Follower => {
+                let wait = Duration::from_millis(self.settings.unconfirmed_read_after_ms);
+                let share = spread(fleet_vms, self.settings.follower_reads_per_second);
+                self.confirmed.max(self.begun) + wait.max(share).mul_f64(1.0 + self.place)
+            }
+        }
+    }
+
+    /// A watch whose connection went silent never reports its end; without
+    /// this no further watch would begin and changes would stop arriving.
+    fn give_up_lost_watch(&mut self, now: Time, rng: &mut impl Rng) {
+        let longest = Duration::from_millis(self.settings.watch_timeout_ms) + WATCH_GRACE;
+        if self.outstanding.is_some_and(|begun| now.since(begun) > longest) {
+            self.on_failure(now, rng);
+        }
+    }
+}
+
+/// Returns the time in which `fleet_vms` calls make the given rate.
+fn spread(fleet_vms: usize, per_second: f64) -> Duration {
+    Duration::from_secs_f64(fleet_vms as f64 / per_second.max(0.001))
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/src/config_sync/pull.rs
@@ -0,0 +1,144 @@
+//! Which peer to ask for a newer configuration.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt, seq::IteratorRandom};
+use rustc_hash::FxHashMap;
+
+use crate::{name::Name, time::Time, vm::Vm};
+
+/// Peers remembered as holders of a newer version.
+const MAX_HOLDERS: usize = 64;
+/// Time for which a peer that gave nothing usable isn't asked again.
+const PEER_PAUSE: Duration = Duration::from_secs(1);
+const MAX_HOLD_DOUBLINGS: u32 = 6;
+
+/// The pulls of one VM: one at a time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pulls {
+    holders: FxHashMap<Name, Holder>,
+    in_flight: Option<InFlight>,
+    /// Whether the next question asks for the whole value.
+    pub(super) whole: bool,
+    refused: Option<RefusedVersion>,
+}
+
+#[derive(Clone, Debug)]
+struct Holder {
+    vm: Vm,
+    version: u64,
+    not_before: Time,
+}
+
+#[derive(Clone, Debug)]
+struct InFlight {
+    peer: Name,
+    until: Time,
+}
+
+/// A version whose content was refused when it came from a peer.
+#[derive(Clone, Copy, Debug)]
+struct RefusedVersion {
+    version: u64,
+    times: u32,
+    until: Time,
+}
+
+impl Pulls {
+    /// Notes that a peer holds a version newer than the one held here.
+    pub(super) fn note(&mut self, vm: &Vm, version: u64) {
+        if let Some(holder) = self.holders.get_mut(&vm.name) {
+            holder.version = version;
+            if holder.vm != *vm {
+                holder.vm = vm.clone();
+            }
+            return;
+        }
+        if self.holders.len() >= MAX_HOLDERS && !self.make_room(version) {
+            return;
+        }
+        let holder = Holder { vm: vm.clone(), version, not_before: Time::ZERO };
+        self.holders.insert(vm.name.clone(), holder);
+    }
+
+    /// Forgets a peer that is gone or has nothing newer.
+    pub(super) fn forget(&mut self, peer: &str) {
+        self.holders.remove(peer);
+    }
+
+    /// Forgets the peers that have nothing newer than `held`.
+    pub(super) fn on_held(&mut self, held: u64) {
+        self.holders.retain(|_, holder| holder.version > held);
+        self.whole = false;
+    }
+
+    /// Returns the peer to ask now, if no other is being asked.
+    pub(super) fn begin(
+        &mut self,
+        now: Time,
+        near: &str,
+        timeout: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<Vm> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let refused = self.refused.filter(|refused| now < refused.until);
+        let usable = |holder: &&Holder| {
+            now >= holder.not_before && refused.is_none_or(|it| holder.version != it.version)
+        };
+        let newest = self.holders.values().filter(usable).map(|holder| holder.version).max()?;
+        let best = || {
+            let holders = self.holders.values().filter(usable);
+            holders.filter(|holder| holder.version == newest)
+        };
+        let nearby = best().filter(|holder| *holder.vm.data_centre == *near).choose(rng);
+        let vm = nearby.or_else(|| best().choose(rng))?.vm.clone();
+        self.in_flight = Some(InFlight { peer: vm.name.clone(), until: now + timeout });
+        Some(vm)
+    }
+
+    /// Notes that an answer of `peer` came or can't come any more.
+    pub(super) fn on_end(&mut self, peer: &str) {
+        if self.in_flight.as_ref().is_some_and(|pull| *pull.peer == *peer) {
+            self.in_flight = None;
+        }
+    }
+
+    /// Leaves a peer alone for a while after it gave nothing usable.
+    pub(super) fn pause_peer(&mut self, now: Time, peer: &str, rng: &mut impl Rng) {
+        if let Some(holder) = self.holders.get_mut(peer) {
+            holder.not_before = now + PEER_PAUSE.mul_f64(rng.random_range(0.5..1.5));
+        }
+    }
+
+    /// Ends a pull that has taken too long. A paused or vanished peer never
+    /// answers, and the next one may.
+    pub(super) fn on_tick(&mut self, now: Time, rng: &mut impl Rng) {
+        let Some(pull) = self.in_flight.take_if(|pull| now >= pull.until) else { return };
+        self.pause_peer(now, &pull.peer, rng);
+    }
+
+    /// Leaves a version alone for a growing while after its content was
+    /// refused: every peer may have the same, and each would be asked in turn.
+    pub(super) fn refuse_version(&mut self, now: Time, version: u64) {
+        let same = self.refused.filter(|refused| refused.version == version);
+        let times = same.map_or(0, |refused| (refused.times + 1).min(MAX_HOLD_DOUBLINGS));
+        let until = now + Duration::from_secs(1 << times);
+        self.refused = Some(RefusedVersion { version, times, until });
+    }
+
+    /// Returns the newest version that a peer which may be asked reports.
+    pub(super) fn newest(&self, now: Time) -> Option<u64> {
+        let usable = self.holders.values().filter(|holder| now >= holder.not_before);
+        usable.map(|holder| holder.version).max()
+    }
+
+    fn make_room(&mut self, version: u64) -> bool {
+        let oldest = self.holders.values().min_by_key(|holder| holder.version);
+        let Some(oldest) = oldest.filter(|holder| holder.version < version) else { return false };
+        let name = oldest.vm.name.clone();
+        self.holders.remove(&name);
+        true
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of the configuration's spread.
+
+/// Settings of the configuration's spread.
+#[derive(Clone, Debug)]
+pub struct ConfigSyncSettings {
+    /// VMs of each data centre that watch the platform.
+    pub watchers_per_data_centre: u32,
+    /// Time after which a waiting watch is ended by the platform.
+    pub watch_timeout_ms: u64,
+    /// Time after which a pull has failed and another peer is asked.
+    pub pull_timeout_ms: u64,
+    /// Wait after the first failed call to the platform; doubled by each
+    /// further one, with jitter.
+    pub min_backoff_ms: u64,
+    /// Longest such wait.
+    pub max_backoff_ms: u64,
+    /// First reads of the whole fleet, when all its VMs start at once.
+    pub first_reads_per_second: f64,
+    /// Reads of the whole fleet by VMs that don't watch.
+    pub follower_reads_per_second: f64,
+    /// Time that a VM without a configuration waits for the watchers.
+    pub cold_read_after_ms: u64,
+    /// Time without any change after which a VM that doesn't watch reads once;
+    /// longer in a large fleet.
+    pub unconfirmed_read_after_ms: u64,
+    /// Size of the fleet while neither list nor members are known.
+    pub assumed_fleet_vms: u32,
+    /// Time for which a rejected version isn't read again.
+    pub rejected_hold_ms: u64,
+}
+
+impl Default for ConfigSyncSettings {
+    fn default() -> ConfigSyncSettings {
+        ConfigSyncSettings {
+            watchers_per_data_centre: 2,
+            watch_timeout_ms: 30_000,
+            pull_timeout_ms: 2_000,
+            min_backoff_ms: 200,
+            max_backoff_ms: 5_000,
+            first_reads_per_second: 1_000.0,
+            follower_reads_per_second: 20.0,
+            cold_read_after_ms: 5_000,
+            unconfirmed_read_after_ms: 60_000,
+            assumed_fleet_vms: 1_000,
+            rejected_hold_ms: 60_000,
+        }
+    }
+}
--- a/crates/pistachiotrack-core/src/rule.rs
+++ b/crates/pistachiotrack-core/src/rule.rs
@@ -1,7 +1,12 @@
 //! Ordered rules: the first one whose conditions hold decides.
 
+mod condition;
+mod index;
+mod set;
+
 use serde::{Deserialize, Serialize};
 
+pub use self::{condition::path_starts_with, set::RuleSet};
 use crate::{name::Name, request::Class};
 
 /// A rule: when all conditions hold, then do that.
@@ -130,12 +135,6 @@
     fn queue_wait_ms(&self, service: &str) -> u64;
 }
 
-/// The rules of a configuration, ready to decide.
-#[derive(Clone, Debug, Default)]
-pub struct RuleSet {
-    rules: Vec<Rule>,
-}
-
 /// Why a rule did not match.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mismatch {
@@ -153,27 +152,3 @@
     /// The rules before it.
     pub skipped: Vec<Mismatch>,
 }
-
-impl RuleSet {
-    /// Prepares the rules.
-    pub fn new(rules: &[Rule]) -> RuleSet {
-        RuleSet { rules: rules.to_vec() }
-    }
-
-    /// Returns the first rule whose conditions hold.
-    pub fn decide(&self, subject: &Subject<'_>, _facts: &dyn Facts) -> Option<&Rule> {
-        self.rules.iter().find(|rule| {
-            let when = &rule.when;
-            when.customer.as_ref().is_none_or(|customer| customer.as_str() == subject.customer)
-                && when.method.as_ref().is_none_or(|method| method.as_str() == subject.method)
-                && when
-                    .path_prefix
-                    .as_ref()
-                    .is_none_or(|prefix| subject.path.starts_with(prefix.as_str()))
-                && when
-                    .service
-                    .as_ref()
-                    .is_none_or(|service| Some(service.as_str()) == subject.service)
-        })
-    }
-}
