--- /dev/null
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -0,0 +1,127 @@
+//! Configurations and fleets for tests and measurements.
+
+#![allow(dead_code)]
+
+pub(crate) mod fleet;
+
+use std::net::SocketAddr;
+
+use pistachiotrack_core::{
+    config::{Config, DEFAULT_ENTRY_LIFETIME_MS},
+    contract::Contract,
+    customer::Customer,
+    data_centre::DataCentre,
+    endpoint::Endpoint,
+    name::Name,
+    rule::{Conditions, Route, Rule, RuleAction},
+    service::Service,
+    vm::Vm,
+};
+
+pub(crate) const DEPLOYMENT: &str = "timeliten";
+
+/// Sizes of a generated configuration.
+#[derive(Clone, Copy)]
+pub(crate) struct Sizes {
+    pub(crate) data_centres: u32,
+    pub(crate) services: u32,
+    pub(crate) endpoints: u32,
+    pub(crate) customers: u32,
+    pub(crate) rules: u32,
+}
+
+/// The sizes that Timeliten has today.
+pub(crate) const TODAY: Sizes =
+    Sizes { data_centres: 3, services: 3, endpoints: 34, customers: 12, rules: 30 };
+
+/// The sizes to design for.
+pub(crate) const DESIGN: Sizes = Sizes {
+    data_centres: 17,
+    services: 4_700,
+    endpoints: 200_000,
+    customers: 460_000,
+    rules: 210_000,
+};
+
+pub(crate) fn name(kind: &str, index: u32) -> Name {
+    Name::from(format!("{kind}-{index}"))
+}
+
+pub(crate) fn config(version: u64, sizes: Sizes) -> Config {
+    Config {
+        version,
+        deployment: Name::from(DEPLOYMENT),
+        entry_lifetime_ms: DEFAULT_ENTRY_LIFETIME_MS,
+        data_centres: (0..sizes.data_centres).map(data_centre).collect(),
+        services: (0..sizes.services).map(|index| service(index, sizes)).collect(),
+        customers: (0..sizes.customers).map(|index| customer(index, sizes)).collect(),
+        rules: (0..sizes.rules).map(|index| rule(index, sizes)).collect(),
+    }
+}
+
+fn data_centre(index: u32) -> DataCentre {
+    DataCentre { name: name("dc", index), region: name("region", index % 5) }
+}
+
+fn service(index: u32, sizes: Sizes) -> Service {
+    let own = (0..sizes.endpoints).filter(|endpoint| endpoint % sizes.services == index);
+    Service {
+        name: name("service", index),
+        floor: 1,
+        sensitivity: 0.5,
+        timeout_ms: 2_000,
+        queue_limit: 256,
+        shard_endpoints: 64,
+        probe_path: Name::from("/healthz"),
+        endpoints: own.map(|endpoint| self::endpoint(endpoint, sizes)).collect(),
+    }
+}
+
+pub(crate) fn endpoint(index: u32, sizes: Sizes) -> Endpoint {
+    let [_, high, middle, low] = index.to_be_bytes();
+    Endpoint {
+        name: name("endpoint", index),
+        address: SocketAddr::from(([10, high, middle, low], 8080)),
+        data_centre: name("dc", index % sizes.data_centres),
+        slots: 2,
+        connections: 400,
+        leaving: false,
+    }
+}
+
+fn customer(index: u32, sizes: Sizes) -> Customer {
+    let contract = Contract { service: name("service", index % sizes.services), slots: 1 };
+    Customer { name: name("customer", index), contracts: vec![contract] }
+}
+
+fn rule(index: u32, sizes: Sizes) -> Rule {
+    let service = name("service", index % sizes.services);
+    Rule {
+        name: name("rule", index),
+        when: Conditions {
+            customer: Some(name("customer", index % sizes.customers)),
+            path_prefix: Some(Name::from(format!("/calendar/{index}"))),
+            ..Conditions::default()
+        },
+        then: RuleAction::Route(route(service)),
+    }
+}
+
+pub(crate) fn route(service: Name) -> Route {
+    Route { service, class: None, timeout_ms: None, idempotent: true, hedge: false }
+}
+
+pub(crate) fn json(config: &Config) -> Vec<u8> {
+    serde_json::to_vec(config).expect("a configuration has a JSON form")
+}
+
+pub(crate) fn vm(index: u32, data_centres: u32) -> Vm {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port + index as u16));
+    Vm {
+        name: name("vm", index),
+        data_centre: name("dc", index % data_centres),
+        incarnation: 1,
+        caller_address: address(9_000),
+        peer_address: address(20_000),
+    }
+}
