--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod customer;
 pub mod data_centre;
 pub mod endpoint;
+pub mod hash;
 pub mod header;
 pub mod health;
 pub mod idempotency;
