--- a/crates/pistachiotrack-core/src/steering.rs
+++ b/crates/pistachiotrack-core/src/steering.rs
@@ -1,4 +1,8 @@
 //! The answer to a caller that asks which addresses to use.
+//!
+//! The owners of the service come first, then alternates in other data centres.
+//! Alternates are chosen by hashing the customer and service, so that the load
+//! of a failed owner spreads over the fleet, and all VMs give the same ones.
 
 use std::net::SocketAddr;
 
@@ -6,6 +10,7 @@
 
 use crate::{
     config::Config,
+    hash,
     membership::{Member, MemberState},
     name::Name,
     ownership::{Ownership, ShardId, shard_count},
@@ -32,6 +37,25 @@
 
 /// Alternates given besides the owner.
 pub const ALTERNATES: usize = 3;
+/// Owners given at most; a service with more shards shares them out by customer.
+pub const MAX_OWNERS: usize = 4;
+/// Part of the usual lifetime while the owner may change soon.
+pub const UNSTEADY_LIFETIME_DIVISOR: u64 = 5;
+
+/// A caller's question with what is needed to answer it.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryQuestion<'a> {
+    /// Configuration in force.
+    pub config: &'a Config,
+    /// Owners as this VM sees them.
+    pub ownership: &'a Ownership,
+    /// This VM.
+    pub me: &'a Vm,
+    /// Service asked for.
+    pub service: &'a str,
+    /// Customer that asks, if known.
+    pub customer: &'a str,
+}
 
 /// Works out the answer for a service: the owners first, then alternates.
 pub fn entries<'a>(
@@ -41,28 +65,93 @@
     members: impl Iterator<Item = &'a Member>,
     service: &str,
 ) -> EntryAnswer {
-    let mut vms: Vec<&Vm> = Vec::new();
-    let owners: Vec<Vm> = config
-        .service(service)
-        .map(|service| {
-            (0..shard_count(service))
-                .filter_map(|index| {
-                    ownership.owner(&ShardId { service: service.name.clone(), index }).cloned()
-                })
-                .collect()
-        })
-        .unwrap_or_default();
-    vms.extend(owners.iter());
+    entries_for(EntryQuestion { config, ownership, me, service, customer: "" }, members)
+}
+
+/// Works out the answer for a customer's question.
+///
+/// Only members that are alive and this VM are given. A VM that leaves leaves
+/// itself out, unless there is nobody else. While an owner is new or suspected the
+/// answer lives for a fifth of the usual time, since the owner may change soon.
+pub fn entries_for<'a>(
+    question: EntryQuestion<'_>,
+    members: impl Iterator<Item = &'a Member>,
+) -> EntryAnswer {
+    let me = question.me;
     let alive = members.filter(|member| member.state == MemberState::Alive);
-    vms.extend(alive.map(|member| &member.vm));
-    vms.push(me);
-    let mut entries: Vec<Entry> = Vec::new();
-    for vm in vms {
-        let entry = Entry { address: vm.caller_address, data_centre: vm.data_centre.clone() };
-        if !entries.contains(&entry) {
-            entries.push(entry);
+    let mut vms: Vec<&Vm> = alive.map(|member| &member.vm).collect();
+    if !question.ownership.is_leaving() || vms.is_empty() {
+        vms.push(me);
+    }
+    let shards = shards(&question);
+    let key =
+        hash::pair(hash::fnv(question.service.as_bytes()), hash::fnv(question.customer.as_bytes()));
+    let mut chosen = owners(&question, &shards, &vms, key);
+    let home = chosen.first().map(|vm| &vm.data_centre);
+    let alternates = alternates(&vms, &chosen, home, key);
+    chosen.extend(alternates);
+    EntryAnswer {
+        entries: chosen.into_iter().map(entry).collect(),
+        lifetime_ms: lifetime_ms(&question, &shards),
+    }
+}
+
+fn entry(vm: &Vm) -> Entry {
+    Entry { address: vm.caller_address, data_centre: vm.data_centre.clone() }
+}
+
+fn shards(question: &EntryQuestion<'_>) -> Vec<ShardId> {
+    let Some(service) = question.config.service(question.service) else { return Vec::new() };
+    (0..shard_count(service))
+        .map(|index| ShardId { service: service.name.clone(), index })
+        .collect()
+}
+
+/// Returns the service's owners among `vms`, each once, in the customer's order.
+fn owners<'a>(
+    question: &EntryQuestion<'_>,
+    shards: &[ShardId],
+    vms: &[&'a Vm],
+    key: u64,
+) -> Vec<&'a Vm> {
+    let names = shards.iter().filter_map(|shard| question.ownership.owner(shard));
+    let mut owners: Vec<&Vm> = Vec::new();
+    for owner in names {
+        let Some(vm) = vms.iter().find(|vm| vm.name == owner.name) else { continue };
+        if !owners.contains(vm) {
+            owners.push(vm);
         }
     }
-    entries.truncate(owners.len().max(1) + ALTERNATES);
-    EntryAnswer { entries, lifetime_ms: config.entry_lifetime_ms }
+    owners.sort_by_key(|vm| std::cmp::Reverse(score(key, vm)));
+    owners.truncate(MAX_OWNERS);
+    owners
+}
+
+/// Returns VMs besides `chosen`, one of each other data centre first, then more
+/// of them, and those of the owner's data centre `home` last.
+fn alternates<'a>(vms: &[&'a Vm], chosen: &[&Vm], home: Option<&Name>, key: u64) -> Vec<&'a Vm> {
+    let mut rest: Vec<&Vm> =
+        vms.iter().copied().filter(|vm| chosen.iter().all(|one| one.name != vm.name)).collect();
+    rest.sort_by_key(|vm| std::cmp::Reverse(score(key, vm)));
+    let mut ranked: Vec<(bool, usize, &Vm)> = Vec::new();
+    for vm in rest {
+        let before = ranked.iter().filter(|(.., other)| other.data_centre == vm.data_centre);
+        // Data centres beyond the alternates wanted need no exact rank.
+        let rank = before.take(ALTERNATES).count();
+        ranked.push((Some(&vm.data_centre) == home, rank, vm));
+    }
+    ranked.sort_by_key(|(at_home, rank, _)| (*at_home, *rank));
+    ranked.into_iter().take(ALTERNATES).map(|(.., vm)| vm).collect()
+}
+
+fn score(key: u64, vm: &Vm) -> u64 {
+    hash::pair(key, hash::fnv(vm.name.as_bytes()))
+}
+
+fn lifetime_ms(question: &EntryQuestion<'_>, shards: &[ShardId]) -> u64 {
+    let usual_ms = question.config.entry_lifetime_ms;
+    if shards.iter().all(|shard| question.ownership.is_owner_steady(shard)) {
+        return usual_ms;
+    }
+    (usual_ms / UNSTEADY_LIFETIME_DIVISOR).max(1)
 }
