--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -158,15 +158,16 @@
         if self.superseded {
             return actions;
         }
-        self.check_probes(now, &mut actions);
-        self.check_waiting(now, &mut actions);
-        self.check_pull(now, &mut actions);
-        self.probe_due(now, &mut actions);
+        // First, so that a member just declared dead is still shown as such.
         self.table.forget(
             now,
             Duration::from_millis(self.settings.forget_ms),
             Duration::from_millis(self.settings.tombstone_ms),
         );
+        self.check_probes(now, &mut actions);
+        self.check_waiting(now, &mut actions);
+        self.check_pull(now, &mut actions);
+        self.probe_due(now, &mut actions);
         actions
     }
 
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/datagram.rs
@@ -0,0 +1,153 @@
+//! The datagrams' format: bounded, checked and safe to decode.
+
+use std::net::SocketAddr;
+
+use pistachiotrack_core::{
+    membership::{MemberState, Membership, MembershipSettings},
+    message::{
+        Codec, Datagram, DatagramError, Identity, MAX_DATAGRAM_BYTES, MAX_NAME_BYTES, Message,
+        PROTOCOL_VERSION, Place, Update,
+    },
+    name::Name,
+    time::Time,
+    vm::Vm,
+};
+use quickcheck::{Arbitrary, Gen};
+
+const CASES: usize = 2_000;
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 9101))
+}
+
+fn arbitrary_update(source: &mut Gen) -> Update {
+    let states =
+        [MemberState::Alive, MemberState::Suspect, MemberState::Leaving, MemberState::Dead];
+    let place = Place {
+        data_centre: Name::from("oslo-1"),
+        caller_address: address(),
+        peer_address: address(),
+        alive_ms: u32::arbitrary(source),
+    };
+    Update {
+        name: Name::from(format!("vm-{}", u8::arbitrary(source))),
+        incarnation: u64::arbitrary(source),
+        refutation: u32::arbitrary(source),
+        state: *source.choose(&states).expect("not empty"),
+        place: bool::arbitrary(source).then_some(place),
+    }
+}
+
+fn arbitrary_datagram(source: &mut Gen) -> Datagram {
+    let sender = Identity {
+        name: Name::from("vm-1"),
+        incarnation: u64::arbitrary(source),
+        refutation: u32::arbitrary(source),
+        leaving: bool::arbitrary(source),
+        config_version: Option::arbitrary(source),
+    };
+    let sequence = u32::arbitrary(source);
+    let known_incarnation = u64::arbitrary(source);
+    let target = Name::from("vm-2");
+    let messages = [
+        Message::Ping { sequence, target: target.clone(), known_incarnation },
+        Message::Ack { sequence },
+        Message::PingRequest {
+            sequence,
+            target: target.clone(),
+            address: address(),
+            known_incarnation,
+        },
+        Message::RelayedAck {
+            sequence,
+            subject: sender.clone(),
+            introduction: Some(arbitrary_update(source)),
+        },
+        Message::Nack { sequence },
+        Message::TableRequest { after: Some(target) },
+        Message::TablePage { next: None },
+        Message::Leave,
+    ];
+    let message = source.choose(&messages).expect("not empty").clone();
+    let updates = (0..u8::arbitrary(source) % 12).map(|_| arbitrary_update(source)).collect();
+    Datagram { sender, message, updates }
+}
+
+#[test]
+fn decoding_gives_back_what_was_encoded() {
+    let codec = Codec::new("timeliten");
+    let mut source = Gen::from_size_and_seed(10, 1);
+    for _ in 0..CASES {
+        let datagram = arbitrary_datagram(&mut source);
+        let bytes = codec.encode(&datagram).expect("it fits");
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+        assert_eq!(codec.decode(&bytes), Ok(datagram));
+    }
+}
+
+#[test]
+fn altered_datagrams_are_refused() {
+    // A faulty switch or memory flips a bit or cuts a datagram. If the bit is in
+    // an incarnation, the VM would be shut out by its own imagined successor.
+    let codec = Codec::new("timeliten");
+    let mut source = Gen::from_size_and_seed(10, 2);
+    for _ in 0..CASES {
+        let bytes = codec.encode(&arbitrary_datagram(&mut source)).expect("it fits");
+        let mut flipped = bytes.clone();
+        let bit = usize::arbitrary(&mut source) % (bytes.len() * 8);
+        flipped[bit / 8] ^= 1 << (bit % 8);
+        assert!(codec.decode(&flipped).is_err());
+        let cut = usize::arbitrary(&mut source) % bytes.len();
+        assert!(codec.decode(&bytes[..cut]).is_err());
+        let longer = [bytes.as_slice(), &[0]].concat();
+        assert!(codec.decode(&longer).is_err());
+    }
+}
+
+#[test]
+fn random_bytes_never_panic() {
+    // Anybody can send anything to the port. With a right header the content still
+    // reaches the decoder, so that is tried too.
+    let codec = Codec::new("timeliten");
+    let vm = Vm {
+        name: Name::from("vm-1"),
+        data_centre: Name::from("oslo-1"),
+        incarnation: 1,
+        caller_address: address(),
+        peer_address: address(),
+    };
+    let settings = MembershipSettings { deployment: "timeliten".into(), ..Default::default() };
+    let mut membership = Membership::new(Time::ZERO, vm, settings, 1);
+    let mut source = Gen::from_size_and_seed(1_500, 3);
+    for _ in 0..CASES {
+        let bytes = Vec::<u8>::arbitrary(&mut source);
+        assert!(codec.decode(&bytes).is_err());
+        // Behind a right header such content would reach the decoder.
+        if let Ok(datagram) = postcard::from_bytes::<Datagram>(&bytes) {
+            assert_eq!(codec.decode(&codec.encode(&datagram).expect("it fits")), Ok(datagram));
+        }
+        // With the right version it looks like a stranger's and is left aside.
+        let answer = membership.on_datagram(Time::ZERO, address(), &bytes);
+        assert!(answer.is_err() || answer == Ok(Vec::new()));
+    }
+    assert_eq!(membership.members().count(), 0);
+}
+
+#[test]
+fn each_kind_of_refusal_is_named() {
+    let codec = Codec::new("timeliten");
+    let datagram = arbitrary_datagram(&mut Gen::from_size_and_seed(10, 4));
+    let bytes = codec.encode(&datagram).expect("it fits");
+    let large = vec![PROTOCOL_VERSION; MAX_DATAGRAM_BYTES + 1];
+    assert_eq!(codec.decode(&large), Err(DatagramError::TooLarge { bytes: 1201 }));
+    assert_eq!(codec.decode(&bytes[..3]), Err(DatagramError::TooShort));
+    let mut newer = bytes.clone();
+    newer[0] = PROTOCOL_VERSION + 1;
+    assert_eq!(codec.decode(&newer), Err(DatagramError::Version(PROTOCOL_VERSION + 1)));
+    let stranger = Codec::new("tlmocnik").encode(&datagram).expect("it fits");
+    assert_eq!(codec.decode(&stranger), Err(DatagramError::Deployment));
+    let mut named = datagram;
+    named.sender.name = Name::from("x".repeat(MAX_NAME_BYTES + 1));
+    let bytes = codec.encode(&named).expect("it fits");
+    assert_eq!(codec.decode(&bytes), Err(DatagramError::Name { bytes: MAX_NAME_BYTES + 1 }));
+}
--- a/crates/pistachiotrack-core/tests/membership_fleet/mod.rs
+++ b/crates/pistachiotrack-core/tests/membership_fleet/mod.rs
@@ -13,7 +13,7 @@
     config::Config,
     membership::{MemberState, Membership, MembershipAction, MembershipSettings},
     name::Name,
-    ownership::{Ownership, OwnershipSettings, ShardId, shard_count},
+    ownership::{Ownership, OwnershipChange, OwnershipSettings, ShardId, shard_count},
     pause::PauseDetector,
     time::Time,
     vm::{ListedVm, Vm, VmList},
@@ -63,6 +63,8 @@
     pub(crate) settings: MembershipSettings,
     /// Changes of state seen: (moment, viewer, member, new state).
     pub(crate) log: Vec<(u64, usize, Name, MemberState)>,
+    /// Shards that a VM took before it settled while a settled one was there.
+    pub(crate) hasty_gains: Vec<(u64, usize, ShardId)>,
     queue: BTreeMap<(u64, u64), (usize, SocketAddr, Vec<u8>)>,
     sent: u64,
     rng: Pcg64Mcg,
@@ -151,6 +153,7 @@
                 ..MembershipSettings::default()
             },
             log: Vec::new(),
+            hasty_gains: Vec::new(),
             queue: BTreeMap::new(),
             sent: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -264,6 +267,20 @@
         self.now_ms - start
     }
 
+    /// Runs until `condition` holds; returns whether it does within `limit_ms`.
+    pub(crate) fn settles(&mut self, limit_ms: u64, condition: impl Fn(&Fleet) -> bool) -> bool {
+        let end = self.now_ms + limit_ms;
+        while !condition(self) && self.now_ms < end {
+            self.step();
+        }
+        condition(self)
+    }
+
+    /// Whether a VM is there and not paused.
+    pub(crate) fn is_running(&self, number: usize) -> bool {
+        self.nodes.get(&number).is_some_and(|node| node.paused_until <= self.now_ms)
+    }
+
     pub(crate) fn step(&mut self) {
         let end = self.now_ms + TICK_MS;
         while let Some(entry) = self.queue.first_entry() {
@@ -313,7 +330,17 @@
         let actions = node.membership.on_tick(now);
         node.ownership.set_leaving(node.membership.is_leaving());
         node.ownership.set_alive_since(node.membership.alive_since());
-        node.ownership.update(now, &self.config, node.membership.members());
+        let changes = node.ownership.update(now, &self.config, node.membership.members());
+        let settled_other = node.membership.members().any(|member| {
+            member.state == MemberState::Alive && node.ownership.is_settled(&member.vm.name)
+        });
+        if settled_other && !node.ownership.is_settled(&name(number)) {
+            let gains = changes.into_iter().filter_map(|change| match change {
+                OwnershipChange::Gained(shard) => Some((self.now_ms, number, shard)),
+                OwnershipChange::Lost { .. } => None,
+            });
+            self.hasty_gains.extend(gains);
+        }
         self.act(number, actions);
     }
 
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/steering.rs
@@ -0,0 +1,200 @@
+//! Answers to callers that ask which addresses to use.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
+
+use pistachiotrack_core::{
+    config::Config,
+    membership::{Member, MemberState},
+    name::Name,
+    ownership::{Ownership, OwnershipSettings, ShardId},
+    steering::{ALTERNATES, EntryAnswer, EntryQuestion, MAX_OWNERS, entries, entries_for},
+    time::Time,
+    vm::Vm,
+};
+
+const LIFETIME_MS: u64 = 5_000;
+
+fn vm(number: usize) -> Vm {
+    Vm {
+        name: Name::from(format!("vm-{number}")),
+        data_centre: Name::from(format!("oslo-{}", number % 3 + 1)),
+        incarnation: 1,
+        caller_address: SocketAddr::from(([10, 0, 0, number as u8], 9001)),
+        peer_address: SocketAddr::from(([10, 0, 0, number as u8], 9101)),
+    }
+}
+
+fn fleet(count: usize) -> Vec<Member> {
+    let since = Time::from_millis(1);
+    (1..count)
+        .map(|number| Member {
+            vm: vm(number),
+            state: MemberState::Alive,
+            since,
+            config_version: None,
+        })
+        .collect()
+}
+
+fn config(shard_endpoints: u32) -> Config {
+    let endpoints: Vec<_> = (0..24)
+        .map(|endpoint| {
+            serde_json::json!({"name": format!("e-{endpoint}"), "address": "127.0.0.1:80",
+                "slots": 2, "data_centre": format!("oslo-{}", endpoint % 3 + 1)})
+        })
+        .collect();
+    serde_json::from_value(serde_json::json!({"version": 1, "deployment": "d",
+        "entry_lifetime_ms": LIFETIME_MS, "data_centres": [], "customers": [], "rules": [],
+        "services": [{"name": "booking", "floor": 2, "sensitivity": 0.5, "timeout_ms": 1000,
+            "shard_endpoints": shard_endpoints, "endpoints": endpoints}]}))
+    .expect("a valid configuration")
+}
+
+fn ownership(config: &Config, members: &[Member]) -> Ownership {
+    let mut ownership = Ownership::new(vm(0), OwnershipSettings::default());
+    ownership.update(Time::from_millis(1_000_000), config, members.iter());
+    ownership.update(Time::from_millis(1_010_000), config, members.iter());
+    ownership
+}
+
+fn owner(ownership: &Ownership) -> Vm {
+    let shard = ShardId { service: Name::from("booking"), index: 0 };
+    ownership.owner(&shard).expect("an owner").clone()
+}
+
+fn ask(config: &Config, ownership: &Ownership, members: &[Member], customer: &str) -> EntryAnswer {
+    let me = vm(0);
+    let question = EntryQuestion { config, ownership, me: &me, service: "booking", customer };
+    entries_for(question, members.iter())
+}
+
+#[test]
+fn owner_comes_first_and_alternates_are_elsewhere() {
+    // A data centre goes away with the owner of a service. The caller's next
+    // address must not be in the same data centre.
+    let config = config(64);
+    let members = fleet(48);
+    let ownership = ownership(&config, &members);
+    let owner = owner(&ownership);
+    let answer = ask(&config, &ownership, &members, "timeliten");
+    assert_eq!(answer.entries.len(), 1 + ALTERNATES);
+    assert_eq!(answer.entries[0].address, owner.caller_address);
+    assert!(answer.entries[1..].iter().all(|entry| entry.data_centre != owner.data_centre));
+    let centres: HashSet<_> = answer.entries[1..3].iter().map(|entry| &entry.data_centre).collect();
+    assert_eq!(centres.len(), 2, "the first two alternates don't share a data centre");
+    assert_eq!(answer.lifetime_ms, LIFETIME_MS);
+}
+
+#[test]
+fn all_vms_give_the_same_answer() {
+    let config = config(64);
+    let members = fleet(12);
+    let ownership = ownership(&config, &members);
+    let mut turned: Vec<Member> = members.clone();
+    turned.reverse();
+    let answer = ask(&config, &ownership, &members, "timeliten");
+    assert_eq!(ask(&config, &ownership, &turned, "timeliten"), answer);
+}
+
+#[test]
+fn alternates_share_the_load_of_a_failed_owner() {
+    // The owner of a busy service fails and all callers turn to their first
+    // alternate at once. If it were the same VM for all, it would fail next.
+    let config = config(64);
+    let members = fleet(48);
+    let ownership = ownership(&config, &members);
+    let mut loads: HashMap<SocketAddr, usize> = HashMap::new();
+    for customer in 0..3_200 {
+        let answer = ask(&config, &ownership, &members, &format!("customer-{customer}"));
+        *loads.entry(answer.entries[1].address).or_default() += 1;
+    }
+    assert_eq!(loads.len(), 32, "all VMs of the two other data centres");
+    assert!(loads.values().all(|load| (50..200).contains(load)), "{loads:?}");
+}
+
+#[test]
+fn only_live_members_are_given() {
+    let config = config(64);
+    let mut members = fleet(12);
+    let ownership = ownership(&config, &members);
+    for (number, member) in members.iter_mut().enumerate() {
+        member.state = match number % 4 {
+            0 => MemberState::Suspect,
+            1 => MemberState::Leaving,
+            2 => MemberState::Dead,
+            _ => MemberState::Alive,
+        };
+    }
+    let live: HashSet<SocketAddr> = members
+        .iter()
+        .filter(|member| member.state == MemberState::Alive)
+        .map(|member| member.vm.caller_address)
+        .chain([vm(0).caller_address])
+        .collect();
+    let answer = ask(&config, &ownership, &members, "timeliten");
+    assert!(answer.entries.iter().all(|entry| live.contains(&entry.address)));
+    assert!(!answer.entries.is_empty());
+}
+
+#[test]
+fn leaving_vm_leaves_itself_out() {
+    // A VM is stopping. Callers that ask it keep the answer for seconds; its own
+    // address in it would fail them when it is gone.
+    let config = config(1);
+    let members = fleet(6);
+    let mut ownership = ownership(&config, &members);
+    ownership.set_leaving(true);
+    ownership.update(Time::from_millis(1_011_000), &config, members.iter());
+    let answer = entries(&config, &ownership, &vm(0), members.iter(), "booking");
+    assert!(answer.entries.iter().all(|entry| entry.address != vm(0).caller_address));
+    let alone = entries(&config, &ownership, &vm(0), [].iter(), "booking");
+    assert_eq!(alone.entries.len(), 1, "the last VM still serves");
+}
+
+#[test]
+fn answer_lives_shorter_while_the_owner_is_unsteady() {
+    // The owner of a service is suspected or new. An answer kept for the usual
+    // time would send callers to a dead VM or to the old owner.
+    let config = config(64);
+    let mut members = fleet(12);
+    let mut ownership = ownership(&config, &members);
+    let owner = owner(&ownership);
+    for member in &mut members {
+        if member.vm.name == owner.name {
+            member.state = MemberState::Suspect;
+        }
+    }
+    ownership.update(Time::from_millis(1_011_000), &config, members.iter());
+    let answer = ask(&config, &ownership, &members, "timeliten");
+    assert!(answer.lifetime_ms < LIFETIME_MS);
+    let nobody: [Member; 0] = [];
+    let mut new = Ownership::new(vm(0), OwnershipSettings::default());
+    new.update(Time::from_millis(1), &config, nobody.iter());
+    assert!(ask(&config, &new, &nobody, "timeliten").lifetime_ms < LIFETIME_MS);
+}
+
+#[test]
+fn service_of_many_shards_gives_some_owners_to_each_customer() {
+    let config = config(1);
+    let members = fleet(48);
+    let ownership = ownership(&config, &members);
+    let mut given = HashSet::new();
+    for customer in 0..100 {
+        let answer = ask(&config, &ownership, &members, &format!("customer-{customer}"));
+        assert_eq!(answer.entries.len(), MAX_OWNERS + ALTERNATES);
+        given.extend(answer.entries[..MAX_OWNERS].iter().map(|entry| entry.address));
+    }
+    assert!(given.len() > MAX_OWNERS, "the owners are shared out");
+}
+
+#[test]
+fn unknown_service_still_gets_addresses() {
+    let config = config(64);
+    let members = fleet(12);
+    let ownership = ownership(&config, &members);
+    let answer = entries(&config, &ownership, &vm(0), members.iter(), "no-such-service");
+    assert_eq!(answer.entries.len(), ALTERNATES);
+}
