Judge endpoints by a sequential test against their peers

Cause: health was a placeholder; endpoints that fail grayly stayed in. Change: CUSUM per endpoint over outcomes, latency against the shard's other endpoints and the age of work in flight; floor, backoff, trial, slow start, drain, path check, pause and hand-over.

--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -1,20 +1,41 @@
 //! Which endpoints of a shard can really answer.
+//!
+//! Evidence comes from real work: how attempts end, how long they take against
+//! the other endpoints of the shard, and how old the work in flight is. A
+//! sequential test per endpoint decides; see `docs/design/health.md`.
 
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     name::Name,
-    request::{AttemptId, BodyEnd, Class, Outcome, Report},
+    request::{AttemptId, Report},
     time::Time,
 };
 
+mod evidence;
+mod hand_over;
+mod observation;
+mod reference;
+mod rotation;
+mod schedule;
+mod state;
+
+use reference::Reference;
+use state::{Drain, EndpointState, Flight, Phase};
+
 /// Settings of the health decisions of one shard.
 #[derive(Clone, Debug)]
 pub struct HealthSettings {
     /// From 0 (fewest false ejections) to 1 (fastest detection).
+    ///
+    /// The threshold of the test is `14 - 10 * sensitivity`, and the mean
+    /// number of independent observations of a healthy endpoint between two
+    /// false ejections is at least `exp(threshold)`.
     pub sensitivity: f64,
 }
 
@@ -135,137 +156,207 @@
     pub usual_latency_us: Option<u64>,
 }
 
+/// Share of a new or readmitted endpoint at the start of its slow start.
+const SLOW_START_SHARE: f64 = 0.1;
+/// Length of a slow start.
+const SLOW_START: Duration = Duration::from_secs(10);
+/// Share of an endpoint under trial: small enough for one request at a time.
+const TRIAL_SHARE: f64 = 0.01;
+
 /// The health of one shard's endpoints.
 #[derive(Clone, Debug)]
 pub struct Health {
-    standings: FxHashMap<Name, Standing>,
-    at_floor: bool,
+    threshold: f64,
+    floor: usize,
+    endpoints: Vec<EndpointState>,
+    positions: FxHashMap<Name, usize>,
+    flights: FxHashMap<AttemptId, Flight>,
+    reference: Reference,
+    /// Evidence that the better part of the endpoints has against it: what a
+    /// fault of the whole service, or of this VM, explains.
+    common_evidence: f64,
+    last_tick: Time,
+    next_id: u32,
+    rng: Pcg64Mcg,
 }
 
 impl Health {
     /// Creates the health of a shard; every endpoint starts healthy.
     pub fn new(
         now: Time,
-        _settings: HealthSettings,
+        settings: HealthSettings,
         candidates: &[Candidate],
         floor: u32,
-        _seed: u64,
+        seed: u64,
     ) -> Health {
-        let mut health = Health { standings: FxHashMap::default(), at_floor: false };
-        health.on_config(now, candidates, floor);
+        let mut health = Health {
+            threshold: evidence::threshold(settings.sensitivity),
+            floor: 0,
+            endpoints: Vec::new(),
+            positions: FxHashMap::default(),
+            flights: FxHashMap::default(),
+            reference: Reference::default(),
+            common_evidence: 0.0,
+            last_tick: now,
+            next_id: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        health.take_candidates(now, candidates, Phase::InRotation);
+        health.floor = floor as usize;
         health
     }
 
     /// Takes a new set of endpoints and a new floor.
+    ///
+    /// New endpoints begin with a slow start, and so do endpoints that were
+    /// leaving and no longer are.
     pub fn on_config(
         &mut self,
-        _now: Time,
+        now: Time,
         candidates: &[Candidate],
-        _floor: u32,
-    ) -> Vec<HealthAction> {
-        self.standings = candidates
-            .iter()
-            .map(|candidate| {
-                let standing =
-                    if candidate.leaving { Standing::Draining } else { Standing::Healthy };
-                (candidate.name.clone(), standing)
-            })
-            .collect();
-        Vec::new()
-    }
-
-    /// Notes the start of an attempt.
-    pub fn on_dispatch(
-        &mut self,
-        _now: Time,
-        _attempt: AttemptId,
-        _endpoint: &Name,
-        _class: Class,
-        _kind: AttemptKind,
-    ) {
-    }
-
-    /// Notes how an attempt ended or how its answer began.
-    pub fn on_outcome(
-        &mut self,
-        _now: Time,
-        _attempt: AttemptId,
-        _outcome: Outcome,
+        floor: u32,
     ) -> Vec<HealthAction> {
-        Vec::new()
+        self.floor = floor as usize;
+        self.take_candidates(now, candidates, Phase::SlowStart { since: now });
+        let mut actions = Vec::new();
+        self.keep_floor(now, &mut actions);
+        actions
     }
 
-    /// Notes the end of an answer's body.
-    pub fn on_body_end(
-        &mut self,
-        _now: Time,
-        _attempt: AttemptId,
-        _end: BodyEnd,
-    ) -> Vec<HealthAction> {
-        Vec::new()
+    fn take_candidates(&mut self, now: Time, candidates: &[Candidate], new_phase: Phase) {
+        let mut old: FxHashMap<Name, EndpointState> =
+            self.endpoints.drain(..).map(|endpoint| (endpoint.name.clone(), endpoint)).collect();
+        self.positions.clear();
+        for candidate in candidates {
+            if self.positions.contains_key(&candidate.name) {
+                continue;
+            }
+            let endpoint = match old.remove(&candidate.name) {
+                Some(mut endpoint) => {
+                    endpoint.set_leaving(now, candidate.leaving);
+                    endpoint
+                }
+                None => {
+                    self.next_id += 1;
+                    let name = candidate.name.clone();
+                    EndpointState::new(now, self.next_id, name, candidate.leaving, new_phase)
+                }
+            };
+            self.positions.insert(candidate.name.clone(), self.endpoints.len());
+            self.endpoints.push(endpoint);
+        }
+        self.flights.retain(|_, flight| old.values().all(|gone| gone.id != flight.endpoint));
     }
 
     /// Notes what an endpoint reports about itself.
-    pub fn on_report(&mut self, _now: Time, endpoint: &Name, report: Report) -> Vec<HealthAction> {
-        if report.draining {
-            self.standings.insert(endpoint.clone(), Standing::Draining);
+    ///
+    /// Only the mark of leaving counts; what it says about its load is left to
+    /// the reader.
+    pub fn on_report(&mut self, now: Time, endpoint: &Name, report: Report) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
+        let Some(&position) = self.positions.get(endpoint) else { return actions };
+        let drain = &mut self.endpoints[position].drain;
+        match drain {
+            _ if report.draining => *drain = Some(Drain { said_at: now, denied_at: None }),
+            Some(drain) => {
+                drain.denied_at.get_or_insert(now);
+            }
+            None => return actions,
         }
-        Vec::new()
-    }
-
-    /// Takes the answer to [`HealthAction::CheckPath`].
-    pub fn on_path_answer(
-        &mut self,
-        _now: Time,
-        _endpoint: &Name,
-        _answer: PathAnswer,
-    ) -> Vec<HealthAction> {
-        Vec::new()
-    }
-
-    /// Does what is due: ages work in flight, ends backoffs, asks for probes.
-    pub fn on_tick(&mut self, _now: Time) -> Vec<HealthAction> {
-        Vec::new()
+        self.keep_floor(now, &mut actions);
+        actions
     }
 
     /// Forgets evidence that only shows this process's own pause.
-    pub fn on_pause(&mut self, _now: Time, _gap: Duration) {}
+    ///
+    /// To be called before any event that the pause held up.
+    pub fn on_pause(&mut self, now: Time, _gap: Duration) {
+        for flight in self.flights.values_mut() {
+            flight.tainted = true;
+        }
+        for endpoint in &mut self.endpoints {
+            endpoint.evidence.undo(now);
+            endpoint.doubt_since = None;
+            endpoint.path = state::Path::Unasked;
+        }
+        self.last_tick = now;
+    }
 
     /// Returns where an endpoint stands.
     pub fn standing(&self, endpoint: &str) -> Standing {
-        self.standings.get(endpoint).copied().unwrap_or(Standing::Draining)
+        self.state(endpoint).map_or(Standing::Draining, |state| state.standing(self.threshold))
     }
 
     /// Returns the share of its slots that an endpoint may use now, 0 to 1.
-    pub fn share(&self, _now: Time, endpoint: &str) -> f64 {
-        match self.standing(endpoint) {
-            Standing::Draining | Standing::Ejected => 0.0,
-            _ => 1.0,
+    ///
+    /// An endpoint under trial has a tiny share that stands for one request at
+    /// a time. One that this VM alone can't reach has none.
+    pub fn share(&self, now: Time, endpoint: &str) -> f64 {
+        let Some(state) = self.state(endpoint) else { return 0.0 };
+        if state.is_draining() {
+            return 0.0;
+        }
+        match state.phase {
+            Phase::InRotation | Phase::Held => 1.0,
+            Phase::Ejected { .. } | Phase::PathBroken { .. } => 0.0,
+            Phase::Trial { .. } => TRIAL_SHARE,
+            Phase::SlowStart { since } => {
+                let progress = now.since(since).as_secs_f64() / SLOW_START.as_secs_f64();
+                (SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * progress).min(1.0)
+            }
         }
     }
 
+    /// Returns whether only this VM can't reach the endpoint: it is not sick,
+    /// and its work goes through another VM.
+    pub fn unreachable_from_here(&self, endpoint: &str) -> bool {
+        self.state(endpoint).is_some_and(|state| matches!(state.phase, Phase::PathBroken { .. }))
+    }
+
+    /// Returns whether the next request to an endpoint should go on a new
+    /// connection, to tell a silent connection from a sick endpoint.
+    pub fn wants_fresh_connection(&self, endpoint: &str) -> bool {
+        self.state(endpoint).is_some_and(|state| {
+            let on_trial = matches!(state.phase, Phase::Trial { .. });
+            on_trial || state.evidence.doubtful() >= evidence::OBSERVATION_CAP / 2.0
+        })
+    }
+
     /// Returns the evidence against an endpoint as a log-likelihood ratio.
-    pub fn evidence(&self, _endpoint: &str) -> f64 {
-        0.0
+    pub fn evidence(&self, endpoint: &str) -> f64 {
+        self.state(endpoint).map_or(0.0, |state| state.evidence.strength(self.threshold))
+    }
+
+    /// Returns the evidence at which an endpoint is ejected.
+    pub fn threshold(&self) -> f64 {
+        self.threshold
     }
 
     /// Returns why an endpoint was last ejected.
-    pub fn last_reason(&self, _endpoint: &str) -> Option<EjectReason> {
-        None
+    pub fn last_reason(&self, endpoint: &str) -> Option<EjectReason> {
+        self.state(endpoint).and_then(|state| state.reason)
     }
 
     /// Returns whether a further ejection would be held back by the floor.
     pub fn at_floor(&self) -> bool {
-        self.at_floor
+        self.rotation_len() <= self.floor
+    }
+
+    /// Returns the bytes that the state of one endpoint takes, without its
+    /// name and without work in flight.
+    pub fn endpoint_bytes() -> usize {
+        size_of::<EndpointState>()
+    }
+
+    fn state(&self, endpoint: &str) -> Option<&EndpointState> {
+        self.positions.get(endpoint).map(|&position| &self.endpoints[position])
     }
 
-    /// Returns what a successor needs to know.
-    pub fn hand_over(&self, _now: Time) -> Vec<HealthHandOver> {
-        Vec::new()
+    fn position_of(&self, id: u32) -> Option<usize> {
+        self.endpoints.iter().position(|endpoint| endpoint.id == id)
     }
 
-    /// Takes what a predecessor knew.
-    pub fn on_hand_over(&mut self, _now: Time, _from: &[HealthHandOver]) -> Vec<HealthAction> {
-        Vec::new()
+    fn rotation_len(&self) -> usize {
+        self.endpoints.iter().filter(|endpoint| endpoint.in_rotation()).count()
     }
 }
--- /dev/null
+++ b/crates/pistachiotrack-core/src/health/schedule.rs
@@ -0,0 +1,139 @@
+//! What is due with time: ages, backoffs, slow starts, drains and probes.
+
+use std::time::Duration;
+
+use crate::{
+    health::{
+        Health, HealthAction, SLOW_START,
+        state::{EndpointState, Phase},
+    },
+    time::Time,
+};
+
+/// Healthy time after which one ejection is forgiven.
+const FORGIVE_AFTER: Duration = Duration::from_secs(60);
+/// Shortest time between two health checks of an endpoint that gets work.
+const PROBE_GAP: Duration = Duration::from_secs(1);
+/// Time without work after which a suspect is probed.
+const IDLE: Duration = Duration::from_secs(1);
+/// Time between health checks of an endpoint that gets no work.
+const SLOW_PROBE_GAP: Duration = Duration::from_secs(5);
+/// Time under trial without work after which passed health checks count.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(30);
+/// Age up to which a passed health check counts then.
+const PROBE_MEMORY: Duration = Duration::from_secs(10);
+/// Time that an endpoint that said it is leaving stays out at least.
+const DRAIN_MIN: Duration = Duration::from_secs(10);
+/// Time without any report after which it is tried again.
+const DRAIN_FORGET: Duration = Duration::from_secs(60);
+
+impl Health {
+    /// Does what is due: ages work in flight, ends backoffs, asks for probes.
+    pub fn on_tick(&mut self, now: Time) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
+        self.last_tick = now;
+        for endpoint in &mut self.endpoints {
+            if endpoint.in_rotation() {
+                endpoint.evidence.on_tick(now);
+            }
+        }
+        self.observe_ages(now, &mut actions);
+        self.common_evidence = self.evidence_of_peers(now, None);
+        for position in self.sickest_first() {
+            self.judge(now, position, &mut actions);
+            self.advance(now, position, &mut actions);
+            self.end_drain(now, position);
+            self.probe(now, position, &mut actions);
+        }
+        self.keep_floor(now, &mut actions);
+        actions
+    }
+
+    /// The sickest are judged first: at the floor the least sick stay in.
+    fn sickest_first(&self) -> Vec<usize> {
+        let sickness = |position: usize| self.endpoints[position].evidence.sickness;
+        let mut positions: Vec<usize> = (0..self.endpoints.len()).collect();
+        positions.sort_by(|&a, &b| sickness(b).total_cmp(&sickness(a)));
+        positions
+    }
+
+    fn advance(&mut self, now: Time, position: usize, actions: &mut Vec<HealthAction>) {
+        let half = self.threshold / 2.0;
+        let threshold = self.threshold;
+        let state = &mut self.endpoints[position];
+        match state.phase {
+            Phase::Ejected { until } | Phase::PathBroken { until } if now >= until => {
+                state.phase = Phase::Trial { since: now, good: 0 };
+                state.last_dispatch = now;
+                state.probe_passed = None;
+                actions.push(HealthAction::TrialStarted { endpoint: state.name.clone() });
+            }
+            Phase::Trial { since, .. } if is_proven_idle(state, now, since) => {
+                self.start_slowly(now, position, actions);
+            }
+            Phase::SlowStart { since } if now.since(since) >= SLOW_START => {
+                state.phase = Phase::InRotation;
+            }
+            Phase::InRotation if state.ejections > 0 => {
+                let is_well = state.evidence.strength(threshold) < half;
+                if is_well && now.since(state.ejections_at) >= FORGIVE_AFTER {
+                    state.ejections -= 1;
+                    state.ejections_at = now;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends a drain that the endpoint has taken back, or that it has not
+    /// confirmed for long: its reports may mislead.
+    fn end_drain(&mut self, now: Time, position: usize) {
+        let state = &mut self.endpoints[position];
+        let Some(drain) = state.drain else { return };
+        let age = now.since(drain.said_at);
+        if drain.denied_at.is_some() && age >= DRAIN_MIN {
+            state.drain = None;
+            if state.phase == Phase::InRotation {
+                state.phase = Phase::SlowStart { since: now };
+            }
+        } else if drain.denied_at.is_none() && age >= DRAIN_FORGET {
+            state.drain = None;
+            state.phase = Phase::Trial { since: now, good: 0 };
+        }
+    }
+
+    fn probe(&mut self, now: Time, position: usize, actions: &mut Vec<HealthAction>) {
+        let threshold = self.threshold;
+        let state = &mut self.endpoints[position];
+        if state.leaving {
+            return;
+        }
+        let since_probe = now.since(state.last_probe);
+        let idle = now.since(state.last_dispatch);
+        let is_due = if state.drain.is_some() {
+            since_probe >= SLOW_PROBE_GAP
+        } else if matches!(state.phase, Phase::Trial { .. }) {
+            since_probe >= SLOW_PROBE_GAP && idle >= SLOW_PROBE_GAP
+        } else if state.in_rotation() && since_probe >= PROBE_GAP {
+            let is_suspect = state.evidence.strength(threshold) >= threshold / 2.0;
+            let is_doubtful = state.evidence.doubtful() >= threshold / 2.0;
+            is_doubtful || (is_suspect && idle >= IDLE)
+        } else {
+            false
+        };
+        if is_due {
+            state.last_probe = now;
+            actions.push(HealthAction::Probe { endpoint: state.name.clone() });
+        }
+    }
+}
+
+/// Returns whether an endpoint under trial that got no work may come back.
+///
+/// A passed health check never readmits alone, but a service without any
+/// idempotent work has nothing else: time, a passed check and a slow start,
+/// in which little evidence ejects again, have to do.
+fn is_proven_idle(state: &EndpointState, now: Time, since: Time) -> bool {
+    let no_work = state.last_dispatch <= since && now.since(since) >= TRIAL_PATIENCE;
+    no_work && state.probe_passed.is_some_and(|passed| now.since(passed) < PROBE_MEMORY)
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/src/health/state.rs
@@ -0,0 +1,189 @@
+//! What is known about one endpoint.
+
+use std::time::Duration;
+
+use crate::{
+    health::{EjectReason, evidence::Evidence, reference::Tally},
+    name::Name,
+    request::Class,
+    time::Time,
+};
+
+use super::{AttemptKind, Standing};
+
+/// Requests of a new endpoint that are judged leniently.
+const COLD_REQUESTS: u32 = 20;
+/// Factor over its peers' latency that an endpoint may have.
+const TOLERANCE: f64 = 1.5;
+/// The same while the endpoint is cold.
+const COLD_TOLERANCE: f64 = 10.0;
+/// Step of the running estimate of the usual latency.
+const USUAL_STEP: f32 = 0.05;
+
+/// Where an endpoint is between work and no work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Phase {
+    /// Gets work.
+    InRotation,
+    /// Would be ejected but for the floor.
+    Held,
+    /// Gets no work until then.
+    Ejected { until: Time },
+    /// Not sick, but unreachable from this VM; not tried again until then.
+    PathBroken { until: Time },
+    /// Gets one request at a time.
+    Trial { since: Time, good: u32 },
+    /// Gets a growing share of work.
+    SlowStart { since: Time },
+}
+
+/// What other VMs said about the path to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Path {
+    /// Nobody was asked.
+    Unasked,
+    /// Others were asked then.
+    Asked(Time),
+    /// Others don't reach it either, or nobody answered.
+    Confirmed(Time),
+}
+
+/// When an endpoint said that it is leaving.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Drain {
+    /// It last said so then.
+    pub(super) said_at: Time,
+    /// It last said that it isn't then, after having said that it is.
+    pub(super) denied_at: Option<Time>,
+}
+
+/// An attempt that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Flight {
+    pub(super) endpoint: u32,
+    pub(super) class: Class,
+    pub(super) kind: AttemptKind,
+    pub(super) started: Time,
+    /// Whether it was sent on a new connection, if known.
+    pub(super) fresh: bool,
+    /// Whether it spans a pause of this process: its age shows nothing.
+    pub(super) tainted: bool,
+    /// Whether its answer has begun.
+    pub(super) answered: bool,
+    /// Whether its hanging was counted already.
+    pub(super) counted: bool,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointState {
+    pub(super) id: u32,
+    pub(super) name: Name,
+    pub(super) leaving: bool,
+    pub(super) drain: Option<Drain>,
+    pub(super) phase: Phase,
+    pub(super) evidence: Evidence,
+    pub(super) tally: Tally,
+    pub(super) path: Path,
+    pub(super) reason: Option<EjectReason>,
+    pub(super) ejections: u32,
+    /// Last ejection or forgiven ejection.
+    pub(super) ejections_at: Time,
+    pub(super) answers: u32,
+    pub(super) cold: bool,
+    pub(super) usual_log_micros: Option<f32>,
+    pub(super) last_answer: Time,
+    pub(super) last_dispatch: Time,
+    pub(super) last_probe: Time,
+    /// A health check passed then, since the doubt began.
+    pub(super) probe_passed: Option<Time>,
+    /// Doubt alone has been above the threshold since then.
+    pub(super) doubt_since: Option<Time>,
+}
+
+impl EndpointState {
+    pub(super) fn new(now: Time, id: u32, name: Name, leaving: bool, phase: Phase) -> Self {
+        let mut evidence = Evidence::default();
+        evidence.restart(now, 0.0);
+        EndpointState {
+            id,
+            name,
+            leaving,
+            drain: None,
+            phase,
+            evidence,
+            tally: Tally::default(),
+            path: Path::Unasked,
+            reason: None,
+            ejections: 0,
+            ejections_at: now,
+            answers: 0,
+            cold: matches!(phase, Phase::SlowStart { .. }),
+            usual_log_micros: None,
+            last_answer: now,
+            last_dispatch: now,
+            last_probe: now,
+            probe_passed: None,
+            doubt_since: None,
+        }
+    }
+
+    pub(super) fn is_draining(&self) -> bool {
+        self.leaving || self.drain.is_some()
+    }
+
+    /// Takes whether the configuration marks the endpoint as leaving.
+    pub(super) fn set_leaving(&mut self, now: Time, leaving: bool) {
+        let returns = self.leaving && !leaving;
+        self.leaving = leaving;
+        if returns && self.phase == Phase::InRotation {
+            self.phase = Phase::SlowStart { since: now };
+        }
+    }
+
+    /// Returns whether the endpoint counts for the floor.
+    pub(super) fn in_rotation(&self) -> bool {
+        let gets_work =
+            matches!(self.phase, Phase::InRotation | Phase::Held | Phase::SlowStart { .. });
+        gets_work && !self.is_draining()
+    }
+
+    pub(super) fn standing(&self, threshold: f64) -> Standing {
+        if self.is_draining() {
+            return Standing::Draining;
+        }
+        match self.phase {
+            Phase::Held => Standing::HeldByFloor,
+            Phase::Ejected { .. } => Standing::Ejected,
+            Phase::PathBroken { .. } => Standing::Suspect,
+            Phase::Trial { .. } => Standing::Trial,
+            Phase::SlowStart { .. } => Standing::SlowStart,
+            Phase::InRotation if self.evidence.strength(threshold) >= threshold / 2.0 => {
+                Standing::Suspect
+            }
+            Phase::InRotation => Standing::Healthy,
+        }
+    }
+
+    /// Returns the factor over its peers' latency that the endpoint may have.
+    pub(super) fn tolerance(&self) -> f64 {
+        if self.is_cold() { COLD_TOLERANCE } else { TOLERANCE }
+    }
+
+    /// Returns whether the endpoint is new and has answered little so far.
+    pub(super) fn is_cold(&self) -> bool {
+        self.cold && self.answers < COLD_REQUESTS
+    }
+
+    /// Notes a good answer.
+    pub(super) fn note_latency(&mut self, log_micros: f32) {
+        self.answers = self.answers.saturating_add(1);
+        let usual = self.usual_log_micros.get_or_insert(log_micros);
+        *usual += USUAL_STEP * (log_micros - *usual).signum();
+    }
+
+    pub(super) fn usual_latency(&self) -> Option<Duration> {
+        let log_micros = self.usual_log_micros?;
+        Some(Duration::from_micros(f64::from(log_micros).exp() as u64))
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/health_world/mod.rs
@@ -0,0 +1,247 @@
+// Each test file uses a part of it.
+#![allow(dead_code, unreachable_pub)]
+//! A few fake endpoints under load, for the tests of the health decisions.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use pistachiotrack_core::{
+    health::{
+        AttemptKind, Candidate, EjectReason, Health, HealthAction, HealthSettings, PathAnswer,
+        Standing,
+    },
+    name::Name,
+    request::{AttemptId, BodyEnd, Class, Outcome},
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub const SLOTS: usize = 3;
+pub const TIMEOUT: Duration = Duration::from_secs(1);
+const TICK_MS: u64 = 10;
+
+/// What an endpoint does with one attempt.
+#[derive(Clone, Copy, Debug)]
+pub enum Reply {
+    /// Answers after a usual service time, multiplied.
+    Answer { status: u16, factor: f64 },
+    /// Sends nothing, ever.
+    Hang,
+    /// Breaks the connection after a usual service time.
+    Break,
+    /// Refuses at once.
+    Shed,
+    /// Accepts no connection.
+    NoConnection,
+}
+
+impl Reply {
+    pub const GOOD: Reply = Reply::Answer { status: 200, factor: 1.0 };
+}
+
+/// An attempt as the fault switch sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    pub endpoint: usize,
+    pub now_ms: u64,
+    pub fresh: bool,
+    pub kind: AttemptKind,
+    pub dice: f64,
+}
+
+struct InFlight {
+    attempt: AttemptId,
+    endpoint: usize,
+    outcome: Outcome,
+    kind: AttemptKind,
+}
+
+pub struct World {
+    pub health: Health,
+    pub now: Time,
+    pub log: Vec<(u64, HealthAction)>,
+    pub dispatched: Vec<u64>,
+    pub probes: Vec<u64>,
+    pub names: Vec<Name>,
+    pub load: f64,
+    pub trials_offered: bool,
+    pub path_answer: Option<PathAnswer>,
+    events: BTreeMap<(u64, u64), InFlight>,
+    in_use: Vec<usize>,
+    next_attempt: u64,
+    rng: Pcg64Mcg,
+}
+
+pub fn candidates(count: usize) -> Vec<Candidate> {
+    (0..count)
+        .map(|index| Candidate { name: Name::from(format!("e{index}")), leaving: false })
+        .collect()
+}
+
+impl World {
+    pub fn new(count: usize, floor: u32, sensitivity: f64) -> World {
+        World::with_seed(count, floor, sensitivity, 7)
+    }
+
+    pub fn with_seed(count: usize, floor: u32, sensitivity: f64, seed: u64) -> World {
+        let candidates = candidates(count);
+        let settings = HealthSettings { sensitivity };
+        World {
+            health: Health::new(Time::ZERO, settings, &candidates, floor, seed),
+            now: Time::ZERO,
+            log: Vec::new(),
+            dispatched: vec![0; count],
+            probes: vec![0; count],
+            names: candidates.into_iter().map(|candidate| candidate.name).collect(),
+            load: 0.6,
+            trials_offered: true,
+            path_answer: None,
+            events: BTreeMap::new(),
+            in_use: vec![0; count],
+            next_attempt: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Runs for some milliseconds; `switch` says what endpoints do.
+    pub fn run(&mut self, ms: u64, mut switch: impl FnMut(Sent) -> Reply) {
+        let end = self.now + Duration::from_millis(ms);
+        while self.now < end {
+            self.now += Duration::from_millis(1);
+            self.end_attempts(&mut switch);
+            if self.now.as_millis().is_multiple_of(TICK_MS) {
+                let actions = self.health.on_tick(self.now);
+                self.take(actions, &mut switch);
+            }
+            for endpoint in 0..self.names.len() {
+                self.offer(endpoint, &mut switch);
+            }
+        }
+    }
+
+    /// Lets the process stand still while the world goes on.
+    pub fn pause(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    fn end_attempts(&mut self, switch: &mut impl FnMut(Sent) -> Reply) {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now.as_micros() {
+                return;
+            }
+            let ended = entry.remove();
+            if ended.kind != AttemptKind::Probe {
+                self.in_use[ended.endpoint] -= 1;
+            }
+            let mut actions = self.health.on_outcome(self.now, ended.attempt, ended.outcome);
+            if matches!(ended.outcome, Outcome::Answered { .. }) {
+                let end = BodyEnd::Complete;
+                actions.extend(self.health.on_body_end(self.now, ended.attempt, end));
+            }
+            self.take(actions, switch);
+        }
+    }
+
+    fn offer(&mut self, endpoint: usize, switch: &mut impl FnMut(Sent) -> Reply) {
+        let standing = self.health.standing(&self.names[endpoint]);
+        let share = self.health.share(self.now, &self.names[endpoint]);
+        let (slots, kind) = match standing {
+            Standing::Trial if self.trials_offered => (1, AttemptKind::Trial),
+            Standing::Trial => return,
+            _ => ((share * SLOTS as f64).ceil() as usize, AttemptKind::Work),
+        };
+        let rate_per_ms = self.load * SLOTS as f64 / 20.0;
+        if self.in_use[endpoint] >= slots || self.rng.random::<f64>() > rate_per_ms {
+            return;
+        }
+        self.send(endpoint, kind, switch);
+    }
+
+    fn send(&mut self, endpoint: usize, kind: AttemptKind, switch: &mut impl FnMut(Sent) -> Reply) {
+        let name = &self.names[endpoint];
+        let is_probe = kind == AttemptKind::Probe;
+        let fresh = is_probe || self.health.wants_fresh_connection(name);
+        let attempt = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        self.health.on_dispatch(self.now, attempt, name, Class::Standard, kind);
+        if fresh {
+            self.health.on_fresh_connection(attempt);
+        }
+        if is_probe {
+            self.probes[endpoint] += 1;
+        } else {
+            self.in_use[endpoint] += 1;
+            self.dispatched[endpoint] += 1;
+        }
+        let dice = self.rng.random();
+        let sent = Sent { endpoint, now_ms: self.now.as_millis(), fresh, kind, dice };
+        let (outcome, after) = self.outcome(switch(sent), fresh);
+        let key = ((self.now + after).as_micros(), attempt.0);
+        self.events.insert(key, InFlight { attempt, endpoint, outcome, kind });
+    }
+
+    fn outcome(&mut self, reply: Reply, fresh_connection: bool) -> (Outcome, Duration) {
+        let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
+        let usual = Duration::from_millis(20).mul_f64((0.4 * normal).exp());
+        match reply {
+            Reply::Answer { factor, .. } if usual.mul_f64(factor) >= TIMEOUT => {
+                (Outcome::TimedOut { fresh_connection }, TIMEOUT)
+            }
+            Reply::Answer { status, factor } => {
+                (Outcome::Answered { status, fresh_connection }, usual.mul_f64(factor))
+            }
+            Reply::Hang => (Outcome::TimedOut { fresh_connection }, TIMEOUT),
+            Reply::Break => (Outcome::Broken { fresh_connection }, usual),
+            Reply::Shed => (Outcome::Shed, Duration::from_millis(1)),
+            Reply::NoConnection => (Outcome::ConnectFailed, Duration::from_millis(1)),
+        }
+    }
+
+    fn take(&mut self, actions: Vec<HealthAction>, switch: &mut impl FnMut(Sent) -> Reply) {
+        for action in &actions {
+            match action {
+                HealthAction::Probe { endpoint } => {
+                    let index = self.names.iter().position(|name| name == endpoint).unwrap();
+                    self.send(index, AttemptKind::Probe, switch);
+                }
+                HealthAction::CheckPath { endpoint } => {
+                    let Some(answer) = self.path_answer else { continue };
+                    let more = self.health.on_path_answer(self.now, endpoint, answer);
+                    self.log(more);
+                }
+                _ => {}
+            }
+        }
+        self.log(actions);
+    }
+
+    fn log(&mut self, actions: Vec<HealthAction>) {
+        let now_ms = self.now.as_millis();
+        self.log.extend(actions.into_iter().map(|action| (now_ms, action)));
+    }
+
+    pub fn standing(&self, endpoint: usize) -> Standing {
+        self.health.standing(&self.names[endpoint])
+    }
+
+    /// Returns when and why each ejection happened.
+    pub fn ejections(&self) -> Vec<(u64, usize, EjectReason)> {
+        self.log
+            .iter()
+            .filter_map(|(at, action)| match action {
+                HealthAction::Ejected { endpoint, reason } => {
+                    let index = self.names.iter().position(|name| name == endpoint)?;
+                    Some((*at, index, *reason))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub fn ejected_endpoints(&self) -> Vec<usize> {
+        let mut endpoints: Vec<usize> =
+            self.ejections().into_iter().map(|(_, endpoint, _)| endpoint).collect();
+        endpoints.dedup();
+        endpoints
+    }
+}
