Add a relay between VMs with faulty links

Cause: partitions and loss between daemons need a place to happen. Change: a relay before a VM's peer address, for datagrams and connections, with faults for each direction of each link.

--- /dev/null
+++ b/crates/pistachiotrack-standins/src/link.rs
@@ -0,0 +1,105 @@
+//! The directed links between VMs, each with its own faults.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+
+/// Faults of one direction of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Link {
+    /// Whether nothing passes.
+    pub silent: bool,
+    /// Share of the datagrams that are dropped.
+    pub drop_share: f64,
+    /// Time that everything takes longer.
+    pub delay: Duration,
+}
+
+/// What becomes of a datagram or of a part of a byte stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// It arrives after a delay.
+    Passes(Duration),
+    /// It does not arrive.
+    Dropped,
+}
+
+/// All links between the VMs of a fleet, by the indices of the VMs.
+#[derive(Clone, Debug)]
+pub struct Links {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    links: FxHashMap<(usize, usize), Link>,
+    otherwise: Link,
+    random: Pcg64Mcg,
+}
+
+impl Links {
+    /// Creates links without faults.
+    pub fn new(seed: u64) -> Links {
+        let state = State {
+            links: FxHashMap::default(),
+            otherwise: Link::default(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
+        Links { state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Sets the faults of one direction.
+    pub fn set(&self, from: usize, to: usize, link: Link) {
+        self.lock().links.insert((from, to), link);
+    }
+
+    /// Sets the faults of all directions.
+    pub fn set_all(&self, link: Link) {
+        let mut state = self.lock();
+        state.links.clear();
+        state.otherwise = link;
+    }
+
+    /// Silences everything between the VMs below `border` and the others.
+    pub fn partition(&self, vms: usize, border: usize) {
+        let silent = Link { silent: true, ..Link::default() };
+        for left in 0..border {
+            for right in border..vms {
+                self.set(left, right, silent);
+                self.set(right, left, silent);
+            }
+        }
+    }
+
+    /// Decides about a datagram.
+    pub fn datagram(&self, from: Option<usize>, to: usize) -> Passage {
+        let mut state = self.lock();
+        let link = state.link(from, to);
+        if link.silent || (link.drop_share > 0.0 && state.random.random::<f64>() < link.drop_share)
+        {
+            return Passage::Dropped;
+        }
+        Passage::Passes(link.delay)
+    }
+
+    /// Decides about a part of a byte stream.
+    pub fn stream(&self, from: Option<usize>, to: usize) -> Passage {
+        let link = self.lock().link(from, to);
+        if link.silent { Passage::Dropped } else { Passage::Passes(link.delay) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn link(&self, from: Option<usize>, to: usize) -> Link {
+        from.and_then(|from| self.links.get(&(from, to)).copied()).unwrap_or(self.otherwise)
+    }
+}
