Add the operators' command-line tool

Cause: operators had no way to ask the fleet what it does, nor to check a configuration before it is published. Change: check, explain, status, endpoints, members, histograms and entries, with exit codes that tell a verdict from a missing answer. explain names the skipped rules but not yet the condition that failed in each. Result: cargo test -p pistachiotrack passes; explain has no test yet, because core does not evaluate all conditions.

--- /dev/null
+++ b/crates/pistachiotrack/src/cli.rs
@@ -0,0 +1,202 @@
+//! The command line.
+
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+
+use pico_args::Arguments;
+use pistachiotrack_core::{name::Name, request::Class, rule::QueueWaitCondition};
+
+use crate::{
+    config::{CheckConfig, DEFAULT_TIMEOUT, EntriesConfig, ExplainConfig, View, ViewConfig},
+    error::Error,
+};
+
+const HELP: &str = "\
+Operators' tool of the pistachiotrack proxy fleet.
+
+Usage:
+  pistachiotrack check [--json] FILE...
+  pistachiotrack explain --config FILE --customer CUSTOMER --method METHOD --path PATH
+                 [--header NAME=VALUE]... [--class CLASS] [--service SERVICE]
+                 [--data-centre DATA_CENTRE] [--at-floor SERVICE]...
+                 [--queue-wait SERVICE=MS]... [--json]
+  pistachiotrack status     --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
+  pistachiotrack endpoints  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
+  pistachiotrack members    --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
+  pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
+  pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
+                 [--timeout-ms MS] [--json]
+
+Commands:
+  check       Says whether the daemon would accept configuration files
+  explain     Says which rule decides a request and why no earlier one does
+  status      Shows state, configuration version, shards and counters of VMs
+  endpoints   Shows health and load of endpoints, from the owners of their shards
+  members     Shows the fleet as the VMs asked see it
+  histograms  Shows latencies by customer and class
+  entries     Asks a VM, as a caller does, which addresses to use
+
+Options:
+  --json            Prints JSON instead of text
+  --timeout-ms MS   Time allowed for each address [default: 2000]
+  -h, --help        Prints this help
+  -V, --version     Prints the version
+
+Exit codes:
+  0  answered, nothing is wrong
+  1  answered: a file is not accepted, no rule matches, or the VM refuses
+  2  the command line is wrong
+  3  at least one address gave no usable answer
+  4  anything else, such as a file that can't be read
+";
+
+const VERSION: &str = concat!("pistachiotrack ", env!("CARGO_PKG_VERSION"), "\n");
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Invocation {
+    /// Prints a fixed text.
+    Print(&'static str),
+    /// Checks configuration files.
+    Check(CheckConfig),
+    /// Explains which rule decides a request.
+    Explain(ExplainConfig),
+    /// Shows a page of the admin ports.
+    View(ViewConfig),
+    /// Asks for addresses as a caller does.
+    Entries(EntriesConfig),
+}
+
+/// Parses the command line.
+///
+/// # Errors
+///
+/// Returns a usage error that names the option or argument.
+pub(crate) fn parse(mut args: Arguments) -> anyhow::Result<Invocation> {
+    if args.contains(["-h", "--help"]) {
+        return Ok(Invocation::Print(HELP));
+    }
+    if args.contains(["-V", "--version"]) {
+        return Ok(Invocation::Print(VERSION));
+    }
+    let command = args.subcommand().map_err(usage)?;
+    match command.as_deref() {
+        Some("check") => parse_check(args).map(Invocation::Check),
+        Some("explain") => parse_explain(args).map(Invocation::Explain),
+        Some("status") => parse_view(args, View::Status),
+        Some("endpoints") => parse_view(args, View::Endpoints),
+        Some("members") => parse_view(args, View::Members),
+        Some("histograms") => parse_view(args, View::Histograms),
+        Some("entries") => parse_entries(args).map(Invocation::Entries),
+        Some(other) => Err(Error::usage(format!("unknown command '{other}'"))),
+        None => Err(Error::usage("no command given")),
+    }
+}
+
+fn parse_check(mut args: Arguments) -> anyhow::Result<CheckConfig> {
+    let json = args.contains("--json");
+    let rest = args.finish();
+    if let Some(option) = rest.iter().find(|arg| looks_like_option(arg)) {
+        return Err(unexpected(option));
+    }
+    if rest.is_empty() {
+        return Err(Error::usage("check: no file given"));
+    }
+    Ok(CheckConfig { json, files: rest.into_iter().map(PathBuf::from).collect() })
+}
+
+fn parse_explain(mut args: Arguments) -> anyhow::Result<ExplainConfig> {
+    let class = args
+        .opt_value_from_fn("--class", |text| {
+            Class::parse(text).ok_or("expected interactive, standard or batch")
+        })
+        .map_err(usage)?;
+    let config = ExplainConfig {
+        json: args.contains("--json"),
+        file: PathBuf::from(required::<String>(&mut args, "--config")?),
+        customer: required(&mut args, "--customer")?,
+        method: required(&mut args, "--method")?,
+        path: required(&mut args, "--path")?,
+        headers: args.values_from_fn("--header", parse_header).map_err(usage)?,
+        class: class.unwrap_or_default(),
+        service: args.opt_value_from_str("--service").map_err(usage)?,
+        data_centre: args.opt_value_from_str("--data-centre").map_err(usage)?.unwrap_or_default(),
+        services_at_floor: args.values_from_str("--at-floor").map_err(usage)?,
+        queue_waits: args.values_from_fn("--queue-wait", parse_queue_wait).map_err(usage)?,
+    };
+    finish(args)?;
+    Ok(config)
+}
+
+fn parse_view(mut args: Arguments, view: View) -> anyhow::Result<Invocation> {
+    let config = ViewConfig {
+        json: args.contains("--json"),
+        view,
+        admin_addresses: args.value_from_fn("--admin", parse_addresses).map_err(usage)?,
+        timeout: parse_timeout(&mut args)?,
+    };
+    finish(args)?;
+    Ok(Invocation::View(config))
+}
+
+fn parse_entries(mut args: Arguments) -> anyhow::Result<EntriesConfig> {
+    let config = EntriesConfig {
+        json: args.contains("--json"),
+        vm_address: required(&mut args, "--vm")?,
+        service: required(&mut args, "--service")?,
+        customer: required(&mut args, "--customer")?,
+        timeout: parse_timeout(&mut args)?,
+    };
+    finish(args)?;
+    Ok(config)
+}
+
+fn required<T>(args: &mut Arguments, option: &'static str) -> anyhow::Result<T>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    args.value_from_str(option).map_err(usage)
+}
+
+fn parse_timeout(args: &mut Arguments) -> anyhow::Result<Duration> {
+    let timeout_ms: Option<u64> = args.opt_value_from_str("--timeout-ms").map_err(usage)?;
+    Ok(timeout_ms.map_or(DEFAULT_TIMEOUT, Duration::from_millis))
+}
+
+fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+    text.split(',').map(parse_address).collect()
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("'{text}' is no IP number with port"))
+}
+
+fn parse_header(text: &str) -> Result<(String, String), &'static str> {
+    let (name, value) = text.split_once('=').ok_or("expected NAME=VALUE")?;
+    Ok((name.to_ascii_lowercase(), value.to_owned()))
+}
+
+fn parse_queue_wait(text: &str) -> Result<QueueWaitCondition, &'static str> {
+    let (service, wait) = text.split_once('=').ok_or("expected SERVICE=MS")?;
+    let wait_ms = wait.parse().map_err(|_| "expected SERVICE=MS with a whole number")?;
+    Ok(QueueWaitCondition { service: Name::from(service), wait_ms })
+}
+
+fn finish(args: Arguments) -> anyhow::Result<()> {
+    match args.finish().first() {
+        Some(argument) => Err(unexpected(argument)),
+        None => Ok(()),
+    }
+}
+
+fn looks_like_option(argument: &OsString) -> bool {
+    argument.as_encoded_bytes().starts_with(b"-")
+}
+
+fn unexpected(argument: &OsString) -> anyhow::Error {
+    Error::usage(format!("unexpected argument '{}'", argument.to_string_lossy()))
+}
+
+fn usage(error: pico_args::Error) -> anyhow::Error {
+    Error::usage(error.to_string())
+}
--- /dev/null
+++ b/crates/pistachiotrack/src/error.rs
@@ -0,0 +1,21 @@
+//! Errors of the tool that decide its exit code; all others stay untyped.
+
+use crate::http_client::HttpError;
+
+/// An error with an exit code of its own.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The command line is wrong.
+    #[error("{0}\nTry 'pistachiotrack --help'.")]
+    Usage(String),
+    /// An address gave no usable answer.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+}
+
+impl Error {
+    /// Returns a usage error with a message.
+    pub(crate) fn usage(message: impl Into<String>) -> anyhow::Error {
+        Error::Usage(message.into()).into()
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack/src/output.rs
@@ -0,0 +1,107 @@
+//! Printing: plain text, aligned tables and JSON.
+
+use std::{
+    fmt::{self, Write as _},
+    io::{self, Write as _},
+};
+
+use anyhow::Context as _;
+use serde::Serialize;
+
+const COLUMN_GAP: &str = "  ";
+
+/// Prints a text to the standard output.
+///
+/// # Errors
+///
+/// Returns an error if the output can't be written, but not when its reader
+/// has gone.
+pub(crate) fn print(text: &str) -> anyhow::Result<()> {
+    let mut stdout = io::stdout().lock();
+    match stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush()) {
+        // `pistachiotrack members ... | head` closes the pipe early; the
+        // reader has all it wants, so this is no failure to report.
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        result => result.context("standard output"),
+    }
+}
+
+/// Prints a value as JSON.
+///
+/// # Errors
+///
+/// Returns an error if the output can't be written.
+pub(crate) fn print_json(value: &impl Serialize) -> anyhow::Result<()> {
+    let mut text = serde_json::to_string_pretty(value)?;
+    text.push('\n');
+    print(&text)
+}
+
+/// Returns the text with control characters escaped.
+///
+/// Names and reasons come over the network: an escape sequence in one could
+/// overwrite what the operator's terminal shows.
+pub(crate) fn printable(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for character in text.chars() {
+        if character.is_control() {
+            escaped.extend(character.escape_default());
+        } else {
+            escaped.push(character);
+        }
+    }
+    escaped
+}
+
+/// Returns the value's text, or `-` where there is none.
+pub(crate) fn or_dash(value: Option<impl fmt::Display>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
+/// A table with aligned columns.
+#[derive(Debug)]
+pub(crate) struct Table {
+    header: Vec<String>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Returns an empty table with these column titles.
+    pub(crate) fn new(header: &[&str]) -> Table {
+        Table { header: header.iter().map(|&title| title.to_owned()).collect(), rows: Vec::new() }
+    }
+
+    /// Adds a row, with a cell for each column.
+    pub(crate) fn push(&mut self, row: Vec<String>) {
+        self.rows.push(row.iter().map(|cell| printable(cell)).collect());
+    }
+
+    /// Sorts the rows by their cells, the first column first.
+    pub(crate) fn sort(&mut self) {
+        self.rows.sort();
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let mut widths = vec![0; self.header.len()];
+        for row in std::iter::once(&self.header).chain(&self.rows) {
+            for (width, cell) in widths.iter_mut().zip(row) {
+                *width = (*width).max(cell.chars().count());
+            }
+        }
+        widths
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for row in std::iter::once(&self.header).chain(&self.rows) {
+            let mut line = String::new();
+            for (&width, cell) in widths.iter().zip(row) {
+                write!(line, "{cell:<width$}{COLUMN_GAP}")?;
+            }
+            writeln!(f, "{}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack/tests/testenv/mod.rs
@@ -0,0 +1,174 @@
+//! Runs the tool against fake VMs and files in a directory of the test's own.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of it")]
+
+use std::{
+    collections::HashMap,
+    fs,
+    io::{BufRead as _, BufReader, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{self, Command},
+    sync::mpsc::{self, Receiver, Sender},
+    thread,
+};
+
+use serde_json::Value;
+
+/// A loopback address that refuses connections: port 1 is reserved, and no
+/// test can bind it by chance.
+pub const CLOSED_ADDRESS: &str = "127.0.0.1:1";
+
+/// A configuration that the daemon accepts.
+pub const CONFIG: &str = include_str!("config.json");
+
+/// What the tool printed and how it ended.
+#[derive(Debug)]
+pub struct Outcome {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Outcome {
+    /// Returns the standard output as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.stdout).expect("JSON on the standard output")
+    }
+
+    /// Returns the standard output with runs of spaces as one.
+    pub fn words(&self) -> String {
+        let lines = self.stdout.lines().map(|l| l.split_whitespace().collect::<Vec<_>>().join(" "));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// Runs the tool.
+pub fn run(args: &[&str]) -> Outcome {
+    let output = Command::new(env!("CARGO_BIN_EXE_pistachiotrack"))
+        .args(args)
+        .output()
+        .expect("the tool starts");
+    Outcome {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).expect("UTF-8"),
+        stderr: String::from_utf8(output.stderr).expect("UTF-8"),
+    }
+}
+
+/// A file that lasts as long as this value.
+#[derive(Debug)]
+pub struct TempFile(PathBuf);
+
+impl TempFile {
+    /// Writes a file; `name` must be unique among the tests.
+    pub fn new(name: &str, content: &str) -> TempFile {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let path = directory.join(format!("{}-{name}", process::id()));
+        fs::write(&path, content).expect("a file in the target directory");
+        TempFile(path)
+    }
+
+    /// Returns the path as an argument.
+    pub fn arg(&self) -> &str {
+        self.0.to_str().expect("UTF-8")
+    }
+}
+
+impl Drop for TempFile {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// What a fake VM does with a connection.
+#[derive(Clone, Debug)]
+enum Behaviour {
+    /// Answers with the page of the path, or 404.
+    Pages(HashMap<String, String>),
+    /// Accepts and never answers.
+    Silent,
+    /// Sends these bytes and closes.
+    Raw(String),
+}
+
+/// A fake VM on a port of its own.
+#[derive(Debug)]
+pub struct FakeVm {
+    pub address: SocketAddr,
+    requests: Receiver<String>,
+}
+
+impl FakeVm {
+    /// Starts a VM that answers `GET` of each path with a JSON body.
+    pub fn with_pages(pages: &[(&str, Value)]) -> FakeVm {
+        let pages = pages.iter().map(|(path, body)| ((*path).to_owned(), body.to_string()));
+        FakeVm::start(Behaviour::Pages(pages.collect()))
+    }
+
+    /// Starts a VM that accepts connections and never answers.
+    pub fn silent() -> FakeVm {
+        FakeVm::start(Behaviour::Silent)
+    }
+
+    /// Starts a VM that sends these bytes to whatever is asked.
+    pub fn raw(answer: &str) -> FakeVm {
+        FakeVm::start(Behaviour::Raw(answer.to_owned()))
+    }
+
+    /// Returns the head of the next request, in lower case.
+    pub fn request(&self) -> String {
+        self.requests.recv().expect("a request").to_lowercase()
+    }
+
+    /// Returns the address as an argument.
+    pub fn arg(&self) -> String {
+        self.address.to_string()
+    }
+
+    fn start(behaviour: Behaviour) -> FakeVm {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, requests) = mpsc::channel();
+        thread::spawn(move || serve(&listener, &behaviour, &sender));
+        FakeVm { address, requests }
+    }
+}
+
+fn serve(listener: &TcpListener, behaviour: &Behaviour, requests: &Sender<String>) {
+    let mut silent = Vec::new();
+    while let Ok((mut stream, _)) = listener.accept() {
+        let head = read_head(&stream);
+        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+        if requests.send(head).is_err() {
+            return;
+        }
+        let answer = match behaviour {
+            Behaviour::Silent => {
+                silent.push(stream);
+                continue;
+            }
+            Behaviour::Raw(answer) => answer.clone(),
+            Behaviour::Pages(pages) => page_answer(pages.get(&path)),
+        };
+        let _ = stream.write_all(answer.as_bytes());
+    }
+}
+
+fn read_head(stream: &TcpStream) -> String {
+    let mut head = String::new();
+    for line in BufReader::new(stream).lines() {
+        let line = line.unwrap_or_default();
+        if line.is_empty() {
+            break;
+        }
+        head.push_str(&line);
+        head.push('\n');
+    }
+    head
+}
+
+fn page_answer(page: Option<&String>) -> String {
+    let (status, body) = page.map_or(("404 Not Found", ""), |body| ("200 OK", body));
+    format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
