--- a/crates/pistachiotrack/src/check.rs
+++ b/crates/pistachiotrack/src/check.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 use anyhow::Context as _;
-use pistachiotrack_core::config::{Config, ConfigError};
+use pistachiotrack_core::config::{Config, ConfigError, ConfigWarning};
 use serde::Serialize;
 
 use crate::{
@@ -18,9 +18,10 @@
     file: String,
     accepted: bool,
     problems: Vec<Problem>,
+    warnings: Vec<Problem>,
 }
 
-/// What is wrong with one field.
+/// What is wrong or odd about one field.
 #[derive(Debug, Serialize)]
 struct Problem {
     field: String,
@@ -47,24 +48,44 @@
 fn check(file: &Path) -> anyhow::Result<Verdict> {
     let json = fs::read(file).with_context(|| file.display().to_string())?;
     let file = file.display().to_string();
-    let problems: Vec<Problem> =
-        Config::parse(&file, &json).err().into_iter().map(Problem::from).collect();
-    Ok(Verdict { file, accepted: problems.is_empty(), problems })
+    let verdict = match Config::parse(&file, &json) {
+        Ok(config) => {
+            let warnings = config.warnings().into_iter().map(Problem::from).collect();
+            Verdict { file, accepted: true, problems: Vec::new(), warnings }
+        }
+        Err(_) => {
+            let problems = Config::problems(&file, &json);
+            let problems = problems.into_iter().map(Problem::from).collect();
+            Verdict { file, accepted: false, problems, warnings: Vec::new() }
+        }
+    };
+    Ok(verdict)
 }
 
 fn verdict_text(verdict: &Verdict) -> String {
     let mut text = String::new();
-    for problem in &verdict.problems {
-        let line = format!("{}: {}: {}", verdict.file, problem.field, problem.problem);
+    let mut add = |line: String| {
         text.push_str(&printable(&line));
         text.push('\n');
+    };
+    for Problem { field, problem } in &verdict.problems {
+        add(format!("{}: {field}: {problem}", verdict.file));
+    }
+    for Problem { field, problem } in &verdict.warnings {
+        add(format!("{}: warning: {field}: {problem}", verdict.file));
     }
     if verdict.accepted {
-        text.push_str(&format!("{}: accepted\n", printable(&verdict.file)));
+        add(format!("{}: accepted", verdict.file));
     }
     text
 }
 
+impl From<ConfigWarning> for Problem {
+    fn from(warning: ConfigWarning) -> Problem {
+        Problem { field: warning.field, problem: warning.problem }
+    }
+}
+
 impl From<ConfigError> for Problem {
     fn from(error: ConfigError) -> Problem {
         Problem { field: error.field, problem: error.problem }
--- a/crates/pistachiotrack/src/explain.rs
+++ b/crates/pistachiotrack/src/explain.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use pistachiotrack_core::{
     config::Config,
-    rule::{Explanation, Facts, Mismatch, Refuse, Route, Rule, RuleAction, RuleSet, Subject},
+    rule::{Explanation, Facts, Refuse, Route, Rule, RuleAction, RuleSet, Subject},
 };
 
 use crate::{
@@ -51,15 +51,7 @@
         service: config.service.as_deref(),
         data_centre: &config.data_centre,
     };
-    let mut skipped = Vec::new();
-    for rule in rules {
-        let alone = RuleSet::new(std::slice::from_ref(rule));
-        if alone.decide(&subject, &AssumedFacts(config)).is_some() {
-            return Explanation { matched: Some(rule.clone()), skipped };
-        }
-        skipped.push(Mismatch { rule: rule.name.clone(), condition: "does not hold".to_owned() });
-    }
-    Explanation { matched: None, skipped }
+    RuleSet::new(rules).explain(&subject, &AssumedFacts(config))
 }
 
 /// The live facts as the command line gives them.
--- a/crates/pistachiotrack/tests/check.rs
+++ b/crates/pistachiotrack/tests/check.rs
@@ -31,6 +31,42 @@
     assert!(outcome.stdout.contains(&format!("{}: accepted", good.arg())), "{}", outcome.stdout);
 }
 
+#[test]
+fn all_problems_are_shown_at_once() {
+    let json = CONFIG.replace("\"floor\": 1", "\"floor\": 9").replace("0.8", "1.5");
+    let file = TempFile::new("three.json", &json);
+
+    let outcome = run(&["check", file.arg()]);
+
+    assert_eq!(outcome.code, Some(1));
+    let fields = ["services[0].floor", "services[0].sensitivity", "services[1].floor"];
+    for field in fields {
+        let start = format!("{}: {field}: ", file.arg());
+        assert!(outcome.stdout.lines().any(|line| line.starts_with(&start)), "{}", outcome.stdout);
+    }
+    assert_eq!(outcome.stdout.lines().count(), fields.len(), "{}", outcome.stdout);
+}
+
+/// An operator puts a narrow rule behind a wide one. The file is valid, but the
+/// narrow rule never decides a request; nothing would show this in production.
+#[test]
+fn a_rule_that_is_never_reached_is_a_warning() {
+    let json = CONFIG.replace(
+        r#"{ "customer": "timeliten", "method": "POST", "path_prefix": "/bookings" }"#,
+        "{}",
+    );
+    assert_ne!(json, CONFIG);
+    let file = TempFile::new("shadowed.json", &json);
+
+    let outcome = run(&["check", file.arg()]);
+
+    assert_eq!(outcome.code, Some(0), "{}", outcome.stdout);
+    for index in [2, 3] {
+        let start = format!("{}: warning: rules[{index}]: ", file.arg());
+        assert!(outcome.stdout.lines().any(|line| line.starts_with(&start)), "{}", outcome.stdout);
+    }
+}
+
 #[test]
 fn json_lists_the_problems_of_each_file() {
     let good = TempFile::new("json-good.json", CONFIG);
