--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -22,7 +22,7 @@
   pistachiotrack status     --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack endpoints  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack members    --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
-  pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
+  pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--added]
   pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
                  [--timeout-ms MS] [--json]
 
@@ -36,10 +36,13 @@
   entries     Asks a VM, as a caller does, which addresses to use
 
 Options:
-  --json            Prints JSON instead of text
-  --timeout-ms MS   Time allowed for each address [default: 2000]
-  -h, --help        Prints this help
-  -V, --version     Prints the version
+  --added                  Shows only the time that no endpoint had a hand in
+  --at-floor SERVICE       Takes a service as being at its floor
+  --queue-wait SERVICE=MS  Takes this as the expected wait in a service's queue
+  --json                   Prints JSON instead of text
+  --timeout-ms MS          Time allowed for each address [default: 2000]
+  -h, --help               Prints this help
+  -V, --version            Prints the version
 
 Exit codes:
   0  answered, nothing is wrong
@@ -85,7 +88,10 @@
         Some("status") => parse_view(args, View::Status),
         Some("endpoints") => parse_view(args, View::Endpoints),
         Some("members") => parse_view(args, View::Members),
-        Some("histograms") => parse_view(args, View::Histograms),
+        Some("histograms") => {
+            let added = args.contains("--added");
+            parse_view(args, if added { View::AddedHistograms } else { View::Histograms })
+        }
         Some("entries") => parse_entries(args).map(Invocation::Entries),
         Some(other) => Err(Error::usage(format!("unknown command '{other}'"))),
         None => Err(Error::usage("no command given")),
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -54,6 +54,8 @@
     Members,
     /// Latencies by customer and class.
     Histograms,
+    /// The part of the latencies that no endpoint had a hand in.
+    AddedHistograms,
 }
 
 /// Settings of `status`, `endpoints`, `members` and `histograms`.
--- a/crates/pistachiotrack/src/views.rs
+++ b/crates/pistachiotrack/src/views.rs
@@ -25,6 +25,7 @@
         View::Endpoints => show(config, "/endpoints", endpoints_text),
         View::Members => show(config, "/members", members_text),
         View::Histograms => show(config, "/histograms", histograms_text),
+        View::AddedHistograms => show(config, "/histograms/added", histograms_text),
     }
 }
 
--- a/crates/pistachiotrack/tests/views.rs
+++ b/crates/pistachiotrack/tests/views.rs
@@ -187,6 +187,18 @@
     }
 }
 
+#[test]
+fn added_histograms_are_a_page_of_their_own() {
+    let page = json!([{"customer": "timeliten", "class": "batch", "count": 3, "p50_us": 90,
+        "p90_us": 120, "p99_us": 130, "max_us": 140}]);
+    let vm = FakeVm::with_pages(&[("/histograms", json!([])), ("/histograms/added", page)]);
+
+    let outcome = run(&["histograms", "--added", "--admin", &vm.arg()]);
+
+    let row = format!("timeliten batch {} 3 90 120 130 140", vm.address);
+    assert!(outcome.words().contains(&row), "{}", outcome.stdout);
+}
+
 #[test]
 fn json_carries_answers_and_errors_by_address() {
     let vm = FakeVm::with_pages(&[("/status", status("vm-01", 7, 1))]);
