Measure the latency that a daemon adds

Cause: the cost of the path through the daemon was not known. Change: a benchmark that sends the same requests straight to endpoints and through a daemon; the endpoint's time ends when its answer begins.

--- /dev/null
+++ b/crates/pistachiotrackd/benches/overhead.rs
@@ -0,0 +1,121 @@
+//! Measures the latency that one daemon adds on loopback: the same requests
+//! straight to the endpoints and through the daemon, in turns.
+//!
+//! Run with `cargo bench -p pistachiotrackd`.
+
+#[path = "../tests/testenv/mod.rs"]
+mod testenv;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use testenv::{Deployment, client, endpoint::Endpoint};
+use tokio::runtime::Runtime;
+
+/// Endpoints of each service.
+const ENDPOINTS: usize = 8;
+/// Requests of each caller in a round.
+const REQUESTS: usize = 1_000;
+/// Callers at the same time.
+const CALLERS: [usize; 3] = [1, 4, 8];
+/// Pause of a caller between two requests.
+const PACE: Duration = Duration::from_micros(500);
+/// Bytes of an answer's body.
+const ANSWER_BYTES: usize = 1_024;
+
+fn runtime(threads: usize) -> Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+fn main() {
+    let endpoint_runtime = runtime(2);
+    let daemon_runtime = runtime(daemon_threads());
+    let caller_runtime = runtime(2);
+    let endpoints: Vec<Endpoint> = endpoint_runtime.block_on(async {
+        let mut endpoints = Vec::new();
+        for _ in 0..ENDPOINTS {
+            endpoints.push(Endpoint::answering(&[b'x'; ANSWER_BYTES]).await);
+        }
+        endpoints
+    });
+    let addresses: Vec<SocketAddr> = endpoints.iter().map(|endpoint| endpoint.address).collect();
+    let deployment = daemon_runtime.block_on(Deployment::start(&addresses, &addresses));
+    let entry = [deployment.address()];
+    println!("path callers kind count p50_us p90_us p99_us p999_us max_us");
+    for callers in CALLERS {
+        for (kind, request) in [("lookup", lookup as fn() -> _), ("booking", booking)] {
+            for (path, targets) in [("direct", &addresses[..]), ("daemon", &entry[..])] {
+                let round = round(targets, callers, request);
+                print(path, callers, kind, &caller_runtime.block_on(round));
+            }
+        }
+    }
+    let admin = deployment.daemon.admin_address();
+    let added = caller_runtime.block_on(client::admin(admin, "/histograms/added"));
+    println!("added, as the daemon counts it: {added}");
+}
+
+/// Returns the daemon's worker threads: the first number on the command line,
+/// or the daemon's default.
+fn daemon_threads() -> usize {
+    let given = std::env::args().find_map(|argument| argument.parse().ok());
+    given.unwrap_or(pistachiotrackd::settings::Limits::default().worker_threads)
+}
+
+fn lookup() -> Request<Full<Bytes>> {
+    client::get("/slots?day=3")
+}
+
+fn booking() -> Request<Full<Bytes>> {
+    client::request(Method::POST, "/bookings", "slot 7")
+}
+
+async fn round(
+    targets: &[SocketAddr],
+    callers: usize,
+    request: fn() -> Request<Full<Bytes>>,
+) -> Histogram<u64> {
+    let tasks: Vec<_> = (0..callers)
+        .map(|caller| tokio::spawn(call(targets[caller % targets.len()], request)))
+        .collect();
+    let mut all = Histogram::new(3).unwrap();
+    for task in tasks {
+        all.add(task.await.unwrap()).unwrap();
+    }
+    all
+}
+
+async fn call(target: SocketAddr, request: fn() -> Request<Full<Bytes>>) -> Histogram<u64> {
+    let mut connection = client::Connection::open(target).await;
+    let mut latencies = Histogram::new(3).unwrap();
+    for _ in 0..REQUESTS {
+        let start = Instant::now();
+        let answer = connection.send(request()).await.unwrap();
+        latencies.record(start.elapsed().as_micros() as u64).unwrap();
+        assert_eq!(answer.body().len(), ANSWER_BYTES, "{answer:?}");
+        tokio::time::sleep(PACE).await;
+    }
+    latencies
+}
+
+fn print(path: &str, callers: usize, kind: &str, latencies: &Histogram<u64>) {
+    println!(
+        "{path} {callers} {kind} {} {} {} {} {} {}",
+        latencies.len(),
+        latencies.value_at_quantile(0.5),
+        latencies.value_at_quantile(0.9),
+        latencies.value_at_quantile(0.99),
+        latencies.value_at_quantile(0.999),
+        latencies.max()
+    );
+}
--- a/crates/pistachiotrackd/src/exchange.rs
+++ b/crates/pistachiotrackd/src/exchange.rs
@@ -54,6 +54,8 @@
     pub(crate) fresh: bool,
     /// Moment at which the request was handed to the connection.
     pub(crate) sent: Time,
+    /// Moment at which the answer began.
+    pub(crate) began: Time,
 }
 
 /// Why no answer began.
@@ -155,7 +157,7 @@
     match answer {
         Ok(Ok(response)) => {
             let (parts, incoming) = response.into_parts();
-            Ok(BegunAnswer { parts, body: incoming, connection, fresh, sent })
+            Ok(BegunAnswer { parts, body: incoming, connection, fresh, sent, began: clock.now() })
         }
         Ok(Err(error)) => Err(failure(&connection, fresh, error, body)),
         Err(_) if connection.guard.seal() => Err(ExchangeError::TooLate),
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -226,8 +226,8 @@
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
         let Answered { endpoint, answer, .. } = self.answered.swap_remove(index);
         self.finished = true;
-        let BegunAnswer { mut parts, body, connection, sent, .. } = *answer;
-        let endpoint_time = self.context.clock.now().since(sent);
+        let BegunAnswer { mut parts, body, connection, sent, began, .. } = *answer;
+        let endpoint_time = began.since(sent);
         let copy = self.inbound.key().map(|_| AnswerCopy::begin(self.inbound.id, &parts));
         let watch = AnswerWatch { shard: self.shard.clone(), attempt, copy };
         let body = AnswerBody::relayed(
--- a/crates/pistachiotrackd/tests/testenv/endpoint.rs
+++ b/crates/pistachiotrackd/tests/testenv/endpoint.rs
@@ -34,8 +34,13 @@
 
 impl Endpoint {
     /// Starts an endpoint that answers every request with `body`.
-    pub(crate) async fn answering(body: &'static str) -> Endpoint {
-        Endpoint::start(move |_| async move { Response::new(Full::from(body)) }).await
+    pub(crate) async fn answering(body: &'static (impl AsRef<[u8]> + ?Sized)) -> Endpoint {
+        let body = Bytes::from_static(body.as_ref());
+        Endpoint::start(move |_| {
+            let body = body.clone();
+            async move { Response::new(Full::new(body)) }
+        })
+        .await
     }
 
     /// Starts an endpoint that answers with `handler`.
