--- a/crates/pistachiotrack-core/src/membership/gossip.rs
+++ b/crates/pistachiotrack-core/src/membership/gossip.rs
@@ -27,6 +27,11 @@
         self.updates.insert(update.name.clone(), Queued { update, bytes, sent: 0 });
     }
 
+    /// Forgets the update about a member.
+    pub(super) fn remove(&mut self, name: &Name) {
+        self.updates.remove(name);
+    }
+
     /// Forgets all updates.
     pub(super) fn clear(&mut self) {
         self.updates.clear();
--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -9,6 +9,9 @@
     time::Time,
 };
 
+/// Time for which a member must have been alive to be no news any more.
+const NEWS_MS: u32 = 60_000;
+
 impl Membership {
     pub(super) fn receive(
         &mut self,
@@ -32,7 +35,17 @@
             _ => false,
         };
         self.on_identity(now, from, &sender, introduction.as_ref(), verified, actions);
+        let old_news = if matches!(message, Message::TablePage { .. }) {
+            updates.iter().filter(|update| is_old_news(update)).map(|u| u.name.clone()).collect()
+        } else {
+            Vec::new()
+        };
         self.on_updates(now, &sender.name, updates, actions);
+        // What a new VM reads from the table everybody else knows already; passing
+        // it on would cost a large fleet megabytes for each VM that joins.
+        for name in &old_news {
+            self.gossip.remove(name);
+        }
         self.on_message(now, from, &sender, introduction.as_ref(), message, actions);
     }
 
@@ -355,6 +368,10 @@
     }
 }
 
+fn is_old_news(update: &Update) -> bool {
+    update.place.as_ref().is_some_and(|place| place.alive_ms >= NEWS_MS)
+}
+
 fn introduces(update: &Update, identity: &Identity) -> bool {
     update.name == identity.name
         && update.incarnation == identity.incarnation
