Have a VM ask itself before it gives up a member by hearsay

Cause: a VM that missed a refutation declared a member dead that all others heard; with 20 % loss nearly every false death was the view of one VM. Change: a suspicion by hearsay that runs out becomes an own one, with own probes, before it becomes a death.

--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -349,6 +349,20 @@
         matches!(entry.state, MemberState::Suspect | MemberState::Dead).then(|| entry.update(now))
     }
 
+    /// Turns a suspicion by hearsay that ran out into an own one; returns whether
+    /// it was by hearsay.
+    ///
+    /// Where datagrams are lost, the refutation may have missed this VM alone. It
+    /// would then declare a VM dead that all others hear. If the VM is dead, the
+    /// accuser's word arrives while this VM still asks.
+    fn doubts(&mut self, name: &Name) -> bool {
+        let Some(entry) = self.table.entries.get_mut(name) else { return false };
+        let hearsay =
+            entry.state == MemberState::Suspect && entry.is_known() && !entry.own_suspicion;
+        entry.own_suspicion |= hearsay;
+        hearsay
+    }
+
     /// Gives up members that have not been heard for too long.
     pub(super) fn check_waiting(&mut self, now: Time, actions: &mut Actions) {
         let over: Vec<Name> = self
@@ -362,6 +376,12 @@
             .cloned()
             .collect();
         for name in over {
+            if self.doubts(&name) {
+                let patience = self.suspicion_time();
+                self.table.give_up_at(&name, now + patience);
+                self.probe(now, &name, actions);
+                continue;
+            }
             self.set_state(now, &name, MemberState::Dead, actions);
             self.spread(now, &name);
         }
