Ask relays twice before a probe fails

Cause: with 20 % loss one probe in 14 failed by chance, and each raised a false suspicion. Change: a second round of a repeated ping and relays within the same timeout.

--- a/crates/pistachiotrack-core/src/membership/probe.rs
+++ b/crates/pistachiotrack-core/src/membership/probe.rs
@@ -17,7 +17,7 @@
     known_incarnation: u64,
     ask_at: Time,
     fail_at: Time,
-    asked: usize,
+    rounds: u32,
     nacks: usize,
 }
 
@@ -42,6 +42,8 @@
     announce: bool,
 }
 
+/// Rounds in which other VMs are asked to probe a member that doesn't answer.
+const ASKING_ROUNDS: u32 = 2;
 /// Relayed probes under way at most, so that no flood of requests fills the
 /// memory.
 const MAX_RELAYS: usize = 256;
@@ -155,7 +157,7 @@
             known_incarnation,
             ask_at: now + ask,
             fail_at: now + fail,
-            asked: 0,
+            rounds: 0,
             nacks: 0,
         };
         self.probes.own.insert(sequence, probe);
@@ -179,7 +181,7 @@
 
     /// Asks relays where an answer is late, and ends probes and relays.
     pub(super) fn check_probes(&mut self, now: Time, actions: &mut Actions) {
-        let late = |probe: &Probe| probe.asked == 0 && now >= probe.ask_at;
+        let late = |probe: &Probe| probe.rounds < ASKING_ROUNDS && now >= probe.ask_at;
         let asking: Vec<u32> =
             self.probes.own.iter().filter(|(_, probe)| late(probe)).map(|(id, _)| *id).collect();
         for sequence in asking {
@@ -202,8 +204,9 @@
 
     fn ask_relays(&mut self, now: Time, sequence: u32, actions: &mut Actions) {
         let Some(probe) = self.probes.own.get_mut(&sequence) else { return };
-        // At least one, so that the relays are asked only once.
-        probe.asked = 1;
+        probe.rounds += 1;
+        probe.ask_at =
+            now + Duration::from_millis(self.settings.ack_timeout_ms) * self.health.factor();
         let Probe { target, address, known_incarnation, .. } = probe.clone();
         let state = self.table.get(&target).map(|entry| entry.state);
         if !matches!(state, Some(MemberState::Alive | MemberState::Suspect)) {
@@ -214,9 +217,6 @@
         self.send_ping(now, &target, address, message, actions);
         let count = self.settings.indirect_probes;
         let relays = self.table.random_alive(count, Some(&target), &mut self.rng);
-        if let Some(probe) = self.probes.own.get_mut(&sequence) {
-            probe.asked = relays.len().max(1);
-        }
         for relay in relays {
             let target = target.clone();
             let message = Message::PingRequest { sequence, target, address, known_incarnation };
