--- a/crates/pistachiotrack-core/tests/config_check.rs
+++ b/crates/pistachiotrack-core/tests/config_check.rs
@@ -228,7 +228,7 @@
             let at = at as usize % value.len();
             value[at] = byte;
         }
-        if keep % 4 == 0 {
+        if keep.is_multiple_of(4) {
             value.truncate(keep as usize % value.len());
         }
         match Config::parse("f", &value) {
--- a/crates/pistachiotrack-core/tests/config_delta.rs
+++ b/crates/pistachiotrack-core/tests/config_delta.rs
@@ -151,7 +151,7 @@
             let at = at as usize % encoded.len();
             encoded[at] ^= 1 << (bit % 8);
         }
-        if keep % 4 == 0 {
+        if keep.is_multiple_of(4) {
             encoded.truncate(keep as usize % encoded.len());
         }
         let Ok(damaged) = postcard::from_bytes::<Delta>(&encoded) else { return true };
--- a/crates/pistachiotrack-core/tests/config_support/fleet.rs
+++ b/crates/pistachiotrack-core/tests/config_support/fleet.rs
@@ -15,7 +15,7 @@
 
 use super::{DEPLOYMENT, json, vm};
 
-pub(crate) const STEP: Duration = Duration::from_millis(50);
+const STEP: Duration = Duration::from_millis(50);
 /// Steps between two reports of a VM's version, as in the membership.
 const REPORT_STEPS: u64 = 10;
 
@@ -63,6 +63,8 @@
 /// The fleet under test.
 pub(crate) struct Fleet {
     pub(crate) now: Time,
+    /// Logical time between two ticks.
+    pub(crate) step_time: Duration,
     pub(crate) nodes: Vec<Node>,
     pub(crate) platform: Platform,
     pub(crate) loss: f64,
@@ -84,6 +86,7 @@
     ) -> Fleet {
         let mut fleet = Fleet {
             now: Time::ZERO,
+            step_time: STEP,
             nodes: Vec::new(),
             platform: Platform::default(),
             loss: 0.0,
@@ -141,7 +144,7 @@
     }
 
     pub(crate) fn step(&mut self) {
-        self.now += STEP;
+        self.now += self.step_time;
         self.step += 1;
         self.deliver();
         self.answer_watches();
@@ -179,7 +182,7 @@
             .collect();
         let actions = self.nodes[index].sync.on_tick(self.now, members.iter());
         self.perform(index, actions);
-        if (self.step + index as u64) % REPORT_STEPS == 0 {
+        if (self.step + index as u64).is_multiple_of(REPORT_STEPS) {
             let other = self.rng.random_range(0..self.nodes.len());
             self.report(index, other);
             self.report(other, index);
