--- a/crates/pistachiotrack-standins/src/experiment.rs
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -1,5 +1,6 @@
 //! Experiments: ours against a baseline, in the same run.
 
+mod detect;
 mod overload;
 
 use std::process::ExitCode;
@@ -7,7 +8,7 @@
 use anyhow::Context;
 
 /// Names of the experiments, in the order in which `list` shows them.
-const NAMES: &[&str] = &["overload"];
+const NAMES: &[&str] = &["detect", "overload"];
 
 /// Runs the experiment that the arguments name.
 ///
@@ -18,6 +19,7 @@
     let name = arguments.subcommand()?.context("no experiment named; try `list`")?;
     match name.as_str() {
         "list" => list(),
+        "detect" => detect::run(arguments),
         "overload" => overload::run(arguments),
         _ => anyhow::bail!("unknown experiment {name:?}; try `list`"),
     }
