Show endpoints as their owners judge them

Cause: a VM that once served in an owner's place goes on showing the endpoints, so that a table over all VMs had a row for each of them.

--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -20,7 +20,7 @@
                  [--data-centre DATA_CENTRE] [--at-floor SERVICE]...
                  [--queue-wait SERVICE=MS]... [--json]
   pistachiotrack status     --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
-  pistachiotrack endpoints  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
+  pistachiotrack endpoints  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--all]
   pistachiotrack members    --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--added]
   pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
@@ -37,6 +37,7 @@
 
 Options:
   --added                  Shows only the time that no endpoint had a hand in
+  --all                    Shows the opinions of VMs that own no shard of a service too
   --at-floor SERVICE       Takes a service as being at its floor
   --queue-wait SERVICE=MS  Takes this as the expected wait in a service's queue
   --json                   Prints JSON instead of text
@@ -86,7 +87,10 @@
         Some("check") => parse_check(args).map(Invocation::Check),
         Some("explain") => parse_explain(args).map(Invocation::Explain),
         Some("status") => parse_view(args, View::Status),
-        Some("endpoints") => parse_view(args, View::Endpoints),
+        Some("endpoints") => {
+            let all = args.contains("--all");
+            parse_view(args, if all { View::AllEndpoints } else { View::Endpoints })
+        }
         Some("members") => parse_view(args, View::Members),
         Some("histograms") => {
             let added = args.contains("--added");
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -48,8 +48,10 @@
 pub(crate) enum View {
     /// State, configuration version, shards and counters of each VM.
     Status,
-    /// Health and load of the endpoints by shard owner.
+    /// Health and load of the endpoints, from the owners of their shards.
     Endpoints,
+    /// The same, from every VM that has an opinion.
+    AllEndpoints,
     /// The fleet as each VM sees it.
     Members,
     /// Latencies by customer and class.
--- a/crates/pistachiotrack/src/main.rs
+++ b/crates/pistachiotrack/src/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod cli;
 mod config;
+mod endpoints;
 mod entries;
 mod error;
 mod exit_codes;
--- a/crates/pistachiotrack/src/views.rs
+++ b/crates/pistachiotrack/src/views.rs
@@ -3,13 +3,14 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use pistachiotrack_core::admin::{EndpointStatus, HistogramStatus, MemberStatus, Status};
+use pistachiotrack_core::admin::{HistogramStatus, MemberStatus, Status};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
 
 use crate::{
     admin_client::{self, Reply},
     config::{View, ViewConfig},
+    endpoints::{self, Owners},
     exit_codes::ExitCode,
     output::{self, Table, or_dash, printable},
 };
@@ -22,27 +23,40 @@
 pub(crate) fn run(config: &ViewConfig) -> anyhow::Result<ExitCode> {
     match config.view {
         View::Status => show(config, "/status", status_text),
-        View::Endpoints => show(config, "/endpoints", endpoints_text),
+        View::Endpoints => {
+            let owners = Owners::of(&ask::<Status>(config, "/status")?);
+            show(config, "/endpoints", |answers| endpoints::text(answers, &owners))
+        }
+        View::AllEndpoints => {
+            let owners = Owners::default();
+            show(config, "/endpoints", |answers| endpoints::text(answers, &owners))
+        }
         View::Members => show(config, "/members", members_text),
         View::Histograms => show(config, "/histograms", histograms_text),
         View::AddedHistograms => show(config, "/histograms/added", histograms_text),
     }
 }
 
-type Answers<'a, T> = [(SocketAddr, &'a T)];
+/// The answers that came, each with the address that gave it.
+pub(crate) type Answers<'a, T> = [(SocketAddr, &'a T)];
+
+fn ask<T>(config: &ViewConfig, path: &'static str) -> anyhow::Result<Vec<Reply<T>>>
+where
+    T: DeserializeOwned + Send + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(admin_client::ask_all(&config.admin_addresses, path, config.timeout))
+}
 
 fn show<T>(
     config: &ViewConfig,
     path: &'static str,
-    text: fn(&Answers<'_, T>) -> String,
+    text: impl Fn(&Answers<'_, T>) -> String,
 ) -> anyhow::Result<ExitCode>
 where
     T: DeserializeOwned + Serialize + Send + 'static,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let replies: Vec<Reply<T>> =
-        runtime.block_on(admin_client::ask_all(&config.admin_addresses, path, config.timeout))?;
-
+    let replies = ask::<T>(config, path)?;
     if config.json {
         output::print_json(&replies.iter().map(reply_json).collect::<Vec<_>>())?;
     } else {
@@ -129,33 +143,6 @@
     table
 }
 
-fn endpoints_text(answers: &Answers<'_, Vec<EndpointStatus>>) -> String {
-    let mut table = Table::new(&[
-        "SERVICE",
-        "ENDPOINT",
-        "STATE",
-        "IN FLIGHT",
-        "LIMIT",
-        "EVIDENCE",
-        "REASON",
-        "ADMIN",
-    ]);
-    for (address, endpoint) in rows(answers) {
-        table.push(vec![
-            endpoint.service.to_string(),
-            endpoint.endpoint.to_string(),
-            endpoint.state.to_string(),
-            endpoint.in_flight.to_string(),
-            endpoint.limit.to_string(),
-            format!("{:.2}", endpoint.evidence),
-            or_dash(endpoint.reason.as_ref()),
-            address.to_string(),
-        ]);
-    }
-    table.sort();
-    table.to_string()
-}
-
 /// Returns the members as text, with one row for each different opinion.
 ///
 /// VMs may see the same member differently, as in a one-way partition; rows
@@ -203,6 +190,9 @@
     table.to_string()
 }
 
-fn rows<'a, T>(answers: &'a Answers<'_, Vec<T>>) -> impl Iterator<Item = (SocketAddr, &'a T)> {
+/// Returns the lines of all answers, each with the address that gave it.
+pub(crate) fn rows<'a, T>(
+    answers: &'a Answers<'_, Vec<T>>,
+) -> impl Iterator<Item = (SocketAddr, &'a T)> {
     answers.iter().flat_map(|&(address, lines)| lines.iter().map(move |line| (address, line)))
 }
--- a/crates/pistachiotrack/tests/views.rs
+++ b/crates/pistachiotrack/tests/views.rs
@@ -96,12 +96,13 @@
     assert!(errors.contains(&format!("{}: /members answered 404", no_page.address)), "{errors}");
 }
 
+fn endpoint(service: &str, endpoint: &str, state: &str, reason: Value) -> Value {
+    json!({"service": service, "endpoint": endpoint, "state": state, "in_flight": 1,
+        "limit": 2, "evidence": 3.456, "reason": reason})
+}
+
 #[test]
 fn endpoints_of_all_owners_are_one_sorted_table() {
-    let endpoint = |service: &str, endpoint: &str, state: &str, reason: Value| {
-        json!({"service": service, "endpoint": endpoint, "state": state, "in_flight": 1,
-            "limit": 2, "evidence": 3.456, "reason": reason})
-    };
     let first = FakeVm::with_pages(&[(
         "/endpoints",
         json!([endpoint("slot-search", "search-1", "ejected", json!("straggling"))]),
@@ -123,6 +124,37 @@
     );
 }
 
+/// A VM that served in an owner's place for a moment goes on showing the
+/// endpoints as healthy, while their owner has ejected one. An operator who
+/// reads the stale line first leaves the sick endpoint in.
+#[test]
+fn only_owners_opinions_are_shown_unless_all_are_asked_for() {
+    let opinion = |service: &str, state| endpoint(service, "endpoint-1", state, Value::Null);
+    let owner = FakeVm::with_pages(&[
+        ("/status", status("vm-01", 7, 0)),
+        ("/endpoints", json!([opinion("booking", "ejected")])),
+    ]);
+    let mut idle = status("vm-02", 7, 0);
+    idle["shards"] = json!([]);
+    let other = FakeVm::with_pages(&[
+        ("/status", idle),
+        ("/endpoints", json!([opinion("booking", "healthy"), opinion("calendar", "trial")])),
+    ]);
+    let addresses = format!("{},{}", owner.address, other.address);
+
+    let owners = run(&["endpoints", "--admin", &addresses]).words();
+    let all = run(&["endpoints", "--all", "--admin", &addresses]).words();
+
+    let row = |service, state, vm: &FakeVm| {
+        format!("{service} endpoint-1 {state} 1 2 3.46 - {}", vm.address)
+    };
+    assert!(owners.contains(&row("booking", "ejected", &owner)), "{owners}");
+    assert!(owners.contains(&row("calendar", "trial", &other)), "{owners}");
+    assert_eq!(owners.lines().count(), 3, "{owners}");
+    assert!(all.contains(&row("booking", "healthy", &other)), "{all}");
+    assert_eq!(all.lines().count(), 4, "{all}");
+}
+
 /// In a one-way partition one VM thinks that a member is dead while the other
 /// still hears it. An operator needs to see both opinions and who holds them;
 /// a merge that keeps one of them would hide the partition.
