--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -202,7 +202,9 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         let kind =
             if pick.standing == Standing::Trial { AttemptKind::Trial } else { AttemptKind::Work };
-        let connection = connection(live, pick.standing);
+        let wants_fresh = self.health.wants_fresh_connection(&pick.name);
+        let connection =
+            if wants_fresh { ConnectionChoice::Fresh } else { connection(live, pick.standing) };
         live.phase = Phase::Running;
         live.in_flight.push(attempt);
         live.tried.push(pick.name.clone());
@@ -237,6 +239,9 @@
         }));
         self.pool.acquire(&pick.name);
         self.health.on_dispatch(now, attempt, &pick.name, class, kind);
+        if connection == ConnectionChoice::Fresh {
+            self.health.on_fresh_connection(attempt);
+        }
     }
 
     /// Returns the moment at which an attempt is given up.
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -33,6 +33,8 @@
     pub(super) endpoint: Endpoint,
     pub(super) standing: Standing,
     pub(super) in_flight: u32,
+    /// Share of its slots that the endpoint may use.
+    share: f64,
     /// Requests that may be in flight now.
     pub(super) limit: u32,
     is_configured: bool,
@@ -45,6 +47,7 @@
     fn accepts_work(&self) -> bool {
         self.is_configured
             && !self.endpoint.leaving
+            && self.share > 0.0
             && !matches!(self.standing, Standing::Ejected | Standing::Draining)
     }
 }
@@ -130,6 +133,7 @@
                 endpoint: endpoint.clone(),
                 standing: Standing::Healthy,
                 in_flight: 0,
+                share: 1.0,
                 limit: 0,
                 is_configured: true,
                 adaptive: AdaptiveLimit::new(endpoint.slots),
@@ -162,8 +166,8 @@
             if now >= slots.foreign_until {
                 slots.foreign = 0;
             }
-            let share = health.share(now, name);
-            slots.limit = limit(slots, share, self.mode, is_settling);
+            slots.share = health.share(now, name);
+            slots.limit = limit(slots, self.mode, is_settling);
             if slots.accepts_work() {
                 self.capacity += slots.limit;
             }
@@ -333,12 +337,12 @@
     }
 }
 
-fn limit(slots: &Slots, share: f64, mode: ShardMode, is_settling: bool) -> u32 {
+fn limit(slots: &Slots, mode: ShardMode, is_settling: bool) -> u32 {
     if !slots.accepts_work() || slots.endpoint.slots == 0 {
         return 0;
     }
     let all = slots.endpoint.slots;
-    let mut limit = ((f64::from(all) * share) as u32).clamp(1, all);
+    let mut limit = ((f64::from(all) * slots.share) as u32).clamp(1, all);
     limit = limit.min(slots.adaptive.value().max(1));
     if is_settling {
         limit = limit.min((all / SETTLING_DIVISOR).max(1));
