Count bad observations of one moment as one

Cause: a blip of 40 to 80 ms spoils several requests at once and ejected healthy endpoints; half weight for overlapping requests was not enough. Change: evidence grows by one full observation in 40 ms at most.

--- a/crates/pistachiotrack-core/src/health/evidence.rs
+++ b/crates/pistachiotrack-core/src/health/evidence.rs
@@ -17,9 +17,10 @@
 const SICK_FAILURE_RATE: f64 = 0.3;
 /// Largest contribution of one observation.
 pub(super) const OBSERVATION_CAP: f64 = 3.0;
-/// Weight of an observation in flight at the same instant as the last one that
-/// counted: one stall hits all work in flight, and is one observation.
-const CORRELATED_WEIGHT: f64 = 0.5;
+/// Time over which bad observations of one endpoint have a common cause: a
+/// stall or a restarted worker spoils all that ends at that moment, and is one
+/// observation. Evidence grows by one full observation in this time at most.
+const CORRELATION_TIME: Duration = Duration::from_millis(40);
 /// Part of the threshold that evidence from pooled connections alone fills.
 const DOUBT_PART: f64 = 0.6;
 /// Sums are capped at this multiple of the threshold, so that an endpoint that
@@ -98,22 +99,19 @@
     pub(super) doubt_in_flight: f64,
     /// How bad the endpoint is, from 0 to 1: orders endpoints at the floor.
     pub(super) sickness: f64,
-    last_counted: [Time; 4],
+    last_bad: [Option<Time>; 4],
     decayed_at: Time,
     at_last_tick: [f64; 4],
 }
 
 impl Evidence {
-    /// Adds the score of an observation that began at `started`.
-    pub(super) fn add(&mut self, now: Time, started: Time, kind: Kind, score: f64, threshold: f64) {
-        let last_counted = &mut self.last_counted[kind as usize];
+    /// Adds the score of an observation.
+    pub(super) fn add(&mut self, now: Time, kind: Kind, score: f64, threshold: f64) {
         let mut weight = 1.0;
         if score > 0.0 {
-            if started < *last_counted {
-                weight = CORRELATED_WEIGHT;
-            } else {
-                *last_counted = now;
-            }
+            let last_bad = self.last_bad[kind as usize].replace(now);
+            let gap = last_bad.map_or(CORRELATION_TIME, |last_bad| now.since(last_bad));
+            weight = (gap.as_secs_f64() / CORRELATION_TIME.as_secs_f64()).min(1.0);
         }
         let sum = self.sum_mut(kind);
         *sum = (*sum + weight * score).clamp(0.0, SUM_CAP * threshold);
--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -124,7 +124,7 @@
                 self.fail_trial(now, position, &mut actions);
             }
             _ if self.endpoints[position].in_rotation() => {
-                self.add_failure(now, position, &flight);
+                self.add_failure(now, position);
                 self.decide(now, position, &mut actions);
             }
             _ => {}
@@ -151,14 +151,14 @@
             Outcome::ConnectFailed if flight.tainted => {}
             Outcome::ConnectFailed => {
                 let score = evidence::failure_score(self.peer_failure_rate(position));
-                self.add(now, position, flight, Kind::Connect, score);
+                self.add(now, position, Kind::Connect, score);
                 self.endpoints[position].evidence.note_sickness(1.0);
             }
             Outcome::Broken { .. } if flight.tainted => {}
-            Outcome::Broken { .. } if flight.fresh => self.add_failure(now, position, flight),
+            Outcome::Broken { .. } if flight.fresh => self.add_failure(now, position),
             Outcome::Broken { .. } => {
                 let score = evidence::failure_score(self.peer_failure_rate(position));
-                self.add(now, position, flight, Kind::Doubt, POOLED_BREAK_WEIGHT * score);
+                self.add(now, position, Kind::Doubt, POOLED_BREAK_WEIGHT * score);
             }
             Outcome::TimedOut { .. } | Outcome::Cancelled => {
                 self.observe_unanswered(now, position, flight);
@@ -171,18 +171,18 @@
         let is_failure = status >= FIRST_FAILURE_STATUS;
         let is_reference = self.is_reference(position);
         if flight.kind == AttemptKind::Probe {
-            return self.observe_probe(now, position, flight, is_failure);
+            return self.observe_probe(now, position, is_failure);
         }
         self.note_alive(now, position, flight);
         if is_reference {
             self.reference.count(&mut self.endpoints[position].tally, is_failure);
         }
         if is_failure {
-            return self.add_failure(now, position, flight);
+            return self.add_failure(now, position);
         }
 
         let score = evidence::success_score(self.peer_failure_rate(position));
-        self.add(now, position, flight, Kind::Failure, score);
+        self.add(now, position, Kind::Failure, score);
         if flight.tainted {
             return;
         }
@@ -190,7 +190,7 @@
         let tail = self.tail(position, flight, latency);
         if let Some(tail) = tail {
             let score = evidence::latency_score(tail).min(OBSERVATION_CAP);
-            self.add(now, position, flight, Kind::Slow, score);
+            self.add(now, position, Kind::Slow, score);
         }
         let state = &mut self.endpoints[position];
         state.evidence.note_sickness(tail.map_or(0.0, latency_badness));
@@ -201,12 +201,12 @@
         }
     }
 
-    fn observe_probe(&mut self, now: Time, position: usize, flight: &Flight, is_failure: bool) {
+    fn observe_probe(&mut self, now: Time, position: usize, is_failure: bool) {
         if is_failure {
-            return self.add_failure(now, position, flight);
+            return self.add_failure(now, position);
         }
         let score = evidence::success_score(self.peer_failure_rate(position));
-        self.add(now, position, flight, Kind::Failure, score);
+        self.add(now, position, Kind::Failure, score);
         let state = &mut self.endpoints[position];
         state.probe_passed = Some(now);
         state.evidence.connect = 0.0;
@@ -221,7 +221,7 @@
         }
         let Some(score) = self.age_score(now, position, flight) else { return };
         let kind = if flight.fresh { Kind::Slow } else { Kind::Doubt };
-        self.add(now, position, flight, kind, score.min(OBSERVATION_CAP));
+        self.add(now, position, kind, score.min(OBSERVATION_CAP));
         self.endpoints[position].evidence.note_sickness(1.0);
     }
 
@@ -344,11 +344,10 @@
     ) {
         let Some(flight) = self.flights.get_mut(&attempt) else { return };
         flight.counted = true;
-        let flight = *flight;
         if matches!(self.endpoints[position].phase, Phase::Trial { .. }) {
             self.fail_trial(now, position, actions);
         } else if self.endpoints[position].in_rotation() {
-            self.add_failure(now, position, &flight);
+            self.add_failure(now, position);
         }
     }
 
@@ -402,15 +401,15 @@
         state.in_rotation() && state.phase != Phase::Held && excess < self.threshold / 2.0
     }
 
-    fn add_failure(&mut self, now: Time, position: usize, flight: &Flight) {
+    fn add_failure(&mut self, now: Time, position: usize) {
         let score = evidence::failure_score(self.peer_failure_rate(position));
-        self.add(now, position, flight, Kind::Failure, score);
+        self.add(now, position, Kind::Failure, score);
         self.endpoints[position].evidence.note_sickness(1.0);
     }
 
-    fn add(&mut self, now: Time, position: usize, flight: &Flight, kind: Kind, score: f64) {
+    fn add(&mut self, now: Time, position: usize, kind: Kind, score: f64) {
         let evidence = &mut self.endpoints[position].evidence;
-        evidence.add(now, flight.started, kind, score, self.threshold);
+        evidence.add(now, kind, score, self.threshold);
     }
 }
 
