Shorten the suspicion to two probe intervals

Cause: with two rounds of relays false suspicions became rare, and the suspicion is the longest part of detecting a crash. Change: suspicion_intervals 3.0 -> 2.0.

--- a/crates/pistachiotrack-core/src/membership/settings.rs
+++ b/crates/pistachiotrack-core/src/membership/settings.rs
@@ -47,7 +47,7 @@
             ack_timeout_ms: 200,
             probe_timeout_ms: 800,
             indirect_probes: 3,
-            suspicion_intervals: 3.0,
+            suspicion_intervals: 2.0,
             update_transmissions: 4,
             max_local_health: 8,
             listed_timeout_ms: 10_000,
