--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -16,7 +16,7 @@
 
 use self::{
     platform::{PlatformSchedule, Role},
-    pull::Pulls,
+    pull::{PullTimeouts, Pulls},
     store::{Offer, Store, Verdict},
     wire::{Answer, AnswerRef, Question},
 };
@@ -258,9 +258,13 @@
     }
 
     fn pull(&mut self, now: Time) -> Vec<ConfigAction> {
-        let timeout = Duration::from_millis(self.settings.pull_timeout_ms);
+        self.pulls.whole |= self.version().is_none();
+        let timeouts = PullTimeouts {
+            early: Duration::from_millis(self.settings.delta_timeout_ms),
+            late: Duration::from_millis(self.settings.pull_timeout_ms),
+        };
         let near = &self.me.data_centre;
-        let Some(vm) = self.pulls.begin(now, near, timeout, &mut self.rng) else {
+        let Some(vm) = self.pulls.begin(now, near, timeouts, &mut self.rng) else {
             return Vec::new();
         };
         let question = Question {
--- a/crates/pistachiotrack-core/src/config_sync/pull.rs
+++ b/crates/pistachiotrack-core/src/config_sync/pull.rs
@@ -10,7 +10,11 @@
 /// Peers remembered as holders of a newer version.
 const MAX_HOLDERS: usize = 64;
 /// Time for which a peer that gave nothing usable isn't asked again.
-const PEER_PAUSE: Duration = Duration::from_secs(1);
+const USELESS_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which a peer that didn't answer isn't asked again.
+const SILENT_PAUSE: Duration = Duration::from_millis(400);
+/// Pulls in a row that may end early; after them the paths are slow, not lossy.
+const EARLY_TIMEOUTS: u32 = 4;
 const MAX_HOLD_DOUBLINGS: u32 = 6;
 
 /// The pulls of one VM: one at a time.
@@ -21,6 +25,16 @@
     /// Whether the next question asks for the whole value.
     pub(super) whole: bool,
     refused: Option<RefusedVersion>,
+    timeouts_in_row: u32,
+}
+
+/// How long an answer may take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PullTimeouts {
+    /// For deltas, which are small.
+    pub(super) early: Duration,
+    /// For the whole value.
+    pub(super) late: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -77,7 +91,7 @@
         &mut self,
         now: Time,
         near: &str,
-        timeout: Duration,
+        timeouts: PullTimeouts,
         rng: &mut impl Rng,
     ) -> Option<Vm> {
         if self.in_flight.is_some() {
@@ -94,6 +108,10 @@
         };
         let nearby = best().filter(|holder| *holder.vm.data_centre == *near).choose(rng);
         let vm = nearby.or_else(|| best().choose(rng))?.vm.clone();
+        // A lost message must not cost a large part of the time that a change
+        // may take; a slow whole value must not be asked for from many peers.
+        let late = self.whole || self.timeouts_in_row >= EARLY_TIMEOUTS;
+        let timeout = if late { timeouts.late } else { timeouts.early };
         self.in_flight = Some(InFlight { peer: vm.name.clone(), until: now + timeout });
         Some(vm)
     }
@@ -102,21 +120,27 @@
     pub(super) fn on_end(&mut self, peer: &str) {
         if self.in_flight.as_ref().is_some_and(|pull| *pull.peer == *peer) {
             self.in_flight = None;
+            self.timeouts_in_row = 0;
         }
     }
 
     /// Leaves a peer alone for a while after it gave nothing usable.
     pub(super) fn pause_peer(&mut self, now: Time, peer: &str, rng: &mut impl Rng) {
-        if let Some(holder) = self.holders.get_mut(peer) {
-            holder.not_before = now + PEER_PAUSE.mul_f64(rng.random_range(0.5..1.5));
-        }
+        self.pause(now, peer, USELESS_PAUSE, rng);
     }
 
     /// Ends a pull that has taken too long. A paused or vanished peer never
     /// answers, and the next one may.
     pub(super) fn on_tick(&mut self, now: Time, rng: &mut impl Rng) {
         let Some(pull) = self.in_flight.take_if(|pull| now >= pull.until) else { return };
-        self.pause_peer(now, &pull.peer, rng);
+        self.timeouts_in_row += 1;
+        self.pause(now, &pull.peer, SILENT_PAUSE, rng);
+    }
+
+    fn pause(&mut self, now: Time, peer: &str, pause: Duration, rng: &mut impl Rng) {
+        if let Some(holder) = self.holders.get_mut(peer) {
+            holder.not_before = now + pause.mul_f64(rng.random_range(0.5..1.5));
+        }
     }
 
     /// Leaves a version alone for a growing while after its content was
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -7,7 +7,9 @@
     pub watchers_per_data_centre: u32,
     /// Time after which a waiting watch is ended by the platform.
     pub watch_timeout_ms: u64,
-    /// Time after which a pull has failed and another peer is asked.
+    /// Time after which a pull of deltas has failed and another peer is asked.
+    pub delta_timeout_ms: u64,
+    /// The same for a pull of the whole value, or after several failed ones.
     pub pull_timeout_ms: u64,
     /// Wait after the first failed call to the platform; doubled by each
     /// further one, with jitter.
@@ -34,7 +36,8 @@
         ConfigSyncSettings {
             watchers_per_data_centre: 2,
             watch_timeout_ms: 30_000,
-            pull_timeout_ms: 2_000,
+            delta_timeout_ms: 500,
+            pull_timeout_ms: 4_000,
             min_backoff_ms: 200,
             max_backoff_ms: 5_000,
             first_reads_per_second: 1_000.0,
--- a/crates/pistachiotrack-core/src/rule/condition.rs
+++ b/crates/pistachiotrack-core/src/rule/condition.rs
@@ -85,11 +85,6 @@
         None
     }
 
-    /// Returns whether the rule asks for live facts.
-    pub(super) fn is_live(&self) -> bool {
-        self.service_at_floor.is_some() || self.queue_wait_at_least.is_some()
-    }
-
     /// Returns whether every request that fulfils `other` fulfils this too,
     /// whatever the live facts are.
     pub(super) fn covers(&self, other: &Conditions) -> bool {
--- a/crates/pistachiotrack-core/src/rule/index.rs
+++ b/crates/pistachiotrack-core/src/rule/index.rs
@@ -158,10 +158,8 @@
             let when = &rules[position as usize].when;
             // Many rules with the same conditions would make the bucket a long
             // scan; those that an earlier one covers are never reached.
-            let covered = kept.last().is_some_and(|earlier| {
-                let earlier = &rules[*earlier as usize].when;
-                !earlier.is_live() && earlier.covers(when)
-            });
+            let covered =
+                kept.last().is_some_and(|earlier| rules[*earlier as usize].when.covers(when));
             if !covered {
                 kept.push(position);
             }
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -64,7 +64,7 @@
 }
 
 fn service(index: u32, sizes: Sizes) -> Service {
-    let own = (0..sizes.endpoints).filter(|endpoint| endpoint % sizes.services == index);
+    let own = (index..sizes.endpoints).step_by(sizes.services as usize);
     Service {
         name: name("service", index),
         floor: 1,
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -336,9 +336,9 @@
     let first = node.on_peer_version(NOW, &vm(1, 3), 6);
     assert_eq!(question(&first).0, &vm(1, 3).name);
     assert_eq!(node.on_peer_version(NOW, &vm(2, 3), 6), [], "two pulls at once");
-    let waiting = node.on_tick(NOW + Duration::from_millis(1_999), std::iter::empty());
+    let waiting = node.on_tick(NOW + Duration::from_millis(499), std::iter::empty());
     assert!(!waiting.iter().any(|action| matches!(action, ConfigAction::Pull { .. })));
-    let later = NOW + Duration::from_millis(2_000);
+    let later = NOW + Duration::from_millis(500);
     let second = node.on_tick(later, std::iter::empty());
     let pull = second.iter().find(|action| matches!(action, ConfigAction::Pull { .. }));
     let (peer, request) = question(std::slice::from_ref(pull.unwrap()));
