Try many peers before a long pull

Cause: after four lost pulls in a row every further one waited 4 s. Change: eight short pulls, then a single long one, and again. Result: 20% loss, 48 VMs, 200 changes: 3.6 s at the median, 5.5 s at p99, 9.9 s at most (before: 3.6 s, 19.4 s, 23.8 s).

--- a/crates/pistachiotrack-core/src/config_sync/pull.rs
+++ b/crates/pistachiotrack-core/src/config_sync/pull.rs
@@ -13,8 +13,9 @@
 const USELESS_PAUSE: Duration = Duration::from_secs(1);
 /// Time for which a peer that didn't answer isn't asked again.
 const SILENT_PAUSE: Duration = Duration::from_millis(400);
-/// Pulls in a row that may end early; after them the paths are slow, not lossy.
-const EARLY_TIMEOUTS: u32 = 4;
+/// Pulls in a row that end early before one is given the longer time: the
+/// paths may be slow and not lossy.
+const EARLY_TIMEOUTS: u32 = 8;
 const MAX_HOLD_DOUBLINGS: u32 = 6;
 
 /// The pulls of one VM: one at a time.
@@ -110,7 +111,7 @@
         let vm = nearby.or_else(|| best().choose(rng))?.vm.clone();
         // A lost message must not cost a large part of the time that a change
         // may take; a slow whole value must not be asked for from many peers.
-        let late = self.whole || self.timeouts_in_row >= EARLY_TIMEOUTS;
+        let late = self.whole || self.timeouts_in_row == EARLY_TIMEOUTS;
         let timeout = if late { timeouts.late } else { timeouts.early };
         self.in_flight = Some(InFlight { peer: vm.name.clone(), until: now + timeout });
         Some(vm)
@@ -133,7 +134,7 @@
     /// answers, and the next one may.
     pub(super) fn on_tick(&mut self, now: Time, rng: &mut impl Rng) {
         let Some(pull) = self.in_flight.take_if(|pull| now >= pull.until) else { return };
-        self.timeouts_in_row += 1;
+        self.timeouts_in_row = (self.timeouts_in_row + 1) % (EARLY_TIMEOUTS + 1);
         self.pause(now, &pull.peer, SILENT_PAUSE, rng);
     }
 
