Wire the control plane between VMs into the daemon

Cause: pulls of the configuration, hand-overs and path checks were answered by nobody; every VM watched the list of VMs. Change: a peer service and client over TCP with postcard; pulls, hand-over of a lost or left shard, path checks by two VMs elsewhere; only the VMs that watch the configuration watch the list of VMs, the others read it the more rarely the larger the fleet; one HTTP call for the platform and the peers.

--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -65,6 +65,14 @@
     }
 }
 
+/// Returns an encoded answer to another VM.
+pub(crate) fn octets(body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body.into()));
+    let octets = HeaderValue::from_static("application/octet-stream");
+    response.headers_mut().insert(CONTENT_TYPE, octets);
+    response
+}
+
 /// Returns an answer without a body.
 pub(crate) fn plain(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(Bytes::new()));
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -32,7 +32,8 @@
     histogram::Histograms,
     listener::Listener,
     metrics::Metrics,
-    proxy,
+    path_check::PathCheck,
+    peer_service, proxy,
     settings::Settings,
     shard_table::ShardTable,
     timer::{PauseGate, Subscribe, TimerArgs, TimerService},
@@ -104,12 +105,15 @@
         }));
         let (leaving_sender, leaving) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
+        let path_check = PathCheck::new(me.clone(), view.clone());
+        let shards =
+            ShardTable::new(clock, Arc::clone(&endpoints), timer.clone(), path_check, seed);
         let context = Arc::new(Context {
             me,
             clock,
             view,
             leaving,
-            shards: ShardTable::new(clock, Arc::clone(&endpoints), timer.clone(), seed),
+            shards,
             endpoints,
             peers: Arc::new(ConnectionPool::new(connector)),
             metrics,
@@ -166,7 +170,9 @@
         let callers = listener(caller, limits.caller_connections);
         tokio::spawn(callers.serve(Arc::clone(&self.context), proxy::handle_caller));
         let peers = listener(peer, limits.peer_connections);
-        tokio::spawn(peers.serve(Arc::clone(&self.context), proxy::handle_peer));
+        let fleet = self.fleet.clone();
+        let handler = move |context, request| peer_service::handle(context, fleet.clone(), request);
+        tokio::spawn(peers.serve(Arc::clone(&self.context), handler));
         let operators = listener(admin, ADMIN_CONNECTIONS);
         let fleet = self.fleet.clone();
         let handler = move |context, request| admin::handle(context, fleet.clone(), request);
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -17,12 +17,14 @@
     name::Name,
     ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
     time::Time,
-    vm::VmList,
+    vm::{Vm, VmList},
 };
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
     context::Context,
+    peer_client,
+    peer_message::CONFIG_PATH,
     platform::{Platform, PlatformError},
     shard_actor::{NewConfig, Retire},
     shard_table::shard_name,
@@ -31,6 +33,11 @@
     view::{ActiveConfig, FleetView},
 };
 
+/// Time between two looks at what is due. Nothing of the fleet is due more often
+/// than every few hundred milliseconds, so this costs little precision.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time allowed for a peer's answer about the configuration.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two updates of the owners without any known cause, which lets
 /// hysteresis come to its end.
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(500);
@@ -55,6 +62,7 @@
     view: watch::Sender<Arc<FleetView>>,
     socket: Arc<UdpSocket>,
     platform: Platform,
+    watching: watch::Sender<bool>,
     actor_ref: WeakActorRef<Fleet>,
     membership: Membership,
     ownership: Ownership,
@@ -63,6 +71,7 @@
     config_error: Option<String>,
     platform_failures: u32,
     platform_heard: Option<Time>,
+    ticked: Time,
     ownership_updated: Time,
     swept: Time,
 }
@@ -77,7 +86,8 @@
         let me = context.me.clone();
         let settings = &context.settings;
         let platform = Platform::new(settings.platform_address, settings.deployment.clone());
-        tokio::spawn(platform.clone().watch_vms(actor_ref.clone()));
+        let (watching, is_watching) = watch::channel(false);
+        tokio::spawn(platform.clone().keep_vms(actor_ref.clone(), is_watching));
         let sync_settings = ConfigSyncSettings::default();
         let deployment = settings.deployment.clone();
         Ok(Fleet {
@@ -88,11 +98,13 @@
             view,
             socket,
             platform,
+            watching,
             actor_ref: actor_ref.downgrade(),
             active: None,
             config_error: None,
             platform_failures: 0,
             platform_heard: None,
+            ticked: now,
             ownership_updated: now,
             swept: now,
         })
@@ -142,12 +154,14 @@
         let now = self.context.clock.now();
         match message.0 {
             Ok(value) => {
+                self.watching.send_replace(false);
                 self.platform_failures = 0;
                 self.platform_heard = Some(now);
                 let actions = self.sync.on_platform_value(now, value.as_deref());
                 self.apply_config(now, actions);
             }
             Err(error) => {
+                self.watching.send_replace(false);
                 self.platform_failures = self.platform_failures.saturating_add(1);
                 log::warn!("event=config_unavailable error={:?}", error.to_string());
                 self.sync.on_platform_error(now);
@@ -164,6 +178,7 @@
 
     async fn handle(&mut self, message: VmsListed, _: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
+        self.sync.on_listed_vms(message.0.vms.len());
         let actions = self.membership.on_vm_list(now, &message.0);
         self.apply_membership(now, actions);
         self.update_ownership(now);
@@ -180,6 +195,42 @@
         let now = self.context.clock.now();
         let actions = self.membership.leave(now);
         self.apply_membership(now, actions);
+        self.ownership.set_leaving(true);
+        self.update_ownership(now);
+    }
+}
+
+/// Answers another VM that asks for a newer configuration; `None` if its
+/// question can't be decoded.
+pub(crate) struct AnswerPull(pub(crate) Bytes);
+
+impl Message<AnswerPull> for Fleet {
+    type Reply = Option<Vec<u8>>;
+
+    async fn handle(
+        &mut self,
+        message: AnswerPull,
+        _: &mut MessageContext<Self, Self::Reply>,
+    ) -> Option<Vec<u8>> {
+        self.sync.answer(&message.0).ok()
+    }
+}
+
+/// Another VM's answer about the configuration; `None` if none came.
+pub(crate) struct Pulled {
+    /// The VM that was asked.
+    pub(crate) vm: Name,
+    /// Its encoded answer.
+    pub(crate) answer: Option<Bytes>,
+}
+
+impl Message<Pulled> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Pulled, _: &mut MessageContext<Self, ()>) {
+        let now = self.context.clock.now();
+        let actions = self.sync.on_peer_answer(now, &message.vm, message.answer.as_deref());
+        self.apply_config(now, actions);
     }
 }
 
@@ -209,6 +260,10 @@
 
 impl Fleet {
     fn on_tick(&mut self, now: Time) {
+        if now.since(self.ticked) < TICK_INTERVAL {
+            return;
+        }
+        self.ticked = now;
         let actions = self.membership.on_tick(now);
         self.apply_membership(now, actions);
         let actions = self.sync.on_tick(now, self.membership.members());
@@ -260,10 +315,7 @@
         for action in actions {
             match action {
                 ConfigAction::Watch { after } => self.watch(after),
-                ConfigAction::Pull { vm, .. } => {
-                    let actions = self.sync.on_peer_answer(now, &vm.name, None);
-                    self.apply_config(now, actions);
-                }
+                ConfigAction::Pull { vm, request } => self.pull(vm, request),
                 ConfigAction::InForce(config) => self.put_in_force(now, config),
                 ConfigAction::Rejected(error) => {
                     log::error!("event=config_rejected error={:?}", error.to_string());
@@ -279,7 +331,24 @@
         }
     }
 
+    fn pull(&self, vm: Vm, question: Vec<u8>) {
+        let Some(fleet) = self.actor_ref.upgrade() else { return };
+        tokio::spawn(async move {
+            let answer = peer_client::ask(vm.peer_address, CONFIG_PATH, question, PULL_TIMEOUT);
+            let answer = answer
+                .await
+                .inspect_err(|error| {
+                    let error = error.to_string();
+                    log::warn!("event=config_pull_failed vm={} error={error:?}", vm.name);
+                })
+                .ok();
+            // The fleet actor stops only with the process.
+            let _ = fleet.tell(Pulled { vm: vm.name, answer }).try_send();
+        });
+    }
+
     fn watch(&self, after: Option<u64>) {
+        self.watching.send_replace(true);
         let Some(fleet) = self.actor_ref.upgrade() else { return };
         let platform = self.platform.clone();
         tokio::spawn(platform.watch_config(after, self.platform_failures, fleet));
@@ -314,6 +383,7 @@
 
     fn update_ownership(&mut self, now: Time) {
         self.ownership_updated = now;
+        self.ownership.set_alive_since(self.membership.alive_since());
         if let Some(active) = &self.active {
             let config = Arc::clone(&active.config);
             let changes = self.ownership.update(now, &config, self.membership.members());
@@ -334,7 +404,8 @@
             }
             OwnershipChange::Lost { shard, to } => {
                 log::info!("event=shard_lost shard={} to={to}", shard_name(&shard));
-                self.context.shards.disown(&shard);
+                let to = self.membership.member(&to).map(|member| member.vm.clone());
+                self.context.shards.disown(&shard, to);
             }
         }
     }
--- /dev/null
+++ b/crates/pistachiotrackd/src/http_call.rs
@@ -0,0 +1,53 @@
+//! One HTTP exchange on a connection of its own, for control.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallError {
+    /// The other end can't be reached.
+    #[error("connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The exchange broke.
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    /// The answer is too large or was cut short.
+    #[error("body: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+}
+
+/// Sends `request` to `address` and returns the status and the whole body.
+///
+/// # Errors
+///
+/// Returns an error if the exchange fails or the body exceeds `max_bytes`.
+pub(crate) async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let connection = tokio::spawn(connection);
+    let _closes = AbortOnDrop(connection.abort_handle());
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), max_bytes);
+    let body = body.collect().await.map_err(CallError::Body)?;
+    Ok((status, body.to_bytes()))
+}
+
+/// Ends a connection's task together with the exchange.
+struct AbortOnDrop(tokio::task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/src/peer_client.rs
@@ -0,0 +1,54 @@
+//! Puts questions to other VMs.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header::HOST};
+
+use crate::{
+    http_call::{self, CallError},
+    peer_message::MAX_MESSAGE_BYTES,
+};
+
+/// Why another VM gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum PeerError {
+    /// The exchange failed.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The question could not be built.
+    #[error("request: {0}")]
+    Request(#[from] hyper::http::Error),
+    /// It answered with an unexpected status.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// It did not answer in time.
+    #[error("no answer within {}ms", .0.as_millis())]
+    TimedOut(Duration),
+}
+
+/// Sends an encoded question to the peer address of a VM.
+///
+/// # Errors
+///
+/// Returns an error if no whole answer comes within `timeout`.
+pub(crate) async fn ask(
+    peer: SocketAddr,
+    path: &str,
+    question: Vec<u8>,
+    timeout: Duration,
+) -> Result<Bytes, PeerError> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(HOST, peer.to_string())
+        .body(Full::new(Bytes::from(question)))?;
+    let call = http_call::call(peer, request, MAX_MESSAGE_BYTES);
+    let answer = tokio::time::timeout(timeout, call).await;
+    let (status, body) = answer.map_err(|_| PeerError::TimedOut(timeout))??;
+    match status {
+        StatusCode::OK => Ok(body),
+        status => Err(PeerError::Status(status)),
+    }
+}
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -4,15 +4,17 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::{Method, Request, StatusCode, client::conn::http1, header::HOST};
-use hyper_util::rt::TokioIo;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header::HOST};
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{config::MAX_VALUE_BYTES, name::Name, vm::VmList};
 use rand::RngExt;
-use tokio::net::TcpStream;
+use tokio::sync::watch;
 
-use crate::fleet::{Fleet, PlatformValue, VmsListed};
+use crate::{
+    fleet::{Fleet, PlatformValue, VmsListed},
+    http_call::{self, CallError},
+};
 
 /// Time for which a watch waits for something newer.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
@@ -20,24 +22,24 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after the first failure; doubled by each further one.
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+/// Time between two reads of the list of VMs by one that doesn't watch it, for
+/// each VM listed.
+const VM_LIST_INTERVAL_PER_VM: Duration = Duration::from_secs(1);
 /// Longest pause between two tries.
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 
 /// Why the platform's service gave no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PlatformError {
-    /// It can't be reached.
-    #[error("connect: {0}")]
-    Connect(#[from] std::io::Error),
     /// The exchange failed.
-    #[error("http: {0}")]
-    Http(#[from] hyper::Error),
+    #[error(transparent)]
+    Call(#[from] CallError),
     /// The request could not be built.
     #[error("request: {0}")]
     Request(#[from] hyper::http::Error),
-    /// The value is too large or was cut short.
+    /// The value can't be decoded.
     #[error("value: {0}")]
-    Value(Box<dyn std::error::Error + Send + Sync>),
+    Value(#[from] serde_json::Error),
     /// It answered with an unexpected status.
     #[error("status {0}")]
     Status(StatusCode),
@@ -73,12 +75,20 @@
         let _ = fleet.tell(PlatformValue(value)).try_send();
     }
 
-    /// Watches the list of VMs for as long as the fleet actor runs.
-    pub(crate) async fn watch_vms(self, fleet: ActorRef<Fleet>) {
+    /// Keeps the list of VMs for as long as the fleet actor runs.
+    ///
+    /// The VMs that watch the configuration watch the list too; the others read
+    /// it now and then, the more rarely the larger the fleet is, so that the
+    /// reads of the whole fleet don't grow with it.
+    pub(crate) async fn keep_vms(self, fleet: ActorRef<Fleet>, watching: watch::Receiver<bool>) {
         let mut after = None;
         let mut failures = 0;
+        let mut listed = 0;
         loop {
             tokio::time::sleep(backoff(failures)).await;
+            if after.is_some() {
+                wait_for_turn(watching.clone(), listed).await;
+            }
             let list = match self.watch("/v1/vms", after).await {
                 Ok(Some(value)) => parse_vms(&value),
                 Ok(None) => {
@@ -91,6 +101,7 @@
                 Ok(list) => {
                     failures = 0;
                     after = Some(list.version);
+                    listed = list.vms.len();
                     if fleet.tell(VmsListed(list)).try_send().is_err() {
                         return;
                     }
@@ -115,38 +126,30 @@
     }
 
     async fn read(&self, path: &str) -> Result<Option<Bytes>, PlatformError> {
-        let stream = TcpStream::connect(self.address).await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let connection = tokio::spawn(connection);
-        let _closes = AbortOnDrop(connection.abort_handle());
         let request = Request::builder()
             .method(Method::GET)
             .uri(path)
             .header(HOST, self.address.to_string())
-            .body(Empty::<Bytes>::new())?;
-        let response = sender.send_request(request).await?;
-        match response.status() {
-            StatusCode::OK => {}
-            StatusCode::NO_CONTENT => return Ok(None),
-            status => return Err(PlatformError::Status(status)),
+            .body(Full::default())?;
+        let (status, value) = http_call::call(self.address, request, MAX_VALUE_BYTES).await?;
+        match status {
+            StatusCode::OK => Ok(Some(value)),
+            StatusCode::NO_CONTENT => Ok(None),
+            status => Err(PlatformError::Status(status)),
         }
-        let body = Limited::new(response.into_body(), MAX_VALUE_BYTES);
-        let value = body.collect().await.map_err(PlatformError::Value)?;
-        Ok(Some(value.to_bytes()))
     }
 }
 
-/// Ends a connection's task together with the exchange.
-struct AbortOnDrop(tokio::task::AbortHandle);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+fn parse_vms(value: &[u8]) -> Result<VmList, PlatformError> {
+    Ok(serde_json::from_slice(value)?)
 }
 
-fn parse_vms(value: &[u8]) -> Result<VmList, PlatformError> {
-    serde_json::from_slice(value).map_err(|error| PlatformError::Value(error.into()))
+/// Waits until this VM watches, or until it is its turn to read the list.
+async fn wait_for_turn(mut watching: watch::Receiver<bool>, listed: usize) {
+    let usual = VM_LIST_INTERVAL_PER_VM.saturating_mul(listed as u32);
+    let turn = usual.mul_f64(rand::rng().random_range(0.5..1.5));
+    // The sender lives as long as the fleet actor.
+    let _ = tokio::time::timeout(turn, watching.wait_for(|watching| *watching)).await;
 }
 
 /// Returns the pause before the next try, with a random part so that a fleet
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -16,11 +16,13 @@
     config::Config,
     health::PathAnswer,
     idempotency::StoredAnswer,
+    name::Name,
     ownership::ShardId,
     refusal::Refusal,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
-    shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
+    shard::{Dispatch, Shard, ShardAction, ShardHandOver, ShardMode, ShardSettings},
     time::Time,
+    vm::Vm,
 };
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc::UnboundedSender;
@@ -28,6 +30,8 @@
 use crate::{
     clock::Clock,
     connection_pool::ConnectionPool,
+    hand_over,
+    path_check::PathCheck,
     probe::Probe,
     shard_table::{FactsTable, ShardFacts},
     timer::TimerEvent,
@@ -64,6 +68,8 @@
     pub(crate) endpoints: Arc<ConnectionPool>,
     /// Where the shard's live facts are published.
     pub(crate) facts: FactsTable,
+    /// Asks VMs elsewhere about endpoints.
+    pub(crate) path_check: PathCheck,
 }
 
 /// The actor around the decisions of one shard.
@@ -77,6 +83,7 @@
     clock: Clock,
     endpoints: Arc<ConnectionPool>,
     facts: FactsTable,
+    path_check: PathCheck,
     actor_ref: WeakActorRef<ShardActor>,
     requests: FxHashMap<RequestId, UnboundedSender<Command>>,
     retired: bool,
@@ -97,6 +104,7 @@
             clock: args.clock,
             endpoints: args.endpoints,
             facts: args.facts,
+            path_check: args.path_check,
             actor_ref: actor_ref.downgrade(),
             requests: FxHashMap::default(),
             retired: false,
@@ -203,6 +211,54 @@
     }
 }
 
+/// Tells what VMs elsewhere say about an endpoint.
+pub(crate) struct PathChecked {
+    /// The endpoint.
+    pub(crate) endpoint: Name,
+    /// What they say.
+    pub(crate) answer: PathAnswer,
+}
+
+impl Message<PathChecked> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: PathChecked, _: &mut Context<Self, ()>) {
+        log::info!(
+            "event=path_checked service={} endpoint={} answer={:?}",
+            self.id.service,
+            message.endpoint,
+            message.answer
+        );
+        let now = self.clock.now();
+        let actions = self.shard.on_path_answer(now, &message.endpoint, message.answer);
+        self.apply(actions);
+    }
+}
+
+/// Hands the shard over to its new owner.
+pub(crate) struct HandOverTo(pub(crate) Vm);
+
+impl Message<HandOverTo> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: HandOverTo, _: &mut Context<Self, ()>) {
+        let hand_over = self.shard.hand_over(self.clock.now());
+        tokio::spawn(hand_over::send(message.0, hand_over));
+    }
+}
+
+/// Takes what the shard's old owner knew.
+pub(crate) struct TakeHandOver(pub(crate) ShardHandOver);
+
+impl Message<TakeHandOver> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: TakeHandOver, _: &mut Context<Self, ()>) {
+        let actions = self.shard.on_hand_over(self.clock.now(), &message.0);
+        self.apply(actions);
+    }
+}
+
 /// Stops the shard's actor when its last request has been answered.
 pub(crate) struct Retire;
 
@@ -280,9 +336,14 @@
                 let pool = Arc::clone(&self.endpoints);
                 tokio::spawn(probe.run(shard, pool, self.clock));
             }
-            ShardAction::CheckPath { endpoint, .. } => {
-                let now = self.clock.now();
-                return self.shard.on_path_answer(now, &endpoint, PathAnswer::NoAnswer);
+            ShardAction::CheckPath { endpoint, address } => {
+                let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
+                let check = self.path_check.clone();
+                tokio::spawn(async move {
+                    let answer = check.ask(endpoint.clone(), address).await;
+                    // A stopped shard needs no answer.
+                    let _ = shard.tell(PathChecked { endpoint, answer }).try_send();
+                });
             }
             ShardAction::Health(health) => {
                 log::info!(
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -7,14 +7,15 @@
     mailbox,
 };
 use pistachiotrack_core::{
-    config::Config, name::Name, ownership::ShardId, rule::Facts, shard::ShardMode,
+    config::Config, name::Name, ownership::ShardId, rule::Facts, shard::ShardMode, vm::Vm,
 };
 use rustc_hash::FxHashMap;
 
 use crate::{
     clock::Clock,
     connection_pool::ConnectionPool,
-    shard_actor::{SetMode, ShardActor, ShardArgs},
+    path_check::PathCheck,
+    shard_actor::{HandOverTo, SetMode, ShardActor, ShardArgs},
     timer::{Subscribe, TimerService},
 };
 
@@ -38,6 +39,7 @@
     clock: Clock,
     endpoints: Arc<ConnectionPool>,
     timer: ActorRef<TimerService>,
+    path_check: PathCheck,
     seed: u64,
 }
 
@@ -47,10 +49,12 @@
         clock: Clock,
         endpoints: Arc<ConnectionPool>,
         timer: ActorRef<TimerService>,
+        path_check: PathCheck,
         seed: u64,
     ) -> ShardTable {
         let actors = RwLock::default();
-        ShardTable { actors, facts: FactsTable::default(), clock, endpoints, timer, seed }
+        let facts = FactsTable::default();
+        ShardTable { actors, facts, clock, endpoints, timer, path_check, seed }
     }
 
     /// Returns the actor of a shard, if it runs.
@@ -81,6 +85,7 @@
             clock: self.clock,
             endpoints: Arc::clone(&self.endpoints),
             facts: Arc::clone(&self.facts),
+            path_check: self.path_check.clone(),
         };
         let actor = ShardActor::spawn_with_mailbox(args, mailbox::unbounded());
         // The timer service outlives every shard but at the process's end.
@@ -95,11 +100,14 @@
         let _ = actor.tell(SetMode(ShardMode::Owner)).try_send();
     }
 
-    /// Makes a shard careful because another VM owns it now.
-    pub(crate) fn disown(&self, shard: &ShardId) {
-        if let Some(actor) = self.find(shard) {
-            let _ = actor.tell(SetMode(ShardMode::Careful)).try_send();
+    /// Makes a shard careful because another VM owns it now, and hands it over
+    /// to that VM.
+    pub(crate) fn disown(&self, shard: &ShardId, to: Option<Vm>) {
+        let Some(actor) = self.find(shard) else { return };
+        if let Some(to) = to {
+            let _ = actor.tell(HandOverTo(to)).try_send();
         }
+        let _ = actor.tell(SetMode(ShardMode::Careful)).try_send();
     }
 
     /// Returns all running shards.
