--- a/crates/pistachiotrack-core/tests/health_faults.rs
+++ b/crates/pistachiotrack-core/tests/health_faults.rs
@@ -128,6 +128,8 @@
         if world.health.unreachable_from_here("e5") {
             seen_unreachable = true;
             assert_eq!(world.health.share(world.now, "e5"), 0.0);
+            let handed_over = world.health.hand_over(world.now);
+            assert_eq!(handed_over[5].standing, Standing::Healthy);
         }
     }
     assert!(seen_unreachable);
