Spread the retries of a cold fleet

Cause: 5,800 VMs that start while the platform is away retry after 200 ms, in the busiest second 5,105 of them, more than twice the platform's rate. Change: all but a watcher that knows peers wait at least as long as the fleet's first reads are spread over.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -111,12 +111,14 @@
     ) -> Vec<ConfigAction> {
         let mut count = 0;
         let mut better_watchers = 0;
+        let mut alone = true;
         let my_score = watch_score(&self.deployment, &self.me);
         for member in members {
             if member.vm.name == self.me.name {
                 continue;
             }
             count += 1;
+            alone &= member.state != MemberState::Alive;
             self.note_member(member);
             if self.may_watch(member) && watch_score(&self.deployment, &member.vm) > my_score {
                 better_watchers += 1;
@@ -124,7 +126,7 @@
         }
         self.pulls.on_tick(now, &mut self.rng);
         let mut actions = self.pull(now);
-        let role = self.role(better_watchers);
+        let role = if alone { Role::Alone } else { self.role(better_watchers) };
         let fleet_vms = self.fleet_vms(count);
         if self.platform.begin(now, role, fleet_vms, &mut self.rng) {
             actions.push(ConfigAction::Watch { after: self.watch_after(now) });
--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -17,6 +17,8 @@
 pub(super) enum Role {
     /// It is one of its data centre's watchers.
     Watcher,
+    /// It knows nobody alive.
+    Alone,
     /// Others watch; it has no configuration yet.
     Cold,
     /// Others watch; it has a configuration.
@@ -36,6 +38,8 @@
     begun: Time,
     /// Time over which the fleet's calls are spread at its present size.
     spread: Duration,
+    /// Shortest wait after a failure, whatever the backoff says.
+    shortest_retry: Duration,
     not_before: Time,
     failures: u32,
     answered: Option<Time>,
@@ -52,6 +56,7 @@
             outstanding: None,
             begun: Time::ZERO,
             spread: Duration::ZERO,
+            shortest_retry: Duration::ZERO,
             not_before: Time::ZERO,
             failures: 0,
             answered: None,
@@ -70,6 +75,12 @@
         let started = *self.started.get_or_insert(now);
         self.confirmed = self.confirmed.max(started);
         self.spread = spread(fleet_vms, self.settings.first_reads_per_second);
+        // A watcher that knows peers is one of a few. All others may be as many
+        // as the fleet, and short retries of all would keep the platform down.
+        self.shortest_retry = match role {
+            Role::Watcher => Duration::ZERO,
+            Role::Alone | Role::Cold | Role::Follower => self.spread,
+        };
         self.give_up_lost_watch(now, rng);
         if self.outstanding.is_some() || now < self.not_before {
             return false;
@@ -106,9 +117,10 @@
     pub(super) fn on_failure(&mut self, now: Time, rng: &mut impl Rng) {
         self.outstanding = None;
         let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
-        let longest_ms = self.settings.max_backoff_ms.max(self.spread.as_millis() as u64);
+        let longest_ms = self.settings.max_backoff_ms;
         let delay_ms = self.settings.min_backoff_ms.saturating_mul(1 << doublings).min(longest_ms);
         self.failures = self.failures.saturating_add(1);
+        let delay_ms = delay_ms.max(self.shortest_retry.as_millis() as u64);
         let jittered_ms = delay_ms as f64 * rng.random_range(0.5..1.5);
         self.not_before = now + Duration::from_millis(jittered_ms as u64);
     }
@@ -129,7 +141,7 @@
             // When the whole fleet starts at once, each VM knows nobody alive
             // and takes itself for a watcher. The platform would see all of
             // them in the same second; the spread keeps them under its rate.
-            Role::Watcher => started + self.spread.mul_f64(self.place),
+            Role::Watcher | Role::Alone => started + self.spread.mul_f64(self.place),
             Role::Cold => {
                 let wait = Duration::from_millis(self.settings.cold_read_after_ms);
                 started + wait + self.spread.mul_f64(self.place)
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -102,6 +102,30 @@
     assert!(reads_by_second.iter().all(|reads| *reads < 1_200), "{reads_by_second:?}");
 }
 
+/// As above, but the platform is away as well and every read fails. The retries
+/// of VMs that know nobody, and of those that know peers without a version,
+/// must stay within the rate too, or the platform never gets up again.
+#[test]
+fn retries_of_a_cold_fleet_stay_within_the_platforms_rate() {
+    for members in [Vec::new(), alive(48)] {
+        let mut reads_by_second = [0_u32; 25];
+        for seed in 0..5_800 {
+            let settings = ConfigSyncSettings::default();
+            let mut node = ConfigSync::new(vm(1, 3), Name::from(DEPLOYMENT), settings, seed);
+            node.on_listed_vms(5_800);
+            for step in 0..250 {
+                let now = Time::from_millis(step * 100);
+                if watches(&node.on_tick(now, members.iter())) {
+                    reads_by_second[step as usize / 10] += 1;
+                    node.on_platform_error(now);
+                }
+            }
+        }
+        assert!(reads_by_second.iter().all(|reads| *reads < 1_500), "{reads_by_second:?}");
+        assert!(reads_by_second.iter().sum::<u32>() >= 5_800, "{reads_by_second:?}");
+    }
+}
+
 /// The platform answers nothing for hours. Callers are served on; what counts
 /// is that all VMs together call no more than before, and that nothing changes.
 #[test]
