Count the time that statements wait in queues

Cause: each VM saw a new VM settle at its own moment, since the time alive that is passed on left out the time spent in queues. Change: a statement tells the time alive as of when it is sent.

--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -100,6 +100,7 @@
     superseded: bool,
     config_version: Option<u64>,
     list_version: u64,
+    now: Time,
 }
 
 type Actions = Vec<MembershipAction>;
@@ -126,6 +127,7 @@
             superseded: false,
             config_version: None,
             list_version: 0,
+            now,
         }
     }
 
@@ -140,6 +142,7 @@
         from: SocketAddr,
         bytes: &[u8],
     ) -> Result<Vec<MembershipAction>, postcard::Error> {
+        self.now = now;
         let datagram = match self.codec.decode(bytes) {
             Ok(datagram) => datagram,
             Err(DatagramError::Deployment) => return Ok(Vec::new()),
@@ -154,6 +157,7 @@
 
     /// Does what is due; called by the timer service.
     pub fn on_tick(&mut self, now: Time) -> Vec<MembershipAction> {
+        self.now = now;
         let mut actions = Vec::new();
         if self.superseded {
             return actions;
@@ -191,6 +195,7 @@
 
     /// Tells the others that this VM is stopping gracefully.
     pub fn leave(&mut self, now: Time) -> Vec<MembershipAction> {
+        self.now = now;
         let mut actions = Vec::new();
         self.leaving = true;
         let peers = self.table.random_alive(self.settings.leave_fanout, None, &mut self.rng);
@@ -289,7 +294,7 @@
         let mut datagram = Datagram { sender: self.identity(), message, updates };
         let room = room_for_updates(&datagram);
         let limit = self.settings.update_transmissions * self.scale().ceil() as u32;
-        datagram.updates.extend(self.gossip.take(room, limit));
+        datagram.updates.extend(self.gossip.take(self.now, room, limit));
         // Only a name near the limits can make this fail; such a VM stays unheard.
         if let Ok(bytes) = self.codec.encode(&datagram) {
             actions.push(MembershipAction::Send { to, bytes });
@@ -316,7 +321,7 @@
     /// Passes on what this VM now believes of a member.
     fn spread(&mut self, now: Time, name: &Name) {
         if let Some(entry) = self.table.get(name).filter(|entry| entry.is_known()) {
-            self.gossip.push(entry.update(now));
+            self.gossip.push(now, entry.update(now));
         }
     }
 }
--- a/crates/pistachiotrack-core/src/membership/gossip.rs
+++ b/crates/pistachiotrack-core/src/membership/gossip.rs
@@ -5,6 +5,7 @@
 use crate::{
     message::{Update, encoded_bytes},
     name::Name,
+    time::Time,
 };
 
 /// Updates to pass on, one for each member, each a bounded number of times.
@@ -18,13 +19,33 @@
     update: Update,
     bytes: usize,
     sent: u32,
+    queued_at: Time,
+}
+
+/// Bytes by which an update may grow while the time alive in it goes up.
+const GROWTH_BYTES: usize = 4;
+
+impl Queued {
+    /// Returns the update as it has to be told at `now`.
+    ///
+    /// Owners change when a new VM has been alive for long enough. If the time
+    /// spent in queues were left out, each VM would see that at another moment.
+    fn as_of(&self, now: Time) -> Update {
+        let mut update = self.update.clone();
+        if let Some(place) = &mut update.place {
+            let waited_ms = now.since(self.queued_at).as_millis() as u32;
+            place.alive_ms = place.alive_ms.saturating_add(waited_ms);
+        }
+        update
+    }
 }
 
 impl Gossip {
     /// Queues an update in place of an older one about the same member.
-    pub(super) fn push(&mut self, update: Update) {
-        let bytes = encoded_bytes(&update);
-        self.updates.insert(update.name.clone(), Queued { update, bytes, sent: 0 });
+    pub(super) fn push(&mut self, now: Time, update: Update) {
+        let bytes = encoded_bytes(&update) + GROWTH_BYTES;
+        let queued = Queued { update, bytes, sent: 0, queued_at: now };
+        self.updates.insert(queued.update.name.clone(), queued);
     }
 
     /// Forgets the update about a member.
@@ -39,7 +60,7 @@
 
     /// Takes the least sent updates that fit into `room` bytes; each leaves the
     /// queue after `limit` transmissions.
-    pub(super) fn take(&mut self, room: usize, limit: u32) -> Vec<Update> {
+    pub(super) fn take(&mut self, now: Time, room: usize, limit: u32) -> Vec<Update> {
         if self.updates.is_empty() {
             return Vec::new();
         }
@@ -53,7 +74,7 @@
             }
             left -= queued.bytes;
             queued.sent += 1;
-            taken.push(queued.update.clone());
+            taken.push(queued.as_of(now));
         }
         self.updates.retain(|_, queued| queued.sent < limit);
         taken
