Leave the first flap out of the hold-down

Cause: a restarted VM can't know that the others count its return as a flap; it held itself for settled after 3 s, the others after 6 s. Change: the time to settle doubles from the second return on.

--- a/crates/pistachiotrack-core/src/ownership/candidate.rs
+++ b/crates/pistachiotrack-core/src/ownership/candidate.rs
@@ -206,9 +206,10 @@
 }
 
 /// Returns the time for which a VM must have been alive before it takes shards
-/// over; it doubles with each flap, so a flapping VM stops moving shards.
+/// over; it doubles with each flap after the first, so a flapping VM stops moving
+/// shards. The first is left out because a restarted VM can't know of it.
 fn hold_down(settings: &OwnershipSettings, flaps: u32) -> Duration {
-    let doubled = settings.settle_ms.saturating_mul(1 << flaps.min(16));
+    let doubled = settings.settle_ms.saturating_mul(1 << flaps.saturating_sub(1).min(16));
     Duration::from_millis(doubled.min(settings.max_hold_down_ms.max(settings.settle_ms)))
 }
 
