Let a VM held for dead tell since when it is alive

Cause: each VM that verified a returned one counted its time alive from its own verification, so they saw it settle at different moments. Change: a probe of a dead member asks it to introduce itself.

--- a/crates/pistachiotrack-core/src/membership/probe.rs
+++ b/crates/pistachiotrack-core/src/membership/probe.rs
@@ -131,7 +131,10 @@
     /// Probes a member unless a probe of it is under way.
     pub(super) fn probe(&mut self, now: Time, name: &Name, actions: &mut Actions) {
         let Some(entry) = self.table.get(name) else { return };
-        let (address, incarnation) = (entry.member.vm.peer_address, entry.incarnation());
+        // A dead one that answers tells anew since when it has been alive.
+        let dead = entry.state == MemberState::Dead;
+        let incarnation = if dead { 0 } else { entry.incarnation() };
+        let address = entry.member.vm.peer_address;
         self.probe_at(now, name, address, incarnation, actions);
     }
 
--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -130,7 +130,7 @@
             }
             return;
         }
-        self.on_known_identity(now, identity, verified, actions);
+        self.on_known_identity(now, identity, introduction, verified, actions);
         self.on_config_version(identity, actions);
     }
 
@@ -138,12 +138,14 @@
         &mut self,
         now: Time,
         identity: &Identity,
+        introduction: Option<&Update>,
         verified: bool,
         actions: &mut Actions,
     ) {
         let name = &identity.name;
         let Some(entry) = self.table.entries.get_mut(name) else { return };
         let (state, refutes) = (entry.state, identity.refutation > entry.refutation);
+        let was_dead = state == MemberState::Dead;
         if verified && refutes {
             entry.refutation = identity.refutation;
         }
@@ -168,6 +170,10 @@
                 let alive = !identity.leaving;
                 let state = if alive { MemberState::Alive } else { MemberState::Leaving };
                 self.set_state(now, name, state, actions);
+                let place = introduction.and_then(|update| update.place.as_ref());
+                if let Some(place) = place.filter(|_| was_dead) {
+                    self.table.set_alive_since(name, table::before(now, place.alive_ms));
+                }
                 self.table.join_round(name, &mut self.rng);
                 self.spread(now, name);
                 self.pull_after_partition(now, name, state, actions);
