--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod header;
 pub mod health;
 pub mod idempotency;
+pub mod limit;
 pub mod membership;
 pub mod message;
 pub mod name;
