Pass statements on more often in small fleets

Cause: with 20 % loss one VM of 48 could miss all eight transmissions of a death and found it in its own round only. Change: update_transmissions counts once more on top of the logarithm: 12 instead of 8 times at 48 VMs, 20 instead of 16 at 5,800.

--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -293,7 +293,7 @@
     ) {
         let mut datagram = Datagram { sender: self.identity(), message, updates };
         let room = room_for_updates(&datagram);
-        let limit = self.settings.update_transmissions * self.scale().ceil() as u32;
+        let limit = self.settings.update_transmissions * (1 + self.scale().ceil() as u32);
         datagram.updates.extend(self.gossip.take(self.now, room, limit));
         // Only a name near the limits can make this fail; such a VM stays unheard.
         if let Ok(bytes) = self.codec.encode(&datagram) {
--- a/crates/pistachiotrack-core/src/membership/settings.rs
+++ b/crates/pistachiotrack-core/src/membership/settings.rs
@@ -17,7 +17,8 @@
     pub indirect_probes: usize,
     /// Probe intervals of a suspicion in a fleet of ten.
     pub suspicion_intervals: f64,
-    /// Transmissions of an update in a fleet of ten.
+    /// Transmissions of an update in a fleet of one; as many more for each started
+    /// power of ten.
     pub update_transmissions: u32,
     /// Highest local health score; each point lengthens timeouts once more.
     pub max_local_health: u32,
