Test whole answers, limits and the life cycle of the daemon

Cause: the failures that the daemon guards against had no tests; a condition that never came true held a test run up for good. Change: tests of cut and stalled bodies, bookings that may have run, callers that break off, limits, header stripping, graceful shutdown and settings errors; waiting for a condition ends after 20 s.

--- a/crates/pistachiotrackd/benches/overhead.rs
+++ b/crates/pistachiotrackd/benches/overhead.rs
@@ -43,18 +43,21 @@
     let caller_runtime = runtime(2);
     let endpoints: Vec<Endpoint> = endpoint_runtime.block_on(async {
         let mut endpoints = Vec::new();
-        for _ in 0..ENDPOINTS {
+        for _ in 0..2 * ENDPOINTS {
             endpoints.push(Endpoint::answering(&[b'x'; ANSWER_BYTES]).await);
         }
         endpoints
     });
     let addresses: Vec<SocketAddr> = endpoints.iter().map(|endpoint| endpoint.address).collect();
-    let deployment = daemon_runtime.block_on(Deployment::start(&addresses, &addresses));
+    let (search, booking) = addresses.split_at(ENDPOINTS);
+    let deployment = daemon_runtime.block_on(Deployment::start(search, booking));
     let entry = [deployment.address()];
     println!("path callers kind count p50_us p90_us p99_us p999_us max_us");
     for callers in CALLERS {
-        for (kind, request) in [("lookup", lookup as fn() -> _), ("booking", booking)] {
-            for (path, targets) in [("direct", &addresses[..]), ("daemon", &entry[..])] {
+        for (kind, request, targets) in
+            [("lookup", lookup as fn() -> _, search), ("booking", booking_request, booking)]
+        {
+            for (path, targets) in [("direct", targets), ("daemon", &entry[..])] {
                 let round = round(targets, callers, request);
                 print(path, callers, kind, &caller_runtime.block_on(round));
             }
@@ -76,7 +79,7 @@
     client::get("/slots?day=3")
 }
 
-fn booking() -> Request<Full<Bytes>> {
+fn booking_request() -> Request<Full<Bytes>> {
     client::request(Method::POST, "/bookings", "slot 7")
 }
 
--- /dev/null
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -0,0 +1,83 @@
+//! Start and stop of the daemon.
+
+mod testenv;
+
+use std::{path::Path, time::Duration};
+
+use http_body_util::Full;
+use hyper::Response;
+use pistachiotrack_core::header;
+use pistachiotrackd::{daemon::Daemon, settings::Settings};
+use serde_json::json;
+use testenv::{Deployment, client, endpoint::Endpoint, platform::Platform, settings};
+use tokio::sync::watch;
+
+/// A clerk's lookup breaks off whenever a VM is replaced. The daemon is asked
+/// to stop while the endpoint still works on the request, and closes the
+/// caller's connection.
+#[tokio::test]
+async fn a_graceful_shutdown_finishes_requests_in_flight() {
+    let (release, released) = watch::channel(false);
+    let search = Endpoint::start(move |_| {
+        let mut released = released.clone();
+        async move {
+            released.wait_for(|released| *released).await.unwrap();
+            Response::new(Full::from("free slots"))
+        }
+    })
+    .await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    let address = deployment.address();
+    let admin = deployment.daemon.admin_address();
+    let caller = tokio::spawn(client::send(address, client::get("/slots")));
+    client::wait_for(admin, "/status", |status| {
+        let counters = status["counters"].as_array().unwrap();
+        counters.iter().any(|c| c["name"] == "dispatches" && c["value"] == 1)
+    })
+    .await;
+    let stop = tokio::spawn(deployment.daemon.stop());
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(!stop.is_finished());
+    release.send_replace(true);
+    assert_eq!(caller.await.unwrap().unwrap().body(), "free slots");
+    stop.await.unwrap();
+}
+
+#[tokio::test]
+async fn without_a_configuration_requests_are_not_run() {
+    let platform = Platform::start().await;
+    let daemon = Daemon::start(settings("vm-01", platform.address, json!({}))).await.unwrap();
+    let refused = client::send(daemon.caller_address(), client::get("/slots")).await.unwrap();
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("not-run"));
+    assert_eq!(client::field(&refused, header::REASON), Some("no-config"));
+}
+
+#[test]
+fn settings_errors_name_the_file_the_field_and_the_value() {
+    let valid = json!({
+        "vm": "vm-01", "data_centre": "oslo-1", "deployment": "timeliten",
+        "caller_address": "127.0.0.1:9001", "peer_address": "127.0.0.1:9101",
+        "admin_address": "127.0.0.1:9201", "platform_address": "127.0.0.1:9000"});
+    let parse = |json: &serde_json::Value| {
+        Settings::parse(Path::new("vm.json"), json.to_string().as_bytes())
+    };
+    parse(&valid).unwrap();
+    let cases = [
+        ("vm", json!("vm 1"), vec!["vm.json", "vm:", "\"vm 1\""]),
+        ("peer_address", json!("oslo:1"), vec!["vm.json", "peer_address:"]),
+        ("log_level", json!("loud"), vec!["vm.json", "log_level:", "\"loud\""]),
+        ("colour", json!("red"), vec!["vm.json", "colour"]),
+        ("limits", json!({"idle_ms": -4}), vec!["vm.json", "limits.idle_ms:", "-4"]),
+        ("limits", json!({"header_count": 0}), vec!["limits.header_count:", "0"]),
+    ];
+    for (field, value, parts) in cases {
+        let mut settings = valid.clone();
+        settings[field] = value;
+        let error = parse(&settings).unwrap_err().to_string();
+        for part in parts {
+            assert!(error.contains(part), "{part:?} is not in {error:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/limits.rs
@@ -0,0 +1,110 @@
+//! Limits on what callers may use, and headers that must not travel on.
+
+mod testenv;
+
+use hyper::{Method, StatusCode};
+use pistachiotrack_core::header;
+use serde_json::json;
+use testenv::{
+    Deployment, client,
+    endpoint::{Endpoint, read_to_end},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Callers that send nothing use up all connections. Each opens a connection,
+/// sends a part of a head and then nothing; the daemon waits for the rest.
+#[tokio::test]
+async fn a_head_that_does_not_come_closes_the_connection() {
+    let limits = json!({"header_read_timeout_ms": 50});
+    let deployment = Deployment::start_with_limits(&[], &[], limits).await;
+    let mut stream = TcpStream::connect(deployment.address()).await.unwrap();
+    stream.write_all(b"GET /slots HTTP/1.1\r\nhost: ").await.unwrap();
+    read_to_end(&mut stream).await;
+}
+
+#[tokio::test]
+async fn malformed_requests_are_answered_400() {
+    let deployment = Deployment::start(&[], &[]).await;
+    let mut stream = TcpStream::connect(deployment.address()).await.unwrap();
+    stream.write_all(b"this is not http\r\n\r\n").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+}
+
+#[tokio::test]
+async fn too_many_headers_are_refused() {
+    let deployment = Deployment::start_with_limits(&[], &[], json!({"header_count": 8})).await;
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let request =
+        names.iter().fold(client::get("/slots"), |request, name| client::with(request, name, "1"));
+    let answer = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+}
+
+#[tokio::test]
+async fn a_body_over_the_limit_is_not_run() {
+    let booking = Endpoint::answering("").await;
+    let limits = json!({"body_bytes": 10});
+    let deployment = Deployment::start_with_limits(&[], &[booking.address], limits).await;
+    let request = client::request(Method::POST, "/bookings", "eleven byte");
+    let answer = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(client::field(&answer, header::OUTCOME), Some("not-run"));
+    assert!(booking.received().is_empty());
+}
+
+#[tokio::test]
+async fn a_body_that_does_not_fit_into_memory_is_streamed_whole() {
+    let booking = Endpoint::answering("booked").await;
+    let limits = json!({"buffered_body_bytes": 1000});
+    let deployment = Deployment::start_with_limits(&[], &[booking.address], limits).await;
+    let body: Vec<u8> = (0..200_000u32).map(|index| index as u8).collect();
+    let request = client::request(Method::POST, "/bookings", body.clone());
+    let answer = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(answer.body(), "booked");
+    assert_eq!(booking.received()[0].body(), &body);
+}
+
+#[tokio::test]
+async fn headers_of_one_connection_and_of_the_fleet_stay_behind() {
+    let search = Endpoint::start(|_| async {
+        let response = hyper::Response::builder()
+            .header("x-answer", "kept")
+            .header("keep-alive", "timeout=5")
+            .header(header::OUTCOME, "not-run");
+        response.body(http_body_util::Full::default()).unwrap()
+    })
+    .await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    let mut request = client::get("/slots");
+    for (name, value) in
+        [("connection", "x-secret"), ("x-secret", "1"), ("te", "trailers"), ("x-asked", "kept")]
+    {
+        request = client::with(request, name, value);
+    }
+    request = client::with(request, header::HOP, "vm-99");
+    let answer = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(client::field(&answer, "x-answer"), Some("kept"));
+    assert_eq!(client::field(&answer, "keep-alive"), None);
+    assert_eq!(client::field(&answer, header::OUTCOME), None);
+    let received = search.received();
+    let fields = received[0].headers();
+    assert_eq!(fields["x-asked"], "kept");
+    for name in ["connection", "x-secret", "te", header::HOP] {
+        assert!(!fields.contains_key(name), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_without_a_customer_is_not_run() {
+    let deployment = Deployment::start(&[], &[]).await;
+    let mut request = client::get("/slots");
+    request.headers_mut().remove(header::CUSTOMER);
+    let answer = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(client::field(&answer, header::OUTCOME), Some("not-run"));
+}
--- a/crates/pistachiotrackd/tests/testenv/client.rs
+++ b/crates/pistachiotrackd/tests/testenv/client.rs
@@ -1,6 +1,9 @@
 //! A caller.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -112,9 +115,19 @@
 /// Time between two looks at a condition.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time after which a condition that does not come true fails the test instead
+/// of holding it up for good.
+const HANG_LIMIT: Duration = Duration::from_secs(20);
+
 /// Waits until what the admin port answers to `path` fulfils `condition`.
 pub(crate) async fn wait_for(address: SocketAddr, path: &str, condition: impl Fn(&Value) -> bool) {
-    while !condition(&admin(address, path).await) {
+    let start = Instant::now();
+    loop {
+        let value = admin(address, path).await;
+        if condition(&value) {
+            return;
+        }
+        assert!(start.elapsed() < HANG_LIMIT, "{path} stays at {value}");
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
 }
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -7,7 +7,10 @@
 pub(crate) mod endpoint;
 pub(crate) mod platform;
 
-use std::{net::SocketAddr, path::Path};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+};
 
 use pistachiotrackd::{daemon::Daemon, settings::Settings};
 use serde_json::{Value, json};
@@ -44,7 +47,8 @@
         "version": version,
         "deployment": "timeliten",
         "data_centres": [{"name": "oslo-1", "region": "oslo"}],
-        "services": [service(SEARCH, search), service(BOOKING, booking)],
+        "services": [
+            service(SEARCH, search, UNUSED_SEARCH), service(BOOKING, booking, UNUSED_BOOKING)],
         "customers": [{"name": CUSTOMER, "contracts": [
             {"service": SEARCH, "slots": 2}, {"service": BOOKING, "slots": 2}]}],
         "rules": [
@@ -60,7 +64,12 @@
     })
 }
 
-fn service(name: &str, endpoints: &[SocketAddr]) -> Value {
+/// Addresses, that nobody listens at, of endpoints that a test has no use for.
+const UNUSED_SEARCH: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+const UNUSED_BOOKING: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 2);
+
+fn service(name: &str, endpoints: &[SocketAddr], unused: SocketAddr) -> Value {
+    let endpoints = if endpoints.is_empty() { &[unused] } else { endpoints };
     let endpoints: Vec<Value> = endpoints
         .iter()
         .enumerate()
--- /dev/null
+++ b/crates/pistachiotrackd/tests/whole_answers.rs
@@ -0,0 +1,109 @@
+//! Answers that are cut short, and requests that may have run.
+
+mod testenv;
+
+use hyper::Method;
+use pistachiotrack_core::header;
+use serde_json::json;
+use testenv::{
+    Deployment, client,
+    endpoint::{Endpoint, read_head, read_to_end},
+};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+async fn write(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// A clerk sees half a roster and takes it for the whole. The endpoint dies
+/// after the first part of an answer; its system closes the connection; the
+/// fleet ends the answer to the caller as if it were complete.
+#[tokio::test]
+async fn a_cut_body_is_an_error_for_the_caller() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf a roster",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhalf a roster",
+    ];
+    for head in heads {
+        let search = Endpoint::serve(move |mut stream| async move {
+            read_head(&mut stream).await;
+            write(&mut stream, head).await;
+        })
+        .await;
+        let deployment = Deployment::start(&[search.address], &[]).await;
+        let mut connection = client::Connection::open(deployment.address()).await;
+        let answer = connection.begin(client::get("/slots")).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        client::whole(answer).await.unwrap_err();
+        connection.send(client::get("/slots")).await.unwrap_err();
+    }
+}
+
+/// An answer stops in the middle and the caller waits for good. The endpoint
+/// hangs after the first part; its connection stays open; nothing ends the
+/// exchange.
+#[tokio::test]
+async fn a_stalled_body_is_an_error_for_the_caller() {
+    let search = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+        write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf").await;
+        read_to_end(&mut stream).await;
+    })
+    .await;
+    let limits = json!({"body_idle_ms": 50});
+    let deployment = Deployment::start_with_limits(&[search.address], &[], limits).await;
+    client::send(deployment.address(), client::get("/slots")).await.unwrap_err();
+    search.wait_closed(1).await;
+}
+
+/// A booking is doubled. The endpoint takes it, closes the connection without
+/// an answer, and the fleet sends it again although the first may have run.
+#[tokio::test]
+async fn a_booking_without_an_answer_is_sent_once_and_called_unknown() {
+    let booking = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+    })
+    .await;
+    let deployment = Deployment::start(&[], &[booking.address]).await;
+    let request = client::request(Method::POST, "/bookings", "");
+    let refused = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("unknown"));
+    assert_eq!(booking.connections(), 1);
+}
+
+/// A caller is told that its booking may have run, and does not dare to send
+/// it again. The endpoint's port is closed, so no byte can have been sent.
+#[tokio::test]
+async fn a_booking_that_no_endpoint_could_get_was_not_run() {
+    let deployment = Deployment::start(&[], &[]).await;
+    let request = client::request(Method::POST, "/bookings", "slot 7");
+    let refused = client::send(deployment.address(), request).await.unwrap();
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("not-run"));
+}
+
+/// An endpoint works on for a caller that has hung up, and its slot is lost
+/// for others. The caller breaks off before the answer begins; nothing tells
+/// the endpoint.
+#[tokio::test]
+async fn a_caller_that_breaks_off_cancels_its_request() {
+    let search = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+        read_to_end(&mut stream).await;
+    })
+    .await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    let address = deployment.address();
+    let caller = tokio::spawn(client::send(address, client::get("/slots")));
+    let admin = deployment.daemon.admin_address();
+    let in_flight = |count: u32| {
+        move |endpoints: &serde_json::Value| {
+            let endpoints = endpoints.as_array().unwrap();
+            endpoints.iter().any(|e| e["endpoint"] == "slot-search-0" && e["in_flight"] == count)
+        }
+    };
+    client::wait_for(admin, "/endpoints", in_flight(1)).await;
+    caller.abort();
+    search.wait_closed(1).await;
+    client::wait_for(admin, "/endpoints", in_flight(0)).await;
+}
