--- a/crates/pistachiotrackd/tests/testenv/client.rs
+++ b/crates/pistachiotrackd/tests/testenv/client.rs
@@ -117,7 +117,7 @@
 
 /// Time after which a condition that does not come true fails the test instead
 /// of holding it up for good.
-const HANG_LIMIT: Duration = Duration::from_secs(20);
+pub(crate) const HANG_LIMIT: Duration = Duration::from_secs(20);
 
 /// Waits until what the admin port answers to `path` fulfils `condition`.
 pub(crate) async fn wait_for(address: SocketAddr, path: &str, condition: impl Fn(&Value) -> bool) {
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod client;
 pub(crate) mod endpoint;
 pub(crate) mod platform;
+pub(crate) mod process;
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -114,3 +115,9 @@
         self.daemon.caller_address()
     }
 }
+
+/// Returns a line of the platform's list of VMs.
+pub(crate) fn listed(vm: &str, peer_address: SocketAddr, caller_address: SocketAddr) -> Value {
+    json!({"name": vm, "data_centre": "oslo-1", "peer_address": peer_address,
+           "caller_address": caller_address})
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/testenv/process.rs
@@ -0,0 +1,86 @@
+//! A daemon in a process of its own, which a test can pause and kill.
+
+use std::{net::SocketAddr, process::Stdio};
+
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines},
+    process::{Child, ChildStderr, Command},
+};
+
+/// A daemon in a process of its own; killed when dropped.
+pub(crate) struct DaemonProcess {
+    /// Address that callers connect to.
+    pub(crate) caller_address: SocketAddr,
+    /// Address that other VMs use.
+    pub(crate) peer_address: SocketAddr,
+    /// Address of the admin port.
+    pub(crate) admin_address: SocketAddr,
+    child: Child,
+    _log: Lines<BufReader<ChildStderr>>,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon named `vm` that reads from `platform`.
+    pub(crate) async fn start(vm: &str, platform: SocketAddr) -> DaemonProcess {
+        let settings = json!({
+            "vm": vm, "data_centre": "oslo-1", "deployment": "timeliten",
+            "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0",
+            "admin_address": "127.0.0.1:0", "platform_address": platform, "entry_drain_ms": 0});
+        let mut child = spawn(&settings).await;
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let started = loop {
+            let line = log.next_line().await.unwrap().expect("the daemon starts");
+            if line.contains("event=started") {
+                break line;
+            }
+        };
+        DaemonProcess {
+            caller_address: address(&started, "caller_address="),
+            peer_address: address(&started, "peer_address="),
+            admin_address: address(&started, "admin_address="),
+            child,
+            _log: log,
+        }
+    }
+
+    /// Returns the line of the platform's list of VMs for this daemon.
+    pub(crate) fn listed(&self, vm: &str) -> Value {
+        super::listed(vm, self.peer_address, self.caller_address)
+    }
+
+    /// Kills the daemon at once, as a VM's failure does.
+    pub(crate) async fn kill(&mut self) {
+        self.child.kill().await.unwrap();
+    }
+
+    /// Sends a signal, such as `STOP`, to the daemon.
+    pub(crate) async fn signal(&self, signal: &str) {
+        let pid = self.child.id().unwrap().to_string();
+        let status = Command::new("kill").args([format!("-{signal}"), pid]).status().await.unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the daemon's end and returns its exit code.
+    pub(crate) async fn exit_code(&mut self) -> Option<i32> {
+        self.child.wait().await.unwrap().code()
+    }
+}
+
+async fn spawn(settings: &Value) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pistachiotrackd"))
+        .args(["--settings", "/dev/stdin"])
+        .stdin(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let mut stdin = child.stdin.take().unwrap();
+    stdin.write_all(settings.to_string().as_bytes()).await.unwrap();
+    child
+}
+
+fn address(line: &str, field: &str) -> SocketAddr {
+    let value = line.split_whitespace().find_map(|pair| pair.strip_prefix(field)).unwrap();
+    value.parse().unwrap()
+}
