Let a VM advertise another peer address

Cause: partitions between daemons on one machine need a relay that other VMs are told in place of the real address. Change: optional setting advertised_peer_address; without it nothing changes.

--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -242,7 +242,9 @@
             data_centre: settings.data_centre.clone(),
             incarnation: started.as_millis() as u64,
             caller_address: self.caller.local_addr().unwrap_or(settings.caller_address),
-            peer_address: self.peer.local_addr().unwrap_or(settings.peer_address),
+            peer_address: settings
+                .advertised_peer_address
+                .unwrap_or_else(|| self.peer.local_addr().unwrap_or(settings.peer_address)),
         }
     }
 }
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -23,6 +23,10 @@
     pub caller_address: SocketAddr,
     /// Address that other VMs use: TCP and UDP.
     pub peer_address: SocketAddr,
+    /// Address that other VMs are told in place of `peer_address`, where they
+    /// reach this VM by another one.
+    #[serde(default)]
+    pub advertised_peer_address: Option<SocketAddr>,
     /// Address of the admin port.
     pub admin_address: SocketAddr,
     /// Address of the platform's configuration service.
