--- a/crates/pistachiotrack-standins/src/daemon.rs
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -29,6 +29,9 @@
     pub caller_address: SocketAddr,
     /// Address that other VMs use.
     pub peer_address: SocketAddr,
+    /// Address that other VMs are told in place of `peer_address`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advertised_peer_address: Option<SocketAddr>,
     /// Address of the admin port.
     pub admin_address: SocketAddr,
     /// Address of the platform.
@@ -122,6 +125,11 @@
         &self.settings
     }
 
+    /// Returns the id of the process, unless it has ended.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Asks the daemon to stop gracefully.
     pub fn terminate(&self) {
         self.signal(libc::SIGTERM);
--- a/crates/pistachiotrack-standins/src/demo.rs
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     caller::{Caller, Operation},
-    daemon::{DaemonBinary, DaemonSettings},
+    daemon::DaemonBinary,
     demo::report::{DeploymentReport, Report, Stop},
     deployment::{Deployment, Kind},
     ejection::EjectionWatch,
@@ -127,7 +127,7 @@
     settings: &DemoSettings,
 ) -> anyhow::Result<DeploymentReport> {
     let deployment = Deployment::start(kind, settings.seed).await?;
-    let mut fleet = Fleet::start(binary, &deployment, settings.vms).await?;
+    let mut fleet = Fleet::start(binary, &deployment, settings.vms, None).await?;
     let ready = fleet.wait_until_serving(START_LIMIT).await?;
     let load =
         LoadSettings { duration: DIRECT_DURATION, ids: WorkIds::default(), seed: settings.seed };
@@ -151,6 +151,7 @@
         samples,
         ejections: watch.ejections(),
         fault: disturbed.fault,
+        start,
         end: start + settings.duration,
         stop: disturbed.stop,
     }))
@@ -204,7 +205,7 @@
     });
     listed?;
     let (status, took) = ended?;
-    let DaemonSettings { vm, .. } = daemon.settings().clone();
+    let vm = vm.to_string();
     Ok(Disturbance { fault, stop: Stop { vm, exit_code: status.code(), took } })
 }
 
--- a/crates/pistachiotrack-standins/src/demo/report.rs
+++ b/crates/pistachiotrack-standins/src/demo/report.rs
@@ -11,7 +11,7 @@
 use crate::{
     caller::Sample,
     deployment::Deployment,
-    ejection::{Ejection, work_stopped_after},
+    ejection::{Ejection, quiet_time, work_stopped_after},
     summary::{Added, Counts},
 };
 
@@ -31,6 +31,7 @@
     pub(super) samples: Vec<Sample>,
     pub(super) ejections: Vec<Ejection>,
     pub(super) fault: Instant,
+    pub(super) start: Instant,
     pub(super) end: Instant,
     pub(super) stop: Stop,
 }
@@ -68,7 +69,10 @@
     pub(super) fn new(run: Run<'_>) -> DeploymentReport {
         let deployment = run.deployment;
         let sick = sick_endpoint(deployment.kind);
-        let arrivals = deployment.arrivals_since(sick, run.fault).unwrap_or_default();
+        let arrivals = deployment.arrivals_since(sick, run.start).unwrap_or_default();
+        let (before, after): (Vec<_>, Vec<_>) =
+            arrivals.into_iter().partition(|arrival| *arrival < run.fault);
+        let quiet = quiet_time(before.len(), run.fault - run.start);
         let seen = run
             .ejections
             .iter()
@@ -80,22 +84,17 @@
             .count();
         let counts: Vec<_> =
             deployment.endpoints.iter().map(|endpoint| endpoint.counts()).collect();
-        let slots = deployment.config.services.iter().flat_map(|service| &service.endpoints);
-        let overshoot = counts
-            .iter()
-            .zip(slots)
-            .map(|(counts, endpoint)| counts.peak.saturating_sub(endpoint.slots));
         DeploymentReport {
             deployment: deployment.config.deployment.to_string(),
             ready_ms: millis(run.ready),
             counts: Counts::of(&run.samples, &deployment.ledger),
-            detect_ms: work_stopped_after(&arrivals, run.fault, run.end).map(millis),
+            detect_ms: work_stopped_after(&after, run.fault, run.end, quiet).map(millis),
             ejection_seen_ms: seen.map(|ejection| millis(ejection.at - run.fault)),
             false_ejections: false_ejections as u64,
             steady: Added::of(run.samples.iter().filter(|sample| sample.sent < run.fault)),
             added: Added::of(&run.samples),
             direct: Added::of(&run.direct),
-            slot_overshoot: overshoot.max().unwrap_or(0),
+            slot_overshoot: deployment.slot_overshoot(),
             shed: counts.iter().map(|counts| counts.shed).sum(),
             probes: counts.iter().map(|counts| counts.probes).sum(),
             platform_calls: deployment.platform.calls(),
--- a/crates/pistachiotrack-standins/src/deployment.rs
+++ b/crates/pistachiotrack-standins/src/deployment.rs
@@ -116,6 +116,17 @@
             .with_context(|| format!("no endpoint {name}"))
     }
 
+    /// Returns the most requests above its slots that an endpoint ever held.
+    pub fn slot_overshoot(&self) -> u32 {
+        let settings = self.config.services.iter().flat_map(|service| &service.endpoints);
+        let overshoot = self
+            .endpoints
+            .iter()
+            .zip(settings)
+            .map(|(endpoint, settings)| endpoint.counts().peak.saturating_sub(settings.slots));
+        overshoot.max().unwrap_or(0)
+    }
+
     /// Returns the work that arrived at an endpoint since a moment.
     ///
     /// # Errors
--- a/crates/pistachiotrack-standins/src/ejection.rs
+++ b/crates/pistachiotrack-standins/src/ejection.rs
@@ -88,15 +88,30 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Time without work after which an endpoint counts as out of rotation.
+/// Shortest time without work after which an endpoint counts as out of
+/// rotation.
 pub const QUIET: Duration = Duration::from_millis(500);
+/// Usual gaps between two pieces of work that are no sign of it yet.
+const USUAL_GAPS: f64 = 20.0;
+
+/// Returns the time without work that shows that an endpoint is out of
+/// rotation, given how much work arrived in the time before.
+pub fn quiet_time(arrivals: usize, time: Duration) -> Duration {
+    let usual_gap = time.div_f64(arrivals.max(1) as f64);
+    usual_gap.mul_f64(USUAL_GAPS).max(QUIET)
+}
 
 /// Returns how long after `fault` the last work arrived before the first quiet
 /// time, or `None` if work went on until `end`.
-pub fn work_stopped_after(arrivals: &[Instant], fault: Instant, end: Instant) -> Option<Duration> {
+pub fn work_stopped_after(
+    arrivals: &[Instant],
+    fault: Instant,
+    end: Instant,
+    quiet: Duration,
+) -> Option<Duration> {
     let mut last = fault;
     for at in arrivals.iter().copied().chain([end]) {
-        if at.saturating_duration_since(last) >= QUIET {
+        if at.saturating_duration_since(last) >= quiet {
             return Some(last - fault);
         }
         last = at;
--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -18,12 +18,15 @@
     admin::Admin,
     daemon::{Daemon, DaemonBinary, DaemonSettings, free_addresses},
     deployment::Deployment,
+    link::Links,
+    relay::{Relay, Senders},
 };
 
 /// Time between two looks at daemons that aren't ready yet.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-/// Addresses of a daemon: caller, peer and admin.
-const ADDRESSES: usize = 3;
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Addresses of a daemon: caller, peer, admin and the relay before the peer
+/// address.
+const ADDRESSES: usize = 4;
 
 /// The running daemons of a deployment.
 #[derive(Debug)]
@@ -32,10 +35,13 @@
     binary: DaemonBinary,
     list: VmList,
     admin: Admin,
+    senders: Senders,
+    _relays: Vec<Relay>,
 }
 
 impl Fleet {
-    /// Publishes a list of `count` VMs and starts their daemons.
+    /// Publishes a list of `count` VMs and starts their daemons, behind relays
+    /// where `links` are given.
     ///
     /// # Errors
     ///
@@ -44,14 +50,32 @@
         binary: &DaemonBinary,
         deployment: &Deployment,
         count: usize,
+        links: Option<&Links>,
     ) -> anyhow::Result<Fleet> {
-        let settings = settings(deployment, count)?;
+        let settings = settings(deployment, count, links.is_some())?;
+        let senders = Senders::default();
+        let mut relays = Vec::new();
+        for (index, settings) in settings.iter().enumerate() {
+            let Some((links, address)) = links.zip(settings.advertised_peer_address) else { break };
+            let (links, senders) = (links.clone(), senders.clone());
+            relays.push(Relay::start(address, index, settings.peer_address, links, senders).await?);
+        }
         let list = VmList { version: 1, vms: settings.iter().map(listed).collect() };
         deployment.platform.publish_vms(&list)?;
-        let mut fleet =
-            Fleet { daemons: Vec::new(), binary: binary.clone(), list, admin: Admin::default() };
-        for settings in settings {
-            fleet.daemons.push(binary.start(settings).await?);
+        let mut fleet = Fleet {
+            daemons: Vec::new(),
+            binary: binary.clone(),
+            list,
+            admin: Admin::default(),
+            senders,
+            _relays: relays,
+        };
+        for (index, settings) in settings.into_iter().enumerate() {
+            let daemon = binary.start(settings).await?;
+            if let Some(pid) = daemon.pid() {
+                fleet.senders.insert(index, daemon.settings().peer_address, pid);
+            }
+            fleet.daemons.push(daemon);
         }
         Ok(fleet)
     }
@@ -155,21 +179,14 @@
     ///
     /// Returns an error if the process can't be started.
     pub async fn replace(&mut self, settings: DaemonSettings) -> anyhow::Result<()> {
-        self.daemons.push(self.binary.start(settings).await?);
+        let daemon = self.binary.start(settings).await?;
+        if let Some(pid) = daemon.pid() {
+            self.senders.replace(daemon.settings().peer_address, pid);
+        }
+        self.daemons.push(daemon);
         Ok(())
     }
 
-    /// Marks a VM as leaving, or takes it off the list, and publishes the list.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the list can't be published.
-    pub fn publish_gone(&mut self, deployment: &Deployment, vm: &str) -> anyhow::Result<()> {
-        self.list.vms.retain(|listed| listed.name.as_str() != vm);
-        self.list.version += 1;
-        Ok(deployment.platform.publish_vms(&self.list)?)
-    }
-
     /// Marks a VM as leaving and publishes the list.
     ///
     /// # Errors
@@ -201,7 +218,11 @@
     Ok((status, start.elapsed()))
 }
 
-fn settings(deployment: &Deployment, count: usize) -> anyhow::Result<Vec<DaemonSettings>> {
+fn settings(
+    deployment: &Deployment,
+    count: usize,
+    behind_relays: bool,
+) -> anyhow::Result<Vec<DaemonSettings>> {
     let addresses = free_addresses(count * ADDRESSES)?;
     let centres = &deployment.config.data_centres;
     let settings =
@@ -211,6 +232,7 @@
             deployment: deployment.config.deployment.to_string(),
             caller_address: addresses[0],
             peer_address: addresses[1],
+            advertised_peer_address: behind_relays.then_some(addresses[3]),
             admin_address: addresses[2],
             platform_address: deployment.platform.address(),
         });
@@ -221,7 +243,7 @@
     ListedVm {
         name: Name::from(settings.vm.as_str()),
         data_centre: Name::from(settings.data_centre.as_str()),
-        peer_address: settings.peer_address,
+        peer_address: settings.advertised_peer_address.unwrap_or(settings.peer_address),
         caller_address: settings.caller_address,
         leaving: false,
     }
--- a/crates/pistachiotrack-standins/src/relay.rs
+++ b/crates/pistachiotrack-standins/src/relay.rs
@@ -45,6 +45,13 @@
         known.by_pid.insert(pid, index);
     }
 
+    /// Notes that a new process runs on a VM's peer address.
+    pub fn replace(&self, peer_address: SocketAddr, pid: u32) {
+        if let Some(index) = self.of_datagram(peer_address) {
+            self.insert(index, peer_address, pid);
+        }
+    }
+
     fn of_datagram(&self, from: SocketAddr) -> Option<usize> {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         known.by_address.get(&from).copied()
--- a/crates/pistachiotrack-standins/tests/summary.rs
+++ b/crates/pistachiotrack-standins/tests/summary.rs
@@ -4,7 +4,7 @@
 
 use pistachiotrack_standins::{
     caller::{Ending, Sample},
-    ejection::{QUIET, work_stopped_after},
+    ejection::{QUIET, quiet_time, work_stopped_after},
     ledger::Ledger,
     summary::{Added, Counts, percentile_ms},
     work::WorkId,
@@ -75,9 +75,16 @@
     let quiet_ms = QUIET.as_millis() as u64;
     let until_300 = [at(100), at(200), at(300)];
     let stopped = Some(Duration::from_millis(300));
-    assert_eq!(work_stopped_after(&until_300, fault, at(300 + quiet_ms)), stopped);
-    assert_eq!(work_stopped_after(&until_300, fault, at(299 + quiet_ms)), None);
+    assert_eq!(work_stopped_after(&until_300, fault, at(300 + quiet_ms), QUIET), stopped);
+    assert_eq!(work_stopped_after(&until_300, fault, at(299 + quiet_ms), QUIET), None);
     let trial_later = [at(100), at(300), at(300 + quiet_ms), at(301 + quiet_ms)];
-    assert_eq!(work_stopped_after(&trial_later, fault, at(60_000)), stopped);
-    assert_eq!(work_stopped_after(&[], fault, at(60_000)), Some(Duration::ZERO));
+    assert_eq!(work_stopped_after(&trial_later, fault, at(60_000), QUIET), stopped);
+    assert_eq!(work_stopped_after(&[], fault, at(60_000), QUIET), Some(Duration::ZERO));
+}
+
+#[test]
+fn little_work_needs_a_longer_quiet_time() {
+    assert_eq!(quiet_time(400, Duration::from_secs(5)), QUIET);
+    assert_eq!(quiet_time(10, Duration::from_secs(5)), Duration::from_secs(10));
+    assert_eq!(quiet_time(0, Duration::from_secs(5)), Duration::from_secs(100));
 }
