Name the daemons that are late in one line each

Cause: the error of a wait listed every counter of every daemon. Change: it names VM, state, configuration version and live VMs.

--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -127,7 +127,9 @@
             if start.elapsed() > limit {
                 let met = statuses.iter().filter(|status| ready(status)).count();
                 let all = self.daemons.len();
-                anyhow::bail!("{what}: {met} of {all} daemons after {limit:?}: {statuses:?}");
+                let others: Vec<String> =
+                    statuses.iter().filter(|status| !ready(status)).map(brief).collect();
+                anyhow::bail!("{what}: {met} of {all} daemons after {limit:?}: {others:?}");
             }
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
@@ -218,6 +220,12 @@
     Ok((status, start.elapsed()))
 }
 
+fn brief(status: &Status) -> String {
+    let Status { vm, state, config_version, live_vms, .. } = status;
+    let version = config_version.unwrap_or(0);
+    format!("vm={vm} state={state} config_version={version} live_vms={live_vms}")
+}
+
 fn settings(
     deployment: &Deployment,
     count: usize,
