Send part of the load to any VM

Cause: callers that use the entries reach owners at once, so no request was forwarded in the demo and the experiments. Change: one caller of each group sends to the known VMs in turn; its added latency is shown apart.

--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -78,6 +78,8 @@
     pub id: WorkId,
     /// Whether the request must not be repeated.
     pub non_idempotent: bool,
+    /// Whether the caller used the entries that a VM gave it.
+    pub steered: bool,
     /// Moment of sending.
     pub sent: Instant,
     /// Time from sending to the end of the answer.
@@ -112,7 +114,18 @@
     client: HttpClient,
     known: Arc<Vec<SocketAddr>>,
     entries: Arc<Mutex<FxHashMap<&'static str, Kept>>>,
-    direct: bool,
+    choice: Choice,
+}
+
+/// How a caller chooses the address that it sends to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Choice {
+    /// The entries that a VM gave it, the first one first.
+    Steered,
+    /// The known addresses in turn, the next one when a connection fails.
+    InTurn,
+    /// One of the known addresses in turn, and no other.
+    One,
 }
 
 #[derive(Clone, Debug)]
@@ -124,13 +137,20 @@
 impl Caller {
     /// Creates a caller that asks the VMs at `known` for entries.
     pub fn new(known: Vec<SocketAddr>) -> Caller {
-        Caller { client: client(), known: Arc::new(known), entries: Arc::default(), direct: false }
+        let choice = Choice::Steered;
+        Caller { client: client(), known: Arc::new(known), entries: Arc::default(), choice }
+    }
+
+    /// Creates a caller that does not ask for entries and sends to the VMs at
+    /// `known` in turn, so that most of its work is forwarded.
+    pub fn unsteered(known: Vec<SocketAddr>) -> Caller {
+        Caller { choice: Choice::InTurn, ..Caller::new(known) }
     }
 
     /// Creates a caller that connects to the endpoints at `addresses` itself,
     /// each in turn.
     pub fn direct(addresses: Vec<SocketAddr>) -> Caller {
-        Caller { direct: true, ..Caller::new(addresses) }
+        Caller { choice: Choice::One, ..Caller::new(addresses) }
     }
 
     /// Sends one piece of work and waits for what comes of it.
@@ -142,6 +162,7 @@
         Sample {
             id,
             non_idempotent: operation.non_idempotent,
+            steered: self.choice == Choice::Steered,
             sent,
             latency_us: sent.elapsed().as_micros() as u64,
             service_us,
@@ -163,8 +184,11 @@
     }
 
     async fn addresses(&self, operation: &Operation, id: WorkId) -> Vec<SocketAddr> {
-        if self.direct {
-            return vec![self.known[id.0 as usize % self.known.len()]];
+        let (before, after) = self.known.split_at(id.0 as usize % self.known.len());
+        match self.choice {
+            Choice::Steered => {}
+            Choice::InTurn => return [after, before].concat(),
+            Choice::One => return vec![after[0]],
         }
         if self.is_due(operation.service).await
             && let Some(found) = self.ask(operation, id).await
--- a/crates/pistachiotrack-standins/src/demo.rs
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -47,7 +47,7 @@
 const DIRECT_LOAD: f64 = 0.1;
 /// Time of the direct baseline.
 const DIRECT_DURATION: Duration = Duration::from_secs(3);
-/// Separate callers of each deployment.
+/// Separate callers of each deployment that use the entries; one more does not.
 const CALLERS: usize = 4;
 /// Time allowed for the daemons to serve.
 const START_LIMIT: Duration = Duration::from_secs(60);
@@ -133,8 +133,9 @@
         LoadSettings { duration: DIRECT_DURATION, ids: WorkIds::default(), seed: settings.seed };
     let direct = direct_baseline(&deployment, &load).await;
 
-    let callers: Vec<Caller> =
+    let mut callers: Vec<Caller> =
         (0..CALLERS).map(|_| Caller::new(fleet.caller_addresses())).collect();
+    callers.push(Caller::unsteered(fleet.caller_addresses()));
     let operations = operations(kind.work(), &deployment.config, settings.load);
     let load = LoadSettings { duration: settings.duration, ..load };
     let watch = EjectionWatch::start(fleet.admin_addresses());
--- a/crates/pistachiotrack-standins/src/demo/report.rs
+++ b/crates/pistachiotrack-standins/src/demo/report.rs
@@ -49,10 +49,12 @@
     ejection_seen_ms: Option<u64>,
     /// Ejections of endpoints that were well.
     false_ejections: u64,
-    /// Added by the fleet before the fault.
+    /// Added by the fleet before the fault, to callers that use the entries.
     steady: Added,
-    /// Added by the fleet over the whole run.
+    /// The same over the whole run.
     added: Added,
+    /// The same over the whole run, to callers that send to any VM.
+    unsteered: Added,
     /// Added by a direct connection.
     direct: Added,
     /// Work above an endpoint's slots at its worst moment, probes included.
@@ -84,6 +86,7 @@
             .count();
         let counts: Vec<_> =
             deployment.endpoints.iter().map(|endpoint| endpoint.counts()).collect();
+        let steered = || run.samples.iter().filter(|sample| sample.steered);
         DeploymentReport {
             deployment: deployment.config.deployment.to_string(),
             ready_ms: millis(run.ready),
@@ -91,8 +94,9 @@
             detect_ms: work_stopped_after(&after, run.fault, run.end, quiet).map(millis),
             ejection_seen_ms: seen.map(|ejection| millis(ejection.at - run.fault)),
             false_ejections: false_ejections as u64,
-            steady: Added::of(run.samples.iter().filter(|sample| sample.sent < run.fault)),
-            added: Added::of(&run.samples),
+            steady: Added::of(steered().filter(|sample| sample.sent < run.fault)),
+            added: Added::of(steered()),
+            unsteered: Added::of(run.samples.iter().filter(|sample| !sample.steered)),
             direct: Added::of(&run.direct),
             slot_overshoot: deployment.slot_overshoot(),
             shed: counts.iter().map(|counts| counts.shed).sum(),
@@ -171,6 +175,7 @@
             ("false ejections", |report| report.false_ejections.to_string()),
             ("added p50/p99 ms, steady", |report| added(report.steady)),
             ("added p50/p99 ms, all", |report| added(report.added)),
+            ("unsteered p50/p99 ms", |report| added(report.unsteered)),
             ("direct p50/p99 ms", |report| added(report.direct)),
             ("slots overshot by at most", |report| report.slot_overshoot.to_string()),
             ("shed by endpoints", |report| report.shed.to_string()),
--- a/crates/pistachiotrack-standins/src/experiment/trial.rs
+++ b/crates/pistachiotrack-standins/src/experiment/trial.rs
@@ -45,8 +45,8 @@
 /// Time allowed for the daemons to serve.
 const START_LIMIT: Duration = Duration::from_secs(60);
 /// Groups of callers, each of which knows its own part of the VMs.
-pub(super) const CALLER_GROUPS: usize = 2;
-/// Callers of each group.
+const CALLER_GROUPS: usize = 2;
+/// Callers of each group that use the entries; one more does not.
 const CALLERS: usize = 3;
 
 /// A fleet that serves, behind relays.
@@ -126,6 +126,9 @@
     let part = addresses.len().div_ceil(CALLER_GROUPS);
     addresses
         .chunks(part)
-        .flat_map(|known| (0..CALLERS).map(|_| Caller::new(known.to_vec())))
+        .flat_map(|known| {
+            let steered = (0..CALLERS).map(|_| Caller::new(known.to_vec()));
+            steered.chain([Caller::unsteered(known.to_vec())])
+        })
         .collect()
 }
--- a/crates/pistachiotrack-standins/tests/summary.rs
+++ b/crates/pistachiotrack-standins/tests/summary.rs
@@ -14,6 +14,7 @@
     Sample {
         id: WorkId(id),
         non_idempotent: true,
+        steered: true,
         sent: Instant::now(),
         latency_us: 31_000 + id,
         service_us: Some(30_000),
