--- a/crates/pistachiotrack-standins/src/experiment.rs
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -1,10 +1,15 @@
 //! Experiments: ours against a baseline, in the same run.
 
+mod overload;
+
 use std::process::ExitCode;
 
 use anyhow::Context;
 
+use self::options::Options;
+
 mod churn;
+mod options;
 mod owners;
 mod partition;
 mod rollout;
@@ -12,9 +17,7 @@
 mod trial;
 
 /// Names of the experiments, in the order in which `list` shows them.
-const NAMES: &[&str] = &["churn", "partition", "rollout"];
-/// Seed where the arguments don't give one.
-const DEFAULT_SEED: u64 = 1;
+const NAMES: &[&str] = &["churn", "overload", "partition", "rollout"];
 
 /// Runs the experiment that the arguments name.
 ///
@@ -23,13 +26,12 @@
 /// Returns an error if there is no such experiment or if it could not be run.
 pub fn run(mut arguments: pico_args::Arguments) -> anyhow::Result<ExitCode> {
     let name = arguments.subcommand()?.context("no experiment named; try `list`")?;
-    let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
-    let json = arguments.contains("--json");
     match name.as_str() {
         "list" => list(),
-        "churn" => churn::run(seed, json),
-        "partition" => partition::run(seed, json),
-        "rollout" => rollout::run(seed, json),
+        "churn" => churn::run(Options::parse(arguments)?),
+        "overload" => overload::run(arguments),
+        "partition" => partition::run(Options::parse(arguments)?),
+        "rollout" => rollout::run(Options::parse(arguments)?),
         _ => anyhow::bail!("unknown experiment {name:?}; try `list`"),
     }
 }
--- a/crates/pistachiotrack-standins/src/experiment/churn.rs
+++ b/crates/pistachiotrack-standins/src/experiment/churn.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::{
+    options::Options,
     table::{Table, ratio},
     trial::{Outcome, Trial, TrialSettings},
 };
@@ -62,14 +63,14 @@
 /// # Errors
 ///
 /// Returns an error if the fleet does not serve.
-pub(super) fn run(seed: u64, json: bool) -> anyhow::Result<ExitCode> {
+pub(super) fn run(options: Options) -> anyhow::Result<ExitCode> {
     let settings = TrialSettings {
-        seed,
+        seed: options.seed,
         vms: 8,
         duration: Duration::from_secs(25),
         ..TrialSettings::default()
     };
-    let report = runtime::run(measure(settings))?;
+    let report = runtime::run(measure(settings, &options))?;
     let mut table =
         Table::of_outcomes(&[("baseline", &report.baseline), ("churned", &report.churned)]);
     table.note("goodput ratio", format!("{:.4}", report.goodput_ratio));
@@ -78,7 +79,7 @@
     table.note("VMs stopped", report.stopped.to_string());
     table.note("unclean stops", report.unclean_stops.to_string());
     table.print();
-    if json {
+    if options.json {
         println!("{}", serde_json::to_string(&report)?);
     }
     // A killed VM takes the requests on its connections with it, so some are
@@ -89,8 +90,8 @@
     Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-async fn measure(settings: TrialSettings) -> anyhow::Result<Report> {
-    let binary = DaemonBinary::find(None)?;
+async fn measure(settings: TrialSettings, options: &Options) -> anyhow::Result<Report> {
+    let binary = DaemonBinary::find(options.log_directory.clone())?;
     let baseline = {
         let mut trial = Trial::start(&binary, settings).await?;
         trial.run(async |_, _, _| Ok(())).await?.0
--- a/crates/pistachiotrack-standins/src/experiment/partition.rs
+++ b/crates/pistachiotrack-standins/src/experiment/partition.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use super::{
+    options::Options,
     owners::{Look, OwnerWatch, whole_after},
     table::{Table, ratio},
     trial::{Outcome, Trial, TrialSettings},
@@ -49,8 +50,9 @@
 /// # Errors
 ///
 /// Returns an error if the fleet does not serve.
-pub(super) fn run(seed: u64, json: bool) -> anyhow::Result<ExitCode> {
-    let report = runtime::run(measure(TrialSettings { seed, ..TrialSettings::default() }))?;
+pub(super) fn run(options: Options) -> anyhow::Result<ExitCode> {
+    let settings = TrialSettings { seed: options.seed, ..TrialSettings::default() };
+    let report = runtime::run(measure(settings, &options))?;
     let columns = [("baseline", &report.baseline), ("partitioned", &report.partitioned)];
     let mut table = Table::of_outcomes(&columns);
     table.note("goodput ratio", format!("{:.4}", report.goodput_ratio));
@@ -59,15 +61,15 @@
     table.note("both sides own after ms", optional(report.both_sides_own_after_ms));
     table.note("whole again after ms", optional(report.whole_after_ms));
     table.print();
-    if json {
+    if options.json {
         println!("{}", serde_json::to_string(&report)?);
     }
     let clean = report.partitioned.counts.is_clean() && report.whole_after_ms.is_some();
     Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-async fn measure(settings: TrialSettings) -> anyhow::Result<Report> {
-    let binary = DaemonBinary::find(None)?;
+async fn measure(settings: TrialSettings, options: &Options) -> anyhow::Result<Report> {
+    let binary = DaemonBinary::find(options.log_directory.clone())?;
     let baseline = {
         let mut trial = Trial::start(&binary, settings).await?;
         trial.run(async |_, _, _| Ok(())).await?.0
--- a/crates/pistachiotrack-standins/src/experiment/rollout.rs
+++ b/crates/pistachiotrack-standins/src/experiment/rollout.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::{
+    options::Options,
     table::{Table, ratio},
     trial::{Trial, TrialSettings},
 };
@@ -60,9 +61,9 @@
 /// # Errors
 ///
 /// Returns an error if a configuration is not in force everywhere in time.
-pub(super) fn run(seed: u64, json: bool) -> anyhow::Result<ExitCode> {
-    let settings = TrialSettings { seed, vms: 12, ..TrialSettings::default() };
-    let report = runtime::run(measure(settings))?;
+pub(super) fn run(options: Options) -> anyhow::Result<ExitCode> {
+    let settings = TrialSettings { seed: options.seed, vms: 12, ..TrialSettings::default() };
+    let report = runtime::run(measure(settings, &options))?;
     let mut table = Table::default();
     let cells = |cells: [&str; 3]| cells.map(str::to_owned).to_vec();
     table.row("in force everywhere", cells(["median ms", "max ms", "platform calls"]));
@@ -77,15 +78,15 @@
     table.note("reverts", report.reverts.to_string());
     table.note("silent about invalid", report.silent_about_invalid.to_string());
     table.print();
-    if json {
+    if options.json {
         println!("{}", serde_json::to_string(&report)?);
     }
     let clean = report.reverts + report.silent_about_invalid as u64 == 0;
     Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-async fn measure(settings: TrialSettings) -> anyhow::Result<Report> {
-    let binary = DaemonBinary::find(None)?;
+async fn measure(settings: TrialSettings, options: &Options) -> anyhow::Result<Report> {
+    let binary = DaemonBinary::find(options.log_directory.clone())?;
     let mut trial = Trial::start(&binary, settings).await?;
     let mut config = trial.deployment.config.clone();
     let baseline = spread(&mut trial, &mut config, false).await?;
