Open peer connections from the peer address

Cause: a relay or a firewall between VMs could not tell which VM a connection came from, since the system chose its source address. Change: connections to other VMs come from the IP address of peer_address; those to endpoints are as before. Result: builds and lints clean; a partition between 6 daemons by relays works.

--- a/crates/pistachiotrackd/src/connection.rs
+++ b/crates/pistachiotrackd/src/connection.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection of this VM to an endpoint or to another VM.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -12,7 +12,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use pistachiotrack_core::time::Time;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 use crate::{
     clock::Clock,
@@ -77,6 +80,9 @@
     pub(crate) gate: PauseGate,
     /// Limits of the daemon.
     pub(crate) limits: Arc<Limits>,
+    /// Address that connections come from; the system chooses where it is
+    /// missing.
+    pub(crate) source: Option<IpAddr>,
 }
 
 /// Why no connection could be opened.
@@ -109,6 +115,14 @@
 }
 
 impl Connector {
+    /// Opens a TCP connection, from the source address where there is one.
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let Some(source) = self.source else { return TcpStream::connect(address).await };
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(address).await
+    }
+
     /// Opens a connection to `address` before `give_up`.
     ///
     /// # Errors
@@ -122,7 +136,7 @@
     ) -> Result<Connection, ConnectError> {
         let limit = Duration::from_millis(self.limits.connect_timeout_ms)
             .min(give_up.since(self.clock.now()));
-        let stream = tokio::time::timeout(limit, TcpStream::connect(address))
+        let stream = tokio::time::timeout(limit, self.connect(address))
             .await
             .map_err(|_| ConnectError::TimedOut { address, limit })?
             .map_err(|source| ConnectError::Io { address, source })?;
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -93,9 +93,10 @@
         let timer_args = TimerArgs { clock, gate: gate.clone() };
         let timer = TimerService::spawn_with_mailbox(timer_args, mailbox::unbounded());
         let me = sockets.vm(&settings);
+        let peer_source = Some(settings.peer_address.ip());
         let seed = me.incarnation ^ u64::from(me.peer_address.port()) << 48;
         let limits = Arc::new(settings.limits.clone());
-        let connector = Connector { clock, gate, limits };
+        let connector = Connector { clock, gate, limits, source: None };
         let endpoints = Arc::new(ConnectionPool::new(connector.clone()));
         let (view_sender, view) = watch::channel(Arc::new(FleetView {
             active: None,
@@ -111,7 +112,7 @@
             leaving,
             shards: ShardTable::new(clock, Arc::clone(&endpoints), timer.clone(), seed),
             endpoints,
-            peers: Arc::new(ConnectionPool::new(connector)),
+            peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
             metrics,
             total: Histograms::default(),
             added: Histograms::default(),
