--- a/crates/pistachiotrack-standins/src/experiment.rs
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -1,7 +1,5 @@
 //! Experiments: ours against a baseline, in the same run.
 
-mod overload;
-
 use std::process::ExitCode;
 
 use anyhow::Context;
@@ -10,6 +8,7 @@
 
 mod churn;
 mod options;
+mod overload;
 mod owners;
 mod partition;
 mod rollout;
