--- a/crates/pistachiotrack-standins/src/demo.rs
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -128,7 +128,7 @@
 ) -> anyhow::Result<DeploymentReport> {
     let deployment = Deployment::start(kind, settings.seed).await?;
     let mut fleet = Fleet::start(binary, &deployment, settings.vms, None).await?;
-    let ready = fleet.wait_until_serving(START_LIMIT).await?;
+    let ready = fleet.wait_until_settled(deployment.shards(), START_LIMIT).await?;
     let load =
         LoadSettings { duration: DIRECT_DURATION, ids: WorkIds::default(), seed: settings.seed };
     let direct = direct_baseline(&deployment, &load).await;
--- a/crates/pistachiotrack-standins/src/experiment.rs
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -7,6 +7,7 @@
 use self::options::Options;
 
 mod churn;
+mod detect;
 mod options;
 mod overload;
 mod owners;
@@ -16,7 +17,7 @@
 mod trial;
 
 /// Names of the experiments, in the order in which `list` shows them.
-const NAMES: &[&str] = &["churn", "overload", "partition", "rollout"];
+const NAMES: &[&str] = &["churn", "detect", "overload", "partition", "rollout"];
 
 /// Runs the experiment that the arguments name.
 ///
@@ -28,6 +29,7 @@
     match name.as_str() {
         "list" => list(),
         "churn" => churn::run(Options::parse(arguments)?),
+        "detect" => detect::run(arguments),
         "overload" => overload::run(arguments),
         "partition" => partition::run(Options::parse(arguments)?),
         "rollout" => rollout::run(Options::parse(arguments)?),
--- a/crates/pistachiotrack-standins/src/experiment/partition.rs
+++ b/crates/pistachiotrack-standins/src/experiment/partition.rs
@@ -77,7 +77,7 @@
     let mut trial = Trial::start(&binary, settings).await?;
     let (partitioned, partition) = trial
         .run(async |deployment, fleet, links| {
-            let shards = deployment.config.services.len();
+            let shards = deployment.shards();
             let watch = OwnerWatch::start(fleet.admin_addresses(), shards);
             tokio::time::sleep(settings.duration.mul_f64(BEGIN)).await;
             let begin = Instant::now();
--- a/crates/pistachiotrack-standins/src/experiment/trial.rs
+++ b/crates/pistachiotrack-standins/src/experiment/trial.rs
@@ -86,7 +86,7 @@
         let deployment = Deployment::start(settings.kind, settings.seed).await?;
         let links = Links::new(settings.seed);
         let mut fleet = Fleet::start(binary, &deployment, settings.vms, Some(&links)).await?;
-        fleet.wait_until_serving(START_LIMIT).await?;
+        fleet.wait_until_settled(deployment.shards(), START_LIMIT).await?;
         Ok(Trial { settings, deployment, fleet, links })
     }
 
