--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -1,8 +1,10 @@
 //! The daemons of one deployment and the platform's list of them.
 
 use std::{
-    net::SocketAddr,
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr},
     process::ExitStatus,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -16,14 +18,19 @@
 
 use crate::{
     admin::Admin,
-    daemon::{Daemon, DaemonBinary, DaemonSettings, free_addresses},
+    daemon::{Daemon, DaemonBinary, DaemonSettings, free_ports},
     deployment::Deployment,
+    link::Links,
+    relay::{Relay, Senders},
 };
 
 /// Time between two looks at daemons that aren't ready yet.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-/// Addresses of a daemon: caller, peer and admin.
-const ADDRESSES: usize = 3;
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time without any change after which a fleet counts as settled.
+const SETTLED: Duration = Duration::from_secs(1);
+/// Ports of a daemon: for callers, for peers, for its operators and for the
+/// relay before it.
+const PORTS: usize = 4;
 
 /// The running daemons of a deployment.
 #[derive(Debug)]
@@ -32,10 +39,12 @@
     binary: DaemonBinary,
     list: VmList,
     admin: Admin,
+    _relays: Vec<Relay>,
 }
 
 impl Fleet {
-    /// Publishes a list of `count` VMs and starts their daemons.
+    /// Publishes a list of `count` VMs and starts their daemons, behind relays
+    /// where `links` are given.
     ///
     /// # Errors
     ///
@@ -44,12 +53,19 @@
         binary: &DaemonBinary,
         deployment: &Deployment,
         count: usize,
+        links: Option<&Links>,
     ) -> anyhow::Result<Fleet> {
-        let settings = settings(deployment, count)?;
+        let settings = settings(deployment, count, links.is_some())?;
+        let relays = relays(&settings, links).await?;
         let list = VmList { version: 1, vms: settings.iter().map(listed).collect() };
         deployment.platform.publish_vms(&list)?;
-        let mut fleet =
-            Fleet { daemons: Vec::new(), binary: binary.clone(), list, admin: Admin::default() };
+        let mut fleet = Fleet {
+            daemons: Vec::new(),
+            binary: binary.clone(),
+            list,
+            admin: Admin::default(),
+            _relays: relays,
+        };
         for settings in settings {
             fleet.daemons.push(binary.start(settings).await?);
         }
@@ -95,33 +111,60 @@
             if statuses.len() == self.daemons.len() && statuses.iter().all(&ready) {
                 return Ok(start.elapsed());
             }
-            for daemon in &mut self.daemons {
-                let vm = &daemon.settings().vm;
-                let vm = vm.clone();
-                anyhow::ensure!(daemon.is_running(), "the daemon of {vm} has ended");
-            }
+            self.check_running()?;
             if start.elapsed() > limit {
                 let met = statuses.iter().filter(|status| ready(status)).count();
                 let all = self.daemons.len();
-                anyhow::bail!("{what}: {met} of {all} daemons after {limit:?}: {statuses:?}");
+                let others: Vec<String> =
+                    statuses.iter().filter(|status| !ready(status)).map(brief).collect();
+                anyhow::bail!("{what}: {met} of {all} daemons after {limit:?}: {others:?}");
             }
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
     }
 
-    /// Waits until all daemons serve the configuration and know each other.
+    /// Waits until all daemons serve, know each other and have owned each of the
+    /// `shards` shards once for a while. Returns the time until that began.
     ///
     /// # Errors
     ///
     /// Returns an error if that is not so within `limit`.
-    pub async fn wait_until_serving(&mut self, limit: Duration) -> anyhow::Result<Duration> {
-        let count = self.daemons.len() as u32;
-        self.wait_until("serving", limit, |status| {
-            status.state.as_str() == "serving"
-                && status.config_version.is_some()
-                && status.live_vms >= count
-        })
-        .await
+    pub async fn wait_until_settled(
+        &mut self,
+        shards: usize,
+        limit: Duration,
+    ) -> anyhow::Result<Duration> {
+        let count = self.daemons.len();
+        let start = Instant::now();
+        let mut settled: Option<Instant> = None;
+        loop {
+            let statuses = self.statuses().await;
+            let serving = statuses.iter().filter(|status| {
+                status.state.as_str() == "serving"
+                    && status.config_version.is_some()
+                    && status.live_vms as usize >= count
+            });
+            let owned: Vec<&Name> = statuses.iter().flat_map(|status| &status.shards).collect();
+            if serving.count() < count || !each_once(&owned, shards) {
+                settled = None;
+            } else if settled.get_or_insert_with(Instant::now).elapsed() >= SETTLED {
+                return Ok(start.elapsed() - SETTLED);
+            }
+            self.check_running()?;
+            if start.elapsed() > limit {
+                let seen: Vec<String> = statuses.iter().map(brief).collect();
+                anyhow::bail!("not settled after {limit:?}: {seen:?}");
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    fn check_running(&mut self) -> anyhow::Result<()> {
+        for daemon in &mut self.daemons {
+            let vm = daemon.settings().vm.clone();
+            anyhow::ensure!(daemon.is_running(), "the daemon of {vm} has ended");
+        }
+        Ok(())
     }
 
     /// Returns the VM that owns most shards.
@@ -149,6 +192,11 @@
         Ok(self.daemons.remove(index))
     }
 
+    /// Puts a daemon that was taken out back into the fleet.
+    pub fn put_back(&mut self, daemon: Daemon) {
+        self.daemons.push(daemon);
+    }
+
     /// Starts a daemon for a VM that was taken out, with the same settings.
     ///
     /// # Errors
@@ -159,17 +207,6 @@
         Ok(())
     }
 
-    /// Marks a VM as leaving, or takes it off the list, and publishes the list.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the list can't be published.
-    pub fn publish_gone(&mut self, deployment: &Deployment, vm: &str) -> anyhow::Result<()> {
-        self.list.vms.retain(|listed| listed.name.as_str() != vm);
-        self.list.version += 1;
-        Ok(deployment.platform.publish_vms(&self.list)?)
-    }
-
     /// Marks a VM as leaving and publishes the list.
     ///
     /// # Errors
@@ -201,27 +238,65 @@
     Ok((status, start.elapsed()))
 }
 
-fn settings(deployment: &Deployment, count: usize) -> anyhow::Result<Vec<DaemonSettings>> {
-    let addresses = free_addresses(count * ADDRESSES)?;
+fn each_once(owned: &[&Name], shards: usize) -> bool {
+    let distinct: BTreeSet<&Name> = owned.iter().copied().collect();
+    owned.len() == shards && distinct.len() == shards
+}
+
+fn brief(status: &Status) -> String {
+    let Status { vm, state, config_version, live_vms, shards, .. } = status;
+    let (version, shards) = (config_version.unwrap_or(0), shards.len());
+    format!("vm={vm} state={state} config_version={version} live_vms={live_vms} shards={shards}")
+}
+
+fn settings(
+    deployment: &Deployment,
+    count: usize,
+    behind_relays: bool,
+) -> anyhow::Result<Vec<DaemonSettings>> {
+    let ports = free_ports(count * PORTS)?;
     let centres = &deployment.config.data_centres;
-    let settings =
-        addresses.chunks_exact(ADDRESSES).enumerate().map(|(index, addresses)| DaemonSettings {
-            vm: format!("vm-{:02}", index + 1),
-            data_centre: centres[index % centres.len()].name.to_string(),
-            deployment: deployment.config.deployment.to_string(),
-            caller_address: addresses[0],
-            peer_address: addresses[1],
-            admin_address: addresses[2],
-            platform_address: deployment.platform.address(),
-        });
+    let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let settings = ports.chunks_exact(PORTS).enumerate().map(|(index, ports)| DaemonSettings {
+        vm: format!("vm-{:02}", index + 1),
+        data_centre: centres[index % centres.len()].name.to_string(),
+        deployment: deployment.config.deployment.to_string(),
+        caller_address: local(ports[0]),
+        peer_address: match behind_relays {
+            true => SocketAddr::from((own_ip(index), ports[1])),
+            false => local(ports[1]),
+        },
+        advertised_peer_address: behind_relays.then_some(local(ports[3])),
+        admin_address: local(ports[2]),
+        platform_address: deployment.platform.address(),
+    });
     Ok(settings.collect())
 }
 
+/// Returns a loopback address for one VM alone, so that relays can tell from
+/// which VM something comes.
+fn own_ip(index: usize) -> Ipv4Addr {
+    let [_, _, high, low] = (index as u32 + 1).to_be_bytes();
+    Ipv4Addr::new(127, 1, high, low)
+}
+
+async fn relays(settings: &[DaemonSettings], links: Option<&Links>) -> anyhow::Result<Vec<Relay>> {
+    let ips = settings.iter().enumerate().map(|(index, vm)| (vm.peer_address.ip(), index));
+    let senders: Senders = Arc::new(ips.collect());
+    let mut relays = Vec::new();
+    for (index, vm) in settings.iter().enumerate() {
+        let Some((links, address)) = links.zip(vm.advertised_peer_address) else { break };
+        let (links, senders) = (links.clone(), Arc::clone(&senders));
+        relays.push(Relay::start(address, index, vm.peer_address, links, senders).await?);
+    }
+    Ok(relays)
+}
+
 fn listed(settings: &DaemonSettings) -> ListedVm {
     ListedVm {
         name: Name::from(settings.vm.as_str()),
         data_centre: Name::from(settings.data_centre.as_str()),
-        peer_address: settings.peer_address,
+        peer_address: settings.advertised_peer_address.unwrap_or(settings.peer_address),
         caller_address: settings.caller_address,
         leaving: false,
     }
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -94,9 +94,10 @@
         let timer_args = TimerArgs { clock, gate: gate.clone() };
         let timer = TimerService::spawn_with_mailbox(timer_args, mailbox::unbounded());
         let me = sockets.vm(&settings);
+        let peer_source = Some(settings.peer_address.ip());
         let seed = me.incarnation ^ u64::from(me.peer_address.port()) << 48;
         let limits = Arc::new(settings.limits.clone());
-        let connector = Connector { clock, gate, limits };
+        let connector = Connector { clock, gate, limits, source: None };
         let endpoints = Arc::new(ConnectionPool::new(connector.clone()));
         let (view_sender, view) = watch::channel(Arc::new(FleetView {
             active: None,
@@ -115,7 +116,7 @@
             leaving,
             shards,
             endpoints,
-            peers: Arc::new(ConnectionPool::new(connector)),
+            peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
             metrics,
             total: Histograms::default(),
             added: Histograms::default(),
@@ -248,7 +249,9 @@
             data_centre: settings.data_centre.clone(),
             incarnation: started.as_millis() as u64,
             caller_address: self.caller.local_addr().unwrap_or(settings.caller_address),
-            peer_address: self.peer.local_addr().unwrap_or(settings.peer_address),
+            peer_address: settings
+                .advertised_peer_address
+                .unwrap_or_else(|| self.peer.local_addr().unwrap_or(settings.peer_address)),
         }
     }
 }
