--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod settings;
 mod shard_actor;
 mod shard_table;
+mod stall_guard;
 mod timer;
 mod udp;
 mod view;
--- a/crates/pistachiotrackd/src/listener.rs
+++ b/crates/pistachiotrackd/src/listener.rs
@@ -10,7 +10,9 @@
 };
 use tokio_util::task::TaskTracker;
 
-use crate::{body::AnswerBody, context::Context, metrics::Event, settings::Limits};
+use crate::{
+    body::AnswerBody, context::Context, metrics::Event, settings::Limits, stall_guard::StallGuard,
+};
 
 /// Pause after the system refused to accept a connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -74,7 +76,9 @@
         log::debug!("event=connection_ended error={:?}", error.to_string());
         return;
     }
-    let builder = builder(&context.settings.limits);
+    let limits = &context.settings.limits;
+    let builder = builder(limits);
+    let stream = StallGuard::new(stream, Duration::from_millis(limits.body_idle_ms));
     let service = service_fn(move |request| handler(Arc::clone(&context), request));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- /dev/null
+++ b/crates/pistachiotrackd/src/stall_guard.rs
@@ -0,0 +1,92 @@
+//! A TCP stream that fails when the other end takes nothing for too long.
+
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::Sleep,
+};
+
+/// A TCP stream that fails when the other end takes nothing for too long.
+///
+/// Failure guarded against: a caller goes silent while its answer is on the
+/// way, and the answer holds an endpoint's slot for good. It shows as a write
+/// that stays pending. The guard holds because every write that is
+/// pending runs under the same timer, which only progress resets.
+#[derive(Debug)]
+pub(crate) struct StallGuard {
+    inner: TcpStream,
+    limit: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl StallGuard {
+    /// Puts a stream under a guard that fails after `limit` without progress.
+    pub(crate) fn new(inner: TcpStream, limit: Duration) -> StallGuard {
+        StallGuard { inner, limit, stalled: None }
+    }
+
+    fn check<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if result.is_ready() {
+            self.stalled = None;
+            return result;
+        }
+        let limit = self.limit;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for StallGuard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for StallGuard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        self.check(cx, result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write_vectored(cx, slices);
+        self.check(cx, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/crates/pistachiotrackd/tests/limits.rs
+++ b/crates/pistachiotrackd/tests/limits.rs
@@ -108,3 +108,24 @@
     assert_eq!(answer.status(), StatusCode::BAD_REQUEST);
     assert_eq!(client::field(&answer, header::OUTCOME), Some("not-run"));
 }
+
+/// An endpoint's slot is lost for good. A caller asks for a large answer and
+/// goes silent without closing; the answer waits for it.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_is_cut_off_and_frees_the_slot() {
+    const ANSWER: &[u8] = &[b'x'; 32 * 1024 * 1024];
+    let search = Endpoint::answering(ANSWER).await;
+    let limits = json!({"body_idle_ms": 100});
+    let deployment = Deployment::start_with_limits(&[search.address], &[], limits).await;
+    let mut stream = TcpStream::connect(deployment.address()).await.unwrap();
+    let request =
+        format!("GET /slots HTTP/1.1\r\nhost: fleet\r\n{}: timeliten\r\n\r\n", header::CUSTOMER);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    search.wait_closed(1).await;
+    let admin = deployment.daemon.admin_address();
+    client::wait_for(admin, "/endpoints", |endpoints| {
+        let endpoints = endpoints.as_array().unwrap();
+        endpoints.iter().any(|e| e["endpoint"] == "slot-search-0" && e["in_flight"] == 0)
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/repeat.rs
@@ -0,0 +1,160 @@
+//! What is sent again and what is not.
+
+mod testenv;
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode};
+use pistachiotrack_core::header;
+use serde_json::json;
+use testenv::{
+    Deployment, client,
+    endpoint::{Endpoint, read_head, read_to_end},
+    platform::Platform,
+    process::DaemonProcess,
+};
+use tokio::{io::AsyncWriteExt, sync::watch};
+
+fn keyed_booking(repeat: bool) -> Request<Full<Bytes>> {
+    let request = client::request(Method::POST, "/bookings", "slot 7");
+    let request = client::with(request, header::KEY, "clerk-4-slot-7");
+    if repeat { client::with(request, header::REPEAT, "true") } else { request }
+}
+
+/// A booking is doubled. The caller lost the first answer and sends the booking
+/// again with the same key; the fleet takes it for a new one.
+#[tokio::test]
+async fn a_repeat_with_the_same_key_gets_the_first_answer() {
+    let count = Arc::new(AtomicU32::new(0));
+    let booking = Endpoint::start(move |_| {
+        let number = count.fetch_add(1, Ordering::SeqCst);
+        async move { Response::new(Full::from(format!("booking {number}"))) }
+    })
+    .await;
+    let deployment = Deployment::start(&[], &[booking.address]).await;
+    let first = client::send(deployment.address(), keyed_booking(false)).await.unwrap();
+    let second = client::send(deployment.address(), keyed_booking(true)).await.unwrap();
+    assert_eq!(first.body(), "booking 0");
+    assert_eq!(second.body(), "booking 0");
+    assert_eq!(second.status(), first.status());
+    assert_eq!(booking.received().len(), 1);
+}
+
+/// A lookup waits for one slow endpoint while another one is idle. The first
+/// attempt hangs; a hedge is answered; the first one is cancelled.
+#[tokio::test]
+async fn a_hedge_answers_and_the_slow_attempt_is_cancelled() {
+    let (hang, hanging) = watch::channel(false);
+    let serve = move |mut stream: tokio::net::TcpStream| {
+        let hanging = hanging.clone();
+        async move {
+            while read_head(&mut stream).await {
+                if *hanging.borrow() {
+                    return read_to_end(&mut stream).await;
+                }
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfree";
+                stream.write_all(answer).await.unwrap();
+            }
+        }
+    };
+    let slow = Endpoint::serve(serve).await;
+    let quick = Endpoint::answering("free").await;
+    let deployment = Deployment::start(&[slow.address, quick.address], &[]).await;
+    let mut caller = client::Connection::open(deployment.address()).await;
+    for _ in 0..100 {
+        assert_eq!(caller.send(client::get("/hedged")).await.unwrap().body(), "free");
+    }
+    assert!(slow.connections() > 0);
+    hang.send_replace(true);
+    for _ in 0..6 {
+        assert_eq!(caller.send(client::get("/hedged")).await.unwrap().body(), "free");
+    }
+    slow.wait_closed(1).await;
+}
+
+/// Callers lose requests that a full endpoint turned away. The endpoint says
+/// that it did not run the booking; it may be sent elsewhere, and once only.
+#[tokio::test]
+async fn a_booking_that_was_shed_is_sent_to_another_endpoint() {
+    let full = Endpoint::start(|_| async {
+        let response = Response::builder()
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header(header::NOT_RUN, "true");
+        response.body(Full::from("full")).unwrap()
+    })
+    .await;
+    let free = Endpoint::answering("booked").await;
+    let deployment = Deployment::start(&[], &[full.address, free.address]).await;
+    for _ in 0..8 {
+        let request = client::request(Method::POST, "/bookings", "slot 7");
+        let booked = client::send(deployment.address(), request).await.unwrap();
+        assert_eq!(booked.body(), "booked");
+    }
+    assert_eq!(free.received().len(), 8);
+    assert!(!full.received().is_empty());
+}
+
+/// A lookup is lost on a connection that the endpoint has just closed. The
+/// connection waited in the pool; nothing was written to it yet.
+#[tokio::test]
+async fn a_connection_closed_while_idle_is_replaced() {
+    let search = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfree";
+        stream.write_all(answer).await.unwrap();
+    })
+    .await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    for round in 1..=3 {
+        let found = client::send(deployment.address(), client::get("/slots")).await.unwrap();
+        assert_eq!(found.body(), "free");
+        search.wait_closed(round).await;
+    }
+}
+
+/// A booking is run long after its caller has given up. The VM is paused while
+/// the booking waits for a slot, wakes up and believes that no time has passed.
+#[tokio::test]
+async fn a_booking_that_waited_through_a_pause_is_not_run() {
+    let (release, released) = watch::channel(false);
+    let booking = Endpoint::start(move |_| {
+        let mut released = released.clone();
+        async move {
+            released.wait_for(|released| *released).await.unwrap();
+            Response::new(Full::from("booked"))
+        }
+    })
+    .await;
+    let platform = Platform::start().await;
+    platform.publish_config(testenv::config(1, &[], &[booking.address]));
+    let vm = DaemonProcess::start("vm-01", platform.address).await;
+    client::wait_until_serving(vm.admin_address).await;
+    let book = || client::request(Method::POST, "/bookings", "slot 7");
+    let running: Vec<_> =
+        (0..2).map(|_| tokio::spawn(client::send(vm.caller_address, book()))).collect();
+    while booking.received().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    let late = client::with(book(), header::DEADLINE_MS, "300");
+    let waiting = tokio::spawn(client::send(vm.caller_address, late));
+    client::wait_for(vm.admin_address, "/status", |status| {
+        let counters = status["counters"].as_array().unwrap();
+        counters.contains(&json!({"name": "requests", "value": 3}))
+    })
+    .await;
+    vm.signal("STOP").await;
+    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    release.send_replace(true);
+    vm.signal("CONT").await;
+    let refused = waiting.await.unwrap().unwrap();
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("not-run"));
+    for answer in running {
+        assert_eq!(answer.await.unwrap().unwrap().body(), "booked");
+    }
+    assert_eq!(booking.received().len(), 2);
+}
