Close all idle connections when one fails silently

Cause: after something between two ends lost track of their connections, each pooled one cost a request. Change: a pooled connection that breaks or stays silent closes the other idle ones to its address; requests between VMs use lively connections only.

--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -100,6 +100,14 @@
         places.entry(connection.address).or_default().idle.push(connection);
     }
 
+    /// Closes all unused connections to `address`.
+    pub(crate) fn close_idle(&self, address: SocketAddr) {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(place) = places.get_mut(&address) {
+            place.idle.clear();
+        }
+    }
+
     /// Closes connections that have been unused for too long and forgets
     /// addresses without any.
     pub(crate) fn sweep(&self) {
--- a/crates/pistachiotrackd/src/exchange.rs
+++ b/crates/pistachiotrackd/src/exchange.rs
@@ -107,6 +107,19 @@
     }
 }
 
+impl ExchangeError {
+    /// Failure guarded against: something between the two ends has lost track
+    /// of all connections that were open at some moment. It shows as silence on
+    /// one pooled connection after the other, each of which costs a request.
+    /// The guard holds because the first one that fails closes the others.
+    fn casts_doubt_on_pool(&self) -> bool {
+        matches!(
+            self,
+            ExchangeError::Broken { fresh: false } | ExchangeError::TimedOut { fresh: false }
+        )
+    }
+}
+
 /// Sends a request and returns the answer when it has begun.
 ///
 /// A pooled connection that turns out to be closed before any byte was written
@@ -132,6 +145,10 @@
             Err(ExchangeError::ClosedUnsent) if !fresh && body.is_at_hand() => {
                 choice = ConnectionChoice::Fresh;
             }
+            Err(error) if error.casts_doubt_on_pool() => {
+                pool.close_idle(target.address);
+                return Err(error);
+            }
             result => return result,
         }
     }
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -54,13 +54,9 @@
     owner: &Vm,
     inbound: &Inbound,
 ) -> Result<Served, ForwardError> {
-    let choice = match inbound.route.idempotent {
-        true => ConnectionChoice::Any,
-        false => ConnectionChoice::Lively,
-    };
     let target = Target {
         address: owner.peer_address,
-        choice,
+        choice: ConnectionChoice::Lively,
         budget: PEER_BUDGET,
         not_after: inbound.deadline,
         time_limit: inbound.deadline + OWNER_GRACE,
--- a/crates/pistachiotrackd/tests/repeat.rs
+++ b/crates/pistachiotrackd/tests/repeat.rs
@@ -117,6 +117,45 @@
     }
 }
 
+/// Lookups are late one after the other. Something between the two ends has
+/// lost track of all connections that were open; each waits for its answer on
+/// one of them, while new ones work.
+#[tokio::test]
+async fn one_silent_connection_closes_the_other_idle_ones() {
+    let (silence, silent) = watch::channel(false);
+    let search = Endpoint::serve(move |mut stream| {
+        let silent = silent.clone();
+        let opened_silent = *silent.borrow();
+        async move {
+            while read_head(&mut stream).await {
+                if *silent.borrow() && !opened_silent {
+                    return read_to_end(&mut stream).await;
+                }
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfree";
+                stream.write_all(answer).await.unwrap();
+            }
+        }
+    })
+    .await;
+    let limits = json!({"idle_ms": 600_000});
+    let deployment = Deployment::start_with_limits(&[search.address], &[], limits).await;
+    let lookup = || tokio::spawn(client::send(deployment.address(), client::get("/slots")));
+    // A new owner uses all slots only after a while.
+    let start = std::time::Instant::now();
+    while search.connections() < 2 {
+        assert!(start.elapsed() < client::HANG_LIMIT, "one connection only");
+        let pair = (lookup(), lookup());
+        assert_eq!(pair.0.await.unwrap().unwrap().body(), "free");
+        assert_eq!(pair.1.await.unwrap().unwrap().body(), "free");
+    }
+    silence.send_replace(true);
+    let late = client::with(client::get("/slots"), header::DEADLINE_MS, "200");
+    client::send(deployment.address(), late).await.unwrap();
+    search.wait_closed(2).await;
+    assert_eq!(lookup().await.unwrap().unwrap().body(), "free");
+}
+
 /// A booking is run long after its caller has given up. The VM is paused while
 /// the booking waits for a slot, wakes up and believes that no time has passed.
 #[tokio::test]
--- a/crates/pistachiotrackd/tests/testenv/endpoint.rs
+++ b/crates/pistachiotrackd/tests/testenv/endpoint.rs
@@ -20,6 +20,8 @@
     sync::watch,
 };
 
+use super::client::HANG_LIMIT;
+
 /// A request as an endpoint received it, with its whole body.
 pub(crate) type Received = Request<Bytes>;
 
@@ -102,7 +104,9 @@
 
     /// Waits until `count` connections have ended.
     pub(crate) async fn wait_closed(&self, count: u32) {
-        self.closed.clone().wait_for(|closed| *closed >= count).await.unwrap();
+        let mut closed = self.closed.clone();
+        let wait = closed.wait_for(|closed| *closed >= count);
+        tokio::time::timeout(HANG_LIMIT, wait).await.expect("a connection ends").unwrap();
     }
 }
 
