--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -78,7 +78,7 @@
     pub id: WorkId,
     /// Whether the request must not be repeated.
     pub non_idempotent: bool,
-    /// Whether the caller used the entries that a VM gave it.
+    /// Whether the caller used the first of the entries that a VM gave it.
     pub steered: bool,
     /// Moment of sending.
     pub sent: Instant,
@@ -122,8 +122,8 @@
 enum Choice {
     /// The entries that a VM gave it, the first one first.
     Steered,
-    /// The known addresses in turn, the next one when a connection fails.
-    InTurn,
+    /// The same entries, but the last one first.
+    Reversed,
     /// One of the known addresses in turn, and no other.
     One,
 }
@@ -141,10 +141,10 @@
         Caller { client: client(), known: Arc::new(known), entries: Arc::default(), choice }
     }
 
-    /// Creates a caller that does not ask for entries and sends to the VMs at
-    /// `known` in turn, so that most of its work is forwarded.
+    /// Creates a caller that uses the entries from the last to the first, so that
+    /// its work is forwarded.
     pub fn unsteered(known: Vec<SocketAddr>) -> Caller {
-        Caller { choice: Choice::InTurn, ..Caller::new(known) }
+        Caller { choice: Choice::Reversed, ..Caller::new(known) }
     }
 
     /// Creates a caller that connects to the endpoints at `addresses` itself,
@@ -184,11 +184,8 @@
     }
 
     async fn addresses(&self, operation: &Operation, id: WorkId) -> Vec<SocketAddr> {
-        let (before, after) = self.known.split_at(id.0 as usize % self.known.len());
-        match self.choice {
-            Choice::Steered => {}
-            Choice::InTurn => return [after, before].concat(),
-            Choice::One => return vec![after[0]],
+        if self.choice == Choice::One {
+            return vec![self.known[id.0 as usize % self.known.len()]];
         }
         if self.is_due(operation.service).await
             && let Some(found) = self.ask(operation, id).await
@@ -196,9 +193,12 @@
             self.entries.lock().await.insert(operation.service, found);
         }
         let kept = self.entries.lock().await;
-        kept.get(operation.service)
-            .map(|kept| kept.entries.iter().map(|entry| entry.address).collect())
-            .unwrap_or_default()
+        let Some(kept) = kept.get(operation.service) else { return Vec::new() };
+        let mut addresses: Vec<_> = kept.entries.iter().map(|entry| entry.address).collect();
+        if self.choice == Choice::Reversed {
+            addresses.reverse();
+        }
+        addresses
     }
 
     /// Returns whether this request has to ask for entries; the others go on
--- a/crates/pistachiotrack-standins/src/demo.rs
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -47,7 +47,7 @@
 const DIRECT_LOAD: f64 = 0.1;
 /// Time of the direct baseline.
 const DIRECT_DURATION: Duration = Duration::from_secs(3);
-/// Separate callers of each deployment that use the entries; one more does not.
+/// Separate callers of each deployment that are steered; one more is not.
 const CALLERS: usize = 4;
 /// Time allowed for the daemons to serve.
 const START_LIMIT: Duration = Duration::from_secs(60);
--- a/crates/pistachiotrack-standins/src/demo/report.rs
+++ b/crates/pistachiotrack-standins/src/demo/report.rs
@@ -49,11 +49,11 @@
     ejection_seen_ms: Option<u64>,
     /// Ejections of endpoints that were well.
     false_ejections: u64,
-    /// Added by the fleet before the fault, to callers that use the entries.
+    /// Added by the fleet before the fault, to steered callers.
     steady: Added,
     /// The same over the whole run.
     added: Added,
-    /// The same over the whole run, to callers that send to any VM.
+    /// The same over the whole run, to callers that aren't steered.
     unsteered: Added,
     /// Added by a direct connection.
     direct: Added,
--- a/crates/pistachiotrack-standins/src/experiment/table.rs
+++ b/crates/pistachiotrack-standins/src/experiment/table.rs
@@ -30,6 +30,9 @@
     ("added p50/p99 ms", |outcome| {
         format!("{:.2} / {:.2}", outcome.added.p50_ms, outcome.added.p99_ms)
     }),
+    ("unsteered p50/p99 ms", |outcome| {
+        format!("{:.2} / {:.2}", outcome.unsteered.p50_ms, outcome.unsteered.p99_ms)
+    }),
     ("slots overshot by at most", |outcome| outcome.slot_overshoot.to_string()),
     ("shed by endpoints", |outcome| outcome.shed.to_string()),
 ];
@@ -61,7 +64,7 @@
     /// Prints the table.
     pub(super) fn print(&self) {
         for (name, cells) in &self.rows {
-            let cells: String = cells.iter().map(|cell| format!("{cell:>18}")).collect();
+            let cells: String = cells.iter().map(|cell| format!("{cell:>20}")).collect();
             println!("{name:<28}{cells}");
         }
     }
--- a/crates/pistachiotrack-standins/src/experiment/trial.rs
+++ b/crates/pistachiotrack-standins/src/experiment/trial.rs
@@ -46,7 +46,7 @@
 const START_LIMIT: Duration = Duration::from_secs(60);
 /// Groups of callers, each of which knows its own part of the VMs.
 const CALLER_GROUPS: usize = 2;
-/// Callers of each group that use the entries; one more does not.
+/// Callers of each group that are steered; one more is not.
 const CALLERS: usize = 3;
 
 /// A fleet that serves, behind relays.
@@ -65,8 +65,10 @@
     pub(super) counts: Counts,
     /// Share of the requests that ended in success.
     pub(super) goodput: f64,
-    /// Added by the fleet.
+    /// Added by the fleet to requests of steered callers.
     pub(super) added: Added,
+    /// Added by the fleet to requests that are forwarded.
+    pub(super) unsteered: Added,
     /// Most requests above an endpoint's slots.
     pub(super) slot_overshoot: u32,
     /// Requests that endpoints refused unrun.
@@ -110,7 +112,8 @@
         let counts = Counts::of(&samples, &self.deployment.ledger);
         let outcome = Outcome {
             goodput: counts.goodput(),
-            added: Added::of(&samples),
+            added: Added::of(samples.iter().filter(|sample| sample.steered)),
+            unsteered: Added::of(samples.iter().filter(|sample| !sample.steered)),
             slot_overshoot: self.deployment.slot_overshoot(),
             shed: self.deployment.endpoints.iter().map(|endpoint| endpoint.counts().shed).sum(),
             counts,
