Add the slopes command, which measures what decisions cost

Cause: docs/CAPACITY.md needs costs at 5,800 VMs, and those must come from measured slopes. Change: `slopes` measures configuration, rules, ownership, steering, shards, membership and the configuration's spread at several sizes, fits lines, prints their errors and sums them against the budgets.

--- /dev/null
+++ b/crates/pistachiotrack-standins/src/slopes/fleet.rs
@@ -0,0 +1,394 @@
+//! A few VMs of one deployment in one process: the real membership and the
+//! real spread of the configuration, a queue of messages in logical time, and
+//! a platform that counts its reads.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use cpu_time::ThreadTime;
+use pistachiotrack_core::{
+    config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings},
+    membership::{MemberState, Membership, MembershipAction, MembershipSettings},
+    name::Name,
+    time::Time,
+    vm::Vm,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+
+use super::{platform::Platform, sample};
+
+/// Time between two steps of the loop.
+const STEP_MS: u64 = 10;
+/// Time between two ticks of a VM's timer service.
+const TICK_MS: u64 = 100;
+/// One-way latency between VMs.
+const LATENCY: Duration = Duration::from_millis(1);
+/// Time after which an answer that does not come is given up.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Bytes that IP and UDP add to a datagram.
+const DATAGRAM_HEADER_BYTES: u64 = 28;
+/// Bytes that IP, TCP and framing add to a pull's question or answer, and to
+/// each segment of it.
+const SEGMENT_HEADER_BYTES: u64 = 52;
+/// Payload of one segment.
+const SEGMENT_BYTES: u64 = 1_448;
+
+/// How the fleet behaves.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetSettings {
+    /// VMs.
+    pub(crate) vms: usize,
+    /// Share of datagrams lost.
+    pub(crate) loss: f64,
+    /// Reads a second that the platform answers this deployment.
+    pub(crate) platform_reads_per_s: f64,
+    /// Value that the platform holds at the start.
+    pub(crate) value: Arc<[u8]>,
+    /// Seed of losses and of every VM's choices.
+    pub(crate) seed: u64,
+}
+
+/// Messages and bytes of one VM, sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Traffic {
+    /// Membership datagrams.
+    pub(crate) datagrams: u64,
+    /// Bytes of membership datagrams with their headers.
+    pub(crate) datagram_bytes: u64,
+    /// Pulls of the configuration.
+    pub(crate) pulls: u64,
+    /// Bytes of pulls with their headers.
+    pub(crate) pull_bytes: u64,
+    /// Bytes read from the platform.
+    pub(crate) platform_bytes: u64,
+}
+
+impl Traffic {
+    fn datagram(&mut self, bytes: usize) {
+        self.datagrams += 1;
+        self.datagram_bytes += bytes as u64 + DATAGRAM_HEADER_BYTES;
+    }
+
+    fn pull(&mut self, bytes: usize) {
+        let segments = (bytes as u64).div_ceil(SEGMENT_BYTES).max(1);
+        self.pulls += 1;
+        self.pull_bytes += bytes as u64 + segments * SEGMENT_HEADER_BYTES;
+    }
+}
+
+/// One VM.
+#[derive(Debug)]
+pub(crate) struct Node {
+    /// The VM.
+    pub(crate) vm: Vm,
+    /// Its membership.
+    pub(crate) membership: Membership,
+    /// Its configuration.
+    pub(crate) sync: ConfigSync,
+    /// Whether it runs.
+    pub(crate) up: bool,
+    /// Part of the network that it is in; parts don't hear each other.
+    pub(crate) part: u8,
+    /// What it sent and received.
+    pub(crate) traffic: Traffic,
+    /// Moment since which its newest configuration is in force.
+    pub(crate) in_force_since: Time,
+}
+
+enum Parcel {
+    Datagram { from: SocketAddr, bytes: Vec<u8> },
+    PullRequest { from: usize, request: Vec<u8> },
+    PullAnswer { peer: Name, answer: Option<Vec<u8>> },
+    Value(Option<Arc<[u8]>>),
+}
+
+/// The VMs, the network between them and the platform.
+pub(crate) struct Fleet {
+    /// Time of the loop.
+    pub(crate) now: Time,
+    /// The VMs.
+    pub(crate) nodes: Vec<Node>,
+    /// The platform.
+    pub(crate) platform: Platform,
+    settings: FleetSettings,
+    places: FxHashMap<SocketAddr, usize>,
+    names: FxHashMap<Name, usize>,
+    parcels: BTreeMap<(Time, u64), (usize, Parcel)>,
+    sent: u64,
+    rng: Pcg64Mcg,
+    membership_cpu: Duration,
+}
+
+impl Fleet {
+    /// Starts all VMs at once; each gets the platform's list of VMs.
+    pub(crate) fn start(settings: FleetSettings) -> Fleet {
+        let platform = Platform::new(settings.platform_reads_per_s, Arc::clone(&settings.value));
+        let mut fleet = Fleet {
+            now: Time::from_millis(1),
+            nodes: Vec::new(),
+            platform,
+            places: FxHashMap::default(),
+            names: FxHashMap::default(),
+            parcels: BTreeMap::new(),
+            sent: 0,
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            membership_cpu: Duration::ZERO,
+            settings,
+        };
+        for index in 0..fleet.settings.vms {
+            let vm = sample::vm(index);
+            fleet.places.insert(vm.peer_address, index);
+            fleet.names.insert(vm.name.clone(), index);
+            let node = fleet.new_node(vm, index);
+            fleet.nodes.push(node);
+        }
+        for index in 0..fleet.nodes.len() {
+            fleet.seed(index);
+        }
+        fleet
+    }
+
+    /// Replaces a VM by a new one of the same name, with nothing but the list.
+    pub(crate) fn replace(&mut self, index: usize) {
+        let mut vm = self.nodes[index].vm.clone();
+        vm.incarnation += 1 + self.now.as_millis();
+        let traffic = self.nodes[index].traffic;
+        self.platform.forget(index);
+        self.nodes[index] = Node { traffic, ..self.new_node(vm, index) };
+        self.seed(index);
+    }
+
+    /// Runs the loop for a while.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `done` holds and returns the time it took; `None` if it does
+    /// not hold within `limit`.
+    pub(crate) fn run_until(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&Fleet) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            self.step();
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+        }
+        None
+    }
+
+    /// Returns whether every running VM sees as alive just those VMs that run
+    /// in its part of the network.
+    pub(crate) fn settled(&self) -> bool {
+        self.nodes.iter().filter(|node| node.up).all(|node| {
+            let alive = node
+                .membership
+                .members()
+                .filter(|member| member.state == MemberState::Alive)
+                .map(|member| self.names[&member.vm.name]);
+            let mut seen = 0;
+            for index in alive {
+                let other = &self.nodes[index];
+                if !other.up || other.part != node.part {
+                    return false;
+                }
+                seen += 1;
+            }
+            let there = |other: &&Node| other.up && other.part == node.part;
+            seen + 1 == self.nodes.iter().filter(there).count()
+        })
+    }
+
+    /// Returns whether a version is in force on every running VM.
+    pub(crate) fn in_force(&self, version: u64) -> bool {
+        self.nodes
+            .iter()
+            .filter(|node| node.up)
+            .all(|node| node.sync.version().is_some_and(|held| held >= version))
+    }
+
+    /// Publishes a new value on the platform.
+    pub(crate) fn publish(&mut self, version: u64, value: Arc<[u8]>) {
+        for index in self.platform.publish(version, Arc::clone(&value)) {
+            self.send(index, LATENCY * 4, Parcel::Value(Some(Arc::clone(&value))));
+        }
+    }
+
+    /// Returns the sum of all traffic so far.
+    pub(crate) fn traffic(&self) -> Traffic {
+        self.nodes.iter().fold(Traffic::default(), |sum, node| Traffic {
+            datagrams: sum.datagrams + node.traffic.datagrams,
+            datagram_bytes: sum.datagram_bytes + node.traffic.datagram_bytes,
+            pulls: sum.pulls + node.traffic.pulls,
+            pull_bytes: sum.pull_bytes + node.traffic.pull_bytes,
+            platform_bytes: sum.platform_bytes + node.traffic.platform_bytes,
+        })
+    }
+
+    /// Returns the processor time that all memberships took so far.
+    pub(crate) fn membership_cpu(&self) -> Duration {
+        self.membership_cpu
+    }
+
+    fn new_node(&self, vm: Vm, index: usize) -> Node {
+        let seed = self.settings.seed.wrapping_mul(1_000_003) + index as u64;
+        let deployment = Name::from("deployment-017");
+        Node {
+            membership: Membership::new(self.now, vm.clone(), MembershipSettings::default(), seed),
+            sync: ConfigSync::new(vm.clone(), deployment, ConfigSyncSettings::default(), seed),
+            vm,
+            up: true,
+            part: 0,
+            traffic: Traffic::default(),
+            in_force_since: self.now,
+        }
+    }
+
+    fn seed(&mut self, index: usize) {
+        let list = sample::vm_list(self.settings.vms);
+        let actions = self.nodes[index].membership.on_vm_list(self.now, &list);
+        self.perform_membership(index, actions);
+    }
+
+    fn step(&mut self) {
+        self.now += Duration::from_millis(STEP_MS);
+        while let Some(entry) = self.parcels.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (to, parcel) = entry.remove();
+            self.deliver(to, parcel);
+        }
+        for index in self.platform.due(self.now) {
+            self.send(index, LATENCY, Parcel::Value(None));
+        }
+        let phases = TICK_MS / STEP_MS;
+        let phase = self.now.as_millis() / STEP_MS % phases;
+        for index in 0..self.nodes.len() {
+            if index as u64 % phases == phase && self.nodes[index].up {
+                self.tick(index);
+            }
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let start = ThreadTime::now();
+        let actions = self.nodes[index].membership.on_tick(self.now);
+        self.membership_cpu += start.elapsed();
+        self.perform_membership(index, actions);
+        let node = &mut self.nodes[index];
+        let actions = node.sync.on_tick(self.now, node.membership.members());
+        self.perform_config(index, actions);
+    }
+
+    fn deliver(&mut self, to: usize, parcel: Parcel) {
+        if !self.nodes[to].up {
+            return;
+        }
+        match parcel {
+            Parcel::Datagram { from, bytes } => {
+                self.nodes[to].traffic.datagram(bytes.len());
+                let start = ThreadTime::now();
+                let actions = self.nodes[to].membership.on_datagram(self.now, from, &bytes);
+                self.membership_cpu += start.elapsed();
+                self.perform_membership(to, actions.expect("VMs encode what they decode"));
+            }
+            Parcel::PullRequest { from, request } => {
+                self.nodes[to].traffic.pull(request.len());
+                let answer = self.nodes[to].sync.answer(&request).ok();
+                self.nodes[to].traffic.pull(answer.as_ref().map_or(0, Vec::len));
+                let peer = self.nodes[to].vm.name.clone();
+                self.send(from, LATENCY, Parcel::PullAnswer { peer, answer });
+            }
+            Parcel::PullAnswer { peer, answer } => {
+                let node = &mut self.nodes[to];
+                node.traffic.pull(answer.as_ref().map_or(0, Vec::len));
+                let actions = node.sync.on_peer_answer(self.now, &peer, answer.as_deref());
+                self.perform_config(to, actions);
+            }
+            Parcel::Value(value) => {
+                let node = &mut self.nodes[to];
+                node.traffic.platform_bytes += value.as_ref().map_or(0, |value| value.len() as u64);
+                let actions = node.sync.on_platform_value(self.now, value.as_deref());
+                self.perform_config(to, actions);
+            }
+        }
+    }
+
+    fn perform_membership(&mut self, index: usize, actions: Vec<MembershipAction>) {
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, bytes } => self.send_datagram(index, to, bytes),
+                MembershipAction::ConfigVersion { vm, version } => {
+                    let Some(peer) = self.names.get(&vm).map(|peer| self.nodes[*peer].vm.clone())
+                    else {
+                        continue;
+                    };
+                    let sync = &mut self.nodes[index].sync;
+                    let actions = sync.on_peer_version(self.now, &peer, version);
+                    self.perform_config(index, actions);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn perform_config(&mut self, index: usize, actions: Vec<ConfigAction>) {
+        for action in actions {
+            match action {
+                ConfigAction::Watch { after } => self.watch(index, after),
+                ConfigAction::Pull { vm, request } => self.pull(index, &vm, request),
+                ConfigAction::InForce(config) => {
+                    let node = &mut self.nodes[index];
+                    node.in_force_since = self.now;
+                    node.membership.set_config_version(config.version);
+                }
+                ConfigAction::Rejected(error) => panic!("the sample is valid: {error}"),
+                _ => {}
+            }
+        }
+    }
+
+    fn watch(&mut self, index: usize, after: Option<u64>) {
+        let wait_ms = ConfigSyncSettings::default().watch_timeout_ms;
+        let end = self.now + Duration::from_millis(wait_ms);
+        if let Some((delay, value)) = self.platform.watch(self.now, index, after, end) {
+            self.send(index, delay + LATENCY * 4, Parcel::Value(Some(value)));
+        }
+    }
+
+    fn pull(&mut self, index: usize, peer: &Vm, request: Vec<u8>) {
+        self.nodes[index].traffic.pull(request.len());
+        let to = self.names[&peer.name];
+        let reached = self.nodes[to].up && self.nodes[to].part == self.nodes[index].part;
+        if reached {
+            self.send(to, LATENCY, Parcel::PullRequest { from: index, request });
+        } else {
+            let lost = Parcel::PullAnswer { peer: peer.name.clone(), answer: None };
+            self.send(index, ANSWER_TIMEOUT, lost);
+        }
+    }
+
+    fn send_datagram(&mut self, index: usize, to: SocketAddr, bytes: Vec<u8>) {
+        self.nodes[index].traffic.datagram(bytes.len());
+        let Some(to) = self.places.get(&to).copied() else { return };
+        if self.nodes[to].part != self.nodes[index].part || self.rng.random_bool(self.settings.loss)
+        {
+            return;
+        }
+        let from = self.nodes[index].vm.peer_address;
+        self.send(to, LATENCY, Parcel::Datagram { from, bytes });
+    }
+
+    fn send(&mut self, to: usize, delay: Duration, parcel: Parcel) {
+        self.sent += 1;
+        self.parcels.insert((self.now + delay, self.sent), (to, parcel));
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/slopes/members.rs
@@ -0,0 +1,138 @@
+//! Costs of the membership: steady traffic, churn, memory.
+
+use std::{net::UdpSocket, sync::Arc, time::Duration};
+
+use pistachiotrack_core::{
+    membership::{Membership, MembershipSettings},
+    time::Time,
+};
+
+use super::{
+    fit::Point,
+    fleet::{Fleet, FleetSettings},
+    meter::{cpu_us, heap},
+    report::{Cost, Figure, Report},
+    sample,
+    scale::{self, Size},
+};
+
+/// Fleets whose steady traffic is measured.
+const FLEETS: [usize; 5] = [12, 24, 48, 96, 192];
+/// Members that one VM holds when its memory is measured.
+const MEMBERS: [usize; 5] = [48, 192, 768, 2_400, 5_800];
+/// Replacements within the time of one measurement.
+const REPLACEMENTS: [usize; 4] = [0, 6, 12, 24];
+/// Share of datagrams lost.
+pub(crate) const LOSS: f64 = 0.01;
+/// Time that a fleet gets to settle.
+pub(crate) const SETTLE: Duration = Duration::from_secs(60);
+/// Time over which traffic is averaged.
+const STEADY: Duration = Duration::from_secs(120);
+/// Payload of a datagram whose system calls are timed.
+const DATAGRAM_BYTES: usize = 120;
+
+/// Measures all of them.
+pub(crate) fn measure(report: &mut Report) {
+    steady(report);
+    churn(report);
+    memory(report);
+    report.figures.push(Figure::new("udp.send_and_receive", "us", datagram_us()));
+}
+
+/// Returns a fleet of one deployment with a small configuration.
+pub(crate) fn fleet(vms: usize, platform_reads_per_s: f64, seed: u64) -> Fleet {
+    let shape = Size { vms, services: 3, endpoints: 34, routes: 10, customers: 10 };
+    let value = Arc::from(sample::json(&sample::config(shape)));
+    Fleet::start(FleetSettings { vms, loss: LOSS, platform_reads_per_s, value, seed })
+}
+
+/// Reads a second that the platform has for one deployment.
+pub(crate) fn platform_share() -> f64 {
+    scale::PLATFORM_READS_PER_S / scale::deployments()
+}
+
+fn steady(report: &mut Report) {
+    let mut datagrams = Vec::new();
+    let mut bytes = Vec::new();
+    let mut cpu = Vec::new();
+    for vms in FLEETS {
+        let mut fleet = fleet(vms, platform_share(), 7);
+        fleet.run(SETTLE);
+        let before = (fleet.traffic(), fleet.membership_cpu());
+        fleet.run(STEADY);
+        let after = (fleet.traffic(), fleet.membership_cpu());
+        let vm_seconds = vms as f64 * STEADY.as_secs_f64();
+        let size = vms as f64;
+        let rate = |from: u64, to: u64| (to - from) as f64 / vm_seconds;
+        datagrams.push(Point { size, value: rate(before.0.datagrams, after.0.datagrams) });
+        bytes.push(Point { size, value: rate(before.0.datagram_bytes, after.0.datagram_bytes) });
+        cpu.push(Point { size, value: (after.1 - before.1).as_secs_f64() * 1e6 / vm_seconds });
+    }
+    let sizes = (scale::VMS_PER_DEPLOYMENT, scale::VMS);
+    report.costs.push(Cost::new("members.datagrams", "VMs", "1/s", sizes, datagrams));
+    report.costs.push(Cost::new("members.bytes", "VMs", "B/s", sizes, bytes));
+    report.costs.push(Cost::new("members.cpu", "VMs", "us/s", sizes, cpu));
+}
+
+/// Extra traffic for each VM that is replaced.
+fn churn(report: &mut Report) {
+    let vms = scale::VMS_PER_DEPLOYMENT as usize;
+    let mut bytes = Vec::new();
+    for replacements in REPLACEMENTS {
+        let mut fleet = fleet(vms, platform_share(), 11);
+        fleet.run(SETTLE);
+        let before = fleet.traffic();
+        let rounds = replacements.max(1);
+        for round in 0..rounds {
+            if replacements > 0 {
+                fleet.replace(round * 2 % vms);
+            }
+            fleet.run(STEADY / rounds as u32);
+        }
+        let after = fleet.traffic();
+        let per_vm = (after.datagram_bytes - before.datagram_bytes) as f64 / vms as f64;
+        bytes.push(Point { size: replacements as f64, value: per_vm });
+    }
+    let per_day = scale::share(scale::REPLACEMENTS_PER_DAY + scale::FAILURES_PER_DAY);
+    let sizes = (per_day, scale::REPLACEMENTS_PER_DAY + scale::FAILURES_PER_DAY);
+    report.costs.push(Cost::new("members.bytes.replacement", "replacements", "B", sizes, bytes));
+}
+
+/// Heap of one VM's membership and the time of its tick.
+fn memory(report: &mut Report) {
+    let mut held = Vec::new();
+    let mut tick = Vec::new();
+    for members in MEMBERS {
+        let list = sample::vm_list(members);
+        let (mut membership, heap_bytes) = heap(|| {
+            let settings = MembershipSettings::default();
+            let mut membership = Membership::new(Time::from_millis(1), sample::vm(0), settings, 3);
+            membership.on_vm_list(Time::from_millis(1), &list);
+            membership
+        });
+        let size = members as f64;
+        held.push(Point { size, value: heap_bytes });
+        let mut now_ms = 1;
+        let ticked = cpu_us(|| {
+            now_ms += 1;
+            membership.on_tick(Time::from_millis(now_ms))
+        });
+        tick.push(Point { size, value: ticked });
+    }
+    let sizes = (scale::VMS_PER_DEPLOYMENT, scale::VMS);
+    report.costs.push(Cost::new("members.heap", "members", "B", sizes, held));
+    report.costs.push(Cost::new("members.tick", "members", "us", sizes, tick));
+}
+
+/// Processor time of the system calls that send and receive one datagram.
+fn datagram_us() -> f64 {
+    let sender = UdpSocket::bind("127.0.0.1:0").expect("loopback has free ports");
+    let receiver = UdpSocket::bind("127.0.0.1:0").expect("loopback has free ports");
+    let to = receiver.local_addr().expect("a bound socket has an address");
+    let payload = [0_u8; DATAGRAM_BYTES];
+    let mut buffer = [0_u8; DATAGRAM_BYTES];
+    cpu_us(|| {
+        sender.send_to(&payload, to).expect("loopback takes datagrams");
+        receiver.recv_from(&mut buffer).expect("loopback delivers datagrams")
+    })
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/slopes/meter.rs
@@ -0,0 +1,47 @@
+//! Measures processor time and heap.
+
+use std::{alloc::System, hint::black_box};
+
+use cpu_time::ThreadTime;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static COUNTING_ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Batches of which the median is taken.
+const BATCHES: usize = 11;
+/// Processor time that a batch takes at least.
+const BATCH_S: f64 = 0.004;
+
+/// Returns the processor time of one call in microseconds, as the median of
+/// several batches.
+pub(crate) fn cpu_us<T>(mut call: impl FnMut() -> T) -> f64 {
+    let mut calls = 1_u32;
+    while batch_s(calls, &mut call) < BATCH_S {
+        calls *= 2;
+    }
+    let mut batches: Vec<f64> = (0..BATCHES).map(|_| batch_s(calls, &mut call)).collect();
+    median(&mut batches) * 1e6 / f64::from(calls)
+}
+
+fn batch_s<T>(calls: u32, call: &mut impl FnMut() -> T) -> f64 {
+    let start = ThreadTime::now();
+    for _ in 0..calls {
+        black_box(call());
+    }
+    start.elapsed().as_secs_f64()
+}
+
+/// Returns the median of the values, which must not be empty.
+pub(crate) fn median(values: &mut [f64]) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+/// Returns what `build` makes and the heap bytes that it still holds.
+pub(crate) fn heap<T>(build: impl FnOnce() -> T) -> (T, f64) {
+    let region = Region::new(COUNTING_ALLOCATOR);
+    let built = build();
+    let change = region.change();
+    (built, change.bytes_allocated as f64 - change.bytes_deallocated as f64)
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/slopes/platform.rs
@@ -0,0 +1,79 @@
+//! The platform's configuration service in logical time: answers a limited
+//! number of reads a second and counts them.
+
+use std::{sync::Arc, time::Duration};
+
+use pistachiotrack_core::time::Time;
+
+struct Waiting {
+    reader: usize,
+    end: Time,
+}
+
+/// The service, holding one value.
+pub(crate) struct Platform {
+    /// Reads so far; a watch counts as one.
+    pub(crate) reads: u64,
+    version: u64,
+    value: Arc<[u8]>,
+    time_per_read: Duration,
+    free_at: Time,
+    waiting: Vec<Waiting>,
+}
+
+impl Platform {
+    /// Creates the service with version 1 of its value.
+    pub(crate) fn new(reads_per_s: f64, value: Arc<[u8]>) -> Platform {
+        Platform {
+            reads: 0,
+            version: 1,
+            value,
+            time_per_read: Duration::from_secs_f64(1.0 / reads_per_s),
+            free_at: Time::ZERO,
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Takes a watch; returns the value and the time until it is answered if
+    /// it is newer than `after`, and lets the reader wait otherwise.
+    pub(crate) fn watch(
+        &mut self,
+        now: Time,
+        reader: usize,
+        after: Option<u64>,
+        end: Time,
+    ) -> Option<(Duration, Arc<[u8]>)> {
+        self.reads += 1;
+        self.free_at = self.free_at.max(now) + self.time_per_read;
+        if after.is_none_or(|after| after < self.version) {
+            return Some((self.free_at.since(now), Arc::clone(&self.value)));
+        }
+        self.waiting.push(Waiting { reader, end });
+        None
+    }
+
+    /// Returns how many watches wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes a new value and returns the readers that waited for one.
+    pub(crate) fn publish(&mut self, version: u64, value: Arc<[u8]>) -> Vec<usize> {
+        self.version = version;
+        self.value = value;
+        self.waiting.drain(..).map(|waiting| waiting.reader).collect()
+    }
+
+    /// Drops the watch of a reader that is gone.
+    pub(crate) fn forget(&mut self, reader: usize) {
+        self.waiting.retain(|waiting| waiting.reader != reader);
+    }
+
+    /// Returns the readers whose watch has waited to its end.
+    pub(crate) fn due(&mut self, now: Time) -> Vec<usize> {
+        let (due, waiting) = self.waiting.drain(..).partition(|waiting| waiting.end <= now);
+        self.waiting = waiting;
+        let due: Vec<Waiting> = due;
+        due.into_iter().map(|waiting| waiting.reader).collect()
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/slopes/report.rs
@@ -0,0 +1,170 @@
+//! Measured costs and how they are printed.
+
+use serde::Serialize;
+
+use super::fit::{Fit, Point, between};
+
+/// One cost, measured at several sizes.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Cost {
+    /// Name by which sums refer to it.
+    pub(crate) name: String,
+    /// What the size counts.
+    pub(crate) against: String,
+    /// Unit of the values.
+    pub(crate) unit: String,
+    /// What was measured.
+    pub(crate) points: Vec<Point>,
+    /// The line through the points.
+    pub(crate) fit: Fit,
+    /// Size of one deployment among many.
+    pub(crate) deployment_size: f64,
+    /// Value there: between measured points, or on the line beyond them.
+    pub(crate) at_deployment: f64,
+    /// Size of one deployment that holds everything.
+    pub(crate) whole_size: f64,
+    /// Value there, as above.
+    pub(crate) at_whole: f64,
+}
+
+impl Cost {
+    /// Fits the points of a cost.
+    pub(crate) fn new(
+        name: &str,
+        against: &str,
+        unit: &str,
+        sizes: (f64, f64),
+        points: Vec<Point>,
+    ) -> Cost {
+        let fit = Fit::new(&points);
+        let at = |size: f64| between(&points, size).unwrap_or_else(|| fit.at(size));
+        let (at_deployment, at_whole) = (at(sizes.0), at(sizes.1));
+        Cost {
+            name: name.to_owned(),
+            against: against.to_owned(),
+            unit: unit.to_owned(),
+            points,
+            fit,
+            deployment_size: sizes.0,
+            at_deployment,
+            whole_size: sizes.1,
+            at_whole,
+        }
+    }
+
+    /// Returns how far beyond the largest measured size a size lies; 1 when it
+    /// was within what was measured.
+    pub(crate) fn reach(&self, size: f64) -> f64 {
+        let largest = self.points.iter().map(|point| point.size).fold(0.0, f64::max);
+        (size / largest).max(1.0)
+    }
+}
+
+/// One figure that isn't a line: an event, a total or a verdict.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Figure {
+    /// Name by which the page refers to it.
+    pub(crate) name: String,
+    /// Unit of the value.
+    pub(crate) unit: String,
+    /// The value.
+    pub(crate) value: f64,
+    /// Largest value that fits, if there is a budget.
+    pub(crate) budget: Option<f64>,
+}
+
+impl Figure {
+    /// Returns a figure without a budget.
+    pub(crate) fn new(name: &str, unit: &str, value: f64) -> Figure {
+        Figure { name: name.to_owned(), unit: unit.to_owned(), value, budget: None }
+    }
+
+    /// Returns the figure with a budget to be held.
+    pub(crate) fn within(self, budget: f64) -> Figure {
+        Figure { budget: Some(budget), ..self }
+    }
+
+    fn verdict(&self) -> String {
+        match self.budget {
+            None => String::new(),
+            Some(budget) if self.value <= budget => format!("fits {}", short(budget)),
+            Some(budget) => format!("OVER {} by {:.2}x", short(budget), self.value / budget),
+        }
+    }
+}
+
+/// All that a run measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Report {
+    /// Costs with their lines.
+    pub(crate) costs: Vec<Cost>,
+    /// Other figures.
+    pub(crate) figures: Vec<Figure>,
+}
+
+impl Report {
+    /// Returns a cost by name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the run did not measure it.
+    pub(crate) fn cost(&self, name: &str) -> &Cost {
+        self.costs.iter().find(|cost| cost.name == name).expect("a sum names measured costs only")
+    }
+
+    /// Returns a figure's value by name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the run did not measure it.
+    pub(crate) fn figure(&self, name: &str) -> f64 {
+        let figure = self.figures.iter().find(|figure| figure.name == name);
+        figure.expect("a sum names measured figures only").value
+    }
+
+    /// Prints the report for people.
+    pub(crate) fn print(&self) {
+        println!(
+            "{:<34} {:<22} {:>11} {:>11} {:>7} {:>7} {:>11} {:>11} {:>6}",
+            "cost", "against", "at 0", "slope", "R^2", "resid", "deployment", "whole", "reach"
+        );
+        for cost in &self.costs {
+            println!(
+                "{:<34} {:<22} {:>11} {:>11} {:>7.4} {:>6.1}% {:>11} {:>11} {:>5.1}x {}",
+                cost.name,
+                cost.against,
+                short(cost.fit.intercept),
+                short(cost.fit.slope),
+                cost.fit.r_squared,
+                cost.fit.worst_residual * 100.0,
+                short(cost.at_deployment),
+                short(cost.at_whole),
+                cost.reach(cost.whole_size),
+                cost.unit,
+            );
+        }
+        println!();
+        for figure in &self.figures {
+            println!(
+                "{:<52} {:>12} {:<8} {}",
+                figure.name,
+                short(figure.value),
+                figure.unit,
+                figure.verdict()
+            );
+        }
+    }
+}
+
+/// Formats a number with four significant digits.
+fn short(value: f64) -> String {
+    let magnitude = value.abs();
+    if magnitude >= 1e7 {
+        return format!("{value:.3e}");
+    }
+    if magnitude >= 1000.0 || magnitude == 0.0 {
+        return format!("{value:.0}");
+    }
+    let digits = 3 - (magnitude.log10().floor() as i32).clamp(-6, 3);
+    format!("{value:.*}", digits as usize)
+}
