--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -1,13 +1,43 @@
-//! Small stand-ins for trying out a fleet, and the measurements of its costs.
+//! The command-line tool that runs the demo and the experiments.
 
 mod slopes;
 
-use pico_args::Arguments;
+use std::process::ExitCode;
 
-fn main() -> anyhow::Result<()> {
-    let mut args = Arguments::from_env();
-    match args.subcommand()?.as_deref() {
-        Some("slopes") => slopes::run(args),
-        _ => anyhow::bail!("usage: pistachiotrack-standins slopes [--json]"),
+use anyhow::Context;
+use pistachiotrack_standins::experiment;
+
+const HELP: &str = "\
+Usage: pistachiotrack-standins COMMAND [OPTIONS]
+
+Commands:
+  experiment NAME [--json] [--seed N]   run one experiment
+  slopes [--json]                       measure what decisions cost
+  help                                  show this text
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> anyhow::Result<ExitCode> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let command = arguments.subcommand()?.context("no command; try `help`")?;
+    match command.as_str() {
+        "experiment" => experiment::run(arguments),
+        "slopes" => slopes::run(arguments),
+        "help" => help(),
+        _ => anyhow::bail!("unknown command {command:?}; try `help`"),
     }
 }
+
+fn help() -> anyhow::Result<ExitCode> {
+    print!("{HELP}");
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/pistachiotrack-standins/src/slopes.rs
+++ b/crates/pistachiotrack-standins/src/slopes.rs
@@ -15,6 +15,8 @@
 mod scale;
 mod spread;
 
+use std::process::ExitCode;
+
 use pico_args::Arguments;
 
 use self::report::Report;
@@ -24,7 +26,7 @@
 /// # Errors
 ///
 /// Returns an error if there are arguments that it does not know.
-pub(crate) fn run(mut args: Arguments) -> anyhow::Result<()> {
+pub(crate) fn run(mut args: Arguments) -> anyhow::Result<ExitCode> {
     let json = args.contains("--json");
     let rest = args.finish();
     anyhow::ensure!(rest.is_empty(), "slopes: unknown arguments: {rest:?}");
@@ -34,7 +36,7 @@
     } else {
         report.print();
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
 /// A named part of the measurements.
