Measure acceptance of configurations as a VM takes them

Cause: the slopes timed only the parse, without check, content hash, delta and indexes, and counted no peak. Change: a configuration is taken by ConfigSync from the platform and from a peer, with the indexes that a request needs; the heap's worst moment is measured by a counting allocator whose peak can be reset.

--- a/crates/pistachiotrack-standins/src/slopes.rs
+++ b/crates/pistachiotrack-standins/src/slopes.rs
@@ -1,6 +1,7 @@
 //! The `slopes` command: measures what the decisions cost at several sizes and
 //! fits straight lines, from which `docs/CAPACITY.md` is worked out.
 
+mod acceptance;
 mod budget;
 mod decisions;
 mod faults;
@@ -45,7 +46,8 @@
     measure: fn(&mut Report),
 }
 
-const GROUPS: [Group; 6] = [
+const GROUPS: [Group; 7] = [
+    Group { name: "acceptance", measure: acceptance::measure },
     Group { name: "decisions", measure: decisions::measure },
     Group { name: "owner", measure: owner::measure },
     Group { name: "members", measure: members::measure },
--- a/crates/pistachiotrack-standins/src/slopes/budget.rs
+++ b/crates/pistachiotrack-standins/src/slopes/budget.rs
@@ -12,8 +12,6 @@
 /// Changes of state that a replaced VM causes at every other VM: suspect, dead,
 /// alive; the owners are worked out anew at each.
 const MEMBER_CHANGES_PER_REPLACEMENT: f64 = 3.0;
-/// Configurations held at the same time while a new one is taken.
-const CONFIGS_AT_CHANGE: f64 = 2.0;
 
 /// One way to run the letter's size.
 #[derive(Clone, Copy)]
@@ -27,6 +25,7 @@
     value_bytes: f64,
     accept_us: f64,
     config_heap_bytes: f64,
+    change_heap_bytes: f64,
     list_bytes: f64,
 }
 
@@ -39,8 +38,10 @@
         value_bytes: report.figure("value.deployment"),
         accept_us: report.figure("value.deployment.accept"),
         config_heap_bytes: report.figure("value.deployment.heap"),
+        change_heap_bytes: report.figure("value.deployment.accept.more_heap"),
         list_bytes: report.figure("vm_list.deployment"),
     };
+    let growth = many.change_heap_bytes / many.config_heap_bytes;
     let one = Plan {
         name: "whole",
         deployments: 1.0,
@@ -48,6 +49,7 @@
         value_bytes: report.figure("value.whole"),
         accept_us: parts(report, "accept"),
         config_heap_bytes: parts(report, "heap"),
+        change_heap_bytes: parts(report, "heap") * growth,
         list_bytes: report.figure("vm_list.whole"),
     };
     for plan in [many, one] {
@@ -133,7 +135,7 @@
     let shards = report.figure("ownership.busiest_vm");
     let owned = (plan.at)(report.cost("shard.heap")) * shards;
     let queued = (plan.at)(report.cost("shard.heap.queued")) * shards;
-    let config = plan.config_heap_bytes * CONFIGS_AT_CHANGE + plan.value_bytes;
+    let config = plan.config_heap_bytes + plan.change_heap_bytes;
     let total = members + ownership + owned + queued + config;
     vec![
         plan.figure("heap.members", "B", members),
--- a/crates/pistachiotrack-standins/src/slopes/decisions.rs
+++ b/crates/pistachiotrack-standins/src/slopes/decisions.rs
@@ -1,11 +1,9 @@
-//! Costs of the decisions that need no other VM: configuration, rules,
-//! ownership and steering.
+//! Costs of the decisions that need no other VM: rules, ownership, steering.
 
-use std::io::Write;
+use std::sync::Arc;
 
-use flate2::{Compression, write::GzEncoder};
 use pistachiotrack_core::{
-    config::{Config, MAX_VALUE_BYTES},
+    config::Config,
     membership::{Member, MemberState},
     ownership::{Ownership, OwnershipSettings},
     request::Class,
@@ -22,8 +20,6 @@
     scale::{self, Size},
 };
 
-/// Sizes at which costs are measured, as shares of one deployment.
-const SHARES: [f64; 4] = [0.25, 0.5, 1.0, 1.5];
 /// Fleet sizes of the ownership and steering measurements.
 const FLEETS: [usize; 6] = [12, 48, 192, 768, 2_400, 5_800];
 /// Rules of the largest list that is measured.
@@ -31,116 +27,11 @@
 
 /// Measures all of them.
 pub(crate) fn measure(report: &mut Report) {
-    parts(report);
-    values(report);
     rules(report);
     ownership(report);
     steering_answers(report);
 }
 
-/// Size of one deployment with one part scaled, the others small.
-fn scaled(part: &str, share: f64) -> (f64, Size) {
-    let full = scale::deployment();
-    let small =
-        Size { vms: full.vms, services: full.services, endpoints: 40, routes: 20, customers: 20 };
-    let scale = |count: usize| (count as f64 * share) as usize;
-    match part {
-        "endpoint" => {
-            let endpoints = scale(full.endpoints);
-            (endpoints as f64, Size { endpoints, ..small })
-        }
-        "route" => {
-            let routes = scale(full.routes);
-            (routes as f64, Size { routes, ..small })
-        }
-        _ => {
-            let customers = scale(full.customers);
-            (customers as f64, Size { customers, ..small })
-        }
-    }
-}
-
-/// Value bytes, heap and processor time for each endpoint, route and customer.
-fn parts(report: &mut Report) {
-    let targets =
-        [("endpoint", scale::ENDPOINTS), ("route", scale::ROUTES), ("customer", scale::CUSTOMERS)];
-    for (part, whole) in targets {
-        let mut bytes = Vec::new();
-        let mut held = Vec::new();
-        let mut time = Vec::new();
-        for share in SHARES {
-            let (size, shape) = scaled(part, share);
-            let json = sample::json(&sample::config(shape));
-            bytes.push(Point { size, value: json.len() as f64 });
-            let (_, heap_bytes) = heap(|| prepare(&json));
-            held.push(Point { size, value: heap_bytes });
-            time.push(Point { size, value: cpu_us(|| prepare(&json)) });
-        }
-        let sizes = (scale::share(whole), whole);
-        let costs = [("value", "B", bytes), ("heap", "B", held), ("accept", "us", time)];
-        for (name, unit, points) in costs {
-            report.costs.push(Cost::new(
-                &format!("config.{name}.{part}"),
-                part,
-                unit,
-                sizes,
-                points,
-            ));
-        }
-    }
-}
-
-/// What a VM does with a new value: parse, check, index the rules.
-fn prepare(json: &[u8]) -> (Config, RuleSet) {
-    let config = Config::parse("platform", json).expect("the sample is valid");
-    let rules = RuleSet::new(&config.rules);
-    (config, rules)
-}
-
-/// Whole values of one deployment and of everything.
-fn values(report: &mut Report) {
-    let deployment = sample::config(scale::deployment());
-    let json = sample::json(&deployment);
-    let (_, held) = heap(|| prepare(&json));
-    let two_contracts = sample::json(&with_second_contract(deployment.clone()));
-    let indented = sample::indented_json(&deployment);
-    let full = sample::full_json(&deployment);
-    let list = serde_json::to_vec(&sample::vm_list(scale::VMS_PER_DEPLOYMENT as usize))
-        .expect("a list has only string keys");
-    let whole_list = serde_json::to_vec(&sample::vm_list(scale::VMS as usize)).expect("as above");
-    let limit = MAX_VALUE_BYTES as f64;
-    let figures = [
-        Figure::new("value.deployment", "B", json.len() as f64).within(limit),
-        Figure::new("value.deployment.two_contracts", "B", two_contracts.len() as f64)
-            .within(limit),
-        Figure::new("value.deployment.indented", "B", indented.len() as f64).within(limit),
-        Figure::new("value.deployment.every_field", "B", full.len() as f64).within(limit),
-        Figure::new("value.deployment.gzip", "B", gzip(&json)),
-        Figure::new("value.whole", "B", sample::json(&sample::config(scale::whole())).len() as f64)
-            .within(limit),
-        Figure::new("value.deployment.heap", "B", held),
-        Figure::new("value.deployment.accept", "us", cpu_us(|| prepare(&json))),
-        Figure::new("vm_list.deployment", "B", list.len() as f64),
-        Figure::new("vm_list.whole", "B", whole_list.len() as f64),
-    ];
-    report.figures.extend(figures);
-}
-
-fn with_second_contract(mut config: Config) -> Config {
-    for customer in &mut config.customers {
-        let mut second = customer.contracts[0].clone();
-        second.service = sample::service_name(scale::deployment().services - 1);
-        customer.contracts.push(second);
-    }
-    config
-}
-
-fn gzip(bytes: &[u8]) -> f64 {
-    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
-    encoder.write_all(bytes).expect("a vector takes all bytes");
-    encoder.finish().expect("a vector takes all bytes").len() as f64
-}
-
 struct QuietFacts;
 
 impl Facts for QuietFacts {
@@ -160,8 +51,8 @@
     for routes in RULES {
         let customers = routes * 2;
         let shape = Size { routes, customers, endpoints: 40, ..scale::deployment() };
-        let config = sample::config(shape);
-        let (rules, heap_bytes) = heap(|| RuleSet::new(&config.rules));
+        let config = Arc::new(sample::config(shape));
+        let (rules, heap_bytes) = heap(|| RuleSet::of_config(Arc::clone(&config)));
         let customer = sample::customer_name(routes - 1);
         let subject = Subject {
             customer: &customer,
--- a/crates/pistachiotrack-standins/src/slopes/fleet.rs
+++ b/crates/pistachiotrack-standins/src/slopes/fleet.rs
@@ -239,7 +239,7 @@
 
     fn new_node(&self, vm: Vm, index: usize) -> Node {
         let seed = self.settings.seed.wrapping_mul(1_000_003) + index as u64;
-        let deployment = Name::from("deployment-017");
+        let deployment = sample::deployment_name();
         Node {
             membership: Membership::new(self.now, vm.clone(), MembershipSettings::default(), seed),
             sync: ConfigSync::new(vm.clone(), deployment, ConfigSyncSettings::default(), seed),
@@ -253,6 +253,7 @@
 
     fn seed(&mut self, index: usize) {
         let list = sample::vm_list(self.settings.vms);
+        self.nodes[index].sync.on_listed_vms(list.vms.len());
         let actions = self.nodes[index].membership.on_vm_list(self.now, &list);
         self.perform_membership(index, actions);
     }
--- a/crates/pistachiotrack-standins/src/slopes/meter.rs
+++ b/crates/pistachiotrack-standins/src/slopes/meter.rs
@@ -1,12 +1,12 @@
 //! Measures processor time and heap.
 
-use std::{alloc::System, hint::black_box};
+use std::hint::black_box;
 
 use cpu_time::ThreadTime;
-use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use peak_alloc::PeakAlloc;
 
 #[global_allocator]
-static COUNTING_ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+static COUNTING_ALLOCATOR: PeakAlloc = PeakAlloc;
 
 /// Batches of which the median is taken.
 const BATCHES: usize = 11;
@@ -40,8 +40,16 @@
 
 /// Returns what `build` makes and the heap bytes that it still holds.
 pub(crate) fn heap<T>(build: impl FnOnce() -> T) -> (T, f64) {
-    let region = Region::new(COUNTING_ALLOCATOR);
+    let before = COUNTING_ALLOCATOR.current_usage();
     let built = build();
-    let change = region.change();
-    (built, change.bytes_allocated as f64 - change.bytes_deallocated as f64)
+    let after = COUNTING_ALLOCATOR.current_usage();
+    (built, after as f64 - before as f64)
+}
+
+/// Returns the heap bytes that `work` holds at its worst moment.
+pub(crate) fn peak_heap<T>(work: impl FnOnce() -> T) -> f64 {
+    let before = COUNTING_ALLOCATOR.current_usage();
+    COUNTING_ALLOCATOR.reset_peak_usage();
+    drop(work());
+    COUNTING_ALLOCATOR.peak_usage() as f64 - before as f64
 }
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -26,7 +26,7 @@
 pub(crate) fn config(size: Size) -> Config {
     Config {
         version: 1,
-        deployment: Name::from("deployment-017"),
+        deployment: deployment_name(),
         entry_lifetime_ms: DEFAULT_ENTRY_LIFETIME_MS,
         data_centres: (0..DATA_CENTRES_PER_DEPLOYMENT)
             .map(|index| DataCentre { name: data_centre(index), region: Name::from("region-1") })
@@ -81,6 +81,11 @@
     }
 }
 
+/// Returns the name of the deployment.
+pub(crate) fn deployment_name() -> Name {
+    Name::from("deployment-017")
+}
+
 /// Returns the name of a service.
 pub(crate) fn service_name(index: usize) -> Name {
     Name::from(format!("slot-search-{index:03}"))
