--- /dev/null
+++ b/crates/pistachiotrack-core/tests/floor.rs
@@ -0,0 +1,354 @@
+//! The floor against a naive oracle over random histories.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use pistachiotrack_core::{
+    health::{
+        AttemptKind, Candidate, Health, HealthAction, HealthHandOver, HealthSettings, PathAnswer,
+        Standing,
+    },
+    name::Name,
+    request::{AttemptId, BodyEnd, Class, Outcome, Report},
+    time::Time,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const NAMES: u8 = 8;
+
+/// One step of a history.
+#[derive(Clone, Debug)]
+enum Step {
+    Wait { ms: u16 },
+    Work { endpoint: u8, count: u8, end: End },
+    Report { endpoint: u8, draining: bool },
+    Config { present: u8, leaving: u8, floor: u8 },
+    Path { endpoint: u8, answer: u8 },
+    HandOver { ejected: u8 },
+    Pause { ms: u16 },
+}
+
+/// How work ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Good,
+    Late,
+    Error,
+    Cut,
+    Broken,
+    NoConnection,
+    Shed,
+    Hangs,
+    TimesOut,
+    Cancelled,
+}
+
+const ENDS: [End; 10] = [
+    End::Good,
+    End::Late,
+    End::Error,
+    End::Cut,
+    End::Broken,
+    End::NoConnection,
+    End::Shed,
+    End::Hangs,
+    End::TimesOut,
+    End::Cancelled,
+];
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let endpoint = u8::arbitrary(g) % NAMES;
+        match u8::arbitrary(g) % 16 {
+            0..=3 => Step::Wait { ms: u16::arbitrary(g) % 8_000 },
+            4..=10 => Step::Work {
+                endpoint,
+                count: u8::arbitrary(g) % 40,
+                end: *g.choose(&ENDS).unwrap(),
+            },
+            11 => Step::Report { endpoint, draining: bool::arbitrary(g) },
+            12 => Step::Config {
+                present: u8::arbitrary(g),
+                leaving: u8::arbitrary(g) & u8::arbitrary(g),
+                floor: u8::arbitrary(g) % (NAMES + 1),
+            },
+            13 => Step::Path { endpoint, answer: u8::arbitrary(g) % 3 },
+            14 => Step::HandOver { ejected: u8::arbitrary(g) },
+            _ => Step::Pause { ms: u16::arbitrary(g) },
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Step>> {
+        match *self {
+            Step::Wait { ms } => Box::new(ms.shrink().map(|ms| Step::Wait { ms })),
+            Step::Work { endpoint, count, end } => {
+                Box::new(count.shrink().map(move |count| Step::Work { endpoint, count, end }))
+            }
+            Step::Config { present, leaving, floor } => {
+                Box::new(
+                    (present, leaving, floor)
+                        .shrink()
+                        .map(|(present, leaving, floor)| Step::Config { present, leaving, floor }),
+                )
+            }
+            _ => Box::new(std::iter::empty()),
+        }
+    }
+}
+
+/// What the oracle knows: the configuration and who ever said it is leaving.
+struct Run {
+    health: Health,
+    now: Time,
+    next_attempt: u64,
+    present: u8,
+    leaving: u8,
+    floor: u8,
+    said_leaving: BTreeSet<u8>,
+    ejected: BTreeSet<Name>,
+    ejections: u32,
+}
+
+fn name(endpoint: u8) -> Name {
+    Name::from(format!("e{endpoint}"))
+}
+
+fn has(mask: u8, endpoint: u8) -> bool {
+    mask >> endpoint & 1 == 1
+}
+
+fn candidates(present: u8, leaving: u8) -> Vec<Candidate> {
+    (0..NAMES)
+        .filter(|&endpoint| has(present, endpoint))
+        .map(|endpoint| Candidate { name: name(endpoint), leaving: has(leaving, endpoint) })
+        .collect()
+}
+
+impl Run {
+    fn new(floor: u8) -> Run {
+        let settings = HealthSettings { sensitivity: 0.9 };
+        let all = candidates(u8::MAX, 0);
+        Run {
+            health: Health::new(Time::ZERO, settings, &all, floor.into(), 1),
+            now: Time::ZERO,
+            next_attempt: 0,
+            present: u8::MAX,
+            leaving: 0,
+            floor,
+            said_leaving: BTreeSet::new(),
+            ejected: BTreeSet::new(),
+            ejections: 0,
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Wait { ms } => self.wait(ms),
+            Step::Work { endpoint, count, end } => self.work(endpoint, count, end),
+            Step::Report { endpoint, draining } => {
+                if draining {
+                    self.said_leaving.insert(endpoint);
+                }
+                let report = Report { in_flight: None, draining };
+                let actions = self.health.on_report(self.now, &name(endpoint), report);
+                self.take(actions);
+            }
+            Step::Config { present, leaving, floor } => {
+                (self.present, self.leaving, self.floor) = (present, leaving, floor);
+                let candidates = candidates(present, leaving);
+                let actions = self.health.on_config(self.now, &candidates, floor.into());
+                self.take(actions);
+            }
+            Step::Path { endpoint, answer } => {
+                let answers = [
+                    PathAnswer::ReachedByOthers,
+                    PathAnswer::UnreachableByOthers,
+                    PathAnswer::NoAnswer,
+                ];
+                let answer = answers[usize::from(answer)];
+                let actions = self.health.on_path_answer(self.now, &name(endpoint), answer);
+                self.take(actions);
+            }
+            Step::HandOver { ejected } => self.hand_over(ejected),
+            Step::Pause { ms } => {
+                self.now += Duration::from_millis(ms.into());
+                self.health.on_pause(self.now, Duration::from_millis(ms.into()));
+                self.check();
+            }
+        }
+    }
+
+    fn wait(&mut self, ms: u16) {
+        let end = self.now + Duration::from_millis(ms.into());
+        while self.now < end {
+            self.now += Duration::from_millis(200);
+            let actions = self.health.on_tick(self.now);
+            self.take(actions);
+        }
+    }
+
+    /// Gives one endpoint work that ends as told while its peers do well.
+    fn work(&mut self, endpoint: u8, count: u8, end: End) {
+        for _ in 0..count {
+            for peer in (0..NAMES).filter(|&peer| peer != endpoint) {
+                let attempt = self.dispatch(peer);
+                self.now += Duration::from_millis(1);
+                let fresh_connection = false;
+                let good = Outcome::Answered { status: 200, fresh_connection };
+                self.end(attempt, good, BodyEnd::Complete);
+            }
+            let attempt = self.dispatch(endpoint);
+            let fresh_connection = count % 2 == 0;
+            let (ms, outcome) = match end {
+                End::Good | End::Cut => (1, Outcome::Answered { status: 200, fresh_connection }),
+                End::Late => (50, Outcome::Answered { status: 200, fresh_connection }),
+                End::Error => (1, Outcome::Answered { status: 500, fresh_connection }),
+                End::Broken => (1, Outcome::Broken { fresh_connection }),
+                End::NoConnection => (1, Outcome::ConnectFailed),
+                End::Shed => (1, Outcome::Shed),
+                End::TimesOut => (100, Outcome::TimedOut { fresh_connection }),
+                End::Cancelled => (100, Outcome::Cancelled),
+                End::Hangs => continue,
+            };
+            self.now += Duration::from_millis(ms);
+            let body = if matches!(end, End::Cut) { BodyEnd::Cut } else { BodyEnd::Complete };
+            self.end(attempt, outcome, body);
+        }
+        let actions = self.health.on_tick(self.now);
+        self.take(actions);
+    }
+
+    fn dispatch(&mut self, endpoint: u8) -> AttemptId {
+        let attempt = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        let kind = match self.health.standing(&name(endpoint)) {
+            Standing::Trial => AttemptKind::Trial,
+            _ => AttemptKind::Work,
+        };
+        self.health.on_dispatch(self.now, attempt, &name(endpoint), Class::Standard, kind);
+        attempt
+    }
+
+    fn end(&mut self, attempt: AttemptId, outcome: Outcome, body: BodyEnd) {
+        let actions = self.health.on_outcome(self.now, attempt, outcome);
+        self.take(actions);
+        if matches!(outcome, Outcome::Answered { .. }) {
+            let actions = self.health.on_body_end(self.now, attempt, body);
+            self.take(actions);
+        }
+    }
+
+    fn hand_over(&mut self, ejected: u8) {
+        let from: Vec<HealthHandOver> = (0..NAMES)
+            .filter(|&endpoint| has(ejected, endpoint))
+            .map(|endpoint| HealthHandOver {
+                endpoint: name(endpoint),
+                standing: Standing::Ejected,
+                ejections: 1,
+                usual_latency_us: Some(1_000),
+            })
+            .collect();
+        self.ejected.extend(from.iter().map(|old| old.endpoint.clone()));
+        let actions = self.health.on_hand_over(self.now, &from);
+        self.take(actions);
+    }
+
+    fn take(&mut self, actions: Vec<HealthAction>) {
+        for action in actions {
+            if let HealthAction::Ejected { endpoint, .. } = action {
+                self.ejections += 1;
+                self.ejected.insert(endpoint);
+            }
+        }
+        self.check();
+    }
+
+    /// Checks everything that a caller can see against the oracle.
+    fn check(&self) {
+        let mut in_rotation = 0;
+        let mut available = 0;
+        for endpoint in 0..NAMES {
+            let name = name(endpoint);
+            let standing = self.health.standing(&name);
+            let share = self.health.share(self.now, &name);
+            if !has(self.present, endpoint) || has(self.leaving, endpoint) {
+                assert_eq!((standing, share), (Standing::Draining, 0.0), "{name}");
+                continue;
+            }
+            if standing == Standing::Draining {
+                assert!(self.said_leaving.contains(&endpoint), "{name} never said so");
+                assert_eq!(share, 0.0, "{name}");
+                continue;
+            }
+            if standing == Standing::Ejected {
+                assert!(self.ejected.contains(&name), "{name} ejected without notice");
+            }
+            available += 1;
+            let gets_work = matches!(
+                standing,
+                Standing::Healthy | Standing::Suspect | Standing::HeldByFloor | Standing::SlowStart
+            );
+            if gets_work && !self.health.unreachable_from_here(&name) {
+                assert!(share > 0.0, "{name} {standing:?}");
+                in_rotation += 1;
+            } else if standing != Standing::Trial {
+                assert_eq!(share, 0.0, "{name} {standing:?}");
+            }
+        }
+        let needed = available.min(self.floor);
+        assert!(in_rotation >= needed, "{in_rotation} in rotation, {needed} needed");
+        assert_eq!(self.health.at_floor(), in_rotation <= self.floor);
+    }
+}
+
+/// Endpoints fail in every way, say that they are leaving, are replaced, and
+/// the floor changes, in any order. Callers must always have as many endpoints
+/// to go to as the floor says, or all there are; leaving ones get no work.
+#[test]
+fn ejections_never_break_the_floor() {
+    fn holds(floor: u8, steps: Vec<Step>) -> bool {
+        let mut run = Run::new(floor % (NAMES + 1));
+        run.check();
+        for step in &steps {
+            run.step(step);
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(150)
+        .rng(Gen::from_size_and_seed(60, 11))
+        .quickcheck(holds as fn(u8, Vec<Step>) -> bool);
+}
+
+/// The histories above mean something only if many of them eject.
+#[test]
+fn random_histories_do_eject() {
+    let mut random = Gen::from_size_and_seed(60, 12);
+    let mut ejections = 0;
+    for _ in 0..50 {
+        let mut run = Run::new(3);
+        for step in Vec::<Step>::arbitrary(&mut random) {
+            run.step(&step);
+        }
+        ejections += run.ejections;
+    }
+    assert!(ejections >= 50, "{ejections}");
+}
+
+/// Half of the endpoints fail at the same moment, and the floor is high. As
+/// many go as the floor allows, and as soon as it falls the others go as well.
+#[test]
+fn a_lower_floor_lets_the_sick_go() {
+    let mut run = Run::new(7);
+    for _ in 0..4 {
+        run.work(0, 20, End::Error);
+        run.work(1, 20, End::Error);
+    }
+    let out = |run: &Run| {
+        (0..NAMES).filter(|&e| run.health.standing(&name(e)) == Standing::Ejected).count()
+    };
+    assert_eq!(out(&run), 1);
+    run.step(&Step::Config { present: u8::MAX, leaving: 0, floor: 6 });
+    run.work(1, 4, End::Error);
+    run.work(0, 4, End::Error);
+    assert_eq!(out(&run), 2);
+}
