--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -5,12 +5,17 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use pistachiotrack_standins::experiment;
+use pistachiotrack_standins::{
+    demo::{self, DemoSettings},
+    experiment,
+};
 
 const HELP: &str = "\
 Usage: pistachiotrack-standins COMMAND [OPTIONS]
 
 Commands:
+  demo [--full] [--json] [--seconds N] [--vms N] [--load SHARE] [--seed N] [--logs DIRECTORY]
+                                        run both deployments with faults
   experiment NAME [--json] [--seed N]   run one experiment
   slopes [--json]                       measure what decisions cost
   help                                  show this text
@@ -30,6 +35,7 @@
     let mut arguments = pico_args::Arguments::from_env();
     let command = arguments.subcommand()?.context("no command; try `help`")?;
     match command.as_str() {
+        "demo" => demo::run(DemoSettings::from_arguments(arguments)?),
         "experiment" => experiment::run(arguments),
         "slopes" => slopes::run(arguments),
         "help" => help(),
