--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -17,7 +17,8 @@
   demo [--full] [--json] [--seconds N] [--vms N] [--load SHARE] [--seed N] [--logs DIRECTORY]
                                         run both deployments with faults
   experiment NAME [--json] [--seed N]   run one experiment
-  slopes [--json]                       measure what decisions cost
+  slopes [--json] [--only GROUP] [--rounds N]
+                                        measure what decisions cost
   help                                  show this text
 ";
 
--- a/crates/pistachiotrack-standins/src/slopes/acceptance.rs
+++ b/crates/pistachiotrack-standins/src/slopes/acceptance.rs
@@ -21,6 +21,9 @@
 
 /// Sizes at which costs are measured, as shares of one deployment.
 const SHARES: [f64; 4] = [0.25, 0.5, 1.0, 1.5];
+/// Copies held at the same time when resident memory is measured.
+const RESIDENT_COPIES: usize = 32;
+const PAGE_BYTES: f64 = 4_096.0;
 const NOW: Time = Time::from_millis(1);
 const LATER: Time = Time::from_millis(10_000);
 
@@ -179,6 +182,7 @@
     let peer_peak = peak_heap(|| held.next_from_peer(&answer));
     let figures = [
         Figure::new("value.deployment.heap", "B", held_bytes),
+        Figure::new("value.deployment.resident", "B", resident(&first)),
         Figure::new("value.deployment.accept", "us", cpu_us(|| held.next(&second))),
         Figure::new("value.deployment.accept.more_heap", "B", peak),
         Figure::new("delta.deployment", "B", answer.len() as f64),
@@ -188,6 +192,21 @@
     report.figures.extend(figures);
 }
 
+/// Resident memory of one configuration in force, which includes what the
+/// allocator adds.
+fn resident(json: &[u8]) -> f64 {
+    let before = resident_bytes();
+    let held: Vec<InForce> = (0..RESIDENT_COPIES).map(|_| InForce::first(json)).collect();
+    let after = resident_bytes();
+    (after - before) / held.len() as f64
+}
+
+fn resident_bytes() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
 /// Returns the answer of a peer that has taken `json` to a VM that has not.
 fn delta(held: &InForce, json: &[u8]) -> Vec<u8> {
     let peer = held.next(json);
