--- a/crates/pistachiotrack-standins/src/slopes/platform.rs
+++ b/crates/pistachiotrack-standins/src/slopes/platform.rs
@@ -1,10 +1,12 @@
 //! The platform's configuration service in logical time: answers a limited
 //! number of reads a second and counts them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use pistachiotrack_core::time::Time;
 
+const SECOND: Duration = Duration::from_secs(1);
+
 struct Waiting {
     reader: usize,
     end: Time,
@@ -14,6 +16,8 @@
 pub(crate) struct Platform {
     /// Reads so far; a watch counts as one.
     pub(crate) reads: u64,
+    lately: VecDeque<Time>,
+    busiest_second: usize,
     version: u64,
     value: Arc<[u8]>,
     time_per_read: Duration,
@@ -26,6 +30,8 @@
     pub(crate) fn new(reads_per_s: f64, value: Arc<[u8]>) -> Platform {
         Platform {
             reads: 0,
+            lately: VecDeque::new(),
+            busiest_second: 0,
             version: 1,
             value,
             time_per_read: Duration::from_secs_f64(1.0 / reads_per_s),
@@ -44,6 +50,11 @@
         end: Time,
     ) -> Option<(Duration, Arc<[u8]>)> {
         self.reads += 1;
+        self.lately.push_back(now);
+        while self.lately.front().is_some_and(|read| now.since(*read) >= SECOND) {
+            self.lately.pop_front();
+        }
+        self.busiest_second = self.busiest_second.max(self.lately.len());
         self.free_at = self.free_at.max(now) + self.time_per_read;
         if after.is_none_or(|after| after < self.version) {
             return Some((self.free_at.since(now), Arc::clone(&self.value)));
@@ -52,6 +63,11 @@
         None
     }
 
+    /// Returns the most reads asked for within one second.
+    pub(crate) fn busiest_second(&self) -> usize {
+        self.busiest_second
+    }
+
     /// Returns how many watches wait.
     pub(crate) fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/pistachiotrack-standins/src/slopes/report.rs
+++ b/crates/pistachiotrack-standins/src/slopes/report.rs
@@ -148,6 +148,12 @@
         }
     }
 
+    /// Adds what another report has.
+    pub(crate) fn append(&mut self, mut other: Report) {
+        self.costs.append(&mut other.costs);
+        self.figures.append(&mut other.figures);
+    }
+
     /// Returns a cost by name.
     ///
     /// # Panics
