--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -9,6 +9,9 @@
     time::Time,
 };
 
+/// Time for which a member must have been alive to be no news any more.
+const NEWS_MS: u32 = 60_000;
+
 impl Membership {
     pub(super) fn receive(
         &mut self,
@@ -32,7 +35,17 @@
             _ => false,
         };
         self.on_identity(now, from, &sender, introduction.as_ref(), verified, actions);
+        let old_news = if matches!(message, Message::TablePage { .. }) {
+            updates.iter().filter(|update| is_old_news(update)).map(|u| u.name.clone()).collect()
+        } else {
+            Vec::new()
+        };
         self.on_updates(now, &sender.name, updates, actions);
+        // What a new VM reads from the table everybody else knows already; passing
+        // it on would cost a large fleet megabytes for each VM that joins.
+        for name in &old_news {
+            self.gossip.remove(name);
+        }
         self.on_message(now, from, &sender, introduction.as_ref(), message, actions);
     }
 
@@ -336,6 +349,20 @@
         matches!(entry.state, MemberState::Suspect | MemberState::Dead).then(|| entry.update(now))
     }
 
+    /// Turns a suspicion by hearsay that ran out into an own one; returns whether
+    /// it was by hearsay.
+    ///
+    /// Where datagrams are lost, the refutation may have missed this VM alone. It
+    /// would then declare a VM dead that all others hear. If the VM is dead, the
+    /// accuser's word arrives while this VM still asks.
+    fn doubts(&mut self, name: &Name) -> bool {
+        let Some(entry) = self.table.entries.get_mut(name) else { return false };
+        let hearsay =
+            entry.state == MemberState::Suspect && entry.is_known() && !entry.own_suspicion;
+        entry.own_suspicion |= hearsay;
+        hearsay
+    }
+
     /// Gives up members that have not been heard for too long.
     pub(super) fn check_waiting(&mut self, now: Time, actions: &mut Actions) {
         let over: Vec<Name> = self
@@ -349,12 +376,22 @@
             .cloned()
             .collect();
         for name in over {
+            if self.doubts(&name) {
+                let patience = self.suspicion_time();
+                self.table.give_up_at(&name, now + patience);
+                self.probe(now, &name, actions);
+                continue;
+            }
             self.set_state(now, &name, MemberState::Dead, actions);
             self.spread(now, &name);
         }
     }
 }
 
+fn is_old_news(update: &Update) -> bool {
+    update.place.as_ref().is_some_and(|place| place.alive_ms >= NEWS_MS)
+}
+
 fn introduces(update: &Update, identity: &Identity) -> bool {
     update.name == identity.name
         && update.incarnation == identity.incarnation
--- a/crates/pistachiotrack-core/tests/floor.rs
+++ b/crates/pistachiotrack-core/tests/floor.rs
@@ -197,7 +197,7 @@
                 self.end(attempt, good, BodyEnd::Complete);
             }
             let attempt = self.dispatch(endpoint);
-            let fresh_connection = count % 2 == 0;
+            let fresh_connection = count.is_multiple_of(2);
             let (ms, outcome) = match end {
                 End::Good | End::Cut => (1, Outcome::Answered { status: 200, fresh_connection }),
                 End::Late => (50, Outcome::Answered { status: 200, fresh_connection }),
@@ -253,8 +253,16 @@
     }
 
     fn take(&mut self, actions: Vec<HealthAction>) {
+        let readmitted: Vec<Name> = actions
+            .iter()
+            .filter_map(|action| match action {
+                HealthAction::Readmitted { endpoint } => Some(endpoint.clone()),
+                _ => None,
+            })
+            .collect();
         for action in actions {
             if let HealthAction::Ejected { endpoint, .. } = action {
+                assert!(!readmitted.contains(&endpoint), "{endpoint} out and in at once");
                 self.ejections += 1;
                 self.ejected.insert(endpoint);
             }
--- a/crates/pistachiotrack-standins/src/slopes/fleet.rs
+++ b/crates/pistachiotrack-standins/src/slopes/fleet.rs
@@ -299,6 +299,8 @@
     fn tick_due(&mut self) {
         let phases = (TICK_MS / STEP_MS) as usize;
         let phase = (self.now.as_millis() / STEP_MS) as usize % phases;
+        let ticks = self.now.as_millis() / TICK_MS;
+        let syncs = ticks.is_multiple_of(SYNC_TICK_MS / TICK_MS);
         let due: Vec<usize> =
             (phase..self.nodes.len()).step_by(phases).filter(|at| self.nodes[*at].up).collect();
         let start = ThreadTime::now();
@@ -310,7 +312,7 @@
         for (index, actions) in actions {
             self.perform_membership(index, actions);
             // It looks at every member; at each tick that would only take time.
-            if !self.now.as_millis().is_multiple_of(SYNC_TICK_MS) {
+            if !syncs {
                 continue;
             }
             let node = &mut self.nodes[index];
