Take slopes that scatter explains as none

Cause: a line through flat traffic of 12 to 192 VMs gave 122 B/s at 5,800 VMs where 680 B/s were measured throughout. Change: a slope within three standard errors of 0 counts as 0; ticks of membership and shards follow the daemon's rates.

--- a/crates/pistachiotrack-standins/src/slopes/budget.rs
+++ b/crates/pistachiotrack-standins/src/slopes/budget.rs
@@ -5,8 +5,10 @@
     scale,
 };
 
-/// Ticks of the daemon's timer service a second.
-const TICKS_PER_S: f64 = 50.0;
+/// Ticks of a shard a second, as in the daemon.
+const SHARD_TICKS_PER_S: f64 = 50.0;
+/// Ticks of the configuration's spread a second, as in the daemon.
+const SPREAD_TICKS_PER_S: f64 = 10.0;
 /// Updates of the owners a second without any news, as in the daemon.
 const OWNER_UPDATES_PER_S: f64 = 2.0;
 /// Time for which a watch waits.
@@ -133,15 +135,15 @@
 fn processor(report: &Report, plan: Plan) -> Vec<Figure> {
     let at = |name: &str| (plan.at)(report.cost(name));
     let calls = at("members.datagrams") * report.figure("udp.send_and_receive") / 2.0;
-    let members = at("members.cpu") + calls;
+    let members = at("members.datagram_cpu") + at("members.tick_cpu") + calls;
     let changes = plan.per_s(scale::CHANGES_PER_DAY);
     let watcher = plan.accept_us * changes;
-    let spread = at("spread.tick") * TICKS_PER_S;
+    let spread = at("spread.tick") * SPREAD_TICKS_PER_S;
     let member_changes = plan.per_s(replacements()) * MEMBER_CHANGES_PER_REPLACEMENT;
     let ownership = plan.idle_us * OWNER_UPDATES_PER_S + plan.vm_lost_us * member_changes;
     let publish = at("view.publish") * (OWNER_UPDATES_PER_S + member_changes + changes);
     let shards = report.figure("ownership.busiest_vm");
-    let ticks = at("shard.tick") * TICKS_PER_S * shards;
+    let ticks = at("shard.tick") * SHARD_TICKS_PER_S * shards;
     let total_us = members + watcher + spread + ownership + publish + ticks;
     vec![
         plan.figure("cpu.membership", "us/s", members),
--- a/crates/pistachiotrack-standins/src/slopes/fit.rs
+++ b/crates/pistachiotrack-standins/src/slopes/fit.rs
@@ -11,7 +11,13 @@
     pub(crate) value: f64,
 }
 
+/// Standard errors that a slope must be away from 0 to count as one.
+const SIGNIFICANT_ERRORS: f64 = 3.0;
+
 /// A straight line with its error.
+///
+/// A slope that the points' own scatter explains is taken as 0, since a small
+/// error would become a large one far beyond the measured sizes.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub(crate) struct Fit {
     /// Value at size 0.
@@ -41,10 +47,17 @@
             .iter()
             .map(|point| (point.size - mean_size) * (point.value - mean_value))
             .sum::<f64>();
-        let slope = if spread == 0.0 { 0.0 } else { joint / spread };
+        let steepest = if spread == 0.0 { 0.0 } else { joint / spread };
+        let off =
+            |slope: f64, point: &Point| point.value - mean_value - slope * (point.size - mean_size);
+        let scatter =
+            |slope: f64| points.iter().map(|point| off(slope, point).powi(2)).sum::<f64>();
+        let error = (scatter(steepest) / (count - 2.0).max(1.0) / spread).sqrt();
+        let significant = points.len() < 3 || steepest.abs() >= SIGNIFICANT_ERRORS * error;
+        let slope = if significant { steepest } else { 0.0 };
         let intercept = mean_value - slope * mean_size;
-        let residual = |point: &Point| point.value - (intercept + slope * point.size);
-        let unexplained = points.iter().map(|point| residual(point).powi(2)).sum::<f64>();
+        let residual = |point: &Point| off(slope, point);
+        let unexplained = scatter(slope);
         let total = points.iter().map(|point| (point.value - mean_value).powi(2)).sum::<f64>();
         let largest = points.iter().map(|point| point.value.abs()).fold(0.0, f64::max);
         let worst = points.iter().map(|point| residual(point).abs()).fold(0.0, f64::max);
--- a/crates/pistachiotrack-standins/src/slopes/fleet.rs
+++ b/crates/pistachiotrack-standins/src/slopes/fleet.rs
@@ -20,10 +20,9 @@
 
 /// Time between two steps of the loop.
 const STEP_MS: u64 = 10;
-/// Time between two ticks of a VM's timer service, as in the daemon.
-const TICK_MS: u64 = 20;
-/// Time between two ticks of its configuration's spread.
-const SYNC_TICK_MS: u64 = 100;
+/// Time between two ticks of a VM's membership and configuration, as in the
+/// daemon.
+const TICK_MS: u64 = 100;
 /// One-way latency between VMs.
 const LATENCY: Duration = Duration::from_millis(1);
 /// Time after which an answer that does not come is given up.
@@ -117,7 +116,8 @@
     parcels: BTreeMap<(Time, u64), (usize, Parcel)>,
     sent: u64,
     rng: Pcg64Mcg,
-    membership_cpu: Duration,
+    datagram_cpu: Duration,
+    tick_cpu: Duration,
 }
 
 impl Fleet {
@@ -133,7 +133,8 @@
             parcels: BTreeMap::new(),
             sent: 0,
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
-            membership_cpu: Duration::ZERO,
+            datagram_cpu: Duration::ZERO,
+            tick_cpu: Duration::ZERO,
             settings,
         };
         for index in 0..fleet.settings.vms {
@@ -232,9 +233,14 @@
         })
     }
 
-    /// Returns the processor time that all memberships took so far.
-    pub(crate) fn membership_cpu(&self) -> Duration {
-        self.membership_cpu
+    /// Returns the processor time of all memberships' datagrams so far.
+    pub(crate) fn datagram_cpu(&self) -> Duration {
+        self.datagram_cpu
+    }
+
+    /// Returns the processor time of all memberships' ticks so far.
+    pub(crate) fn tick_cpu(&self) -> Duration {
+        self.tick_cpu
     }
 
     fn new_node(&self, vm: Vm, index: usize) -> Node {
@@ -287,7 +293,7 @@
             let result = self.nodes[*to].membership.on_datagram(self.now, *from, bytes);
             actions.push((*to, result.expect("VMs encode what they decode")));
         }
-        self.membership_cpu += start.elapsed();
+        self.datagram_cpu += start.elapsed();
         for (to, _, bytes) in &datagrams {
             self.nodes[*to].traffic.datagram(bytes.len());
         }
@@ -299,8 +305,6 @@
     fn tick_due(&mut self) {
         let phases = (TICK_MS / STEP_MS) as usize;
         let phase = (self.now.as_millis() / STEP_MS) as usize % phases;
-        let ticks = self.now.as_millis() / TICK_MS;
-        let syncs = ticks.is_multiple_of(SYNC_TICK_MS / TICK_MS);
         let due: Vec<usize> =
             (phase..self.nodes.len()).step_by(phases).filter(|at| self.nodes[*at].up).collect();
         let start = ThreadTime::now();
@@ -308,13 +312,9 @@
         for index in &due {
             actions.push((*index, self.nodes[*index].membership.on_tick(self.now)));
         }
-        self.membership_cpu += start.elapsed();
+        self.tick_cpu += start.elapsed();
         for (index, actions) in actions {
             self.perform_membership(index, actions);
-            // It looks at every member; at each tick that would only take time.
-            if !syncs {
-                continue;
-            }
             let node = &mut self.nodes[index];
             let actions = node.sync.on_tick(self.now, node.membership.members());
             self.perform_config(index, actions);
--- a/crates/pistachiotrack-standins/src/slopes/members.rs
+++ b/crates/pistachiotrack-standins/src/slopes/members.rs
@@ -17,13 +17,13 @@
 };
 
 /// Fleets whose steady traffic is measured.
-const FLEETS: [usize; 4] = [12, 24, 48, 96];
+const FLEETS: [usize; 5] = [12, 24, 48, 96, 192];
 /// Members that one VM holds when its memory is measured.
 const MEMBERS: [usize; 5] = [48, 192, 768, 2_400, 5_800];
 /// Replacements within the time of one measurement.
 const REPLACEMENTS: [usize; 3] = [0, 6, 12];
 /// Fleets in which the cost of one replacement is measured.
-const CHURNED_FLEETS: [usize; 4] = [12, 24, 48, 96];
+const CHURNED_FLEETS: [usize; 5] = [12, 24, 48, 96, 192];
 /// Share of datagrams lost.
 pub(crate) const LOSS: f64 = 0.01;
 /// Time that a fleet gets to settle.
@@ -55,24 +55,28 @@
 fn steady(report: &mut Report) {
     let mut datagrams = Vec::new();
     let mut bytes = Vec::new();
-    let mut cpu = Vec::new();
+    let mut datagram_cpu = Vec::new();
+    let mut tick_cpu = Vec::new();
     for vms in FLEETS {
         let mut fleet = fleet(vms, platform_share(), 7);
         fleet.run(SETTLE);
-        let before = (fleet.traffic(), fleet.membership_cpu());
+        let before = (fleet.traffic(), fleet.datagram_cpu(), fleet.tick_cpu());
         fleet.run(STEADY);
-        let after = (fleet.traffic(), fleet.membership_cpu());
+        let after = (fleet.traffic(), fleet.datagram_cpu(), fleet.tick_cpu());
         let vm_seconds = vms as f64 * STEADY.as_secs_f64();
         let size = vms as f64;
         let rate = |from: u64, to: u64| (to - from) as f64 / vm_seconds;
         datagrams.push(Point { size, value: rate(before.0.datagrams, after.0.datagrams) });
         bytes.push(Point { size, value: rate(before.0.datagram_bytes, after.0.datagram_bytes) });
-        cpu.push(Point { size, value: (after.1 - before.1).as_secs_f64() * 1e6 / vm_seconds });
+        let us = |time: Duration| time.as_secs_f64() * 1e6 / vm_seconds;
+        datagram_cpu.push(Point { size, value: us(after.1 - before.1) });
+        tick_cpu.push(Point { size, value: us(after.2 - before.2) });
     }
     let sizes = (scale::VMS_PER_DEPLOYMENT, scale::VMS);
     report.costs.push(Cost::new("members.datagrams", "VMs", "1/s", sizes, datagrams));
     report.costs.push(Cost::new("members.bytes", "VMs", "B/s", sizes, bytes));
-    report.costs.push(Cost::new("members.cpu", "VMs", "us/s", sizes, cpu));
+    report.costs.push(Cost::new("members.datagram_cpu", "VMs", "us/s", sizes, datagram_cpu));
+    report.costs.push(Cost::new("members.tick_cpu", "VMs", "us/s", sizes, tick_cpu));
 }
 
 /// Extra traffic of each VM for each VM that is replaced.
@@ -133,7 +137,7 @@
     }
     let sizes = (scale::VMS_PER_DEPLOYMENT, scale::VMS);
     report.costs.push(Cost::new("members.heap", "members", "B", sizes, held));
-    report.costs.push(Cost::new("members.tick", "members", "us", sizes, tick));
+    report.costs.push(Cost::new("members.tick.unheard", "members", "us", sizes, tick));
 }
 
 /// Processor time of the system calls that send and receive one datagram.
--- a/crates/pistachiotrack-standins/src/slopes/meter.rs
+++ b/crates/pistachiotrack-standins/src/slopes/meter.rs
@@ -10,6 +10,8 @@
 
 /// Batches of which the lower quartile is taken.
 const BATCHES: usize = 16;
+/// As many where one call fills a batch.
+const FEW_BATCHES: usize = 4;
 /// Processor time that a batch takes at least.
 const BATCH_S: f64 = 0.004;
 
@@ -22,9 +24,10 @@
     while batch_s(calls, &mut call) < BATCH_S {
         calls *= 2;
     }
-    let mut batches: Vec<f64> = (0..BATCHES).map(|_| batch_s(calls, &mut call)).collect();
+    let count = if calls == 1 { FEW_BATCHES } else { BATCHES };
+    let mut batches: Vec<f64> = (0..count).map(|_| batch_s(calls, &mut call)).collect();
     batches.sort_by(f64::total_cmp);
-    batches[BATCHES / 4] * 1e6 / f64::from(calls)
+    batches[count / 4] * 1e6 / f64::from(calls)
 }
 
 fn batch_s<T>(calls: u32, call: &mut impl FnMut() -> T) -> f64 {
--- a/crates/pistachiotrack-standins/tests/slopes.rs
+++ b/crates/pistachiotrack-standins/tests/slopes.rs
@@ -48,6 +48,17 @@
     assert!(fit.worst_residual > 0.1, "{fit:?}");
 }
 
+#[test]
+fn scatter_alone_gives_no_slope() {
+    let values = [677.0, 681.0, 676.0, 684.0, 668.0];
+    let sizes = [12.0, 24.0, 48.0, 96.0, 192.0];
+    let points: Vec<Point> =
+        sizes.into_iter().zip(values).map(|(size, value)| Point { size, value }).collect();
+    let fit = Fit::new(&points);
+    assert_eq!(fit.slope, 0.0);
+    assert!((fit.at(5_800.0) - 677.2).abs() < 0.01, "{fit:?}");
+}
+
 #[test]
 fn values_between_points_don_t_come_from_the_line() {
     let points = [(1.0, 10.0), (3.0, 20.0), (4.0, 0.0)].map(|(size, value)| Point { size, value });
