Measure losses of a VM and steady membership for longer

Cause: from run to run the owners' cost of a lost VM differed by 167% and the membership's processor time by 25 times at 5,800 VMs: one was the difference of two long times, the other came from a few milliseconds. Change: copies are made before the clock starts; each fleet runs for 20,000 VM-seconds.

--- a/crates/pistachiotrack-standins/src/slopes/decisions.rs
+++ b/crates/pistachiotrack-standins/src/slopes/decisions.rs
@@ -15,7 +15,7 @@
 
 use super::{
     fit::Point,
-    meter::{cpu_us, heap},
+    meter::{cpu_us, cpu_us_on, heap},
     report::{Cost, Figure, Report},
     sample,
     scale::{self, Size},
@@ -137,15 +137,12 @@
         let mut fewer = members.to_vec();
         fewer[0].state = MemberState::Dead;
         fewer[0].since = later;
-        let clone_us = cpu_us(|| known.clone());
-        let lost_us = cpu_us(|| {
-            let mut known = known.clone();
-            known.update(later, config, fewer.iter())
-        });
+        let lost_us =
+            cpu_us_on(|| known.clone(), |known| known.update(later, config, fewer.iter()));
         OwnershipCost {
             first_us: cpu_us(|| update(config, members)),
             idle_us: cpu_us(|| idle.update(later, config, members.iter())),
-            lost_us: lost_us - clone_us,
+            lost_us,
             heap_bytes,
         }
     }
--- a/crates/pistachiotrack-standins/src/slopes/members.rs
+++ b/crates/pistachiotrack-standins/src/slopes/members.rs
@@ -28,7 +28,9 @@
 pub(crate) const LOSS: f64 = 0.01;
 /// Time that a fleet gets to settle.
 pub(crate) const SETTLE: Duration = Duration::from_secs(30);
-/// Time over which traffic is averaged.
+/// Seconds, times VMs, over which steady traffic is averaged.
+const STEADY_VM_S: f64 = 20_000.0;
+/// Time over which traffic with churn is averaged.
 const STEADY: Duration = Duration::from_secs(60);
 /// Payload of a datagram whose system calls are timed.
 const DATAGRAM_BYTES: usize = 120;
@@ -61,9 +63,10 @@
         let mut fleet = fleet(vms, platform_share(), 7);
         fleet.run(SETTLE);
         let before = (fleet.traffic(), fleet.datagram_cpu(), fleet.tick_cpu());
-        fleet.run(STEADY);
+        let steady = Duration::from_secs_f64(STEADY_VM_S / vms as f64);
+        fleet.run(steady);
         let after = (fleet.traffic(), fleet.datagram_cpu(), fleet.tick_cpu());
-        let vm_seconds = vms as f64 * STEADY.as_secs_f64();
+        let vm_seconds = vms as f64 * steady.as_secs_f64();
         let size = vms as f64;
         let rate = |from: u64, to: u64| (to - from) as f64 / vm_seconds;
         datagrams.push(Point { size, value: rate(before.0.datagrams, after.0.datagrams) });
--- a/crates/pistachiotrack-standins/src/slopes/meter.rs
+++ b/crates/pistachiotrack-standins/src/slopes/meter.rs
@@ -10,8 +10,12 @@
 
 /// Batches of which the lower quartile is taken.
 const BATCHES: usize = 16;
-/// As many where one call fills a batch.
+/// Values that a batch prepares.
+const PREPARED: usize = 16;
+/// As many for slow calls.
 const FEW_BATCHES: usize = 4;
+/// Processor time that makes a call slow.
+const SLOW_S: f64 = 0.05;
 /// Processor time that a batch takes at least.
 const BATCH_S: f64 = 0.004;
 
@@ -24,12 +28,29 @@
     while batch_s(calls, &mut call) < BATCH_S {
         calls *= 2;
     }
-    let count = if calls == 1 { FEW_BATCHES } else { BATCHES };
+    let count = if calls == 1 && batch_s(1, &mut call) > SLOW_S { FEW_BATCHES } else { BATCHES };
     let mut batches: Vec<f64> = (0..count).map(|_| batch_s(calls, &mut call)).collect();
     batches.sort_by(f64::total_cmp);
     batches[count / 4] * 1e6 / f64::from(calls)
 }
 
+/// Returns the processor time of `call` on one of `prepare`'s values in
+/// microseconds, without the time of `prepare`.
+pub(crate) fn cpu_us_on<P, T>(prepare: impl Fn() -> P, call: impl Fn(&mut P) -> T) -> f64 {
+    let mut batches: Vec<f64> = (0..BATCHES)
+        .map(|_| {
+            let mut prepared: Vec<P> = (0..PREPARED).map(|_| prepare()).collect();
+            let start = ThreadTime::now();
+            for value in &mut prepared {
+                black_box(call(value));
+            }
+            start.elapsed().as_secs_f64() * 1e6 / PREPARED as f64
+        })
+        .collect();
+    batches.sort_by(f64::total_cmp);
+    batches[BATCHES / 4]
+}
+
 fn batch_s<T>(calls: u32, call: &mut impl FnMut() -> T) -> f64 {
     let start = ThreadTime::now();
     for _ in 0..calls {
