--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -1,5 +1,7 @@
 //! The command-line tool that runs the demo and the experiments.
 
+mod slopes;
+
 use std::process::ExitCode;
 
 use anyhow::Context;
@@ -15,6 +17,8 @@
   demo [--full] [--json] [--seconds N] [--vms N] [--load SHARE] [--seed N] [--logs DIRECTORY]
                                         run both deployments with faults
   experiment NAME [--json] [--seed N]   run one experiment
+  slopes [--json] [--only GROUP] [--rounds N]
+                                        measure what decisions cost
   help                                  show this text
 ";
 
@@ -34,6 +38,7 @@
     match command.as_str() {
         "demo" => demo::run(DemoSettings::from_arguments(arguments)?),
         "experiment" => experiment::run(arguments),
+        "slopes" => slopes::run(arguments),
         "help" => help(),
         _ => anyhow::bail!("unknown command {command:?}; try `help`"),
     }
