Make the membership measurements a benchmark

Cause: ignored tests are tests that nobody runs, and these can't fail. Change: the six measurements are a benchmark of the core crate, run by name.

--- a/crates/pistachiotrack-core/tests/membership_measure.rs
+++ b/crates/pistachiotrack-core/benches/membership.rs
@@ -1,5 +1,7 @@
-//! Measurements; run with `--release --ignored --nocapture --test-threads 1`.
+//! Measures membership and ownership: `cargo bench -p pistachiotrack-core --bench
+//! membership -- [NAME...]`; without a name, all one after the other.
 
+#[path = "../tests/membership_fleet/mod.rs"]
 mod membership_fleet;
 
 use std::{
@@ -16,6 +18,15 @@
     time::Time,
 };
 
+/// Measurements by name.
+const MEASUREMENTS: &[(&str, fn())] = &[
+    ("detection_time_of_a_crash", detection_time_of_a_crash),
+    ("false_deaths_under_loss", false_deaths_under_loss),
+    ("bytes_of_whole_fleets", bytes_of_whole_fleets),
+    ("bytes_of_one_vm_of_5800", bytes_of_one_vm_of_5800),
+    ("cost_and_spread_of_ownership", cost_and_spread_of_ownership),
+    ("time_of_disagreement_about_owners", time_of_disagreement_about_owners),
+];
 const SEEDS: u64 = 40;
 const PACKET_HEADER_BYTES: usize = 28;
 
@@ -26,8 +37,6 @@
     format!("median={median} max={max} n={}", values.len())
 }
 
-#[test]
-#[ignore = "a measurement"]
 fn detection_time_of_a_crash() {
     for loss in [0.0, 0.2] {
         let (mut first, mut all) = (Vec::new(), Vec::new());
@@ -52,8 +61,6 @@
     }
 }
 
-#[test]
-#[ignore = "a measurement"]
 fn false_deaths_under_loss() {
     for loss in [0.05, 0.2, 0.3] {
         let mut fleet = Fleet::settled(48, 1, 1);
@@ -76,8 +83,6 @@
     }
 }
 
-#[test]
-#[ignore = "a measurement"]
 fn bytes_of_whole_fleets() {
     for count in [48, 480] {
         let mut fleet = Fleet::new(1, 1);
@@ -173,8 +178,6 @@
     }
 }
 
-#[test]
-#[ignore = "a measurement"]
 fn bytes_of_one_vm_of_5800() {
     let count = 5_800;
     let deployment = Name::from("timeliten");
@@ -261,8 +264,6 @@
         .collect()
 }
 
-#[test]
-#[ignore = "a measurement"]
 fn cost_and_spread_of_ownership() {
     let config = membership_fleet::config(4_700);
     for count in [48, 480, 5_800] {
@@ -321,8 +322,6 @@
     (total, last)
 }
 
-#[test]
-#[ignore = "a measurement"]
 fn time_of_disagreement_about_owners() {
     let kinds = ["crash", "restart", "join", "leave", "pause_10s"];
     for kind in kinds {
@@ -353,3 +352,13 @@
         );
     }
 }
+
+fn main() {
+    let asked: Vec<String> =
+        std::env::args().skip(1).filter(|argument| !argument.starts_with("--")).collect();
+    for (name, measure) in MEASUREMENTS {
+        if asked.is_empty() || asked.iter().any(|asked| asked == name) {
+            measure();
+        }
+    }
+}
