Hold the platform's first value back until a peer is heard

Cause: a new VM that heard a stale platform before any peer served by the older version. First reads of the list of VMs were not spread. Change: ConfigSync keeps a VM's first value until a peer's version is heard, the list shows nobody else, or first_value_grace_ms (1 s) has passed. ListReads schedules reads of the list; Ownership::revision tells when a copy of the owners has to be renewed.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -2,6 +2,7 @@
 //! pull from peers, and versions only go up.
 
 mod history;
+mod list_reads;
 mod platform;
 mod pull;
 mod settings;
@@ -14,13 +15,13 @@
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+pub use self::{list_reads::ListReads, settings::ConfigSyncSettings, wire::MAX_ANSWER_BYTES};
 use self::{
     platform::{PlatformSchedule, Role},
     pull::{PullTimeouts, Pulls},
     store::{Offer, Store, Verdict},
     wire::{Answer, AnswerRef, Question},
 };
-pub use self::{settings::ConfigSyncSettings, wire::MAX_ANSWER_BYTES};
 use crate::{
     config::{Config, ConfigError, ContentHash},
     membership::{Member, MemberState},
@@ -68,6 +69,15 @@
     pulls: Pulls,
     rejected: Option<RejectedValue>,
     listed_vms: Option<usize>,
+    first: Option<FirstValue>,
+    peer_heard: bool,
+}
+
+/// The platform's value at a VM that has none yet and has heard no peer.
+#[derive(Clone, Debug)]
+struct FirstValue {
+    offer: Offer,
+    until: Time,
 }
 
 #[derive(Clone, Debug)]
@@ -94,11 +104,14 @@
             pulls: Pulls::default(),
             rejected: None,
             listed_vms: None,
+            first: None,
+            peer_heard: false,
         }
     }
 
-    /// Notes how many VMs the platform lists, so that the first reads of a
-    /// large fleet are spread before its members have found each other.
+    /// Notes how many VMs the platform lists, this one included, so that the
+    /// first reads of a large fleet are spread before its members have found
+    /// each other, and a VM that is alone doesn't wait for peers.
     pub fn on_listed_vms(&mut self, count: usize) {
         self.listed_vms = Some(count);
     }
@@ -119,13 +132,15 @@
             }
             count += 1;
             alone &= member.state != MemberState::Alive;
+            self.peer_heard |= member.state != MemberState::Dead && member.config_version.is_some();
             self.note_member(member);
             if self.may_watch(member) && watch_score(&self.deployment, &member.vm) > my_score {
                 better_watchers += 1;
             }
         }
         self.pulls.on_tick(now, &mut self.rng);
-        let mut actions = self.pull(now);
+        let mut actions = self.release_first(now);
+        actions.extend(self.pull(now));
         let role = if alone { Role::Alone } else { self.role(better_watchers) };
         let fleet_vms = self.fleet_vms(count);
         if self.platform.begin(now, role, fleet_vms, &mut self.rng) {
@@ -141,8 +156,11 @@
             self.platform.on_nothing_newer();
             return Vec::new();
         };
+        let held_back = self.first_version();
         let actions = self.take_platform_value(now, value);
-        if actions.iter().any(|action| matches!(action, ConfigAction::InForce(_))) {
+        if actions.iter().any(|action| matches!(action, ConfigAction::InForce(_)))
+            || self.first_version() > held_back
+        {
             self.platform.on_newer(now);
         } else {
             // A platform that sends an unusable value answers every watch at
@@ -159,12 +177,15 @@
 
     /// Notes the version that a peer reports.
     pub fn on_peer_version(&mut self, now: Time, peer: &Vm, version: u64) -> Vec<ConfigAction> {
+        self.peer_heard = true;
         if Some(version) <= self.version() {
             self.pulls.forget(&peer.name);
             return Vec::new();
         }
         self.pulls.note(peer, version);
-        self.pull(now)
+        let mut actions = self.release_first(now);
+        actions.extend(self.pull(now));
+        actions
     }
 
     /// Answers a peer's question.
@@ -244,7 +265,8 @@
 
     fn watch_after(&self, now: Time) -> Option<u64> {
         let held_back = self.rejected.as_ref().filter(|rejected| now < rejected.hold_until);
-        self.version().max(held_back.and_then(|rejected| rejected.version))
+        let rejected = held_back.and_then(|rejected| rejected.version);
+        self.version().max(rejected).max(self.first_version())
     }
 
     fn note_member(&mut self, member: &Member) {
@@ -339,16 +361,38 @@
         if let Some(error) = self.problem("platform", &config) {
             return self.reject(now, Some(config.version), fingerprint, error);
         }
-        // A platform that came back stale may be the first that a new VM
-        // hears; it would put a version in force that the fleet has left.
-        let newest = self.pulls.newest(now);
-        if self.version().is_none() && newest > Some(config.version) {
-            let mut actions = vec![ConfigAction::Stale { offered: config.version }];
+        let Some(offer) = Offer::whole(config) else { return Vec::new() };
+        if self.version().is_some() {
+            return self.compare(now, "platform", offer);
+        }
+        let grace = Duration::from_millis(self.settings.first_value_grace_ms);
+        let until = self.first.as_ref().map_or(now + grace, |first| first.until);
+        self.first = Some(FirstValue { offer, until });
+        self.release_first(now)
+    }
+
+    fn first_version(&self) -> Option<u64> {
+        self.first.as_ref().map(|first| first.offer.config.version)
+    }
+
+    /// Puts the platform's first value in force unless a peer has a newer one.
+    ///
+    /// Failure guarded against: a platform that came back with an old value is
+    /// the first that a new VM hears, and the VM serves by rules that the fleet
+    /// has left. It shows as one VM at an older version than all others. The
+    /// guard holds because the value waits until a peer's version is heard, the
+    /// list shows nobody else, or the grace is over.
+    fn release_first(&mut self, now: Time) -> Vec<ConfigAction> {
+        let alone = self.listed_vms.is_some_and(|listed| listed <= 1);
+        let may_go = |first: &mut FirstValue| self.peer_heard || alone || now >= first.until;
+        let Some(first) = self.first.take_if(may_go) else { return Vec::new() };
+        let offered = first.offer.config.version;
+        if self.version().is_none() && self.pulls.newest(now) > Some(offered) {
+            let mut actions = vec![ConfigAction::Stale { offered }];
             actions.extend(self.pull(now));
             return actions;
         }
-        let Some(offer) = Offer::whole(config) else { return Vec::new() };
-        self.compare(now, "platform", offer)
+        self.compare(now, "platform", first.offer)
     }
 
     fn problem(&self, source: &str, config: &Config) -> Option<ConfigError> {
--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -169,6 +169,6 @@
 }
 
 /// Returns the time in which `fleet_vms` calls make the given rate.
-fn spread(fleet_vms: usize, per_second: f64) -> Duration {
+pub(super) fn spread(fleet_vms: usize, per_second: f64) -> Duration {
     Duration::from_secs_f64(fleet_vms as f64 / per_second.max(0.001))
 }
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -27,6 +27,9 @@
     pub unconfirmed_read_after_ms: u64,
     /// Size of the fleet while neither list nor members are known.
     pub assumed_fleet_vms: u32,
+    /// Time for which a VM without a configuration holds the platform's first
+    /// value back to hear whether a peer has a newer one.
+    pub first_value_grace_ms: u64,
     /// Time for which a rejected version isn't read again.
     pub rejected_hold_ms: u64,
 }
@@ -45,6 +48,7 @@
             cold_read_after_ms: 5_000,
             unconfirmed_read_after_ms: 60_000,
             assumed_fleet_vms: 1_000,
+            first_value_grace_ms: 1_000,
             rejected_hold_ms: 60_000,
         }
     }
--- a/crates/pistachiotrack-core/src/config_sync/store.rs
+++ b/crates/pistachiotrack-core/src/config_sync/store.rs
@@ -11,6 +11,7 @@
 };
 
 /// A checked configuration that was offered.
+#[derive(Clone, Debug)]
 pub(super) struct Offer {
     pub(super) config: Config,
     pub(super) content: Content,
--- a/crates/pistachiotrack-core/src/ownership.rs
+++ b/crates/pistachiotrack-core/src/ownership.rs
@@ -109,6 +109,7 @@
     shards: FxHashMap<ShardId, Shard>,
     owned: BTreeSet<ShardId>,
     config_seen: Option<(u64, usize, usize)>,
+    revision: u64,
     now: Time,
 }
 
@@ -123,6 +124,7 @@
             shards: FxHashMap::default(),
             owned: BTreeSet::new(),
             config_seen: None,
+            revision: 0,
             now: Time::ZERO,
         }
     }
@@ -145,9 +147,18 @@
         if news.is_empty() && !reshaped {
             return Vec::new();
         }
+        self.revision += 1;
         self.reassign(now, &news)
     }
 
+    /// Returns a number that goes up whenever an update found news, so that a
+    /// copy of the owners need only be renewed then. A member that becomes
+    /// suspected without any other news changes [`Ownership::is_owner_steady`]
+    /// and not this number.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Sets whether this VM leaves; it then owns nothing unless nobody else can.
     pub fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -16,10 +16,18 @@
 const NOW: Time = Time::from_millis(60_000);
 const MINUTE: Duration = Duration::from_secs(60);
 
-fn node(index: u32) -> ConfigSync {
+fn cold_node(index: u32) -> ConfigSync {
     ConfigSync::new(vm(index, 3), Name::from(DEPLOYMENT), ConfigSyncSettings::default(), 5)
 }
 
+/// Returns a VM whose list shows nobody else, so that it takes the platform's
+/// first value at once.
+fn node(index: u32) -> ConfigSync {
+    let mut node = cold_node(index);
+    node.on_listed_vms(1);
+    node
+}
+
 fn node_with(index: u32, version: u64) -> ConfigSync {
     let mut node = node(index);
     in_force(&node.on_platform_value(NOW, Some(&json(&config(version, TODAY)))));
