Prove the daemon's control plane with fleets of daemons

Cause: fleet, configuration and hand-over were wired and tried by the demo only. Datagrams of other deployments were taken, since the membership was not told its own; a newer daemon under the same name went unnoticed; a stopping VM served on for a fixed time whatever the lifetime of its addresses was. Tests run several daemons in a process and real processes for signals and pauses.

--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -43,6 +43,8 @@
     let source = fleet.ask(SourceStatus).await.unwrap_or_else(|_| Source::default());
     let mut shards: Vec<Name> = view.ownership.owned().map(shard_name).collect();
     shards.sort();
+    let mut counters = context.metrics.counters();
+    counters.extend(context.traffic.counters());
     Status {
         vm: context.me.name.clone(),
         data_centre: context.me.data_centre.clone(),
@@ -53,7 +55,7 @@
         platform_age_ms: source.platform_age_ms,
         shards,
         live_vms: view.live_vms(),
-        counters: context.metrics.counters(),
+        counters,
     }
 }
 
--- a/crates/pistachiotrackd/src/cli.rs
+++ b/crates/pistachiotrackd/src/cli.rs
@@ -6,15 +6,16 @@
 pub(crate) const HELP: &str = "\
 The daemon of the pistachiotrack proxy fleet.
 
-Usage: pistachiotrackd --settings FILE
+Usage: pistachiotrackd --settings FILE [--check]
 
 Options:
   -s, --settings FILE  Read the settings of this VM from FILE (JSON)
+      --check          Check the settings only, then exit
   -h, --help           Print this help
   -V, --version        Print the version
 
 Exit codes:
-  0  stopped as asked
+  0  stopped as asked, or the settings are valid
   1  failed while running
   2  invalid command line
   3  settings can't be read or hold an invalid value
@@ -28,6 +29,11 @@
     Help,
     /// Prints the version.
     Version,
+    /// Checks the settings.
+    Check {
+        /// File that the settings are read from.
+        settings: PathBuf,
+    },
     /// Runs the daemon.
     Run {
         /// File that the settings are read from.
@@ -48,10 +54,12 @@
     if args.contains(["-V", "--version"]) {
         return Ok(Command::Version);
     }
+    let check = args.contains("--check");
     let settings = args.value_from_os_str(["-s", "--settings"], |value| {
         Ok::<_, std::convert::Infallible>(PathBuf::from(value))
     })?;
     match args.finish().into_iter().next() {
+        None if check => Ok(Command::Check { settings }),
         None => Ok(Command::Run { settings }),
         Some(argument) => Err(pico_args::Error::ArgumentParsingFailed {
             cause: format!("unexpected argument '{}'", argument.to_string_lossy()),
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -28,6 +28,7 @@
     connection::Connector,
     connection_pool::ConnectionPool,
     context::Context,
+    control_traffic::ControlTraffic,
     fleet::{Fleet, FleetArgs, Leave},
     histogram::Histograms,
     listener::Listener,
@@ -62,16 +63,30 @@
     Metrics(#[from] cadence::MetricError),
 }
 
-/// A running daemon.
+/// Time for which a stopping daemon serves on after the last answer that names
+/// it may have run out, since the others hear of its leaving a little later.
+const ENTRY_MARGIN: Duration = Duration::from_secs(2);
+
+/// A daemon that serves.
 pub struct Daemon {
     context: Arc<Context>,
     fleet: ActorRef<Fleet>,
     leaving: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
     connections: TaskTracker,
+    superseded: watch::Receiver<bool>,
     admin_address: SocketAddr,
 }
 
+/// A daemon that serves on while callers may still hold its address; the other
+/// VMs know that it stops.
+#[must_use]
+pub struct LeavingDaemon(Daemon);
+
+/// A daemon that takes no further request and finishes those in flight.
+#[must_use]
+pub struct StoppingDaemon(Daemon);
+
 struct Sockets {
     caller: TcpListener,
     peer: TcpListener,
@@ -105,6 +120,8 @@
         }));
         let (leaving_sender, leaving) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
+        let (superseded_sender, superseded) = watch::channel(false);
+        let traffic = Arc::new(ControlTraffic::default());
         let path_check = PathCheck::new(me.clone(), view.clone());
         let shards =
             ShardTable::new(clock, Arc::clone(&endpoints), timer.clone(), path_check, seed);
@@ -117,6 +134,7 @@
             endpoints,
             peers: Arc::new(ConnectionPool::new(connector)),
             metrics,
+            traffic: Arc::clone(&traffic),
             total: Histograms::default(),
             added: Histograms::default(),
             next_request: AtomicU64::new(1),
@@ -127,12 +145,13 @@
             context: Arc::clone(&context),
             view: view_sender,
             socket: Arc::clone(&socket),
+            superseded: superseded_sender,
             seed,
         };
         let fleet = Fleet::spawn_with_mailbox(fleet_args, mailbox::unbounded());
         // The timer service has just been started.
         let _ = timer.tell(Subscribe(fleet.clone().recipient())).try_send();
-        tokio::spawn(udp::receive(socket, fleet.clone()));
+        tokio::spawn(udp::receive(socket, fleet.clone(), traffic));
         let admin_address = local_address("admin_address", &sockets.admin)?;
         let connections = TaskTracker::new();
         let daemon = Daemon {
@@ -141,6 +160,7 @@
             leaving: leaving_sender,
             stopping: stopping_sender,
             connections,
+            superseded,
             admin_address,
         };
         daemon.listen(sockets.caller, sockets.peer, sockets.admin, stopping);
@@ -194,17 +214,23 @@
         self.admin_address
     }
 
-    /// Serves until the process is asked to stop, then stops gracefully.
+    /// Serves until the process is asked to stop, or a newer daemon runs under
+    /// this VM's name, then stops gracefully.
+    ///
+    /// Further signals change nothing: a second one, sent by an impatient
+    /// supervisor, must not cut off the requests that the first one lets finish.
     ///
     /// # Errors
     ///
     /// Returns an error if the process's signals can't be received.
-    pub async fn run_until_signal(self) -> io::Result<()> {
+    pub async fn run_until_signal(mut self) -> io::Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            // The fleet actor, which holds the sender, stops only with the process.
+            _ = self.superseded.wait_for(|superseded| *superseded) => {}
         }
         self.stop().await;
         Ok(())
@@ -213,18 +239,46 @@
     /// Stops gracefully: serves on while callers may still hold this VM's
     /// address, then takes no further request and finishes those in flight.
     pub async fn stop(self) {
-        let settings = &self.context.settings;
-        log::info!("event=leaving entry_drain_ms={}", settings.entry_drain_ms);
+        self.leave().drain().await.finish().await;
+    }
+
+    /// Tells the other VMs that this one stops, and hands its shards over.
+    pub fn leave(self) -> LeavingDaemon {
         self.leaving.send_replace(true);
         // The fleet actor stops only with the process.
         let _ = self.fleet.tell(Leave).try_send();
-        tokio::time::sleep(Duration::from_millis(settings.entry_drain_ms)).await;
-        self.stopping.send_replace(true);
-        self.connections.close();
-        let limit = Duration::from_millis(settings.limits.shutdown_ms);
-        match tokio::time::timeout(limit, self.connections.wait()).await {
+        LeavingDaemon(self)
+    }
+
+    /// Returns for how long answers that name this VM may still be used.
+    fn entry_drain(&self) -> Duration {
+        let least = Duration::from_millis(self.context.settings.entry_drain_ms);
+        let Some(active) = &self.context.view().active else { return least };
+        least.max(Duration::from_millis(active.config.entry_lifetime_ms) + ENTRY_MARGIN)
+    }
+}
+
+impl LeavingDaemon {
+    /// Serves until the last answer that names this VM has run out, then takes
+    /// no further connection.
+    pub async fn drain(self) -> StoppingDaemon {
+        let entry_drain = self.0.entry_drain();
+        log::info!("event=leaving entry_drain_ms={}", entry_drain.as_millis());
+        tokio::time::sleep(entry_drain).await;
+        self.0.stopping.send_replace(true);
+        self.0.connections.close();
+        StoppingDaemon(self.0)
+    }
+}
+
+impl StoppingDaemon {
+    /// Waits for the requests in flight, up to the limit of the settings.
+    pub async fn finish(self) {
+        let Daemon { context, connections, .. } = self.0;
+        let limit = Duration::from_millis(context.settings.limits.shutdown_ms);
+        match tokio::time::timeout(limit, connections.wait()).await {
             Ok(()) => log::info!("event=stopped"),
-            Err(_) => log::error!("event=stopped connections_cut={}", self.connections.len()),
+            Err(_) => log::error!("event=stopped connections_cut={}", connections.len()),
         }
     }
 }
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -12,14 +12,14 @@
 };
 use pistachiotrack_core::{
     config::Config,
-    config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings},
+    config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings, ListReads},
     membership::{Membership, MembershipAction, MembershipSettings},
     name::Name,
     ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
     time::Time,
     vm::{Vm, VmList},
 };
-use tokio::{net::UdpSocket, sync::watch};
+use tokio::{net::UdpSocket, sync::watch, task::AbortHandle};
 
 use crate::{
     context::Context,
@@ -52,6 +52,8 @@
     pub(crate) view: watch::Sender<Arc<FleetView>>,
     /// Socket of the membership messages.
     pub(crate) socket: Arc<UdpSocket>,
+    /// Becomes true when a newer daemon runs under this VM's name.
+    pub(crate) superseded: watch::Sender<bool>,
     /// Seed of every random choice.
     pub(crate) seed: u64,
 }
@@ -63,14 +65,14 @@
     socket: Arc<UdpSocket>,
     platform: Platform,
     watching: watch::Sender<bool>,
+    waiting_watch: Option<AbortHandle>,
+    superseded: watch::Sender<bool>,
     actor_ref: WeakActorRef<Fleet>,
     membership: Membership,
     ownership: Ownership,
     sync: ConfigSync,
     active: Option<Arc<ActiveConfig>>,
-    config_error: Option<String>,
-    platform_failures: u32,
-    platform_heard: Option<Time>,
+    published_revision: Option<u64>,
     ticked: Time,
     ownership_updated: Time,
     swept: Time,
@@ -81,17 +83,25 @@
     type Error = Infallible;
 
     async fn on_start(args: FleetArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
-        let FleetArgs { context, view, socket, seed } = args;
+        let FleetArgs { context, view, socket, superseded, seed } = args;
         let now = context.clock.now();
         let me = context.me.clone();
         let settings = &context.settings;
-        let platform = Platform::new(settings.platform_address, settings.deployment.clone());
+        let platform = Platform::new(settings, Arc::clone(&context.traffic));
         let (watching, is_watching) = watch::channel(false);
-        tokio::spawn(platform.clone().keep_vms(actor_ref.clone(), is_watching));
-        let sync_settings = ConfigSyncSettings::default();
         let deployment = settings.deployment.clone();
+        // Without its deployment a datagram of another one that reaches this
+        // address, as one may after addresses were reassigned, would be taken.
+        let membership_settings =
+            MembershipSettings { deployment: deployment.clone(), ..MembershipSettings::default() };
+        let sync_settings = ConfigSyncSettings {
+            assumed_fleet_vms: settings.expected_vms,
+            ..ConfigSyncSettings::default()
+        };
+        let list_reads = ListReads::new(sync_settings.clone(), seed);
+        tokio::spawn(platform.clone().keep_vms(actor_ref.clone(), is_watching, list_reads));
         Ok(Fleet {
-            membership: Membership::new(now, me.clone(), MembershipSettings::default(), seed),
+            membership: Membership::new(now, me.clone(), membership_settings, seed),
             ownership: Ownership::new(me.clone(), OwnershipSettings::default()),
             sync: ConfigSync::new(me, deployment, sync_settings, seed),
             context,
@@ -99,11 +109,11 @@
             socket,
             platform,
             watching,
+            waiting_watch: None,
+            superseded,
             actor_ref: actor_ref.downgrade(),
             active: None,
-            config_error: None,
-            platform_failures: 0,
-            platform_heard: None,
+            published_revision: None,
             ticked: now,
             ownership_updated: now,
             swept: now,
@@ -152,17 +162,13 @@
 
     async fn handle(&mut self, message: PlatformValue, _: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
+        self.watching.send_replace(false);
         match message.0 {
             Ok(value) => {
-                self.watching.send_replace(false);
-                self.platform_failures = 0;
-                self.platform_heard = Some(now);
                 let actions = self.sync.on_platform_value(now, value.as_deref());
                 self.apply_config(now, actions);
             }
             Err(error) => {
-                self.watching.send_replace(false);
-                self.platform_failures = self.platform_failures.saturating_add(1);
                 log::warn!("event=config_unavailable error={:?}", error.to_string());
                 self.sync.on_platform_error(now);
             }
@@ -178,10 +184,14 @@
 
     async fn handle(&mut self, message: VmsListed, _: &mut MessageContext<Self, ()>) {
         let now = self.context.clock.now();
-        self.sync.on_listed_vms(message.0.vms.len());
+        let me = &self.context.me.name;
+        let others = message.0.vms.iter().filter(|vm| vm.name != *me).count();
+        self.sync.on_listed_vms(others + 1);
         let actions = self.membership.on_vm_list(now, &message.0);
         self.apply_membership(now, actions);
         self.update_ownership(now);
+        // The list brings members without a change of any state.
+        self.publish();
     }
 }
 
@@ -252,8 +262,8 @@
     async fn handle(&mut self, _: SourceStatus, _: &mut MessageContext<Self, Source>) -> Source {
         let now = self.context.clock.now();
         Source {
-            config_error: self.config_error.clone(),
-            platform_age_ms: self.platform_heard.map(|heard| now.since(heard).as_millis() as u64),
+            config_error: self.sync.last_error().map(ToString::to_string),
+            platform_age_ms: self.sync.platform_silent_for(now).map(|age| age.as_millis() as u64),
         }
     }
 }
@@ -279,15 +289,18 @@
     }
 
     fn apply_membership(&mut self, now: Time, actions: Vec<MembershipAction>) {
-        let mut changed = false;
+        let (mut changed, mut reported) = (false, false);
         for action in actions {
             match action {
-                MembershipAction::Send { to, bytes } => udp::send(&self.socket, to, &bytes),
+                MembershipAction::Send { to, bytes } => {
+                    udp::send(&self.socket, to, &bytes, &self.context.traffic);
+                }
                 MembershipAction::Changed { vm } => {
                     self.log_member(&vm);
                     changed = true;
                 }
                 MembershipAction::ConfigVersion { vm, version } => {
+                    reported = true;
                     self.on_peer_version(now, &vm, version);
                 }
             }
@@ -295,6 +308,23 @@
         if changed {
             self.update_ownership(now);
         }
+        if changed || reported {
+            self.publish();
+        }
+        self.notice_successor();
+    }
+
+    /// Has the daemon stop when a newer one runs under its name: the others
+    /// leave this one aside, so what it owns and answers is no longer true.
+    fn notice_successor(&self) {
+        let noticed = |superseded: &mut bool| {
+            let first = self.membership.is_superseded() && !*superseded;
+            *superseded |= first;
+            first
+        };
+        if self.superseded.send_if_modified(noticed) {
+            log::error!("event=superseded vm={}", self.context.me.name);
+        }
     }
 
     fn log_member(&self, vm: &Name) {
@@ -319,7 +349,6 @@
                 ConfigAction::InForce(config) => self.put_in_force(now, config),
                 ConfigAction::Rejected(error) => {
                     log::error!("event=config_rejected error={:?}", error.to_string());
-                    self.config_error = Some(error.to_string());
                 }
                 ConfigAction::Stale { offered } => {
                     log::warn!(
@@ -333,10 +362,13 @@
 
     fn pull(&self, vm: Vm, question: Vec<u8>) {
         let Some(fleet) = self.actor_ref.upgrade() else { return };
+        let traffic = Arc::clone(&self.context.traffic);
         tokio::spawn(async move {
+            traffic.sent(question.len());
             let answer = peer_client::ask(vm.peer_address, CONFIG_PATH, question, PULL_TIMEOUT);
             let answer = answer
                 .await
+                .inspect(|answer| traffic.received(answer.len()))
                 .inspect_err(|error| {
                     let error = error.to_string();
                     log::warn!("event=config_pull_failed vm={} error={error:?}", vm.name);
@@ -347,16 +379,19 @@
         });
     }
 
-    fn watch(&self, after: Option<u64>) {
+    fn watch(&mut self, after: Option<u64>) {
         self.watching.send_replace(true);
         let Some(fleet) = self.actor_ref.upgrade() else { return };
         let platform = self.platform.clone();
-        tokio::spawn(platform.watch_config(after, self.platform_failures, fleet));
+        let watch = tokio::spawn(platform.watch_config(after, fleet));
+        // A watch that was given up must not bring its late end to the new one.
+        if let Some(older) = self.waiting_watch.replace(watch.abort_handle()) {
+            older.abort();
+        }
     }
 
     fn put_in_force(&mut self, now: Time, config: Arc<Config>) {
         log::info!("event=config_in_force version={}", config.version);
-        self.config_error = None;
         self.membership.set_config_version(config.version);
         for (_, shard) in self.context.shards.running() {
             // A shard whose actor has stopped starts anew with this one.
@@ -387,12 +422,14 @@
         if let Some(active) = &self.active {
             let config = Arc::clone(&active.config);
             let changes = self.ownership.update(now, &config, self.membership.members());
-            self.publish();
+            let revision = Some(self.ownership.revision());
+            if self.published_revision != revision {
+                self.published_revision = revision;
+                self.publish();
+            }
             for change in changes {
                 self.apply_ownership(&config, change);
             }
-        } else {
-            self.publish();
         }
     }
 
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -13,6 +13,7 @@
 mod connection;
 mod connection_pool;
 mod context;
+mod control_traffic;
 pub mod daemon;
 mod exchange;
 mod fleet;
--- a/crates/pistachiotrackd/src/listener.rs
+++ b/crates/pistachiotrackd/src/listener.rs
@@ -2,7 +2,13 @@
 
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -75,7 +81,7 @@
         return;
     }
     let builder = builder(&context.settings.limits);
-    let service = service_fn(move |request| handler(Arc::clone(&context), request));
+    let service = service_fn(move |request| answer(Arc::clone(&context), &handler, request));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
@@ -90,6 +96,32 @@
     }
 }
 
+/// Answers a request; while the daemon leaves, the answer ends its connection.
+///
+/// Failure guarded against: a caller sends on a kept connection in the moment in
+/// which a stopping daemon closes it, and can't know whether the request ran. It
+/// shows as a connection that ends without an answer. The guard holds because
+/// each connection that is used while the daemon leaves ends with an answer, so
+/// that only idle ones are left to be closed at the end.
+fn answer<H, F>(
+    context: Arc<Context>,
+    handler: &H,
+    request: Request<Incoming>,
+) -> impl Future<Output = Result<Response<AnswerBody>, Infallible>> + use<H, F>
+where
+    H: Fn(Arc<Context>, Request<Incoming>) -> F,
+    F: Future<Output = Result<Response<AnswerBody>, Infallible>>,
+{
+    let answered = handler(Arc::clone(&context), request);
+    async move {
+        let mut response = answered.await?;
+        if *context.leaving.borrow() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
+    }
+}
+
 async fn stopped(stopping: &mut watch::Receiver<bool>) {
     // An error means that the daemon is gone, which is a stop as well.
     let _ = stopping.wait_for(|stopping| *stopping).await;
--- a/crates/pistachiotrackd/src/main.rs
+++ b/crates/pistachiotrackd/src/main.rs
@@ -17,6 +17,7 @@
     match cli::parse() {
         Ok(Command::Help) => print!("{}", cli::HELP),
         Ok(Command::Version) => println!("pistachiotrackd {}", env!("CARGO_PKG_VERSION")),
+        Ok(Command::Check { settings }) => return check(&settings).into(),
         Ok(Command::Run { settings }) => return run(&settings).into(),
         Err(error) => {
             eprintln!("pistachiotrackd: {error}\n\n{}", cli::HELP);
@@ -26,13 +27,24 @@
     ExitCode::Success.into()
 }
 
+fn check(file: &Path) -> ExitCode {
+    match read(file) {
+        Ok(_) => ExitCode::Success,
+        Err(code) => code,
+    }
+}
+
+fn read(file: &Path) -> Result<Settings, ExitCode> {
+    Settings::read(file).map_err(|error| {
+        eprintln!("pistachiotrackd: {error}");
+        ExitCode::SettingsError
+    })
+}
+
 fn run(file: &Path) -> ExitCode {
-    let settings = match Settings::read(file) {
+    let settings = match read(file) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("pistachiotrackd: {error}");
-            return ExitCode::SettingsError;
-        }
+        Err(code) => return code,
     };
     let logger = match logging::start(&settings) {
         Ok(logger) => logger,
--- a/crates/pistachiotrackd/src/peer_service.rs
+++ b/crates/pistachiotrackd/src/peer_service.rs
@@ -43,11 +43,15 @@
     let Some(question) = read(request.into_body()).await else {
         return Ok(answer::plain(StatusCode::BAD_REQUEST));
     };
+    context.traffic.received(question.len());
     let reply = match path {
         CONFIG_PATH => pull(&fleet, question).await,
         HAND_OVER_PATH => take_hand_over(&context, &question),
         _ => reach(&context, &question).await,
     };
+    if let Ok(reply) = &reply {
+        context.traffic.sent(reply.len());
+    }
     Ok(reply.map_or_else(answer::plain, answer::octets))
 }
 
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -1,33 +1,28 @@
 //! The platform's configuration service and its list of VMs, which are only
 //! read.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header::HOST};
 use kameo::actor::ActorRef;
-use pistachiotrack_core::{config::MAX_VALUE_BYTES, name::Name, vm::VmList};
-use rand::RngExt;
+use pistachiotrack_core::{
+    config::MAX_VALUE_BYTES, config_sync::ListReads, name::Name, vm::VmList,
+};
 use tokio::sync::watch;
 
 use crate::{
+    control_traffic::ControlTraffic,
     fleet::{Fleet, PlatformValue, VmsListed},
     http_call::{self, CallError},
+    settings::Settings,
 };
 
 /// Time for which a watch waits for something newer.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Time allowed besides the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Pause after the first failure; doubled by each further one.
-const FIRST_BACKOFF: Duration = Duration::from_millis(200);
-/// Time between two reads of the list of VMs by one that doesn't watch it, for
-/// each VM listed.
-const VM_LIST_INTERVAL_PER_VM: Duration = Duration::from_secs(1);
-/// Longest pause between two tries.
-const MAX_BACKOFF: Duration = Duration::from_secs(5);
-
 /// Why the platform's service gave no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PlatformError {
@@ -53,22 +48,21 @@
 pub(crate) struct Platform {
     address: SocketAddr,
     deployment: Name,
+    traffic: Arc<ControlTraffic>,
 }
 
 impl Platform {
     /// Creates a reader of one deployment's values.
-    pub(crate) fn new(address: SocketAddr, deployment: Name) -> Platform {
-        Platform { address, deployment }
+    pub(crate) fn new(settings: &Settings, traffic: Arc<ControlTraffic>) -> Platform {
+        Platform {
+            address: settings.platform_address,
+            deployment: settings.deployment.clone(),
+            traffic,
+        }
     }
 
     /// Waits for a configuration newer than `after` and tells the fleet actor.
-    pub(crate) async fn watch_config(
-        self,
-        after: Option<u64>,
-        failures: u32,
-        fleet: ActorRef<Fleet>,
-    ) {
-        tokio::time::sleep(backoff(failures)).await;
+    pub(crate) async fn watch_config(self, after: Option<u64>, fleet: ActorRef<Fleet>) {
         let path = format!("/v1/config/{}", self.deployment);
         let value = self.watch(&path, after).await;
         // The fleet actor stops only with the process.
@@ -80,35 +74,37 @@
     /// The VMs that watch the configuration watch the list too; the others read
     /// it now and then, the more rarely the larger the fleet is, so that the
     /// reads of the whole fleet don't grow with it.
-    pub(crate) async fn keep_vms(self, fleet: ActorRef<Fleet>, watching: watch::Receiver<bool>) {
+    pub(crate) async fn keep_vms(
+        self,
+        fleet: ActorRef<Fleet>,
+        watching: watch::Receiver<bool>,
+        mut reads: ListReads,
+    ) {
         let mut after = None;
-        let mut failures = 0;
-        let mut listed = 0;
+        tokio::time::sleep(reads.first_wait()).await;
         loop {
-            tokio::time::sleep(backoff(failures)).await;
             if after.is_some() {
-                wait_for_turn(watching.clone(), listed).await;
+                wait_for_turn(watching.clone(), reads.turn()).await;
             }
             let list = match self.watch("/v1/vms", after).await {
                 Ok(Some(value)) => parse_vms(&value),
                 Ok(None) => {
-                    failures = 0;
+                    reads.on_nothing_newer();
                     continue;
                 }
                 Err(error) => Err(error),
             };
             match list {
                 Ok(list) => {
-                    failures = 0;
+                    reads.on_list(list.vms.len());
                     after = Some(list.version);
-                    listed = list.vms.len();
                     if fleet.tell(VmsListed(list)).try_send().is_err() {
                         return;
                     }
                 }
                 Err(error) => {
-                    failures += 1;
                     log::warn!("event=vm_list_unavailable error={:?}", error.to_string());
+                    tokio::time::sleep(reads.on_failure()).await;
                 }
             }
         }
@@ -131,7 +127,9 @@
             .uri(path)
             .header(HOST, self.address.to_string())
             .body(Full::default())?;
+        self.traffic.sent(path.len());
         let (status, value) = http_call::call(self.address, request, MAX_VALUE_BYTES).await?;
+        self.traffic.received(value.len());
         match status {
             StatusCode::OK => Ok(Some(value)),
             StatusCode::NO_CONTENT => Ok(None),
@@ -145,19 +143,7 @@
 }
 
 /// Waits until this VM watches, or until it is its turn to read the list.
-async fn wait_for_turn(mut watching: watch::Receiver<bool>, listed: usize) {
-    let usual = VM_LIST_INTERVAL_PER_VM.saturating_mul(listed as u32);
-    let turn = usual.mul_f64(rand::rng().random_range(0.5..1.5));
+async fn wait_for_turn(mut watching: watch::Receiver<bool>, turn: Duration) {
     // The sender lives as long as the fleet actor.
     let _ = tokio::time::timeout(turn, watching.wait_for(|watching| *watching)).await;
 }
-
-/// Returns the pause before the next try, with a random part so that a fleet
-/// that lost the service together doesn't come back together.
-fn backoff(failures: u32) -> Duration {
-    if failures == 0 {
-        return Duration::ZERO;
-    }
-    let full = FIRST_BACKOFF.saturating_mul(1 << failures.min(10)).min(MAX_BACKOFF);
-    full.mul_f64(rand::rng().random_range(0.5..1.0))
-}
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -39,6 +39,10 @@
     /// answer about addresses.
     #[serde(default = "default_entry_drain_ms")]
     pub entry_drain_ms: u64,
+    /// VMs that the fleet is expected to have; spreads the first reads of the
+    /// platform while its list of VMs is not known yet.
+    #[serde(default = "default_expected_vms")]
+    pub expected_vms: u32,
     /// Limits on what callers, peers and endpoints may use.
     #[serde(default)]
     pub limits: Limits,
@@ -110,6 +114,13 @@
 /// Default of [`Settings::entry_drain_ms`].
 const DEFAULT_ENTRY_DRAIN_MS: u64 = 6_000;
 
+/// Default of [`Settings::expected_vms`].
+const DEFAULT_EXPECTED_VMS: u32 = 48;
+
+fn default_expected_vms() -> u32 {
+    DEFAULT_EXPECTED_VMS
+}
+
 fn default_log_level() -> Name {
     Name::from("info")
 }
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -3,19 +3,29 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use kameo::actor::ActorRef;
+use pistachiotrack_core::message::MAX_DATAGRAM_BYTES;
 use tokio::net::UdpSocket;
 
-use crate::fleet::{Datagram, Fleet};
-
-/// Largest datagram that is read.
-const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+use crate::{
+    control_traffic::ControlTraffic,
+    fleet::{Datagram, Fleet},
+};
 
 /// Passes every datagram that comes in to the fleet actor.
-pub(crate) async fn receive(socket: Arc<UdpSocket>, fleet: ActorRef<Fleet>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+pub(crate) async fn receive(
+    socket: Arc<UdpSocket>,
+    fleet: ActorRef<Fleet>,
+    traffic: Arc<ControlTraffic>,
+) {
+    // One byte more than any VM sends shows a datagram that is too large.
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
+                traffic.received(length);
+                if length > MAX_DATAGRAM_BYTES {
+                    continue;
+                }
                 let bytes = buffer[..length].to_vec();
                 if fleet.tell(Datagram { from, bytes }).try_send().is_err() {
                     return;
@@ -28,9 +38,9 @@
 }
 
 /// Sends a datagram; one that the system has no room for is lost, as any may be.
-pub(crate) fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
+pub(crate) fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8], traffic: &ControlTraffic) {
     match socket.try_send_to(bytes, to) {
-        Ok(_) => {}
+        Ok(sent) => traffic.sent(sent),
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
         Err(error) => {
             log::debug!("event=datagram_failed to={to} error={:?}", error.to_string());
--- /dev/null
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -0,0 +1,228 @@
+//! The daemon as a process: settings, signals, pauses.
+
+mod testenv;
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Response};
+use pistachiotrack_core::header;
+use serde_json::{Value, json};
+use testenv::{
+    client, config,
+    endpoint::Endpoint,
+    fleet::{Vm, agrees, bounded, listed, owns, publish_list, wait_until},
+    platform::Platform,
+};
+use tokio::sync::watch;
+
+const BOOKING_SHARD: &str = "booking/0";
+
+/// A real daemon process, killed at the end of the test.
+struct Process {
+    child: Child,
+    caller: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl Process {
+    fn start(test: &str, platform: SocketAddr) -> Process {
+        let [caller, peer, admin] = [0; 3].map(|_| free_address());
+        let settings = json!({
+            "vm": "vm-09", "data_centre": "oslo-1", "deployment": "timeliten",
+            "caller_address": caller, "peer_address": peer, "admin_address": admin,
+            "platform_address": platform, "entry_drain_ms": 0, "log_level": "error",
+        });
+        let file = settings_file(test, &settings);
+        let child = daemon().arg("--settings").arg(file).spawn().unwrap();
+        Process { child, caller, peer, admin }
+    }
+
+    fn signal(&self, signal: &str) {
+        let kill = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
+        assert!(kill.unwrap().success());
+    }
+
+    async fn wait_until_serving(&self) {
+        while tokio::net::TcpStream::connect(self.admin).await.is_err() {
+            tokio::task::yield_now().await;
+        }
+        client::wait_until_serving(self.admin).await;
+    }
+
+    /// Waits for the process's end and returns its exit code.
+    async fn exit_code(mut self) -> Option<i32> {
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn daemon() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_pistachiotrackd"))
+}
+
+fn settings_file(test: &str, settings: &Value) -> PathBuf {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}.json"));
+    fs::write(&file, settings.to_string()).unwrap();
+    file
+}
+
+/// Returns an address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Returns an endpoint that answers bookings only once the gate opens; its
+/// other answers, to health checks, come at once.
+async fn gated_endpoint(gate: &watch::Sender<bool>) -> Endpoint {
+    let gate = gate.subscribe();
+    Endpoint::start(move |request| {
+        let mut gate = gate.clone();
+        async move {
+            if request.method() == Method::POST {
+                gate.wait_for(|open| *open).await.unwrap();
+            }
+            Response::new(Full::new(Bytes::from_static(b"booked")))
+        }
+    })
+    .await
+}
+
+fn booking(body: &'static str) -> hyper::Request<Full<Bytes>> {
+    client::request(Method::POST, "/bookings", body)
+}
+
+fn run_bookings(endpoint: &Endpoint) -> Vec<Bytes> {
+    let received = endpoint.received();
+    let booked = received.iter().filter(|request| request.method() == Method::POST);
+    booked.map(|request| request.body().clone()).collect()
+}
+
+#[test]
+fn check_tells_valid_settings_from_others() {
+    let mut settings = json!({
+        "vm": "vm-01", "data_centre": "oslo-1", "deployment": "timeliten",
+        "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0",
+        "admin_address": "127.0.0.1:0", "platform_address": "127.0.0.1:1",
+    });
+    let check = |name: &str, settings: &Value| {
+        let file = settings_file(name, settings);
+        let output = daemon().arg("--check").arg("--settings").arg(file).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    };
+    assert_eq!(check("check-valid", &settings), (Some(0), String::new()));
+    settings["log_level"] = json!("loud");
+    let (code, message) = check("check-invalid", &settings);
+    assert_eq!(code, Some(3));
+    assert!(message.contains("check-invalid.json: log_level: \"loud\""), "{message}");
+}
+
+/// An operator stops a VM, and an impatient supervisor sends SIGTERM again
+/// while a clerk's booking is still at the endpoint. The booking must be
+/// answered, and the process must end with 0.
+#[tokio::test]
+async fn a_second_signal_cuts_nothing_off() {
+    bounded(async {
+        let (gate, _) = watch::channel(false);
+        let endpoint = gated_endpoint(&gate).await;
+        let platform = Platform::start().await;
+        let mut value = config(1, &[], &[endpoint.address]);
+        value["entry_lifetime_ms"] = json!(100);
+        platform.publish_config(value);
+        let process = Process::start("second-signal", platform.address);
+        process.wait_until_serving().await;
+        let answer = tokio::spawn(client::send(process.caller, booking("slot 7")));
+        wait_until(|| async { run_bookings(&endpoint).len() == 1 }).await;
+        process.signal("-TERM");
+        client::wait_for(process.admin, "/status", |status| status["state"] == "leaving").await;
+        process.signal("-TERM");
+        // The listeners close when the daemon takes no further request.
+        wait_until(|| async { tokio::net::TcpStream::connect(process.caller).await.is_err() })
+            .await;
+        process.signal("-TERM");
+        gate.send_replace(true);
+        let answer = answer.await.unwrap().unwrap();
+        assert_eq!((answer.status().as_u16(), answer.body()), (200, &Bytes::from("booked")));
+        assert_eq!(process.exit_code().await, Some(0));
+    })
+    .await;
+}
+
+/// A hypervisor stops a VM while a booking waits there for a free endpoint. When
+/// it goes on, the clerk has long given up and books elsewhere: the old booking
+/// must not be sent. Meanwhile the others have declared the VM dead and taken
+/// its shards; it must rejoin and not go on as their owner.
+#[tokio::test]
+async fn a_paused_vm_sends_no_old_booking_and_rejoins() {
+    bounded(async {
+        let (gate, _) = watch::channel(false);
+        let endpoint = gated_endpoint(&gate).await;
+        let platform = Platform::start().await;
+        platform.publish_config(config(1, &[], &[endpoint.address]));
+        let process = Process::start("pause", platform.address);
+        process.wait_until_serving().await;
+        let others = [
+            Vm::start("vm-01", platform.address).await,
+            Vm::start("vm-02", platform.address).await,
+        ];
+        let process_line = listed("vm-09", process.peer, process.caller);
+        publish_list(&platform, 2, &[process_line, others[0].listed(), others[1].listed()]);
+        let admins = [process.admin, others[0].admin, others[1].admin];
+        wait_until(|| agrees(&admins)).await;
+
+        // The process decides by itself on what comes in at its peer port, so it
+        // holds the queue whoever owns the shard.
+        let slots = 2;
+        let mut running = Vec::new();
+        for body in ["first", "second"] {
+            running.push(tokio::spawn(client::send(process.caller, booking(body))));
+        }
+        wait_until(|| async { run_bookings(&endpoint).len() == slots }).await;
+        let waiting = client::with(booking("late"), header::DEADLINE_MS, "1000");
+        let waiting = tokio::spawn(client::send(process.caller, waiting));
+        client::wait_for(process.admin, "/status", |status| {
+            testenv::fleet::counter(status, "requests") == 3
+        })
+        .await;
+        process.signal("-STOP");
+        wait_until(|| async {
+            let members = client::admin(others[0].admin, "/members").await;
+            let members = members.as_array().unwrap();
+            members.iter().any(|member| member["vm"] == "vm-09" && member["state"] == "dead")
+        })
+        .await;
+        gate.send_replace(true);
+        wait_until(|| async {
+            owns(&others[0].status().await, BOOKING_SHARD)
+                || owns(&others[1].status().await, BOOKING_SHARD)
+        })
+        .await;
+        process.signal("-CONT");
+        let late = waiting.await.unwrap().unwrap();
+        assert_eq!(client::field(&late, header::OUTCOME), Some("not-run"), "{late:?}");
+        wait_until(|| agrees(&admins)).await;
+        assert!(!run_bookings(&endpoint).contains(&Bytes::from("late")));
+        for running in running {
+            running.abort();
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/pistachiotrackd/tests/testenv/fleet.rs
@@ -0,0 +1,203 @@
+//! Several daemons in one process, each of which can be crashed.
+
+use std::{collections::BTreeMap, future::Future, net::SocketAddr, time::Duration};
+
+use pistachiotrack_core::{header, name::Name};
+use pistachiotrackd::daemon::Daemon;
+use serde_json::{Value, json};
+use tokio::{
+    runtime::{Builder, Runtime},
+    task::JoinHandle,
+};
+
+use super::{client, endpoint::Endpoint, platform::Platform, settings};
+
+/// Longest time that a whole test may take; only a hang gets near it.
+const TEST_LIMIT: Duration = Duration::from_secs(120);
+
+/// Runs a test and ends it when it hangs.
+pub(crate) async fn bounded<T>(test: impl Future<Output = T>) -> T {
+    tokio::time::timeout(TEST_LIMIT, test).await.expect("the test hangs")
+}
+
+/// A daemon on threads of its own, so that it can be crashed alone.
+pub(crate) struct Vm {
+    pub(crate) name: String,
+    pub(crate) caller: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    daemon: Option<Daemon>,
+    runtime: Option<Runtime>,
+}
+
+impl Vm {
+    /// Starts a daemon that reads from `platform`.
+    pub(crate) async fn start(name: &str, platform: SocketAddr) -> Vm {
+        Vm::start_in("timeliten", name, platform).await
+    }
+
+    /// Starts a daemon of another deployment.
+    pub(crate) async fn start_in(deployment: &str, name: &str, platform: SocketAddr) -> Vm {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let mut settings = settings(name, platform, json!({}));
+        settings.deployment = Name::from(deployment);
+        let daemon = runtime.spawn(Daemon::start(settings)).await.unwrap().unwrap();
+        Vm {
+            name: name.to_owned(),
+            caller: daemon.caller_address(),
+            peer: daemon.peer_address(),
+            admin: daemon.admin_address(),
+            daemon: Some(daemon),
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Has the daemon run until it stops by itself.
+    pub(crate) fn run(&mut self) -> JoinHandle<()> {
+        let daemon = self.daemon.take().unwrap();
+        self.runtime.as_ref().unwrap().spawn(async { daemon.run_until_signal().await.unwrap() })
+    }
+
+    /// Begins to stop the daemon gracefully.
+    pub(crate) fn stop(&mut self) -> JoinHandle<()> {
+        let daemon = self.daemon.take().unwrap();
+        self.runtime.as_ref().unwrap().spawn(daemon.stop())
+    }
+
+    /// Ends the daemon at once: its sockets close and nobody is told.
+    pub(crate) fn crash(&mut self) {
+        self.runtime.take().unwrap().shutdown_background();
+    }
+
+    /// Returns what the admin port shows of the daemon.
+    pub(crate) async fn status(&self) -> Value {
+        client::admin(self.admin, "/status").await
+    }
+
+    /// Returns a counter of the daemon.
+    pub(crate) async fn counter(&self, name: &str) -> u64 {
+        counter(&self.status().await, name)
+    }
+
+    /// Returns the line of the platform's list for this VM.
+    pub(crate) fn listed(&self) -> Value {
+        listed(&self.name, self.peer, self.caller)
+    }
+
+    /// Returns the addresses that the VM gives to callers of a service.
+    pub(crate) async fn entries(&self, service: &str) -> Vec<SocketAddr> {
+        let path = format!("{}?service={service}", header::ENTRIES_PATH);
+        let answer = client::admin(self.caller, &path).await;
+        let Some(entries) = answer["entries"].as_array() else { return Vec::new() };
+        entries.iter().map(|entry| entry["address"].as_str().unwrap().parse().unwrap()).collect()
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Returns a line of the platform's list.
+pub(crate) fn listed(name: &str, peer: SocketAddr, caller: SocketAddr) -> Value {
+    json!({"name": name, "data_centre": "oslo-1", "peer_address": peer, "caller_address": caller})
+}
+
+/// Publishes a list of VMs.
+pub(crate) fn publish_list(platform: &Platform, version: u64, lines: &[Value]) {
+    platform.publish_vms(json!({"version": version, "vms": lines}));
+}
+
+/// Returns a counter of a status.
+pub(crate) fn counter(status: &Value, name: &str) -> u64 {
+    let counters = status["counters"].as_array().unwrap();
+    let counter = counters.iter().find(|counter| counter["name"] == name);
+    counter.unwrap_or_else(|| panic!("no counter {name}"))["value"].as_u64().unwrap()
+}
+
+/// Returns whether a status lists a shard as owned.
+pub(crate) fn owns(status: &Value, shard: &str) -> bool {
+    status["shards"].as_array().unwrap().iter().any(|owned| owned == shard)
+}
+
+/// Waits until a condition over several VMs holds.
+pub(crate) async fn wait_until<F>(condition: impl Fn() -> F)
+where
+    F: Future<Output = bool>,
+{
+    while !condition().await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns whether the VMs at these admin ports all know each other and each
+/// shard has one owner among them.
+pub(crate) async fn agrees(admins: &[SocketAddr]) -> bool {
+    let mut owners: BTreeMap<String, u32> = BTreeMap::new();
+    for admin in admins {
+        let status = client::admin(*admin, "/status").await;
+        let members = client::admin(*admin, "/members").await;
+        let members = members.as_array().unwrap();
+        let alive = members.iter().filter(|member| member["state"] == "alive").count();
+        if alive != admins.len() || status["state"] != "serving" {
+            return false;
+        }
+        for shard in status["shards"].as_array().unwrap() {
+            *owners.entry(shard.to_string()).or_default() += 1;
+        }
+    }
+    owners.len() == 2 && owners.values().all(|count| *count == 1)
+}
+
+/// A platform and a fleet that serves by the tests' configuration.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) vms: Vec<Vm>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until its VMs agree on the owners.
+    pub(crate) async fn start(count: usize, config: Value) -> Fleet {
+        let platform = Platform::start().await;
+        platform.publish_config(config);
+        let mut vms = Vec::new();
+        for index in 0..count {
+            vms.push(Vm::start(&format!("vm-{index:02}"), platform.address).await);
+        }
+        let fleet = Fleet { platform, vms };
+        fleet.publish_list(2);
+        let admins = fleet.admins();
+        wait_until(|| agrees(&admins)).await;
+        fleet
+    }
+
+    /// Publishes the list of the fleet's VMs.
+    pub(crate) fn publish_list(&self, version: u64) {
+        let lines: Vec<Value> = self.vms.iter().map(Vm::listed).collect();
+        publish_list(&self.platform, version, &lines);
+    }
+
+    /// Returns the admin ports of all VMs.
+    pub(crate) fn admins(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.admin).collect()
+    }
+
+    /// Returns the number of the VM that owns a shard.
+    pub(crate) async fn owner(&self, shard: &str) -> usize {
+        loop {
+            for (index, vm) in self.vms.iter().enumerate() {
+                if owns(&vm.status().await, shard) {
+                    return index;
+                }
+            }
+        }
+    }
+}
+
+/// Returns the address of a platform that is away: it ends each connection.
+pub(crate) async fn absent_platform() -> SocketAddr {
+    Endpoint::serve(|stream| async move { drop(stream) }).await.address
+}
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod client;
 pub(crate) mod endpoint;
+pub(crate) mod fleet;
 pub(crate) mod platform;
 
 use std::{net::SocketAddr, path::Path};
