--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod client;
 pub(crate) mod endpoint;
+pub(crate) mod fleet;
 pub(crate) mod platform;
 pub(crate) mod process;
 
