Tell how requests were lost, and let relays pass without delay

Cause: a count of lost requests did not say whether the connection broke off or nothing came; relays rounded no delay up to a millisecond; fleets were measured while new owners were still careful, so a baseline had p99 283 ms. Change: lost requests carry a reason; relays only sleep where there is a delay; a fleet counts as settled after 3 s without change.

--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -88,7 +88,7 @@
     pub service_us: Option<u64>,
     /// What came of it.
     pub ending: Ending,
-    /// Reason of the refusal, if it was one.
+    /// Reason of the refusal, or how the request was lost.
     pub reason: Option<Box<str>>,
 }
 
@@ -106,6 +106,15 @@
     }
 }
 
+/// Reason of a lost request: nothing came until some time after the deadline.
+const NO_ANSWER: &str = "lost: no answer";
+/// Reason of a lost request: the connection ended before the answer did.
+const BROKEN_OFF: &str = "lost: broken off";
+
+fn lost(reason: &str) -> Exchange {
+    Exchange { reason: Some(reason.into()), ..Ending::Lost.into() }
+}
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// A caller with its connections and the entries that it knows.
@@ -158,7 +167,7 @@
         let sent = Instant::now();
         let allowed = Duration::from_millis(operation.deadline_ms) + GRACE;
         let exchange = tokio::time::timeout(allowed, self.exchange(operation, id)).await;
-        let Exchange { ending, service_us, reason } = exchange.unwrap_or(Ending::Lost.into());
+        let Exchange { ending, service_us, reason } = exchange.unwrap_or(lost(NO_ANSWER));
         Sample {
             id,
             non_idempotent: operation.non_idempotent,
@@ -177,7 +186,7 @@
             match self.client.request(request).await {
                 Ok(answer) => return judge(id, answer).await,
                 Err(error) if error.is_connect() => {}
-                Err(_) => return Ending::Lost.into(),
+                Err(_) => return lost(BROKEN_OFF),
             }
         }
         Ending::NoVm.into()
@@ -273,7 +282,7 @@
     let reason = text(&answer, header::REASON).map(Box::from);
     let service_us = text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
     let status = answer.status();
-    let Ok(body) = answer.into_body().collect().await else { return Ending::Lost.into() };
+    let Ok(body) = answer.into_body().collect().await else { return lost(BROKEN_OFF) };
     let ending = match refusal.as_deref() {
         Some("not-run") => Ending::RefusedNotRun,
         Some(_) => Ending::Unknown,
--- a/crates/pistachiotrack-standins/src/demo/report.rs
+++ b/crates/pistachiotrack-standins/src/demo/report.rs
@@ -188,7 +188,7 @@
             row(f, name, self.deployments.iter().map(*value))?;
         }
         for report in &self.deployments {
-            writeln!(f, "refusals of {}: {:?}", report.deployment, report.counts.reasons)?;
+            writeln!(f, "reasons, {}: {:?}", report.deployment, report.counts.reasons)?;
         }
         writeln!(f, "VMs: {} per deployment", self.vms_per_deployment)
     }
--- a/crates/pistachiotrack-standins/src/experiment/table.rs
+++ b/crates/pistachiotrack-standins/src/experiment/table.rs
@@ -46,7 +46,7 @@
             table.row(name, columns.iter().map(|(_, outcome)| cell(outcome)).collect());
         }
         for (name, outcome) in columns {
-            table.note(&format!("refusals, {name}"), format!("{:?}", outcome.counts.reasons));
+            table.note(&format!("reasons, {name}"), format!("{:?}", outcome.counts.reasons));
         }
         table
     }
--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -26,8 +26,9 @@
 
 /// Time between two looks at daemons that aren't ready yet.
 const LOOK_INTERVAL: Duration = Duration::from_millis(25);
-/// Time without any change after which a fleet counts as settled.
-const SETTLED: Duration = Duration::from_secs(1);
+/// Time without any change after which a fleet counts as settled; a new owner
+/// is careful with its endpoints at first.
+const SETTLED: Duration = Duration::from_secs(3);
 /// Ports of a daemon: for callers, for peers, for its operators and for the
 /// relay before it.
 const PORTS: usize = 4;
--- a/crates/pistachiotrack-standins/src/relay.rs
+++ b/crates/pistachiotrack-standins/src/relay.rs
@@ -5,6 +5,7 @@
     io,
     net::{IpAddr, SocketAddr},
     sync::Arc,
+    time::Duration,
 };
 
 use rustc_hash::FxHashMap;
@@ -103,7 +104,7 @@
         if let Passage::Passes(delay) = target.links.datagram(sender, target.index) {
             let bytes = buffer[..length].to_vec();
             tasks.spawn(async move {
-                tokio::time::sleep(delay).await;
+                pause(delay).await;
                 // A VM that is gone refuses; its datagrams are lost.
                 let _ = way.send(&bytes).await;
             });
@@ -126,12 +127,19 @@
         };
         let passage = target.links.datagram(Some(target.index), target.receiver(to));
         if let Passage::Passes(delay) = passage {
-            tokio::time::sleep(delay).await;
+            pause(delay).await;
             let _ = socket.send_to(&buffer[..length], to).await;
         }
     }
 }
 
+/// Waits, without the rounding up to a millisecond where there is no delay.
+async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+}
+
 async fn accept(listener: TcpListener, target: Target) {
     let mut connections = JoinSet::new();
     loop {
@@ -174,7 +182,7 @@
         };
         match passage() {
             Passage::Dropped => return std::future::pending().await,
-            Passage::Passes(delay) => tokio::time::sleep(delay).await,
+            Passage::Passes(delay) => pause(delay).await,
         }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
--- a/crates/pistachiotrack-standins/src/summary.rs
+++ b/crates/pistachiotrack-standins/src/summary.rs
@@ -33,7 +33,7 @@
     pub wrong_answer: u64,
     /// Refusals that wrongly say the request was not run.
     pub false_not_run: u64,
-    /// Refusals by reason.
+    /// Refused and lost requests by reason.
     pub reasons: BTreeMap<String, u64>,
 }
 
