--- a/crates/pistachiotrack-standins/src/slopes/owner.rs
+++ b/crates/pistachiotrack-standins/src/slopes/owner.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use cpu_time::ThreadTime;
 use pistachiotrack_core::{
     config::Config,
     name::Name,
@@ -13,7 +14,7 @@
 
 use super::{
     fit::Point,
-    meter::{cpu_us, heap},
+    meter::{cpu_us, heap, median},
     report::{Cost, Report},
     sample,
     scale::{self, Size},
@@ -25,9 +26,10 @@
 const QUEUED: [usize; 4] = [32, 64, 128, 256];
 /// Time between two requests.
 const STEP: Duration = Duration::from_micros(1_000);
-/// Steps between two ticks; two rates tell requests and ticks apart.
-const SELDOM: u64 = 100;
-const OFTEN: u64 = 10;
+/// Steps between two ticks.
+const STEPS_PER_TICK: u64 = 100;
+/// Ticks that are timed.
+const TIMED_TICKS: usize = 200;
 /// Requests that warm a shard up before it is measured.
 const WARM_UP: usize = 2_000;
 
@@ -46,11 +48,10 @@
             work
         });
         held.push(Point { size, value: heap_bytes });
-        let seldom = work.step_us(SELDOM);
-        let often = work.step_us(OFTEN);
-        let tick_us = (often - seldom) / (1.0 / OFTEN as f64 - 1.0 / SELDOM as f64);
+        let tick_us = work.tick_us();
+        let step_us = cpu_us(|| work.step());
         tick.push(Point { size, value: tick_us });
-        request.push(Point { size, value: seldom - tick_us / SELDOM as f64 });
+        request.push(Point { size, value: step_us - tick_us / STEPS_PER_TICK as f64 });
         let told = work.shard.hand_over(work.now);
         let bytes = postcard::to_allocvec(&told).expect("a hand-over can be encoded").len();
         hand_over.push(Point { size, value: bytes as f64 });
@@ -97,7 +98,6 @@
     customers: Vec<Name>,
     running: VecDeque<AttemptId>,
     in_flight: usize,
-    steps_per_tick: u64,
 }
 
 impl Work {
@@ -109,18 +109,21 @@
             customers: (0..100).map(sample::customer_name).collect(),
             running: VecDeque::new(),
             in_flight: endpoints * 2,
-            steps_per_tick: SELDOM,
         }
     }
 
-    /// Takes a request in and lets the oldest one end.
+    /// Works on for one step, with a tick where one is due.
     fn step(&mut self) {
+        if self.next.is_multiple_of(STEPS_PER_TICK) {
+            self.tick();
+        }
+        self.request();
+    }
+
+    /// Takes a request in and lets the oldest one end.
+    fn request(&mut self) {
         self.now += STEP;
         self.next += 1;
-        if self.next.is_multiple_of(self.steps_per_tick) {
-            let actions = self.shard.on_tick(self.now);
-            self.note(&actions);
-        }
         let customer = &self.customers[self.next as usize % self.customers.len()];
         let actions = self.shard.on_request(self.now, request(self.next, self.now, customer));
         self.note(&actions);
@@ -135,10 +138,22 @@
         self.note(&actions);
     }
 
-    /// Returns the processor time of a step with its share of a tick.
-    fn step_us(&mut self, steps_per_tick: u64) -> f64 {
-        self.steps_per_tick = steps_per_tick;
-        cpu_us(|| self.step())
+    /// Returns the processor time of a tick in microseconds.
+    fn tick_us(&mut self) -> f64 {
+        let mut ticks: Vec<f64> = (0..TIMED_TICKS)
+            .map(|_| {
+                (1..STEPS_PER_TICK).for_each(|_| self.request());
+                let start = ThreadTime::now();
+                self.tick();
+                start.elapsed().as_secs_f64() * 1e6
+            })
+            .collect();
+        median(&mut ticks)
+    }
+
+    fn tick(&mut self) {
+        let actions = self.shard.on_tick(self.now);
+        self.note(&actions);
     }
 
     fn note(&mut self, actions: &[ShardAction]) {
