Wake the fleet actor only when it looks

Cause: every subscriber was told of all 50 ticks a second, and the fleet actor left four of five aside. The tests of a stopping owner and of a pause could pass without load at the owner, or with the paused VM owning nothing. Change: SubscribeSlowly tells of one tick in five. The stopping owner now has served callers before it stops; the paused VM owns the shard. A kept connection is shown to end with an answer while its VM leaves.

--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -29,7 +29,7 @@
     connection_pool::ConnectionPool,
     context::Context,
     control_traffic::ControlTraffic,
-    fleet::{Fleet, FleetArgs, Leave},
+    fleet::{Fleet, FleetArgs, Leave, TICK_INTERVAL},
     histogram::Histograms,
     listener::Listener,
     metrics::Metrics,
@@ -37,7 +37,7 @@
     peer_service, proxy,
     settings::Settings,
     shard_table::ShardTable,
-    timer::{PauseGate, Subscribe, TimerArgs, TimerService},
+    timer::{PauseGate, SubscribeSlowly, TimerArgs, TimerService},
     udp,
     view::FleetView,
 };
@@ -150,7 +150,9 @@
         };
         let fleet = Fleet::spawn_with_mailbox(fleet_args, mailbox::unbounded());
         // The timer service has just been started.
-        let _ = timer.tell(Subscribe(fleet.clone().recipient())).try_send();
+        let _ = timer
+            .tell(SubscribeSlowly { recipient: fleet.clone().recipient(), interval: TICK_INTERVAL })
+            .try_send();
         tokio::spawn(udp::receive(socket, fleet.clone(), traffic));
         let admin_address = local_address("admin_address", &sockets.admin)?;
         let connections = TaskTracker::new();
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -35,7 +35,7 @@
 
 /// Time between two looks at what is due. Nothing of the fleet is due more often
 /// than every few hundred milliseconds, so this costs little precision.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time allowed for a peer's answer about the configuration.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two updates of the owners without any known cause, which lets
@@ -73,7 +73,6 @@
     sync: ConfigSync,
     active: Option<Arc<ActiveConfig>>,
     published_revision: Option<u64>,
-    ticked: Time,
     ownership_updated: Time,
     swept: Time,
 }
@@ -114,7 +113,6 @@
             actor_ref: actor_ref.downgrade(),
             active: None,
             published_revision: None,
-            ticked: now,
             ownership_updated: now,
             swept: now,
         })
@@ -270,10 +268,6 @@
 
 impl Fleet {
     fn on_tick(&mut self, now: Time) {
-        if now.since(self.ticked) < TICK_INTERVAL {
-            return;
-        }
-        self.ticked = now;
         let actions = self.membership.on_tick(now);
         self.apply_membership(now, actions);
         let actions = self.sync.on_tick(now, self.membership.members());
--- a/crates/pistachiotrackd/src/timer.rs
+++ b/crates/pistachiotrackd/src/timer.rs
@@ -65,7 +65,13 @@
 pub(crate) struct TimerService {
     clock: Clock,
     gate: PauseGate,
-    subscribers: Vec<Recipient<TimerEvent>>,
+    subscribers: Vec<Subscriber>,
+    ticks: u64,
+}
+
+struct Subscriber {
+    recipient: Recipient<TimerEvent>,
+    every_ticks: u64,
 }
 
 /// Settings of the timer service.
@@ -93,7 +99,7 @@
                 }
             }
         });
-        Ok(TimerService { clock: args.clock, gate: args.gate, subscribers: Vec::new() })
+        Ok(TimerService { clock: args.clock, gate: args.gate, subscribers: Vec::new(), ticks: 0 })
     }
 }
 
@@ -104,7 +110,26 @@
     type Reply = ();
 
     async fn handle(&mut self, message: Subscribe, _: &mut Context<Self, ()>) {
-        self.subscribers.push(message.0);
+        self.subscribers.push(Subscriber { recipient: message.0, every_ticks: 1 });
+    }
+}
+
+/// Adds a subscriber that is told of one tick in several, so that an idle daemon
+/// wakes it less often; of pauses it is told as any other.
+pub(crate) struct SubscribeSlowly {
+    /// The subscriber.
+    pub(crate) recipient: Recipient<TimerEvent>,
+    /// Time between two ticks that it is told of.
+    pub(crate) interval: Duration,
+}
+
+impl Message<SubscribeSlowly> for TimerService {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SubscribeSlowly, _: &mut Context<Self, ()>) {
+        let ticks = message.interval.as_millis() / TICK_INTERVAL.as_millis();
+        let every_ticks = (ticks as u64).max(1);
+        self.subscribers.push(Subscriber { recipient: message.recipient, every_ticks });
     }
 }
 
@@ -117,14 +142,18 @@
         let now = self.clock.now();
         if let Some(gap) = self.gate.on_tick(now) {
             log::warn!("event=paused gap_ms={}", gap.as_millis());
-            self.publish(TimerEvent::Paused { now, gap });
+            self.publish(TimerEvent::Paused { now, gap }, |_| true);
         }
-        self.publish(TimerEvent::Tick(now));
+        self.ticks += 1;
+        let ticks = self.ticks;
+        self.publish(TimerEvent::Tick(now), |every| ticks.is_multiple_of(every));
     }
 }
 
 impl TimerService {
-    fn publish(&mut self, event: TimerEvent) {
-        self.subscribers.retain(|subscriber| subscriber.tell(event).try_send().is_ok());
+    fn publish(&mut self, event: TimerEvent, is_due: impl Fn(u64) -> bool) {
+        self.subscribers.retain(|subscriber| {
+            !is_due(subscriber.every_ticks) || subscriber.recipient.tell(event).try_send().is_ok()
+        });
     }
 }
--- a/crates/pistachiotrackd/tests/fleet.rs
+++ b/crates/pistachiotrackd/tests/fleet.rs
@@ -93,7 +93,7 @@
 }
 
 /// The platform comes back from a backup with version 1 while the fleet is at
-/// 2. A VM that starts now hears the platform first; it must never serve by
+/// 2. A VM that starts now may hear the platform first; it must never serve by
 /// version 1, which the fleet has left.
 #[tokio::test]
 async fn a_platform_that_comes_back_older_changes_nothing() {
@@ -234,6 +234,8 @@
         let ends = Arc::new(AtomicBool::new(false));
         let asked = fleet.vms[(owner + 1) % 4].caller;
         let callers: Vec<_> = (0..4).map(|name| keep_booking(asked, &ends, name)).collect();
+        let run = || well.iter().map(|endpoint| bookings(endpoint).len()).sum::<usize>();
+        wait_until(|| async { run() >= warm_up + 40 }).await;
         let mut leaving = fleet.vms.remove(owner);
         let stopped = leaving.stop();
         let heir = fleet.owner(BOOKING_SHARD).await;
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -15,7 +15,7 @@
 use pistachiotrack_core::header;
 use serde_json::{Value, json};
 use testenv::{
-    client, config,
+    Deployment, client, config,
     endpoint::Endpoint,
     fleet::{Vm, agrees, bounded, listed, owns, publish_list, wait_until},
     platform::Platform,
@@ -166,6 +166,28 @@
     .await;
 }
 
+/// A VM stops while a caller keeps its connection for further requests. If the
+/// daemon just closed it, the next request could go out in that moment and its
+/// caller would not know whether it ran.
+#[tokio::test]
+async fn a_leaving_vm_ends_kept_connections_with_an_answer() {
+    bounded(async {
+        let search = Endpoint::answering("free slots").await;
+        let deployment = Deployment::start(&[search.address], &[]).await;
+        let admin = deployment.daemon.admin_address();
+        let mut kept = client::Connection::open(deployment.address()).await;
+        let answer = kept.send(client::get("/slots")).await.unwrap();
+        assert_eq!(client::field(&answer, "connection"), None);
+        let leaving = deployment.daemon.leave();
+        client::wait_for(admin, "/status", |status| status["state"] == "leaving").await;
+        let answer = kept.send(client::get("/slots")).await.unwrap();
+        assert_eq!(answer.body(), "free slots");
+        assert_eq!(client::field(&answer, "connection"), Some("close"));
+        drop(leaving);
+    })
+    .await;
+}
+
 /// A hypervisor stops a VM while a booking waits there for a free endpoint. When
 /// it goes on, the clerk has long given up and books elsewhere: the old booking
 /// must not be sent. Meanwhile the others have declared the VM dead and taken
@@ -186,10 +208,11 @@
         let process_line = listed("vm-09", process.peer, process.caller);
         publish_list(&platform, 2, &[process_line, others[0].listed(), others[1].listed()]);
         let admins = [process.admin, others[0].admin, others[1].admin];
+        // The process's name wins the shard by its hash once it has settled.
+        client::wait_for(process.admin, "/status", |status| owns(status, BOOKING_SHARD)).await;
         wait_until(|| agrees(&admins)).await;
+        assert!(owns(&client::admin(process.admin, "/status").await, BOOKING_SHARD));
 
-        // The process decides by itself on what comes in at its peer port, so it
-        // holds the queue whoever owns the shard.
         let slots = 2;
         let mut running = Vec::new();
         for body in ["first", "second"] {
