--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -78,6 +78,8 @@
     pub id: WorkId,
     /// Whether the request must not be repeated.
     pub non_idempotent: bool,
+    /// Whether the caller used the first of the entries that a VM gave it.
+    pub steered: bool,
     /// Moment of sending.
     pub sent: Instant,
     /// Time from sending to the end of the answer.
@@ -86,7 +88,7 @@
     pub service_us: Option<u64>,
     /// What came of it.
     pub ending: Ending,
-    /// Reason of the refusal, if it was one.
+    /// Reason of the refusal, or how the request was lost.
     pub reason: Option<Box<str>>,
 }
 
@@ -104,6 +106,15 @@
     }
 }
 
+/// Reason of a lost request: nothing came until some time after the deadline.
+const NO_ANSWER: &str = "lost: no answer";
+/// Reason of a lost request: the connection ended before the answer did.
+const BROKEN_OFF: &str = "lost: broken off";
+
+fn lost(reason: &str) -> Exchange {
+    Exchange { reason: Some(reason.into()), ..Ending::Lost.into() }
+}
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// A caller with its connections and the entries that it knows.
@@ -112,7 +123,18 @@
     client: HttpClient,
     known: Arc<Vec<SocketAddr>>,
     entries: Arc<Mutex<FxHashMap<&'static str, Kept>>>,
-    direct: bool,
+    choice: Choice,
+}
+
+/// How a caller chooses the address that it sends to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Choice {
+    /// The entries that a VM gave it, the first one first.
+    Steered,
+    /// The same entries, but the last one first.
+    Reversed,
+    /// One of the known addresses in turn, and no other.
+    One,
 }
 
 #[derive(Clone, Debug)]
@@ -124,13 +146,20 @@
 impl Caller {
     /// Creates a caller that asks the VMs at `known` for entries.
     pub fn new(known: Vec<SocketAddr>) -> Caller {
-        Caller { client: client(), known: Arc::new(known), entries: Arc::default(), direct: false }
+        let choice = Choice::Steered;
+        Caller { client: client(), known: Arc::new(known), entries: Arc::default(), choice }
+    }
+
+    /// Creates a caller that uses the entries from the last to the first, so that
+    /// its work is forwarded.
+    pub fn unsteered(known: Vec<SocketAddr>) -> Caller {
+        Caller { choice: Choice::Reversed, ..Caller::new(known) }
     }
 
     /// Creates a caller that connects to the endpoints at `addresses` itself,
     /// each in turn.
     pub fn direct(addresses: Vec<SocketAddr>) -> Caller {
-        Caller { direct: true, ..Caller::new(addresses) }
+        Caller { choice: Choice::One, ..Caller::new(addresses) }
     }
 
     /// Sends one piece of work and waits for what comes of it.
@@ -138,10 +167,11 @@
         let sent = Instant::now();
         let allowed = Duration::from_millis(operation.deadline_ms) + GRACE;
         let exchange = tokio::time::timeout(allowed, self.exchange(operation, id)).await;
-        let Exchange { ending, service_us, reason } = exchange.unwrap_or(Ending::Lost.into());
+        let Exchange { ending, service_us, reason } = exchange.unwrap_or(lost(NO_ANSWER));
         Sample {
             id,
             non_idempotent: operation.non_idempotent,
+            steered: self.choice == Choice::Steered,
             sent,
             latency_us: sent.elapsed().as_micros() as u64,
             service_us,
@@ -156,14 +186,14 @@
             match self.client.request(request).await {
                 Ok(answer) => return judge(id, answer).await,
                 Err(error) if error.is_connect() => {}
-                Err(_) => return Ending::Lost.into(),
+                Err(_) => return lost(BROKEN_OFF),
             }
         }
         Ending::NoVm.into()
     }
 
     async fn addresses(&self, operation: &Operation, id: WorkId) -> Vec<SocketAddr> {
-        if self.direct {
+        if self.choice == Choice::One {
             return vec![self.known[id.0 as usize % self.known.len()]];
         }
         if self.is_due(operation.service).await
@@ -172,9 +202,12 @@
             self.entries.lock().await.insert(operation.service, found);
         }
         let kept = self.entries.lock().await;
-        kept.get(operation.service)
-            .map(|kept| kept.entries.iter().map(|entry| entry.address).collect())
-            .unwrap_or_default()
+        let Some(kept) = kept.get(operation.service) else { return Vec::new() };
+        let mut addresses: Vec<_> = kept.entries.iter().map(|entry| entry.address).collect();
+        if self.choice == Choice::Reversed {
+            addresses.reverse();
+        }
+        addresses
     }
 
     /// Returns whether this request has to ask for entries; the others go on
@@ -249,7 +282,7 @@
     let reason = text(&answer, header::REASON).map(Box::from);
     let service_us = text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
     let status = answer.status();
-    let Ok(body) = answer.into_body().collect().await else { return Ending::Lost.into() };
+    let Ok(body) = answer.into_body().collect().await else { return lost(BROKEN_OFF) };
     let ending = match refusal.as_deref() {
         Some("not-run") => Ending::RefusedNotRun,
         Some(_) => Ending::Unknown,
--- a/crates/pistachiotrack-standins/src/demo.rs
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     caller::{Caller, Operation},
-    daemon::{DaemonBinary, DaemonSettings},
+    daemon::DaemonBinary,
     demo::report::{DeploymentReport, Report, Stop},
     deployment::{Deployment, Kind},
     ejection::EjectionWatch,
@@ -47,7 +47,7 @@
 const DIRECT_LOAD: f64 = 0.1;
 /// Time of the direct baseline.
 const DIRECT_DURATION: Duration = Duration::from_secs(3);
-/// Separate callers of each deployment.
+/// Separate callers of each deployment that are steered; one more is not.
 const CALLERS: usize = 4;
 /// Time allowed for the daemons to serve.
 const START_LIMIT: Duration = Duration::from_secs(60);
@@ -127,14 +127,15 @@
     settings: &DemoSettings,
 ) -> anyhow::Result<DeploymentReport> {
     let deployment = Deployment::start(kind, settings.seed).await?;
-    let mut fleet = Fleet::start(binary, &deployment, settings.vms).await?;
-    let ready = fleet.wait_until_serving(START_LIMIT).await?;
+    let mut fleet = Fleet::start(binary, &deployment, settings.vms, None).await?;
+    let ready = fleet.wait_until_settled(deployment.shards(), START_LIMIT).await?;
     let load =
         LoadSettings { duration: DIRECT_DURATION, ids: WorkIds::default(), seed: settings.seed };
     let direct = direct_baseline(&deployment, &load).await;
 
-    let callers: Vec<Caller> =
+    let mut callers: Vec<Caller> =
         (0..CALLERS).map(|_| Caller::new(fleet.caller_addresses())).collect();
+    callers.push(Caller::unsteered(fleet.caller_addresses()));
     let operations = operations(kind.work(), &deployment.config, settings.load);
     let load = LoadSettings { duration: settings.duration, ..load };
     let watch = EjectionWatch::start(fleet.admin_addresses());
@@ -151,6 +152,7 @@
         samples,
         ejections: watch.ejections(),
         fault: disturbed.fault,
+        start,
         end: start + settings.duration,
         stop: disturbed.stop,
     }))
@@ -204,7 +206,7 @@
     });
     listed?;
     let (status, took) = ended?;
-    let DaemonSettings { vm, .. } = daemon.settings().clone();
+    let vm = vm.to_string();
     Ok(Disturbance { fault, stop: Stop { vm, exit_code: status.code(), took } })
 }
 
--- a/crates/pistachiotrack-standins/src/deployment.rs
+++ b/crates/pistachiotrack-standins/src/deployment.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use anyhow::Context;
-use pistachiotrack_core::config::Config;
+use pistachiotrack_core::{config::Config, ownership::shard_count};
 
 use crate::{
     endpoint::{Endpoint, EndpointSettings},
@@ -116,6 +116,22 @@
             .with_context(|| format!("no endpoint {name}"))
     }
 
+    /// Returns the number of shards of all services.
+    pub fn shards(&self) -> usize {
+        self.config.services.iter().map(|service| shard_count(service) as usize).sum()
+    }
+
+    /// Returns the most requests above its slots that an endpoint ever held.
+    pub fn slot_overshoot(&self) -> u32 {
+        let settings = self.config.services.iter().flat_map(|service| &service.endpoints);
+        let overshoot = self
+            .endpoints
+            .iter()
+            .zip(settings)
+            .map(|(endpoint, settings)| endpoint.counts().peak.saturating_sub(settings.slots));
+        overshoot.max().unwrap_or(0)
+    }
+
     /// Returns the work that arrived at an endpoint since a moment.
     ///
     /// # Errors
--- a/crates/pistachiotrack-standins/src/experiment.rs
+++ b/crates/pistachiotrack-standins/src/experiment.rs
@@ -1,14 +1,23 @@
 //! Experiments: ours against a baseline, in the same run.
 
-mod detect;
-mod overload;
-
 use std::process::ExitCode;
 
 use anyhow::Context;
 
+use self::options::Options;
+
+mod churn;
+mod detect;
+mod options;
+mod overload;
+mod owners;
+mod partition;
+mod rollout;
+mod table;
+mod trial;
+
 /// Names of the experiments, in the order in which `list` shows them.
-const NAMES: &[&str] = &["detect", "overload"];
+const NAMES: &[&str] = &["churn", "detect", "overload", "partition", "rollout"];
 
 /// Runs the experiment that the arguments name.
 ///
@@ -19,8 +28,11 @@
     let name = arguments.subcommand()?.context("no experiment named; try `list`")?;
     match name.as_str() {
         "list" => list(),
+        "churn" => churn::run(Options::parse(arguments)?),
         "detect" => detect::run(arguments),
         "overload" => overload::run(arguments),
+        "partition" => partition::run(Options::parse(arguments)?),
+        "rollout" => rollout::run(Options::parse(arguments)?),
         _ => anyhow::bail!("unknown experiment {name:?}; try `list`"),
     }
 }
