Measure leases and two choices against one owner

Cause: two of the ways weighed against an owner had no measurement. Change: both as balancers of the overload experiment, on the same work; a name for each in its table. The owner stays.

--- a/crates/pistachiotrack-standins/src/experiment/overload.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload.rs
@@ -2,6 +2,7 @@
 //!
 //! All in logical time and from a seed, so that a run can be repeated.
 
+mod alternatives;
 mod balancer;
 mod endpoint;
 mod report;
@@ -13,6 +14,7 @@
 use pistachiotrack_core::shard::ShardMode;
 
 use self::{
+    alternatives::{Leases, TwoChoices},
     balancer::{Balancer, Fifo, Fleet},
     report::{Row, print_table},
     simulation::Simulation,
@@ -50,12 +52,14 @@
 }
 
 /// Returns ours and the baselines, all before the same work.
-fn balancers(seed: u64) -> [(&'static str, Box<dyn Balancer>); 4] {
+fn balancers(seed: u64) -> [(&'static str, Box<dyn Balancer>); 6] {
     let config = config();
     [
         ("owner", Box::new(Fleet::new(&config, 1, ShardMode::Owner, seed))),
         ("alone", Box::new(Fleet::new(&config, VMS, ShardMode::Owner, seed))),
         ("careful", Box::new(Fleet::new(&config, VMS, ShardMode::Careful, seed))),
+        ("leases", Box::new(Leases::new(&config, VMS))),
+        ("two-choices", Box::new(TwoChoices::new(&config, VMS, seed))),
         ("fifo", Box::new(Fifo::new(&config))),
     ]
 }
--- a/crates/pistachiotrack-standins/src/experiment/overload/report.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/report.rs
@@ -100,7 +100,7 @@
 /// Prints the rows as a table.
 pub(super) fn print_table(seed: u64, rows: &[Row]) {
     println!("experiment=overload seed={seed} endpoints={ENDPOINTS} slots={SLOTS}");
-    print!("{:>5} {:<8} {:>8} {:>9}", "load", "balancer", "goodput", "possible");
+    print!("{:>5} {:<11} {:>8} {:>9}", "load", "balancer", "goodput", "possible");
     for buyer in BUYERS {
         print!(" {:>8}", format!("{}/{}", buyer.name, buyer.slots));
     }
@@ -110,7 +110,7 @@
     );
     for row in rows {
         print!(
-            "{:>4.1}x {:<8} {:>7.1}% {:>8.1}%",
+            "{:>4.1}x {:<11} {:>7.1}% {:>8.1}%",
             row.load,
             row.balancer,
             row.goodput * 100.0,
