Disregard reported drains that would empty the rotation

Cause: where all endpoints of a shard report that they are draining, nobody was left for 10 to 60 s. Reports lag or mislead; only the configuration's leaving marks are facts. Change: where honouring the reports leaves nobody in rotation, after ejected endpoints were recalled as far as the floor asks, the endpoints that said so longest ago get the work until any other one is in rotation. Leaving marks always hold.

--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -26,7 +26,7 @@
 mod state;
 
 use reference::Reference;
-use state::{Drain, EndpointState, Flight, Phase};
+use state::{EndpointState, Flight, Phase};
 
 /// Settings of the health decisions of one shard.
 #[derive(Clone, Debug)]
@@ -251,13 +251,14 @@
     /// Notes what an endpoint reports about itself.
     ///
     /// Only the mark of leaving counts; what it says about its load is left to
-    /// the reader.
+    /// the reader. The mark is a hint: it is disregarded where no endpoint would
+    /// be left in rotation, while the configuration's mark always holds.
     pub fn on_report(&mut self, now: Time, endpoint: &Name, report: Report) -> Vec<HealthAction> {
         let mut actions = Vec::new();
         let Some(&position) = self.positions.get(endpoint) else { return actions };
-        let drain = &mut self.endpoints[position].drain;
-        match drain {
-            _ if report.draining => *drain = Some(Drain { said_at: now, denied_at: None }),
+        let state = &mut self.endpoints[position];
+        match &mut state.drain {
+            _ if report.draining => state.note_drain(now),
             Some(drain) => {
                 drain.denied_at.get_or_insert(now);
             }
@@ -356,7 +357,11 @@
         self.endpoints.iter().position(|endpoint| endpoint.id == id)
     }
 
+    /// Returns how many endpoints are in rotation with no report against them.
+    ///
+    /// Those whose report is disregarded are not counted: they have to go as
+    /// soon as they can, so the floor must not let any other go for them.
     fn rotation_len(&self) -> usize {
-        self.endpoints.iter().filter(|endpoint| endpoint.in_rotation()).count()
+        self.endpoints.iter().filter(|endpoint| endpoint.stays()).count()
     }
 }
--- a/crates/pistachiotrack-core/src/health/rotation.rs
+++ b/crates/pistachiotrack-core/src/health/rotation.rs
@@ -7,7 +7,7 @@
 use crate::{
     health::{
         EjectReason, Health, HealthAction, PathAnswer,
-        state::{Path, Phase},
+        state::{EndpointState, Path, Phase},
     },
     name::Name,
     time::Time,
@@ -238,9 +238,58 @@
     /// for them at once.
     pub(super) fn keep_floor(&mut self, now: Time, actions: &mut Vec<HealthAction>) {
         while self.rotation_len() < self.floor {
-            let Some(position) = self.least_sick_out() else { return };
+            let Some(position) = self.least_sick_out() else { break };
             self.recall(now, position, actions);
         }
+        self.overrule_drains(now, actions);
+    }
+
+    /// Keeps the rotation from running empty by reports alone.
+    ///
+    /// Reports lag or mislead. When all endpoints say at once that they leave,
+    /// callers would get nothing for up to a minute, so the ones that said so
+    /// longest ago get the work until any other endpoint can. Which ones is
+    /// settled once: each of their answers may repeat the report.
+    fn overrule_drains(&mut self, now: Time, actions: &mut Vec<HealthAction>) {
+        let is_empty = self.rotation_len() == 0;
+        for endpoint in &mut self.endpoints {
+            if !is_empty || !endpoint.is_fit() || endpoint.leaving {
+                endpoint.overrule_drain(false);
+            }
+        }
+        if !is_empty || self.endpoints.iter().any(EndpointState::in_rotation) {
+            return;
+        }
+        let fit = self.said_leaving_longest_ago(true);
+        if !fit.is_empty() {
+            return fit
+                .into_iter()
+                .for_each(|position| self.endpoints[position].overrule_drain(true));
+        }
+        if self.floor == 0 {
+            return;
+        }
+        for position in self.said_leaving_longest_ago(false) {
+            self.endpoints[position].overrule_drain(true);
+            self.recall(now, position, actions);
+        }
+    }
+
+    /// Returns the endpoints, fit for work or not, whose last report of leaving
+    /// is the oldest; only the configuration's marks are facts.
+    fn said_leaving_longest_ago(&self, fit: bool) -> Vec<usize> {
+        let said_at = |state: &EndpointState| {
+            state
+                .drain
+                .filter(|_| !state.leaving && state.is_fit() == fit)
+                .map(|drain| drain.said_at)
+        };
+        let Some(oldest) = self.endpoints.iter().filter_map(said_at).min() else {
+            return Vec::new();
+        };
+        (0..self.endpoints.len())
+            .filter(|&position| said_at(&self.endpoints[position]) == Some(oldest))
+            .collect()
     }
 
     fn least_sick_out(&self) -> Option<usize> {
--- a/crates/pistachiotrack-core/src/health/schedule.rs
+++ b/crates/pistachiotrack-core/src/health/schedule.rs
@@ -103,19 +103,22 @@
     }
 
     /// Ends a drain that the endpoint has taken back, or that it has not
-    /// confirmed for long: its reports may mislead.
+    /// confirmed for long: its reports may mislead. One that got work all the
+    /// same has nothing to prove and goes on.
     fn end_drain(&mut self, now: Time, position: usize) {
         let state = &mut self.endpoints[position];
         let Some(drain) = state.drain else { return };
         let age = now.since(drain.said_at);
         if drain.denied_at.is_some() && age >= DRAIN_MIN {
             state.drain = None;
-            if state.phase == Phase::InRotation {
+            if state.phase == Phase::InRotation && !drain.overruled {
                 state.phase = Phase::SlowStart { since: now };
             }
         } else if drain.denied_at.is_none() && age >= DRAIN_FORGET {
             state.drain = None;
-            state.phase = Phase::Trial { since: now, good: 0 };
+            if !drain.overruled {
+                state.phase = Phase::Trial { since: now, good: 0 };
+            }
         }
     }
 
@@ -127,7 +130,7 @@
         }
         let since_probe = now.since(state.last_probe);
         let idle = now.since(state.last_dispatch);
-        let is_due = if state.drain.is_some() {
+        let is_due = if state.is_draining() {
             since_probe >= SLOW_PROBE_GAP
         } else if matches!(state.phase, Phase::Trial { .. }) {
             since_probe >= SLOW_PROBE_GAP && idle >= SLOW_PROBE_GAP
--- a/crates/pistachiotrack-core/src/health/state.rs
+++ b/crates/pistachiotrack-core/src/health/state.rs
@@ -55,6 +55,8 @@
     pub(super) said_at: Time,
     /// It last said that it isn't then, after having said that it is.
     pub(super) denied_at: Option<Time>,
+    /// Whether it gets work all the same, for want of any other endpoint.
+    pub(super) overruled: bool,
 }
 
 /// An attempt that has not ended.
@@ -129,7 +131,20 @@
     }
 
     pub(super) fn is_draining(&self) -> bool {
-        self.leaving || self.drain.is_some()
+        self.leaving || self.drain.is_some_and(|drain| !drain.overruled)
+    }
+
+    /// Takes a report that the endpoint is leaving.
+    pub(super) fn note_drain(&mut self, now: Time) {
+        let overruled = self.drain.is_some_and(|drain| drain.overruled);
+        self.drain = Some(Drain { said_at: now, denied_at: None, overruled });
+    }
+
+    /// Sets whether the endpoint gets work although it said that it is leaving.
+    pub(super) fn overrule_drain(&mut self, overruled: bool) {
+        if let Some(drain) = &mut self.drain {
+            drain.overruled = overruled;
+        }
     }
 
     /// Takes whether the configuration marks the endpoint as leaving.
@@ -141,11 +156,20 @@
         }
     }
 
-    /// Returns whether the endpoint counts for the floor.
+    /// Returns whether the endpoint gets a share of the work.
     pub(super) fn in_rotation(&self) -> bool {
-        let gets_work =
-            matches!(self.phase, Phase::InRotation | Phase::Held | Phase::SlowStart { .. });
-        gets_work && !self.is_draining()
+        self.is_fit() && !self.is_draining()
+    }
+
+    /// Returns whether the endpoint may get work, leaving or not.
+    pub(super) fn is_fit(&self) -> bool {
+        matches!(self.phase, Phase::InRotation | Phase::Held | Phase::SlowStart { .. })
+    }
+
+    /// Returns whether the endpoint counts for the floor: it is in rotation, and
+    /// not just for want of others.
+    pub(super) fn stays(&self) -> bool {
+        self.is_fit() && !self.leaving && self.drain.is_none()
     }
 
     pub(super) fn standing(&self, threshold: f64) -> Standing {
--- a/crates/pistachiotrack-core/tests/health_recovery.rs
+++ b/crates/pistachiotrack-core/tests/health_recovery.rs
@@ -147,6 +147,52 @@
     assert_eq!(world.dispatched[1], before);
 }
 
+/// A rollout tool marks all endpoints of a service as draining within a second,
+/// and none of them goes. Callers would get nothing for up to a minute. The one
+/// whose word is the oldest goes on, though each answer repeats it, until another
+/// one takes its word back; what the configuration says holds even then.
+#[test]
+fn the_last_endpoints_serve_although_all_say_that_they_leave() {
+    let mut world = warm_world(6, 3, 0.9);
+    let leaving = Report { in_flight: None, draining: true };
+    for endpoint in [3, 1, 0, 2, 5, 4] {
+        let name = world.names[endpoint].clone();
+        world.health.on_report(world.now, &name, leaving);
+        world.run(100, |_| Reply::GOOD);
+    }
+    let standings =
+        |world: &World| (0..6).map(|endpoint| world.standing(endpoint)).collect::<Vec<_>>();
+    let mut expected = vec![Standing::Draining; 6];
+    expected[3] = Standing::Healthy;
+    assert_eq!(standings(&world), expected);
+    let name = world.names[3].clone();
+    for _ in 0..30 {
+        let before = world.dispatched.clone();
+        world.health.on_report(world.now, &name, leaving);
+        world.run(1_000, |_| Reply::GOOD);
+        assert_eq!(standings(&world), expected);
+        assert!(world.dispatched[3] > before[3]);
+        assert_eq!(world.dispatched.iter().sum::<u64>() - world.dispatched[3], {
+            before.iter().sum::<u64>() - before[3]
+        });
+    }
+
+    let back = world.names[0].clone();
+    world.health.on_report(world.now, &back, Report::default());
+    world.run(20, |_| Reply::GOOD);
+    assert_eq!(world.standing(0), Standing::SlowStart);
+    assert_eq!(world.standing(3), Standing::Draining);
+
+    let mut configured = candidates(6);
+    configured[0].leaving = true;
+    configured[1].leaving = true;
+    world.health.on_config(world.now, &configured, 3);
+    assert_eq!(world.standing(0), Standing::Draining);
+    assert_eq!(world.standing(1), Standing::Draining);
+    assert_eq!(world.standing(2), Standing::Healthy);
+    assert_eq!(world.ejections(), []);
+}
+
 /// An endpoint says that it is leaving and stays. Its report was wrong, or the
 /// stop was called off; the capacity must come back.
 #[test]
