Use core's index of the configuration and its shared rules

Cause: the daemon kept an index of the services of its own and a second copy of all rules. Change: ActiveConfig holds an IndexedConfig and RuleSet::of_config.

--- a/crates/pistachiotrackd/src/view.rs
+++ b/crates/pistachiotrackd/src/view.rs
@@ -4,15 +4,12 @@
 use std::sync::Arc;
 
 use pistachiotrack_core::{
-    config::Config,
+    config::{Config, IndexedConfig},
     membership::{Member, MemberState},
-    name::Name,
     ownership::Ownership,
     rule::RuleSet,
     service::Service,
 };
-use rustc_hash::FxHashMap;
-
 /// What requests need of the configuration in force.
 #[derive(Debug)]
 pub(crate) struct ActiveConfig {
@@ -20,21 +17,20 @@
     pub(crate) config: Arc<Config>,
     /// Its rules, ready to decide.
     pub(crate) rules: RuleSet,
-    service_index: FxHashMap<Name, usize>,
+    index: IndexedConfig,
 }
 
 impl ActiveConfig {
     /// Prepares a configuration.
     pub(crate) fn new(config: Arc<Config>) -> ActiveConfig {
-        let rules = RuleSet::new(&config.rules);
-        let names = config.services.iter().map(|service| service.name.clone());
-        let service_index = names.enumerate().map(|(index, name)| (name, index)).collect();
-        ActiveConfig { config, rules, service_index }
+        let rules = RuleSet::of_config(Arc::clone(&config));
+        let index = IndexedConfig::new(Arc::clone(&config));
+        ActiveConfig { config, rules, index }
     }
 
     /// Returns a service by name.
     pub(crate) fn service(&self, name: &str) -> Option<&Service> {
-        self.service_index.get(name).map(|index| &self.config.services[*index])
+        self.index.service(name)
     }
 }
 
