Answer 404 to questions about unknown services

Cause: the service of a question about entries was not unescaped, an unknown one was answered with VMs that serve nothing, and the customer was not used. Change: unescape the service, answer 404 with a JSON error where there is none, and choose alternates by customer with steering::entries_for. Result: test an_unknown_service_has_no_entries.

--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -14,6 +14,9 @@
 
 use crate::{body::AnswerBody, headers};
 
+/// Time after which a caller may ask a VM again that has no configuration yet.
+const NO_CONFIG_RETRY_MS: u64 = 1_000;
+
 /// Returns the answer that tells a caller of a refusal.
 pub(crate) fn refusal(refusal: Refusal) -> Response<AnswerBody> {
     refusal_with_status(status(refusal.reason), refusal)
@@ -39,6 +42,15 @@
     refusal(Refusal { execution: Execution::NotRun, reason, retry_after_ms: None })
 }
 
+/// Returns the refusal of a VM that has no configuration yet.
+pub(crate) fn no_config() -> Response<AnswerBody> {
+    refusal(Refusal {
+        execution: Execution::NotRun,
+        reason: Reason::NoConfig,
+        retry_after_ms: Some(NO_CONFIG_RETRY_MS),
+    })
+}
+
 /// Returns an answer that was kept for duplicates.
 pub(crate) fn replay(stored: &StoredAnswer) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(Bytes::from(stored.body.clone())));
--- /dev/null
+++ b/crates/pistachiotrackd/src/entries.rs
@@ -0,0 +1,51 @@
+//! Answers callers that ask which addresses to use.
+
+use hyper::{Response, StatusCode, http::request::Parts};
+use percent_encoding::percent_decode_str;
+use pistachiotrack_core::{
+    header,
+    steering::{self, EntryQuestion},
+};
+use serde::Serialize;
+
+use crate::{answer, body::AnswerBody, context::Context, headers};
+
+/// Name of the query's field that holds the service.
+const SERVICE: &str = "service";
+
+/// What a caller is told that asks for a service which does not exist.
+#[derive(Debug, Serialize)]
+struct UnknownService {
+    error: String,
+}
+
+/// Returns the addresses for the service and customer that the caller names.
+pub(crate) fn answer(context: &Context, parts: &Parts) -> Response<AnswerBody> {
+    let view = context.view();
+    let Some(active) = &view.active else { return answer::no_config() };
+    let service = service(parts.uri.query().unwrap_or_default());
+    if active.service(&service).is_none() {
+        let error = match service.as_str() {
+            "" => format!("{SERVICE} is missing: ask {}?{SERVICE}=NAME", header::ENTRIES_PATH),
+            name => format!("{SERVICE} {name:?} is not in the configuration"),
+        };
+        let mut response = answer::json(&UnknownService { error });
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    let question = EntryQuestion {
+        config: &active.config,
+        ownership: &view.ownership,
+        me: &context.me,
+        service: &service,
+        customer: headers::text(&parts.headers, header::CUSTOMER).unwrap_or_default(),
+    };
+    answer::json(&steering::entries_for(question, view.members.iter()))
+}
+
+/// Returns the service that a query names; empty if it names none.
+fn service(query: &str) -> String {
+    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    let value = fields.into_iter().find_map(|(name, value)| (name == SERVICE).then_some(value));
+    percent_decode_str(value.unwrap_or_default()).decode_utf8_lossy().into_owned()
+}
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -15,6 +15,7 @@
 mod context;
 pub mod daemon;
 mod exchange;
+mod entries;
 mod fleet;
 mod forward;
 mod forwarded_route;
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -12,7 +12,6 @@
     rule::{Refuse, Route, RuleAction, Subject},
     service::Service,
     shard::ShardMode,
-    steering,
     time::Time,
 };
 
@@ -21,6 +20,7 @@
     body::AnswerBody,
     context::Context,
     forward::{self, ForwardError},
+    entries,
     forwarded_route::ForwardedRoute,
     headers,
     inbound::{Inbound, caller_deadline, origin_form},
@@ -32,8 +32,6 @@
 
 /// Start of the paths that the daemon answers by itself.
 const OWN_PATHS: &str = "/pistachiotrack/";
-/// Time after which a caller may ask a VM again that has no configuration yet.
-const NO_CONFIG_RETRY_MS: u64 = 1_000;
 /// Most characters of a customer's name.
 const MAX_CUSTOMER_CHARS: usize = 256;
 
@@ -43,7 +41,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     if request.uri().path() == header::ENTRIES_PATH {
-        return Ok(entries(&context, request.uri().query()));
+        return Ok(entries::answer(&context, &request.into_parts().0));
     }
     if request.uri().path().starts_with(OWN_PATHS) {
         return Ok(answer::plain(StatusCode::NOT_FOUND));
@@ -97,27 +95,6 @@
     context.metrics.count(event);
 }
 
-fn entries(context: &Context, query: Option<&str>) -> Response<AnswerBody> {
-    let view = context.view();
-    let Some(active) = &view.active else { return no_config() };
-    let service = query
-        .into_iter()
-        .flat_map(|query| query.split('&'))
-        .find_map(|pair| pair.strip_prefix("service="))
-        .unwrap_or_default();
-    let members = view.members.iter();
-    let entries = steering::entries(&active.config, &view.ownership, &context.me, members, service);
-    answer::json(&entries)
-}
-
-fn no_config() -> Response<AnswerBody> {
-    answer::refusal(Refusal {
-        execution: Execution::NotRun,
-        reason: Reason::NoConfig,
-        retry_after_ms: Some(NO_CONFIG_RETRY_MS),
-    })
-}
-
 type Refused = Box<Response<AnswerBody>>;
 
 /// Takes in a caller's request and decides where it goes.
@@ -128,7 +105,7 @@
 ) -> Result<Inbound, Refused> {
     let (mut parts, body) = request.into_parts();
     let view = context.view();
-    let Some(active) = &view.active else { return Err(Box::new(no_config())) };
+    let Some(active) = &view.active else { return Err(Box::new(answer::no_config())) };
     headers::strip_from_caller(&mut parts.headers);
     let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
     let deadline = caller_deadline(&parts.headers, received).map_err(|_| bad_request())?;
@@ -358,7 +335,7 @@
     let shard = {
         let view = context.view();
         let Some(active) = &view.active else {
-            return Served { response: no_config(), endpoint_time: None };
+            return Served { response: answer::no_config(), endpoint_time: None };
         };
         let owner = view.ownership.owner(&inbound.route.shard);
         let mode = match owner.is_some_and(|owner| owner.name == context.me.name) {
--- a/crates/pistachiotrackd/tests/serve.rs
+++ b/crates/pistachiotrackd/tests/serve.rs
@@ -56,3 +56,21 @@
     assert_eq!(client::field(&refused, header::RETRY_AFTER_MS), Some("250"));
     assert!(search.received().is_empty());
 }
+
+/// A caller that mistypes a service gets addresses that serve nothing. The
+/// answer names other VMs' addresses although no VM owns such a service.
+#[tokio::test]
+async fn an_unknown_service_has_no_entries() {
+    let search = Endpoint::answering("").await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    for (query, named) in [("?service=slot%20search", "slot search"), ("", "missing")] {
+        let path = format!("{}{query}", header::ENTRIES_PATH);
+        let answer = client::send(deployment.address(), client::get(&path)).await.unwrap();
+        assert_eq!(answer.status(), 404);
+        let body: serde_json::Value = serde_json::from_slice(answer.body()).unwrap();
+        assert!(body["error"].as_str().unwrap().contains(named), "{body}");
+    }
+    let escaped = format!("{}?x=1&service=slot%2Dsearch", header::ENTRIES_PATH);
+    let answer = client::admin(deployment.address(), &escaped).await;
+    assert_eq!(answer["entries"][0]["address"], deployment.address().to_string());
+}
