Take the connection budget of the endpoint dispatched to

Cause: the budget of a service's first endpoint counted for all of them. Change: look the endpoint up by the dispatch's name. Result: test each_endpoint_has_a_connection_budget_of_its_own.

--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -64,7 +64,6 @@
         return Served::refused(not_run(Reason::NoEndpoint));
     }
     let task = RequestTask {
-        budget: connection_budget(context, &inbound),
         context: Arc::clone(context),
         shard,
         inbound: Arc::new(inbound),
@@ -79,13 +78,13 @@
 
 /// Returns how many connections this VM may have open to an endpoint: its part
 /// of what the endpoint accepts, but enough for the endpoint's slots.
-fn connection_budget(context: &Context, inbound: &Inbound) -> u32 {
+fn connection_budget(context: &Context, service: &str, endpoint: &str) -> u32 {
     let view = context.view();
     let endpoint = view
         .active
         .as_ref()
-        .and_then(|active| active.service(&inbound.route.shard.service))
-        .and_then(|service| service.endpoints.first());
+        .and_then(|active| active.service(service))
+        .and_then(|service| service.endpoints.iter().find(|one| one.name.as_str() == endpoint));
     let Some(endpoint) = endpoint else { return MIN_CONNECTION_BUDGET };
     (endpoint.connections / view.live_vms()).max(endpoint.slots).max(MIN_CONNECTION_BUDGET)
 }
@@ -100,7 +99,6 @@
 /// Dropping it ends all its attempts by closing their connections and tells the
 /// shard, which is what happens when the caller goes away.
 struct RequestTask {
-    budget: u32,
     context: Arc<Context>,
     shard: ActorRef<ShardActor>,
     inbound: Arc<Inbound>,
@@ -184,7 +182,9 @@
         self.context.metrics.count(Event::Dispatch);
         let context = Arc::clone(&self.context);
         let inbound = Arc::clone(&self.inbound);
-        let running = attempt::run(context, inbound, dispatch, self.budget);
+        let service = &inbound.route.shard.service;
+        let budget = connection_budget(&context, service, &dispatch.endpoint);
+        let running = attempt::run(context, inbound, dispatch, budget);
         self.running.push((attempt, Box::pin(running)));
         None
     }
--- a/crates/pistachiotrackd/tests/limits.rs
+++ b/crates/pistachiotrackd/tests/limits.rs
@@ -129,3 +129,46 @@
     })
     .await;
 }
+
+/// An endpoint's slots stay unused while requests wait. The first endpoint of
+/// its service takes few connections, and the VM goes by that one's number for
+/// both.
+#[tokio::test]
+async fn each_endpoint_has_a_connection_budget_of_its_own() {
+    let (release, released) = tokio::sync::watch::channel(false);
+    let held = || {
+        let released = released.clone();
+        Endpoint::start(move |_| {
+            let mut released = released.clone();
+            async move {
+                released.wait_for(|released| *released).await.unwrap();
+                hyper::Response::new(http_body_util::Full::from("free"))
+            }
+        })
+    };
+    let (few, many) = (held().await, held().await);
+    let deployment = Deployment::start(&[few.address, many.address], &[]).await;
+    let mut config = testenv::config(2, &[few.address, many.address], &[]);
+    let endpoints = &mut config["services"][0]["endpoints"];
+    endpoints[0]["slots"] = json!(2);
+    endpoints[0]["connections"] = json!(2);
+    endpoints[1]["slots"] = json!(8);
+    config["customers"][0]["contracts"][0]["slots"] = json!(10);
+    deployment.platform.publish_config(config);
+    client::wait_for(deployment.daemon.admin_address(), "/status", |status| {
+        status["config_version"] == 2
+    })
+    .await;
+    let address = deployment.address();
+    let lookups: Vec<_> =
+        (0..10).map(|_| tokio::spawn(client::send(address, client::get("/slots")))).collect();
+    let start = std::time::Instant::now();
+    while many.received().len() < 4 {
+        assert!(start.elapsed() < client::HANG_LIMIT, "{} requests", many.received().len());
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    release.send_replace(true);
+    for lookup in lookups {
+        assert_eq!(lookup.await.unwrap().unwrap().body(), "free");
+    }
+}
