Bound every wait of the daemon's tests

Cause: a request, a body or a daemon's end that never came held a test up for good. Change: the fakes of callers, endpoints and processes wait HANG_LIMIT at most.

--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -137,9 +137,7 @@
     let mut pair = Pair::start(&search, &booking).await;
     let (owner, entry) = pair.owner("booking").await;
     let caller = tokio::spawn(client::send(pair.vms[entry].caller_address, book()));
-    while booking.received().is_empty() {
-        tokio::task::yield_now().await;
-    }
+    booking.wait_received(1).await;
     pair.vms[owner].kill().await;
     let refused = caller.await.unwrap().unwrap();
     assert_eq!(client::field(&refused, header::OUTCOME), Some("unknown"));
@@ -155,9 +153,7 @@
     let mut pair = Pair::start(&search, &booking).await;
     let (owner, entry) = pair.owner("slot-search").await;
     let caller = tokio::spawn(client::send(pair.vms[entry].caller_address, client::get("/slots")));
-    while search.received().is_empty() {
-        tokio::task::yield_now().await;
-    }
+    search.wait_received(1).await;
     pair.vms[owner].kill().await;
     release.send_replace(true);
     assert_eq!(caller.await.unwrap().unwrap().body(), "done");
@@ -188,9 +184,7 @@
     let mut pair = Pair::start(&search, &booking).await;
     let (owner, _) = pair.owner("booking").await;
     let caller = tokio::spawn(client::send(pair.vms[owner].caller_address, book()));
-    while booking.received().is_empty() {
-        tokio::task::yield_now().await;
-    }
+    booking.wait_received(1).await;
     pair.vms[owner].signal("TERM").await;
     let address = pair.vms[owner].caller_address;
     while tokio::net::TcpStream::connect(address).await.is_ok() {
@@ -200,3 +194,5 @@
     assert_eq!(caller.await.unwrap().unwrap().body(), "done");
     assert_eq!(pair.vms[owner].exit_code().await, Some(0));
 }
+    let start = std::time::Instant::now();
+        assert!(start.elapsed() < client::HANG_LIMIT, "{address} still accepts");
--- a/crates/pistachiotrackd/tests/repeat.rs
+++ b/crates/pistachiotrackd/tests/repeat.rs
@@ -176,9 +176,7 @@
     let book = || client::request(Method::POST, "/bookings", "slot 7");
     let running: Vec<_> =
         (0..2).map(|_| tokio::spawn(client::send(vm.caller_address, book()))).collect();
-    while booking.received().len() < 2 {
-        tokio::task::yield_now().await;
-    }
+    booking.wait_received(2).await;
     let late = client::with(book(), header::DEADLINE_MS, "300");
     let waiting = tokio::spawn(client::send(vm.caller_address, late));
     client::wait_for(vm.admin_address, "/status", |status| {
--- a/crates/pistachiotrackd/tests/testenv/client.rs
+++ b/crates/pistachiotrackd/tests/testenv/client.rs
@@ -68,8 +68,11 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
-        self.sender.ready().await?;
-        self.sender.send_request(request).await
+        let answer = async {
+            self.sender.ready().await?;
+            self.sender.send_request(request).await
+        };
+        tokio::time::timeout(HANG_LIMIT, answer).await.expect("an answer begins")
     }
 
     /// Sends a request and returns the whole answer.
@@ -89,7 +92,8 @@
 /// Reads the rest of an answer.
 pub(crate) async fn whole(response: Response<Incoming>) -> hyper::Result<Response<Bytes>> {
     let (parts, body) = response.into_parts();
-    let body = body.collect().await?.to_bytes();
+    let body = tokio::time::timeout(HANG_LIMIT, body.collect()).await.expect("a body ends");
+    let body = body?.to_bytes();
     Ok(Response::from_parts(parts, body))
 }
 
--- a/crates/pistachiotrackd/tests/testenv/endpoint.rs
+++ b/crates/pistachiotrackd/tests/testenv/endpoint.rs
@@ -97,6 +97,16 @@
         self.received.lock().unwrap().clone()
     }
 
+    /// Waits until `count` requests have been received.
+    pub(crate) async fn wait_received(&self, count: usize) {
+        let start = std::time::Instant::now();
+        while self.received().len() < count {
+            let received = self.received().len();
+            assert!(start.elapsed() < HANG_LIMIT, "{received} of {count} requests came");
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Returns the number of connections accepted so far.
     pub(crate) fn connections(&self) -> u32 {
         self.connections.load(Ordering::SeqCst)
--- a/crates/pistachiotrackd/tests/testenv/process.rs
+++ b/crates/pistachiotrackd/tests/testenv/process.rs
@@ -8,6 +8,8 @@
     process::{Child, ChildStderr, Command},
 };
 
+use super::client::HANG_LIMIT;
+
 /// A daemon in a process of its own; killed when dropped.
 pub(crate) struct DaemonProcess {
     /// Address that callers connect to.
@@ -23,14 +25,26 @@
 impl DaemonProcess {
     /// Starts a daemon named `vm` that reads from `platform`.
     pub(crate) async fn start(vm: &str, platform: SocketAddr) -> DaemonProcess {
-        let settings = json!({
+        DaemonProcess::start_with(vm, platform, json!({})).await
+    }
+
+    /// Starts a daemon with settings of its own besides the usual ones.
+    pub(crate) async fn start_with(
+        vm: &str,
+        platform: SocketAddr,
+        further: Value,
+    ) -> DaemonProcess {
+        let mut settings = json!({
             "vm": vm, "data_centre": "oslo-1", "deployment": "timeliten",
             "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0",
             "admin_address": "127.0.0.1:0", "platform_address": platform, "entry_drain_ms": 0});
+        let further = further.as_object().unwrap().clone();
+        settings.as_object_mut().unwrap().extend(further);
         let mut child = spawn(&settings).await;
         let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
         let started = loop {
-            let line = log.next_line().await.unwrap().expect("the daemon starts");
+            let line = tokio::time::timeout(HANG_LIMIT, log.next_line()).await;
+            let line = line.expect("the daemon logs").unwrap().expect("the daemon starts");
             if line.contains("event=started") {
                 break line;
             }
@@ -63,7 +77,8 @@
 
     /// Waits for the daemon's end and returns its exit code.
     pub(crate) async fn exit_code(&mut self) -> Option<i32> {
-        self.child.wait().await.unwrap().code()
+        let ended = tokio::time::timeout(HANG_LIMIT, self.child.wait()).await;
+        ended.expect("the daemon ends").unwrap().code()
     }
 }
 
