--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -16,6 +16,7 @@
 mod control_traffic;
 pub mod daemon;
 mod exchange;
+mod entries;
 mod fleet;
 mod forward;
 mod forwarded_route;
