Skip young work in the ticks of the health decisions

Cause: each tick scanned a ring of 256 latencies for each request in flight, though most are younger than the usual latency and so no evidence. Change: the ring keeps its lowest fifth next to its upper quantile, both worked out in one pass; younger work is skipped. An endpoint that gave more than about half of the ring may get less evidence from young work than before, never more.

--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -380,6 +380,10 @@
     /// Returns the evidence of an attempt that has not been answered, if any.
     fn age_score(&self, now: Time, position: usize, flight: &Flight) -> Option<f64> {
         let age = now.since(flight.started);
+        let tolerance = self.endpoints[position].tolerance();
+        if age < AGE_WITHOUT_PEERS && self.reference.is_usual(flight.class, age, tolerance) {
+            return None;
+        }
         let score = match self.tail(position, flight, age) {
             Some(tail) => evidence::latency_score(tail),
             None if age >= AGE_WITHOUT_PEERS => OBSERVATION_CAP,
--- a/crates/pistachiotrack-core/src/health/reference.rs
+++ b/crates/pistachiotrack-core/src/health/reference.rs
@@ -12,6 +12,9 @@
 const QUANTILE_EVERY: usize = 16;
 /// Quantile beyond which the tail is extrapolated as a power law.
 const QUANTILE: f64 = 0.95;
+/// Quantile below which a latency is no evidence whatever the endpoint's own
+/// part of the answers is, up to half: most of its peers took longer.
+const USUAL_QUANTILE: f64 = 0.2;
 /// Exponent of the extrapolated tail.
 const TAIL_EXPONENT: f64 = 2.0;
 /// Answers of the shard that the failure rate reaches back over.
@@ -30,6 +33,7 @@
     entries: Vec<Entry>,
     next: usize,
     high_log_latency: f32,
+    usual_log_latency: Option<f32>,
 }
 
 impl Ring {
@@ -41,10 +45,20 @@
         }
         self.next = (self.next + 1) % RING_LEN;
         if self.next.is_multiple_of(QUANTILE_EVERY) || self.entries.len() < RING_LEN / 2 {
-            self.high_log_latency = quantile(&self.entries, QUANTILE);
+            self.note_quantiles();
         }
     }
 
+    fn note_quantiles(&mut self) {
+        let mut latencies: Vec<f32> = self.entries.iter().map(|entry| entry.log_latency).collect();
+        let index = |quantile: f64| ((latencies.len() - 1) as f64 * quantile) as usize;
+        let (usual, high) = (index(USUAL_QUANTILE), index(QUANTILE));
+        let (below, high, _) = latencies.select_nth_unstable_by(high, f32::total_cmp);
+        self.high_log_latency = *high;
+        self.usual_log_latency =
+            (usual < below.len()).then(|| *below.select_nth_unstable_by(usual, f32::total_cmp).1);
+    }
+
     fn tail(&self, endpoint: u32, log_latency: f32) -> Option<f64> {
         let (mut peers, mut above) = (0_usize, 0_usize);
         for entry in &self.entries {
@@ -64,13 +78,6 @@
     }
 }
 
-fn quantile(entries: &[Entry], quantile: f64) -> f32 {
-    let mut latencies: Vec<f32> = entries.iter().map(|entry| entry.log_latency).collect();
-    let index = ((latencies.len() - 1) as f64 * quantile) as usize;
-    let (_, value, _) = latencies.select_nth_unstable_by(index, f32::total_cmp);
-    *value
-}
-
 /// Answers and failures, the old ones fading with each new answer of the shard.
 ///
 /// Fading by answers and not by time lets a fault of the whole service become
@@ -134,6 +141,13 @@
         self.rings[class as usize].tail(endpoint, log_latency)
     }
 
+    /// Returns whether so short a latency is no evidence, without the scan that
+    /// [`Reference::tail`] does.
+    pub(super) fn is_usual(&self, class: Class, latency: Duration, tolerance: f64) -> bool {
+        let log_latency = log_micros(latency) - tolerance.ln() as f32;
+        self.rings[class as usize].usual_log_latency.is_some_and(|usual| log_latency < usual)
+    }
+
     /// Returns the failure rate of the endpoint's peers.
     pub(super) fn peer_failure_rate(&self, own: &Tally) -> f64 {
         let own = own.faded(self.total.faded_at);
