Work through another VM where only the own path is broken

Cause: an owner that alone could not reach an endpoint gave it no work. A cut between the owner and a data centre idled a third of the healthy slots, and could take a service below its floor. Change: the VM that answered that it reaches the endpoint becomes its witness. Dispatch names it in `via`; the owner sends the request to the witness's peer address, which sends it straight to the endpoint and says in the answer how its part ended. The endpoint keeps its share and is judged by the witness's word alone. The path is tried again with a backoff. An endpoint that could not be connected to is asked about also after its ejection, since a silent path looks like a hung endpoint.

--- a/crates/pistachiotrack-core/src/header.rs
+++ b/crates/pistachiotrack-core/src/header.rs
@@ -27,6 +27,11 @@
 pub const HOP: &str = "pistachiotrack-hop";
 /// Between VMs: rule decision of the entry VM, so that it is taken once.
 pub const ROUTE: &str = "pistachiotrack-route";
+/// Between VMs: has the receiver send the request to an endpoint that the
+/// sender can't reach.
+pub const VIA: &str = "pistachiotrack-via";
+/// Between VMs: how a request that went through the receiver ended.
+pub const VIA_END: &str = "pistachiotrack-via-end";
 /// Towards endpoints and between VMs: identity of the request.
 pub const REQUEST_ID: &str = "pistachiotrack-request-id";
 /// From endpoints: requests being worked on.
--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -24,6 +24,7 @@
 mod rotation;
 mod schedule;
 mod state;
+mod via;
 
 use reference::Reference;
 use state::{Drain, EndpointState, Flight, Phase};
@@ -131,6 +132,16 @@
         /// The endpoint.
         endpoint: Name,
     },
+    /// Only this VM can't reach an endpoint, and its work goes through another.
+    PathBroken {
+        /// The endpoint.
+        endpoint: Name,
+    },
+    /// Work goes directly to an endpoint again.
+    PathWorks {
+        /// The endpoint.
+        endpoint: Name,
+    },
     /// Asks VMs elsewhere whether they reach the endpoint.
     CheckPath {
         /// The endpoint.
@@ -290,7 +301,8 @@
     /// Returns the share of its slots that an endpoint may use now, 0 to 1.
     ///
     /// An endpoint under trial has a tiny share that stands for one request at
-    /// a time. One that this VM alone can't reach has none.
+    /// a time. One that this VM alone can't reach has none, unless its work goes
+    /// through a witness.
     pub fn share(&self, now: Time, endpoint: &str) -> f64 {
         let Some(state) = self.state(endpoint) else { return 0.0 };
         if state.is_draining() {
@@ -310,7 +322,9 @@
     /// Returns whether only this VM can't reach the endpoint: it is not sick,
     /// and its work goes through another VM.
     pub fn unreachable_from_here(&self, endpoint: &str) -> bool {
-        self.state(endpoint).is_some_and(|state| matches!(state.phase, Phase::PathBroken { .. }))
+        self.state(endpoint).is_some_and(|state| {
+            state.via.is_some() || matches!(state.phase, Phase::PathBroken { .. })
+        })
     }
 
     /// Returns whether the next request to an endpoint should go on a new
--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -51,6 +51,7 @@
             started: now,
             fresh: kind == AttemptKind::Probe,
             tainted: false,
+            via: false,
             answered: false,
             counted: false,
         };
@@ -91,12 +92,30 @@
         let evidence = &mut self.endpoints[position].evidence;
         evidence.slow_in_flight = 0.0;
         evidence.doubt_in_flight = 0.0;
+        if self.endpoints[position].via.is_some() && !flight.via {
+            if flight.kind == AttemptKind::Probe {
+                self.on_retest(now, position, outcome, &mut actions);
+                return actions;
+            }
+            if !matches!(outcome, Outcome::Answered { .. }) {
+                return actions;
+            }
+        }
 
+        let cant_connect = outcome == Outcome::ConnectFailed && !flight.tainted;
         match self.endpoints[position].phase {
-            Phase::Ejected { .. } => return actions,
+            Phase::Ejected { .. } => {
+                if cant_connect {
+                    self.ask_when_out(now, position, &mut actions);
+                }
+                return actions;
+            }
             Phase::Trial { since, .. } if flight.started < since => return actions,
             Phase::Trial { .. } | Phase::PathBroken { .. } => {
                 self.observe_trial(now, position, &flight, outcome, &mut actions);
+                if cant_connect {
+                    self.ask_when_out(now, position, &mut actions);
+                }
             }
             Phase::InRotation | Phase::Held | Phase::SlowStart { .. } => {
                 self.observe(now, position, &flight, outcome);
@@ -163,7 +182,7 @@
             Outcome::TimedOut { .. } | Outcome::Cancelled => {
                 self.observe_unanswered(now, position, flight);
             }
-            Outcome::NotSent => {}
+            Outcome::NotSent | Outcome::WitnessFailed { .. } => {}
         }
     }
 
@@ -196,7 +215,7 @@
         state.evidence.note_sickness(tail.map_or(0.0, latency_badness));
         let was_cold = state.is_cold();
         state.note_latency(reference::log_micros(latency));
-        if is_reference && !was_cold {
+        if is_reference && !was_cold && !flight.via {
             self.reference.add_latency(flight.class, flight.endpoint, latency);
         }
     }
@@ -275,7 +294,10 @@
             Outcome::ConnectFailed | Outcome::Broken { .. } | Outcome::TimedOut { .. } => {
                 self.fail_trial(now, position, actions);
             }
-            Outcome::Shed | Outcome::NotSent | Outcome::Cancelled => {}
+            Outcome::Shed
+            | Outcome::NotSent
+            | Outcome::Cancelled
+            | Outcome::WitnessFailed { .. } => {}
         }
     }
 
@@ -286,7 +308,8 @@
         let mut in_flight = vec![0_usize; self.endpoints.len()];
         for (&attempt, flight) in &self.flights {
             let Some(position) = self.position_of(flight.endpoint) else { continue };
-            if flight.answered || flight.tainted {
+            let shows_nothing = flight.via || self.endpoints[position].via.is_some();
+            if flight.answered || flight.tainted || shows_nothing {
                 continue;
             }
             if flight.kind == AttemptKind::Probe {
@@ -361,7 +384,7 @@
                 let Phase::Trial { since, .. } = state.phase else { return false };
                 let hung = |flight: &Flight| {
                     let is_trial = flight.endpoint == state.id && flight.started >= since;
-                    let is_open = !flight.answered && !flight.tainted;
+                    let is_open = !flight.answered && !flight.tainted && !flight.via;
                     is_trial
                         && is_open
                         && flight.kind != AttemptKind::Probe
--- a/crates/pistachiotrack-core/src/health/rotation.rs
+++ b/crates/pistachiotrack-core/src/health/rotation.rs
@@ -23,7 +23,7 @@
 /// Good trials that readmit an endpoint.
 const TRIALS: u32 = 3;
 /// Part of the threshold that a readmitted endpoint starts with.
-const READMITTED_PART: f64 = 0.3;
+pub(super) const READMITTED_PART: f64 = 0.3;
 /// The same for one that came back because of the floor.
 const RECALLED_PART: f64 = 0.75;
 /// Sickness by which an endpoint must be worse to take the place of one that
--- a/crates/pistachiotrack-core/src/health/schedule.rs
+++ b/crates/pistachiotrack-core/src/health/schedule.rs
@@ -46,6 +46,7 @@
             self.advance(now, position, &mut actions);
             self.end_drain(now, position);
             self.probe(now, position, &mut actions);
+            self.retest(now, position, &mut actions);
         }
         self.keep_floor(now, &mut actions);
         actions
@@ -122,7 +123,7 @@
     fn probe(&mut self, now: Time, position: usize, actions: &mut Vec<HealthAction>) {
         let threshold = self.threshold;
         let state = &mut self.endpoints[position];
-        if state.leaving {
+        if state.leaving || state.via.is_some() {
             return;
         }
         let since_probe = now.since(state.last_probe);
--- a/crates/pistachiotrack-core/src/health/state.rs
+++ b/crates/pistachiotrack-core/src/health/state.rs
@@ -9,7 +9,7 @@
     time::Time,
 };
 
-use super::{AttemptKind, Standing};
+use super::{AttemptKind, Standing, via::Via};
 
 /// Requests of a new endpoint that are judged leniently.
 const COLD_REQUESTS: u32 = 20;
@@ -68,6 +68,8 @@
     pub(super) fresh: bool,
     /// Whether it spans a pause of this process: its age shows nothing.
     pub(super) tainted: bool,
+    /// Whether it goes through a witness.
+    pub(super) via: bool,
     /// Whether its answer has begun.
     pub(super) answered: bool,
     /// Whether its hanging was counted already.
@@ -85,6 +87,8 @@
     pub(super) evidence: Evidence,
     pub(super) tally: Tally,
     pub(super) path: Path,
+    /// Only this VM can't reach it, and its work goes through another one.
+    pub(super) via: Option<Via>,
     pub(super) reason: Option<EjectReason>,
     pub(super) ejections: u32,
     /// Last ejection or forgiven ejection.
@@ -114,6 +118,7 @@
             evidence,
             tally: Tally::default(),
             path: Path::Unasked,
+            via: None,
             reason: None,
             ejections: 0,
             ejections_at: now,
--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -107,6 +107,12 @@
         /// Whether the connection was new.
         fresh_connection: bool,
     },
+    /// The witness that the request went through did not do its part, which
+    /// says nothing about the endpoint.
+    WitnessFailed {
+        /// Whether bytes may have been sent to the endpoint.
+        sent: bool,
+    },
     /// The attempt was cancelled by its owner or the caller.
     Cancelled,
 }
@@ -114,7 +120,13 @@
 impl Outcome {
     /// Returns whether it is certain that the endpoint did not run the request.
     pub fn certainly_not_run(self) -> bool {
-        matches!(self, Outcome::Shed | Outcome::ConnectFailed | Outcome::NotSent)
+        matches!(
+            self,
+            Outcome::Shed
+                | Outcome::ConnectFailed
+                | Outcome::NotSent
+                | Outcome::WitnessFailed { sent: false }
+        )
     }
 }
 
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -5,6 +5,7 @@
 mod flow;
 mod pool;
 mod state;
+mod via;
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
@@ -100,6 +101,8 @@
     expiry: BTreeSet<(Time, RequestId)>,
     /// Requests in flight by the moment at which a hedge is due.
     hedges: BTreeSet<(Time, RequestId)>,
+    /// VMs through which endpoints work that only this VM can't reach.
+    witnesses: FxHashMap<Name, Vec<Name>>,
     keys: KeyTable,
     budget: RetryBudget,
     latency: RecentLatency,
@@ -137,6 +140,7 @@
             attempts: FxHashMap::default(),
             expiry: BTreeSet::new(),
             hedges: BTreeSet::new(),
+            witnesses: FxHashMap::default(),
             keys: KeyTable::new(KeySettings::default()),
             budget: RetryBudget::new(now, BudgetSettings::default()),
             latency: RecentLatency::default(),
@@ -156,6 +160,7 @@
         let endpoints = service.map(|service| endpoints(service, &self.id)).unwrap_or_default();
         self.pool.set_endpoints(endpoints.iter().copied());
         self.set_service(config);
+        self.forget_witnesses();
         let floor = service.map_or(0, |service| shard_floor(service, endpoints.len()));
         let actions = self.health.on_config(now, &self.pool.candidates(), floor);
         self.on_health_actions(now, actions);
@@ -207,6 +212,7 @@
         }
         self.on_health_actions(now, actions);
         self.on_evidence(now, &of, outcome);
+        self.on_witness_outcome(now, &of, outcome);
         self.pool.refresh(now, &self.health);
         if let Outcome::Answered { status, .. } = outcome {
             if let Some(request) = of.request {
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -22,6 +22,8 @@
     pub endpoint: Name,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// VM through which it goes, as the endpoint can't be reached from here.
+    pub via: Option<Name>,
     /// What the connection must be like.
     pub connection: ConnectionChoice,
     /// Moment after which not even the first byte may be written.
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -92,7 +92,7 @@
             Outcome::Shed => Reason::QueueFull,
             Outcome::NotSent | Outcome::TimedOut { .. } if is_late => Reason::DeadlinePassed,
             Outcome::NotSent => Reason::Paused,
-            Outcome::ConnectFailed => Reason::NoEndpoint,
+            Outcome::ConnectFailed | Outcome::WitnessFailed { sent: false } => Reason::NoEndpoint,
             _ => Reason::AnswerLost,
         };
         let retry_after_ms = match execution {
@@ -127,7 +127,10 @@
     /// the caller.
     fn may_spend(&mut self, now: Time, kind: AttemptKind, outcome: Outcome) -> bool {
         let is_free = kind == AttemptKind::Trial
-            || matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
+            || matches!(
+                outcome,
+                Outcome::ConnectFailed | Outcome::NotSent | Outcome::WitnessFailed { sent: false }
+            );
         is_free || self.budget.take(now)
     }
 
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -199,6 +199,7 @@
     fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
         let attempt = self.next_attempt_id();
         let time_limit = self.time_limit(now, id, pick.standing);
+        let via = self.witness(&pick.name);
         let Some(live) = self.live.get_mut(&id) else { return };
         let kind =
             if pick.standing == Standing::Trial { AttemptKind::Trial } else { AttemptKind::Work };
@@ -222,6 +223,7 @@
                 request: Some(id),
                 customer: Some(live.request.customer.clone()),
                 endpoint: pick.name.clone(),
+                via: via.clone(),
                 kind,
                 dispatched_at: now,
                 time_limit,
@@ -233,6 +235,7 @@
             attempt,
             endpoint: pick.name.clone(),
             address: pick.address,
+            via: via.clone(),
             connection,
             not_after: live.not_after,
             time_limit,
@@ -242,6 +245,9 @@
         if connection == ConnectionChoice::Fresh {
             self.health.on_fresh_connection(attempt);
         }
+        if via.is_some() {
+            self.health.on_via(attempt);
+        }
     }
 
     /// Returns the moment at which an attempt is given up.
@@ -290,6 +296,7 @@
             request: None,
             customer: None,
             endpoint,
+            via: None,
             kind: AttemptKind::Probe,
             dispatched_at: now,
             time_limit,
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -67,6 +67,8 @@
     pub(super) request: Option<RequestId>,
     pub(super) customer: Option<Name>,
     pub(super) endpoint: Name,
+    /// VM through which it went.
+    pub(super) via: Option<Name>,
     pub(super) kind: AttemptKind,
     pub(super) dispatched_at: Time,
     pub(super) time_limit: Time,
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -115,6 +115,8 @@
     /// they have denied it since.
     pub(crate) draining: BTreeMap<Name, (Time, bool)>,
     pub(crate) probes: Vec<(AttemptId, Name)>,
+    /// Endpoints whose path was asked about and not answered yet.
+    pub(crate) path_checks: Vec<Name>,
     pub(crate) answers: BTreeMap<(Name, Name), StoredAnswer>,
     pub(crate) violations: Vec<String>,
     next_request: u64,
@@ -134,6 +136,7 @@
             attempts: BTreeMap::new(),
             draining: BTreeMap::new(),
             probes: Vec::new(),
+            path_checks: Vec::new(),
             answers: BTreeMap::new(),
             violations: Vec::new(),
             next_request: 1,
@@ -374,7 +377,8 @@
                 ShardAction::Probe { attempt, endpoint, .. } => {
                     self.probes.push((attempt, endpoint))
                 }
-                ShardAction::CheckPath { .. } | ShardAction::Health(_) => {}
+                ShardAction::CheckPath { endpoint, .. } => self.path_checks.push(endpoint),
+                ShardAction::Health(_) => {}
             }
         }
         self.check_floor();
--- a/crates/pistachiotrack-standins/src/experiment/detect/detector.rs
+++ b/crates/pistachiotrack-standins/src/experiment/detect/detector.rs
@@ -222,7 +222,10 @@
         let success = match outcome {
             Outcome::Answered { status, .. } => status < 500,
             Outcome::ConnectFailed | Outcome::Broken { .. } | Outcome::TimedOut { .. } => false,
-            Outcome::Shed | Outcome::NotSent | Outcome::Cancelled => return Vec::new(),
+            Outcome::Shed
+            | Outcome::NotSent
+            | Outcome::WitnessFailed { .. }
+            | Outcome::Cancelled => return Vec::new(),
         };
         counts.requests += 1;
         if success {
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -12,11 +12,12 @@
 };
 
 use crate::{
-    connection_pool::CheckoutError,
+    connection_pool::{CheckoutError, ConnectionPool},
     context::Context,
     exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
     headers,
     inbound::Inbound,
+    via,
 };
 
 /// Time for which the rest of a refusal's body is waited for.
@@ -33,6 +34,8 @@
     pub(crate) report: Report,
     /// The answer, if the outcome is that it began.
     pub(crate) answer: Option<Box<BegunAnswer>>,
+    /// Pool that the answer's connection belongs to.
+    pub(crate) pool: Arc<ConnectionPool>,
 }
 
 /// Sends the request of `inbound` as `dispatch` says.
@@ -42,34 +45,44 @@
     dispatch: Dispatch,
     budget: u32,
 ) -> AttemptEnd {
-    let endpoint = dispatch.endpoint;
-    let target = Target {
-        address: dispatch.address,
-        choice: connection_choice(&inbound, dispatch.connection),
-        budget,
-        not_after: dispatch.not_after,
-        time_limit: dispatch.time_limit,
-    };
+    let choice = connection_choice(&inbound, dispatch.connection);
     let head = request_head(&context, &inbound);
-    let result =
-        exchange::run(&context.endpoints, context.clock, target, head, &inbound.body).await;
+    let (pool, result) = match &dispatch.via {
+        None => {
+            let target = Target {
+                address: dispatch.address,
+                choice,
+                budget,
+                not_after: dispatch.not_after,
+                time_limit: dispatch.time_limit,
+            };
+            let pool = &context.endpoints;
+            let result = exchange::run(pool, context.clock, target, head, &inbound.body).await;
+            (pool, result.map_err(|error| (outcome_of_error(&error), error.to_string())))
+        }
+        Some(witness) => {
+            let result = via::send(&context, witness, &dispatch, choice, head, &inbound.body).await;
+            let result = result.map_err(|error| (error.outcome(), error.to_string()));
+            (&context.peers, result)
+        }
+    };
+    let (endpoint, pool) = (dispatch.endpoint, Arc::clone(pool));
     match result {
-        Ok(answer) if is_shed(&answer) => shed(&context, endpoint, answer).await,
+        Ok(answer) if is_shed(&answer) => shed(pool, endpoint, answer).await,
         Ok(answer) => {
             let status = answer.parts.status.as_u16();
             let outcome = Outcome::Answered { status, fresh_connection: answer.fresh };
             let report = report(&answer.parts.headers);
-            AttemptEnd { endpoint, outcome, report, answer: Some(Box::new(answer)) }
+            AttemptEnd { endpoint, outcome, report, answer: Some(Box::new(answer)), pool }
         }
-        Err(error) => {
+        Err((outcome, error)) => {
             log::debug!(
-                "event=attempt_failed request={} endpoint={} error={:?}",
+                "event=attempt_failed request={} endpoint={} via={} error={error:?}",
                 inbound.fleet_id,
                 endpoint,
-                error.to_string()
+                dispatch.via.as_deref().unwrap_or_default()
             );
-            let outcome = outcome_of_error(&error);
-            AttemptEnd { endpoint, outcome, report: Report::default(), answer: None }
+            AttemptEnd { endpoint, outcome, report: Report::default(), answer: None, pool }
         }
     }
 }
@@ -100,7 +113,7 @@
 
 /// Ends an exchange that the endpoint refused; its connection is kept if the
 /// short body is there already.
-async fn shed(context: &Context, endpoint: Name, mut answer: BegunAnswer) -> AttemptEnd {
+async fn shed(pool: Arc<ConnectionPool>, endpoint: Name, mut answer: BegunAnswer) -> AttemptEnd {
     let report = report(&answer.parts.headers);
     while !answer.body.is_end_stream() {
         let frame = tokio::time::timeout(SHED_BODY_WAIT, answer.body.frame()).await;
@@ -109,9 +122,9 @@
         }
     }
     if answer.body.is_end_stream() {
-        context.endpoints.check_in(answer.connection);
+        pool.check_in(answer.connection);
     }
-    AttemptEnd { endpoint, outcome: Outcome::Shed, report, answer: None }
+    AttemptEnd { endpoint, outcome: Outcome::Shed, report, answer: None, pool }
 }
 
 /// Returns what a shard is told of a failed exchange.
--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -4,6 +4,7 @@
 //! pools do, which would run a booking twice.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError, atomic::AtomicU32},
     time::Duration,
@@ -29,6 +30,8 @@
 struct Place {
     idle: Vec<Connection>,
     open: Arc<AtomicU32>,
+    /// Whether a test has cut the path to the address.
+    is_cut: bool,
 }
 
 /// A connection for one exchange.
@@ -82,6 +85,10 @@
                 }
             }
         }
+        if self.is_cut(address) {
+            let source = io::ErrorKind::ConnectionRefused.into();
+            return Err(ConnectError::Io { address, source }.into());
+        }
         let Some(open) = self.acquire(address, budget) else {
             return Err(CheckoutError::OverBudget { address, budget });
         };
@@ -108,6 +115,19 @@
         }
     }
 
+    /// Cuts or restores the path to an address: a cut one refuses connections.
+    pub(crate) fn set_cut(&self, address: SocketAddr, is_cut: bool) {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = places.entry(address).or_default();
+        place.is_cut = is_cut;
+        place.idle.clear();
+    }
+
+    fn is_cut(&self, address: SocketAddr) -> bool {
+        let places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        places.get(&address).is_some_and(|place| place.is_cut)
+    }
+
     /// Closes connections that have been unused for too long and forgets
     /// addresses without any.
     pub(crate) fn sweep(&self) {
@@ -118,13 +138,15 @@
                 !connection.sender.is_closed() && self.is_usable(connection, now)
             });
         }
-        places.retain(|_, place| !place.idle.is_empty() || Arc::strong_count(&place.open) > 1);
+        places.retain(|_, place| {
+            !place.idle.is_empty() || Arc::strong_count(&place.open) > 1 || place.is_cut
+        });
     }
 
     fn take_idle(&self, address: SocketAddr, choice: ConnectionChoice) -> Option<Connection> {
         let now = self.connector.clock.now();
         let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
-        let idle = &mut places.get_mut(&address)?.idle;
+        let idle = &mut places.get_mut(&address).filter(|place| !place.is_cut)?.idle;
         while let Some(connection) = idle.pop() {
             if connection.sender.is_closed() || !self.is_usable(&connection, now) {
                 continue;
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -195,6 +195,13 @@
         self.admin_address
     }
 
+    /// Cuts or restores this VM's own path to an endpoint, as a firewall that
+    /// refuses its connections would; for tests.
+    #[doc(hidden)]
+    pub fn set_path_cut(&self, endpoint: SocketAddr, is_cut: bool) {
+        self.context.endpoints.set_cut(endpoint, is_cut);
+    }
+
     /// Serves until the process is asked to stop, then stops gracefully.
     ///
     /// # Errors
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -22,7 +22,7 @@
 /// Time after the deadline for which the owner's own refusal is waited for.
 const OWNER_GRACE: Duration = Duration::from_millis(750);
 /// Connections that a VM may have open to another one.
-const PEER_BUDGET: u32 = 256;
+pub(crate) const PEER_BUDGET: u32 = 256;
 /// Between VMs: time in microseconds that the endpoint took to begin its
 /// answer.
 const ENDPOINT_TIME_US: HeaderName = HeaderName::from_static("pistachiotrack-endpoint-time-us");
--- a/crates/pistachiotrackd/src/headers.rs
+++ b/crates/pistachiotrackd/src/headers.rs
@@ -17,11 +17,17 @@
 const PROXY_CONNECTION: &str = "proxy-connection";
 
 /// Headers by which VMs talk to each other; callers may not set them.
-const INTERNAL_REQUEST: [&str; 3] = [header::HOP, header::ROUTE, header::REQUEST_ID];
+const INTERNAL_REQUEST: [&str; 4] = [header::HOP, header::ROUTE, header::REQUEST_ID, header::VIA];
 
 /// Headers by which the fleet speaks to callers; endpoints may not set them.
-const INTERNAL_ANSWER: [&str; 5] =
-    [header::OUTCOME, header::REASON, header::RETRY_AFTER_MS, header::ENDPOINT, header::OWNER];
+const INTERNAL_ANSWER: [&str; 6] = [
+    header::OUTCOME,
+    header::REASON,
+    header::RETRY_AFTER_MS,
+    header::ENDPOINT,
+    header::OWNER,
+    header::VIA_END,
+];
 
 /// Removes the headers that belong to one connection, those that `connection`
 /// names included.
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -42,4 +42,6 @@
 mod stall_guard;
 mod timer;
 mod udp;
+mod via;
 mod view;
+mod witness;
--- a/crates/pistachiotrackd/src/path_check.rs
+++ b/crates/pistachiotrackd/src/path_check.rs
@@ -1,14 +1,10 @@
 //! Tells a broken path of this VM from an endpoint that nobody reaches.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{hash::BuildHasher, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_util::future::join_all;
-use pistachiotrack_core::{
-    health::PathAnswer,
-    membership::{Member, MemberState},
-    name::Name,
-    vm::Vm,
-};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use pistachiotrack_core::{health::PathAnswer, membership::MemberState, name::Name, vm::Vm};
+use rustc_hash::FxBuildHasher;
 use tokio::sync::watch;
 
 use crate::{
@@ -17,8 +13,6 @@
     view::FleetView,
 };
 
-/// VMs that are asked.
-const WITNESSES: usize = 2;
 /// Time allowed for an answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -41,24 +35,49 @@
         PathCheck { me, view }
     }
 
-    /// Asks the witnesses and sums their answers up.
-    pub(crate) async fn ask(&self, endpoint: Name, address: SocketAddr) -> PathAnswer {
+    /// Asks the witnesses and returns what they say, together with the first of
+    /// them that reaches the endpoint, if one does.
+    pub(crate) async fn ask(&self, endpoint: Name, address: SocketAddr) -> (PathAnswer, Vec<Name>) {
         let Ok(question) = postcard::to_stdvec(&ReachQuestion { endpoint, address }) else {
-            return PathAnswer::NoAnswer;
+            return (PathAnswer::NoAnswer, Vec::new());
         };
-        let asked = self.witnesses().into_iter().map(|vm| {
-            let question = question.clone();
-            async move { ask_one(&vm, question).await }
-        });
-        sum_up(&join_all(asked).await)
+        let mut asked: FuturesUnordered<_> = self
+            .witnesses(address)
+            .into_iter()
+            .map(|vm| {
+                let question = question.clone();
+                async move { (ask_one(&vm, question).await, vm.name) }
+            })
+            .collect();
+        let mut answer = PathAnswer::NoAnswer;
+        while let Some((reply, witness)) = asked.next().await {
+            match reply {
+                Some(ReachAnswer::Reached) => return (PathAnswer::ReachedByOthers, vec![witness]),
+                Some(ReachAnswer::Unreachable) => answer = PathAnswer::UnreachableByOthers,
+                Some(ReachAnswer::Unknown) | None => {}
+            }
+        }
+        (answer, Vec::new())
     }
 
-    fn witnesses(&self) -> Vec<Vm> {
+    /// Returns the VMs to ask: of two data centres, not of this VM's own if
+    /// there are others, and other ones for each endpoint and VM that asks.
+    fn witnesses(&self, endpoint: SocketAddr) -> Vec<Vm> {
         let view = Arc::clone(&self.view.borrow());
-        let mut alive: Vec<&Member> =
-            view.members.iter().filter(|member| member.state == MemberState::Alive).collect();
-        alive.sort_by_key(|member| member.vm.data_centre == self.me.data_centre);
-        alive.into_iter().take(WITNESSES).map(|member| member.vm.clone()).collect()
+        let mut alive: Vec<&Vm> = view
+            .members
+            .iter()
+            .filter(|member| member.state == MemberState::Alive)
+            .map(|member| &member.vm)
+            .collect();
+        alive.sort_by_cached_key(|vm| {
+            let spread = FxBuildHasher.hash_one((&self.me.name, endpoint, &vm.name));
+            (vm.data_centre == self.me.data_centre, spread)
+        });
+        let Some(first) = alive.first().copied() else { return Vec::new() };
+        let rest = &alive[1..];
+        let second = rest.iter().find(|vm| vm.data_centre != first.data_centre).or(rest.first());
+        std::iter::once(first).chain(second.copied()).cloned().collect()
     }
 }
 
@@ -66,13 +85,3 @@
     let answer = peer_client::ask(vm.peer_address, REACH_PATH, question, ASK_TIMEOUT).await;
     postcard::from_bytes(&answer.ok()?).ok()
 }
-
-fn sum_up(answers: &[Option<ReachAnswer>]) -> PathAnswer {
-    if answers.contains(&Some(ReachAnswer::Reached)) {
-        return PathAnswer::ReachedByOthers;
-    }
-    if answers.contains(&Some(ReachAnswer::Unreachable)) {
-        return PathAnswer::UnreachableByOthers;
-    }
-    PathAnswer::NoAnswer
-}
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -28,6 +28,7 @@
     request_body::{BodyLimits, RequestBody, RequestBodyError},
     request_task::{self, Served},
     view::{ActiveConfig, FleetView},
+    witness,
 };
 
 /// Start of the paths that the daemon answers by itself.
@@ -69,6 +70,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     context.metrics.count(Event::PeerRequest);
+    if request.headers().contains_key(header::VIA) {
+        return Ok(witness::handle(&context, request).await);
+    }
     let response = match receive_forwarded(&context, request).await {
         Ok(inbound) => {
             let served = serve_here(&context, inbound).await;
@@ -254,7 +258,7 @@
     turned.find(is_mine).unwrap_or_else(|| shard(first))
 }
 
-async fn read_body(
+pub(crate) async fn read_body(
     context: &Context,
     body: Incoming,
     deadline: Time,
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -13,6 +13,7 @@
 use hyper::Response;
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{
+    endpoint::Endpoint,
     header,
     name::Name,
     refusal::{Execution, Reason, Refusal},
@@ -25,12 +26,14 @@
     answer,
     attempt::{self, AttemptEnd},
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
+    connection_pool::ConnectionPool,
     context::Context,
     exchange::BegunAnswer,
     headers,
     inbound::Inbound,
     metrics::Event,
     shard_actor::{AttemptOutcome, BodyEnded, CallerGone, Command, ShardActor, Submit},
+    view::FleetView,
 };
 
 /// Time after the deadline for which the shard's own refusal is waited for.
@@ -86,7 +89,11 @@
         .as_ref()
         .and_then(|active| active.service(&inbound.route.shard.service))
         .and_then(|service| service.endpoints.first());
-    let Some(endpoint) = endpoint else { return MIN_CONNECTION_BUDGET };
+    endpoint.map_or(MIN_CONNECTION_BUDGET, |endpoint| endpoint_budget(&view, endpoint))
+}
+
+/// Returns how many connections this VM may have open to `endpoint`.
+pub(crate) fn endpoint_budget(view: &FleetView, endpoint: &Endpoint) -> u32 {
     (endpoint.connections / view.live_vms()).max(endpoint.slots).max(MIN_CONNECTION_BUDGET)
 }
 
@@ -116,6 +123,7 @@
     attempt: AttemptId,
     endpoint: Name,
     answer: Box<BegunAnswer>,
+    pool: Arc<ConnectionPool>,
 }
 
 enum Step {
@@ -216,7 +224,8 @@
             self.context.metrics.count(Event::HeldBack);
         }
         if let Some(answer) = end.answer {
-            self.answered.push(Answered { attempt, endpoint: end.endpoint, answer });
+            let (endpoint, pool) = (end.endpoint, end.pool);
+            self.answered.push(Answered { attempt, endpoint, answer, pool });
         }
         self.tell_outcome(attempt, end.outcome, end.report);
         None
@@ -224,7 +233,7 @@
 
     fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
-        let Answered { endpoint, answer, .. } = self.answered.swap_remove(index);
+        let Answered { endpoint, answer, pool, .. } = self.answered.swap_remove(index);
         self.finished = true;
         let BegunAnswer { mut parts, body, connection, sent, began, .. } = *answer;
         let endpoint_time = began.since(sent);
@@ -234,7 +243,7 @@
             &parts,
             body,
             connection,
-            Arc::clone(&self.context.endpoints),
+            pool,
             Duration::from_millis(self.context.settings.limits.body_idle_ms),
             Some(watch),
         );
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -217,6 +217,8 @@
     pub(crate) endpoint: Name,
     /// What they say.
     pub(crate) answer: PathAnswer,
+    /// VMs that reach it.
+    pub(crate) witnesses: Vec<Name>,
 }
 
 impl Message<PathChecked> for ShardActor {
@@ -224,13 +226,17 @@
 
     async fn handle(&mut self, message: PathChecked, _: &mut Context<Self, ()>) {
         log::info!(
-            "event=path_checked service={} endpoint={} answer={:?}",
+            "event=path_checked service={} endpoint={} answer={:?} witnesses={:?}",
             self.id.service,
             message.endpoint,
-            message.answer
+            message.answer,
+            message.witnesses
         );
         let now = self.clock.now();
-        let actions = self.shard.on_path_answer(now, &message.endpoint, message.answer);
+        let actions = match message.witnesses.is_empty() {
+            true => self.shard.on_path_answer(now, &message.endpoint, message.answer),
+            false => self.shard.on_witnesses(now, &message.endpoint, message.witnesses),
+        };
         self.apply(actions);
     }
 }
@@ -340,9 +346,9 @@
                 let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
                 let check = self.path_check.clone();
                 tokio::spawn(async move {
-                    let answer = check.ask(endpoint.clone(), address).await;
+                    let (answer, witnesses) = check.ask(endpoint.clone(), address).await;
                     // A stopped shard needs no answer.
-                    let _ = shard.tell(PathChecked { endpoint, answer }).try_send();
+                    let _ = shard.tell(PathChecked { endpoint, answer, witnesses }).try_send();
                 });
             }
             ShardAction::Health(health) => {
