--- a/crates/pistachiotrack-core/src/health/via.rs
+++ b/crates/pistachiotrack-core/src/health/via.rs
@@ -57,9 +57,13 @@
             return actions;
         }
         state.path = Path::Unasked;
-        if state.via.is_none() {
-            actions.push(HealthAction::PathBroken { endpoint: state.name.clone() });
+        state.evidence.connect = 0.0;
+        if state.via.is_some() {
+            // Another witness: neither the backoff of the endpoint nor that of
+            // the path begins anew.
+            return actions;
         }
+        actions.push(HealthAction::PathBroken { endpoint: state.name.clone() });
         state.via = Some(Via { retest_at: now + RETEST, failed_retests: 0 });
         state.evidence.restart(now, start);
         state.doubt_since = None;
