--- a/crates/pistachiotrack-core/tests/shard_fuzz.rs
+++ b/crates/pistachiotrack-core/tests/shard_fuzz.rs
@@ -3,6 +3,7 @@
 mod shard_support;
 
 use pistachiotrack_core::{
+    health::PathAnswer,
     name::Name,
     request::{BodyEnd, Class, Outcome, Report},
     shard::{ShardHandOver, ShardMode},
@@ -17,6 +18,7 @@
     BodyEnd { pick: u8, end: u8, stored: u8 },
     Probe { kind: u8 },
     Cancel { pick: u8 },
+    Witnesses { count: u8 },
     Tick { ms: u8 },
     Pause { ms: u16 },
     Config { variant: u8 },
@@ -46,7 +48,8 @@
             },
             50 => Step::Probe { kind: u8::arbitrary(g) },
             51..=53 => Step::Cancel { pick: u8::arbitrary(g) },
-            54..=59 => Step::Tick { ms: u8::arbitrary(g) },
+            54 => Step::Witnesses { count: u8::arbitrary(g) },
+            55..=59 => Step::Tick { ms: u8::arbitrary(g) },
             60 => Step::Pause { ms: u16::arbitrary(g) % 3_000 },
             61 => Step::Config { variant: u8::arbitrary(g) },
             62 => Step::Mode { careful: bool::arbitrary(g) },
@@ -73,8 +76,11 @@
     }
 }
 
-fn outcome(kind: u8) -> Outcome {
+fn outcome(kind: u8, is_via: bool) -> Outcome {
     let fresh_connection = kind & 0x80 != 0;
+    if is_via && kind & 0x70 == 0 {
+        return Outcome::WitnessFailed { sent: kind & 1 == 0 };
+    }
     match kind % 12 {
         0..=3 => answered(200),
         4 => answered(500),
@@ -92,6 +98,21 @@
     (!from.is_empty()).then(|| from[usize::from(pick) % from.len()])
 }
 
+/// Fails what connects to an endpoint until its path is asked about, if it is.
+fn fail_connects(world: &mut World, endpoint: usize) {
+    let Some(cut) = world.config.services[0].endpoints.get(endpoint).cloned() else { return };
+    for _ in 0..6 {
+        world.tick(50);
+        world.send(1_000, |_| {});
+        for attempt in world.in_flight() {
+            let dispatch = &world.attempts[&attempt].dispatch;
+            if dispatch.endpoint == cut.name && dispatch.via.is_none() {
+                world.outcome(attempt, Outcome::ConnectFailed);
+            }
+        }
+    }
+}
+
 fn apply(world: &mut World, step: &Step) {
     match *step {
         Step::Request { customer, class, flags, key, deadline_ms } => {
@@ -106,7 +127,12 @@
         }
         Step::Outcome { pick, kind, draining } => {
             let Some(attempt) = choose(&world.in_flight(), pick) else { return };
-            world.outcome_with(attempt, outcome(kind), Report { in_flight: None, draining });
+            let is_via = world.attempts[&attempt].dispatch.via.is_some();
+            world.outcome_with(
+                attempt,
+                outcome(kind, is_via),
+                Report { in_flight: None, draining },
+            );
         }
         Step::BodyEnd { pick, end, stored } => {
             let Some(attempt) = choose(&world.with_state(State::Answered), pick) else { return };
@@ -128,7 +154,7 @@
             }
         }
         Step::Probe { kind } => {
-            world.probe_outcome(outcome(kind));
+            world.probe_outcome(outcome(kind, false));
         }
         Step::Cancel { pick } => {
             let open: Vec<_> = world
@@ -140,6 +166,21 @@
             let Some(id) = choose(&open, pick) else { return };
             world.cancel(id);
         }
+        Step::Witnesses { count } => {
+            fail_connects(world, usize::from(count) % 4);
+            let witnesses: Vec<Name> =
+                (0..count % 4).map(|vm| Name::from(format!("w{vm}"))).collect();
+            for asked in std::mem::take(&mut world.path_checks) {
+                let actions = match witnesses.is_empty() {
+                    true => {
+                        let nobody = PathAnswer::UnreachableByOthers;
+                        world.shard.on_path_answer(world.now, &asked, nobody)
+                    }
+                    false => world.shard.on_witnesses(world.now, &asked, witnesses.clone()),
+                };
+                world.check(actions);
+            }
+        }
         Step::Tick { ms } => world.tick(u64::from(ms)),
         Step::Pause { ms } => world.pause(u64::from(ms)),
         Step::Config { variant } => {
