Have a paused VM give up the shards that others took over

Cause: the end of a pause raises the refutation number, so a death that the others declared meanwhile looked outdated and was left aside. The VM went on as owner beside the new one until that gave the shard back, about 3 s later. Change: the refutation number before the pause is kept, and a death declared at it counts. The test of a pause waits for the process to log the lost shard. Result: before, the test never saw the shard given up; now it passes, and one run's log has the shard lost 43 ms after the pause was noticed. Tests of membership, ownership and configuration pass.

--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -95,6 +95,9 @@
     pull: Pull,
     refutation: u32,
     alive_since: Time,
+    /// Refutation number before the last pause, until this VM learns that it was
+    /// declared dead meanwhile.
+    paused_refutation: Option<u32>,
     leaving: bool,
     listed_leaving: bool,
     superseded: bool,
@@ -122,6 +125,7 @@
             pull: Pull::default(),
             refutation: 0,
             alive_since: now,
+            paused_refutation: None,
             leaving: false,
             listed_leaving: false,
             superseded: false,
@@ -185,6 +189,7 @@
         self.probes.restart(now);
         self.gossip.clear();
         self.pull.restart();
+        self.paused_refutation = Some(self.refutation);
         self.refutation += 1;
         let patience = self.suspicion_time();
         let waiting: Vec<Name> = self.table.waiting.iter().cloned().collect();
--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -250,6 +250,15 @@
             return;
         }
         if update.refutation < self.refutation {
+            // A pause raises the refutation number by itself, so a death declared
+            // meanwhile looks outdated. Left aside, it would have this VM go on as
+            // the owner of shards that others took over.
+            let died = |paused: &mut u32| {
+                update.state == MemberState::Dead && update.refutation >= *paused
+            };
+            if self.paused_refutation.take_if(died).is_some() {
+                self.alive_since = now;
+            }
             return;
         }
         self.refutation = update.refutation.saturating_add(1);
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -30,6 +30,7 @@
     caller: SocketAddr,
     peer: SocketAddr,
     admin: SocketAddr,
+    log: PathBuf,
 }
 
 impl Process {
@@ -38,11 +39,13 @@
         let settings = json!({
             "vm": "vm-09", "data_centre": "oslo-1", "deployment": "timeliten",
             "caller_address": caller, "peer_address": peer, "admin_address": admin,
-            "platform_address": platform, "entry_drain_ms": 0, "log_level": "error",
+            "platform_address": platform, "entry_drain_ms": 0,
         });
         let file = settings_file(test, &settings);
-        let child = daemon().arg("--settings").arg(file).spawn().unwrap();
-        Process { child, caller, peer, admin }
+        let log = file.with_extension("log");
+        let stderr = fs::File::create(&log).unwrap();
+        let child = daemon().arg("--settings").arg(file).stderr(stderr).spawn().unwrap();
+        Process { child, caller, peer, admin, log }
     }
 
     fn signal(&self, signal: &str) {
@@ -57,6 +60,11 @@
         client::wait_until_serving(self.admin).await;
     }
 
+    /// Waits until the process has logged an event.
+    async fn wait_for_log(&self, event: &str) {
+        wait_until(|| async { fs::read_to_string(&self.log).unwrap().contains(event) }).await;
+    }
+
     /// Waits for the process's end and returns its exit code.
     async fn exit_code(mut self) -> Option<i32> {
         loop {
@@ -241,6 +249,7 @@
         process.signal("-CONT");
         let late = waiting.await.unwrap().unwrap();
         assert_eq!(client::field(&late, header::OUTCOME), Some("not-run"), "{late:?}");
+        process.wait_for_log("event=shard_lost shard=booking/0").await;
         wait_until(|| agrees(&admins)).await;
         assert!(!run_bookings(&endpoint).contains(&Bytes::from("late")));
         for running in running {
