Remove the reason stopping, which no VM gives

Cause: the reason was documented and nobody sent it: a VM that stops finishes the requests it has and closes its port.

--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -47,8 +47,6 @@
     Duplicate,
     /// The request was malformed or over a limit.
     BadRequest,
-    /// The VM is stopping.
-    Stopping,
     /// The process was paused past the moment at which sending was safe.
     Paused,
 }
@@ -67,7 +65,6 @@
             Reason::NoRecord => "no-record",
             Reason::Duplicate => "duplicate",
             Reason::BadRequest => "bad-request",
-            Reason::Stopping => "stopping",
             Reason::Paused => "paused",
         }
     }
