Forget unused careful shards and log health as pairs

Cause: a shard served once in the owner's place ran for ever, its endpoints could not be told from the owner's, and its health was logged as debug text. Change: a careful shard stops after careful_idle_ms without requests, unless something is in flight or a key is on record; EndpointStatus gets mode; HealthAction writes itself as key=value pairs.

--- a/crates/pistachiotrack-core/src/admin.rs
+++ b/crates/pistachiotrack-core/src/admin.rs
@@ -56,6 +56,13 @@
     pub evidence: f64,
     /// Why it was last ejected.
     pub reason: Option<Name>,
+    /// How far the VM goes with the shard: `owner` or `careful`.
+    #[serde(default = "owner")]
+    pub mode: Name,
+}
+
+fn owner() -> Name {
+    Name::from("owner")
 }
 
 /// One line of `GET /members`.
--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -4,7 +4,7 @@
 //! the other endpoints of the shard, and how old the work in flight is. A
 //! sequential test per endpoint decides; see `docs/design/health.md`.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -95,6 +95,17 @@
     Unreachable,
 }
 
+impl EjectReason {
+    /// Returns the name used in logs and at the admin port.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EjectReason::Failures => "failures",
+            EjectReason::Slow => "slow",
+            EjectReason::Unreachable => "unreachable",
+        }
+    }
+}
+
 /// Answer of VMs elsewhere that were asked whether they reach an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathAnswer {
@@ -143,6 +154,24 @@
     },
 }
 
+/// Writes the action as key=value pairs for a line of the log.
+impl fmt::Display for HealthAction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (action, endpoint) = match self {
+            HealthAction::Ejected { endpoint, reason } => {
+                let reason = reason.as_str();
+                return write!(f, "action=ejected endpoint={endpoint} reason={reason}");
+            }
+            HealthAction::TrialStarted { endpoint } => ("trial_started", endpoint),
+            HealthAction::Readmitted { endpoint } => ("readmitted", endpoint),
+            HealthAction::HeldByFloor { endpoint } => ("held_by_floor", endpoint),
+            HealthAction::CheckPath { endpoint } => ("check_path", endpoint),
+            HealthAction::Probe { endpoint } => ("probe", endpoint),
+        };
+        write!(f, "action={action} endpoint={endpoint}")
+    }
+}
+
 /// What an owner tells its successor about an endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HealthHandOver {
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -52,6 +52,16 @@
     Careful,
 }
 
+impl ShardMode {
+    /// Returns the name shown at the admin port.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ShardMode::Owner => "owner",
+            ShardMode::Careful => "careful",
+        }
+    }
+}
+
 /// Settings of a shard.
 #[derive(Clone, Debug)]
 pub struct ShardSettings {
@@ -356,8 +366,15 @@
         self.health.at_floor()
     }
 
+    /// Returns whether nothing is lost if the shard is forgotten: no request and
+    /// no attempt is under way and no idempotency key is on record.
+    pub fn is_idle(&self) -> bool {
+        self.live.is_empty() && self.attempts.is_empty() && self.keys.is_empty()
+    }
+
     /// Returns the endpoints for the admin port.
     pub fn endpoints(&self, _now: Time) -> Vec<EndpointStatus> {
+        let mode = self.pool.mode();
         self.pool
             .configured()
             .map(|slots| {
@@ -369,7 +386,8 @@
                     in_flight: slots.in_flight,
                     limit: slots.limit,
                     evidence: self.health.evidence(name),
-                    reason: self.health.last_reason(name).map(reason_name).map(Name::from),
+                    mode: Name::from(mode.as_str()),
+                    reason: self.health.last_reason(name).map(EjectReason::as_str).map(Name::from),
                 }
             })
             .collect()
@@ -442,11 +460,3 @@
         Standing::Draining => "draining",
     }
 }
-
-fn reason_name(reason: EjectReason) -> &'static str {
-    match reason {
-        EjectReason::Failures => "failures",
-        EjectReason::Slow => "slow",
-        EjectReason::Unreachable => "unreachable",
-    }
-}
--- a/crates/pistachiotrack-core/tests/at_most_once.rs
+++ b/crates/pistachiotrack-core/tests/at_most_once.rs
@@ -175,3 +175,19 @@
     let [ShardAction::Refuse { refusal, .. }] = &actions[..] else { panic!("{actions:?}") };
     assert_eq!(refusal.execution, Execution::Unknown);
 }
+
+// A VM stood in for an owner and booked. It forgets the shard as unused, and a
+// duplicate of the booking is run. The shard must be kept for its key.
+#[test]
+fn a_shard_is_not_idle_while_a_request_runs_or_a_key_is_on_record() {
+    for (key, idle_after) in [(None, true), (Some("k"), false)] {
+        let mut world = world();
+        assert!(world.shard.is_idle());
+        let id = book(&mut world, key, false);
+        assert!(!world.shard.is_idle());
+        world.outcome(world.attempt(id), answered(201));
+        assert!(!world.shard.is_idle());
+        world.body_end(world.attempt(id), BodyEnd::Complete);
+        assert_eq!(world.shard.is_idle(), idle_after, "{key:?}");
+    }
+}
--- a/crates/pistachiotrack-core/tests/health_recovery.rs
+++ b/crates/pistachiotrack-core/tests/health_recovery.rs
@@ -252,3 +252,13 @@
     assert!(actions.contains(&HealthAction::Readmitted { endpoint: name }), "{actions:?}");
     assert_eq!(world.standing(1), Standing::HeldByFloor);
 }
+
+#[test]
+fn actions_are_written_as_pairs() {
+    let endpoint = Name::from("booking-2");
+    let reason = EjectReason::Slow;
+    let ejected = HealthAction::Ejected { endpoint: endpoint.clone(), reason };
+    assert_eq!(ejected.to_string(), "action=ejected endpoint=booking-2 reason=slow");
+    let started = HealthAction::TrialStarted { endpoint };
+    assert_eq!(started.to_string(), "action=trial_started endpoint=booking-2");
+}
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -107,8 +107,14 @@
         let (leaving_sender, leaving) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
         let path_check = PathCheck::new(me.clone(), view.clone());
-        let shards =
-            ShardTable::new(clock, Arc::clone(&endpoints), timer.clone(), path_check, seed);
+        let shards = ShardTable::new(
+            clock,
+            Arc::clone(&endpoints),
+            timer.clone(),
+            path_check,
+            Duration::from_millis(settings.limits.careful_idle_ms),
+            seed,
+        );
         let context = Arc::new(Context {
             me,
             clock,
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -82,6 +82,9 @@
     pub lively_ms: u64,
     /// Gap between two ticks of the timer that counts as a pause.
     pub pause_threshold_ms: u64,
+    /// Time without requests after which a shard is forgotten that this VM does
+    /// not own.
+    pub careful_idle_ms: u64,
     /// Time for requests in flight to finish when the daemon stops.
     pub shutdown_ms: u64,
 }
@@ -103,6 +106,7 @@
             age_ms: 300_000,
             lively_ms: 1_000,
             pause_threshold_ms: 500,
+            careful_idle_ms: 60_000,
             shutdown_ms: 30_000,
         }
     }
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     sync::{Arc, PoisonError},
+    time::Duration,
 };
 
 use kameo::{
@@ -70,6 +71,8 @@
     pub(crate) facts: FactsTable,
     /// Asks VMs elsewhere about endpoints.
     pub(crate) path_check: PathCheck,
+    /// Time without requests after which a careful shard stops.
+    pub(crate) careful_idle: Duration,
 }
 
 /// The actor around the decisions of one shard.
@@ -86,6 +89,9 @@
     path_check: PathCheck,
     actor_ref: WeakActorRef<ShardActor>,
     requests: FxHashMap<RequestId, UnboundedSender<Command>>,
+    mode: ShardMode,
+    careful_idle: Duration,
+    last_use: Time,
     retired: bool,
 }
 
@@ -107,6 +113,9 @@
             path_check: args.path_check,
             actor_ref: actor_ref.downgrade(),
             requests: FxHashMap::default(),
+            mode: args.mode,
+            careful_idle: args.careful_idle,
+            last_use: args.clock.now(),
             retired: false,
         })
     }
@@ -124,8 +133,10 @@
     type Reply = ();
 
     async fn handle(&mut self, message: Submit, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.last_use = now;
         self.requests.insert(message.request.id, message.commands);
-        let actions = self.shard.on_request(self.clock.now(), message.request);
+        let actions = self.shard.on_request(now, message.request);
         self.apply(actions);
     }
 }
@@ -206,6 +217,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: SetMode, _: &mut Context<Self, ()>) {
+        self.mode = message.0;
         let actions = self.shard.set_mode(self.clock.now(), message.0);
         self.apply(actions);
     }
@@ -297,7 +309,9 @@
             TimerEvent::Paused { now, gap } => self.shard.on_pause(now, gap),
         };
         self.apply(actions);
-        if self.retired && self.requests.is_empty() {
+        if self.retired && self.requests.is_empty() || self.is_forgettable() {
+            let mut table = self.facts.write().unwrap_or_else(PoisonError::into_inner);
+            table.remove(&self.id);
             context.stop();
         }
     }
@@ -347,7 +361,7 @@
             }
             ShardAction::Health(health) => {
                 log::info!(
-                    "event=health service={} shard={} action={health:?}",
+                    "event=health service={} shard={} {health}",
                     self.id.service,
                     self.id.index
                 );
@@ -375,6 +389,15 @@
         }
     }
 
+    /// Failure guarded against: a careful shard that served a booking in the
+    /// owner's place is forgotten, and a duplicate of the booking runs. It
+    /// shows as a doubled booking. The guard holds because a shard with a key on
+    /// record is kept.
+    fn is_forgettable(&self) -> bool {
+        let unused = self.clock.now().since(self.last_use);
+        self.mode == ShardMode::Careful && unused >= self.careful_idle && self.shard.is_idle()
+    }
+
     fn publish_facts(&self, now: Time) {
         let facts = ShardFacts {
             at_floor: self.shard.at_floor(),
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -1,6 +1,9 @@
 //! The shards that this VM works on, as owner or in the owner's place.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::{
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
 
 use kameo::{
     actor::{ActorRef, Spawn},
@@ -40,6 +43,7 @@
     endpoints: Arc<ConnectionPool>,
     timer: ActorRef<TimerService>,
     path_check: PathCheck,
+    careful_idle: Duration,
     seed: u64,
 }
 
@@ -50,11 +54,12 @@
         endpoints: Arc<ConnectionPool>,
         timer: ActorRef<TimerService>,
         path_check: PathCheck,
+        careful_idle: Duration,
         seed: u64,
     ) -> ShardTable {
         let actors = RwLock::default();
         let facts = FactsTable::default();
-        ShardTable { actors, facts, clock, endpoints, timer, path_check, seed }
+        ShardTable { actors, facts, clock, endpoints, timer, path_check, careful_idle, seed }
     }
 
     /// Returns the actor of a shard, if it runs.
@@ -86,6 +91,7 @@
             endpoints: Arc::clone(&self.endpoints),
             facts: Arc::clone(&self.facts),
             path_check: self.path_check.clone(),
+            careful_idle: self.careful_idle,
         };
         let actor = ShardActor::spawn_with_mailbox(args, mailbox::unbounded());
         // The timer service outlives every shard but at the process's end.
