Try a forwarded request again when its connection is silent

Cause: a lookup forwarded on a connection that something had lost track of waited until its deadline, and lookups served here after the owner's leg broke were outside any retry budget. Change: after 8 times the usual time (100 ms at least) a request that may be repeated goes once more over a new connection; if that one answers, the unused ones to the owner are closed; if none opens, this VM serves it. Both, and serving here after a broken leg, take from one budget per VM that owners' answers fill. The budget's bound has no test of its own at the daemon.

--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -9,8 +9,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    clock::Clock, connection_pool::ConnectionPool, histogram::Histograms, metrics::Metrics,
-    settings::Settings, shard_table::ShardTable, view::FleetView,
+    clock::Clock, connection_pool::ConnectionPool, forward_record::ForwardRecord,
+    histogram::Histograms, metrics::Metrics, settings::Settings, shard_table::ShardTable,
+    view::FleetView,
 };
 
 /// State of the daemon's life cycle.
@@ -56,6 +57,8 @@
     pub(crate) peers: Arc<ConnectionPool>,
     /// Counters.
     pub(crate) metrics: Metrics,
+    /// What is known of the requests sent on.
+    pub(crate) forwards: ForwardRecord,
     /// Time from a request's arrival to its answer's head.
     pub(crate) total: Histograms,
     /// The part of that time which no endpoint had a hand in.
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -1,7 +1,8 @@
 //! Sends a request on to the VM that owns its shard: one hop, never two.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
+use futures_util::future::{Either, select};
 use hyper::{HeaderMap, Response, header::HeaderName};
 use pistachiotrack_core::{
     header,
@@ -16,6 +17,7 @@
     exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
     headers,
     inbound::Inbound,
+    metrics::Event,
     request_task::Served,
 };
 
@@ -54,16 +56,73 @@
     owner: &Vm,
     inbound: &Inbound,
 ) -> Result<Served, ForwardError> {
+    let sent = context.clock.now();
+    let answer = match inbound.route.idempotent && inbound.body.can_be_repeated() {
+        true => exchange_watched(context, owner, inbound).await?,
+        false => exchange(context, owner, inbound, ConnectionChoice::Lively).await?,
+    };
+    if !answer.parts.headers.contains_key(header::OUTCOME) {
+        let latency = context.clock.now().since(sent);
+        context.forwards.on_answer(&inbound.route.shard, latency);
+    }
+    Ok(served(context, answer))
+}
+
+/// Sends a request that may be repeated, and once more over a new connection if
+/// the answer is long in coming.
+///
+/// Failure guarded against: something between two VMs has lost track of their
+/// connections, and what is written to them vanishes. It shows as requests that
+/// wait until their deadline although both VMs are well. The guard holds because
+/// the answer on the new connection is taken, and the first connection and all
+/// unused ones are closed then.
+async fn exchange_watched(
+    context: &Context,
+    owner: &Vm,
+    inbound: &Inbound,
+) -> Result<BegunAnswer, ExchangeError> {
+    let first = exchange(context, owner, inbound, ConnectionChoice::Lively);
+    let mut first = pin!(first);
+    let left = remaining(inbound.deadline, context.clock.now());
+    let suspicion = context.forwards.suspicion(&inbound.route.shard).unwrap_or(left / 2);
+    if let Ok(result) = tokio::time::timeout(suspicion, first.as_mut()).await {
+        return result;
+    }
+    let now = context.clock.now();
+    if now >= inbound.deadline || !context.forwards.take_retry(now) {
+        return first.await;
+    }
+    context.metrics.count(Event::ForwardedAgain);
+    let second = exchange(context, owner, inbound, ConnectionChoice::Fresh);
+    match select(first, pin!(second)).await {
+        Either::Left((Ok(answer), _)) => Ok(answer),
+        Either::Left((Err(_), second)) => second.await,
+        Either::Right((Ok(answer), _)) => {
+            context.peers.close_idle(owner.peer_address);
+            Ok(answer)
+        }
+        // No new connection opens: the owner is out of reach, and this VM
+        // serves the request itself.
+        Either::Right((Err(error), _)) if error.is_unsent() => Err(error),
+        Either::Right((Err(_), first)) => first.await,
+    }
+}
+
+async fn exchange(
+    context: &Context,
+    owner: &Vm,
+    inbound: &Inbound,
+    choice: ConnectionChoice,
+) -> Result<BegunAnswer, ExchangeError> {
     let target = Target {
         address: owner.peer_address,
-        choice: ConnectionChoice::Lively,
+        choice,
         budget: PEER_BUDGET,
         not_after: inbound.deadline,
         time_limit: inbound.deadline + OWNER_GRACE,
     };
     let head = request_head(context, inbound);
-    let answer = exchange::run(&context.peers, context.clock, target, head, &inbound.body).await?;
-    Ok(served(context, answer))
+    exchange::run(&context.peers, context.clock, target, head, &inbound.body).await
 }
 
 fn request_head(context: &Context, inbound: &Inbound) -> RequestHead {
--- /dev/null
+++ b/crates/pistachiotrackd/src/forward_record.rs
@@ -0,0 +1,68 @@
+//! What this VM knows of the requests that it sends on.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use pistachiotrack_core::{
+    ownership::ShardId,
+    retry::{BudgetSettings, RetryBudget, UsualTime},
+    time::Time,
+};
+use rustc_hash::FxHashMap;
+
+/// Multiple of the usual time to an answer after which its connection is
+/// suspected.
+const SUSPICION_FACTOR: u32 = 8;
+/// Shortest silence that is suspect.
+const MIN_SUSPICION: Duration = Duration::from_millis(100);
+
+/// Usual times of forwarded requests, and the budget of further tries.
+///
+/// Failure guarded against: an owner is overloaded, answers late, and every VM
+/// sends it all requests again or runs them itself. It shows as load that grows
+/// while answers become fewer. The guard holds because only answers of owners
+/// fill the budget, so that the extra load stays a fixed part of the work done.
+#[derive(Debug)]
+pub(crate) struct ForwardRecord {
+    known: Mutex<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    budget: RetryBudget,
+    usual: FxHashMap<ShardId, UsualTime>,
+}
+
+impl ForwardRecord {
+    /// Creates a record without any request and with a full budget.
+    pub(crate) fn new(now: Time) -> ForwardRecord {
+        let budget = RetryBudget::new(now, BudgetSettings::default());
+        ForwardRecord { known: Mutex::new(Known { budget, usual: FxHashMap::default() }) }
+    }
+
+    /// Notes the time to an owner's answer.
+    pub(crate) fn on_answer(&self, shard: &ShardId, latency: Duration) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.budget.on_success();
+        match known.usual.get_mut(shard) {
+            Some(usual) => usual.record(latency),
+            None => known.usual.entry(shard.clone()).or_default().record(latency),
+        }
+    }
+
+    /// Returns the silence after which the connection is suspected, if it is
+    /// known how long answers usually take.
+    pub(crate) fn suspicion(&self, shard: &ShardId) -> Option<Duration> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let usual = known.usual.get(shard)?.value()?;
+        Some((usual * SUSPICION_FACTOR).max(MIN_SUSPICION))
+    }
+
+    /// Takes a further try of a request from the budget and returns whether
+    /// there was one.
+    pub(crate) fn take_retry(&self, now: Time) -> bool {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).budget.take(now)
+    }
+}
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -19,6 +19,7 @@
 mod fleet;
 mod forward;
 mod forwarded_route;
+mod forward_record;
 mod guarded_stream;
 mod hand_over;
 mod headers;
--- a/crates/pistachiotrackd/src/metrics.rs
+++ b/crates/pistachiotrackd/src/metrics.rs
@@ -33,6 +33,8 @@
     Forwarded,
     /// Sending a request on to another VM failed.
     ForwardFailed,
+    /// A request was sent on once more, as its answer was long in coming.
+    ForwardedAgain,
     /// A request of another VM came in.
     PeerRequest,
     /// A request was dispatched to an endpoint.
@@ -46,7 +48,7 @@
 }
 
 impl Event {
-    const ALL: [Event; 12] = [
+    const ALL: [Event; 13] = [
         Event::Request,
         Event::Answer,
         Event::RefusedNotRun,
@@ -54,6 +56,7 @@
         Event::CallerGone,
         Event::Forwarded,
         Event::ForwardFailed,
+        Event::ForwardedAgain,
         Event::PeerRequest,
         Event::Dispatch,
         Event::HeldBack,
@@ -70,6 +73,7 @@
             Event::CallerGone => "callers_gone",
             Event::Forwarded => "forwarded",
             Event::ForwardFailed => "forward_failed",
+            Event::ForwardedAgain => "forwarded_again",
             Event::PeerRequest => "peer_requests",
             Event::Dispatch => "dispatches",
             Event::HeldBack => "held_back",
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -327,7 +327,8 @@
     if !inbound.body.is_at_hand() || context.clock.now() >= inbound.deadline {
         return false;
     }
-    error.is_unsent() || inbound.route.idempotent
+    error.is_unsent()
+        || inbound.route.idempotent && context.forwards.take_retry(context.clock.now())
 }
 
 /// Has a request served by this VM's actor of the shard.
