--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -30,6 +30,7 @@
     context::Context,
     control_traffic::ControlTraffic,
     fleet::{Fleet, FleetArgs, Leave, TICK_INTERVAL},
+    forward_record::ForwardRecord,
     histogram::Histograms,
     listener::Listener,
     metrics::Metrics,
@@ -112,7 +113,7 @@
         let peer_source = Some(settings.peer_address.ip());
         let seed = me.incarnation ^ u64::from(me.peer_address.port()) << 48;
         let limits = Arc::new(settings.limits.clone());
-        let connector = Connector { clock, gate, limits, source: None };
+        let connector = Connector { clock, gate: gate.clone(), limits, source: None };
         let endpoints = Arc::new(ConnectionPool::new(connector.clone()));
         let (view_sender, view) = watch::channel(Arc::new(FleetView {
             active: None,
@@ -124,16 +125,24 @@
         let (superseded_sender, superseded) = watch::channel(false);
         let traffic = Arc::new(ControlTraffic::default());
         let path_check = PathCheck::new(me.clone(), view.clone());
-        let shards =
-            ShardTable::new(clock, Arc::clone(&endpoints), timer.clone(), path_check, seed);
+        let shards = ShardTable::new(
+            clock,
+            Arc::clone(&endpoints),
+            timer.clone(),
+            path_check,
+            Duration::from_millis(settings.limits.careful_idle_ms),
+            seed,
+        );
         let context = Arc::new(Context {
             me,
             clock,
+            gate,
             view,
             leaving,
             shards,
             endpoints,
             peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
+            forwards: ForwardRecord::new(clock.now()),
             metrics,
             traffic: Arc::clone(&traffic),
             total: Histograms::default(),
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod answer;
+mod arrival;
 mod attempt;
 mod body;
 mod clock;
@@ -19,6 +20,7 @@
 mod exchange;
 mod fleet;
 mod forward;
+mod forward_record;
 mod forwarded_route;
 mod guarded_stream;
 mod hand_over;
