--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod connection_pool;
 mod context;
+mod control_traffic;
 pub mod daemon;
 mod entries;
 mod exchange;
