Give the callers' relays ports of their own in the fault matrix

Cause: the relay of a crashed VM closes, another cell's fake got its port, and callers of the cell were answered by that one: one failed cell (owner crash / endpoint drain) in one of two runs. Change: the callers' relays listen on ports that no other fleet uses.

--- a/crates/pistachiotrackd/tests/fault_matrix/world.rs
+++ b/crates/pistachiotrackd/tests/fault_matrix/world.rs
@@ -109,8 +109,8 @@
         settings.advertised_peer_address = Some(advertised);
         self.peer_legs.push(Relay::start_with_datagrams(advertised, peer).await);
         let vm = Vm::start(settings).await;
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        self.caller_legs.push(Relay::start(any, vm.caller_address).await);
+        let for_callers = own_address(CALLER_PORTS + number, 100 + index as u8);
+        self.caller_legs.push(Relay::start(for_callers, vm.caller_address).await);
         self.platforms.push(platform);
         self.vms.push(vm);
     }
