--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -43,6 +43,8 @@
     view::FleetView,
 };
 
+/// Ports that are tried where the system chooses the peer port.
+const PEER_PORT_TRIES: u32 = 16;
 /// Connections to the admin port that are open at the same time.
 const ADMIN_CONNECTIONS: usize = 32;
 
@@ -305,11 +307,7 @@
 impl Sockets {
     async fn bind(settings: &Settings) -> Result<Sockets, StartError> {
         let caller = bind("caller_address", settings.caller_address).await?;
-        let peer = bind("peer_address", settings.peer_address).await?;
-        let peer_address = local_address("peer_address", &peer)?;
-        let membership = UdpSocket::bind(peer_address).await.map_err(|source| {
-            StartError::Bind { field: "peer_address", address: peer_address, source }
-        })?;
+        let (peer, membership) = bind_peer(settings.peer_address).await?;
         let admin = bind("admin_address", settings.admin_address).await?;
         Ok(Sockets { caller, peer, membership, admin })
     }
@@ -328,6 +326,25 @@
     }
 }
 
+/// Binds the peer address for both protocols.
+///
+/// Where the system chooses the port, it chooses one that is free for TCP but may
+/// be taken for UDP; then it is asked again.
+async fn bind_peer(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let mut tries = 1;
+    loop {
+        let peer = bind("peer_address", address).await?;
+        let chosen = local_address("peer_address", &peer)?;
+        match UdpSocket::bind(chosen).await {
+            Ok(membership) => return Ok((peer, membership)),
+            Err(_) if address.port() == 0 && tries < PEER_PORT_TRIES => tries += 1,
+            Err(source) => {
+                return Err(StartError::Bind { field: "peer_address", address: chosen, source });
+            }
+        }
+    }
+}
+
 async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|source| StartError::Bind { field, address, source })
 }
