--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -95,6 +95,8 @@
     pull: Pull,
     refutation: u32,
     alive_since: Time,
+    /// Refutation number at the last tick.
+    ticked_refutation: u32,
     /// Refutation number before the last pause, until this VM learns that it was
     /// declared dead meanwhile.
     paused_refutation: Option<u32>,
@@ -125,6 +127,7 @@
             pull: Pull::default(),
             refutation: 0,
             alive_since: now,
+            ticked_refutation: 0,
             paused_refutation: None,
             leaving: false,
             listed_leaving: false,
@@ -176,6 +179,7 @@
         self.check_waiting(now, &mut actions);
         self.check_pull(now, &mut actions);
         self.probe_due(now, &mut actions);
+        self.ticked_refutation = self.refutation;
         actions
     }
 
@@ -189,7 +193,9 @@
         self.probes.restart(now);
         self.gossip.clear();
         self.pull.restart();
-        self.paused_refutation = Some(self.refutation);
+        // Datagrams that came in during the pause may be taken before it is
+        // noticed, and a suspicion among them raises the number too.
+        self.paused_refutation = Some(self.ticked_refutation);
         self.refutation += 1;
         let patience = self.suspicion_time();
         let waiting: Vec<Name> = self.table.waiting.iter().cloned().collect();
