Check the guards by mutants and test those that none caught

Cause: nobody had shown that the tests notice when a guard is broken. Seven tests are added for mutants that survived: a second hop, a stalled chunked body, a first byte after not_after, a shard that doesn't cancel a gone caller's attempt, a long pause that doesn't halve the limits, and old rumours about a forgotten or a replaced VM.

--- a/crates/pistachiotrack-core/tests/membership.rs
+++ b/crates/pistachiotrack-core/tests/membership.rs
@@ -2,9 +2,10 @@
 
 mod membership_fleet;
 
-use membership_fleet::{Fleet, address, list, name, vm};
+use membership_fleet::{Fleet, START_MS, address, list, name, vm};
 use pistachiotrack_core::{
     membership::{MemberState, Membership, MembershipSettings},
+    message::{Codec, Datagram, Identity, Message, Place, Update},
     time::Time,
 };
 
@@ -272,6 +273,79 @@
     assert!(fleet.agree_on(&fleet.numbers()));
 }
 
+#[test]
+fn forgotten_member_is_not_revived_by_an_old_rumour_of_a_living_one() {
+    // A VM died and was forgotten. A datagram of a VM that all believe in, sent
+    // before the death and held up on its way, still says that it is alive.
+    let mut fleet = Fleet::new(13, 1);
+    fleet.settings.forget_ms = 20_000;
+    for number in 0..4 {
+        fleet.start(number);
+    }
+    for number in 0..4 {
+        fleet.give_list_to(number, &list(0..3, 1));
+    }
+    fleet.run_until(10_000, |fleet| fleet.state(0, &name(3)) == Some(MemberState::Alive));
+    fleet.crash(3);
+    fleet.run_until(90_000, |fleet| fleet.state(0, &name(3)).is_none());
+    deliver_old_rumour(&mut fleet, 0, 1, 3);
+    assert_eq!(fleet.state(0, &name(3)), None);
+}
+
+#[test]
+fn replaced_vm_is_not_put_back_by_an_old_rumour() {
+    // A VM crashed and was started again at once. A datagram from before, held
+    // up on its way, says that the old daemon is alive.
+    let mut fleet = Fleet::new(14, 1);
+    for number in 0..4 {
+        fleet.start(number);
+        fleet.give_list_to(number, &list(0..4, 1));
+    }
+    fleet.run_ms(10_000);
+    fleet.start(3);
+    fleet.give_list_to(3, &list(0..4, 1));
+    let incarnation = |fleet: &Fleet| {
+        let mut members = fleet.nodes[&0].membership.members();
+        members.find(|member| member.vm.name == name(3)).map(|member| member.vm.incarnation)
+    };
+    let newer = vm(3, fleet.now_ms).incarnation;
+    fleet.run_until(10_000, |fleet| incarnation(fleet) == Some(newer));
+    deliver_old_rumour(&mut fleet, 0, 1, 3);
+    assert_eq!(incarnation(&fleet), Some(newer));
+}
+
+/// Has a VM hear from another, in a datagram of old, that the first daemon of
+/// a third one is alive.
+fn deliver_old_rumour(fleet: &mut Fleet, to: usize, from: usize, about: usize) {
+    let (teller, dead) = (vm(from, START_MS), vm(about, START_MS));
+    let place = Place {
+        data_centre: dead.data_centre,
+        caller_address: dead.caller_address,
+        peer_address: dead.peer_address,
+        alive_ms: 10_000,
+    };
+    let old_rumour = Update {
+        name: dead.name,
+        incarnation: dead.incarnation,
+        refutation: 0,
+        state: MemberState::Alive,
+        place: Some(place),
+    };
+    let sender = Identity {
+        name: teller.name,
+        incarnation: teller.incarnation,
+        refutation: 0,
+        leaving: false,
+        config_version: None,
+    };
+    let message = Message::Nack { sequence: 0 };
+    let datagram = Datagram { sender, message, updates: vec![old_rumour] };
+    let bytes = Codec::new("timeliten").encode(&datagram).unwrap();
+    let now = fleet.now();
+    let viewer = fleet.nodes.get_mut(&to).unwrap();
+    viewer.membership.on_datagram(now, address(from), &bytes).unwrap();
+}
+
 #[test]
 fn config_versions_travel_with_probes() {
     // One VM learns of a new configuration; every other must hear of the version
--- a/crates/pistachiotrack-core/tests/shard.rs
+++ b/crates/pistachiotrack-core/tests/shard.rs
@@ -384,3 +384,28 @@
     assert_eq!(world.refusal(next), None);
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+// A caller goes away while its lookup runs. The endpoint would work on for
+// nobody and its slot would be lost for others until the lookup is done.
+#[test]
+fn cancelled_request_ends_its_attempt() {
+    let mut world = world(1, 1);
+    let id = world.send(9_000, |_| {});
+    world.cancel(id);
+    assert!(world.attempts[&world.attempt(id)].cancelled);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+// A VM sleeps for long enough for another one to take its shard over. What
+// that one sent is still at work when it wakes up, so half the slots are left.
+#[test]
+fn long_pause_halves_the_limits_like_a_takeover() {
+    for (gap_ms, expected) in [(500, 4), (1_500, 2)] {
+        let mut world = world(1, 4);
+        world.pause(gap_ms);
+        for _ in 0..6 {
+            world.send(10_000, |_| {});
+        }
+        assert_eq!(world.in_flight().len(), expected, "after {gap_ms} ms");
+    }
+}
--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -112,6 +112,26 @@
     }
 }
 
+/// A request circles between two VMs that each take the other for the owner,
+/// as after a partition. One of them sends it on; the other, which doesn't own
+/// the shard either, sends it back instead of serving it.
+#[tokio::test]
+async fn a_request_that_was_sent_on_is_not_sent_on_again() {
+    let search = Endpoint::answering("free slots").await;
+    let booking = Endpoint::answering("booked").await;
+    let pair = Pair::start(&search, &booking).await;
+    let (owner, other) = pair.owner("booking").await;
+    let route = json!({"shard": {"service": "booking", "index": 0}, "customer": testenv::CUSTOMER,
+                       "class": "standard", "idempotent": false, "hedge": false});
+    let request = client::with(book(), header::HOP, VMS[owner]);
+    let request = client::with(request, header::ROUTE, &route.to_string());
+    let request = client::with(request, header::DEADLINE_MS, "3000");
+    let booked = client::send(pair.vms[other].peer_address, request).await.unwrap();
+    assert_eq!(booked.body(), "booked");
+    assert_eq!(client::field(&booked, header::OWNER), Some(VMS[other]));
+    assert_eq!(booking.received().len(), 1);
+}
+
 /// Bookings fail for as long as the fleet takes to notice that a VM is gone.
 /// The owner's VM dies; the entry VM still believes in it and can't connect.
 #[tokio::test]
--- a/crates/pistachiotrackd/tests/whole_answers.rs
+++ b/crates/pistachiotrackd/tests/whole_answers.rs
@@ -2,6 +2,8 @@
 
 mod testenv;
 
+use std::time::Duration;
+
 use hyper::Method;
 use pistachiotrack_core::header;
 use serde_json::json;
@@ -9,7 +11,10 @@
     Deployment, client,
     endpoint::{Endpoint, read_head, read_to_end},
 };
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpSocket, TcpStream},
+};
 
 async fn write(stream: &mut TcpStream, text: &str) {
     stream.write_all(text.as_bytes()).await.unwrap();
@@ -57,6 +62,24 @@
     search.wait_closed(1).await;
 }
 
+/// A clerk sees half a roster and takes it for the whole. The endpoint hangs in
+/// the middle of an answer without a length; the fleet gives the answer up and
+/// ends it as if it were complete, and no length tells the caller otherwise.
+#[tokio::test]
+async fn a_stalled_body_without_length_is_an_error_for_the_caller() {
+    let search = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+        let half = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+        write(&mut stream, half).await;
+        read_to_end(&mut stream).await;
+    })
+    .await;
+    let limits = json!({"body_idle_ms": 50});
+    let deployment = Deployment::start_with_limits(&[search.address], &[], limits).await;
+    client::send(deployment.address(), client::get("/slots")).await.unwrap_err();
+    search.wait_closed(1).await;
+}
+
 /// A booking is doubled. The endpoint takes it, closes the connection without
 /// an answer, and the fleet sends it again although the first may have run.
 #[tokio::test]
@@ -107,3 +130,52 @@
     search.wait_closed(1).await;
     client::wait_for(admin, "/endpoints", in_flight(0)).await;
 }
+
+/// A booking reaches its endpoint when too little time is left to answer it.
+/// The endpoint's queue of connections is full; the connection opens at the
+/// second try of the VM's system, after the moment until which it may be sent.
+#[tokio::test]
+async fn a_booking_whose_connection_opens_too_late_is_not_sent() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = json!({"connect_timeout_ms": 5_000});
+    let deployment = Deployment::start_with_limits(&[], &[address], limits).await;
+    let book = || client::request(Method::POST, "/bookings", "");
+    let booked = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    for _ in 0..3 {
+        let caller = tokio::spawn(client::send(deployment.address(), book()));
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        // The usual time to answer is what a late booking must have left.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        write(&mut stream, booked).await;
+        caller.await.unwrap().unwrap();
+    }
+    let mut fillers = Vec::new();
+    let patience = Duration::from_millis(200);
+    while let Ok(filler) = tokio::time::timeout(patience, TcpStream::connect(address)).await {
+        fillers.push(filler.unwrap());
+    }
+    let late = client::with(book(), header::DEADLINE_MS, "1600");
+    let caller = tokio::spawn(client::send(deployment.address(), late));
+    let admin = deployment.daemon.admin_address();
+    client::wait_for(admin, "/endpoints", |endpoints| {
+        let endpoints = endpoints.as_array().unwrap();
+        endpoints.iter().any(|e| e["endpoint"] == "booking-0" && e["in_flight"] == 1)
+    })
+    .await;
+    drop(fillers);
+    let received = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            if read_head(&mut stream).await {
+                return;
+            }
+        }
+    });
+    let refused = caller.await.unwrap().unwrap();
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("not-run"));
+    assert!(!received.is_finished());
+}
