Keep reads of the platform within its rate over all deployments

Cause: every VM read one list of all VMs; watchers read the value uncompressed; VMs that only confirm their version waited like watchers; and first reads were spread for one deployment of many.

Change: the list is /v1/vms/<deployment>. Reads ask for gzip, and the decoded value is bounded by 1 MB. ConfigAction::Read asks without waiting. First reads are 10 a second and deployment for list and value each; a VM that began without a list and knows nobody waits a second span; retries take two. Tests: a VM of the daemon's tests and of the stand-in's fleets is told the size of its fleet.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -39,6 +39,12 @@
         /// Version already held.
         after: Option<u64>,
     },
+    /// Reads the platform's value if it is newer than `after`, without waiting
+    /// for one. The answer is taken like that of a watch.
+    Read {
+        /// Version already held.
+        after: Option<u64>,
+    },
     /// Asks a peer for what is newer than the version held.
     Pull {
         /// The peer.
@@ -69,6 +75,7 @@
     pulls: Pulls,
     rejected: Option<RejectedValue>,
     listed_vms: Option<usize>,
+    began_unlisted: Option<bool>,
     first: Option<FirstValue>,
     peer_heard: bool,
 }
@@ -104,6 +111,7 @@
             pulls: Pulls::default(),
             rejected: None,
             listed_vms: None,
+            began_unlisted: None,
             first: None,
             peer_heard: false,
         }
@@ -141,10 +149,22 @@
         self.pulls.on_tick(now, &mut self.rng);
         let mut actions = self.release_first(now);
         actions.extend(self.pull(now));
-        let role = if alone { Role::Alone } else { self.role(better_watchers) };
+        let unlisted = self.listed_vms.is_none();
+        let began_unlisted = *self.began_unlisted.get_or_insert(unlisted);
+        let role = match alone {
+            true if began_unlisted && self.listed_vms != Some(1) => Role::Unlisted,
+            true => Role::Alone,
+            false => self.role(better_watchers),
+        };
         let fleet_vms = self.fleet_vms(count);
         if self.platform.begin(now, role, fleet_vms, &mut self.rng) {
-            actions.push(ConfigAction::Watch { after: self.watch_after(now) });
+            let after = self.watch_after(now);
+            actions.push(match role {
+                Role::Watcher | Role::Alone | Role::Unlisted => ConfigAction::Watch { after },
+                // These are as many as the fleet; each waiting watch would take
+                // one of the platform's calls for as long as it waits.
+                Role::Cold | Role::Follower => ConfigAction::Read { after },
+            });
         }
         actions
     }
--- a/crates/pistachiotrack-core/src/config_sync/list_reads.rs
+++ b/crates/pistachiotrack-core/src/config_sync/list_reads.rs
@@ -6,7 +6,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{ConfigSyncSettings, platform::spread};
+use super::{
+    ConfigSyncSettings,
+    platform::{RETRY_SPREADS, spread},
+};
 
 /// Time between two reads by a VM that doesn't watch the list, for each VM
 /// listed, so that all of these make one read a second.
@@ -57,7 +60,7 @@
         self.failures = self.failures.saturating_add(1);
         let (first_ms, longest_ms) = (self.settings.min_backoff_ms, self.settings.max_backoff_ms);
         let backoff_ms = first_ms.saturating_mul(1 << doublings).min(longest_ms);
-        let backoff = Duration::from_millis(backoff_ms).max(self.spread());
+        let backoff = Duration::from_millis(backoff_ms).max(self.spread() * RETRY_SPREADS);
         backoff.mul_f64(self.rng.random_range(0.5..1.5))
     }
 
--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -11,6 +11,9 @@
 /// Shortest time between two watches that brought nothing newer.
 const MIN_WATCH_GAP: Duration = Duration::from_secs(1);
 const MAX_BACKOFF_DOUBLINGS: u32 = 16;
+/// Times that the first reads are spread over in which all retries fall: those
+/// of the list and those of the value come together.
+pub(super) const RETRY_SPREADS: u32 = 2;
 
 /// Why this VM reads the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +22,8 @@
     Watcher,
     /// It knows nobody alive.
     Alone,
+    /// The same, and it began without the list that tells of others.
+    Unlisted,
     /// Others watch; it has no configuration yet.
     Cold,
     /// Others watch; it has a configuration.
@@ -79,7 +84,9 @@
         // as the fleet, and short retries of all would keep the platform down.
         self.shortest_retry = match role {
             Role::Watcher => Duration::ZERO,
-            Role::Alone | Role::Cold | Role::Follower => self.spread,
+            Role::Alone | Role::Unlisted | Role::Cold | Role::Follower => {
+                self.spread * RETRY_SPREADS
+            }
         };
         self.give_up_lost_watch(now, rng);
         if self.outstanding.is_some() || now < self.not_before {
@@ -142,6 +149,10 @@
             // and takes itself for a watcher. The platform would see all of
             // them in the same second; the spread keeps them under its rate.
             Role::Watcher | Role::Alone => started + self.spread.mul_f64(self.place),
+            // When all deployments start at once, the reads of lists fill the
+            // platform's rate. A VM that has got its list finds a peer soon, so
+            // hardly any VM is left for this second span of time.
+            Role::Unlisted => started + self.spread.mul_f64(1.0 + self.place),
             Role::Cold => {
                 let wait = Duration::from_millis(self.settings.cold_read_after_ms);
                 started + wait + self.spread.mul_f64(self.place)
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -16,7 +16,9 @@
     pub min_backoff_ms: u64,
     /// Longest such wait.
     pub max_backoff_ms: u64,
-    /// First reads of the whole fleet, when all its VMs start at once.
+    /// First reads of the value, and of the list, by all VMs of one deployment
+    /// when they start at once. The platform's 2,000 a second are for all 121
+    /// deployments of 48 VMs.
     pub first_reads_per_second: f64,
     /// Reads of the whole fleet by VMs that don't watch.
     pub follower_reads_per_second: f64,
@@ -43,11 +45,11 @@
             pull_timeout_ms: 4_000,
             min_backoff_ms: 200,
             max_backoff_ms: 5_000,
-            first_reads_per_second: 1_000.0,
+            first_reads_per_second: 10.0,
             follower_reads_per_second: 20.0,
             cold_read_after_ms: 5_000,
             unconfirmed_read_after_ms: 60_000,
-            assumed_fleet_vms: 1_000,
+            assumed_fleet_vms: 48,
             first_value_grace_ms: 1_000,
             rejected_hold_ms: 60_000,
         }
--- a/crates/pistachiotrack-standins/src/daemon.rs
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -36,6 +36,9 @@
     pub admin_address: SocketAddr,
     /// Address of the platform.
     pub platform_address: SocketAddr,
+    /// VMs of the deployment, over which the first reads of the platform are
+    /// spread.
+    pub expected_vms: usize,
 }
 
 /// The daemon's executable.
--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -270,6 +270,7 @@
         advertised_peer_address: behind_relays.then_some(local(ports[3])),
         admin_address: local(ports[2]),
         platform_address: deployment.platform.address(),
+        expected_vms: count,
     });
     Ok(settings.collect())
 }
--- a/crates/pistachiotrack-standins/src/slopes/acceptance.rs
+++ b/crates/pistachiotrack-standins/src/slopes/acceptance.rs
@@ -174,7 +174,8 @@
     json
 }
 
-fn gzip(bytes: &[u8]) -> f64 {
+/// Returns the length of `bytes` compressed.
+pub(crate) fn gzip(bytes: &[u8]) -> f64 {
     let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
     encoder.write_all(bytes).expect("a vector takes all bytes");
     encoder.finish().expect("a vector takes all bytes").len() as f64
--- a/crates/pistachiotrack-standins/src/slopes/faults.rs
+++ b/crates/pistachiotrack-standins/src/slopes/faults.rs
@@ -138,6 +138,7 @@
     let served = fleet.run_until(LIMIT, |fleet| fleet.in_force(1));
     push(report, "fault.cold_start.in_force", "s", seconds(served));
     push(report, "fault.cold_start.reads", "reads", fleet.platform.reads as f64);
+    push(report, "fault.cold_start.list_reads", "reads", fleet.platform.list_reads as f64);
     let peak = fleet.platform.busiest_second() as f64 * scale::deployments();
     let peak = Figure::new("fault.cold_start.all.busiest_second", "reads", peak);
     report.figures.push(peak.within(scale::PLATFORM_READS_PER_S));
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -19,7 +19,11 @@
     time::Time,
     vm::{Vm, VmList},
 };
-use tokio::{net::UdpSocket, sync::watch, task::AbortHandle};
+use tokio::{
+    net::UdpSocket,
+    sync::watch,
+    task::{AbortHandle, JoinHandle},
+};
 
 use crate::{
     context::Context,
@@ -339,6 +343,7 @@
         for action in actions {
             match action {
                 ConfigAction::Watch { after } => self.watch(after),
+                ConfigAction::Read { after } => self.read(after),
                 ConfigAction::Pull { vm, request } => self.pull(vm, request),
                 ConfigAction::InForce(config) => self.put_in_force(now, config),
                 ConfigAction::Rejected(error) => {
@@ -376,8 +381,15 @@
     fn watch(&mut self, after: Option<u64>) {
         self.watching.send_replace(true);
         let Some(fleet) = self.actor_ref.upgrade() else { return };
-        let platform = self.platform.clone();
-        let watch = tokio::spawn(platform.watch_config(after, fleet));
+        self.replace_watch(tokio::spawn(self.platform.clone().watch_config(after, fleet)));
+    }
+
+    fn read(&mut self, after: Option<u64>) {
+        let Some(fleet) = self.actor_ref.upgrade() else { return };
+        self.replace_watch(tokio::spawn(self.platform.clone().read_config(after, fleet)));
+    }
+
+    fn replace_watch(&mut self, watch: JoinHandle<()>) {
         // A watch that was given up must not bring its late end to the new one.
         if let Some(older) = self.waiting_watch.replace(watch.abort_handle()) {
             older.abort();
--- a/crates/pistachiotrackd/src/http_call.rs
+++ b/crates/pistachiotrackd/src/http_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode, client::conn::http1};
+use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -22,7 +22,7 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
 }
 
-/// Sends `request` to `address` and returns the status and the whole body.
+/// Sends `request` to `address` and returns the answer with its whole body.
 ///
 /// # Errors
 ///
@@ -31,16 +31,14 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     max_bytes: usize,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     let _closes = AbortOnDrop(connection.abort_handle());
-    let response = sender.send_request(request).await?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), max_bytes);
-    let body = body.collect().await.map_err(CallError::Body)?;
-    Ok((status, body.to_bytes()))
+    let (head, body) = sender.send_request(request).await?.into_parts();
+    let body = Limited::new(body, max_bytes).collect().await.map_err(CallError::Body)?;
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 /// Ends a connection's task together with the exchange.
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -20,6 +20,7 @@
 mod forward;
 mod forwarded_route;
 mod guarded_stream;
+pub mod gzip;
 mod hand_over;
 mod headers;
 mod histogram;
--- a/crates/pistachiotrackd/src/peer_client.rs
+++ b/crates/pistachiotrackd/src/peer_client.rs
@@ -46,9 +46,9 @@
         .body(Full::new(Bytes::from(question)))?;
     let call = http_call::call(peer, request, MAX_MESSAGE_BYTES);
     let answer = tokio::time::timeout(timeout, call).await;
-    let (status, body) = answer.map_err(|_| PeerError::TimedOut(timeout))??;
-    match status {
-        StatusCode::OK => Ok(body),
+    let answer = answer.map_err(|_| PeerError::TimedOut(timeout))??;
+    match answer.status() {
+        StatusCode::OK => Ok(answer.into_body()),
         status => Err(PeerError::Status(status)),
     }
 }
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -1,11 +1,14 @@
-//! The platform's configuration service and its list of VMs, which are only
-//! read.
+//! The platform's configuration service and its list of a deployment's VMs,
+//! which are only read.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode, header::HOST};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST, HeaderValue},
+};
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{
     config::MAX_VALUE_BYTES, config_sync::ListReads, name::Name, vm::VmList,
@@ -15,6 +18,7 @@
 use crate::{
     control_traffic::ControlTraffic,
     fleet::{Fleet, PlatformValue, VmsListed},
+    gzip::{self, GzipError},
     http_call::{self, CallError},
     settings::Settings,
 };
@@ -23,6 +27,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Time allowed besides the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Coding that the platform may use for its values.
+const GZIP: &str = "gzip";
+
 /// Why the platform's service gave no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PlatformError {
@@ -35,6 +42,12 @@
     /// The value can't be decoded.
     #[error("value: {0}")]
     Value(#[from] serde_json::Error),
+    /// The compressed value can't be decoded.
+    #[error(transparent)]
+    Gzip(#[from] GzipError),
+    /// It answered in a coding that wasn't asked for.
+    #[error("content-encoding {0:?}")]
+    Encoding(String),
     /// It answered with an unexpected status.
     #[error("status {0}")]
     Status(StatusCode),
@@ -69,6 +82,15 @@
         let _ = fleet.tell(PlatformValue(value)).try_send();
     }
 
+    /// Reads a configuration newer than `after`, without waiting for one, and
+    /// tells the fleet actor.
+    pub(crate) async fn read_config(self, after: Option<u64>, fleet: ActorRef<Fleet>) {
+        let path = format!("/v1/config/{}", self.deployment);
+        let value = self.ask(&path, after, Duration::ZERO).await;
+        // The fleet actor stops only with the process.
+        let _ = fleet.tell(PlatformValue(value)).try_send();
+    }
+
     /// Keeps the list of VMs for as long as the fleet actor runs.
     ///
     /// The VMs that watch the configuration watch the list too; the others read
@@ -80,13 +102,14 @@
         watching: watch::Receiver<bool>,
         mut reads: ListReads,
     ) {
+        let path = format!("/v1/vms/{}", self.deployment);
         let mut after = None;
         tokio::time::sleep(reads.first_wait()).await;
         loop {
             if after.is_some() {
                 wait_for_turn(watching.clone(), reads.turn()).await;
             }
-            let list = match self.watch("/v1/vms", after).await {
+            let list = match self.watch(&path, after).await {
                 Ok(Some(value)) => parse_vms(&value),
                 Ok(None) => {
                     reads.on_nothing_newer();
@@ -111,12 +134,21 @@
     }
 
     async fn watch(&self, path: &str, after: Option<u64>) -> Result<Option<Bytes>, PlatformError> {
-        let wait_ms = WATCH_WAIT.as_millis();
+        self.ask(path, after, WATCH_WAIT).await
+    }
+
+    async fn ask(
+        &self,
+        path: &str,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<Bytes>, PlatformError> {
+        let wait_ms = wait.as_millis();
         let path = match after {
             Some(after) => format!("{path}?after={after}&wait_ms={wait_ms}"),
             None => path.to_owned(),
         };
-        tokio::time::timeout(WATCH_WAIT + ANSWER_TIMEOUT, self.read(&path))
+        tokio::time::timeout(wait + ANSWER_TIMEOUT, self.read(&path))
             .await
             .map_err(|_| PlatformError::TimedOut)?
     }
@@ -126,18 +158,30 @@
             .method(Method::GET)
             .uri(path)
             .header(HOST, self.address.to_string())
+            .header(ACCEPT_ENCODING, GZIP)
             .body(Full::default())?;
         self.traffic.sent(path.len());
-        let (status, value) = http_call::call(self.address, request, MAX_VALUE_BYTES).await?;
-        self.traffic.received(value.len());
-        match status {
-            StatusCode::OK => Ok(Some(value)),
+        let answer = http_call::call(self.address, request, MAX_VALUE_BYTES).await?;
+        self.traffic.received(answer.body().len());
+        match answer.status() {
+            StatusCode::OK => Ok(Some(decoded(answer)?)),
             StatusCode::NO_CONTENT => Ok(None),
             status => Err(PlatformError::Status(status)),
         }
     }
 }
 
+/// Returns the value of an answer, which comes plain or compressed.
+fn decoded(answer: Response<Bytes>) -> Result<Bytes, PlatformError> {
+    match answer.headers().get(CONTENT_ENCODING).map(HeaderValue::as_bytes) {
+        None | Some(b"identity") => Ok(answer.into_body()),
+        Some(coding) if coding.eq_ignore_ascii_case(GZIP.as_bytes()) => {
+            Ok(gzip::decode(answer.body(), MAX_VALUE_BYTES)?)
+        }
+        Some(coding) => Err(PlatformError::Encoding(String::from_utf8_lossy(coding).into_owned())),
+    }
+}
+
 fn parse_vms(value: &[u8]) -> Result<VmList, PlatformError> {
     Ok(serde_json::from_slice(value)?)
 }
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -38,6 +38,7 @@
         "peer_address": "127.0.0.1:0",
         "admin_address": "127.0.0.1:0",
         "platform_address": platform,
+        "expected_vms": 4,
         "entry_drain_ms": 0,
         "limits": limits,
     });
