--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -4,7 +4,7 @@
 //! the other endpoints of the shard, and how old the work in flight is. A
 //! sequential test per endpoint decides; see `docs/design/health.md`.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -24,9 +24,10 @@
 mod rotation;
 mod schedule;
 mod state;
+mod via;
 
 use reference::Reference;
-use state::{Drain, EndpointState, Flight, Phase};
+use state::{EndpointState, Flight, Phase};
 
 /// Settings of the health decisions of one shard.
 #[derive(Clone, Debug)]
@@ -95,6 +96,17 @@
     Unreachable,
 }
 
+impl EjectReason {
+    /// Returns the name used in logs and at the admin port.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EjectReason::Failures => "failures",
+            EjectReason::Slow => "slow",
+            EjectReason::Unreachable => "unreachable",
+        }
+    }
+}
+
 /// Answer of VMs elsewhere that were asked whether they reach an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathAnswer {
@@ -131,6 +143,16 @@
         /// The endpoint.
         endpoint: Name,
     },
+    /// Only this VM can't reach an endpoint, and its work goes through another.
+    PathBroken {
+        /// The endpoint.
+        endpoint: Name,
+    },
+    /// Work goes directly to an endpoint again.
+    PathWorks {
+        /// The endpoint.
+        endpoint: Name,
+    },
     /// Asks VMs elsewhere whether they reach the endpoint.
     CheckPath {
         /// The endpoint.
@@ -143,6 +165,26 @@
     },
 }
 
+/// Writes the action as key=value pairs for a line of the log.
+impl fmt::Display for HealthAction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (action, endpoint) = match self {
+            HealthAction::Ejected { endpoint, reason } => {
+                let reason = reason.as_str();
+                return write!(f, "action=ejected endpoint={endpoint} reason={reason}");
+            }
+            HealthAction::TrialStarted { endpoint } => ("trial_started", endpoint),
+            HealthAction::Readmitted { endpoint } => ("readmitted", endpoint),
+            HealthAction::HeldByFloor { endpoint } => ("held_by_floor", endpoint),
+            HealthAction::PathBroken { endpoint } => ("path_broken", endpoint),
+            HealthAction::PathWorks { endpoint } => ("path_works", endpoint),
+            HealthAction::CheckPath { endpoint } => ("check_path", endpoint),
+            HealthAction::Probe { endpoint } => ("probe", endpoint),
+        };
+        write!(f, "action={action} endpoint={endpoint}")
+    }
+}
+
 /// What an owner tells its successor about an endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HealthHandOver {
@@ -251,13 +293,14 @@
     /// Notes what an endpoint reports about itself.
     ///
     /// Only the mark of leaving counts; what it says about its load is left to
-    /// the reader.
+    /// the reader. The mark is a hint: it is disregarded where no endpoint would
+    /// be left in rotation, while the configuration's mark always holds.
     pub fn on_report(&mut self, now: Time, endpoint: &Name, report: Report) -> Vec<HealthAction> {
         let mut actions = Vec::new();
         let Some(&position) = self.positions.get(endpoint) else { return actions };
-        let drain = &mut self.endpoints[position].drain;
-        match drain {
-            _ if report.draining => *drain = Some(Drain { said_at: now, denied_at: None }),
+        let state = &mut self.endpoints[position];
+        match &mut state.drain {
+            _ if report.draining => state.note_drain(now),
             Some(drain) => {
                 drain.denied_at.get_or_insert(now);
             }
@@ -290,7 +333,8 @@
     /// Returns the share of its slots that an endpoint may use now, 0 to 1.
     ///
     /// An endpoint under trial has a tiny share that stands for one request at
-    /// a time. One that this VM alone can't reach has none.
+    /// a time. One that this VM alone can't reach has none, unless its work goes
+    /// through a witness.
     pub fn share(&self, now: Time, endpoint: &str) -> f64 {
         let Some(state) = self.state(endpoint) else { return 0.0 };
         if state.is_draining() {
@@ -310,7 +354,9 @@
     /// Returns whether only this VM can't reach the endpoint: it is not sick,
     /// and its work goes through another VM.
     pub fn unreachable_from_here(&self, endpoint: &str) -> bool {
-        self.state(endpoint).is_some_and(|state| matches!(state.phase, Phase::PathBroken { .. }))
+        self.state(endpoint).is_some_and(|state| {
+            state.via.is_some() || matches!(state.phase, Phase::PathBroken { .. })
+        })
     }
 
     /// Returns whether the next request to an endpoint should go on a new
@@ -356,7 +402,11 @@
         self.endpoints.iter().position(|endpoint| endpoint.id == id)
     }
 
+    /// Returns how many endpoints are in rotation with no report against them.
+    ///
+    /// Those whose report is disregarded are not counted: they have to go as
+    /// soon as they can, so the floor must not let any other go for them.
     fn rotation_len(&self) -> usize {
-        self.endpoints.iter().filter(|endpoint| endpoint.in_rotation()).count()
+        self.endpoints.iter().filter(|endpoint| endpoint.stays()).count()
     }
 }
--- a/crates/pistachiotrack-core/src/health/state.rs
+++ b/crates/pistachiotrack-core/src/health/state.rs
@@ -9,7 +9,7 @@
     time::Time,
 };
 
-use super::{AttemptKind, Standing};
+use super::{AttemptKind, Standing, via::Via};
 
 /// Requests of a new endpoint that are judged leniently.
 const COLD_REQUESTS: u32 = 20;
@@ -55,6 +55,8 @@
     pub(super) said_at: Time,
     /// It last said that it isn't then, after having said that it is.
     pub(super) denied_at: Option<Time>,
+    /// Whether it gets work all the same, for want of any other endpoint.
+    pub(super) overruled: bool,
 }
 
 /// An attempt that has not ended.
@@ -68,6 +70,8 @@
     pub(super) fresh: bool,
     /// Whether it spans a pause of this process: its age shows nothing.
     pub(super) tainted: bool,
+    /// Whether it goes through a witness.
+    pub(super) via: bool,
     /// Whether its answer has begun.
     pub(super) answered: bool,
     /// Whether its hanging was counted already.
@@ -85,6 +89,8 @@
     pub(super) evidence: Evidence,
     pub(super) tally: Tally,
     pub(super) path: Path,
+    /// Only this VM can't reach it, and its work goes through another one.
+    pub(super) via: Option<Via>,
     pub(super) reason: Option<EjectReason>,
     pub(super) ejections: u32,
     /// Last ejection or forgiven ejection.
@@ -114,6 +120,7 @@
             evidence,
             tally: Tally::default(),
             path: Path::Unasked,
+            via: None,
             reason: None,
             ejections: 0,
             ejections_at: now,
@@ -129,7 +136,20 @@
     }
 
     pub(super) fn is_draining(&self) -> bool {
-        self.leaving || self.drain.is_some()
+        self.leaving || self.drain.is_some_and(|drain| !drain.overruled)
+    }
+
+    /// Takes a report that the endpoint is leaving.
+    pub(super) fn note_drain(&mut self, now: Time) {
+        let overruled = self.drain.is_some_and(|drain| drain.overruled);
+        self.drain = Some(Drain { said_at: now, denied_at: None, overruled });
+    }
+
+    /// Sets whether the endpoint gets work although it said that it is leaving.
+    pub(super) fn overrule_drain(&mut self, overruled: bool) {
+        if let Some(drain) = &mut self.drain {
+            drain.overruled = overruled;
+        }
     }
 
     /// Takes whether the configuration marks the endpoint as leaving.
@@ -141,11 +161,20 @@
         }
     }
 
-    /// Returns whether the endpoint counts for the floor.
+    /// Returns whether the endpoint gets a share of the work.
     pub(super) fn in_rotation(&self) -> bool {
-        let gets_work =
-            matches!(self.phase, Phase::InRotation | Phase::Held | Phase::SlowStart { .. });
-        gets_work && !self.is_draining()
+        self.is_fit() && !self.is_draining()
+    }
+
+    /// Returns whether the endpoint may get work, leaving or not.
+    pub(super) fn is_fit(&self) -> bool {
+        matches!(self.phase, Phase::InRotation | Phase::Held | Phase::SlowStart { .. })
+    }
+
+    /// Returns whether the endpoint counts for the floor: it is in rotation, and
+    /// not just for want of others.
+    pub(super) fn stays(&self) -> bool {
+        self.is_fit() && !self.leaving && self.drain.is_none()
     }
 
     pub(super) fn standing(&self, threshold: f64) -> Standing {
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -5,6 +5,7 @@
 mod flow;
 mod pool;
 mod state;
+mod via;
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
@@ -52,6 +53,16 @@
     Careful,
 }
 
+impl ShardMode {
+    /// Returns the name shown at the admin port.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ShardMode::Owner => "owner",
+            ShardMode::Careful => "careful",
+        }
+    }
+}
+
 /// Settings of a shard.
 #[derive(Clone, Debug)]
 pub struct ShardSettings {
@@ -100,6 +111,8 @@
     expiry: BTreeSet<(Time, RequestId)>,
     /// Requests in flight by the moment at which a hedge is due.
     hedges: BTreeSet<(Time, RequestId)>,
+    /// VMs through which endpoints work that only this VM can't reach.
+    witnesses: FxHashMap<Name, Vec<Name>>,
     keys: KeyTable,
     budget: RetryBudget,
     latency: RecentLatency,
@@ -137,6 +150,7 @@
             attempts: FxHashMap::default(),
             expiry: BTreeSet::new(),
             hedges: BTreeSet::new(),
+            witnesses: FxHashMap::default(),
             keys: KeyTable::new(KeySettings::default()),
             budget: RetryBudget::new(now, BudgetSettings::default()),
             latency: RecentLatency::default(),
@@ -156,6 +170,7 @@
         let endpoints = service.map(|service| endpoints(service, &self.id)).unwrap_or_default();
         self.pool.set_endpoints(endpoints.iter().copied());
         self.set_service(config);
+        self.forget_witnesses();
         let floor = service.map_or(0, |service| shard_floor(service, endpoints.len()));
         let actions = self.health.on_config(now, &self.pool.candidates(), floor);
         self.on_health_actions(now, actions);
@@ -207,6 +222,7 @@
         }
         self.on_health_actions(now, actions);
         self.on_evidence(now, &of, outcome);
+        self.on_witness_outcome(now, &of, outcome);
         self.pool.refresh(now, &self.health);
         if let Outcome::Answered { status, .. } = outcome {
             if let Some(request) = of.request {
@@ -356,8 +372,15 @@
         self.health.at_floor()
     }
 
+    /// Returns whether nothing is lost if the shard is forgotten: no request and
+    /// no attempt is under way and no idempotency key is on record.
+    pub fn is_idle(&self) -> bool {
+        self.live.is_empty() && self.attempts.is_empty() && self.keys.is_empty()
+    }
+
     /// Returns the endpoints for the admin port.
     pub fn endpoints(&self, _now: Time) -> Vec<EndpointStatus> {
+        let mode = self.pool.mode();
         self.pool
             .configured()
             .map(|slots| {
@@ -369,7 +392,8 @@
                     in_flight: slots.in_flight,
                     limit: slots.limit,
                     evidence: self.health.evidence(name),
-                    reason: self.health.last_reason(name).map(reason_name).map(Name::from),
+                    mode: Name::from(mode.as_str()),
+                    reason: self.health.last_reason(name).map(EjectReason::as_str).map(Name::from),
                 }
             })
             .collect()
@@ -442,11 +466,3 @@
         Standing::Draining => "draining",
     }
 }
-
-fn reason_name(reason: EjectReason) -> &'static str {
-    match reason {
-        EjectReason::Failures => "failures",
-        EjectReason::Slow => "slow",
-        EjectReason::Unreachable => "unreachable",
-    }
-}
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, control_traffic::ControlTraffic,
-    histogram::Histograms, metrics::Metrics, settings::Settings, shard_table::ShardTable,
-    view::FleetView,
+    forward_record::ForwardRecord, histogram::Histograms, metrics::Metrics, settings::Settings,
+    shard_table::ShardTable, timer::PauseGate, view::FleetView,
 };
 
 /// State of the daemon's life cycle.
@@ -45,6 +45,8 @@
     pub(crate) me: Vm,
     /// Clock of the process.
     pub(crate) clock: Clock,
+    /// Gate that shuts after a pause.
+    pub(crate) gate: PauseGate,
     /// The fleet and the configuration.
     pub(crate) view: watch::Receiver<Arc<FleetView>>,
     /// Whether the daemon is stopping.
@@ -55,6 +57,8 @@
     pub(crate) endpoints: Arc<ConnectionPool>,
     /// Connections to other VMs.
     pub(crate) peers: Arc<ConnectionPool>,
+    /// What is known of the requests sent on.
+    pub(crate) forwards: ForwardRecord,
     /// Counters.
     pub(crate) metrics: Metrics,
     /// Counters of control messages.
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod answer;
+mod arrival;
 mod attempt;
 mod body;
 mod clock;
@@ -15,9 +16,11 @@
 mod context;
 mod control_traffic;
 pub mod daemon;
+mod entries;
 mod exchange;
 mod fleet;
 mod forward;
+mod forward_record;
 mod forwarded_route;
 mod guarded_stream;
 pub mod gzip;
@@ -44,4 +47,6 @@
 mod stall_guard;
 mod timer;
 mod udp;
+mod via;
 mod view;
+mod witness;
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -12,14 +12,15 @@
     rule::{Refuse, Route, RuleAction, Subject},
     service::Service,
     shard::ShardMode,
-    steering,
     time::Time,
 };
 
 use crate::{
     answer,
+    arrival::Arrival,
     body::AnswerBody,
     context::Context,
+    entries,
     forward::{self, ForwardError},
     forwarded_route::ForwardedRoute,
     headers,
@@ -28,12 +29,11 @@
     request_body::{BodyLimits, RequestBody, RequestBodyError},
     request_task::{self, Served},
     view::{ActiveConfig, FleetView},
+    witness,
 };
 
 /// Start of the paths that the daemon answers by itself.
 const OWN_PATHS: &str = "/pistachiotrack/";
-/// Time after which a caller may ask a VM again that has no configuration yet.
-const NO_CONFIG_RETRY_MS: u64 = 1_000;
 /// Most characters of a customer's name.
 const MAX_CUSTOMER_CHARS: usize = 256;
 
@@ -43,14 +43,14 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     if request.uri().path() == header::ENTRIES_PATH {
-        return Ok(entries(&context, request.uri().query()));
+        return Ok(entries::answer(&context, &request.into_parts().0));
     }
     if request.uri().path().starts_with(OWN_PATHS) {
         return Ok(answer::plain(StatusCode::NOT_FOUND));
     }
     context.metrics.count(Event::Request);
     let received = context.clock.now();
-    let response = match receive(&context, request, received).await {
+    let response = match receive(&context, request).await {
         Ok(inbound) => {
             let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
             let served = serve(&context, inbound).await;
@@ -69,6 +69,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     context.metrics.count(Event::PeerRequest);
+    if request.headers().contains_key(header::VIA) {
+        return Ok(witness::handle(&context, request).await);
+    }
     let response = match receive_forwarded(&context, request).await {
         Ok(inbound) => {
             let served = serve_here(&context, inbound).await;
@@ -97,38 +100,14 @@
     context.metrics.count(event);
 }
 
-fn entries(context: &Context, query: Option<&str>) -> Response<AnswerBody> {
-    let view = context.view();
-    let Some(active) = &view.active else { return no_config() };
-    let service = query
-        .into_iter()
-        .flat_map(|query| query.split('&'))
-        .find_map(|pair| pair.strip_prefix("service="))
-        .unwrap_or_default();
-    let members = view.members.iter();
-    let entries = steering::entries(&active.config, &view.ownership, &context.me, members, service);
-    answer::json(&entries)
-}
-
-fn no_config() -> Response<AnswerBody> {
-    answer::refusal(Refusal {
-        execution: Execution::NotRun,
-        reason: Reason::NoConfig,
-        retry_after_ms: Some(NO_CONFIG_RETRY_MS),
-    })
-}
-
 type Refused = Box<Response<AnswerBody>>;
 
 /// Takes in a caller's request and decides where it goes.
-async fn receive(
-    context: &Context,
-    request: Request<Incoming>,
-    received: Time,
-) -> Result<Inbound, Refused> {
+async fn receive(context: &Context, request: Request<Incoming>) -> Result<Inbound, Refused> {
     let (mut parts, body) = request.into_parts();
+    let received = arrival(context, &parts);
     let view = context.view();
-    let Some(active) = &view.active else { return Err(Box::new(no_config())) };
+    let Some(active) = &view.active else { return Err(Box::new(answer::no_config())) };
     headers::strip_from_caller(&mut parts.headers);
     let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
     let deadline = caller_deadline(&parts.headers, received).map_err(|_| bad_request())?;
@@ -153,6 +132,7 @@
     };
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
+    check_not_overslept(context, &parts, deadline)?;
     let body = read_body(context, body, deadline).await?;
     Ok(Inbound {
         id,
@@ -166,6 +146,21 @@
     })
 }
 
+/// Returns the moment from which a request's deadline counts.
+fn arrival(context: &Context, parts: &request::Parts) -> Time {
+    parts.extensions.get().map_or_else(|| context.clock.now(), |Arrival(time)| *time)
+}
+
+/// Refuses a request whose deadline passed while this VM was paused.
+fn check_not_overslept(
+    context: &Context,
+    parts: &request::Parts,
+    deadline: Time,
+) -> Result<(), Refused> {
+    let overslept = parts.extensions.get::<Arrival>().is_some() && context.clock.now() >= deadline;
+    if overslept { Err(Box::new(answer::not_run(Reason::Paused))) } else { Ok(()) }
+}
+
 fn timeout_ms(route: &Route, service: &Service) -> u64 {
     route.timeout_ms.unwrap_or(service.timeout_ms)
 }
@@ -254,7 +249,7 @@
     turned.find(is_mine).unwrap_or_else(|| shard(first))
 }
 
-async fn read_body(
+pub(crate) async fn read_body(
     context: &Context,
     body: Incoming,
     deadline: Time,
@@ -285,8 +280,8 @@
     context: &Context,
     request: Request<Incoming>,
 ) -> Result<Inbound, Refused> {
-    let received = context.clock.now();
     let (mut parts, body) = request.into_parts();
+    let received = arrival(context, &parts);
     let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
     let route = headers::text(&parts.headers, header::ROUTE)
         .and_then(ForwardedRoute::decode)
@@ -294,6 +289,7 @@
         .ok_or_else(bad_request)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
+    check_not_overslept(context, &parts, deadline)?;
     let id = context.next_request();
     let fleet_id = headers::text(&parts.headers, header::REQUEST_ID)
         .map_or_else(|| context.fleet_id(id), Name::from);
@@ -350,7 +346,8 @@
     if !inbound.body.is_at_hand() || context.clock.now() >= inbound.deadline {
         return false;
     }
-    error.is_unsent() || inbound.route.idempotent
+    error.is_unsent()
+        || inbound.route.idempotent && context.forwards.take_retry(context.clock.now())
 }
 
 /// Has a request served by this VM's actor of the shard.
@@ -358,7 +355,7 @@
     let shard = {
         let view = context.view();
         let Some(active) = &view.active else {
-            return Served { response: no_config(), endpoint_time: None };
+            return Served { response: answer::no_config(), endpoint_time: None };
         };
         let owner = view.ownership.owner(&inbound.route.shard);
         let mode = match owner.is_some_and(|owner| owner.name == context.me.name) {
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -13,6 +13,7 @@
 use hyper::Response;
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{
+    endpoint::Endpoint,
     header,
     name::Name,
     refusal::{Execution, Reason, Refusal},
@@ -25,12 +26,14 @@
     answer,
     attempt::{self, AttemptEnd},
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
+    connection_pool::ConnectionPool,
     context::Context,
     exchange::BegunAnswer,
     headers,
     inbound::Inbound,
     metrics::Event,
     shard_actor::{AttemptOutcome, BodyEnded, CallerGone, Command, ShardActor, Submit},
+    view::FleetView,
 };
 
 /// Time after the deadline for which the shard's own refusal is waited for.
@@ -64,7 +67,6 @@
         return Served::refused(not_run(Reason::NoEndpoint));
     }
     let task = RequestTask {
-        budget: connection_budget(context, &inbound),
         context: Arc::clone(context),
         shard,
         inbound: Arc::new(inbound),
@@ -79,14 +81,18 @@
 
 /// Returns how many connections this VM may have open to an endpoint: its part
 /// of what the endpoint accepts, but enough for the endpoint's slots.
-fn connection_budget(context: &Context, inbound: &Inbound) -> u32 {
+fn connection_budget(context: &Context, service: &str, endpoint: &str) -> u32 {
     let view = context.view();
     let endpoint = view
         .active
         .as_ref()
-        .and_then(|active| active.service(&inbound.route.shard.service))
-        .and_then(|service| service.endpoints.first());
-    let Some(endpoint) = endpoint else { return MIN_CONNECTION_BUDGET };
+        .and_then(|active| active.service(service))
+        .and_then(|service| service.endpoints.iter().find(|one| one.name.as_str() == endpoint));
+    endpoint.map_or(MIN_CONNECTION_BUDGET, |endpoint| endpoint_budget(&view, endpoint))
+}
+
+/// Returns how many connections this VM may have open to `endpoint`.
+pub(crate) fn endpoint_budget(view: &FleetView, endpoint: &Endpoint) -> u32 {
     (endpoint.connections / view.live_vms()).max(endpoint.slots).max(MIN_CONNECTION_BUDGET)
 }
 
@@ -100,7 +106,6 @@
 /// Dropping it ends all its attempts by closing their connections and tells the
 /// shard, which is what happens when the caller goes away.
 struct RequestTask {
-    budget: u32,
     context: Arc<Context>,
     shard: ActorRef<ShardActor>,
     inbound: Arc<Inbound>,
@@ -116,6 +121,7 @@
     attempt: AttemptId,
     endpoint: Name,
     answer: Box<BegunAnswer>,
+    pool: Arc<ConnectionPool>,
 }
 
 enum Step {
@@ -184,7 +190,9 @@
         self.context.metrics.count(Event::Dispatch);
         let context = Arc::clone(&self.context);
         let inbound = Arc::clone(&self.inbound);
-        let running = attempt::run(context, inbound, dispatch, self.budget);
+        let service = &inbound.route.shard.service;
+        let budget = connection_budget(&context, service, &dispatch.endpoint);
+        let running = attempt::run(context, inbound, dispatch, budget);
         self.running.push((attempt, Box::pin(running)));
         None
     }
@@ -216,7 +224,8 @@
             self.context.metrics.count(Event::HeldBack);
         }
         if let Some(answer) = end.answer {
-            self.answered.push(Answered { attempt, endpoint: end.endpoint, answer });
+            let (endpoint, pool) = (end.endpoint, end.pool);
+            self.answered.push(Answered { attempt, endpoint, answer, pool });
         }
         self.tell_outcome(attempt, end.outcome, end.report);
         None
@@ -224,7 +233,7 @@
 
     fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
-        let Answered { endpoint, answer, .. } = self.answered.swap_remove(index);
+        let Answered { endpoint, answer, pool, .. } = self.answered.swap_remove(index);
         self.finished = true;
         let BegunAnswer { mut parts, body, connection, sent, began, .. } = *answer;
         let endpoint_time = began.since(sent);
@@ -234,7 +243,7 @@
             &parts,
             body,
             connection,
-            Arc::clone(&self.context.endpoints),
+            pool,
             Duration::from_millis(self.context.settings.limits.body_idle_ms),
             Some(watch),
         );
