--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -23,6 +23,7 @@
 mod forward_record;
 mod forwarded_route;
 mod guarded_stream;
+pub mod gzip;
 mod hand_over;
 mod headers;
 mod histogram;
--- a/crates/pistachiotrackd/tests/process.rs
+++ b/crates/pistachiotrackd/tests/process.rs
@@ -39,7 +39,7 @@
         let settings = json!({
             "vm": "vm-09", "data_centre": "oslo-1", "deployment": "timeliten",
             "caller_address": caller, "peer_address": peer, "admin_address": admin,
-            "platform_address": platform, "entry_drain_ms": 0,
+            "platform_address": platform, "expected_vms": 4, "entry_drain_ms": 0,
         });
         let file = settings_file(test, &settings);
         let log = file.with_extension("log");
--- a/crates/pistachiotrackd/tests/testenv/process.rs
+++ b/crates/pistachiotrackd/tests/testenv/process.rs
@@ -37,7 +37,8 @@
         let mut settings = json!({
             "vm": vm, "data_centre": "oslo-1", "deployment": "timeliten",
             "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0",
-            "admin_address": "127.0.0.1:0", "platform_address": platform, "entry_drain_ms": 0});
+            "admin_address": "127.0.0.1:0", "platform_address": platform, "expected_vms": 4,
+            "entry_drain_ms": 0});
         let further = further.as_object().unwrap().clone();
         settings.as_object_mut().unwrap().extend(further);
         let mut child = spawn(&settings).await;
