Have a VM settle anew after a pause in which it may have been declared dead

Change: a pause of at least the suspicion time has it settle anew, told or not; a VM that knows some members takes the fleet for at least the expected size when it spreads its reads.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -278,8 +278,7 @@
     fn fleet_vms(&self, members: usize) -> usize {
         match self.listed_vms {
             Some(listed) => listed.max(members + 1),
-            None if members == 0 => self.settings.assumed_fleet_vms as usize,
-            None => members + 1,
+            None => (members + 1).max(self.settings.assumed_fleet_vms as usize),
         }
     }
 
--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -189,7 +189,16 @@
     /// though it was this VM that was away. Their timers start anew, rumours of
     /// the old time are dropped, and the refutation number goes up so that
     /// whoever declared this VM dead meanwhile verifies it again.
-    pub fn on_pause(&mut self, now: Time, _gap: Duration) {
+    ///
+    /// Failure guarded against: a VM wakes up and goes on as owner of what others
+    /// have taken over. It shows as two owners of a shard for seconds. Whoever
+    /// verifies the VM as alive need not tell it of its death, so the guard holds
+    /// without being told: a pause in which the others may have declared this VM
+    /// dead has it settle anew.
+    pub fn on_pause(&mut self, now: Time, gap: Duration) {
+        if gap >= self.suspicion_time() {
+            self.alive_since = now;
+        }
         self.probes.restart(now);
         self.gossip.clear();
         self.pull.restart();
--- a/crates/pistachiotrackd/tests/process.rs
+++ b/crates/pistachiotrackd/tests/process.rs
@@ -277,7 +277,10 @@
     // to be given up; answers live for their full time when they have settled.
     for caller in [process.caller, others[0].caller, others[1].caller] {
         let path = format!("{}?service={}", header::ENTRIES_PATH, testenv::BOOKING);
-        client::wait_for(caller, &path, |answer| answer["lifetime_ms"] == 5_000).await;
+        client::wait_for(caller, &path, |answer| {
+            answer["lifetime_ms"] == testenv::ENTRY_LIFETIME_MS
+        })
+        .await;
     }
     assert!(owns(&client::admin(process.admin, "/status").await, BOOKING_SHARD));
 
