Give the daemons of the process tests addresses of their own

Cause: a port that was free a moment ago went to another test's daemon, and the test waited for 120 s. Change: each daemon gets a loopback address that nobody else uses.

--- a/crates/pistachiotrackd/tests/process.rs
+++ b/crates/pistachiotrackd/tests/process.rs
@@ -4,9 +4,10 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command},
+    sync::atomic::{AtomicU8, Ordering},
 };
 
 use bytes::Bytes;
@@ -35,7 +36,10 @@
 
 impl Process {
     fn start(test: &str, platform: SocketAddr) -> Process {
-        let [caller, peer, admin] = [0; 3].map(|_| free_address());
+        let [caller, peer, admin] = {
+            let host = own_host();
+            [host; 3].map(free_address)
+        };
         let settings = json!({
             "vm": "vm-09", "data_centre": "oslo-1", "deployment": "timeliten",
             "caller_address": caller, "peer_address": peer, "admin_address": admin,
@@ -93,9 +97,18 @@
     file
 }
 
-/// Returns an address that was free a moment ago.
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns a free address on a loopback address that no other test uses, so that
+/// nobody takes the port before the daemon binds it.
+fn free_address(host: IpAddr) -> SocketAddr {
+    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
+}
+
+/// Returns a loopback address of this process that was not given out before.
+fn own_host() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::from([127, 128 | (high & 0x7f), low, number])
 }
 
 /// Returns an endpoint that answers bookings only once the gate opens; its
