Look members up by name, and run an undisturbed trial by one function

Behaviour is as before. Result: fmt and clippy are clean; the daemon's fleet, control_faults, life_cycle and process tests and the stand-ins' tests were run; the two experiments were not.

--- a/crates/pistachiotrack-standins/src/experiment/churn.rs
+++ b/crates/pistachiotrack-standins/src/experiment/churn.rs
@@ -108,10 +108,7 @@
 
 async fn measure(settings: TrialSettings, options: &Options) -> anyhow::Result<Report> {
     let binary = DaemonBinary::find(options.log_directory.clone())?;
-    let baseline = {
-        let mut trial = Trial::start(&binary, settings).await?;
-        trial.run(async |_, _, _| Ok(())).await?.0
-    };
+    let baseline = Trial::undisturbed(&binary, settings).await?;
     let mut trial = Trial::start(&binary, settings).await?;
     let (churned, churn) =
         trial.run(async |_, fleet, _| churn(fleet, settings.duration, settings.seed).await).await?;
--- a/crates/pistachiotrack-standins/src/experiment/trial.rs
+++ b/crates/pistachiotrack-standins/src/experiment/trial.rs
@@ -92,6 +92,19 @@
         Ok(Trial { settings, deployment, fleet, links })
     }
 
+    /// Sends the load to a fleet of its own that nothing disturbs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the fleet does not serve in time.
+    pub(super) async fn undisturbed(
+        binary: &DaemonBinary,
+        settings: TrialSettings,
+    ) -> anyhow::Result<Outcome> {
+        let mut trial = Trial::start(binary, settings).await?;
+        Ok(trial.run(async |_, _, _| Ok(())).await?.0)
+    }
+
     /// Sends the load while `disturb` runs.
     ///
     /// # Errors
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -326,15 +326,13 @@
     }
 
     fn log_member(&self, vm: &Name) {
-        let member = self.membership.members().find(|member| member.vm.name == *vm);
-        if let Some(member) = member {
+        if let Some(member) = self.membership.member(vm) {
             log::info!("event=member_changed vm={vm} state={:?}", member.state);
         }
     }
 
     fn on_peer_version(&mut self, now: Time, vm: &Name, version: u64) {
-        let peer = self.membership.members().find(|member| member.vm.name == *vm);
-        let Some(peer) = peer.map(|member| member.vm.clone()) else { return };
+        let Some(peer) = self.membership.member(vm).map(|member| member.vm.clone()) else { return };
         let actions = self.sync.on_peer_version(now, &peer, version);
         self.apply_config(now, actions);
     }
