--- a/crates/pistachiotrack-core/examples/rule_index.rs
+++ b/crates/pistachiotrack-core/examples/rule_index.rs
@@ -122,6 +122,7 @@
     fn with<T>(&self, test: impl FnOnce(&Subject<'_>) -> T) -> T {
         test(&Subject {
             customer: &self.customer,
+            host: "host",
             method: "GET",
             path: &self.path,
             headers: &[
--- a/crates/pistachiotrack-core/src/config/check.rs
+++ b/crates/pistachiotrack-core/src/config/check.rs
@@ -102,6 +102,14 @@
         self.duration(format_args!("{path}.timeout_ms"), service.timeout_ms, MAX_DURATION_MS);
         self.positive(format_args!("{path}.shard_endpoints"), service.shard_endpoints);
         self.path(format_args!("{path}.probe_path"), &service.probe_path);
+        if let Some(limit) = &service.retry_limit {
+            if !(0.0..=1.0).contains(&limit.ratio) {
+                let problem = format!("{} is not between 0 and 1", limit.ratio);
+                self.error(format_args!("{path}.retry_limit.ratio"), problem);
+            }
+            let window = format_args!("{path}.retry_limit.window_ms");
+            self.duration(window, limit.window_ms, MAX_DURATION_MS);
+        }
     }
 
     fn endpoint(&mut self, path: Arguments<'_>, endpoint: &'a Endpoint) {
@@ -166,6 +174,9 @@
             let known = self.customers.contains(customer.as_str());
             self.known(known, path, "customer", customer);
         }
+        if let Some(host) = &when.host {
+            self.name(format_args!("{path}.host"), host);
+        }
         if let Some(method) = &when.method {
             self.name(format_args!("{path}.method"), method);
         }
@@ -197,6 +208,14 @@
         if let Some(timeout_ms) = route.timeout_ms {
             self.duration(format_args!("{path}.timeout_ms"), timeout_ms, MAX_DURATION_MS);
         }
+        for (index, share) in route.split.iter().enumerate() {
+            let path = format_args!("{path}.split[{index}]");
+            self.service_name(path, "service", &share.service);
+            self.positive(format_args!("{path}.weight"), share.weight);
+        }
+        if let Some(attempts) = route.attempts {
+            self.positive(format_args!("{path}.attempts"), attempts);
+        }
         if route.hedge && !route.idempotent {
             let problem = "true needs idempotent: a hedged request may run twice".to_owned();
             self.error(format_args!("{path}.hedge"), problem);
--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -112,7 +112,7 @@
     /// Notes that a value newer than the one held came.
     pub(super) fn on_newer(&mut self, now: Time) {
         self.failures = 0;
-        self.not_before = now;
+        self.not_before = now + Duration::from_millis(self.settings.change_gap_ms);
     }
 
     /// Notes that the platform knows nothing newer.
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -1,7 +1,10 @@
 //! Settings of the configuration's spread.
 
+use serde::Deserialize;
+
 /// Settings of the configuration's spread.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct ConfigSyncSettings {
     /// VMs of each data centre that watch the platform.
     pub watchers_per_data_centre: u32,
@@ -32,6 +35,9 @@
     /// Time for which a VM without a configuration holds the platform's first
     /// value back to hear whether a peer has a newer one.
     pub first_value_grace_ms: u64,
+    /// Time after a newer value before the next watch begins, so that changes in
+    /// quick succession are read together.
+    pub change_gap_ms: u64,
     /// Time for which a rejected version isn't read again.
     pub rejected_hold_ms: u64,
 }
@@ -51,6 +57,7 @@
             unconfirmed_read_after_ms: 60_000,
             assumed_fleet_vms: 48,
             first_value_grace_ms: 1_000,
+            change_gap_ms: 0,
             rejected_hold_ms: 60_000,
         }
     }
--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -125,6 +125,46 @@
         actions
     }
 
+    /// Notes how an endpoint answered a request of another VM.
+    pub fn on_peer_answer(
+        &mut self,
+        now: Time,
+        endpoint: &Name,
+        class: Class,
+        status: u16,
+        latency: Duration,
+    ) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
+        let Some(&position) = self.positions.get(endpoint) else { return actions };
+        let state = &mut self.endpoints[position];
+        state.last_dispatch = state.last_dispatch.max(now);
+        let started = Time::from_micros(now.as_micros().saturating_sub(latency.as_micros() as u64));
+        let flight = Flight {
+            endpoint: state.id,
+            class,
+            kind: AttemptKind::Work,
+            started,
+            fresh: false,
+            tainted: false,
+            via: false,
+            answered: true,
+            counted: false,
+        };
+        let outcome = Outcome::Answered { status, fresh_connection: false };
+        match state.phase {
+            Phase::Trial { since, .. } if started < since => return actions,
+            Phase::Ejected { .. } | Phase::PathBroken { .. } => return actions,
+            Phase::Trial { .. } => {
+                self.observe_trial(now, position, &flight, outcome, &mut actions);
+            }
+            Phase::InRotation | Phase::Held | Phase::SlowStart { .. } => {
+                self.observe(now, position, &flight, outcome);
+            }
+        }
+        self.decide(now, position, &mut actions);
+        actions
+    }
+
     /// Notes the end of an answer's body.
     pub fn on_body_end(
         &mut self,
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod refusal;
 pub mod request;
 pub mod retry;
+pub mod roster;
 pub mod rule;
 pub mod service;
 pub mod shard;
--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -7,6 +7,7 @@
 //! believes; a datagram that merely arrives proves one direction.
 
 mod gossip;
+mod join;
 mod local_health;
 mod probe;
 mod pull;
@@ -21,7 +22,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::settings::MembershipSettings;
-use self::{gossip::Gossip, local_health::LocalHealth, probe::Probes, pull::Pull, table::Table};
+use self::{
+    gossip::Gossip, join::Join, local_health::LocalHealth, probe::Probes, pull::Pull, table::Table,
+};
 use crate::{
     message::{Codec, Datagram, DatagramError, Identity, Message, Update, room_for_updates},
     name::Name,
@@ -93,6 +96,7 @@
     health: LocalHealth,
     probes: Probes,
     pull: Pull,
+    join: Join,
     refutation: u32,
     alive_since: Time,
     /// Refutation number at the last tick.
@@ -125,6 +129,7 @@
             gossip: Gossip::default(),
             probes,
             pull: Pull::default(),
+            join: Join::new(now),
             refutation: 0,
             alive_since: now,
             ticked_refutation: 0,
@@ -178,6 +183,7 @@
         self.check_probes(now, &mut actions);
         self.check_waiting(now, &mut actions);
         self.check_pull(now, &mut actions);
+        self.join_due(now, &mut actions);
         self.probe_due(now, &mut actions);
         self.ticked_refutation = self.refutation;
         actions
@@ -194,9 +200,10 @@
     /// have taken over. It shows as two owners of a shard for seconds. Whoever
     /// verifies the VM as alive need not tell it of its death, so the guard holds
     /// without being told: a pause in which the others may have declared this VM
-    /// dead has it settle anew.
+    /// dead has it settle anew. How long they wait is for their own health to
+    /// lengthen, so this VM reckons with well ones.
     pub fn on_pause(&mut self, now: Time, gap: Duration) {
-        if gap >= self.suspicion_time() {
+        if gap >= self.suspicion_time_of_the_well() {
             self.alive_since = now;
         }
         self.probes.restart(now);
@@ -225,6 +232,28 @@
         actions
     }
 
+    /// Tells members that hold an older configuration, as far as is known, of the
+    /// version that this VM reports.
+    pub fn announce(&mut self, now: Time) -> Vec<MembershipAction> {
+        self.now = now;
+        let mut actions = Vec::new();
+        let is_behind = |member: &Member| {
+            member.state == MemberState::Alive && member.config_version < self.config_version
+        };
+        let behind = self.members().filter(|member| is_behind(member));
+        let fanout = self.settings.announce_fanout;
+        let behind: Vec<Name> = behind.take(fanout).map(|member| member.vm.name.clone()).collect();
+        for name in behind {
+            self.send_to(now, &name, Message::Announce, &mut actions);
+        }
+        actions
+    }
+
+    /// Changes the addresses of VMs that may know the fleet.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.settings.seeds = seeds;
+    }
+
     /// Sets the configuration version that this VM reports.
     pub fn set_config_version(&mut self, version: u64) {
         self.config_version = Some(version);
@@ -327,9 +356,12 @@
     }
 
     fn suspicion_time(&self) -> Duration {
+        self.suspicion_time_of_the_well() * self.health.factor()
+    }
+
+    fn suspicion_time_of_the_well(&self) -> Duration {
         let intervals = self.settings.suspicion_intervals * self.scale();
-        let well_ms = intervals * self.settings.probe_interval_ms as f64;
-        Duration::from_millis(well_ms as u64 * u64::from(self.health.factor()))
+        Duration::from_millis((intervals * self.settings.probe_interval_ms as f64) as u64)
     }
 
     fn set_state(&mut self, now: Time, name: &Name, state: MemberState, actions: &mut Actions) {
--- a/crates/pistachiotrack-core/src/membership/pull.rs
+++ b/crates/pistachiotrack-core/src/membership/pull.rs
@@ -157,7 +157,7 @@
         next: Option<Name>,
         actions: &mut Actions,
     ) {
-        let Some(pull) = &mut self.pull.under_way else { return };
+        let Some(pull) = &mut self.pull.under_way else { return self.join.on_page(next) };
         if pull.peer != *from {
             return;
         }
--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -80,7 +80,7 @@
             Message::Nack { sequence } => self.on_nack(sequence),
             Message::TableRequest { after } => self.send_page(now, from, after, actions),
             Message::TablePage { next } => self.on_page(now, &sender.name, next, actions),
-            Message::Leave => {}
+            Message::Leave | Message::Announce => {}
         }
     }
 
--- a/crates/pistachiotrack-core/src/membership/settings.rs
+++ b/crates/pistachiotrack-core/src/membership/settings.rs
@@ -1,12 +1,20 @@
 //! Settings of the membership.
 
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
 use crate::name::Name;
 
 /// Settings of the membership.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct MembershipSettings {
     /// Deployment; datagrams of another one are left aside.
+    #[serde(skip, default = "no_deployment")]
     pub deployment: Name,
+    /// Peer addresses of VMs that may know the fleet; each may be stale or down.
+    pub seeds: Vec<SocketAddr>,
     /// Time between two probes sent by a VM.
     pub probe_interval_ms: u64,
     /// Time to wait for an answer before other VMs are asked to probe.
@@ -32,6 +40,9 @@
     pub tombstone_ms: u64,
     /// Members verified at a time besides the regular probe of an interval.
     pub verify_burst: usize,
+    /// Members told at once of a configuration that came from the platform; 0 to
+    /// leave it to the regular messages.
+    pub announce_fanout: usize,
     /// Peers told at once that this VM leaves.
     pub leave_fanout: usize,
     /// Time after which a page of the member table is asked for again.
@@ -43,7 +54,8 @@
 impl Default for MembershipSettings {
     fn default() -> MembershipSettings {
         MembershipSettings {
-            deployment: Name::from(""),
+            deployment: no_deployment(),
+            seeds: Vec::new(),
             probe_interval_ms: 500,
             ack_timeout_ms: 200,
             probe_timeout_ms: 800,
@@ -56,9 +68,14 @@
             forget_ms: 3_600_000,
             tombstone_ms: 21_600_000,
             verify_burst: 4,
+            announce_fanout: 0,
             leave_fanout: 8,
             page_timeout_ms: 500,
             table_interval_ms: 10_000,
         }
     }
 }
+
+fn no_deployment() -> Name {
+    Name::from("")
+}
--- a/crates/pistachiotrack-core/src/message.rs
+++ b/crates/pistachiotrack-core/src/message.rs
@@ -118,6 +118,9 @@
     },
     /// Tells that the sender is stopping gracefully.
     Leave,
+    /// Tells the configuration version in the sender's identity, and nothing
+    /// else.
+    Announce,
 }
 
 /// One datagram.
--- a/crates/pistachiotrack-core/src/ownership.rs
+++ b/crates/pistachiotrack-core/src/ownership.rs
@@ -6,6 +6,7 @@
 //! shards of a VM that died or leaves move at once.
 
 mod candidate;
+mod dispatchers;
 mod placement;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +16,7 @@
 
 use self::{
     candidate::{Candidates, News},
+    dispatchers::Dispatchers,
     placement::{Placement, Pool},
 };
 use crate::{
@@ -108,6 +110,7 @@
     candidates: Candidates,
     shards: FxHashMap<ShardId, Shard>,
     owned: BTreeSet<ShardId>,
+    dispatchers: Dispatchers,
     config_seen: Option<(u64, usize, usize)>,
     revision: u64,
     now: Time,
@@ -123,6 +126,7 @@
             candidates: Candidates::new(settings),
             shards: FxHashMap::default(),
             owned: BTreeSet::new(),
+            dispatchers: Dispatchers::default(),
             config_seen: None,
             revision: 0,
             now: Time::ZERO,
@@ -148,9 +152,16 @@
             return Vec::new();
         }
         self.revision += 1;
+        self.dispatchers.update(config, &self.candidates);
         self.reassign(now, &news)
     }
 
+    /// Returns the VMs that dispatch for a shared service side by side, in all
+    /// data centres; empty for a service whose shards have owners.
+    pub fn dispatchers(&self, service: &str) -> &[Vm] {
+        self.dispatchers.of(service)
+    }
+
     /// Returns a number that goes up whenever an update found news, so that a
     /// copy of the owners need only be renewed then. A member that becomes
     /// suspected without any other news changes [`Ownership::is_owner_steady`]
--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// Endpoints that a request may be sent to where its rule doesn't say.
+pub const DEFAULT_MAX_ATTEMPTS: u32 = 3;
+
 /// A request that wants to be dispatched by the shard's owner.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -63,6 +66,8 @@
     pub idempotent: bool,
     /// Whether a second endpoint may be asked when the first is slow.
     pub hedge: bool,
+    /// Endpoints that it may be sent to, one after the other or side by side.
+    pub max_attempts: u32,
     /// Idempotency key given by the caller.
     pub key: Option<Name>,
     /// Whether the caller says that it sent this request before and does not
--- a/crates/pistachiotrack-core/src/retry.rs
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -4,7 +4,7 @@
 
 use hdrhistogram::Histogram;
 
-use crate::time::Time;
+use crate::{service::RetryLimit, time::Time};
 
 /// Settings of a retry budget.
 #[derive(Clone, Debug)]
@@ -17,6 +17,25 @@
     pub burst: f64,
 }
 
+/// Part of a limit for the whole fleet that its VMs use together, so that VMs
+/// that see different numbers of dispatchers stay within it.
+const LIMIT_PART: f64 = 0.75;
+/// Part of a window's slack that may be spent at once.
+const BURST_PART: f64 = 0.25;
+
+impl BudgetSettings {
+    /// Returns the part that one of `dispatchers` VMs may use of a limit for all.
+    pub fn share_of(limit: RetryLimit, dispatchers: u32) -> BudgetSettings {
+        let slack = f64::from(limit.slack) * LIMIT_PART / f64::from(dispatchers.max(1));
+        let window_s = Duration::from_millis(limit.window_ms.max(1)).as_secs_f64();
+        BudgetSettings {
+            per_success: limit.ratio * LIMIT_PART,
+            per_second: slack * (1.0 - BURST_PART) / window_s,
+            burst: (slack * BURST_PART).max(1.0),
+        }
+    }
+}
+
 impl Default for BudgetSettings {
     fn default() -> BudgetSettings {
         BudgetSettings { per_success: 0.1, per_second: 1.0, burst: 10.0 }
@@ -41,6 +60,12 @@
         RetryBudget { tokens: settings.burst, settings, filled_at: now }
     }
 
+    /// Changes the settings; what was saved up stays within the new burst.
+    pub fn set_settings(&mut self, settings: BudgetSettings) {
+        self.tokens = self.tokens.min(settings.burst);
+        self.settings = settings;
+    }
+
     /// Notes a successful request.
     pub fn on_success(&mut self) {
         self.tokens = (self.tokens + self.settings.per_success).min(self.settings.burst);
--- /dev/null
+++ b/crates/pistachiotrack-core/src/roster.rs
@@ -0,0 +1,210 @@
+//! Endpoints that register themselves, and the configuration made of them and of
+//! what operators wrote.
+//!
+//! A registry forgets an endpoint that it hasn't heard of for a while, also when
+//! the registry itself was away. The roster tells the two apart.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::{config::Config, endpoint::Endpoint, name::Name, time::Time};
+
+/// An endpoint as a registry announces it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announced {
+    /// Service that it belongs to.
+    pub service: Name,
+    /// The endpoint; [`Endpoint::leaving`] if it says that it leaves.
+    pub endpoint: Endpoint,
+    /// Number that grows with each registration.
+    pub registered: u64,
+}
+
+/// A change that a registry tells of.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Operators wrote other services and rules; endpoints aren't among them.
+    Operators(Box<Config>),
+    /// An endpoint registered or changed.
+    Announced(Announced),
+    /// An endpoint is no longer registered.
+    Withdrawn(Name),
+}
+
+/// Settings of the roster.
+#[derive(Clone, Debug)]
+pub struct RosterSettings {
+    /// Time after the registry's return for which endpoints are kept that it no
+    /// longer has. Their entries ran out while they couldn't be renewed, and a
+    /// living endpoint renews its own within about two seconds.
+    pub regain_grace_ms: u64,
+    /// Part of a service's endpoints that stay in rotation whatever their health.
+    pub floor_percent: u32,
+}
+
+impl Default for RosterSettings {
+    fn default() -> RosterSettings {
+        RosterSettings { regain_grace_ms: 2_200, floor_percent: 50 }
+    }
+}
+
+/// Number by which a revision of the registry is multiplied to make a version of
+/// the configuration; what is below tells how much of it still lingers.
+const VERSIONS_PER_REVISION: u64 = 256;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    announced: Announced,
+    /// Set once the registry no longer has it: it is kept until then.
+    kept_until: Option<Time>,
+}
+
+/// The endpoints registered, and what operators wrote.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    settings: RosterSettings,
+    operators: Option<Config>,
+    entries: BTreeMap<Name, Entry>,
+    revision: u64,
+    is_lost: bool,
+    regained_at: Option<Time>,
+}
+
+impl Roster {
+    /// Creates an empty roster.
+    pub fn new(settings: RosterSettings) -> Roster {
+        Roster {
+            settings,
+            operators: None,
+            entries: BTreeMap::new(),
+            revision: 0,
+            is_lost: false,
+            regained_at: None,
+        }
+    }
+
+    /// Notes that the registry doesn't answer; returns whether that is news.
+    pub fn on_lost(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_lost, true)
+    }
+
+    /// Notes an answer of the registry; returns whether it had been away.
+    pub fn on_answer(&mut self, now: Time) -> bool {
+        let was_lost = std::mem::replace(&mut self.is_lost, false);
+        if was_lost {
+            self.regained_at = Some(now);
+        }
+        was_lost
+    }
+
+    /// Takes everything that the registry has at `revision`.
+    pub fn on_listing(
+        &mut self,
+        now: Time,
+        revision: u64,
+        operators: Option<Config>,
+        endpoints: Vec<Announced>,
+    ) {
+        let listed: BTreeMap<Name, Announced> = endpoints
+            .into_iter()
+            .map(|announced| (announced.endpoint.name.clone(), announced))
+            .collect();
+        let missing: Vec<Name> =
+            self.entries.keys().filter(|name| !listed.contains_key(*name)).cloned().collect();
+        for name in missing {
+            self.withdraw(now, &name);
+        }
+        for announced in listed.into_values() {
+            self.announce(announced);
+        }
+        if let Some(operators) = operators {
+            self.operators = Some(operators);
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes a change that the registry made at `revision`.
+    pub fn on_change(&mut self, now: Time, revision: u64, change: Change) {
+        match change {
+            Change::Operators(config) => self.operators = Some(*config),
+            Change::Announced(announced) => self.announce(announced),
+            Change::Withdrawn(name) => self.withdraw(now, &name),
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Drops what has been kept for long enough; returns when more is due.
+    pub fn drop_due(&mut self, now: Time) -> Option<Time> {
+        self.entries.retain(|_, entry| entry.kept_until.is_none_or(|until| now < until));
+        self.entries.values().filter_map(|entry| entry.kept_until).min()
+    }
+
+    /// Returns the configuration made of all this; `None` before operators wrote
+    /// any.
+    ///
+    /// Its version follows the registry's revision, so that it never goes back.
+    /// Two VMs may differ at one revision in what they still keep; the one that
+    /// keeps less knows more, and its version is the higher one.
+    pub fn config(&self) -> Option<Config> {
+        let mut config = self.operators.clone()?;
+        let kept = self.entries.values().filter(|entry| entry.kept_until.is_some()).count();
+        let rank = (VERSIONS_PER_REVISION - 1).saturating_sub(kept as u64);
+        config.version = self.revision * VERSIONS_PER_REVISION + rank;
+        let holders = self.address_holders();
+        for service in &mut config.services {
+            service.endpoints = self
+                .entries
+                .values()
+                .map(|entry| &entry.announced)
+                .filter(|announced| announced.service == service.name)
+                .filter(|one| holders.get(&one.endpoint.address) == Some(&&one.endpoint.name))
+                .map(|announced| announced.endpoint.clone())
+                .collect();
+            let staying = service.endpoints.iter().filter(|endpoint| !endpoint.leaving).count();
+            service.floor = (staying as u32 * self.settings.floor_percent) / 100;
+        }
+        Some(config)
+    }
+
+    fn announce(&mut self, announced: Announced) {
+        let name = announced.endpoint.name.clone();
+        self.entries.insert(name, Entry { announced, kept_until: None });
+    }
+
+    /// Takes an endpoint out, at once or after the grace.
+    ///
+    /// Failure guarded against: the registry was away, all its entries ran out,
+    /// and a service is left without endpoints though all are well. It shows as
+    /// removals right after the registry's return. The guard holds because every
+    /// living endpoint is back within the grace; one that had said that it leaves
+    /// is let go at once.
+    fn withdraw(&mut self, now: Time, name: &Name) {
+        let grace = Duration::from_millis(self.settings.regain_grace_ms);
+        let kept_until = match (self.is_lost, self.regained_at) {
+            (true, _) => Some(now + grace),
+            (false, Some(regained)) if now < regained + grace => Some(regained + grace),
+            _ => None,
+        };
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        match kept_until {
+            Some(until) if !entry.announced.endpoint.leaving => {
+                entry.kept_until.get_or_insert(until);
+            }
+            _ => {
+                self.entries.remove(name);
+            }
+        }
+    }
+
+    /// Returns who holds each address: an address is given to another endpoint
+    /// once its endpoint has ended, which the registry may not have noticed yet.
+    fn address_holders(&self) -> BTreeMap<SocketAddr, &Name> {
+        let mut holders: BTreeMap<SocketAddr, &Announced> = BTreeMap::new();
+        for Entry { announced, .. } in self.entries.values() {
+            let holder = holders.entry(announced.endpoint.address).or_insert(announced);
+            if announced.registered > holder.registered {
+                *holder = announced;
+            }
+        }
+        holders.into_iter().map(|(address, holder)| (address, &holder.endpoint.name)).collect()
+    }
+}
--- a/crates/pistachiotrack-core/src/rule.rs
+++ b/crates/pistachiotrack-core/src/rule.rs
@@ -28,6 +28,8 @@
 pub struct Conditions {
     /// Customer that the caller names.
     pub customer: Option<Name>,
+    /// Host that the request names, in lower case and without a port.
+    pub host: Option<Name>,
     /// HTTP method.
     pub method: Option<Name>,
     /// Start of the path, at a segment boundary.
@@ -82,6 +84,10 @@
 pub struct Route {
     /// Service that gets the request.
     pub service: Name,
+    /// Services that share the requests in proportion to their weights; where
+    /// there are any, they stand in place of `service`.
+    #[serde(default)]
+    pub split: Vec<ServiceShare>,
     /// Class that replaces the caller's.
     #[serde(default)]
     pub class: Option<Class>,
@@ -95,6 +101,46 @@
     /// `idempotent`.
     #[serde(default)]
     pub hedge: bool,
+    /// Endpoints that one request may be sent to; the default where it is
+    /// missing.
+    #[serde(default)]
+    pub attempts: Option<u32>,
+}
+
+/// A service that gets a part of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceShare {
+    /// The service.
+    pub service: Name,
+    /// Its part, relative to the sum of all weights.
+    pub weight: u32,
+}
+
+impl Route {
+    /// Returns the service of one request; `draw` is a number spread evenly over
+    /// all values, such as a hash of the request's identity.
+    pub fn service_for(&self, draw: u64) -> &Name {
+        let sum: u64 = self.split.iter().map(|share| u64::from(share.weight)).sum();
+        if sum == 0 {
+            return &self.service;
+        }
+        let mut place = draw % sum;
+        for share in &self.split {
+            let weight = u64::from(share.weight);
+            if place < weight {
+                return &share.service;
+            }
+            place -= weight;
+        }
+        &self.service
+    }
+
+    /// Returns all services that may get the route's requests.
+    pub fn services(&self) -> impl Iterator<Item = &Name> {
+        let single = self.split.is_empty().then_some(&self.service);
+        single.into_iter().chain(self.split.iter().map(|share| &share.service))
+    }
 }
 
 /// How a request is refused.
@@ -113,6 +159,8 @@
 pub struct Subject<'a> {
     /// Customer that the caller names.
     pub customer: &'a str,
+    /// Host that the request names, in lower case and without a port.
+    pub host: &'a str,
     /// HTTP method.
     pub method: &'a str,
     /// Path without query.
--- a/crates/pistachiotrack-core/src/rule/condition.rs
+++ b/crates/pistachiotrack-core/src/rule/condition.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Failure<'a> {
     Customer { wanted: &'a str, found: &'a str },
+    Host { wanted: &'a str, found: &'a str },
     Method { wanted: &'a str, found: &'a str },
     Path { wanted: &'a str, found: &'a str },
     Header { wanted: &'a HeaderCondition, found: Option<&'a str> },
@@ -39,6 +40,9 @@
         if let Some(wanted) = differs(self.customer.as_deref(), subject.customer) {
             return Some(Failure::Customer { wanted, found: subject.customer });
         }
+        if let Some(wanted) = differs(self.host.as_deref(), subject.host) {
+            return Some(Failure::Host { wanted, found: subject.host });
+        }
         if let Some(wanted) = differs(self.method.as_deref(), subject.method) {
             return Some(Failure::Method { wanted, found: subject.method });
         }
@@ -89,6 +93,7 @@
     /// whatever the live facts are.
     pub(super) fn covers(&self, other: &Conditions) -> bool {
         covers(&self.customer, &other.customer, |mine, theirs| mine == theirs)
+            && covers(&self.host, &other.host, |mine, theirs| mine == theirs)
             && covers(&self.method, &other.method, |mine, theirs| mine == theirs)
             && covers(&self.path_prefix, &other.path_prefix, |mine, theirs| {
                 path_starts_with(theirs, mine)
@@ -111,6 +116,7 @@
     pub(super) fn describe(&self) -> String {
         match self {
             Failure::Customer { wanted, found } => plain("customer", wanted, found),
+            Failure::Host { wanted, found } => plain("host", wanted, found),
             Failure::Method { wanted, found } => plain("method", wanted, found),
             Failure::Path { wanted, found } => plain("path_prefix", wanted, found),
             Failure::Header { wanted, found } => {
--- a/crates/pistachiotrack-core/src/rule/index.rs
+++ b/crates/pistachiotrack-core/src/rule/index.rs
@@ -21,12 +21,14 @@
 const CLASS: u8 = 1 << 4;
 const SERVICE: u8 = 1 << 5;
 const DATA_CENTRE: u8 = 1 << 6;
+const HOST: u8 = 1 << 7;
 
 /// The values that a look-up goes by; an absent one excludes every rule with a
 /// condition on it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Probe<'a> {
     pub(super) customer: Option<&'a str>,
+    pub(super) host: Option<&'a str>,
     pub(super) method: Option<&'a str>,
     pub(super) path: Option<&'a str>,
     pub(super) headers: &'a [(&'a str, &'a str)],
@@ -135,6 +137,7 @@
             self.values.insert(hash);
         };
         add(CUSTOMER, when.customer.as_deref().map(|value| hash(CUSTOMER, value)));
+        add(HOST, when.host.as_deref().map(|value| hash(HOST, value)));
         add(METHOD, when.method.as_deref().map(|value| hash(METHOD, value)));
         add(PATH, when.path_prefix.as_deref().map(|value| hash(PATH, value)));
         add(
@@ -185,6 +188,7 @@
     /// Conditions that the probe can fulfil, without path and header.
     present: u8,
     customer: u64,
+    host: u64,
     method: u64,
     class: u64,
     service: u64,
@@ -208,6 +212,7 @@
             hash
         };
         let customer = known(CUSTOMER, probe.customer);
+        let host = known(HOST, probe.host);
         let method = known(METHOD, probe.method);
         let class = known(CLASS, probe.class.map(Class::as_str));
         let service = known(SERVICE, probe.service);
@@ -222,7 +227,7 @@
             .map(|(name, value)| header_hash(name, value))
             .filter(|hash| index.values.contains(hash))
             .collect();
-        Values { present, customer, method, class, service, data_centre, paths, headers }
+        Values { present, customer, host, method, class, service, data_centre, paths, headers }
     }
 
     /// Returns the combined hash of the conditions with one value each, or
@@ -235,6 +240,7 @@
         let part = |condition: u8, hash: u64| if wanted & condition != 0 { hash } else { 0 };
         Some(
             part(CUSTOMER, self.customer)
+                ^ part(HOST, self.host)
                 ^ part(METHOD, self.method)
                 ^ part(CLASS, self.class)
                 ^ part(SERVICE, self.service)
--- a/crates/pistachiotrack-core/src/rule/set.rs
+++ b/crates/pistachiotrack-core/src/rule/set.rs
@@ -111,6 +111,7 @@
     fn of_subject(subject: &Subject<'a>) -> Probe<'a> {
         Probe {
             customer: Some(subject.customer),
+            host: Some(subject.host),
             method: Some(subject.method),
             path: Some(subject.path),
             headers: subject.headers,
@@ -123,6 +124,7 @@
     fn of_conditions(when: &'a Conditions, headers: &'a [(&'a str, &'a str)]) -> Probe<'a> {
         Probe {
             customer: when.customer.as_deref(),
+            host: when.host.as_deref(),
             method: when.method.as_deref(),
             path: when.path_prefix.as_deref(),
             headers,
--- a/crates/pistachiotrack-core/src/service.rs
+++ b/crates/pistachiotrack-core/src/service.rs
@@ -23,6 +23,14 @@
     /// Endpoints of one shard at most.
     #[serde(default = "default_shard_endpoints")]
     pub shard_endpoints: u32,
+    /// VMs of each data centre that dispatch to the endpoints side by side and
+    /// tell each other what they see; 0 for a single owner of each shard.
+    #[serde(default)]
+    pub dispatchers_per_data_centre: u32,
+    /// Retries that all VMs together may send; the default of the fleet where it
+    /// is missing.
+    #[serde(default)]
+    pub retry_limit: Option<RetryLimit>,
     /// Path of the health check.
     #[serde(default = "default_probe_path")]
     pub probe_path: Name,
@@ -30,6 +38,25 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// Limit of what all VMs together send beyond the first attempt of each request.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetryLimit {
+    /// Retries for each request of the service, from 0 to 1.
+    pub ratio: f64,
+    /// Retries besides in each window.
+    pub slack: u32,
+    /// Length of the window.
+    pub window_ms: u64,
+}
+
+impl Service {
+    /// Returns whether several VMs dispatch to the endpoints side by side.
+    pub fn is_shared(&self) -> bool {
+        self.dispatchers_per_data_centre > 0
+    }
+}
+
 /// Requests that may wait where the configuration doesn't say.
 pub const DEFAULT_QUEUE_LIMIT: u32 = 256;
 /// Endpoints of a shard where the configuration doesn't say.
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -3,6 +3,7 @@
 mod action;
 mod ending;
 mod flow;
+mod news;
 mod pool;
 mod state;
 mod via;
@@ -12,7 +13,10 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-pub use self::action::{Dispatch, ShardAction};
+pub use self::{
+    action::{Dispatch, ShardAction},
+    news::{EndedAttempt, ShardNews},
+};
 use self::{
     pool::Pool,
     state::{Attempt, Live, Phase},
@@ -49,6 +53,9 @@
 pub enum ShardMode {
     /// This VM owns the shard and may use all slots.
     Owner,
+    /// This VM is one of several that dispatch side by side; each counts the
+    /// requests that the others have in flight against the slots.
+    Shared,
     /// The owner can't be reached: a small share of each endpoint's slots.
     Careful,
 }
@@ -58,6 +65,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             ShardMode::Owner => "owner",
+            ShardMode::Shared => "shared",
             ShardMode::Careful => "careful",
         }
     }
@@ -118,6 +126,10 @@
     latency: RecentLatency,
     usual: UsualTime,
     next_attempt: u64,
+    /// Whether other VMs dispatch to the endpoints too.
+    is_shared: bool,
+    /// Attempts that ended and the other VMs don't know of.
+    ended: Vec<(Name, EndedAttempt)>,
     out: Vec<ShardAction>,
 }
 
@@ -156,10 +168,14 @@
             latency: RecentLatency::default(),
             usual: UsualTime::default(),
             next_attempt: 1,
+            is_shared: service.is_some_and(Service::is_shared),
+            ended: Vec::new(),
             out: Vec::new(),
         };
         shard.set_service(config);
-        shard.pool.settle_until(now + shard.settle);
+        if !shard.is_shared {
+            shard.pool.settle_until(now + shard.settle);
+        }
         shard.pool.refresh(now, &shard.health);
         shard
     }
@@ -180,7 +196,7 @@
 
     /// Changes how far this VM may go.
     pub fn set_mode(&mut self, now: Time, mode: ShardMode) -> Vec<ShardAction> {
-        if mode == ShardMode::Owner && self.pool.mode() == ShardMode::Careful {
+        if mode == ShardMode::Owner && self.pool.mode() == ShardMode::Careful && !self.is_shared {
             self.pool.settle_until(now + self.settle);
         }
         self.pool.set_mode(mode);
@@ -215,6 +231,9 @@
             return self.on_body_end(now, attempt, BodyEnd::CallerGone);
         }
         of.answered = matches!(outcome, Outcome::Answered { .. });
+        if let Outcome::Answered { status, .. } = outcome {
+            of.untold = Some((status, now));
+        }
         let of = of.clone();
         let mut actions = self.health.on_outcome(now, attempt, outcome);
         if of.answered || outcome == Outcome::Shed {
@@ -225,6 +244,7 @@
         self.on_witness_outcome(now, &of, outcome);
         self.pool.refresh(now, &self.health);
         if let Outcome::Answered { status, .. } = outcome {
+            self.tell_failure(attempt, status);
             if let Some(request) = of.request {
                 self.on_answer(now, attempt, request, status);
             }
@@ -367,6 +387,11 @@
         self.drain_time(self.queue.len() as f64 + 1.0)
     }
 
+    /// Returns whether other VMs dispatch to the endpoints too.
+    pub fn is_shared(&self) -> bool {
+        self.is_shared
+    }
+
     /// Returns whether further ejections are held back.
     pub fn at_floor(&self) -> bool {
         self.health.at_floor()
@@ -407,6 +432,7 @@
         self.expire(now);
         self.dispatch_queue(now);
         self.dispatch_hedges(now);
+        self.tell_news();
         std::mem::take(&mut self.out)
     }
 
@@ -417,6 +443,12 @@
         };
         self.queue_limit = service.queue_limit.div_ceil(shard_count(service)) as usize;
         self.probe_path = service.probe_path.clone();
+        self.is_shared = service.is_shared();
+        if let Some(limit) = service.retry_limit {
+            let data_centres = config.data_centres.len().max(1) as u32;
+            let dispatchers = (service.dispatchers_per_data_centre * data_centres).max(1);
+            self.budget.set_settings(BudgetSettings::share_of(limit, dispatchers));
+        }
         self.settle = Duration::from_millis(service.timeout_ms).min(MAX_SETTLE);
         let weights = config
             .customers
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -8,6 +8,7 @@
     name::Name,
     refusal::Refusal,
     request::{AttemptId, ConnectionChoice, RequestId},
+    shard::ShardNews,
     time::Time,
 };
 
@@ -85,6 +86,8 @@
         /// Address of the endpoint.
         address: SocketAddr,
     },
+    /// Tells the other VMs that dispatch for the shard.
+    Tell(ShardNews),
     /// Something that belongs into the log.
     Health(HealthAction),
 }
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    Shard, ShardAction,
-    flow::{MAX_ATTEMPTS, unknown},
+    Shard, ShardAction, ShardMode,
+    flow::unknown,
     state::{Attempt, Phase},
 };
 use crate::{
@@ -72,6 +72,9 @@
         };
         live.in_flight.retain(|other| *other != attempt);
         live.may_have_run |= !outcome.certainly_not_run();
+        if matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent) {
+            live.sent -= 1;
+        }
         if !live.in_flight.is_empty() {
             return;
         }
@@ -116,7 +119,7 @@
     fn may_retry(&self, now: Time, id: RequestId, min_usable: usize) -> bool {
         self.live.get(&id).is_some_and(|live| {
             live.may_run_again()
-                && live.tried.len() < MAX_ATTEMPTS
+                && live.may_be_sent()
                 && now < live.not_after
                 && self.pool.usable(live.request.idempotent) >= min_usable
         })
@@ -157,6 +160,7 @@
     /// is certainly done with it.
     pub(super) fn end_attempt(&mut self, now: Time, attempt: AttemptId, is_done: bool) {
         let Some(ended) = self.attempts.remove(&attempt) else { return };
+        self.note_ended(&ended);
         if is_done {
             self.pool.release(&ended.endpoint);
         } else {
@@ -270,6 +274,8 @@
     pub(super) fn on_health_actions(&mut self, now: Time, actions: Vec<HealthAction>) {
         for action in actions {
             match action {
+                // One VM's health checks are enough for all that dispatch.
+                HealthAction::Probe { .. } if self.pool.mode() == ShardMode::Shared => {}
                 HealthAction::Probe { endpoint } => self.start_probe(now, endpoint),
                 HealthAction::CheckPath { endpoint } => {
                     if let Some(address) = self.pool.address(&endpoint) {
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -17,8 +17,6 @@
     time::Time,
 };
 
-/// Dispatches of one request at most, hedges included.
-pub(super) const MAX_ATTEMPTS: usize = 3;
 /// Multiple of the 95th percentile of the answer time that is left to a
 /// request when it is dispatched, up to half of its time: a request that ends
 /// at its deadline has held a slot for nothing.
@@ -170,7 +168,7 @@
             let is_due = self.live.get(&id).is_some_and(|live| {
                 live.phase == Phase::Running
                     && live.in_flight.len() == 1
-                    && live.tried.len() < MAX_ATTEMPTS
+                    && live.may_be_sent()
                     && now < live.not_after
             });
             if !is_due || !self.queue.is_empty() {
@@ -209,6 +207,7 @@
         live.phase = Phase::Running;
         live.in_flight.push(attempt);
         live.tried.push(pick.name.clone());
+        live.sent += 1;
         let class = live.request.class;
         if live.request.idempotent
             && live.request.hedge
@@ -228,6 +227,8 @@
                 dispatched_at: now,
                 time_limit,
                 answered: false,
+                class,
+                untold: None,
             },
         );
         self.out.push(ShardAction::Dispatch(Dispatch {
@@ -260,7 +261,7 @@
         let Some(live) = self.live.get(&id) else { return now };
         let deadline = live.request.deadline;
         let can_retry = live.request.idempotent
-            && live.tried.len() + 1 < MAX_ATTEMPTS
+            && live.sent + 1 < live.request.max_attempts
             && self.pool.usable(true) > 1;
         if !can_retry {
             return deadline;
@@ -301,6 +302,8 @@
             dispatched_at: now,
             time_limit,
             answered: false,
+            class: Class::Batch,
+            untold: None,
         };
         self.attempts.insert(attempt, probe);
     }
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -0,0 +1,122 @@
+//! What VMs that dispatch for one shard side by side tell each other.
+//!
+//! Each keeps the picture that a single owner would have: how many requests are
+//! in flight at each endpoint and how those of the others ended. What is lost on
+//! the way leaves the picture a little old, never wrong for long.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Shard, ShardAction, state::Attempt};
+use crate::{
+    name::Name,
+    ownership::ShardId,
+    request::{AttemptId, Class},
+    time::Time,
+};
+
+/// Time for which another VM's count of requests in flight is believed without a
+/// newer one. A VM that dies tells nothing any more; few requests take longer.
+const COUNT_LIFETIME: Duration = Duration::from_secs(3);
+/// Lowest status that is a failure of the endpoint.
+const FIRST_FAILURE_STATUS: u16 = 500;
+
+/// What a VM tells the others that dispatch for the same shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardNews {
+    /// The shard.
+    pub shard: ShardId,
+    /// The endpoint.
+    pub endpoint: Name,
+    /// Requests that the sender has in flight there.
+    pub in_flight: u32,
+    /// How one of them was just answered, if one was.
+    pub ended: Option<EndedAttempt>,
+}
+
+/// How an endpoint answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedAttempt {
+    /// Class of the request.
+    pub class: Class,
+    /// HTTP status.
+    pub status: u16,
+    /// Time from the dispatch to the head of the answer.
+    pub latency_us: u64,
+}
+
+impl Shard {
+    /// Takes what another VM that dispatches for this shard tells.
+    ///
+    /// Only answers count as evidence: that another VM gets none may be the
+    /// fault of its own path.
+    pub fn on_news(&mut self, now: Time, from: &Name, news: &ShardNews) -> Vec<ShardAction> {
+        if news.shard != self.id {
+            return Vec::new();
+        }
+        let until = now + COUNT_LIFETIME;
+        self.pool.set_peer_count(&news.endpoint, from, news.in_flight, until);
+        if let Some(ended) = news.ended {
+            let latency = Duration::from_micros(ended.latency_us);
+            let actions =
+                self.health.on_peer_answer(now, &news.endpoint, ended.class, ended.status, latency);
+            self.on_health_actions(now, actions);
+            if ended.status < FIRST_FAILURE_STATUS {
+                self.latency.record(latency);
+            }
+        }
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
+    }
+
+    /// Tells of a failure at once: the next request of another VM should not be
+    /// the one that finds it out.
+    pub(super) fn tell_failure(&mut self, attempt: AttemptId, status: u16) {
+        if status < FIRST_FAILURE_STATUS {
+            return;
+        }
+        let Some(of) = self.attempts.get_mut(&attempt) else { return };
+        let untold = of.untold.take();
+        let of = of.clone();
+        self.note(&of, untold);
+    }
+
+    /// Notes the end of an attempt for the other VMs.
+    pub(super) fn note_ended(&mut self, of: &Attempt) {
+        self.note(of, of.untold);
+    }
+
+    fn note(&mut self, of: &Attempt, untold: Option<(u16, Time)>) {
+        let Some((status, answered_at)) = untold.filter(|_| self.is_shared) else { return };
+        if of.request.is_none() {
+            return;
+        }
+        let latency_us = answered_at.since(of.dispatched_at).as_micros() as u64;
+        let ended = EndedAttempt { class: of.class, status, latency_us };
+        self.ended.push((of.endpoint.clone(), ended));
+    }
+
+    /// Tells the other VMs what has changed in the event that ends.
+    pub(super) fn tell_news(&mut self) {
+        let changed = self.pool.take_changed();
+        if !self.is_shared {
+            return;
+        }
+        let ended = std::mem::take(&mut self.ended);
+        let silent = changed.into_iter().filter(|name| ended.iter().all(|(told, _)| told != name));
+        let silent: Vec<Name> = silent.collect();
+        for (endpoint, ended) in ended {
+            self.tell(endpoint, Some(ended));
+        }
+        for endpoint in silent {
+            self.tell(endpoint, None);
+        }
+    }
+
+    fn tell(&mut self, endpoint: Name, ended: Option<EndedAttempt>) {
+        let in_flight = self.pool.in_flight_at(&endpoint);
+        let shard = self.id.clone();
+        self.out.push(ShardAction::Tell(ShardNews { shard, endpoint, in_flight, ended }));
+    }
+}
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -41,9 +41,16 @@
     adaptive: AdaptiveLimit,
     foreign: u32,
     foreign_until: Time,
+    /// Requests that other VMs have in flight, each count with its last moment.
+    peers: Vec<(Name, u32, Time)>,
 }
 
 impl Slots {
+    /// Returns how many requests the other VMs have in flight.
+    fn peer_count(&self) -> u32 {
+        self.peers.iter().map(|(_, count, _)| count).sum()
+    }
+
     fn accepts_work(&self) -> bool {
         self.is_configured
             && !self.endpoint.leaving
@@ -87,6 +94,8 @@
     /// Slots whose attempt ended without an answer, by the time they are free.
     lingering: BTreeSet<(Time, u64, Name)>,
     next_serial: u64,
+    /// Endpoints whose requests in flight have changed.
+    changed: Vec<Name>,
     rng: Pcg32,
 }
 
@@ -101,6 +110,7 @@
             capacity: 0,
             lingering: BTreeSet::new(),
             next_serial: 0,
+            changed: Vec::new(),
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -139,6 +149,7 @@
                 adaptive: AdaptiveLimit::new(endpoint.slots),
                 foreign: 0,
                 foreign_until: Time::ZERO,
+                peers: Vec::new(),
             });
             slots.is_configured = true;
             slots.adaptive.set_max(endpoint.slots);
@@ -166,6 +177,7 @@
             if now >= slots.foreign_until {
                 slots.foreign = 0;
             }
+            slots.peers.retain(|(_, _, until)| now < *until);
             slots.share = health.share(now, name);
             slots.limit = limit(slots, self.mode, is_settling);
             if slots.accepts_work() {
@@ -176,7 +188,7 @@
             }
         }
         self.in_flight_limit = match self.mode {
-            ShardMode::Owner => u32::MAX,
+            ShardMode::Owner | ShardMode::Shared => u32::MAX,
             ShardMode::Careful => (all_slots / CAREFUL_DIVISOR).max(1),
         };
         self.capacity = self.capacity.min(self.in_flight_limit);
@@ -238,8 +250,13 @@
                 (true, false) => (0, rank),
                 (true, true) => (0, 0),
             };
-            let load =
-                if is_trial { 0 } else { 1 + (slots.in_flight + handicap) * 1000 / slots.limit };
+            let peers = slots.peer_count();
+            let load = match is_trial {
+                true => 0,
+                false => {
+                    1 + (slots.in_flight + peers + handicap) * 1000 / (slots.limit + peers).max(1)
+                }
+            };
             let key = (is_tried, order, load, self.rng.next_u32());
             if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
                 best = Some((key, slots));
@@ -261,7 +278,8 @@
     /// Returns whether a health check would keep within the endpoint's slots.
     pub(super) fn may_probe(&self, name: &str) -> bool {
         self.slots.get(name).is_some_and(|slots| {
-            slots.is_configured && slots.in_flight + slots.foreign < slots.endpoint.slots
+            slots.is_configured
+                && slots.in_flight + slots.foreign + slots.peer_count() < slots.endpoint.slots
         })
     }
 
@@ -269,6 +287,7 @@
         if let Some(slots) = self.slots.get_mut(name) {
             slots.in_flight += 1;
             self.in_flight += 1;
+            self.changed.push(slots.endpoint.name.clone());
         }
     }
 
@@ -276,6 +295,7 @@
         let Some(slots) = self.slots.get_mut(name) else { return };
         slots.in_flight -= 1;
         self.in_flight -= 1;
+        self.changed.push(slots.endpoint.name.clone());
         if !slots.is_configured && slots.in_flight == 0 {
             self.slots.remove(name);
         }
@@ -320,6 +340,29 @@
         }
     }
 
+    /// Sets how many requests another VM has in flight, to be believed until
+    /// `until`.
+    pub(super) fn set_peer_count(&mut self, name: &str, peer: &Name, count: u32, until: Time) {
+        let Some(slots) = self.slots.get_mut(name) else { return };
+        slots.peers.retain(|(other, ..)| other != peer);
+        if count > 0 {
+            slots.peers.push((peer.clone(), count, until));
+        }
+    }
+
+    /// Returns how many requests this VM has in flight at an endpoint.
+    pub(super) fn in_flight_at(&self, name: &str) -> u32 {
+        self.slots.get(name).map_or(0, |slots| slots.in_flight)
+    }
+
+    /// Takes the endpoints whose requests in flight have changed, each once.
+    pub(super) fn take_changed(&mut self) -> Vec<Name> {
+        let mut changed = std::mem::take(&mut self.changed);
+        changed.sort_unstable();
+        changed.dedup();
+        changed
+    }
+
     /// Returns a random number below `bound`.
     pub(super) fn random_below(&mut self, bound: u64) -> u64 {
         self.rng.next_u64() % bound.max(1)
@@ -350,5 +393,5 @@
     if mode == ShardMode::Careful || slots.standing == Standing::Trial {
         limit = 1;
     }
-    limit.min(all.saturating_sub(slots.foreign))
+    limit.min(all.saturating_sub(slots.foreign)).saturating_sub(slots.peer_count())
 }
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -3,10 +3,13 @@
 use crate::{
     health::AttemptKind,
     name::Name,
-    request::{AttemptId, Request, RequestId},
+    request::{AttemptId, Class, Request, RequestId},
     time::Time,
 };
 
+/// Attempts of one request at most, those without a connection included.
+const MAX_TRIES: usize = 6;
+
 /// Where a request without a final answer stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -29,6 +32,8 @@
     pub(super) not_after: Time,
     pub(super) in_flight: Vec<AttemptId>,
     pub(super) tried: Vec<Name>,
+    /// Attempts that may have reached their endpoint.
+    pub(super) sent: u32,
     /// Whether an attempt that has ended may have been run.
     pub(super) may_have_run: bool,
     /// Whether the next attempt needs a new connection.
@@ -47,6 +52,7 @@
             phase: Phase::New,
             in_flight: Vec::new(),
             tried: Vec::new(),
+            sent: 0,
             may_have_run: false,
             needs_fresh: false,
             status_retried: false,
@@ -54,6 +60,14 @@
         }
     }
 
+    /// Returns whether it may be sent to another endpoint.
+    ///
+    /// Attempts that found no connection are no burden to any endpoint and don't
+    /// count, but a request that fails to connect everywhere must end some time.
+    pub(super) fn may_be_sent(&self) -> bool {
+        self.sent < self.request.max_attempts && self.tried.len() < MAX_TRIES
+    }
+
     /// Returns whether it may be dispatched again as far as its runs go.
     pub(super) fn may_run_again(&self) -> bool {
         self.request.idempotent || !self.may_have_run
@@ -74,4 +88,8 @@
     pub(super) time_limit: Time,
     /// Whether the answer has begun.
     pub(super) answered: bool,
+    /// Class of the request.
+    pub(super) class: Class,
+    /// Status of the answer and when it began, until the other VMs know.
+    pub(super) untold: Option<(u16, Time)>,
 }
--- a/crates/pistachiotrack-core/src/steering.rs
+++ b/crates/pistachiotrack-core/src/steering.rs
@@ -14,6 +14,7 @@
     membership::{Member, MemberState},
     name::Name,
     ownership::{Ownership, ShardId, shard_count},
+    rule::RuleAction,
     vm::Vm,
 };
 
@@ -155,3 +156,74 @@
     }
     (usual_ms / UNSTEADY_LIFETIME_DIVISOR).max(1)
 }
+
+/// A caller's question for the addresses of a host, with what is needed to answer
+/// it.
+#[derive(Clone, Copy, Debug)]
+pub struct HostQuestion<'a> {
+    /// Configuration in force.
+    pub config: &'a Config,
+    /// Dispatchers as this VM sees them.
+    pub ownership: &'a Ownership,
+    /// This VM.
+    pub me: &'a Vm,
+    /// Host that the caller will name in its requests.
+    pub host: &'a str,
+    /// Data centre that the caller is in or next to, if known.
+    pub data_centre: Option<&'a str>,
+}
+
+/// Addresses given at least where there are so many: with a single one, callers
+/// would have no other to turn to when it fails.
+const MIN_ENTRIES: usize = 2;
+
+/// Works out the answer for a host whose services are shared: the VMs that
+/// dispatch for them, those in the caller's data centre alone if they are enough.
+///
+/// A VM that leaves, is suspected or has no configuration yet is left out unless
+/// there is nobody else.
+pub fn entries_of_host<'a>(
+    question: HostQuestion<'_>,
+    members: impl Iterator<Item = &'a Member>,
+) -> EntryAnswer {
+    let usable =
+        |member: &&Member| member.state == MemberState::Alive && member.config_version.is_some();
+    let mut vms: Vec<&Vm> = members.filter(usable).map(|member| &member.vm).collect();
+    if !question.ownership.is_leaving() || vms.is_empty() {
+        vms.push(question.me);
+    }
+    let mut chosen = dispatchers_of_host(&question, &vms);
+    if chosen.is_empty() {
+        chosen = vms;
+    }
+    let is_near = |vm: &&Vm| question.data_centre.is_none_or(|near| *vm.data_centre == *near);
+    let near: Vec<&Vm> = chosen.iter().copied().filter(is_near).collect();
+    if near.len() >= MIN_ENTRIES {
+        chosen = near;
+    }
+    EntryAnswer {
+        entries: chosen.into_iter().map(entry).collect(),
+        lifetime_ms: question.config.entry_lifetime_ms,
+    }
+}
+
+fn dispatchers_of_host<'a>(question: &HostQuestion<'_>, vms: &[&'a Vm]) -> Vec<&'a Vm> {
+    let of_host = question
+        .config
+        .rules
+        .iter()
+        .filter(|rule| rule.when.host.as_deref().is_some_and(|host| host == question.host));
+    let mut chosen: Vec<&Vm> = Vec::new();
+    for rule in of_host {
+        let RuleAction::Route(route) = &rule.then else { continue };
+        for service in route.services() {
+            for dispatcher in question.ownership.dispatchers(service) {
+                let Some(vm) = vms.iter().find(|vm| vm.name == dispatcher.name) else { continue };
+                if !chosen.iter().any(|one| one.name == vm.name) {
+                    chosen.push(vm);
+                }
+            }
+        }
+    }
+    chosen
+}
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -72,6 +72,8 @@
         timeout_ms: 2_000,
         queue_limit: 256,
         shard_endpoints: 64,
+        dispatchers_per_data_centre: 0,
+        retry_limit: None,
         probe_path: Name::from("/healthz"),
         endpoints: own.map(|endpoint| self::endpoint(endpoint, sizes)).collect(),
     }
@@ -108,7 +110,15 @@
 }
 
 pub(crate) fn route(service: Name) -> Route {
-    Route { service, class: None, timeout_ms: None, idempotent: true, hedge: false }
+    Route {
+        service,
+        split: Vec::new(),
+        class: None,
+        timeout_ms: None,
+        idempotent: true,
+        hedge: false,
+        attempts: None,
+    }
 }
 
 pub(crate) fn json(config: &Config) -> Vec<u8> {
--- a/crates/pistachiotrack-core/tests/rule_set.rs
+++ b/crates/pistachiotrack-core/tests/rule_set.rs
@@ -45,6 +45,7 @@
 
 const SUBJECT: Subject<'static> = Subject {
     customer: "c0",
+    host: "host",
     method: "GET",
     path: "/a/b",
     headers: &[("x-mode", "night"), ("x-mode", "fast")],
@@ -261,6 +262,7 @@
             self.headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
         let subject = Subject {
             customer: &self.names[0],
+            host: "host",
             method: &self.names[1],
             path: self.path,
             headers: &headers,
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -13,7 +13,10 @@
     name::Name,
     ownership::ShardId,
     refusal::{Execution, Reason},
-    request::{AttemptId, BodyEnd, Class, ConnectionChoice, Outcome, Report, Request, RequestId},
+    request::{
+        AttemptId, BodyEnd, Class, ConnectionChoice, DEFAULT_MAX_ATTEMPTS, Outcome, Report,
+        Request, RequestId,
+    },
     service::Service,
     shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
     time::Time,
@@ -52,6 +55,8 @@
             timeout_ms: 1_000,
             queue_limit: 8,
             shard_endpoints: 64,
+            dispatchers_per_data_centre: 0,
+            retry_limit: None,
             probe_path: Name::from("/healthz"),
             endpoints: (0..endpoints).map(endpoint).collect(),
         }],
@@ -72,6 +77,7 @@
         deadline,
         idempotent: true,
         hedge: false,
+        max_attempts: DEFAULT_MAX_ATTEMPTS,
         key: None,
         repeat: false,
     }
--- a/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
@@ -8,7 +8,7 @@
     customer::Customer,
     endpoint::{DEFAULT_CONNECTIONS, Endpoint},
     name::Name,
-    request::{Class, Request, RequestId},
+    request::{Class, DEFAULT_MAX_ATTEMPTS, Request, RequestId},
     service::{DEFAULT_PROBE_PATH, DEFAULT_QUEUE_LIMIT, DEFAULT_SHARD_ENDPOINTS, Service},
     time::Time,
 };
@@ -83,6 +83,8 @@
             timeout_ms: 1_000,
             queue_limit: DEFAULT_QUEUE_LIMIT,
             shard_endpoints: DEFAULT_SHARD_ENDPOINTS,
+            dispatchers_per_data_centre: 0,
+            retry_limit: None,
             probe_path: Name::from(DEFAULT_PROBE_PATH),
             endpoints: (0..ENDPOINTS).map(endpoint).collect(),
         }],
@@ -137,6 +139,7 @@
             deadline: now + allowed,
             idempotent,
             hedge: idempotent && self.rng.random_bool(HEDGE_PART / IDEMPOTENT_PART),
+            max_attempts: DEFAULT_MAX_ATTEMPTS,
             key: None,
             repeat: false,
         };
--- a/crates/pistachiotrack-standins/src/slopes/decisions.rs
+++ b/crates/pistachiotrack-standins/src/slopes/decisions.rs
@@ -58,6 +58,7 @@
         let customer = sample::customer_name(routes - 1);
         let subject = Subject {
             customer: &customer,
+            host: "host",
             method: "GET",
             path: "/calendar/v1/slots",
             headers: &[],
--- a/crates/pistachiotrack-standins/src/slopes/owner.rs
+++ b/crates/pistachiotrack-standins/src/slopes/owner.rs
@@ -7,7 +7,10 @@
     config::Config,
     name::Name,
     ownership::ShardId,
-    request::{AttemptId, BodyEnd, Class, Outcome, Report as EndpointReport, Request, RequestId},
+    request::{
+        AttemptId, BodyEnd, Class, DEFAULT_MAX_ATTEMPTS, Outcome, Report as EndpointReport,
+        Request, RequestId,
+    },
     shard::{Shard, ShardAction, ShardSettings},
     time::Time,
 };
@@ -85,6 +88,7 @@
         deadline: now + Duration::from_secs(10),
         idempotent: true,
         hedge: false,
+        max_attempts: DEFAULT_MAX_ATTEMPTS,
         key: None,
         repeat: false,
     }
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -141,6 +141,8 @@
         timeout_ms: 2_000,
         queue_limit: DEFAULT_QUEUE_LIMIT,
         shard_endpoints: DEFAULT_SHARD_ENDPOINTS,
+        dispatchers_per_data_centre: 0,
+        retry_limit: None,
         probe_path: Name::from(DEFAULT_PROBE_PATH),
         endpoints: (first..last).map(endpoint).collect(),
     }
@@ -175,8 +177,10 @@
             service: service_name(index % size.services.max(1)),
             class: None,
             timeout_ms: Some(1_500),
+            split: Vec::new(),
             idempotent: true,
             hedge: false,
+            attempts: None,
         }),
     }
 }
--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -6,13 +6,15 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use pistachiotrack_core::{
-    header,
     idempotency::StoredAnswer,
     refusal::{Execution, Reason, Refusal},
 };
 use serde::Serialize;
 
-use crate::{body::AnswerBody, headers};
+use crate::{
+    body::AnswerBody,
+    dialect::{Dialect, OwnDialect},
+};
 
 /// Time after which a caller may ask a VM again that has no configuration yet.
 const NO_CONFIG_RETRY_MS: u64 = 1_000;
@@ -24,19 +26,23 @@
 
 /// Returns the answer that tells a caller of a refusal, with a given status.
 pub(crate) fn refusal_with_status(status: StatusCode, refusal: Refusal) -> Response<AnswerBody> {
-    let text = format!("{} {}\n", refusal.execution.as_str(), refusal.reason.as_str());
-    let mut response = Response::new(AnswerBody::whole(text.into()));
-    *response.status_mut() = status;
-    let fields = response.headers_mut();
-    fields.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    fields.insert(header::OUTCOME, HeaderValue::from_static(refusal.execution.as_str()));
-    fields.insert(header::REASON, HeaderValue::from_static(refusal.reason.as_str()));
-    if let Some(retry_after_ms) = refusal.retry_after_ms {
-        headers::set_number(fields, header::RETRY_AFTER_MS, retry_after_ms);
-    }
+    let mut response = OwnDialect.write_refusal(refusal, status).map(AnswerBody::whole);
+    response.extensions_mut().insert(refusal);
     response
 }
 
+/// Returns a refusal as the callers of `dialect` understand it, and any other
+/// answer as it is.
+pub(crate) fn in_dialect(
+    dialect: &dyn Dialect,
+    response: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    match response.extensions().get::<Refusal>() {
+        Some(refusal) => dialect.write_refusal(*refusal, response.status()).map(AnswerBody::whole),
+        None => response,
+    }
+}
+
 /// Returns the refusal of a request that was certainly not run.
 pub(crate) fn not_run(reason: Reason) -> Response<AnswerBody> {
     refusal(Refusal { execution: Execution::NotRun, reason, retry_after_ms: None })
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -3,9 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, StatusCode, body::Body};
+use hyper::body::Body;
 use pistachiotrack_core::{
-    header,
     name::Name,
     request::{ConnectionChoice, Outcome, Report, remaining},
     shard::Dispatch,
@@ -14,8 +13,8 @@
 use crate::{
     connection_pool::{CheckoutError, ConnectionPool},
     context::Context,
+    dialect::{AnswerFacts, AnswerKind, OutgoingFacts},
     exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
-    headers,
     inbound::Inbound,
     via,
 };
@@ -46,7 +45,12 @@
     budget: u32,
 ) -> AttemptEnd {
     let choice = connection_choice(&inbound, dispatch.connection);
-    let head = request_head(&context, &inbound);
+    let facts = OutgoingFacts {
+        request_id: Some(&inbound.fleet_id),
+        endpoint: &dispatch.endpoint,
+        time_left: remaining(inbound.deadline, context.clock.now()),
+    };
+    let head = request_head(&context, &inbound, facts);
     let (pool, result) = match &dispatch.via {
         None => {
             let target = Target {
@@ -66,15 +70,11 @@
             (&context.peers, result)
         }
     };
-    let (endpoint, pool) = (dispatch.endpoint, Arc::clone(pool));
+    let read = |answer: &BegunAnswer| context.dialect.read_answer(&answer.parts, facts);
+    let result = result.map(|answer| (read(&answer), answer));
+    let (endpoint, pool) = (dispatch.endpoint.clone(), Arc::clone(pool));
     match result {
-        Ok(answer) if is_shed(&answer) => shed(pool, endpoint, answer).await,
-        Ok(answer) => {
-            let status = answer.parts.status.as_u16();
-            let outcome = Outcome::Answered { status, fresh_connection: answer.fresh };
-            let report = report(&answer.parts.headers);
-            AttemptEnd { endpoint, outcome, report, answer: Some(Box::new(answer)), pool }
-        }
+        Ok((facts, answer)) => taken(pool, endpoint, facts, answer).await,
         Err((outcome, error)) => {
             log::debug!(
                 "event=attempt_failed request={} endpoint={} via={} error={error:?}",
@@ -98,23 +98,48 @@
     }
 }
 
-fn request_head(context: &Context, inbound: &Inbound) -> RequestHead {
+fn request_head(context: &Context, inbound: &Inbound, facts: OutgoingFacts<'_>) -> RequestHead {
     let mut fields = inbound.headers.clone();
-    let left_ms = remaining(inbound.deadline, context.clock.now()).as_millis() as u64;
-    headers::set_number(&mut fields, header::DEADLINE_MS, left_ms);
-    headers::set(&mut fields, header::REQUEST_ID, &inbound.fleet_id);
+    context.dialect.write_request(&mut fields, facts);
     RequestHead { method: inbound.method.clone(), uri: inbound.uri.clone(), headers: fields }
 }
 
-fn is_shed(answer: &BegunAnswer) -> bool {
-    answer.parts.status == StatusCode::SERVICE_UNAVAILABLE
-        && headers::text(&answer.parts.headers, header::NOT_RUN) == Some("true")
+/// Turns an answer into the end of its attempt.
+///
+/// Failure guarded against: an endpoint's late answer to an earlier request, or
+/// bytes that follow a whole answer, arrive where the next answer is due, and a
+/// caller gets another one's roster. It shows as an answer that bears another
+/// request's identity. The guard holds because such an answer is dropped with its
+/// connection, and its request counts as possibly run.
+async fn taken(
+    pool: Arc<ConnectionPool>,
+    endpoint: Name,
+    facts: AnswerFacts,
+    answer: BegunAnswer,
+) -> AttemptEnd {
+    let AnswerFacts { kind, report } = facts;
+    let fresh_connection = answer.fresh;
+    let outcome = match kind {
+        AnswerKind::NotRun => return shed(pool, endpoint, report, answer).await,
+        AnswerKind::WrongEndpoint => Outcome::ConnectFailed,
+        AnswerKind::Unrelated => Outcome::Broken { fresh_connection },
+        AnswerKind::Answer => {
+            let status = answer.parts.status.as_u16();
+            let outcome = Outcome::Answered { status, fresh_connection };
+            return AttemptEnd { endpoint, outcome, report, answer: Some(Box::new(answer)), pool };
+        }
+    };
+    AttemptEnd { endpoint, outcome, report, answer: None, pool }
 }
 
 /// Ends an exchange that the endpoint refused; its connection is kept if the
 /// short body is there already.
-async fn shed(pool: Arc<ConnectionPool>, endpoint: Name, mut answer: BegunAnswer) -> AttemptEnd {
-    let report = report(&answer.parts.headers);
+async fn shed(
+    pool: Arc<ConnectionPool>,
+    endpoint: Name,
+    report: Report,
+    mut answer: BegunAnswer,
+) -> AttemptEnd {
     while !answer.body.is_end_stream() {
         let frame = tokio::time::timeout(SHED_BODY_WAIT, answer.body.frame()).await;
         if !matches!(frame, Ok(Some(Ok(_)))) {
@@ -142,11 +167,3 @@
         ExchangeError::TimedOut { fresh } => Outcome::TimedOut { fresh_connection: *fresh },
     }
 }
-
-/// Returns what an endpoint reports about itself.
-pub(crate) fn report(fields: &HeaderMap) -> Report {
-    Report {
-        in_flight: headers::text(fields, header::LOAD).and_then(|load| load.trim().parse().ok()),
-        draining: headers::text(fields, header::DRAINING) == Some("true"),
-    }
-}
--- a/crates/pistachiotrackd/src/body.rs
+++ b/crates/pistachiotrackd/src/body.rs
@@ -64,9 +64,11 @@
         connection: Connection,
         pool: Arc<ConnectionPool>,
         idle_limit: Duration,
+        ends_by_closing: bool,
         watch: Option<AnswerWatch>,
     ) -> AnswerBody {
-        let has_length = parts.headers.contains_key(CONTENT_LENGTH)
+        let has_length = ends_by_closing
+            || parts.headers.contains_key(CONTENT_LENGTH)
             || parts.headers.contains_key(TRANSFER_ENCODING);
         let mut body = RelayedBody {
             incoming,
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, control_traffic::ControlTraffic,
-    forward_record::ForwardRecord, histogram::Histograms, metrics::Metrics, settings::Settings,
-    shard_table::ShardTable, timer::PauseGate, view::FleetView,
+    dialect::Dialect, forward_record::ForwardRecord, histogram::Histograms, metrics::Metrics,
+    settings::Settings, shard_table::ShardTable, timer::PauseGate, view::FleetView,
 };
 
 /// State of the daemon's life cycle.
@@ -39,6 +39,8 @@
 /// What all parts of the daemon share.
 #[derive(Debug)]
 pub(crate) struct Context {
+    /// How callers and endpoints speak.
+    pub(crate) dialect: Arc<dyn Dialect>,
     /// Settings of this VM.
     pub(crate) settings: Settings,
     /// This VM.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
+    path::Path,
     sync::{Arc, atomic::AtomicU64},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -29,15 +30,19 @@
     connection_pool::ConnectionPool,
     context::Context,
     control_traffic::ControlTraffic,
-    fleet::{Fleet, FleetArgs, Leave, TICK_INTERVAL},
+    dialect::{Dialect, OwnDialect},
+    entries,
+    fleet::{Fleet, FleetArgs, Leave, NewSeeds, TICK_INTERVAL},
     forward_record::ForwardRecord,
     histogram::Histograms,
     listener::Listener,
     metrics::Metrics,
+    news_link::NewsLink,
     path_check::PathCheck,
     peer_service, proxy,
-    settings::Settings,
-    shard_table::ShardTable,
+    settings::{Settings, SettingsFile},
+    shard_table::{ShardTable, ShardTableArgs},
+    source::Source,
     timer::{PauseGate, SubscribeSlowly, TimerArgs, TimerService},
     udp,
     view::FleetView,
@@ -70,6 +75,25 @@
 /// it may have run out, since the others hear of its leaving a little later.
 const ENTRY_MARGIN: Duration = Duration::from_secs(2);
 
+/// What a daemon meets the outside with.
+#[derive(Clone, Debug)]
+pub struct Adapter {
+    /// How callers and endpoints speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where configurations come from; the platform's own service where it is
+    /// missing.
+    pub source: Option<Arc<dyn Source>>,
+}
+
+impl Default for Adapter {
+    fn default() -> Adapter {
+        Adapter { dialect: Arc::new(OwnDialect), source: None }
+    }
+}
+
+/// Time between two looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// A daemon that serves.
 pub struct Daemon {
     context: Arc<Context>,
@@ -95,6 +119,8 @@
     peer: TcpListener,
     membership: UdpSocket,
     admin: TcpListener,
+    readiness: Option<TcpListener>,
+    directory: Option<TcpListener>,
 }
 
 impl Daemon {
@@ -104,6 +130,15 @@
     ///
     /// Returns an error if an address can't be bound.
     pub async fn start(settings: Settings) -> Result<Daemon, StartError> {
+        Daemon::start_with(settings, Adapter::default()).await
+    }
+
+    /// As [`Daemon::start`], with an adapter to what is outside.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound.
+    pub async fn start_with(settings: Settings, adapter: Adapter) -> Result<Daemon, StartError> {
         let sockets = Sockets::bind(&settings).await?;
         let metrics = Metrics::new(settings.statsd_address)?;
         let clock = Clock::start();
@@ -127,14 +162,25 @@
         let (superseded_sender, superseded) = watch::channel(false);
         let traffic = Arc::new(ControlTraffic::default());
         let path_check = PathCheck::new(me.clone(), view.clone());
-        let shards = ShardTable::new(
+        let socket = Arc::new(sockets.membership);
+        let news = Arc::new(NewsLink::new(
+            me.clone(),
+            &settings.deployment,
+            clock,
+            Arc::clone(&socket),
+            view.clone(),
+            Arc::clone(&traffic),
+        ));
+        let shards = ShardTable::new(ShardTableArgs {
             clock,
-            Arc::clone(&endpoints),
-            timer.clone(),
+            endpoints: Arc::clone(&endpoints),
+            timer: timer.clone(),
             path_check,
-            Duration::from_millis(settings.limits.careful_idle_ms),
+            news: Arc::clone(&news),
+            dialect: Arc::clone(&adapter.dialect),
+            careful_idle: Duration::from_millis(settings.limits.careful_idle_ms),
             seed,
-        );
+        });
         let context = Arc::new(Context {
             me,
             clock,
@@ -150,13 +196,14 @@
             total: Histograms::default(),
             added: Histograms::default(),
             next_request: AtomicU64::new(1),
+            dialect: adapter.dialect,
             settings,
         });
-        let socket = Arc::new(sockets.membership);
         let fleet_args = FleetArgs {
             context: Arc::clone(&context),
             view: view_sender,
             socket: Arc::clone(&socket),
+            source: adapter.source,
             superseded: superseded_sender,
             seed,
         };
@@ -165,7 +212,7 @@
         let _ = timer
             .tell(SubscribeSlowly { recipient: fleet.clone().recipient(), interval: TICK_INTERVAL })
             .try_send();
-        tokio::spawn(udp::receive(socket, fleet.clone(), traffic));
+        tokio::spawn(udp::receive(socket, fleet.clone(), Arc::clone(&context), news));
         let admin_address = local_address("admin_address", &sockets.admin)?;
         let connections = TaskTracker::new();
         let daemon = Daemon {
@@ -177,6 +224,7 @@
             superseded,
             admin_address,
         };
+        daemon.listen_to_platform(sockets.readiness, sockets.directory, stopping.clone());
         daemon.listen(sockets.caller, sockets.peer, sockets.admin, stopping);
         log::info!(
             "event=started vm={} caller_address={} peer_address={} admin_address={admin_address}",
@@ -213,6 +261,29 @@
         tokio::spawn(operators.serve(Arc::clone(&self.context), handler));
     }
 
+    fn listen_to_platform(
+        &self,
+        readiness: Option<TcpListener>,
+        directory: Option<TcpListener>,
+        stopping: watch::Receiver<bool>,
+    ) {
+        let max_connections = self.context.settings.limits.caller_connections;
+        let listener = |socket| Listener {
+            socket,
+            max_connections,
+            stopping: stopping.clone(),
+            connections: self.connections.clone(),
+        };
+        if let Some(socket) = readiness {
+            let context = Arc::clone(&self.context);
+            tokio::spawn(listener(socket).serve(context, entries::readiness));
+        }
+        if let Some(socket) = directory {
+            let context = Arc::clone(&self.context);
+            tokio::spawn(listener(socket).serve(context, entries::handle));
+        }
+    }
+
     /// Returns the address that callers connect to.
     pub fn caller_address(&self) -> SocketAddr {
         self.context.me.caller_address
@@ -244,19 +315,57 @@
     /// # Errors
     ///
     /// Returns an error if the process's signals can't be received.
-    pub async fn run_until_signal(mut self) -> io::Result<()> {
+    pub async fn run_until_signal(self) -> io::Result<()> {
+        self.run(None).await
+    }
+
+    /// As [`Daemon::run_until_signal`], and looks at the settings in `file` again
+    /// on a hang-up signal and now and then, as they may change without one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process's signals can't be received.
+    pub async fn run_with_settings_file(self, file: &Path) -> io::Result<()> {
+        self.run(Some(SettingsFile::new(file))).await
+    }
+
+    async fn run(mut self, mut file: Option<SettingsFile>) -> io::Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-            // The fleet actor, which holds the sender, stops only with the process.
-            _ = self.superseded.wait_for(|superseded| *superseded) => {}
+        let mut hang_up = signal(SignalKind::hangup())?;
+        let mut look = tokio::time::interval(SETTINGS_INTERVAL);
+        let mut superseded = self.superseded.clone();
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                // The fleet actor, which holds the sender, stops only with the process.
+                _ = superseded.wait_for(|superseded| *superseded) => break,
+                _ = hang_up.recv() => self.reload(&mut file, true),
+                _ = look.tick() => self.reload(&mut file, false),
+            }
         }
         self.stop().await;
         Ok(())
     }
 
+    /// Takes what can change while the daemon runs from changed settings; wrong
+    /// ones leave the old ones in force.
+    fn reload(&mut self, file: &mut Option<SettingsFile>, asked: bool) {
+        let Some(file) = file else { return };
+        match file.changed() {
+            Ok(Some(settings)) => {
+                log::info!("event=settings_changed asked={asked}");
+                let seeds = settings.seeds(self.peer_address().port());
+                // The fleet actor stops only with the process.
+                let _ = self.fleet.tell(NewSeeds(seeds)).try_send();
+            }
+            Ok(None) if asked => log::info!("event=settings_unchanged"),
+            Ok(None) => {}
+            Err(error) => log::error!("event=settings_refused error={:?}", error.to_string()),
+        }
+    }
+
     /// Stops gracefully: serves on while callers may still hold this VM's
     /// address, then takes no further request and finishes those in flight.
     pub async fn stop(self) {
@@ -309,7 +418,9 @@
         let caller = bind("caller_address", settings.caller_address).await?;
         let (peer, membership) = bind_peer(settings.peer_address).await?;
         let admin = bind("admin_address", settings.admin_address).await?;
-        Ok(Sockets { caller, peer, membership, admin })
+        let readiness = bind_optional("readiness_address", settings.readiness_address).await?;
+        let directory = bind_optional("directory_address", settings.directory_address).await?;
+        Ok(Sockets { caller, peer, membership, admin, readiness, directory })
     }
 
     fn vm(&self, settings: &Settings) -> Vm {
@@ -349,6 +460,16 @@
     TcpListener::bind(address).await.map_err(|source| StartError::Bind { field, address, source })
 }
 
+async fn bind_optional(
+    field: &'static str,
+    address: Option<SocketAddr>,
+) -> Result<Option<TcpListener>, StartError> {
+    match address {
+        Some(address) => bind(field, address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
 fn local_address(field: &'static str, socket: &TcpListener) -> Result<SocketAddr, StartError> {
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
     socket.local_addr().map_err(|source| StartError::Bind { field, address: unknown, source })
--- /dev/null
+++ b/crates/pistachiotrackd/src/dialect/own.rs
@@ -0,0 +1,109 @@
+//! The fleet's own headers, as its callers and endpoints know them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+    http::{request, response},
+};
+use pistachiotrack_core::{
+    header,
+    name::Name,
+    refusal::Refusal,
+    request::{Class, Report},
+    steering::EntryAnswer,
+};
+
+use super::{AnswerFacts, AnswerKind, Dialect, EntryWish, HeadError, OutgoingFacts, RequestFacts};
+use crate::headers;
+
+/// Most characters of a customer's name.
+const MAX_CUSTOMER_CHARS: usize = 256;
+
+/// The fleet's own headers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnDialect;
+
+impl Dialect for OwnDialect {
+    fn read_request(&self, parts: &request::Parts) -> Result<RequestFacts, HeadError> {
+        let text = |name| headers::text(&parts.headers, name);
+        let wrong = |header, problem| HeadError { header, problem };
+        let customer = text(header::CUSTOMER).unwrap_or_default();
+        if customer.is_empty() || customer.len() > MAX_CUSTOMER_CHARS {
+            let problem = format!("{customer:?} is missing or too long");
+            return Err(wrong(header::CUSTOMER, problem));
+        }
+        let class = text(header::CLASS).map(|class| {
+            let unknown = || wrong(header::CLASS, format!("{class:?} is no class"));
+            Class::parse(class).ok_or_else(unknown)
+        });
+        let time_left = text(header::DEADLINE_MS).map(|left| {
+            let no_number = |_| wrong(header::DEADLINE_MS, format!("{left:?} is no number"));
+            left.trim().parse().map(Duration::from_millis).map_err(no_number)
+        });
+        Ok(RequestFacts {
+            id: None,
+            customer: Some(Name::from(customer)),
+            class: class.transpose()?.unwrap_or_default(),
+            service: text(header::SERVICE).map(Name::from),
+            time_left: time_left.transpose()?,
+        })
+    }
+
+    fn write_request(&self, fields: &mut HeaderMap, facts: OutgoingFacts<'_>) {
+        if let Some(id) = facts.request_id {
+            headers::set_number(fields, header::DEADLINE_MS, facts.time_left.as_millis() as u64);
+            headers::set(fields, header::REQUEST_ID, id);
+        }
+    }
+
+    fn read_answer(&self, parts: &response::Parts, _: OutgoingFacts<'_>) -> AnswerFacts {
+        let text = |name| headers::text(&parts.headers, name);
+        let is_shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
+            && text(header::NOT_RUN) == Some("true");
+        AnswerFacts {
+            kind: if is_shed { AnswerKind::NotRun } else { AnswerKind::Answer },
+            report: Report {
+                in_flight: text(header::LOAD).and_then(|load| load.trim().parse().ok()),
+                draining: text(header::DRAINING) == Some("true"),
+            },
+        }
+    }
+
+    fn write_answer(&self, fields: &mut HeaderMap, endpoint: &Name, vm: &Name) {
+        headers::set(fields, header::ENDPOINT, endpoint);
+        headers::set(fields, header::OWNER, vm);
+    }
+
+    fn write_refusal(&self, refusal: Refusal, status: StatusCode) -> Response<Bytes> {
+        let text = format!("{} {}\n", refusal.execution.as_str(), refusal.reason.as_str());
+        let mut response = Response::new(Bytes::from(text));
+        *response.status_mut() = status;
+        let fields = response.headers_mut();
+        fields.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        fields.insert(header::OUTCOME, HeaderValue::from_static(refusal.execution.as_str()));
+        fields.insert(header::REASON, HeaderValue::from_static(refusal.reason.as_str()));
+        if let Some(retry_after_ms) = refusal.retry_after_ms {
+            headers::set_number(fields, header::RETRY_AFTER_MS, retry_after_ms);
+        }
+        response
+    }
+
+    fn ends_answers_by_closing(&self) -> bool {
+        false
+    }
+
+    /// The fleet's own callers ask at a path of the caller address instead.
+    fn read_entry_wish(&self, _: &request::Parts) -> Option<EntryWish> {
+        None
+    }
+
+    fn write_entries(&self, answer: &EntryAnswer) -> Response<Bytes> {
+        let mut response = Response::new(serde_json::to_vec(answer).unwrap_or_default().into());
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
+        response
+    }
+}
--- a/crates/pistachiotrackd/src/entries.rs
+++ b/crates/pistachiotrackd/src/entries.rs
@@ -1,14 +1,21 @@
 //! Answers callers that ask which addresses to use.
 
-use hyper::{Response, StatusCode, http::request::Parts};
+use std::{convert::Infallible, sync::Arc};
+
+use hyper::{Request, Response, StatusCode, body::Incoming, http::request::Parts};
 use percent_encoding::percent_decode_str;
 use pistachiotrack_core::{
     header,
-    steering::{self, EntryQuestion},
+    steering::{self, EntryQuestion, HostQuestion},
 };
 use serde::Serialize;
 
-use crate::{answer, body::AnswerBody, context::Context, headers};
+use crate::{
+    answer,
+    body::AnswerBody,
+    context::{Context, LifeState},
+    headers,
+};
 
 /// Name of the query's field that holds the service.
 const SERVICE: &str = "service";
@@ -49,3 +56,39 @@
     let value = fields.into_iter().find_map(|(name, value)| (name == SERVICE).then_some(value));
     percent_decode_str(value.unwrap_or_default()).decode_utf8_lossy().into_owned()
 }
+
+/// Answers a caller that asks in the deployment's dialect for the addresses of a
+/// host.
+pub(crate) async fn handle(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let parts = request.into_parts().0;
+    let Some(wish) = context.dialect.read_entry_wish(&parts) else {
+        return Ok(answer::plain(StatusCode::NOT_FOUND));
+    };
+    let view = context.view();
+    let Some(active) = &view.active else {
+        return Ok(answer::in_dialect(&*context.dialect, answer::no_config()));
+    };
+    let question = HostQuestion {
+        config: &active.config,
+        ownership: &view.ownership,
+        me: &context.me,
+        host: &wish.host,
+        data_centre: wish.data_centre.as_deref(),
+    };
+    let entries = steering::entries_of_host(question, view.members.iter());
+    Ok(context.dialect.write_entries(&entries).map(AnswerBody::whole))
+}
+
+/// Tells the platform whether this VM is ready to serve.
+pub(crate) async fn readiness(
+    context: Arc<Context>,
+    _: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    Ok(answer::plain(match context.life_state() {
+        LifeState::Serving => StatusCode::OK,
+        LifeState::Starting | LifeState::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+    }))
+}
--- a/crates/pistachiotrackd/src/exit_codes.rs
+++ b/crates/pistachiotrackd/src/exit_codes.rs
@@ -4,7 +4,7 @@
 
 /// How the daemon ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ExitCode {
+pub enum ExitCode {
     /// It stopped as asked, or only printed its help or version.
     Success,
     /// It started but failed while running.
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -16,6 +16,8 @@
     membership::{Membership, MembershipAction, MembershipSettings},
     name::Name,
     ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
+    service::Service,
+    shard::ShardMode,
     time::Time,
     vm::{Vm, VmList},
 };
@@ -29,9 +31,10 @@
     context::Context,
     peer_client,
     peer_message::CONFIG_PATH,
-    platform::{Platform, PlatformError},
+    platform::Platform,
     shard_actor::{NewConfig, Retire},
     shard_table::shard_name,
+    source::{Source as ConfigSource, SourceError},
     timer::TimerEvent,
     udp,
     view::{ActiveConfig, FleetView},
@@ -56,6 +59,9 @@
     pub(crate) view: watch::Sender<Arc<FleetView>>,
     /// Socket of the membership messages.
     pub(crate) socket: Arc<UdpSocket>,
+    /// Where configurations come from; the platform's own service where it is
+    /// missing.
+    pub(crate) source: Option<Arc<dyn ConfigSource>>,
     /// Becomes true when a newer daemon runs under this VM's name.
     pub(crate) superseded: watch::Sender<bool>,
     /// Seed of every random choice.
@@ -67,7 +73,8 @@
     context: Arc<Context>,
     view: watch::Sender<Arc<FleetView>>,
     socket: Arc<UdpSocket>,
-    platform: Platform,
+    source: Arc<dyn ConfigSource>,
+    watch_wait: Duration,
     watching: watch::Sender<bool>,
     waiting_watch: Option<AbortHandle>,
     superseded: watch::Sender<bool>,
@@ -86,23 +93,30 @@
     type Error = Infallible;
 
     async fn on_start(args: FleetArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
-        let FleetArgs { context, view, socket, superseded, seed } = args;
+        let FleetArgs { context, view, socket, source, superseded, seed } = args;
         let now = context.clock.now();
         let me = context.me.clone();
         let settings = &context.settings;
-        let platform = Platform::new(settings, Arc::clone(&context.traffic));
         let (watching, is_watching) = watch::channel(false);
         let deployment = settings.deployment.clone();
         // Without its deployment a datagram of another one that reaches this
         // address, as one may after addresses were reassigned, would be taken.
-        let membership_settings =
-            MembershipSettings { deployment: deployment.clone(), ..MembershipSettings::default() };
+        let membership_settings = MembershipSettings {
+            deployment: deployment.clone(),
+            seeds: settings.seeds(me.peer_address.port()),
+            ..settings.membership.clone()
+        };
         let sync_settings = ConfigSyncSettings {
             assumed_fleet_vms: settings.expected_vms,
-            ..ConfigSyncSettings::default()
+            ..settings.config_sync.clone()
         };
-        let list_reads = ListReads::new(sync_settings.clone(), seed);
-        tokio::spawn(platform.clone().keep_vms(actor_ref.clone(), is_watching, list_reads));
+        let watch_wait = Duration::from_millis(sync_settings.watch_timeout_ms);
+        let source = source.unwrap_or_else(|| {
+            let platform = Platform::new(settings, Arc::clone(&context.traffic));
+            let list_reads = ListReads::new(sync_settings.clone(), seed);
+            tokio::spawn(platform.clone().keep_vms(actor_ref.clone(), is_watching, list_reads));
+            Arc::new(platform)
+        });
         Ok(Fleet {
             membership: Membership::new(now, me.clone(), membership_settings, seed),
             ownership: Ownership::new(me.clone(), OwnershipSettings::default()),
@@ -110,7 +124,8 @@
             context,
             view,
             socket,
-            platform,
+            source,
+            watch_wait,
             watching,
             waiting_watch: None,
             superseded,
@@ -157,7 +172,7 @@
 }
 
 /// The platform's answer to a watch of the configuration.
-pub(crate) struct PlatformValue(pub(crate) Result<Option<Bytes>, PlatformError>);
+pub(crate) struct PlatformValue(pub(crate) Result<Option<Bytes>, SourceError>);
 
 impl Message<PlatformValue> for Fleet {
     type Reply = ();
@@ -169,6 +184,8 @@
             Ok(value) => {
                 let actions = self.sync.on_platform_value(now, value.as_deref());
                 self.apply_config(now, actions);
+                let actions = self.membership.announce(now);
+                self.apply_membership(now, actions);
             }
             Err(error) => {
                 log::warn!("event=config_unavailable error={:?}", error.to_string());
@@ -197,6 +214,17 @@
     }
 }
 
+/// Changes the addresses of VMs that may know the fleet.
+pub(crate) struct NewSeeds(pub(crate) Vec<SocketAddr>);
+
+impl Message<NewSeeds> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, message: NewSeeds, _: &mut MessageContext<Self, ()>) {
+        self.membership.set_seeds(message.0);
+    }
+}
+
 /// Tells the other VMs that this one is stopping.
 pub(crate) struct Leave;
 
@@ -341,7 +369,7 @@
         for action in actions {
             match action {
                 ConfigAction::Watch { after } => self.watch(after),
-                ConfigAction::Read { after } => self.read(after),
+                ConfigAction::Read { after } => self.ask_source(after, Duration::ZERO),
                 ConfigAction::Pull { vm, request } => self.pull(vm, request),
                 ConfigAction::InForce(config) => self.put_in_force(now, config),
                 ConfigAction::Rejected(error) => {
@@ -378,13 +406,17 @@
 
     fn watch(&mut self, after: Option<u64>) {
         self.watching.send_replace(true);
-        let Some(fleet) = self.actor_ref.upgrade() else { return };
-        self.replace_watch(tokio::spawn(self.platform.clone().watch_config(after, fleet)));
+        self.ask_source(after, self.watch_wait);
     }
 
-    fn read(&mut self, after: Option<u64>) {
+    fn ask_source(&mut self, after: Option<u64>, wait: Duration) {
         let Some(fleet) = self.actor_ref.upgrade() else { return };
-        self.replace_watch(tokio::spawn(self.platform.clone().read_config(after, fleet)));
+        let source = Arc::clone(&self.source);
+        self.replace_watch(tokio::spawn(async move {
+            let value = source.config(after, wait).await;
+            // The fleet actor stops only with the process.
+            let _ = fleet.tell(PlatformValue(value)).try_send();
+        }));
     }
 
     fn replace_watch(&mut self, watch: JoinHandle<()>) {
@@ -446,7 +478,9 @@
             OwnershipChange::Lost { shard, to } => {
                 log::info!("event=shard_lost shard={} to={to}", shard_name(&shard));
                 let to = self.membership.member(&to).map(|member| member.vm.clone());
-                self.context.shards.disown(&shard, to);
+                let shared = config.service(&shard.service).is_some_and(Service::is_shared);
+                let mode = if shared { ShardMode::Shared } else { ShardMode::Careful };
+                self.context.shards.disown(&shard, to, mode);
             }
         }
     }
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -139,8 +139,15 @@
     let BegunAnswer { mut parts, body, connection, .. } = answer;
     let endpoint_time = take_endpoint_time(&mut parts.headers);
     let idle_limit = Duration::from_millis(context.settings.limits.body_idle_ms);
-    let body =
-        AnswerBody::relayed(&parts, body, connection, Arc::clone(&context.peers), idle_limit, None);
+    let body = AnswerBody::relayed(
+        &parts,
+        body,
+        connection,
+        Arc::clone(&context.peers),
+        idle_limit,
+        false,
+        None,
+    );
     headers::strip_hop_by_hop(&mut parts.headers);
     Served { response: body::response(parts, body), endpoint_time }
 }
--- a/crates/pistachiotrackd/src/forwarded_route.rs
+++ b/crates/pistachiotrackd/src/forwarded_route.rs
@@ -17,6 +17,8 @@
     pub(crate) idempotent: bool,
     /// Whether a second endpoint may be asked when the first is slow.
     pub(crate) hedge: bool,
+    /// Endpoints that the request may be sent to.
+    pub(crate) max_attempts: u32,
 }
 
 impl ForwardedRoute {
--- a/crates/pistachiotrackd/src/http_call.rs
+++ b/crates/pistachiotrackd/src/http_call.rs
@@ -10,7 +10,7 @@
 
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum CallError {
+pub enum CallError {
     /// The other end can't be reached.
     #[error("connect: {0}")]
     Connect(#[from] std::io::Error),
@@ -27,7 +27,7 @@
 /// # Errors
 ///
 /// Returns an error if the exchange fails or the body exceeds `max_bytes`.
-pub(crate) async fn call(
+pub async fn call(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     max_bytes: usize,
--- a/crates/pistachiotrackd/src/inbound.rs
+++ b/crates/pistachiotrackd/src/inbound.rs
@@ -46,6 +46,7 @@
             deadline: self.deadline,
             idempotent: self.route.idempotent,
             hedge: self.route.hedge && self.route.idempotent && self.body.can_be_repeated(),
+            max_attempts: self.route.max_attempts,
             key: self.key().map(Name::from),
             repeat: headers::text(&self.headers, header::REPEAT) == Some("true"),
         }
@@ -58,7 +59,7 @@
 }
 
 /// Longest deadline that a caller may set.
-const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+pub(crate) const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
 /// Returns the deadline that the caller set, if any.
 ///
--- a/crates/pistachiotrackd/src/logging.rs
+++ b/crates/pistachiotrackd/src/logging.rs
@@ -1,11 +1,11 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event, on standard error or output.
 
 use std::io::Write;
 
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
 use log::Record;
 
-use crate::settings::Settings;
+use crate::settings::{LogOutput, Settings};
 
 /// Starts the logger of the process.
 ///
@@ -13,7 +13,11 @@
 ///
 /// Returns an error if a logger runs already.
 pub fn start(settings: &Settings) -> Result<LoggerHandle, FlexiLoggerError> {
-    Logger::try_with_str(settings.log_level.as_str())?.log_to_stderr().format(line).start()
+    let logger = Logger::try_with_str(settings.log_level.as_str())?.format(line);
+    match settings.log_output {
+        LogOutput::Stderr => logger.log_to_stderr().start(),
+        LogOutput::Stdout => logger.log_to_stdout().start(),
+    }
 }
 
 fn line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
--- /dev/null
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -0,0 +1,103 @@
+//! Datagrams between VMs that dispatch for the same services side by side.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use pistachiotrack_core::{hash, name::Name, shard::ShardNews, time::Time, vm::Vm};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, sync::watch};
+
+use crate::{clock::Clock, control_traffic::ControlTraffic, udp, view::FleetView};
+
+/// First byte of these datagrams; those of the membership begin with another.
+pub(crate) const NEWS_TAG: u8 = 0x80;
+/// Time for which a VM that told something is told everything in turn: a VM that
+/// callers still use though it is no dispatcher any more must count the others.
+const GUEST_TIME: Duration = Duration::from_secs(2);
+/// Guests that are told at most, so that a fleet that has not found itself yet
+/// doesn't flood itself.
+const MAX_GUESTS: usize = 16;
+
+/// One datagram.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct NewsDatagram {
+    deployment: u64,
+    /// Sender.
+    pub(crate) from: Name,
+    /// What it tells.
+    pub(crate) news: ShardNews,
+}
+
+/// Tells the other dispatchers of a service what this VM does and sees.
+#[derive(Debug)]
+pub(crate) struct NewsLink {
+    me: Vm,
+    deployment: u64,
+    clock: Clock,
+    socket: Arc<UdpSocket>,
+    view: watch::Receiver<Arc<FleetView>>,
+    traffic: Arc<ControlTraffic>,
+    guests: Mutex<FxHashMap<SocketAddr, Time>>,
+}
+
+impl NewsLink {
+    /// Creates a link over the socket that the membership uses too.
+    pub(crate) fn new(
+        me: Vm,
+        deployment: &str,
+        clock: Clock,
+        socket: Arc<UdpSocket>,
+        view: watch::Receiver<Arc<FleetView>>,
+        traffic: Arc<ControlTraffic>,
+    ) -> NewsLink {
+        let deployment = hash::fnv(deployment.as_bytes());
+        NewsLink { me, deployment, clock, socket, view, traffic, guests: Mutex::default() }
+    }
+
+    /// Tells the other dispatchers, and the guests.
+    pub(crate) fn tell(&self, news: ShardNews) {
+        let service = news.shard.service.clone();
+        let datagram =
+            NewsDatagram { deployment: self.deployment, from: self.me.name.clone(), news };
+        let Ok(bytes) = postcard::to_extend(&datagram, vec![NEWS_TAG]) else { return };
+        let view = Arc::clone(&self.view.borrow());
+        let dispatchers = view.ownership.dispatchers(&service);
+        let others = dispatchers.iter().filter(|vm| vm.name != self.me.name);
+        for vm in others {
+            udp::send(&self.socket, vm.peer_address, &bytes, &self.traffic);
+        }
+        let now = self.clock.now();
+        let mut guests = self.guests.lock().unwrap_or_else(PoisonError::into_inner);
+        guests.retain(|_, until| now < *until);
+        for address in guests.keys() {
+            if dispatchers.iter().all(|vm| vm.peer_address != *address) {
+                udp::send(&self.socket, *address, &bytes, &self.traffic);
+            }
+        }
+    }
+
+    /// Reads a datagram; `None` if it is none of this deployment's.
+    pub(crate) fn receive(&self, from: SocketAddr, bytes: &[u8]) -> Option<NewsDatagram> {
+        let content = bytes.strip_prefix(&[NEWS_TAG])?;
+        let datagram: NewsDatagram = postcard::from_bytes(content).ok()?;
+        if datagram.deployment != self.deployment || datagram.from == self.me.name {
+            return None;
+        }
+        let until = self.clock.now() + GUEST_TIME;
+        let mut guests = self.guests.lock().unwrap_or_else(PoisonError::into_inner);
+        if guests.len() < MAX_GUESTS || guests.contains_key(&from) {
+            guests.insert(from, until);
+        }
+        Some(datagram)
+    }
+
+    /// Returns whether this VM dispatches for a service.
+    pub(crate) fn is_dispatcher(&self, service: &str) -> bool {
+        let view = self.view.borrow();
+        view.ownership.dispatchers(service).iter().any(|vm| vm.name == self.me.name)
+    }
+}
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http_body_util::Full;
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -17,14 +18,15 @@
 
 use crate::{
     control_traffic::ControlTraffic,
-    fleet::{Fleet, PlatformValue, VmsListed},
+    fleet::{Fleet, VmsListed},
     gzip::{self, GzipError},
     http_call::{self, CallError},
     settings::Settings,
+    source::{Source, SourceError},
 };
 
 /// Time for which a watch waits for something newer.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Time allowed besides the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Coding that the platform may use for its values.
@@ -74,23 +76,6 @@
         }
     }
 
-    /// Waits for a configuration newer than `after` and tells the fleet actor.
-    pub(crate) async fn watch_config(self, after: Option<u64>, fleet: ActorRef<Fleet>) {
-        let path = format!("/v1/config/{}", self.deployment);
-        let value = self.watch(&path, after).await;
-        // The fleet actor stops only with the process.
-        let _ = fleet.tell(PlatformValue(value)).try_send();
-    }
-
-    /// Reads a configuration newer than `after`, without waiting for one, and
-    /// tells the fleet actor.
-    pub(crate) async fn read_config(self, after: Option<u64>, fleet: ActorRef<Fleet>) {
-        let path = format!("/v1/config/{}", self.deployment);
-        let value = self.ask(&path, after, Duration::ZERO).await;
-        // The fleet actor stops only with the process.
-        let _ = fleet.tell(PlatformValue(value)).try_send();
-    }
-
     /// Keeps the list of VMs for as long as the fleet actor runs.
     ///
     /// The VMs that watch the configuration watch the list too; the others read
@@ -171,6 +156,19 @@
     }
 }
 
+impl Source for Platform {
+    fn config(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<Bytes>, SourceError>> {
+        Box::pin(async move {
+            let path = format!("/v1/config/{}", self.deployment);
+            self.ask(&path, after, wait).await.map_err(SourceError::new)
+        })
+    }
+}
+
 /// Returns the value of an answer, which comes plain or compressed.
 fn decoded(answer: Response<Bytes>) -> Result<Bytes, PlatformError> {
     match answer.headers().get(CONTENT_ENCODING).map(HeaderValue::as_bytes) {
--- a/crates/pistachiotrackd/src/probe.rs
+++ b/crates/pistachiotrackd/src/probe.rs
@@ -15,9 +15,10 @@
 };
 
 use crate::{
-    attempt::{outcome_of_error, report},
+    attempt::outcome_of_error,
     clock::Clock,
     connection_pool::ConnectionPool,
+    dialect::{AnswerKind, Dialect, OutgoingFacts},
     exchange::{self, BegunAnswer, RequestHead, Target},
     request_body::RequestBody,
     shard_actor::{AttemptOutcome, BodyEnded, ShardActor},
@@ -48,12 +49,29 @@
         shard: ActorRef<ShardActor>,
         pool: Arc<ConnectionPool>,
         clock: Clock,
+        dialect: Arc<dyn Dialect>,
     ) {
-        let (outcome, report, answer) = match self.exchange(&pool, clock).await {
+        let facts = OutgoingFacts {
+            request_id: None,
+            endpoint: &self.endpoint,
+            time_left: self.time_limit.since(clock.now()),
+        };
+        let (outcome, report, answer) = match self.exchange(&pool, clock, &*dialect, facts).await {
             Ok(answer) => {
                 let status = answer.parts.status.as_u16();
-                let outcome = Outcome::Answered { status, fresh_connection: answer.fresh };
-                (outcome, report(&answer.parts.headers), Some(answer))
+                let read = dialect.read_answer(&answer.parts, facts);
+                let fresh_connection = answer.fresh;
+                match read.kind {
+                    AnswerKind::Answer => {
+                        let outcome = Outcome::Answered { status, fresh_connection };
+                        (outcome, read.report, Some(answer))
+                    }
+                    AnswerKind::NotRun => (Outcome::Shed, read.report, None),
+                    AnswerKind::WrongEndpoint => (Outcome::ConnectFailed, read.report, None),
+                    AnswerKind::Unrelated => {
+                        (Outcome::Broken { fresh_connection }, read.report, None)
+                    }
+                }
             }
             Err(outcome) => (outcome, Report::default(), None),
         };
@@ -67,12 +85,19 @@
         }
     }
 
-    async fn exchange(&self, pool: &ConnectionPool, clock: Clock) -> Result<BegunAnswer, Outcome> {
+    async fn exchange(
+        &self,
+        pool: &ConnectionPool,
+        clock: Clock,
+        dialect: &dyn Dialect,
+        facts: OutgoingFacts<'_>,
+    ) -> Result<BegunAnswer, Outcome> {
         let uri: Uri = self.path.parse().unwrap_or_default();
         let mut headers = HeaderMap::new();
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             headers.insert(HOST, host);
         }
+        dialect.write_request(&mut headers, facts);
         let head = RequestHead { method: Method::GET, uri, headers };
         let target = Target {
             address: self.address,
--- /dev/null
+++ b/crates/pistachiotrackd/src/process.rs
@@ -0,0 +1,81 @@
+//! A process that runs the daemon: settings, logs, runtime, exit code.
+
+use std::{io, path::Path};
+
+use tokio::runtime::{Builder, Runtime};
+
+use crate::{
+    daemon::{Adapter, Daemon, StartError},
+    exit_codes::ExitCode,
+    logging,
+    settings::Settings,
+};
+
+/// Runs the daemon with the settings in `file` until it is asked to stop.
+pub fn run(file: &Path, adapter: impl FnOnce(&Settings) -> Adapter) -> ExitCode {
+    let settings = match read(file) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let logger = match logging::start(&settings) {
+        Ok(logger) => logger,
+        Err(error) => {
+            eprintln!("pistachiotrackd: {error}");
+            return ExitCode::SettingsError;
+        }
+    };
+    let runtime = match runtime(settings.limits.worker_threads) {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("event=runtime_failed error={error:?}");
+            return ExitCode::RuntimeError;
+        }
+    };
+    let adapter = adapter(&settings);
+    let code = runtime.block_on(serve(settings, adapter, file));
+    runtime.shutdown_background();
+    logger.flush();
+    code
+}
+
+/// Reads the settings and says on the standard error what is wrong with them.
+///
+/// # Errors
+///
+/// Returns the exit code for settings that can't be used.
+pub fn read(file: &Path) -> Result<Settings, ExitCode> {
+    Settings::read(file).map_err(|error| {
+        eprintln!("pistachiotrackd: {error}");
+        ExitCode::SettingsError
+    })
+}
+
+/// A single thread needs no hand-over of tasks between threads, which a small VM
+/// would pay for with every wake-up.
+fn runtime(worker_threads: usize) -> io::Result<Runtime> {
+    match worker_threads {
+        1 => Builder::new_current_thread().enable_all().build(),
+        threads => Builder::new_multi_thread().worker_threads(threads).enable_all().build(),
+    }
+}
+
+async fn serve(settings: Settings, adapter: Adapter, file: &Path) -> ExitCode {
+    let daemon = match Daemon::start_with(settings, adapter).await {
+        Ok(daemon) => daemon,
+        Err(error @ StartError::Bind { .. }) => {
+            log::error!("event=start_failed error={:?}", error.to_string());
+            return ExitCode::BindError;
+        }
+        Err(error) => {
+            log::error!("event=start_failed error={:?}", error.to_string());
+            return ExitCode::RuntimeError;
+        }
+    };
+    match daemon.run_with_settings_file(file).await {
+        Ok(()) => ExitCode::Success,
+        Err(error) => {
+            log::error!("event=signals_failed error={:?}", error.to_string());
+            ExitCode::RuntimeError
+        }
+    }
+}
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -2,13 +2,18 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, http::request};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::HOST,
+    http::{request, uri::Authority},
+};
 use pistachiotrack_core::{
-    header,
+    hash, header,
     name::Name,
     ownership::{ShardId, rendezvous_shard, shard_count},
     refusal::{Execution, Reason, Refusal},
-    request::{Class, RequestId},
+    request::{Class, DEFAULT_MAX_ATTEMPTS, RequestId},
     rule::{Refuse, Route, RuleAction, Subject},
     service::Service,
     shard::ShardMode,
@@ -20,11 +25,12 @@
     arrival::Arrival,
     body::AnswerBody,
     context::Context,
+    dialect::RequestFacts,
     entries,
     forward::{self, ForwardError},
     forwarded_route::ForwardedRoute,
     headers,
-    inbound::{Inbound, caller_deadline, origin_form},
+    inbound::{Inbound, MAX_DEADLINE, caller_deadline, origin_form},
     metrics::Event,
     request_body::{BodyLimits, RequestBody, RequestBodyError},
     request_task::{self, Served},
@@ -34,8 +40,6 @@
 
 /// Start of the paths that the daemon answers by itself.
 const OWN_PATHS: &str = "/pistachiotrack/";
-/// Most characters of a customer's name.
-const MAX_CUSTOMER_CHARS: usize = 256;
 
 /// Answers a caller.
 pub(crate) async fn handle_caller(
@@ -60,7 +64,7 @@
         Err(response) => *response,
     };
     count_answer(&context, &response);
-    Ok(response)
+    Ok(answer::in_dialect(&*context.dialect, response))
 }
 
 /// Answers another VM that sends on a request.
@@ -109,26 +113,31 @@
     let view = context.view();
     let Some(active) = &view.active else { return Err(Box::new(answer::no_config())) };
     headers::strip_from_caller(&mut parts.headers);
-    let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
-    let deadline = caller_deadline(&parts.headers, received).map_err(|_| bad_request())?;
-    let asked = Asked::read(&parts).ok_or_else(bad_request)?;
-    let rule = asked.decide(context, active, &parts);
+    let asked = context.dialect.read_request(&parts).map_err(|error| {
+        log::info!("event=request_malformed error={:?}", error.to_string());
+        Box::new(answer::not_run(Reason::BadRequest))
+    })?;
+    let deadline = asked.time_left.map(|left| received + left.min(MAX_DEADLINE));
+    let rule = decide(&asked, context, active, &parts);
     let route = match rule {
         Some(RuleAction::Route(route)) => route,
         Some(RuleAction::Refuse(refuse)) => return Err(Box::new(refused_by_rule(refuse))),
         None => return Err(Box::new(answer::not_run(Reason::Rule))),
     };
-    let Some(service) = active.service(&route.service) else {
+    let id = context.next_request();
+    let fleet_id = asked.id.clone().unwrap_or_else(|| context.fleet_id(id));
+    let draw = hash::mix(hash::fnv(fleet_id.as_bytes()));
+    let Some(service) = active.service(route.service_for(draw)) else {
         return Err(Box::new(answer::not_run(Reason::Rule)));
     };
-    let id = context.next_request();
     let key = headers::text(&parts.headers, header::KEY);
     let forwarded_route = ForwardedRoute {
         shard: choose_shard(context, &view, service, key, id),
-        customer: Name::from(asked.customer),
+        customer: asked.customer.clone().unwrap_or_else(|| context.settings.deployment.clone()),
         class: route.class.unwrap_or(asked.class),
         idempotent: route.idempotent,
         hedge: route.hedge,
+        max_attempts: route.attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
     };
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
@@ -136,7 +145,7 @@
     let body = read_body(context, body, deadline).await?;
     Ok(Inbound {
         id,
-        fleet_id: context.fleet_id(id),
+        fleet_id,
         route: forwarded_route,
         method: parts.method.clone(),
         uri: origin_form(&parts),
@@ -175,46 +184,36 @@
     answer::refusal_with_status(status, refusal)
 }
 
-/// What a caller asks for in the fleet's own headers.
-struct Asked<'a> {
-    customer: &'a str,
-    class: Class,
-    service: Option<&'a str>,
+fn decide<'c>(
+    asked: &RequestFacts,
+    context: &Context,
+    active: &'c ActiveConfig,
+    parts: &request::Parts,
+) -> Option<&'c RuleAction> {
+    let fields = text_fields(&parts.headers);
+    let host = host(parts);
+    let subject = Subject {
+        customer: asked.customer.as_deref().unwrap_or_default(),
+        host: &host,
+        method: parts.method.as_str(),
+        path: parts.uri.path(),
+        headers: &fields,
+        class: asked.class,
+        service: asked.service.as_deref(),
+        data_centre: &context.me.data_centre,
+    };
+    active.rules.decide(&subject, &context.shards).map(|rule| &rule.then)
 }
 
-impl<'a> Asked<'a> {
-    /// Reads the headers; `None` if the customer is missing or the class is
-    /// unknown.
-    fn read(parts: &'a request::Parts) -> Option<Asked<'a>> {
-        let customer = headers::text(&parts.headers, header::CUSTOMER)?;
-        if customer.is_empty() || customer.len() > MAX_CUSTOMER_CHARS {
-            return None;
-        }
-        let class = match headers::text(&parts.headers, header::CLASS) {
-            Some(class) => Class::parse(class)?,
-            None => Class::default(),
-        };
-        Some(Asked { customer, class, service: headers::text(&parts.headers, header::SERVICE) })
-    }
-
-    fn decide<'c>(
-        &self,
-        context: &Context,
-        active: &'c ActiveConfig,
-        parts: &request::Parts,
-    ) -> Option<&'c RuleAction> {
-        let fields = text_fields(&parts.headers);
-        let subject = Subject {
-            customer: self.customer,
-            method: parts.method.as_str(),
-            path: parts.uri.path(),
-            headers: &fields,
-            class: self.class,
-            service: self.service,
-            data_centre: &context.me.data_centre,
-        };
-        active.rules.decide(&subject, &context.shards).map(|rule| &rule.then)
-    }
+/// Returns the host that a request names, in lower case and without a port.
+fn host(parts: &request::Parts) -> String {
+    let named = headers::text(&parts.headers, HOST.as_str());
+    let authority = parts.uri.authority().map(Authority::as_str).or(named).unwrap_or_default();
+    let host = match authority.rsplit_once(':') {
+        Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
+        _ => authority,
+    };
+    host.to_ascii_lowercase()
 }
 
 fn text_fields(fields: &HeaderMap) -> Vec<(&str, &str)> {
@@ -312,6 +311,9 @@
 async fn serve(context: &Arc<Context>, inbound: Inbound) -> Served {
     let owner = {
         let view = context.view();
+        if is_shared(&view, &inbound) {
+            return serve_here(context, inbound).await;
+        }
         let owner = view.ownership.owner(&inbound.route.shard);
         owner.filter(|owner| owner.name != context.me.name).cloned()
     };
@@ -350,6 +352,13 @@
         || inbound.route.idempotent && context.forwards.take_retry(context.clock.now())
 }
 
+/// Returns whether several VMs dispatch for the service of a request. Any VM may
+/// then do so too, and tells the others.
+fn is_shared(view: &FleetView, inbound: &Inbound) -> bool {
+    let service = &inbound.route.shard.service;
+    view.active.as_ref().and_then(|active| active.service(service)).is_some_and(Service::is_shared)
+}
+
 /// Has a request served by this VM's actor of the shard.
 async fn serve_here(context: &Arc<Context>, inbound: Inbound) -> Served {
     let shard = {
@@ -360,6 +369,7 @@
         let owner = view.ownership.owner(&inbound.route.shard);
         let mode = match owner.is_some_and(|owner| owner.name == context.me.name) {
             true => ShardMode::Owner,
+            false if is_shared(&view, &inbound) => ShardMode::Shared,
             false => ShardMode::Careful,
         };
         context.shards.find_or_start(&inbound.route.shard, &active.config, mode)
--- /dev/null
+++ b/crates/pistachiotrackd/src/registry.rs
@@ -0,0 +1,192 @@
+//! A source that makes the configuration of what operators wrote and of the
+//! endpoints that register themselves.
+
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use pistachiotrack_core::{
+    config::Config,
+    roster::{Announced, Change, Roster, RosterSettings},
+    time::Time,
+};
+use tokio::sync::Mutex;
+
+use crate::{
+    clock::Clock,
+    source::{Source, SourceError},
+};
+
+/// Everything that a registry has at one revision.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// Revision of the listing.
+    pub revision: u64,
+    /// What operators wrote, without endpoints; `None` before they wrote any.
+    pub operators: Option<Config>,
+    /// The endpoints.
+    pub endpoints: Vec<Announced>,
+}
+
+/// What a registry changed after some revision.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    /// Revision to go on from.
+    pub revision: u64,
+    /// The changes, each with its revision, in their order.
+    pub changes: Vec<(u64, Change)>,
+}
+
+/// Why a registry gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum RegistryError {
+    /// It no longer knows what changed since that revision.
+    #[error("history is gone")]
+    HistoryGone,
+    /// It can't be reached, refuses or answers something else.
+    #[error(transparent)]
+    Unavailable(#[from] SourceError),
+}
+
+/// A store in which operators write and endpoints register themselves; only read.
+pub trait Registry: fmt::Debug + Send + Sync + 'static {
+    /// Reads everything.
+    fn list(&self) -> BoxFuture<'_, Result<Listing, RegistryError>>;
+
+    /// Waits up to `wait` for changes after a revision.
+    fn changes(&self, after: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, RegistryError>>;
+}
+
+/// The configuration made of a registry's content.
+#[derive(Debug)]
+pub struct RegistrySource<R> {
+    registry: R,
+    clock: Clock,
+    mirror: Mutex<Mirror>,
+}
+
+#[derive(Debug)]
+struct Mirror {
+    roster: Roster,
+    /// Revision up to which the roster is complete; `None` before a listing.
+    followed: Option<u64>,
+}
+
+impl<R: Registry> RegistrySource<R> {
+    /// Creates a source that has read nothing so far.
+    pub fn new(registry: R, settings: RosterSettings) -> RegistrySource<R> {
+        let mirror = Mirror { roster: Roster::new(settings), followed: None };
+        RegistrySource { registry, clock: Clock::start(), mirror: Mutex::new(mirror) }
+    }
+
+    async fn next(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<Bytes>, RegistryError> {
+        let mut mirror = self.mirror.lock().await;
+        let give_up = self.clock.now() + wait;
+        if mirror.followed.is_none() {
+            let listing = self.registry.list().await;
+            mirror.take_listing(self.clock.now(), listing)?;
+        }
+        loop {
+            let now = self.clock.now();
+            let due = mirror.roster.drop_due(now);
+            if let Some(config) = mirror.roster.config()
+                && Some(config.version) > after
+            {
+                return Ok(Some(encode(&config)?));
+            }
+            if now >= give_up {
+                return Ok(None);
+            }
+            let until = due.map_or(give_up, |due| due.min(give_up));
+            let followed = mirror.followed.unwrap_or_default();
+            let changes = self.registry.changes(followed, until.since(now)).await;
+            mirror.take_changes(self.clock.now(), changes)?;
+        }
+    }
+}
+
+impl Mirror {
+    fn take_listing(
+        &mut self,
+        now: Time,
+        listing: Result<Listing, RegistryError>,
+    ) -> Result<(), RegistryError> {
+        let listing = self.note_answer(now, listing)?;
+        let Listing { revision, operators, endpoints } = listing;
+        self.roster.on_listing(now, revision, operators, endpoints);
+        self.followed = Some(revision);
+        Ok(())
+    }
+
+    fn take_changes(
+        &mut self,
+        now: Time,
+        changes: Result<Changes, RegistryError>,
+    ) -> Result<(), RegistryError> {
+        let Changes { revision, changes } = match self.note_answer(now, changes) {
+            Err(RegistryError::HistoryGone) => {
+                self.followed = None;
+                return Err(RegistryError::HistoryGone);
+            }
+            answer => answer?,
+        };
+        for (revision, change) in changes {
+            self.roster.on_change(now, revision, change);
+        }
+        self.followed = Some(revision);
+        Ok(())
+    }
+
+    /// Tells the roster and the log whether the registry answers.
+    fn note_answer<T>(
+        &mut self,
+        now: Time,
+        answer: Result<T, RegistryError>,
+    ) -> Result<T, RegistryError> {
+        match &answer {
+            Err(RegistryError::Unavailable(error)) => {
+                if self.roster.on_lost() {
+                    log::warn!("event=registry_lost error={:?}", error.to_string());
+                }
+            }
+            _ => {
+                if self.roster.on_answer(now) {
+                    log::info!("event=registry_regained");
+                }
+            }
+        }
+        answer
+    }
+}
+
+fn encode(config: &Config) -> Result<Bytes, SourceError> {
+    serde_json::to_vec(config).map(Bytes::from).map_err(SourceError::new)
+}
+
+impl<R: Registry> Source for RegistrySource<R> {
+    fn config(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<Bytes>, SourceError>> {
+        Box::pin(async move {
+            match self.next(after, wait).await {
+                Ok(value) => Ok(value),
+                // The next call lists everything anew.
+                Err(RegistryError::HistoryGone) => self.next(after, wait).await.map_err(unwrap),
+                Err(error) => Err(unwrap(error)),
+            }
+        })
+    }
+}
+
+fn unwrap(error: RegistryError) -> SourceError {
+    match error {
+        RegistryError::Unavailable(error) => error,
+        RegistryError::HistoryGone => SourceError::new(error),
+    }
+}
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -14,7 +14,6 @@
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{
     endpoint::Endpoint,
-    header,
     name::Name,
     refusal::{Execution, Reason, Refusal},
     request::{AttemptId, BodyEnd, Outcome, Report},
@@ -245,11 +244,11 @@
             connection,
             pool,
             Duration::from_millis(self.context.settings.limits.body_idle_ms),
+            self.context.dialect.ends_answers_by_closing(),
             Some(watch),
         );
         headers::strip_from_endpoint(&mut parts.headers);
-        headers::set(&mut parts.headers, header::ENDPOINT, &endpoint);
-        headers::set(&mut parts.headers, header::OWNER, &self.context.me.name);
+        self.context.dialect.write_answer(&mut parts.headers, &endpoint, &self.context.me.name);
         let response = body::response(parts, body);
         Some(Served { response, endpoint_time: Some(endpoint_time) })
     }
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -6,7 +6,10 @@
     path::{Path, PathBuf},
 };
 
-use pistachiotrack_core::name::Name;
+use pistachiotrack_core::{
+    config_sync::ConfigSyncSettings, data_centre::DataCentre, membership::MembershipSettings,
+    name::Name, roster::RosterSettings, service::RetryLimit,
+};
 use serde::Deserialize;
 
 /// Settings of the daemon.
@@ -47,11 +50,123 @@
     /// platform while its list of VMs is not known yet.
     #[serde(default = "default_expected_vms")]
     pub expected_vms: u32,
+    /// Address at which the platform asks whether this VM is ready; it isn't
+    /// answered where it is missing.
+    #[serde(default)]
+    pub readiness_address: Option<SocketAddr>,
+    /// Address at which callers ask which addresses to use, besides the caller
+    /// address.
+    #[serde(default)]
+    pub directory_address: Option<SocketAddr>,
+    /// Addresses of VMs that may know the fleet; they have the peer port of this
+    /// one.
+    #[serde(default)]
+    pub seed_addresses: Vec<SocketAddr>,
+    /// Where log lines go.
+    #[serde(default)]
+    pub log_output: LogOutput,
+    /// How the VMs find each other.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// How configurations spread.
+    #[serde(default)]
+    pub config_sync: ConfigSyncSettings,
+    /// How a configuration is made where endpoints register themselves.
+    #[serde(default)]
+    pub registry: RegistrySettings,
     /// Limits on what callers, peers and endpoints may use.
     #[serde(default)]
     pub limits: Limits,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogOutput {
+    /// The standard error.
+    #[default]
+    Stderr,
+    /// The standard output.
+    Stdout,
+}
+
+/// What a configuration needs besides what a registry has.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RegistrySettings {
+    /// Data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// VMs of each data centre that dispatch side by side.
+    pub dispatchers_per_data_centre: u32,
+    /// Part of a service's endpoints that stay in rotation whatever their health.
+    pub floor_percent: u32,
+    /// From 0 (fewest false ejections) to 1 (fastest detection).
+    pub sensitivity: f64,
+    /// Requests that may wait for a slot.
+    pub queue_limit: u32,
+    /// Time for which callers may keep an answer about addresses.
+    pub entry_lifetime_ms: u64,
+    /// Retries of the whole fleet for each request.
+    pub retry_ratio: f64,
+    /// Retries of the whole fleet besides in each window.
+    pub retry_slack: f64,
+    /// Length of the window.
+    pub retry_window_s: f64,
+}
+
+impl Default for RegistrySettings {
+    fn default() -> RegistrySettings {
+        RegistrySettings {
+            data_centres: Vec::new(),
+            dispatchers_per_data_centre: 4,
+            floor_percent: 50,
+            sensitivity: 1.0,
+            queue_limit: 256,
+            entry_lifetime_ms: 1_000,
+            retry_ratio: 0.1,
+            retry_slack: 10.0,
+            retry_window_s: 10.0,
+        }
+    }
+}
+
+impl RegistrySettings {
+    /// Returns the settings of the roster.
+    pub fn roster(&self) -> RosterSettings {
+        RosterSettings { floor_percent: self.floor_percent, ..RosterSettings::default() }
+    }
+
+    /// Returns the limit of the retries of all VMs together.
+    pub fn retry_limit(&self) -> RetryLimit {
+        RetryLimit {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack as u32,
+            window_ms: (self.retry_window_s * 1000.0) as u64,
+        }
+    }
+
+    fn problem(&self) -> Option<(&'static str, String)> {
+        let part = 0.0..=1.0;
+        if self.floor_percent > 100 {
+            let problem = format!("{} is above 100", self.floor_percent);
+            return Some(("registry.floor_percent", problem));
+        }
+        let outside = |value: f64| format!("{value} is not between 0 and 1");
+        if !part.contains(&self.sensitivity) {
+            return Some(("registry.sensitivity", outside(self.sensitivity)));
+        }
+        if !part.contains(&self.retry_ratio) {
+            return Some(("registry.retry_ratio", outside(self.retry_ratio)));
+        }
+        if self.retry_slack < 0.0 || self.retry_window_s <= 0.0 {
+            let (slack, window_s) = (self.retry_slack, self.retry_window_s);
+            let problem = format!("{slack} in {window_s} s is no limit");
+            return Some(("registry.retry_slack", problem));
+        }
+        None
+    }
+}
+
 /// Limits of the daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -176,6 +291,35 @@
     }
 }
 
+/// A settings file that is read again now and then.
+#[derive(Debug)]
+pub(crate) struct SettingsFile {
+    file: PathBuf,
+    read: Vec<u8>,
+}
+
+impl SettingsFile {
+    /// Begins with what the file holds now; an unreadable one counts as empty.
+    pub(crate) fn new(file: &Path) -> SettingsFile {
+        SettingsFile { file: file.to_owned(), read: fs::read(file).unwrap_or_default() }
+    }
+
+    /// Returns the settings if the file has changed since it was last read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, once for each change, if they can't be used.
+    pub(crate) fn changed(&mut self) -> Result<Option<Settings>, SettingsError> {
+        let json = fs::read(&self.file)
+            .map_err(|source| SettingsError::Read { file: self.file.clone(), source })?;
+        if json == self.read {
+            return Ok(None);
+        }
+        self.read = json;
+        Settings::parse(&self.file, &self.read).map(Some)
+    }
+}
+
 impl Settings {
     /// Reads and checks the settings in `file`.
     ///
@@ -227,7 +371,13 @@
             let problem = format!("{:?} is not a log level", self.log_level.as_str());
             return Some(("log_level", problem));
         }
-        self.limits.problem()
+        self.registry.problem().or_else(|| self.limits.problem())
+    }
+
+    /// Returns the peer addresses of the VMs that may know the fleet.
+    pub(crate) fn seeds(&self, peer_port: u16) -> Vec<SocketAddr> {
+        let peer = |seed: &SocketAddr| SocketAddr::new(seed.ip(), peer_port);
+        self.seed_addresses.iter().map(peer).collect()
     }
 }
 
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -21,7 +21,7 @@
     ownership::ShardId,
     refusal::Refusal,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
-    shard::{Dispatch, Shard, ShardAction, ShardHandOver, ShardMode, ShardSettings},
+    shard::{Dispatch, Shard, ShardAction, ShardHandOver, ShardMode, ShardNews, ShardSettings},
     time::Time,
     vm::Vm,
 };
@@ -31,7 +31,9 @@
 use crate::{
     clock::Clock,
     connection_pool::ConnectionPool,
+    dialect::Dialect,
     hand_over,
+    news_link::NewsLink,
     path_check::PathCheck,
     probe::Probe,
     shard_table::{FactsTable, ShardFacts},
@@ -71,7 +73,11 @@
     pub(crate) facts: FactsTable,
     /// Asks VMs elsewhere about endpoints.
     pub(crate) path_check: PathCheck,
-    /// Time without requests after which a careful shard stops.
+    /// Tells the other VMs that dispatch for the shard.
+    pub(crate) news: Arc<NewsLink>,
+    /// How endpoints speak.
+    pub(crate) dialect: Arc<dyn Dialect>,
+    /// Time without requests after which a shard without an owner's duties stops.
     pub(crate) careful_idle: Duration,
 }
 
@@ -87,6 +93,8 @@
     endpoints: Arc<ConnectionPool>,
     facts: FactsTable,
     path_check: PathCheck,
+    news: Arc<NewsLink>,
+    dialect: Arc<dyn Dialect>,
     actor_ref: WeakActorRef<ShardActor>,
     requests: FxHashMap<RequestId, UnboundedSender<Command>>,
     mode: ShardMode,
@@ -111,6 +119,8 @@
             endpoints: args.endpoints,
             facts: args.facts,
             path_check: args.path_check,
+            news: args.news,
+            dialect: args.dialect,
             actor_ref: actor_ref.downgrade(),
             requests: FxHashMap::default(),
             mode: args.mode,
@@ -210,6 +220,24 @@
     }
 }
 
+/// Takes what another VM that dispatches for the shard tells.
+pub(crate) struct PeerNews {
+    /// The VM.
+    pub(crate) from: Name,
+    /// What it tells.
+    pub(crate) news: ShardNews,
+}
+
+impl Message<PeerNews> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: PeerNews, _: &mut Context<Self, ()>) {
+        self.last_use = self.clock.now();
+        let actions = self.shard.on_news(self.clock.now(), &message.from, &message.news);
+        self.apply(actions);
+    }
+}
+
 /// Changes how far this VM may go.
 pub(crate) struct SetMode(pub(crate) ShardMode);
 
@@ -245,7 +273,8 @@
             message.witnesses
         );
         let now = self.clock.now();
-        let actions = match message.witnesses.is_empty() {
+        // Where several VMs dispatch, those that reach the endpoint use it.
+        let actions = match message.witnesses.is_empty() || self.shard.is_shared() {
             true => self.shard.on_path_answer(now, &message.endpoint, message.answer),
             false => self.shard.on_witnesses(now, &message.endpoint, message.witnesses),
         };
@@ -354,7 +383,8 @@
                 let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
                 let probe = Probe { attempt, endpoint, address, path, time_limit };
                 let pool = Arc::clone(&self.endpoints);
-                tokio::spawn(probe.run(shard, pool, self.clock));
+                let dialect = Arc::clone(&self.dialect);
+                tokio::spawn(probe.run(shard, pool, self.clock, dialect));
             }
             ShardAction::CheckPath { endpoint, address } => {
                 let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
@@ -365,6 +395,7 @@
                     let _ = shard.tell(PathChecked { endpoint, answer, witnesses }).try_send();
                 });
             }
+            ShardAction::Tell(news) => self.news.tell(news),
             ShardAction::Health(health) => {
                 log::info!(
                     "event=health service={} shard={} {health}",
@@ -401,7 +432,7 @@
     /// record is kept.
     fn is_forgettable(&self) -> bool {
         let unused = self.clock.now().since(self.last_use);
-        self.mode == ShardMode::Careful && unused >= self.careful_idle && self.shard.is_idle()
+        self.mode != ShardMode::Owner && unused >= self.careful_idle && self.shard.is_idle()
     }
 
     fn publish_facts(&self, now: Time) {
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -10,16 +10,24 @@
     mailbox,
 };
 use pistachiotrack_core::{
-    config::Config, name::Name, ownership::ShardId, rule::Facts, shard::ShardMode, vm::Vm,
+    config::Config,
+    name::Name,
+    ownership::{ShardId, shard_count},
+    rule::Facts,
+    shard::ShardMode,
+    vm::Vm,
 };
 use rustc_hash::FxHashMap;
 
 use crate::{
     clock::Clock,
     connection_pool::ConnectionPool,
+    dialect::Dialect,
+    news_link::{NewsDatagram, NewsLink},
     path_check::PathCheck,
-    shard_actor::{HandOverTo, SetMode, ShardActor, ShardArgs},
+    shard_actor::{HandOverTo, PeerNews, SetMode, ShardActor, ShardArgs},
     timer::{Subscribe, TimerService},
+    view::FleetView,
 };
 
 /// Live facts about a shard that rules may ask for.
@@ -34,6 +42,27 @@
 /// Facts of all shards that this VM works on.
 pub(crate) type FactsTable = Arc<RwLock<FxHashMap<ShardId, ShardFacts>>>;
 
+/// What the shards of a VM have in common.
+pub(crate) struct ShardTableArgs {
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Connections to endpoints.
+    pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Ticks for the shards.
+    pub(crate) timer: ActorRef<TimerService>,
+    /// Asks VMs elsewhere about endpoints.
+    pub(crate) path_check: PathCheck,
+    /// Tells the other VMs that dispatch side by side.
+    pub(crate) news: Arc<NewsLink>,
+    /// How endpoints speak.
+    pub(crate) dialect: Arc<dyn Dialect>,
+    /// Time without requests after which a shard is forgotten that this VM does
+    /// not own.
+    pub(crate) careful_idle: Duration,
+    /// Seed of every random choice.
+    pub(crate) seed: u64,
+}
+
 /// The actors of the shards that this VM works on.
 #[derive(Debug)]
 pub(crate) struct ShardTable {
@@ -43,23 +72,39 @@
     endpoints: Arc<ConnectionPool>,
     timer: ActorRef<TimerService>,
     path_check: PathCheck,
+    news: Arc<NewsLink>,
+    dialect: Arc<dyn Dialect>,
     careful_idle: Duration,
     seed: u64,
 }
 
 impl ShardTable {
     /// Creates an empty table.
-    pub(crate) fn new(
-        clock: Clock,
-        endpoints: Arc<ConnectionPool>,
-        timer: ActorRef<TimerService>,
-        path_check: PathCheck,
-        careful_idle: Duration,
-        seed: u64,
-    ) -> ShardTable {
+    pub(crate) fn new(args: ShardTableArgs) -> ShardTable {
+        let ShardTableArgs {
+            clock,
+            endpoints,
+            timer,
+            path_check,
+            news,
+            dialect,
+            careful_idle,
+            seed,
+        } = args;
         let actors = RwLock::default();
         let facts = FactsTable::default();
-        ShardTable { actors, facts, clock, endpoints, timer, path_check, careful_idle, seed }
+        ShardTable {
+            actors,
+            facts,
+            clock,
+            endpoints,
+            timer,
+            path_check,
+            news,
+            dialect,
+            careful_idle,
+            seed,
+        }
     }
 
     /// Returns the actor of a shard, if it runs.
@@ -91,6 +136,8 @@
             endpoints: Arc::clone(&self.endpoints),
             facts: Arc::clone(&self.facts),
             path_check: self.path_check.clone(),
+            news: Arc::clone(&self.news),
+            dialect: Arc::clone(&self.dialect),
             careful_idle: self.careful_idle,
         };
         let actor = ShardActor::spawn_with_mailbox(args, mailbox::unbounded());
@@ -106,14 +153,35 @@
         let _ = actor.tell(SetMode(ShardMode::Owner)).try_send();
     }
 
-    /// Makes a shard careful because another VM owns it now, and hands it over
+    /// Changes a shard's mode because another VM owns it now, and hands it over
     /// to that VM.
-    pub(crate) fn disown(&self, shard: &ShardId, to: Option<Vm>) {
+    pub(crate) fn disown(&self, shard: &ShardId, to: Option<Vm>, mode: ShardMode) {
         let Some(actor) = self.find(shard) else { return };
         if let Some(to) = to {
             let _ = actor.tell(HandOverTo(to)).try_send();
         }
-        let _ = actor.tell(SetMode(ShardMode::Careful)).try_send();
+        let _ = actor.tell(SetMode(mode)).try_send();
+    }
+
+    /// Passes on what another VM tells that dispatches for a shared service.
+    ///
+    /// A dispatcher starts the shard for it, so that it knows the endpoints
+    /// before its own first request.
+    pub(crate) fn on_news(&self, view: &FleetView, datagram: NewsDatagram) {
+        let shard = &datagram.news.shard;
+        let actor = self.find(shard).or_else(|| {
+            let active = view.active.as_ref()?;
+            let has_shard = active
+                .service(&shard.service)
+                .is_some_and(|service| service.is_shared() && shard.index < shard_count(service));
+            let wanted = has_shard && self.news.is_dispatcher(&shard.service);
+            wanted.then(|| self.find_or_start(shard, &active.config, ShardMode::Shared))
+        });
+        if let Some(actor) = actor {
+            let news = PeerNews { from: datagram.from, news: datagram.news };
+            // A shard that has just stopped needs no news.
+            let _ = actor.tell(news).try_send();
+        }
     }
 
     /// Returns all running shards.
--- /dev/null
+++ b/crates/pistachiotrackd/src/source.rs
@@ -0,0 +1,29 @@
+//! Where a deployment's configuration comes from.
+
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+
+/// Why a source gave no answer.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct SourceError(#[from] Box<dyn std::error::Error + Send + Sync>);
+
+impl SourceError {
+    /// Wraps the error of a layer below.
+    pub fn new(error: impl std::error::Error + Send + Sync + 'static) -> SourceError {
+        SourceError(Box::new(error))
+    }
+}
+
+/// Where a deployment's configuration comes from; only read.
+pub trait Source: fmt::Debug + Send + Sync + 'static {
+    /// Returns a configuration value newer than version `after` as JSON, and waits
+    /// up to `wait` for one; `None` if there is none by then.
+    fn config(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<Bytes>, SourceError>>;
+}
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -7,16 +7,21 @@
 use tokio::net::UdpSocket;
 
 use crate::{
+    context::Context,
     control_traffic::ControlTraffic,
     fleet::{Datagram, Fleet},
+    news_link::{NEWS_TAG, NewsLink},
 };
 
-/// Passes every datagram that comes in to the fleet actor.
+/// Passes the datagrams that come in to the fleet actor, and those of other
+/// dispatchers to the shards.
 pub(crate) async fn receive(
     socket: Arc<UdpSocket>,
     fleet: ActorRef<Fleet>,
-    traffic: Arc<ControlTraffic>,
+    context: Arc<Context>,
+    news: Arc<NewsLink>,
 ) {
+    let traffic = &context.traffic;
     // One byte more than any VM sends shows a datagram that is too large.
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
@@ -26,7 +31,14 @@
                 if length > MAX_DATAGRAM_BYTES {
                     continue;
                 }
-                let bytes = buffer[..length].to_vec();
+                let bytes = &buffer[..length];
+                if bytes.first() == Some(&NEWS_TAG) {
+                    if let Some(datagram) = news.receive(from, bytes) {
+                        context.shards.on_news(&context.view(), datagram);
+                    }
+                    continue;
+                }
+                let bytes = bytes.to_vec();
                 if fleet.tell(Datagram { from, bytes }).try_send().is_err() {
                     return;
                 }
--- a/crates/pistachiotrackd/src/witness.rs
+++ b/crates/pistachiotrackd/src/witness.rs
@@ -88,7 +88,7 @@
     let BegunAnswer { mut parts, body, connection, fresh, .. } = answer;
     let idle_limit = Duration::from_millis(context.settings.limits.body_idle_ms);
     let pool = Arc::clone(&context.endpoints);
-    let body = AnswerBody::relayed(&parts, body, connection, pool, idle_limit, None);
+    let body = AnswerBody::relayed(&parts, body, connection, pool, idle_limit, false, None);
     headers::strip_from_endpoint(&mut parts.headers);
     ViaEnd::Answered { fresh }.mark(&mut parts.headers);
     body::response(parts, body)
