--- a/crates/pistachiotrack-core/src/retry.rs
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -21,7 +21,7 @@
 /// that see different numbers of dispatchers stay within it.
 const LIMIT_PART: f64 = 0.75;
 /// Part of a window's slack that may be spent at once.
-const BURST_PART: f64 = 0.25;
+const BURST_PART: f64 = 0.8;
 
 impl BudgetSettings {
     /// Returns the part that one of `dispatchers` VMs may use of a limit for all.
@@ -71,17 +71,29 @@
         self.tokens = (self.tokens + self.settings.per_success).min(self.settings.burst);
     }
 
+    /// Takes a retry that only saves time, as a hedge does, and returns whether
+    /// there was one to spare: half of the burst is left to retries that save a
+    /// request.
+    pub fn take_spare(&mut self, now: Time) -> bool {
+        self.fill(now);
+        self.tokens > self.settings.burst / 2.0 && self.take(now)
+    }
+
     /// Takes one retry from the budget and returns whether there was one.
     pub fn take(&mut self, now: Time) -> bool {
-        let earned = now.since(self.filled_at).as_secs_f64() * self.settings.per_second;
-        self.filled_at = now;
-        self.tokens = (self.tokens + earned).min(self.settings.burst);
+        self.fill(now);
         if self.tokens < 1.0 {
             return false;
         }
         self.tokens -= 1.0;
         true
     }
+
+    fn fill(&mut self, now: Time) {
+        let earned = now.since(self.filled_at).as_secs_f64() * self.settings.per_second;
+        self.filled_at = now;
+        self.tokens = (self.tokens + earned).min(self.settings.burst);
+    }
 }
 
 /// Samples after which a window of latencies is closed.
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -28,8 +28,7 @@
 impl Shard {
     /// Takes the beginning of an answer.
     ///
-    /// A failure status on an idempotent request is retried elsewhere once:
-    /// an endpoint that fails grayly answers that way. It is passed on as it
+    /// A failure status on an idempotent request is retried elsewhere: an endpoint that fails grayly answers that way. It is passed on as it
     /// is when there is no other attempt to wait for and no retry left.
     pub(super) fn on_answer(&mut self, now: Time, attempt: AttemptId, id: RequestId, status: u16) {
         let Some(live) = self.live.get_mut(&id) else { return };
@@ -40,12 +39,11 @@
             self.out.push(ShardAction::Cancel { request: id, attempt });
             return;
         }
-        if is_failure && !live.status_retried {
+        if is_failure {
             live.may_have_run = true;
             if self.may_retry(now, id, 2) && self.budget.take(now) {
                 self.out.push(ShardAction::Cancel { request: id, attempt });
                 if let Some(live) = self.live.get_mut(&id) {
-                    live.status_retried = true;
                     live.in_flight.clear();
                 }
                 return self.enqueue(id);
@@ -72,7 +70,7 @@
         };
         live.in_flight.retain(|other| *other != attempt);
         live.may_have_run |= !outcome.certainly_not_run();
-        if matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent) {
+        if outcome.certainly_not_run() {
             live.sent -= 1;
         }
         if !live.in_flight.is_empty() {
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -175,7 +175,7 @@
                 continue;
             }
             let Some(pick) = self.pick(now, id, false) else { continue };
-            if pick.standing != Standing::Trial && self.budget.take(now) {
+            if pick.standing != Standing::Trial && self.budget.take_spare(now) {
                 self.start(now, id, pick);
             }
         }
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -32,14 +32,12 @@
     pub(super) not_after: Time,
     pub(super) in_flight: Vec<AttemptId>,
     pub(super) tried: Vec<Name>,
-    /// Attempts that may have reached their endpoint.
+    /// Attempts that may have been run.
     pub(super) sent: u32,
     /// Whether an attempt that has ended may have been run.
     pub(super) may_have_run: bool,
     /// Whether the next attempt needs a new connection.
     pub(super) needs_fresh: bool,
-    /// Whether a failure status has been retried.
-    pub(super) status_retried: bool,
     /// Whether it is the first with its key.
     pub(super) holds_key: bool,
 }
@@ -55,15 +53,14 @@
             sent: 0,
             may_have_run: false,
             needs_fresh: false,
-            status_retried: false,
             holds_key: false,
         }
     }
 
     /// Returns whether it may be sent to another endpoint.
     ///
-    /// Attempts that found no connection are no burden to any endpoint and don't
-    /// count, but a request that fails to connect everywhere must end some time.
+    /// Attempts that were certainly not run don't count, but a request that is
+    /// refused everywhere must end some time.
     pub(super) fn may_be_sent(&self) -> bool {
         self.sent < self.request.max_attempts && self.tried.len() < MAX_TRIES
     }
