--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -17,6 +17,7 @@
     time::Time,
 };
 
+mod belief;
 mod evidence;
 mod hand_over;
 mod observation;
@@ -38,11 +39,14 @@
     /// number of independent observations of a healthy endpoint between two
     /// false ejections is at least `exp(threshold)`.
     pub sensitivity: f64,
+    /// Whether failed answers only lower an endpoint's rank for new work, by
+    /// [`Health::risk`], and don't eject it.
+    pub ranks_failures: bool,
 }
 
 impl Default for HealthSettings {
     fn default() -> HealthSettings {
-        HealthSettings { sensitivity: 0.5 }
+        HealthSettings { sensitivity: 0.5, ranks_failures: false }
     }
 }
 
@@ -198,6 +202,17 @@
     pub usual_latency_us: Option<u64>,
 }
 
+/// What a VM believes of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeliefOf {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// How likely it was failing grayly at its last answer, in parts of 255.
+    pub in_spell: u8,
+    /// Age of that answer.
+    pub age_ms: u32,
+}
+
 /// Share of a new or readmitted endpoint at the start of its slow start.
 const SLOW_START_SHARE: f64 = 0.1;
 /// Length of a slow start.
@@ -209,6 +224,7 @@
 #[derive(Clone, Debug)]
 pub struct Health {
     threshold: f64,
+    ranks_failures: bool,
     floor: usize,
     endpoints: Vec<EndpointState>,
     positions: FxHashMap<Name, usize>,
@@ -233,6 +249,7 @@
     ) -> Health {
         let mut health = Health {
             threshold: evidence::threshold(settings.sensitivity),
+            ranks_failures: settings.ranks_failures,
             floor: 0,
             endpoints: Vec::new(),
             positions: FxHashMap::default(),
@@ -368,6 +385,41 @@
         })
     }
 
+    /// Returns how likely the next request to an endpoint fails.
+    pub fn risk(&self, now: Time, endpoint: &str) -> f64 {
+        self.state(endpoint).map_or(1.0, |state| state.belief.risk(now))
+    }
+
+    /// Returns what this VM believes of the endpoints that it has seen at work.
+    pub fn beliefs(&self, now: Time) -> Vec<BeliefOf> {
+        let seen = self.endpoints.iter().filter_map(|state| Some((state, state.last_seen?)));
+        seen.map(|(state, at)| BeliefOf {
+            endpoint: state.name.clone(),
+            in_spell: (state.belief.in_spell() * 255.0) as u8,
+            age_ms: now.since(at).as_millis() as u32,
+        })
+        .collect()
+    }
+
+    /// Takes what another VM believes where it has seen more lately.
+    pub fn on_beliefs(&mut self, now: Time, beliefs: &[BeliefOf]) {
+        for other in beliefs {
+            let Some(&position) = self.positions.get(&other.endpoint) else { continue };
+            let state = &mut self.endpoints[position];
+            let age_us = u64::from(other.age_ms) * 1_000;
+            let at = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            if state.last_seen.is_none_or(|seen| seen < at) {
+                state.belief.adopt(f64::from(other.in_spell) / 255.0, at);
+                state.last_seen = Some(at);
+            }
+        }
+    }
+
+    /// Returns the moment of the last answer, if there was one.
+    pub fn last_seen(&self, endpoint: &str) -> Option<Time> {
+        self.state(endpoint).and_then(|state| state.last_seen)
+    }
+
     /// Returns the evidence against an endpoint as a log-likelihood ratio.
     pub fn evidence(&self, endpoint: &str) -> f64 {
         self.state(endpoint).map_or(0.0, |state| state.evidence.strength(self.threshold))
--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -89,6 +89,7 @@
         {
             flight.fresh |= fresh_connection;
         }
+        self.observe_risk(now, position, &flight, outcome);
         let evidence = &mut self.endpoints[position].evidence;
         evidence.slow_in_flight = 0.0;
         evidence.doubt_in_flight = 0.0;
@@ -151,6 +152,7 @@
             counted: false,
         };
         let outcome = Outcome::Answered { status, fresh_connection: false };
+        state.observe_risk(now, status >= FIRST_FAILURE_STATUS);
         match state.phase {
             Phase::Trial { since, .. } if started < since => return actions,
             Phase::Ejected { .. } | Phase::PathBroken { .. } => return actions,
@@ -203,6 +205,24 @@
         }
     }
 
+    /// Takes what an attempt says about gray failure. That no connection opened
+    /// says nothing: the request can go elsewhere.
+    fn observe_risk(&mut self, now: Time, position: usize, flight: &Flight, outcome: Outcome) {
+        if flight.kind == AttemptKind::Probe || flight.tainted {
+            return;
+        }
+        let failed = match outcome {
+            Outcome::Answered { status, .. } => status >= FIRST_FAILURE_STATUS,
+            Outcome::Broken { .. } | Outcome::TimedOut { .. } => true,
+            Outcome::Shed
+            | Outcome::ConnectFailed
+            | Outcome::NotSent
+            | Outcome::WitnessFailed { .. }
+            | Outcome::Cancelled => return,
+        };
+        self.endpoints[position].observe_risk(now, failed);
+    }
+
     fn observe(&mut self, now: Time, position: usize, flight: &Flight, outcome: Outcome) {
         match outcome {
             Outcome::Answered { status, .. } => self.observe_answer(now, position, flight, status),
--- a/crates/pistachiotrack-core/src/health/rotation.rs
+++ b/crates/pistachiotrack-core/src/health/rotation.rs
@@ -112,6 +112,9 @@
             return;
         }
         let reason = self.reason(position);
+        if self.ranks_failures && reason == EjectReason::Failures {
+            return;
+        }
         if reason == EjectReason::Unreachable {
             match state.path {
                 Path::Unasked => return,
--- a/crates/pistachiotrack-core/src/health/state.rs
+++ b/crates/pistachiotrack-core/src/health/state.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    health::{EjectReason, evidence::Evidence, reference::Tally},
+    health::{EjectReason, belief::Belief, evidence::Evidence, reference::Tally},
     name::Name,
     request::Class,
     time::Time,
@@ -92,6 +92,9 @@
     /// Only this VM can't reach it, and its work goes through another one.
     pub(super) via: Option<Via>,
     pub(super) reason: Option<EjectReason>,
+    pub(super) belief: Belief,
+    /// Moment of the last answer or failure that counts.
+    pub(super) last_seen: Option<Time>,
     pub(super) ejections: u32,
     /// Last ejection or forgiven ejection.
     pub(super) ejections_at: Time,
@@ -122,6 +125,8 @@
             path: Path::Unasked,
             via: None,
             reason: None,
+            belief: Belief::new(now),
+            last_seen: None,
             ejections: 0,
             ejections_at: now,
             answers: 0,
@@ -139,6 +144,12 @@
         self.leaving || self.drain.is_some_and(|drain| !drain.overruled)
     }
 
+    /// Takes what an attempt says about gray failure.
+    pub(super) fn observe_risk(&mut self, now: Time, failed: bool) {
+        self.belief.observe(now, failed);
+        self.last_seen = Some(now);
+    }
+
     /// Takes a report that the endpoint is leaving.
     pub(super) fn note_drain(&mut self, now: Time) {
         let overruled = self.drain.is_some_and(|drain| drain.overruled);
--- a/crates/pistachiotrack-core/src/retry.rs
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -66,6 +66,15 @@
         self.settings = settings;
     }
 
+    /// Spends what is saved up but one retry.
+    ///
+    /// When all VMs start at once, all their bursts together would be more than
+    /// the fleet may send.
+    pub fn empty(&mut self, now: Time) {
+        self.fill(now);
+        self.tokens = self.tokens.min(1.0);
+    }
+
     /// Notes a successful request.
     pub fn on_success(&mut self) {
         self.tokens = (self.tokens + self.settings.per_success).min(self.settings.burst);
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     action::{Dispatch, ShardAction},
-    news::{EndedAttempt, ShardNews},
+    news::{EndedAttempt, ShardNews, ShardPicture},
 };
 use self::{
     pool::Pool,
@@ -146,6 +146,7 @@
         let mut health_settings = HealthSettings::default();
         if let Some(service) = service {
             health_settings.sensitivity = service.sensitivity;
+            health_settings.ranks_failures = service.is_shared();
         }
         let floor = service.map_or(0, |service| shard_floor(service, endpoints.len()));
         let candidates = pool.candidates();
@@ -173,7 +174,10 @@
             out: Vec::new(),
         };
         shard.set_service(config);
-        if !shard.is_shared {
+        if shard.is_shared {
+            shard.pool.rank_by_risk();
+            shard.budget.empty(now);
+        } else {
             shard.pool.settle_until(now + shard.settle);
         }
         shard.pool.refresh(now, &shard.health);
@@ -209,7 +213,7 @@
         let id = request.id;
         self.pool.release_due(now);
         self.expire(now);
-        self.live.insert(id, Live::new(request));
+        self.live.insert(id, Live::new(now, request));
         self.intake(now, id);
         self.advance(now)
     }
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -31,6 +31,12 @@
 /// Multiple of the 95th percentile after which an attempt that can be retried
 /// is given up.
 const GIVE_UP_TIMES_P95: u32 = 4;
+/// Largest risk that a request that must not run twice takes while it can wait.
+const PATIENT_RISK: f64 = 0.25;
+/// Part of its time for which it waits.
+const PATIENCE_PART: f64 = 0.25;
+/// Requests that may wait while it does.
+const PATIENT_QUEUE: usize = 2;
 /// Shortest age of an attempt at which a hedge is sent.
 const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
 /// Shortest time that a refused caller is asked to wait.
@@ -190,10 +196,22 @@
             idempotent: live.request.idempotent,
             may_try,
             tried: &live.tried,
+            max_risk: self.max_risk(now, live),
             allow_tried,
         })
     }
 
+    /// Returns the largest risk that a request may be put to.
+    ///
+    /// One that must not run twice is lost when it fails, so it rather waits for
+    /// an endpoint that has just answered, for a part of its time and as long as
+    /// few wait: then all slots are needed.
+    fn max_risk(&self, now: Time, live: &Live) -> f64 {
+        let patience = live.not_after.since(live.arrived).mul_f64(PATIENCE_PART);
+        let is_patient = now.since(live.arrived) < patience && self.queue.len() <= PATIENT_QUEUE;
+        if live.request.idempotent || !is_patient { 1.0 } else { PATIENT_RISK }
+    }
+
     fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
         let attempt = self.next_attempt_id();
         let time_limit = self.time_limit(now, id, pick.standing);
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -10,6 +10,7 @@
 
 use super::{Shard, ShardAction, state::Attempt};
 use crate::{
+    health::BeliefOf,
     name::Name,
     ownership::ShardId,
     request::{AttemptId, Class},
@@ -35,6 +36,15 @@
     pub ended: Option<EndedAttempt>,
 }
 
+/// What a VM believes of a shard's endpoints, for one that has just begun.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardPicture {
+    /// The shard.
+    pub shard: ShardId,
+    /// The endpoints that it has seen at work.
+    pub beliefs: Vec<BeliefOf>,
+}
+
 /// How an endpoint answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedAttempt {
@@ -70,6 +80,21 @@
         self.advance(now)
     }
 
+    /// Returns what this VM believes of the endpoints.
+    pub fn picture(&self, now: Time) -> ShardPicture {
+        ShardPicture { shard: self.id.clone(), beliefs: self.health.beliefs(now) }
+    }
+
+    /// Takes what another VM believes of the endpoints.
+    pub fn on_picture(&mut self, now: Time, picture: &ShardPicture) -> Vec<ShardAction> {
+        if picture.shard != self.id {
+            return Vec::new();
+        }
+        self.health.on_beliefs(now, &picture.beliefs);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
+    }
+
     /// Tells of a failure at once: the next request of another VM should not be
     /// the one that finds it out.
     pub(super) fn tell_failure(&mut self, attempt: AttemptId, status: u16) {
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -41,6 +41,11 @@
     adaptive: AdaptiveLimit,
     foreign: u32,
     foreign_until: Time,
+    /// How likely the next request fails, and when the last answer was seen.
+    risk: f64,
+    last_seen: Option<Time>,
+    /// Whether it joined while this VM was at work, and nobody has tried it yet.
+    is_untried: bool,
     /// Requests that other VMs have in flight, each count with its last moment.
     peers: Vec<(Name, u32, Time)>,
 }
@@ -66,6 +71,8 @@
     /// Whether a failure on an endpoint under trial can still be mended.
     pub(super) may_try: bool,
     pub(super) tried: &'a [Name],
+    /// Largest risk that the request may be put to.
+    pub(super) max_risk: f64,
     /// Whether an endpoint that was tried already is better than none.
     pub(super) allow_tried: bool,
 }
@@ -74,6 +81,19 @@
 /// the least is chosen.
 type PickOrder = (bool, u32, u32, u32);
 
+/// Whether it was tried, rank of its risk, load and a random tie-break; the least
+/// is chosen.
+type RiskOrder = (bool, u64, u32, u32);
+
+/// Risk from which an endpoint is worth a look by a request that may run again.
+const UNSURE_RISK: f64 = 0.08;
+/// Step of risks that count as alike: within one, load decides.
+const RISK_STEP: f64 = 0.03;
+
+fn risk_rank(risk: f64) -> u64 {
+    2 * (risk / RISK_STEP) as u64
+}
+
 /// The endpoint chosen for an attempt.
 #[derive(Clone, Debug)]
 pub(super) struct Pick {
@@ -96,6 +116,8 @@
     next_serial: u64,
     /// Endpoints whose requests in flight have changed.
     changed: Vec<Name>,
+    /// Whether endpoints are ranked by how likely they fail.
+    by_risk: bool,
     rng: Pcg32,
 }
 
@@ -111,6 +133,7 @@
             lingering: BTreeSet::new(),
             next_serial: 0,
             changed: Vec::new(),
+            by_risk: false,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -132,6 +155,13 @@
         self.settled_at = until;
     }
 
+    /// Has endpoints ranked by how likely they fail; those known so far aren't
+    /// new.
+    pub(super) fn rank_by_risk(&mut self) {
+        self.by_risk = true;
+        self.slots.values_mut().for_each(|slots| slots.is_untried = false);
+    }
+
     /// Takes the endpoints of the configuration. One that is gone keeps its
     /// slots in use until they are released, and gets no new work.
     pub(super) fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = &'a Endpoint>) {
@@ -149,6 +179,9 @@
                 adaptive: AdaptiveLimit::new(endpoint.slots),
                 foreign: 0,
                 foreign_until: Time::ZERO,
+                risk: 0.0,
+                last_seen: None,
+                is_untried: true,
                 peers: Vec::new(),
             });
             slots.is_configured = true;
@@ -178,6 +211,9 @@
                 slots.foreign = 0;
             }
             slots.peers.retain(|(_, _, until)| now < *until);
+            slots.risk = health.risk(now, name);
+            slots.last_seen = health.last_seen(name);
+            slots.is_untried &= slots.last_seen.is_none();
             slots.share = health.share(now, name);
             slots.limit = limit(slots, self.mode, is_settling);
             if slots.accepts_work() {
@@ -226,6 +262,9 @@
         if self.in_flight >= self.in_flight_limit {
             return None;
         }
+        if self.by_risk {
+            return self.pick_by_risk(wanted);
+        }
         let explores = wanted.idempotent && self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN);
         let mut best: Option<(PickOrder, &Slots)> = None;
         for slots in self.slots.values() {
@@ -269,6 +308,50 @@
         })
     }
 
+    /// Chooses the endpoint that is least likely to fail.
+    ///
+    /// Load: a third of the slots busy, endpoints in spells of some seconds in
+    /// which three of four requests fail. Keeping the work on endpoints that have
+    /// just answered meets fewer spells than spreading it, since each spell is
+    /// found out by a failure. Requests that may run again look after the others.
+    fn pick_by_risk(&mut self, wanted: Wanted<'_>) -> Option<Pick> {
+        let explores = wanted.idempotent
+            && wanted.tried.is_empty()
+            && self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN);
+        let mut best: Option<(RiskOrder, &Slots)> = None;
+        for slots in self.slots.values() {
+            if !slots.accepts_work() || slots.in_flight >= slots.limit {
+                continue;
+            }
+            let is_tried = wanted.tried.contains(&slots.endpoint.name);
+            let is_trial = slots.standing == Standing::Trial;
+            let is_unfit = is_trial && (is_tried || !wanted.idempotent || !wanted.may_try);
+            let is_idle = slots.in_flight + slots.peer_count() == 0;
+            let is_new = slots.is_untried && is_idle && !is_tried;
+            let is_risky = slots.risk > wanted.max_risk && !is_new;
+            if is_tried && !wanted.allow_tried || is_unfit || is_risky {
+                continue;
+            }
+            let rank = match (is_new, explores && slots.risk >= UNSURE_RISK) {
+                (true, _) => 0,
+                (false, true) => 1 + slots.last_seen.map_or(0, Time::as_millis),
+                (false, false) if explores => u64::MAX - 1 + u64::from(is_trial),
+                (false, false) => 1 + risk_rank(slots.risk) + u64::from(is_trial),
+            };
+            let busy = slots.in_flight + slots.peer_count();
+            let load = busy * 1000 / slots.endpoint.slots.max(1);
+            let key = (is_tried, rank, load, self.rng.next_u32());
+            if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
+                best = Some((key, slots));
+            }
+        }
+        best.map(|(_, slots)| Pick {
+            name: slots.endpoint.name.clone(),
+            address: slots.endpoint.address,
+            standing: slots.standing,
+        })
+    }
+
     /// Returns the address of an endpoint that is configured.
     pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
         let slots = self.slots.get(name).filter(|slots| slots.is_configured)?;
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -26,6 +26,7 @@
 /// A request without a final answer.
 #[derive(Clone, Debug)]
 pub(super) struct Live {
+    pub(super) arrived: Time,
     pub(super) request: Request,
     pub(super) phase: Phase,
     /// Moment after which a dispatch leaves no time for a useful answer.
@@ -43,8 +44,9 @@
 }
 
 impl Live {
-    pub(super) fn new(request: Request) -> Live {
+    pub(super) fn new(now: Time, request: Request) -> Live {
         Live {
+            arrived: now,
             not_after: request.deadline,
             request,
             phase: Phase::New,
--- a/crates/pistachiotrack-core/tests/floor.rs
+++ b/crates/pistachiotrack-core/tests/floor.rs
@@ -137,7 +137,7 @@
 
 impl Run {
     fn new(floor: u8) -> Run {
-        let settings = HealthSettings { sensitivity: 0.9 };
+        let settings = HealthSettings { sensitivity: 0.9, ..HealthSettings::default() };
         let all = candidates(u8::MAX, 0);
         Run {
             health: Health::new(Time::ZERO, settings, &all, floor.into(), 1),
--- a/crates/pistachiotrack-core/tests/health_world/mod.rs
+++ b/crates/pistachiotrack-core/tests/health_world/mod.rs
@@ -85,7 +85,7 @@
 
     pub fn with_seed(count: usize, floor: u32, sensitivity: f64, seed: u64) -> World {
         let candidates = candidates(count);
-        let settings = HealthSettings { sensitivity };
+        let settings = HealthSettings { sensitivity, ..HealthSettings::default() };
         World {
             health: Health::new(Time::ZERO, settings, &candidates, floor, seed),
             now: Time::ZERO,
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/shared_shard.rs
@@ -0,0 +1,230 @@
+//! Several VMs that dispatch for one shard side by side.
+
+use std::time::Duration;
+
+use pistachiotrack_core::{
+    config::Config,
+    data_centre::DataCentre,
+    endpoint::Endpoint,
+    name::Name,
+    ownership::ShardId,
+    request::{BodyEnd, Class, DEFAULT_MAX_ATTEMPTS, Outcome, Report, Request, RequestId},
+    retry::{BudgetSettings, RetryBudget},
+    service::{RetryLimit, Service},
+    shard::{Dispatch, Shard, ShardAction, ShardMode, ShardNews, ShardSettings},
+    time::Time,
+};
+
+const START: Time = Time::from_millis(10_000);
+const SLOTS: u32 = 2;
+
+fn config(endpoints: u32) -> Config {
+    let endpoint = |index: u32| Endpoint {
+        name: Name::from(format!("endpoint-{index}")),
+        address: format!("127.0.0.1:{}", 9_000 + index).parse().unwrap(),
+        data_centre: Name::from("oslo-1"),
+        slots: SLOTS,
+        connections: 400,
+        leaving: false,
+    };
+    Config {
+        version: 1,
+        deployment: Name::from("timeliten"),
+        entry_lifetime_ms: 1_000,
+        data_centres: vec![DataCentre { name: Name::from("oslo-1"), region: Name::from("oslo") }],
+        services: vec![Service {
+            name: Name::from("booking"),
+            floor: 1,
+            sensitivity: 1.0,
+            timeout_ms: 1_000,
+            queue_limit: 16,
+            shard_endpoints: 64,
+            dispatchers_per_data_centre: 2,
+            retry_limit: Some(RetryLimit { ratio: 0.2, slack: 62, window_ms: 10_000 }),
+            probe_path: Name::from("/healthz"),
+            endpoints: (0..endpoints).map(endpoint).collect(),
+        }],
+        customers: Vec::new(),
+        rules: Vec::new(),
+    }
+}
+
+fn shard(endpoints: u32) -> Shard {
+    let id = ShardId { service: Name::from("booking"), index: 0 };
+    let settings = ShardSettings { mode: ShardMode::Shared, ..ShardSettings::default() };
+    Shard::new(START, id, &config(endpoints), settings)
+}
+
+fn booking(id: u64, now: Time) -> Request {
+    Request {
+        id: RequestId(id),
+        customer: Name::from("timeliten"),
+        class: Class::Standard,
+        deadline: now + Duration::from_secs(1),
+        idempotent: false,
+        hedge: false,
+        max_attempts: DEFAULT_MAX_ATTEMPTS,
+        key: None,
+        repeat: false,
+    }
+}
+
+fn dispatched(actions: &[ShardAction]) -> Option<Dispatch> {
+    actions.iter().find_map(|action| match action {
+        ShardAction::Dispatch(dispatch) => Some(dispatch.clone()),
+        _ => None,
+    })
+}
+
+fn told(actions: &[ShardAction]) -> Vec<ShardNews> {
+    let news = actions.iter().filter_map(|action| match action {
+        ShardAction::Tell(news) => Some(news.clone()),
+        _ => None,
+    });
+    news.collect()
+}
+
+/// Has a request answered with `status` and returns what the VM tells.
+fn answer(shard: &mut Shard, now: Time, id: u64, status: u16) -> (Name, Vec<ShardNews>) {
+    let dispatch = dispatched(&shard.on_request(now, booking(id, now))).unwrap();
+    let outcome = Outcome::Answered { status, fresh_connection: true };
+    let mut actions = shard.on_outcome(now, dispatch.attempt, outcome, Report::default());
+    actions.extend(shard.on_body_end(now, dispatch.attempt, BodyEnd::Complete));
+    (dispatch.endpoint, told(&actions))
+}
+
+fn pass_on(to: &mut Shard, now: Time, news: &[ShardNews]) -> Vec<ShardAction> {
+    let from = Name::from("vm-02");
+    news.iter().flat_map(|news| to.on_news(now, &from, news)).collect()
+}
+
+/// A booking fails at one VM because its endpoint has begun to fail grayly. The
+/// next booking enters at another VM. It must not go to the same endpoint and fail
+/// too: the second VM has to learn of the failure from the first one at once.
+#[test]
+fn a_failure_at_one_vm_keeps_the_next_booking_of_another_away() {
+    let (mut first, mut second) = (shard(2), shard(2));
+    let all_slots = (0..2 * u64::from(SLOTS)).map(|id| first.on_request(START, booking(id, START)));
+    let dispatches: Vec<Dispatch> =
+        all_slots.collect::<Vec<_>>().iter().filter_map(|actions| dispatched(actions)).collect();
+    let proven_at = START + Duration::from_millis(100);
+    for dispatch in &dispatches {
+        let outcome = Outcome::Answered { status: 200, fresh_connection: true };
+        first.on_outcome(proven_at, dispatch.attempt, outcome, Report::default());
+        let ended = first.on_body_end(proven_at, dispatch.attempt, BodyEnd::Complete);
+        pass_on(&mut second, proven_at, &told(&ended));
+    }
+    let failed_at = proven_at + Duration::from_millis(300);
+    let (failing, news) = answer(&mut first, failed_at, 10, 500);
+    pass_on(&mut second, failed_at, &news);
+    for id in 0..8 {
+        let (endpoint, _) = answer(&mut second, failed_at, id, 200);
+        assert_ne!(endpoint, failing);
+    }
+}
+
+/// Two VMs send to the same endpoint at once. If each knew only its own requests,
+/// the endpoint would get twice as many as it has slots, and queue or refuse them.
+#[test]
+fn requests_of_other_vms_take_up_slots() {
+    let mut shard = shard(1);
+    let news = ShardNews {
+        shard: ShardId { service: Name::from("booking"), index: 0 },
+        endpoint: Name::from("endpoint-0"),
+        in_flight: SLOTS,
+        ended: None,
+    };
+    pass_on(&mut shard, START, std::slice::from_ref(&news));
+    assert_eq!(dispatched(&shard.on_request(START, booking(1, START))), None);
+    let freed = ShardNews { in_flight: SLOTS - 1, ..news };
+    assert!(dispatched(&pass_on(&mut shard, START, &[freed])).is_some());
+}
+
+/// A VM loses power while its requests are in flight, and tells nothing any more.
+/// Its count must not take up the slots for good.
+#[test]
+fn the_count_of_a_silent_vm_runs_out() {
+    let mut shard = shard(1);
+    let news = ShardNews {
+        shard: ShardId { service: Name::from("booking"), index: 0 },
+        endpoint: Name::from("endpoint-0"),
+        in_flight: SLOTS,
+        ended: None,
+    };
+    pass_on(&mut shard, START, &[news]);
+    let later = START + Duration::from_secs(4);
+    shard.on_tick(later);
+    assert!(dispatched(&shard.on_request(later, booking(1, later))).is_some());
+}
+
+/// A VM starts while an endpoint fails grayly, which the others know. Its first
+/// bookings must not find that out anew: it asks one of them for a picture.
+#[test]
+fn a_new_vm_takes_over_what_another_believes() {
+    let mut old = shard(3);
+    let mut failing = None;
+    for id in 0..12 {
+        let status = if failing.is_none() { 500 } else { 200 };
+        let (endpoint, _) = answer(&mut old, START, id, status);
+        failing.get_or_insert(endpoint);
+    }
+    let mut new = shard(3);
+    new.on_picture(START, &old.picture(START));
+    for id in 0..8 {
+        assert_ne!(Some(answer(&mut new, START, id, 200).0), failing);
+    }
+}
+
+/// The endpoint that has just answered is busy, and the free one has just failed.
+/// A booking that was sent there would most likely be lost; it waits a little.
+#[test]
+fn a_booking_waits_for_an_endpoint_that_has_just_answered() {
+    let mut shard = shard(2);
+    let (failing, _) = answer(&mut shard, START, 1, 500);
+    let (proven, _) = answer(&mut shard, START, 2, 200);
+    assert_ne!(failing, proven);
+    let busy: Vec<Dispatch> = (10..10 + u64::from(SLOTS))
+        .map(|id| dispatched(&shard.on_request(START, booking(id, START))).unwrap())
+        .collect();
+    assert!(busy.iter().all(|dispatch| dispatch.endpoint == proven));
+    assert_eq!(dispatched(&shard.on_request(START, booking(20, START))), None);
+    let later = START + Duration::from_millis(100);
+    let outcome = Outcome::Answered { status: 200, fresh_connection: true };
+    shard.on_outcome(later, busy[0].attempt, outcome, Report::default());
+    let freed = shard.on_body_end(later, busy[0].attempt, BodyEnd::Complete);
+    assert_eq!(dispatched(&freed).map(|dispatch| dispatch.endpoint), Some(proven));
+}
+
+/// An endpoint joins a service whose other endpoints all do well. If work only
+/// went to proven ones, the new capacity would never be used.
+#[test]
+fn an_endpoint_that_joins_gets_a_request_soon() {
+    let mut shard = shard(2);
+    for id in 0..4 {
+        answer(&mut shard, START, id, 200);
+    }
+    shard.on_config(START, &config(3));
+    let later = START + Duration::from_secs(1);
+    shard.on_tick(later);
+    let endpoints: Vec<Name> = (10..13).map(|id| answer(&mut shard, later, id, 200).0).collect();
+    assert!(endpoints.contains(&Name::from("endpoint-2")), "{endpoints:?}");
+}
+
+/// All VMs restart at once and every request fails at first. Together they may
+/// send no more retries than the service's limit allows.
+#[test]
+fn all_vms_together_stay_within_the_limit_of_retries() {
+    let limit = RetryLimit { ratio: 0.2, slack: 62, window_ms: 10_000 };
+    let dispatchers = 12;
+    let mut retries = 0;
+    for _ in 0..dispatchers {
+        let settings = BudgetSettings::share_of(limit, dispatchers);
+        let mut budget = RetryBudget::new(START, settings);
+        budget.empty(START);
+        for step in 0..1_000 {
+            retries += u32::from(budget.take(START + Duration::from_millis(10 * step)));
+        }
+    }
+    assert!(retries <= limit.slack, "{retries} retries");
+    assert!(retries >= limit.slack / 6, "{retries} retries");
+}
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -6,7 +6,14 @@
     time::Duration,
 };
 
-use pistachiotrack_core::{hash, name::Name, shard::ShardNews, time::Time, vm::Vm};
+use pistachiotrack_core::{
+    hash,
+    name::Name,
+    ownership::ShardId,
+    shard::{ShardNews, ShardPicture},
+    time::Time,
+    vm::Vm,
+};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::watch};
@@ -18,6 +25,8 @@
 /// Time for which a VM that told something is told everything in turn: a VM that
 /// callers still use though it is no dispatcher any more must count the others.
 const GUEST_TIME: Duration = Duration::from_secs(2);
+/// Dispatchers that are asked for a picture.
+const ASKED: usize = 2;
 /// Guests that are told at most, so that a fleet that has not found itself yet
 /// doesn't flood itself.
 const MAX_GUESTS: usize = 16;
@@ -29,7 +38,29 @@
     /// Sender.
     pub(crate) from: Name,
     /// What it tells.
-    pub(crate) news: ShardNews,
+    pub(crate) content: NewsContent,
+}
+
+/// What VMs that dispatch side by side tell each other.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum NewsContent {
+    /// What the sender does and sees.
+    Told(ShardNews),
+    /// The sender has just begun with a shard and asks for a picture of it.
+    Begun(ShardId),
+    /// What the sender believes of the endpoints.
+    Picture(ShardPicture),
+}
+
+impl NewsContent {
+    /// Returns the shard that it is about.
+    pub(crate) fn shard(&self) -> &ShardId {
+        match self {
+            NewsContent::Told(news) => &news.shard,
+            NewsContent::Begun(shard) => shard,
+            NewsContent::Picture(picture) => &picture.shard,
+        }
+    }
 }
 
 /// Tells the other dispatchers of a service what this VM does and sees.
@@ -61,9 +92,7 @@
     /// Tells the other dispatchers, and the guests.
     pub(crate) fn tell(&self, news: ShardNews) {
         let service = news.shard.service.clone();
-        let datagram =
-            NewsDatagram { deployment: self.deployment, from: self.me.name.clone(), news };
-        let Ok(bytes) = postcard::to_extend(&datagram, vec![NEWS_TAG]) else { return };
+        let Some(bytes) = self.encode(NewsContent::Told(news)) else { return };
         let view = Arc::clone(&self.view.borrow());
         let dispatchers = view.ownership.dispatchers(&service);
         let others = dispatchers.iter().filter(|vm| vm.name != self.me.name);
@@ -80,6 +109,37 @@
         }
     }
 
+    /// Asks the dispatchers nearby for a picture of a shard.
+    ///
+    /// Failure guarded against: a VM that has just started sends its first
+    /// bookings to endpoints that the others know to fail. It shows as failures
+    /// after each restart. The guard holds because the answer comes within a
+    /// round trip, before most requests.
+    pub(crate) fn ask(&self, shard: &ShardId) {
+        let Some(bytes) = self.encode(NewsContent::Begun(shard.clone())) else { return };
+        let view = Arc::clone(&self.view.borrow());
+        let dispatchers = view.ownership.dispatchers(&shard.service);
+        let others = dispatchers.iter().filter(|vm| vm.name != self.me.name);
+        let (near, far): (Vec<&Vm>, Vec<&Vm>) =
+            others.partition(|vm| vm.data_centre == self.me.data_centre);
+        for vm in near.into_iter().chain(far).take(ASKED) {
+            udp::send(&self.socket, vm.peer_address, &bytes, &self.traffic);
+        }
+    }
+
+    /// Sends a picture to the VM at an address.
+    pub(crate) fn answer(&self, to: SocketAddr, picture: ShardPicture) {
+        if let Some(bytes) = self.encode(NewsContent::Picture(picture)) {
+            udp::send(&self.socket, to, &bytes, &self.traffic);
+        }
+    }
+
+    fn encode(&self, content: NewsContent) -> Option<Vec<u8>> {
+        let from = self.me.name.clone();
+        let datagram = NewsDatagram { deployment: self.deployment, from, content };
+        postcard::to_extend(&datagram, vec![NEWS_TAG]).ok()
+    }
+
     /// Reads a datagram; `None` if it is none of this deployment's.
     pub(crate) fn receive(&self, from: SocketAddr, bytes: &[u8]) -> Option<NewsDatagram> {
         let content = bytes.strip_prefix(&[NEWS_TAG])?;
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -35,6 +35,8 @@
     view::FleetView,
 };
 
+/// Lowest status that is a failure of the endpoint.
+const FIRST_FAILURE_STATUS: u16 = 500;
 /// Time after the deadline for which the shard's own refusal is waited for.
 const WATCHDOG_GRACE: Duration = Duration::from_millis(500);
 
@@ -219,6 +221,7 @@
 
     fn on_end(&mut self, attempt: AttemptId, end: AttemptEnd) -> Option<Served> {
         self.may_have_run |= !end.outcome.certainly_not_run();
+        self.log_end(&end);
         if end.outcome == Outcome::NotSent {
             self.context.metrics.count(Event::HeldBack);
         }
@@ -230,6 +233,22 @@
         None
     }
 
+    /// Says how an attempt ended; a failure is worth a line at any time.
+    fn log_end(&self, end: &AttemptEnd) {
+        let level = match end.outcome {
+            Outcome::Answered { status, .. } if status < FIRST_FAILURE_STATUS => log::Level::Debug,
+            _ => log::Level::Info,
+        };
+        log::log!(
+            level,
+            "event=attempt_ended request={} service={} endpoint={} outcome={:?}",
+            self.inbound.fleet_id,
+            self.inbound.route.shard.service,
+            end.endpoint,
+            end.outcome
+        );
+    }
+
     fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
         let Answered { endpoint, answer, pool, .. } = self.answered.swap_remove(index);
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    net::SocketAddr,
     sync::{Arc, PoisonError},
     time::Duration,
 };
@@ -21,7 +22,7 @@
     ownership::ShardId,
     refusal::Refusal,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
-    shard::{Dispatch, Shard, ShardAction, ShardHandOver, ShardMode, ShardNews, ShardSettings},
+    shard::{Dispatch, Shard, ShardAction, ShardHandOver, ShardMode, ShardSettings},
     time::Time,
     vm::Vm,
 };
@@ -33,7 +34,7 @@
     connection_pool::ConnectionPool,
     dialect::Dialect,
     hand_over,
-    news_link::NewsLink,
+    news_link::{NewsContent, NewsDatagram, NewsLink},
     path_check::PathCheck,
     probe::Probe,
     shard_table::{FactsTable, ShardFacts},
@@ -112,6 +113,9 @@
         let settings =
             ShardSettings { mode: args.mode, seed: args.seed, ..ShardSettings::default() };
         let shard = Shard::new(args.clock.now(), args.id.clone(), &args.config, settings);
+        if shard.is_shared() {
+            args.news.ask(&args.id);
+        }
         Ok(ShardActor {
             id: args.id,
             shard,
@@ -222,10 +226,10 @@
 
 /// Takes what another VM that dispatches for the shard tells.
 pub(crate) struct PeerNews {
-    /// The VM.
-    pub(crate) from: Name,
+    /// Address of the VM.
+    pub(crate) address: SocketAddr,
     /// What it tells.
-    pub(crate) news: ShardNews,
+    pub(crate) datagram: NewsDatagram,
 }
 
 impl Message<PeerNews> for ShardActor {
@@ -233,7 +237,16 @@
 
     async fn handle(&mut self, message: PeerNews, _: &mut Context<Self, ()>) {
         self.last_use = self.clock.now();
-        let actions = self.shard.on_news(self.clock.now(), &message.from, &message.news);
+        let NewsDatagram { from, content, .. } = message.datagram;
+        let now = self.clock.now();
+        let actions = match content {
+            NewsContent::Told(news) => self.shard.on_news(now, &from, &news),
+            NewsContent::Picture(picture) => self.shard.on_picture(now, &picture),
+            NewsContent::Begun(_) => {
+                self.news.answer(message.address, self.shard.picture(now));
+                Vec::new()
+            }
+        };
         self.apply(actions);
     }
 }
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -1,6 +1,7 @@
 //! The shards that this VM works on, as owner or in the owner's place.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, PoisonError, RwLock},
     time::Duration,
 };
@@ -167,8 +168,8 @@
     ///
     /// A dispatcher starts the shard for it, so that it knows the endpoints
     /// before its own first request.
-    pub(crate) fn on_news(&self, view: &FleetView, datagram: NewsDatagram) {
-        let shard = &datagram.news.shard;
+    pub(crate) fn on_news(&self, view: &FleetView, from: SocketAddr, datagram: NewsDatagram) {
+        let shard = datagram.content.shard();
         let actor = self.find(shard).or_else(|| {
             let active = view.active.as_ref()?;
             let has_shard = active
@@ -178,7 +179,7 @@
             wanted.then(|| self.find_or_start(shard, &active.config, ShardMode::Shared))
         });
         if let Some(actor) = actor {
-            let news = PeerNews { from: datagram.from, news: datagram.news };
+            let news = PeerNews { address: from, datagram };
             // A shard that has just stopped needs no news.
             let _ = actor.tell(news).try_send();
         }
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -34,7 +34,7 @@
                 let bytes = &buffer[..length];
                 if bytes.first() == Some(&NEWS_TAG) {
                     if let Some(datagram) = news.receive(from, bytes) {
-                        context.shards.on_news(&context.view(), datagram);
+                        context.shards.on_news(&context.view(), from, datagram);
                     }
                     continue;
                 }
