--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -78,11 +78,13 @@
     pub mode: ShardMode,
     /// Seed of every random choice.
     pub seed: u64,
+    /// Data centre of this VM; endpoints there are preferred.
+    pub data_centre: Option<Name>,
 }
 
 impl Default for ShardSettings {
     fn default() -> ShardSettings {
-        ShardSettings { mode: ShardMode::Owner, seed: 1 }
+        ShardSettings { mode: ShardMode::Owner, seed: 1, data_centre: None }
     }
 }
 
@@ -175,7 +177,7 @@
         };
         shard.set_service(config);
         if shard.is_shared {
-            shard.pool.rank_by_risk();
+            shard.pool.rank_by_risk(settings.data_centre);
             shard.budget.empty(now);
         } else {
             shard.pool.settle_until(now + shard.settle);
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -90,9 +90,10 @@
 /// Step of risks that count as alike: within one, load decides.
 const RISK_STEP: f64 = 0.03;
 
-fn risk_rank(risk: f64) -> u64 {
-    2 * (risk / RISK_STEP) as u64
-}
+/// Steps of risk that a request is put to rather than leave the data centre. What
+/// crosses between data centres is paid for by the kilobyte: about a step's worth
+/// for a booking, three for a lookup, which is answered elsewhere if it fails.
+const STEPS_TO_STAY: (u64, u64) = (1, 3);
 
 /// The endpoint chosen for an attempt.
 #[derive(Clone, Debug)]
@@ -118,6 +119,8 @@
     changed: Vec<Name>,
     /// Whether endpoints are ranked by how likely they fail.
     by_risk: bool,
+    /// Data centre of this VM.
+    home: Option<Name>,
     rng: Pcg32,
 }
 
@@ -134,6 +137,7 @@
             next_serial: 0,
             changed: Vec::new(),
             by_risk: false,
+            home: None,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -157,8 +161,9 @@
 
     /// Has endpoints ranked by how likely they fail; those known so far aren't
     /// new.
-    pub(super) fn rank_by_risk(&mut self) {
+    pub(super) fn rank_by_risk(&mut self, home: Option<Name>) {
         self.by_risk = true;
+        self.home = home;
         self.slots.values_mut().for_each(|slots| slots.is_untried = false);
     }
 
@@ -336,7 +341,7 @@
                 (true, _) => 0,
                 (false, true) => 1 + slots.last_seen.map_or(0, Time::as_millis),
                 (false, false) if explores => u64::MAX - 1 + u64::from(is_trial),
-                (false, false) => 1 + risk_rank(slots.risk) + u64::from(is_trial),
+                (false, false) => 1 + self.risk_rank(slots, wanted.idempotent) + u64::from(is_trial),
             };
             let busy = slots.in_flight + slots.peer_count();
             let load = busy * 1000 / slots.endpoint.slots.max(1);
@@ -352,6 +357,13 @@
         })
     }
 
+    fn risk_rank(&self, slots: &Slots, idempotent: bool) -> u64 {
+        let is_away = self.home.as_ref().is_some_and(|home| *home != slots.endpoint.data_centre);
+        let steps_to_stay = if idempotent { STEPS_TO_STAY.1 } else { STEPS_TO_STAY.0 };
+        let distance = if is_away { steps_to_stay } else { 0 };
+        2 * ((slots.risk / RISK_STEP) as u64 + distance)
+    }
+
     /// Returns the address of an endpoint that is configured.
     pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
         let slots = self.slots.get(name).filter(|slots| slots.is_configured)?;
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -180,6 +180,7 @@
             dialect: Arc::clone(&adapter.dialect),
             careful_idle: Duration::from_millis(settings.limits.careful_idle_ms),
             seed,
+            data_centre: me.data_centre.clone(),
         });
         let context = Arc::new(Context {
             me,
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -66,6 +66,8 @@
     pub(crate) mode: ShardMode,
     /// Seed of every random choice.
     pub(crate) seed: u64,
+    /// Data centre of this VM.
+    pub(crate) data_centre: Name,
     /// Clock of the process.
     pub(crate) clock: Clock,
     /// Connections to endpoints.
@@ -109,9 +111,8 @@
     type Error = Infallible;
 
     async fn on_start(args: ShardArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
-        #[allow(clippy::needless_update, reason = "further settings keep their defaults")]
         let settings =
-            ShardSettings { mode: args.mode, seed: args.seed, ..ShardSettings::default() };
+            ShardSettings { mode: args.mode, seed: args.seed, data_centre: Some(args.data_centre) };
         let shard = Shard::new(args.clock.now(), args.id.clone(), &args.config, settings);
         if shard.is_shared() {
             args.news.ask(&args.id);
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -62,6 +62,8 @@
     pub(crate) careful_idle: Duration,
     /// Seed of every random choice.
     pub(crate) seed: u64,
+    /// Data centre of this VM.
+    pub(crate) data_centre: Name,
 }
 
 /// The actors of the shards that this VM works on.
@@ -77,6 +79,7 @@
     dialect: Arc<dyn Dialect>,
     careful_idle: Duration,
     seed: u64,
+    data_centre: Name,
 }
 
 impl ShardTable {
@@ -91,6 +94,7 @@
             dialect,
             careful_idle,
             seed,
+            data_centre,
         } = args;
         let actors = RwLock::default();
         let facts = FactsTable::default();
@@ -105,6 +109,7 @@
             dialect,
             careful_idle,
             seed,
+            data_centre,
         }
     }
 
@@ -133,6 +138,7 @@
             config: Arc::clone(config),
             mode,
             seed: self.seed,
+            data_centre: self.data_centre.clone(),
             clock: self.clock,
             endpoints: Arc::clone(&self.endpoints),
             facts: Arc::clone(&self.facts),
