--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -31,12 +31,13 @@
 /// Multiple of the 95th percentile after which an attempt that can be retried
 /// is given up.
 const GIVE_UP_TIMES_P95: u32 = 4;
-/// Largest risk that a request that must not run twice takes while it can wait.
+/// Largest risk that a request takes while it can wait; an endpoint of which
+/// nothing is known is below.
 const PATIENT_RISK: f64 = 0.25;
 /// Part of its time for which it waits.
-const PATIENCE_PART: f64 = 0.25;
+const PATIENCE_PART: f64 = 0.5;
 /// Requests that may wait while it does.
-const PATIENT_QUEUE: usize = 2;
+const PATIENT_QUEUE: usize = 8;
 /// Shortest age of an attempt at which a hedge is sent.
 const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
 /// Shortest time that a refused caller is asked to wait.
@@ -203,13 +204,14 @@
 
     /// Returns the largest risk that a request may be put to.
     ///
-    /// One that must not run twice is lost when it fails, so it rather waits for
-    /// an endpoint that has just answered, for a part of its time and as long as
-    /// few wait: then all slots are needed.
+    /// A request is lost when it fails and has no attempt left, so it rather waits
+    /// for an endpoint that has just answered, for a part of its time and as long
+    /// as few wait: then all slots are needed. An endpoint that fails at once is
+    /// always free, and would take in all that wait.
     fn max_risk(&self, now: Time, live: &Live) -> f64 {
         let patience = live.not_after.since(live.arrived).mul_f64(PATIENCE_PART);
         let is_patient = now.since(live.arrived) < patience && self.queue.len() <= PATIENT_QUEUE;
-        if live.request.idempotent || !is_patient { 1.0 } else { PATIENT_RISK }
+        if is_patient { PATIENT_RISK } else { 1.0 }
     }
 
     fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -333,7 +333,7 @@
             let is_unfit = is_trial && (is_tried || !wanted.idempotent || !wanted.may_try);
             let is_idle = slots.in_flight + slots.peer_count() == 0;
             let is_new = slots.is_untried && is_idle && !is_tried;
-            let is_risky = slots.risk > wanted.max_risk && !is_new;
+            let is_risky = slots.risk > wanted.max_risk && !is_new && !explores;
             if is_tried && !wanted.allow_tried || is_unfit || is_risky {
                 continue;
             }
--- a/crates/pistachiotrackd/src/dialect.rs
+++ b/crates/pistachiotrackd/src/dialect.rs
@@ -95,6 +95,9 @@
     /// Returns an error that names the header at fault.
     fn read_request(&self, parts: &request::Parts) -> Result<RequestFacts, HeadError>;
 
+    /// Returns the identity that a caller gave its request.
+    fn request_id<'a>(&self, fields: &'a HeaderMap) -> Option<&'a str>;
+
     /// Tells an endpoint about a request.
     fn write_request(&self, fields: &mut HeaderMap, facts: OutgoingFacts<'_>);
 
--- a/crates/pistachiotrackd/src/dialect/own.rs
+++ b/crates/pistachiotrackd/src/dialect/own.rs
@@ -52,6 +52,10 @@
         })
     }
 
+    fn request_id<'a>(&self, _: &'a HeaderMap) -> Option<&'a str> {
+        None
+    }
+
     fn write_request(&self, fields: &mut HeaderMap, facts: OutgoingFacts<'_>) {
         if let Some(id) = facts.request_id {
             headers::set_number(fields, header::DEADLINE_MS, facts.time_left.as_millis() as u64);
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -54,6 +54,7 @@
     }
     context.metrics.count(Event::Request);
     let received = context.clock.now();
+    let id = context.dialect.request_id(request.headers()).map(Name::from);
     let response = match receive(&context, request).await {
         Ok(inbound) => {
             let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
@@ -64,6 +65,7 @@
         Err(response) => *response,
     };
     count_answer(&context, &response);
+    log_refusal(&id, &response);
     Ok(answer::in_dialect(&*context.dialect, response))
 }
 
@@ -95,6 +97,18 @@
     }
 }
 
+/// Says why a request was refused, with the identity that its caller knows.
+fn log_refusal(id: &Option<Name>, response: &Response<AnswerBody>) {
+    let Some(refusal) = response.extensions().get::<Refusal>() else { return };
+    log::info!(
+        "event=refused request={} execution={} reason={} retry_after_ms={:?}",
+        id.as_deref().unwrap_or("none"),
+        refusal.execution.as_str(),
+        refusal.reason.as_str(),
+        refusal.retry_after_ms
+    );
+}
+
 fn count_answer(context: &Context, response: &Response<AnswerBody>) {
     let event = match headers::text(response.headers(), header::OUTCOME) {
         None => Event::Answer,
