--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -16,8 +16,9 @@
     dialect::{Dialect, OwnDialect},
 };
 
-/// Time after which a caller may ask a VM again that has no configuration yet.
-const NO_CONFIG_RETRY_MS: u64 = 1_000;
+/// Time after which a caller may ask a VM again that has no configuration yet: a VM
+/// that starts has one after about 300 ms, from a peer or from the platform.
+const NO_CONFIG_RETRY_MS: u64 = 300;
 
 /// Returns the answer that tells a caller of a refusal.
 pub(crate) fn refusal(refusal: Refusal) -> Response<AnswerBody> {
