--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -28,7 +28,7 @@
 impl Shard {
     /// Takes the beginning of an answer.
     ///
-    /// A failure status on an idempotent request is retried elsewhere: an endpoint that fails grayly answers that way. It is passed on as it
+    /// A failure status on an idempotent request is retried elsewhere once: an endpoint that fails grayly answers that way. It is passed on as it
     /// is when there is no other attempt to wait for and no retry left.
     pub(super) fn on_answer(&mut self, now: Time, attempt: AttemptId, id: RequestId, status: u16) {
         let Some(live) = self.live.get_mut(&id) else { return };
@@ -39,11 +39,12 @@
             self.out.push(ShardAction::Cancel { request: id, attempt });
             return;
         }
-        if is_failure {
+        if is_failure && !live.status_retried {
             live.may_have_run = true;
             if self.may_retry(now, id, 2) && self.budget.take(now) {
                 self.out.push(ShardAction::Cancel { request: id, attempt });
                 if let Some(live) = self.live.get_mut(&id) {
+                    live.status_retried = true;
                     live.in_flight.clear();
                 }
                 return self.enqueue(id);
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -39,6 +39,8 @@
     pub(super) may_have_run: bool,
     /// Whether the next attempt needs a new connection.
     pub(super) needs_fresh: bool,
+    /// Whether a failure status has been retried.
+    pub(super) status_retried: bool,
     /// Whether it is the first with its key.
     pub(super) holds_key: bool,
 }
@@ -55,6 +57,7 @@
             sent: 0,
             may_have_run: false,
             needs_fresh: false,
+            status_retried: false,
             holds_key: false,
         }
     }
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/membership_join.rs
@@ -0,0 +1,159 @@
+//! VMs that find each other through addresses in their settings, and tell each
+//! other of a new configuration at once.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use pistachiotrack_core::{
+    membership::{MemberState, Membership, MembershipAction, MembershipSettings},
+    name::Name,
+    time::Time,
+    vm::Vm,
+};
+
+const STEP: Duration = Duration::from_millis(20);
+
+fn address(number: u16) -> SocketAddr {
+    ([10, 0, 0, number as u8], 7_200).into()
+}
+
+fn vm(number: u16) -> Vm {
+    Vm {
+        name: Name::from(format!("vm-{number:02}")),
+        data_centre: Name::from("oslo-1"),
+        incarnation: 1_000,
+        caller_address: address(number),
+        peer_address: address(number),
+    }
+}
+
+/// VMs whose datagrams arrive at once.
+struct Fleet {
+    now: Time,
+    vms: BTreeMap<SocketAddr, Membership>,
+}
+
+impl Fleet {
+    fn start(count: u16, seeds: &[u16]) -> Fleet {
+        let now = Time::from_millis(1_000);
+        let settings = MembershipSettings {
+            seeds: seeds.iter().copied().map(address).collect(),
+            verify_burst: 64,
+            announce_fanout: 64,
+            ..MembershipSettings::default()
+        };
+        let start = |number: u16| {
+            let seed = u64::from(number);
+            (address(number), Membership::new(now, vm(number), settings.clone(), seed))
+        };
+        Fleet { now, vms: (0..count).map(start).collect() }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            let ticks: Vec<(SocketAddr, Vec<MembershipAction>)> =
+                self.vms.iter_mut().map(|(from, vm)| (*from, vm.on_tick(self.now))).collect();
+            for (from, actions) in ticks {
+                self.deliver(from, actions);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddr, actions: Vec<MembershipAction>) {
+        let mut pending: Vec<(SocketAddr, MembershipAction)> =
+            actions.into_iter().map(|action| (from, action)).collect();
+        while let Some((from, action)) = pending.pop() {
+            let MembershipAction::Send { to, bytes } = action else { continue };
+            let Some(receiver) = self.vms.get_mut(&to) else { continue };
+            let answers = receiver.on_datagram(self.now, from, &bytes).unwrap();
+            pending.extend(answers.into_iter().map(|answer| (to, answer)));
+        }
+    }
+
+    fn all_see_all(&self) -> bool {
+        self.vms.values().all(|vm| {
+            let alive = vm.members().filter(|member| member.state == MemberState::Alive);
+            alive.count() + 1 == self.vms.len()
+        })
+    }
+}
+
+/// All VMs lose power and start again at once. Nothing tells them of each other but
+/// three addresses, one of which is stale. Callers come back within a second, and
+/// VMs that know only themselves would each dispatch as if they were alone.
+#[test]
+fn a_fleet_finds_itself_through_its_seeds_within_two_seconds() {
+    let mut fleet = Fleet::start(48, &[3, 17, 99]);
+    fleet.run(Duration::from_secs(2));
+    assert!(fleet.all_see_all());
+}
+
+/// The settings of a VM name only seeds that are down. A VM that others know is
+/// found by them, since they look for it where it was.
+#[test]
+fn a_vm_whose_seeds_are_down_is_found_by_those_that_know_it() {
+    let mut fleet = Fleet::start(6, &[0]);
+    fleet.run(Duration::from_secs(3));
+    assert!(fleet.all_see_all());
+    fleet.vms.remove(&address(0));
+    let settings = MembershipSettings {
+        seeds: vec![address(0)],
+        verify_burst: 64,
+        ..MembershipSettings::default()
+    };
+    let again = Vm { incarnation: 2_000, ..vm(4) };
+    fleet.vms.insert(address(4), Membership::new(fleet.now, again, settings, 44));
+    fleet.run(Duration::from_secs(8));
+    let sees = |number: u16| {
+        let members = fleet.vms[&address(number)].members();
+        members.filter(|member| member.state == MemberState::Alive).count()
+    };
+    assert_eq!(sees(4), 4, "the VMs 1, 2, 3 and 5");
+}
+
+/// A VM reads a new configuration. The others must have it within 2 s, which the
+/// regular messages don't ensure: it tells those that are behind, and only them.
+#[test]
+fn a_new_version_is_announced_to_those_that_are_behind() {
+    let mut fleet = Fleet::start(4, &[0]);
+    fleet.run(Duration::from_secs(2));
+    let (now, informed) = (fleet.now, address(2));
+    fleet.vms.get_mut(&informed).unwrap().set_config_version(7);
+    let actions = fleet.vms.get_mut(&informed).unwrap().announce(now);
+    fleet.deliver(informed, actions);
+    fleet.vms.get_mut(&address(0)).unwrap().set_config_version(7);
+    let actions = fleet.vms.get_mut(&address(0)).unwrap().announce(now);
+    let to: Vec<SocketAddr> = actions
+        .iter()
+        .filter_map(|action| match action {
+            MembershipAction::Send { to, .. } => Some(*to),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(to, [address(1), address(3)]);
+}
+
+/// A VM is paused for a little more than the others wait before they declare it
+/// dead, and they give its shards to another. It had missed answers before, so that
+/// it is slower itself to declare others dead; if it took the others to be as slow,
+/// it would go on as the owner beside its heir.
+#[test]
+fn a_vm_in_ill_health_reckons_with_others_that_are_well() {
+    let mut fleet = Fleet::start(3, &[0]);
+    fleet.run(Duration::from_secs(3));
+    let paused = address(1);
+    let mut vm = fleet.vms.remove(&paused).unwrap();
+    let mut now = fleet.now;
+    while vm.local_health_factor() < 3 {
+        now += STEP;
+        vm.on_tick(now);
+        assert!(now.since(fleet.now) < Duration::from_secs(60), "it misses answers");
+    }
+    let settings = MembershipSettings::default();
+    let others_wait = settings.suspicion_intervals * settings.probe_interval_ms as f64;
+    let gap = Duration::from_millis(others_wait as u64);
+    let woken = now + gap;
+    vm.on_pause(woken, gap);
+    assert_eq!(vm.alive_since(), woken);
+}
--- a/crates/pistachiotrack-standins/src/experiment/detect/detector.rs
+++ b/crates/pistachiotrack-standins/src/experiment/detect/detector.rs
@@ -55,7 +55,7 @@
             (0..endpoints).map(|index| Name::from(format!("e{index}"))).collect();
         let candidates: Vec<Candidate> =
             names.iter().map(|name| Candidate { name: name.clone(), leaving: false }).collect();
-        let settings = HealthSettings { sensitivity };
+        let settings = HealthSettings { sensitivity, ..HealthSettings::default() };
         Core { health: Health::new(Time::ZERO, settings, &candidates, floor, seed), names }
     }
 
--- a/crates/pistachiotrack-standins/src/experiment/detect/jobs.rs
+++ b/crates/pistachiotrack-standins/src/experiment/detect/jobs.rs
@@ -20,6 +20,9 @@
 /// Longest time until a fault begins.
 const WARM_UP: Duration = Duration::from_secs(30);
 
+/// Runs after which the experiment shows on the standard error that it goes on.
+const PROGRESS_EVERY: usize = 100;
+
 /// One run to be done.
 #[derive(Clone, Copy, Debug)]
 struct Job {
@@ -59,6 +62,9 @@
                 loop {
                     let index = next.fetch_add(1, Ordering::Relaxed);
                     let Some(job) = jobs.get(index) else { return };
+                    if index.is_multiple_of(PROGRESS_EVERY) {
+                        eprintln!("detect: run {} of {}", index + 1, jobs.len());
+                    }
                     let finding = run_job(plan, job);
                     if let Ok(mut findings) = findings.lock() {
                         findings[index] = Some(finding);
--- a/crates/pistachiotrack-standins/src/slopes/acceptance.rs
+++ b/crates/pistachiotrack-standins/src/slopes/acceptance.rs
@@ -6,7 +6,7 @@
 use flate2::{Compression, write::GzEncoder};
 use pistachiotrack_core::{
     config::{Config, IndexedConfig, MAX_VALUE_BYTES},
-    config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings},
+    config_sync::{ConfigAction, ConfigSync},
     rule::RuleSet,
     time::Time,
 };
@@ -49,7 +49,7 @@
     /// Takes the first value of a new VM from the platform.
     fn first(json: &[u8]) -> InForce {
         let deployment = sample::deployment_name();
-        let settings = ConfigSyncSettings::default();
+        let settings = sample::accepting_at_once();
         let mut sync = ConfigSync::new(sample::vm(0), deployment, settings, 1);
         let actions = sync.on_platform_value(NOW, Some(json));
         InForce::indexed(sync, actions)
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -4,6 +4,7 @@
 
 use pistachiotrack_core::{
     config::{Config, DEFAULT_ENTRY_LIFETIME_MS},
+    config_sync::ConfigSyncSettings,
     contract::Contract,
     customer::Customer,
     data_centre::DataCentre,
@@ -184,3 +185,9 @@
         }),
     }
 }
+
+/// Settings of a VM that takes the platform's first value without waiting for
+/// peers, so that the cost of taking it can be measured.
+pub(crate) fn accepting_at_once() -> ConfigSyncSettings {
+    ConfigSyncSettings { first_value_grace_ms: 0, ..ConfigSyncSettings::default() }
+}
--- a/crates/pistachiotrack-standins/tests/slopes.rs
+++ b/crates/pistachiotrack-standins/tests/slopes.rs
@@ -11,7 +11,11 @@
 mod scale;
 
 use fit::{Fit, Point, between};
-use pistachiotrack_core::config::{Config, MAX_VALUE_BYTES};
+use pistachiotrack_core::{
+    config::{Config, MAX_VALUE_BYTES},
+    config_sync::{ConfigAction, ConfigSync},
+    time::Time,
+};
 use quickcheck::{Gen, QuickCheck};
 
 const SEED: u64 = 0x51_0e5;
@@ -79,3 +83,16 @@
     assert!(json.len() <= MAX_VALUE_BYTES, "{} B", json.len());
     assert_eq!(Config::parse("platform", &json).as_ref(), Ok(&config));
 }
+
+/// An operator runs `slopes` and it ends at once with a panic: a VM that has no
+/// configuration holds the platform's first value back to hear its peers, and the
+/// measurement has none. It needs a VM that doesn't wait.
+#[test]
+fn a_measured_vm_takes_its_first_value_at_once() {
+    let settings = sample::accepting_at_once();
+    let mut sync = ConfigSync::new(sample::vm(0), sample::deployment_name(), settings, 1);
+    let json = sample::json(&sample::config(scale::deployment()));
+    let actions = sync.on_platform_value(Time::from_millis(1), Some(&json));
+    let in_force = |action: &ConfigAction| matches!(action, ConfigAction::InForce(_));
+    assert!(actions.iter().any(in_force), "{} actions", actions.len());
+}
--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -16,7 +16,8 @@
 Usage:
   pistachiotrack check [--json] FILE...
   pistachiotrack explain --config FILE --customer CUSTOMER --method METHOD --path PATH
-                 [--header NAME=VALUE]... [--class CLASS] [--service SERVICE]
+                 [--host HOST] [--header NAME=VALUE]... [--class CLASS]
+                 [--service SERVICE]
                  [--data-centre DATA_CENTRE] [--at-floor SERVICE]...
                  [--queue-wait SERVICE=MS]... [--json]
   pistachiotrack status     --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
@@ -124,6 +125,7 @@
         json: args.contains("--json"),
         file: PathBuf::from(required::<String>(&mut args, "--config")?),
         customer: required(&mut args, "--customer")?,
+        host: args.opt_value_from_str("--host").map_err(usage)?.unwrap_or_default(),
         method: required(&mut args, "--method")?,
         path: required(&mut args, "--path")?,
         headers: args.values_from_fn("--header", parse_header).map_err(usage)?,
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -25,6 +25,8 @@
     pub(crate) file: PathBuf,
     /// Customer of the request.
     pub(crate) customer: String,
+    /// Host that the request names.
+    pub(crate) host: String,
     /// HTTP method of the request.
     pub(crate) method: String,
     /// Path of the request, without query.
--- a/crates/pistachiotrack/src/explain.rs
+++ b/crates/pistachiotrack/src/explain.rs
@@ -44,6 +44,7 @@
         config.headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
     let subject = Subject {
         customer: &config.customer,
+        host: &config.host,
         method: &config.method,
         path: &config.path,
         headers: &headers,
@@ -92,14 +93,21 @@
 }
 
 fn route_text(route: &Route) -> String {
-    format!(
+    let mut text = format!(
         "route service={} class={} timeout_ms={} idempotent={} hedge={}",
         route.service,
         or_dash(route.class.map(|class| class.as_str())),
         or_dash(route.timeout_ms),
         route.idempotent,
         route.hedge,
-    )
+    );
+    for share in &route.split {
+        text.push_str(&format!(" split={}:{}", share.service, share.weight));
+    }
+    if let Some(attempts) = route.attempts {
+        text.push_str(&format!(" attempts={attempts}"));
+    }
+    text
 }
 
 fn refuse_text(refuse: &Refuse) -> String {
--- a/crates/pistachiotrackd/src/forwarded_route.rs
+++ b/crates/pistachiotrackd/src/forwarded_route.rs
@@ -1,6 +1,10 @@
 //! The decision of the entry VM, as it travels with a forwarded request.
 
-use pistachiotrack_core::{name::Name, ownership::ShardId, request::Class};
+use pistachiotrack_core::{
+    name::Name,
+    ownership::ShardId,
+    request::{Class, DEFAULT_MAX_ATTEMPTS},
+};
 use serde::{Deserialize, Serialize};
 
 /// Where a request goes and how, taken once at the VM that it entered at.
@@ -18,9 +22,14 @@
     /// Whether a second endpoint may be asked when the first is slow.
     pub(crate) hedge: bool,
     /// Endpoints that the request may be sent to.
+    #[serde(default = "default_max_attempts")]
     pub(crate) max_attempts: u32,
 }
 
+fn default_max_attempts() -> u32 {
+    DEFAULT_MAX_ATTEMPTS
+}
+
 impl ForwardedRoute {
     /// Returns the value of the header that carries the route.
     pub(crate) fn encode(&self) -> String {
