--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -130,6 +130,8 @@
     next_attempt: u64,
     /// Whether other VMs dispatch to the endpoints too.
     is_shared: bool,
+    /// Part of the last requests that were not served.
+    unserved: f64,
     /// Attempts that ended and the other VMs don't know of.
     ended: Vec<(Name, EndedAttempt)>,
     out: Vec<ShardAction>,
@@ -172,6 +174,7 @@
             usual: UsualTime::default(),
             next_attempt: 1,
             is_shared: service.is_some_and(Service::is_shared),
+            unserved: 0.0,
             ended: Vec::new(),
             out: Vec::new(),
         };
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -38,6 +38,13 @@
 const PATIENCE_PART: f64 = 0.5;
 /// Requests that may wait while it does.
 const PATIENT_QUEUE: usize = 8;
+/// Part of the requests not served from which on no endpoint is left without work:
+/// well below a tenth, so that a VM that sees few requests finds it in time.
+const UNSERVED_STRAIN: f64 = 0.06;
+/// Weight of one request in that part: the last 30 or so count.
+const UNSERVED_WEIGHT: f64 = 0.03;
+/// Time after which an endpoint is to get a request then.
+const OVERDUE_AFTER: Duration = Duration::from_millis(1_200);
 /// Shortest age of an attempt at which a hedge is sent.
 const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
 /// Shortest time that a refused caller is asked to wait.
@@ -198,6 +205,7 @@
             may_try,
             tried: &live.tried,
             max_risk: self.max_risk(now, live),
+            overdue_since: self.overdue_since(now),
             allow_tried,
         })
     }
@@ -214,6 +222,23 @@
         if is_patient { PATIENT_RISK } else { 1.0 }
     }
 
+    /// Returns since when an endpoint must have got nothing to come first.
+    ///
+    /// Failure guarded against: so much fails that the endpoints in use can't be
+    /// the right ones, and sound ones are left without work. It shows as a service
+    /// that serves badly on a part of its endpoints. The guard holds because then
+    /// each endpoint gets a request now and then, which shows how it is.
+    fn overdue_since(&self, now: Time) -> Option<Time> {
+        let since = now.as_micros().saturating_sub(OVERDUE_AFTER.as_micros() as u64);
+        (self.unserved >= UNSERVED_STRAIN).then(|| Time::from_micros(since))
+    }
+
+    /// Notes whether a request was served in the end.
+    pub(super) fn note_served(&mut self, served: bool) {
+        let unserved = if served { 0.0 } else { 1.0 };
+        self.unserved += UNSERVED_WEIGHT * (unserved - self.unserved);
+    }
+
     fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
         let attempt = self.next_attempt_id();
         let time_limit = self.time_limit(now, id, pick.standing);
@@ -261,7 +286,7 @@
             not_after: live.not_after,
             time_limit,
         }));
-        self.pool.acquire(&pick.name);
+        self.pool.acquire(now, &pick.name);
         self.health.on_dispatch(now, attempt, &pick.name, class, kind);
         if connection == ConnectionChoice::Fresh {
             self.health.on_fresh_connection(attempt);
@@ -304,7 +329,7 @@
         }
         let attempt = self.next_attempt_id();
         let time_limit = now + PROBE_TIMEOUT;
-        self.pool.acquire(&endpoint);
+        self.pool.acquire(now, &endpoint);
         self.health.on_dispatch(now, attempt, &endpoint, Class::Batch, AttemptKind::Probe);
         self.out.push(ShardAction::Probe {
             attempt,
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -66,7 +66,7 @@
             return Vec::new();
         }
         let until = now + COUNT_LIFETIME;
-        self.pool.set_peer_count(&news.endpoint, from, news.in_flight, until);
+        self.pool.set_peer_count(now, &news.endpoint, from, news.in_flight, until);
         if let Some(ended) = news.ended {
             let latency = Duration::from_micros(ended.latency_us);
             let actions =
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -44,6 +44,8 @@
     /// How likely the next request fails, and when the last answer was seen.
     risk: f64,
     last_seen: Option<Time>,
+    /// Moment of the last request that any VM is known to have sent.
+    last_sent: Time,
     /// Whether it joined while this VM was at work, and nobody has tried it yet.
     is_untried: bool,
     /// Requests that other VMs have in flight, each count with its last moment.
@@ -73,6 +75,8 @@
     pub(super) tried: &'a [Name],
     /// Largest risk that the request may be put to.
     pub(super) max_risk: f64,
+    /// Endpoints that got nothing since then come first, where much fails.
+    pub(super) overdue_since: Option<Time>,
     /// Whether an endpoint that was tried already is better than none.
     pub(super) allow_tried: bool,
 }
@@ -186,6 +190,7 @@
                 foreign_until: Time::ZERO,
                 risk: 0.0,
                 last_seen: None,
+                last_sent: Time::ZERO,
                 is_untried: true,
                 peers: Vec::new(),
             });
@@ -332,7 +337,8 @@
             let is_trial = slots.standing == Standing::Trial;
             let is_unfit = is_trial && (is_tried || !wanted.idempotent || !wanted.may_try);
             let is_idle = slots.in_flight + slots.peer_count() == 0;
-            let is_new = slots.is_untried && is_idle && !is_tried;
+            let is_overdue = wanted.overdue_since.is_some_and(|since| slots.last_sent < since);
+            let is_new = (slots.is_untried || is_overdue) && is_idle && !is_tried;
             let is_risky = slots.risk > wanted.max_risk && !is_new && !explores;
             if is_tried && !wanted.allow_tried || is_unfit || is_risky {
                 continue;
@@ -380,8 +386,9 @@
         })
     }
 
-    pub(super) fn acquire(&mut self, name: &str) {
+    pub(super) fn acquire(&mut self, now: Time, name: &str) {
         if let Some(slots) = self.slots.get_mut(name) {
+            slots.last_sent = now;
             slots.in_flight += 1;
             self.in_flight += 1;
             self.changed.push(slots.endpoint.name.clone());
@@ -439,8 +446,19 @@
 
     /// Sets how many requests another VM has in flight, to be believed until
     /// `until`.
-    pub(super) fn set_peer_count(&mut self, name: &str, peer: &Name, count: u32, until: Time) {
+    pub(super) fn set_peer_count(
+        &mut self,
+        now: Time,
+        name: &str,
+        peer: &Name,
+        count: u32,
+        until: Time,
+    ) {
         let Some(slots) = self.slots.get_mut(name) else { return };
+        let before = slots.peers.iter().find(|(other, ..)| other == peer);
+        if count > before.map_or(0, |(_, count, _)| *count) {
+            slots.last_sent = now;
+        }
         slots.peers.retain(|(other, ..)| other != peer);
         if count > 0 {
             slots.peers.push((peer.clone(), count, until));
--- a/crates/pistachiotrack-core/tests/shared_shard.rs
+++ b/crates/pistachiotrack-core/tests/shared_shard.rs
@@ -228,3 +228,22 @@
     assert!(retries <= limit.slack, "{retries} retries");
     assert!(retries >= limit.slack / 6, "{retries} retries");
 }
+
+/// A fifth of all bookings fails, by faults that no endpoint alone is to blame for.
+/// If the work stayed on the endpoints that answered last, sound ones would get
+/// nothing while bookings fail.
+#[test]
+fn no_endpoint_is_left_without_work_while_much_fails() {
+    let mut shard = shard(10);
+    let mut now = START;
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..300 {
+        now += Duration::from_millis(20);
+        let status = if id % 5 == 0 { 500 } else { 200 };
+        let (endpoint, _) = answer(&mut shard, now, id, status);
+        if id >= 200 {
+            used.insert(endpoint);
+        }
+    }
+    assert!(used.len() >= 7, "{used:?} in the last 2 s");
+}
