--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    action::{Dispatch, ShardAction},
+    action::{Dispatch, Grounds, ShardAction},
     news::{EndedAttempt, ShardNews, ShardPicture},
 };
 use self::{
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -12,6 +12,15 @@
     time::Time,
 };
 
+/// What spoke for an endpoint when it was chosen, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Grounds {
+    /// How likely the request was to fail, in percent.
+    pub risk_percent: u8,
+    /// Time since any VM's last answer of the endpoint, if there was one.
+    pub last_seen_ms_ago: Option<u64>,
+}
+
 /// One dispatch of a request to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dispatch {
@@ -21,6 +30,8 @@
     pub attempt: AttemptId,
     /// Endpoint to send it to.
     pub endpoint: Name,
+    /// Why it was chosen.
+    pub grounds: Grounds,
     /// Address of the endpoint.
     pub address: SocketAddr,
     /// VM through which it goes, as the endpoint can't be reached from here.
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Dispatch, Shard, ShardAction,
+    Dispatch, Grounds, Shard, ShardAction,
     pool::{Pick, Wanted},
     state::{Attempt, Live, Phase},
 };
@@ -274,6 +274,13 @@
             request: id,
             attempt,
             endpoint: pick.name.clone(),
+            grounds: Grounds {
+                risk_percent: (self.health.risk(now, &pick.name) * 100.0) as u8,
+                last_seen_ms_ago: self
+                    .health
+                    .last_seen(&pick.name)
+                    .map(|seen| now.since(seen).as_millis() as u64),
+            },
             address: pick.address,
             via: via.clone(),
             connection,
--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -6,7 +6,9 @@
 use pistachiotrack_core::{name::Name, request::Class, rule::QueueWaitCondition};
 
 use crate::{
-    config::{CheckConfig, DEFAULT_TIMEOUT, EntriesConfig, ExplainConfig, View, ViewConfig},
+    config::{
+        CheckConfig, DEFAULT_TIMEOUT, EntriesConfig, ExplainConfig, TraceConfig, View, ViewConfig,
+    },
     error::Error,
 };
 
@@ -26,6 +28,7 @@
   pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--added]
   pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
                  [--timeout-ms MS] [--json]
+  pistachiotrack trace REQUEST [--json] [FILE]...
 
 Commands:
   check       Says whether the daemon would accept configuration files
@@ -35,6 +38,8 @@
   members     Shows the fleet as the VMs asked see it
   histograms  Shows latencies by customer and class
   entries     Asks a VM, as a caller does, which addresses to use
+  trace       Orders one request's lines from the logs of VMs, or from the
+              standard input, and names the one that decided
 
 Options:
   --added                  Shows only the time that no endpoint had a hand in
@@ -48,7 +53,8 @@
 
 Exit codes:
   0  answered, nothing is wrong
-  1  answered: a file is not accepted, no rule matches, or the VM refuses
+  1  answered: a file is not accepted, no rule matches, the VM refuses, or no log
+     has the request
   2  the command line is wrong
   3  at least one address gave no usable answer
   4  anything else, such as a file that can't be read
@@ -69,6 +75,8 @@
     View(ViewConfig),
     /// Asks for addresses as a caller does.
     Entries(EntriesConfig),
+    /// Orders the log lines of a request.
+    Trace(TraceConfig),
 }
 
 /// Parses the command line.
@@ -97,6 +105,7 @@
             let added = args.contains("--added");
             parse_view(args, if added { View::AddedHistograms } else { View::Histograms })
         }
+        Some("trace") => parse_trace(args).map(Invocation::Trace),
         Some("entries") => parse_entries(args).map(Invocation::Entries),
         Some(other) => Err(Error::usage(format!("unknown command '{other}'"))),
         None => Err(Error::usage("no command given")),
@@ -115,6 +124,20 @@
     Ok(CheckConfig { json, files: rest.into_iter().map(PathBuf::from).collect() })
 }
 
+fn parse_trace(mut args: Arguments) -> anyhow::Result<TraceConfig> {
+    let json = args.contains("--json");
+    let rest = args.finish();
+    if let Some(option) = rest.iter().find(|arg| looks_like_option(arg)) {
+        return Err(unexpected(option));
+    }
+    let mut rest = rest.into_iter();
+    let Some(request) = rest.next() else {
+        return Err(Error::usage("trace: no request given"));
+    };
+    let request = request.to_string_lossy().into_owned();
+    Ok(TraceConfig { json, request, files: rest.map(PathBuf::from).collect() })
+}
+
 fn parse_explain(mut args: Arguments) -> anyhow::Result<ExplainConfig> {
     let class = args
         .opt_value_from_fn("--class", |text| {
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -89,3 +89,14 @@
     /// Time allowed for the answer.
     pub(crate) timeout: Duration,
 }
+
+/// Settings of `trace`.
+#[derive(Debug)]
+pub(crate) struct TraceConfig {
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+    /// Identity of the request.
+    pub(crate) request: String,
+    /// Files with the logs of VMs; the standard input if there are none.
+    pub(crate) files: Vec<PathBuf>,
+}
--- a/crates/pistachiotrack/src/main.rs
+++ b/crates/pistachiotrack/src/main.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod http_client;
 mod output;
+mod trace;
 mod views;
 
 use crate::{cli::Invocation, error::Error, exit_codes::ExitCode};
@@ -33,5 +34,6 @@
         Invocation::Explain(config) => explain::run(&config),
         Invocation::View(config) => views::run(&config),
         Invocation::Entries(config) => entries::run(&config),
+        Invocation::Trace(config) => trace::run(&config),
     }
 }
--- /dev/null
+++ b/crates/pistachiotrack/tests/trace.rs
@@ -0,0 +1,46 @@
+//! The way from a request's identity to what decided it.
+
+mod testenv;
+
+use testenv::{TempFile, run};
+
+const FIRST_VM: &str = "\
+time=2026-02-05T07:31:16.300+00:00 level=info event=member_changed vm=vm-02 state=Alive
+time=2026-02-05T07:31:17.900+00:00 level=warn event=refused request=9c41 execution=unknown reason=deadline-passed
+time=2026-02-05T07:31:17.100+00:00 level=warn event=attempt_ended request=9c41 endpoint=i-1 outcome=Broken
+";
+const SECOND_VM: &str = "\
+time=2026-02-05T07:31:17.500+00:00 level=warn event=attempt_ended request=9c41 endpoint=i-2 outcome=TimedOut
+time=2026-02-05T07:31:17.600+00:00 level=warn event=attempt_ended request=9c417 endpoint=i-3 outcome=Broken
+";
+
+/// An on-call engineer has the identity of a failed booking and the logs of two
+/// VMs. The lines come out in the order of their times, whatever file they are in,
+/// and those of another request with a longer identity stay out.
+#[test]
+fn the_lines_of_a_request_are_ordered_over_several_vms() {
+    let (first, second) =
+        (TempFile::new("first.log", FIRST_VM), TempFile::new("second.log", SECOND_VM));
+    let outcome = run(&["trace", "9c41", first.arg(), second.arg()]);
+    let lines: Vec<&str> = outcome.stdout.lines().collect();
+    assert_eq!(outcome.code, Some(0));
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    assert!(lines[0].contains("endpoint=i-1") && lines[1].contains("endpoint=i-2"));
+    assert!(lines[2].contains("event=refused"));
+    assert!(lines[3].starts_with("deciding: ") && lines[3].contains("reason=deadline-passed"));
+}
+
+#[test]
+fn a_request_that_no_log_has_is_said_so() {
+    let file = TempFile::new("empty.log", FIRST_VM);
+    let outcome = run(&["trace", "none-such", file.arg()]);
+    assert_eq!(outcome.code, Some(1));
+    assert!(outcome.stdout.contains("is in none of these logs"), "{}", outcome.stdout);
+}
+
+#[test]
+fn a_log_that_can_t_be_read_is_named() {
+    let outcome = run(&["trace", "9c41", "/no/such/file.log"]);
+    assert_eq!(outcome.code, Some(4));
+    assert!(outcome.stderr.contains("/no/such/file.log"), "{}", outcome.stderr);
+}
--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -14,6 +14,7 @@
     answer,
     body::AnswerBody,
     context::Context,
+    exposition,
     fleet::{Fleet, Source, SourceStatus},
     shard_actor::Endpoints,
     shard_table::shard_name,
@@ -32,12 +33,24 @@
         "/status" => answer::json(&status(&context, &fleet).await),
         "/endpoints" => answer::json(&endpoints(&context).await),
         "/members" => answer::json(&members(&context)),
+        "/metrics" => metrics(&context),
         "/histograms" => answer::json(&context.total.statuses()),
         "/histograms/added" => answer::json(&context.added.statuses()),
         _ => answer::plain(StatusCode::NOT_FOUND),
     })
 }
 
+/// Returns the counters and latencies as text.
+fn metrics(context: &Arc<Context>) -> Response<AnswerBody> {
+    match exposition::text(context) {
+        Ok(text) => answer::text(text),
+        Err(error) => {
+            log::error!("event=metrics_failed error={:?}", error.to_string());
+            answer::plain(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 async fn status(context: &Context, fleet: &ActorRef<Fleet>) -> Status {
     let view = context.view();
     let source = fleet.ask(SourceStatus).await.unwrap_or_else(|_| Source::default());
--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -84,6 +84,14 @@
     }
 }
 
+/// Returns a text.
+pub(crate) fn text(text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(text.into()));
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
+
 /// Returns an encoded answer to another VM.
 pub(crate) fn octets(body: Vec<u8>) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(body.into()));
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -7,7 +7,7 @@
 use pistachiotrack_core::{
     name::Name,
     request::{ConnectionChoice, Outcome, Report, remaining},
-    shard::Dispatch,
+    shard::{Dispatch, Grounds},
 };
 
 use crate::{
@@ -27,6 +27,8 @@
 pub(crate) struct AttemptEnd {
     /// Endpoint that was asked.
     pub(crate) endpoint: Name,
+    /// Why the endpoint was chosen.
+    pub(crate) grounds: Grounds,
     /// What the shard is told.
     pub(crate) outcome: Outcome,
     /// What the endpoint reports.
@@ -73,8 +75,9 @@
     let read = |answer: &BegunAnswer| context.dialect.read_answer(&answer.parts, facts);
     let result = result.map(|answer| (read(&answer), answer));
     let (endpoint, pool) = (dispatch.endpoint.clone(), Arc::clone(pool));
+    let grounds = dispatch.grounds;
     match result {
-        Ok((facts, answer)) => taken(pool, endpoint, facts, answer).await,
+        Ok((facts, answer)) => taken(pool, endpoint, grounds, facts, answer).await,
         Err((outcome, error)) => {
             log::debug!(
                 "event=attempt_failed request={} endpoint={} via={} error={error:?}",
@@ -82,7 +85,7 @@
                 endpoint,
                 dispatch.via.as_deref().unwrap_or_default()
             );
-            AttemptEnd { endpoint, outcome, report: Report::default(), answer: None, pool }
+            AttemptEnd { endpoint, grounds, outcome, report: Report::default(), answer: None, pool }
         }
     }
 }
@@ -114,22 +117,30 @@
 async fn taken(
     pool: Arc<ConnectionPool>,
     endpoint: Name,
+    grounds: Grounds,
     facts: AnswerFacts,
     answer: BegunAnswer,
 ) -> AttemptEnd {
     let AnswerFacts { kind, report } = facts;
     let fresh_connection = answer.fresh;
     let outcome = match kind {
-        AnswerKind::NotRun => return shed(pool, endpoint, report, answer).await,
+        AnswerKind::NotRun => return shed(pool, endpoint, grounds, report, answer).await,
         AnswerKind::WrongEndpoint => Outcome::ConnectFailed,
         AnswerKind::Unrelated => Outcome::Broken { fresh_connection },
         AnswerKind::Answer => {
             let status = answer.parts.status.as_u16();
             let outcome = Outcome::Answered { status, fresh_connection };
-            return AttemptEnd { endpoint, outcome, report, answer: Some(Box::new(answer)), pool };
+            return AttemptEnd {
+                endpoint,
+                grounds,
+                outcome,
+                report,
+                answer: Some(Box::new(answer)),
+                pool,
+            };
         }
     };
-    AttemptEnd { endpoint, outcome, report, answer: None, pool }
+    AttemptEnd { endpoint, grounds, outcome, report, answer: None, pool }
 }
 
 /// Ends an exchange that the endpoint refused; its connection is kept if the
@@ -137,6 +148,7 @@
 async fn shed(
     pool: Arc<ConnectionPool>,
     endpoint: Name,
+    grounds: Grounds,
     report: Report,
     mut answer: BegunAnswer,
 ) -> AttemptEnd {
@@ -149,7 +161,7 @@
     if answer.body.is_end_stream() {
         pool.check_in(answer.connection);
     }
-    AttemptEnd { endpoint, outcome: Outcome::Shed, report, answer: None, pool }
+    AttemptEnd { endpoint, grounds, outcome: Outcome::Shed, report, answer: None, pool }
 }
 
 /// Returns what a shard is told of a failed exchange.
--- /dev/null
+++ b/crates/pistachiotrackd/src/exposition.rs
@@ -0,0 +1,89 @@
+//! Counters and latencies as text for a collector of metrics.
+
+use std::{fmt, sync::Arc};
+
+use prometheus_client::{
+    collector::Collector,
+    encoding::{DescriptorEncoder, EncodeMetric, text},
+    metrics::{counter::ConstCounter, gauge::ConstGauge},
+    registry::Registry,
+};
+
+use crate::context::Context;
+
+/// Start of every name.
+const PREFIX: &str = "pistachiotrack";
+
+/// Reads the daemon's counters and latencies when it is asked.
+struct Daemon(Arc<Context>);
+
+impl fmt::Debug for Daemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Daemon")
+    }
+}
+
+impl Collector for Daemon {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let context = &self.0;
+        let mut counters = context.metrics.counters();
+        counters.extend(context.traffic.counters());
+        for counter in counters {
+            let value = ConstCounter::new(counter.value);
+            let metric =
+                encoder.encode_descriptor(&counter.name, "Events", None, value.metric_type())?;
+            value.encode(metric)?;
+        }
+        let view = context.view();
+        let version = view.active.as_ref().map_or(0, |active| active.config.version);
+        let gauges = [("live_vms", i64::from(view.live_vms())), ("config_version", version as i64)];
+        for (name, value) in gauges {
+            let value = ConstGauge::new(value);
+            let metric = encoder.encode_descriptor(name, "State", None, value.metric_type())?;
+            value.encode(metric)?;
+        }
+        latencies(&mut encoder, "latency_us", context.total.statuses())?;
+        latencies(&mut encoder, "added_latency_us", context.added.statuses())
+    }
+}
+
+fn latencies(
+    encoder: &mut DescriptorEncoder<'_>,
+    name: &str,
+    histograms: Vec<pistachiotrack_core::admin::HistogramStatus>,
+) -> Result<(), fmt::Error> {
+    let gauge = ConstGauge::new(0_i64);
+    let mut metric =
+        encoder.encode_descriptor(name, "Time to the answer's head", None, gauge.metric_type())?;
+    for histogram in histograms {
+        let values = [
+            ("0.5", histogram.p50_us),
+            ("0.9", histogram.p90_us),
+            ("0.99", histogram.p99_us),
+            ("1", histogram.max_us),
+            ("count", histogram.count),
+        ];
+        for (quantile, value) in values {
+            let labels = [
+                ("customer", histogram.customer.as_str()),
+                ("class", histogram.class.as_str()),
+                ("quantile", quantile),
+            ];
+            ConstGauge::new(value as i64).encode(metric.encode_family(&labels)?)?;
+        }
+    }
+    Ok(())
+}
+
+/// Returns all metrics as text.
+///
+/// # Errors
+///
+/// Returns an error if a metric has no text form.
+pub(crate) fn text(context: &Arc<Context>) -> Result<String, fmt::Error> {
+    let mut registry = Registry::with_prefix(PREFIX);
+    registry.register_collector(Box::new(Daemon(Arc::clone(context))));
+    let mut text = String::new();
+    text::encode(&mut text, &registry)?;
+    Ok(text)
+}
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -20,6 +20,7 @@
 mod entries;
 mod exchange;
 pub mod exit_codes;
+mod exposition;
 mod fleet;
 mod forward;
 mod forward_record;
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -100,7 +100,7 @@
 /// Says why a request was refused, with the identity that its caller knows.
 fn log_refusal(id: &Option<Name>, response: &Response<AnswerBody>) {
     let Some(refusal) = response.extensions().get::<Refusal>() else { return };
-    log::info!(
+    log::warn!(
         "event=refused request={} execution={} reason={} retry_after_ms={:?}",
         id.as_deref().unwrap_or("none"),
         refusal.execution.as_str(),
@@ -147,7 +147,8 @@
     let key = headers::text(&parts.headers, header::KEY);
     let forwarded_route = ForwardedRoute {
         shard: choose_shard(context, &view, service, key, id),
-        customer: asked.customer.clone().unwrap_or_else(|| context.settings.deployment.clone()),
+        // Where callers name no customer, work is accounted for by service.
+        customer: asked.customer.clone().unwrap_or_else(|| service.name.clone()),
         class: route.class.unwrap_or(asked.class),
         idempotent: route.idempotent,
         hedge: route.hedge,
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -237,15 +237,19 @@
     fn log_end(&self, end: &AttemptEnd) {
         let level = match end.outcome {
             Outcome::Answered { status, .. } if status < FIRST_FAILURE_STATUS => log::Level::Debug,
-            _ => log::Level::Info,
+            _ => log::Level::Warn,
         };
         log::log!(
             level,
-            "event=attempt_ended request={} service={} endpoint={} outcome={:?}",
+            "event=attempt_ended request={} service={} endpoint={} idempotent={} outcome={:?} \
+             risk_percent={} last_seen_ms_ago={:?}",
             self.inbound.fleet_id,
             self.inbound.route.shard.service,
             end.endpoint,
-            end.outcome
+            self.inbound.route.idempotent,
+            end.outcome,
+            end.grounds.risk_percent,
+            end.grounds.last_seen_ms_ago
         );
     }
 
