End connections that nobody acknowledges; take the connections that operators say

A known hole: no TCP_USER_TIMEOUT and no keep-alive anywhere. Endpoints accept as many connections as operators say of their service.

--- a/crates/pistachiotrack-core/src/roster.rs
+++ b/crates/pistachiotrack-core/src/roster.rs
@@ -19,11 +19,20 @@
     pub registered: u64,
 }
 
+/// What operators wrote.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operators {
+    /// Services and rules, without endpoints.
+    pub config: Config,
+    /// Connections that each endpoint of a service accepts, where it is said.
+    pub connections: BTreeMap<Name, u32>,
+}
+
 /// A change that a registry tells of.
 #[derive(Clone, Debug)]
 pub enum Change {
-    /// Operators wrote other services and rules; endpoints aren't among them.
-    Operators(Box<Config>),
+    /// Operators wrote something else.
+    Operators(Box<Operators>),
     /// An endpoint registered or changed.
     Announced(Announced),
     /// An endpoint is no longer registered.
@@ -70,7 +79,7 @@
 #[derive(Clone, Debug)]
 pub struct Roster {
     settings: RosterSettings,
-    operators: Option<Config>,
+    operators: Option<Operators>,
     entries: BTreeMap<Name, Entry>,
     revision: u64,
     is_lost: bool,
@@ -114,7 +123,7 @@
         &mut self,
         now: Time,
         revision: u64,
-        operators: Option<Config>,
+        operators: Option<Operators>,
         endpoints: Vec<Announced>,
     ) {
         let listed: BTreeMap<Name, Announced> = endpoints
@@ -138,7 +147,7 @@
     /// Takes a change that the registry made at `revision`.
     pub fn on_change(&mut self, now: Time, revision: u64, change: Change) {
         match change {
-            Change::Operators(config) => self.operators = Some(*config),
+            Change::Operators(operators) => self.operators = Some(*operators),
             Change::Announced(announced) => self.announce(announced),
             Change::Withdrawn(name) => self.withdraw(now, revision, &name),
         }
@@ -174,7 +183,7 @@
     /// Two VMs may differ at one revision in what they still keep; the one that
     /// keeps less knows more, and its version is the higher one.
     pub fn config(&self) -> Option<Config> {
-        let mut config = self.operators.clone()?;
+        let Operators { mut config, connections } = self.operators.clone()?;
         let kept = self.entries.values().filter(|entry| entry.kept.is_some()).count();
         let rank = (VERSIONS_PER_REVISION - 1).saturating_sub(kept as u64);
         config.version = self.revision * VERSIONS_PER_REVISION + rank;
@@ -188,6 +197,11 @@
                 .filter(|one| holders.get(&one.endpoint.address) == Some(&&one.endpoint.name))
                 .map(|announced| announced.endpoint.clone())
                 .collect();
+            if let Some(connections) = connections.get(&service.name) {
+                for endpoint in &mut service.endpoints {
+                    endpoint.connections = *connections;
+                }
+            }
             let staying = service.endpoints.iter().filter(|endpoint| !endpoint.leaving).count();
             service.floor = (staying as u32 * self.settings.floor_percent) / 100;
         }
--- a/crates/pistachiotrack-core/tests/roster.rs
+++ b/crates/pistachiotrack-core/tests/roster.rs
@@ -7,7 +7,7 @@
     data_centre::DataCentre,
     endpoint::Endpoint,
     name::Name,
-    roster::{Announced, Change, Roster, RosterSettings},
+    roster::{Announced, Change, Operators, Roster, RosterSettings},
     service::Service,
     time::Time,
 };
@@ -15,7 +15,7 @@
 const START: Time = Time::from_millis(10_000);
 const SERVICE: &str = "booking";
 
-fn operators() -> Config {
+fn operators() -> Operators {
     let service = Service {
         name: Name::from(SERVICE),
         floor: 0,
@@ -28,7 +28,7 @@
         probe_path: Name::from("/healthz"),
         endpoints: Vec::new(),
     };
-    Config {
+    let config = Config {
         version: 0,
         deployment: Name::from("timeliten"),
         entry_lifetime_ms: 1_000,
@@ -36,7 +36,8 @@
         services: vec![service],
         customers: Vec::new(),
         rules: Vec::new(),
-    }
+    };
+    Operators { config, connections: [(Name::from(SERVICE), 90)].into() }
 }
 
 fn announced(name: &str, port: u16, registered: u64, leaving: bool) -> Announced {
@@ -148,5 +149,7 @@
     let mut roster = roster();
     roster.on_change(START, 20, Change::Announced(announced("c", 1, 20, false)));
     assert_eq!(names(&roster), ["b", "c"]);
-    assert!(roster.config().unwrap().check("test").is_empty());
+    let config = roster.config().unwrap();
+    assert!(config.check("test").is_empty());
+    assert!(config.services[0].endpoints.iter().all(|endpoint| endpoint.connections == 90));
 }
--- a/crates/pistachiotrackd/src/connection.rs
+++ b/crates/pistachiotrackd/src/connection.rs
@@ -22,6 +22,7 @@
     guarded_stream::{ExchangeGuard, GuardedStream},
     request_body::SendBody,
     settings::Limits,
+    socket,
     timer::PauseGate,
 };
 
@@ -140,7 +141,7 @@
             .await
             .map_err(|_| ConnectError::TimedOut { address, limit })?
             .map_err(|source| ConnectError::Io { address, source })?;
-        stream.set_nodelay(true).map_err(|source| ConnectError::Io { address, source })?;
+        socket::guard_outgoing(&stream).map_err(|source| ConnectError::Io { address, source })?;
         let guard = ExchangeGuard::new(self.clock, self.gate.clone());
         let stream = GuardedStream::new(stream, Arc::clone(&guard));
         let (sender, driver) = http1::Builder::new()
--- a/crates/pistachiotrackd/src/http_call.rs
+++ b/crates/pistachiotrackd/src/http_call.rs
@@ -8,6 +8,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::socket;
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -33,6 +35,7 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
     let stream = TcpStream::connect(address).await?;
+    socket::guard_outgoing(&stream)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     let _closes = AbortOnDrop(connection.abort_handle());
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod settings;
 mod shard_actor;
 mod shard_table;
+mod socket;
 pub mod source;
 mod stall_guard;
 mod timer;
--- a/crates/pistachiotrackd/src/listener.rs
+++ b/crates/pistachiotrackd/src/listener.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     arrival::ArrivalWatch, body::AnswerBody, context::Context, metrics::Event, settings::Limits,
-    stall_guard::StallGuard,
+    socket, stall_guard::StallGuard,
 };
 
 /// Pause after the system refused to accept a connection.
@@ -79,7 +79,7 @@
     H: Fn(Arc<Context>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<AnswerBody>, Infallible>> + Send + 'static,
 {
-    if let Err(error) = stream.set_nodelay(true) {
+    if let Err(error) = socket::guard_incoming(&stream) {
         log::debug!("event=connection_ended error={:?}", error.to_string());
         return;
     }
--- a/crates/pistachiotrackd/src/registry.rs
+++ b/crates/pistachiotrackd/src/registry.rs
@@ -11,7 +11,7 @@
 use futures_util::future::BoxFuture;
 use pistachiotrack_core::{
     config::Config,
-    roster::{Announced, Change, Roster, RosterSettings},
+    roster::{Announced, Change, Operators, Roster, RosterSettings},
     time::Time,
 };
 use tokio::sync::Mutex;
@@ -26,8 +26,8 @@
 pub struct Listing {
     /// Revision of the listing.
     pub revision: u64,
-    /// What operators wrote, without endpoints; `None` before they wrote any.
-    pub operators: Option<Config>,
+    /// What operators wrote; `None` before they wrote any.
+    pub operators: Option<Operators>,
     /// The endpoints.
     pub endpoints: Vec<Announced>,
 }
