--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -17,6 +17,7 @@
 pub use self::{
     action::{Dispatch, Grounds, ShardAction},
     news::{EndedAttempt, ShardNews, ShardPicture},
+    strain::Served,
 };
 use self::{
     pool::Pool,
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -199,7 +199,7 @@
             tried: &live.tried,
             max_risk: self.max_risk(now, live),
             now,
-            is_strained: self.strain.is_strained(now),
+            is_strained: self.strain.is_strained(),
             allow_tried,
         })
     }
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Shard, ShardAction, state::Attempt};
+use super::{Served, Shard, ShardAction, state::Attempt};
 use crate::{
     health::BeliefOf,
     name::Name,
@@ -32,8 +32,8 @@
     pub endpoint: Name,
     /// Requests that the sender has in flight there.
     pub in_flight: u32,
-    /// Part of the sender's last requests that were not served, in parts of 255.
-    pub unserved: u8,
+    /// The sender's requests that came to their end since it last told anything.
+    pub finished: Served,
     /// How one of them was just answered, if one was.
     pub ended: Option<EndedAttempt>,
 }
@@ -69,7 +69,7 @@
         }
         let until = now + COUNT_LIFETIME;
         self.pool.set_peer_count(now, &news.endpoint, from, news.in_flight, until);
-        self.strain.on_peer(from, news.unserved, until);
+        self.strain.on_peer(news.finished);
         if let Some(ended) = news.ended {
             let latency = Duration::from_micros(ended.latency_us);
             let actions =
@@ -144,8 +144,8 @@
 
     fn tell(&mut self, endpoint: Name, ended: Option<EndedAttempt>) {
         let in_flight = self.pool.in_flight_at(&endpoint);
-        let (shard, unserved) = (self.id.clone(), self.strain.own());
-        let news = ShardNews { shard, endpoint, in_flight, unserved, ended };
+        let (shard, finished) = (self.id.clone(), self.strain.take_untold());
+        let news = ShardNews { shard, endpoint, in_flight, finished, ended };
         self.out.push(ShardAction::Tell(news));
     }
 }
--- a/crates/pistachiotrack-core/tests/shared_shard.rs
+++ b/crates/pistachiotrack-core/tests/shared_shard.rs
@@ -11,7 +11,7 @@
     request::{BodyEnd, Class, DEFAULT_MAX_ATTEMPTS, Outcome, Report, Request, RequestId},
     retry::{BudgetSettings, RetryBudget},
     service::{RetryLimit, Service},
-    shard::{Dispatch, Shard, ShardAction, ShardMode, ShardNews, ShardSettings},
+    shard::{Dispatch, Served, Shard, ShardAction, ShardMode, ShardNews, ShardSettings},
     time::Time,
 };
 
@@ -132,7 +132,7 @@
         shard: ShardId { service: Name::from("booking"), index: 0 },
         endpoint: Name::from("endpoint-0"),
         in_flight: SLOTS,
-        unserved: 0,
+        finished: Served::default(),
         ended: None,
     };
     pass_on(&mut shard, START, std::slice::from_ref(&news));
@@ -150,7 +150,7 @@
         shard: ShardId { service: Name::from("booking"), index: 0 },
         endpoint: Name::from("endpoint-0"),
         in_flight: SLOTS,
-        unserved: 0,
+        finished: Served::default(),
         ended: None,
     };
     pass_on(&mut shard, START, &[news]);
@@ -282,7 +282,7 @@
         shard: ShardId { service: Name::from("booking"), index: 0 },
         endpoint: Name::from("endpoint-0"),
         in_flight: 0,
-        unserved: 51,
+        finished: Served { served: 4, lost: 1 },
         ended: None,
     };
     let mut used = std::collections::BTreeSet::new();
@@ -297,3 +297,33 @@
     }
     assert_eq!(used.len(), 10, "{used:?} in the last 2 s");
 }
+
+/// Many VMs take in a request now and then and serve it, while those that most callers
+/// use lose a fifth. What counts is each request, not each VM.
+#[test]
+fn vms_with_few_requests_don_t_hide_that_much_is_lost() {
+    let mut shard = shard(10);
+    let mut now = START;
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..300_u64 {
+        now += Duration::from_millis(20);
+        let finished = match id % 20 {
+            0 => Served { served: 1, lost: 0 },
+            _ => Served { served: 4, lost: 1 },
+        };
+        let news = ShardNews {
+            shard: ShardId { service: Name::from("booking"), index: 0 },
+            endpoint: Name::from("endpoint-0"),
+            in_flight: 0,
+            finished,
+            ended: None,
+        };
+        let vm = if id % 20 == 0 { format!("guest-{id}") } else { "dispatcher".to_owned() };
+        shard.on_news(now, &Name::from(vm), &news);
+        let (endpoint, _) = answer(&mut shard, now, id, 200);
+        if id >= 200 {
+            used.insert(endpoint);
+        }
+    }
+    assert_eq!(used.len(), 10, "{used:?} in the last 2 s");
+}
