--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -22,11 +22,14 @@
 mod hand_over;
 mod observation;
 mod reference;
+mod risk;
 mod rotation;
 mod schedule;
 mod state;
 mod via;
 
+pub use risk::BeliefOf;
+
 use reference::Reference;
 use state::{EndpointState, Flight, Phase};
 
@@ -202,17 +205,6 @@
     pub usual_latency_us: Option<u64>,
 }
 
-/// What a VM believes of one endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BeliefOf {
-    /// The endpoint.
-    pub endpoint: Name,
-    /// How likely it was failing grayly at its last answer, in parts of 255.
-    pub in_spell: u8,
-    /// Age of that answer.
-    pub age_ms: u32,
-}
-
 /// Share of a new or readmitted endpoint at the start of its slow start.
 const SLOW_START_SHARE: f64 = 0.1;
 /// Length of a slow start.
@@ -385,41 +377,6 @@
         })
     }
 
-    /// Returns how likely the next request to an endpoint fails.
-    pub fn risk(&self, now: Time, endpoint: &str) -> f64 {
-        self.state(endpoint).map_or(1.0, |state| state.belief.risk(now))
-    }
-
-    /// Returns what this VM believes of the endpoints that it has seen at work.
-    pub fn beliefs(&self, now: Time) -> Vec<BeliefOf> {
-        let seen = self.endpoints.iter().filter_map(|state| Some((state, state.last_seen?)));
-        seen.map(|(state, at)| BeliefOf {
-            endpoint: state.name.clone(),
-            in_spell: (state.belief.in_spell() * 255.0) as u8,
-            age_ms: now.since(at).as_millis() as u32,
-        })
-        .collect()
-    }
-
-    /// Takes what another VM believes where it has seen more lately.
-    pub fn on_beliefs(&mut self, now: Time, beliefs: &[BeliefOf]) {
-        for other in beliefs {
-            let Some(&position) = self.positions.get(&other.endpoint) else { continue };
-            let state = &mut self.endpoints[position];
-            let age_us = u64::from(other.age_ms) * 1_000;
-            let at = Time::from_micros(now.as_micros().saturating_sub(age_us));
-            if state.last_seen.is_none_or(|seen| seen < at) {
-                state.belief.adopt(f64::from(other.in_spell) / 255.0, at);
-                state.last_seen = Some(at);
-            }
-        }
-    }
-
-    /// Returns the moment of the last answer, if there was one.
-    pub fn last_seen(&self, endpoint: &str) -> Option<Time> {
-        self.state(endpoint).and_then(|state| state.last_seen)
-    }
-
     /// Returns the evidence against an endpoint as a log-likelihood ratio.
     pub fn evidence(&self, endpoint: &str) -> f64 {
         self.state(endpoint).map_or(0.0, |state| state.evidence.strength(self.threshold))
--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -27,7 +27,7 @@
 const TRIAL_LATE: f64 = 1.0;
 const TRIAL_HUNG: f64 = 2.0;
 /// Status codes from here on are failures of the endpoint.
-const FIRST_FAILURE_STATUS: u16 = 500;
+pub(super) const FIRST_FAILURE_STATUS: u16 = 500;
 
 impl Health {
     /// Notes the start of an attempt.
@@ -126,47 +126,6 @@
         actions
     }
 
-    /// Notes how an endpoint answered a request of another VM.
-    pub fn on_peer_answer(
-        &mut self,
-        now: Time,
-        endpoint: &Name,
-        class: Class,
-        status: u16,
-        latency: Duration,
-    ) -> Vec<HealthAction> {
-        let mut actions = Vec::new();
-        let Some(&position) = self.positions.get(endpoint) else { return actions };
-        let state = &mut self.endpoints[position];
-        state.last_dispatch = state.last_dispatch.max(now);
-        let started = Time::from_micros(now.as_micros().saturating_sub(latency.as_micros() as u64));
-        let flight = Flight {
-            endpoint: state.id,
-            class,
-            kind: AttemptKind::Work,
-            started,
-            fresh: false,
-            tainted: false,
-            via: false,
-            answered: true,
-            counted: false,
-        };
-        let outcome = Outcome::Answered { status, fresh_connection: false };
-        state.observe_risk(now, status >= FIRST_FAILURE_STATUS);
-        match state.phase {
-            Phase::Trial { since, .. } if started < since => return actions,
-            Phase::Ejected { .. } | Phase::PathBroken { .. } => return actions,
-            Phase::Trial { .. } => {
-                self.observe_trial(now, position, &flight, outcome, &mut actions);
-            }
-            Phase::InRotation | Phase::Held | Phase::SlowStart { .. } => {
-                self.observe(now, position, &flight, outcome);
-            }
-        }
-        self.decide(now, position, &mut actions);
-        actions
-    }
-
     /// Notes the end of an answer's body.
     pub fn on_body_end(
         &mut self,
@@ -198,32 +157,20 @@
     /// A process that was paused sees timeouts and broken connections of its
     /// own making when it wakes. Ticks that stay away show that, so nothing is
     /// ejected until a tick, which comes after [`Health::on_pause`].
-    fn decide(&mut self, now: Time, position: usize, actions: &mut Vec<HealthAction>) {
+    pub(super) fn decide(&mut self, now: Time, position: usize, actions: &mut Vec<HealthAction>) {
         if now.since(self.last_tick) < STALE_TICK {
             self.judge(now, position, actions);
             self.keep_floor(now, actions);
         }
     }
 
-    /// Takes what an attempt says about gray failure. That no connection opened
-    /// says nothing: the request can go elsewhere.
-    fn observe_risk(&mut self, now: Time, position: usize, flight: &Flight, outcome: Outcome) {
-        if flight.kind == AttemptKind::Probe || flight.tainted {
-            return;
-        }
-        let failed = match outcome {
-            Outcome::Answered { status, .. } => status >= FIRST_FAILURE_STATUS,
-            Outcome::Broken { .. } | Outcome::TimedOut { .. } => true,
-            Outcome::Shed
-            | Outcome::ConnectFailed
-            | Outcome::NotSent
-            | Outcome::WitnessFailed { .. }
-            | Outcome::Cancelled => return,
-        };
-        self.endpoints[position].observe_risk(now, failed);
-    }
-
-    fn observe(&mut self, now: Time, position: usize, flight: &Flight, outcome: Outcome) {
+    pub(super) fn observe(
+        &mut self,
+        now: Time,
+        position: usize,
+        flight: &Flight,
+        outcome: Outcome,
+    ) {
         match outcome {
             Outcome::Answered { status, .. } => self.observe_answer(now, position, flight, status),
             Outcome::Shed => self.note_alive(now, position, flight),
@@ -323,7 +270,7 @@
         }
     }
 
-    fn observe_trial(
+    pub(super) fn observe_trial(
         &mut self,
         now: Time,
         position: usize,
--- /dev/null
+++ b/crates/pistachiotrack-core/src/health/risk.rs
@@ -0,0 +1,130 @@
+//! How likely requests to an endpoint fail, by the answers that this VM and others
+//! have seen.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    health::{
+        AttemptKind, Health, HealthAction,
+        observation::FIRST_FAILURE_STATUS,
+        state::{Flight, Phase},
+    },
+    name::Name,
+    request::{Class, Outcome},
+    time::Time,
+};
+
+/// What a VM believes of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeliefOf {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// How likely it was failing grayly at its last answer, in parts of 255.
+    pub in_spell: u8,
+    /// Age of that answer.
+    pub age_ms: u32,
+}
+
+impl Health {
+    /// Returns how likely the next request to an endpoint fails.
+    pub fn risk(&self, now: Time, endpoint: &str) -> f64 {
+        self.state(endpoint).map_or(1.0, |state| state.belief.risk(now))
+    }
+
+    /// Returns what this VM believes of the endpoints that it has seen at work.
+    pub fn beliefs(&self, now: Time) -> Vec<BeliefOf> {
+        let seen = self.endpoints.iter().filter_map(|state| Some((state, state.last_seen?)));
+        seen.map(|(state, at)| BeliefOf {
+            endpoint: state.name.clone(),
+            in_spell: (state.belief.in_spell() * 255.0) as u8,
+            age_ms: now.since(at).as_millis() as u32,
+        })
+        .collect()
+    }
+
+    /// Takes what another VM believes where it has seen more lately.
+    pub fn on_beliefs(&mut self, now: Time, beliefs: &[BeliefOf]) {
+        for other in beliefs {
+            let Some(&position) = self.positions.get(&other.endpoint) else { continue };
+            let state = &mut self.endpoints[position];
+            let age_us = u64::from(other.age_ms) * 1_000;
+            let at = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            if state.last_seen.is_none_or(|seen| seen < at) {
+                state.belief.adopt(f64::from(other.in_spell) / 255.0, at);
+                state.last_seen = Some(at);
+            }
+        }
+    }
+
+    /// Returns the moment of the last answer, if there was one.
+    pub fn last_seen(&self, endpoint: &str) -> Option<Time> {
+        self.state(endpoint).and_then(|state| state.last_seen)
+    }
+
+    /// Notes how an endpoint answered a request of another VM.
+    pub fn on_peer_answer(
+        &mut self,
+        now: Time,
+        endpoint: &Name,
+        class: Class,
+        status: u16,
+        latency: Duration,
+    ) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
+        let Some(&position) = self.positions.get(endpoint) else { return actions };
+        let state = &mut self.endpoints[position];
+        state.last_dispatch = state.last_dispatch.max(now);
+        let started = Time::from_micros(now.as_micros().saturating_sub(latency.as_micros() as u64));
+        let flight = Flight {
+            endpoint: state.id,
+            class,
+            kind: AttemptKind::Work,
+            started,
+            fresh: false,
+            tainted: false,
+            via: false,
+            answered: true,
+            counted: false,
+        };
+        let outcome = Outcome::Answered { status, fresh_connection: false };
+        state.observe_risk(now, status >= FIRST_FAILURE_STATUS);
+        match state.phase {
+            Phase::Trial { since, .. } if started < since => return actions,
+            Phase::Ejected { .. } | Phase::PathBroken { .. } => return actions,
+            Phase::Trial { .. } => {
+                self.observe_trial(now, position, &flight, outcome, &mut actions);
+            }
+            Phase::InRotation | Phase::Held | Phase::SlowStart { .. } => {
+                self.observe(now, position, &flight, outcome);
+            }
+        }
+        self.decide(now, position, &mut actions);
+        actions
+    }
+
+    /// Takes what an attempt says about gray failure. That no connection opened
+    /// says nothing: the request can go elsewhere.
+    pub(super) fn observe_risk(
+        &mut self,
+        now: Time,
+        position: usize,
+        flight: &Flight,
+        outcome: Outcome,
+    ) {
+        if flight.kind == AttemptKind::Probe || flight.tainted {
+            return;
+        }
+        let failed = match outcome {
+            Outcome::Answered { status, .. } => status >= FIRST_FAILURE_STATUS,
+            Outcome::Broken { .. } | Outcome::TimedOut { .. } => true,
+            Outcome::Shed
+            | Outcome::ConnectFailed
+            | Outcome::NotSent
+            | Outcome::WitnessFailed { .. }
+            | Outcome::Cancelled => return,
+        };
+        self.endpoints[position].observe_risk(now, failed);
+    }
+}
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -3,6 +3,7 @@
 mod action;
 mod ending;
 mod flow;
+mod hand_over;
 mod news;
 mod pool;
 mod state;
@@ -12,10 +13,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
 
 pub use self::{
     action::{Dispatch, Grounds, ShardAction},
+    hand_over::ShardHandOver,
     news::{EndedAttempt, ShardNews, ShardPicture},
     strain::Served,
 };
@@ -29,10 +30,8 @@
     admission::AdmissionQueue,
     config::Config,
     endpoint::Endpoint,
-    health::{
-        AttemptKind, EjectReason, Health, HealthHandOver, HealthSettings, PathAnswer, Standing,
-    },
-    idempotency::{KeyHandOver, KeySettings, KeyTable, StoredAnswer},
+    health::{AttemptKind, EjectReason, Health, HealthSettings, PathAnswer, Standing},
+    idempotency::{KeySettings, KeyTable, StoredAnswer},
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
@@ -45,9 +44,6 @@
 const MAX_SETTLE: Duration = Duration::from_millis(500);
 /// Pause after which another VM may have taken the shard over and back.
 const TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
-/// Multiple of the usual service time for which a predecessor's requests are
-/// counted against their endpoints.
-const FOREIGN_TIMES_USUAL: u32 = 2;
 /// Time after which a health check without any report is forgotten.
 const LOST_PROBE_AGE: Duration = Duration::from_secs(5);
 
@@ -91,23 +87,6 @@
     }
 }
 
-/// What an owner tells its successor.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ShardHandOver {
-    /// The shard.
-    pub shard: ShardId,
-    /// Health of the endpoints.
-    pub health: Vec<HealthHandOver>,
-    /// Requests still in flight by endpoint.
-    pub in_flight: Vec<(Name, u32)>,
-    /// Usual time for which a request holds its slot, if known.
-    #[serde(default)]
-    pub usual_service_us: Option<u64>,
-    /// Idempotency keys on record, the newest first, within bounds.
-    #[serde(default)]
-    pub keys: Vec<KeyHandOver>,
-}
-
 /// The decisions about one shard.
 #[derive(Clone, Debug)]
 pub struct Shard {
@@ -356,41 +335,6 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Returns what a successor needs to know.
-    pub fn hand_over(&self, now: Time) -> ShardHandOver {
-        ShardHandOver {
-            shard: self.id.clone(),
-            health: self.health.hand_over(now),
-            in_flight: self.pool.in_use().map(|(name, count)| (name.clone(), count)).collect(),
-            usual_service_us: self.usual.value().map(|usual| usual.as_micros() as u64),
-            keys: self.keys.hand_over(now),
-        }
-    }
-
-    /// Takes what a predecessor knew.
-    ///
-    /// Its requests in flight count against their endpoints until about twice
-    /// the usual service time has passed.
-    pub fn on_hand_over(&mut self, now: Time, from: &ShardHandOver) -> Vec<ShardAction> {
-        if from.shard != self.id {
-            return Vec::new();
-        }
-        let actions = self.health.on_hand_over(now, &from.health);
-        self.on_health_actions(now, actions);
-        self.keys.on_hand_over(now, &from.keys);
-        if let (None, Some(usual_us)) = (self.usual.value(), from.usual_service_us) {
-            self.usual.seed(Duration::from_micros(usual_us));
-        }
-        let allowance = self.usual.value().map_or(self.settle, |usual| usual * FOREIGN_TIMES_USUAL);
-        let until = now + allowance.min(self.settle);
-        for (endpoint, in_flight) in &from.in_flight {
-            self.pool.set_foreign(endpoint, *in_flight, until);
-        }
-        self.pool.settle_until(now);
-        self.pool.refresh(now, &self.health);
-        self.advance(now)
-    }
-
     /// Returns the expected wait of a new request.
     pub fn queue_wait(&self, _now: Time) -> Duration {
         if self.queue.is_empty() && self.pool.has_free_slot() {
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/hand_over.rs
@@ -0,0 +1,68 @@
+//! What a shard's owner tells its successor.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Shard, ShardAction};
+use crate::{
+    health::HealthHandOver, idempotency::KeyHandOver, name::Name, ownership::ShardId, time::Time,
+};
+
+/// Multiple of the usual service time for which a predecessor's requests are
+/// counted against their endpoints.
+const FOREIGN_TIMES_USUAL: u32 = 2;
+
+/// What an owner tells its successor.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardHandOver {
+    /// The shard.
+    pub shard: ShardId,
+    /// Health of the endpoints.
+    pub health: Vec<HealthHandOver>,
+    /// Requests still in flight by endpoint.
+    pub in_flight: Vec<(Name, u32)>,
+    /// Usual time for which a request holds its slot, if known.
+    #[serde(default)]
+    pub usual_service_us: Option<u64>,
+    /// Idempotency keys on record, the newest first, within bounds.
+    #[serde(default)]
+    pub keys: Vec<KeyHandOver>,
+}
+
+impl Shard {
+    /// Returns what a successor needs to know.
+    pub fn hand_over(&self, now: Time) -> ShardHandOver {
+        ShardHandOver {
+            shard: self.id.clone(),
+            health: self.health.hand_over(now),
+            in_flight: self.pool.in_use().map(|(name, count)| (name.clone(), count)).collect(),
+            usual_service_us: self.usual.value().map(|usual| usual.as_micros() as u64),
+            keys: self.keys.hand_over(now),
+        }
+    }
+
+    /// Takes what a predecessor knew.
+    ///
+    /// Its requests in flight count against their endpoints until about twice
+    /// the usual service time has passed.
+    pub fn on_hand_over(&mut self, now: Time, from: &ShardHandOver) -> Vec<ShardAction> {
+        if from.shard != self.id {
+            return Vec::new();
+        }
+        let actions = self.health.on_hand_over(now, &from.health);
+        self.on_health_actions(now, actions);
+        self.keys.on_hand_over(now, &from.keys);
+        if let (None, Some(usual_us)) = (self.usual.value(), from.usual_service_us) {
+            self.usual.seed(Duration::from_micros(usual_us));
+        }
+        let allowance = self.usual.value().map_or(self.settle, |usual| usual * FOREIGN_TIMES_USUAL);
+        let until = now + allowance.min(self.settle);
+        for (endpoint, in_flight) in &from.in_flight {
+            self.pool.set_foreign(endpoint, *in_flight, until);
+        }
+        self.pool.settle_until(now);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
+    }
+}
