--- a/crates/pistachiotrack-core/src/health/observation.rs
+++ b/crates/pistachiotrack-core/src/health/observation.rs
@@ -10,7 +10,7 @@
         state::{Flight, Path, Phase},
     },
     name::Name,
-    request::{AttemptId, BodyEnd, Class, Outcome},
+    request::{AttemptId, BodyEnd, Class, FIRST_FAILURE_STATUS, Outcome},
     time::Time,
 };
 
@@ -26,8 +26,6 @@
 /// Latency score above which a trial has failed, and the same for its age.
 const TRIAL_LATE: f64 = 1.0;
 const TRIAL_HUNG: f64 = 2.0;
-/// Status codes from here on are failures of the endpoint.
-pub(super) const FIRST_FAILURE_STATUS: u16 = 500;
 
 impl Health {
     /// Notes the start of an attempt.
--- a/crates/pistachiotrack-core/src/health/risk.rs
+++ b/crates/pistachiotrack-core/src/health/risk.rs
@@ -8,11 +8,10 @@
 use crate::{
     health::{
         AttemptKind, Health, HealthAction,
-        observation::FIRST_FAILURE_STATUS,
         state::{Flight, Phase},
     },
     name::Name,
-    request::{Class, Outcome},
+    request::{Class, FIRST_FAILURE_STATUS, Outcome},
     time::Time,
 };
 
--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// Lowest HTTP status that is a failure of the endpoint.
+pub const FIRST_FAILURE_STATUS: u16 = 500;
+
 /// Endpoints that a request may be sent to where its rule doesn't say.
 pub const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -11,12 +11,10 @@
     admission::Ticket,
     health::{AttemptKind, HealthAction},
     refusal::{Execution, Reason, Refusal},
-    request::{AttemptId, BodyEnd, Outcome, RequestId},
+    request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, RequestId},
     time::Time,
 };
 
-/// Lowest status that is a failure of the endpoint.
-const FIRST_FAILURE_STATUS: u16 = 500;
 /// Bounds of the time for which the slot of an attempt that ended without an
 /// answer is held.
 const GRACE_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -13,15 +13,13 @@
     health::BeliefOf,
     name::Name,
     ownership::ShardId,
-    request::{AttemptId, Class},
+    request::{AttemptId, Class, FIRST_FAILURE_STATUS},
     time::Time,
 };
 
 /// Time for which another VM's count of requests in flight is believed without a
 /// newer one. A VM that dies tells nothing any more; few requests take longer.
 const COUNT_LIFETIME: Duration = Duration::from_secs(3);
-/// Lowest status that is a failure of the endpoint.
-const FIRST_FAILURE_STATUS: u16 = 500;
 
 /// What a VM tells the others that dispatch for the same shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -16,7 +16,7 @@
     endpoint::Endpoint,
     name::Name,
     refusal::{Execution, Reason, Refusal},
-    request::{AttemptId, BodyEnd, Outcome, Report},
+    request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, Report},
     shard::Dispatch,
 };
 use tokio::sync::mpsc::{self, UnboundedReceiver};
@@ -35,8 +35,6 @@
     view::FleetView,
 };
 
-/// Lowest status that is a failure of the endpoint.
-const FIRST_FAILURE_STATUS: u16 = 500;
 /// Time after the deadline for which the shard's own refusal is waited for.
 const WATCHDOG_GRACE: Duration = Duration::from_millis(500);
 
