Send pictures in parts, and log news that can't be encoded or read

A picture of 100 endpoints was over the size that VMs take and was dropped, so that a VM that started began without it.

--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -27,6 +27,9 @@
 const GUEST_TIME: Duration = Duration::from_secs(2);
 /// Dispatchers that are asked for a picture.
 const ASKED: usize = 2;
+/// Endpoints in one datagram with a picture: each takes about 20 bytes of the 1,200
+/// that one may have.
+const BELIEFS_PER_DATAGRAM: usize = 40;
 /// Guests that are told at most, so that a fleet that has not found itself yet
 /// doesn't flood itself.
 const MAX_GUESTS: usize = 16;
@@ -127,23 +130,30 @@
         }
     }
 
-    /// Sends a picture to the VM at an address.
-    pub(crate) fn answer(&self, to: SocketAddr, picture: ShardPicture) {
-        if let Some(bytes) = self.encode(NewsContent::Picture(picture)) {
-            udp::send(&self.socket, to, &bytes, &self.traffic);
+    /// Sends a picture to the VM at an address, in as many datagrams as it takes.
+    pub(crate) fn answer(&self, to: SocketAddr, picture: &ShardPicture) {
+        for beliefs in picture.beliefs.chunks(BELIEFS_PER_DATAGRAM) {
+            let part = ShardPicture { shard: picture.shard.clone(), beliefs: beliefs.to_vec() };
+            if let Some(bytes) = self.encode(NewsContent::Picture(part)) {
+                udp::send(&self.socket, to, &bytes, &self.traffic);
+            }
         }
     }
 
     fn encode(&self, content: NewsContent) -> Option<Vec<u8>> {
         let from = self.me.name.clone();
         let datagram = NewsDatagram { deployment: self.deployment, from, content };
-        postcard::to_extend(&datagram, vec![NEWS_TAG]).ok()
+        postcard::to_extend(&datagram, vec![NEWS_TAG])
+            .inspect_err(|error| log::error!("event=news_not_encoded error={error:?}"))
+            .ok()
     }
 
     /// Reads a datagram; `None` if it is none of this deployment's.
     pub(crate) fn receive(&self, from: SocketAddr, bytes: &[u8]) -> Option<NewsDatagram> {
         let content = bytes.strip_prefix(&[NEWS_TAG])?;
-        let datagram: NewsDatagram = postcard::from_bytes(content).ok()?;
+        let datagram: NewsDatagram = postcard::from_bytes(content)
+            .inspect_err(|error| log::debug!("event=news_invalid from={from} error={error:?}"))
+            .ok()?;
         if datagram.deployment != self.deployment || datagram.from == self.me.name {
             return None;
         }
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -244,7 +244,7 @@
             NewsContent::Told(news) => self.shard.on_news(now, &from, &news),
             NewsContent::Picture(picture) => self.shard.on_picture(now, &picture),
             NewsContent::Begun(_) => {
-                self.news.answer(message.address, self.shard.picture(now));
+                self.news.answer(message.address, &self.shard.picture(now));
                 Vec::new()
             }
         };
