Have a VM that watches again begin with the configuration in force

A VM that began to watch the store held what it had read at its start; the store's history was gone and the store just back, so that it kept what the new listing no longer had. Ruled out by its log: the VM had the endpoint's leaving in force 10 ms after it was written. Change: the roster takes over the configuration in force where that knows more, operators' part included. Two tests in roster.rs, the first fails without it.

--- a/crates/pistachiotrack-core/src/roster.rs
+++ b/crates/pistachiotrack-core/src/roster.rs
@@ -28,6 +28,21 @@
     pub connections: BTreeMap<Name, u32>,
 }
 
+impl Operators {
+    /// Returns the operators' part of a configuration.
+    fn of(config: &Config) -> Operators {
+        let mut config = config.clone();
+        let mut connections = BTreeMap::new();
+        for service in &mut config.services {
+            if let Some(endpoint) = service.endpoints.first() {
+                connections.insert(service.name.clone(), endpoint.connections);
+            }
+            service.endpoints.clear();
+        }
+        Operators { config, connections }
+    }
+}
+
 /// A change that a registry tells of.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -160,20 +175,43 @@
         self.entries.values().filter_map(|entry| Some(entry.kept?.until)).min()
     }
 
-    /// Takes the version of the configuration in force, which may have come from
-    /// another VM.
+    /// Takes the configuration in force, which may have come from another VM;
+    /// returns the revision up to which the roster is complete by it, if it knows
+    /// more than the roster did.
     ///
-    /// Failure guarded against: a VM that alone was cut off from the registry keeps
-    /// an endpoint that has left, and its next version brings the endpoint back to
-    /// all VMs for a moment. It shows as requests that reach an endpoint after it
-    /// has left. The guard holds because a version that keeps nothing was made by a
-    /// VM that saw the removal as it happened.
-    pub fn on_in_force(&mut self, version: u64) {
-        if version % VERSIONS_PER_REVISION != VERSIONS_PER_REVISION - 1 {
-            return;
+    /// Failure guarded against: a VM that alone was cut off from the registry, or
+    /// that hasn't followed it for a while, keeps an endpoint that has left, and its
+    /// next version brings the endpoint back to all VMs. It shows as requests that
+    /// reach an endpoint after it has left. The guard holds because a version that
+    /// keeps nothing was made by a VM that saw each removal as it happened.
+    pub fn on_in_force(&mut self, config: &Config) -> Option<u64> {
+        if config.version % VERSIONS_PER_REVISION != VERSIONS_PER_REVISION - 1 {
+            return None;
         }
-        let revision = version / VERSIONS_PER_REVISION;
+        let revision = config.version / VERSIONS_PER_REVISION;
         self.entries.retain(|_, entry| entry.kept.is_none_or(|kept| kept.revision > revision));
+        if revision <= self.revision {
+            return None;
+        }
+        self.adopt(config);
+        self.revision = revision;
+        Some(revision)
+    }
+
+    /// Replaces all by what a configuration says that knows more, operators' part
+    /// included: what they wrote meanwhile isn't read again.
+    fn adopt(&mut self, config: &Config) {
+        self.operators = Some(Operators::of(config));
+        let known = std::mem::take(&mut self.entries);
+        for service in &config.services {
+            for endpoint in &service.endpoints {
+                let name = endpoint.name.clone();
+                let registered = known.get(&name).map_or(0, |entry| entry.announced.registered);
+                let (service, endpoint) = (service.name.clone(), endpoint.clone());
+                let announced = Announced { service, endpoint, registered };
+                self.entries.insert(name, Entry { announced, kept: None });
+            }
+        }
     }
 
     /// Returns the configuration made of all this; `None` before operators wrote
--- a/crates/pistachiotrack-core/tests/roster.rs
+++ b/crates/pistachiotrack-core/tests/roster.rs
@@ -125,7 +125,7 @@
     cut_off.on_answer(START);
     cut_off.on_change(START, 11, Change::Withdrawn(Name::from("a")));
     assert!(version(&cut_off) < version(&witness), "the one that keeps less knows more");
-    cut_off.on_in_force(version(&witness));
+    cut_off.on_in_force(&witness.config().unwrap());
     cut_off.on_change(START, 12, Change::Announced(announced("c", 3, 12, false)));
     assert_eq!(names(&cut_off), ["b", "c"]);
 }
@@ -138,7 +138,8 @@
     roster.on_lost();
     roster.on_answer(START);
     roster.on_change(START, 11, Change::Withdrawn(Name::from("a")));
-    roster.on_in_force(version(&roster));
+    let config = roster.config().unwrap();
+    roster.on_in_force(&config);
     assert_eq!(names(&roster), ["a", "b"]);
 }
 
@@ -153,3 +154,33 @@
     assert!(config.check("test").is_empty());
     assert!(config.services[0].endpoints.iter().all(|endpoint| endpoint.connections == 90));
 }
+
+/// A VM read the registry at its start and has taken configurations from others since.
+/// An endpoint has left meanwhile. The VM is to watch again, finds the history gone
+/// and the registry just back, and would keep the endpoint for the grace.
+#[test]
+fn a_vm_that_has_not_followed_for_a_while_brings_no_endpoint_back() {
+    let (mut idle, mut follower) = (roster(), roster());
+    follower.on_change(START, 11, Change::Announced(announced("a", 1, 1, true)));
+    follower.on_change(START, 12, Change::Withdrawn(Name::from("a")));
+    idle.on_lost();
+    idle.on_answer(START);
+    assert_eq!(idle.on_in_force(&follower.config().unwrap()), Some(12));
+    idle.on_listing(START, 14, None, vec![announced("b", 2, 2, false)]);
+    assert_eq!(names(&idle), ["b"]);
+}
+
+/// As above, and operators wrote something meanwhile. The VM must not go back to what
+/// they wrote before.
+#[test]
+fn a_vm_that_has_not_followed_for_a_while_keeps_what_operators_wrote_since() {
+    let (mut idle, mut follower) = (roster(), roster());
+    let mut written = operators();
+    written.config.services[0].timeout_ms = 4_321;
+    follower.on_change(START, 11, Change::Operators(Box::new(written)));
+    assert_eq!(idle.on_in_force(&follower.config().unwrap()), Some(11));
+    idle.on_change(START, 12, Change::Withdrawn(Name::from("a")));
+    let config = idle.config().unwrap();
+    assert_eq!(config.services[0].timeout_ms, 4_321);
+    assert_eq!(config.services[0].endpoints[0].connections, 90);
+}
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -429,7 +429,7 @@
     fn put_in_force(&mut self, now: Time, config: Arc<Config>) {
         log::info!("event=config_in_force version={}", config.version);
         self.membership.set_config_version(config.version);
-        self.source.on_in_force(config.version);
+        self.source.on_in_force(&config);
         for (_, shard) in self.context.shards.running() {
             // A shard whose actor has stopped starts anew with this one.
             let _ = shard.tell(NewConfig(Arc::clone(&config))).try_send();
--- a/crates/pistachiotrackd/src/registry.rs
+++ b/crates/pistachiotrackd/src/registry.rs
@@ -1,11 +1,7 @@
 //! A source that makes the configuration of what operators wrote and of the
 //! endpoints that register themselves.
 
-use std::{
-    fmt,
-    sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
-};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -14,7 +10,7 @@
     roster::{Announced, Change, Operators, Roster, RosterSettings},
     time::Time,
 };
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, watch};
 
 use crate::{
     clock::Clock,
@@ -67,8 +63,8 @@
     registry: R,
     clock: Clock,
     mirror: Mutex<Mirror>,
-    /// Version in force; 0 before there is one.
-    in_force: AtomicU64,
+    /// Configuration in force, if there is one.
+    in_force: watch::Sender<Option<Arc<Config>>>,
 }
 
 #[derive(Debug)]
@@ -82,7 +78,7 @@
     /// Creates a source that has read nothing so far.
     pub fn new(registry: R, settings: RosterSettings) -> RegistrySource<R> {
         let mirror = Mirror { roster: Roster::new(settings), followed: None };
-        let in_force = AtomicU64::new(0);
+        let in_force = watch::Sender::new(None);
         RegistrySource { registry, clock: Clock::start(), mirror: Mutex::new(mirror), in_force }
     }
 
@@ -93,13 +89,16 @@
     ) -> Result<Option<Bytes>, RegistryError> {
         let mut mirror = self.mirror.lock().await;
         let give_up = self.clock.now() + wait;
+        let in_force = self.in_force.borrow().clone();
+        mirror.take_in_force(in_force.as_deref());
         if mirror.followed.is_none() {
             let listing = self.registry.list().await;
             mirror.take_listing(self.clock.now(), listing)?;
         }
         loop {
             let now = self.clock.now();
-            mirror.roster.on_in_force(self.in_force.load(Ordering::Relaxed));
+            let in_force = self.in_force.borrow().clone();
+            mirror.take_in_force(in_force.as_deref());
             let due = mirror.roster.drop_due(now);
             if let Some(config) = mirror.roster.config()
                 && Some(config.version) > after
@@ -121,6 +120,13 @@
 }
 
 impl Mirror {
+    fn take_in_force(&mut self, config: Option<&Config>) {
+        let complete = config.and_then(|config| self.roster.on_in_force(config));
+        if let (Some(complete), Some(followed)) = (complete, &mut self.followed) {
+            *followed = complete.max(*followed);
+        }
+    }
+
     fn take_listing(
         &mut self,
         now: Time,
@@ -179,8 +185,8 @@
 }
 
 impl<R: Registry> Source for RegistrySource<R> {
-    fn on_in_force(&self, version: u64) {
-        self.in_force.store(version, Ordering::Relaxed);
+    fn on_in_force(&self, config: &Arc<Config>) {
+        self.in_force.send_replace(Some(Arc::clone(config)));
     }
 
     fn config(
--- a/crates/pistachiotrackd/src/source.rs
+++ b/crates/pistachiotrackd/src/source.rs
@@ -1,9 +1,10 @@
 //! Where a deployment's configuration comes from.
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use pistachiotrack_core::config::Config;
 
 /// Why a source gave no answer.
 #[derive(Debug, thiserror::Error)]
@@ -19,8 +20,9 @@
 
 /// Where a deployment's configuration comes from; only read.
 pub trait Source: fmt::Debug + Send + Sync + 'static {
-    /// Takes the version that is in force now, which may have come from another VM.
-    fn on_in_force(&self, _version: u64) {}
+    /// Takes the configuration that is in force now, which may have come from another
+    /// VM.
+    fn on_in_force(&self, _config: &Arc<Config>) {}
 
     /// Returns a configuration value newer than version `after` as JSON, and waits
     /// up to `wait` for one; `None` if there is none by then.
