Give up a silent attempt only once its retry is taken

Cause: an idempotent request's attempt ended by itself halfway through its time, so that another could follow. Whether one could was decided only afterwards.

Change: the shard looks at attempts that are due, takes the retry first, and then has the attempt end as if its time had passed (ShardAction::GiveUp).

Tests: attempt_is_not_given_up_without_a_retry_left and _without_time_for_another fail on the code before; the former also with the taking of the retry left out. attempt_that_can_be_retried_is_given_up_early now asks for the attempt's end before 590 ms and for a second attempt, instead of a number in the dispatch.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -105,6 +105,8 @@
     expiry: BTreeSet<(Time, RequestId)>,
     /// Requests in flight by the moment at which a hedge is due.
     hedges: BTreeSet<(Time, RequestId)>,
+    /// Attempts by the moment from which on they are better given up.
+    give_ups: BTreeSet<(Time, AttemptId)>,
     /// VMs through which endpoints work that only this VM can't reach.
     witnesses: FxHashMap<Name, Vec<Name>>,
     keys: KeyTable,
@@ -152,6 +154,7 @@
             attempts: FxHashMap::default(),
             expiry: BTreeSet::new(),
             hedges: BTreeSet::new(),
+            give_ups: BTreeSet::new(),
             witnesses: FxHashMap::default(),
             keys: KeyTable::new(KeySettings::default()),
             retries,
@@ -390,6 +393,7 @@
         self.expire(now);
         self.dispatch_queue(now);
         self.dispatch_hedges(now);
+        self.give_up_due(now);
         self.tell_news();
         std::mem::take(&mut self.out)
     }
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -56,6 +56,14 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Ends an attempt without an answer as if its time had passed, to be reported as
+    /// [`Outcome::TimedOut`](crate::request::Outcome::TimedOut).
+    GiveUp {
+        /// Request of the attempt.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Passes the answer of an attempt, which has begun, to the caller.
     Deliver {
         /// Request that is answered.
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -85,7 +85,7 @@
         let is_late = now >= live.not_after;
         if outcome != Outcome::Cancelled
             && self.may_retry(now, id, 1)
-            && self.may_spend(now, of.kind, outcome)
+            && self.may_spend(now, of, outcome)
         {
             return self.enqueue(id);
         }
@@ -126,15 +126,15 @@
     /// Takes a retry from the budget where the failed attempt was a burden to
     /// an endpoint. A trial is the fleet's own doing and is never held against
     /// the caller.
-    fn may_spend(&mut self, now: Time, kind: AttemptKind, outcome: Outcome) -> bool {
+    fn may_spend(&mut self, now: Time, of: &Attempt, outcome: Outcome) -> bool {
         let never_arrived = matches!(
             outcome,
             Outcome::ConnectFailed | Outcome::NotSent | Outcome::WitnessFailed { sent: false }
         );
-        if never_arrived {
+        if never_arrived || of.is_given_up {
             return true;
         }
-        if kind == AttemptKind::Trial {
+        if of.kind == AttemptKind::Trial {
             self.retries.spend(now);
             return true;
         }
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -38,6 +38,8 @@
 const PATIENCE_PART: f64 = 0.5;
 /// Requests that may wait while it does.
 const PATIENT_QUEUE: usize = 8;
+/// Time after which it is looked at again whether a silent attempt can be given up.
+const GIVE_UP_AGAIN_AFTER: Duration = Duration::from_millis(100);
 /// Shortest age of an attempt at which a hedge is sent.
 const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
 /// Shortest time that a refused caller is asked to wait.
@@ -218,11 +220,17 @@
 
     fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
         let attempt = self.next_attempt_id();
-        let time_limit = self.time_limit(now, id, pick.standing);
+        let give_up_at = self.give_up_at(now, id, pick.standing);
         let via = self.witness(&pick.name);
         let Some(live) = self.live.get_mut(&id) else { return };
         let kind =
             if pick.standing == Standing::Trial { AttemptKind::Trial } else { AttemptKind::Work };
+        // A witness ends an attempt by itself, so that its word is the endpoint's.
+        let deadline = live.request.deadline;
+        let time_limit = give_up_at.filter(|_| via.is_some()).unwrap_or(deadline);
+        if let (Some(at), None) = (give_up_at, &via) {
+            self.give_ups.insert((at, attempt));
+        }
         let wants_fresh = self.health.wants_fresh_connection(&pick.name);
         let connection =
             if wants_fresh { ConnectionChoice::Fresh } else { connection(live, pick.standing) };
@@ -252,6 +260,7 @@
                 dispatched_at: now,
                 time_limit,
                 answered: false,
+                is_given_up: false,
                 class,
                 untold: None,
             },
@@ -283,20 +292,55 @@
         }
     }
 
-    /// Returns the moment at which an attempt is given up.
+    /// Gives up attempts that have been silent for long, where others can follow.
+    ///
+    /// Failure guarded against: an attempt is broken off, and there is no time, no
+    /// retry or no endpoint left for another. It shows as "unknown" long before the
+    /// deadline while the endpoint is at work. The guard holds because the retry is
+    /// taken from the budget before the attempt is given up, and an attempt without
+    /// one goes on.
+    pub(super) fn give_up_due(&mut self, now: Time) {
+        while let Some((at, attempt)) = self.give_ups.first().copied() {
+            if at > now {
+                return;
+            }
+            self.give_ups.pop_first();
+            let Some(request) = self.silent_request(now, attempt) else { continue };
+            if self.pool.usable(true) > 1 && self.retries.take(now) {
+                if let Some(of) = self.attempts.get_mut(&attempt) {
+                    of.is_given_up = true;
+                }
+                self.out.push(ShardAction::GiveUp { request, attempt });
+            } else {
+                self.give_ups.insert((now + GIVE_UP_AGAIN_AFTER, attempt));
+            }
+        }
+    }
+
+    /// Returns the request of an attempt that is its only one and has brought no
+    /// answer, if it may be sent to another endpoint.
+    fn silent_request(&self, now: Time, attempt: AttemptId) -> Option<RequestId> {
+        let of = self.attempts.get(&attempt).filter(|of| !of.answered)?;
+        let request = of.request?;
+        let live = self.live.get(&request)?;
+        let may_follow = live.in_flight == [attempt] && live.may_be_sent() && now < live.not_after;
+        may_follow.then_some(request)
+    }
+
+    /// Returns the moment from which on an attempt is better given up.
     ///
     /// An endpoint that hangs shows by silence until the deadline, when a
     /// retry is too late. An idempotent request that has another endpoint
     /// left is therefore given up halfway, unless that is within the usual
     /// latencies.
-    fn time_limit(&self, now: Time, id: RequestId, standing: Standing) -> Time {
-        let Some(live) = self.live.get(&id) else { return now };
+    fn give_up_at(&self, now: Time, id: RequestId, standing: Standing) -> Option<Time> {
+        let live = self.live.get(&id)?;
         let deadline = live.request.deadline;
         let can_retry = live.request.idempotent
             && live.sent + 1 < live.request.max_attempts
             && self.pool.usable(true) > 1;
         if !can_retry {
-            return deadline;
+            return None;
         }
         let half = remaining(deadline, now) / 2;
         let patience = self.latency.p95().map(|p95| p95 * GIVE_UP_TIMES_P95);
@@ -305,7 +349,8 @@
             Some(patience) => half.max(patience),
             None => half,
         };
-        (now + allowed).min(deadline)
+        let give_up_at = now + allowed;
+        (give_up_at < live.not_after).then_some(give_up_at)
     }
 
     /// Sends a health check, if a slot is free for it.
@@ -334,6 +379,7 @@
             dispatched_at: now,
             time_limit,
             answered: false,
+            is_given_up: false,
             class: Class::Batch,
             untold: None,
         };
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -90,6 +90,8 @@
     pub(super) time_limit: Time,
     /// Whether the answer has begun.
     pub(super) answered: bool,
+    /// Whether it was given up for a retry, which is taken from the budget already.
+    pub(super) is_given_up: bool,
     /// Class of the request.
     pub(super) class: Class,
     /// Status of the answer and when it began, until the other VMs know.
--- a/crates/pistachiotrack-core/tests/shard.rs
+++ b/crates/pistachiotrack-core/tests/shard.rs
@@ -128,9 +128,54 @@
     let mut world = world(2, 1);
     let lookup = world.send(1_000, |_| {});
     let booking = world.send(1_000, |request| request.idempotent = false);
-    let limit = |id| world.attempts[&world.attempt(id)].dispatch.time_limit;
-    assert!(limit(lookup) < world.deadline(600));
-    assert_eq!(limit(booking), world.deadline(1_000));
+    let (silent, other) = (world.attempt(lookup), world.attempt(booking));
+    assert_eq!(world.attempts[&silent].dispatch.time_limit, world.deadline(1_000));
+    world.tick(590);
+    assert!(world.attempts[&silent].given_up);
+    assert!(!world.attempts[&other].given_up);
+    world.answer(other);
+    world.outcome(silent, Outcome::TimedOut { fresh_connection: true });
+    assert_eq!(world.attempts_of(lookup).len(), 2);
+}
+
+// Answers take a quarter of a second. A lookup is still at work when it would be
+// given up, and too little time is left then for another endpoint. Broken off, it
+// would be lost shortly before its answer; a caller sees "unknown" for nothing.
+#[test]
+fn attempt_is_not_given_up_without_time_for_another() {
+    let mut world = world(2, 1);
+    serve(&mut world, 40, 240);
+    let lookup = world.send(1_000, |_| {});
+    let attempt = world.attempt(lookup);
+    for _ in 0..99 {
+        world.tick(10);
+        assert!(!world.attempts[&attempt].given_up, "at {:?}", world.now);
+    }
+    assert_eq!(world.attempts[&attempt].dispatch.time_limit, world.deadline(10));
+}
+
+// A VM stops and lets its requests end, while so much has failed that no retry is
+// left. It gives up a lookup that an endpoint is at work on, halfway through its
+// time, and answers "unknown" although the answer would have come.
+#[test]
+fn attempt_is_not_given_up_without_a_retry_left() {
+    let mut world = world(2, 40);
+    let lookup = world.send(1_000, |_| {});
+    let attempt = world.attempt(lookup);
+    world.tick(490);
+    let mut retries = 0;
+    for _ in 0..20 {
+        let failing = world.send(100, |_| {});
+        while world.refusal(failing).is_none() {
+            world.outcome(world.attempt(failing), Outcome::Broken { fresh_connection: true });
+        }
+        retries += world.attempts_of(failing).len() - 1;
+    }
+    assert!(retries < 20, "the budget is never empty");
+    world.tick(50);
+    assert!(!world.attempts[&attempt].given_up);
+    world.answer(attempt);
+    assert!(world.is_delivered(lookup));
 }
 
 // Every endpoint breaks connections. Retries must not multiply the load: they
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -100,6 +100,7 @@
     pub(crate) dispatch: Dispatch,
     pub(crate) state: State,
     pub(crate) cancelled: bool,
+    pub(crate) given_up: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -359,6 +360,15 @@
                     });
                     self.expect(known, || format!("{attempt:?} cancelled without need"));
                 }
+                ShardAction::GiveUp { attempt, .. } => {
+                    let model = self.attempts.get_mut(&attempt);
+                    let is_silent = model.is_some_and(|model| {
+                        let is_first = !model.given_up && !model.cancelled;
+                        model.given_up = true;
+                        is_first && model.state == State::InFlight
+                    });
+                    self.expect(is_silent, || format!("{attempt:?} given up without need"));
+                }
                 ShardAction::Deliver { request, attempt } => {
                     let begun = self.attempts.get(&attempt).is_some_and(|model| {
                         model.dispatch.request == request
@@ -415,7 +425,12 @@
         }
         self.attempts.insert(
             dispatch.attempt,
-            ModelAttempt { dispatch: dispatch.clone(), state: State::InFlight, cancelled: false },
+            ModelAttempt {
+                dispatch: dispatch.clone(),
+                state: State::InFlight,
+                cancelled: false,
+                given_up: false,
+            },
         );
         self.check_endpoint(&dispatch);
     }
--- a/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
@@ -23,6 +23,8 @@
 pub(super) enum Command {
     /// Sends a request to an endpoint.
     Send { tag: Tag, request: RequestId, endpoint: Name, time_limit: Time },
+    /// Ends an attempt as if its time had passed.
+    GiveUp { tag: Tag },
     /// Ends an attempt.
     Cancel { tag: Tag },
     /// Passes an attempt's answer on.
@@ -114,6 +116,7 @@
             time_limit: dispatch.time_limit,
         }),
         ShardAction::Cancel { attempt, .. } => Some(Command::Cancel { tag: (vm, attempt) }),
+        ShardAction::GiveUp { attempt, .. } => Some(Command::GiveUp { tag: (vm, attempt) }),
         ShardAction::Deliver { request, .. } => Some(Command::Deliver { request }),
         ShardAction::Refuse { request, refusal } => {
             Some(Command::Refuse { request, execution: refusal.execution })
--- a/crates/pistachiotrack-standins/src/experiment/overload/simulation.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/simulation.rs
@@ -266,11 +266,9 @@
                 Command::Send { tag, request, endpoint, time_limit } => {
                     self.send(tag, request, &endpoint, time_limit);
                 }
-                Command::Cancel { tag } => {
-                    if let Some(job) = self.by_tag.get(&tag).copied() {
-                        let more = self.close(job, Outcome::Cancelled);
-                        self.obey(more);
-                    }
+                Command::Cancel { tag } => self.end(tag, Outcome::Cancelled),
+                Command::GiveUp { tag } => {
+                    self.end(tag, Outcome::TimedOut { fresh_connection: true });
                 }
                 Command::Deliver { request } => self.on_delivered(request),
                 Command::Refuse { request, execution } => self.on_refused(request, execution),
@@ -278,6 +276,13 @@
         }
     }
 
+    fn end(&mut self, tag: Tag, outcome: Outcome) {
+        if let Some(job) = self.by_tag.get(&tag).copied() {
+            let more = self.close(job, outcome);
+            self.obey(more);
+        }
+    }
+
     fn send(&mut self, tag: Tag, request: RequestId, endpoint: &Name, time_limit: Time) {
         let Some(open) = self.open.get_mut(&request) else { return };
         open.dispatches += 1;
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -14,7 +14,7 @@
     connection_pool::{CheckoutError, ConnectionPool},
     context::Context,
     dialect::{AnswerFacts, AnswerKind, OutgoingFacts},
-    exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
+    exchange::{self, BegunAnswer, ExchangeError, GiveUp, RequestHead, Target},
     inbound::Inbound,
     via,
 };
@@ -45,6 +45,7 @@
     inbound: Arc<Inbound>,
     dispatch: Dispatch,
     budget: u32,
+    give_up: GiveUp,
 ) -> AttemptEnd {
     let choice = connection_choice(&inbound, dispatch.connection);
     let facts = OutgoingFacts {
@@ -61,6 +62,7 @@
                 budget,
                 not_after: dispatch.not_after,
                 time_limit: dispatch.time_limit,
+                give_up,
             };
             let pool = &context.endpoints;
             let result = exchange::run(pool, context.clock, target, head, &inbound.body).await;
--- a/crates/pistachiotrackd/src/exchange.rs
+++ b/crates/pistachiotrackd/src/exchange.rs
@@ -1,12 +1,13 @@
 //! One request and the head of its answer on one connection.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use hyper::{
     HeaderMap, Method, Request, Uri, Version, body::Incoming, client::conn::TrySendError,
     http::response::Parts,
 };
 use pistachiotrack_core::{request::ConnectionChoice, time::Time};
+use tokio::sync::Notify;
 
 use crate::{
     clock::Clock,
@@ -16,7 +17,7 @@
 };
 
 /// Where and when a request is sent.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Target {
     /// Address of the other end.
     pub(crate) address: SocketAddr,
@@ -28,6 +29,19 @@
     pub(crate) not_after: Time,
     /// Moment at which the exchange is given up.
     pub(crate) time_limit: Time,
+    /// Gives it up sooner.
+    pub(crate) give_up: GiveUp,
+}
+
+/// Ends an exchange without an answer as if its time had passed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GiveUp(Arc<Notify>);
+
+impl GiveUp {
+    /// Ends the exchange, now or as soon as it has a connection.
+    pub(crate) fn now(&self) {
+        self.0.notify_one();
+    }
 }
 
 /// Head of a request as it is sent.
@@ -140,7 +154,7 @@
         let checked_out =
             pool.check_out(target.address, choice, target.budget, target.time_limit).await?;
         let fresh = checked_out.fresh;
-        let result = send(clock, target, checked_out, head.clone(), body).await;
+        let result = send(clock, &target, checked_out, head.clone(), body).await;
         match result {
             Err(ExchangeError::ClosedUnsent) if !fresh && body.is_at_hand() => {
                 choice = ConnectionChoice::Fresh;
@@ -156,7 +170,7 @@
 
 async fn send(
     clock: Clock,
-    target: Target,
+    target: &Target,
     checked_out: CheckedOut,
     head: RequestHead,
     body: &RequestBody,
@@ -166,19 +180,24 @@
     let request = request(head, send_body);
     connection.guard.begin(target.not_after);
     let sent = clock.now();
-    let answer = tokio::time::timeout_at(
-        clock.instant(target.time_limit),
-        connection.sender.try_send_request(request),
-    )
-    .await;
+    let answer = connection.sender.try_send_request(request);
+    let answer = tokio::time::timeout_at(clock.instant(target.time_limit), async {
+        tokio::select! {
+            biased;
+            answer = answer => Some(answer),
+            () = target.give_up.0.notified() => None,
+        }
+    })
+    .await
+    .unwrap_or_default();
     match answer {
-        Ok(Ok(response)) => {
+        Some(Ok(response)) => {
             let (parts, incoming) = response.into_parts();
             Ok(BegunAnswer { parts, body: incoming, connection, fresh, sent, began: clock.now() })
         }
-        Ok(Err(error)) => Err(failure(&connection, fresh, error, body)),
-        Err(_) if connection.guard.seal() => Err(ExchangeError::TooLate),
-        Err(_) => Err(ExchangeError::TimedOut { fresh }),
+        Some(Err(error)) => Err(failure(&connection, fresh, error, body)),
+        None if connection.guard.seal() => Err(ExchangeError::TooLate),
+        None => Err(ExchangeError::TimedOut { fresh }),
     }
 }
 
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -14,7 +14,7 @@
 use crate::{
     body::{self, AnswerBody},
     context::Context,
-    exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
+    exchange::{self, BegunAnswer, ExchangeError, GiveUp, RequestHead, Target},
     headers,
     inbound::Inbound,
     metrics::Event,
@@ -120,6 +120,7 @@
         budget: PEER_BUDGET,
         not_after: inbound.deadline,
         time_limit: inbound.deadline + OWNER_GRACE,
+        give_up: GiveUp::default(),
     };
     let head = request_head(context, inbound);
     exchange::run(&context.peers, context.clock, target, head, &inbound.body).await
--- a/crates/pistachiotrackd/src/probe.rs
+++ b/crates/pistachiotrackd/src/probe.rs
@@ -19,7 +19,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::{AnswerKind, Dialect, OutgoingFacts},
-    exchange::{self, BegunAnswer, RequestHead, Target},
+    exchange::{self, BegunAnswer, GiveUp, RequestHead, Target},
     request_body::RequestBody,
     shard_actor::{AttemptOutcome, BodyEnded, ShardActor},
 };
@@ -104,6 +104,7 @@
             choice: ConnectionChoice::Fresh,
             budget: PROBE_BUDGET,
             not_after: self.time_limit,
+            give_up: GiveUp::default(),
             time_limit: self.time_limit,
         };
         let body = RequestBody::Whole(None);
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -27,7 +27,7 @@
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
     connection_pool::ConnectionPool,
     context::Context,
-    exchange::BegunAnswer,
+    exchange::{BegunAnswer, GiveUp},
     headers,
     inbound::Inbound,
     metrics::Event,
@@ -98,7 +98,12 @@
 /// Connections to an endpoint that a VM may have open in any case.
 const MIN_CONNECTION_BUDGET: u32 = 2;
 
-type RunningAttempt = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+/// An attempt without an answer so far.
+struct RunningAttempt {
+    attempt: AttemptId,
+    end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
+    give_up: GiveUp,
+}
 
 /// A request that a shard decides about.
 ///
@@ -109,7 +114,7 @@
     shard: ActorRef<ShardActor>,
     inbound: Arc<Inbound>,
     commands: UnboundedReceiver<Command>,
-    running: Vec<(AttemptId, RunningAttempt)>,
+    running: Vec<RunningAttempt>,
     answered: Vec<Answered>,
     may_have_run: bool,
     finished: bool,
@@ -157,6 +162,10 @@
         match command {
             Command::Dispatch(dispatch) => return self.dispatch(dispatch),
             Command::Cancel(attempt) => self.cancel(attempt),
+            Command::GiveUp(attempt) => {
+                let running = self.running.iter().find(|running| running.attempt == attempt);
+                running.inspect(|running| running.give_up.now());
+            }
             Command::Deliver(attempt) => return self.deliver(attempt),
             Command::Replay(stored) => {
                 self.finished = true;
@@ -191,8 +200,9 @@
         let inbound = Arc::clone(&self.inbound);
         let service = &inbound.route.shard.service;
         let budget = connection_budget(&context, service, &dispatch.endpoint);
-        let running = attempt::run(context, inbound, dispatch, budget);
-        self.running.push((attempt, Box::pin(running)));
+        let give_up = GiveUp::default();
+        let end = Box::pin(attempt::run(context, inbound, dispatch, budget, give_up.clone()));
+        self.running.push(RunningAttempt { attempt, end, give_up });
         None
     }
 
@@ -206,7 +216,7 @@
     }
 
     fn cancel(&mut self, attempt: AttemptId) {
-        if let Some(index) = self.running.iter().position(|(id, _)| *id == attempt) {
+        if let Some(index) = self.running.iter().position(|running| running.attempt == attempt) {
             drop(self.running.swap_remove(index));
             self.may_have_run = true;
             self.tell_outcome(attempt, Outcome::Cancelled, Report::default());
@@ -320,14 +330,14 @@
                 Command::Dispatch(dispatch) => {
                     self.tell_outcome(dispatch.attempt, Outcome::NotSent, Report::default());
                 }
-                Command::Cancel(_) => {}
+                Command::Cancel(_) | Command::GiveUp(_) => {}
                 Command::Deliver(_) | Command::Replay(_) | Command::Refuse(_) => {
                     self.finished = true;
                 }
             }
         }
-        for (attempt, running) in std::mem::take(&mut self.running) {
-            drop(running);
+        for RunningAttempt { attempt, end, .. } in std::mem::take(&mut self.running) {
+            drop(end);
             self.tell_outcome(attempt, Outcome::Cancelled, Report::default());
         }
         for answered in std::mem::take(&mut self.answered) {
@@ -342,11 +352,11 @@
 }
 
 /// Waits until one of the running attempts has ended and removes it.
-async fn next_end(running: &mut Vec<(AttemptId, RunningAttempt)>) -> (AttemptId, AttemptEnd) {
+async fn next_end(running: &mut Vec<RunningAttempt>) -> (AttemptId, AttemptEnd) {
     poll_fn(|cx| {
         for index in 0..running.len() {
-            if let Poll::Ready(end) = running[index].1.as_mut().poll(cx) {
-                let (attempt, _) = running.swap_remove(index);
+            if let Poll::Ready(end) = running[index].end.as_mut().poll(cx) {
+                let RunningAttempt { attempt, .. } = running.swap_remove(index);
                 return Poll::Ready((attempt, end));
             }
         }
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -48,6 +48,8 @@
     Dispatch(Dispatch),
     /// Ends an attempt by closing its connection.
     Cancel(AttemptId),
+    /// Ends an attempt as if its time had passed.
+    GiveUp(AttemptId),
     /// Passes on the answer of an attempt; final.
     Deliver(AttemptId),
     /// Answers with the answer of an earlier request; final.
@@ -382,10 +384,10 @@
         match action {
             ShardAction::Dispatch(dispatch) => return self.dispatch(dispatch),
             ShardAction::Cancel { request, attempt } => {
-                // A request whose task has ended has ended its attempts too.
-                if let Some(commands) = self.requests.get(&request) {
-                    let _ = commands.send(Command::Cancel(attempt));
-                }
+                self.command(request, Command::Cancel(attempt));
+            }
+            ShardAction::GiveUp { request, attempt } => {
+                self.command(request, Command::GiveUp(attempt));
             }
             ShardAction::Deliver { request, attempt } => {
                 self.finish(request, Command::Deliver(attempt));
@@ -436,6 +438,13 @@
         self.shard.on_outcome(self.clock.now(), attempt, Outcome::NotSent, Report::default())
     }
 
+    fn command(&self, request: RequestId, command: Command) {
+        // A request whose task has ended has ended its attempts too.
+        if let Some(commands) = self.requests.get(&request) {
+            let _ = commands.send(command);
+        }
+    }
+
     fn finish(&mut self, request: RequestId, command: Command) {
         if let Some(commands) = self.requests.remove(&request) {
             // The caller may have gone away; the task has told so then.
--- a/crates/pistachiotrackd/src/via.rs
+++ b/crates/pistachiotrackd/src/via.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     context::Context,
-    exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
+    exchange::{self, BegunAnswer, ExchangeError, GiveUp, RequestHead, Target},
     forward::PEER_BUDGET,
     headers,
     request_body::RequestBody,
@@ -206,6 +206,7 @@
         budget: PEER_BUDGET,
         not_after: dispatch.not_after,
         time_limit: dispatch.time_limit + WITNESS_GRACE,
+        give_up: GiveUp::default(),
     };
     let mut answer = exchange::run(&context.peers, context.clock, target, head, body).await?;
     match ViaEnd::read(&answer.parts.headers) {
--- a/crates/pistachiotrackd/src/witness.rs
+++ b/crates/pistachiotrackd/src/witness.rs
@@ -13,7 +13,7 @@
     attempt::outcome_of_error,
     body::{self, AnswerBody},
     context::Context,
-    exchange::{self, BegunAnswer, ExchangeError, RequestHead, Target},
+    exchange::{self, BegunAnswer, ExchangeError, GiveUp, RequestHead, Target},
     headers,
     inbound::origin_form,
     proxy, request_task,
@@ -36,6 +36,7 @@
         budget,
         not_after: received + Duration::from_micros(order.not_after_us),
         time_limit,
+        give_up: GiveUp::default(),
     };
     match run(context, request, target, time_limit).await {
         Ok(answer) => pass_on(context, answer),
