Let requests wait for the first configuration of a VM that has just started

Ruled out: a slow store (its answer takes 4 ms), a slow spread (all VMs have the configuration 10 ms after the first). The 0.2 s are two ticks of the membership and the spread of the first reads, which keep all VMs from reading at once; reading sooner would cost some eighty calls at each restart.

Change: in the first half second after its start a VM lets a request wait for the configuration, up to a quarter of the request's time. Later it refuses at once as before.

Test: a_request_waits_for_the_first_configuration fails with the wait left out.

--- a/crates/pistachiotrackd/src/clock.rs
+++ b/crates/pistachiotrackd/src/clock.rs
@@ -26,6 +26,11 @@
         Clock { start: since_boot() }
     }
 
+    /// Returns the moment at which the clock was started.
+    pub(crate) fn started(&self) -> Time {
+        START
+    }
+
     /// Returns the present moment.
     pub fn now(&self) -> Time {
         START + since_boot().saturating_sub(self.start)
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -124,14 +124,15 @@
 async fn receive(context: &Context, request: Request<Incoming>) -> Result<Inbound, Refused> {
     let (mut parts, body) = request.into_parts();
     let received = arrival(context, &parts);
-    let view = context.view();
-    let Some(active) = &view.active else { return Err(Box::new(answer::no_config())) };
     headers::strip_from_caller(&mut parts.headers);
     let asked = context.dialect.read_request(&parts).map_err(|error| {
         log::info!("event=request_malformed error={:?}", error.to_string());
         Box::new(answer::not_run(Reason::BadRequest))
     })?;
-    let deadline = asked.time_left.map(|left| received + left.min(MAX_DEADLINE));
+    let time_left = asked.time_left.map(|left| left.min(MAX_DEADLINE));
+    let deadline = time_left.map(|left| received + left);
+    let view = view_with_config(context, received, time_left).await;
+    let Some(active) = &view.active else { return Err(Box::new(answer::no_config())) };
     let rule = decide(&asked, context, active, &parts);
     let route = match rule {
         Some(RuleAction::Route(route)) => route,
@@ -170,6 +171,33 @@
     })
 }
 
+/// Part of a request's time for which it waits for the first configuration, as a
+/// divisor; the rest is left to serve it.
+const FIRST_CONFIG_DIVISOR: u32 = 4;
+
+/// Returns the view of the fleet, in a VM that has just started as soon as there is a
+/// configuration.
+///
+/// Failure guarded against: all VMs restart, and callers reach them before they have
+/// the configuration. It shows as a burst of refusals, which most callers take for
+/// final. The guard holds because the configuration comes within a fraction of a
+/// second; later than that, requests are refused at once.
+async fn view_with_config(
+    context: &Context,
+    received: Time,
+    time_left: Option<Duration>,
+) -> Arc<FleetView> {
+    let wait = Duration::from_millis(context.settings.limits.first_config_wait_ms);
+    let until = context.clock.started() + wait;
+    let until = time_left.map_or(until, |left| until.min(received + left / FIRST_CONFIG_DIVISOR));
+    let mut view = context.view.clone();
+    let known = view.wait_for(|view| view.active.is_some());
+    match tokio::time::timeout_at(context.clock.instant(until), known).await {
+        Ok(Ok(view)) => Arc::clone(&view),
+        Ok(Err(_)) | Err(_) => context.view(),
+    }
+}
+
 /// Returns the moment from which a request's deadline counts.
 fn arrival(context: &Context, parts: &request::Parts) -> Time {
     parts.extensions.get().map_or_else(|| context.clock.now(), |Arrival(time)| *time)
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -199,6 +199,9 @@
     pub age_ms: u64,
     /// Time since its last answer for which a connection counts as lively.
     pub lively_ms: u64,
+    /// Time after the start in which a request waits for the first configuration;
+    /// a VM that restarts with all others has it after a fifth of a second.
+    pub first_config_wait_ms: u64,
     /// Gap between two ticks of the timer that counts as a pause.
     pub pause_threshold_ms: u64,
     /// Time without requests after which a shard is forgotten that this VM does
@@ -224,6 +227,7 @@
             idle_ms: 10_000,
             age_ms: 300_000,
             lively_ms: 1_000,
+            first_config_wait_ms: 500,
             pause_threshold_ms: 500,
             careful_idle_ms: 60_000,
             shutdown_ms: 30_000,
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -9,7 +9,13 @@
 use pistachiotrack_core::header;
 use pistachiotrackd::{daemon::Daemon, settings::Settings};
 use serde_json::json;
-use testenv::{Deployment, client, endpoint::Endpoint, platform::Platform, settings};
+use testenv::{
+    Deployment, client, config,
+    endpoint::Endpoint,
+    fleet::{bounded, counter},
+    platform::Platform,
+    settings,
+};
 use tokio::sync::watch;
 
 /// A clerk's lookup breaks off whenever a VM is replaced. The daemon is asked
@@ -30,11 +36,7 @@
     let address = deployment.address();
     let admin = deployment.daemon.admin_address();
     let caller = tokio::spawn(client::send(address, client::get("/slots")));
-    client::wait_for(admin, "/status", |status| {
-        let counters = status["counters"].as_array().unwrap();
-        counters.iter().any(|c| c["name"] == "dispatches" && c["value"] == 1)
-    })
-    .await;
+    client::wait_for(admin, "/status", |status| counter(status, "dispatches") == 1).await;
     let stop = tokio::spawn(deployment.daemon.stop());
     while tokio::net::TcpStream::connect(address).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -54,6 +56,24 @@
     assert_eq!(client::field(&refused, header::REASON), Some("no-config"));
 }
 
+/// All VMs restart, and a caller that knows them asks one before it has read the
+/// configuration. It must not be refused for the fraction of a second until then.
+#[tokio::test]
+async fn a_request_waits_for_the_first_configuration() {
+    bounded(async {
+        let platform = Platform::start().await;
+        let limits = json!({"first_config_wait_ms": 60_000});
+        let daemon = Daemon::start(settings("vm-01", platform.address, limits)).await.unwrap();
+        let (caller, admin) = (daemon.caller_address(), daemon.admin_address());
+        let asked = tokio::spawn(client::send(caller, client::get("/slots")));
+        client::wait_for(admin, "/status", |status| counter(status, "requests") == 1).await;
+        let search = Endpoint::answering("free slots").await;
+        platform.publish_config(config(1, &[search.address], &[]));
+        assert_eq!(asked.await.unwrap().unwrap().body(), "free slots");
+    })
+    .await;
+}
+
 #[test]
 fn settings_errors_name_the_file_the_field_and_the_value() {
     let valid = json!({
