Tell VMs that don't dispatch from nearby only

Ruled out: membership (0.3 MB), the spread of the configuration; requests served in another data centre are the other half.

Change: dispatchers tell only such VMs of their own data centre.

Tests: guests.rs, of decisions that stood in the link between VMs untested.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -3,6 +3,7 @@
 mod action;
 mod ending;
 mod flow;
+mod guests;
 mod hand_over;
 mod news;
 mod pool;
@@ -17,6 +18,7 @@
 
 pub use self::{
     action::{Dispatch, Grounds, ShardAction},
+    guests::Guests,
     hand_over::ShardHandOver,
     news::{EndedAttempt, ShardNews, ShardPicture},
     strain::Served,
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/guests.rs
@@ -0,0 +1,42 @@
+//! VMs that a dispatcher tells besides the other dispatchers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use pistachiotrack_core::{shard::Guests, time::Time};
+
+const START: Time = Time::from_millis(10_000);
+
+fn vm(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + number))
+}
+
+/// Callers with old addresses use all 48 VMs now and then, and each asks the
+/// dispatchers of all data centres. If each of these told it everything, most of what
+/// crosses between data centres would be news for VMs that have a dispatcher nearby.
+#[test]
+fn vms_elsewhere_are_left_to_their_own_dispatchers() {
+    let mut guests = Guests::default();
+    guests.note(START, vm(1), || true);
+    guests.note(START, vm(2), || false);
+    assert_eq!(guests.told(START).collect::<Vec<_>>(), [vm(1)]);
+}
+
+/// A VM that callers no longer use must not be told for good.
+#[test]
+fn a_silent_vm_is_told_for_two_seconds_more() {
+    let mut guests = Guests::default();
+    guests.note(START, vm(1), || true);
+    let later = START + Duration::from_millis(1_500);
+    guests.note(later, vm(1), || unreachable!("it is told already"));
+    assert_eq!(guests.told(later + Duration::from_millis(1_900)).count(), 1);
+    assert_eq!(guests.told(later + Duration::from_millis(2_000)).count(), 0);
+}
+
+/// A whole fleet begins without knowing itself, so that each VM seems to be nearby.
+/// It must not flood itself.
+#[test]
+fn few_vms_are_told_however_many_ask() {
+    let mut guests = Guests::default();
+    (0..200).for_each(|number| guests.note(START, vm(number), || true));
+    assert_eq!(guests.told(START).count(), 16);
+}
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -3,7 +3,6 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
 };
 
 use pistachiotrack_core::{
@@ -11,11 +10,9 @@
     name::Name,
     ownership::ShardId,
     retry::DispatchersInView,
-    shard::{ShardNews, ShardPicture},
-    time::Time,
+    shard::{Guests, ShardNews, ShardPicture},
     vm::Vm,
 };
-use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::watch};
 
@@ -23,18 +20,11 @@
 
 /// First byte of these datagrams; those of the membership begin with another.
 pub(crate) const NEWS_TAG: u8 = 0x80;
-/// Time for which a VM that told something is told everything in turn: a VM that
-/// callers still use though it is no dispatcher any more must count the others.
-const GUEST_TIME: Duration = Duration::from_secs(2);
 /// Dispatchers that are asked for a picture.
 const ASKED: usize = 2;
 /// Endpoints in one datagram with a picture: each takes about 20 bytes of the 1,200
 /// that one may have.
 const BELIEFS_PER_DATAGRAM: usize = 40;
-/// Guests that are told at most, so that a fleet that has not found itself yet
-/// doesn't flood itself.
-const MAX_GUESTS: usize = 16;
-
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct NewsDatagram {
@@ -76,7 +66,7 @@
     socket: Arc<UdpSocket>,
     view: watch::Receiver<Arc<FleetView>>,
     traffic: Arc<ControlTraffic>,
-    guests: Mutex<FxHashMap<SocketAddr, Time>>,
+    guests: Mutex<Guests>,
 }
 
 impl NewsLink {
@@ -105,10 +95,9 @@
         }
         let now = self.clock.now();
         let mut guests = self.guests.lock().unwrap_or_else(PoisonError::into_inner);
-        guests.retain(|_, until| now < *until);
-        for address in guests.keys() {
-            if dispatchers.iter().all(|vm| vm.peer_address != *address) {
-                udp::send(&self.socket, *address, &bytes, &self.traffic);
+        for address in guests.told(now) {
+            if dispatchers.iter().all(|vm| vm.peer_address != address) {
+                udp::send(&self.socket, address, &bytes, &self.traffic);
             }
         }
     }
@@ -161,14 +150,19 @@
         if datagram.deployment != self.deployment || datagram.from == self.me.name {
             return None;
         }
-        let until = self.clock.now() + GUEST_TIME;
         let mut guests = self.guests.lock().unwrap_or_else(PoisonError::into_inner);
-        if guests.len() < MAX_GUESTS || guests.contains_key(&from) {
-            guests.insert(from, until);
-        }
+        guests.note(self.clock.now(), from, || self.is_nearby(from));
         Some(datagram)
     }
 
+    /// Returns whether the VM at an address is in this VM's data centre, as far as is
+    /// known.
+    fn is_nearby(&self, address: SocketAddr) -> bool {
+        let view = self.view.borrow();
+        let member = view.members.iter().find(|member| member.vm.peer_address == address);
+        member.is_none_or(|member| member.vm.data_centre == self.me.data_centre)
+    }
+
     /// Returns which VMs dispatch for a service, as far as this VM knows.
     pub(crate) fn dispatchers(&self, service: &str) -> DispatchersInView {
         let view = self.view.borrow();
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -41,6 +41,10 @@
     timer::TimerEvent,
 };
 
+/// Time without a word of a dispatcher after which a VM that isn't one asks for a
+/// picture when a request comes. Beliefs fade within about ten seconds.
+const PICTURE_AGE: Duration = Duration::from_secs(1);
+
 /// What a shard tells the task of a request.
 #[derive(Debug)]
 pub(crate) enum Command {
@@ -105,6 +109,8 @@
     mode: ShardMode,
     careful_idle: Duration,
     last_use: Time,
+    /// Moment of the last word of another VM, or of the last question for one.
+    heard: Time,
     retired: bool,
 }
 
@@ -135,6 +141,7 @@
             mode: args.mode,
             careful_idle: args.careful_idle,
             last_use: now,
+            heard: now,
             retired: false,
         })
     }
@@ -154,6 +161,7 @@
     async fn handle(&mut self, message: Submit, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.last_use = now;
+        self.refresh_picture(now);
         self.requests.insert(message.request.id, message.commands);
         let actions = self.shard.on_request(now, message.request);
         self.apply(actions);
@@ -241,9 +249,10 @@
     type Reply = ();
 
     async fn handle(&mut self, message: PeerNews, _: &mut Context<Self, ()>) {
-        self.last_use = self.clock.now();
-        let NewsDatagram { from, content, .. } = message.datagram;
         let now = self.clock.now();
+        self.last_use = now;
+        self.heard = now;
+        let NewsDatagram { from, content, .. } = message.datagram;
         let actions = match content {
             NewsContent::Told(news) => self.shard.on_news(now, &from, &news),
             NewsContent::Picture(picture) => self.shard.on_picture(now, &picture),
@@ -472,6 +481,17 @@
         }
     }
 
+    /// Failure guarded against: a VM that callers seldom use sends a request to an
+    /// endpoint that all others know to fail. It shows as failures with a risk that was
+    /// seen ten seconds ago. The guard holds because it asks when a request comes, and
+    /// has the picture for the next one and for a retry.
+    fn refresh_picture(&mut self, now: Time) {
+        if self.shard.is_shared() && now.since(self.heard) >= PICTURE_AGE {
+            self.heard = now;
+            self.news.ask(&self.id);
+        }
+    }
+
     fn publish_facts(&self, now: Time) {
         let facts = ShardFacts {
             at_floor: self.shard.at_floor(),
