Tell answers and listeners once, refuse settings that were overwritten

What an answer means for its attempt stood in attempt and probe, the making of a listener in two methods; a term for other VMs' requests in the choice by load could not be reached. membership.seeds and config_sync.assumed_fleet_vms were taken from the settings and then overwritten by seed_addresses and expected_vms; now they are refused like any unknown field.

Behaviour is unchanged but for the refusal (two more cases of settings_errors_name_the_file_the_field_and_the_value; they fail before).

--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -31,6 +31,7 @@
     /// longer in a large fleet.
     pub unconfirmed_read_after_ms: u64,
     /// Size of the fleet while neither list nor members are known.
+    #[serde(skip, default = "assumed_fleet_vms")]
     pub assumed_fleet_vms: u32,
     /// Time for which a VM without a configuration holds the platform's first
     /// value back to hear whether a peer has a newer one.
@@ -55,10 +56,15 @@
             follower_reads_per_second: 20.0,
             cold_read_after_ms: 5_000,
             unconfirmed_read_after_ms: 60_000,
-            assumed_fleet_vms: 48,
+            assumed_fleet_vms: assumed_fleet_vms(),
             first_value_grace_ms: 1_000,
             change_gap_ms: 0,
             rejected_hold_ms: 60_000,
         }
     }
 }
+
+/// Size of the fleet where the settings of the VM don't say.
+fn assumed_fleet_vms() -> u32 {
+    48
+}
--- a/crates/pistachiotrack-core/src/membership/settings.rs
+++ b/crates/pistachiotrack-core/src/membership/settings.rs
@@ -14,6 +14,7 @@
     #[serde(skip, default = "no_deployment")]
     pub deployment: Name,
     /// Peer addresses of VMs that may know the fleet; each may be stale or down.
+    #[serde(skip)]
     pub seeds: Vec<SocketAddr>,
     /// Time between two probes sent by a VM.
     pub probe_interval_ms: u64,
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -290,12 +290,9 @@
                 (true, false) => (0, rank),
                 (true, true) => (0, 0),
             };
-            let peers = slots.peer_count();
             let load = match is_trial {
                 true => 0,
-                false => {
-                    1 + (slots.in_flight + peers + handicap) * 1000 / (slots.limit + peers).max(1)
-                }
+                false => 1 + (slots.in_flight + handicap) * 1000 / slots.limit.max(1),
             };
             let key = (is_tried, order, load, self.rng.next_u32());
             if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -124,46 +124,40 @@
     answer: BegunAnswer,
 ) -> AttemptEnd {
     let AnswerFacts { kind, report } = facts;
-    let fresh_connection = answer.fresh;
-    let outcome = match kind {
-        AnswerKind::NotRun => return shed(pool, endpoint, grounds, report, answer).await,
-        AnswerKind::WrongEndpoint => Outcome::ConnectFailed,
-        AnswerKind::Unrelated => Outcome::Broken { fresh_connection },
-        AnswerKind::Answer => {
-            let status = answer.parts.status.as_u16();
-            let outcome = Outcome::Answered { status, fresh_connection };
-            return AttemptEnd {
-                endpoint,
-                grounds,
-                outcome,
-                report,
-                answer: Some(Box::new(answer)),
-                pool,
-            };
+    let outcome = outcome_of_answer(kind, &answer);
+    let answer = match kind {
+        AnswerKind::Answer => Some(Box::new(answer)),
+        AnswerKind::NotRun => {
+            return_connection(&pool, answer).await;
+            None
         }
+        AnswerKind::WrongEndpoint | AnswerKind::Unrelated => None,
     };
-    AttemptEnd { endpoint, grounds, outcome, report, answer: None, pool }
+    AttemptEnd { endpoint, grounds, outcome, report, answer, pool }
 }
 
-/// Ends an exchange that the endpoint refused; its connection is kept if the
-/// short body is there already.
-async fn shed(
-    pool: Arc<ConnectionPool>,
-    endpoint: Name,
-    grounds: Grounds,
-    report: Report,
-    mut answer: BegunAnswer,
-) -> AttemptEnd {
+/// Keeps the connection of a refusal if its short body is there already.
+async fn return_connection(pool: &ConnectionPool, mut answer: BegunAnswer) {
     while !answer.body.is_end_stream() {
         let frame = tokio::time::timeout(SHED_BODY_WAIT, answer.body.frame()).await;
         if !matches!(frame, Ok(Some(Ok(_)))) {
-            break;
+            return;
         }
     }
-    if answer.body.is_end_stream() {
-        pool.check_in(answer.connection);
+    pool.check_in(answer.connection);
+}
+
+/// Returns what a shard is told of an answer that has begun.
+pub(crate) fn outcome_of_answer(kind: AnswerKind, answer: &BegunAnswer) -> Outcome {
+    let fresh_connection = answer.fresh;
+    match kind {
+        AnswerKind::Answer => {
+            Outcome::Answered { status: answer.parts.status.as_u16(), fresh_connection }
+        }
+        AnswerKind::NotRun => Outcome::Shed,
+        AnswerKind::WrongEndpoint => Outcome::ConnectFailed,
+        AnswerKind::Unrelated => Outcome::Broken { fresh_connection },
     }
-    AttemptEnd { endpoint, grounds, outcome: Outcome::Shed, report, answer: None, pool }
 }
 
 /// Returns what a shard is told of a failed exchange.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -225,8 +225,8 @@
             superseded,
             admin_address,
         };
-        daemon.listen_to_platform(sockets.readiness, sockets.directory, stopping.clone());
-        daemon.listen(sockets.caller, sockets.peer, sockets.admin, stopping);
+        daemon.listen_to_platform(sockets.readiness, sockets.directory, &stopping);
+        daemon.listen(sockets.caller, sockets.peer, sockets.admin, &stopping);
         log::info!(
             "event=started vm={} caller_address={} peer_address={} admin_address={admin_address}",
             daemon.context.me.name,
@@ -241,22 +241,16 @@
         caller: TcpListener,
         peer: TcpListener,
         admin: TcpListener,
-        stopping: watch::Receiver<bool>,
+        stopping: &watch::Receiver<bool>,
     ) {
         let limits = &self.context.settings.limits;
-        let listener = |socket, max_connections| Listener {
-            socket,
-            max_connections,
-            stopping: stopping.clone(),
-            connections: self.connections.clone(),
-        };
-        let callers = listener(caller, limits.caller_connections);
+        let callers = self.listener(caller, limits.caller_connections, stopping);
         tokio::spawn(callers.serve(Arc::clone(&self.context), proxy::handle_caller));
-        let peers = listener(peer, limits.peer_connections);
+        let peers = self.listener(peer, limits.peer_connections, stopping);
         let fleet = self.fleet.clone();
         let handler = move |context, request| peer_service::handle(context, fleet.clone(), request);
         tokio::spawn(peers.serve(Arc::clone(&self.context), handler));
-        let operators = listener(admin, ADMIN_CONNECTIONS);
+        let operators = self.listener(admin, ADMIN_CONNECTIONS, stopping);
         let fleet = self.fleet.clone();
         let handler = move |context, request| admin::handle(context, fleet.clone(), request);
         tokio::spawn(operators.serve(Arc::clone(&self.context), handler));
@@ -266,25 +260,29 @@
         &self,
         readiness: Option<TcpListener>,
         directory: Option<TcpListener>,
-        stopping: watch::Receiver<bool>,
+        stopping: &watch::Receiver<bool>,
     ) {
         let max_connections = self.context.settings.limits.caller_connections;
-        let listener = |socket| Listener {
-            socket,
-            max_connections,
-            stopping: stopping.clone(),
-            connections: self.connections.clone(),
-        };
         if let Some(socket) = readiness {
-            let context = Arc::clone(&self.context);
-            tokio::spawn(listener(socket).serve(context, entries::readiness));
+            let listener = self.listener(socket, max_connections, stopping);
+            tokio::spawn(listener.serve(Arc::clone(&self.context), entries::readiness));
         }
         if let Some(socket) = directory {
-            let context = Arc::clone(&self.context);
-            tokio::spawn(listener(socket).serve(context, entries::handle));
+            let listener = self.listener(socket, max_connections, stopping);
+            tokio::spawn(listener.serve(Arc::clone(&self.context), entries::handle));
         }
     }
 
+    fn listener(
+        &self,
+        socket: TcpListener,
+        max_connections: usize,
+        stopping: &watch::Receiver<bool>,
+    ) -> Listener {
+        let (stopping, connections) = (stopping.clone(), self.connections.clone());
+        Listener { socket, max_connections, stopping, connections }
+    }
+
     /// Returns the address that callers connect to.
     pub fn caller_address(&self) -> SocketAddr {
         self.context.me.caller_address
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time for which a watch waits for something newer.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(30);
+const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Time allowed besides the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Coding that the platform may use for its values.
--- a/crates/pistachiotrackd/src/probe.rs
+++ b/crates/pistachiotrackd/src/probe.rs
@@ -15,10 +15,10 @@
 };
 
 use crate::{
-    attempt::outcome_of_error,
+    attempt::{outcome_of_answer, outcome_of_error},
     clock::Clock,
     connection_pool::ConnectionPool,
-    dialect::{AnswerKind, Dialect, OutgoingFacts},
+    dialect::{AnswerFacts, AnswerKind, Dialect, OutgoingFacts},
     exchange::{self, BegunAnswer, GiveUp, RequestHead, Target},
     request_body::RequestBody,
     shard_actor::{AttemptOutcome, BodyEnded, ShardActor},
@@ -58,20 +58,9 @@
         };
         let (outcome, report, answer) = match self.exchange(&pool, clock, &*dialect, facts).await {
             Ok(answer) => {
-                let status = answer.parts.status.as_u16();
-                let read = dialect.read_answer(&answer.parts, facts);
-                let fresh_connection = answer.fresh;
-                match read.kind {
-                    AnswerKind::Answer => {
-                        let outcome = Outcome::Answered { status, fresh_connection };
-                        (outcome, read.report, Some(answer))
-                    }
-                    AnswerKind::NotRun => (Outcome::Shed, read.report, None),
-                    AnswerKind::WrongEndpoint => (Outcome::ConnectFailed, read.report, None),
-                    AnswerKind::Unrelated => {
-                        (Outcome::Broken { fresh_connection }, read.report, None)
-                    }
-                }
+                let AnswerFacts { kind, report } = dialect.read_answer(&answer.parts, facts);
+                let outcome = outcome_of_answer(kind, &answer);
+                (outcome, report, Some(answer).filter(|_| kind == AnswerKind::Answer))
             }
             Err(outcome) => (outcome, Report::default(), None),
         };
@@ -104,8 +93,8 @@
             choice: ConnectionChoice::Fresh,
             budget: PROBE_BUDGET,
             not_after: self.time_limit,
-            give_up: GiveUp::default(),
             time_limit: self.time_limit,
+            give_up: GiveUp::default(),
         };
         let body = RequestBody::Whole(None);
         exchange::run(pool, clock, target, head, &body).await.map_err(|e| outcome_of_error(&e))
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -91,6 +91,12 @@
         ("colour", json!("red"), vec!["vm.json", "colour"]),
         ("limits", json!({"idle_ms": -4}), vec!["vm.json", "limits.idle_ms:", "-4"]),
         ("limits", json!({"header_count": 0}), vec!["limits.header_count:", "0"]),
+        ("membership", json!({"seeds": []}), vec!["vm.json", "membership.seeds", "seeds"]),
+        (
+            "config_sync",
+            json!({"assumed_fleet_vms": 9}),
+            vec!["vm.json", "config_sync.assumed_fleet_vms"],
+        ),
     ];
     for (field, value, parts) in cases {
         let mut settings = valid.clone();
