--- a/crates/pistachiotrack-core/src/retry/fleet_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_budget.rs
@@ -201,9 +201,11 @@
             }
         };
         self.all.note(now, news);
-        self.peers.insert(from.clone(), Peer { total, heard_at: now });
-        let forgotten_after = window(self.limit) * FORGOTTEN_AFTER_WINDOWS;
-        self.peers.retain(|_, peer| now.since(peer.heard_at) < forgotten_after);
+        let peer = Peer { total, heard_at: now };
+        match self.peers.get_mut(from) {
+            Some(known) => *known = peer,
+            None => self.add_peer(now, from.clone(), peer),
+        }
     }
 
     /// Returns what all dispatchers have sent in the last window, newest step
@@ -225,6 +227,14 @@
         self.informed_at = self.informed_at.min(now);
     }
 
+    /// Adds a VM, and forgets those that have been silent for long: names change with
+    /// every VM that is replaced.
+    fn add_peer(&mut self, now: Time, name: Name, peer: Peer) {
+        let forgotten_after = window(self.limit) * FORGOTTEN_AFTER_WINDOWS;
+        self.peers.retain(|_, known| now.since(known.heard_at) < forgotten_after);
+        self.peers.insert(name, peer);
+    }
+
     fn note(&mut self, now: Time, sent: Sent) {
         if !self.in_view.is_member {
             return self.apart.note(now, sent);
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -25,6 +25,7 @@
 /// Endpoints in one datagram with a picture: each takes about 20 bytes of the 1,200
 /// that one may have.
 const BELIEFS_PER_DATAGRAM: usize = 40;
+
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct NewsDatagram {
