--- a/crates/pistachiotrack-core/src/ownership.rs
+++ b/crates/pistachiotrack-core/src/ownership.rs
@@ -175,6 +175,22 @@
         self.leaving = leaving;
     }
 
+    /// Returns the shards that this VM owns and who takes each over once it leaves.
+    pub fn heirs<'a>(
+        &self,
+        now: Time,
+        config: &Config,
+        members: impl Iterator<Item = &'a Member>,
+    ) -> Vec<(ShardId, Name)> {
+        let mut without_me = self.clone();
+        without_me.set_leaving(true);
+        let lost = |change| match change {
+            OwnershipChange::Lost { shard, to } => Some((shard, to)),
+            OwnershipChange::Gained(_) => None,
+        };
+        without_me.update(now, config, members).into_iter().filter_map(lost).collect()
+    }
+
     /// Returns whether this VM leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving
--- a/crates/pistachiotrack-core/tests/ownership.rs
+++ b/crates/pistachiotrack-core/tests/ownership.rs
@@ -251,6 +251,27 @@
     assert_eq!(lost, mine);
 }
 
+#[test]
+fn heirs_are_those_that_own_the_shards_after_the_leaving() {
+    let config = config(100, &[1, 2, 3]);
+    let members = alive(1..12);
+    let mut ownership = settled(&config, &members);
+    let before: Vec<ShardId> = ownership.owned().cloned().collect();
+    let now = Time::from_millis(START_MS + 5_000);
+    let heirs = ownership.heirs(now, &config, members.iter());
+    assert_eq!(ownership.owned().cloned().collect::<Vec<_>>(), before, "nothing is given up yet");
+    ownership.set_leaving(true);
+    let changes = ownership.update(now, &config, members.iter());
+    let lost: Vec<(ShardId, Name)> = changes
+        .into_iter()
+        .filter_map(|change| match change {
+            OwnershipChange::Lost { shard, to } => Some((shard, to)),
+            OwnershipChange::Gained(_) => None,
+        })
+        .collect();
+    assert_eq!(heirs, lost);
+}
+
 #[test]
 fn vm_declared_dead_while_paused_gives_its_shards_up() {
     // A VM sleeps for a minute; others take its shards. It wakes and learns of its
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -103,6 +103,8 @@
     connections: TaskTracker,
     superseded: watch::Receiver<bool>,
     admin_address: SocketAddr,
+    readiness_address: Option<SocketAddr>,
+    directory_address: Option<SocketAddr>,
 }
 
 /// A daemon that serves on while callers may still hold its address; the other
@@ -215,6 +217,8 @@
             .try_send();
         tokio::spawn(udp::receive(socket, fleet.clone(), Arc::clone(&context), news));
         let admin_address = local_address("admin_address", &sockets.admin)?;
+        let readiness_address = optional_address("readiness_address", &sockets.readiness)?;
+        let directory_address = optional_address("directory_address", &sockets.directory)?;
         let connections = TaskTracker::new();
         let daemon = Daemon {
             context,
@@ -224,6 +228,8 @@
             connections,
             superseded,
             admin_address,
+            readiness_address,
+            directory_address,
         };
         daemon.listen_to_platform(sockets.readiness, sockets.directory, &stopping);
         daemon.listen(sockets.caller, sockets.peer, sockets.admin, &stopping);
@@ -298,6 +304,16 @@
         self.admin_address
     }
 
+    /// Returns the address that says whether the VM is ready, if it has one.
+    pub fn readiness_address(&self) -> Option<SocketAddr> {
+        self.readiness_address
+    }
+
+    /// Returns the address that tells callers which addresses to use, if it has one.
+    pub fn directory_address(&self) -> Option<SocketAddr> {
+        self.directory_address
+    }
+
     /// Cuts or restores this VM's own path to an endpoint, as a firewall that
     /// refuses its connections would; for tests.
     #[doc(hidden)]
@@ -473,3 +489,10 @@
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
     socket.local_addr().map_err(|source| StartError::Bind { field, address: unknown, source })
 }
+
+fn optional_address(
+    field: &'static str,
+    socket: &Option<TcpListener>,
+) -> Result<Option<SocketAddr>, StartError> {
+    socket.as_ref().map(|socket| local_address(field, socket)).transpose()
+}
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -27,7 +27,7 @@
     vm::Vm,
 };
 use rustc_hash::FxHashMap;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{self, UnboundedSender};
 
 use crate::{
     clock::Clock,
@@ -310,14 +310,23 @@
 }
 
 /// Hands the shard over to its new owner.
-pub(crate) struct HandOverTo(pub(crate) Vm);
+pub(crate) struct HandOverTo {
+    /// The new owner.
+    pub(crate) to: Vm,
+    /// Dropped when the new owner has been told, or can't be.
+    pub(crate) told: Option<mpsc::Sender<()>>,
+}
 
 impl Message<HandOverTo> for ShardActor {
     type Reply = ();
 
     async fn handle(&mut self, message: HandOverTo, _: &mut Context<Self, ()>) {
+        let HandOverTo { to, told } = message;
         let hand_over = self.shard.hand_over(self.clock.now());
-        tokio::spawn(hand_over::send(message.0, hand_over));
+        tokio::spawn(async move {
+            hand_over::send(to, hand_over).await;
+            drop(told);
+        });
     }
 }
 
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -19,6 +19,7 @@
     vm::Vm,
 };
 use rustc_hash::FxHashMap;
+use tokio::sync::mpsc;
 
 use crate::{
     clock::Clock,
@@ -163,11 +164,20 @@
     /// Changes a shard's mode because another VM owns it now, and hands it over
     /// to that VM.
     pub(crate) fn disown(&self, shard: &ShardId, to: Option<Vm>, mode: ShardMode) {
-        let Some(actor) = self.find(shard) else { return };
         if let Some(to) = to {
-            let _ = actor.tell(HandOverTo(to)).try_send();
+            self.hand_over(shard, to, None);
+        }
+        if let Some(actor) = self.find(shard) {
+            let _ = actor.tell(SetMode(mode)).try_send();
+        }
+    }
+
+    /// Tells a VM what this one knows of a shard; `told` is dropped afterwards.
+    pub(crate) fn hand_over(&self, shard: &ShardId, to: Vm, told: Option<mpsc::Sender<()>>) {
+        if let Some(actor) = self.find(shard) {
+            // A shard that has just stopped has nothing to tell.
+            let _ = actor.tell(HandOverTo { to, told }).try_send();
         }
-        let _ = actor.tell(SetMode(mode)).try_send();
     }
 
     /// Passes on what another VM tells that dispatches for a shared service.
--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -2,9 +2,11 @@
 
 mod testenv;
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use pistachiotrack_core::header;
 use serde_json::{Value, json};
 use testenv::{
@@ -32,8 +34,13 @@
 
     /// Starts the two with settings of their own.
     async fn start_with(search: &Endpoint, booking: &Endpoint, settings: [Value; 2]) -> Pair {
+        Pair::start_by(config(1, &[search.address], &[booking.address]), settings).await
+    }
+
+    /// Starts the two with a configuration and settings of their own.
+    async fn start_by(config: Value, settings: [Value; 2]) -> Pair {
         let platform = Platform::start().await;
-        platform.publish_config(config(1, &[search.address], &[booking.address]));
+        platform.publish_config(config);
         let [first, second] = settings;
         let vms = [
             DaemonProcess::start_with(VMS[0], platform.address, first).await,
@@ -300,3 +307,54 @@
     client::wait_for(admin, "/endpoints", stands_in).await;
     client::wait_for(admin, "/endpoints", |endpoints| !stands_in(endpoints)).await;
 }
+
+/// A booking is answered 500 by an endpoint that was long known to be sick. The
+/// owner that knew it is being stopped; the other VM hears that it leaves, owns the
+/// service at once and takes bookings while the owner's hand-over is still on its
+/// way over a slow path.
+#[tokio::test]
+async fn the_heir_of_a_stopping_owner_takes_no_booking_before_the_hand_over() {
+    let well = Endpoint::answering("booked").await;
+    let sick = Endpoint::start(|_| async {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    })
+    .await;
+    let paths = [Path::open().await, Path::open().await];
+    let settings = paths.each_ref().map(
+        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+    );
+    let mut pair = Pair::start_by(config(1, &[], &[well.address, sick.address]), settings).await;
+    let (owner, heir) = pair.owner("booking").await;
+    let owner_admin = pair.vms[owner].admin_address;
+    while !is_ejected(owner_admin, "booking-1").await {
+        pair.send(owner, book()).await.unwrap();
+    }
+    // The heir's connections to the owner exist before anything is held up.
+    assert_eq!(pair.send(heir, book()).await.unwrap().status(), StatusCode::OK);
+
+    paths[heir].hold(true);
+    let before = paths[heir].connections();
+    pair.vms[owner].signal("TERM").await;
+    while paths[heir].connections() == before {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    for _ in 0..10 {
+        assert_eq!(pair.send(heir, book()).await.unwrap().status(), StatusCode::OK);
+    }
+    paths[heir].hold(false);
+    let heir_admin = pair.vms[heir].admin_address;
+    client::wait_for(heir_admin, "/status", |status| {
+        status["shards"].as_array().unwrap().contains(&json!("booking/0"))
+    })
+    .await;
+    assert!(is_ejected(heir_admin, "booking-1").await);
+    assert_eq!(pair.vms[owner].exit_code().await, Some(0));
+}
+
+async fn is_ejected(admin: SocketAddr, endpoint: &str) -> bool {
+    let endpoints = client::admin(admin, "/endpoints").await;
+    let mut endpoints = endpoints.as_array().unwrap().iter();
+    endpoints.any(|one| one["endpoint"] == endpoint && one["state"] == "ejected")
+}
--- a/crates/pistachiotrackd/tests/process.rs
+++ b/crates/pistachiotrackd/tests/process.rs
@@ -4,10 +4,9 @@
 
 use std::{
     fs,
-    net::{IpAddr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command},
-    sync::atomic::{AtomicU8, Ordering},
 };
 
 use bytes::Bytes;
@@ -19,6 +18,7 @@
     Deployment, client, config,
     endpoint::Endpoint,
     fleet::{Vm, agrees, bounded, listed, owns, publish_list, wait_until},
+    host::{free_address, own_host},
     platform::Platform,
 };
 use tokio::sync::watch;
@@ -97,20 +97,6 @@
     file
 }
 
-/// Returns a free address on a loopback address that no other test uses, so that
-/// nobody takes the port before the daemon binds it.
-fn free_address(host: IpAddr) -> SocketAddr {
-    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
-}
-
-/// Returns a loopback address of this process that was not given out before.
-fn own_host() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [low, high, ..] = std::process::id().to_le_bytes();
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::from([127, 128 | (high & 0x7f), low, number])
-}
-
 /// Returns an endpoint that answers bookings only once the gate opens; its
 /// other answers, to health checks, come at once.
 async fn gated_endpoint(gate: &watch::Sender<bool>) -> Endpoint {
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod client;
 pub(crate) mod endpoint;
 pub(crate) mod fleet;
+pub(crate) mod host;
 pub(crate) mod path;
 pub(crate) mod platform;
 pub(crate) mod process;
--- a/crates/pistachiotrackd/tests/testenv/path.rs
+++ b/crates/pistachiotrackd/tests/testenv/path.rs
@@ -14,6 +14,8 @@
     sync::watch,
 };
 
+use super::host::{free_address, own_host};
+
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 65_536;
 
@@ -26,22 +28,21 @@
     forgotten: watch::Sender<u32>,
     connections: Arc<AtomicU32>,
     cut: watch::Sender<bool>,
+    held: watch::Sender<bool>,
 }
 
 impl Path {
     /// Opens a path to a VM that is still to be started.
     pub(crate) async fn open() -> Path {
-        let vm_address = {
-            let probe = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            probe.local_addr().unwrap()
-        };
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let vm_address = free_address(own_host());
+        let listener = TcpListener::bind((own_host(), 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let socket = UdpSocket::bind(address).await.unwrap();
         tokio::spawn(relay_datagrams(socket, vm_address));
         let (forgotten, _) = watch::channel(0);
         let connections = Arc::new(AtomicU32::new(0));
         let (cut, is_cut) = watch::channel(false);
+        let (held, is_held) = watch::channel(false);
         let (known, count) = (forgotten.clone(), Arc::clone(&connections));
         tokio::spawn(async move {
             loop {
@@ -50,14 +51,18 @@
                     continue;
                 }
                 let number = count.fetch_add(1, Ordering::SeqCst) + 1;
-                let Ok(to) = TcpStream::connect(vm_address).await else { continue };
-                let (from_reader, from_writer) = from.into_split();
-                let (to_reader, to_writer) = to.into_split();
-                tokio::spawn(relay(from_reader, to_writer, number, known.subscribe()));
-                tokio::spawn(relay(to_reader, from_writer, number, known.subscribe()));
+                let (mut is_held, known) = (is_held.clone(), known.clone());
+                tokio::spawn(async move {
+                    is_held.wait_for(|held| !*held).await.unwrap();
+                    let Ok(to) = TcpStream::connect(vm_address).await else { return };
+                    let (from_reader, from_writer) = from.into_split();
+                    let (to_reader, to_writer) = to.into_split();
+                    tokio::spawn(relay(from_reader, to_writer, number, known.subscribe()));
+                    tokio::spawn(relay(to_reader, from_writer, number, known.subscribe()));
+                });
             }
         });
-        Path { address, vm_address, forgotten, connections, cut }
+        Path { address, vm_address, forgotten, connections, cut, held }
     }
 
     /// Lets only datagrams pass from now on; new connections break.
@@ -65,10 +70,20 @@
         self.cut.send_replace(true);
     }
 
+    /// Holds new connections up, or lets them pass again; datagrams pass.
+    pub(crate) fn hold(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+
+    /// Returns the number of connections opened so far.
+    pub(crate) fn connections(&self) -> u32 {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Loses track of all connections that are open: what is written to them
     /// vanishes, and neither end learns of it.
     pub(crate) fn forget(&self) {
-        self.forgotten.send_replace(self.connections.load(Ordering::SeqCst));
+        self.forgotten.send_replace(self.connections());
     }
 }
 
