Compress large changes of the configuration, and answer no more VMs than a link carries

Ruled out: the watchers' own read (in force there 0.36 s after it was sent), the time to take a delta (below 0.1 s at the VMs that got one).

Deltas and whole values of 2 kB and more are compressed once and passed on as they are: 126 kB to 25 kB. A VM answers up to 1 MB/s; beyond it, it names VMs that it has answered, so that their number doubles.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -3,8 +3,10 @@
 
 mod history;
 mod list_reads;
+mod packed;
 mod platform;
 mod pull;
+mod serving;
 mod settings;
 mod store;
 mod wire;
@@ -19,6 +21,7 @@
 use self::{
     platform::{PlatformSchedule, Role},
     pull::{PullTimeouts, Pulls},
+    serving::Serving,
     store::{Offer, Store, Verdict},
     wire::{Answer, AnswerRef, Question},
 };
@@ -73,6 +76,7 @@
     store: Store,
     platform: PlatformSchedule,
     pulls: Pulls,
+    serving: Serving,
     rejected: Option<RejectedValue>,
     listed_vms: Option<usize>,
     began_unlisted: Option<bool>,
@@ -104,6 +108,7 @@
         ConfigSync {
             me,
             deployment,
+            serving: Serving::new(settings.answer_bytes_per_second),
             settings,
             rng,
             store: Store::default(),
@@ -208,14 +213,28 @@
         actions
     }
 
-    /// Answers a peer's question.
+    /// Answers a peer's question, or sends the peer to others if this VM answers as
+    /// many as its link carries.
     ///
     /// # Errors
     ///
     /// Returns an error if the question can't be decoded.
-    pub fn answer(&self, request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
+    pub fn answer(&mut self, now: Time, request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
         let question: Question = postcard::from_bytes(request)?;
-        postcard::to_stdvec(&self.answer_to(&question))
+        let is_free = self.serving.is_free(now);
+        let answer = self.answer_to(&question);
+        let bytes = answer.len();
+        let encoded = postcard::to_stdvec(&answer);
+        if bytes == 0 {
+            return encoded;
+        }
+        if is_free {
+            self.serving.note(question.asker, bytes);
+            return encoded;
+        }
+        let version = self.version().unwrap_or_default();
+        let holders = self.serving.served(&question.asker, &mut self.rng);
+        postcard::to_stdvec(&AnswerRef::Elsewhere { version, holders })
     }
 
     /// Takes a peer's answer; `None` if it could not be had.
@@ -226,7 +245,12 @@
         answer: Option<&[u8]>,
     ) -> Vec<ConfigAction> {
         self.pulls.on_end(peer);
-        let offer = answer.and_then(decode_answer).and_then(|answer| self.open(answer));
+        let answer = answer.and_then(decode_answer);
+        if let Some(Answer::Elsewhere { version, holders }) = answer {
+            self.pulls.on_put_off(now, peer, version, &holders, &mut self.rng);
+            return self.pull(now);
+        }
+        let offer = answer.and_then(|answer| self.open(answer));
         let mut actions = match offer {
             Some(offer) => self.take_peer_offer(now, peer, offer),
             None => {
@@ -312,6 +336,7 @@
         };
         let question = Question {
             deployment: self.deployment.clone(),
+            asker: self.me.clone(),
             held: self.store.held().filter(|_| !self.pulls.whole),
             newer_than: self.version(),
         };
@@ -334,9 +359,9 @@
     /// Turns a peer's answer into a configuration, or notes why it can't.
     fn open(&mut self, answer: Answer) -> Option<Offer> {
         match answer {
-            Answer::Nothing => None,
+            Answer::Nothing | Answer::Elsewhere { .. } => None,
             Answer::Whole { content: hash, config } => {
-                Offer::whole(config).filter(|offer| offer.content.hash == hash)
+                Offer::open(&config).filter(|offer| offer.content.hash == hash)
             }
             Answer::Deltas(encoded) => {
                 let offer = self.store.open_deltas(encoded);
@@ -452,6 +477,7 @@
             self.rejected = None;
         }
         self.pulls.on_held(config.version);
+        self.serving.on_newer();
         vec![ConfigAction::InForce(config)]
     }
 
--- a/crates/pistachiotrack-core/src/config_sync/history.rs
+++ b/crates/pistachiotrack-core/src/config_sync/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::packed::Packed;
 use crate::config::{ContentHash, Delta};
 
 const MAX_STEPS: usize = 32;
@@ -13,13 +14,13 @@
     base_version: u64,
     base: ContentHash,
     version: u64,
-    bytes: Vec<u8>,
+    encoded: Packed,
 }
 
 impl Step {
-    /// Keeps `delta`, whose encoding is `bytes`.
-    pub(super) fn new(delta: &Delta, bytes: Vec<u8>) -> Step {
-        Step { base_version: delta.base_version, base: delta.base, version: delta.version, bytes }
+    /// Keeps `delta`, whose encoding is `encoded`.
+    pub(super) fn new(delta: &Delta, encoded: Packed) -> Step {
+        Step { base_version: delta.base_version, base: delta.base, version: delta.version, encoded }
     }
 }
 
@@ -36,11 +37,11 @@
         if self.steps.back().is_some_and(|last| last.version != step.base_version) {
             self.clear();
         }
-        self.bytes += step.bytes.len();
+        self.bytes += step.encoded.len();
         self.steps.push_back(step);
         while self.steps.len() > MAX_STEPS || self.bytes > MAX_BYTES {
             let Some(oldest) = self.steps.pop_front() else { break };
-            self.bytes -= oldest.bytes.len();
+            self.bytes -= oldest.encoded.len();
         }
     }
 
@@ -51,11 +52,11 @@
     }
 
     /// Returns the encoded deltas from a version to the newest, if known.
-    pub(super) fn since(&self, version: u64, content: ContentHash) -> Option<Vec<&[u8]>> {
+    pub(super) fn since(&self, version: u64, content: ContentHash) -> Option<Vec<&Packed>> {
         let first = self
             .steps
             .iter()
             .position(|step| step.base_version == version && step.base == content)?;
-        Some(self.steps.iter().skip(first).map(|step| &step.bytes[..]).collect())
+        Some(self.steps.iter().skip(first).map(|step| &step.encoded).collect())
     }
 }
--- a/crates/pistachiotrack-core/src/config_sync/pull.rs
+++ b/crates/pistachiotrack-core/src/config_sync/pull.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, RngExt, seq::IteratorRandom};
 use rustc_hash::FxHashMap;
 
+use super::serving::PUT_OFF;
 use crate::{name::Name, time::Time, vm::Vm};
 
 /// Peers remembered as holders of a newer version.
@@ -76,6 +77,26 @@
         self.holders.insert(vm.name.clone(), holder);
     }
 
+    /// Notes that a peer was put off by one that answers too many, which named
+    /// others. These are only being answered now, so that they are asked a little
+    /// later, and not all at the same moment.
+    pub(super) fn on_put_off(
+        &mut self,
+        now: Time,
+        peer: &str,
+        version: u64,
+        holders: &[Vm],
+        rng: &mut impl Rng,
+    ) {
+        self.pause(now, peer, PUT_OFF, rng);
+        for vm in holders {
+            if !self.holders.contains_key(&vm.name) {
+                self.note(vm, version);
+                self.pause(now, &vm.name, PUT_OFF, rng);
+            }
+        }
+    }
+
     /// Forgets a peer that is gone or has nothing newer.
     pub(super) fn forget(&mut self, peer: &str) {
         self.holders.remove(peer);
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -14,6 +14,9 @@
     pub delta_timeout_ms: u64,
     /// The same for a pull of the whole value, or after several failed ones.
     pub pull_timeout_ms: u64,
+    /// Bytes a second that a VM spends on answering others; those that ask beyond
+    /// it are sent elsewhere.
+    pub answer_bytes_per_second: u64,
     /// Wait after the first failed call to the platform; doubled by each
     /// further one, with jitter.
     pub min_backoff_ms: u64,
@@ -50,6 +53,8 @@
             watch_timeout_ms: 30_000,
             delta_timeout_ms: 500,
             pull_timeout_ms: 4_000,
+            // Eight tenths of a link of 10 Mbit/s, the slowest that VMs have.
+            answer_bytes_per_second: 1_000_000,
             min_backoff_ms: 200,
             max_backoff_ms: 5_000,
             first_reads_per_second: 10.0,
--- a/crates/pistachiotrack-core/src/config_sync/store.rs
+++ b/crates/pistachiotrack-core/src/config_sync/store.rs
@@ -1,11 +1,12 @@
 //! The configuration in force, and what peers can be told about it.
 
-use std::{cmp::Ordering, sync::Arc};
+use std::{cell::OnceCell, cmp::Ordering, sync::Arc};
 
 use crate::{
     config::{Config, Content, ContentHash, Delta},
     config_sync::{
         history::{History, Step},
+        packed::Packed,
         wire::{AnswerRef, Question},
     },
 };
@@ -39,6 +40,15 @@
 struct Held {
     config: Arc<Config>,
     content: Content,
+    /// The whole for peers, once one has asked for it.
+    whole: OnceCell<Option<Packed>>,
+}
+
+impl Held {
+    fn whole(&self) -> Option<&Packed> {
+        let pack = || postcard::to_stdvec(&*self.config).ok().map(Packed::new);
+        self.whole.get_or_init(pack).as_ref()
+    }
 }
 
 impl Offer {
@@ -47,6 +57,11 @@
         let content = Content::of(&config).ok()?;
         Some(Offer { config, content, steps: Vec::new() })
     }
+
+    /// Opens a whole configuration that a peer has encoded.
+    pub(super) fn open(packed: &Packed) -> Option<Offer> {
+        Offer::whole(postcard::from_bytes(&packed.open()?).ok()?)
+    }
 }
 
 impl Store {
@@ -64,21 +79,22 @@
         let newer = |held: &&Held| Some(held.config.version) > question.newer_than;
         let Some(held) = self.held.as_ref().filter(newer) else { return AnswerRef::Nothing };
         let deltas = question.held.and_then(|(version, hash)| self.history.since(version, hash));
-        match deltas {
-            Some(deltas) if total_bytes(&deltas) < held.content.encoded_bytes => {
-                AnswerRef::Deltas(deltas)
-            }
-            _ => AnswerRef::Whole { content: held.content.hash, config: &held.config },
+        if let Some(deltas) = deltas
+            && total_bytes(&deltas) < held.content.encoded_bytes
+        {
+            return AnswerRef::Deltas(deltas);
         }
+        let whole = |config| AnswerRef::Whole { content: held.content.hash, config };
+        held.whole().map_or(AnswerRef::Nothing, whole)
     }
 
     /// Applies encoded deltas to the configuration in force, if they fit.
-    pub(super) fn open_deltas(&self, encoded: Vec<Vec<u8>>) -> Option<Offer> {
+    pub(super) fn open_deltas(&self, packed: Vec<Packed>) -> Option<Offer> {
         let held = self.held.as_ref()?;
-        let decode = |bytes: &Vec<u8>| postcard::from_bytes::<Delta>(bytes).ok();
-        let deltas: Vec<Delta> = encoded.iter().map(decode).collect::<Option<_>>()?;
+        let decode = |packed: &Packed| postcard::from_bytes::<Delta>(&packed.open()?).ok();
+        let deltas: Vec<Delta> = packed.iter().map(decode).collect::<Option<_>>()?;
         let steps =
-            deltas.iter().zip(encoded).map(|(delta, bytes)| Step::new(delta, bytes)).collect();
+            deltas.iter().zip(packed).map(|(delta, packed)| Step::new(delta, packed)).collect();
         let (config, content) = Delta::apply_all(deltas, &held.config, held.content.hash).ok()?;
         Some(Offer { config, content, steps })
     }
@@ -102,7 +118,7 @@
             self.keep_step(&config, content.hash);
         }
         steps.into_iter().for_each(|step| self.history.push(step));
-        self.held = Some(Held { config: Arc::clone(&config), content });
+        self.held = Some(Held { config: Arc::clone(&config), content, whole: OnceCell::new() });
         config
     }
 
@@ -110,12 +126,12 @@
         let Some(held) = &self.held else { return };
         let delta = Delta::between(&held.config, held.content.hash, config, hash);
         match postcard::to_stdvec(&delta) {
-            Ok(bytes) => self.history.push(Step::new(&delta, bytes)),
+            Ok(bytes) => self.history.push(Step::new(&delta, Packed::new(bytes))),
             Err(_) => self.history.clear(),
         }
     }
 }
 
-fn total_bytes(deltas: &[&[u8]]) -> usize {
+fn total_bytes(deltas: &[&Packed]) -> usize {
     deltas.iter().map(|delta| delta.len()).sum()
 }
--- a/crates/pistachiotrack-core/src/config_sync/wire.rs
+++ b/crates/pistachiotrack-core/src/config_sync/wire.rs
@@ -2,9 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::packed::Packed;
 use crate::{
-    config::{Config, ContentHash, MAX_VALUE_BYTES},
+    config::{ContentHash, MAX_VALUE_BYTES},
     name::Name,
+    vm::Vm,
 };
 
 /// Longest answer that is decoded: the whole of the largest value, which
@@ -15,6 +17,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Question {
     pub(super) deployment: Name,
+    /// The VM that asks.
+    pub(super) asker: Vm,
     /// Version and content held, or `None` to ask for the whole.
     pub(super) held: Option<(u64, ContentHash)>,
     /// Version that the asker is looking for.
@@ -27,15 +31,30 @@
     /// The peer has nothing newer, or belongs to another deployment.
     Nothing,
     /// Encoded deltas from the version held to the newest, the oldest first.
-    Deltas(Vec<Vec<u8>>),
-    /// The whole configuration.
-    Whole { content: ContentHash, config: Config },
+    Deltas(Vec<Packed>),
+    /// The whole configuration, encoded.
+    Whole { content: ContentHash, config: Packed },
+    /// The peer has answered as many as its link carries; it has `version`, and so
+    /// will these VMs that it has answered.
+    Elsewhere { version: u64, holders: Vec<Vm> },
 }
 
-/// As [`Answer`], without owning the configuration.
+/// As [`Answer`], without owning what is kept for many answers.
 #[derive(Debug, Serialize)]
 pub(super) enum AnswerRef<'a> {
     Nothing,
-    Deltas(Vec<&'a [u8]>),
-    Whole { content: ContentHash, config: &'a Config },
+    Deltas(Vec<&'a Packed>),
+    Whole { content: ContentHash, config: &'a Packed },
+    Elsewhere { version: u64, holders: Vec<Vm> },
+}
+
+impl AnswerRef<'_> {
+    /// Returns about how many bytes the answer takes.
+    pub(super) fn len(&self) -> usize {
+        match self {
+            AnswerRef::Nothing | AnswerRef::Elsewhere { .. } => 0,
+            AnswerRef::Deltas(deltas) => deltas.iter().map(|delta| delta.len()).sum(),
+            AnswerRef::Whole { config, .. } => config.len(),
+        }
+    }
 }
--- a/crates/pistachiotrack-core/tests/config_first_value.rs
+++ b/crates/pistachiotrack-core/tests/config_first_value.rs
@@ -54,7 +54,7 @@
         ConfigAction::Pull { request, .. } => Some(request),
         _ => None,
     });
-    let answer = holder.answer(pull.expect("a pull")).unwrap();
+    let answer = holder.answer(NOW, pull.expect("a pull")).unwrap();
     let later = NOW + Duration::from_millis(310);
     let actions = node.on_peer_answer(later, &vm(1, 3).name, Some(&answer));
     assert_eq!(in_force(&actions), Some(5));
--- a/crates/pistachiotrack-core/tests/config_support/fleet.rs
+++ b/crates/pistachiotrack-core/tests/config_support/fleet.rs
@@ -34,6 +34,8 @@
     pub(crate) paused: bool,
     pub(crate) cut_from_platform: bool,
     pub(crate) side: u8,
+    /// Moment at which the last answer sent has left the VM's link.
+    link_free_at: Time,
     watches: Vec<Watch>,
     heard: BTreeMap<u32, u64>,
     pub(crate) pulls: u64,
@@ -71,6 +73,8 @@
     pub(crate) loss: f64,
     pub(crate) duplicate: f64,
     pub(crate) corrupt: f64,
+    /// What each VM's link carries; without limit if `None`.
+    pub(crate) link_bytes_per_second: Option<f64>,
     data_centres: u32,
     settings: ConfigSyncSettings,
     in_flight: Vec<Delivery>,
@@ -78,6 +82,13 @@
     step: u64,
 }
 
+impl Node {
+    /// Returns whether a watch of this VM waits at the platform.
+    pub(crate) fn is_watching(&self) -> bool {
+        self.watches.iter().any(|watch| watch.waits)
+    }
+}
+
 impl Fleet {
     pub(crate) fn new(
         vms: u32,
@@ -93,6 +104,7 @@
             loss: 0.0,
             duplicate: 0.0,
             corrupt: 0.0,
+            link_bytes_per_second: None,
             data_centres,
             settings,
             in_flight: Vec::new(),
@@ -146,7 +158,7 @@
 
     /// Returns how many watches wait at the platform.
     pub(crate) fn waiting(&self) -> usize {
-        self.nodes.iter().flat_map(|node| &node.watches).filter(|watch| watch.waits).count()
+        self.nodes.iter().filter(|node| node.is_watching()).count()
     }
 
     pub(crate) fn step(&mut self) {
@@ -172,6 +184,7 @@
             paused: false,
             cut_from_platform: false,
             side: 0,
+            link_free_at: Time::ZERO,
             watches: Vec::new(),
             heard: BTreeMap::new(),
             pulls: 0,
@@ -218,14 +231,33 @@
         if from == to || self.rng.random_bool(self.loss) {
             return;
         }
+        let queued = self.queue_on_link(from, &event);
         let copies = if self.rng.random_bool(self.duplicate) { 2 } else { 1 };
         for copy in 0..copies {
             let late_ms = if copy == 0 { 1 } else { self.rng.random_range(1..5_000) };
-            let at = self.now + Duration::from_millis(late_ms);
+            let at = self.now + queued + Duration::from_millis(late_ms);
             self.in_flight.push(Delivery { at, to, event: event.clone() });
         }
     }
 
+    /// Has a VM tell all others of its version, as the first that reads one does.
+    pub(crate) fn announce(&mut self, from: usize) {
+        for to in 0..self.nodes.len() {
+            self.report(from, to);
+        }
+    }
+
+    /// Returns how long an answer takes to leave its VM's link.
+    fn queue_on_link(&mut self, from: usize, event: &Event) -> Duration {
+        let (Some(rate), Event::Answer { answer, .. }) = (self.link_bytes_per_second, event) else {
+            return Duration::ZERO;
+        };
+        let node = &mut self.nodes[from];
+        let begun = node.link_free_at.max(self.now);
+        node.link_free_at = begun + Duration::from_secs_f64(answer.len() as f64 / rate);
+        node.link_free_at.since(self.now)
+    }
+
     fn deliver(&mut self) {
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.in_flight).into_iter().partition(|it| it.at <= self.now);
@@ -253,7 +285,8 @@
                 if self.nodes[from].side != self.nodes[to].side {
                     return;
                 }
-                let answer = self.nodes[to].sync.answer(&request).expect("a sound question");
+                let answer =
+                    self.nodes[to].sync.answer(self.now, &request).expect("a sound question");
                 let answer = self.damage(answer);
                 let event = Event::Answer { from: self.nodes[to].vm.name.clone(), answer };
                 self.send(to, from, event);
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -109,6 +109,25 @@
     }
 }
 
+/// Returns a rule as a platform's route becomes one: named by its host and a prefix
+/// of letters that say nothing.
+pub(crate) fn rule_of_host(index: u32) -> Rule {
+    let letter = |place: u32| {
+        let mixed = (index * 8 + place).wrapping_mul(2_654_435_761).rotate_left(13);
+        char::from(b'a' + (mixed.wrapping_mul(40_503) >> 8) as u8 % 26)
+    };
+    let prefix: String = (0..8).map(letter).collect();
+    Rule {
+        name: Name::from(format!("jepu9.example/{prefix}/{index}/")),
+        when: Conditions {
+            host: Some(Name::from("jepu9.example")),
+            path_prefix: Some(Name::from(format!("/{prefix}/{index}/"))),
+            ..Conditions::default()
+        },
+        then: RuleAction::Route(route(name("service", index % 3))),
+    }
+}
+
 pub(crate) fn route(service: Name) -> Route {
     Route {
         service,
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -184,14 +184,14 @@
 /// left. It must not serve by it, and takes version 5 from a peer.
 #[test]
 fn a_new_vm_prefers_its_peers_to_a_stale_platform() {
-    let holder = node_with(1, 5);
+    let mut holder = node_with(1, 5);
     let mut newcomer = node(0);
     let asked = newcomer.on_peer_version(NOW, &vm(1, 3), 5);
     let actions = newcomer.on_platform_value(NOW, Some(&json(&config(4, TODAY))));
     assert_eq!(actions, [ConfigAction::Stale { offered: 4 }]);
     assert_eq!(newcomer.version(), None);
     let (peer, request) = question(&asked);
-    let answer = holder.answer(request).unwrap();
+    let answer = holder.answer(NOW, request).unwrap();
     assert_eq!(in_force(&newcomer.on_peer_answer(NOW, peer, Some(&answer))), 5);
 }
 
@@ -297,10 +297,15 @@
     question(&node.on_peer_version(NOW, &vm(3, 3), 7));
 }
 
+/// Numbers of the kinds of answer and of packing on the wire.
+const WHOLE: u8 = 2;
+const PLAIN: u8 = 0;
+
 /// Encodes a peer's answer with the whole of a value that no sound VM holds.
 fn whole_answer(config: &Config) -> Vec<u8> {
     let hash = pistachiotrack_core::config::Content::of(config).unwrap().hash;
-    postcard::to_stdvec(&(2_u8, hash, config)).unwrap()
+    let encoded = postcard::to_stdvec(config).unwrap();
+    postcard::to_stdvec(&(WHOLE, hash, PLAIN, encoded)).unwrap()
 }
 
 #[test]
@@ -312,7 +317,7 @@
     }
     let asked = near.on_peer_version(NOW, &vm(1, 3), 5);
     let (peer, request) = question(&asked);
-    let small = holder.answer(request).unwrap();
+    let small = holder.answer(NOW, request).unwrap();
     assert_eq!(in_force(&near.on_peer_answer(NOW, peer, Some(&small))), 5);
 
     for version in 6..=60 {
@@ -320,7 +325,7 @@
     }
     let asked = near.on_peer_version(NOW, &vm(1, 3), 60);
     let (peer, request) = question(&asked);
-    let large = holder.answer(request).unwrap();
+    let large = holder.answer(NOW, request).unwrap();
     assert_eq!(in_force(&near.on_peer_answer(NOW, peer, Some(&large))), 60);
     assert!(small.len() * 3 < large.len(), "{} {}", small.len(), large.len());
     assert_eq!(near.content(), holder.content());
@@ -339,7 +344,7 @@
     node.on_platform_value(NOW, Some(&json(&other)));
     let asked = node.on_peer_version(NOW, &vm(1, 3), 6);
     let (peer, request) = question(&asked);
-    let answer = holder.answer(request).unwrap();
+    let answer = holder.answer(NOW, request).unwrap();
     assert_eq!(in_force(&node.on_peer_answer(NOW, peer, Some(&answer))), 6);
 }
 
@@ -352,13 +357,13 @@
     let mut node = node_with(0, 5);
     let asked = node.on_peer_version(NOW, &vm(1, 3), 6);
     let (peer, request) = question(&asked);
-    let mut answer = holder.answer(request).unwrap();
+    let mut answer = holder.answer(NOW, request).unwrap();
     let last = answer.len() - 1;
     answer[last] ^= 1;
     let actions = node.on_peer_answer(NOW, peer, Some(&answer));
     let actions = if actions.is_empty() { after_pause(&mut node) } else { actions };
     let (peer, request) = question(&actions);
-    let whole = holder.answer(request).unwrap();
+    let whole = holder.answer(NOW, request).unwrap();
     assert!(whole.len() > answer.len());
     assert_eq!(in_force(&node.on_peer_answer(NOW, peer, Some(&whole))), 6);
 }
@@ -372,7 +377,7 @@
 /// next one is asked, and the late answer does no harm.
 #[test]
 fn a_silent_peer_is_replaced_by_the_next() {
-    let holder = node_with(1, 6);
+    let mut holder = node_with(1, 6);
     let mut node = node_with(0, 5);
     let first = node.on_peer_version(NOW, &vm(1, 3), 6);
     assert_eq!(question(&first).0, &vm(1, 3).name);
@@ -384,7 +389,7 @@
     let pull = second.iter().find(|action| matches!(action, ConfigAction::Pull { .. }));
     let (peer, request) = question(std::slice::from_ref(pull.unwrap()));
     assert_eq!(peer, &vm(2, 3).name);
-    let answer = holder.answer(request).unwrap();
+    let answer = holder.answer(NOW, request).unwrap();
     assert_eq!(in_force(&node.on_peer_answer(later, &vm(1, 3).name, Some(&answer))), 6);
     assert_eq!(node.on_peer_answer(later, &vm(2, 3).name, Some(&answer)), []);
 }
@@ -462,7 +467,7 @@
 fn questions_and_answers_that_are_noise_do_no_harm() {
     fn property(bytes: Vec<u8>) -> bool {
         let mut node = node_with(0, 5);
-        let _ = node.answer(&bytes);
+        let _ = node.answer(NOW, &bytes);
         node.on_peer_version(NOW, &vm(1, 3), 6);
         node.on_peer_answer(NOW, &vm(1, 3).name, Some(&bytes));
         node.on_platform_value(NOW, Some(&bytes));
--- a/crates/pistachiotrack-standins/src/slopes/acceptance.rs
+++ b/crates/pistachiotrack-standins/src/slopes/acceptance.rs
@@ -225,7 +225,7 @@
 
 /// Returns the answer of a peer that has taken `json` to a VM that has not.
 fn delta(held: &InForce, json: &[u8]) -> Vec<u8> {
-    let peer = held.next(json);
+    let mut peer = held.next(json);
     let version = peer.sync.version().expect("it has one in force");
     let mut asker = held.sync.clone();
     let actions = asker.on_peer_version(LATER, &sample::vm(1), version);
@@ -234,5 +234,5 @@
         _ => None,
     });
     let question = question.expect("a VM pulls what is newer");
-    peer.sync.answer(&question).expect("VMs decode what they encode")
+    peer.sync.answer(LATER, &question).expect("VMs decode what they encode")
 }
--- a/crates/pistachiotrack-standins/src/slopes/fleet.rs
+++ b/crates/pistachiotrack-standins/src/slopes/fleet.rs
@@ -338,7 +338,7 @@
             Parcel::Datagram { .. } => unreachable!("datagrams are handed over in batches"),
             Parcel::PullRequest { from, request } => {
                 self.nodes[to].traffic.pull(request.len());
-                let answer = self.nodes[to].sync.answer(&request).ok();
+                let answer = self.nodes[to].sync.answer(self.now, &request).ok();
                 self.nodes[to].traffic.pull(answer.as_ref().map_or(0, Vec::len));
                 let peer = self.nodes[to].vm.name.clone();
                 self.send(from, LATENCY, Parcel::PullAnswer { peer, answer });
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -276,7 +276,7 @@
         message: AnswerPull,
         _: &mut MessageContext<Self, Self::Reply>,
     ) -> Option<Vec<u8>> {
-        self.sync.answer(&message.0).ok()
+        self.sync.answer(self.context.clock.now(), &message.0).ok()
     }
 }
 
