Have the strongest VMs of each data centre dispatch

Cause: 93 of 101 VMs have a tenth of a core and 10 Mbit/s, 8 have half of a core and 200 Mbit/s.

A VM tells its capacity with its place; of each data centre as many of the strongest dispatch as all groups of services need, and all that are equal to the last of them, so that nothing changes where all VMs are alike.

--- a/crates/pistachiotrack-core/benches/membership.rs
+++ b/crates/pistachiotrack-core/benches/membership.rs
@@ -140,6 +140,7 @@
                 caller_address: vm.caller_address,
                 peer_address: vm.peer_address,
                 alive_ms,
+                capacity: 20,
             }),
         }
     }
--- a/crates/pistachiotrack-core/src/membership/pull.rs
+++ b/crates/pistachiotrack-core/src/membership/pull.rs
@@ -8,7 +8,7 @@
     message::{Datagram, MAX_NAME_BYTES, Message, Update, encoded_bytes, room_for_updates},
     name::Name,
     time::Time,
-    vm::{ListedVm, Vm, VmList},
+    vm::{DEFAULT_CAPACITY, ListedVm, Vm, VmList},
 };
 
 /// A table is read again when one member in this many is dead: after a
@@ -215,5 +215,6 @@
         incarnation: 0,
         caller_address: listed.caller_address,
         peer_address: listed.peer_address,
+        capacity: DEFAULT_CAPACITY,
     }
 }
--- a/crates/pistachiotrack-core/src/membership/table.rs
+++ b/crates/pistachiotrack-core/src/membership/table.rs
@@ -79,6 +79,7 @@
         caller_address: vm.caller_address,
         peer_address: vm.peer_address,
         alive_ms: (alive.as_millis() as u64).min(MAX_ALIVE_MS) as u32,
+        capacity: vm.capacity,
     }
 }
 
@@ -90,6 +91,7 @@
         incarnation: update.incarnation,
         caller_address: place.caller_address,
         peer_address: place.peer_address,
+        capacity: place.capacity,
     }
 }
 
--- a/crates/pistachiotrack-core/src/message.rs
+++ b/crates/pistachiotrack-core/src/message.rs
@@ -11,7 +11,7 @@
 use crate::{hash, membership::MemberState, name::Name};
 
 /// Version of the format; datagrams of another version are refused.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 /// Largest datagram that is sent or decoded.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// Longest name that a datagram may carry.
@@ -46,6 +46,8 @@
     pub peer_address: SocketAddr,
     /// Time for which it has been alive, as far as the teller knows.
     pub alive_ms: u32,
+    /// How much it can do, as [`Vm::capacity`](crate::vm::Vm::capacity).
+    pub capacity: u32,
 }
 
 /// A statement about one member, passed on from VM to VM.
--- a/crates/pistachiotrack-core/src/ownership/dispatchers.rs
+++ b/crates/pistachiotrack-core/src/ownership/dispatchers.rs
@@ -17,7 +17,7 @@
 
 impl Dispatchers {
     /// Works the dispatchers out anew: in each data centre the VMs that win the
-    /// group by rendezvous hashing.
+    /// group by rendezvous hashing, among the strongest.
     ///
     /// Unlike an owner, a dispatcher that is new does no harm, so nobody has to
     /// settle first.
@@ -32,9 +32,11 @@
         for candidate in candidates.iter() {
             by_data_centre.entry(&candidate.vm.data_centre).or_default().push(candidate);
         }
-        self.groups = (0..services_to_groups(services))
-            .map(|group| winners(group, &by_data_centre, wanted))
-            .collect();
+        let groups = services_to_groups(services);
+        for candidates in by_data_centre.values_mut() {
+            keep_strongest(candidates, groups * wanted);
+        }
+        self.groups = (0..groups).map(|group| winners(group, &by_data_centre, wanted)).collect();
     }
 
     /// Returns the dispatchers of a service.
@@ -51,6 +53,19 @@
     services.div_ceil(GROUP_SERVICES)
 }
 
+/// Leaves as many VMs as all groups need, those with the largest capacity and all
+/// that are equal to the last of these.
+///
+/// A dispatcher has a sixth of a service's requests on its link and its processor. Of
+/// VMs with 0.1 and 0.5 of a core and 10 and 200 Mbit/s, hashing alone chose weak ones,
+/// and requests waited there. Where groups are many, nobody is left out.
+fn keep_strongest(candidates: &mut Vec<&Candidate>, needed: usize) {
+    candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.vm.capacity));
+    let Some(last) = needed.checked_sub(1).and_then(|last| candidates.get(last)) else { return };
+    let least = last.vm.capacity;
+    candidates.retain(|candidate| candidate.vm.capacity >= least);
+}
+
 fn winners(
     group: usize,
     by_data_centre: &BTreeMap<&Name, Vec<&Candidate>>,
--- a/crates/pistachiotrack-core/src/vm.rs
+++ b/crates/pistachiotrack-core/src/vm.rs
@@ -23,8 +23,14 @@
     /// Address that other VMs use: TCP for forwarded requests, UDP for
     /// membership.
     pub peer_address: SocketAddr,
+    /// How much the VM can do, relative to the others: the lesser of its share of a
+    /// processor in percent and its link in Mbit/s.
+    pub capacity: u32,
 }
 
+/// Capacity of a VM that doesn't say.
+pub const DEFAULT_CAPACITY: u32 = 100;
+
 /// One line of the platform's list of VMs, which lags behind reality.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -15,7 +15,7 @@
     name::Name,
     rule::{Conditions, Route, Rule, RuleAction},
     service::Service,
-    vm::Vm,
+    vm::{DEFAULT_CAPACITY, Vm},
 };
 
 pub(crate) const DEPLOYMENT: &str = "timeliten";
@@ -152,5 +152,6 @@
         incarnation: 1,
         caller_address: address(9_000),
         peer_address: address(20_000),
+        capacity: DEFAULT_CAPACITY,
     }
 }
--- a/crates/pistachiotrack-core/tests/datagram.rs
+++ b/crates/pistachiotrack-core/tests/datagram.rs
@@ -10,7 +10,7 @@
     },
     name::Name,
     time::Time,
-    vm::Vm,
+    vm::{DEFAULT_CAPACITY, Vm},
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -28,6 +28,7 @@
         caller_address: address(),
         peer_address: address(),
         alive_ms: u32::arbitrary(source),
+        capacity: u32::arbitrary(source),
     };
     Update {
         name: Name::from(format!("vm-{}", u8::arbitrary(source))),
@@ -115,6 +116,7 @@
         incarnation: 1,
         caller_address: address(),
         peer_address: address(),
+        capacity: DEFAULT_CAPACITY,
     };
     let settings = MembershipSettings { deployment: "timeliten".into(), ..Default::default() };
     let mut membership = Membership::new(Time::ZERO, vm, settings, 1);
--- a/crates/pistachiotrack-core/tests/membership.rs
+++ b/crates/pistachiotrack-core/tests/membership.rs
@@ -323,6 +323,7 @@
         caller_address: dead.caller_address,
         peer_address: dead.peer_address,
         alive_ms: 10_000,
+        capacity: 20,
     };
     let old_rumour = Update {
         name: dead.name,
--- a/crates/pistachiotrack-core/tests/membership_fleet/mod.rs
+++ b/crates/pistachiotrack-core/tests/membership_fleet/mod.rs
@@ -16,7 +16,7 @@
     ownership::{Ownership, OwnershipChange, OwnershipSettings, ShardId, shard_count},
     pause::PauseDetector,
     time::Time,
-    vm::{ListedVm, Vm, VmList},
+    vm::{DEFAULT_CAPACITY, ListedVm, Vm, VmList},
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -100,6 +100,7 @@
         incarnation: 1_790_000_000_000 + started_ms,
         caller_address: SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 9001)),
         peer_address: address(number),
+        capacity: DEFAULT_CAPACITY,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/membership_join.rs
+++ b/crates/pistachiotrack-core/tests/membership_join.rs
@@ -7,7 +7,7 @@
     membership::{MemberState, Membership, MembershipAction, MembershipSettings},
     name::Name,
     time::Time,
-    vm::Vm,
+    vm::{DEFAULT_CAPACITY, Vm},
 };
 
 const STEP: Duration = Duration::from_millis(20);
@@ -23,6 +23,7 @@
         incarnation: 1_000,
         caller_address: address(number),
         peer_address: address(number),
+        capacity: DEFAULT_CAPACITY,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/ownership.rs
+++ b/crates/pistachiotrack-core/tests/ownership.rs
@@ -11,7 +11,7 @@
         shard_endpoints,
     },
     time::Time,
-    vm::Vm,
+    vm::{DEFAULT_CAPACITY, Vm},
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -25,6 +25,7 @@
         incarnation,
         caller_address: SocketAddr::from(([10, 0, 0, number as u8], 9001)),
         peer_address: SocketAddr::from(([10, 0, 0, number as u8], 9101)),
+        capacity: DEFAULT_CAPACITY,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/steering.rs
+++ b/crates/pistachiotrack-core/tests/steering.rs
@@ -12,7 +12,7 @@
     ownership::{Ownership, OwnershipSettings, ShardId},
     steering::{ALTERNATES, EntryAnswer, EntryQuestion, MAX_OWNERS, entries, entries_for},
     time::Time,
-    vm::Vm,
+    vm::{DEFAULT_CAPACITY, Vm},
 };
 
 const LIFETIME_MS: u64 = 5_000;
@@ -24,6 +24,7 @@
         incarnation: 1,
         caller_address: SocketAddr::from(([10, 0, 0, number as u8], 9001)),
         peer_address: SocketAddr::from(([10, 0, 0, number as u8], 9101)),
+        capacity: DEFAULT_CAPACITY,
     }
 }
 
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -12,7 +12,7 @@
     name::Name,
     rule::{Conditions, Route, Rule, RuleAction},
     service::{DEFAULT_PROBE_PATH, DEFAULT_QUEUE_LIMIT, DEFAULT_SHARD_ENDPOINTS, Service},
-    vm::{ListedVm, Vm, VmList},
+    vm::{DEFAULT_CAPACITY, ListedVm, Vm, VmList},
 };
 use serde_json::Value;
 
@@ -106,6 +106,7 @@
         incarnation: 1_790_000_000_000,
         caller_address: SocketAddr::from((ip, CALLER_PORT)),
         peer_address: SocketAddr::from((ip, PEER_PORT)),
+        capacity: DEFAULT_CAPACITY,
     }
 }
 
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -448,6 +448,7 @@
             peer_address: settings
                 .advertised_peer_address
                 .unwrap_or_else(|| self.peer.local_addr().unwrap_or(settings.peer_address)),
+            capacity: settings.hardware.capacity(),
         }
     }
 }
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -65,6 +65,9 @@
     /// Where log lines go.
     #[serde(default)]
     pub log_output: LogOutput,
+    /// What the VM can do.
+    #[serde(default)]
+    pub hardware: Hardware,
     /// How the VMs find each other.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -79,6 +82,43 @@
     pub limits: Limits,
 }
 
+/// What a VM can do; VMs with more of it dispatch for services.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Hardware {
+    /// Share of each processor that the VM may use, from 0 to 1.
+    pub processor_share: f64,
+    /// Number of processors.
+    pub processors: f64,
+    /// Bandwidth of its link.
+    pub link_mbps: f64,
+}
+
+impl Default for Hardware {
+    fn default() -> Hardware {
+        Hardware { processor_share: 1.0, processors: 1.0, link_mbps: 1_000.0 }
+    }
+}
+
+impl Hardware {
+    /// Returns the capacity that the other VMs are told: of hundredths of a core and
+    /// Mbit/s, whichever the VM has less of.
+    pub fn capacity(&self) -> u32 {
+        let processor_percent = 100.0 * self.processor_share * self.processors;
+        processor_percent.min(self.link_mbps).max(1.0) as u32
+    }
+
+    fn problem(&self) -> Option<(&'static str, String)> {
+        let values = [
+            ("hardware.processor_share", self.processor_share),
+            ("hardware.processors", self.processors),
+            ("hardware.link_mbps", self.link_mbps),
+        ];
+        let (field, value) = values.into_iter().find(|(_, value)| *value <= 0.0)?;
+        Some((field, format!("{value} is not above 0")))
+    }
+}
+
 /// Where log lines go.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -375,7 +415,12 @@
             let problem = format!("{:?} is not a log level", self.log_level.as_str());
             return Some(("log_level", problem));
         }
-        self.registry.problem().or_else(|| self.limits.problem())
+        if self.config_sync.answer_bytes_per_second == 0 {
+            let problem = "0 leaves other VMs without an answer".to_owned();
+            return Some(("config_sync.answer_bytes_per_second", problem));
+        }
+        let hardware = self.hardware.problem();
+        hardware.or_else(|| self.registry.problem()).or_else(|| self.limits.problem())
     }
 
     /// Returns the peer addresses of the VMs that may know the fleet.
--- a/crates/pistachiotrackd/tests/control_faults.rs
+++ b/crates/pistachiotrackd/tests/control_faults.rs
@@ -37,6 +37,7 @@
         caller_address: from,
         peer_address: from,
         alive_ms: 60_000,
+        capacity: 20,
     };
     Datagram {
         sender: Identity {
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -7,7 +7,10 @@
 use http_body_util::Full;
 use hyper::Response;
 use pistachiotrack_core::header;
-use pistachiotrackd::{daemon::Daemon, settings::Settings};
+use pistachiotrackd::{
+    daemon::Daemon,
+    settings::{Hardware, Settings},
+};
 use serde_json::json;
 use testenv::{
     Deployment, client, config,
@@ -74,6 +77,17 @@
     .await;
 }
 
+#[test]
+fn what_a_vm_has_least_of_is_its_capacity() {
+    let capacity = |processor_share, processors, link_mbps| {
+        Hardware { processor_share, processors, link_mbps }.capacity()
+    };
+    assert_eq!(capacity(0.2, 1.0, 1_000.0), 20);
+    assert_eq!(capacity(0.5, 2.0, 10.0), 10);
+    assert_eq!(capacity(0.001, 1.0, 1_000.0), 1);
+    assert!(Hardware::default().capacity() >= 100);
+}
+
 #[test]
 fn settings_errors_name_the_file_the_field_and_the_value() {
     let valid = json!({
@@ -92,6 +106,13 @@
         ("limits", json!({"idle_ms": -4}), vec!["vm.json", "limits.idle_ms:", "-4"]),
         ("limits", json!({"header_count": 0}), vec!["limits.header_count:", "0"]),
         ("membership", json!({"seeds": []}), vec!["vm.json", "membership.seeds", "seeds"]),
+        ("hardware", json!({"link_mbps": 0}), vec!["vm.json", "hardware.link_mbps: 0"]),
+        ("hardware", json!({"processor_share": -0.2}), vec!["hardware.processor_share: -0.2"]),
+        (
+            "config_sync",
+            json!({"answer_bytes_per_second": 0}),
+            vec!["vm.json", "config_sync.answer_bytes_per_second: 0"],
+        ),
         (
             "config_sync",
             json!({"assumed_fleet_vms": 9}),
