Let requests wait for proven endpoints as long as the queue empties in time

Cause: after a loss of all VMs callers come back at once and dozens of requests wait at each dispatcher. Ruled out: beliefs that the VMs don't share (the failures were known, risk above 25%).

The limit is now the time in which this VM's part of the proven endpoints' slots empties the queue, against the patience of the request; eight may wait in any case.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -118,6 +118,8 @@
     next_attempt: u64,
     /// Whether other VMs dispatch to the endpoints too.
     is_shared: bool,
+    /// VMs that dispatch to them, this one included.
+    dispatchers: u32,
     /// How much of the service's work is lost.
     strain: Strain,
     /// Attempts that ended and the other VMs don't know of.
@@ -164,6 +166,7 @@
             usual: UsualTime::default(),
             next_attempt: 1,
             is_shared: service.is_some_and(Service::is_shared),
+            dispatchers: 1,
             strain: Strain::default(),
             ended: Vec::new(),
             out: Vec::new(),
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -36,7 +36,7 @@
 const PATIENT_RISK: f64 = 0.25;
 /// Part of its time for which it waits.
 const PATIENCE_PART: f64 = 0.5;
-/// Requests that may wait while it does.
+/// Requests that may always wait while it does.
 const PATIENT_QUEUE: usize = 8;
 /// Time after which it is looked at again whether a silent attempt can be given up.
 const GIVE_UP_AGAIN_AFTER: Duration = Duration::from_millis(100);
@@ -210,14 +210,26 @@
     ///
     /// A request is lost when it fails and has no attempt left, so it rather waits
     /// for an endpoint that has just answered, for a part of its time and as long
-    /// as few wait: then all slots are needed. An endpoint that fails at once is
-    /// always free, and would take in all that wait.
+    /// as those that wait get their turn within it: beyond, all slots are needed. An
+    /// endpoint that fails at once is always free, and would take in all that wait.
     fn max_risk(&self, now: Time, live: &Live) -> f64 {
         let patience = live.not_after.since(live.arrived).mul_f64(PATIENCE_PART);
-        let is_patient = now.since(live.arrived) < patience && self.queue.len() <= PATIENT_QUEUE;
+        let is_patient = now.since(live.arrived) < patience
+            && (self.queue.len() <= PATIENT_QUEUE || self.proven_drain_time() <= patience);
         if is_patient { PATIENT_RISK } else { 1.0 }
     }
 
+    /// Returns the time in which the queue empties into this VM's part of the slots of
+    /// endpoints that a patient request takes.
+    ///
+    /// Load: all callers come back at once after a loss of all VMs, so that dozens wait
+    /// at each VM, while a third of the endpoints fails at once.
+    fn proven_drain_time(&self) -> Duration {
+        let slots = f64::from(self.pool.slots_within(PATIENT_RISK)) / f64::from(self.dispatchers);
+        let usual = self.usual.value().unwrap_or_default();
+        if slots == 0.0 { Duration::MAX } else { usual.mul_f64(self.queue.len() as f64 / slots) }
+    }
+
     fn start(&mut self, now: Time, id: RequestId, pick: Pick) {
         let attempt = self.next_attempt_id();
         let give_up_at = self.give_up_at(now, id, pick.standing);
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -236,6 +236,12 @@
         self.capacity
     }
 
+    /// Returns the slots of the endpoints that get work and fail at most that likely.
+    pub(super) fn slots_within(&self, max_risk: f64) -> u32 {
+        let within = |slots: &&Slots| slots.accepts_work() && slots.risk <= max_risk;
+        self.slots.values().filter(within).map(|slots| slots.endpoint.slots).sum()
+    }
+
     /// Returns the number of endpoints that get work.
     pub(super) fn usable(&self, idempotent: bool) -> usize {
         self.slots
--- a/crates/pistachiotrack-core/src/shard/retries.rs
+++ b/crates/pistachiotrack-core/src/shard/retries.rs
@@ -96,6 +96,7 @@
     /// Takes which dispatchers of the service this VM sees; returns whether it has
     /// just become one of them and has to ask for a picture.
     pub fn set_dispatchers(&mut self, now: Time, in_view: DispatchersInView) -> bool {
+        self.dispatchers = in_view.count.max(1);
         self.retries.fleet().is_some_and(|budget| budget.set_in_view(now, in_view))
     }
 }
--- a/crates/pistachiotrack-core/tests/shared_shard.rs
+++ b/crates/pistachiotrack-core/tests/shared_shard.rs
@@ -1,6 +1,6 @@
 //! Several VMs that dispatch for one shard side by side.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use pistachiotrack_core::{
     config::Config,
@@ -76,6 +76,22 @@
     })
 }
 
+fn all_dispatched(actions: &[ShardAction]) -> Vec<Dispatch> {
+    let dispatch = |action: &ShardAction| match action {
+        ShardAction::Dispatch(dispatch) => Some(dispatch.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(dispatch).collect()
+}
+
+/// Has an attempt answered with `status` and returns what is dispatched next.
+fn end(shard: &mut Shard, now: Time, dispatch: &Dispatch, status: u16) -> Vec<Dispatch> {
+    let outcome = Outcome::Answered { status, fresh_connection: true };
+    let mut actions = shard.on_outcome(now, dispatch.attempt, outcome, Report::default());
+    actions.extend(shard.on_body_end(now, dispatch.attempt, BodyEnd::Complete));
+    all_dispatched(&actions)
+}
+
 fn told(actions: &[ShardAction]) -> Vec<ShardNews> {
     let news = actions.iter().filter_map(|action| match action {
         ShardAction::Tell(news) => Some(news.clone()),
@@ -197,6 +213,39 @@
     assert_eq!(dispatched(&freed).map(|dispatch| dispatch.endpoint), Some(proven));
 }
 
+/// All VMs lose power, and all callers come back at once. A third of the endpoints
+/// fails grayly, each failure within a millisecond, so that these are always free. No
+/// booking may be sent to an endpoint that has just failed while the others get
+/// through the queue in time.
+#[test]
+fn many_bookings_wait_for_endpoints_that_don_t_fail() {
+    let mut shard = shard(30);
+    let is_failing = |endpoint: &Name| endpoint.as_str().ends_with(['0', '3', '6']);
+    let (mut now, mut running, mut failures) = (START, Vec::new(), BTreeMap::new());
+    let mut commands: Vec<Dispatch> = Vec::new();
+    for id in 0..76 {
+        commands.extend(all_dispatched(&shard.on_request(now, booking(id, now))));
+    }
+    for _ in 0..40 {
+        while let Some(dispatch) = commands.pop() {
+            if is_failing(&dispatch.endpoint) {
+                *failures.entry(dispatch.endpoint.clone()).or_insert(0) += 1;
+                commands.extend(end(&mut shard, now, &dispatch, 500));
+            } else {
+                running.push((now + Duration::from_millis(150), dispatch));
+            }
+        }
+        now += Duration::from_millis(10);
+        let (due, later) = std::mem::take(&mut running).into_iter().partition(|(at, _)| *at <= now);
+        running = later;
+        let due: Vec<(Time, Dispatch)> = due;
+        for (_, dispatch) in due {
+            commands.extend(end(&mut shard, now, &dispatch, 200));
+        }
+    }
+    assert!(failures.values().all(|count| *count <= SLOTS), "{failures:?}");
+}
+
 /// An endpoint joins a service whose other endpoints all do well. If work only
 /// went to proven ones, the new capacity would never be used.
 #[test]
