--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -23,7 +23,7 @@
     pull::{PullTimeouts, Pulls},
     serving::Serving,
     store::{Offer, Store, Verdict},
-    wire::{Answer, AnswerRef, Question},
+    wire::{Answer, Question},
 };
 use crate::{
     config::{Config, ConfigError, ContentHash},
@@ -213,30 +213,6 @@
         actions
     }
 
-    /// Answers a peer's question, or sends the peer to others if this VM answers as
-    /// many as its link carries.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the question can't be decoded.
-    pub fn answer(&mut self, now: Time, request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
-        let question: Question = postcard::from_bytes(request)?;
-        let is_free = self.serving.is_free(now);
-        let answer = self.answer_to(&question);
-        let bytes = answer.len();
-        let encoded = postcard::to_stdvec(&answer);
-        if bytes == 0 {
-            return encoded;
-        }
-        if is_free {
-            self.serving.note(question.asker, bytes);
-            return encoded;
-        }
-        let version = self.version().unwrap_or_default();
-        let holders = self.serving.served(&question.asker, &mut self.rng);
-        postcard::to_stdvec(&AnswerRef::Elsewhere { version, holders })
-    }
-
     /// Takes a peer's answer; `None` if it could not be had.
     pub fn on_peer_answer(
         &mut self,
@@ -349,13 +325,6 @@
         }
     }
 
-    fn answer_to(&self, question: &Question) -> AnswerRef<'_> {
-        if question.deployment != self.deployment {
-            return AnswerRef::Nothing;
-        }
-        self.store.answer(question)
-    }
-
     /// Turns a peer's answer into a configuration, or notes why it can't.
     fn open(&mut self, answer: Answer) -> Option<Offer> {
         match answer {
--- a/crates/pistachiotrack-core/src/config_sync/serving.rs
+++ b/crates/pistachiotrack-core/src/config_sync/serving.rs
@@ -4,6 +4,10 @@
 
 use rand::{Rng, seq::IteratorRandom};
 
+use super::{
+    ConfigSync,
+    wire::{AnswerRef, Question},
+};
 use crate::{time::Time, vm::Vm};
 
 /// Bytes that may be answered at once after a pause. A change of one endpoint, some
@@ -72,3 +76,36 @@
 /// Time after which a VM that was put off may ask again, at the earliest and on
 /// average: about what an answer of 64 kB takes on a link of 10 Mbit/s.
 pub(super) const PUT_OFF: Duration = Duration::from_millis(50);
+
+impl ConfigSync {
+    /// Answers a peer's question, or sends the peer to others if this VM answers as
+    /// many as its link carries.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the question can't be decoded.
+    pub fn answer(&mut self, now: Time, request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
+        let question: Question = postcard::from_bytes(request)?;
+        let is_free = self.serving.is_free(now);
+        let answer = self.answer_to(&question);
+        let bytes = answer.len();
+        let encoded = postcard::to_stdvec(&answer);
+        if bytes == 0 {
+            return encoded;
+        }
+        if is_free {
+            self.serving.note(question.asker, bytes);
+            return encoded;
+        }
+        let version = self.version().unwrap_or_default();
+        let holders = self.serving.served(&question.asker, &mut self.rng);
+        postcard::to_stdvec(&AnswerRef::Elsewhere { version, holders })
+    }
+
+    fn answer_to(&self, question: &Question) -> AnswerRef<'_> {
+        if question.deployment != self.deployment {
+            return AnswerRef::Nothing;
+        }
+        self.store.answer(question)
+    }
+}
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -26,8 +26,9 @@
 impl Shard {
     /// Takes the beginning of an answer.
     ///
-    /// A failure status on an idempotent request is retried elsewhere once: an endpoint that fails grayly answers that way. It is passed on as it
-    /// is when there is no other attempt to wait for and no retry left.
+    /// A failure status on an idempotent request is retried elsewhere: an endpoint
+    /// that fails grayly answers that way. It is passed on as it is when there is no
+    /// other attempt to wait for and no retry left.
     pub(super) fn on_answer(&mut self, now: Time, attempt: AttemptId, id: RequestId, status: u16) {
         let Some(live) = self.live.get_mut(&id) else { return };
         let is_failure = status >= FIRST_FAILURE_STATUS && live.request.idempotent;
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -60,6 +60,11 @@
         self.peers.iter().map(|(_, count, _)| count).sum()
     }
 
+    /// Returns whether it gets work and has a slot for one more request.
+    fn is_free(&self) -> bool {
+        self.accepts_work() && self.in_flight < self.limit
+    }
+
     fn accepts_work(&self) -> bool {
         self.is_configured
             && !self.endpoint.leaving
@@ -97,6 +102,16 @@
     pub(super) standing: Standing,
 }
 
+impl Pick {
+    fn of(slots: &Slots) -> Pick {
+        Pick {
+            name: slots.endpoint.name.clone(),
+            address: slots.endpoint.address,
+            standing: slots.standing,
+        }
+    }
+}
+
 /// The endpoints of a shard with the slots in use.
 #[derive(Clone, Debug)]
 pub(super) struct Pool {
@@ -253,11 +268,7 @@
 
     pub(super) fn has_free_slot(&self) -> bool {
         self.in_flight < self.in_flight_limit
-            && self.slots.values().any(|slots| {
-                slots.accepts_work()
-                    && slots.standing != Standing::Trial
-                    && slots.in_flight < slots.limit
-            })
+            && self.slots.values().any(|slots| slots.is_free() && slots.standing != Standing::Trial)
     }
 
     /// Chooses the endpoint of an attempt among those with a free slot.
@@ -275,7 +286,7 @@
         let explores = wanted.idempotent && self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN);
         let mut best: Option<(PickOrder, &Slots)> = None;
         for slots in self.slots.values() {
-            if !slots.accepts_work() || slots.in_flight >= slots.limit {
+            if !slots.is_free() {
                 continue;
             }
             let is_tried = wanted.tried.contains(&slots.endpoint.name);
@@ -305,11 +316,7 @@
                 best = Some((key, slots));
             }
         }
-        best.map(|(_, slots)| Pick {
-            name: slots.endpoint.name.clone(),
-            address: slots.endpoint.address,
-            standing: slots.standing,
-        })
+        best.map(|(_, slots)| Pick::of(slots))
     }
 
     /// Returns the address of an endpoint that is configured.
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -58,11 +58,7 @@
                 best = Some((key, slots));
             }
         }
-        best.map(|(_, slots)| Pick {
-            name: slots.endpoint.name.clone(),
-            address: slots.endpoint.address,
-            standing: slots.standing,
-        })
+        best.map(|(_, slots)| Pick::of(slots))
     }
 
     /// Returns the rank of an endpoint; the least comes first: one that joined,
@@ -124,7 +120,7 @@
 }
 
 fn may_take(slots: &Slots, wanted: &Wanted<'_>, turn: &Turn) -> bool {
-    if !slots.accepts_work() || slots.in_flight >= slots.limit {
+    if !slots.is_free() {
         return false;
     }
     let is_tried = wanted.tried.contains(&slots.endpoint.name);
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -1,8 +1,9 @@
 //! The actor around the decisions of one shard.
 
+mod peers;
+
 use std::{
     collections::VecDeque,
-    net::SocketAddr,
     sync::{Arc, PoisonError},
     time::Duration,
 };
@@ -16,25 +17,23 @@
 use pistachiotrack_core::{
     admin::EndpointStatus,
     config::Config,
-    health::PathAnswer,
     idempotency::StoredAnswer,
     name::Name,
     ownership::ShardId,
     refusal::Refusal,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
-    shard::{Dispatch, Shard, ShardAction, ShardHandOver, ShardMode, ShardSettings},
+    shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
     time::Time,
-    vm::Vm,
 };
 use rustc_hash::FxHashMap;
-use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::sync::mpsc::UnboundedSender;
 
+pub(crate) use self::peers::{HandOverTo, PathChecked, PeerNews, TakeHandOver};
 use crate::{
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
-    hand_over,
-    news_link::{NewsContent, NewsDatagram, NewsLink},
+    news_link::NewsLink,
     path_check::PathCheck,
     probe::Probe,
     shard_table::{FactsTable, ShardFacts},
@@ -237,34 +236,6 @@
     }
 }
 
-/// Takes what another VM that dispatches for the shard tells.
-pub(crate) struct PeerNews {
-    /// Address of the VM.
-    pub(crate) address: SocketAddr,
-    /// What it tells.
-    pub(crate) datagram: NewsDatagram,
-}
-
-impl Message<PeerNews> for ShardActor {
-    type Reply = ();
-
-    async fn handle(&mut self, message: PeerNews, _: &mut Context<Self, ()>) {
-        let now = self.clock.now();
-        self.last_use = now;
-        self.heard = now;
-        let NewsDatagram { from, content, .. } = message.datagram;
-        let actions = match content {
-            NewsContent::Told(news) => self.shard.on_news(now, &from, &news),
-            NewsContent::Picture(picture) => self.shard.on_picture(now, &picture),
-            NewsContent::Begun(_) => {
-                self.news.answer(message.address, self.shard.picture(now));
-                Vec::new()
-            }
-        };
-        self.apply(actions);
-    }
-}
-
 /// Changes how far this VM may go.
 pub(crate) struct SetMode(pub(crate) ShardMode);
 
@@ -278,70 +249,6 @@
     }
 }
 
-/// Tells what VMs elsewhere say about an endpoint.
-pub(crate) struct PathChecked {
-    /// The endpoint.
-    pub(crate) endpoint: Name,
-    /// What they say.
-    pub(crate) answer: PathAnswer,
-    /// VMs that reach it.
-    pub(crate) witnesses: Vec<Name>,
-}
-
-impl Message<PathChecked> for ShardActor {
-    type Reply = ();
-
-    async fn handle(&mut self, message: PathChecked, _: &mut Context<Self, ()>) {
-        log::info!(
-            "event=path_checked service={} endpoint={} answer={:?} witnesses={:?}",
-            self.id.service,
-            message.endpoint,
-            message.answer,
-            message.witnesses
-        );
-        let now = self.clock.now();
-        // Where several VMs dispatch, those that reach the endpoint use it.
-        let actions = match message.witnesses.is_empty() || self.shard.is_shared() {
-            true => self.shard.on_path_answer(now, &message.endpoint, message.answer),
-            false => self.shard.on_witnesses(now, &message.endpoint, message.witnesses),
-        };
-        self.apply(actions);
-    }
-}
-
-/// Hands the shard over to its new owner.
-pub(crate) struct HandOverTo {
-    /// The new owner.
-    pub(crate) to: Vm,
-    /// Dropped when the new owner has been told, or can't be.
-    pub(crate) told: Option<mpsc::Sender<()>>,
-}
-
-impl Message<HandOverTo> for ShardActor {
-    type Reply = ();
-
-    async fn handle(&mut self, message: HandOverTo, _: &mut Context<Self, ()>) {
-        let HandOverTo { to, told } = message;
-        let hand_over = self.shard.hand_over(self.clock.now());
-        tokio::spawn(async move {
-            hand_over::send(to, hand_over).await;
-            drop(told);
-        });
-    }
-}
-
-/// Takes what the shard's old owner knew.
-pub(crate) struct TakeHandOver(pub(crate) ShardHandOver);
-
-impl Message<TakeHandOver> for ShardActor {
-    type Reply = ();
-
-    async fn handle(&mut self, message: TakeHandOver, _: &mut Context<Self, ()>) {
-        let actions = self.shard.on_hand_over(self.clock.now(), &message.0);
-        self.apply(actions);
-    }
-}
-
 /// Stops the shard's actor when its last request has been answered.
 pub(crate) struct Retire;
 
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -45,6 +45,7 @@
 pub(crate) type FactsTable = Arc<RwLock<FxHashMap<ShardId, ShardFacts>>>;
 
 /// What the shards of a VM have in common.
+#[derive(Debug)]
 pub(crate) struct ShardTableArgs {
     /// Clock of the process.
     pub(crate) clock: Clock,
@@ -72,46 +73,13 @@
 pub(crate) struct ShardTable {
     actors: RwLock<FxHashMap<ShardId, ActorRef<ShardActor>>>,
     facts: FactsTable,
-    clock: Clock,
-    endpoints: Arc<ConnectionPool>,
-    timer: ActorRef<TimerService>,
-    path_check: PathCheck,
-    news: Arc<NewsLink>,
-    dialect: Arc<dyn Dialect>,
-    careful_idle: Duration,
-    seed: u64,
-    data_centre: Name,
+    shared: ShardTableArgs,
 }
 
 impl ShardTable {
     /// Creates an empty table.
-    pub(crate) fn new(args: ShardTableArgs) -> ShardTable {
-        let ShardTableArgs {
-            clock,
-            endpoints,
-            timer,
-            path_check,
-            news,
-            dialect,
-            careful_idle,
-            seed,
-            data_centre,
-        } = args;
-        let actors = RwLock::default();
-        let facts = FactsTable::default();
-        ShardTable {
-            actors,
-            facts,
-            clock,
-            endpoints,
-            timer,
-            path_check,
-            news,
-            dialect,
-            careful_idle,
-            seed,
-            data_centre,
-        }
+    pub(crate) fn new(shared: ShardTableArgs) -> ShardTable {
+        ShardTable { actors: RwLock::default(), facts: FactsTable::default(), shared }
     }
 
     /// Returns the actor of a shard, if it runs.
@@ -134,23 +102,24 @@
         if let Some(actor) = actors.get(shard).filter(|actor| actor.is_alive()) {
             return actor.clone();
         }
+        let shared = &self.shared;
         let args = ShardArgs {
             id: shard.clone(),
             config: Arc::clone(config),
             mode,
-            seed: self.seed,
-            data_centre: self.data_centre.clone(),
-            clock: self.clock,
-            endpoints: Arc::clone(&self.endpoints),
+            seed: shared.seed,
+            data_centre: shared.data_centre.clone(),
+            clock: shared.clock,
+            endpoints: Arc::clone(&shared.endpoints),
             facts: Arc::clone(&self.facts),
-            path_check: self.path_check.clone(),
-            news: Arc::clone(&self.news),
-            dialect: Arc::clone(&self.dialect),
-            careful_idle: self.careful_idle,
+            path_check: shared.path_check.clone(),
+            news: Arc::clone(&shared.news),
+            dialect: Arc::clone(&shared.dialect),
+            careful_idle: shared.careful_idle,
         };
         let actor = ShardActor::spawn_with_mailbox(args, mailbox::unbounded());
         // The timer service outlives every shard but at the process's end.
-        let _ = self.timer.tell(Subscribe(actor.clone().recipient())).try_send();
+        let _ = shared.timer.tell(Subscribe(actor.clone().recipient())).try_send();
         actors.insert(shard.clone(), actor.clone());
         actor
     }
@@ -191,7 +160,7 @@
             let has_shard = active
                 .service(&shard.service)
                 .is_some_and(|service| service.is_shared() && shard.index < shard_count(service));
-            let wanted = has_shard && self.news.dispatchers(&shard.service).is_member;
+            let wanted = has_shard && self.shared.news.dispatchers(&shard.service).is_member;
             wanted.then(|| self.find_or_start(shard, &active.config, ShardMode::Shared))
         });
         if let Some(actor) = actor {
--- a/crates/pistachiotrackd/src/view.rs
+++ b/crates/pistachiotrackd/src/view.rs
@@ -10,6 +10,7 @@
     rule::RuleSet,
     service::Service,
 };
+
 /// What requests need of the configuration in force.
 #[derive(Debug)]
 pub(crate) struct ActiveConfig {
