--- a/crates/pistachiotrack-core/src/config_sync/serving.rs
+++ b/crates/pistachiotrack-core/src/config_sync/serving.rs
@@ -15,6 +15,9 @@
 const BURST_BYTES: f64 = 64.0 * 1024.0;
 /// Answered VMs remembered.
 const MAX_SERVED: usize = 64;
+/// Time after which a VM that was sent elsewhere asks again, on average: what an answer
+/// of 64 kB takes on a link of 10 Mbit/s.
+pub(super) const PUT_OFF: Duration = Duration::from_millis(50);
 /// Answered VMs named to one that has to ask elsewhere.
 const NAMED: usize = 8;
 
@@ -73,10 +76,6 @@
     }
 }
 
-/// Time after which a VM that was put off may ask again, at the earliest and on
-/// average: about what an answer of 64 kB takes on a link of 10 Mbit/s.
-pub(super) const PUT_OFF: Duration = Duration::from_millis(50);
-
 impl ConfigSync {
     /// Answers a peer's question, or sends the peer to others if this VM answers as
     /// many as its link carries.
@@ -86,20 +85,17 @@
     /// Returns an error if the question can't be decoded.
     pub fn answer(&mut self, now: Time, request: &[u8]) -> Result<Vec<u8>, postcard::Error> {
         let question: Question = postcard::from_bytes(request)?;
-        let is_free = self.serving.is_free(now);
-        let answer = self.answer_to(&question);
-        let bytes = answer.len();
-        let encoded = postcard::to_stdvec(&answer);
-        if bytes == 0 {
-            return encoded;
+        let bytes = self.answer_to(&question).len();
+        if bytes > 0 && !self.serving.is_free(now) {
+            let version = self.version().unwrap_or_default();
+            let holders = self.serving.served(&question.asker, &mut self.rng);
+            return postcard::to_stdvec(&AnswerRef::Elsewhere { version, holders });
         }
-        if is_free {
+        let encoded = postcard::to_stdvec(&self.answer_to(&question))?;
+        if bytes > 0 {
             self.serving.note(question.asker, bytes);
-            return encoded;
         }
-        let version = self.version().unwrap_or_default();
-        let holders = self.serving.served(&question.asker, &mut self.rng);
-        postcard::to_stdvec(&AnswerRef::Elsewhere { version, holders })
+        Ok(encoded)
     }
 
     fn answer_to(&self, question: &Question) -> AnswerRef<'_> {
