Take configurations that a VM made of what it read as they are, not as a platform's value

Cause: a VM wrote the configuration that it made of operators' value and of the registered endpoints out in the fleet's own JSON and read it back as if the platform held it, with the platform's limit of 1 MiB for one value. 2,819 rules and 204 endpoints were 1,072,149 bytes; the six VMs that read the platform refused the change, and each later change of an endpoint with it. Class: the limit of one thing applied to another that is made of it.

Now a source hands over what it is: a value (limited and parsed as before) or a made configuration (never written out).

--- a/crates/pistachiotrack-core/src/config.rs
+++ b/crates/pistachiotrack-core/src/config.rs
@@ -21,8 +21,18 @@
 };
 
 /// Largest value that the platform's configuration service holds.
+///
+/// It limits what is read from there, and nothing that is made of it: see
+/// [`MAX_ENCODED_BYTES`].
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Longest encoding of a configuration that VMs pass on to each other.
+///
+/// A configuration that is made of a platform's value and of registered endpoints is
+/// longer than the value. A value of [`MAX_VALUE_BYTES`] has room for some 16,000 routes,
+/// whose rules repeat the host, 253 bytes at most, and the prefix: 9 MB at most.
+pub const MAX_ENCODED_BYTES: usize = 16 << 20;
+
 /// The configuration of one deployment.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -26,7 +26,7 @@
     wire::{Answer, Question},
 };
 use crate::{
-    config::{Config, ConfigError, ContentHash},
+    config::{Config, ConfigError, ContentHash, MAX_ENCODED_BYTES},
     membership::{Member, MemberState},
     name::Name,
     time::Time,
@@ -176,13 +176,40 @@
 
     /// Takes the platform's answer to a watch; `None` if nothing newer came.
     pub fn on_platform_value(&mut self, now: Time, value: Option<&[u8]>) -> Vec<ConfigAction> {
-        self.platform.on_answer(now);
         let Some(value) = value else {
+            self.platform.on_answer(now);
             self.platform.on_nothing_newer();
             return Vec::new();
         };
+        self.on_newer_answer(now, |sync| sync.take_platform_value(now, value))
+    }
+
+    /// Takes a configuration that this VM made of what it read on the platform.
+    ///
+    /// Failure guarded against: such a configuration is written out as a value of the
+    /// platform would be, and refused for being longer than one may be, though all that
+    /// was read was valid. It shows as confirmed changes that come into force nowhere.
+    /// The guard holds because it never becomes a value: only what VMs pass on to each
+    /// other has a limit, which no value of the platform can exceed.
+    pub fn on_platform_config(&mut self, now: Time, config: Config) -> Vec<ConfigAction> {
+        self.on_newer_answer(now, |sync| {
+            let Some(offer) = Offer::whole(config) else { return Vec::new() };
+            let fingerprint = offer.content.hash;
+            match sync.is_rejected(now, fingerprint) {
+                true => Vec::new(),
+                false => sync.take_platform_offer(now, fingerprint, offer),
+            }
+        })
+    }
+
+    fn on_newer_answer(
+        &mut self,
+        now: Time,
+        take: impl FnOnce(&mut Self) -> Vec<ConfigAction>,
+    ) -> Vec<ConfigAction> {
+        self.platform.on_answer(now);
         let held_back = self.first_version();
-        let actions = self.take_platform_value(now, value);
+        let actions = take(self);
         if actions.iter().any(|action| matches!(action, ConfigAction::InForce(_)))
             || self.first_version() > held_back
         {
@@ -345,7 +372,7 @@
     fn take_peer_offer(&mut self, now: Time, peer: &Name, offer: Offer) -> Vec<ConfigAction> {
         let source = format!("peer {peer}");
         let (version, fingerprint) = (offer.config.version, offer.content.hash);
-        if let Some(error) = self.problem(&source, &offer.config) {
+        if let Some(error) = self.problem(&source, &offer) {
             self.pulls.pause_peer(now, peer, &mut self.rng);
             self.pulls.refuse_version(now, version);
             return self.reject(now, Some(version), fingerprint, error);
@@ -361,9 +388,7 @@
 
     fn take_platform_value(&mut self, now: Time, value: &[u8]) -> Vec<ConfigAction> {
         let fingerprint = ContentHash::of_bytes(value);
-        let known = self.rejected.as_mut().filter(|known| known.fingerprint == fingerprint);
-        if let Some(known) = known {
-            known.hold_until = now + Duration::from_millis(self.settings.rejected_hold_ms);
+        if self.is_rejected(now, fingerprint) {
             return Vec::new();
         }
         let parsed = Config::parse("platform", value);
@@ -371,10 +396,27 @@
             Ok(config) => config,
             Err(error) => return self.reject(now, version_of(value), fingerprint, error),
         };
-        if let Some(error) = self.problem("platform", &config) {
-            return self.reject(now, Some(config.version), fingerprint, error);
-        }
         let Some(offer) = Offer::whole(config) else { return Vec::new() };
+        self.take_platform_offer(now, fingerprint, offer)
+    }
+
+    /// Returns whether this was rejected before; if so, it isn't read again for a while.
+    fn is_rejected(&mut self, now: Time, fingerprint: ContentHash) -> bool {
+        let known = self.rejected.as_mut().filter(|known| known.fingerprint == fingerprint);
+        let Some(known) = known else { return false };
+        known.hold_until = now + Duration::from_millis(self.settings.rejected_hold_ms);
+        true
+    }
+
+    fn take_platform_offer(
+        &mut self,
+        now: Time,
+        fingerprint: ContentHash,
+        offer: Offer,
+    ) -> Vec<ConfigAction> {
+        if let Some(error) = self.problem("platform", &offer) {
+            return self.reject(now, Some(offer.config.version), fingerprint, error);
+        }
         if self.version().is_some() {
             return self.compare(now, "platform", offer);
         }
@@ -408,7 +450,19 @@
         self.compare(now, "platform", first.offer)
     }
 
-    fn problem(&self, source: &str, config: &Config) -> Option<ConfigError> {
+    fn problem(&self, source: &str, offer: &Offer) -> Option<ConfigError> {
+        let config = &offer.config;
+        // In force here and too long for the others, it would never reach them.
+        if offer.content.encoded_bytes > MAX_ENCODED_BYTES {
+            return Some(ConfigError {
+                file: Name::from(source),
+                field: "configuration".to_owned(),
+                problem: format!(
+                    "{} bytes long once encoded; at most {MAX_ENCODED_BYTES} are passed on",
+                    offer.content.encoded_bytes
+                ),
+            });
+        }
         if config.deployment != self.deployment {
             let (wanted, found) = (self.deployment.as_str(), config.deployment.as_str());
             return Some(ConfigError {
--- a/crates/pistachiotrack-core/src/config_sync/packed.rs
+++ b/crates/pistachiotrack-core/src/config_sync/packed.rs
@@ -8,7 +8,7 @@
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
-use super::wire::MAX_ANSWER_BYTES;
+use crate::config::MAX_ENCODED_BYTES;
 
 /// Length from which on a value is compressed. Shorter ones fit into a packet or
 /// two whether compressed or not.
@@ -62,10 +62,10 @@
 }
 
 /// A few bytes of deflate can stand for gigabytes, so that no more is read than the
-/// largest value takes.
+/// largest configuration takes.
 fn inflate(deflated: &[u8]) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
-    let limit = MAX_ANSWER_BYTES as u64 + 1;
+    let limit = MAX_ENCODED_BYTES as u64 + 1;
     DeflateDecoder::new(deflated).take(limit).read_to_end(&mut bytes).ok()?;
-    (bytes.len() <= MAX_ANSWER_BYTES).then_some(bytes)
+    (bytes.len() <= MAX_ENCODED_BYTES).then_some(bytes)
 }
--- a/crates/pistachiotrack-core/src/config_sync/wire.rs
+++ b/crates/pistachiotrack-core/src/config_sync/wire.rs
@@ -4,14 +4,14 @@
 
 use super::packed::Packed;
 use crate::{
-    config::{ContentHash, MAX_VALUE_BYTES},
+    config::{ContentHash, MAX_ENCODED_BYTES},
     name::Name,
     vm::Vm,
 };
 
-/// Longest answer that is decoded: the whole of the largest value, which
-/// `postcard` makes shorter than its JSON, and the frame around it.
-pub const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES + 1024;
+/// Longest answer that is decoded: the whole of the largest configuration, and the
+/// frame around it.
+pub const MAX_ANSWER_BYTES: usize = MAX_ENCODED_BYTES + 1024;
 
 /// Asks for what is newer than the version held.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/pistachiotrack-core/src/roster.rs
+++ b/crates/pistachiotrack-core/src/roster.rs
@@ -11,12 +11,15 @@
 };
 
 use crate::{
-    config::Config,
+    config::{Config, ConfigError},
     endpoint::{self, Endpoint},
     name::Name,
     time::Time,
 };
 
+/// What errors in operators' part call it.
+const OPERATORS_FILE: &str = "operators";
+
 /// An endpoint as a registry announces it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announced {
@@ -44,16 +47,51 @@
     }
 }
 
-/// What operators wrote.
+/// What operators wrote, found valid.
+///
+/// Failure guarded against: operators' part is checked only together with the endpoints,
+/// and one that isn't valid keeps every change of the endpoints from coming into force. It
+/// shows as requests that reach endpoints which have left. The guard holds because a part
+/// that isn't valid never becomes one of these, and the one before stays.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Operators {
     /// Services and rules, without endpoints.
-    pub config: Config,
+    config: Config,
     /// Connections that each endpoint of a service accepts, where it is said.
-    pub connections: BTreeMap<Name, u32>,
+    connections: BTreeMap<Name, u32>,
 }
 
 impl Operators {
+    /// Checks services and rules, which have no endpoints yet, and the connections that
+    /// each endpoint of a service accepts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first problem found, with the field and its value.
+    pub fn new(config: Config, connections: BTreeMap<Name, u32>) -> Result<Operators, ConfigError> {
+        if let Some(error) = config.check(OPERATORS_FILE).into_iter().next() {
+            return Err(error);
+        }
+        if let Some((service, _)) = connections.iter().find(|(_, count)| **count == 0) {
+            return Err(ConfigError {
+                file: Name::from(OPERATORS_FILE),
+                field: format!("connections of {service}"),
+                problem: "0 is not above 0".to_owned(),
+            });
+        }
+        Ok(Operators { config, connections })
+    }
+
+    /// Returns services and rules, without endpoints.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Returns the connections that each endpoint of a service accepts, where it is said.
+    pub fn connections(&self) -> &BTreeMap<Name, u32> {
+        &self.connections
+    }
+
     /// Returns the operators' part of a configuration.
     fn of(config: &Config) -> Operators {
         let mut config = config.clone();
--- a/crates/pistachiotrack-core/tests/roster.rs
+++ b/crates/pistachiotrack-core/tests/roster.rs
@@ -37,7 +37,7 @@
         customers: Vec::new(),
         rules: Vec::new(),
     };
-    Operators { config, connections: [(Name::from(SERVICE), 90)].into() }
+    Operators::new(config, [(Name::from(SERVICE), 90)].into()).unwrap()
 }
 
 fn announced(name: &str, port: u16, registered: u64, leaving: bool) -> Announced {
@@ -180,8 +180,9 @@
 #[test]
 fn a_vm_that_has_not_followed_for_a_while_keeps_what_operators_wrote_since() {
     let (mut idle, mut follower) = (roster(), roster());
-    let mut written = operators();
-    written.config.services[0].timeout_ms = 4_321;
+    let mut config = operators().config().clone();
+    config.services[0].timeout_ms = 4_321;
+    let written = Operators::new(config, operators().connections().clone()).unwrap();
     follower.on_change(START, 11, Change::Operators(Box::new(written)));
     assert_eq!(idle.on_in_force(&follower.config().unwrap()), Some(11));
     idle.on_change(START, 12, Change::Withdrawn(Name::from("a")));
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -31,12 +31,13 @@
 pub(crate) use self::leave::Leave;
 use crate::{
     context::Context,
+    metrics::Event,
     peer_client,
     peer_message::CONFIG_PATH,
     platform::Platform,
     shard_actor::{NewConfig, Retire},
     shard_table::shard_name,
-    source::{Source as ConfigSource, SourceError},
+    source::{Published, Source as ConfigSource, SourceError},
     timer::TimerEvent,
     udp,
     view::{ActiveConfig, FleetView},
@@ -174,7 +175,7 @@
 }
 
 /// The platform's answer to a watch of the configuration.
-pub(crate) struct PlatformValue(pub(crate) Result<Option<Bytes>, SourceError>);
+pub(crate) struct PlatformValue(pub(crate) Result<Option<Published>, SourceError>);
 
 impl Message<PlatformValue> for Fleet {
     type Reply = ();
@@ -184,7 +185,11 @@
         self.watching.send_replace(false);
         match message.0 {
             Ok(value) => {
-                let actions = self.sync.on_platform_value(now, value.as_deref());
+                let actions = match value {
+                    Some(Published::Made(config)) => self.sync.on_platform_config(now, *config),
+                    Some(Published::Value(value)) => self.sync.on_platform_value(now, Some(&value)),
+                    None => self.sync.on_platform_value(now, None),
+                };
                 self.apply_config(now, actions);
                 let actions = self.membership.announce(now);
                 self.apply_membership(now, actions);
@@ -360,6 +365,7 @@
                 ConfigAction::Pull { vm, request } => self.pull(vm, request),
                 ConfigAction::InForce(config) => self.put_in_force(now, config),
                 ConfigAction::Rejected(error) => {
+                    self.context.metrics.count(Event::ConfigRejected);
                     log::error!("event=config_rejected error={:?}", error.to_string());
                 }
                 ConfigAction::Stale { offered } => {
--- a/crates/pistachiotrackd/src/metrics.rs
+++ b/crates/pistachiotrackd/src/metrics.rs
@@ -45,10 +45,12 @@
     Probe,
     /// A connection was turned away because too many are open.
     ConnectionTurnedAway,
+    /// A configuration was read and not accepted.
+    ConfigRejected,
 }
 
 impl Event {
-    const ALL: [Event; 13] = [
+    const ALL: [Event; 14] = [
         Event::Request,
         Event::Answer,
         Event::RefusedNotRun,
@@ -62,6 +64,7 @@
         Event::HeldBack,
         Event::Probe,
         Event::ConnectionTurnedAway,
+        Event::ConfigRejected,
     ];
 
     fn name(self) -> &'static str {
@@ -79,6 +82,7 @@
             Event::HeldBack => "held_back",
             Event::Probe => "probes",
             Event::ConnectionTurnedAway => "connections_turned_away",
+            Event::ConfigRejected => "configs_rejected",
         }
     }
 }
--- a/crates/pistachiotrackd/src/peer_client.rs
+++ b/crates/pistachiotrackd/src/peer_client.rs
@@ -5,11 +5,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header::HOST};
+use pistachiotrack_core::config_sync::MAX_ANSWER_BYTES;
 
-use crate::{
-    http_call::{self, CallError},
-    peer_message::MAX_MESSAGE_BYTES,
-};
+use crate::http_call::{self, CallError};
 
 /// Why another VM gave no answer.
 #[derive(Debug, thiserror::Error)]
@@ -44,7 +42,7 @@
         .uri(path)
         .header(HOST, peer.to_string())
         .body(Full::new(Bytes::from(question)))?;
-    let call = http_call::call(peer, request, MAX_MESSAGE_BYTES);
+    let call = http_call::call(peer, request, MAX_ANSWER_BYTES);
     let answer = tokio::time::timeout(timeout, call).await;
     let answer = answer.map_err(|_| PeerError::TimedOut(timeout))??;
     match answer.status() {
--- a/crates/pistachiotrackd/src/peer_message.rs
+++ b/crates/pistachiotrackd/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pistachiotrack_core::{config::MAX_VALUE_BYTES, name::Name};
+use pistachiotrack_core::name::Name;
 use serde::{Deserialize, Serialize};
 
 /// Asks for what is newer than the configuration held.
@@ -11,9 +11,9 @@
 pub(crate) const HAND_OVER_PATH: &str = "/pistachiotrack/v1/peer/hand-over";
 /// Asks whether an endpoint can be reached.
 pub(crate) const REACH_PATH: &str = "/pistachiotrack/v1/peer/reach";
-/// Largest message. A configuration may be larger in `postcard` than its JSON
-/// value is, but not by this much.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 2 * MAX_VALUE_BYTES;
+/// Largest question or hand-over; answers about the configuration have a limit of
+/// their own. A hand-over of a shard with 1,000 endpoints takes some 100 kB.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 2 << 20;
 
 /// Asks whether the VM reaches an endpoint of the configuration.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -22,7 +22,7 @@
     gzip::{self, GzipError},
     http_call::{self, CallError},
     settings::Settings,
-    source::{Source, SourceError},
+    source::{Published, Source, SourceError},
 };
 
 /// Time for which a watch waits for something newer.
@@ -161,10 +161,11 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Option<Bytes>, SourceError>> {
+    ) -> BoxFuture<'_, Result<Option<Published>, SourceError>> {
         Box::pin(async move {
             let path = format!("/v1/config/{}", self.deployment);
-            self.ask(&path, after, wait).await.map_err(SourceError::new)
+            let value = self.ask(&path, after, wait).await.map_err(SourceError::new)?;
+            Ok(value.map(Published::Value))
         })
     }
 }
--- a/crates/pistachiotrackd/src/registry.rs
+++ b/crates/pistachiotrackd/src/registry.rs
@@ -3,7 +3,6 @@
 
 use std::{collections::BTreeSet, fmt, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use pistachiotrack_core::{
     config::Config,
@@ -15,7 +14,7 @@
 
 use crate::{
     clock::Clock,
-    source::{Source, SourceError},
+    source::{Published, Source, SourceError},
 };
 
 /// What a registry changed after some revision.
@@ -79,7 +78,7 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> Result<Option<Bytes>, RegistryError> {
+    ) -> Result<Option<Published>, RegistryError> {
         let mut mirror = self.mirror.lock().await;
         let give_up = self.clock.now() + wait;
         let in_force = self.in_force.borrow().clone();
@@ -96,7 +95,7 @@
             if let Some(config) = mirror.roster.config()
                 && Some(config.version) > after
             {
-                return Ok(Some(encode(&config)?));
+                return Ok(Some(Published::Made(Box::new(config))));
             }
             if now >= give_up {
                 return Ok(None);
@@ -192,10 +191,6 @@
     }
 }
 
-fn encode(config: &Config) -> Result<Bytes, SourceError> {
-    serde_json::to_vec(config).map(Bytes::from).map_err(SourceError::new)
-}
-
 impl<R: Registry> Source for RegistrySource<R> {
     fn on_in_force(&self, config: &Arc<Config>) {
         self.in_force.send_replace(Some(Arc::clone(config)));
@@ -205,7 +200,7 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Option<Bytes>, SourceError>> {
+    ) -> BoxFuture<'_, Result<Option<Published>, SourceError>> {
         Box::pin(async move {
             match self.next(after, wait).await {
                 Ok(value) => Ok(value),
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -7,8 +7,9 @@
 };
 
 use pistachiotrack_core::{
-    config_sync::ConfigSyncSettings, data_centre::DataCentre, mechanism::Mechanisms,
-    membership::MembershipSettings, name::Name, roster::RosterSettings, service::RetryLimit,
+    config::MAX_VALUE_BYTES, config_sync::ConfigSyncSettings, data_centre::DataCentre,
+    mechanism::Mechanisms, membership::MembershipSettings, name::Name, roster::RosterSettings,
+    service::RetryLimit,
 };
 use serde::Deserialize;
 
@@ -155,6 +156,8 @@
     pub retry_slack: f64,
     /// Length of the window.
     pub retry_window_s: f64,
+    /// Largest value that the registry holds.
+    pub value_bytes: usize,
 }
 
 impl Default for RegistrySettings {
@@ -169,6 +172,7 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window_s: 10.0,
+            value_bytes: MAX_VALUE_BYTES,
         }
     }
 }
@@ -206,6 +210,9 @@
             let problem = format!("{slack} in {window_s} s is no limit");
             return Some(("registry.retry_slack", problem));
         }
+        if self.value_bytes == 0 {
+            return Some(("registry.value_bytes", "0 is not above 0".to_owned()));
+        }
         None
     }
 }
--- a/crates/pistachiotrackd/src/source.rs
+++ b/crates/pistachiotrackd/src/source.rs
@@ -18,17 +18,26 @@
     }
 }
 
+/// A configuration as a source has it.
+#[derive(Clone, Debug)]
+pub enum Published {
+    /// The value as the platform holds it, in JSON.
+    Value(Bytes),
+    /// A configuration made here of several values, each within its own limits.
+    Made(Box<Config>),
+}
+
 /// Where a deployment's configuration comes from; only read.
 pub trait Source: fmt::Debug + Send + Sync + 'static {
     /// Takes the configuration that is in force now, which may have come from another
     /// VM.
     fn on_in_force(&self, _config: &Arc<Config>) {}
 
-    /// Returns a configuration value newer than version `after` as JSON, and waits
-    /// up to `wait` for one; `None` if there is none by then.
+    /// Returns a configuration newer than version `after`, and waits up to `wait` for
+    /// one; `None` if there is none by then.
     fn config(
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Option<Bytes>, SourceError>>;
+    ) -> BoxFuture<'_, Result<Option<Published>, SourceError>>;
 }
