Tell of endpoints whose address another has in the picture that VMs ask for

These are told nothing; the picture that they ask for named only endpoints that had been seen at work, so that one that joined and was replaced stayed an endpoint that nobody had tried, which comes first.

--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -31,7 +31,7 @@
 mod state;
 mod via;
 
-pub use risk::BeliefOf;
+pub use risk::{BeliefOf, Seen};
 
 use reference::Reference;
 use spells::Spells;
--- a/crates/pistachiotrack-core/src/health/replaced.rs
+++ b/crates/pistachiotrack-core/src/health/replaced.rs
@@ -15,7 +15,7 @@
 const RECHECK: Duration = Duration::from_secs(5);
 
 impl Health {
-    /// Takes an endpoint out at whose address another one answered.
+    /// Takes an endpoint out at whose address another one answered at `at`.
     ///
     /// Failure guarded against: an endpoint has ended, its address is another one's, and
     /// the registry hasn't noticed. Without work and with nothing against it it goes on
@@ -25,13 +25,13 @@
     /// other endpoints do and whether other VMs reach the address.
     pub(super) fn on_replaced(
         &mut self,
-        now: Time,
+        at: Time,
         position: usize,
         actions: &mut Vec<HealthAction>,
     ) {
         let state = &mut self.endpoints[position];
         let is_news = !state.is_replaced();
-        state.replaced_at = Some(now);
+        state.replaced_at = state.replaced_at.max(Some(at));
         state.evidence.connect = 0.0;
         state.path = Path::Unasked;
         state.reason = Some(EjectReason::Replaced);
@@ -39,7 +39,7 @@
             let endpoint = state.name.clone();
             actions.push(HealthAction::Ejected { endpoint, reason: EjectReason::Replaced });
         }
-        self.keep_floor(now, actions);
+        self.keep_floor(at, actions);
     }
 
     /// Has the address tried again, by one request that may run again or a health check.
--- a/crates/pistachiotrack-core/src/health/risk.rs
+++ b/crates/pistachiotrack-core/src/health/risk.rs
@@ -20,12 +20,24 @@
 pub struct BeliefOf {
     /// The endpoint.
     pub endpoint: Name,
-    /// How likely it was failing grayly at its last answer, in parts of 255.
-    pub in_spell: u8,
-    /// Age of that answer.
+    /// What was last seen of it.
+    pub seen: Seen,
+    /// Age of that.
     pub age_ms: u32,
 }
 
+/// What was last seen of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Seen {
+    /// It ended a request.
+    Ending {
+        /// How likely it was failing grayly then, in parts of 255.
+        in_spell: u8,
+    },
+    /// Another endpoint answered at its address.
+    Replaced,
+}
+
 impl Health {
     /// Returns how likely the next request to an endpoint fails.
     pub fn risk(&self, now: Time, endpoint: &str) -> f64 {
@@ -45,27 +57,36 @@
     /// Returns what this VM believes of the endpoints that it has seen at work.
     pub fn beliefs(&self, now: Time) -> Vec<BeliefOf> {
         let belief_of = |state: &EndpointState| {
-            let (in_spell, at) = state.belief.last()?;
-            Some(BeliefOf {
-                endpoint: state.name.clone(),
-                in_spell: (in_spell * 255.0) as u8,
-                age_ms: now.since(at).as_millis() as u32,
-            })
+            let (seen, at) = match state.replaced_at {
+                Some(at) => (Seen::Replaced, at),
+                None => {
+                    let (in_spell, at) = state.belief.last()?;
+                    (Seen::Ending { in_spell: (in_spell * 255.0) as u8 }, at)
+                }
+            };
+            let age_ms = now.since(at).as_millis() as u32;
+            Some(BeliefOf { endpoint: state.name.clone(), seen, age_ms })
         };
         self.endpoints.iter().filter_map(belief_of).collect()
     }
 
     /// Takes what another VM believes where it has seen more lately.
-    pub fn on_beliefs(&mut self, now: Time, beliefs: &[BeliefOf]) {
+    pub fn on_beliefs(&mut self, now: Time, beliefs: &[BeliefOf]) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
         for other in beliefs {
             let Some(&position) = self.positions.get(&other.endpoint) else { continue };
-            let state = &mut self.endpoints[position];
             let age_us = u64::from(other.age_ms) * 1_000;
             let at = Time::from_micros(now.as_micros().saturating_sub(age_us));
-            if state.belief.adopt(f64::from(other.in_spell) / 255.0, at) {
+            let Seen::Ending { in_spell } = other.seen else {
+                self.on_replaced(at, position, &mut actions);
+                continue;
+            };
+            let state = &mut self.endpoints[position];
+            if state.belief.adopt(f64::from(in_spell) / 255.0, at) {
                 state.last_seen = state.last_seen.max(Some(at));
             }
         }
+        actions
     }
 
     /// Returns the moment of the last answer, if there was one.
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -145,7 +145,8 @@
             return Vec::new();
         }
         self.picture_due = None;
-        self.health.on_beliefs(now, &picture.beliefs);
+        let actions = self.health.on_beliefs(now, &picture.beliefs);
+        self.on_health_actions(now, actions);
         if let Some(budget) = self.retries.fleet() {
             budget.on_history(now, &picture.sent);
         }
--- a/crates/pistachiotrack-core/tests/replaced_endpoint.rs
+++ b/crates/pistachiotrack-core/tests/replaced_endpoint.rs
@@ -94,6 +94,19 @@
     assert!(chosen.iter().all(|name| *name != replaced));
 }
 
+/// A VM that callers seldom use is told nothing, and asks one that knows for a picture
+/// before it sends a request. Endpoints that have just joined come first there, and one
+/// that joined and was replaced would be tried by each such VM.
+#[test]
+fn a_vm_that_asks_for_a_picture_learns_of_it() {
+    let (mut informed, mut guest) = (shard(4), shard(4));
+    let (replaced, _) = turn_away(&mut informed, START);
+    let mut now = START + Duration::from_millis(500);
+    guest.on_picture(now, &informed.picture(now));
+    let chosen = send(&mut guest, &mut now, START + REGISTRY_LAG, lookup, &replaced);
+    assert!(chosen.iter().all(|name| *name != replaced));
+}
+
 /// The endpoint was there all the time, and something on the way turned one request away.
 /// It must not be lost for good: a request that may run again tries it.
 #[test]
