A fault soak: real processes, faults from outside, promises checked

Plans from a seed, written as JSON; stops, restarts, signals and changes in series and overlapping; callers that keep their connection until the process is gone; an oracle that knows nothing of the daemon, with a test for each promise that it bites.

Two tools at the same time found the same ports free (two of eight set-ups failed, 'Address already in use' in the logs of both): a tool takes blocks of ports and holds the first one.

--- a/crates/pistachiotrack-standins/src/daemon.rs
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -5,6 +5,7 @@
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
+    sync::{Mutex, PoisonError},
 };
 
 use anyhow::Context;
@@ -143,6 +144,21 @@
         self.signal(libc::SIGCONT);
     }
 
+    /// Has the daemon read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
+    /// Ends the process at once, without waiting for its end.
+    pub fn end_now(&self) {
+        self.signal(libc::SIGKILL);
+    }
+
+    /// Returns the number of descriptors that the process has open, if it runs.
+    pub fn descriptors(&self) -> Option<usize> {
+        Some(fs::read_dir(format!("/proc/{}/fd", self.child.id()?)).ok()?.count())
+    }
+
     /// Ends the process at once.
     ///
     /// # Errors
@@ -181,24 +197,45 @@
 const FIRST_PORT: u16 = 20_000;
 /// Number of the ports given to daemons.
 const PORTS: u16 = 12_000;
+/// Ports that one tool takes at a time; the first of them says that they are taken.
+const BLOCK_PORTS: u16 = 32;
 
-/// Returns ports that are free for TCP and for UDP on all loopback addresses.
+/// Listeners at the first ports of the blocks that this process has taken.
+static TAKEN: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+
+/// Returns ports that are free for TCP and for UDP on all loopback addresses, and that
+/// no other tool takes as long as this process lives.
+///
+/// Failure guarded against: two tools look for ports at the same moment, find the same
+/// ones free, and a daemon of one can't bind what a daemon of the other has. It shows as
+/// daemons that end at their start. The guard holds because a tool takes whole blocks,
+/// and holds the first port of each.
 ///
 /// # Errors
 ///
 /// Returns an error if there are too few free ports.
 pub fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
-    let start = rand::random_range(0..PORTS);
-    let free: Vec<u16> = (0..PORTS)
-        .map(|offset| FIRST_PORT + (start + offset) % PORTS)
-        .filter(|port| {
-            let everywhere = (Ipv4Addr::UNSPECIFIED, *port);
-            TcpListener::bind(everywhere).is_ok() && UdpSocket::bind(everywhere).is_ok()
-        })
-        .take(count)
-        .collect();
+    let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+    let blocks = PORTS / BLOCK_PORTS;
+    let start = rand::random_range(0..blocks);
+    let mut free = Vec::new();
+    for block in 0..blocks {
+        if free.len() >= count {
+            break;
+        }
+        let first = FIRST_PORT + (start + block) % blocks * BLOCK_PORTS;
+        let Ok(listener) = TcpListener::bind((Ipv4Addr::UNSPECIFIED, first)) else { continue };
+        taken.push(listener);
+        free.extend((first + 1..first + BLOCK_PORTS).filter(|port| is_free(*port)));
+    }
+    free.truncate(count);
     if free.len() < count {
         return Err(std::io::ErrorKind::AddrInUse.into());
     }
     Ok(free)
 }
+
+fn is_free(port: u16) -> bool {
+    let everywhere = (Ipv4Addr::UNSPECIFIED, port);
+    TcpListener::bind(everywhere).is_ok() && UdpSocket::bind(everywhere).is_ok()
+}
--- a/crates/pistachiotrack-standins/src/lib.rs
+++ b/crates/pistachiotrack-standins/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod runtime;
 pub mod server;
+pub mod soak;
 pub mod summary;
 pub mod work;
 pub mod workload;
--- a/crates/pistachiotrack-standins/src/load.rs
+++ b/crates/pistachiotrack-standins/src/load.rs
@@ -22,7 +22,8 @@
 pub struct WorkIds(Arc<AtomicU64>);
 
 impl WorkIds {
-    fn next(&self) -> WorkId {
+    /// Returns an identity that nothing else has.
+    pub fn next(&self) -> WorkId {
         WorkId(self.0.fetch_add(1, Ordering::Relaxed))
     }
 }
--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -8,6 +8,7 @@
 use pistachiotrack_standins::{
     demo::{self, DemoSettings},
     experiment,
+    soak::{self, SoakSettings},
 };
 
 const HELP: &str = "\
@@ -19,6 +20,10 @@
   experiment NAME [--json] [--seed N]   run one experiment
   slopes [--json] [--only GROUP] [--rounds N]
                                         measure what decisions cost
+  soak [--seed N] [--seeds COUNT] [--seconds N] [--vms N] [--logs DIRECTORY]
+       [--plan FILE] [--show]           break real processes from outside and check
+                                        the promises; 1 if one is broken. --show
+                                        prints the plans only
   help                                  show this text
 ";
 
@@ -39,6 +44,7 @@
         "demo" => demo::run(DemoSettings::from_arguments(arguments)?),
         "experiment" => experiment::run(arguments),
         "slopes" => slopes::run(arguments),
+        "soak" => soak::run(&SoakSettings::from_arguments(arguments)?),
         "help" => help(),
         _ => anyhow::bail!("unknown command {command:?}; try `help`"),
     }
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -0,0 +1,271 @@
+//! A soak: real daemons as processes of their own, faults from outside in random order
+//! and overlapping, and promises checked by what callers and endpoints saw.
+
+mod caller;
+pub mod oracle;
+pub mod plan;
+mod vms;
+mod world;
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use tokio::{sync::watch, task::JoinSet};
+
+use self::{
+    caller::KeptCaller,
+    oracle::{Asked, Record, VersionSeen, Violation, violations},
+    plan::Plan,
+    vms::Vms,
+    world::World,
+};
+use crate::{
+    caller::{Caller, Ending, Sample},
+    daemon::DaemonBinary,
+    deployment::{Deployment, Kind},
+    fleet::Fleet,
+    link::Links,
+    load::{LoadSettings, WorkIds, drive},
+    runtime,
+    workload::operations,
+};
+
+/// VMs, where nothing else is asked for.
+const VMS: usize = 6;
+/// Length of the load.
+const SECONDS: u64 = 60;
+/// Share of the slots that the load uses: processes share one machine here.
+const LOAD: f64 = 0.04;
+/// Callers that take the addresses they are told; one more takes the last of them.
+const STEERED_CALLERS: usize = 3;
+/// VMs to which callers keep a connection of their own.
+const KEPT_CALLERS: usize = 24;
+/// Time allowed for the VMs to serve.
+const START_LIMIT: Duration = Duration::from_secs(120);
+/// Time after the load in which late work would still begin.
+const AFTERMATH: Duration = Duration::from_secs(3);
+/// Where plans and logs of failed runs go.
+const DIRECTORY: &str = "target/soak";
+
+/// Settings of a soak.
+#[derive(Clone, Debug)]
+pub struct SoakSettings {
+    /// First seed.
+    pub seed: u64,
+    /// Number of seeds, one after the other.
+    pub seeds: u64,
+    /// VMs.
+    pub vms: usize,
+    /// Length of each run's load.
+    pub seconds: u64,
+    /// Plan to be played in place of one from a seed.
+    pub plan: Option<PathBuf>,
+    /// Directory for plans and logs.
+    pub directory: PathBuf,
+    /// Whether plans are printed and nothing is run.
+    pub show: bool,
+}
+
+impl SoakSettings {
+    /// Takes the settings from the command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an option is unknown or has no valid value.
+    pub fn from_arguments(mut arguments: pico_args::Arguments) -> anyhow::Result<SoakSettings> {
+        let settings = SoakSettings {
+            seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
+            seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(1),
+            vms: arguments.opt_value_from_str("--vms")?.unwrap_or(VMS),
+            seconds: arguments.opt_value_from_str("--seconds")?.unwrap_or(SECONDS),
+            plan: arguments.opt_value_from_str("--plan")?,
+            directory: arguments
+                .opt_value_from_str("--logs")?
+                .unwrap_or_else(|| PathBuf::from(DIRECTORY)),
+            show: arguments.contains("--show"),
+        };
+        let rest = arguments.finish();
+        anyhow::ensure!(rest.is_empty(), "unknown option {:?}", rest[0]);
+        anyhow::ensure!(settings.vms > 0, "--vms: 0 is not above 0");
+        anyhow::ensure!(settings.seconds > 0, "--seconds: 0 is not above 0");
+        Ok(settings)
+    }
+}
+
+/// What came of a run.
+struct Outcome {
+    asked: usize,
+    served: usize,
+    starts: usize,
+    descriptors: (usize, usize),
+    violations: Vec<Violation>,
+}
+
+/// Plays the seeds asked for, a line each; the code is 1 if a promise was broken.
+///
+/// # Errors
+///
+/// Returns an error if a run can't be set up.
+pub fn run(settings: &SoakSettings) -> anyhow::Result<ExitCode> {
+    let mut failed = 0;
+    for seed in settings.seed..settings.seed + settings.seeds {
+        let plan = plan(settings, seed)?;
+        if settings.show {
+            println!("{}", serde_json::to_string_pretty(&plan)?);
+            continue;
+        }
+        let directory = settings.directory.join(format!("seed-{}", plan.seed));
+        let _ = fs::remove_dir_all(&directory);
+        fs::create_dir_all(&directory)?;
+        fs::write(directory.join("plan.json"), serde_json::to_vec_pretty(&plan)?)?;
+        let outcome = runtime::run(play(&plan, &directory))?;
+        print(&plan, &outcome, &directory);
+        failed += u64::from(!outcome.violations.is_empty());
+    }
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+fn plan(settings: &SoakSettings, seed: u64) -> anyhow::Result<Plan> {
+    let services = Kind::Timeliten.config()?.services;
+    let endpoints = services.iter().map(|service| service.endpoints.len()).sum();
+    match &settings.plan {
+        Some(file) => Plan::read(file, endpoints),
+        None => Ok(Plan::new(seed, settings.vms, settings.seconds, endpoints)),
+    }
+}
+
+fn print(plan: &Plan, outcome: &Outcome, directory: &Path) {
+    let Outcome { asked, served, starts, descriptors, violations } = outcome;
+    println!(
+        "seed={} vms={} dispatchers={} steps={} requests={asked} served={served} starts={starts} \
+         descriptors_before={} descriptors_after={} broken={}",
+        plan.seed,
+        plan.vms,
+        plan.dispatchers_per_data_centre,
+        plan.steps.len(),
+        descriptors.0,
+        descriptors.1,
+        violations.len()
+    );
+    for violation in violations {
+        println!("  {violation}");
+    }
+    if !violations.is_empty() {
+        println!("  plan and logs: {}", directory.display());
+    }
+}
+
+async fn play(plan: &Plan, directory: &Path) -> anyhow::Result<Outcome> {
+    let binary = DaemonBinary::find(Some(directory.to_owned()))?;
+    let mut deployment = Deployment::start(Kind::Timeliten, plan.seed).await?;
+    for service in &mut deployment.config.services {
+        service.dispatchers_per_data_centre = plan.dispatchers_per_data_centre;
+        // Several endpoints may leave at the same time.
+        service.floor = service.floor.min(1);
+    }
+    deployment.config.version += 1;
+    deployment.platform.publish(&deployment.config)?;
+    let links = Links::new(plan.seed);
+    let mut fleet = Fleet::start(&binary, &deployment, plan.vms, Some(&links)).await?;
+    let serves = |status: &pistachiotrack_core::admin::Status| {
+        status.state.as_str() == "serving" && status.config_version.is_some()
+    };
+    fleet.wait_until("all VMs serve", START_LIMIT, serves).await?;
+    let addresses = fleet.caller_addresses();
+    let start = Instant::now();
+    let names: Vec<String> =
+        fleet.daemons().iter().map(|daemon| daemon.settings().vm.clone()).collect();
+    let daemons = names.iter().map(|vm| fleet.take(vm)).collect::<anyhow::Result<_>>()?;
+    let vms = Vms::new(daemons, binary, start);
+    let descriptors_before = vms.descriptors().into_iter().max().unwrap_or(0);
+    let world = Arc::new(World::new(deployment, vms.clone(), links, start));
+
+    let versions: Arc<Mutex<Vec<VersionSeen>>> = Arc::default();
+    let mut watchers = JoinSet::new();
+    for vm in 0..plan.vms {
+        watchers.spawn(vms.clone().supervise(vm));
+        watchers.spawn(vms.clone().watch_version(vm, Arc::clone(&versions)));
+    }
+    let mut steps = JoinSet::new();
+    for step in plan.steps.clone() {
+        let (world, vms) = (Arc::clone(&world), plan.vms);
+        steps.spawn(async move { world.play(&step, vms).await });
+    }
+    let mut asked = load(plan, &world, addresses, start).await;
+    let end_ms = start.elapsed().as_millis() as u64;
+    while steps.join_next().await.is_some() {}
+    tokio::time::sleep(AFTERMATH).await;
+    let descriptors_after = vms.descriptors().into_iter().max().unwrap_or(0);
+    watchers.shutdown().await;
+
+    asked.sort_by_key(|asked| asked.sent_ms);
+    let (published, left) = world.published();
+    let ledger = &world.deployment.ledger;
+    let record = Record {
+        executions: asked.iter().map(|it| (it.id, ledger.executions(it.id))).collect(),
+        versions: versions.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+        published,
+        left,
+        processes: vms.processes(),
+        faults: faults(plan),
+        end_ms,
+        asked,
+    };
+    Ok(Outcome {
+        asked: record.asked.len(),
+        served: record.asked.iter().filter(|asked| asked.ending == Ending::Ok).count(),
+        starts: record.processes.len(),
+        descriptors: (descriptors_before, descriptors_after),
+        violations: violations(&record),
+    })
+}
+
+fn faults(plan: &Plan) -> Vec<(u64, u64)> {
+    let fault = |step: &plan::Step| Some((step.at_ms, step.at_ms + step.event.fault_ms()?));
+    plan.steps.iter().filter_map(fault).collect()
+}
+
+/// Sends requests for as long as the plan says, and returns what came of them.
+async fn load(
+    plan: &Plan,
+    world: &World,
+    addresses: Vec<std::net::SocketAddr>,
+    start: Instant,
+) -> Vec<Asked> {
+    let operations = operations(Kind::Timeliten.work(), &world.deployment.config, LOAD);
+    let ids = WorkIds::default();
+    let (ends, ended) = watch::channel(false);
+    let mut kept = JoinSet::new();
+    for (vm, address) in addresses.iter().copied().enumerate().take(KEPT_CALLERS) {
+        let operations = Arc::new(operations.clone());
+        let caller = KeptCaller { vm, address, operations, ids: ids.clone(), start };
+        kept.spawn(caller.run(ended.clone()));
+    }
+    let mut callers: Vec<Caller> =
+        (0..STEERED_CALLERS).map(|_| Caller::new(addresses.clone())).collect();
+    callers.push(Caller::unsteered(addresses));
+    let duration = Duration::from_secs(plan.seconds);
+    let settings = LoadSettings { duration, ids, seed: plan.seed };
+    let samples = drive(&callers, &operations, settings).await;
+    ends.send_replace(true);
+    let mut asked: Vec<Asked> = samples.iter().map(|sample| asked_by(sample, start)).collect();
+    asked.extend(kept.join_all().await.into_iter().flatten());
+    asked
+}
+
+fn asked_by(sample: &Sample, start: Instant) -> Asked {
+    let sent_ms = sample.sent.saturating_duration_since(start).as_millis() as u64;
+    Asked {
+        id: sample.id,
+        non_idempotent: sample.non_idempotent,
+        vm: None,
+        sent_ms,
+        ended_ms: sent_ms + sample.latency_us / 1_000,
+        ending: sample.ending,
+    }
+}
--- /dev/null
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -0,0 +1,320 @@
+//! What happens in a run, and when: made from a seed, written and read as JSON.
+
+use std::{fs, path::Path};
+
+use anyhow::Context;
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+/// A run: how large, how long, and what happens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Seed of the plan and of the load.
+    pub seed: u64,
+    /// VMs.
+    pub vms: usize,
+    /// VMs of each data centre that dispatch side by side; 0 for one owner.
+    pub dispatchers_per_data_centre: u32,
+    /// Time for which callers send requests.
+    pub seconds: u64,
+    /// What happens, in any order.
+    pub steps: Vec<Step>,
+}
+
+/// One thing that happens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Time from the beginning of the load.
+    pub at_ms: u64,
+    /// What happens.
+    pub event: Event,
+}
+
+/// What may happen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Event {
+    /// A VM is asked to stop, and starts again after its end.
+    Terminate {
+        /// The VM.
+        vm: usize,
+        /// Time from its end to its start.
+        restart_after_ms: u64,
+    },
+    /// A VM gets a hang-up signal.
+    HangUp {
+        /// The VM.
+        vm: usize,
+    },
+    /// Operators mark an endpoint as leaving, and take that back.
+    Leave {
+        /// Position of the endpoint among all.
+        endpoint: usize,
+        /// Time until it is taken back.
+        for_ms: u64,
+    },
+    /// Operators publish something that isn't valid.
+    PublishInvalid,
+    /// VMs are killed, and start again.
+    Kill {
+        /// The VMs.
+        vms: Vec<usize>,
+        /// Time until their start.
+        restart_after_ms: u64,
+    },
+    /// A VM stands still.
+    Pause {
+        /// The VM.
+        vm: usize,
+        /// Time until it goes on.
+        for_ms: u64,
+    },
+    /// Nothing passes from one VM to another; the other way works.
+    CutOneWay {
+        /// The VM that is not heard.
+        from: usize,
+        /// The VM that does not hear it.
+        to: usize,
+        /// Time until it passes again.
+        for_ms: u64,
+    },
+    /// Nothing passes between a VM and all others.
+    CutOff {
+        /// The VM.
+        vm: usize,
+        /// Time until it passes again.
+        for_ms: u64,
+    },
+    /// Datagrams between VMs are lost, and all takes longer.
+    BadLinks {
+        /// Datagrams that are lost.
+        lost_percent: u32,
+        /// Time that everything takes longer.
+        delay_ms: u64,
+        /// Time until the links are well.
+        for_ms: u64,
+    },
+    /// An endpoint is sick.
+    Sick {
+        /// Position of the endpoint among all.
+        endpoint: usize,
+        /// What it does.
+        how: Sickness,
+        /// Time until it is well.
+        for_ms: u64,
+    },
+    /// The platform's services fail.
+    PlatformAway {
+        /// What they do.
+        how: Absence,
+        /// Time until they are back.
+        for_ms: u64,
+    },
+}
+
+/// What a sick endpoint does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Sickness {
+    /// It fails all work while its health check passes.
+    Gray,
+    /// It is slow.
+    Straggler,
+    /// It takes everything and answers nothing.
+    Hang,
+    /// It refuses all work.
+    Shed,
+    /// Connections that are open go silent.
+    SilentConnections,
+}
+
+/// How the platform's services fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Absence {
+    /// They refuse.
+    Refusing,
+    /// They don't answer.
+    Hanging,
+    /// They answer with the value before the newest.
+    Stale,
+}
+
+/// Parts of a run in tenths: planned work alone, then faults on top of it, then
+/// planned work alone again, in which everything has to recover.
+const PLANNED_ALONE_TENTHS: u64 = 3;
+const FAULTS_END_TENTHS: u64 = 6;
+/// Mean time between two planned steps, and between two faults.
+const PLANNED_GAP_MS: u64 = 900;
+const FAULT_GAP_MS: u64 = 700;
+/// Time before the end in which nothing begins.
+const QUIET_END_MS: u64 = 5_000;
+/// One fault in so many kills all VMs.
+const KILL_ALL_ONE_IN: u32 = 15;
+
+impl Plan {
+    /// Makes a plan from a seed.
+    pub fn new(seed: u64, vms: usize, seconds: u64, endpoints: usize) -> Plan {
+        let mut maker =
+            Maker { random: Pcg64Mcg::seed_from_u64(seed), vms, endpoints, steps: Vec::new() };
+        let whole_ms = seconds * 1_000;
+        let end_ms = whole_ms.saturating_sub(QUIET_END_MS);
+        maker.fill(0, end_ms, PLANNED_GAP_MS, Maker::planned);
+        let faults = (whole_ms * PLANNED_ALONE_TENTHS / 10, whole_ms * FAULTS_END_TENTHS / 10);
+        maker.fill(faults.0, faults.1, FAULT_GAP_MS, Maker::fault);
+        maker.steps.sort_by_key(|step| step.at_ms);
+        let dispatchers_per_data_centre = if seed.is_multiple_of(2) { 0 } else { 2 };
+        Plan { seed, vms, dispatchers_per_data_centre, seconds, steps: maker.steps }
+    }
+
+    /// Reads a plan from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file and what is wrong in it.
+    pub fn read(file: &Path, endpoints: usize) -> anyhow::Result<Plan> {
+        let json = fs::read(file).with_context(|| file.display().to_string())?;
+        let plan: Plan =
+            serde_json::from_slice(&json).with_context(|| file.display().to_string())?;
+        if let Some(problem) = plan.problem(endpoints) {
+            anyhow::bail!("{}: {problem}", file.display());
+        }
+        Ok(plan)
+    }
+
+    fn problem(&self, endpoints: usize) -> Option<String> {
+        if self.vms == 0 || self.seconds == 0 {
+            return Some(format!("vms: {}, seconds: {}: not above 0", self.vms, self.seconds));
+        }
+        self.steps.iter().enumerate().find_map(|(index, step)| {
+            let vm = step.event.vms().into_iter().find(|vm| *vm >= self.vms);
+            let endpoint = step.event.endpoint().filter(|endpoint| *endpoint >= endpoints);
+            let vm = vm.map(|vm| format!("steps[{index}]: vm {vm} is not below {}", self.vms));
+            vm.or(endpoint.map(|endpoint| {
+                format!("steps[{index}].endpoint: {endpoint} is not below {endpoints}")
+            }))
+        })
+    }
+}
+
+impl Event {
+    /// Returns the VMs that it is about.
+    pub fn vms(&self) -> Vec<usize> {
+        match self {
+            Event::Terminate { vm, .. }
+            | Event::HangUp { vm }
+            | Event::Pause { vm, .. }
+            | Event::CutOff { vm, .. } => vec![*vm],
+            Event::CutOneWay { from, to, .. } => vec![*from, *to],
+            Event::Kill { vms, .. } => vms.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn endpoint(&self) -> Option<usize> {
+        match self {
+            Event::Leave { endpoint, .. } | Event::Sick { endpoint, .. } => Some(*endpoint),
+            _ => None,
+        }
+    }
+
+    /// Returns how long it disturbs more than planned work does, if it does.
+    pub fn fault_ms(&self) -> Option<u64> {
+        match self {
+            Event::Kill { restart_after_ms, .. } => Some(*restart_after_ms),
+            Event::Pause { for_ms, .. }
+            | Event::CutOneWay { for_ms, .. }
+            | Event::CutOff { for_ms, .. }
+            | Event::BadLinks { for_ms, .. }
+            | Event::Sick { for_ms, .. }
+            | Event::PlatformAway { for_ms, .. } => Some(*for_ms),
+            Event::Terminate { .. }
+            | Event::HangUp { .. }
+            | Event::Leave { .. }
+            | Event::PublishInvalid => None,
+        }
+    }
+}
+
+struct Maker {
+    random: Pcg64Mcg,
+    vms: usize,
+    endpoints: usize,
+    steps: Vec<Step>,
+}
+
+impl Maker {
+    fn fill(&mut self, from_ms: u64, to_ms: u64, gap_ms: u64, event: fn(&mut Maker) -> Event) {
+        let mut at_ms = from_ms;
+        loop {
+            at_ms += self.random.random_range(1..2 * gap_ms);
+            if at_ms >= to_ms {
+                return;
+            }
+            let event = event(self);
+            self.steps.push(Step { at_ms, event });
+        }
+    }
+
+    fn vm(&mut self) -> usize {
+        self.random.random_range(0..self.vms)
+    }
+
+    fn endpoint(&mut self) -> usize {
+        self.random.random_range(0..self.endpoints)
+    }
+
+    fn planned(&mut self) -> Event {
+        let vm = self.vm();
+        match self.random.random_range(0..10) {
+            0..5 => Event::Terminate { vm, restart_after_ms: self.random.random_range(50..2_000) },
+            5..7 => Event::HangUp { vm },
+            7..9 => Event::Leave {
+                endpoint: self.endpoint(),
+                for_ms: self.random.random_range(500..20_000),
+            },
+            _ => Event::PublishInvalid,
+        }
+    }
+
+    fn fault(&mut self) -> Event {
+        let vm = self.vm();
+        let for_ms = self.random.random_range(200..5_000);
+        match self.random.random_range(0..12) {
+            0..2 => self.kill(vm, for_ms),
+            2..4 => Event::Pause { vm, for_ms },
+            4..6 => Event::CutOneWay { from: vm, to: self.vm(), for_ms },
+            6 => Event::CutOff { vm, for_ms },
+            7 => Event::BadLinks {
+                lost_percent: self.random.random_range(1..30),
+                delay_ms: self.random.random_range(0..50),
+                for_ms,
+            },
+            8..10 => {
+                let how = [
+                    Sickness::Gray,
+                    Sickness::Straggler,
+                    Sickness::Hang,
+                    Sickness::Shed,
+                    Sickness::SilentConnections,
+                ];
+                let how = *how.choose(&mut self.random).unwrap_or(&Sickness::Gray);
+                Event::Sick { endpoint: self.endpoint(), how, for_ms }
+            }
+            _ => {
+                let how = [Absence::Refusing, Absence::Hanging, Absence::Stale];
+                let how = *how.choose(&mut self.random).unwrap_or(&Absence::Refusing);
+                Event::PlatformAway { how, for_ms }
+            }
+        }
+    }
+
+    fn kill(&mut self, vm: usize, restart_after_ms: u64) -> Event {
+        let all = self.random.random_range(0..KILL_ALL_ONE_IN) == 0;
+        let vms = if all { (0..self.vms).collect() } else { vec![vm] };
+        Event::Kill { vms, restart_after_ms }
+    }
+}
