Remember the connections of a service without endpoints; soak without relays above 120 VMs

Cause of the first: a VM that takes operators' part from a configuration in force sees what they wrote about connections at endpoints only. A service that had none at that moment lost it, and its next endpoints got the default of 400. Test fails before (400 for 90).

Cause of the second: a relay holds a descriptor for each VM that sends to it; 200 VMs took more than the 20,000 that a process may have, and 1,237 promises seemed broken.

--- a/crates/pistachiotrack-core/src/roster.rs
+++ b/crates/pistachiotrack-core/src/roster.rs
@@ -93,9 +93,12 @@
     }
 
     /// Returns the operators' part of a configuration.
-    fn of(config: &Config) -> Operators {
+    ///
+    /// What they wrote about connections shows at a service's endpoints only; where it has
+    /// none, `before` is what is known.
+    fn of(config: &Config, before: Option<Operators>) -> Operators {
         let mut config = config.clone();
-        let mut connections = BTreeMap::new();
+        let mut connections = before.map(|before| before.connections).unwrap_or_default();
         for service in &mut config.services {
             if let Some(endpoint) = service.endpoints.first() {
                 connections.insert(service.name.clone(), endpoint.connections);
@@ -278,7 +281,7 @@
     /// Replaces all by what a configuration says that knows more, operators' part
     /// included: what they wrote meanwhile isn't read again.
     fn adopt(&mut self, config: &Config) {
-        self.operators = Some(Operators::of(config));
+        self.operators = Some(Operators::of(config, self.operators.take()));
         let known = std::mem::take(&mut self.entries);
         for service in &config.services {
             for endpoint in &service.endpoints {
--- a/crates/pistachiotrack-core/tests/roster.rs
+++ b/crates/pistachiotrack-core/tests/roster.rs
@@ -175,6 +175,21 @@
     assert_eq!(names(&idle), ["b"]);
 }
 
+/// All endpoints of a service are being replaced, and a VM that hasn't followed learns of
+/// it from another. It must still know how many connections each new one accepts: beyond
+/// that they reset connections.
+#[test]
+fn a_vm_that_has_not_followed_knows_the_connections_of_a_service_without_endpoints() {
+    let (mut idle, mut follower) = (roster(), roster());
+    for (revision, name) in (11..).zip(["a", "b", "c"]) {
+        follower.on_change(START, revision, Change::Withdrawn(Name::from(name)));
+    }
+    assert!(names(&follower).is_empty());
+    assert_eq!(idle.on_in_force(&follower.config().unwrap()), Some(13));
+    idle.on_change(START, 14, Change::Announced(announced("d", 4, 14, false)));
+    assert_eq!(idle.config().unwrap().services[0].endpoints[0].connections, 90);
+}
+
 /// As above, and operators wrote something meanwhile. The VM must not go back to what
 /// they wrote before.
 #[test]
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -152,6 +152,9 @@
 const FAULT_GAP_MS: u64 = 700;
 /// Time before the end in which nothing begins.
 const QUIET_END_MS: u64 = 5_000;
+/// Most VMs that have relays between them: a relay holds a descriptor for each VM that
+/// sends to it, and 200 VMs took more than the 20,000 that a process may have.
+pub const MAX_RELAYED_VMS: usize = 120;
 /// One fault in so many kills all VMs.
 const KILL_ALL_ONE_IN: u32 = 15;
 
@@ -190,6 +193,12 @@
             return Some(format!("vms: {}, seconds: {}: not above 0", self.vms, self.seconds));
         }
         self.steps.iter().enumerate().find_map(|(index, step)| {
+            if step.event.needs_relays() && self.vms > MAX_RELAYED_VMS {
+                let vms = self.vms;
+                return Some(format!(
+                    "steps[{index}]: links have faults among {MAX_RELAYED_VMS} VMs at most, not {vms}"
+                ));
+            }
             let vm = step.event.vms().into_iter().find(|vm| *vm >= self.vms);
             let endpoint = step.event.endpoint().filter(|endpoint| *endpoint >= endpoints);
             let vm = vm.map(|vm| format!("steps[{index}]: vm {vm} is not below {}", self.vms));
@@ -214,6 +223,11 @@
         }
     }
 
+    /// Returns whether it is about the links between VMs.
+    fn needs_relays(&self) -> bool {
+        matches!(self, Event::CutOneWay { .. } | Event::CutOff { .. } | Event::BadLinks { .. })
+    }
+
     fn endpoint(&self) -> Option<usize> {
         match self {
             Event::Leave { endpoint, .. } | Event::Sick { endpoint, .. } => Some(*endpoint),
@@ -281,6 +295,15 @@
     }
 
     fn fault(&mut self) -> Event {
+        loop {
+            let event = self.any_fault();
+            if self.vms <= MAX_RELAYED_VMS || !event.needs_relays() {
+                return event;
+            }
+        }
+    }
+
+    fn any_fault(&mut self) -> Event {
         let vm = self.vm();
         let for_ms = self.random.random_range(200..5_000);
         match self.random.random_range(0..12) {
