Failing test, known red: a lookup that an endpoint works on is called not run

Cause: the entry VM sends a lookup that is long in coming to its owner once more and passes on whatever comes first, also the refusal of one copy while the other is at an endpoint. Ruled out: the endpoint's own count (it began the work), another identity (each is sent once by its caller), shared services (they send nothing on).

--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -260,6 +260,35 @@
     .await;
 }
 
+/// A lookup is answered "not run" while an endpoint works on it. It is long in coming, and
+/// the entry VM sends it to the owner once more; the owner, whose queue has filled up since,
+/// refuses the second copy at once; the entry VM passes the refusal on although the first
+/// copy is at an endpoint. A caller that trusts it may count the lookup as never made.
+#[tokio::test]
+async fn a_lookup_that_an_endpoint_works_on_is_not_called_not_run() {
+    let (search, release) = held().await;
+    let booking = Endpoint::answering("booked").await;
+    let mut config = config(1, &[search.address], &[booking.address]);
+    config["services"][0]["queue_limit"] = json!(1);
+    config["services"][0]["endpoints"][0]["slots"] = json!(1);
+    let pair = Pair::start_by(config, [json!({}), json!({})]).await;
+    let (owner, entry) = pair.owner("slot-search").await;
+    let lookup = client::with(client::get("/slots"), header::DEADLINE_MS, "2000");
+    let answer = tokio::spawn(client::send(pair.vms[entry].caller_address, lookup));
+    while search.received().is_empty() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    let others: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(client::send(pair.vms[owner].caller_address, client::get("/slots"))))
+        .collect();
+    let answer = answer.await.unwrap().unwrap();
+    release.send_replace(true);
+    for other in others {
+        other.await.unwrap().unwrap();
+    }
+    assert_ne!(client::field(&answer, header::OUTCOME), Some("not-run"), "{answer:?}");
+}
+
 /// A booking that came while its owner was paused is run after its caller has
 /// given up. The owner wakes up and takes the time left for one that begins now.
 #[tokio::test]
