--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -94,8 +94,8 @@
 
 /// What a caller learns from an exchange.
 #[derive(Debug)]
-struct Exchange {
-    ending: Ending,
+pub(crate) struct Exchange {
+    pub(crate) ending: Ending,
     service_us: Option<u64>,
     reason: Option<Box<str>>,
 }
@@ -182,7 +182,8 @@
 
     async fn exchange(&self, operation: &Operation, id: WorkId) -> Exchange {
         for address in self.addresses(operation, id).await {
-            let Ok(request) = request(operation, id, address) else { break };
+            let uri = format!("http://{address}{}", operation.path);
+            let Ok(request) = request(operation, id, uri, body(operation, id)) else { break };
             match self.client.request(request).await {
                 Ok(answer) => return judge(id, answer).await,
                 Err(error) if error.is_connect() => {}
@@ -260,15 +261,24 @@
     Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector)
 }
 
-fn request(
+fn body(operation: &Operation, id: WorkId) -> Bytes {
+    if operation.method == "GET" { Bytes::new() } else { Bytes::from(id.0.to_string()) }
+}
+
+/// Returns the request for a piece of work.
+///
+/// # Errors
+///
+/// Returns an error if the operation makes no valid request.
+pub(crate) fn request(
     operation: &Operation,
     id: WorkId,
-    address: SocketAddr,
+    uri: String,
+    body: Bytes,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    let body = if operation.method == "GET" { Bytes::new() } else { Bytes::from(id.0.to_string()) };
     Request::builder()
         .method(operation.method)
-        .uri(format!("http://{address}{}", operation.path))
+        .uri(uri)
         .header(header::CUSTOMER, operation.customer)
         .header(header::SERVICE, operation.service)
         .header(header::CLASS, operation.class.as_str())
@@ -277,7 +287,8 @@
         .body(Full::new(body))
 }
 
-async fn judge(id: WorkId, answer: Response<Incoming>) -> Exchange {
+/// Reads an answer to its end and tells what it is worth to the caller.
+pub(crate) async fn judge(id: WorkId, answer: Response<Incoming>) -> Exchange {
     let refusal = text(&answer, header::OUTCOME).map(str::to_owned);
     let reason = text(&answer, header::REASON).map(Box::from);
     let service_us = text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -2,6 +2,7 @@
 //! and overlapping, and promises checked by what callers and endpoints saw.
 
 mod caller;
+mod clock;
 pub mod oracle;
 pub mod plan;
 mod vms;
@@ -12,13 +13,14 @@
     path::{Path, PathBuf},
     process::ExitCode,
     sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use tokio::{sync::watch, task::JoinSet};
 
 use self::{
     caller::KeptCaller,
+    clock::RunClock,
     oracle::{Asked, Record, VersionSeen, Violation, violations},
     plan::{MAX_RELAYED_VMS, Plan},
     vms::Vms,
@@ -183,13 +185,13 @@
     };
     fleet.wait_until("all VMs serve", START_LIMIT, serves).await?;
     let addresses = fleet.caller_addresses();
-    let start = Instant::now();
+    let clock = RunClock::start();
     let names: Vec<String> =
         fleet.daemons().iter().map(|daemon| daemon.settings().vm.clone()).collect();
     let daemons = names.iter().map(|vm| fleet.take(vm)).collect::<anyhow::Result<_>>()?;
-    let vms = Vms::new(daemons, binary, start);
+    let vms = Vms::new(daemons, binary, clock);
     let descriptors_before = vms.descriptors().into_iter().max().unwrap_or(0);
-    let world = Arc::new(World::new(deployment, vms.clone(), links, start));
+    let world = Arc::new(World::new(deployment, vms.clone(), links, clock));
 
     let versions: Arc<Mutex<Vec<VersionSeen>>> = Arc::default();
     let mut watchers = JoinSet::new();
@@ -202,8 +204,8 @@
         let (world, vms) = (Arc::clone(&world), plan.vms);
         steps.spawn(async move { world.play(&step, vms).await });
     }
-    let mut asked = load(plan, &world, addresses, start).await;
-    let end_ms = start.elapsed().as_millis() as u64;
+    let mut asked = load(plan, &world, addresses, clock).await;
+    let end_ms = clock.now_ms();
     while steps.join_next().await.is_some() {}
     tokio::time::sleep(AFTERMATH).await;
     let descriptors_after = vms.descriptors().into_iter().max().unwrap_or(0);
@@ -241,7 +243,7 @@
     plan: &Plan,
     world: &World,
     addresses: Vec<std::net::SocketAddr>,
-    start: Instant,
+    clock: RunClock,
 ) -> Vec<Asked> {
     let operations = operations(Kind::Timeliten.work(), &world.deployment.config, LOAD);
     let ids = WorkIds::default();
@@ -249,7 +251,7 @@
     let mut kept = JoinSet::new();
     for (vm, address) in addresses.iter().copied().enumerate().take(KEPT_CALLERS) {
         let operations = Arc::new(operations.clone());
-        let caller = KeptCaller { vm, address, operations, ids: ids.clone(), start };
+        let caller = KeptCaller { vm, address, operations, ids: ids.clone(), clock };
         kept.spawn(caller.run(ended.clone()));
     }
     let mut callers: Vec<Caller> =
@@ -259,13 +261,13 @@
     let settings = LoadSettings { duration, ids, seed: plan.seed };
     let samples = drive(&callers, &operations, settings).await;
     ends.send_replace(true);
-    let mut asked: Vec<Asked> = samples.iter().map(|sample| asked_by(sample, start)).collect();
+    let mut asked: Vec<Asked> = samples.iter().map(|sample| asked_by(sample, clock)).collect();
     asked.extend(kept.join_all().await.into_iter().flatten());
     asked
 }
 
-fn asked_by(sample: &Sample, start: Instant) -> Asked {
-    let sent_ms = sample.sent.saturating_duration_since(start).as_millis() as u64;
+fn asked_by(sample: &Sample, clock: RunClock) -> Asked {
+    let sent_ms = clock.ms(sample.sent);
     Asked {
         id: sample.id,
         non_idempotent: sample.non_idempotent,
--- a/crates/pistachiotrack-standins/src/soak/caller.rs
+++ b/crates/pistachiotrack-standins/src/soak/caller.rs
@@ -1,23 +1,22 @@
 //! A caller that keeps its connection to one VM until the process is gone.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, client::conn::http1};
+use http_body_util::Full;
+use hyper::{
+    Request,
+    client::conn::http1,
+    header::{HOST, HeaderValue},
+};
 use hyper_util::rt::TokioIo;
-use pistachiotrack_core::header;
 use tokio::{net::TcpStream, sync::watch};
 
-use super::oracle::Asked;
+use super::{clock::RunClock, oracle::Asked};
 use crate::{
-    caller::{Ending, Operation},
+    caller::{Ending, Operation, judge, request},
     load::WorkIds,
-    work::{WORK_ID, WorkId, is_answer_to},
+    work::WorkId,
 };
 
 /// Time between two requests on one connection.
@@ -38,8 +37,8 @@
     pub(super) operations: Arc<Vec<Operation>>,
     /// Identities of the work.
     pub(super) ids: WorkIds,
-    /// Beginning of the load.
-    pub(super) start: Instant,
+    /// Time from the beginning of the load.
+    pub(super) clock: RunClock,
 }
 
 impl KeptCaller {
@@ -71,13 +70,13 @@
         while !*ends.borrow() && sender.ready().await.is_ok() {
             let operation = &self.operations[asked.len() % self.operations.len()];
             let id = self.ids.next();
-            let sent_ms = self.now_ms();
-            let Ok(request) = request(operation, id, self.address) else { break };
+            let sent_ms = self.clock.now_ms();
+            let Ok(request) = request_to(self.address, operation, id) else { break };
             let allowed = Duration::from_millis(operation.deadline_ms) + HANG;
             let ending = tokio::time::timeout(allowed, exchange(&mut sender, request, id)).await;
             let ending = ending.unwrap_or(Some(Ending::Lost));
             if let Some(ending) = ending {
-                let (vm, ended_ms) = (Some(self.vm), self.now_ms());
+                let (vm, ended_ms) = (Some(self.vm), self.clock.now_ms());
                 let non_idempotent = operation.non_idempotent;
                 asked.push(Asked { id, non_idempotent, vm, sent_ms, ended_ms, ending });
             }
@@ -85,10 +84,6 @@
         }
         connection.abort();
     }
-
-    fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
-    }
 }
 
 /// Sends a request and returns what came of it; `None` if nothing of it was sent.
@@ -97,36 +92,20 @@
     request: Request<Full<Bytes>>,
     id: WorkId,
 ) -> Option<Ending> {
-    let answer = match sender.send_request(request).await {
-        Ok(answer) => answer,
-        Err(error) if error.is_canceled() => return None,
-        Err(_) => return Some(Ending::Lost),
-    };
-    let outcome = answer.headers().get(header::OUTCOME).cloned();
-    let status = answer.status();
-    let Ok(body) = answer.into_body().collect().await else { return Some(Ending::Lost) };
-    Some(match outcome {
-        Some(outcome) if outcome == "not-run" => Ending::RefusedNotRun,
-        Some(_) => Ending::Unknown,
-        None if !status.is_success() => Ending::Failed,
-        None if is_answer_to(id, &body.to_bytes()) => Ending::Ok,
-        None => Ending::WrongAnswer,
-    })
+    match sender.send_request(request).await {
+        Ok(answer) => Some(judge(id, answer).await.ending),
+        Err(error) if error.is_canceled() => None,
+        Err(_) => Some(Ending::Lost),
+    }
 }
 
-fn request(
+/// Returns a request as it is written to a connection to the VM itself.
+fn request_to(
+    address: SocketAddr,
     operation: &Operation,
     id: WorkId,
-    address: SocketAddr,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    Request::builder()
-        .method(operation.method)
-        .uri(operation.path)
-        .header(hyper::header::HOST, address.to_string())
-        .header(header::CUSTOMER, operation.customer)
-        .header(header::SERVICE, operation.service)
-        .header(header::CLASS, operation.class.as_str())
-        .header(header::DEADLINE_MS, operation.deadline_ms)
-        .header(WORK_ID, id.0)
-        .body(Full::default())
+    let mut request = request(operation, id, operation.path.to_owned(), Bytes::new())?;
+    request.headers_mut().insert(HOST, HeaderValue::try_from(address.to_string())?);
+    Ok(request)
 }
--- a/crates/pistachiotrack-standins/src/soak/vms.rs
+++ b/crates/pistachiotrack-standins/src/soak/vms.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use super::oracle::{Process, VersionSeen};
+use super::{
+    clock::RunClock,
+    oracle::{Process, VersionSeen},
+};
 use crate::{
     admin::Admin,
     daemon::{Daemon, DaemonBinary, DaemonSettings},
@@ -21,7 +24,7 @@
 pub(super) struct Vms {
     vms: Arc<Vec<Mutex<Vm>>>,
     binary: DaemonBinary,
-    start: Instant,
+    clock: RunClock,
 }
 
 #[derive(Debug)]
@@ -33,24 +36,19 @@
     restart_due: Option<Instant>,
 }
 
-/// Signals that a VM may get.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Signal {
-    /// Stops it gracefully.
-    Terminate,
-    /// Ends it at once.
-    Kill,
-    /// Makes it stand still.
-    Pause,
-    /// Lets it go on.
-    Resume,
-    /// Has it read its settings again.
-    HangUp,
+impl Vm {
+    /// Notes that the end of the process that runs now is meant.
+    fn mean_end(&mut self, restart_after: Duration) -> Option<&mut Process> {
+        self.restart_after = restart_after;
+        let process = self.processes.last_mut()?;
+        process.end_was_meant = true;
+        Some(process)
+    }
 }
 
 impl Vms {
     /// Takes over running daemons, in the order of their VMs.
-    pub(super) fn new(daemons: Vec<Daemon>, binary: DaemonBinary, start: Instant) -> Vms {
+    pub(super) fn new(daemons: Vec<Daemon>, binary: DaemonBinary, clock: RunClock) -> Vms {
         let vm = |(index, daemon): (usize, Daemon)| {
             Mutex::new(Vm {
                 settings: daemon.settings().clone(),
@@ -60,30 +58,39 @@
                 restart_due: None,
             })
         };
-        Vms { vms: Arc::new(daemons.into_iter().enumerate().map(vm).collect()), binary, start }
+        Vms { vms: Arc::new(daemons.into_iter().enumerate().map(vm).collect()), binary, clock }
     }
 
-    /// Sends a signal; one that ends the process is followed by a start `restart_after`
-    /// its end.
-    pub(super) fn signal(&self, vm: usize, signal: Signal, restart_after: Duration) {
-        let now_ms = self.now_ms();
+    /// Stops a VM gracefully; it starts again `restart_after` its end.
+    pub(super) fn terminate(&self, vm: usize, restart_after: Duration) {
+        let now_ms = self.clock.now_ms();
         let mut vm = self.lock(vm);
-        if matches!(signal, Signal::Terminate | Signal::Kill) {
-            vm.restart_after = restart_after;
-            if let Some(process) = vm.processes.last_mut() {
-                process.end_was_meant = true;
-                if matches!(signal, Signal::Terminate) {
-                    process.asked_to_stop_ms.get_or_insert(now_ms);
-                }
-            }
-        }
-        match signal {
-            Signal::Terminate => vm.daemon.terminate(),
-            Signal::Kill => vm.daemon.end_now(),
-            Signal::Pause => vm.daemon.pause(),
-            Signal::Resume => vm.daemon.resume(),
-            Signal::HangUp => vm.daemon.hang_up(),
+        if let Some(process) = vm.mean_end(restart_after) {
+            process.asked_to_stop_ms.get_or_insert(now_ms);
         }
+        vm.daemon.terminate();
+    }
+
+    /// Ends a VM at once; it starts again `restart_after` its end.
+    pub(super) fn kill(&self, vm: usize, restart_after: Duration) {
+        let mut vm = self.lock(vm);
+        vm.mean_end(restart_after);
+        vm.daemon.end_now();
+    }
+
+    /// Makes a VM stand still.
+    pub(super) fn pause(&self, vm: usize) {
+        self.lock(vm).daemon.pause();
+    }
+
+    /// Lets a VM go on.
+    pub(super) fn resume(&self, vm: usize) {
+        self.lock(vm).daemon.resume();
+    }
+
+    /// Has a VM read its settings again.
+    pub(super) fn hang_up(&self, vm: usize) {
+        self.lock(vm).daemon.hang_up();
     }
 
     /// Notes ends and starts VMs again, for as long as it is polled.
@@ -91,7 +98,7 @@
         loop {
             tokio::time::sleep(LOOK_INTERVAL).await;
             let Some(settings) = self.due_to_start(vm) else { continue };
-            let started_ms = self.now_ms();
+            let started_ms = self.clock.now_ms();
             let Ok(daemon) = self.binary.start(settings).await else { continue };
             let mut state = self.lock(vm);
             state.daemon = daemon;
@@ -103,7 +110,7 @@
 
     /// Notes the end of a process; returns the settings once its start is due.
     fn due_to_start(&self, vm: usize) -> Option<DaemonSettings> {
-        let now_ms = self.now_ms();
+        let now_ms = self.clock.now_ms();
         let mut vm = self.lock(vm);
         if vm.daemon.is_running() {
             return None;
@@ -126,7 +133,7 @@
             if self.address_and_process(vm).1 != process {
                 continue;
             }
-            let at_ms = self.now_ms();
+            let at_ms = self.clock.now_ms();
             let version = status.config_version;
             let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
             seen.push(VersionSeen { at_ms, vm, process, version });
@@ -151,10 +158,6 @@
     fn lock(&self, vm: usize) -> MutexGuard<'_, Vm> {
         self.vms[vm].lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
-    }
 }
 
 fn process(vm: usize, number: u32, started_ms: u64) -> Process {
--- a/crates/pistachiotrack-standins/src/soak/world.rs
+++ b/crates/pistachiotrack-standins/src/soak/world.rs
@@ -8,9 +8,10 @@
 use pistachiotrack_core::config::Config;
 
 use super::{
+    clock::RunClock,
     oracle::{Left, Published},
     plan::{Absence, Event, Sickness, Step},
-    vms::{Signal, Vms},
+    vms::Vms,
 };
 use crate::{
     deployment::Deployment,
@@ -30,7 +31,7 @@
     pub(super) vms: Vms,
     links: Links,
     state: Mutex<State>,
-    start: Instant,
+    clock: RunClock,
 }
 
 #[derive(Debug)]
@@ -45,7 +46,7 @@
 }
 
 impl World {
-    pub(super) fn new(deployment: Deployment, vms: Vms, links: Links, start: Instant) -> World {
+    pub(super) fn new(deployment: Deployment, vms: Vms, links: Links, clock: RunClock) -> World {
         let state = State {
             config: deployment.config.clone(),
             published: Vec::new(),
@@ -53,27 +54,25 @@
             cuts: Vec::new(),
             bad_links: Vec::new(),
         };
-        World { deployment, vms, links, state: Mutex::new(state), start }
+        World { deployment, vms, links, state: Mutex::new(state), clock }
     }
 
     /// Waits for a step's time, has it happen, and ends it when it is over.
     pub(super) async fn play(&self, step: &Step, vms: usize) {
-        tokio::time::sleep_until((self.start + Duration::from_millis(step.at_ms)).into()).await;
-        let no_restart = Duration::ZERO;
+        self.clock.wait_until_ms(step.at_ms).await;
         match &step.event {
             Event::Terminate { vm, restart_after_ms } => {
-                let restart_after = Duration::from_millis(*restart_after_ms);
-                self.vms.signal(*vm, Signal::Terminate, restart_after);
+                self.vms.terminate(*vm, Duration::from_millis(*restart_after_ms));
             }
-            Event::HangUp { vm } => self.vms.signal(*vm, Signal::HangUp, no_restart),
+            Event::HangUp { vm } => self.vms.hang_up(*vm),
             Event::Kill { vms, restart_after_ms } => {
                 let restart_after = Duration::from_millis(*restart_after_ms);
-                vms.iter().for_each(|vm| self.vms.signal(*vm, Signal::Kill, restart_after));
+                vms.iter().for_each(|vm| self.vms.kill(*vm, restart_after));
             }
             Event::Pause { vm, for_ms } => {
-                self.vms.signal(*vm, Signal::Pause, no_restart);
+                self.vms.pause(*vm);
                 pause(*for_ms).await;
-                self.vms.signal(*vm, Signal::Resume, no_restart);
+                self.vms.resume(*vm);
             }
             Event::Leave { endpoint, for_ms } => self.leave(*endpoint, *for_ms).await,
             Event::PublishInvalid => self.publish_invalid().await,
@@ -120,12 +119,12 @@
             return;
         }
         pause(for_ms).await;
-        let until_ms = self.now_ms();
+        let until_ms = self.clock.now_ms();
         self.publish(|config| mark(config, &name, false));
         let arrivals = self.deployment.endpoints[endpoint].arrivals_since(from);
-        let ms = |at: Instant| at.saturating_duration_since(self.start).as_millis() as u64;
-        let arrivals_ms = arrivals.into_iter().map(ms).collect();
-        let left = Left { endpoint: name, from_ms: ms(from), until_ms, arrivals_ms };
+        let arrivals_ms = arrivals.into_iter().map(|at| self.clock.ms(at)).collect();
+        let from_ms = self.clock.ms(from);
+        let left = Left { endpoint: name, from_ms, until_ms, arrivals_ms };
         self.lock().left.push(left);
     }
 
@@ -150,7 +149,7 @@
         if !config.check("soak").is_empty() || self.deployment.platform.publish(&config).is_err() {
             return false;
         }
-        let published = Published { at_ms: self.now_ms(), version: config.version };
+        let published = Published { at_ms: self.clock.now_ms(), version: config.version };
         state.published.push(published);
         state.config = config;
         true
@@ -197,10 +196,6 @@
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
-    }
 }
 
 fn mark(config: &mut Config, endpoint: &str, leaving: bool) {
