--- a/crates/pistachiotrack-core/src/header.rs
+++ b/crates/pistachiotrack-core/src/header.rs
@@ -32,7 +32,10 @@
 pub const VIA: &str = "pistachiotrack-via";
 /// Between VMs: how a request that went through the receiver ended.
 pub const VIA_END: &str = "pistachiotrack-via-end";
-/// Towards endpoints and between VMs: identity of the request.
+/// Between VMs: what the answering VM says of the request that was sent on to it.
+pub const PEER_WORD: &str = "pistachiotrack-peer-word";
+/// Towards endpoints and between VMs: identity of the request. To callers: the same, on a
+/// refusal.
 pub const REQUEST_ID: &str = "pistachiotrack-request-id";
 /// From endpoints: requests being worked on.
 pub const LOAD: &str = "pistachiotrack-load";
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod config_sync;
 pub mod contract;
+pub mod copies;
 pub mod customer;
 pub mod data_centre;
 pub mod endpoint;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::{copies::SentTo, name::Name};
+
 /// Whether a refused request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -52,6 +54,21 @@
 }
 
 impl Reason {
+    /// All reasons.
+    pub const ALL: [Reason; 11] = [
+        Reason::QueueFull,
+        Reason::WaitTooLong,
+        Reason::DeadlinePassed,
+        Reason::Rule,
+        Reason::NoConfig,
+        Reason::NoEndpoint,
+        Reason::AnswerLost,
+        Reason::NoRecord,
+        Reason::Duplicate,
+        Reason::BadRequest,
+        Reason::Paused,
+    ];
+
     /// Returns the value of [`crate::header::REASON`].
     pub fn as_str(self) -> &'static str {
         match self {
@@ -70,9 +87,12 @@
     }
 }
 
-/// A refusal with what the caller needs in order to go on.
+/// What a decision says of a request that it refuses.
+///
+/// It is the decision's own knowledge; what the caller is told also depends on the copies
+/// that were sent (see [`crate::copies`]).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
+pub struct Verdict {
     /// Whether the request may have run.
     pub execution: Execution,
     /// Why it was refused.
@@ -80,3 +100,55 @@
     /// When the caller may ask again.
     pub retry_after_ms: Option<u64>,
 }
+
+/// A refusal as the caller is told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    execution: Execution,
+    reason: Reason,
+    retry_after_ms: Option<u64>,
+    decided_by: Option<Name>,
+    sent: Vec<SentTo>,
+}
+
+impl Refusal {
+    pub(crate) fn new(
+        execution: Execution,
+        reason: Reason,
+        retry_after_ms: Option<u64>,
+        sent: Vec<SentTo>,
+    ) -> Refusal {
+        Refusal { execution, reason, retry_after_ms, decided_by: None, sent }
+    }
+
+    /// Names another VM that decided on it.
+    #[must_use]
+    pub fn decided_by(self, vm: Name) -> Refusal {
+        Refusal { decided_by: Some(vm), ..self }
+    }
+
+    /// Returns whether the request may have run.
+    pub fn execution(&self) -> Execution {
+        self.execution
+    }
+
+    /// Returns why it was refused.
+    pub fn reason(&self) -> Reason {
+        self.reason
+    }
+
+    /// Returns when the caller may ask again.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        self.retry_after_ms
+    }
+
+    /// Returns the VM that decided, if it was another one.
+    pub fn decider(&self) -> Option<&Name> {
+        self.decided_by.as_ref()
+    }
+
+    /// Returns the copies that were sent.
+    pub fn sent(&self) -> &[SentTo] {
+        &self.sent
+    }
+}
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -6,7 +6,7 @@
     health::HealthAction,
     idempotency::StoredAnswer,
     name::Name,
-    refusal::Refusal,
+    refusal::Verdict,
     request::{AttemptId, ConnectionChoice, RequestId},
     shard::ShardNews,
     time::Time,
@@ -98,8 +98,8 @@
     Refuse {
         /// The request.
         request: RequestId,
-        /// What the caller is told.
-        refusal: Refusal,
+        /// What is known of it here.
+        refusal: Verdict,
     },
     /// Sends a health check.
     Probe {
--- a/crates/pistachiotrack-core/src/shard/ending.rs
+++ b/crates/pistachiotrack-core/src/shard/ending.rs
@@ -4,13 +4,12 @@
 
 use super::{
     Shard, ShardAction, ShardMode,
-    flow::unknown,
     state::{Attempt, Phase},
 };
 use crate::{
     admission::Ticket,
     health::{AttemptKind, HealthAction},
-    refusal::{Execution, Reason, Refusal},
+    refusal::{Execution, Reason, Verdict},
     request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, RequestId},
     time::Time,
 };
@@ -82,7 +81,7 @@
             Outcome::Broken { fresh_connection: false }
                 | Outcome::TimedOut { fresh_connection: false }
         );
-        let execution = if live.may_have_run { Execution::Unknown } else { Execution::NotRun };
+        let execution = live.execution();
         let is_late = now >= live.not_after;
         if outcome != Outcome::Cancelled
             && self.may_retry(now, id, 1)
@@ -103,7 +102,7 @@
             Execution::NotRun => self.retry_hint(self.queue_wait(now)),
             Execution::Unknown => None,
         };
-        self.refuse(now, id, Refusal { execution, reason, retry_after_ms });
+        self.refuse(now, id, reason, retry_after_ms);
     }
 
     /// Takes the end of an attempt whose request has no caller any more.
@@ -215,34 +214,37 @@
             if not_after > now {
                 return;
             }
-            let refusal = Refusal {
-                execution: Execution::NotRun,
-                reason: Reason::DeadlinePassed,
-                retry_after_ms: None,
-            };
-            self.refuse_unless_run(now, id, refusal);
+            self.refuse(now, id, Reason::DeadlinePassed, None);
             self.expiry.remove(&(not_after, id));
         }
     }
 
-    /// Refuses a request that waits; says "unknown" if it may have run, be it
-    /// by an earlier attempt or by the first request with its key.
-    pub(super) fn refuse_unless_run(&mut self, now: Time, id: RequestId, refusal: Refusal) {
-        let may_have_run =
-            self.live.get(&id).is_some_and(|live| live.may_have_run || live.phase == Phase::Joined);
-        let refusal = if may_have_run { unknown(refusal.reason) } else { refusal };
-        self.refuse(now, id, refusal);
-    }
-
     /// Refuses a request; nothing else is said about it afterwards.
-    pub(super) fn refuse(&mut self, now: Time, id: RequestId, refusal: Refusal) {
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        reason: Reason,
+        retry_after_ms: Option<u64>,
+    ) {
+        let Some(live) = self.live.get(&id) else { return };
+        let execution = live.execution();
+        let retry_after_ms = retry_after_ms.filter(|_| execution == Execution::NotRun);
         let Some(holds_key) = self.forget(id) else { return };
         self.strain.note(false);
+        let refusal = Verdict { execution, reason, retry_after_ms };
         self.out.push(ShardAction::Refuse { request: id, refusal });
-        if !holds_key {
-            return;
+        if holds_key {
+            self.on_abandoned(now, id, execution == Execution::NotRun);
+        }
+    }
+
+    /// Refuses a request that a caller sent before, and whose first may have run.
+    pub(super) fn refuse_as_run(&mut self, now: Time, id: RequestId, reason: Reason) {
+        if let Some(live) = self.live.get_mut(&id) {
+            live.may_have_run = true;
         }
-        self.on_abandoned(now, id, refusal.execution == Execution::NotRun);
+        self.refuse(now, id, reason, None);
     }
 
     /// Takes a request out of every list; returns whether it held its key.
@@ -269,7 +271,7 @@
     /// Refuses requests whose first may have run without an answer to give.
     pub(super) fn refuse_waiters(&mut self, now: Time, waiters: Vec<RequestId>) {
         for waiter in waiters {
-            self.refuse(now, waiter, unknown(Reason::Duplicate));
+            self.refuse_as_run(now, waiter, Reason::Duplicate);
         }
     }
 
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -12,7 +12,7 @@
     health::{AttemptKind, Standing},
     idempotency::Claim,
     name::Name,
-    refusal::{Execution, Reason, Refusal},
+    refusal::Reason,
     request::{AttemptId, Class, ConnectionChoice, RequestId, remaining},
     time::Time,
 };
@@ -35,8 +35,7 @@
 /// nothing is known is below.
 const PATIENT_RISK: f64 = 0.25;
 /// Part of its time for which it waits, if it may run again and if it must not: the
-/// first can be sent once more when it fails, the second is lost. With half for both, 4.8%
-/// of the unsafe attempts of a customer with heavy days failed, and 3.7% since.
+/// first can be sent once more when it fails, the second is lost.
 const PATIENCE_PARTS: (f64, f64) = (0.5, 0.85);
 /// Requests that may always wait while it does.
 const PATIENT_QUEUE: usize = 8;
@@ -61,7 +60,7 @@
         }
         let Some(key) = request.key.clone() else {
             if request.repeat {
-                return self.refuse(now, id, unknown(Reason::NoRecord));
+                return self.refuse_as_run(now, id, Reason::NoRecord);
             }
             return self.admit(now, id);
         };
@@ -85,9 +84,9 @@
                 self.live.remove(&id);
                 self.out.push(ShardAction::Replay { request: id, answer });
             }
-            Claim::Lost => self.refuse(now, id, unknown(Reason::Duplicate)),
-            Claim::NoRecord => self.refuse(now, id, unknown(Reason::NoRecord)),
-            Claim::Full => self.refuse(now, id, not_run(Reason::QueueFull, None)),
+            Claim::Lost => self.refuse_as_run(now, id, Reason::Duplicate),
+            Claim::NoRecord => self.refuse_as_run(now, id, Reason::NoRecord),
+            Claim::Full => self.refuse(now, id, Reason::QueueFull, None),
         }
     }
 
@@ -95,29 +94,28 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         let left = remaining(live.request.deadline, now);
         if left.is_zero() {
-            return self.refuse(now, id, not_run(Reason::DeadlinePassed, None));
+            return self.refuse(now, id, Reason::DeadlinePassed, None);
         }
         let answer_time = self.latency.p95().or(self.usual.value()).unwrap_or_default();
         live.not_after = now + (left - (answer_time.mul_f64(RESERVE_TIMES_P95)).min(left / 2));
         let (customer, class) = (live.request.customer.clone(), live.request.class);
         if self.pool.usable(live.request.idempotent) == 0 {
             let hint = self.retry_hint(NO_ENDPOINT_RETRY_AFTER);
-            return self.refuse(now, id, not_run(Reason::NoEndpoint, hint));
+            return self.refuse(now, id, Reason::NoEndpoint, hint);
         }
         let wait = self.expected_wait(&customer, class);
         let needed = wait + (answer_time * ADMIT_TIMES_P95).min(left / 2);
         if !wait.is_zero() && needed > left {
             let hint = self.retry_hint(needed - left);
-            return self.refuse(now, id, not_run(Reason::WaitTooLong, hint));
+            return self.refuse(now, id, Reason::WaitTooLong, hint);
         }
         let is_full = self.queue.len() >= self.queue_limit;
         if is_full && (!self.queue.is_empty() || !self.pool.has_free_slot()) {
             let hint = self.retry_hint(self.queue_wait(now));
-            let refusal = not_run(Reason::QueueFull, hint);
             let Some(victim) = self.queue.victim(&customer, class) else {
-                return self.refuse(now, id, refusal);
+                return self.refuse(now, id, Reason::QueueFull, hint);
             };
-            self.refuse_unless_run(now, victim, refusal);
+            self.refuse(now, victim, Reason::QueueFull, hint);
         }
         self.enqueue(id);
     }
@@ -157,7 +155,7 @@
             };
             if self.pool.usable(live.request.idempotent) == 0 {
                 let hint = self.retry_hint(NO_ENDPOINT_RETRY_AFTER);
-                self.refuse_unless_run(now, id, not_run(Reason::NoEndpoint, hint));
+                self.refuse(now, id, Reason::NoEndpoint, hint);
                 continue;
             }
             let Some(pick) = self.pick(now, id, true) else { return };
@@ -440,11 +438,3 @@
         ConnectionChoice::Lively
     }
 }
-
-pub(super) fn not_run(reason: Reason, retry_after_ms: Option<u64>) -> Refusal {
-    Refusal { execution: Execution::NotRun, reason, retry_after_ms }
-}
-
-pub(super) fn unknown(reason: Reason) -> Refusal {
-    Refusal { execution: Execution::Unknown, reason, retry_after_ms: None }
-}
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -3,6 +3,7 @@
 use crate::{
     health::AttemptKind,
     name::Name,
+    refusal::Execution,
     request::{AttemptId, Class, Request, RequestId},
     shard::Ending,
     time::Time,
@@ -71,6 +72,17 @@
         self.sent < self.request.max_attempts && self.tried.len() < MAX_TRIES
     }
 
+    /// Returns whether it may have run, be it by an attempt or by the first request with
+    /// its key.
+    ///
+    /// Failure guarded against: a request is refused as not run while an attempt is at an
+    /// endpoint. It shows as a doubled booking, since callers repeat such a request. The
+    /// guard holds because no decision that refuses says by itself whether it ran.
+    pub(super) fn execution(&self) -> Execution {
+        let may_run = self.may_have_run || !self.in_flight.is_empty();
+        if may_run || self.phase == Phase::Joined { Execution::Unknown } else { Execution::NotRun }
+    }
+
     /// Returns whether it may be dispatched again as far as its runs go.
     pub(super) fn may_run_again(&self) -> bool {
         self.request.idempotent || !self.may_have_run
--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -90,6 +90,8 @@
     pub ending: Ending,
     /// Reason of the refusal, or how the request was lost.
     pub reason: Option<Box<str>>,
+    /// Identity of the request within the fleet, if it was refused.
+    pub request: Option<Box<str>>,
 }
 
 /// What a caller learns from an exchange.
@@ -98,11 +100,12 @@
     pub(crate) ending: Ending,
     service_us: Option<u64>,
     reason: Option<Box<str>>,
+    pub(crate) request: Option<Box<str>>,
 }
 
 impl From<Ending> for Exchange {
     fn from(ending: Ending) -> Exchange {
-        Exchange { ending, service_us: None, reason: None }
+        Exchange { ending, service_us: None, reason: None, request: None }
     }
 }
 
@@ -167,7 +170,7 @@
         let sent = Instant::now();
         let allowed = Duration::from_millis(operation.deadline_ms) + GRACE;
         let exchange = tokio::time::timeout(allowed, self.exchange(operation, id)).await;
-        let Exchange { ending, service_us, reason } = exchange.unwrap_or(lost(NO_ANSWER));
+        let Exchange { ending, service_us, reason, request } = exchange.unwrap_or(lost(NO_ANSWER));
         Sample {
             id,
             non_idempotent: operation.non_idempotent,
@@ -177,6 +180,7 @@
             service_us,
             ending,
             reason,
+            request,
         }
     }
 
@@ -291,6 +295,7 @@
 pub(crate) async fn judge(id: WorkId, answer: Response<Incoming>) -> Exchange {
     let refusal = text(&answer, header::OUTCOME).map(str::to_owned);
     let reason = text(&answer, header::REASON).map(Box::from);
+    let request = refusal.as_ref().and_then(|_| text(&answer, header::REQUEST_ID)).map(Box::from);
     let service_us = text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
     let status = answer.status();
     let Ok(body) = answer.into_body().collect().await else { return lost(BROKEN_OFF) };
@@ -301,7 +306,7 @@
         None if is_answer_to(id, &body.to_bytes()) => Ending::Ok,
         None => Ending::WrongAnswer,
     };
-    Exchange { ending, service_us, reason }
+    Exchange { ending, service_us, reason, request }
 }
 
 fn text<'a>(answer: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -21,7 +21,7 @@
 use self::{
     caller::KeptCaller,
     clock::RunClock,
-    oracle::{Asked, Record, VersionSeen, Violation, violations},
+    oracle::{Asked, LoggedRefusals, Record, VersionSeen, Violation, violations},
     plan::{MAX_RELAYED_VMS, Plan},
     vms::Vms,
     world::World,
@@ -214,6 +214,7 @@
     asked.sort_by_key(|asked| asked.sent_ms);
     let (published, left) = world.published();
     let ledger = &world.deployment.ledger;
+    let logged = logged_refusals(directory, names)?;
     let record = Record {
         executions: asked.iter().map(|it| (it.id, ledger.executions(it.id))).collect(),
         versions: versions.lock().unwrap_or_else(PoisonError::into_inner).clone(),
@@ -221,6 +222,7 @@
         left,
         processes: vms.processes(),
         faults: faults(plan),
+        logged,
         end_ms,
         asked,
     };
@@ -233,6 +235,17 @@
     })
 }
 
+fn logged_refusals(directory: &Path, vms: Vec<String>) -> anyhow::Result<LoggedRefusals> {
+    let mut logged = LoggedRefusals { vms, ..LoggedRefusals::default() };
+    for entry in fs::read_dir(directory)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|extension| extension == "log") {
+            logged.read(&String::from_utf8_lossy(&fs::read(path)?));
+        }
+    }
+    Ok(logged)
+}
+
 fn faults(plan: &Plan) -> Vec<(u64, u64)> {
     let fault = |step: &plan::Step| Some((step.at_ms, step.at_ms + step.event.fault_ms()?));
     plan.steps.iter().filter_map(fault).collect()
@@ -275,5 +288,6 @@
         sent_ms,
         ended_ms: sent_ms + sample.latency_us / 1_000,
         ending: sample.ending,
+        request: sample.request.clone(),
     }
 }
--- a/crates/pistachiotrack-standins/src/soak/caller.rs
+++ b/crates/pistachiotrack-standins/src/soak/caller.rs
@@ -14,7 +14,7 @@
 
 use super::{clock::RunClock, oracle::Asked};
 use crate::{
-    caller::{Ending, Operation, judge, request},
+    caller::{Ending, Exchange, Operation, judge, request},
     load::WorkIds,
     work::WorkId,
 };
@@ -73,12 +73,12 @@
             let sent_ms = self.clock.now_ms();
             let Ok(request) = request_to(self.address, operation, id) else { break };
             let allowed = Duration::from_millis(operation.deadline_ms) + HANG;
-            let ending = tokio::time::timeout(allowed, exchange(&mut sender, request, id)).await;
-            let ending = ending.unwrap_or(Some(Ending::Lost));
-            if let Some(ending) = ending {
+            let ended = tokio::time::timeout(allowed, exchange(&mut sender, request, id)).await;
+            let ended = ended.unwrap_or(Some(Ending::Lost.into()));
+            if let Some(Exchange { ending, request, .. }) = ended {
                 let (vm, ended_ms) = (Some(self.vm), self.clock.now_ms());
                 let non_idempotent = operation.non_idempotent;
-                asked.push(Asked { id, non_idempotent, vm, sent_ms, ended_ms, ending });
+                asked.push(Asked { id, non_idempotent, vm, sent_ms, ended_ms, ending, request });
             }
             tokio::time::sleep(PAUSE).await;
         }
@@ -91,11 +91,11 @@
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     id: WorkId,
-) -> Option<Ending> {
+) -> Option<Exchange> {
     match sender.send_request(request).await {
-        Ok(answer) => Some(judge(id, answer).await.ending),
+        Ok(answer) => Some(judge(id, answer).await),
         Err(error) if error.is_canceled() => None,
-        Err(_) => Some(Ending::Lost),
+        Err(_) => Some(Ending::Lost.into()),
     }
 }
 
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{caller::Ending, work::WorkId};
 
@@ -22,6 +22,9 @@
 /// connection.
 const CROSSING_MS: u64 = 200;
 
+/// Time that a line needs from the decision to the log.
+const LOG_MS: u64 = 1_000;
+
 /// A promise to users.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Promise {
@@ -43,6 +46,8 @@
     Recovery,
     /// A process doesn't end by itself.
     StaysUp,
+    /// A refusal leaves its line in a log.
+    RefusalLogged,
 }
 
 /// A promise that was broken.
@@ -75,6 +80,8 @@
     pub ended_ms: u64,
     /// What came of it.
     pub ending: Ending,
+    /// Identity within the fleet, if it was refused.
+    pub request: Option<Box<str>>,
 }
 
 /// The version that a VM said was in force.
@@ -129,6 +136,31 @@
     pub end_was_meant: bool,
 }
 
+/// What the VMs logged of refusals.
+#[derive(Clone, Debug, Default)]
+pub struct LoggedRefusals {
+    /// Requests whose refusal has a line.
+    pub requests: FxHashSet<Box<str>>,
+    /// Whether lines were left out.
+    pub is_cut: bool,
+    /// Names of the VMs, which the identities of their requests begin with.
+    pub vms: Vec<String>,
+}
+
+impl LoggedRefusals {
+    /// Reads the lines of a log.
+    pub fn read(&mut self, log: &str) {
+        for line in log.lines() {
+            let has = |pair: &str| line.split_whitespace().any(|word| word == pair);
+            let request = line.split_whitespace().find_map(|word| word.strip_prefix("request="));
+            if has("event=refused") && has("to=caller") {
+                self.requests.extend(request.map(Box::from));
+            }
+            self.is_cut |= has("event=log_lines_left_out");
+        }
+    }
+}
+
 /// All that was seen of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
@@ -146,6 +178,8 @@
     pub processes: Vec<Process>,
     /// Faults, from and to.
     pub faults: Vec<(u64, u64)>,
+    /// What the VMs logged of refusals.
+    pub logged: LoggedRefusals,
     /// End of the load.
     pub end_ms: u64,
 }
@@ -156,10 +190,15 @@
     let mut broken = |promise, seen: String| found.push(Violation { promise, seen });
     for asked in &record.asked {
         if let Some((promise, what)) = record.broken_by_request(asked) {
-            let Asked { id, vm, sent_ms, ended_ms, ending, .. } = asked;
+            let Asked { id, vm, sent_ms, ended_ms, ending, request, .. } = asked;
+            let request = request.as_deref().unwrap_or("unknown");
             broken(
                 promise,
-                format!("work {} {what}: vm={vm:?} {sent_ms} to {ended_ms} ms {ending:?}", id.0),
+                format!(
+                    "work {} {what}: request={request} vm={vm:?} {sent_ms} to {ended_ms} ms \
+                     {ending:?}",
+                    id.0
+                ),
             );
         }
     }
@@ -193,6 +232,9 @@
                 Some((Promise::NotRunIsTrue, "ran though it was refused as not run"))
             }
             Ending::WrongAnswer => Some((Promise::OwnAnswer, "got another answer")),
+            Ending::RefusedNotRun | Ending::Unknown if !self.has_line(asked) => {
+                Some((Promise::RefusalLogged, "was refused without a line in a log"))
+            }
             Ending::Lost if self.is_cut_by_stop(asked) => {
                 Some((Promise::PlannedStop, "was cut by a planned stop"))
             }
@@ -200,6 +242,21 @@
         }
     }
 
+    /// Returns whether the log has a refusal's line, or can't be held to it: lines were left
+    /// out, or the VM was killed before it was written.
+    fn has_line(&self, asked: &Asked) -> bool {
+        let Some(request) = asked.request.as_deref() else { return false };
+        let vm = self.logged.vms.iter().position(|vm| {
+            request.strip_prefix(vm.as_str()).is_some_and(|rest| rest.starts_with('-'))
+        });
+        let was_killed = self.processes.iter().any(|process| {
+            let died = process.ended_ms.filter(|_| process.asked_to_stop_ms.is_none());
+            let unwritten = asked.sent_ms..=asked.ended_ms + LOG_MS;
+            Some(process.vm) == vm && died.is_some_and(|at| unwritten.contains(&at))
+        });
+        self.logged.is_cut || was_killed || self.logged.requests.contains(request)
+    }
+
     /// Returns whether a planned stop, and nothing else, cut a request that was taken.
     fn is_cut_by_stop(&self, asked: &Asked) -> bool {
         let Some(vm) = asked.vm else { return false };
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -7,8 +7,8 @@
     caller::Ending,
     soak::{
         oracle::{
-            Asked, IN_FORCE_MS, Left, Process, Promise, Published, RECOVER_MS, Record, VersionSeen,
-            violations,
+            Asked, IN_FORCE_MS, Left, LoggedRefusals, Process, Promise, Published, RECOVER_MS,
+            Record, VersionSeen, violations,
         },
         plan::Plan,
     },
@@ -16,10 +16,21 @@
 };
 
 const ENDPOINTS: usize = 34;
+const REQUEST: &str = "vm-01-1a23-7";
 
 fn asked(id: u64, ending: Ending) -> Asked {
     let id = WorkId(id);
-    Asked { id, non_idempotent: true, vm: Some(0), sent_ms: 5_000, ended_ms: 5_400, ending }
+    let is_refused = matches!(ending, Ending::RefusedNotRun | Ending::Unknown);
+    let request = is_refused.then(|| Box::from(REQUEST));
+    Asked {
+        id,
+        non_idempotent: true,
+        vm: Some(0),
+        sent_ms: 5_000,
+        ended_ms: 5_400,
+        ending,
+        request,
+    }
 }
 
 fn process(started_ms: u64) -> Process {
@@ -55,6 +66,11 @@
         left: vec![left],
         processes: vec![Process { end_was_meant: true, vm: 1, ..stopping }, process(0)],
         faults: Vec::new(),
+        logged: LoggedRefusals {
+            requests: [Box::from(REQUEST)].into_iter().collect(),
+            vms: vec!["vm-01".to_owned(), "vm-02".to_owned()],
+            is_cut: false,
+        },
         end_ms: 60_000,
     }
 }
@@ -114,6 +130,25 @@
     assert_eq!(broken(&lost), [Promise::Recovery]);
 }
 
+/// A refusal that no log knows is found, unless its line may be missing: lines were left out,
+/// or the VM was killed before it wrote it.
+#[test]
+fn a_refusal_without_a_line_is_found() {
+    let mut unlogged = sound();
+    unlogged.logged.requests.clear();
+    assert_eq!(broken(&unlogged), [Promise::RefusalLogged]);
+    let mut nameless = sound();
+    nameless.asked.iter_mut().for_each(|asked| asked.request = None);
+    assert_eq!(broken(&nameless), [Promise::RefusalLogged]);
+
+    unlogged.processes = vec![Process { ended_ms: Some(5_500), end_was_meant: true, ..process(0) }];
+    assert_eq!(broken(&unlogged), []);
+    unlogged.processes[0].ended_ms = Some(4_000);
+    assert_eq!(broken(&unlogged), [Promise::RefusalLogged]);
+    unlogged.logged.read("time=9 level=warn event=log_lines_left_out count=3");
+    assert_eq!(broken(&unlogged), []);
+}
+
 /// A request that crosses the close of its connection was not taken, and one that a fault
 /// besides may have cut says nothing of the stop.
 #[test]
--- a/crates/pistachiotrack-standins/tests/summary.rs
+++ b/crates/pistachiotrack-standins/tests/summary.rs
@@ -20,6 +20,7 @@
         service_us: Some(30_000),
         ending,
         reason: None,
+        request: None,
     }
 }
 
--- a/crates/pistachiotrack/src/trace.rs
+++ b/crates/pistachiotrack/src/trace.rs
@@ -22,6 +22,8 @@
     lines: Vec<String>,
     /// The line after which nothing could change the outcome any more.
     deciding: Option<String>,
+    /// VM that decided, if the line names it.
+    decided_by: Option<String>,
 }
 
 /// Prints the lines of a request in the order of their times.
@@ -57,6 +59,7 @@
     Trace {
         request: request.to_owned(),
         deciding: deciding.map(|line| (*line).to_owned()),
+        decided_by: deciding.and_then(|line| field(line, "decided_by")).map(str::to_owned),
         lines: lines.into_iter().map(str::to_owned).collect(),
     }
 }
@@ -75,5 +78,6 @@
         );
     };
     let lines: String = trace.lines.iter().map(|line| printable(line) + "\n").collect();
-    format!("{lines}deciding: {}\n", printable(deciding))
+    let by = trace.decided_by.as_deref().map(|vm| format!("decided by: {}\n", printable(vm)));
+    format!("{lines}deciding: {}\n{}", printable(deciding), by.unwrap_or_default())
 }
--- a/crates/pistachiotrack/tests/trace.rs
+++ b/crates/pistachiotrack/tests/trace.rs
@@ -30,6 +30,23 @@
     assert!(lines[3].starts_with("deciding: ") && lines[3].contains("reason=deadline-passed"));
 }
 
+/// A refusal was passed on: the VM that the request came in at is not the one that decided.
+#[test]
+fn the_vm_that_decided_is_named() {
+    const PASSED_ON: &str = "\
+time=2026-02-05T07:31:17.901+00:00 level=warn event=refused request=7 to=caller decided_by=vm-04 \
+execution=not-run reason=queue-full sent=vm-04/not-run/31
+time=2026-02-05T07:31:17.900+00:00 level=warn event=refused request=7 to=vm decided_by=vm-04 \
+execution=not-run reason=queue-full sent=none
+";
+    let file = TempFile::new("passed-on.log", PASSED_ON);
+    let outcome = run(&["trace", "7", file.arg()]);
+    let lines: Vec<&str> = outcome.stdout.lines().collect();
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    assert!(lines[2].starts_with("deciding: ") && lines[2].contains("to=caller"));
+    assert_eq!(lines[3], "decided by: vm-04");
+}
+
 #[test]
 fn a_request_that_no_log_has_is_said_so() {
     let file = TempFile::new("empty.log", FIRST_VM);
--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -6,56 +6,39 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use pistachiotrack_core::{
+    copies::Held,
     idempotency::StoredAnswer,
-    refusal::{Execution, Reason, Refusal},
+    refusal::{Reason, Refusal},
 };
 use serde::Serialize;
 
-use crate::{
-    body::AnswerBody,
-    dialect::{Dialect, OwnDialect},
-};
+use crate::{body::AnswerBody, dialect::Dialect};
 
 /// Time after which a caller may ask a VM again that has no configuration yet: a VM
 /// that starts has one after about 300 ms, from a peer or from the platform.
-const NO_CONFIG_RETRY_MS: u64 = 300;
-
-/// Returns the answer that tells a caller of a refusal.
-pub(crate) fn refusal(refusal: Refusal) -> Response<AnswerBody> {
-    refusal_with_status(status(refusal.reason), refusal)
-}
+pub(crate) const NO_CONFIG_RETRY_MS: u64 = 300;
 
-/// Returns the answer that tells a caller of a refusal, with a given status.
-pub(crate) fn refusal_with_status(status: StatusCode, refusal: Refusal) -> Response<AnswerBody> {
-    let mut response = OwnDialect.write_refusal(refusal, status).map(AnswerBody::whole);
-    response.extensions_mut().insert(refusal);
-    response
+/// A refusal on its way to whoever asked, which has not been written yet.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    /// The refusal.
+    pub(crate) refusal: Refusal,
+    /// Status for the fleet's own callers.
+    pub(crate) status: StatusCode,
 }
 
-/// Returns a refusal as the callers of `dialect` understand it, and any other
-/// answer as it is.
-pub(crate) fn in_dialect(
-    dialect: &dyn Dialect,
-    response: Response<AnswerBody>,
-) -> Response<AnswerBody> {
-    match response.extensions().get::<Refusal>() {
-        Some(refusal) => dialect.write_refusal(*refusal, response.status()).map(AnswerBody::whole),
-        None => response,
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Refused {
+        let status = status(refusal.reason());
+        Refused { refusal, status }
     }
 }
 
-/// Returns the refusal of a request that was certainly not run.
-pub(crate) fn not_run(reason: Reason) -> Response<AnswerBody> {
-    refusal(Refusal { execution: Execution::NotRun, reason, retry_after_ms: None })
-}
-
-/// Returns the refusal of a VM that has no configuration yet.
-pub(crate) fn no_config() -> Response<AnswerBody> {
-    refusal(Refusal {
-        execution: Execution::NotRun,
-        reason: Reason::NoConfig,
-        retry_after_ms: Some(NO_CONFIG_RETRY_MS),
-    })
+/// Returns the answer of a VM that is asked for addresses and has no configuration yet.
+pub(crate) fn no_config(dialect: &dyn Dialect) -> Response<AnswerBody> {
+    let refusal = Held::on_arrival().refuse(Reason::NoConfig, Some(NO_CONFIG_RETRY_MS));
+    let Refused { refusal, status } = refusal.into();
+    dialect.write_refusal(None, &refusal, status).map(AnswerBody::whole)
 }
 
 /// Returns an answer that was kept for duplicates.
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -140,7 +140,7 @@
 }
 
 /// Keeps the connection of a refusal if its short body is there already.
-async fn return_connection(pool: &ConnectionPool, mut answer: BegunAnswer) {
+pub(crate) async fn return_connection(pool: &ConnectionPool, mut answer: BegunAnswer) {
     while !answer.body.is_end_stream() {
         let frame = tokio::time::timeout(SHED_BODY_WAIT, answer.body.frame()).await;
         if !matches!(frame, Ok(Some(Ok(_)))) {
--- a/crates/pistachiotrackd/src/dialect.rs
+++ b/crates/pistachiotrackd/src/dialect.rs
@@ -22,8 +22,6 @@
 /// What a caller says about its request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestFacts {
-    /// Identity that the caller gave the request.
-    pub id: Option<Name>,
     /// Customer that it acts for.
     pub customer: Option<Name>,
     /// Class that it asks for.
@@ -107,9 +105,14 @@
     /// Tells a caller who answered it.
     fn write_answer(&self, fields: &mut HeaderMap, endpoint: &Name, vm: &Name);
 
-    /// Builds the answer that tells a caller of a refusal; `status` is the one
-    /// that the fleet's own callers get.
-    fn write_refusal(&self, refusal: Refusal, status: StatusCode) -> Response<Bytes>;
+    /// Builds the answer that tells a caller of the refusal of `request`, which is
+    /// none where it asked for addresses; `status` is the one that the fleet's own callers get.
+    fn write_refusal(
+        &self,
+        request: Option<&Name>,
+        refusal: &Refusal,
+        status: StatusCode,
+    ) -> Response<Bytes>;
 
     /// Returns whether an answer without a length is whole when its connection
     /// ends cleanly; if not, its end can't be told from a cut.
--- a/crates/pistachiotrackd/src/dialect/own.rs
+++ b/crates/pistachiotrackd/src/dialect/own.rs
@@ -44,7 +44,6 @@
             left.trim().parse().map(Duration::from_millis).map_err(no_number)
         });
         Ok(RequestFacts {
-            id: None,
             customer: Some(Name::from(customer)),
             class: class.transpose()?.unwrap_or_default(),
             service: text(header::SERVICE).map(Name::from),
@@ -81,15 +80,24 @@
         headers::set(fields, header::OWNER, vm);
     }
 
-    fn write_refusal(&self, refusal: Refusal, status: StatusCode) -> Response<Bytes> {
-        let text = format!("{} {}\n", refusal.execution.as_str(), refusal.reason.as_str());
+    fn write_refusal(
+        &self,
+        request: Option<&Name>,
+        refusal: &Refusal,
+        status: StatusCode,
+    ) -> Response<Bytes> {
+        let (execution, reason) = (refusal.execution().as_str(), refusal.reason().as_str());
+        let text = format!("{execution} {reason}\n");
         let mut response = Response::new(Bytes::from(text));
         *response.status_mut() = status;
         let fields = response.headers_mut();
         fields.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-        fields.insert(header::OUTCOME, HeaderValue::from_static(refusal.execution.as_str()));
-        fields.insert(header::REASON, HeaderValue::from_static(refusal.reason.as_str()));
-        if let Some(retry_after_ms) = refusal.retry_after_ms {
+        fields.insert(header::OUTCOME, HeaderValue::from_static(execution));
+        fields.insert(header::REASON, HeaderValue::from_static(reason));
+        if let Some(request) = request {
+            headers::set(fields, header::REQUEST_ID, request);
+        }
+        if let Some(retry_after_ms) = refusal.retry_after_ms() {
             headers::set_number(fields, header::RETRY_AFTER_MS, retry_after_ms);
         }
         response
--- a/crates/pistachiotrackd/src/entries.rs
+++ b/crates/pistachiotrackd/src/entries.rs
@@ -14,6 +14,7 @@
     answer,
     body::AnswerBody,
     context::{Context, LifeState},
+    dialect::OwnDialect,
     headers,
 };
 
@@ -29,7 +30,7 @@
 /// Returns the addresses for the service and customer that the caller names.
 pub(crate) fn answer(context: &Context, parts: &Parts) -> Response<AnswerBody> {
     let view = context.view();
-    let Some(active) = &view.active else { return answer::no_config() };
+    let Some(active) = &view.active else { return answer::no_config(&OwnDialect) };
     let service = service(parts.uri.query().unwrap_or_default());
     if active.service(&service).is_none() {
         let error = match service.as_str() {
@@ -69,7 +70,7 @@
     };
     let view = context.view();
     let Some(active) = &view.active else {
-        return Ok(answer::in_dialect(&*context.dialect, answer::no_config()));
+        return Ok(answer::no_config(&*context.dialect));
     };
     let question = HostQuestion {
         config: &active.config,
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -3,21 +3,24 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use futures_util::future::{Either, select};
-use hyper::{HeaderMap, Response, header::HeaderName};
 use pistachiotrack_core::{
+    copies::{Copies, Held, SentCopy},
     header,
-    refusal::Execution,
+    refusal::{Refusal, Verdict},
     request::{ConnectionChoice, remaining},
+    time::Time,
     vm::Vm,
 };
 
 use crate::{
+    attempt,
     body::{self, AnswerBody},
     context::Context,
     exchange::{self, BegunAnswer, ExchangeError, GiveUp, RequestHead, Target},
     headers,
     inbound::Inbound,
     metrics::Event,
+    peer_word::{PeerAnswer, PeerWord, RefusalWord},
     request_task::Served,
 };
 
@@ -25,105 +28,206 @@
 const OWNER_GRACE: Duration = Duration::from_millis(750);
 /// Connections that a VM may have open to another one.
 pub(crate) const PEER_BUDGET: u32 = 256;
-/// Between VMs: time in microseconds that the endpoint took to begin its
-/// answer.
-const ENDPOINT_TIME_US: HeaderName = HeaderName::from_static("pistachiotrack-endpoint-time-us");
 
 /// Why the owner's answer could not be had.
 #[derive(Debug, thiserror::Error)]
-#[error("forward: {0}")]
-pub(crate) struct ForwardError(#[from] ExchangeError);
+pub(crate) enum ForwardError {
+    /// The exchange with the owner failed.
+    #[error("forward: {0}")]
+    Exchange(#[from] ExchangeError),
+    /// The owner refused without a word that can be relied on.
+    #[error("forward: refused without a word")]
+    Wordless,
+}
 
 impl ForwardError {
     /// Returns whether it is certain that no byte went to the owner.
     pub(crate) fn is_unsent(&self) -> bool {
-        self.0.is_unsent()
+        matches!(self, ForwardError::Exchange(error) if error.is_unsent())
     }
+}
 
-    /// Returns whether the request may have run.
-    pub(crate) fn execution(&self) -> Execution {
-        if self.is_unsent() { Execution::NotRun } else { Execution::Unknown }
-    }
+/// What came of a request that was sent on.
+pub(crate) enum Forwarded {
+    /// The answer, to be passed on.
+    Answered(Served),
+    /// The owner refused, and nothing is left to wait for.
+    Refused(Refusal),
+    /// No answer came.
+    Failed {
+        /// Why.
+        error: ForwardError,
+        /// The copies, of which some may be out.
+        copies: Copies,
+    },
+}
+
+/// How one copy ended that was sent to the owner.
+enum CopyEnd {
+    Answered(Box<BegunAnswer>, Option<Duration>),
+    Refused(RefusalWord, SentCopy),
+    Failed(ForwardError, SentCopy),
+}
+
+/// Why a copy brought no answer.
+enum NoAnswer {
+    Refused(RefusalWord),
+    Failed(ForwardError),
+}
+
+/// A request on its way to its owner.
+struct Forward<'a> {
+    context: &'a Context,
+    owner: &'a Vm,
+    inbound: &'a Inbound,
+    sent: Time,
 }
 
-/// Sends a request on to `owner` and returns its answer.
-///
-/// # Errors
-///
-/// Returns an error that says whether bytes may have been sent.
+/// Sends a request on to `owner` and returns what came of it.
 pub(crate) async fn send(
     context: &Context,
     owner: &Vm,
     inbound: &Inbound,
-) -> Result<Served, ForwardError> {
+    held: Held,
+) -> Forwarded {
     let sent = context.clock.now();
-    let answer = match inbound.route.idempotent && inbound.body.can_be_repeated() {
-        true => exchange_watched(context, owner, inbound).await?,
-        false => exchange(context, owner, inbound, ConnectionChoice::Lively).await?,
-    };
-    if !answer.parts.headers.contains_key(header::OUTCOME) {
-        let latency = context.clock.now().since(sent);
-        context.forwards.on_answer(&inbound.route.shard, latency);
+    let forward = Forward { context, owner, inbound, sent };
+    let (copies, copy) = held.send(owner.name.clone(), sent);
+    match inbound.route.idempotent && inbound.body.can_be_repeated() {
+        true => forward.watched(copies, copy).await,
+        false => {
+            let end = forward.exchange(ConnectionChoice::Lively, copy).await;
+            forward.conclude(copies, end)
+        }
     }
-    Ok(served(context, answer))
 }
 
-/// Sends a request that may be repeated, and once more over a new connection if
-/// the answer is long in coming.
-///
-/// Failure guarded against: something between two VMs has lost track of their
-/// connections, and what is written to them vanishes. It shows as requests that
-/// wait until their deadline although both VMs are well. The guard holds because
-/// the answer on the new connection is taken, and the first connection and all
-/// unused ones are closed then.
-async fn exchange_watched(
-    context: &Context,
-    owner: &Vm,
-    inbound: &Inbound,
-) -> Result<BegunAnswer, ExchangeError> {
-    let first = exchange(context, owner, inbound, ConnectionChoice::Lively);
-    let mut first = pin!(first);
-    let left = remaining(inbound.deadline, context.clock.now());
-    let suspicion = context.forwards.suspicion(&inbound.route.shard).unwrap_or(left / 2);
-    if let Ok(result) = tokio::time::timeout(suspicion, first.as_mut()).await {
-        return result;
+impl Forward<'_> {
+    /// Sends a request that may be repeated, and once more over a new connection if
+    /// the answer is long in coming.
+    ///
+    /// Failure guarded against: something between two VMs has lost track of their
+    /// connections, and what is written to them vanishes. It shows as requests that
+    /// wait until their deadline although both VMs are well. The guard holds because
+    /// the answer on the new connection is taken, and the first connection and all
+    /// unused ones are closed then.
+    async fn watched(&self, mut copies: Copies, copy: SentCopy) -> Forwarded {
+        let Forward { context, owner, inbound, .. } = self;
+        let mut first = pin!(self.exchange(ConnectionChoice::Lively, copy));
+        let left = remaining(inbound.deadline, context.clock.now());
+        let suspicion = context.forwards.suspicion(&inbound.route.shard).unwrap_or(left / 2);
+        if let Ok(end) = tokio::time::timeout(suspicion, first.as_mut()).await {
+            return self.conclude(copies, end);
+        }
+        let now = context.clock.now();
+        if now >= inbound.deadline || !context.forwards.take_retry(now) {
+            return self.conclude(copies, first.await);
+        }
+        context.metrics.count(Event::ForwardedAgain);
+        let copy = copies.send(owner.name.clone(), now);
+        let second = pin!(self.exchange(ConnectionChoice::Fresh, copy));
+        match select(first, second).await {
+            Either::Left((end, second)) => match self.note(&mut copies, end) {
+                Ok(served) => Forwarded::Answered(served),
+                Err(earlier) => self.conclude_both(copies, earlier, second.await),
+            },
+            Either::Right((end, first)) => match self.note(&mut copies, end) {
+                Ok(served) => {
+                    context.peers.close_idle(owner.peer_address);
+                    Forwarded::Answered(served)
+                }
+                // No new connection opens: the owner is out of reach, and this VM
+                // serves the request itself.
+                Err(NoAnswer::Failed(error)) if error.is_unsent() => {
+                    Forwarded::Failed { error, copies }
+                }
+                Err(earlier) => self.conclude_both(copies, earlier, first.await),
+            },
+        }
     }
-    let now = context.clock.now();
-    if now >= inbound.deadline || !context.forwards.take_retry(now) {
-        return first.await;
+
+    /// Returns what came of a request of which one copy was sent.
+    fn conclude(&self, mut copies: Copies, end: CopyEnd) -> Forwarded {
+        match self.note(&mut copies, end) {
+            Ok(served) => Forwarded::Answered(served),
+            Err(NoAnswer::Refused(word)) => Forwarded::Refused(refusal(copies, word)),
+            Err(NoAnswer::Failed(error)) => Forwarded::Failed { error, copies },
+        }
+    }
+
+    /// Returns what came of a request whose other copy ended `earlier`.
+    ///
+    /// Failure guarded against: the owner, whose queue has filled up since, refuses the
+    /// second copy while the first is at an endpoint. It shows as a lookup that is said not
+    /// to have run and runs. The guard holds because a refusal is passed on only when no
+    /// copy is left that could bring an answer, and as not run only if both came back.
+    fn conclude_both(&self, mut copies: Copies, earlier: NoAnswer, end: CopyEnd) -> Forwarded {
+        let later = match self.note(&mut copies, end) {
+            Ok(served) => return Forwarded::Answered(served),
+            Err(later) => later,
+        };
+        match (earlier, later) {
+            (NoAnswer::Failed(_), NoAnswer::Failed(error)) => Forwarded::Failed { error, copies },
+            (NoAnswer::Refused(word), NoAnswer::Failed(_)) | (_, NoAnswer::Refused(word)) => {
+                Forwarded::Refused(refusal(copies, word))
+            }
+        }
     }
-    context.metrics.count(Event::ForwardedAgain);
-    let second = exchange(context, owner, inbound, ConnectionChoice::Fresh);
-    match select(first, pin!(second)).await {
-        Either::Left((Ok(answer), _)) => Ok(answer),
-        Either::Left((Err(_), second)) => second.await,
-        Either::Right((Ok(answer), _)) => {
-            context.peers.close_idle(owner.peer_address);
-            Ok(answer)
+
+    /// Notes how a copy ended, and returns the answer if it brought one.
+    fn note(&self, copies: &mut Copies, end: CopyEnd) -> Result<Served, NoAnswer> {
+        match end {
+            CopyEnd::Answered(answer, endpoint_time) => {
+                let latency = self.context.clock.now().since(self.sent);
+                self.context.forwards.on_answer(&self.inbound.route.shard, latency);
+                Ok(served(self.context, *answer, endpoint_time))
+            }
+            CopyEnd::Refused(word, copy) => {
+                if let Some(copy) = copy.on_word(word.execution) {
+                    copies.take_back(copy);
+                }
+                Err(NoAnswer::Refused(word))
+            }
+            CopyEnd::Failed(error, copy) => {
+                if error.is_unsent() {
+                    copies.take_back(copy.unsent());
+                }
+                Err(NoAnswer::Failed(error))
+            }
+        }
+    }
+
+    async fn exchange(&self, choice: ConnectionChoice, copy: SentCopy) -> CopyEnd {
+        let Forward { context, owner, inbound, .. } = self;
+        let target = Target {
+            address: owner.peer_address,
+            choice,
+            budget: PEER_BUDGET,
+            not_after: inbound.deadline,
+            time_limit: inbound.deadline + OWNER_GRACE,
+            give_up: GiveUp::default(),
+        };
+        let head = request_head(context, inbound);
+        let ended = exchange::run(&context.peers, context.clock, target, head, &inbound.body).await;
+        let mut answer = match ended {
+            Ok(answer) => answer,
+            Err(error) => return CopyEnd::Failed(error.into(), copy),
+        };
+        match PeerWord::take(&mut answer.parts.headers, &inbound.fleet_id) {
+            PeerAnswer::Answer(endpoint_time) => CopyEnd::Answered(Box::new(answer), endpoint_time),
+            PeerAnswer::Refused(word) => {
+                attempt::return_connection(&context.peers, answer).await;
+                CopyEnd::Refused(word, copy)
+            }
+            PeerAnswer::Wordless => CopyEnd::Failed(ForwardError::Wordless, copy),
         }
-        // No new connection opens: the owner is out of reach, and this VM
-        // serves the request itself.
-        Either::Right((Err(error), _)) if error.is_unsent() => Err(error),
-        Either::Right((Err(_), first)) => first.await,
     }
 }
 
-async fn exchange(
-    context: &Context,
-    owner: &Vm,
-    inbound: &Inbound,
-    choice: ConnectionChoice,
-) -> Result<BegunAnswer, ExchangeError> {
-    let target = Target {
-        address: owner.peer_address,
-        choice,
-        budget: PEER_BUDGET,
-        not_after: inbound.deadline,
-        time_limit: inbound.deadline + OWNER_GRACE,
-        give_up: GiveUp::default(),
-    };
-    let head = request_head(context, inbound);
-    exchange::run(&context.peers, context.clock, target, head, &inbound.body).await
+/// Returns the refusal of a request whose owner refused it.
+fn refusal(copies: Copies, word: RefusalWord) -> Refusal {
+    let RefusalWord { vm, execution, reason, retry_after_ms, .. } = word;
+    copies.refuse_by(Verdict { execution, reason, retry_after_ms }).decided_by(vm)
 }
 
 fn request_head(context: &Context, inbound: &Inbound) -> RequestHead {
@@ -136,9 +240,8 @@
     RequestHead { method: inbound.method.clone(), uri: inbound.uri.clone(), headers: fields }
 }
 
-fn served(context: &Context, answer: BegunAnswer) -> Served {
+fn served(context: &Context, answer: BegunAnswer, endpoint_time: Option<Duration>) -> Served {
     let BegunAnswer { mut parts, body, connection, .. } = answer;
-    let endpoint_time = take_endpoint_time(&mut parts.headers);
     let idle_limit = Duration::from_millis(context.settings.limits.body_idle_ms);
     let body = AnswerBody::relayed(
         &parts,
@@ -150,21 +253,5 @@
         None,
     );
     headers::strip_hop_by_hop(&mut parts.headers);
-    Served { response: body::response(parts, body), endpoint_time }
-}
-
-/// Returns an answer for the VM that sent the request on, with the endpoint's
-/// time, so that it can tell the fleet's part of the latency.
-pub(crate) fn mark_endpoint_time(served: Served) -> Response<AnswerBody> {
-    let mut response = served.response;
-    if let Some(endpoint_time) = served.endpoint_time {
-        let value = (endpoint_time.as_micros() as u64).into();
-        response.headers_mut().insert(ENDPOINT_TIME_US, value);
-    }
-    response
-}
-
-fn take_endpoint_time(fields: &mut HeaderMap) -> Option<Duration> {
-    let value = fields.remove(ENDPOINT_TIME_US)?;
-    value.to_str().ok()?.parse().ok().map(Duration::from_micros)
+    Served { answer: Ok(body::response(parts, body)), endpoint_time }
 }
--- a/crates/pistachiotrackd/src/headers.rs
+++ b/crates/pistachiotrackd/src/headers.rs
@@ -20,13 +20,14 @@
 const INTERNAL_REQUEST: [&str; 4] = [header::HOP, header::ROUTE, header::REQUEST_ID, header::VIA];
 
 /// Headers by which the fleet speaks to callers; endpoints may not set them.
-const INTERNAL_ANSWER: [&str; 6] = [
+const INTERNAL_ANSWER: [&str; 7] = [
     header::OUTCOME,
     header::REASON,
     header::RETRY_AFTER_MS,
     header::ENDPOINT,
     header::OWNER,
     header::VIA_END,
+    header::PEER_WORD,
 ];
 
 /// Removes the headers that belong to one connection, those that `connection`
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -9,10 +9,11 @@
     http::{request, uri::Authority},
 };
 use pistachiotrack_core::{
+    copies::{Copies, Held},
     hash, header,
     name::Name,
     ownership::{ShardId, rendezvous_shard, shard_count},
-    refusal::{Execution, Reason, Refusal},
+    refusal::{Execution, Reason},
     request::{Class, DEFAULT_MAX_ATTEMPTS, RequestId},
     rule::{Refuse, Route, RuleAction, Subject},
     service::Service,
@@ -21,17 +22,19 @@
 };
 
 use crate::{
-    answer,
+    answer::{self, NO_CONFIG_RETRY_MS, Refused},
     arrival::Arrival,
     body::AnswerBody,
     context::Context,
-    dialect::RequestFacts,
+    dialect::{Dialect, OwnDialect, RequestFacts},
     entries,
-    forward::{self, ForwardError},
+    forward::{self, ForwardError, Forwarded},
     forwarded_route::ForwardedRoute,
     headers,
     inbound::{Inbound, MAX_DEADLINE, caller_deadline, origin_form},
     metrics::Event,
+    peer_word::{PeerWord, RefusalWord},
+    refusal_log::{self, Audience},
     request_body::{BodyLimits, RequestBody, RequestBodyError},
     request_task::{self, Served},
     view::{ActiveConfig, FleetView},
@@ -54,19 +57,25 @@
     }
     context.metrics.count(Event::Request);
     let received = context.clock.now();
+    let number = context.next_request();
     let id = context.dialect.request_id(request.headers()).map(Name::from);
-    let response = match receive(&context, request).await {
+    let id = id.unwrap_or_else(|| context.fleet_id(number));
+    let held = Held::on_arrival();
+    let served = match receive(&context, request, number, &id).await {
         Ok(inbound) => {
             let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
-            let served = serve(&context, inbound).await;
+            let served = serve(&context, inbound, held).await;
             measure(&context, &customer, class, received, &served);
-            served.response
+            served
         }
-        Err(response) => *response,
+        Err(rejection) => rejection.refuse(held),
     };
-    count_answer(&context, &response);
-    log_refusal(&id, &response);
-    Ok(answer::in_dialect(&*context.dialect, response))
+    count_answer(&context, &served);
+    Ok(served.answer.unwrap_or_else(|refused| {
+        refusal_log::on_refusal(&context, &id, received, &refused.refusal, Audience::Caller);
+        let response = context.dialect.write_refusal(Some(&id), &refused.refusal, refused.status);
+        response.map(AnswerBody::whole)
+    }))
 }
 
 /// Answers another VM that sends on a request.
@@ -78,13 +87,26 @@
     if request.headers().contains_key(header::VIA) {
         return Ok(witness::handle(&context, request).await);
     }
-    let response = match receive_forwarded(&context, request).await {
-        Ok(inbound) => {
-            let served = serve_here(&context, inbound).await;
-            forward::mark_endpoint_time(served)
+    let received = context.clock.now();
+    let number = context.next_request();
+    let id = headers::text(request.headers(), header::REQUEST_ID)
+        .map_or_else(|| context.fleet_id(number), Name::from);
+    let held = Held::on_arrival();
+    let served = match receive_forwarded(&context, request, number, &id).await {
+        Ok(inbound) => serve_here(&context, inbound, held.into()).await,
+        Err(rejection) => rejection.refuse(held),
+    };
+    let endpoint_time_us = served.endpoint_time.map(|time| time.as_micros() as u64);
+    let (word, mut response) = match served.answer {
+        Ok(response) => (PeerWord::Answered { endpoint_time_us }, response),
+        Err(Refused { refusal, status }) => {
+            refusal_log::on_refusal(&context, &id, received, &refusal, Audience::Peer);
+            let word = RefusalWord::new(&context.me.name, &id, &refusal);
+            let response = OwnDialect.write_refusal(Some(&id), &refusal, status);
+            (PeerWord::Refused(word), response.map(AnswerBody::whole))
         }
-        Err(response) => *response,
     };
+    word.mark(response.headers_mut());
     Ok(response)
 }
 
@@ -97,53 +119,81 @@
     }
 }
 
-/// Says why a request was refused, with the identity that its caller knows.
-fn log_refusal(id: &Option<Name>, response: &Response<AnswerBody>) {
-    let Some(refusal) = response.extensions().get::<Refusal>() else { return };
-    log::warn!(
-        "event=refused request={} execution={} reason={} retry_after_ms={:?}",
-        id.as_deref().unwrap_or("none"),
-        refusal.execution.as_str(),
-        refusal.reason.as_str(),
-        refusal.retry_after_ms
-    );
-}
-
-fn count_answer(context: &Context, response: &Response<AnswerBody>) {
-    let event = match headers::text(response.headers(), header::OUTCOME) {
-        None => Event::Answer,
-        Some(outcome) if outcome == Execution::NotRun.as_str() => Event::RefusedNotRun,
-        Some(_) => Event::RefusedUnknown,
+fn count_answer(context: &Context, served: &Served) {
+    let event = match &served.answer {
+        Ok(_) => Event::Answer,
+        Err(refused) => match refused.refusal.execution() {
+            Execution::NotRun => Event::RefusedNotRun,
+            Execution::Unknown => Event::RefusedUnknown,
+        },
     };
     context.metrics.count(event);
 }
 
-type Refused = Box<Response<AnswerBody>>;
+/// Why a request is refused before it can be sent anywhere.
+#[derive(Debug)]
+pub(crate) struct Rejection {
+    reason: Reason,
+    retry_after_ms: Option<u64>,
+    /// Status other than the usual one of the reason.
+    status: Option<StatusCode>,
+}
+
+impl From<Reason> for Rejection {
+    fn from(reason: Reason) -> Rejection {
+        Rejection { reason, retry_after_ms: None, status: None }
+    }
+}
+
+impl Rejection {
+    fn no_config() -> Rejection {
+        Rejection { retry_after_ms: Some(NO_CONFIG_RETRY_MS), ..Reason::NoConfig.into() }
+    }
+
+    fn by_rule(refuse: &Refuse) -> Rejection {
+        let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
+        let retry_after_ms = refuse.retry_after_ms;
+        Rejection { reason: Reason::Rule, retry_after_ms, status: Some(status) }
+    }
+
+    fn too_large() -> Rejection {
+        Rejection { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..Reason::BadRequest.into() }
+    }
+
+    fn refuse(self, held: Held) -> Served {
+        let mut refused = Refused::from(held.refuse(self.reason, self.retry_after_ms));
+        refused.status = self.status.unwrap_or(refused.status);
+        Served::refused(refused)
+    }
+}
 
 /// Takes in a caller's request and decides where it goes.
-async fn receive(context: &Context, request: Request<Incoming>) -> Result<Inbound, Refused> {
+async fn receive(
+    context: &Context,
+    request: Request<Incoming>,
+    id: RequestId,
+    fleet_id: &Name,
+) -> Result<Inbound, Rejection> {
     let (mut parts, body) = request.into_parts();
     let received = arrival(context, &parts);
     headers::strip_from_caller(&mut parts.headers);
     let asked = context.dialect.read_request(&parts).map_err(|error| {
-        log::info!("event=request_malformed error={:?}", error.to_string());
-        Box::new(answer::not_run(Reason::BadRequest))
+        log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
+        Reason::BadRequest
     })?;
     let time_left = asked.time_left.map(|left| left.min(MAX_DEADLINE));
     let deadline = time_left.map(|left| received + left);
     let view = view_with_config(context, received, time_left).await;
-    let Some(active) = &view.active else { return Err(Box::new(answer::no_config())) };
+    let Some(active) = &view.active else { return Err(Rejection::no_config()) };
     let rule = decide(&asked, context, active, &parts);
     let route = match rule {
         Some(RuleAction::Route(route)) => route,
-        Some(RuleAction::Refuse(refuse)) => return Err(Box::new(refused_by_rule(refuse))),
-        None => return Err(Box::new(answer::not_run(Reason::Rule))),
+        Some(RuleAction::Refuse(refuse)) => return Err(Rejection::by_rule(refuse)),
+        None => return Err(Reason::Rule.into()),
     };
-    let id = context.next_request();
-    let fleet_id = asked.id.clone().unwrap_or_else(|| context.fleet_id(id));
     let draw = hash::mix(hash::fnv(fleet_id.as_bytes()));
     let Some(service) = active.service(route.service_for(draw)) else {
-        return Err(Box::new(answer::not_run(Reason::Rule)));
+        return Err(Reason::Rule.into());
     };
     let key = headers::text(&parts.headers, header::KEY);
     let forwarded_route = ForwardedRoute {
@@ -161,7 +211,7 @@
     let body = read_body(context, body, deadline).await?;
     Ok(Inbound {
         id,
-        fleet_id,
+        fleet_id: fleet_id.clone(),
         route: forwarded_route,
         method: parts.method.clone(),
         uri: origin_form(&parts),
@@ -208,25 +258,15 @@
     context: &Context,
     parts: &request::Parts,
     deadline: Time,
-) -> Result<(), Refused> {
+) -> Result<(), Rejection> {
     let overslept = parts.extensions.get::<Arrival>().is_some() && context.clock.now() >= deadline;
-    if overslept { Err(Box::new(answer::not_run(Reason::Paused))) } else { Ok(()) }
+    if overslept { Err(Reason::Paused.into()) } else { Ok(()) }
 }
 
 fn timeout_ms(route: &Route, service: &Service) -> u64 {
     route.timeout_ms.unwrap_or(service.timeout_ms)
 }
 
-fn refused_by_rule(refuse: &Refuse) -> Response<AnswerBody> {
-    let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
-    let refusal = Refusal {
-        execution: Execution::NotRun,
-        reason: Reason::Rule,
-        retry_after_ms: refuse.retry_after_ms,
-    };
-    answer::refusal_with_status(status, refusal)
-}
-
 fn decide<'c>(
     asked: &RequestFacts,
     context: &Context,
@@ -295,7 +335,7 @@
     context: &Context,
     body: Incoming,
     deadline: Time,
-) -> Result<RequestBody, Refused> {
+) -> Result<RequestBody, Rejection> {
     let limits = &context.settings.limits;
     let limits = BodyLimits {
         body_bytes: limits.body_bytes,
@@ -305,26 +345,22 @@
     let read = RequestBody::read(body, limits);
     match tokio::time::timeout_at(context.clock.instant(deadline), read).await {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(RequestBodyError::TooLarge { .. })) => Err(Box::new(too_large())),
-        Ok(Err(_)) => Err(Box::new(answer::not_run(Reason::BadRequest))),
-        Err(_) => Err(Box::new(answer::not_run(Reason::DeadlinePassed))),
+        Ok(Err(RequestBodyError::TooLarge { .. })) => Err(Rejection::too_large()),
+        Ok(Err(_)) => Err(Reason::BadRequest.into()),
+        Err(_) => Err(Reason::DeadlinePassed.into()),
     }
 }
 
-fn too_large() -> Response<AnswerBody> {
-    let refusal =
-        Refusal { execution: Execution::NotRun, reason: Reason::BadRequest, retry_after_ms: None };
-    answer::refusal_with_status(StatusCode::PAYLOAD_TOO_LARGE, refusal)
-}
-
 /// Takes in a request that another VM sends on.
 async fn receive_forwarded(
     context: &Context,
     request: Request<Incoming>,
-) -> Result<Inbound, Refused> {
+    id: RequestId,
+    fleet_id: &Name,
+) -> Result<Inbound, Rejection> {
     let (mut parts, body) = request.into_parts();
     let received = arrival(context, &parts);
-    let bad_request = || Box::new(answer::not_run(Reason::BadRequest));
+    let bad_request = || Rejection::from(Reason::BadRequest);
     let route = headers::text(&parts.headers, header::ROUTE)
         .and_then(ForwardedRoute::decode)
         .filter(|_| parts.headers.contains_key(header::HOP))
@@ -332,14 +368,11 @@
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
     check_not_overslept(context, &parts, deadline)?;
-    let id = context.next_request();
-    let fleet_id = headers::text(&parts.headers, header::REQUEST_ID)
-        .map_or_else(|| context.fleet_id(id), Name::from);
     headers::strip_from_caller(&mut parts.headers);
     let body = read_body(context, body, deadline).await?;
     Ok(Inbound {
         id,
-        fleet_id,
+        fleet_id: fleet_id.clone(),
         route,
         method: parts.method.clone(),
         uri: origin_form(&parts),
@@ -351,20 +384,21 @@
 
 /// Has a caller's request served: here if this VM owns the shard, else by the
 /// owner, else here in careful mode.
-async fn serve(context: &Arc<Context>, inbound: Inbound) -> Served {
+async fn serve(context: &Arc<Context>, inbound: Inbound, held: Held) -> Served {
     let owner = {
         let view = context.view();
         if is_shared(&view, &inbound) {
-            return serve_here(context, inbound).await;
+            return serve_here(context, inbound, held.into()).await;
         }
         let owner = view.ownership.owner(&inbound.route.shard);
         owner.filter(|owner| owner.name != context.me.name).cloned()
     };
-    let Some(owner) = owner else { return serve_here(context, inbound).await };
+    let Some(owner) = owner else { return serve_here(context, inbound, held.into()).await };
     context.metrics.count(Event::Forwarded);
-    let error = match forward::send(context, &owner, &inbound).await {
-        Ok(served) => return served,
-        Err(error) => error,
+    let (error, copies) = match forward::send(context, &owner, &inbound, held).await {
+        Forwarded::Answered(served) => return served,
+        Forwarded::Refused(refusal) => return Served::refused(refusal),
+        Forwarded::Failed { error, copies } => (error, copies),
     };
     context.metrics.count(Event::ForwardFailed);
     log::info!(
@@ -374,11 +408,9 @@
         error.to_string()
     );
     if may_serve_after(context, &inbound, &error) {
-        return serve_here(context, inbound).await;
+        return serve_here(context, inbound, copies).await;
     }
-    let refusal =
-        Refusal { execution: error.execution(), reason: Reason::AnswerLost, retry_after_ms: None };
-    Served { response: answer::refusal(refusal), endpoint_time: None }
+    Served::refused(copies.refuse(Reason::AnswerLost, None))
 }
 
 /// Returns whether a request may be served here after sending it on has failed.
@@ -403,11 +435,11 @@
 }
 
 /// Has a request served by this VM's actor of the shard.
-async fn serve_here(context: &Arc<Context>, inbound: Inbound) -> Served {
+async fn serve_here(context: &Arc<Context>, inbound: Inbound, copies: Copies) -> Served {
     let shard = {
         let view = context.view();
         let Some(active) = &view.active else {
-            return Served { response: answer::no_config(), endpoint_time: None };
+            return Served::refused(copies.refuse(Reason::NoConfig, Some(NO_CONFIG_RETRY_MS)));
         };
         let owner = view.ownership.owner(&inbound.route.shard);
         let service = active.service(&inbound.route.shard.service);
@@ -417,5 +449,5 @@
         };
         context.shards.find_or_start(&inbound.route.shard, &active.config, mode)
     };
-    request_task::serve(context, shard, inbound).await
+    request_task::serve(context, shard, inbound, copies).await
 }
--- /dev/null
+++ b/crates/pistachiotrackd/src/refusal_log.rs
@@ -0,0 +1,77 @@
+//! The line of each refusal: who decided, why, and where the request had been sent.
+
+use std::fmt;
+
+use pistachiotrack_core::{
+    copies::SentTo,
+    name::Name,
+    refusal::{Execution, Refusal},
+    time::Time,
+};
+
+use crate::context::Context;
+
+/// Whom a refusal goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// The caller.
+    Caller,
+    /// The VM that sent the request on, which may still find another way.
+    Peer,
+}
+
+impl Audience {
+    fn as_str(self) -> &'static str {
+        match self {
+            Audience::Caller => "caller",
+            Audience::Peer => "vm",
+        }
+    }
+}
+
+/// Writes the line of a refusal.
+///
+/// Failure guarded against: a caller complains of a refusal that no log knows. It shows as a
+/// trace without a decision. The guard holds because what takes requests in writes refusals
+/// to the wire nowhere else than where it writes this line.
+pub(crate) fn on_refusal(
+    context: &Context,
+    request: &Name,
+    received: Time,
+    refusal: &Refusal,
+    to: Audience,
+) {
+    let now = context.clock.now();
+    log::warn!(
+        "event=refused request={request} to={} decided_by={} execution={} reason={} \
+         retry_after_ms={:?} age_ms={} sent={}",
+        to.as_str(),
+        refusal.decider().unwrap_or(&context.me.name),
+        refusal.execution().as_str(),
+        refusal.reason().as_str(),
+        refusal.retry_after_ms(),
+        now.since(received).as_millis(),
+        Sent { copies: refusal.sent(), now }
+    );
+}
+
+/// Writes copies as `NAME/WORD/AGE_MS`, the first one first.
+struct Sent<'a> {
+    copies: &'a [SentTo],
+    now: Time,
+}
+
+impl fmt::Display for Sent<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.copies.is_empty() {
+            return f.write_str("none");
+        }
+        for (index, SentTo { to, at, is_back }) in self.copies.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            let word = if *is_back { Execution::NotRun } else { Execution::Unknown };
+            let age_ms = self.now.since(*at).as_millis();
+            write!(f, "{comma}{to}/{}/{age_ms}", word.as_str())?;
+        }
+        Ok(())
+    }
+}
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -13,16 +13,17 @@
 use hyper::Response;
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{
+    copies::{Copies, SentCopy},
     endpoint::Endpoint,
     name::Name,
-    refusal::{Execution, Reason, Refusal},
+    refusal::Reason,
     request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, Report},
     shard::Dispatch,
 };
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 
 use crate::{
-    answer,
+    answer::{self, Refused},
     attempt::{self, AttemptEnd},
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
     connection_pool::ConnectionPool,
@@ -38,18 +39,19 @@
 /// Time after the deadline for which the shard's own refusal is waited for.
 const WATCHDOG_GRACE: Duration = Duration::from_millis(500);
 
-/// An answer and how long the endpoint took to begin it.
+/// What came of a request.
 pub(crate) struct Served {
-    /// The answer.
-    pub(crate) response: Response<AnswerBody>,
+    /// The answer, or the refusal, which is still to be written and logged.
+    pub(crate) answer: Result<Response<AnswerBody>, Refused>,
     /// Time between sending the request and the answer's head, if an endpoint
     /// answered.
     pub(crate) endpoint_time: Option<Duration>,
 }
 
 impl Served {
-    fn refused(refusal: Refusal) -> Served {
-        Served { response: answer::refusal(refusal), endpoint_time: None }
+    /// Returns what came of a request that is refused.
+    pub(crate) fn refused(refusal: impl Into<Refused>) -> Served {
+        Served { answer: Err(refusal.into()), endpoint_time: None }
     }
 }
 
@@ -58,12 +60,13 @@
     context: &Arc<Context>,
     shard: ActorRef<ShardActor>,
     inbound: Inbound,
+    copies: Copies,
 ) -> Served {
     let (sender, commands) = mpsc::unbounded_channel();
     let request = inbound.request();
     let submit = Submit { request, commands: sender };
     if shard.tell(submit).try_send().is_err() {
-        return Served::refused(not_run(Reason::NoEndpoint));
+        return Served::refused(copies.refuse(Reason::NoEndpoint, None));
     }
     let task = RequestTask {
         context: Arc::clone(context),
@@ -72,7 +75,7 @@
         commands,
         running: Vec::new(),
         answered: Vec::new(),
-        may_have_run: false,
+        copies,
         finished: false,
     };
     task.run().await
@@ -101,6 +104,7 @@
 /// An attempt without an answer so far.
 struct RunningAttempt {
     attempt: AttemptId,
+    copy: SentCopy,
     end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
     give_up: GiveUp,
 }
@@ -116,7 +120,7 @@
     commands: UnboundedReceiver<Command>,
     running: Vec<RunningAttempt>,
     answered: Vec<Answered>,
-    may_have_run: bool,
+    copies: Copies,
     finished: bool,
 }
 
@@ -130,7 +134,7 @@
 
 enum Step {
     Command(Option<Command>),
-    Ended(AttemptId, AttemptEnd),
+    Ended(AttemptId, SentCopy, AttemptEnd),
     Overdue,
 }
 
@@ -143,13 +147,15 @@
             let step = tokio::select! {
                 biased;
                 command = self.commands.recv() => Step::Command(command),
-                (attempt, end) = next_end(&mut self.running) => Step::Ended(attempt, end),
+                (attempt, copy, end) = next_end(&mut self.running) => {
+                    Step::Ended(attempt, copy, end)
+                }
                 () = &mut watchdog => Step::Overdue,
             };
             let served = match step {
                 Step::Command(Some(command)) => self.on_command(command),
                 Step::Command(None) => Some(self.give_up(Reason::NoEndpoint)),
-                Step::Ended(attempt, end) => self.on_end(attempt, end),
+                Step::Ended(attempt, copy, end) => self.on_end(attempt, copy, end),
                 Step::Overdue => Some(self.give_up(Reason::DeadlinePassed)),
             };
             if let Some(served) = served {
@@ -170,11 +176,11 @@
             Command::Replay(stored) => {
                 self.finished = true;
                 let response = answer::replay(&stored);
-                return Some(Served { response, endpoint_time: None });
+                return Some(Served { answer: Ok(response), endpoint_time: None });
             }
-            Command::Refuse(refusal) => {
+            Command::Refuse(verdict) => {
                 self.finished = true;
-                return Some(Served::refused(refusal));
+                return Some(Served::refused(self.copies.finish().refuse_by(verdict)));
             }
         }
         None
@@ -201,24 +207,22 @@
         let service = &inbound.route.shard.service;
         let budget = connection_budget(&context, service, &dispatch.endpoint);
         let give_up = GiveUp::default();
+        let copy = self.copies.send(dispatch.endpoint.clone(), context.clock.now());
         let end = Box::pin(attempt::run(context, inbound, dispatch, budget, give_up.clone()));
-        self.running.push(RunningAttempt { attempt, end, give_up });
+        self.running.push(RunningAttempt { attempt, copy, end, give_up });
         None
     }
 
     /// Failure guarded against: a booking is sent to two endpoints. It shows as
     /// a doubled booking. The guard holds because every attempt of a request
-    /// passes here, and an attempt counts as sent until it has ended in a way
-    /// that excludes it.
+    /// passes here, and a copy counts as sent until it has come back.
     fn must_not_be_sent_again(&self) -> bool {
-        let sent = self.may_have_run || !self.running.is_empty() || !self.answered.is_empty();
-        sent && !self.inbound.route.idempotent
+        !self.copies.all_are_back() && !self.inbound.route.idempotent
     }
 
     fn cancel(&mut self, attempt: AttemptId) {
         if let Some(index) = self.running.iter().position(|running| running.attempt == attempt) {
             drop(self.running.swap_remove(index));
-            self.may_have_run = true;
             self.tell_outcome(attempt, Outcome::Cancelled, Report::default());
         }
         if let Some(index) = self.answered.iter().position(|answered| answered.attempt == attempt) {
@@ -227,8 +231,10 @@
         }
     }
 
-    fn on_end(&mut self, attempt: AttemptId, end: AttemptEnd) -> Option<Served> {
-        self.may_have_run |= !end.outcome.certainly_not_run();
+    fn on_end(&mut self, attempt: AttemptId, copy: SentCopy, end: AttemptEnd) -> Option<Served> {
+        if let Some(copy) = copy.on_outcome(end.outcome) {
+            self.copies.take_back(copy);
+        }
         self.log_end(&end);
         if end.outcome == Outcome::NotSent {
             self.context.metrics.count(Event::HeldBack);
@@ -283,19 +289,19 @@
         headers::strip_from_endpoint(&mut parts.headers);
         self.context.dialect.write_answer(&mut parts.headers, &endpoint, &self.context.me.name);
         let response = body::response(parts, body);
-        Some(Served { response, endpoint_time: Some(endpoint_time) })
+        Some(Served { answer: Ok(response), endpoint_time: Some(endpoint_time) })
     }
 
     /// Refuses the request without the shard's decision and tells the shard.
     fn give_up(&mut self, reason: Reason) -> Served {
-        let may_have_run =
-            self.may_have_run || !self.running.is_empty() || !self.answered.is_empty();
-        if may_have_run {
-            let reason = if reason == Reason::NoEndpoint { Reason::AnswerLost } else { reason };
-            let execution = Execution::Unknown;
-            return Served::refused(Refusal { execution, reason, retry_after_ms: None });
-        }
-        Served::refused(not_run(reason))
+        let refusal = match self.copies.finish().settle() {
+            Ok(held) => held.refuse(reason, None),
+            Err(copies) if reason == Reason::NoEndpoint => {
+                copies.refuse_as_unknown(Reason::AnswerLost)
+            }
+            Err(copies) => copies.refuse_as_unknown(reason),
+        };
+        Served::refused(refusal)
     }
 
     /// Returns the next command that was not read when the commands were closed.
@@ -354,19 +360,15 @@
 }
 
 /// Waits until one of the running attempts has ended and removes it.
-async fn next_end(running: &mut Vec<RunningAttempt>) -> (AttemptId, AttemptEnd) {
+async fn next_end(running: &mut Vec<RunningAttempt>) -> (AttemptId, SentCopy, AttemptEnd) {
     poll_fn(|cx| {
         for index in 0..running.len() {
             if let Poll::Ready(end) = running[index].end.as_mut().poll(cx) {
-                let RunningAttempt { attempt, .. } = running.swap_remove(index);
-                return Poll::Ready((attempt, end));
+                let RunningAttempt { attempt, copy, .. } = running.swap_remove(index);
+                return Poll::Ready((attempt, copy, end));
             }
         }
         Poll::Pending
     })
     .await
 }
-
-fn not_run(reason: Reason) -> Refusal {
-    Refusal { execution: Execution::NotRun, reason, retry_after_ms: None }
-}
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -21,7 +21,7 @@
     mechanism::Mechanisms,
     name::Name,
     ownership::ShardId,
-    refusal::Refusal,
+    refusal::Verdict,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
     shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
     time::Time,
@@ -59,7 +59,7 @@
     /// Answers with the answer of an earlier request; final.
     Replay(Arc<StoredAnswer>),
     /// Refuses the request; final.
-    Refuse(Refusal),
+    Refuse(Verdict),
 }
 
 /// What a shard's actor is started with.
--- a/crates/pistachiotrackd/src/via.rs
+++ b/crates/pistachiotrackd/src/via.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hyper::{HeaderMap, http::response::Parts};
+use hyper::HeaderMap;
 use pistachiotrack_core::{
     endpoint::Endpoint,
     header,
@@ -145,8 +145,6 @@
     Unmarked {
         /// HTTP status.
         status: u16,
-        /// Whether it says that nothing was run.
-        not_run: bool,
     },
 }
 
@@ -162,7 +160,7 @@
         match self {
             ViaError::NoWitness(_) => Outcome::WitnessFailed { sent: false },
             ViaError::Ended(end) => end.outcome(),
-            ViaError::Unmarked { not_run, .. } => Outcome::WitnessFailed { sent: !not_run },
+            ViaError::Unmarked { .. } => Outcome::WitnessFailed { sent: true },
             ViaError::Leg(error) => match error {
                 ExchangeError::NoConnection(_) | ExchangeError::ClosedUnsent => {
                     Outcome::WitnessFailed { sent: false }
@@ -215,15 +213,10 @@
             Ok(answer)
         }
         Some(end) => Err(ViaError::Ended(end)),
-        None => Err(unmarked(&answer.parts)),
+        None => Err(ViaError::Unmarked { status: answer.parts.status.as_u16() }),
     }
 }
 
-fn unmarked(parts: &Parts) -> ViaError {
-    let not_run = headers::text(&parts.headers, header::OUTCOME) == Some("not-run");
-    ViaError::Unmarked { status: parts.status.as_u16(), not_run }
-}
-
 fn peer_address(context: &Context, witness: &Name) -> Option<SocketAddr> {
     let view = context.view();
     let member = view.members.iter().find(|member| member.vm.name == *witness)?;
--- a/crates/pistachiotrackd/src/witness.rs
+++ b/crates/pistachiotrackd/src/witness.rs
@@ -5,8 +5,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hyper::{HeaderMap, Request, Response, body::Incoming};
-use pistachiotrack_core::{header, refusal::Reason, request::Outcome, time::Time};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use pistachiotrack_core::{header, request::Outcome, time::Time};
 
 use crate::{
     answer,
@@ -96,8 +96,7 @@
 }
 
 fn failed(end: ViaEnd) -> Response<AnswerBody> {
-    let mut response = answer::not_run(Reason::NoEndpoint);
-    response.headers_mut().remove(header::OUTCOME);
+    let mut response = answer::plain(StatusCode::SERVICE_UNAVAILABLE);
     end.mark(response.headers_mut());
     response
 }
--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -21,6 +21,9 @@
 /// Names of the two VMs of every test.
 const VMS: [&str; 2] = ["vm-01", "vm-02"];
 
+/// Lookups that fill an endpoint's slots.
+const LOOKUPS: usize = 4;
+
 /// Two daemons in processes of their own that know each other.
 struct Pair {
     _platform: Platform,
@@ -289,6 +292,55 @@
     assert_ne!(client::field(&answer, header::OUTCOME), Some("not-run"), "{answer:?}");
 }
 
+/// A lookup is answered "not run" while an endpoint works on it. The entry VM had sent it
+/// to its owner when the path to that VM broke; it has no slot of its own left, refuses the
+/// lookup at its deadline and forgets that it was sent on.
+#[tokio::test]
+async fn a_lookup_served_in_the_owners_place_is_not_called_not_run() {
+    let (search, release) = held().await;
+    let booking = Endpoint::answering("booked").await;
+    let paths = [Path::open().await, Path::open().await];
+    let settings = paths.each_ref().map(
+        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+    );
+    let mut config = config(1, &[search.address], &[booking.address]);
+    config["services"][0]["endpoints"][0]["slots"] = json!(LOOKUPS);
+    let pair = Pair::start_by(config, settings).await;
+    let (owner, entry) = pair.owner("slot-search").await;
+    let lookup = || client::with(client::get("/slots"), header::DEADLINE_MS, "3000");
+    let address = pair.vms[entry].caller_address;
+    let answers: Vec<_> =
+        (0..LOOKUPS).map(|_| tokio::spawn(client::send(address, lookup()))).collect();
+    while search.received().len() < LOOKUPS {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    paths[owner].cut();
+    for answer in answers {
+        let answer = answer.await.unwrap().unwrap();
+        assert_eq!(client::field(&answer, header::OUTCOME), Some("unknown"), "{answer:?}");
+    }
+    release.send_replace(true);
+}
+
+/// A caller complains of a refusal, and no log knows it. The VM that owns the service
+/// refuses, and the VM that the booking came in at passes the refusal on.
+#[tokio::test]
+async fn a_refusal_that_is_passed_on_leaves_a_line_at_both_vms() {
+    let search = Endpoint::answering("free slots").await;
+    let pair = Pair::start_by(config(1, &[search.address], &[]), [json!({}), json!({})]).await;
+    let (owner, entry) = pair.owner("booking").await;
+    let refused = pair.send(entry, book()).await.unwrap();
+    assert_eq!(client::field(&refused, header::OUTCOME), Some("not-run"));
+    assert_eq!(client::field(&refused, header::REASON), Some("no-endpoint"));
+    let id = client::field(&refused, header::REQUEST_ID).unwrap();
+    let refusal = ["event=refused".to_owned(), format!(" request={id} ")];
+    let decided_by = format!(" decided_by={} ", VMS[owner]);
+    let [event, request] = refusal.each_ref().map(String::as_str);
+    let sent = format!(" sent={}/not-run/", VMS[owner]);
+    pair.vms[entry].wait_for_line(&[event, request, " to=caller ", &decided_by, &sent]).await;
+    pair.vms[owner].wait_for_line(&[event, request, " to=vm ", &decided_by]).await;
+}
+
 /// A booking that came while its owner was paused is run after its caller has
 /// given up. The owner wakes up and takes the time left for one that begins now.
 #[tokio::test]
--- /dev/null
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -0,0 +1,211 @@
+//! Each way in which a request is refused, and the line that it leaves.
+//!
+//! A caller complains of a refusal, and no log knows it: the refusal of the VM that owns the
+//! service was passed on as it came, so that neither VM wrote a line.
+
+mod testenv;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response};
+use pistachiotrack_core::{header, refusal::Reason};
+use serde_json::{Value, json};
+use testenv::{
+    client, config,
+    endpoint::{Endpoint, read_head},
+    fleet::absent_platform,
+    platform::Platform,
+    process::DaemonProcess,
+};
+use tokio::{
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+
+const VM: &str = "vm-01";
+/// Time that an endpoint takes for a lookup.
+const WORK: Duration = Duration::from_millis(200);
+
+/// A daemon that refuses, and what its caller was told.
+struct Refusal {
+    vm: DaemonProcess,
+    answer: Response<Bytes>,
+    _platform: Option<Platform>,
+}
+
+fn book() -> Request<Full<Bytes>> {
+    client::request(Method::POST, "/bookings", "slot 7")
+}
+
+fn lookup(deadline_ms: &str) -> Request<Full<Bytes>> {
+    client::with(client::get("/slots"), header::DEADLINE_MS, deadline_ms)
+}
+
+async fn start(config: Value) -> (Platform, DaemonProcess) {
+    let platform = Platform::start().await;
+    platform.publish_config(config);
+    let vm = DaemonProcess::start(VM, platform.address).await;
+    client::wait_until_serving(vm.admin_address).await;
+    (platform, vm)
+}
+
+async fn refused_with(config: Value, request: Request<Full<Bytes>>) -> Refusal {
+    let (platform, vm) = start(config).await;
+    let answer = client::send(vm.caller_address, request).await.unwrap();
+    Refusal { vm, answer, _platform: Some(platform) }
+}
+
+/// An endpoint that answers the first lookups and keeps the others until it is released.
+async fn held_after(first: usize) -> (Endpoint, watch::Sender<bool>) {
+    let (release, released) = watch::channel(false);
+    let (count, _) = watch::channel(0);
+    let endpoint = Endpoint::start(move |_| {
+        let mut released = released.clone();
+        let mut number = 0;
+        count.send_modify(|count| {
+            number = *count;
+            *count += 1;
+        });
+        async move {
+            tokio::time::sleep(WORK).await;
+            if number >= first {
+                released.wait_for(|released| *released).await.unwrap();
+            }
+            Response::new(Full::from("free"))
+        }
+    })
+    .await;
+    (endpoint, release)
+}
+
+/// A configuration with one endpoint for lookups that has one slot.
+fn one_slot(search: &Endpoint, queue_limit: u32) -> Value {
+    let mut config = config(1, &[search.address], &[]);
+    config["services"][0]["queue_limit"] = json!(queue_limit);
+    config["services"][0]["endpoints"][0]["slots"] = json!(1);
+    config
+}
+
+/// Sends a lookup that the endpoint keeps, and further ones, and returns the first refusal.
+async fn refused_behind_others(queue_limit: u32, known: usize, deadlines_ms: &[&str]) -> Refusal {
+    let (search, _release) = held_after(known).await;
+    let (platform, vm) = start(one_slot(&search, queue_limit)).await;
+    for _ in 0..known {
+        client::send(vm.caller_address, client::get("/slots")).await.unwrap();
+    }
+    let _kept: JoinHandle<_> = tokio::spawn(client::send(vm.caller_address, client::get("/slots")));
+    search.wait_received(known + 1).await;
+    let mut others = JoinSet::new();
+    for deadline_ms in deadlines_ms {
+        others.spawn(client::send(vm.caller_address, lookup(deadline_ms)));
+        wait_for_requests(&vm, known + 1 + others.len()).await;
+    }
+    let answer = others.join_next().await.unwrap().unwrap().unwrap();
+    Refusal { vm, answer, _platform: Some(platform) }
+}
+
+async fn wait_for_requests(vm: &DaemonProcess, count: usize) {
+    client::wait_for(vm.admin_address, "/status", |status| {
+        let counters = status["counters"].as_array().unwrap();
+        counters.contains(&json!({"name": "requests", "value": count}))
+    })
+    .await;
+}
+
+async fn refused_without_configuration() -> Refusal {
+    let limits = json!({"limits": {"first_config_wait_ms": 0}});
+    let vm = DaemonProcess::start_with(VM, absent_platform().await, limits).await;
+    let answer = client::send(vm.caller_address, client::get("/slots")).await.unwrap();
+    Refusal { vm, answer, _platform: None }
+}
+
+/// An endpoint that reads a request and closes the connection.
+async fn closing() -> Endpoint {
+    Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+    })
+    .await
+}
+
+async fn refused_duplicate() -> Refusal {
+    let booking = closing().await;
+    let (platform, vm) = start(config(1, &[], &[booking.address])).await;
+    let keyed = || client::with(book(), header::KEY, "booking-7");
+    client::send(vm.caller_address, keyed()).await.unwrap();
+    let answer = client::send(vm.caller_address, keyed()).await.unwrap();
+    Refusal { vm, answer, _platform: Some(platform) }
+}
+
+async fn refused_after_pause() -> Refusal {
+    let (platform, vm) = start(config(1, &[], &[])).await;
+    vm.signal("STOP").await;
+    let late = client::with(book(), header::DEADLINE_MS, "300");
+    let late = tokio::spawn(client::send(vm.caller_address, late));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    vm.signal("CONT").await;
+    let answer = late.await.unwrap().unwrap();
+    Refusal { vm, answer, _platform: Some(platform) }
+}
+
+/// Brings a refusal about. A new reason has no arm here, so that this does not compile.
+async fn refuse_for(reason: Reason) -> Refusal {
+    match reason {
+        Reason::QueueFull => refused_behind_others(1, 0, &["3000", "3000"]).await,
+        Reason::WaitTooLong => refused_behind_others(9, 3, &["3000", "100"]).await,
+        Reason::DeadlinePassed => refused_behind_others(9, 0, &["200"]).await,
+        Reason::Rule => refused_with(config(1, &[], &[]), client::get("/nowhere")).await,
+        Reason::NoConfig => refused_without_configuration().await,
+        Reason::NoEndpoint => refused_with(config(1, &[], &[]), book()).await,
+        Reason::AnswerLost => {
+            let booking = closing().await;
+            refused_with(config(1, &[], &[booking.address]), book()).await
+        }
+        Reason::NoRecord => {
+            let repeat = client::with(book(), header::REPEAT, "true");
+            refused_with(config(1, &[], &[]), repeat).await
+        }
+        Reason::Duplicate => refused_duplicate().await,
+        Reason::BadRequest => {
+            let mut request = client::get("/slots");
+            request.headers_mut().remove(header::CUSTOMER);
+            refused_with(config(1, &[], &[]), request).await
+        }
+        Reason::Paused => refused_after_pause().await,
+    }
+}
+
+#[tokio::test]
+async fn every_refusal_leaves_a_line_that_says_who_decided_and_why() {
+    let mut refusals = JoinSet::new();
+    for reason in Reason::ALL {
+        refusals.spawn(async move { (reason, refuse_for(reason).await) });
+    }
+    while let Some(refusal) = refusals.join_next().await {
+        let (reason, Refusal { vm, answer, .. }) = refusal.unwrap();
+        assert_eq!(client::field(&answer, header::REASON), Some(reason.as_str()), "{answer:?}");
+        let id = client::field(&answer, header::REQUEST_ID).unwrap();
+        let execution = client::field(&answer, header::OUTCOME).unwrap();
+        let parts = [
+            "event=refused".to_owned(),
+            format!(" request={id} "),
+            " to=caller ".to_owned(),
+            format!(" decided_by={VM} "),
+            format!(" execution={execution} "),
+            format!(" reason={} ", reason.as_str()),
+        ];
+        vm.wait_for_line(&parts.each_ref().map(String::as_str)).await;
+    }
+}
+
+/// Nobody can tell whether a booking that was refused had been sent anywhere.
+#[tokio::test]
+async fn the_line_of_a_refusal_names_what_was_sent_where() {
+    let booking = closing().await;
+    let config = config(1, &[], &[booking.address]);
+    let Refusal { vm, answer, .. } = refused_with(config, book()).await;
+    let id = client::field(&answer, header::REQUEST_ID).unwrap();
+    vm.wait_for_line(&["event=refused", &format!(" request={id} "), " sent=booking-0/unknown/"])
+        .await;
+}
--- a/crates/pistachiotrackd/tests/testenv/process.rs
+++ b/crates/pistachiotrackd/tests/testenv/process.rs
@@ -1,10 +1,15 @@
 //! A daemon in a process of its own, which a test can pause and kill.
 
-use std::{net::SocketAddr, process::Stdio};
+use std::{
+    net::SocketAddr,
+    process::Stdio,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 use serde_json::{Value, json};
 use tokio::{
-    io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines},
+    io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
     process::{Child, ChildStderr, Command},
 };
 
@@ -19,7 +24,7 @@
     /// Address of the admin port.
     pub(crate) admin_address: SocketAddr,
     child: Child,
-    _log: Lines<BufReader<ChildStderr>>,
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 impl DaemonProcess {
@@ -42,23 +47,23 @@
         let further = further.as_object().unwrap().clone();
         settings.as_object_mut().unwrap().extend(further);
         let mut child = spawn(&settings).await;
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let started = loop {
-            let line = tokio::time::timeout(HANG_LIMIT, log.next_line()).await;
-            let line = line.expect("the daemon logs").unwrap().expect("the daemon starts");
-            if line.contains("event=started") {
-                break line;
-            }
-        };
+        let log = Arc::<Mutex<Vec<String>>>::default();
+        tokio::spawn(keep_lines(child.stderr.take().unwrap(), Arc::clone(&log)));
+        let started = wait_for_line(&log, &["event=started"]).await;
         DaemonProcess {
             caller_address: address(&started, "caller_address="),
             peer_address: address(&started, "peer_address="),
             admin_address: address(&started, "admin_address="),
             child,
-            _log: log,
+            log,
         }
     }
 
+    /// Waits until the log has a line with all of `parts`, and returns it.
+    pub(crate) async fn wait_for_line(&self, parts: &[&str]) -> String {
+        wait_for_line(&self.log, parts).await
+    }
+
     /// Returns the line of the platform's list of VMs for this daemon.
     pub(crate) fn listed(&self, vm: &str) -> Value {
         super::listed(vm, self.peer_address, self.caller_address)
@@ -83,6 +88,25 @@
     }
 }
 
+async fn keep_lines(output: ChildStderr, log: Arc<Mutex<Vec<String>>>) {
+    let mut lines = BufReader::new(output).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        log.lock().unwrap().push(line);
+    }
+}
+
+async fn wait_for_line(log: &Mutex<Vec<String>>, parts: &[&str]) -> String {
+    let start = Instant::now();
+    loop {
+        let has_all = |line: &&String| parts.iter().all(|part| line.contains(part));
+        if let Some(line) = log.lock().unwrap().iter().find(has_all) {
+            return line.clone();
+        }
+        assert!(start.elapsed() < HANG_LIMIT, "no line with {parts:?} in {:?}", log.lock());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 async fn spawn(settings: &Value) -> Child {
     let mut child = Command::new(env!("CARGO_BIN_EXE_pistachiotrackd"))
         .args(["--settings", "/dev/stdin"])
