--- a/crates/pistachiotrack-core/src/config_sync/packed.rs
+++ b/crates/pistachiotrack-core/src/config_sync/packed.rs
@@ -16,8 +16,8 @@
 
 /// An encoded value.
 ///
-/// Rules repeat the names of hosts and services: 1,456 new ones take 126 kB, and
-/// 25 kB compressed, which a link of 10 Mbit/s carries in 20 ms.
+/// Rules repeat the names of hosts and services, so that many new ones are a fraction as
+/// long once compressed, which matters on the link of a VM that all others ask.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Packed {
     /// The value as it is.
--- a/crates/pistachiotrack-core/src/health/belief.rs
+++ b/crates/pistachiotrack-core/src/health/belief.rs
@@ -11,7 +11,6 @@
 };
 
 /// Bounds of the belief, so that a changed endpoint is noticed after few answers.
-/// Between 0.0005 and 0.005 the lower one predicts alike.
 const BOUNDS: (f64, f64) = (0.002, 0.995);
 /// Belief from which on an endpoint is taken to be in a spell, and below which the spell
 /// is taken to be over: one lucky answer in a spell ends none.
--- a/crates/pistachiotrack-core/src/health/replaced.rs
+++ b/crates/pistachiotrack-core/src/health/replaced.rs
@@ -10,8 +10,8 @@
     time::Time,
 };
 
-/// Time after which the address is tried again. A registry drops an entry after three
-/// heartbeats of silence, 4.5 s, and the configuration then has the endpoint no more.
+/// Time after which the address is tried again: a registry has dropped the endpoint's entry
+/// by then.
 const RECHECK: Duration = Duration::from_secs(5);
 
 impl Health {
@@ -22,9 +22,7 @@
     /// to be chosen. It shows as requests that are turned away and sent on for seconds,
     /// each of them taken from the limit of retries. The guard holds because the answer
     /// is a fact, not evidence: the endpoint is not there, whatever the floor asks, what
-    /// other endpoints do and whether other VMs reach the address. Told to other VMs, it
-    /// brought the requests turned away on six days with endpoints that start again under
-    /// other names from 978 to 185.
+    /// other endpoints do and whether other VMs reach the address. Other VMs are told.
     pub(super) fn on_replaced(
         &mut self,
         at: Time,
--- a/crates/pistachiotrack-core/src/health/spells.rs
+++ b/crates/pistachiotrack-core/src/health/spells.rs
@@ -6,16 +6,15 @@
 //! from a weak prior: signs by how likely the endpoint was in a spell as it gave them,
 //! spells as they are found out and end.
 //!
-//! Gain against one fixed rate of failures for all kinds of them: worth of a day 0.009,
-//! 0.006 and 0.005 with three customers (12 pairs of days each, without charged processor
-//! time); unsafe attempts that failed 4.6 to 4.0%, 5.2 to 4.8%, 5.4 to 5.0%.
+//! Against one fixed rate of failures for all kinds of them, fewer requests that must not
+//! run again fail.
 
 use std::time::Duration;
 
 use crate::request::{FIRST_FAILURE_STATUS, Outcome};
 
 /// Part of the usual time of a good answer within which a failure came at once: the
-/// endpoint didn't work on the request. Parts from a tenth to two fifths predict alike.
+/// endpoint didn't work on the request.
 const AT_ONCE_PART: f64 = 0.2;
 /// Weight of one good answer in the usual time: about the last 50 count.
 const USUAL_WEIGHT: f64 = 0.02;
--- a/crates/pistachiotrack-core/src/ownership/dispatchers.rs
+++ b/crates/pistachiotrack-core/src/ownership/dispatchers.rs
@@ -56,9 +56,9 @@
 /// Leaves as many VMs as all groups need, those with the largest capacity and all
 /// that are equal to the last of these.
 ///
-/// A dispatcher has a large part of a service's requests on its link and processor. Of
-/// VMs with 0.1 and 0.5 of a core and 10 and 200 Mbit/s, hashing alone chose weak ones,
-/// and requests waited there. Where groups are many, nobody is left out.
+/// A dispatcher has a large part of a service's requests on its link and processor. Hashing
+/// alone chooses weak VMs too, where requests wait. Where groups are many, nobody is left
+/// out.
 fn keep_strongest(candidates: &mut Vec<&Candidate>, needed: usize) {
     candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.vm.capacity));
     let Some(last) = needed.checked_sub(1).and_then(|last| candidates.get(last)) else { return };
--- a/crates/pistachiotrack-core/src/retry/fleet_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_budget.rs
@@ -22,14 +22,14 @@
 /// Two restarts of all VMs in one window stay within the slack.
 const UNINFORMED_PART: f64 = 0.1;
 /// Part of the slack below which what is left is shared out. A burst of failures may
-/// take what is above: shared out always, retries came too late for 0.02 of the worth of
-/// days on which endpoints fail in bursts.
+/// take what is above: shared out always, retries come too late where endpoints fail in
+/// bursts.
 const SHARED_OUT_PART: f64 = 0.6;
 /// Time since its last retry for which another VM counts as one that needs more.
 const IN_NEED_TIME: Duration = Duration::from_secs(2);
 /// Time for which a VM's share of what is left lasts: over twice as long as news are on
-/// their way where a link is full. With news 0.4 s late, six VMs that all need retries
-/// sent up to 4 more than allowed without shares, and at least 1 less with them.
+/// their way where a link is full, so that VMs which all need retries don't take the same
+/// ones.
 const SHARE_TIME: Duration = Duration::from_secs(1);
 /// Windows without a word after which a VM is forgotten.
 const FORGOTTEN_AFTER_WINDOWS: u32 = 10;
--- a/crates/pistachiotrack-core/src/shard/guests.rs
+++ b/crates/pistachiotrack-core/src/shard/guests.rs
@@ -21,12 +21,10 @@
 
 /// The VMs that a dispatcher tells besides the other dispatchers.
 ///
-/// Failure guarded against: all 107 VMs get a request now and then, each is told all
-/// that every dispatcher nearby does, and these fill their links of 10 Mbit/s. It
-/// shows as endpoints to which no connection opens in time. The guard holds because
-/// only VMs with requests of their own to place are told, and a bounded number.
-/// Without charged processor time a quiet day of that deployment came from a worth of
-/// 0.604 to 0.797 when none was told.
+/// Failure guarded against: all VMs get a request now and then, each is told all that
+/// every dispatcher nearby does, and that fills the links of weak ones. It shows as
+/// endpoints to which no connection opens in time. The guard holds because only VMs with
+/// requests of their own to place are told, and a bounded number.
 ///
 /// Only those of its own data centre: those elsewhere have dispatchers of their own.
 #[derive(Clone, Debug, Default)]
--- a/crates/pistachiotrack-core/src/shard/strain.rs
+++ b/crates/pistachiotrack-core/src/shard/strain.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Part of the requests not served from which on a service is strained: well above
-/// the 3 to 5% that single endpoints' spells cost on an ordinary day, and below the
-/// tenth from which on sound endpoints must not be left without work.
+/// Part of the requests not served from which on a service is strained: well above what
+/// single endpoints' spells cost, and below the tenth from which on sound endpoints must
+/// not be left without work.
 const STRAINED: f64 = 0.085;
 /// Weight of one request: about the last 100 of all dispatchers count, a second or
 /// two of the users' work. Fewer don't tell a tenth from a twentieth.
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -9,9 +9,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    clock::Clock, connection_pool::ConnectionPool, control_traffic::ControlTraffic,
-    dialect::Dialect, forward_record::ForwardRecord, histogram::Histograms, metrics::Metrics,
-    settings::Settings, shard_table::ShardTable, source::Source, timer::PauseGate, view::FleetView,
+    clock::Clock, connection_pool::ConnectionPool, dialect::Dialect, forward_record::ForwardRecord,
+    histogram::Histograms, metrics::Metrics, settings::Settings, shard_table::ShardTable,
+    source::Source, timer::PauseGate, traffic::Traffic, view::FleetView,
 };
 
 /// State of the daemon's life cycle.
@@ -63,8 +63,8 @@
     pub(crate) forwards: ForwardRecord,
     /// Counters.
     pub(crate) metrics: Metrics,
-    /// Counters of control messages.
-    pub(crate) traffic: Arc<ControlTraffic>,
+    /// What this VM says to and hears from others.
+    pub(crate) traffic: Arc<Traffic>,
     /// Time for which a request waits before it is sent to an endpoint for the first time.
     pub(crate) queued: Histograms,
     /// Where configurations come from; the platform's own service where it is missing.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -29,7 +29,6 @@
     connection::Connector,
     connection_pool::ConnectionPool,
     context::Context,
-    control_traffic::ControlTraffic,
     dialect::{Dialect, OwnDialect},
     entries,
     fleet::{Fleet, FleetArgs, Leave, NewSeeds, TICK_INTERVAL},
@@ -44,6 +43,7 @@
     shard_table::{ShardTable, ShardTableArgs},
     source::Source,
     timer::{PauseGate, SubscribeSlowly, TimerArgs, TimerService},
+    traffic::Traffic,
     udp,
     view::FleetView,
 };
@@ -160,7 +160,7 @@
         let (leaving_sender, leaving) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
         let (superseded_sender, superseded) = watch::channel(false);
-        let traffic = Arc::new(ControlTraffic::default());
+        let traffic = Arc::new(Traffic::default());
         let path_check = PathCheck::new(me.clone(), view.clone());
         let socket = Arc::new(sockets.membership);
         let news = Arc::new(NewsLink::new(
--- a/crates/pistachiotrackd/src/exposition.rs
+++ b/crates/pistachiotrackd/src/exposition.rs
@@ -9,7 +9,7 @@
     registry::Registry,
 };
 
-use crate::{context::Context, control_traffic::LinkCount};
+use crate::{context::Context, traffic::LinkCount};
 
 /// Start of every name.
 const PREFIX: &str = "pistachiotrack";
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -31,7 +31,6 @@
 pub(crate) use self::leave::Leave;
 use crate::{
     context::Context,
-    control_traffic::{Place, Topic},
     metrics::Event,
     peer_client,
     peer_message::CONFIG_PATH,
@@ -40,6 +39,7 @@
     shard_table::shard_name,
     source::{Published, Source as ConfigSource, SourceError},
     timer::TimerEvent,
+    traffic::{Place, Topic},
     udp,
     view::{ActiveConfig, FleetView},
 };
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -16,13 +16,13 @@
     attempt,
     body::{self, AnswerBody},
     context::Context,
-    control_traffic::{Place, Topic},
     exchange::{self, BegunAnswer, ExchangeError, GiveUp, RequestHead, Target},
     headers,
     inbound::Inbound,
     metrics::Event,
     peer_word::{PeerAnswer, PeerWord, RefusalWord},
     request_task::Served,
+    traffic::{Place, Topic},
 };
 
 /// Time after the deadline for which the owner's own refusal is waited for.
--- a/crates/pistachiotrackd/src/http_call.rs
+++ b/crates/pistachiotrackd/src/http_call.rs
@@ -39,9 +39,9 @@
 /// How long the parts of an answer may take.
 ///
 /// Failure guarded against: one limit for the whole answer is right for small ones, and
-/// a large one that comes steadily over a slow link never gets to its end: 1.4 MB take
-/// 1.1 s at 10 Mbit/s. It shows as a source that times out again and again while it is
-/// well. The guard holds because only silence counts soon.
+/// a large one that comes steadily over a slow link never gets to its end. It shows as a
+/// source that times out again and again while it is well. The guard holds because only
+/// silence counts soon.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
     /// Time allowed until the head of the answer is there.
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     clock::Clock,
-    control_traffic::{ControlTraffic, Place, Topic},
+    traffic::{Place, Topic, Traffic},
     udp,
     view::FleetView,
 };
@@ -89,7 +89,7 @@
     clock: Clock,
     socket: Arc<UdpSocket>,
     view: watch::Receiver<Arc<FleetView>>,
-    traffic: Arc<ControlTraffic>,
+    traffic: Arc<Traffic>,
     guests: Mutex<Guests>,
     unused_logged_at: Mutex<Option<Time>>,
 }
@@ -119,7 +119,7 @@
         clock: Clock,
         socket: Arc<UdpSocket>,
         view: watch::Receiver<Arc<FleetView>>,
-        traffic: Arc<ControlTraffic>,
+        traffic: Arc<Traffic>,
     ) -> NewsLink {
         let deployment = hash::fnv(deployment.as_bytes());
         NewsLink {
--- a/crates/pistachiotrackd/src/peer_service.rs
+++ b/crates/pistachiotrackd/src/peer_service.rs
@@ -16,7 +16,6 @@
     answer,
     body::AnswerBody,
     context::Context,
-    control_traffic::{Place, Topic},
     fleet::{AnswerPull, Fleet},
     peer_message::{
         CONFIG_PATH, HAND_OVER_PATH, MAX_MESSAGE_BYTES, REACH_PATH, ReachAnswer, ReachQuestion,
@@ -24,6 +23,7 @@
     proxy,
     shard_actor::TakeHandOver,
     shard_table::shard_name,
+    traffic::{Place, Topic},
     view::ActiveConfig,
 };
 
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -17,12 +17,12 @@
 use tokio::sync::watch;
 
 use crate::{
-    control_traffic::{ControlTraffic, Place, Topic},
     fleet::{Fleet, VmsListed},
     gzip::{self, GzipError},
     http_call::{self, CallError},
     settings::Settings,
     source::{Published, Source, SourceError},
+    traffic::{Place, Topic, Traffic},
 };
 
 /// Time for which a watch waits for something newer.
@@ -63,12 +63,12 @@
 pub(crate) struct Platform {
     address: SocketAddr,
     deployment: Name,
-    traffic: Arc<ControlTraffic>,
+    traffic: Arc<Traffic>,
 }
 
 impl Platform {
     /// Creates a reader of one deployment's values.
-    pub(crate) fn new(settings: &Settings, traffic: Arc<ControlTraffic>) -> Platform {
+    pub(crate) fn new(settings: &Settings, traffic: Arc<Traffic>) -> Platform {
         Platform {
             address: settings.platform_address,
             deployment: settings.deployment.clone(),
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -15,7 +15,7 @@
     ownership::{ShardId, rendezvous_shard, shard_count},
     refusal::{Execution, Reason},
     request::{Class, DEFAULT_MAX_ATTEMPTS, RequestId},
-    rule::{Refuse, Route, RuleAction, Subject},
+    rule::{Route, RuleAction, Subject},
     service::Service,
     shard::ShardMode,
     time::Time,
@@ -35,6 +35,7 @@
     metrics::Event,
     peer_word::{PeerWord, RefusalWord},
     refusal_log::{self, Audience},
+    rejection::Rejection,
     request_body::{BodyLimits, RequestBody, RequestBodyError},
     request_task::{self, Served},
     view::{ActiveConfig, FleetView},
@@ -130,43 +131,6 @@
     context.metrics.count(event);
 }
 
-/// Why a request is refused before it can be sent anywhere.
-#[derive(Debug)]
-pub(crate) struct Rejection {
-    reason: Reason,
-    retry_after_ms: Option<u64>,
-    /// Status other than the usual one of the reason.
-    status: Option<StatusCode>,
-}
-
-impl From<Reason> for Rejection {
-    fn from(reason: Reason) -> Rejection {
-        Rejection { reason, retry_after_ms: None, status: None }
-    }
-}
-
-impl Rejection {
-    fn no_config() -> Rejection {
-        Rejection { retry_after_ms: Some(NO_CONFIG_RETRY_MS), ..Reason::NoConfig.into() }
-    }
-
-    fn by_rule(refuse: &Refuse) -> Rejection {
-        let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
-        let retry_after_ms = refuse.retry_after_ms;
-        Rejection { reason: Reason::Rule, retry_after_ms, status: Some(status) }
-    }
-
-    fn too_large() -> Rejection {
-        Rejection { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..Reason::BadRequest.into() }
-    }
-
-    fn refuse(self, held: Held) -> Served {
-        let mut refused = Refused::from(held.refuse(self.reason, self.retry_after_ms));
-        refused.status = self.status.unwrap_or(refused.status);
-        Served::refused(refused)
-    }
-}
-
 /// Takes in a caller's request and decides where it goes.
 async fn receive(
     context: &Context,
--- /dev/null
+++ b/crates/pistachiotrackd/src/rejection.rs
@@ -0,0 +1,50 @@
+//! Requests that are refused where they come in.
+
+use hyper::StatusCode;
+use pistachiotrack_core::{copies::Held, refusal::Reason, rule::Refuse};
+
+use crate::{
+    answer::{NO_CONFIG_RETRY_MS, Refused},
+    request_task::Served,
+};
+
+/// Why a request is refused before it can be sent anywhere.
+#[derive(Debug)]
+pub(crate) struct Rejection {
+    reason: Reason,
+    retry_after_ms: Option<u64>,
+    /// Status other than the usual one of the reason.
+    status: Option<StatusCode>,
+}
+
+impl From<Reason> for Rejection {
+    fn from(reason: Reason) -> Rejection {
+        Rejection { reason, retry_after_ms: None, status: None }
+    }
+}
+
+impl Rejection {
+    /// Returns that of a VM without a configuration.
+    pub(crate) fn no_config() -> Rejection {
+        Rejection { retry_after_ms: Some(NO_CONFIG_RETRY_MS), ..Reason::NoConfig.into() }
+    }
+
+    /// Returns that by a rule.
+    pub(crate) fn by_rule(refuse: &Refuse) -> Rejection {
+        let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
+        let retry_after_ms = refuse.retry_after_ms;
+        Rejection { reason: Reason::Rule, retry_after_ms, status: Some(status) }
+    }
+
+    /// Returns that of a request whose body is too large.
+    pub(crate) fn too_large() -> Rejection {
+        Rejection { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..Reason::BadRequest.into() }
+    }
+
+    /// Refuses the request.
+    pub(crate) fn refuse(self, held: Held) -> Served {
+        let mut refused = Refused::from(held.refuse(self.reason, self.retry_after_ms));
+        refused.status = self.status.unwrap_or(refused.status);
+        Served::refused(refused)
+    }
+}
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -29,12 +29,12 @@
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
     connection_pool::ConnectionPool,
     context::Context,
-    control_traffic::{Place, Topic},
     exchange::{BegunAnswer, GiveUp},
     headers,
     inbound::Inbound,
     metrics::Event,
     shard_actor::{AttemptOutcome, BodyEnded, CallerGone, Command, ShardActor, Submit},
+    traffic::{Place, Topic},
     view::FleetView,
 };
 
--- a/crates/pistachiotrackd/src/control_traffic.rs
+++ b/crates/pistachiotrackd/src/traffic.rs
@@ -145,11 +145,11 @@
 
 /// Counts messages and their payload, without the heads of HTTP, TCP and UDP.
 #[derive(Debug, Default)]
-pub(crate) struct ControlTraffic {
+pub(crate) struct Traffic {
     counts: [[[Count; Direction::ALL.len()]; Place::ALL.len()]; Topic::ALL.len()],
 }
 
-impl ControlTraffic {
+impl Traffic {
     /// Counts a message that was sent.
     pub(crate) fn sent(&self, topic: Topic, place: Place, bytes: usize) {
         self.count(topic, place, Direction::Sent).add(bytes);
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -8,10 +8,10 @@
 
 use crate::{
     context::Context,
-    control_traffic::{ControlTraffic, Place, Topic},
     fleet::{Datagram, Fleet},
     metrics::Event,
     news_link::{NEWS_TAGS, NewsLink},
+    traffic::{Place, Topic, Traffic},
 };
 
 /// Passes the datagrams that come in to the fleet actor, and those of other
@@ -64,7 +64,7 @@
     socket: &UdpSocket,
     to: SocketAddr,
     bytes: &[u8],
-    traffic: &ControlTraffic,
+    traffic: &Traffic,
     (topic, place): (Topic, Place),
 ) {
     match socket.try_send_to(bytes, to) {
--- a/crates/pistachiotrackd/src/view.rs
+++ b/crates/pistachiotrackd/src/view.rs
@@ -12,7 +12,7 @@
 };
 use rustc_hash::FxHashMap;
 
-use crate::control_traffic::Place;
+use crate::traffic::Place;
 
 /// What requests need of the configuration in force.
 #[derive(Debug)]
