Soak: a VM that was killed while it stopped may lack a line

Its process was stopping (event=leaving, no event=stopped) when the plan killed all VMs at 10,185 ms, 2 ms before the answer had been read; the check excused killed processes only if nobody had asked them to stop. It now knows when a process was killed and excuses a kill between the sending and one second after the answer, whether or not it was stopping; an end of any other kind is excused no more.

--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -130,6 +130,8 @@
     pub started_ms: u64,
     /// When it was asked to stop.
     pub asked_to_stop_ms: Option<u64>,
+    /// When it was killed.
+    pub killed_ms: Option<u64>,
     /// When it had ended.
     pub ended_ms: Option<u64>,
     /// Whether it was killed, or asked to stop.
@@ -250,9 +252,8 @@
             request.strip_prefix(vm.as_str()).is_some_and(|rest| rest.starts_with('-'))
         });
         let was_killed = self.processes.iter().any(|process| {
-            let died = process.ended_ms.filter(|_| process.asked_to_stop_ms.is_none());
             let unwritten = asked.sent_ms..=asked.ended_ms + LOG_MS;
-            Some(process.vm) == vm && died.is_some_and(|at| unwritten.contains(&at))
+            Some(process.vm) == vm && process.killed_ms.is_some_and(|at| unwritten.contains(&at))
         });
         self.logged.is_cut || was_killed || self.logged.requests.contains(request)
     }
--- a/crates/pistachiotrack-standins/src/soak/vms.rs
+++ b/crates/pistachiotrack-standins/src/soak/vms.rs
@@ -73,8 +73,11 @@
 
     /// Ends a VM at once; it starts again `restart_after` its end.
     pub(super) fn kill(&self, vm: usize, restart_after: Duration) {
+        let now_ms = self.clock.now_ms();
         let mut vm = self.lock(vm);
-        vm.mean_end(restart_after);
+        if let Some(process) = vm.mean_end(restart_after) {
+            process.killed_ms.get_or_insert(now_ms);
+        }
         vm.daemon.end_now();
     }
 
@@ -161,5 +164,13 @@
 }
 
 fn process(vm: usize, number: u32, started_ms: u64) -> Process {
-    Process { vm, number, started_ms, asked_to_stop_ms: None, ended_ms: None, end_was_meant: false }
+    Process {
+        vm,
+        number,
+        started_ms,
+        asked_to_stop_ms: None,
+        killed_ms: None,
+        ended_ms: None,
+        end_was_meant: false,
+    }
 }
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -39,6 +39,7 @@
         number: 0,
         started_ms,
         asked_to_stop_ms: None,
+        killed_ms: None,
         ended_ms: None,
         end_was_meant: false,
     }
@@ -141,9 +142,20 @@
     nameless.asked.iter_mut().for_each(|asked| asked.request = None);
     assert_eq!(broken(&nameless), [Promise::RefusalLogged]);
 
-    unlogged.processes = vec![Process { ended_ms: Some(5_500), end_was_meant: true, ..process(0) }];
+    let killed = Process {
+        killed_ms: Some(5_500),
+        ended_ms: Some(5_510),
+        end_was_meant: true,
+        ..process(0)
+    };
+    unlogged.processes = vec![killed];
+    assert_eq!(broken(&unlogged), []);
+    // The VM was stopping, and was killed before it had ended.
+    unlogged.processes[0].asked_to_stop_ms = Some(3_000);
     assert_eq!(broken(&unlogged), []);
-    unlogged.processes[0].ended_ms = Some(4_000);
+    unlogged.processes[0].killed_ms = None;
+    assert_eq!(broken(&unlogged), [Promise::RefusalLogged]);
+    unlogged.processes[0].killed_ms = Some(4_000);
     assert_eq!(broken(&unlogged), [Promise::RefusalLogged]);
     unlogged.logged.read("time=9 level=warn event=log_lines_left_out count=3");
     assert_eq!(broken(&unlogged), []);
