What VMs tell of an endpoint's answers bears its age

Cause: since news wait up to 50 ms for others, good answers of other data centres came late and were taken for answers to requests sent that much later. One to a request of before a spell, told after another VM had found the spell out, cleared the endpoint, and the next requests failed there. Change: an end is told with the time since it; moments of sending and of the end are the true ones.

--- a/crates/pistachiotrack-core/src/health/risk.rs
+++ b/crates/pistachiotrack-core/src/health/risk.rs
@@ -100,6 +100,11 @@
     }
 
     /// Notes how an endpoint ended a request of another VM.
+    ///
+    /// Failure guarded against: a good answer is told some time after it came, and is taken
+    /// for one to a request sent later than it was, after the endpoint had begun to fail. It
+    /// shows as an endpoint that is known to fail and gets requests again. The guard holds
+    /// because the age is told, so that both moments are the true ones.
     pub fn on_peer_end(
         &mut self,
         now: Time,
@@ -108,13 +113,14 @@
     ) -> Vec<HealthAction> {
         let mut actions = Vec::new();
         let Some(&position) = self.positions.get(endpoint) else { return actions };
+        let ended_at = Time::from_micros(now.as_micros().saturating_sub(ended.age_us));
         if ended.ending == Ending::Misdirected {
-            self.on_replaced(now, position, &mut actions);
+            self.on_replaced(ended_at, position, &mut actions);
             return actions;
         }
         let state = &mut self.endpoints[position];
         state.last_dispatch = state.last_dispatch.max(now);
-        let started = Time::from_micros(now.as_micros().saturating_sub(ended.latency_us));
+        let started = Time::from_micros(ended_at.as_micros().saturating_sub(ended.latency_us));
         let flight = Flight {
             endpoint: state.id,
             class: ended.class,
@@ -134,7 +140,7 @@
             Ending::Misdirected => Outcome::Misdirected,
         };
         if let Some(end) = End::of(outcome) {
-            self.note_end(now, position, started, end);
+            self.note_end(ended_at, position, started, end);
         }
         match self.endpoints[position].phase {
             Phase::Trial { since, .. } if started < since => return actions,
@@ -143,7 +149,7 @@
                 self.observe_trial(now, position, &flight, outcome, &mut actions);
             }
             Phase::InRotation | Phase::Held | Phase::SlowStart { .. } => {
-                self.observe(now, position, &flight, outcome);
+                self.observe(ended_at, position, &flight, outcome);
             }
         }
         self.decide(now, position, &mut actions);
@@ -170,6 +176,6 @@
         let state = &mut self.endpoints[position];
         let sign = self.spells.sign(end, now.since(started));
         state.belief.observe(&mut self.spells, now, started, sign);
-        state.last_seen = Some(now);
+        state.last_seen = state.last_seen.max(Some(now));
     }
 }
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -143,7 +143,7 @@
     /// How much of the service's work is lost.
     strain: Strain,
     /// Attempts that ended and the other VMs don't know of.
-    ended: Vec<(Name, EndedAttempt)>,
+    ended: Vec<(Name, EndedAttempt, Time)>,
     /// What VMs of other data centres don't know of yet.
     far_news: FarNews,
     /// Until then requests wait for a picture that other VMs were asked for.
--- a/crates/pistachiotrack-core/src/shard/far_news.rs
+++ b/crates/pistachiotrack-core/src/shard/far_news.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::{EndedAttempt, Served};
-use crate::{name::Name, time::Time};
+use super::{Served, news::Untold};
+use crate::time::Time;
 
 /// Time for which news that are not urgent wait for others.
 ///
@@ -15,7 +15,7 @@
 /// News that wait to be told to VMs of other data centres.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FarNews {
-    endpoints: Vec<(Name, Option<EndedAttempt>)>,
+    endpoints: Vec<Untold>,
     finished: Served,
     due: Option<Time>,
 }
@@ -26,14 +26,9 @@
     /// Failure guarded against: VMs elsewhere go on sending to an endpoint that has begun to
     /// fail until the news come. It shows as one failure for each of them. The guard holds
     /// because a failure takes all that waits along at once.
-    pub(super) fn add(
-        &mut self,
-        now: Time,
-        endpoints: &[(Name, Option<EndedAttempt>)],
-        finished: Served,
-    ) {
+    pub(super) fn add(&mut self, now: Time, endpoints: &[Untold], finished: Served) {
         let is_urgent =
-            endpoints.iter().any(|(_, ended)| ended.is_some_and(|it| it.ending.is_failure()));
+            endpoints.iter().any(|(_, ended)| ended.is_some_and(|(it, _)| it.ending.is_failure()));
         let due = if is_urgent { now } else { now + FAR_NEWS_DELAY };
         self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
         self.finished = self.finished.plus(finished);
@@ -46,7 +41,7 @@
     }
 
     /// Takes what waits: each end, and each other endpoint once.
-    pub(super) fn take(&mut self) -> (Vec<(Name, Option<EndedAttempt>)>, Served) {
+    pub(super) fn take(&mut self) -> (Vec<Untold>, Served) {
         self.due = None;
         let mut endpoints = std::mem::take(&mut self.endpoints);
         // Stable, so that the ends of one endpoint keep their order.
@@ -58,6 +53,6 @@
 }
 
 /// Returns whether only the number of requests in flight is told; an end tells it too.
-fn is_change(told: &(Name, Option<EndedAttempt>)) -> bool {
+fn is_change(told: &Untold) -> bool {
     told.1.is_none()
 }
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -96,8 +96,13 @@
     pub ending: Ending,
     /// Time from the dispatch to the head of the answer, or to the break.
     pub latency_us: u64,
+    /// Time since then.
+    pub age_us: u64,
 }
 
+/// What is to be told of an endpoint: how an attempt ended there and when, if one did.
+pub(super) type Untold = (Name, Option<(EndedAttempt, Time)>);
+
 /// What an endpoint did with an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
@@ -216,8 +221,8 @@
             return;
         }
         let latency_us = ended_at.since(of.dispatched_at).as_micros() as u64;
-        let ended = EndedAttempt { class: of.class, ending, latency_us };
-        self.ended.push((of.endpoint.clone(), ended));
+        let ended = EndedAttempt { class: of.class, ending, latency_us, age_us: 0 };
+        self.ended.push((of.endpoint.clone(), ended, ended_at));
     }
 
     /// Tells the VMs nearby what has changed in the event that ends, and those elsewhere
@@ -228,8 +233,8 @@
             return;
         }
         let ended = std::mem::take(&mut self.ended);
-        let mut told: Vec<(Name, Option<EndedAttempt>)> =
-            ended.into_iter().map(|(endpoint, ended)| (endpoint, Some(ended))).collect();
+        let mut told: Vec<Untold> =
+            ended.into_iter().map(|(endpoint, ended, at)| (endpoint, Some((ended, at)))).collect();
         for endpoint in changed {
             if told.iter().all(|(name, _)| *name != endpoint) {
                 told.push((endpoint, None));
@@ -238,21 +243,24 @@
         if !told.is_empty() {
             let finished = self.strain.take_untold();
             self.far_news.add(now, &told, finished);
-            self.tell(Reach::Near, &told, finished);
+            self.tell(now, Reach::Near, &told, finished);
         }
         if self.far_news.is_due(now) {
             let (told, finished) = self.far_news.take();
-            self.tell(Reach::Far, &told, finished);
+            self.tell(now, Reach::Far, &told, finished);
         }
     }
 
-    fn tell(&mut self, reach: Reach, told: &[(Name, Option<EndedAttempt>)], mut finished: Served) {
+    fn tell(&mut self, now: Time, reach: Reach, told: &[Untold], mut finished: Served) {
         let sent = self.retries.fleet().map(|budget| budget.total()).unwrap_or_default();
         for part in told.chunks(MAX_ENDPOINTS) {
-            let endpoint = |(name, ended): &(Name, Option<EndedAttempt>)| EndpointNews {
+            let endpoint = |(name, ended): &Untold| EndpointNews {
                 endpoint: EndpointKey::of(name),
                 in_flight: self.pool.in_flight_at(name),
-                ended: *ended,
+                ended: ended.map(|(ended, at)| EndedAttempt {
+                    age_us: now.since(at).as_micros() as u64,
+                    ..ended
+                }),
             };
             let endpoints = part.iter().map(endpoint).collect();
             let (shard, finished) = (self.id.clone(), std::mem::take(&mut finished));
--- a/crates/pistachiotrack-core/tests/far_news.rs
+++ b/crates/pistachiotrack-core/tests/far_news.rs
@@ -228,3 +228,38 @@
     let longest = news.iter().map(|news| postcard::to_stdvec(news).unwrap().len()).max();
     assert!(longest.unwrap() + FRAME_BYTES <= 1_200, "{longest:?}");
 }
+
+/// An endpoint begins to fail. One VM has found that out; then another VM tells of a good
+/// answer that came shortly before, to a request of before. Taken for a later one, it clears
+/// the endpoint, and the next bookings fail there.
+#[test]
+fn a_good_answer_that_is_told_late_clears_no_endpoint() {
+    const LATENCY: Duration = Duration::from_millis(300);
+    let (mut first, mut second) = (shard(1), shard(1));
+    let good = dispatched(&first.on_request(START, booking(1, START))).unwrap();
+    let found_at = START + Duration::from_millis(30);
+    let bad = dispatched(&second.on_request(found_at, booking(2, found_at))).unwrap();
+    let answered = |status| Outcome::Answered { status, fresh_connection: true };
+    second.on_outcome(found_at, bad.attempt, answered(500), Report::default());
+    second.on_body_end(found_at, bad.attempt, BodyEnd::Complete);
+
+    let answered_at = START + LATENCY;
+    first.on_outcome(answered_at, good.attempt, answered(200), Report::default());
+    first.on_body_end(answered_at, good.attempt, BodyEnd::Complete);
+    let told_at = answered_at + Duration::from_millis(60);
+    let news = told_far(&first.on_tick(told_at));
+    assert_eq!(news.len(), 1);
+    let risk = |shard: &mut Shard, at: Time| {
+        // A booking that can't wait any longer goes where it can.
+        let mut late = booking(9, at);
+        late.deadline = at + Duration::from_millis(10);
+        let actions = shard.on_request(at, late);
+        let at = at + Duration::from_millis(9);
+        let sent = dispatched(&actions).or_else(|| dispatched(&shard.on_tick(at)));
+        sent.map_or(1_000, |sent| sent.grounds.risk_permille)
+    };
+    let mut untold = second.clone();
+    second.on_news(told_at, &Name::from("vm-1"), &news[0]);
+    let (told, untold) = (risk(&mut second, told_at), risk(&mut untold, told_at));
+    assert_eq!(told, untold, "the risk that the next booking fails, in parts of a thousand");
+}
