--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -2,7 +2,6 @@
 
 mod action;
 mod ending;
-mod far_news;
 mod flow;
 mod guests;
 mod hand_over;
@@ -21,11 +20,10 @@
     action::{Choice, Dispatch, Grounds, ShardAction},
     guests::Guests,
     hand_over::ShardHandOver,
-    news::{EndedAttempt, Ending, EndpointKey, EndpointNews, Reach, ShardNews, ShardPicture},
+    news::{EndedAttempt, Ending, EndpointKey, EndpointNews, ShardNews, ShardPicture},
     strain::Served,
 };
 use self::{
-    far_news::FarNews,
     pool::Pool,
     retries::Retries,
     state::{Attempt, Live, Phase},
@@ -144,8 +142,6 @@
     strain: Strain,
     /// Attempts that ended and the other VMs don't know of.
     ended: Vec<(Name, EndedAttempt, Time)>,
-    /// What VMs of other data centres don't know of yet.
-    far_news: FarNews,
     /// Until then requests wait for a picture that other VMs were asked for.
     picture_due: Option<Time>,
     mechanisms: Mechanisms,
@@ -195,7 +191,6 @@
             dispatchers: 1,
             strain: Strain::default(),
             ended: Vec::new(),
-            far_news: FarNews::default(),
             picture_due: None,
             mechanisms: settings.mechanisms,
             out: Vec::new(),
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -8,7 +8,7 @@
     name::Name,
     refusal::Verdict,
     request::{AttemptId, ConnectionChoice, RequestId},
-    shard::{Reach, ShardNews},
+    shard::ShardNews,
     time::Time,
 };
 
@@ -122,12 +122,7 @@
         address: SocketAddr,
     },
     /// Tells the other VMs that dispatch for the shard.
-    Tell {
-        /// Which of them.
-        reach: Reach,
-        /// What they are told.
-        news: ShardNews,
-    },
+    Tell(ShardNews),
     /// Something that belongs into the log.
     Health(HealthAction),
 }
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -30,15 +30,6 @@
 /// Endpoints in one message: each takes some 20 bytes of the 1,200 that one may have.
 const MAX_ENDPOINTS: usize = 32;
 
-/// Which VMs are told something.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reach {
-    /// Those of this VM's data centre.
-    Near,
-    /// Those of the other data centres.
-    Far,
-}
-
 /// An endpoint's name as it travels between VMs that have the same configuration: its hash,
 /// which is shorter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -56,7 +47,7 @@
 pub struct ShardNews {
     /// The shard.
     pub shard: ShardId,
-    /// The sender's requests that came to their end since it last told these VMs anything.
+    /// The sender's requests that came to their end since it last told anything.
     pub finished: Served,
     /// All that the sender has sent as a dispatcher.
     pub sent: SentTotal,
@@ -101,7 +92,7 @@
 }
 
 /// What is to be told of an endpoint: how an attempt ended there and when, if one did.
-pub(super) type Untold = (Name, Option<(EndedAttempt, Time)>);
+type Untold = (Name, Option<(EndedAttempt, Time)>);
 
 /// What an endpoint did with an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -225,8 +216,7 @@
         self.ended.push((of.endpoint.clone(), ended, ended_at));
     }
 
-    /// Tells the VMs nearby what has changed in the event that ends, and those elsewhere
-    /// what is due.
+    /// Tells the other VMs what has changed in the event that ends.
     pub(super) fn tell_news(&mut self, now: Time) {
         let changed = self.pool.take_changed();
         if !self.is_shared {
@@ -240,18 +230,6 @@
                 told.push((endpoint, None));
             }
         }
-        if !told.is_empty() {
-            let finished = self.strain.take_untold();
-            self.far_news.add(now, &told, finished);
-            self.tell(now, Reach::Near, &told, finished);
-        }
-        if self.far_news.is_due(now) {
-            let (told, finished) = self.far_news.take();
-            self.tell(now, Reach::Far, &told, finished);
-        }
-    }
-
-    fn tell(&mut self, now: Time, reach: Reach, told: &[Untold], mut finished: Served) {
         let sent = self.retries.fleet().map(|budget| budget.total()).unwrap_or_default();
         for part in told.chunks(MAX_ENDPOINTS) {
             let endpoint = |(name, ended): &Untold| EndpointNews {
@@ -263,9 +241,8 @@
                 }),
             };
             let endpoints = part.iter().map(endpoint).collect();
-            let (shard, finished) = (self.id.clone(), std::mem::take(&mut finished));
-            let news = ShardNews { shard, finished, sent, endpoints };
-            self.out.push(ShardAction::Tell { reach, news });
+            let (shard, finished) = (self.id.clone(), self.strain.take_untold());
+            self.out.push(ShardAction::Tell(ShardNews { shard, finished, sent, endpoints }));
         }
     }
 }
--- a/crates/pistachiotrack-core/src/shard/strain.rs
+++ b/crates/pistachiotrack-core/src/shard/strain.rs
@@ -19,16 +19,6 @@
     pub lost: u8,
 }
 
-impl Served {
-    /// Returns the sum of two.
-    pub(super) fn plus(self, other: Served) -> Served {
-        Served {
-            served: self.served.saturating_add(other.served),
-            lost: self.lost.saturating_add(other.lost),
-        }
-    }
-}
-
 /// The part of a service's requests that is not served.
 ///
 /// One VM sees too few requests to tell within seconds, so that the VMs tell each
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -15,8 +15,8 @@
     retry::SentTotal,
     service::{RetryLimit, Service},
     shard::{
-        Dispatch, EndpointKey, EndpointNews, Reach, Served, Shard, ShardAction, ShardMode,
-        ShardNews, ShardSettings,
+        Dispatch, EndpointKey, EndpointNews, Served, Shard, ShardAction, ShardMode, ShardNews,
+        ShardSettings,
     },
     time::Time,
 };
@@ -98,19 +98,9 @@
     all_dispatched(&actions)
 }
 
-/// Returns what VMs of other data centres are told.
-pub(crate) fn told_far(actions: &[ShardAction]) -> Vec<ShardNews> {
-    let news = actions.iter().filter_map(|action| match action {
-        ShardAction::Tell { reach: Reach::Far, news } => Some(news.clone()),
-        _ => None,
-    });
-    news.collect()
-}
-
-/// Returns what VMs nearby are told.
 pub(crate) fn told(actions: &[ShardAction]) -> Vec<ShardNews> {
     let news = actions.iter().filter_map(|action| match action {
-        ShardAction::Tell { reach: Reach::Near, news } => Some(news.clone()),
+        ShardAction::Tell(news) => Some(news.clone()),
         _ => None,
     });
     news.collect()
--- a/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
@@ -124,7 +124,7 @@
         ShardAction::Replay { .. }
         | ShardAction::Probe { .. }
         | ShardAction::CheckPath { .. }
-        | ShardAction::Tell { .. }
+        | ShardAction::Tell(_)
         | ShardAction::Health(_) => None,
     }
 }
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -14,7 +14,7 @@
     name::Name,
     ownership::ShardId,
     retry::DispatchersInView,
-    shard::{Guests, Reach, ShardNews, ShardPicture},
+    shard::{Guests, ShardNews, ShardPicture},
     time::Time,
     vm::Vm,
 };
@@ -134,23 +134,14 @@
         }
     }
 
-    /// Tells the other dispatchers nearby and the guests, or those elsewhere.
-    pub(crate) fn tell(&self, reach: Reach, news: ShardNews) {
+    /// Tells the other dispatchers, and the guests.
+    pub(crate) fn tell(&self, news: ShardNews) {
         let service = news.shard.service.clone();
         let Some(bytes) = self.encode(NewsContent::Told(news)) else { return };
         let view = Arc::clone(&self.view.borrow());
         let dispatchers = view.ownership.dispatchers(&service);
-        let wanted = match reach {
-            Reach::Near => Place::Near,
-            Reach::Far => Place::Far,
-        };
         for vm in dispatchers.iter().filter(|vm| vm.name != self.me.name) {
-            if self.place(vm) == wanted {
-                self.send(vm.peer_address, &bytes, Topic::News, wanted);
-            }
-        }
-        if reach == Reach::Far {
-            return;
+            self.send(vm.peer_address, &bytes, Topic::News, self.place(vm));
         }
         let now = self.clock.now();
         let mut guests = self.guests.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -346,7 +346,7 @@
                     let _ = shard.tell(PathChecked { endpoint, answer, witnesses }).try_send();
                 });
             }
-            ShardAction::Tell { reach, news } => self.news.tell(reach, news),
+            ShardAction::Tell(news) => self.news.tell(news),
             ShardAction::Health(health) => {
                 log::info!(
                     "event=health service={} shard={} {health}",
