Logs and metrics tell which VMs read the platform, what a VM lacks, and by which version a request was decided

What was missing: from a request routed by an older version nobody could tell whether the change was never read, was refused, didn't get from VM to VM, or came back older. No line said which VMs read the platform, none told of a version heard of and not held, and no line of a request had a version.

No decision changes.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -18,9 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-pub use self::{list_reads::ListReads, settings::ConfigSyncSettings, wire::MAX_ANSWER_BYTES};
+pub use self::{
+    list_reads::ListReads, platform::Role, settings::ConfigSyncSettings, wire::MAX_ANSWER_BYTES,
+};
 use self::{
-    platform::{PlatformSchedule, Role},
+    platform::PlatformSchedule,
     pull::{PullTimeouts, Pulls},
     serving::Serving,
     store::{Offer, Store},
@@ -67,6 +69,19 @@
     },
 }
 
+/// A version that this VM has heard of and doesn't hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Behind {
+    /// The version.
+    pub version: u64,
+    /// Moment at which it was first heard of.
+    pub since: Time,
+    /// Peers known to hold a newer version than this VM.
+    pub holders: usize,
+    /// Peer that is being asked.
+    pub asking: Option<Name>,
+}
+
 /// The configuration of this VM and where to get a newer one.
 #[derive(Clone, Debug)]
 pub struct ConfigSync {
@@ -83,6 +98,9 @@
     began_unlisted: Option<bool>,
     first: Option<FirstValue>,
     peer_heard: bool,
+    role: Option<Role>,
+    /// Oldest version heard of and not held, and when.
+    heard: Option<(u64, Time)>,
 }
 
 /// The platform's value at a VM that has none yet and has heard no peer.
@@ -120,6 +138,8 @@
             began_unlisted: None,
             first: None,
             peer_heard: false,
+            role: None,
+            heard: None,
         }
     }
 
@@ -147,7 +167,7 @@
             count += 1;
             alone &= member.state != MemberState::Alive;
             self.peer_heard |= member.state != MemberState::Dead && member.config_version.is_some();
-            self.note_member(member);
+            self.note_member(now, member);
             if self.may_watch(member) && watch_score(&self.deployment, &member.vm) > my_score {
                 better_watchers += 1;
             }
@@ -162,6 +182,7 @@
             true => Role::Alone,
             false => self.role(better_watchers),
         };
+        self.role = Some(role);
         let fleet_vms = self.fleet_vms(count);
         if self.platform.begin(now, role, fleet_vms, &mut self.rng) {
             let after = self.watch_after(now);
@@ -235,7 +256,7 @@
             self.pulls.forget(&peer.name);
             return Vec::new();
         }
-        self.pulls.note(peer, version);
+        self.hear_of(now, peer, version);
         let mut actions = self.release_first(now);
         actions.extend(self.pull(now));
         actions
@@ -292,6 +313,18 @@
         self.platform.silent_for(now)
     }
 
+    /// Returns why this VM reads the platform; `None` before the first tick.
+    pub fn role_now(&self) -> Option<Role> {
+        self.role
+    }
+
+    /// Returns the oldest version that this VM has heard of and doesn't hold.
+    pub fn behind(&self) -> Option<Behind> {
+        let (version, since) = self.heard?;
+        let (holders, asking) = (self.pulls.holders(), self.pulls.asking().cloned());
+        Some(Behind { version, since, holders, asking })
+    }
+
     fn role(&self, better_watchers: u32) -> Role {
         if better_watchers < self.settings.watchers_per_data_centre.max(1) {
             return Role::Watcher;
@@ -316,13 +349,19 @@
         self.version().max(rejected).max(self.first_version())
     }
 
-    fn note_member(&mut self, member: &Member) {
+    fn hear_of(&mut self, now: Time, peer: &Vm, version: u64) {
+        self.pulls.note(peer, version);
+        let first = self.heard.get_or_insert((version, now));
+        first.0 = first.0.min(version);
+    }
+
+    fn note_member(&mut self, now: Time, member: &Member) {
         match (member.state, member.config_version) {
             (MemberState::Dead, _) => self.pulls.forget(&member.vm.name),
             (MemberState::Alive | MemberState::Leaving, Some(version))
                 if Some(version) > self.version() =>
             {
-                self.pulls.note(&member.vm, version);
+                self.hear_of(now, &member.vm, version);
             }
             _ => {}
         }
--- a/crates/pistachiotrack-core/src/config_sync/offers.rs
+++ b/crates/pistachiotrack-core/src/config_sync/offers.rs
@@ -150,6 +150,7 @@
             self.rejected = None;
         }
         self.pulls.on_held(config.version);
+        self.heard.take_if(|(version, _)| *version <= config.version);
         self.serving.on_newer();
         vec![ConfigAction::InForce(config)]
     }
--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -17,7 +17,7 @@
 
 /// Why this VM reads the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Role {
+pub enum Role {
     /// It is one of its data centre's watchers.
     Watcher,
     /// It knows nobody alive.
@@ -30,6 +30,19 @@
     Follower,
 }
 
+impl Role {
+    /// Returns the role's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Role::Watcher => "watcher",
+            Role::Alone => "alone",
+            Role::Unlisted => "unlisted",
+            Role::Cold => "cold",
+            Role::Follower => "follower",
+        }
+    }
+}
+
 /// The schedule of one VM's calls to the platform.
 #[derive(Clone, Debug)]
 pub(super) struct PlatformSchedule {
--- a/crates/pistachiotrack-core/src/config_sync/pull.rs
+++ b/crates/pistachiotrack-core/src/config_sync/pull.rs
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Returns the peer that is being asked.
+    pub(super) fn asking(&self) -> Option<&Name> {
+        self.in_flight.as_ref().map(|pull| &pull.peer)
+    }
+
+    /// Returns how many peers are known to hold a newer version.
+    pub(super) fn holders(&self) -> usize {
+        self.holders.len()
+    }
+
     /// Forgets a peer that is gone or has nothing newer.
     pub(super) fn forget(&mut self, peer: &str) {
         self.holders.remove(peer);
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -394,6 +394,19 @@
     assert_eq!(node.on_peer_answer(later, &vm(2, 3).name, Some(&answer)), []);
 }
 
+#[test]
+fn a_version_that_peers_hold_and_this_vm_lacks_is_told() {
+    let mut node = node_with(0, 5);
+    assert_eq!(node.behind(), None);
+    node.on_peer_version(NOW, &vm(1, 3), 6);
+    node.on_peer_version(NOW + Duration::from_secs(1), &vm(2, 3), 7);
+    let behind = node.behind().unwrap();
+    assert_eq!((behind.version, behind.since, behind.holders), (6, NOW, 2));
+    assert_eq!(behind.asking, Some(vm(1, 3).name));
+    node.on_platform_value(NOW, Some(&json(&config(7, TODAY))));
+    assert_eq!(node.behind(), None);
+}
+
 /// A watch's connection goes silent and its end is never reported. Changes
 /// would stop arriving; the watch is given up after its time and some grace.
 #[test]
--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -15,7 +15,7 @@
     body::AnswerBody,
     context::Context,
     exposition,
-    fleet::{Fleet, Source, SourceStatus},
+    fleet::{ConfigStatus, Fleet, GetConfigStatus},
     shard_actor::Endpoints,
     shard_table::shard_name,
 };
@@ -33,7 +33,7 @@
         "/status" => answer::json(&status(&context, &fleet).await),
         "/endpoints" => answer::json(&endpoints(&context).await),
         "/members" => answer::json(&members(&context)),
-        "/metrics" => metrics(&context),
+        "/metrics" => metrics(&context, &fleet).await,
         "/histograms" => answer::json(&context.total.statuses()),
         "/histograms/added" => answer::json(&context.added.statuses()),
         "/histograms/queued" => answer::json(&context.queued.statuses()),
@@ -42,8 +42,8 @@
 }
 
 /// Returns the counters and latencies as text.
-fn metrics(context: &Arc<Context>) -> Response<AnswerBody> {
-    match exposition::text(context) {
+async fn metrics(context: &Arc<Context>, fleet: &ActorRef<Fleet>) -> Response<AnswerBody> {
+    match exposition::text(context, config_status(fleet).await) {
         Ok(text) => answer::text(text),
         Err(error) => {
             log::error!("event=metrics_failed error={:?}", error.to_string());
@@ -52,9 +52,14 @@
     }
 }
 
+/// Returns how this VM gets its configuration; nothing of it while the daemon stops.
+async fn config_status(fleet: &ActorRef<Fleet>) -> ConfigStatus {
+    fleet.ask(GetConfigStatus).await.unwrap_or_default()
+}
+
 async fn status(context: &Context, fleet: &ActorRef<Fleet>) -> Status {
     let view = context.view();
-    let source = fleet.ask(SourceStatus).await.unwrap_or_else(|_| Source::default());
+    let config = config_status(fleet).await;
     let mut shards: Vec<Name> = view.ownership.owned().map(shard_name).collect();
     shards.sort();
     let mut counters = context.metrics.counters();
@@ -65,8 +70,8 @@
         state: Name::from(context.life_state().as_str()),
         deployment: context.settings.deployment.clone(),
         config_version: view.active.as_ref().map(|active| active.config.version),
-        config_error: source.config_error,
-        platform_age_ms: source.platform_age_ms,
+        config_error: config.error,
+        platform_age_ms: config.platform_age_ms,
         shards,
         live_vms: view.live_vms(),
         counters,
--- a/crates/pistachiotrackd/src/exposition.rs
+++ b/crates/pistachiotrackd/src/exposition.rs
@@ -9,13 +9,16 @@
     registry::Registry,
 };
 
-use crate::{context::Context, traffic::LinkCount};
+use crate::{context::Context, fleet::ConfigStatus, traffic::LinkCount};
 
 /// Start of every name.
 const PREFIX: &str = "pistachiotrack";
 
 /// Reads the daemon's counters and latencies when it is asked.
-struct Daemon(Arc<Context>);
+struct Daemon {
+    context: Arc<Context>,
+    config: ConfigStatus,
+}
 
 impl fmt::Debug for Daemon {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -25,7 +28,7 @@
 
 impl Collector for Daemon {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
-        let context = &self.0;
+        let context = &self.context;
         let mut counters = context.metrics.counters();
         counters.extend(context.traffic.counters());
         if let Some(source) = &context.source {
@@ -39,9 +42,15 @@
         }
         links(&mut encoder, &context.traffic.links())?;
         let view = context.view();
-        let version = view.active.as_ref().map_or(0, |active| active.config.version);
-        let gauges = [("live_vms", i64::from(view.live_vms())), ("config_version", version as i64)];
-        for (name, value) in gauges {
+        let version = view.active.as_ref().map(|active| active.config.version);
+        let gauges = [
+            ("live_vms", Some(u64::from(view.live_vms()))),
+            ("config_version", version.or(Some(0))),
+            ("config_behind_ms", self.config.behind_ms.or(Some(0))),
+            ("platform_age_ms", self.config.platform_age_ms),
+        ];
+        let known = gauges.into_iter().filter_map(|(name, value)| Some((name, value? as i64)));
+        for (name, value) in known {
             let value = ConstGauge::new(value);
             let metric = encoder.encode_descriptor(name, "State", None, value.metric_type())?;
             value.encode(metric)?;
@@ -108,9 +117,9 @@
 /// # Errors
 ///
 /// Returns an error if a metric has no text form.
-pub(crate) fn text(context: &Arc<Context>) -> Result<String, fmt::Error> {
+pub(crate) fn text(context: &Arc<Context>, config: ConfigStatus) -> Result<String, fmt::Error> {
     let mut registry = Registry::with_prefix(PREFIX);
-    registry.register_collector(Box::new(Daemon(Arc::clone(context))));
+    registry.register_collector(Box::new(Daemon { context: Arc::clone(context), config }));
     let mut text = String::new();
     text::encode(&mut text, &registry)?;
     Ok(text)
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The actor that holds this VM's picture of the fleet: members, owners and the
 //! configuration.
 
+mod config_status;
 mod leave;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -28,7 +29,11 @@
     task::{AbortHandle, JoinHandle},
 };
 
-pub(crate) use self::leave::Leave;
+use self::config_status::ConfigLog;
+pub(crate) use self::{
+    config_status::{ConfigStatus, GetConfigStatus},
+    leave::Leave,
+};
 use crate::{
     context::Context,
     metrics::Event,
@@ -83,6 +88,7 @@
     membership: Membership,
     ownership: Ownership,
     sync: ConfigSync,
+    config_log: ConfigLog,
     active: Option<Arc<ActiveConfig>>,
     published_revision: Option<u64>,
     ownership_updated: Time,
@@ -122,6 +128,7 @@
             membership: Membership::new(now, me.clone(), membership_settings, seed),
             ownership: Ownership::new(me.clone(), OwnershipSettings::default()),
             sync: ConfigSync::new(me, deployment, sync_settings, seed),
+            config_log: ConfigLog::default(),
             context,
             view,
             socket,
@@ -264,36 +271,13 @@
     }
 }
 
-/// Asks for what the admin port shows of the configuration's source.
-pub(crate) struct SourceStatus;
-
-/// Where the configuration comes from and whether it can be used.
-#[derive(Clone, Debug, Default, kameo::Reply)]
-pub(crate) struct Source {
-    /// Why the newest published configuration was not accepted.
-    pub(crate) config_error: Option<String>,
-    /// Time since the platform's service last answered.
-    pub(crate) platform_age_ms: Option<u64>,
-}
-
-impl Message<SourceStatus> for Fleet {
-    type Reply = Source;
-
-    async fn handle(&mut self, _: SourceStatus, _: &mut MessageContext<Self, Source>) -> Source {
-        let now = self.context.clock.now();
-        Source {
-            config_error: self.sync.last_error().map(ToString::to_string),
-            platform_age_ms: self.sync.platform_silent_for(now).map(|age| age.as_millis() as u64),
-        }
-    }
-}
-
 impl Fleet {
     fn on_tick(&mut self, now: Time) {
         let actions = self.membership.on_tick(now);
         self.apply_membership(now, actions);
         let actions = self.sync.on_tick(now, self.membership.members());
         self.apply_config(now, actions);
+        self.config_log.on_tick(now, &self.sync);
         if now.since(self.ownership_updated) >= OWNERSHIP_INTERVAL {
             self.update_ownership(now);
         }
@@ -421,7 +405,7 @@
     }
 
     fn put_in_force(&mut self, now: Time, config: Arc<Config>) {
-        log::info!("event=config_in_force version={}", config.version);
+        log::info!("event=config_in_force version={} rules={}", config.version, config.rules.len());
         self.membership.set_config_version(config.version);
         self.source.on_in_force(&config);
         for (_, shard) in self.context.shards.running() {
--- a/crates/pistachiotrackd/src/inbound.rs
+++ b/crates/pistachiotrackd/src/inbound.rs
@@ -22,6 +22,8 @@
     pub(crate) id: RequestId,
     /// Identity within the fleet.
     pub(crate) fleet_id: Name,
+    /// Version of the configuration that decided; `None` if another VM did.
+    pub(crate) config_version: Option<u64>,
     /// Where it goes and how.
     pub(crate) route: ForwardedRoute,
     /// Method.
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -176,6 +176,7 @@
     Ok(Inbound {
         id,
         fleet_id: fleet_id.clone(),
+        config_version: Some(active.config.version),
         route: forwarded_route,
         method: parts.method.clone(),
         uri: origin_form(&parts),
@@ -337,6 +338,7 @@
     Ok(Inbound {
         id,
         fleet_id: fleet_id.clone(),
+        config_version: None,
         route,
         method: parts.method.clone(),
         uri: origin_form(&parts),
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -280,9 +280,10 @@
         };
         log::log!(
             level,
-            "event=attempt_ended request={} service={} endpoint={} idempotent={} outcome={:?} \
-             choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={}",
+            "event=attempt_ended request={} config_version={:?} service={} endpoint={} \
+             idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={}",
             self.inbound.fleet_id,
+            self.inbound.config_version,
             self.inbound.route.shard.service,
             end.endpoint,
             self.inbound.route.idempotent,
