Failing test, known red: a change is late where no watcher reaches the platform

Two VMs of each data centre read the platform. A test cuts these and most others off from it, with the deployment's settings; eight VMs still reach it. Tests' fleet: calls of a VM that is cut off may hang, and a VM that reads a version may tell all at once.

--- a/crates/pistachiotrack-core/tests/config_support/fleet.rs
+++ b/crates/pistachiotrack-core/tests/config_support/fleet.rs
@@ -18,6 +18,8 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Steps between two reports of a VM's version, as in the membership.
 const REPORT_STEPS: u64 = 10;
+/// Time after the end of a watch at which a VM gives up an answer that doesn't come.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The platform: what it shows and whether it answers.
 #[derive(Default)]
@@ -33,6 +35,8 @@
     pub(crate) sync: ConfigSync,
     pub(crate) paused: bool,
     pub(crate) cut_from_platform: bool,
+    /// Whether calls of a VM that is cut off hang instead of failing at once.
+    pub(crate) is_cut_silently: bool,
     pub(crate) side: u8,
     /// Moment at which the last answer sent has left the VM's link.
     link_free_at: Time,
@@ -73,6 +77,8 @@
     pub(crate) loss: f64,
     pub(crate) duplicate: f64,
     pub(crate) corrupt: f64,
+    /// Whether a VM that reads a version tells all others at once.
+    pub(crate) announces: bool,
     /// What each VM's link carries; without limit if `None`.
     pub(crate) link_bytes_per_second: Option<f64>,
     data_centres: u32,
@@ -104,6 +110,7 @@
             loss: 0.0,
             duplicate: 0.0,
             corrupt: 0.0,
+            announces: false,
             link_bytes_per_second: None,
             data_centres,
             settings,
@@ -183,6 +190,7 @@
             sync,
             paused: false,
             cut_from_platform: false,
+            is_cut_silently: false,
             side: 0,
             link_free_at: Time::ZERO,
             watches: Vec::new(),
@@ -316,6 +324,14 @@
             }
             let Some(watch) = node.watches.pop() else { continue };
             assert!(node.watches.is_empty(), "{} has two watches at once", node.vm.name);
+            let asked_for = if watch.waits { wait } else { Duration::ZERO };
+            if node.cut_from_platform
+                && node.is_cut_silently
+                && self.now.since(watch.begun) < asked_for + ANSWER_TIMEOUT
+            {
+                node.watches.push(watch);
+                continue;
+            }
             if self.platform.down || node.cut_from_platform {
                 node.sync.on_platform_error(self.now);
                 continue;
@@ -331,7 +347,11 @@
                     continue;
                 }
             };
+            let is_news = actions.iter().any(|it| matches!(it, ConfigAction::InForce(_)));
             self.perform(index, actions);
+            if is_news && self.announces {
+                self.announce(index);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/config_watchers.rs
@@ -0,0 +1,68 @@
+//! Watchers that can't reach the platform.
+
+mod config_support;
+
+use std::time::Duration;
+
+use config_support::{TODAY, config, fleet::Fleet};
+use pistachiotrack_core::config_sync::ConfigSyncSettings;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const MINUTE: Duration = Duration::from_secs(60);
+/// Time in which a confirmed change has to be in force on all VMs.
+const IN_FORCE: Duration = Duration::from_secs(2);
+const VMS: u32 = 44;
+const DATA_CENTRES: u32 = 3;
+/// VMs that read the platform while all is well.
+const WATCHERS: usize = 6;
+/// VMs that still reach the platform when the watchers don't.
+const REACH_PLATFORM: usize = 8;
+
+/// Returns the settings with which the users' platform runs the fleet.
+fn deployed_settings() -> ConfigSyncSettings {
+    let template = include_str!("../../../deploy/settings.json");
+    let (_, rest) = template.split_once("\"config_sync\":").expect("the section");
+    let (section, _) = rest.split_once('}').expect("its end");
+    serde_json::from_str(&format!("{section}}}")).expect("settings without placeholders")
+}
+
+/// Returns a fleet that has a first version, after a while that differs by seed.
+fn settled_fleet(seed: u64, rng: &mut Pcg64Mcg) -> Fleet {
+    let mut fleet = Fleet::new(VMS, DATA_CENTRES, deployed_settings(), seed);
+    fleet.announces = true;
+    fleet.publish(&config(1, TODAY));
+    fleet.run_until(MINUTE, |fleet| fleet.all_hold(1)).expect("a first version");
+    fleet.run(Duration::from_millis(rng.random_range(20_000..25_000)));
+    fleet.run_until(MINUTE, |fleet| fleet.waiting() == WATCHERS).expect("all watchers wait");
+    fleet
+}
+
+/// Cuts all watchers and most other VMs off from the platform.
+fn cut_watchers(fleet: &mut Fleet, is_silent: bool, rng: &mut Pcg64Mcg) {
+    let mut others: Vec<usize> = Vec::new();
+    for (index, node) in fleet.nodes.iter_mut().enumerate() {
+        node.cut_from_platform = true;
+        node.is_cut_silently = is_silent;
+        if !node.is_watching() {
+            others.push(index);
+        }
+    }
+    for _ in 0..REACH_PLATFORM {
+        let index = others.swap_remove(rng.random_range(0..others.len()));
+        fleet.nodes[index].cut_from_platform = false;
+    }
+}
+
+#[test]
+fn a_change_is_in_force_in_time_though_no_watcher_reaches_the_platform() {
+    for seed in 0..20 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut fleet = settled_fleet(seed, &mut rng);
+        cut_watchers(&mut fleet, seed % 2 == 0, &mut rng);
+        fleet.run(Duration::from_millis(rng.random_range(0..3_000)));
+        fleet.publish(&config(2, TODAY));
+        let in_time = fleet.run_until(IN_FORCE, |fleet| fleet.all_hold(2));
+        assert!(in_time.is_some(), "seed {seed}: not in force on all VMs after {IN_FORCE:?}");
+    }
+}
