Standbys read the platform in place of watchers that it doesn't answer

What callers saw: requests routed by the version before, more than 2 s after a change was confirmed.

Cause: two VMs of each data centre watch the platform, chosen among those that are alive. Being alive says nothing of a VM's way to the platform. With all six cut off from it, the 38 others, of which some reached it, went on to wait for a watcher, and read by themselves only after 60 to 120 s.

Evidence: 36 of 44 VMs cut off from the store from 14 to 20 s, a change at 16 s. The six watchers log registry_lost at 17.2 to 18.2 s, no other VM calls, config_behind has no line, and the change is in force 20 ms after the first watcher is back. Ruled out: the value was refused (no config_rejected), it didn't get from VM to VM (no config_behind), the request waited (6 ms in the report).

Now a VM's datagrams say when the platform last answered it, a watcher tells each answer to the next 16 VMs of its data centre, and these read in its place, one after the other, once fewer than two before them were answered lately. It works whatever silences the watchers, a cut, a kill or a pause, as it is their answers that count.

--- a/crates/pistachiotrack-core/benches/membership.rs
+++ b/crates/pistachiotrack-core/benches/membership.rs
@@ -124,6 +124,7 @@
             refutation: 0,
             leaving: false,
             config_version: Some(7),
+            platform_age_ms: None,
         }
     }
 
@@ -261,6 +262,7 @@
             state: MemberState::Alive,
             since: Time::from_millis(1),
             config_version: None,
+            platform_answered: None,
         })
         .collect()
 }
--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -9,6 +9,7 @@
 mod pull;
 mod serving;
 mod settings;
+mod standby;
 mod store;
 mod wire;
 
@@ -25,6 +26,7 @@
     platform::PlatformSchedule,
     pull::{PullTimeouts, Pulls},
     serving::Serving,
+    standby::Ahead,
     store::{Offer, Store},
     wire::{Answer, Question},
 };
@@ -157,7 +159,7 @@
         members: impl Iterator<Item = &'a Member>,
     ) -> Vec<ConfigAction> {
         let mut count = 0;
-        let mut better_watchers = 0;
+        let mut ahead = Ahead::default();
         let mut alone = true;
         let my_score = watch_score(&self.deployment, &self.me);
         for member in members {
@@ -168,8 +170,8 @@
             alone &= member.state != MemberState::Alive;
             self.peer_heard |= member.state != MemberState::Dead && member.config_version.is_some();
             self.note_member(now, member);
-            if self.may_watch(member) && watch_score(&self.deployment, &member.vm) > my_score {
-                better_watchers += 1;
+            if self.is_near(member) && watch_score(&self.deployment, &member.vm) > my_score {
+                ahead.note(member, self.may_watch(member));
             }
         }
         self.pulls.on_tick(now, &mut self.rng);
@@ -180,14 +182,16 @@
         let role = match alone {
             true if began_unlisted && self.listed_vms != Some(1) => Role::Unlisted,
             true => Role::Alone,
-            false => self.role(better_watchers),
+            false => self.role(now, &ahead),
         };
         self.role = Some(role);
         let fleet_vms = self.fleet_vms(count);
         if self.platform.begin(now, role, fleet_vms, &mut self.rng) {
             let after = self.watch_after(now);
             actions.push(match role {
-                Role::Watcher | Role::Alone | Role::Unlisted => ConfigAction::Watch { after },
+                Role::Watcher | Role::Standby | Role::Alone | Role::Unlisted => {
+                    ConfigAction::Watch { after }
+                }
                 // These are as many as the fleet; each waiting watch would take
                 // one of the platform's calls for as long as it waits.
                 Role::Cold | Role::Follower => ConfigAction::Read { after },
@@ -325,15 +329,26 @@
         Some(Behind { version, since, holders, asking })
     }
 
-    fn role(&self, better_watchers: u32) -> Role {
-        if better_watchers < self.settings.watchers_per_data_centre.max(1) {
+    fn role(&self, now: Time, ahead: &Ahead) -> Role {
+        if ahead.alive < self.watchers() {
             return Role::Watcher;
         }
-        if self.store.config().is_none() { Role::Cold } else { Role::Follower }
+        if self.store.config().is_none() {
+            return Role::Cold;
+        }
+        if self.stands_in(now, ahead) { Role::Standby } else { Role::Follower }
+    }
+
+    fn watchers(&self) -> u32 {
+        self.settings.watchers_per_data_centre.max(1)
+    }
+
+    fn is_near(&self, member: &Member) -> bool {
+        member.vm.data_centre == self.me.data_centre
     }
 
     fn may_watch(&self, member: &Member) -> bool {
-        member.state == MemberState::Alive && member.vm.data_centre == self.me.data_centre
+        member.state == MemberState::Alive && self.is_near(member)
     }
 
     fn fleet_vms(&self, members: usize) -> usize {
--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -28,6 +28,8 @@
     Cold,
     /// Others watch; it has a configuration.
     Follower,
+    /// It reads in place of a watcher that the platform doesn't answer.
+    Standby,
 }
 
 impl Role {
@@ -39,10 +41,21 @@
             Role::Unlisted => "unlisted",
             Role::Cold => "cold",
             Role::Follower => "follower",
+            Role::Standby => "standby",
         }
     }
 }
 
+/// Waits after failed calls.
+#[derive(Clone, Copy, Debug, Default)]
+struct Backoff {
+    /// After the first one; doubled by each further one.
+    first_ms: u64,
+    longest_ms: u64,
+    /// Lower limit, whatever the others say.
+    shortest_ms: u64,
+}
+
 /// The schedule of one VM's calls to the platform.
 #[derive(Clone, Debug)]
 pub(super) struct PlatformSchedule {
@@ -56,8 +69,7 @@
     begun: Time,
     /// Time over which the fleet's calls are spread at its present size.
     spread: Duration,
-    /// Shortest wait after a failure, whatever the backoff says.
-    shortest_retry: Duration,
+    backoff: Backoff,
     not_before: Time,
     failures: u32,
     answered: Option<Time>,
@@ -74,7 +86,7 @@
             outstanding: None,
             begun: Time::ZERO,
             spread: Duration::ZERO,
-            shortest_retry: Duration::ZERO,
+            backoff: Backoff::default(),
             not_before: Time::ZERO,
             failures: 0,
             answered: None,
@@ -93,14 +105,12 @@
         let started = *self.started.get_or_insert(now);
         self.confirmed = self.confirmed.max(started);
         self.spread = spread(fleet_vms, self.settings.first_reads_per_second);
-        // A watcher that knows peers is one of a few. All others may be as many
-        // as the fleet, and short retries of all would keep the platform down.
-        self.shortest_retry = match role {
-            Role::Watcher => Duration::ZERO,
-            Role::Alone | Role::Unlisted | Role::Cold | Role::Follower => {
-                self.spread * RETRY_SPREADS
-            }
-        };
+        self.backoff = self.backoff(role);
+        if role == Role::Follower {
+            // Failures as a standby must not delay the next time it stands in.
+            self.failures = 0;
+            self.not_before = Time::ZERO;
+        }
         self.give_up_lost_watch(now, rng);
         if self.outstanding.is_some() || now < self.not_before {
             return false;
@@ -137,10 +147,9 @@
     pub(super) fn on_failure(&mut self, now: Time, rng: &mut impl Rng) {
         self.outstanding = None;
         let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
-        let longest_ms = self.settings.max_backoff_ms;
-        let delay_ms = self.settings.min_backoff_ms.saturating_mul(1 << doublings).min(longest_ms);
+        let Backoff { first_ms, longest_ms, shortest_ms } = self.backoff;
+        let delay_ms = first_ms.saturating_mul(1 << doublings).min(longest_ms).max(shortest_ms);
         self.failures = self.failures.saturating_add(1);
-        let delay_ms = delay_ms.max(self.shortest_retry.as_millis() as u64);
         let jittered_ms = delay_ms as f64 * rng.random_range(0.5..1.5);
         self.not_before = now + Duration::from_millis(jittered_ms as u64);
     }
@@ -155,12 +164,44 @@
         self.answered.map(|answered| now.since(answered))
     }
 
+    /// Returns the end of the time over which the first reads of the fleet are spread.
+    pub(super) fn first_reads_end(&self) -> Time {
+        self.started.unwrap_or(Time::ZERO) + self.spread
+    }
+
+    /// Returns the longest time between two answers to a watcher that reaches the platform.
+    pub(super) fn longest_silence(&self) -> Duration {
+        let ConfigSyncSettings { watch_timeout_ms, change_gap_ms, standby_margin_ms, .. } =
+            self.settings;
+        let watch = Duration::from_millis(watch_timeout_ms + change_gap_ms).max(MIN_WATCH_GAP);
+        watch + Duration::from_millis(standby_margin_ms)
+    }
+
+    fn backoff(&self, role: Role) -> Backoff {
+        let ConfigSyncSettings { min_backoff_ms, max_backoff_ms, .. } = self.settings;
+        let own = Backoff { first_ms: min_backoff_ms, longest_ms: max_backoff_ms, shortest_ms: 0 };
+        match role {
+            Role::Watcher => own,
+            Role::Standby => Backoff {
+                first_ms: self.settings.standby_backoff_ms,
+                longest_ms: self.settings.unconfirmed_read_after_ms,
+                shortest_ms: 0,
+            },
+            // A watcher that knows peers is one of a few. These may be as many as the fleet,
+            // and short retries of all would keep the platform down.
+            Role::Alone | Role::Unlisted | Role::Cold | Role::Follower => {
+                Backoff { shortest_ms: (self.spread * RETRY_SPREADS).as_millis() as u64, ..own }
+            }
+        }
+    }
+
     /// Returns the moment before which no read begins.
     fn earliest(&self, started: Time, role: Role, fleet_vms: usize) -> Time {
         match role {
             // When the whole fleet starts at once, each VM knows nobody alive
             // and takes itself for a watcher. The platform would see all of
             // them in the same second; the spread keeps them under its rate.
+            Role::Standby => started,
             Role::Watcher | Role::Alone => started + self.spread.mul_f64(self.place),
             // When all deployments start at once, the reads of lists fill the
             // platform's rate. A VM that has got its list finds a peer soon, so
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -8,6 +8,16 @@
 pub struct ConfigSyncSettings {
     /// VMs of each data centre that watch the platform.
     pub watchers_per_data_centre: u32,
+    /// VMs of each data centre, after the watchers, that read the platform while fewer
+    /// watchers are answered. They are told of each answer to a watcher.
+    pub standbys_per_data_centre: u32,
+    /// Time between the first calls of two standbys.
+    pub standby_step_ms: u64,
+    /// Time by which an answer to a watcher may be late before a standby reads.
+    pub standby_margin_ms: u64,
+    /// Wait after the first failed call of a standby; doubled by each further one, up to
+    /// `unconfirmed_read_after_ms`, with jitter.
+    pub standby_backoff_ms: u64,
     /// Time after which a waiting watch is ended by the platform.
     pub watch_timeout_ms: u64,
     /// Time after which a pull of deltas has failed and another peer is asked.
@@ -30,8 +40,8 @@
     pub follower_reads_per_second: f64,
     /// Time that a VM without a configuration waits for the watchers.
     pub cold_read_after_ms: u64,
-    /// Time without any change after which a VM that doesn't watch reads once;
-    /// longer in a large fleet.
+    /// Time without any change after which a VM that is neither watcher nor standby reads
+    /// once; longer in a large fleet.
     pub unconfirmed_read_after_ms: u64,
     /// Size of the fleet while neither list nor members are known.
     #[serde(skip, default = "assumed_fleet_vms")]
@@ -50,6 +60,10 @@
     fn default() -> ConfigSyncSettings {
         ConfigSyncSettings {
             watchers_per_data_centre: 2,
+            standbys_per_data_centre: 16,
+            standby_step_ms: 20,
+            standby_margin_ms: 200,
+            standby_backoff_ms: 2_000,
             watch_timeout_ms: 30_000,
             delta_timeout_ms: 500,
             pull_timeout_ms: 4_000,
--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -15,7 +15,7 @@
 mod settings;
 mod table;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -58,6 +58,9 @@
     pub since: Time,
     /// Configuration version that the member last reported.
     pub config_version: Option<u64>,
+    /// Moment at which the platform's configuration service last answered the member, as far
+    /// as it has told.
+    pub platform_answered: Option<Time>,
 }
 
 /// What the caller of the membership has to do.
@@ -108,6 +111,7 @@
     listed_leaving: bool,
     superseded: bool,
     config_version: Option<u64>,
+    platform_answered: Option<Time>,
     list_version: u64,
     now: Time,
 }
@@ -138,6 +142,7 @@
             listed_leaving: false,
             superseded: false,
             config_version: None,
+            platform_answered: None,
             list_version: 0,
             now,
         }
@@ -232,9 +237,9 @@
         actions
     }
 
-    /// Tells members that hold an older configuration, as far as is known, of the
-    /// version that this VM reports.
-    pub fn announce(&mut self, now: Time) -> Vec<MembershipAction> {
+    /// Tells `listeners`, and members that hold an older configuration as far as is known,
+    /// what this VM reports: its version, and when the platform last answered it.
+    pub fn announce(&mut self, now: Time, listeners: Vec<Name>) -> Vec<MembershipAction> {
         self.now = now;
         let mut actions = Vec::new();
         let is_behind = |member: &Member| {
@@ -242,8 +247,9 @@
         };
         let behind = self.members().filter(|member| is_behind(member));
         let fanout = self.settings.announce_fanout;
-        let behind: Vec<Name> = behind.take(fanout).map(|member| member.vm.name.clone()).collect();
-        for name in behind {
+        let behind = behind.take(fanout).map(|member| member.vm.name.clone());
+        let told: BTreeSet<Name> = behind.chain(listeners).collect();
+        for name in told {
             self.send_to(now, &name, Message::Announce, &mut actions);
         }
         actions
@@ -259,6 +265,11 @@
         self.config_version = Some(version);
     }
 
+    /// Notes that the platform's configuration service has answered this VM.
+    pub fn on_platform_answer(&mut self, now: Time) {
+        self.platform_answered = Some(now);
+    }
+
     /// Returns the other members, dead ones included while they are remembered.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.table.entries.values().map(|entry| &entry.member)
@@ -311,6 +322,9 @@
             refutation: self.refutation,
             leaving: self.leaving,
             config_version: self.config_version,
+            platform_age_ms: self.platform_answered.map(|answered| {
+                u32::try_from(self.now.since(answered).as_millis()).unwrap_or(u32::MAX)
+            }),
         }
     }
 
--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -126,12 +126,12 @@
                 self.probe_at(now, name, from, known.unwrap_or(0), actions);
             } else if let Some(introduction) = introduction {
                 self.admit(now, introduction, actions);
-                self.on_config_version(identity, actions);
+                self.on_report(now, identity, actions);
             }
             return;
         }
         self.on_known_identity(now, identity, introduction, verified, actions);
-        self.on_config_version(identity, actions);
+        self.on_report(now, identity, actions);
     }
 
     fn on_known_identity(
@@ -204,9 +204,12 @@
         }
     }
 
-    fn on_config_version(&mut self, identity: &Identity, actions: &mut Actions) {
-        let Some(version) = identity.config_version else { return };
+    /// Takes what a member reports of the configuration.
+    fn on_report(&mut self, now: Time, identity: &Identity, actions: &mut Actions) {
         let Some(entry) = self.table.entries.get_mut(&identity.name) else { return };
+        let answered = identity.platform_age_ms.map(|age_ms| table::before(now, age_ms));
+        entry.member.platform_answered = entry.member.platform_answered.max(answered);
+        let Some(version) = identity.config_version else { return };
         if entry.member.config_version == Some(version) {
             return;
         }
--- a/crates/pistachiotrack-core/src/membership/table.rs
+++ b/crates/pistachiotrack-core/src/membership/table.rs
@@ -152,7 +152,7 @@
             });
         let state = MemberState::Suspect;
         let entry = Entry {
-            member: Member { vm, state, since: now, config_version: None },
+            member: Member { vm, state, since: now, config_version: None, platform_answered: None },
             state,
             alive_since: now,
             refutation: 0,
--- a/crates/pistachiotrack-core/src/message.rs
+++ b/crates/pistachiotrack-core/src/message.rs
@@ -11,7 +11,7 @@
 use crate::{hash, membership::MemberState, name::Name};
 
 /// Version of the format; datagrams of another version are refused.
-pub const PROTOCOL_VERSION: u8 = 2;
+pub const PROTOCOL_VERSION: u8 = 3;
 /// Largest datagram that is sent or decoded.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 /// Longest name that a datagram may carry.
@@ -33,6 +33,8 @@
     pub leaving: bool,
     /// Configuration version that it holds.
     pub config_version: Option<u64>,
+    /// Time since the platform's configuration service last answered it.
+    pub platform_age_ms: Option<u32>,
 }
 
 /// Where a VM is and for how long it has been alive.
--- a/crates/pistachiotrack-core/tests/config_first_value.rs
+++ b/crates/pistachiotrack-core/tests/config_first_value.rs
@@ -22,7 +22,13 @@
 }
 
 fn peer(config_version: Option<u64>) -> Member {
-    Member { vm: vm(1, 3), state: MemberState::Alive, since: Time::ZERO, config_version }
+    Member {
+        vm: vm(1, 3),
+        state: MemberState::Alive,
+        since: Time::ZERO,
+        config_version,
+        platform_answered: None,
+    }
 }
 
 fn in_force(actions: &[ConfigAction]) -> Option<u64> {
--- a/crates/pistachiotrack-core/tests/config_support/fleet.rs
+++ b/crates/pistachiotrack-core/tests/config_support/fleet.rs
@@ -42,6 +42,9 @@
     link_free_at: Time,
     watches: Vec<Watch>,
     heard: BTreeMap<u32, u64>,
+    /// When the platform last answered the others, as far as they told.
+    answered: BTreeMap<u32, Time>,
+    platform_answered: Option<Time>,
     pub(crate) pulls: u64,
     pub(crate) pulled_bytes: u64,
     pub(crate) accepted: Vec<Arc<Config>>,
@@ -62,7 +65,7 @@
 
 #[derive(Clone)]
 enum Event {
-    Report { from: usize, version: u64 },
+    Report { from: usize, version: u64, platform_answered: Option<Time> },
     Question { from: usize, request: Vec<u8> },
     Answer { from: Name, answer: Vec<u8> },
 }
@@ -195,6 +198,8 @@
             link_free_at: Time::ZERO,
             watches: Vec::new(),
             heard: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            platform_answered: None,
             pulls: 0,
             pulled_bytes: 0,
             accepted: Vec::new(),
@@ -203,10 +208,7 @@
     }
 
     fn tick(&mut self, index: usize) {
-        let members: Vec<Member> = (0..self.nodes.len())
-            .filter(|other| *other != index)
-            .map(|other| self.member(index, other))
-            .collect();
+        let members = self.members(index);
         let actions = self.nodes[index].sync.on_tick(self.now, members.iter());
         self.perform(index, actions);
         if (self.step + index as u64).is_multiple_of(REPORT_STEPS) {
@@ -216,6 +218,11 @@
         }
     }
 
+    fn members(&self, index: usize) -> Vec<Member> {
+        let others = (0..self.nodes.len()).filter(|other| *other != index);
+        others.map(|other| self.member(index, other)).collect()
+    }
+
     fn member(&self, index: usize, other: usize) -> Member {
         let (me, node) = (&self.nodes[index], &self.nodes[other]);
         let reachable = me.side == node.side && !node.paused;
@@ -224,6 +231,7 @@
             state: if reachable { MemberState::Alive } else { MemberState::Dead },
             since: Time::ZERO,
             config_version: me.heard.get(&(other as u32)).copied(),
+            platform_answered: me.answered.get(&(other as u32)).copied(),
         }
     }
 
@@ -231,7 +239,8 @@
         if let Some(version) = self.nodes[from].sync.version()
             && !self.nodes[from].paused
         {
-            self.send(from, to, Event::Report { from, version });
+            let platform_answered = self.nodes[from].platform_answered;
+            self.send(from, to, Event::Report { from, version, platform_answered });
         }
     }
 
@@ -255,6 +264,14 @@
         }
     }
 
+    fn tell_standbys(&mut self, from: usize) {
+        let members = self.members(from);
+        for standby in self.nodes[from].sync.standbys(members.iter()) {
+            let to = self.nodes.iter().position(|node| node.vm.name == standby);
+            self.report(from, to.expect("a known peer"));
+        }
+    }
+
     /// Returns how long an answer takes to leave its VM's link.
     fn queue_on_link(&mut self, from: usize, event: &Event) -> Duration {
         let (Some(rate), Event::Answer { answer, .. }) = (self.link_bytes_per_second, event) else {
@@ -280,12 +297,13 @@
             return;
         }
         match event {
-            Event::Report { from, version } => {
+            Event::Report { from, version, platform_answered } => {
                 if self.nodes[from].side != self.nodes[to].side {
                     return;
                 }
                 let peer = self.nodes[from].vm.clone();
                 self.nodes[to].heard.insert(from as u32, version);
+                self.nodes[to].answered.extend(platform_answered.map(|at| (from as u32, at)));
                 let actions = self.nodes[to].sync.on_peer_version(self.now, &peer, version);
                 self.perform(to, actions);
             }
@@ -347,10 +365,13 @@
                     continue;
                 }
             };
+            self.nodes[index].platform_answered = Some(self.now);
             let is_news = actions.iter().any(|it| matches!(it, ConfigAction::InForce(_)));
             self.perform(index, actions);
             if is_news && self.announces {
                 self.announce(index);
+            } else {
+                self.tell_standbys(index);
             }
         }
     }
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -52,7 +52,7 @@
 }
 
 fn member(index: u32, state: MemberState, config_version: Option<u64>) -> Member {
-    Member { vm: vm(index, 3), state, since: Time::ZERO, config_version }
+    Member { vm: vm(index, 3), state, since: Time::ZERO, config_version, platform_answered: None }
 }
 
 fn alive(vms: u32) -> Vec<Member> {
--- a/crates/pistachiotrack-core/tests/config_watchers.rs
+++ b/crates/pistachiotrack-core/tests/config_watchers.rs
@@ -2,7 +2,7 @@
 
 mod config_support;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use config_support::{TODAY, config, fleet::Fleet};
 use pistachiotrack_core::config_sync::ConfigSyncSettings;
@@ -66,3 +66,54 @@
         assert!(in_time.is_some(), "seed {seed}: not in force on all VMs after {IN_FORCE:?}");
     }
 }
+
+fn watching(fleet: &Fleet) -> BTreeSet<usize> {
+    (0..fleet.nodes.len()).filter(|index| fleet.nodes[*index].is_watching()).collect()
+}
+
+/// Returns all VMs that watched at any moment of `time`.
+fn watching_within(fleet: &mut Fleet, time: Duration) -> BTreeSet<usize> {
+    let end = fleet.now + time;
+    let mut all = BTreeSet::new();
+    while fleet.now < end {
+        fleet.step();
+        all.extend(watching(fleet));
+    }
+    all
+}
+
+#[test]
+fn standbys_leave_the_platform_alone_while_the_watchers_are_answered() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut fleet = settled_fleet(1, &mut rng);
+    let watchers = watching(&fleet);
+    for version in 2..12 {
+        fleet.publish(&config(version, TODAY));
+        assert_eq!(watching_within(&mut fleet, MINUTE / 12), watchers);
+    }
+}
+
+#[test]
+fn standbys_cease_to_read_when_the_watchers_are_answered_again() {
+    let mut rng = Pcg64Mcg::seed_from_u64(2);
+    let mut fleet = settled_fleet(2, &mut rng);
+    let watchers = watching(&fleet);
+    cut_watchers(&mut fleet, true, &mut rng);
+    let standbys = watching_within(&mut fleet, MINUTE / 6);
+    assert!(standbys.difference(&watchers).count() >= REACH_PLATFORM, "{standbys:?}");
+    fleet.nodes.iter_mut().for_each(|node| node.cut_from_platform = false);
+    fleet.run(MINUTE / 12);
+    assert_eq!(watching_within(&mut fleet, MINUTE), watchers);
+}
+
+#[test]
+fn standbys_call_ever_more_rarely_while_the_platform_is_away() {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let settings = deployed_settings();
+    let mut fleet = settled_fleet(3, &mut rng);
+    fleet.platform.down = true;
+    let calls = fleet.platform.calls;
+    fleet.run(MINUTE);
+    let per_second = (fleet.platform.calls - calls) as f64 / MINUTE.as_secs_f64();
+    assert!(per_second < settings.follower_reads_per_second, "{per_second}");
+}
--- a/crates/pistachiotrack-core/tests/datagram.rs
+++ b/crates/pistachiotrack-core/tests/datagram.rs
@@ -46,6 +46,7 @@
         refutation: u32::arbitrary(source),
         leaving: bool::arbitrary(source),
         config_version: Option::arbitrary(source),
+        platform_age_ms: Option::arbitrary(source),
     };
     let sequence = u32::arbitrary(source);
     let known_incarnation = u64::arbitrary(source);
--- a/crates/pistachiotrack-core/tests/membership.rs
+++ b/crates/pistachiotrack-core/tests/membership.rs
@@ -338,6 +338,7 @@
         refutation: 0,
         leaving: false,
         config_version: None,
+        platform_age_ms: None,
     };
     let message = Message::Nack { sequence: 0 };
     let datagram = Datagram { sender, message, updates: vec![old_rumour] };
--- a/crates/pistachiotrack-core/tests/membership_join.rs
+++ b/crates/pistachiotrack-core/tests/membership_join.rs
@@ -121,10 +121,10 @@
     fleet.run(Duration::from_secs(2));
     let (now, informed) = (fleet.now, address(2));
     fleet.vms.get_mut(&informed).unwrap().set_config_version(7);
-    let actions = fleet.vms.get_mut(&informed).unwrap().announce(now);
+    let actions = fleet.vms.get_mut(&informed).unwrap().announce(now, Vec::new());
     fleet.deliver(informed, actions);
     fleet.vms.get_mut(&address(0)).unwrap().set_config_version(7);
-    let actions = fleet.vms.get_mut(&address(0)).unwrap().announce(now);
+    let actions = fleet.vms.get_mut(&address(0)).unwrap().announce(now, Vec::new());
     let to: Vec<SocketAddr> = actions
         .iter()
         .filter_map(|action| match action {
@@ -135,6 +135,24 @@
     assert_eq!(to, [address(1), address(3)]);
 }
 
+#[test]
+fn listeners_are_told_when_the_platform_last_answered() {
+    let mut fleet = Fleet::start(4, &[0]);
+    fleet.run(Duration::from_secs(2));
+    let answered = fleet.now;
+    let informed = fleet.vms.get_mut(&address(2)).unwrap();
+    informed.on_platform_answer(answered);
+    let actions = informed.announce(answered + Duration::from_millis(40), vec![vm(3).name]);
+    fleet.deliver(address(2), actions);
+    let seen_by = |number: u16| {
+        let seen = fleet.vms[&address(number)].member(&vm(2).name).unwrap();
+        seen.platform_answered
+    };
+    let seen = seen_by(3).expect("VM 3 was told");
+    assert!(seen <= answered && answered.since(seen) <= Duration::from_millis(40), "{seen:?}");
+    assert_eq!(seen_by(1), None);
+}
+
 /// A VM is paused for a little more than the others wait before they declare it
 /// dead, and they give its shards to another. It had missed answers before, so that
 /// it is slower itself to declare others dead; if it took the others to be as slow,
--- a/crates/pistachiotrack-core/tests/ownership.rs
+++ b/crates/pistachiotrack-core/tests/ownership.rs
@@ -30,7 +30,13 @@
 }
 
 fn member(number: usize, state: MemberState, since_ms: u64) -> Member {
-    Member { vm: vm(number, 1), state, since: Time::from_millis(since_ms), config_version: None }
+    Member {
+        vm: vm(number, 1),
+        state,
+        since: Time::from_millis(since_ms),
+        config_version: None,
+        platform_answered: None,
+    }
 }
 
 fn alive(numbers: impl IntoIterator<Item = usize>) -> Vec<Member> {
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -190,13 +190,15 @@
         self.watching.send_replace(false);
         match message.0 {
             Ok(value) => {
+                self.membership.on_platform_answer(now);
                 let actions = match value {
                     Some(Published::Made(config)) => self.sync.on_platform_config(now, *config),
                     Some(Published::Value(value)) => self.sync.on_platform_value(now, Some(&value)),
                     None => self.sync.on_platform_value(now, None),
                 };
                 self.apply_config(now, actions);
-                let actions = self.membership.announce(now);
+                let standbys = self.sync.standbys(self.membership.members());
+                let actions = self.membership.announce(now, standbys);
                 self.apply_membership(now, actions);
             }
             Err(error) => {
--- a/crates/pistachiotrackd/tests/control_faults.rs
+++ b/crates/pistachiotrackd/tests/control_faults.rs
@@ -46,6 +46,7 @@
             refutation: 0,
             leaving: false,
             config_version: Some(9),
+            platform_age_ms: None,
         },
         message: Message::Ping { sequence: 1, target: Name::from("vm-01"), known_incarnation: 0 },
         updates: vec![Update {
