A list of the store makes a configuration once all changes up to its newest part are known

What callers saw: a change was in force on a VM, then the configuration before it for 0.3 s.

Cause: endpoints are listed at one revision and operators' part is read after them. If operators write in between, the configuration has their new part under the older revision. A VM that followed the changes makes a later revision that lacks this part, and as the later version wins, the older part comes back on the VM that had listed, and on all that had it from there, until the change itself is read.

Now a listing says the revision of its newest part, and makes no configuration before the changes up to there are known.

No claim that the users' report comes from here: suspected only.

--- a/crates/pistachiotrack-core/src/roster.rs
+++ b/crates/pistachiotrack-core/src/roster.rs
@@ -127,6 +127,9 @@
 pub struct Listing {
     /// Revision of the listing.
     pub revision: u64,
+    /// Revision of its newest part. Parts that are read one after the other may have changed
+    /// since `revision`.
+    pub newest: u64,
     /// What operators wrote; `None` before they wrote any.
     pub operators: Option<Operators>,
     /// The endpoints.
@@ -178,6 +181,8 @@
     operators: Option<Operators>,
     entries: BTreeMap<Name, Entry>,
     revision: u64,
+    /// Revision of the newest part of the last listing, until all changes up to it are known.
+    listed_ahead: Option<u64>,
     is_lost: bool,
     regained_at: Option<Time>,
 }
@@ -190,6 +195,7 @@
             operators: None,
             entries: BTreeMap::new(),
             revision: 0,
+            listed_ahead: None,
             is_lost: false,
             regained_at: None,
         }
@@ -216,7 +222,7 @@
 
     /// Takes everything that the registry has.
     pub fn on_listing(&mut self, now: Time, listing: Listing) {
-        let Listing { revision, operators, endpoints, unusable } = listing;
+        let Listing { revision, newest, operators, endpoints, unusable } = listing;
         for key in unusable {
             self.entries.remove(&key);
         }
@@ -234,6 +240,13 @@
             self.operators = Some(operators);
         }
         self.revision = self.revision.max(revision);
+        self.listed_ahead = Some(newest);
+        self.on_followed(revision);
+    }
+
+    /// Notes that all changes up to `revision` are known.
+    pub fn on_followed(&mut self, revision: u64) {
+        self.listed_ahead.take_if(|newest| *newest <= revision);
     }
 
     /// Takes a change that the registry made at `revision`.
@@ -275,6 +288,7 @@
         }
         self.adopt(config);
         self.revision = revision;
+        self.on_followed(revision);
         Some(revision)
     }
 
@@ -299,13 +313,17 @@
         }
     }
 
-    /// Returns the configuration made of all this; `None` before operators wrote
-    /// any.
+    /// Returns the configuration made of all this; `None` before operators wrote any, and
+    /// while a part is newer than the rest: under the rest's version it would be replaced by
+    /// an older one.
     ///
     /// Its version follows the registry's revision, so that it never goes back.
     /// Two VMs may differ at one revision in what they still keep; the one that
     /// keeps less knows more, and its version is the higher one.
     pub fn config(&self) -> Option<Config> {
+        if self.listed_ahead.is_some() {
+            return None;
+        }
         let Operators { mut config, connections } = self.operators.clone()?;
         let kept = self.entries.values().filter(|entry| entry.kept.is_some()).count();
         let rank = (VERSIONS_PER_REVISION - 1).saturating_sub(kept as u64);
--- a/crates/pistachiotrack-core/tests/roster.rs
+++ b/crates/pistachiotrack-core/tests/roster.rs
@@ -297,3 +297,18 @@
     roster.on_listing(START, Listing { unusable, ..listed });
     assert_eq!(names(&roster), ["a"]);
 }
+
+#[test]
+fn a_listing_with_a_part_newer_than_its_revision_waits_for_the_changes_between() {
+    let mut roster = Roster::new(RosterSettings::default());
+    let endpoints = vec![announced("a", 1, 1, false)];
+    let listed = listing(10, Some(operators()), endpoints);
+    roster.on_listing(START, Listing { newest: 12, ..listed });
+    assert!(roster.config().is_none());
+    roster.on_change(START, 11, Change::Announced(announced("b", 2, 2, false)));
+    roster.on_followed(11);
+    assert!(roster.config().is_none());
+    roster.on_change(START, 12, Change::Operators(Box::new(operators())));
+    roster.on_followed(12);
+    assert_eq!(names(&roster), ["a", "b"]);
+}
--- a/crates/pistachiotrackd/src/registry.rs
+++ b/crates/pistachiotrackd/src/registry.rs
@@ -152,6 +152,7 @@
         for (revision, change) in changes {
             self.roster.on_change(now, revision, change);
         }
+        self.roster.on_followed(revision);
         self.followed = Some(revision);
         self.tell_strays();
         Ok(())
