--- a/crates/pistachiotrack-core/src/config_sync/platform.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform.rs
@@ -201,7 +201,6 @@
             // When the whole fleet starts at once, each VM knows nobody alive
             // and takes itself for a watcher. The platform would see all of
             // them in the same second; the spread keeps them under its rate.
-            Role::Standby => started,
             Role::Watcher | Role::Alone => started + self.spread.mul_f64(self.place),
             // When all deployments start at once, the reads of lists fill the
             // platform's rate. A VM that has got its list finds a peer soon, so
@@ -211,8 +210,9 @@
                 let wait = Duration::from_millis(self.settings.cold_read_after_ms);
                 started + wait + self.spread.mul_f64(self.place)
             }
-            // All watchers may be cut off from the platform while this VM is
-            // not. The wait grows with the fleet, so that all followers
+            Role::Standby => started,
+            // All watchers and standbys may be cut off from the platform while this VM
+            // is not. The wait grows with the fleet, so that all followers
             // together call at a fixed rate whatever their number, also when
             // the platform is away and every call fails.
             Role::Follower => {
--- a/crates/pistachiotrack-core/src/config_sync/pull.rs
+++ b/crates/pistachiotrack-core/src/config_sync/pull.rs
@@ -156,12 +156,23 @@
         if self.in_flight.is_some() {
             return None;
         }
+        let vm = self.choose(now, near, rng)?;
+        // A lost message must not cost a large part of the time that a change
+        // may take; a slow whole value must not be asked for from many peers.
+        let late = self.whole || self.timeouts_in_row == EARLY_TIMEOUTS;
+        let timeout = if late { timeouts.late } else { timeouts.early };
+        self.in_flight = Some(InFlight { peer: vm.name.clone(), begun: now, until: now + timeout });
+        Some(vm)
+    }
+
+    /// Returns the peer that answers soonest, as far as can be told.
+    fn choose(&self, now: Time, near: &str, rng: &mut impl Rng) -> Option<Vm> {
         let refused = self.refused.filter(|refused| now < refused.until);
         let usable = |holder: &&Holder| {
             now >= holder.not_before && refused.is_none_or(|it| holder.version != it.version)
         };
-        // A peer that lost power is taken for alive for a while, and is not to be asked again
-        // and again for being near while others would answer.
+        // A peer that lost power is taken for alive for a while; being near, it would be asked
+        // again and again while others would answer.
         let answers = |holder: &&Holder| usable(holder) && !holder.is_silent;
         let some_answer = self.holders.values().any(|holder| answers(&holder));
         let candidate =
@@ -171,19 +182,13 @@
             let holders = self.holders.values().filter(candidate);
             holders.filter(|holder| holder.version == newest)
         };
-        let nearby = || best().filter(|holder| *holder.vm.data_centre == *near);
-        let vm = if self.timeouts_in_row > 0 {
+        let holder = if self.timeouts_in_row > 0 {
             best().max_by_key(|holder| holder.heard)
         } else {
-            nearby().choose(rng).or_else(|| best().choose(rng))
+            let nearby = best().filter(|holder| *holder.vm.data_centre == *near).choose(rng);
+            nearby.or_else(|| best().choose(rng))
         };
-        let vm = vm?.vm.clone();
-        // A lost message must not cost a large part of the time that a change
-        // may take; a slow whole value must not be asked for from many peers.
-        let late = self.whole || self.timeouts_in_row == EARLY_TIMEOUTS;
-        let timeout = if late { timeouts.late } else { timeouts.early };
-        self.in_flight = Some(InFlight { peer: vm.name.clone(), begun: now, until: now + timeout });
-        Some(vm)
+        holder.map(|holder| holder.vm.clone())
     }
 
     /// Notes that an answer of `peer` came or can't come any more.
--- a/crates/pistachiotrack-core/tests/config_support/fleet.rs
+++ b/crates/pistachiotrack-core/tests/config_support/fleet.rs
@@ -34,8 +34,8 @@
     pub(crate) vm: Vm,
     pub(crate) sync: ConfigSync,
     pub(crate) paused: bool,
-    /// Whether the others still take it for alive while it is paused.
-    pub(crate) is_missed_by_nobody: bool,
+    /// Whether the others take it for alive while it is paused.
+    pub(crate) is_taken_for_alive: bool,
     pub(crate) cut_from_platform: bool,
     /// Whether calls of a VM that is cut off hang instead of failing at once.
     pub(crate) is_cut_silently: bool,
@@ -194,7 +194,7 @@
             vm,
             sync,
             paused: false,
-            is_missed_by_nobody: false,
+            is_taken_for_alive: false,
             cut_from_platform: false,
             is_cut_silently: false,
             side: 0,
@@ -228,7 +228,7 @@
 
     fn member(&self, index: usize, other: usize) -> Member {
         let (me, node) = (&self.nodes[index], &self.nodes[other]);
-        let reachable = me.side == node.side && (!node.paused || node.is_missed_by_nobody);
+        let reachable = me.side == node.side && (!node.paused || node.is_taken_for_alive);
         Member {
             vm: node.vm.clone(),
             state: if reachable { MemberState::Alive } else { MemberState::Dead },
--- a/crates/pistachiotrack-core/tests/config_watchers.rs
+++ b/crates/pistachiotrack-core/tests/config_watchers.rs
@@ -76,7 +76,7 @@
         let read = |fleet: &Fleet| fleet.nodes.iter().any(|node| node.sync.version() == Some(2));
         let took = fleet.run_until(IN_FORCE, read).expect("the watchers read it");
         for node in fleet.nodes.iter_mut().filter(|node| node.sync.version() == Some(2)) {
-            (node.paused, node.is_missed_by_nobody) = (true, true);
+            (node.paused, node.is_taken_for_alive) = (true, true);
         }
         let is_in_force = |fleet: &Fleet| {
             fleet.nodes.iter().all(|node| node.paused || node.sync.version() == Some(2))
