--- a/crates/pistachiotrackd/tests/testenv/fleet.rs
+++ b/crates/pistachiotrackd/tests/testenv/fleet.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, future::Future, net::SocketAddr, time::Duration};
 
 use pistachiotrack_core::{header, name::Name};
-use pistachiotrackd::daemon::Daemon;
+use pistachiotrackd::{daemon::Daemon, settings::Settings};
 use serde_json::{Value, json};
 use tokio::{
     runtime::{Builder, Runtime},
@@ -38,12 +38,18 @@
 
     /// Starts a daemon of another deployment.
     pub(crate) async fn start_in(deployment: &str, name: &str, platform: SocketAddr) -> Vm {
-        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
         let mut settings = settings(name, platform, json!({}));
         settings.deployment = Name::from(deployment);
+        Vm::start_with(settings).await
+    }
+
+    /// Starts a daemon with settings of its own.
+    pub(crate) async fn start_with(settings: Settings) -> Vm {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let name = settings.vm.to_string();
         let daemon = runtime.spawn(Daemon::start(settings)).await.unwrap().unwrap();
         Vm {
-            name: name.to_owned(),
+            name,
             caller: daemon.caller_address(),
             peer: daemon.peer_address(),
             admin: daemon.admin_address(),
