Logs tell what failed attempts asked for, and whether an endpoint that broke a connection has ended

After a broken connection the VM looks whether the endpoint still takes connections: event=endpoint_checked, counter endpoint_crashes. No decision changes.

--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod customer;
 pub mod data_centre;
 pub mod endpoint;
+pub mod fingerprint;
 pub mod hash;
 pub mod header;
 pub mod health;
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One dispatch of a request to an endpoint.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -27,6 +27,8 @@
 pub(crate) struct AttemptEnd {
     /// Endpoint that was asked.
     pub(crate) endpoint: Name,
+    /// Its address, unless it was asked through another VM.
+    pub(crate) address: Option<SocketAddr>,
     /// Why the endpoint was chosen.
     pub(crate) grounds: Grounds,
     /// Time from the dispatch to the outcome.
@@ -81,6 +83,7 @@
     let result = result.map(|answer| (read(&answer), answer));
     let mut end = AttemptEnd {
         endpoint: dispatch.endpoint.clone(),
+        address: dispatch.via.is_none().then_some(dispatch.address),
         grounds: dispatch.grounds,
         took: context.clock.now().since(begun),
         outcome: Outcome::NotSent,
--- a/crates/pistachiotrackd/src/connection.rs
+++ b/crates/pistachiotrackd/src/connection.rs
@@ -124,6 +124,20 @@
         socket.connect(address).await
     }
 
+    /// Opens a TCP connection to `address` and closes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection does not open.
+    pub(crate) async fn try_connect(&self, address: SocketAddr) -> Result<(), ConnectError> {
+        let limit = Duration::from_millis(self.limits.connect_timeout_ms);
+        match tokio::time::timeout(limit, self.connect(address)).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(source)) => Err(ConnectError::Io { address, source }),
+            Err(_) => Err(ConnectError::TimedOut { address, limit }),
+        }
+    }
+
     /// Opens a connection to `address` before `give_up`.
     ///
     /// # Errors
--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -34,6 +34,17 @@
     is_cut: bool,
 }
 
+/// Whether an address takes connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Listening {
+    /// It does.
+    Open,
+    /// Its machine says that nobody listens there.
+    Refused,
+    /// There was no answer that tells.
+    Unknown,
+}
+
 /// A connection for one exchange.
 #[derive(Debug)]
 pub(crate) struct CheckedOut {
@@ -96,6 +107,22 @@
         Ok(CheckedOut { connection, fresh: true })
     }
 
+    /// Looks whether `address` takes connections.
+    pub(crate) async fn listening(&self, address: SocketAddr) -> Listening {
+        if self.is_cut(address) {
+            return Listening::Unknown;
+        }
+        match self.connector.try_connect(address).await {
+            Ok(()) => Listening::Open,
+            Err(ConnectError::Io { source, .. })
+                if source.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                Listening::Refused
+            }
+            Err(_) => Listening::Unknown,
+        }
+    }
+
     /// Takes back a connection whose exchange ended whole.
     pub(crate) fn check_in(&self, mut connection: Connection) {
         let now = self.connector.clock.now();
--- a/crates/pistachiotrackd/src/inbound.rs
+++ b/crates/pistachiotrackd/src/inbound.rs
@@ -1,12 +1,14 @@
 //! A request that came in, with what was decided about it.
 
-use std::time::Duration;
+use std::{sync::OnceLock, time::Duration};
 
 use hyper::{
     HeaderMap, Method, Uri,
+    header::HOST,
     http::{request::Parts, uri::PathAndQuery},
 };
 use pistachiotrack_core::{
+    fingerprint::Fingerprint,
     header,
     name::Name,
     request::{Request, RequestId},
@@ -36,9 +38,29 @@
     pub(crate) body: RequestBody,
     /// Moment after which the answer is of no use.
     pub(crate) deadline: Time,
+    /// Customer that the caller named, if it named one.
+    pub(crate) named_customer: Option<Name>,
+    /// Fingerprint, once it was asked for.
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Inbound {
+    /// Returns the fingerprint: of the caller, the method, the path with its query and the body.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = headers::text(&self.headers, HOST.as_str()).unwrap_or_default();
+            let path = self.uri.path_and_query().map_or("", PathAndQuery::as_str);
+            let body = self.body.digest().to_le_bytes();
+            Fingerprint::of([
+                self.named_customer.as_deref().unwrap_or_default().as_bytes(),
+                host.to_ascii_lowercase().as_bytes(),
+                self.method.as_str().as_bytes(),
+                path.as_bytes(),
+                &body[..],
+            ])
+        })
+    }
+
     /// Returns the request as the shard's decisions need it.
     pub(crate) fn request(&self) -> Request {
         Request {
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod connection_pool;
 mod context;
+mod crash_check;
 pub mod daemon;
 pub mod dialect;
 mod entries;
--- a/crates/pistachiotrackd/src/metrics.rs
+++ b/crates/pistachiotrackd/src/metrics.rs
@@ -50,10 +50,12 @@
     /// A datagram of another dispatcher was of another version or deployment, or couldn't
     /// be read.
     NewsUnused,
+    /// An endpoint broke a request's connection and takes no new ones.
+    EndpointCrash,
 }
 
 impl Event {
-    const ALL: [Event; 15] = [
+    const ALL: [Event; 16] = [
         Event::Request,
         Event::Answer,
         Event::RefusedNotRun,
@@ -69,6 +71,7 @@
         Event::ConnectionTurnedAway,
         Event::ConfigRejected,
         Event::NewsUnused,
+        Event::EndpointCrash,
     ];
 
     fn name(self) -> &'static str {
@@ -88,6 +91,7 @@
             Event::ConnectionTurnedAway => "connections_turned_away",
             Event::ConfigRejected => "configs_rejected",
             Event::NewsUnused => "news_unused",
+            Event::EndpointCrash => "endpoint_crashes",
         }
     }
 }
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -1,6 +1,10 @@
 //! What happens to a request at the VM that it comes in at.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -173,6 +177,7 @@
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
     check_not_overslept(context, &parts, deadline)?;
     let body = read_body(context, body, deadline).await?;
+    let named_customer = asked.customer;
     Ok(Inbound {
         id,
         fleet_id: fleet_id.clone(),
@@ -183,6 +188,8 @@
         headers: parts.headers,
         body,
         deadline,
+        named_customer,
+        fingerprint: OnceLock::new(),
     })
 }
 
@@ -335,6 +342,8 @@
     check_not_overslept(context, &parts, deadline)?;
     headers::strip_from_caller(&mut parts.headers);
     let body = read_body(context, body, deadline).await?;
+    // The VM that the request entered at has judged its head.
+    let named_customer = context.dialect.read_request(&parts).ok().and_then(|asked| asked.customer);
     Ok(Inbound {
         id,
         fleet_id: fleet_id.clone(),
@@ -345,6 +354,8 @@
         headers: parts.headers,
         body,
         deadline,
+        named_customer,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/pistachiotrackd/src/request_body.rs
+++ b/crates/pistachiotrackd/src/request_body.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use pistachiotrack_core::hash;
 
 /// Why a body could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -116,7 +117,12 @@
     /// A whole body in memory.
     Whole(Option<Bytes>),
     /// A body that can be sent once.
-    Once(Mutex<Option<SendBody>>),
+    Once {
+        /// The body, until it has been sent.
+        body: Mutex<Option<SendBody>>,
+        /// Hash of its length as far as it was announced.
+        length_digest: u64,
+    },
 }
 
 /// Limits of a request's body.
@@ -167,7 +173,9 @@
         };
         let start = (!start.is_empty()).then(|| start.freeze());
         let streamed = StreamedBody { start, rest: incoming, left_bytes, limit_bytes };
-        Ok(RequestBody::Once(Mutex::new(Some(SendBody::Streamed(Box::new(streamed))))))
+        let length_digest = hash::fnv(&streamed.size_hint().lower().to_le_bytes());
+        let body = Mutex::new(Some(SendBody::Streamed(Box::new(streamed))));
+        Ok(RequestBody::Once { body, length_digest })
     }
 
     /// Takes the body for one exchange; `None` if it has been sent already and
@@ -175,13 +183,15 @@
     pub(crate) fn take(&self) -> Option<SendBody> {
         match self {
             RequestBody::Whole(bytes) => Some(SendBody::Whole(bytes.clone())),
-            RequestBody::Once(body) => body.lock().unwrap_or_else(PoisonError::into_inner).take(),
+            RequestBody::Once { body, .. } => {
+                body.lock().unwrap_or_else(PoisonError::into_inner).take()
+            }
         }
     }
 
     /// Gives back a body of which no byte was sent.
     pub(crate) fn give_back(&self, body: SendBody) {
-        if let RequestBody::Once(place) = self {
+        if let RequestBody::Once { body: place, .. } = self {
             *place.lock().unwrap_or_else(PoisonError::into_inner) = Some(body);
         }
     }
@@ -190,13 +200,21 @@
     pub(crate) fn known_bytes(&self) -> usize {
         match self {
             RequestBody::Whole(bytes) => bytes.as_ref().map_or(0, Bytes::len),
-            RequestBody::Once(body) => {
+            RequestBody::Once { body, .. } => {
                 let body = body.lock().unwrap_or_else(PoisonError::into_inner);
                 body.as_ref().map_or(0, |body| body.size_hint().lower() as usize)
             }
         }
     }
 
+    /// Returns a hash of the body, or of the length of one that is not held in memory.
+    pub(crate) fn digest(&self) -> u64 {
+        match self {
+            RequestBody::Whole(bytes) => hash::fnv(bytes.as_deref().unwrap_or_default()),
+            RequestBody::Once { length_digest, .. } => *length_digest,
+        }
+    }
+
     /// Returns whether the body can be sent any number of times.
     pub(crate) fn can_be_repeated(&self) -> bool {
         matches!(self, RequestBody::Whole(_))
@@ -206,7 +224,7 @@
     pub(crate) fn is_at_hand(&self) -> bool {
         match self {
             RequestBody::Whole(_) => true,
-            RequestBody::Once(body) => {
+            RequestBody::Once { body, .. } => {
                 body.lock().unwrap_or_else(PoisonError::into_inner).is_some()
             }
         }
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -29,6 +29,7 @@
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
     connection_pool::ConnectionPool,
     context::Context,
+    crash_check::{self, BrokenRun},
     exchange::{BegunAnswer, GiveUp},
     headers,
     inbound::Inbound,
@@ -259,6 +260,7 @@
             self.copies.take_back(copy);
         }
         self.log_end(&end);
+        self.check_endpoint(&end);
         if end.outcome == Outcome::NotSent {
             self.context.metrics.count(Event::HeldBack);
         }
@@ -272,6 +274,18 @@
         None
     }
 
+    /// Has an endpoint looked at that broke the connection.
+    fn check_endpoint(&self, end: &AttemptEnd) {
+        let (Outcome::Broken { .. }, Some(address)) = (end.outcome, end.address) else { return };
+        let run = BrokenRun {
+            request: self.inbound.fleet_id.clone(),
+            fingerprint: self.inbound.fingerprint(),
+            endpoint: end.endpoint.clone(),
+            address,
+        };
+        tokio::spawn(crash_check::run(Arc::clone(&self.context), run));
+    }
+
     /// Says how an attempt ended; a failure is worth a line at any time.
     fn log_end(&self, end: &AttemptEnd) {
         let level = match end.outcome {
@@ -280,9 +294,10 @@
         };
         log::log!(
             level,
-            "event=attempt_ended request={} config_version={:?} service={} endpoint={} \
-             idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={}",
+            "event=attempt_ended request={} fingerprint={} config_version={:?} service={} \
+             endpoint={} idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={}",
             self.inbound.fleet_id,
+            self.inbound.fingerprint(),
             self.inbound.config_version,
             self.inbound.route.shard.service,
             end.endpoint,
