--- a/crates/pistachiotrackd/tests/testenv/endpoint.rs
+++ b/crates/pistachiotrackd/tests/testenv/endpoint.rs
@@ -153,3 +153,13 @@
     let mut rest = Vec::new();
     let _ = stream.read_to_end(&mut rest).await;
 }
+
+/// Reads the head of a request from a raw connection and returns its first line.
+pub(crate) async fn read_request_line(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let line = head.split(|byte| *byte == b'\r').next().unwrap_or_default();
+    Some(String::from_utf8_lossy(line).into_owned())
+}
