Requests under which three endpoints end are held back by all VMs

Callers saw endpoint after endpoint of a service end, and other requests fail with them: one lookup, sent again and again, ended 31 to 37 endpoints of 14 at a time. Cause: nothing of a request was remembered after its end, so each repeat was a new request at any VM, and one that lost its connection was sent to another endpoint.

Evidence: pairs of endpoints ended 0.1 s apart under one identity; in the test one request alone brings six endpoints down in turn. Ruled out: endpoints that end by themselves (the second endpoint of a retry ended each time); retries alone (first attempts end endpoints too).

The VM connects once more after a break; refused means that the endpoint has ended. VMs add up the crashes by the request's fingerprint, hold it back from the third on, tell the fleet by rounds to random VMs, and one of them tries it again later. A whole answer clears a request on all VMs, so that a popular one isn't held back for what it ran beside.

a_booking_without_an_answer_is_sent_once_and_called_unknown counted connections for sendings; the look after the break is a connection without a byte. It counts the requests that arrived now, one as before, and both connections.

--- a/crates/pistachiotrack-core/src/admin.rs
+++ b/crates/pistachiotrack-core/src/admin.rs
@@ -98,3 +98,18 @@
     /// Largest.
     pub max_us: u64,
 }
+
+/// One line of `GET /quarantine`: a request under which endpoints ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineStatus {
+    /// Fingerprint of the request.
+    pub request: Name,
+    /// State: `suspected` or `held`.
+    pub state: Name,
+    /// Endpoints that ended under it, as far as they are counted.
+    pub crashes: u32,
+    /// Times that it was tried again.
+    pub trials: u32,
+    /// Time until it may be tried again, if it is held back.
+    pub retry_after_ms: Option<u64>,
+}
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod name;
 pub mod ownership;
 pub mod pause;
+pub mod quarantine;
 pub mod refusal;
 pub mod request;
 pub mod retry;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -51,11 +51,13 @@
     BadRequest,
     /// The process was paused past the moment at which sending was safe.
     Paused,
+    /// Endpoints end under such a request.
+    CrashesEndpoints,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 11] = [
+    pub const ALL: [Reason; 12] = [
         Reason::QueueFull,
         Reason::WaitTooLong,
         Reason::DeadlinePassed,
@@ -67,6 +69,7 @@
         Reason::Duplicate,
         Reason::BadRequest,
         Reason::Paused,
+        Reason::CrashesEndpoints,
     ];
 
     /// Returns the value of [`crate::header::REASON`].
@@ -83,6 +86,7 @@
             Reason::Duplicate => "duplicate",
             Reason::BadRequest => "bad-request",
             Reason::Paused => "paused",
+            Reason::CrashesEndpoints => "crashes-endpoints",
         }
     }
 }
--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -26,6 +26,7 @@
   pistachiotrack endpoints  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--all]
   pistachiotrack members    --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--added]
+  pistachiotrack quarantine --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
                  [--timeout-ms MS] [--json]
   pistachiotrack trace REQUEST [--json] [FILE]...
@@ -37,6 +38,7 @@
   endpoints   Shows health and load of endpoints, from the owners of their shards
   members     Shows the fleet as the VMs asked see it
   histograms  Shows latencies by customer and class
+  quarantine  Shows requests under which endpoints ended, and which are held back
   entries     Asks a VM, as a caller does, which addresses to use
   trace       Orders one request's lines from the logs of VMs, or from the
               standard input, and names the one that decided
@@ -101,6 +103,7 @@
             parse_view(args, if all { View::AllEndpoints } else { View::Endpoints })
         }
         Some("members") => parse_view(args, View::Members),
+        Some("quarantine") => parse_view(args, View::Quarantine),
         Some("histograms") => {
             let added = args.contains("--added");
             parse_view(args, if added { View::AddedHistograms } else { View::Histograms })
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -56,13 +56,15 @@
     AllEndpoints,
     /// The fleet as each VM sees it.
     Members,
+    /// Requests under which endpoints ended.
+    Quarantine,
     /// Latencies by customer and class.
     Histograms,
     /// The part of the latencies that no endpoint had a hand in.
     AddedHistograms,
 }
 
-/// Settings of `status`, `endpoints`, `members` and `histograms`.
+/// Settings of `status`, `endpoints`, `members`, `quarantine` and `histograms`.
 #[derive(Debug)]
 pub(crate) struct ViewConfig {
     /// Whether to print JSON.
--- a/crates/pistachiotrack/src/views.rs
+++ b/crates/pistachiotrack/src/views.rs
@@ -1,9 +1,9 @@
-//! The pages of the admin ports: `status`, `endpoints`, `members` and
-//! `histograms`.
+//! The pages of the admin ports: `status`, `endpoints`, `members`, `quarantine`
+//! and `histograms`.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use pistachiotrack_core::admin::{HistogramStatus, MemberStatus, Status};
+use pistachiotrack_core::admin::{HistogramStatus, MemberStatus, QuarantineStatus, Status};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
 
@@ -32,6 +32,7 @@
             show(config, "/endpoints", |answers| endpoints::text(answers, &owners))
         }
         View::Members => show(config, "/members", members_text),
+        View::Quarantine => show(config, "/quarantine", quarantine_text),
         View::Histograms => show(config, "/histograms", histograms_text),
         View::AddedHistograms => show(config, "/histograms/added", histograms_text),
     }
@@ -168,6 +169,25 @@
     table.to_string()
 }
 
+/// Returns the requests under which endpoints ended as text, with a row for each VM that
+/// knows of one.
+fn quarantine_text(answers: &Answers<'_, Vec<QuarantineStatus>>) -> String {
+    let mut table =
+        Table::new(&["REQUEST", "STATE", "CRASHES", "TRIALS", "RETRY AFTER MS", "KNOWN BY"]);
+    for (address, known) in rows(answers) {
+        table.push(vec![
+            known.request.to_string(),
+            known.state.to_string(),
+            known.crashes.to_string(),
+            known.trials.to_string(),
+            or_dash(known.retry_after_ms),
+            address.to_string(),
+        ]);
+    }
+    table.sort();
+    table.to_string()
+}
+
 /// Returns the histograms as text, with a row for each VM: percentiles of
 /// different VMs can't be added up.
 fn histograms_text(answers: &Answers<'_, Vec<HistogramStatus>>) -> String {
--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -33,6 +33,7 @@
         "/status" => answer::json(&status(&context, &fleet).await),
         "/endpoints" => answer::json(&endpoints(&context).await),
         "/members" => answer::json(&members(&context)),
+        "/quarantine" => answer::json(&context.quarantine.statuses()),
         "/metrics" => metrics(&context, &fleet).await,
         "/histograms" => answer::json(&context.total.statuses()),
         "/histograms/added" => answer::json(&context.added.statuses()),
--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -98,8 +98,10 @@
         Reason::AnswerLost => StatusCode::BAD_GATEWAY,
         Reason::NoRecord | Reason::Duplicate => StatusCode::CONFLICT,
         Reason::BadRequest => StatusCode::BAD_REQUEST,
-        Reason::WaitTooLong | Reason::NoConfig | Reason::NoEndpoint | Reason::Paused => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Reason::WaitTooLong
+        | Reason::NoConfig
+        | Reason::NoEndpoint
+        | Reason::Paused
+        | Reason::CrashesEndpoints => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/pistachiotrackd/src/body.rs
+++ b/crates/pistachiotrackd/src/body.rs
@@ -25,6 +25,7 @@
 use crate::{
     connection::Connection,
     connection_pool::ConnectionPool,
+    crash_check::RunWatch,
     shard_actor::{BodyEnded, ShardActor},
 };
 
@@ -213,6 +214,8 @@
     pub(crate) attempt: AttemptId,
     /// Copy of the answer that is kept for duplicates of the request.
     pub(crate) copy: Option<AnswerCopy>,
+    /// The run that brought it.
+    pub(crate) run: RunWatch,
 }
 
 impl AnswerWatch {
@@ -226,6 +229,7 @@
     }
 
     fn finish(self, end: BodyEnd) {
+        self.run.finish(end);
         let stored =
             self.copy.filter(|_| end == BodyEnd::Complete).map(|copy| (copy.request, copy.answer));
         let ended = BodyEnded { attempt: self.attempt, end, stored };
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, dialect::Dialect, forward_record::ForwardRecord,
-    histogram::Histograms, metrics::Metrics, settings::Settings, shard_table::ShardTable,
-    source::Source, timer::PauseGate, traffic::Traffic, view::FleetView,
+    histogram::Histograms, metrics::Metrics, quarantine::QuarantineGate, settings::Settings,
+    shard_table::ShardTable, source::Source, timer::PauseGate, traffic::Traffic, view::FleetView,
 };
 
 /// State of the daemon's life cycle.
@@ -61,6 +61,8 @@
     pub(crate) peers: Arc<ConnectionPool>,
     /// What is known of the requests sent on.
     pub(crate) forwards: ForwardRecord,
+    /// Requests that are held back because endpoints end under them.
+    pub(crate) quarantine: Arc<QuarantineGate>,
     /// Counters.
     pub(crate) metrics: Metrics,
     /// What this VM says to and hears from others.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -39,6 +39,7 @@
     news_link::NewsLink,
     path_check::PathCheck,
     peer_service, proxy,
+    quarantine::{QuarantineGate, QuarantineLink, QuarantineRounds},
     settings::{Settings, SettingsFile},
     shard_table::{ShardTable, ShardTableArgs},
     source::Source,
@@ -171,6 +172,19 @@
             view.clone(),
             Arc::clone(&traffic),
         ));
+        let quarantine = Arc::new(QuarantineGate::new(
+            &me,
+            clock,
+            settings.quarantine.clone(),
+            QuarantineLink::new(
+                &me,
+                &settings.deployment,
+                Arc::clone(&socket),
+                view.clone(),
+                Arc::clone(&traffic),
+            ),
+            seed,
+        ));
         let shards = ShardTable::new(ShardTableArgs {
             clock,
             endpoints: Arc::clone(&endpoints),
@@ -193,6 +207,7 @@
             endpoints,
             peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
             forwards: ForwardRecord::new(clock.now()),
+            quarantine: Arc::clone(&quarantine),
             metrics,
             traffic: Arc::clone(&traffic),
             queued: Histograms::default(),
@@ -215,6 +230,12 @@
         let _ = timer
             .tell(SubscribeSlowly { recipient: fleet.clone().recipient(), interval: TICK_INTERVAL })
             .try_send();
+        let interval = Duration::from_millis(context.settings.quarantine.round_ms);
+        let rounds = QuarantineRounds::spawn_with_mailbox(
+            QuarantineRounds(quarantine),
+            mailbox::unbounded(),
+        );
+        let _ = timer.tell(SubscribeSlowly { recipient: rounds.recipient(), interval }).try_send();
         tokio::spawn(udp::receive(socket, fleet.clone(), Arc::clone(&context), news));
         let admin_address = local_address("admin_address", &sockets.admin)?;
         let readiness_address = optional_address("readiness_address", &sockets.readiness)?;
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -45,6 +45,7 @@
 mod probe;
 pub mod process;
 mod proxy;
+mod quarantine;
 mod refusal_log;
 pub mod registry;
 mod rejection;
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -178,7 +178,7 @@
     check_not_overslept(context, &parts, deadline)?;
     let body = read_body(context, body, deadline).await?;
     let named_customer = asked.customer;
-    Ok(Inbound {
+    let inbound = Inbound {
         id,
         fleet_id: fleet_id.clone(),
         config_version: Some(active.config.version),
@@ -190,7 +190,8 @@
         deadline,
         named_customer,
         fingerprint: OnceLock::new(),
-    })
+    };
+    check_not_held_back(context, inbound)
 }
 
 /// Part of a request's time for which it waits for the first configuration, as a
@@ -235,6 +236,14 @@
     if overslept { Err(Reason::Paused.into()) } else { Ok(()) }
 }
 
+/// Refuses a request that is held back because endpoints end under it.
+fn check_not_held_back(context: &Context, inbound: Inbound) -> Result<Inbound, Rejection> {
+    match context.quarantine.held_for(&inbound) {
+        Some(retry_after) => Err(Rejection::crashes_endpoints(retry_after)),
+        None => Ok(inbound),
+    }
+}
+
 fn timeout_ms(route: &Route, service: &Service) -> u64 {
     route.timeout_ms.unwrap_or(service.timeout_ms)
 }
@@ -344,7 +353,7 @@
     let body = read_body(context, body, deadline).await?;
     // The VM that the request entered at has judged its head.
     let named_customer = context.dialect.read_request(&parts).ok().and_then(|asked| asked.customer);
-    Ok(Inbound {
+    let inbound = Inbound {
         id,
         fleet_id: fleet_id.clone(),
         config_version: None,
@@ -356,7 +365,8 @@
         deadline,
         named_customer,
         fingerprint: OnceLock::new(),
-    })
+    };
+    check_not_held_back(context, inbound)
 }
 
 /// Has a caller's request served: here if this VM owns the shard, else by the
--- /dev/null
+++ b/crates/pistachiotrackd/src/quarantine/link.rs
@@ -0,0 +1,133 @@
+//! Datagrams about requests that crash endpoints.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use pistachiotrack_core::{
+    hash,
+    membership::MemberState,
+    message::MAX_DATAGRAM_BYTES,
+    name::Name,
+    quarantine::{CrashNote, Telling},
+    vm::Vm,
+};
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, sync::watch};
+
+use crate::{
+    traffic::{Topic, Traffic},
+    udp,
+    view::FleetView,
+};
+
+/// First byte of these datagrams; those of the membership and of dispatchers begin with others.
+pub(crate) const QUARANTINE_TAG: u8 = 0x90;
+
+/// One datagram.
+#[derive(Debug, Serialize, Deserialize)]
+struct QuarantineDatagram {
+    deployment: u64,
+    notes: Vec<CrashNote>,
+}
+
+/// Why a datagram is not used.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum QuarantineError {
+    /// It is longer than any VM sends.
+    #[error("{0} bytes")]
+    Length(usize),
+    /// It can't be read.
+    #[error("can't be read: {0}")]
+    Unreadable(#[from] postcard::Error),
+    /// It comes from another deployment.
+    #[error("of another deployment")]
+    Deployment,
+}
+
+/// Tells other VMs about requests that crash endpoints.
+#[derive(Debug)]
+pub(crate) struct QuarantineLink {
+    me: Name,
+    deployment: u64,
+    socket: Arc<UdpSocket>,
+    view: watch::Receiver<Arc<FleetView>>,
+    traffic: Arc<Traffic>,
+}
+
+impl QuarantineLink {
+    /// Creates a link over the socket that the membership uses too.
+    pub(crate) fn new(
+        me: &Vm,
+        deployment: &str,
+        socket: Arc<UdpSocket>,
+        view: watch::Receiver<Arc<FleetView>>,
+        traffic: Arc<Traffic>,
+    ) -> QuarantineLink {
+        let deployment = hash::fnv(deployment.as_bytes());
+        QuarantineLink { me: me.name.clone(), deployment, socket, view, traffic }
+    }
+
+    /// Tells the VMs that `telling` is for.
+    pub(crate) fn tell(&self, telling: Telling) {
+        let view = Arc::clone(&self.view.borrow());
+        let (told, notes) = match telling {
+            Telling::Dispatchers { service, notes } => {
+                let dispatchers = view.ownership.dispatchers(&service).iter();
+                let others = dispatchers.filter(|vm| vm.name != self.me);
+                (others.map(|vm| vm.peer_address).collect(), notes)
+            }
+            Telling::Some { vms, notes } => (random_members(&view, vms), notes),
+        };
+        let Some(bytes) = self.encode(notes) else { return };
+        for to in told {
+            self.send(to, &bytes);
+        }
+    }
+
+    /// Tells the VM at an address.
+    pub(crate) fn answer(&self, to: SocketAddr, notes: Vec<CrashNote>) {
+        if let Some(bytes) = self.encode(notes) {
+            self.send(to, &bytes);
+        }
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not for this VM to believe.
+    pub(crate) fn read(&self, bytes: &[u8]) -> Result<Vec<CrashNote>, QuarantineError> {
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            return Err(QuarantineError::Length(bytes.len()));
+        }
+        let content = bytes.get(1..).unwrap_or_default();
+        let datagram: QuarantineDatagram = postcard::from_bytes(content)?;
+        if datagram.deployment != self.deployment {
+            return Err(QuarantineError::Deployment);
+        }
+        Ok(datagram.notes)
+    }
+
+    /// Returns the VMs that dispatch for a service side by side; none where it has an owner.
+    pub(crate) fn dispatchers(&self, service: &str) -> Vec<Vm> {
+        self.view.borrow().ownership.dispatchers(service).to_vec()
+    }
+
+    fn encode(&self, notes: Vec<CrashNote>) -> Option<Vec<u8>> {
+        let datagram = QuarantineDatagram { deployment: self.deployment, notes };
+        postcard::to_extend(&datagram, vec![QUARANTINE_TAG])
+            .inspect_err(|error| log::error!("event=quarantine_not_encoded error={error:?}"))
+            .ok()
+    }
+
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        let place = self.view.borrow().place(to);
+        udp::send(&self.socket, to, bytes, &self.traffic, (Topic::Quarantine, place));
+    }
+}
+
+fn random_members(view: &FleetView, count: usize) -> Vec<SocketAddr> {
+    let alive = view.members.iter().filter(|member| member.state == MemberState::Alive);
+    let addresses = alive.map(|member| member.vm.peer_address);
+    addresses.sample(&mut rand::rng(), count)
+}
--- a/crates/pistachiotrackd/src/rejection.rs
+++ b/crates/pistachiotrackd/src/rejection.rs
@@ -1,5 +1,7 @@
 //! Requests that are refused where they come in.
 
+use std::time::Duration;
+
 use hyper::StatusCode;
 use pistachiotrack_core::{copies::Held, refusal::Reason, rule::Refuse};
 
@@ -36,6 +38,12 @@
         Rejection { reason: Reason::Rule, retry_after_ms, status: Some(status) }
     }
 
+    /// Returns that of a request that crashes endpoints.
+    pub(crate) fn crashes_endpoints(retry_after: Duration) -> Rejection {
+        let retry_after_ms = Some(retry_after.as_millis() as u64);
+        Rejection { retry_after_ms, ..Reason::CrashesEndpoints.into() }
+    }
+
     /// Returns that of a request whose body is too large.
     pub(crate) fn too_large() -> Rejection {
         Rejection { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..Reason::BadRequest.into() }
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -3,6 +3,7 @@
 
 use std::{
     future::{Future, poll_fn},
+    net::SocketAddr,
     pin::Pin,
     sync::Arc,
     task::Poll,
@@ -16,6 +17,7 @@
     copies::{Copies, SentCopy},
     endpoint::Endpoint,
     name::Name,
+    quarantine::Admission,
     refusal::Reason,
     request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, Report},
     shard::Dispatch,
@@ -29,7 +31,7 @@
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
     connection_pool::ConnectionPool,
     context::Context,
-    crash_check::{self, BrokenRun},
+    crash_check::{self, BrokenRun, RunWatch},
     exchange::{BegunAnswer, GiveUp},
     headers,
     inbound::Inbound,
@@ -139,6 +141,8 @@
 struct Answered {
     attempt: AttemptId,
     endpoint: Name,
+    /// Its address, unless it was asked through another VM.
+    address: Option<SocketAddr>,
     answer: Box<BegunAnswer>,
     pool: Arc<ConnectionPool>,
 }
@@ -218,6 +222,9 @@
             self.tell_outcome(attempt, Outcome::NotSent, Report::default());
             return Some(self.give_up(Reason::NoEndpoint));
         }
+        if let Admission::Held { retry_after } = self.context.quarantine.admit(&self.inbound) {
+            return self.hold_back(attempt, retry_after);
+        }
         self.context.metrics.count(Event::Dispatch);
         let context = Arc::clone(&self.context);
         let inbound = Arc::clone(&self.inbound);
@@ -236,6 +243,22 @@
         None
     }
 
+    /// Drops an attempt of a request that crashes endpoints, and refuses the request unless
+    /// another attempt is still on its way.
+    fn hold_back(&mut self, attempt: AttemptId, retry_after: Duration) -> Option<Served> {
+        if !self.running.is_empty() || !self.answered.is_empty() {
+            self.tell_outcome(attempt, Outcome::NotSent, Report::default());
+            return None;
+        }
+        self.finished = true;
+        // Told first, so that the shard doesn't place the request anew.
+        let _ = self.shard.tell(CallerGone(self.inbound.id)).try_send();
+        self.tell_outcome(attempt, Outcome::NotSent, Report::default());
+        let retry_after_ms = Some(retry_after.as_millis() as u64);
+        let copies = self.copies.finish();
+        Some(Served::refused(copies.refuse(Reason::CrashesEndpoints, retry_after_ms)))
+    }
+
     /// Failure guarded against: a booking is sent to two endpoints. It shows as
     /// a doubled booking. The guard holds because every attempt of a request
     /// passes here, and a copy counts as sent until it has come back.
@@ -267,8 +290,8 @@
         if let Some(answer) = end.answer {
             let bytes = body::known_bytes(&answer.body);
             self.context.traffic.received(Topic::Endpoint, place, bytes);
-            let (endpoint, pool) = (end.endpoint, end.pool);
-            self.answered.push(Answered { attempt, endpoint, answer, pool });
+            let AttemptEnd { endpoint, address, pool, .. } = end;
+            self.answered.push(Answered { attempt, endpoint, address, answer, pool });
         }
         self.tell_outcome(attempt, end.outcome, end.report);
         None
@@ -277,12 +300,8 @@
     /// Has an endpoint looked at that broke the connection.
     fn check_endpoint(&self, end: &AttemptEnd) {
         let (Outcome::Broken { .. }, Some(address)) = (end.outcome, end.address) else { return };
-        let run = BrokenRun {
-            request: self.inbound.fleet_id.clone(),
-            fingerprint: self.inbound.fingerprint(),
-            endpoint: end.endpoint.clone(),
-            address,
-        };
+        let (inbound, endpoint) = (Arc::clone(&self.inbound), end.endpoint.clone());
+        let run = BrokenRun { inbound, endpoint, address };
         tokio::spawn(crash_check::run(Arc::clone(&self.context), run));
     }
 
@@ -312,12 +331,19 @@
 
     fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
-        let Answered { endpoint, answer, pool, .. } = self.answered.swap_remove(index);
+        let Answered { endpoint, address, answer, pool, .. } = self.answered.swap_remove(index);
         self.finished = true;
         let BegunAnswer { mut parts, body, connection, sent, began, .. } = *answer;
         let endpoint_time = began.since(sent);
         let copy = self.inbound.key().map(|_| AnswerCopy::begin(self.inbound.id, &parts));
-        let watch = AnswerWatch { shard: self.shard.clone(), attempt, copy };
+        let run = RunWatch {
+            context: Arc::clone(&self.context),
+            inbound: Arc::clone(&self.inbound),
+            endpoint: endpoint.clone(),
+            address,
+            is_failure: parts.status.as_u16() >= FIRST_FAILURE_STATUS,
+        };
+        let watch = AnswerWatch { shard: self.shard.clone(), attempt, copy, run };
         let body = AnswerBody::relayed(
             &parts,
             body,
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -8,8 +8,8 @@
 
 use pistachiotrack_core::{
     config::MAX_VALUE_BYTES, config_sync::ConfigSyncSettings, data_centre::DataCentre,
-    mechanism::Mechanisms, membership::MembershipSettings, name::Name, roster::RosterSettings,
-    service::RetryLimit,
+    mechanism::Mechanisms, membership::MembershipSettings, name::Name,
+    quarantine::QuarantineSettings, roster::RosterSettings, service::RetryLimit,
 };
 use serde::Deserialize;
 
@@ -78,6 +78,9 @@
     /// How a configuration is made where endpoints register themselves.
     #[serde(default)]
     pub registry: RegistrySettings,
+    /// When requests are held back under which endpoints end.
+    #[serde(default)]
+    pub quarantine: QuarantineSettings,
     /// Limits on what callers, peers and endpoints may use.
     #[serde(default)]
     pub limits: Limits,
@@ -430,7 +433,10 @@
             return Some(("config_sync.answer_bytes_per_second", problem));
         }
         let hardware = self.hardware.problem();
-        hardware.or_else(|| self.registry.problem()).or_else(|| self.limits.problem())
+        hardware
+            .or_else(|| self.registry.problem())
+            .or_else(|| self.quarantine.problem())
+            .or_else(|| self.limits.problem())
     }
 
     /// Returns the peer addresses of the VMs that may know the fleet.
--- a/crates/pistachiotrackd/src/traffic.rs
+++ b/crates/pistachiotrackd/src/traffic.rs
@@ -13,6 +13,8 @@
     News,
     /// What a VM believes of the endpoints, and questions for it.
     Picture,
+    /// Requests that crash endpoints.
+    Quarantine,
     /// Pulls of configurations and answers to them.
     Configuration,
     /// What an owner knew of a shard.
@@ -28,10 +30,11 @@
 }
 
 impl Topic {
-    const ALL: [Topic; 9] = [
+    const ALL: [Topic; 10] = [
         Topic::Membership,
         Topic::News,
         Topic::Picture,
+        Topic::Quarantine,
         Topic::Configuration,
         Topic::HandOver,
         Topic::Reach,
@@ -45,6 +48,7 @@
             Topic::Membership => "membership",
             Topic::News => "news",
             Topic::Picture => "picture",
+            Topic::Quarantine => "quarantine",
             Topic::Configuration => "configuration",
             Topic::HandOver => "hand_over",
             Topic::Reach => "reach",
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -11,6 +11,7 @@
     fleet::{Datagram, Fleet},
     metrics::Event,
     news_link::{NEWS_TAGS, NewsLink},
+    quarantine::QUARANTINE_TAG,
     traffic::{Place, Topic, Traffic},
 };
 
@@ -43,6 +44,11 @@
                     }
                     continue;
                 }
+                if bytes.first() == Some(&QUARANTINE_TAG) {
+                    traffic.received(Topic::Quarantine, view.place(from), length);
+                    context.quarantine.receive(from, bytes);
+                    continue;
+                }
                 traffic.received(Topic::Membership, view.place(from), length);
                 if length > MAX_DATAGRAM_BYTES {
                     continue;
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -5,7 +5,10 @@
 
 mod testenv;
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -14,6 +17,7 @@
 use serde_json::{Value, json};
 use testenv::{
     client, config,
+    crashing::{CRASHING, Runs, start_endpoint},
     endpoint::{Endpoint, read_head},
     fleet::absent_platform,
     platform::Platform,
@@ -149,6 +153,25 @@
     Refusal { vm, answer, _platform: Some(platform) }
 }
 
+async fn refused_after_crashes() -> Refusal {
+    let runs = Runs::default();
+    let mut search = Vec::new();
+    for _ in 0..3 {
+        search.push(start_endpoint(Arc::clone(&runs)).await);
+    }
+    let (platform, vm) = start(config(1, &search, &[])).await;
+    let start = Instant::now();
+    loop {
+        let answer = client::send(vm.caller_address, client::get(CRASHING)).await.unwrap();
+        let reason = client::field(&answer, header::REASON);
+        let is_held = reason == Some(Reason::CrashesEndpoints.as_str());
+        if is_held || start.elapsed() > client::HANG_LIMIT {
+            return Refusal { vm, answer, _platform: Some(platform) };
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Brings a refusal about. A new reason has no arm here, so that this does not compile.
 async fn refuse_for(reason: Reason) -> Refusal {
     match reason {
@@ -173,6 +196,7 @@
             refused_with(config(1, &[], &[]), request).await
         }
         Reason::Paused => refused_after_pause().await,
+        Reason::CrashesEndpoints => refused_after_crashes().await,
     }
 }
 
--- a/crates/pistachiotrackd/tests/testenv/fleet.rs
+++ b/crates/pistachiotrackd/tests/testenv/fleet.rs
@@ -1,16 +1,21 @@
 //! Several daemons in one process, each of which can be crashed.
 
-use std::{collections::BTreeMap, future::Future, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use pistachiotrack_core::{header, name::Name};
 use pistachiotrackd::{daemon::Daemon, settings::Settings};
 use serde_json::{Value, json};
 use tokio::{
     runtime::{Builder, Runtime},
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
 };
 
-use super::{client, endpoint::Endpoint, platform::Platform, settings};
+use super::{client, config, endpoint::Endpoint, platform::Platform, settings};
 
 /// Longest time that a whole test may take; only a hang gets near it.
 const TEST_LIMIT: Duration = Duration::from_secs(120);
@@ -207,3 +212,47 @@
 pub(crate) async fn absent_platform() -> SocketAddr {
     Endpoint::serve(|stream| async move { drop(stream) }).await.address
 }
+
+/// Starts VMs that dispatch for the tests' searches side by side.
+pub(crate) async fn start_dispatchers(count: usize, search: &[SocketAddr]) -> (Platform, Vec<Vm>) {
+    let mut config = config(1, search, &[]);
+    config["services"][0]["dispatchers_per_data_centre"] = json!(2);
+    let platform = Platform::start().await;
+    platform.publish_config(config);
+    let mut vms = Vec::new();
+    for index in 0..count {
+        vms.push(Vm::start(&format!("vm-{index:02}"), platform.address).await);
+    }
+    let lines: Vec<_> = vms.iter().map(Vm::listed).collect();
+    publish_list(&platform, 2, &lines);
+    for vm in &vms {
+        client::wait_until_serving(vm.admin).await;
+        client::wait_for(vm.admin, "/members", |members| {
+            let alive = |member: &&Value| member["state"] == "alive";
+            members.as_array().unwrap().iter().filter(alive).count() == count
+        })
+        .await;
+    }
+    (platform, vms)
+}
+
+/// Time between two requests of [`repeat`].
+const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Sends a request to the VMs by turns until `until`, answered or not; returns when each was
+/// sent and its status, 0 without an answer.
+pub(crate) async fn repeat(vms: &[Vm], path: &'static str, until: Instant) -> Vec<(Instant, u16)> {
+    let mut answers = JoinSet::new();
+    let mut turn = 0;
+    while Instant::now() < until {
+        let address = vms[turn % vms.len()].caller;
+        answers.spawn(async move {
+            let sent = Instant::now();
+            let status = client::send(address, client::get(path)).await.map(|it| it.status());
+            (sent, status.map_or(0, |status| status.as_u16()))
+        });
+        turn += 1;
+        tokio::time::sleep(REPEAT_INTERVAL).await;
+    }
+    answers.join_all().await
+}
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "every test file uses a part of it")]
 
 pub(crate) mod client;
+pub(crate) mod crashing;
 pub(crate) mod endpoint;
 pub(crate) mod fleet;
 pub(crate) mod host;
--- a/crates/pistachiotrackd/tests/whole_answers.rs
+++ b/crates/pistachiotrackd/tests/whole_answers.rs
@@ -2,7 +2,13 @@
 
 mod testenv;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use hyper::Method;
 use pistachiotrack_core::header;
@@ -84,15 +90,24 @@
 /// an answer, and the fleet sends it again although the first may have run.
 #[tokio::test]
 async fn a_booking_without_an_answer_is_sent_once_and_called_unknown() {
-    let booking = Endpoint::serve(|mut stream| async move {
-        read_head(&mut stream).await;
+    let heads = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&heads);
+    let booking = Endpoint::serve(move |mut stream| {
+        let count = Arc::clone(&count);
+        async move {
+            if read_head(&mut stream).await {
+                count.fetch_add(1, Ordering::SeqCst);
+            }
+        }
     })
     .await;
     let deployment = Deployment::start(&[], &[booking.address]).await;
     let request = client::request(Method::POST, "/bookings", "");
     let refused = client::send(deployment.address(), request).await.unwrap();
     assert_eq!(client::field(&refused, header::OUTCOME), Some("unknown"));
-    assert_eq!(booking.connections(), 1);
+    // The second connection is the look whether the endpoint still takes any.
+    booking.wait_closed(2).await;
+    assert_eq!((heads.load(Ordering::SeqCst), booking.connections()), (1, 2));
 }
 
 /// A caller is told that its booking may have run, and does not dare to send
