--- a/crates/pistachiotrack-core/src/header.rs
+++ b/crates/pistachiotrack-core/src/header.rs
@@ -39,6 +39,8 @@
 pub const REQUEST_ID: &str = "pistachiotrack-request-id";
 /// From endpoints: requests being worked on.
 pub const LOAD: &str = "pistachiotrack-load";
+/// From endpoints: requests a second that it takes from all VMs together, a decimal number.
+pub const RATE_LIMIT: &str = "pistachiotrack-rate-limit";
 /// From endpoints: `true` when the endpoint is leaving.
 pub const DRAINING: &str = "pistachiotrack-draining";
 /// From endpoints: `true` on a 503 that certainly did not run the request.
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ownership;
 pub mod pause;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod refusal;
 pub mod request;
 pub mod retry;
--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{name::Name, time::Time};
+use crate::{name::Name, rate_limit::RateLimit, time::Time};
 
 /// Identifies a request within one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -148,6 +148,8 @@
     pub in_flight: Option<u32>,
     /// Whether the endpoint says that it is leaving.
     pub draining: bool,
+    /// Requests a second that it takes from all VMs together, if it names a limit.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// End of an attempt's answer body.
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -39,6 +39,7 @@
     mechanism::Mechanisms,
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
+    rate_limit::RateLimit,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
     retry::{RecentLatency, UsualTime},
     service::{DEFAULT_PROBE_PATH, Service},
@@ -266,6 +267,7 @@
         let mut actions = self.health.on_outcome(now, attempt, outcome);
         if of.answered || outcome == Outcome::Shed {
             actions.extend(self.health.on_report(now, &of.endpoint, report));
+            self.on_rate_limit(&of.endpoint, report.rate_limit);
         }
         self.on_health_actions(now, actions);
         self.on_evidence(now, &of, outcome);
@@ -283,6 +285,12 @@
         self.advance(now)
     }
 
+    fn on_rate_limit(&mut self, endpoint: &Name, limit: Option<RateLimit>) {
+        if self.pool.on_rate_limit(endpoint, limit) {
+            self.out.push(ShardAction::RateLimit { endpoint: endpoint.clone(), limit });
+        }
+    }
+
     /// Takes the end of an answer's body.
     pub fn on_body_end(&mut self, now: Time, attempt: AttemptId, end: BodyEnd) -> Vec<ShardAction> {
         let Some(of) = self.attempts.get(&attempt).cloned() else { return Vec::new() };
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -6,6 +6,7 @@
     health::HealthAction,
     idempotency::StoredAnswer,
     name::Name,
+    rate_limit::RateLimit,
     refusal::Verdict,
     request::{AttemptId, ConnectionChoice, RequestId},
     shard::ShardNews,
@@ -123,6 +124,13 @@
     },
     /// Tells the other VMs that dispatch for the shard.
     Tell(ShardNews),
+    /// An endpoint names a limit from now on, or none any more; for the log.
+    RateLimit {
+        /// The endpoint.
+        endpoint: Name,
+        /// Requests a second that it takes from all VMs together.
+        limit: Option<RateLimit>,
+    },
     /// Something that belongs into the log.
     Health(HealthAction),
 }
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -19,6 +19,7 @@
     limit::AdaptiveLimit,
     mechanism::Mechanisms,
     name::Name,
+    rate_limit::RateLimit,
     time::Time,
 };
 
@@ -53,6 +54,8 @@
     last_sent: Time,
     /// Whether it joined while this VM was at work, and nobody has tried it yet.
     is_untried: bool,
+    /// Requests a second that the endpoint takes from all VMs, if it named a limit last.
+    rate_limit: Option<RateLimit>,
     /// Requests that other VMs have in flight, each count with its last moment.
     peers: Vec<(Name, u32, Time)>,
 }
@@ -206,6 +209,7 @@
                 last_seen: None,
                 last_sent: Time::ZERO,
                 is_untried: self.mechanisms.joiners_first,
+                rate_limit: None,
                 peers: Vec::new(),
             });
             slots.is_configured = true;
@@ -386,6 +390,12 @@
         }
     }
 
+    /// Takes the limit that an endpoint names in an answer; returns whether it changed.
+    pub(super) fn on_rate_limit(&mut self, name: &str, limit: Option<RateLimit>) -> bool {
+        let Some(slots) = self.slots.get_mut(name) else { return false };
+        std::mem::replace(&mut slots.rate_limit, limit) != limit
+    }
+
     pub(super) fn on_success(&mut self, name: &str) {
         if let Some(slots) = self.slots.get_mut(name) {
             slots.adaptive.on_success();
--- a/crates/pistachiotrack-core/tests/floor.rs
+++ b/crates/pistachiotrack-core/tests/floor.rs
@@ -165,7 +165,7 @@
                 } else if let Some(said) = self.said.get_mut(&endpoint) {
                     said.denied |= !draining;
                 }
-                let report = Report { in_flight: None, draining };
+                let report = Report { in_flight: None, draining, ..Report::default() };
                 let actions = self.health.on_report(self.now, &name(endpoint), report);
                 self.take(actions);
             }
--- a/crates/pistachiotrack-core/tests/shard.rs
+++ b/crates/pistachiotrack-core/tests/shard.rs
@@ -244,7 +244,11 @@
     let ids: Vec<RequestId> = (0..4).map(|_| world.send(1_000, |_| {})).collect();
     let attempt = world.attempt(ids[0]);
     let name = endpoint(&world, attempt);
-    world.outcome_with(attempt, answered(200), Report { in_flight: None, draining: true });
+    world.outcome_with(
+        attempt,
+        answered(200),
+        Report { in_flight: None, draining: true, ..Report::default() },
+    );
     world.body_end(attempt, BodyEnd::Complete);
     world.answer(world.attempt(ids[1]));
     assert_ne!(endpoint(&world, world.attempt(ids[2])), name);
--- a/crates/pistachiotrack-core/tests/shard_fuzz.rs
+++ b/crates/pistachiotrack-core/tests/shard_fuzz.rs
@@ -131,7 +131,7 @@
             world.outcome_with(
                 attempt,
                 outcome(kind, is_via),
-                Report { in_flight: None, draining },
+                Report { in_flight: None, draining, ..Report::default() },
             );
         }
         Step::BodyEnd { pick, end, stored } => {
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -397,7 +397,7 @@
                 }
                 ShardAction::CheckPath { endpoint, .. } => self.path_checks.push(endpoint),
                 ShardAction::Tell(news) => panic!("an owner told {news:?}"),
-                ShardAction::Health(_) => {}
+                ShardAction::RateLimit { .. } | ShardAction::Health(_) => {}
             }
         }
         self.check_floor();
--- a/crates/pistachiotrack-standins/src/experiment/detect/run.rs
+++ b/crates/pistachiotrack-standins/src/experiment/detect/run.rs
@@ -203,7 +203,7 @@
         }
         for vm in 0..self.detectors.len() {
             if self.world.fault == Fault::LyingReports {
-                let lie = Report { in_flight: Some(1_000), draining: false };
+                let lie = Report { in_flight: Some(1_000), draining: false, ..Report::default() };
                 self.detectors[vm].on_report(now, self.world.target, lie);
             }
             let effects = self.detectors[vm].on_tick(now);
--- a/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
@@ -125,6 +125,7 @@
         | ShardAction::Probe { .. }
         | ShardAction::CheckPath { .. }
         | ShardAction::Tell(_)
+        | ShardAction::RateLimit { .. }
         | ShardAction::Health(_) => None,
     }
 }
--- a/crates/pistachiotrackd/src/dialect.rs
+++ b/crates/pistachiotrackd/src/dialect.rs
@@ -12,6 +12,7 @@
 };
 use pistachiotrack_core::{
     name::Name,
+    rate_limit::{RateLimit, RateLimitError},
     refusal::Refusal,
     request::{Class, Report},
     steering::EntryAnswer,
@@ -84,6 +85,14 @@
     pub data_centre: Option<Name>,
 }
 
+/// Reads the limit that an endpoint names; one that can't be read counts as none.
+pub fn read_rate_limit(text: &str) -> Option<RateLimit> {
+    let unreadable = |error: &RateLimitError| {
+        log::warn!("event=rate_limit_unreadable error={:?}", error.to_string());
+    };
+    text.parse().inspect_err(unreadable).ok()
+}
+
 /// How callers and endpoints of a deployment speak.
 pub trait Dialect: fmt::Debug + Send + Sync + 'static {
     /// Reads what a caller says about its request.
--- a/crates/pistachiotrackd/src/dialect/own.rs
+++ b/crates/pistachiotrackd/src/dialect/own.rs
@@ -16,7 +16,10 @@
     steering::EntryAnswer,
 };
 
-use super::{AnswerFacts, AnswerKind, Dialect, EntryWish, HeadError, OutgoingFacts, RequestFacts};
+use super::{
+    AnswerFacts, AnswerKind, Dialect, EntryWish, HeadError, OutgoingFacts, RequestFacts,
+    read_rate_limit,
+};
 use crate::headers;
 
 /// Most characters of a customer's name.
@@ -71,6 +74,7 @@
             report: Report {
                 in_flight: text(header::LOAD).and_then(|load| load.trim().parse().ok()),
                 draining: text(header::DRAINING) == Some("true"),
+                rate_limit: text(header::RATE_LIMIT).and_then(read_rate_limit),
             },
         }
     }
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -21,6 +21,7 @@
     mechanism::Mechanisms,
     name::Name,
     ownership::ShardId,
+    rate_limit::RateLimit,
     refusal::Verdict,
     request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
     shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
@@ -347,6 +348,13 @@
                 });
             }
             ShardAction::Tell(news) => self.news.tell(news),
+            ShardAction::RateLimit { endpoint, limit } => {
+                let per_second = limit.map(RateLimit::per_second);
+                log::info!(
+                    "event=rate_limit service={} endpoint={endpoint} per_second={per_second:?}",
+                    self.id.service
+                );
+            }
             ShardAction::Health(health) => {
                 log::info!(
                     "event=health service={} shard={} {health}",
