Failing test, known red: an endpoint that names a limit gets more than it from all VMs together

Three VMs, three endpoints, one of which names two requests a second; 20 requests a second, for which the others have room.

--- /dev/null
+++ b/crates/pistachiotrackd/tests/rate_limit.rs
@@ -0,0 +1,75 @@
+//! Endpoints that name a limit in requests a second for all VMs together.
+
+mod testenv;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use http_body_util::Full;
+use hyper::Response;
+use pistachiotrack_core::header;
+use testenv::{
+    endpoint::Endpoint,
+    fleet::{bounded, repeat, start_dispatchers},
+};
+
+/// Requests a second that the endpoint takes from all VMs together.
+const LIMIT_PER_SECOND: f64 = 2.0;
+/// Time after its first word in which all VMs have to keep to it.
+const KNOWN_AFTER: Duration = Duration::from_secs(3);
+/// Time over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// How far a window may exceed what the limit allows: a factor, and requests besides.
+const TOLERANCE: (f64, f64) = (1.5, 5.0);
+
+/// Moments at which requests arrived.
+type Arrivals = Arc<Mutex<Vec<Instant>>>;
+
+/// Starts an endpoint that names a limit, if it has one.
+async fn start_endpoint(arrivals: Arrivals, limit: Option<&'static str>) -> Endpoint {
+    Endpoint::start(move |_| {
+        arrivals.lock().unwrap().push(Instant::now());
+        async move {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let response = Response::builder();
+            let named = limit
+                .into_iter()
+                .fold(response, |response, limit| response.header(header::RATE_LIMIT, limit));
+            named.body(Full::from("free")).unwrap()
+        }
+    })
+    .await
+}
+
+/// Returns the most requests in one window that begins after `from`.
+fn busiest_window(arrivals: &[Instant], from: Instant) -> usize {
+    let later: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+    let in_window =
+        |start: Instant| later.iter().filter(|at| **at >= start && **at < start + WINDOW).count();
+    later.iter().map(|start| in_window(*start)).max().unwrap_or_default()
+}
+
+#[tokio::test]
+async fn an_endpoint_that_names_a_limit_gets_no_more_from_all_vms_together() {
+    bounded(async {
+        let (limited, open) = (Arrivals::default(), Arrivals::default());
+        let endpoints = [
+            start_endpoint(Arc::clone(&limited), Some("2.0")).await,
+            start_endpoint(Arc::clone(&open), None).await,
+            start_endpoint(Arc::clone(&open), None).await,
+        ];
+        let addresses = endpoints.each_ref().map(|endpoint| endpoint.address);
+        let (_platform, vms) = start_dispatchers(3, &addresses).await;
+        let until = Instant::now() + KNOWN_AFTER + WINDOW * 2;
+        let answers = repeat(&vms, "/slots/free", until).await;
+        let limited = limited.lock().unwrap().clone();
+        let most = busiest_window(&limited, limited[0] + KNOWN_AFTER);
+        let allowed = LIMIT_PER_SECOND * WINDOW.as_secs_f64() * TOLERANCE.0 + TOLERANCE.1;
+        assert!(most as f64 <= allowed, "{most} requests in {WINDOW:?}, {allowed} allowed");
+        let unserved = answers.iter().filter(|(_, status)| *status != 200).count();
+        assert_eq!(unserved, 0, "the others have room");
+    })
+    .await;
+}
