Limits that endpoints name in requests a second are kept by all VMs together

Callers' endpoints in need named 1 and 2.3 requests a second and got 14 and 20 in 4 s (11 and 19 allowed). Cause: nothing read the limit, and work was placed by slots and risk alone. Evidence: rates at both endpoints go on as before their first word; in the test 27 to 28 in 4 s. Ruled out: a stop that moves work (the service got no more than before), and a share too many for each VM (no VM kept any).

Each dispatcher counts what all have sent to such an endpoint, which they tell each other with the news that they send anyway, and sends when the limit leaves room for one more. What VMs send at the same moment is waited for before the next turn. VMs that aren't told all leave such endpoints to the dispatchers. The rest goes to other endpoints; the queue's expected wait reckons with what limits leave, so that what can't be served is refused at once.

News have a new version.

Two tests of the endpoints table expect its new column.

--- a/crates/pistachiotrack-core/src/admin.rs
+++ b/crates/pistachiotrack-core/src/admin.rs
@@ -52,6 +52,9 @@
     pub in_flight: u32,
     /// Limit of requests in flight.
     pub limit: u32,
+    /// Requests a second that the endpoint takes from all VMs, if it names a limit.
+    #[serde(default)]
+    pub rate_limit: Option<f64>,
     /// Evidence against the endpoint, as a log-likelihood ratio.
     pub evidence: f64,
     /// Why it was last ejected.
--- a/crates/pistachiotrack-core/src/rate_limit.rs
+++ b/crates/pistachiotrack-core/src/rate_limit.rs
@@ -1,9 +1,20 @@
-//! Limits that endpoints name in requests a second.
+//! Limits that endpoints name in requests a second, and that all VMs keep together.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, str::FromStr, time::Duration};
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use crate::{name::Name, time::Time};
+
+/// Time without requests that an endpoint makes up for at once.
+const MAX_CREDIT: Duration = Duration::from_millis(250);
+/// Longest random wait for a turn that several VMs may take. It is several times as long as
+/// news are on their way, so that most VMs hear who took it.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(200);
+/// Least rate at which an endpoint is asked, so that a limit near zero can be seen to end.
+const MIN_PER_SECOND: f64 = 0.1;
+
 /// Requests a second that an endpoint takes from all VMs together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RateLimit {
@@ -20,6 +31,11 @@
     pub fn per_second(self) -> f64 {
         self.milli_per_second as f64 / 1_000.0
     }
+
+    /// Returns the requests a second that are sent where VMs use `part` of the limit.
+    pub fn used_per_second(self, part: f64) -> f64 {
+        (self.per_second() * part).max(MIN_PER_SECOND)
+    }
 }
 
 impl FromStr for RateLimit {
@@ -39,3 +55,132 @@
         write!(f, "{}", self.per_second())
     }
 }
+
+/// What a VM tells others of an endpoint that names a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateNews {
+    /// The limit.
+    pub limit: RateLimit,
+    /// Time since the request was sent whose answer named it.
+    pub age_ms: u32,
+    /// Requests that the sender has sent to the endpoint since it first knew of a limit.
+    pub sent: u32,
+}
+
+/// The requests that may be sent to an endpoint that names a limit.
+///
+/// Each VM counts what all VMs send, and sends when the limit leaves room for one more. VMs
+/// that send at the same moment exceed it by a few requests, which are then waited for.
+#[derive(Clone, Debug)]
+pub struct SharedRate {
+    limit: Option<RateLimit>,
+    /// When the request was sent whose answer is the newest word on the limit.
+    as_of: Time,
+    /// Moment up to which what was sent uses the limit up.
+    used_until: Time,
+    turn_wait: Duration,
+    /// Requests that this VM has sent.
+    sent: u32,
+    /// Requests that the others have sent, as far as they told.
+    peers: FxHashMap<Name, u32>,
+}
+
+impl SharedRate {
+    /// Creates the count of an endpoint that names its first limit, in the answer to a
+    /// request that was sent at `sent_at`; `turn` is a random number below 1.
+    pub fn new(
+        now: Time,
+        sent_at: Time,
+        limit: RateLimit,
+        share: RateShare,
+        turn: f64,
+    ) -> SharedRate {
+        SharedRate {
+            limit: Some(limit),
+            as_of: sent_at,
+            used_until: now,
+            turn_wait: turn_wait(interval(limit, share), share, turn),
+            sent: 0,
+            peers: FxHashMap::default(),
+        }
+    }
+
+    /// Returns the limit, if the endpoint still names one.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit
+    }
+
+    /// Takes what an answer says to a request that was sent at `sent_at`; returns whether the
+    /// limit changed. Answers may come in another order than they were asked for.
+    pub fn on_answer(&mut self, sent_at: Time, limit: Option<RateLimit>) -> bool {
+        if sent_at < self.as_of {
+            return false;
+        }
+        self.as_of = sent_at;
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
+    /// Notes a request that this VM sends; `turn` is a random number below 1.
+    pub fn on_sent(&mut self, now: Time, share: RateShare, turn: f64) {
+        self.sent = self.sent.wrapping_add(1);
+        self.use_up(now, 1, share, turn);
+    }
+
+    /// Takes what another VM has sent.
+    pub fn on_peer(&mut self, now: Time, from: &Name, sent: u32, share: RateShare, turn: f64) {
+        let known = self.peers.insert(from.clone(), sent);
+        // Of a VM that is heard of for the first time, only the last request is new. A count that
+        // has gone down was begun anew.
+        let news = known.map_or(sent.min(1), |known| sent.checked_sub(known).unwrap_or(sent));
+        if news > 0 {
+            self.use_up(now, news, share, turn);
+        }
+    }
+
+    /// Returns whether this VM may send one more request.
+    pub fn may_send(&self, now: Time, share: RateShare) -> bool {
+        self.limit.is_none() || share.part > 0.0 && now >= self.used_until + self.turn_wait
+    }
+
+    /// Returns what the other VMs are told.
+    pub fn news(&self, now: Time) -> Option<RateNews> {
+        let age_ms = u32::try_from(now.since(self.as_of).as_millis()).unwrap_or(u32::MAX);
+        Some(RateNews { limit: self.limit?, age_ms, sent: self.sent })
+    }
+
+    fn use_up(&mut self, now: Time, requests: u32, share: RateShare, turn: f64) {
+        let Some(limit) = self.limit else { return };
+        let interval = interval(limit, share);
+        let earliest = now.as_micros().saturating_sub(MAX_CREDIT.as_micros() as u64);
+        let from = self.used_until.max(Time::from_micros(earliest));
+        self.used_until = from + interval * requests;
+        self.turn_wait = turn_wait(interval, share, turn);
+    }
+}
+
+/// Returns the time that one request uses up.
+fn interval(limit: RateLimit, share: RateShare) -> Duration {
+    Duration::from_secs_f64(1.0 / limit.used_per_second(share.part))
+}
+
+/// Returns how long this VM leaves a turn to others, so that not all take it at once.
+fn turn_wait(interval: Duration, share: RateShare, turn: f64) -> Duration {
+    let longest = if share.is_alone { Duration::ZERO } else { MAX_TURN_WAIT.min(interval / 2) };
+    longest.mul_f64(turn)
+}
+
+/// How this VM takes part in keeping limits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateShare {
+    /// Part of each limit that the VMs in view use, 0 if this VM sends nothing to endpoints
+    /// that name one.
+    pub part: f64,
+    /// Whether no other VM sends requests to the endpoints.
+    pub is_alone: bool,
+}
+
+impl Default for RateShare {
+    fn default() -> RateShare {
+        RateShare { part: 1.0, is_alone: true }
+    }
+}
--- a/crates/pistachiotrack-core/src/retry/fleet_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_budget.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Returns the number of dispatchers that there should be.
+    pub fn expected(&self) -> u32 {
+        self.expected
+    }
+
     /// Sets whether retries that are left are shared out.
     pub fn set_shares_out(&mut self, shares_out: bool) {
         self.shares_out = shares_out;
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -40,7 +40,7 @@
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
     rate_limit::RateLimit,
-    request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
+    request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, Report, Request, RequestId},
     retry::{RecentLatency, UsualTime},
     service::{DEFAULT_PROBE_PATH, Service},
     time::Time,
@@ -267,7 +267,7 @@
         let mut actions = self.health.on_outcome(now, attempt, outcome);
         if of.answered || outcome == Outcome::Shed {
             actions.extend(self.health.on_report(now, &of.endpoint, report));
-            self.on_rate_limit(&of.endpoint, report.rate_limit);
+            self.on_answered_limit(now, &of, outcome, report.rate_limit);
         }
         self.on_health_actions(now, actions);
         self.on_evidence(now, &of, outcome);
@@ -285,8 +285,30 @@
         self.advance(now)
     }
 
-    fn on_rate_limit(&mut self, endpoint: &Name, limit: Option<RateLimit>) {
-        if self.pool.on_rate_limit(endpoint, limit) {
+    /// Takes whether an answer names a limit. A failure without one says nothing: it may not be
+    /// the endpoint's own.
+    fn on_answered_limit(
+        &mut self,
+        now: Time,
+        of: &Attempt,
+        outcome: Outcome,
+        limit: Option<RateLimit>,
+    ) {
+        let is_success =
+            matches!(outcome, Outcome::Answered { status, .. } if status < FIRST_FAILURE_STATUS);
+        if limit.is_some() || is_success {
+            self.on_rate_limit(now, &of.endpoint, of.dispatched_at, limit);
+        }
+    }
+
+    fn on_rate_limit(
+        &mut self,
+        now: Time,
+        endpoint: &Name,
+        sent_at: Time,
+        limit: Option<RateLimit>,
+    ) {
+        if self.pool.on_rate_limit(now, endpoint, sent_at, limit) {
             self.out.push(ShardAction::RateLimit { endpoint: endpoint.clone(), limit });
         }
     }
@@ -381,8 +403,8 @@
     }
 
     /// Returns the expected wait of a new request.
-    pub fn queue_wait(&self, _now: Time) -> Duration {
-        if self.queue.is_empty() && self.pool.has_free_slot() {
+    pub fn queue_wait(&self, now: Time) -> Duration {
+        if self.queue.is_empty() && self.pool.has_free_slot(now) {
             return Duration::ZERO;
         }
         self.drain_time(self.queue.len() as f64 + 1.0)
@@ -417,6 +439,7 @@
                     state: Name::from(state_name(self.health.standing(name))),
                     in_flight: slots.in_flight,
                     limit: slots.limit,
+                    rate_limit: slots.rate_limit().map(RateLimit::per_second),
                     evidence: self.health.evidence(name),
                     mode: Name::from(mode.as_str()),
                     reason: self.health.last_reason(name).map(EjectReason::as_str).map(Name::from),
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -103,14 +103,14 @@
             let hint = self.retry_hint(NO_ENDPOINT_RETRY_AFTER);
             return self.refuse(now, id, Reason::NoEndpoint, hint);
         }
-        let wait = self.expected_wait(&customer, class);
+        let wait = self.expected_wait(now, &customer, class);
         let needed = wait + (answer_time * ADMIT_TIMES_P95).min(left / 2);
         if !wait.is_zero() && needed > left {
             let hint = self.retry_hint(needed - left);
             return self.refuse(now, id, Reason::WaitTooLong, hint);
         }
         let is_full = self.queue.len() >= self.queue_limit;
-        if is_full && (!self.queue.is_empty() || !self.pool.has_free_slot()) {
+        if is_full && (!self.queue.is_empty() || !self.pool.has_free_slot(now)) {
             let hint = self.retry_hint(self.queue_wait(now));
             let Some(victim) = self.queue.victim(&customer, class) else {
                 return self.refuse(now, id, Reason::QueueFull, hint);
@@ -130,8 +130,8 @@
     }
 
     /// Returns the expected wait of a customer's new request.
-    pub(super) fn expected_wait(&self, customer: &Name, class: Class) -> Duration {
-        if self.queue.is_empty() && self.pool.has_free_slot() {
+    pub(super) fn expected_wait(&self, now: Time, customer: &Name, class: Class) -> Duration {
+        if self.queue.is_empty() && self.pool.has_free_slot(now) {
             return Duration::ZERO;
         }
         self.drain_time(self.queue.ahead(customer, class))
@@ -140,7 +140,15 @@
     /// Returns the time in which so many requests leave the queue.
     pub(super) fn drain_time(&self, requests: f64) -> Duration {
         let usual = self.usual.value().unwrap_or_default();
-        usual.mul_f64(requests / f64::from(self.pool.capacity().max(1)))
+        let (capacity, limited) = (self.pool.capacity(), self.pool.limited_per_second());
+        match (capacity, limited > 0.0) {
+            (_, false) => usual.mul_f64(requests / f64::from(capacity.max(1))),
+            (0, true) => Duration::from_secs_f64(requests / limited),
+            // In the usual time, endpoints that name a limit take work beside the slots.
+            (_, true) => {
+                usual.mul_f64(requests / (f64::from(capacity) + usual.as_secs_f64() * limited))
+            }
+        }
     }
 
     /// Dispatches what waits as long as there are free slots.
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -14,6 +14,7 @@
     health::BeliefOf,
     name::Name,
     ownership::ShardId,
+    rate_limit::RateNews,
     request::{AttemptId, Class, FIRST_FAILURE_STATUS},
     retry::{Sent, SentTotal},
     time::Time,
@@ -64,6 +65,8 @@
     pub in_flight: u32,
     /// How one of them was just answered, if one was.
     pub ended: Option<EndedAttempt>,
+    /// The limit that the endpoint names, if it does.
+    pub rate: Option<RateNews>,
 }
 
 /// What a VM believes of a shard's endpoints, for one that has just begun.
@@ -76,6 +79,8 @@
     /// What all dispatchers have sent in the last window of the limit of retries,
     /// newest first; empty if the sender doesn't know.
     pub sent: Vec<Sent>,
+    /// Endpoints that name a limit.
+    pub rates: Vec<(EndpointKey, RateNews)>,
 }
 
 /// How an endpoint answered.
@@ -144,6 +149,7 @@
     fn on_endpoint_news(&mut self, now: Time, from: &Name, endpoint: &Name, told: &EndpointNews) {
         let until = now + COUNT_LIFETIME;
         self.pool.set_peer_count(now, endpoint, from, told.in_flight, until);
+        self.on_rate_news(now, from, endpoint, told);
         let Some(ended) = told.ended else { return };
         let actions = self.health.on_peer_end(now, endpoint, ended);
         self.on_health_actions(now, actions);
@@ -152,10 +158,24 @@
         }
     }
 
+    /// Takes what another VM says of an endpoint's limit, and how much it has sent.
+    fn on_rate_news(&mut self, now: Time, from: &Name, endpoint: &Name, told: &EndpointNews) {
+        if let Some(rate) = told.rate {
+            self.on_rate_limit(now, endpoint, named_at(now, rate), Some(rate.limit));
+            return self.pool.on_peer_rate(now, endpoint, from, rate.sent);
+        }
+        let success = told.ended.filter(|ended| !ended.ending.is_failure());
+        if let Some(EndedAttempt { latency_us, age_us, .. }) = success {
+            let sent_at = before(now, latency_us.saturating_add(age_us));
+            self.on_rate_limit(now, endpoint, sent_at, None);
+        }
+    }
+
     /// Returns what this VM believes of the endpoints.
     pub fn picture(&mut self, now: Time) -> ShardPicture {
         let sent = self.retries.fleet().map(|budget| budget.history(now)).unwrap_or_default();
-        ShardPicture { shard: self.id.clone(), beliefs: self.health.beliefs(now), sent }
+        let (beliefs, rates) = (self.health.beliefs(now), self.pool.rate_limits(now));
+        ShardPicture { shard: self.id.clone(), beliefs, sent, rates }
     }
 
     /// Notes that other VMs were asked for a picture; until one comes, or none can be
@@ -185,6 +205,11 @@
         if let Some(budget) = self.retries.fleet() {
             budget.on_history(now, &picture.sent);
         }
+        for (key, rate) in &picture.rates {
+            if let Some(endpoint) = self.pool.name_of(*key) {
+                self.on_rate_limit(now, &endpoint, named_at(now, *rate), Some(rate.limit));
+            }
+        }
         self.pool.refresh(now, &self.health);
         self.advance(now)
     }
@@ -239,6 +264,7 @@
                     age_us: now.since(at).as_micros() as u64,
                     ..ended
                 }),
+                rate: self.pool.rate_news(now, name),
             };
             let endpoints = part.iter().map(endpoint).collect();
             let (shard, finished) = (self.id.clone(), self.strain.take_untold());
@@ -246,3 +272,12 @@
         }
     }
 }
+
+/// Returns when the request was sent whose answer named a limit.
+fn named_at(now: Time, rate: RateNews) -> Time {
+    before(now, u64::from(rate.age_ms) * 1_000)
+}
+
+fn before(now: Time, age_us: u64) -> Time {
+    Time::from_micros(now.as_micros().saturating_sub(age_us))
+}
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use rand::{Rng, SeedableRng};
+use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
@@ -19,7 +19,7 @@
     limit::AdaptiveLimit,
     mechanism::Mechanisms,
     name::Name,
-    rate_limit::RateLimit,
+    rate_limit::{RateLimit, RateNews, RateShare, SharedRate},
     time::Time,
 };
 
@@ -54,8 +54,10 @@
     last_sent: Time,
     /// Whether it joined while this VM was at work, and nobody has tried it yet.
     is_untried: bool,
-    /// Requests a second that the endpoint takes from all VMs, if it named a limit last.
-    rate_limit: Option<RateLimit>,
+    /// What may be sent in a second, if the endpoint ever named a limit.
+    rate: Option<SharedRate>,
+    /// Whether its limit leaves no room for requests of this VM.
+    is_left_to_others: bool,
     /// Requests that other VMs have in flight, each count with its last moment.
     peers: Vec<(Name, u32, Time)>,
 }
@@ -66,13 +68,20 @@
         self.peers.iter().map(|(_, count, _)| count).sum()
     }
 
-    /// Returns whether it gets work and has a slot for one more request.
-    fn is_free(&self) -> bool {
-        self.accepts_work() && self.in_flight < self.limit
+    /// Returns whether it gets work and has a slot for one more request now.
+    fn is_free(&self, now: Time, share: RateShare) -> bool {
+        let may_send = self.rate.as_ref().is_none_or(|rate| rate.may_send(now, share));
+        may_send && self.accepts_work() && self.in_flight < self.limit
+    }
+
+    /// Returns the limit that the endpoint names.
+    pub(super) fn rate_limit(&self) -> Option<RateLimit> {
+        self.rate.as_ref().and_then(SharedRate::limit)
     }
 
     fn accepts_work(&self) -> bool {
         self.is_configured
+            && !self.is_left_to_others
             && !self.endpoint.leaving
             && self.share > 0.0
             && !matches!(self.standing, Standing::Ejected | Standing::Draining)
@@ -130,6 +139,11 @@
     in_flight: u32,
     in_flight_limit: u32,
     capacity: u32,
+    /// Requests a second that endpoints which name a limit take from this VM.
+    limited_per_second: f64,
+    rate_share: RateShare,
+    /// VMs that dispatch to the endpoints.
+    dispatchers: u32,
     /// Slots whose attempt ended without an answer, by the time they are free.
     lingering: BTreeSet<(Time, u64, Name)>,
     next_serial: u64,
@@ -153,6 +167,9 @@
             in_flight: 0,
             in_flight_limit: 0,
             capacity: 0,
+            limited_per_second: 0.0,
+            rate_share: RateShare::default(),
+            dispatchers: 1,
             lingering: BTreeSet::new(),
             next_serial: 0,
             changed: Vec::new(),
@@ -209,7 +226,8 @@
                 last_seen: None,
                 last_sent: Time::ZERO,
                 is_untried: self.mechanisms.joiners_first,
-                rate_limit: None,
+                rate: None,
+                is_left_to_others: false,
                 peers: Vec::new(),
             });
             slots.is_configured = true;
@@ -239,6 +257,8 @@
         let is_settling = now < self.settled_at;
         let mut all_slots = 0;
         self.capacity = 0;
+        self.limited_per_second = 0.0;
+        let share = self.rate_share;
         for (name, slots) in &mut self.slots {
             slots.standing = health.standing(name);
             if now >= slots.foreign_until {
@@ -251,8 +271,12 @@
             slots.is_untried &= slots.last_seen.is_none();
             slots.share = health.share(now, name);
             slots.limit = limit(slots, self.mode, is_settling);
-            if slots.accepts_work() {
-                self.capacity += slots.limit;
+            let rate_limit = slots.rate_limit();
+            slots.is_left_to_others = rate_limit.is_some() && share.part == 0.0;
+            match rate_limit {
+                _ if !slots.accepts_work() => {}
+                Some(limit) => self.limited_per_second += limit.used_per_second(share.part),
+                None => self.capacity += slots.limit,
             }
             if slots.is_configured {
                 all_slots += slots.endpoint.slots;
@@ -263,9 +287,22 @@
             ShardMode::Careful => (all_slots / CAREFUL_DIVISOR).max(1),
         };
         self.capacity = self.capacity.min(self.in_flight_limit);
+        self.limited_per_second /= f64::from(self.dispatchers);
+    }
+
+    /// Sets how this VM takes part in keeping the limits that endpoints name.
+    pub(super) fn set_rate_share(&mut self, rate_share: RateShare, dispatchers: u32) {
+        self.rate_share = rate_share;
+        self.dispatchers = dispatchers.max(1);
+    }
+
+    /// Returns the requests a second that this VM can send to endpoints that name a limit.
+    pub(super) fn limited_per_second(&self) -> f64 {
+        self.limited_per_second
     }
 
-    /// Returns the requests that may be in flight at the same time.
+    /// Returns the requests that may be in flight at the same time at endpoints that name no
+    /// limit.
     pub(super) fn capacity(&self) -> u32 {
         self.capacity
     }
@@ -285,9 +322,11 @@
             .count()
     }
 
-    pub(super) fn has_free_slot(&self) -> bool {
-        self.in_flight < self.in_flight_limit
-            && self.slots.values().any(|slots| slots.is_free() && slots.standing != Standing::Trial)
+    pub(super) fn has_free_slot(&self, now: Time) -> bool {
+        let is_free = |slots: &Slots| {
+            slots.is_free(now, self.rate_share) && slots.standing != Standing::Trial
+        };
+        self.in_flight < self.in_flight_limit && self.slots.values().any(is_free)
     }
 
     /// Chooses the endpoint of an attempt among those with a free slot.
@@ -305,7 +344,7 @@
         let explores = wanted.idempotent && self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN);
         let mut best: Option<(PickOrder, &Slots)> = None;
         for slots in self.slots.values() {
-            if !slots.is_free() {
+            if !slots.is_free(wanted.now, self.rate_share) {
                 continue;
             }
             let is_tried = wanted.tried.contains(&slots.endpoint.name);
@@ -357,6 +396,9 @@
             slots.last_sent = now;
             slots.in_flight += 1;
             self.in_flight += 1;
+            if let Some(rate) = &mut slots.rate {
+                rate.on_sent(now, self.rate_share, self.rng.random());
+            }
             self.changed.push(slots.endpoint.name.clone());
         }
     }
@@ -390,10 +432,45 @@
         }
     }
 
-    /// Takes the limit that an endpoint names in an answer; returns whether it changed.
-    pub(super) fn on_rate_limit(&mut self, name: &str, limit: Option<RateLimit>) -> bool {
+    /// Takes the limit that an endpoint names, or no longer names, in its answer to a request
+    /// that was sent at `sent_at`; returns whether it changed.
+    pub(super) fn on_rate_limit(
+        &mut self,
+        now: Time,
+        name: &str,
+        sent_at: Time,
+        limit: Option<RateLimit>,
+    ) -> bool {
         let Some(slots) = self.slots.get_mut(name) else { return false };
-        std::mem::replace(&mut slots.rate_limit, limit) != limit
+        match (&mut slots.rate, limit) {
+            (Some(rate), limit) => rate.on_answer(sent_at, limit),
+            (None, Some(limit)) => {
+                let (share, turn) = (self.rate_share, self.rng.random());
+                slots.rate = Some(SharedRate::new(now, sent_at, limit, share, turn));
+                true
+            }
+            (None, None) => false,
+        }
+    }
+
+    /// Takes what another VM has sent to an endpoint that names a limit.
+    pub(super) fn on_peer_rate(&mut self, now: Time, name: &str, peer: &Name, sent: u32) {
+        if let Some(rate) = self.slots.get_mut(name).and_then(|slots| slots.rate.as_mut()) {
+            rate.on_peer(now, peer, sent, self.rate_share, self.rng.random());
+        }
+    }
+
+    /// Returns what other VMs are told of an endpoint that names a limit.
+    pub(super) fn rate_news(&self, now: Time, name: &str) -> Option<RateNews> {
+        self.slots.get(name).and_then(|slots| slots.rate.as_ref()?.news(now))
+    }
+
+    /// Returns all endpoints that name a limit.
+    pub(super) fn rate_limits(&self, now: Time) -> Vec<(EndpointKey, RateNews)> {
+        let limited = self.slots.iter().filter_map(|(name, slots)| {
+            Some((EndpointKey::of(name), slots.rate.as_ref()?.news(now)?))
+        });
+        limited.collect()
     }
 
     pub(super) fn on_success(&mut self, name: &str) {
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -47,7 +47,8 @@
         };
         let mut best: Option<(RiskOrder, &Slots)> = None;
         for slots in self.slots.values() {
-            if !may_take(slots, &wanted, &turn) {
+            let is_free = slots.is_free(wanted.now, self.rate_share);
+            if !is_free || !may_take(slots, &wanted, &turn) {
                 continue;
             }
             let is_tried = wanted.tried.contains(&slots.endpoint.name);
@@ -138,9 +139,6 @@
 }
 
 fn may_take(slots: &Slots, wanted: &Wanted<'_>, turn: &Turn) -> bool {
-    if !slots.is_free() {
-        return false;
-    }
     let is_tried = wanted.tried.contains(&slots.endpoint.name);
     let is_trial = slots.standing == Standing::Trial;
     let is_unfit = is_trial && (is_tried || !wanted.idempotent || !wanted.may_try);
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -121,6 +121,7 @@
             endpoint: EndpointKey::of(endpoint),
             in_flight,
             ended: None,
+            rate: None,
         }],
     }
 }
--- a/crates/pistachiotrack/tests/views.rs
+++ b/crates/pistachiotrack/tests/views.rs
@@ -101,11 +101,17 @@
         "limit": 2, "evidence": 3.456, "reason": reason})
 }
 
+/// Returns an endpoint that names a limit in requests a second.
+fn limited(mut endpoint: Value, per_second: f64) -> Value {
+    endpoint["rate_limit"] = json!(per_second);
+    endpoint
+}
+
 #[test]
 fn endpoints_of_all_owners_are_one_sorted_table() {
     let first = FakeVm::with_pages(&[(
         "/endpoints",
-        json!([endpoint("slot-search", "search-1", "ejected", json!("straggling"))]),
+        json!([limited(endpoint("slot-search", "search-1", "ejected", json!("straggling")), 2.5)]),
     )]);
     let second = FakeVm::with_pages(&[(
         "/endpoints",
@@ -117,10 +123,10 @@
     let words = outcome.words();
     let lines: Vec<&str> = words.lines().collect();
     assert_eq!(lines.len(), 3, "{words}");
-    assert_eq!(lines[1], format!("booking booking-1 healthy 1 2 3.46 - {}", second.address));
+    assert_eq!(lines[1], format!("booking booking-1 healthy 1 2 - 3.46 - {}", second.address));
     assert_eq!(
         lines[2],
-        format!("slot-search search-1 ejected 1 2 3.46 straggling {}", first.address)
+        format!("slot-search search-1 ejected 1 2 2.5 3.46 straggling {}", first.address)
     );
 }
 
@@ -146,7 +152,7 @@
     let all = run(&["endpoints", "--all", "--admin", &addresses]).words();
 
     let row = |service, state, vm: &FakeVm| {
-        format!("{service} endpoint-1 {state} 1 2 3.46 - {}", vm.address)
+        format!("{service} endpoint-1 {state} 1 2 - 3.46 - {}", vm.address)
     };
     assert!(owners.contains(&row("booking", "ejected", &owner)), "{owners}");
     assert!(owners.contains(&row("calendar", "trial", &other)), "{owners}");
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -13,8 +13,9 @@
     message::MAX_DATAGRAM_BYTES,
     name::Name,
     ownership::ShardId,
-    retry::DispatchersInView,
-    shard::{Guests, ShardNews, ShardPicture},
+    rate_limit::RateNews,
+    retry::{DispatchersInView, Sent},
+    shard::{EndpointKey, Guests, ShardNews, ShardPicture},
     time::Time,
     vm::Vm,
 };
@@ -32,7 +33,7 @@
 /// others.
 pub(crate) const NEWS_TAGS: RangeInclusive<u8> = 0x80..=0x8f;
 /// First byte in this version.
-const NEWS_TAG: u8 = 0x81;
+const NEWS_TAG: u8 = 0x82;
 /// Time between two lines about datagrams that are not used.
 const UNUSED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Dispatchers that are asked for a picture.
@@ -40,6 +41,8 @@
 /// Endpoints in one datagram with a picture: each takes about 20 bytes of the 1,200
 /// that one may have.
 const BELIEFS_PER_DATAGRAM: usize = 40;
+/// Endpoints that name a limit in one datagram with a picture: each takes about 25 bytes.
+const RATES_PER_DATAGRAM: usize = 32;
 
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
@@ -191,13 +194,30 @@
             // The VM that asks waits for an answer, and may need the retries sent.
             parts.push(&[]);
         }
+        let rates = std::mem::take(&mut picture.rates);
+        let mut rates = rates.chunks(RATES_PER_DATAGRAM);
         for beliefs in parts {
             let sent = std::mem::take(&mut picture.sent);
-            let part =
-                ShardPicture { shard: picture.shard.clone(), beliefs: beliefs.to_vec(), sent };
-            if let Some(bytes) = self.encode(NewsContent::Picture(part)) {
-                self.send(to, &bytes, Topic::Picture, place);
-            }
+            self.send_picture(to, place, picture.shard.clone(), beliefs, sent, &[]);
+        }
+        for rates in &mut rates {
+            self.send_picture(to, place, picture.shard.clone(), &[], Vec::new(), rates);
+        }
+    }
+
+    fn send_picture(
+        &self,
+        to: SocketAddr,
+        place: Place,
+        shard: ShardId,
+        beliefs: &[BeliefOf],
+        sent: Vec<Sent>,
+        rates: &[(EndpointKey, RateNews)],
+    ) {
+        let (beliefs, rates) = (beliefs.to_vec(), rates.to_vec());
+        let part = ShardPicture { shard, beliefs, sent, rates };
+        if let Some(bytes) = self.encode(NewsContent::Picture(part)) {
+            self.send(to, &bytes, Topic::Picture, place);
         }
     }
 
