Soak: a request that crashes endpoints, endpoints that name a limit, and a promise for each

CrashesHeldBack and LimitKept are checked from what endpoints saw, with the users' bounds, outside of what faults, restarts and pauses of VMs excuse.

--- a/crates/pistachiotrack-standins/src/endpoint.rs
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -1,7 +1,7 @@
 //! A stand-in of an endpoint with a few slots and a switchboard of faults.
 
 use std::{
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -14,7 +14,10 @@
 use pistachiotrack_core::{header, service::DEFAULT_PROBE_PATH};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::{
+    sync::{Notify, Semaphore, SemaphorePermit},
+    task::JoinHandle,
+};
 
 use crate::{
     fault::Faults,
@@ -71,11 +74,25 @@
     pub peak: u32,
 }
 
+/// Query of a request that crashes the endpoint that runs it.
+pub const CRASH_QUERY: &str = "crash";
+/// Time for which a crashed endpoint takes no connections.
+pub const CRASH_DOWN: Duration = Duration::from_millis(1_500);
+/// Pause before a crashed endpoint's address is tried again, if it can't be had.
+const REBIND_PAUSE: Duration = Duration::from_millis(100);
+
 /// A running endpoint.
 #[derive(Debug)]
 pub struct Endpoint {
     shared: Arc<Shared>,
-    server: Server,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 #[derive(Debug)]
@@ -91,6 +108,11 @@
     shed: AtomicU64,
     cancelled: AtomicU64,
     peak: AtomicU32,
+    /// Requests a second that its answers name as its limit.
+    rate_limit: Mutex<Option<f64>>,
+    crash: Notify,
+    /// Moments at which it began to run a request that crashes it.
+    crash_runs: Mutex<Vec<Instant>>,
 }
 
 impl Endpoint {
@@ -114,18 +136,31 @@
             shed: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             peak: AtomicU32::new(0),
+            rate_limit: Mutex::default(),
+            crash: Notify::new(),
+            crash_runs: Mutex::default(),
             settings,
         });
-        let handler = Arc::clone(&shared);
-        let server =
-            Server::start(move |request, opened| Arc::clone(&handler).answer(request, opened))
-                .await?;
-        Ok(Endpoint { shared, server })
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let server = Arc::clone(&shared).serve(any).await?;
+        let address = server.address();
+        let task = tokio::spawn(Arc::clone(&shared).serve_through_crashes(server));
+        Ok(Endpoint { shared, address, task })
     }
 
     /// Returns the address that the endpoint serves on.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
+    }
+
+    /// Sets the requests a second that its answers name as its limit.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        *lock(&self.shared.rate_limit) = per_second;
+    }
+
+    /// Returns the moments at which it began to run a request that crashes it.
+    pub fn crash_runs(&self) -> Vec<Instant> {
+        lock(&self.shared.crash_runs).clone()
     }
 
     /// Returns the name of the endpoint.
@@ -156,6 +191,27 @@
 }
 
 impl Shared {
+    async fn serve(self: Arc<Self>, address: SocketAddr) -> std::io::Result<Server> {
+        let handler = move |request, opened| Arc::clone(&self).answer(request, opened);
+        Server::start_at(address, handler).await
+    }
+
+    /// Closes the port and all connections at each crash, and serves again after a while.
+    async fn serve_through_crashes(self: Arc<Self>, mut server: Server) {
+        let address = server.address();
+        loop {
+            self.crash.notified().await;
+            drop(server);
+            tokio::time::sleep(CRASH_DOWN).await;
+            server = loop {
+                match Arc::clone(&self).serve(address).await {
+                    Ok(server) => break server,
+                    Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+                }
+            };
+        }
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>, opened: Instant) -> Answer {
         let arrived = Instant::now();
         if self.faults(arrived).silences(opened) {
@@ -185,10 +241,11 @@
 
     async fn work(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
         let Some(id) = work_id(request.headers()) else { return empty(400) };
+        let crashes = request.uri().query() == Some(CRASH_QUERY);
         let deadline = time_left(request.headers()).map(|left| arrived + left);
         lock(&self.arrivals).push(arrived);
         let cancelled = CancelCount::new(&self.cancelled);
-        let answer = self.work_in_time(id, request, deadline).await;
+        let answer = self.work_in_time(id, request, deadline, crashes).await;
         cancelled.disarm();
         answer
     }
@@ -198,6 +255,7 @@
         id: WorkId,
         request: Request<Incoming>,
         deadline: Option<Instant>,
+        crashes: bool,
     ) -> Answer {
         if self.faults(Instant::now()).shedding {
             return self.refuse();
@@ -212,6 +270,12 @@
             return empty(400);
         }
         self.ledger.record(id);
+        if crashes {
+            lock(&self.crash_runs).push(Instant::now());
+            tokio::time::sleep(self.service_time(1.0)).await;
+            self.crash.notify_one();
+            return std::future::pending().await;
+        }
         tokio::select! {
             answer = self.run(id) => answer,
             () = passed(deadline) => empty(504),
@@ -253,6 +317,11 @@
         let faults = self.faults(Instant::now());
         let load = faults.reported_load.unwrap_or(self.held.load(Ordering::Relaxed));
         headers.insert(header::LOAD, HeaderValue::from(load));
+        if let Some(per_second) = *lock(&self.rate_limit)
+            && let Ok(limit) = HeaderValue::from_str(&per_second.to_string())
+        {
+            headers.insert(header::RATE_LIMIT, limit);
+        }
         if faults.draining {
             headers.insert(header::DRAINING, HeaderValue::from_static("true"));
         }
--- a/crates/pistachiotrack-standins/src/server.rs
+++ b/crates/pistachiotrack-standins/src/server.rs
@@ -1,6 +1,11 @@
 //! A small HTTP server that ends with the value that stands for it.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, time::Instant};
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::{Ipv4Addr, SocketAddr},
+    time::Instant,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -35,7 +40,20 @@
         H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Answer> + Send + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Server::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), handler).await
+    }
+
+    /// Starts a server on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be had.
+    pub async fn start_at<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Server>
+    where
+        H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         Ok(Server { address, task: tokio::spawn(accept(listener, handler)) })
     }
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -22,7 +22,7 @@
     caller::KeptCaller,
     clock::RunClock,
     oracle::{Asked, LoggedRefusals, Record, VersionSeen, Violation, violations},
-    plan::{MAX_RELAYED_VMS, Plan},
+    plan::{Event, MAX_RELAYED_VMS, Plan},
     vms::Vms,
     world::World,
 };
@@ -191,7 +191,9 @@
     let daemons = names.iter().map(|vm| fleet.take(vm)).collect::<anyhow::Result<_>>()?;
     let vms = Vms::new(daemons, binary, clock);
     let descriptors_before = vms.descriptors().into_iter().max().unwrap_or(0);
-    let world = Arc::new(World::new(deployment, vms.clone(), links, clock));
+    let ids = WorkIds::default();
+    let world = World::new(deployment, vms.clone(), links, clock, addresses.clone(), ids.clone());
+    let world = Arc::new(world);
 
     let versions: Arc<Mutex<Vec<VersionSeen>>> = Arc::default();
     let mut watchers = JoinSet::new();
@@ -204,7 +206,7 @@
         let (world, vms) = (Arc::clone(&world), plan.vms);
         steps.spawn(async move { world.play(&step, vms).await });
     }
-    let mut asked = load(plan, &world, addresses, clock).await;
+    let mut asked = load(plan, &world, addresses, clock, ids).await;
     let end_ms = clock.now_ms();
     while steps.join_next().await.is_some() {}
     tokio::time::sleep(AFTERMATH).await;
@@ -213,6 +215,7 @@
 
     asked.sort_by_key(|asked| asked.sent_ms);
     let (published, left) = world.published();
+    let (limited, crash_runs_ms) = world.endpoints_seen();
     let ledger = &world.deployment.ledger;
     let logged = logged_refusals(directory, names)?;
     let record = Record {
@@ -220,8 +223,11 @@
         versions: versions.lock().unwrap_or_else(PoisonError::into_inner).clone(),
         published,
         left,
+        limited,
+        crash_runs_ms,
         processes: vms.processes(),
-        faults: faults(plan),
+        faults: faults(plan, |_| true),
+        vm_faults: faults(plan, |event| !matches!(event, Event::CrashingRequest { .. })),
         logged,
         end_ms,
         asked,
@@ -246,9 +252,10 @@
     Ok(logged)
 }
 
-fn faults(plan: &Plan) -> Vec<(u64, u64)> {
+/// Returns from when to when the faults among a plan's events last that `counts` holds for.
+fn faults(plan: &Plan, counts: impl Fn(&Event) -> bool) -> Vec<(u64, u64)> {
     let fault = |step: &plan::Step| Some((step.at_ms, step.at_ms + step.event.fault_ms()?));
-    plan.steps.iter().filter_map(fault).collect()
+    plan.steps.iter().filter(|step| counts(&step.event)).filter_map(fault).collect()
 }
 
 /// Sends requests for as long as the plan says, and returns what came of them.
@@ -257,9 +264,9 @@
     world: &World,
     addresses: Vec<std::net::SocketAddr>,
     clock: RunClock,
+    ids: WorkIds,
 ) -> Vec<Asked> {
     let operations = operations(Kind::Timeliten.work(), &world.deployment.config, LOAD);
-    let ids = WorkIds::default();
     let (ends, ended) = watch::channel(false);
     let mut kept = JoinSet::new();
     for (vm, address) in addresses.iter().copied().enumerate().take(KEPT_CALLERS) {
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -22,6 +22,15 @@
 /// connection.
 const CROSSING_MS: u64 = 200;
 
+/// Crashes after which the request under which endpoints end counts as the cause, and how
+/// often it may run later than all VMs have to know.
+const CAUSE_CRASHES: usize = 3;
+const LATE_CRASHES: usize = 3;
+/// Time over which requests to an endpoint that names a limit are counted.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+/// How far they may exceed what the limit allows: a factor, and requests besides.
+const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
+
 /// Time that a line needs from the decision to the log.
 const LOG_MS: u64 = 1_000;
 
@@ -48,6 +57,10 @@
     StaysUp,
     /// A refusal leaves its line in a log.
     RefusalLogged,
+    /// A request that crashes endpoints is held back.
+    CrashesHeldBack,
+    /// An endpoint gets no more than the limit that it names.
+    LimitKept,
 }
 
 /// A promise that was broken.
@@ -119,6 +132,19 @@
     pub arrivals_ms: Vec<u64>,
 }
 
+/// An endpoint while it names a limit.
+#[derive(Clone, Debug)]
+pub struct Limited {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Requests a second that it takes from all VMs together.
+    pub per_second: f64,
+    /// When it ceased to name the limit.
+    pub until_ms: u64,
+    /// Moments at which work arrived meanwhile; the answer to the first named the limit first.
+    pub arrivals_ms: Vec<u64>,
+}
+
 /// A process of a VM.
 #[derive(Clone, Copy, Debug)]
 pub struct Process {
@@ -176,10 +202,16 @@
     pub published: Vec<Published>,
     /// Endpoints that left.
     pub left: Vec<Left>,
+    /// Endpoints that named a limit.
+    pub limited: Vec<Limited>,
+    /// Moments at which endpoints began to run the request that crashes them, in their order.
+    pub crash_runs_ms: Vec<u64>,
     /// Processes.
     pub processes: Vec<Process>,
     /// Faults, from and to.
     pub faults: Vec<(u64, u64)>,
+    /// Those of VMs, of what is between them, and of endpoints by themselves.
+    pub vm_faults: Vec<(u64, u64)>,
     /// What the VMs logged of refusals.
     pub logged: LoggedRefusals,
     /// End of the load.
@@ -208,6 +240,8 @@
     record.late_versions(&mut broken);
     record.late_arrivals(&mut broken);
     record.unmeant_ends(&mut broken);
+    record.late_crashes(&mut broken);
+    record.exceeded_limits(&mut broken);
     if let Some(seen) = record.not_recovered() {
         broken(Promise::Recovery, seen);
     }
@@ -340,6 +374,48 @@
         }
     }
 
+    /// Returns whether all VMs ran and heard each other for a while before `at_ms`.
+    fn is_calm(&self, at_ms: u64) -> bool {
+        let since_ms = at_ms.saturating_sub(SETTLE_MS);
+        let is_fault = |(from, to): &(u64, u64)| *from <= at_ms && since_ms <= *to;
+        let is_start = |process: &Process| (since_ms..=at_ms).contains(&process.started_ms);
+        !self.vm_faults.iter().any(is_fault) && !self.processes.iter().any(is_start)
+    }
+
+    fn late_crashes(&self, broken: &mut impl FnMut(Promise, String)) {
+        let Some(third_ms) = self.crash_runs_ms.get(CAUSE_CRASHES - 1) else { return };
+        let known_ms = third_ms + SETTLE_MS;
+        let late = self.crash_runs_ms.iter().filter(|at| **at > known_ms && self.is_calm(**at));
+        let late_ms: Vec<u64> = late.copied().collect();
+        if late_ms.len() > LATE_CRASHES {
+            let seen = format!("third crash at {third_ms} ms, further runs at {late_ms:?}");
+            broken(Promise::CrashesHeldBack, seen);
+        }
+    }
+
+    fn exceeded_limits(&self, broken: &mut impl FnMut(Promise, String)) {
+        for Limited { endpoint, per_second, until_ms, arrivals_ms } in &self.limited {
+            let Some(first_ms) = arrivals_ms.first() else { continue };
+            let allowed = LIMIT_TOLERANCE.0 * per_second * (LIMIT_WINDOW_MS as f64 / 1_000.0)
+                + LIMIT_TOLERANCE.1;
+            let known = arrivals_ms.iter().filter(|at| **at >= first_ms + SETTLE_MS);
+            let worst = known
+                .map(|from| {
+                    let window = *from..(from + LIMIT_WINDOW_MS).min(*until_ms);
+                    let in_window = arrivals_ms.iter().filter(|at| window.contains(at));
+                    (in_window.filter(|at| self.is_calm(**at)).count(), *from)
+                })
+                .max();
+            if let Some((count, from_ms)) = worst.filter(|(count, _)| *count as f64 > allowed) {
+                let seen = format!(
+                    "{endpoint}, limit {per_second} a second, got {count} from {from_ms} ms on, \
+                     {allowed} allowed"
+                );
+                broken(Promise::LimitKept, seen);
+            }
+        }
+    }
+
     fn not_recovered(&self) -> Option<String> {
         let last_fault_ms = self.faults.iter().map(|(_, end)| *end).max()?;
         let from_ms = last_fault_ms + RECOVER_MS;
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -56,6 +56,15 @@
         /// Time until it is taken back.
         for_ms: u64,
     },
+    /// An endpoint names a limit in requests a second, and takes it back.
+    NameLimit {
+        /// Position of the endpoint among all.
+        endpoint: usize,
+        /// The limit, in tenths of a request.
+        tenths_per_second: u32,
+        /// Time until it is taken back.
+        for_ms: u64,
+    },
     /// Operators publish something that isn't valid.
     PublishInvalid,
     /// VMs are killed, and start again.
@@ -106,6 +115,11 @@
         /// Time until it is well.
         for_ms: u64,
     },
+    /// A request that crashes the endpoints that run it comes again and again.
+    CrashingRequest {
+        /// Time for which it does.
+        for_ms: u64,
+    },
     /// The platform's services fail.
     PlatformAway {
         /// What they do.
@@ -230,7 +244,9 @@
 
     fn endpoint(&self) -> Option<usize> {
         match self {
-            Event::Leave { endpoint, .. } | Event::Sick { endpoint, .. } => Some(*endpoint),
+            Event::Leave { endpoint, .. }
+            | Event::NameLimit { endpoint, .. }
+            | Event::Sick { endpoint, .. } => Some(*endpoint),
             _ => None,
         }
     }
@@ -244,10 +260,12 @@
             | Event::CutOff { for_ms, .. }
             | Event::BadLinks { for_ms, .. }
             | Event::Sick { for_ms, .. }
+            | Event::CrashingRequest { for_ms }
             | Event::PlatformAway { for_ms, .. } => Some(*for_ms),
             Event::Terminate { .. }
             | Event::HangUp { .. }
             | Event::Leave { .. }
+            | Event::NameLimit { .. }
             | Event::PublishInvalid => None,
         }
     }
@@ -283,14 +301,19 @@
 
     fn planned(&mut self) -> Event {
         let vm = self.vm();
-        match self.random.random_range(0..10) {
+        match self.random.random_range(0..12) {
             0..5 => Event::Terminate { vm, restart_after_ms: self.random.random_range(50..2_000) },
             5..7 => Event::HangUp { vm },
             7..9 => Event::Leave {
                 endpoint: self.endpoint(),
                 for_ms: self.random.random_range(500..20_000),
             },
-            _ => Event::PublishInvalid,
+            9 => Event::PublishInvalid,
+            _ => Event::NameLimit {
+                endpoint: self.endpoint(),
+                tenths_per_second: self.random.random_range(5..50),
+                for_ms: self.random.random_range(8_000..25_000),
+            },
         }
     }
 
@@ -306,7 +329,7 @@
     fn any_fault(&mut self) -> Event {
         let vm = self.vm();
         let for_ms = self.random.random_range(200..5_000);
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..13) {
             0..2 => self.kill(vm, for_ms),
             2..4 => Event::Pause { vm, for_ms },
             4..6 => Event::CutOneWay { from: vm, to: self.vm(), for_ms },
@@ -316,6 +339,7 @@
                 delay_ms: self.random.random_range(0..50),
                 for_ms,
             },
+            12 => Event::CrashingRequest { for_ms: self.random.random_range(3_000..15_000) },
             8..10 => {
                 let how = [
                     Sickness::Gray,
--- a/crates/pistachiotrack-standins/src/soak/world.rs
+++ b/crates/pistachiotrack-standins/src/soak/world.rs
@@ -1,27 +1,46 @@
 //! A run's deployment and what is done to it.
 
 use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use pistachiotrack_core::config::Config;
+use pistachiotrack_core::{config::Config, request::Class};
+use tokio::task::JoinSet;
 
 use super::{
     clock::RunClock,
-    oracle::{Left, Published},
+    oracle::{Left, Limited, Published},
     plan::{Absence, Event, Sickness, Step},
     vms::Vms,
 };
 use crate::{
+    caller::{Caller, Operation},
     deployment::Deployment,
+    endpoint::Endpoint,
     fault::Faults,
     link::{Link, Links},
+    load::WorkIds,
     platform::Availability,
 };
 
 /// Time after which operators mend a value that isn't valid.
 const MEND_AFTER: Duration = Duration::from_millis(1_500);
+/// Time between two sendings of a request that crashes endpoints.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(150);
+/// A lookup that crashes the endpoint that runs it.
+const CRASHING: Operation = Operation {
+    customer: "timeliten",
+    service: "centre-calendars",
+    method: "GET",
+    path: "/calendars/majorstuen?crash",
+    class: Class::Interactive,
+    non_idempotent: false,
+    deadline_ms: 2_000,
+    rate_per_s: 0.0,
+};
 const SILENT: Link = Link { silent: true, drop_share: 0.0, delay: Duration::ZERO };
 
 /// A run's deployment and what is done to it.
@@ -32,6 +51,9 @@
     links: Links,
     state: Mutex<State>,
     clock: RunClock,
+    /// Addresses of the VMs for callers.
+    addresses: Vec<SocketAddr>,
+    ids: WorkIds,
 }
 
 #[derive(Debug)]
@@ -39,6 +61,9 @@
     config: Config,
     published: Vec<Published>,
     left: Vec<Left>,
+    /// Endpoints that name a limit now.
+    limiting: BTreeSet<usize>,
+    limited: Vec<Limited>,
     /// Directions that are cut, as often as something cuts them.
     cuts: Vec<(usize, usize)>,
     /// Faults of all links, as far as they hold.
@@ -46,15 +71,24 @@
 }
 
 impl World {
-    pub(super) fn new(deployment: Deployment, vms: Vms, links: Links, clock: RunClock) -> World {
+    pub(super) fn new(
+        deployment: Deployment,
+        vms: Vms,
+        links: Links,
+        clock: RunClock,
+        addresses: Vec<SocketAddr>,
+        ids: WorkIds,
+    ) -> World {
         let state = State {
             config: deployment.config.clone(),
             published: Vec::new(),
             left: Vec::new(),
+            limiting: BTreeSet::new(),
+            limited: Vec::new(),
             cuts: Vec::new(),
             bad_links: Vec::new(),
         };
-        World { deployment, vms, links, state: Mutex::new(state), clock }
+        World { deployment, vms, links, state: Mutex::new(state), clock, addresses, ids }
     }
 
     /// Waits for a step's time, has it happen, and ends it when it is over.
@@ -75,6 +109,10 @@
                 self.vms.resume(*vm);
             }
             Event::Leave { endpoint, for_ms } => self.leave(*endpoint, *for_ms).await,
+            Event::NameLimit { endpoint, tenths_per_second, for_ms } => {
+                self.name_limit(*endpoint, f64::from(*tenths_per_second) / 10.0, *for_ms).await;
+            }
+            Event::CrashingRequest { for_ms } => self.send_crashing(*for_ms).await,
             Event::PublishInvalid => self.publish_invalid().await,
             Event::CutOneWay { from, to, for_ms } => self.cut(&[(*from, *to)], *for_ms).await,
             Event::CutOff { vm, for_ms } => {
@@ -128,6 +166,40 @@
         self.lock().left.push(left);
     }
 
+    async fn name_limit(&self, endpoint: usize, per_second: f64, for_ms: u64) {
+        let limited = &self.deployment.endpoints[endpoint];
+        if !self.lock().limiting.insert(endpoint) {
+            return;
+        }
+        let from = Instant::now();
+        limited.set_rate_limit(Some(per_second));
+        pause(for_ms).await;
+        let until_ms = self.clock.now_ms();
+        limited.set_rate_limit(None);
+        let arrivals = limited.arrivals_since(from).into_iter();
+        let arrivals_ms = arrivals.map(|at| self.clock.ms(at)).collect();
+        let endpoint_name = limited.name().to_owned();
+        let mut state = self.lock();
+        state.limiting.remove(&endpoint);
+        state.limited.push(Limited { endpoint: endpoint_name, per_second, until_ms, arrivals_ms });
+    }
+
+    /// Sends a request that crashes endpoints to one VM after the other.
+    async fn send_crashing(&self, for_ms: u64) {
+        let until = Instant::now() + Duration::from_millis(for_ms);
+        let mut sent = JoinSet::new();
+        for address in self.addresses.iter().cycle() {
+            if Instant::now() >= until {
+                break;
+            }
+            let caller = Caller::direct(vec![*address]);
+            let id = self.ids.next();
+            sent.spawn(async move { caller.send(&CRASHING, id).await });
+            tokio::time::sleep(CRASHING_INTERVAL).await;
+        }
+        sent.join_all().await;
+    }
+
     async fn publish_invalid(&self) {
         {
             let mut state = self.lock();
@@ -187,6 +259,14 @@
         }
     }
 
+    /// Returns endpoints that named a limit, and when the request that crashes endpoints ran.
+    pub(super) fn endpoints_seen(&self) -> (Vec<Limited>, Vec<u64>) {
+        let runs = self.deployment.endpoints.iter().flat_map(Endpoint::crash_runs);
+        let mut runs_ms: Vec<u64> = runs.map(|at| self.clock.ms(at)).collect();
+        runs_ms.sort_unstable();
+        (self.lock().limited.clone(), runs_ms)
+    }
+
     /// Returns what operators did.
     pub(super) fn published(&self) -> (Vec<Published>, Vec<Left>) {
         let state = self.lock();
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -7,8 +7,8 @@
     caller::Ending,
     soak::{
         oracle::{
-            Asked, IN_FORCE_MS, Left, LoggedRefusals, Process, Promise, Published, RECOVER_MS,
-            Record, VersionSeen, violations,
+            Asked, IN_FORCE_MS, Left, Limited, LoggedRefusals, Process, Promise, Published,
+            RECOVER_MS, Record, VersionSeen, violations,
         },
         plan::Plan,
     },
@@ -66,7 +66,15 @@
         published: vec![Published { at_ms: 2_000, version: 2 }],
         left: vec![left],
         processes: vec![Process { end_was_meant: true, vm: 1, ..stopping }, process(0)],
+        limited: vec![Limited {
+            endpoint: "e2".to_owned(),
+            per_second: 1.0,
+            until_ms: 30_000,
+            arrivals_ms: (0..20).map(|second| 5_000 + 1_000 * second).collect(),
+        }],
+        crash_runs_ms: vec![4_000, 4_100, 4_200, 6_900, 15_000, 16_000, 17_000],
         faults: Vec::new(),
+        vm_faults: Vec::new(),
         logged: LoggedRefusals {
             requests: [Box::from(REQUEST)].into_iter().collect(),
             vms: vec!["vm-01".to_owned(), "vm-02".to_owned()],
@@ -113,6 +121,14 @@
     late.versions.push(seen(20_001 + IN_FORCE_MS, 3));
     assert_eq!(broken(&late), [Promise::InForce]);
 
+    let mut crashing = sound();
+    crashing.crash_runs_ms.push(18_000);
+    assert_eq!(broken(&crashing), [Promise::CrashesHeldBack]);
+
+    let mut exceeded = sound();
+    exceeded.limited[0].arrivals_ms.splice(4..4, vec![9_000; 8]);
+    assert_eq!(broken(&exceeded), [Promise::LimitKept]);
+
     let mut leaving = sound();
     leaving.left[0].arrivals_ms.push(1_000 + IN_FORCE_MS);
     assert_eq!(broken(&leaving), [Promise::Leaving]);
