A crashing request is recognized also where callers name the VM's own address as host

Cause: the host was part of the fingerprint, and callers of the fleet's own interface put the VM's address there; each VM had a fingerprint of its own for the same request, and tried it on its own. The host counts now only where the caller named no customer.

--- a/crates/pistachiotrackd/src/inbound.rs
+++ b/crates/pistachiotrackd/src/inbound.rs
@@ -48,12 +48,15 @@
     /// Returns the fingerprint: of the caller, the method, the path with its query and the body.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
-            let host = headers::text(&self.headers, HOST.as_str()).unwrap_or_default();
+            // The host may be the address of this VM, so it counts only where it names the caller.
+            let host = || headers::text(&self.headers, HOST.as_str()).unwrap_or_default();
+            let customer = self.named_customer.as_deref();
+            let caller = customer.map_or_else(|| host().to_ascii_lowercase(), str::to_owned);
             let path = self.uri.path_and_query().map_or("", PathAndQuery::as_str);
             let body = self.body.digest().to_le_bytes();
             Fingerprint::of([
-                self.named_customer.as_deref().unwrap_or_default().as_bytes(),
-                host.to_ascii_lowercase().as_bytes(),
+                &[u8::from(customer.is_some())],
+                caller.as_bytes(),
                 self.method.as_str().as_bytes(),
                 path.as_bytes(),
                 &body[..],
--- a/crates/pistachiotrackd/tests/quarantine.rs
+++ b/crates/pistachiotrackd/tests/quarantine.rs
@@ -7,7 +7,8 @@
     time::{Duration, Instant},
 };
 
-use pistachiotrack_core::quarantine::QuarantineSettings;
+use hyper::header::HOST;
+use pistachiotrack_core::{header, quarantine::QuarantineSettings, refusal::Reason};
 use serde_json::json;
 use testenv::{
     client,
@@ -91,3 +92,29 @@
     })
     .await;
 }
+
+/// Sends a request with the VM's address as its host; returns the reason of a refusal.
+async fn ask(vm: &Vm, path: &str) -> Option<String> {
+    let request = client::with(client::get(path), HOST.as_str(), &vm.caller.to_string());
+    let answer = client::send(vm.caller, request).await.ok()?;
+    client::field(&answer, header::REASON).map(str::to_owned)
+}
+
+#[tokio::test]
+async fn a_request_that_is_held_back_is_so_at_vms_that_callers_name_otherwise() {
+    bounded(async {
+        let runs = Runs::default();
+        let mut endpoints = Vec::new();
+        for _ in 0..ENDPOINTS {
+            endpoints.push(start_endpoint(Arc::clone(&runs)).await);
+        }
+        let (_platform, vms) = start_dispatchers(VMS, &endpoints).await;
+        let held = Some(Reason::CrashesEndpoints.as_str().to_owned());
+        while ask(&vms[0], CRASHING).await != held {}
+        tokio::time::sleep(SPREAD).await;
+        for vm in &vms {
+            assert_eq!(ask(vm, CRASHING).await, held, "at {}", vm.name);
+        }
+    })
+    .await;
+}
