--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     process::ExitStatus,
     sync::Arc,
     time::{Duration, Instant},
@@ -20,7 +20,7 @@
     admin::Admin,
     daemon::{Daemon, DaemonBinary, DaemonSettings, free_ports},
     deployment::Deployment,
-    link::Links,
+    link::{Links, PLATFORM},
     relay::{Relay, Senders},
 };
 
@@ -29,9 +29,9 @@
 /// Time without any change after which a fleet counts as settled; a new owner
 /// is careful with its endpoints at first.
 const SETTLED: Duration = Duration::from_secs(3);
-/// Ports of a daemon: for callers, for peers, for its operators and for the
-/// relay before it.
-const PORTS: usize = 4;
+/// Ports of a daemon: for callers, for peers, for its operators, for the relay
+/// before it and for the one before its platform.
+const PORTS: usize = 5;
 
 /// The running daemons of a deployment.
 #[derive(Debug)]
@@ -57,7 +57,7 @@
         links: Option<&Links>,
     ) -> anyhow::Result<Fleet> {
         let settings = settings(deployment, count, links.is_some())?;
-        let relays = relays(&settings, links).await?;
+        let relays = relays(&settings, links, deployment.platform.address()).await?;
         let list = VmList { version: 1, vms: settings.iter().map(listed).collect() };
         deployment.platform.publish_vms(&list)?;
         let mut fleet = Fleet {
@@ -269,7 +269,10 @@
         },
         advertised_peer_address: behind_relays.then_some(local(ports[3])),
         admin_address: local(ports[2]),
-        platform_address: deployment.platform.address(),
+        platform_address: match behind_relays {
+            true => local(ports[4]),
+            false => deployment.platform.address(),
+        },
         expected_vms: count,
     });
     Ok(settings.collect())
@@ -282,14 +285,30 @@
     Ipv4Addr::new(127, 1, high, low)
 }
 
-async fn relays(settings: &[DaemonSettings], links: Option<&Links>) -> anyhow::Result<Vec<Relay>> {
+/// Starts a relay before each VM, and one before the platform for each VM.
+async fn relays(
+    settings: &[DaemonSettings],
+    links: Option<&Links>,
+    platform: SocketAddr,
+) -> anyhow::Result<Vec<Relay>> {
     let ips = settings.iter().enumerate().map(|(index, vm)| (vm.peer_address.ip(), index));
     let senders: Senders = Arc::new(ips.collect());
     let mut relays = Vec::new();
     for (index, vm) in settings.iter().enumerate() {
         let Some((links, address)) = links.zip(vm.advertised_peer_address) else { break };
-        let (links, senders) = (links.clone(), Arc::clone(&senders));
-        relays.push(Relay::start(address, index, vm.peer_address, links, senders).await?);
+        let to_vm =
+            Relay::start(address, index, vm.peer_address, links.clone(), Arc::clone(&senders));
+        relays.push(to_vm.await?);
+        // Nobody but this VM uses the address.
+        let only_sender = [(IpAddr::V4(Ipv4Addr::LOCALHOST), index)].into_iter().collect();
+        let to_platform = Relay::start(
+            vm.platform_address,
+            PLATFORM,
+            platform,
+            links.clone(),
+            Arc::new(only_sender),
+        );
+        relays.push(to_platform.await?);
     }
     Ok(relays)
 }
--- a/crates/pistachiotrack-standins/src/link.rs
+++ b/crates/pistachiotrack-standins/src/link.rs
@@ -20,6 +20,9 @@
     pub delay: Duration,
 }
 
+/// Index that stands for the platform among the VMs' links.
+pub const PLATFORM: usize = usize::MAX;
+
 /// What becomes of a datagram or of a part of a byte stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passage {
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -388,7 +388,11 @@
         let late = self.crash_runs_ms.iter().filter(|at| **at > known_ms && self.is_calm(**at));
         let late_ms: Vec<u64> = late.copied().collect();
         if late_ms.len() > LATE_CRASHES {
-            let seen = format!("third crash at {third_ms} ms, further runs at {late_ms:?}");
+            let (count, first_ms) = (late_ms.len(), late_ms[0]);
+            let seen = format!(
+                "third crash at {third_ms} ms, {count} further runs from {first_ms} ms on, \
+                 {LATE_CRASHES} allowed"
+            );
             broken(Promise::CrashesHeldBack, seen);
         }
     }
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -65,6 +65,13 @@
         /// Time until it is taken back.
         for_ms: u64,
     },
+    /// A VM is cut off from the platform, which the others reach.
+    CutOffPlatform {
+        /// The VM.
+        vm: usize,
+        /// Time until it reaches the platform again.
+        for_ms: u64,
+    },
     /// Operators publish something that isn't valid.
     PublishInvalid,
     /// VMs are killed, and start again.
@@ -230,7 +237,8 @@
             Event::Terminate { vm, .. }
             | Event::HangUp { vm }
             | Event::Pause { vm, .. }
-            | Event::CutOff { vm, .. } => vec![*vm],
+            | Event::CutOff { vm, .. }
+            | Event::CutOffPlatform { vm, .. } => vec![*vm],
             Event::CutOneWay { from, to, .. } => vec![*from, *to],
             Event::Kill { vms, .. } => vms.clone(),
             _ => Vec::new(),
@@ -239,7 +247,13 @@
 
     /// Returns whether it is about the links between VMs.
     fn needs_relays(&self) -> bool {
-        matches!(self, Event::CutOneWay { .. } | Event::CutOff { .. } | Event::BadLinks { .. })
+        matches!(
+            self,
+            Event::CutOneWay { .. }
+                | Event::CutOff { .. }
+                | Event::CutOffPlatform { .. }
+                | Event::BadLinks { .. }
+        )
     }
 
     fn endpoint(&self) -> Option<usize> {
@@ -266,6 +280,7 @@
             | Event::HangUp { .. }
             | Event::Leave { .. }
             | Event::NameLimit { .. }
+            | Event::CutOffPlatform { .. }
             | Event::PublishInvalid => None,
         }
     }
@@ -301,7 +316,7 @@
 
     fn planned(&mut self) -> Event {
         let vm = self.vm();
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..13) {
             0..5 => Event::Terminate { vm, restart_after_ms: self.random.random_range(50..2_000) },
             5..7 => Event::HangUp { vm },
             7..9 => Event::Leave {
@@ -309,6 +324,9 @@
                 for_ms: self.random.random_range(500..20_000),
             },
             9 => Event::PublishInvalid,
+            10 if self.vms <= MAX_RELAYED_VMS => {
+                Event::CutOffPlatform { vm, for_ms: self.random.random_range(8_000..20_000) }
+            }
             _ => Event::NameLimit {
                 endpoint: self.endpoint(),
                 tenths_per_second: self.random.random_range(5..50),
--- a/crates/pistachiotrack-standins/src/soak/world.rs
+++ b/crates/pistachiotrack-standins/src/soak/world.rs
@@ -21,7 +21,7 @@
     deployment::Deployment,
     endpoint::Endpoint,
     fault::Faults,
-    link::{Link, Links},
+    link::{Link, Links, PLATFORM},
     load::WorkIds,
     platform::Availability,
 };
@@ -121,6 +121,9 @@
                     others.flat_map(|other| [(*vm, other), (other, *vm)]).collect();
                 self.cut(&cuts, *for_ms).await;
             }
+            Event::CutOffPlatform { vm, for_ms } => {
+                self.cut(&[(*vm, PLATFORM), (PLATFORM, *vm)], *for_ms).await;
+            }
             Event::BadLinks { lost_percent, delay_ms, for_ms } => {
                 let drop_share = f64::from(*lost_percent) / 100.0;
                 let delay = Duration::from_millis(*delay_ms);
