--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -7,6 +7,7 @@
 mod hand_over;
 mod news;
 mod pool;
+mod rates;
 mod retries;
 mod state;
 mod strain;
@@ -40,7 +41,7 @@
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
     rate_limit::RateLimit,
-    request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, Report, Request, RequestId},
+    request::{AttemptId, BodyEnd, Outcome, Report, Request, RequestId},
     retry::{RecentLatency, UsualTime},
     service::{DEFAULT_PROBE_PATH, Service},
     time::Time,
@@ -285,34 +286,6 @@
         self.advance(now)
     }
 
-    /// Takes whether an answer names a limit. A failure without one says nothing: it may not be
-    /// the endpoint's own.
-    fn on_answered_limit(
-        &mut self,
-        now: Time,
-        of: &Attempt,
-        outcome: Outcome,
-        limit: Option<RateLimit>,
-    ) {
-        let is_success =
-            matches!(outcome, Outcome::Answered { status, .. } if status < FIRST_FAILURE_STATUS);
-        if limit.is_some() || is_success {
-            self.on_rate_limit(now, &of.endpoint, of.dispatched_at, limit);
-        }
-    }
-
-    fn on_rate_limit(
-        &mut self,
-        now: Time,
-        endpoint: &Name,
-        sent_at: Time,
-        limit: Option<RateLimit>,
-    ) {
-        if self.pool.on_rate_limit(now, endpoint, sent_at, limit) {
-            self.out.push(ShardAction::RateLimit { endpoint: endpoint.clone(), limit });
-        }
-    }
-
     /// Takes the end of an answer's body.
     pub fn on_body_end(&mut self, now: Time, attempt: AttemptId, end: BodyEnd) -> Vec<ShardAction> {
         let Some(of) = self.attempts.get(&attempt).cloned() else { return Vec::new() };
--- a/crates/pistachiotrack-core/src/shard/news.rs
+++ b/crates/pistachiotrack-core/src/shard/news.rs
@@ -158,19 +158,6 @@
         }
     }
 
-    /// Takes what another VM says of an endpoint's limit, and how much it has sent.
-    fn on_rate_news(&mut self, now: Time, from: &Name, endpoint: &Name, told: &EndpointNews) {
-        if let Some(rate) = told.rate {
-            self.on_rate_limit(now, endpoint, named_at(now, rate), Some(rate.limit));
-            return self.pool.on_peer_rate(now, endpoint, from, rate.sent);
-        }
-        let success = told.ended.filter(|ended| !ended.ending.is_failure());
-        if let Some(EndedAttempt { latency_us, age_us, .. }) = success {
-            let sent_at = before(now, latency_us.saturating_add(age_us));
-            self.on_rate_limit(now, endpoint, sent_at, None);
-        }
-    }
-
     /// Returns what this VM believes of the endpoints.
     pub fn picture(&mut self, now: Time) -> ShardPicture {
         let sent = self.retries.fleet().map(|budget| budget.history(now)).unwrap_or_default();
@@ -205,11 +192,7 @@
         if let Some(budget) = self.retries.fleet() {
             budget.on_history(now, &picture.sent);
         }
-        for (key, rate) in &picture.rates {
-            if let Some(endpoint) = self.pool.name_of(*key) {
-                self.on_rate_limit(now, &endpoint, named_at(now, *rate), Some(rate.limit));
-            }
-        }
+        self.on_rates(now, &picture.rates);
         self.pool.refresh(now, &self.health);
         self.advance(now)
     }
@@ -272,12 +255,3 @@
         }
     }
 }
-
-/// Returns when the request was sent whose answer named a limit.
-fn named_at(now: Time, rate: RateNews) -> Time {
-    before(now, u64::from(rate.age_ms) * 1_000)
-}
-
-fn before(now: Time, age_us: u64) -> Time {
-    Time::from_micros(now.as_micros().saturating_sub(age_us))
-}
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -1,6 +1,8 @@
 //! Slots of the shard's endpoints: who holds them and which one is next.
 
+mod pick;
 mod ranking;
+mod rates;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,6 +14,7 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
+pub(super) use self::pick::{Pick, Wanted};
 use super::{Choice, EndpointKey, ShardMode};
 use crate::{
     endpoint::Endpoint,
@@ -19,7 +22,7 @@
     limit::AdaptiveLimit,
     mechanism::Mechanisms,
     name::Name,
-    rate_limit::{RateLimit, RateNews, RateShare, SharedRate},
+    rate_limit::{RateLimit, RateShare, SharedRate},
     time::Time,
 };
 
@@ -88,47 +91,10 @@
     }
 }
 
-/// What the endpoint of an attempt must be like.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Wanted<'a> {
-    pub(super) idempotent: bool,
-    /// Whether a failure on an endpoint under trial can still be mended.
-    pub(super) may_try: bool,
-    pub(super) tried: &'a [Name],
-    /// Largest risk that the request may be put to.
-    pub(super) max_risk: f64,
-    /// Present moment.
-    pub(super) now: Time,
-    /// Whether so much of the service's work is lost that all endpoints are needed.
-    pub(super) is_strained: bool,
-    /// Whether an endpoint that was tried already is better than none.
-    pub(super) allow_tried: bool,
-}
-
 /// Whether it was tried, rank of its standing, load and a random tie-break;
 /// the least is chosen.
 type PickOrder = (bool, u32, u32, u32);
 
-/// The endpoint chosen for an attempt.
-#[derive(Clone, Debug)]
-pub(super) struct Pick {
-    pub(super) name: Name,
-    pub(super) address: SocketAddr,
-    pub(super) standing: Standing,
-    pub(super) choice: Choice,
-}
-
-impl Pick {
-    fn of(slots: &Slots, choice: Choice) -> Pick {
-        Pick {
-            name: slots.endpoint.name.clone(),
-            address: slots.endpoint.address,
-            standing: slots.standing,
-            choice,
-        }
-    }
-}
-
 /// The endpoints of a shard with the slots in use.
 #[derive(Clone, Debug)]
 pub(super) struct Pool {
@@ -290,17 +256,6 @@
         self.limited_per_second /= f64::from(self.dispatchers);
     }
 
-    /// Sets how this VM takes part in keeping the limits that endpoints name.
-    pub(super) fn set_rate_share(&mut self, rate_share: RateShare, dispatchers: u32) {
-        self.rate_share = rate_share;
-        self.dispatchers = dispatchers.max(1);
-    }
-
-    /// Returns the requests a second that this VM can send to endpoints that name a limit.
-    pub(super) fn limited_per_second(&self) -> f64 {
-        self.limited_per_second
-    }
-
     /// Returns the requests that may be in flight at the same time at endpoints that name no
     /// limit.
     pub(super) fn capacity(&self) -> u32 {
@@ -432,47 +387,6 @@
         }
     }
 
-    /// Takes the limit that an endpoint names, or no longer names, in its answer to a request
-    /// that was sent at `sent_at`; returns whether it changed.
-    pub(super) fn on_rate_limit(
-        &mut self,
-        now: Time,
-        name: &str,
-        sent_at: Time,
-        limit: Option<RateLimit>,
-    ) -> bool {
-        let Some(slots) = self.slots.get_mut(name) else { return false };
-        match (&mut slots.rate, limit) {
-            (Some(rate), limit) => rate.on_answer(sent_at, limit),
-            (None, Some(limit)) => {
-                let (share, turn) = (self.rate_share, self.rng.random());
-                slots.rate = Some(SharedRate::new(now, sent_at, limit, share, turn));
-                true
-            }
-            (None, None) => false,
-        }
-    }
-
-    /// Takes what another VM has sent to an endpoint that names a limit.
-    pub(super) fn on_peer_rate(&mut self, now: Time, name: &str, peer: &Name, sent: u32) {
-        if let Some(rate) = self.slots.get_mut(name).and_then(|slots| slots.rate.as_mut()) {
-            rate.on_peer(now, peer, sent, self.rate_share, self.rng.random());
-        }
-    }
-
-    /// Returns what other VMs are told of an endpoint that names a limit.
-    pub(super) fn rate_news(&self, now: Time, name: &str) -> Option<RateNews> {
-        self.slots.get(name).and_then(|slots| slots.rate.as_ref()?.news(now))
-    }
-
-    /// Returns all endpoints that name a limit.
-    pub(super) fn rate_limits(&self, now: Time) -> Vec<(EndpointKey, RateNews)> {
-        let limited = self.slots.iter().filter_map(|(name, slots)| {
-            Some((EndpointKey::of(name), slots.rate.as_ref()?.news(now)?))
-        });
-        limited.collect()
-    }
-
     pub(super) fn on_success(&mut self, name: &str) {
         if let Some(slots) = self.slots.get_mut(name) {
             slots.adaptive.on_success();
--- /dev/null
+++ b/crates/pistachiotrack-core/src/shard/rates.rs
@@ -0,0 +1,101 @@
+//! Limits that endpoints name in requests a second, as a shard hears of them.
+
+use super::{
+    EndedAttempt, EndpointKey, EndpointNews, Shard, ShardAction, ShardMode, state::Attempt,
+};
+use crate::{
+    name::Name,
+    rate_limit::{RateLimit, RateNews, RateShare},
+    request::{FIRST_FAILURE_STATUS, Outcome},
+    retry::DispatchersInView,
+    time::Time,
+};
+
+/// Part of a limit that a VM uses in the place of an owner that it can't reach.
+const CAREFUL_PART: f64 = 0.25;
+
+impl Shard {
+    /// Takes whether an answer names a limit. A failure without one says nothing: it may not be
+    /// the endpoint's own.
+    pub(super) fn on_answered_limit(
+        &mut self,
+        now: Time,
+        of: &Attempt,
+        outcome: Outcome,
+        limit: Option<RateLimit>,
+    ) {
+        let is_success =
+            matches!(outcome, Outcome::Answered { status, .. } if status < FIRST_FAILURE_STATUS);
+        if limit.is_some() || is_success {
+            self.on_rate_limit(now, &of.endpoint, of.dispatched_at, limit);
+        }
+    }
+
+    fn on_rate_limit(
+        &mut self,
+        now: Time,
+        endpoint: &Name,
+        sent_at: Time,
+        limit: Option<RateLimit>,
+    ) {
+        if self.pool.on_rate_limit(now, endpoint, sent_at, limit) {
+            self.out.push(ShardAction::RateLimit { endpoint: endpoint.clone(), limit });
+        }
+    }
+
+    /// Takes what another VM says of an endpoint's limit, and how much it has sent.
+    pub(super) fn on_rate_news(
+        &mut self,
+        now: Time,
+        from: &Name,
+        endpoint: &Name,
+        told: &EndpointNews,
+    ) {
+        if let Some(rate) = told.rate {
+            self.on_rate_limit(now, endpoint, named_at(now, rate), Some(rate.limit));
+            return self.pool.on_peer_rate(now, endpoint, from, rate.sent);
+        }
+        let success = told.ended.filter(|ended| !ended.ending.is_failure());
+        if let Some(EndedAttempt { latency_us, age_us, .. }) = success {
+            let sent_at = before(now, latency_us.saturating_add(age_us));
+            self.on_rate_limit(now, endpoint, sent_at, None);
+        }
+    }
+
+    /// Takes the limits that another VM knows of.
+    pub(super) fn on_rates(&mut self, now: Time, rates: &[(EndpointKey, RateNews)]) {
+        for (key, rate) in rates {
+            if let Some(endpoint) = self.pool.name_of(*key) {
+                self.on_rate_limit(now, &endpoint, named_at(now, *rate), Some(rate.limit));
+            }
+        }
+    }
+
+    /// Returns how this VM takes part in keeping the limits that endpoints name.
+    ///
+    /// A VM that is no dispatcher isn't told what the others send, and leaves such endpoints
+    /// to them. One that sees fewer dispatchers than there should be may be cut off from them.
+    pub(super) fn rate_share(&mut self, in_view: DispatchersInView) -> RateShare {
+        let Some(budget) = self.retries.fleet() else {
+            let is_careful = self.pool.mode() == ShardMode::Careful;
+            let part = if is_careful { CAREFUL_PART } else { 1.0 };
+            return RateShare { part, is_alone: true };
+        };
+        if in_view.count == 0 {
+            return RateShare::default();
+        }
+        let expected = f64::from(budget.expected().max(1));
+        let part = (f64::from(in_view.count) / expected).min(1.0);
+        let part = if in_view.is_member { part } else { 0.0 };
+        RateShare { part, is_alone: in_view.count == 1 }
+    }
+}
+
+/// Returns when the request was sent whose answer named a limit.
+fn named_at(now: Time, rate: RateNews) -> Time {
+    before(now, u64::from(rate.age_ms) * 1_000)
+}
+
+fn before(now: Time, age_us: u64) -> Time {
+    Time::from_micros(now.as_micros().saturating_sub(age_us))
+}
--- a/crates/pistachiotrack-core/src/shard/retries.rs
+++ b/crates/pistachiotrack-core/src/shard/retries.rs
@@ -4,7 +4,6 @@
 use crate::{
     config::Config,
     hash,
-    rate_limit::RateShare,
     retry::{BudgetSettings, DispatchersInView, FleetBudget, RetryBudget},
     service::Service,
     time::Time,
@@ -106,23 +105,6 @@
     }
 }
 
-impl Shard {
-    /// Returns how this VM takes part in keeping the limits that endpoints name.
-    ///
-    /// A VM that is no dispatcher isn't told what the others send, and leaves such endpoints
-    /// to them. One that sees fewer dispatchers than there should be may be cut off from them.
-    fn rate_share(&mut self, in_view: DispatchersInView) -> RateShare {
-        let Some(budget) = self.retries.fleet() else { return RateShare::default() };
-        if in_view.count == 0 {
-            return RateShare::default();
-        }
-        let expected = f64::from(budget.expected().max(1));
-        let part = (f64::from(in_view.count) / expected).min(1.0);
-        let part = if in_view.is_member { part } else { 0.0 };
-        RateShare { part, is_alone: in_view.count == 1 }
-    }
-}
-
 fn expected_dispatchers(config: &Config, service: &Service) -> u32 {
     let data_centres = config.data_centres.len().max(1) as u32;
     service.dispatchers_per_data_centre * data_centres
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -1,28 +1,28 @@
 //! The daemon's life cycle: start, serve, stop gracefully.
 
+mod sockets;
+
 use std::{
     io,
     net::SocketAddr,
     path::Path,
     sync::{Arc, atomic::AtomicU64},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use kameo::{
     actor::{ActorRef, Spawn},
     mailbox,
 };
-use pistachiotrack_core::{
-    ownership::{Ownership, OwnershipSettings},
-    vm::Vm,
-};
+use pistachiotrack_core::ownership::{Ownership, OwnershipSettings};
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::watch,
 };
 use tokio_util::task::TaskTracker;
 
+use self::sockets::{Sockets, local_address, optional_address};
 use crate::{
     admin,
     clock::Clock,
@@ -49,8 +49,6 @@
     view::FleetView,
 };
 
-/// Ports that are tried where the system chooses the peer port.
-const PEER_PORT_TRIES: u32 = 16;
 /// Connections to the admin port that are open at the same time.
 const ADMIN_CONNECTIONS: usize = 32;
 
@@ -117,15 +115,6 @@
 #[must_use]
 pub struct StoppingDaemon(Daemon);
 
-struct Sockets {
-    caller: TcpListener,
-    peer: TcpListener,
-    membership: UdpSocket,
-    admin: TcpListener,
-    readiness: Option<TcpListener>,
-    directory: Option<TcpListener>,
-}
-
 impl Daemon {
     /// Binds the addresses of the settings and starts all parts.
     ///
@@ -448,73 +437,3 @@
         }
     }
 }
-
-impl Sockets {
-    async fn bind(settings: &Settings) -> Result<Sockets, StartError> {
-        let caller = bind("caller_address", settings.caller_address).await?;
-        let (peer, membership) = bind_peer(settings.peer_address).await?;
-        let admin = bind("admin_address", settings.admin_address).await?;
-        let readiness = bind_optional("readiness_address", settings.readiness_address).await?;
-        let directory = bind_optional("directory_address", settings.directory_address).await?;
-        Ok(Sockets { caller, peer, membership, admin, readiness, directory })
-    }
-
-    fn vm(&self, settings: &Settings) -> Vm {
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Vm {
-            name: settings.vm.clone(),
-            data_centre: settings.data_centre.clone(),
-            incarnation: started.as_millis() as u64,
-            caller_address: self.caller.local_addr().unwrap_or(settings.caller_address),
-            peer_address: settings
-                .advertised_peer_address
-                .unwrap_or_else(|| self.peer.local_addr().unwrap_or(settings.peer_address)),
-            capacity: settings.hardware.capacity(),
-        }
-    }
-}
-
-/// Binds the peer address for both protocols.
-///
-/// Where the system chooses the port, it chooses one that is free for TCP but may
-/// be taken for UDP; then it is asked again.
-async fn bind_peer(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
-    let mut tries = 1;
-    loop {
-        let peer = bind("peer_address", address).await?;
-        let chosen = local_address("peer_address", &peer)?;
-        match UdpSocket::bind(chosen).await {
-            Ok(membership) => return Ok((peer, membership)),
-            Err(_) if address.port() == 0 && tries < PEER_PORT_TRIES => tries += 1,
-            Err(source) => {
-                return Err(StartError::Bind { field: "peer_address", address: chosen, source });
-            }
-        }
-    }
-}
-
-async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Bind { field, address, source })
-}
-
-async fn bind_optional(
-    field: &'static str,
-    address: Option<SocketAddr>,
-) -> Result<Option<TcpListener>, StartError> {
-    match address {
-        Some(address) => bind(field, address).await.map(Some),
-        None => Ok(None),
-    }
-}
-
-fn local_address(field: &'static str, socket: &TcpListener) -> Result<SocketAddr, StartError> {
-    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
-    socket.local_addr().map_err(|source| StartError::Bind { field, address: unknown, source })
-}
-
-fn optional_address(
-    field: &'static str,
-    socket: &Option<TcpListener>,
-) -> Result<Option<SocketAddr>, StartError> {
-    socket.as_ref().map(|socket| local_address(field, socket)).transpose()
-}
--- a/crates/pistachiotrackd/src/news_link.rs
+++ b/crates/pistachiotrackd/src/news_link.rs
@@ -195,12 +195,11 @@
             parts.push(&[]);
         }
         let rates = std::mem::take(&mut picture.rates);
-        let mut rates = rates.chunks(RATES_PER_DATAGRAM);
         for beliefs in parts {
             let sent = std::mem::take(&mut picture.sent);
             self.send_picture(to, place, picture.shard.clone(), beliefs, sent, &[]);
         }
-        for rates in &mut rates {
+        for rates in rates.chunks(RATES_PER_DATAGRAM) {
             self.send_picture(to, place, picture.shard.clone(), &[], Vec::new(), rates);
         }
     }
