Core: one way to a moment that lies a time back

The moment some time ago was worked out in eight places, two of them new with the limits that endpoints name. Time::before serves them all, at the earliest the clock's start as before. Behaviour is the same.

--- a/crates/pistachiotrack-core/src/health/risk.rs
+++ b/crates/pistachiotrack-core/src/health/risk.rs
@@ -1,6 +1,8 @@
 //! How likely requests to an endpoint fail, by the answers that this VM and others
 //! have seen.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -75,8 +77,7 @@
         let mut actions = Vec::new();
         for other in beliefs {
             let Some(&position) = self.positions.get(&other.endpoint) else { continue };
-            let age_us = u64::from(other.age_ms) * 1_000;
-            let at = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            let at = now.before(Duration::from_millis(u64::from(other.age_ms)));
             let state = &mut self.endpoints[position];
             match other.seen {
                 Seen::Ending { in_spell } => {
@@ -113,14 +114,14 @@
     ) -> Vec<HealthAction> {
         let mut actions = Vec::new();
         let Some(&position) = self.positions.get(endpoint) else { return actions };
-        let ended_at = Time::from_micros(now.as_micros().saturating_sub(ended.age_us));
+        let ended_at = now.before(Duration::from_micros(ended.age_us));
         if ended.ending == Ending::Misdirected {
             self.on_replaced(ended_at, position, &mut actions);
             return actions;
         }
         let state = &mut self.endpoints[position];
         state.last_dispatch = state.last_dispatch.max(now);
-        let started = Time::from_micros(ended_at.as_micros().saturating_sub(ended.latency_us));
+        let started = ended_at.before(Duration::from_micros(ended.latency_us));
         let flight = Flight {
             endpoint: state.id,
             class: ended.class,
--- a/crates/pistachiotrack-core/src/idempotency.rs
+++ b/crates/pistachiotrack-core/src/idempotency.rs
@@ -275,8 +275,7 @@
                 return;
             }
             let state = handed.answer.clone().map_or(State::Lost, State::Stored);
-            let age_us = handed.age_ms.saturating_mul(1000);
-            let since = Time::from_micros(now.as_micros().saturating_sub(age_us));
+            let since = now.before(Duration::from_millis(handed.age_ms));
             self.insert_finished(since, id, state);
         }
         self.bound_bodies();
--- a/crates/pistachiotrack-core/src/membership/rumour.rs
+++ b/crates/pistachiotrack-core/src/membership/rumour.rs
@@ -1,6 +1,6 @@
 //! What datagrams say: of their sender, of this VM and of others.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use super::{Actions, MemberState, Membership, MembershipAction, table};
 use crate::{
@@ -172,7 +172,7 @@
                 self.set_state(now, name, state, actions);
                 let place = introduction.and_then(|update| update.place.as_ref());
                 if let Some(place) = place.filter(|_| was_dead) {
-                    self.table.set_alive_since(name, table::before(now, place.alive_ms));
+                    self.table.set_alive_since(name, now.before(millis(place.alive_ms)));
                 }
                 self.table.join_round(name, &mut self.rng);
                 self.spread(now, name);
@@ -195,7 +195,7 @@
         let entry = self.table.insert(now, table::vm(update, place), &mut self.rng);
         entry.refutation = update.refutation;
         entry.direct = true;
-        self.table.set_alive_since(name, table::before(now, place.alive_ms));
+        self.table.set_alive_since(name, now.before(millis(place.alive_ms)));
         self.table.set_state(now, name, update.state);
         actions.push(MembershipAction::Changed { vm: name.clone() });
         self.spread(now, name);
@@ -207,7 +207,7 @@
     /// Takes what a member reports of the configuration.
     fn on_report(&mut self, now: Time, identity: &Identity, actions: &mut Actions) {
         let Some(entry) = self.table.entries.get_mut(&identity.name) else { return };
-        let answered = identity.platform_age_ms.map(|age_ms| table::before(now, age_ms));
+        let answered = identity.platform_age_ms.map(|age_ms| now.before(millis(age_ms)));
         entry.member.platform_answered = entry.member.platform_answered.max(answered);
         let Some(version) = identity.config_version else { return };
         if entry.member.config_version == Some(version) {
@@ -316,7 +316,7 @@
         if was == MemberState::Dead && update.state != MemberState::Dead {
             self.table.join_round(name, &mut self.rng);
             if let Some(place) = &update.place {
-                self.table.set_alive_since(name, table::before(now, place.alive_ms));
+                self.table.set_alive_since(name, now.before(millis(place.alive_ms)));
             }
         }
         self.spread(now, name);
@@ -406,6 +406,10 @@
     }
 }
 
+fn millis(time_ms: u32) -> Duration {
+    Duration::from_millis(u64::from(time_ms))
+}
+
 fn is_old_news(update: &Update) -> bool {
     update.place.as_ref().is_some_and(|place| place.alive_ms >= NEWS_MS)
 }
--- a/crates/pistachiotrack-core/src/membership/table.rs
+++ b/crates/pistachiotrack-core/src/membership/table.rs
@@ -95,11 +95,6 @@
     }
 }
 
-/// Returns the moment `ago` before `now`, at the earliest the clock's start.
-pub(super) fn before(now: Time, ago_ms: u32) -> Time {
-    Time::from_micros(now.as_micros().saturating_sub(u64::from(ago_ms) * 1000))
-}
-
 /// What is remembered of a forgotten member.
 #[derive(Clone, Debug)]
 pub(super) struct Tombstone {
--- a/crates/pistachiotrack-core/src/rate_limit.rs
+++ b/crates/pistachiotrack-core/src/rate_limit.rs
@@ -151,8 +151,7 @@
     fn use_up(&mut self, now: Time, requests: u32, share: RateShare, turn: f64) {
         let Some(limit) = self.limit else { return };
         let interval = interval(limit, share);
-        let earliest = now.as_micros().saturating_sub(MAX_CREDIT.as_micros() as u64);
-        let from = self.used_until.max(Time::from_micros(earliest));
+        let from = self.used_until.max(now.before(MAX_CREDIT));
         self.used_until = from + interval * requests;
         self.turn_wait = turn_wait(interval, share, turn);
     }
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -97,8 +97,7 @@
             return None;
         }
         let after = if wanted.idempotent { OVERDUE_AFTER.0 } else { OVERDUE_AFTER.1 };
-        let now_us = wanted.now.as_micros();
-        let since = Time::from_micros(now_us.saturating_sub(after.as_micros() as u64));
+        let since = wanted.now.before(after);
         let in_work = self.slots.values().filter(|slots| slots.accepts_work());
         let (mut all, mut covered) = (0, 0);
         for slots in in_work {
--- a/crates/pistachiotrack-core/src/shard/rates.rs
+++ b/crates/pistachiotrack-core/src/shard/rates.rs
@@ -1,5 +1,7 @@
 //! Limits that endpoints name in requests a second, as a shard hears of them.
 
+use std::time::Duration;
+
 use super::{
     EndedAttempt, EndpointKey, EndpointNews, Shard, ShardAction, ShardMode, state::Attempt,
 };
@@ -57,7 +59,7 @@
         }
         let success = told.ended.filter(|ended| !ended.ending.is_failure());
         if let Some(EndedAttempt { latency_us, age_us, .. }) = success {
-            let sent_at = before(now, latency_us.saturating_add(age_us));
+            let sent_at = now.before(Duration::from_micros(latency_us.saturating_add(age_us)));
             self.on_rate_limit(now, endpoint, sent_at, None);
         }
     }
@@ -93,9 +95,5 @@
 
 /// Returns when the request was sent whose answer named a limit.
 fn named_at(now: Time, rate: RateNews) -> Time {
-    before(now, u64::from(rate.age_ms) * 1_000)
-}
-
-fn before(now: Time, age_us: u64) -> Time {
-    Time::from_micros(now.as_micros().saturating_sub(age_us))
+    now.before(Duration::from_millis(u64::from(rate.age_ms)))
 }
--- a/crates/pistachiotrack-core/src/time.rs
+++ b/crates/pistachiotrack-core/src/time.rs
@@ -44,6 +44,12 @@
     pub const fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the moment `ago` earlier, at the earliest the clock's start.
+    pub fn before(self, ago: Duration) -> Time {
+        let ago_us = u64::try_from(ago.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(ago_us))
+    }
 }
 
 impl Add<Duration> for Time {
