Core: who is told of a record, and the dispatchers of a pool, follow from what is kept already

A record's scope was set from was_held each time that changed, and is asked for there now. The pool kept the number of dispatchers that its shard has; the shard divides by its own. Behaviour is the same, but that a change of the dispatchers counts in the expected wait at once, and not from the next refresh on.

--- a/crates/pistachiotrack-core/src/quarantine.rs
+++ b/crates/pistachiotrack-core/src/quarantine.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
-use self::record::{Record, Scope};
+use self::record::Record;
 pub use self::{note::CrashNote, settings::QuarantineSettings};
 use crate::{
     admin::QuarantineStatus, fingerprint::Fingerprint, name::Name, shard::EndpointKey, time::Time,
@@ -174,7 +174,7 @@
         self.records.retain(|_, record| !record.is_old(now, settings));
         let mut tellings = self.tell_dispatchers();
         let is_slow_round = self.round.is_multiple_of(u64::from(self.settings.slow_rounds));
-        let fast = self.notes_in(Scope::Fleet);
+        let fast = self.notes_for_fleet();
         let vms = self.settings.fanout;
         tellings.extend(parts(fast).map(|notes| Telling::Some { vms, notes }));
         if is_slow_round {
@@ -204,9 +204,10 @@
 
     fn tell_dispatchers(&mut self) -> Vec<Telling> {
         let mut by_service: FxHashMap<Name, Vec<CrashNote>> = FxHashMap::default();
-        for (request, record) in &mut self.records {
+        let suspected = self.records.iter_mut().filter(|(_, record)| !record.is_for_fleet());
+        for (request, record) in suspected {
             let Some(service) = record.service().cloned() else { continue };
-            if record.take_round(Scope::Dispatchers) {
+            if record.take_round() {
                 by_service.entry(service).or_default().push(record.note(*request));
             }
         }
@@ -216,9 +217,9 @@
         told.collect()
     }
 
-    fn notes_in(&mut self, scope: Scope) -> Vec<CrashNote> {
+    fn notes_for_fleet(&mut self) -> Vec<CrashNote> {
         let due = self.records.iter_mut().filter_map(|(request, record)| {
-            record.take_round(scope).then(|| record.note(*request))
+            (record.is_for_fleet() && record.take_round()).then(|| record.note(*request))
         });
         due.collect()
     }
--- a/crates/pistachiotrack-core/src/quarantine/record.rs
+++ b/crates/pistachiotrack-core/src/quarantine/record.rs
@@ -10,15 +10,6 @@
 /// Endpoints that are remembered of a request; one that crashed more is held back anyway.
 const MAX_ENDPOINTS: usize = 8;
 
-/// Who is told of a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Scope {
-    /// The VMs that dispatch for the service: they add up what each of them sees.
-    Dispatchers,
-    /// The fleet, since the request may come to any VM.
-    Fleet,
-}
-
 /// Crashes of one endpoint under a request.
 #[derive(Clone, Copy, Debug)]
 struct EndpointCrashes {
@@ -40,7 +31,6 @@
     changed: Time,
     /// Whether it was ever held back, so that all VMs may know of it.
     was_held: bool,
-    scope: Scope,
     rounds_left: u32,
 }
 
@@ -53,7 +43,6 @@
             service: None,
             changed: now,
             was_held: false,
-            scope: Scope::Dispatchers,
             rounds_left: 0,
         }
     }
@@ -163,12 +152,16 @@
         CrashNote { request, generation: self.generation, crashes, trials: self.trials }
     }
 
-    /// Returns whether the VMs of `scope` are to be told in this round.
-    pub(super) fn take_round(&mut self, scope: Scope) -> bool {
-        let is_due = self.scope == scope && self.rounds_left > 0;
-        if is_due {
-            self.rounds_left -= 1;
-        }
+    /// Returns whether all VMs are told of it, as the request may come to any. Before, those
+    /// that dispatch for the service add up what each of them sees.
+    pub(super) fn is_for_fleet(&self) -> bool {
+        self.was_held
+    }
+
+    /// Returns whether other VMs are to be told in this round.
+    pub(super) fn take_round(&mut self) -> bool {
+        let is_due = self.rounds_left > 0;
+        self.rounds_left = self.rounds_left.saturating_sub(1);
         is_due
     }
 
@@ -219,7 +212,6 @@
     fn on_change(&mut self, now: Time, settings: &QuarantineSettings) {
         self.changed = now;
         self.was_held |= self.is_held(settings);
-        self.scope = if self.was_held { Scope::Fleet } else { Scope::Dispatchers };
         self.rounds_left = settings.fast_rounds;
     }
 }
--- a/crates/pistachiotrack-core/src/shard/flow.rs
+++ b/crates/pistachiotrack-core/src/shard/flow.rs
@@ -140,7 +140,8 @@
     /// Returns the time in which so many requests leave the queue.
     pub(super) fn drain_time(&self, requests: f64) -> Duration {
         let usual = self.usual.value().unwrap_or_default();
-        let (capacity, limited) = (self.pool.capacity(), self.pool.limited_per_second());
+        let limited = self.pool.limited_per_second() / f64::from(self.dispatchers);
+        let capacity = self.pool.capacity();
         match (capacity, limited > 0.0) {
             (_, false) => usual.mul_f64(requests / f64::from(capacity.max(1))),
             (0, true) => Duration::from_secs_f64(requests / limited),
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -105,11 +105,9 @@
     in_flight: u32,
     in_flight_limit: u32,
     capacity: u32,
-    /// Requests a second that endpoints which name a limit take from this VM.
+    /// Requests a second that endpoints which name a limit take from all VMs in view.
     limited_per_second: f64,
     rate_share: RateShare,
-    /// VMs that dispatch to the endpoints.
-    dispatchers: u32,
     /// Slots whose attempt ended without an answer, by the time they are free.
     lingering: BTreeSet<(Time, u64, Name)>,
     next_serial: u64,
@@ -135,7 +133,6 @@
             capacity: 0,
             limited_per_second: 0.0,
             rate_share: RateShare::default(),
-            dispatchers: 1,
             lingering: BTreeSet::new(),
             next_serial: 0,
             changed: Vec::new(),
@@ -253,7 +250,6 @@
             ShardMode::Careful => (all_slots / CAREFUL_DIVISOR).max(1),
         };
         self.capacity = self.capacity.min(self.in_flight_limit);
-        self.limited_per_second /= f64::from(self.dispatchers);
     }
 
     /// Returns the requests that may be in flight at the same time at endpoints that name no
--- a/crates/pistachiotrack-core/src/shard/pool/rates.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/rates.rs
@@ -12,12 +12,12 @@
 
 impl Pool {
     /// Sets how this VM takes part in keeping the limits that endpoints name.
-    pub(in crate::shard) fn set_rate_share(&mut self, rate_share: RateShare, dispatchers: u32) {
+    pub(in crate::shard) fn set_rate_share(&mut self, rate_share: RateShare) {
         self.rate_share = rate_share;
-        self.dispatchers = dispatchers.max(1);
     }
 
-    /// Returns the requests a second that this VM can send to endpoints that name a limit.
+    /// Returns the requests a second that all VMs in view can send to endpoints that name a
+    /// limit.
     pub(in crate::shard) fn limited_per_second(&self) -> f64 {
         self.limited_per_second
     }
--- a/crates/pistachiotrack-core/src/shard/retries.rs
+++ b/crates/pistachiotrack-core/src/shard/retries.rs
@@ -100,7 +100,7 @@
     pub fn set_dispatchers(&mut self, now: Time, in_view: DispatchersInView) -> bool {
         self.dispatchers = in_view.count.max(1);
         let share = self.rate_share(in_view);
-        self.pool.set_rate_share(share, in_view.count);
+        self.pool.set_rate_share(share);
         self.retries.fleet().is_some_and(|budget| budget.set_in_view(now, in_view))
     }
 }
