Daemon: one way to connect within a time, one description of a run at an endpoint, trials placed for suspected requests alone

try_connect repeated the timeout and the errors of open. A broken attempt and a cut answer each put together and spawned the same look at the endpoint. While anything was suspected, each dispatch of any request copied the list of dispatchers to see who tries it; now only those of requests that are suspected ask, in place. Behaviour is the same.

--- a/crates/pistachiotrackd/src/connection.rs
+++ b/crates/pistachiotrackd/src/connection.rs
@@ -124,18 +124,26 @@
         socket.connect(address).await
     }
 
+    /// As [`Connector::connect`], within `limit` and the time that the settings allow.
+    async fn connect_within(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<TcpStream, ConnectError> {
+        let limit = limit.min(Duration::from_millis(self.limits.connect_timeout_ms));
+        tokio::time::timeout(limit, self.connect(address))
+            .await
+            .map_err(|_| ConnectError::TimedOut { address, limit })?
+            .map_err(|source| ConnectError::Io { address, source })
+    }
+
     /// Opens a TCP connection to `address` and closes it.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection does not open.
     pub(crate) async fn try_connect(&self, address: SocketAddr) -> Result<(), ConnectError> {
-        let limit = Duration::from_millis(self.limits.connect_timeout_ms);
-        match tokio::time::timeout(limit, self.connect(address)).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(source)) => Err(ConnectError::Io { address, source }),
-            Err(_) => Err(ConnectError::TimedOut { address, limit }),
-        }
+        self.connect_within(address, Duration::MAX).await.map(drop)
     }
 
     /// Opens a connection to `address` before `give_up`.
@@ -149,12 +157,7 @@
         open: OpenCount,
         give_up: Time,
     ) -> Result<Connection, ConnectError> {
-        let limit = Duration::from_millis(self.limits.connect_timeout_ms)
-            .min(give_up.since(self.clock.now()));
-        let stream = tokio::time::timeout(limit, self.connect(address))
-            .await
-            .map_err(|_| ConnectError::TimedOut { address, limit })?
-            .map_err(|source| ConnectError::Io { address, source })?;
+        let stream = self.connect_within(address, give_up.since(self.clock.now())).await?;
         socket::guard_outgoing(&stream).map_err(|source| ConnectError::Io { address, source })?;
         let guard = ExchangeGuard::new(self.clock, self.gate.clone());
         let stream = GuardedStream::new(stream, Arc::clone(&guard));
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -162,7 +162,6 @@
             Arc::clone(&traffic),
         ));
         let quarantine = Arc::new(QuarantineGate::new(
-            &me,
             clock,
             settings.quarantine.clone(),
             QuarantineLink::new(
--- a/crates/pistachiotrackd/src/quarantine.rs
+++ b/crates/pistachiotrackd/src/quarantine.rs
@@ -18,11 +18,9 @@
 use pistachiotrack_core::{
     admin::QuarantineStatus,
     fingerprint::Fingerprint,
-    hash,
     name::Name,
     quarantine::{Admission, Change, Quarantine, QuarantineSettings},
     shard::EndpointKey,
-    vm::Vm,
 };
 
 pub(crate) use self::link::{QUARANTINE_TAG, QuarantineLink};
@@ -31,7 +29,6 @@
 /// Decides which requests are held back, and tells the other VMs.
 #[derive(Debug)]
 pub(crate) struct QuarantineGate {
-    me: Name,
     clock: Clock,
     known: Mutex<Quarantine>,
     /// Whether nothing is known, so that most requests need no fingerprint.
@@ -42,14 +39,13 @@
 impl QuarantineGate {
     /// Creates a gate that holds nothing back.
     pub(crate) fn new(
-        me: &Vm,
         clock: Clock,
         settings: QuarantineSettings,
         link: QuarantineLink,
         seed: u64,
     ) -> QuarantineGate {
         let known = Mutex::new(Quarantine::new(settings, seed));
-        QuarantineGate { me: me.name.clone(), clock, known, is_empty: AtomicBool::new(true), link }
+        QuarantineGate { clock, known, is_empty: AtomicBool::new(true), link }
     }
 
     /// Returns how long a request that has just come in is held back, if it is.
@@ -65,8 +61,11 @@
         if self.is_empty.load(Ordering::Relaxed) {
             return Admission::Send;
         }
-        let request = inbound.fingerprint();
-        let may_try = self.may_try(request, &inbound.route.shard.service);
+        let (request, service) = (inbound.fingerprint(), &inbound.route.shard.service);
+        if !self.with(|known| known.knows(request)) {
+            return Admission::Send;
+        }
+        let may_try = self.link.is_placed_here(request, service);
         let admission = self.with(|known| known.admit(self.clock.now(), request, may_try));
         if admission == Admission::Trial {
             log::info!("event=request_tried request={} fingerprint={request}", inbound.fleet_id);
@@ -131,14 +130,6 @@
         }
     }
 
-    /// Returns whether a trial of a request is up to this VM: one of those that dispatch for
-    /// its service tries it.
-    fn may_try(&self, request: Fingerprint, service: &str) -> bool {
-        let dispatchers = self.link.dispatchers(service);
-        let score = |vm: &Vm| hash::pair(request.placement(), hash::fnv(vm.name.as_bytes()));
-        dispatchers.iter().max_by_key(|vm| score(vm)).is_none_or(|vm| vm.name == self.me)
-    }
-
     fn with<T>(&self, change: impl FnOnce(&mut Quarantine) -> T) -> T {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let result = change(&mut known);
--- a/crates/pistachiotrackd/src/quarantine/link.rs
+++ b/crates/pistachiotrackd/src/quarantine/link.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use pistachiotrack_core::{
+    fingerprint::Fingerprint,
     hash,
     membership::MemberState,
     message::MAX_DATAGRAM_BYTES,
@@ -108,9 +109,13 @@
         Ok(datagram.notes)
     }
 
-    /// Returns the VMs that dispatch for a service side by side; none where it has an owner.
-    pub(crate) fn dispatchers(&self, service: &str) -> Vec<Vm> {
-        self.view.borrow().ownership.dispatchers(service).to_vec()
+    /// Returns whether trials of a request are up to this VM: of those that dispatch for its
+    /// service side by side one tries it, and the owner where there are none.
+    pub(crate) fn is_placed_here(&self, request: Fingerprint, service: &str) -> bool {
+        let view = self.view.borrow();
+        let dispatchers = view.ownership.dispatchers(service).iter();
+        let score = |vm: &Vm| hash::pair(request.placement(), hash::fnv(vm.name.as_bytes()));
+        dispatchers.max_by_key(|vm| score(vm)).is_none_or(|vm| vm.name == self.me)
     }
 
     fn encode(&self, notes: Vec<CrashNote>) -> Option<Vec<u8>> {
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -31,7 +31,7 @@
     body::{self, AnswerBody, AnswerCopy, AnswerWatch},
     connection_pool::ConnectionPool,
     context::Context,
-    crash_check::{self, BrokenRun, RunWatch},
+    crash_check::{EndpointRun, RunWatch},
     exchange::{BegunAnswer, GiveUp},
     headers,
     inbound::Inbound,
@@ -283,7 +283,9 @@
             self.copies.take_back(copy);
         }
         self.log_end(&end);
-        self.check_endpoint(&end);
+        if matches!(end.outcome, Outcome::Broken { .. }) {
+            self.run_at(&end.endpoint, end.address).check_endpoint();
+        }
         if end.outcome == Outcome::NotSent {
             self.context.metrics.count(Event::HeldBack);
         }
@@ -297,12 +299,9 @@
         None
     }
 
-    /// Has an endpoint looked at that broke the connection.
-    fn check_endpoint(&self, end: &AttemptEnd) {
-        let (Outcome::Broken { .. }, Some(address)) = (end.outcome, end.address) else { return };
-        let (inbound, endpoint) = (Arc::clone(&self.inbound), end.endpoint.clone());
-        let run = BrokenRun { inbound, endpoint, address };
-        tokio::spawn(crash_check::run(Arc::clone(&self.context), run));
+    fn run_at(&self, endpoint: &Name, address: Option<SocketAddr>) -> EndpointRun {
+        let (context, inbound) = (Arc::clone(&self.context), Arc::clone(&self.inbound));
+        EndpointRun { context, inbound, endpoint: endpoint.clone(), address }
     }
 
     /// Says how an attempt ended; a failure is worth a line at any time.
@@ -336,13 +335,8 @@
         let BegunAnswer { mut parts, body, connection, sent, began, .. } = *answer;
         let endpoint_time = began.since(sent);
         let copy = self.inbound.key().map(|_| AnswerCopy::begin(self.inbound.id, &parts));
-        let run = RunWatch {
-            context: Arc::clone(&self.context),
-            inbound: Arc::clone(&self.inbound),
-            endpoint: endpoint.clone(),
-            address,
-            is_failure: parts.status.as_u16() >= FIRST_FAILURE_STATUS,
-        };
+        let is_failure = parts.status.as_u16() >= FIRST_FAILURE_STATUS;
+        let run = RunWatch { run: self.run_at(&endpoint, address), is_failure };
         let watch = AnswerWatch { shard: self.shard.clone(), attempt, copy, run };
         let body = AnswerBody::relayed(
             &parts,
