Tests and soak: crashing endpoints, heads of requests and arrivals are each had from one place

Three tests started crashing endpoints in a loop of their own, two readers of a request's head differed in what they return, and the soak gathered an endpoint's arrivals twice. No assertion changes.

--- a/crates/pistachiotrack-standins/src/soak/world.rs
+++ b/crates/pistachiotrack-standins/src/soak/world.rs
@@ -162,8 +162,7 @@
         pause(for_ms).await;
         let until_ms = self.clock.now_ms();
         self.publish(|config| mark(config, &name, false));
-        let arrivals = self.deployment.endpoints[endpoint].arrivals_since(from);
-        let arrivals_ms = arrivals.into_iter().map(|at| self.clock.ms(at)).collect();
+        let arrivals_ms = self.arrivals_ms(endpoint, from);
         let from_ms = self.clock.ms(from);
         let left = Left { endpoint: name, from_ms, until_ms, arrivals_ms };
         self.lock().left.push(left);
@@ -179,14 +178,18 @@
         pause(for_ms).await;
         let until_ms = self.clock.now_ms();
         limited.set_rate_limit(None);
-        let arrivals = limited.arrivals_since(from).into_iter();
-        let arrivals_ms = arrivals.map(|at| self.clock.ms(at)).collect();
+        let arrivals_ms = self.arrivals_ms(endpoint, from);
         let endpoint_name = limited.name().to_owned();
         let mut state = self.lock();
         state.limiting.remove(&endpoint);
         state.limited.push(Limited { endpoint: endpoint_name, per_second, until_ms, arrivals_ms });
     }
 
+    fn arrivals_ms(&self, endpoint: usize, since: Instant) -> Vec<u64> {
+        let arrivals = self.deployment.endpoints[endpoint].arrivals_since(since);
+        arrivals.into_iter().map(|at| self.clock.ms(at)).collect()
+    }
+
     /// Sends a request that crashes endpoints to one VM after the other.
     async fn send_crashing(&self, for_ms: u64) {
         let until = Instant::now() + Duration::from_millis(for_ms);
--- a/crates/pistachiotrackd/tests/quarantine.rs
+++ b/crates/pistachiotrackd/tests/quarantine.rs
@@ -2,17 +2,14 @@
 
 mod testenv;
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use hyper::header::HOST;
 use pistachiotrack_core::{header, quarantine::QuarantineSettings, refusal::Reason};
 use serde_json::json;
 use testenv::{
     client,
-    crashing::{CRASHING, Runs, WORK, start_endpoint, start_mending},
+    crashing::{CRASHING, Runs, WORK, start_endpoints, start_mending},
     endpoint::{Endpoint, read_head},
     fleet::{Vm, bounded, repeat, start_dispatchers},
 };
@@ -35,10 +32,7 @@
 async fn a_request_that_crashed_three_endpoints_is_hardly_sent_to_others() {
     bounded(async {
         let runs = Runs::default();
-        let mut endpoints = Vec::new();
-        for _ in 0..ENDPOINTS {
-            endpoints.push(start_endpoint(Arc::clone(&runs)).await);
-        }
+        let endpoints = start_endpoints(ENDPOINTS, &runs).await;
         let (_platform, vms) = start_dispatchers(VMS, &endpoints).await;
         let until = Instant::now() + SPREAD + Duration::from_secs(4);
         let (_, others) =
@@ -76,10 +70,7 @@
 async fn a_request_that_is_mended_is_served_again() {
     bounded(async {
         let runs = Runs::default();
-        let mut endpoints = Vec::new();
-        for _ in 0..CAUSE_CRASHES {
-            endpoints.push(start_mending(Arc::clone(&runs), CAUSE_CRASHES).await);
-        }
+        let endpoints = start_mending(CAUSE_CRASHES, &runs, CAUSE_CRASHES).await;
         let (_platform, vms) = start_dispatchers(VMS, &endpoints).await;
         let trial = Duration::from_millis(QuarantineSettings::default().first_trial_ms);
         let answers = repeat(&vms, CRASHING, Instant::now() + trial + SPREAD).await;
@@ -104,10 +95,7 @@
 async fn a_request_that_is_held_back_is_so_at_vms_that_callers_name_otherwise() {
     bounded(async {
         let runs = Runs::default();
-        let mut endpoints = Vec::new();
-        for _ in 0..ENDPOINTS {
-            endpoints.push(start_endpoint(Arc::clone(&runs)).await);
-        }
+        let endpoints = start_endpoints(ENDPOINTS, &runs).await;
         let (_platform, vms) = start_dispatchers(VMS, &endpoints).await;
         let held = Some(Reason::CrashesEndpoints.as_str().to_owned());
         while ask(&vms[0], CRASHING).await != held {}
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -5,10 +5,7 @@
 
 mod testenv;
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,7 +14,7 @@
 use serde_json::{Value, json};
 use testenv::{
     client, config,
-    crashing::{CRASHING, Runs, start_endpoint},
+    crashing::{CRASHING, Runs, start_endpoints},
     endpoint::{Endpoint, read_head},
     fleet::absent_platform,
     platform::Platform,
@@ -155,10 +152,7 @@
 
 async fn refused_after_crashes() -> Refusal {
     let runs = Runs::default();
-    let mut search = Vec::new();
-    for _ in 0..3 {
-        search.push(start_endpoint(Arc::clone(&runs)).await);
-    }
+    let search = start_endpoints(3, &runs).await;
     let (platform, vm) = start(config(1, &search, &[])).await;
     let start = Instant::now();
     loop {
--- a/crates/pistachiotrackd/tests/testenv/crashing.rs
+++ b/crates/pistachiotrackd/tests/testenv/crashing.rs
@@ -25,13 +25,25 @@
 /// Moments at which endpoints began to run the request under which they crash.
 pub(crate) type Runs = Arc<Mutex<Vec<Instant>>>;
 
-/// Starts an endpoint that crashes under [`CRASHING`] and answers all else.
-pub(crate) async fn start_endpoint(runs: Runs) -> SocketAddr {
-    start_mending(runs, usize::MAX).await
+/// Starts endpoints that crash under [`CRASHING`] and answer all else.
+pub(crate) async fn start_endpoints(count: usize, runs: &Runs) -> Vec<SocketAddr> {
+    start_mending(count, runs, usize::MAX).await
 }
 
-/// Starts an endpoint that crashes under [`CRASHING`] until there were so many `runs`.
-pub(crate) async fn start_mending(runs: Runs, crashing_runs: usize) -> SocketAddr {
+/// Starts endpoints that crash under [`CRASHING`] until there were so many `runs`.
+pub(crate) async fn start_mending(
+    count: usize,
+    runs: &Runs,
+    crashing_runs: usize,
+) -> Vec<SocketAddr> {
+    let mut endpoints = Vec::new();
+    for _ in 0..count {
+        endpoints.push(start_endpoint(Arc::clone(runs), crashing_runs).await);
+    }
+    endpoints
+}
+
+async fn start_endpoint(runs: Runs, crashing_runs: usize) -> SocketAddr {
     let mut listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
--- a/crates/pistachiotrackd/tests/testenv/endpoint.rs
+++ b/crates/pistachiotrackd/tests/testenv/endpoint.rs
@@ -138,14 +138,7 @@
 
 /// Reads the head of a request from a raw connection; returns false at its end.
 pub(crate) async fn read_head(stream: &mut TcpStream) -> bool {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return false,
-        }
-    }
-    true
+    read_request_line(stream).await.is_some()
 }
 
 /// Reads until the other end closes.
