Callers are identified by API keys of customers

Cause: the system knew no keys: whoever asked was served, the key was passed on to endpoints, and endpoints got whatever customer a caller named.

The configuration gives customers API keys, a class and a rate limit (the limit is not enforced yet), and routes may be public.

--- /dev/null
+++ b/crates/pistachiotrack-core/src/authentication.rs
@@ -0,0 +1,113 @@
+//! Identification of callers by the API key in their request.
+
+use crate::{
+    api_key::ApiKeyDigest, config::IndexedConfig, customer::Customer, name::Name, request::Class,
+    rule::Route,
+};
+
+/// The API key of a request, as far as it can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PresentedKey {
+    /// The request has no key.
+    Missing,
+    /// The request has several keys, and it is unknown which one the caller means.
+    Several,
+    /// The key is empty or contains bytes that no key has.
+    Malformed,
+    /// The digest of the key.
+    Digest(ApiKeyDigest),
+}
+
+impl PresentedKey {
+    /// Returns the key of a request, given all values that it has in the place of the key.
+    pub fn from_values<'a>(mut values: impl Iterator<Item = &'a [u8]>) -> PresentedKey {
+        let Some(value) = values.next() else { return PresentedKey::Missing };
+        if values.next().is_some() {
+            return PresentedKey::Several;
+        }
+        ApiKeyDigest::of(value.trim_ascii()).map_or(PresentedKey::Malformed, PresentedKey::Digest)
+    }
+}
+
+/// Why a caller isn't identified.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unidentified {
+    /// The request has no key.
+    Missing,
+    /// The request has several keys.
+    Several,
+    /// The key is malformed.
+    Malformed,
+    /// No customer holds the key.
+    Unknown,
+}
+
+impl Unidentified {
+    /// Returns the cause's name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Unidentified::Missing => "missing",
+            Unidentified::Several => "several",
+            Unidentified::Malformed => "malformed",
+            Unidentified::Unknown => "unknown",
+        }
+    }
+}
+
+/// Identifies the customer that a request is sent for.
+///
+/// # Errors
+///
+/// Returns why the caller isn't identified.
+pub fn identify(config: &IndexedConfig, key: PresentedKey) -> Result<&Customer, Unidentified> {
+    match key {
+        PresentedKey::Missing => Err(Unidentified::Missing),
+        PresentedKey::Several => Err(Unidentified::Several),
+        PresentedKey::Malformed => Err(Unidentified::Malformed),
+        PresentedKey::Digest(key) => config.customer_of_key(&key).ok_or(Unidentified::Unknown),
+    }
+}
+
+/// Whether a request needs a key, and whose it is.
+#[derive(Clone, Copy, Debug)]
+pub enum Caller<'c> {
+    /// The configuration or the route requires no key.
+    Anonymous,
+    /// The key is that of a customer.
+    Customer(&'c Customer),
+    /// The route requires a key, and the caller isn't identified.
+    Unidentified(Unidentified),
+}
+
+impl<'c> Caller<'c> {
+    /// Decides on a request for `route`, given the result of [`identify`].
+    pub fn on_route(
+        config: &IndexedConfig,
+        route: &Route,
+        identified: Result<&'c Customer, Unidentified>,
+    ) -> Caller<'c> {
+        if !config.api_keys_required || route.public {
+            return Caller::Anonymous;
+        }
+        match identified {
+            Ok(customer) => Caller::Customer(customer),
+            Err(cause) => Caller::Unidentified(cause),
+        }
+    }
+
+    /// Returns the class of the customer's requests, if it has one.
+    pub fn class(&self) -> Option<Class> {
+        match self {
+            Caller::Customer(customer) => customer.class,
+            Caller::Anonymous | Caller::Unidentified(_) => None,
+        }
+    }
+
+    /// Returns the customer's name, if a key was required.
+    pub fn customer(&self) -> Option<&'c Name> {
+        match self {
+            Caller::Customer(customer) => Some(&customer.name),
+            Caller::Anonymous | Caller::Unidentified(_) => None,
+        }
+    }
+}
--- a/crates/pistachiotrack-core/src/config.rs
+++ b/crates/pistachiotrack-core/src/config.rs
@@ -50,6 +50,10 @@
     pub services: Vec<Service>,
     /// Customers with their contracts.
     pub customers: Vec<Customer>,
+    /// Whether callers identify themselves by an API key of a customer, except on public
+    /// routes.
+    #[serde(default)]
+    pub api_keys_required: bool,
     /// Rules in order of evaluation.
     pub rules: Vec<Rule>,
 }
@@ -134,6 +138,14 @@
     }
 }
 
+/// Returns the name of the customer that the path of a field leads into.
+fn customer_at(field: &str, json: &[u8]) -> Option<String> {
+    let (index, _) = field.strip_prefix("customers[")?.split_once(']')?;
+    let value: serde_json::Value = serde_json::from_slice(json).ok()?;
+    let name = value.get("customers")?.get(index.parse::<usize>().ok()?)?.get("name")?;
+    name.as_str().map(str::to_owned)
+}
+
 /// Decodes a rejected value again to find the path of the invalid field. The decoder
 /// that tracks paths is too slow for values that are accepted.
 fn decode_error(file: &str, json: &[u8]) -> ConfigError {
@@ -143,6 +155,10 @@
         Err(error) => (error.path().to_string(), error.into_inner().to_string()),
         Ok(_) => ("json".to_owned(), "trailing characters after the value".to_owned()),
     };
+    let problem = match customer_at(&field, json) {
+        Some(customer) => format!("{problem} (customer {customer:?})"),
+        None => problem,
+    };
     let field = if field == "." { "json".to_owned() } else { field };
     ConfigError { file: Name::from(file), field, problem }
 }
--- a/crates/pistachiotrack-core/src/config/check.rs
+++ b/crates/pistachiotrack-core/src/config/check.rs
@@ -5,8 +5,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
+    api_key::ApiKeyDigest,
     config::{Config, ConfigError},
-    customer::Customer,
+    customer::{Customer, CustomerRateLimit},
     endpoint::Endpoint,
     name::Name,
     rule::{Conditions, Refuse, Route, Rule, RuleAction},
@@ -41,6 +42,7 @@
     customers: FxHashSet<&'a str>,
     endpoints: Names<'a>,
     addresses: FxHashMap<SocketAddr, &'a Name>,
+    api_keys: FxHashMap<&'a ApiKeyDigest, &'a Name>,
 }
 
 /// Names of one kind found so far.
@@ -57,6 +59,7 @@
             customers: config.customers.iter().map(|customer| customer.name.as_str()).collect(),
             endpoints: Names::default(),
             addresses: FxHashMap::default(),
+            api_keys: FxHashMap::default(),
         }
     }
 
@@ -142,6 +145,32 @@
             let path = format_args!("customers[{index}]");
             self.unique(names.insert(&*customer.name), path, &customer.name);
             self.contracts(path, customer);
+            self.api_keys(path, customer);
+            if let Some(limit) = &customer.rate_limit {
+                self.rate_limit(format_args!("{path}.rate_limit"), limit);
+            }
+        }
+    }
+
+    fn api_keys(&mut self, path: Arguments<'_>, customer: &'a Customer) {
+        for (index, key) in customer.api_keys.iter().enumerate() {
+            let Some(holder) = self.api_keys.insert(key, &customer.name) else { continue };
+            let (holder, customer) = (holder.as_str(), customer.name.as_str());
+            let problem = format!("the key of {customer:?} is already one of {holder:?}");
+            self.error(format_args!("{path}.api_keys[{index}]"), problem);
+        }
+    }
+
+    fn rate_limit(&mut self, path: Arguments<'_>, limit: &CustomerRateLimit) {
+        let rate = limit.requests_per_second;
+        if !(rate.is_finite() && rate > 0.0) {
+            let problem = format!("{rate} is not above 0");
+            self.error(format_args!("{path}.requests_per_second"), problem);
+        }
+        let burst = limit.burst_requests;
+        if !(burst.is_finite() && burst >= 0.0) {
+            let problem = format!("{burst} is below 0");
+            self.error(format_args!("{path}.burst_requests"), problem);
         }
     }
 
--- a/crates/pistachiotrack-core/src/config/delta.rs
+++ b/crates/pistachiotrack-core/src/config/delta.rs
@@ -4,12 +4,13 @@
 //! that are inserted. This preserves the order exactly, and one changed item costs that
 //! item and two ranges.
 
-use std::sync::Arc;
+use std::{hash::Hash, sync::Arc};
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    api_key::ApiKeyDigest,
     config::{Config, ContentHash, ContentSummary},
     customer::Customer,
     data_centre::DataCentre,
@@ -33,8 +34,9 @@
     entry_lifetime_ms: u64,
     data_centres: Vec<DeltaOp<DataCentre>>,
     services: Vec<DeltaOp<ServiceDelta>>,
-    customers: Vec<DeltaOp<Customer>>,
+    customers: Vec<DeltaOp<CustomerDelta>>,
     rules: Vec<DeltaOp<Rule>>,
+    api_keys_required: bool,
 }
 
 /// Why a delta can't be applied.
@@ -62,6 +64,15 @@
     Insert(Vec<T>),
 }
 
+impl<T> DeltaOp<T> {
+    fn map_inserted<U>(self, convert: impl Fn(T) -> U) -> DeltaOp<U> {
+        match self {
+            DeltaOp::Copy { from, count } => DeltaOp::Copy { from, count },
+            DeltaOp::Insert(items) => DeltaOp::Insert(items.into_iter().map(convert).collect()),
+        }
+    }
+}
+
 /// A changed or new service. Contains only the endpoints that have changed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct ServiceDelta {
@@ -72,6 +83,16 @@
     endpoints: Vec<DeltaOp<Endpoint>>,
 }
 
+/// A changed or new customer. Contains only the API keys that have changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct CustomerDelta {
+    /// Position of the customer in the base, unless it is new.
+    base: Option<u32>,
+    /// The customer without its API keys.
+    settings: Customer,
+    api_keys: Vec<DeltaOp<ApiKeyDigest>>,
+}
+
 impl Delta {
     /// Returns the delta from `base` to `new`, given the hashes of their contents.
     pub fn between(
@@ -88,8 +109,9 @@
             entry_lifetime_ms: new.entry_lifetime_ms,
             data_centres: diff(&base.data_centres, &new.data_centres, |item| &item.name),
             services: diff_services(&base.services, &new.services),
-            customers: diff(&base.customers, &new.customers, |item| &item.name),
+            customers: diff_customers(&base.customers, &new.customers),
             rules: diff(&base.rules, &new.rules, |item| &item.name),
+            api_keys_required: new.api_keys_required,
         }
     }
 
@@ -108,8 +130,9 @@
             entry_lifetime_ms: self.entry_lifetime_ms,
             data_centres: apply_ops(&base.data_centres, self.data_centres)?,
             services: apply_service_ops(&base.services, self.services)?,
-            customers: apply_ops(&base.customers, self.customers)?,
+            customers: apply_customer_ops(&base.customers, self.customers)?,
             rules: apply_ops(&base.rules, self.rules)?,
+            api_keys_required: self.api_keys_required,
         })
     }
 
@@ -136,7 +159,12 @@
     }
 }
 
-fn diff<T: Clone + PartialEq>(base: &[T], new: &[T], name: fn(&T) -> &Name) -> Vec<DeltaOp<T>> {
+/// Returns the operations that convert `base` to `new`; `key` returns what is unique to an item.
+fn diff<'a, T: Clone + PartialEq, K: Eq + Hash>(
+    base: &'a [T],
+    new: &'a [T],
+    key: impl Fn(&'a T) -> K,
+) -> Vec<DeltaOp<T>> {
     let prefix = base.iter().zip(new).take_while(|(old, new)| old == new).count();
     let (base_rest, new_rest) = (&base[prefix..], &new[prefix..]);
     let suffix = base_rest
@@ -146,13 +174,12 @@
         .take_while(|(old, new)| old == new)
         .count();
     let middle = prefix..base.len() - suffix;
-    let by_name: FxHashMap<&str, usize> =
-        middle.map(|index| (name(&base[index]).as_str(), index)).collect();
+    let by_key: FxHashMap<K, usize> = middle.map(|index| (key(&base[index]), index)).collect();
 
     let mut ops = Vec::new();
     push_copy(&mut ops, 0, prefix);
     for item in &new_rest[..new_rest.len() - suffix] {
-        match by_name.get(name(item).as_str()) {
+        match by_key.get(&key(item)) {
             Some(&index) if base[index] == *item => push_copy(&mut ops, index, 1),
             _ => push_insert(&mut ops, item.clone()),
         }
@@ -183,8 +210,7 @@
 }
 
 fn diff_services(base: &[Service], new: &[Service]) -> Vec<DeltaOp<ServiceDelta>> {
-    let by_name: FxHashMap<&str, usize> =
-        base.iter().enumerate().map(|(index, service)| (service.name.as_str(), index)).collect();
+    let by_name = positions(base, |service| &service.name);
     let service_delta = |service: Service| {
         let old = by_name.get(service.name.as_str()).copied();
         let old_endpoints = old.map_or(&[][..], |index| &base[index].endpoints);
@@ -194,15 +220,29 @@
     };
     diff(base, new, |service| &service.name)
         .into_iter()
-        .map(|op| match op {
-            DeltaOp::Copy { from, count } => DeltaOp::Copy { from, count },
-            DeltaOp::Insert(services) => {
-                DeltaOp::Insert(services.into_iter().map(service_delta).collect())
-            }
-        })
+        .map(|op| op.map_inserted(service_delta))
+        .collect()
+}
+
+fn diff_customers(base: &[Customer], new: &[Customer]) -> Vec<DeltaOp<CustomerDelta>> {
+    let by_name = positions(base, |customer| &customer.name);
+    let customer_delta = |customer: Customer| {
+        let old = by_name.get(customer.name.as_str()).copied();
+        let old_keys = old.map_or(&[][..], |index| &base[index].api_keys);
+        let api_keys = diff(old_keys, &customer.api_keys, |key| key);
+        let settings = Customer { api_keys: Vec::new(), ..customer };
+        CustomerDelta { base: old.map(|index| index as u32), settings, api_keys }
+    };
+    diff(base, new, |customer| &customer.name)
+        .into_iter()
+        .map(|op| op.map_inserted(customer_delta))
         .collect()
 }
 
+fn positions<T>(items: &[T], name: fn(&T) -> &Name) -> FxHashMap<&str, usize> {
+    items.iter().enumerate().map(|(index, item)| (name(item).as_str(), index)).collect()
+}
+
 fn apply_ops<T: Clone>(base: &[T], ops: Vec<DeltaOp<T>>) -> Result<Vec<T>, DeltaError> {
     apply_ops_with(base, ops, Ok)
 }
@@ -226,6 +266,24 @@
     })
 }
 
+fn apply_customer_ops(
+    base: &[Customer],
+    ops: Vec<DeltaOp<CustomerDelta>>,
+) -> Result<Vec<Customer>, DeltaError> {
+    let mut used = FxHashSet::default();
+    apply_ops_with(base, ops, |delta| {
+        // As with services, a damaged delta must not copy the keys of a customer many times.
+        if delta.base.is_some_and(|index| !used.insert(index)) {
+            return Err(DeltaError::InvalidOp);
+        }
+        let old = match delta.base {
+            Some(index) => &base.get(index as usize).ok_or(DeltaError::InvalidOp)?.api_keys[..],
+            None => &[],
+        };
+        Ok(Customer { api_keys: apply_ops(old, delta.api_keys)?, ..delta.settings })
+    })
+}
+
 fn apply_ops_with<T: Clone, P>(
     base: &[T],
     ops: Vec<DeltaOp<P>>,
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod admin;
 pub mod admission;
+pub mod api_key;
+pub mod authentication;
 pub mod concurrency_limit;
 pub mod config;
 pub mod config_sync;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -53,11 +53,13 @@
     Paused,
     /// Endpoints crash while running the request.
     CrashesEndpoints,
+    /// The request has no API key, or one that no customer holds.
+    ApiKey,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 12] = [
+    pub const ALL: [Reason; 13] = [
         Reason::QueueFull,
         Reason::WaitTooLong,
         Reason::DeadlinePassed,
@@ -70,6 +72,7 @@
         Reason::BadRequest,
         Reason::Paused,
         Reason::CrashesEndpoints,
+        Reason::ApiKey,
     ];
 
     /// Returns the value of [`crate::header::REASON`].
@@ -87,6 +90,7 @@
             Reason::BadRequest => "bad-request",
             Reason::Paused => "paused",
             Reason::CrashesEndpoints => "crashes-endpoints",
+            Reason::ApiKey => "api-key",
         }
     }
 }
--- a/crates/pistachiotrack-core/src/rule.rs
+++ b/crates/pistachiotrack-core/src/rule.rs
@@ -105,6 +105,9 @@
     /// applies if it is missing.
     #[serde(default)]
     pub attempts: Option<u32>,
+    /// Whether callers need no API key. A key that is sent anyway is ignored.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A service and its share of a traffic split.
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -56,6 +56,7 @@
         services: (0..sizes.services).map(|index| service(index, sizes)).collect(),
         customers: (0..sizes.customers).map(|index| customer(index, sizes)).collect(),
         rules: (0..sizes.rules).map(|index| rule(index, sizes)).collect(),
+        api_keys_required: false,
     }
 }
 
@@ -93,7 +94,7 @@
 
 fn customer(index: u32, sizes: Sizes) -> Customer {
     let contract = Contract { service: name("service", index % sizes.services), slots: 1 };
-    Customer { name: name("customer", index), contracts: vec![contract] }
+    Customer::new(name("customer", index), vec![contract])
 }
 
 fn rule(index: u32, sizes: Sizes) -> Rule {
@@ -137,6 +138,7 @@
         idempotent: true,
         hedge: false,
         attempts: None,
+        public: false,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -39,6 +39,7 @@
         services: vec![service],
         customers: Vec::new(),
         rules: Vec::new(),
+        api_keys_required: false,
     };
     OperatorConfig::new(config, [(Name::from(SERVICE), 90)].into()).unwrap()
 }
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -39,9 +39,9 @@
         connections: 400,
         leaving: false,
     };
-    let customer = |(name, slots): &(&str, u32)| Customer {
-        name: Name::from(*name),
-        contracts: vec![Contract { service: Name::from(SERVICE), slots: *slots }],
+    let customer = |(name, slots): &(&str, u32)| {
+        let contract = Contract { service: Name::from(SERVICE), slots: *slots };
+        Customer::new(Name::from(*name), vec![contract])
     };
     Config {
         version: 1,
@@ -62,6 +62,7 @@
         }],
         customers: contracts.iter().map(customer).collect(),
         rules: Vec::new(),
+        api_keys_required: false,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -52,6 +52,7 @@
         }],
         customers: Vec::new(),
         rules: Vec::new(),
+        api_keys_required: false,
     }
 }
 
--- a/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
@@ -67,9 +67,9 @@
         connections: DEFAULT_CONNECTIONS,
         leaving: false,
     };
-    let customer = |customer: &SimCustomer| Customer {
-        name: Name::from(customer.name),
-        contracts: vec![Contract { service: Name::from(SERVICE), slots: customer.slots }],
+    let customer = |customer: &SimCustomer| {
+        let contract = Contract { service: Name::from(SERVICE), slots: customer.slots };
+        Customer::new(Name::from(customer.name), vec![contract])
     };
     Config {
         version: 1,
@@ -90,6 +90,7 @@
         }],
         customers: CUSTOMERS.iter().map(customer).collect(),
         rules: Vec::new(),
+        api_keys_required: false,
     }
 }
 
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -35,6 +35,7 @@
         services: (0..size.services).map(|index| service(index, size)).collect(),
         customers: (0..size.customers).map(|index| customer(index, size)).collect(),
         rules: (0..size.routes).map(|index| rule(index, size)).collect(),
+        api_keys_required: false,
     }
 }
 
@@ -164,7 +165,7 @@
 
 fn customer(index: usize, size: Size) -> Customer {
     let service = service_name(index % size.services.max(1));
-    Customer { name: customer_name(index), contracts: vec![Contract { service, slots: 4 }] }
+    Customer::new(customer_name(index), vec![Contract { service, slots: 4 }])
 }
 
 fn rule(index: usize, size: Size) -> Rule {
@@ -184,6 +185,7 @@
             idempotent: true,
             hedge: false,
             attempts: None,
+            public: false,
         }),
     }
 }
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -57,6 +57,7 @@
         request_id: Some(&inbound.fleet_id),
         endpoint: &dispatch.endpoint,
         time_left: remaining(inbound.deadline, context.clock.now()),
+        customer: inbound.route.identified.as_ref(),
     };
     let head = request_head(&context, &inbound, metadata);
     let (pool, result) = match &dispatch.relay {
--- a/crates/pistachiotrackd/src/dialect.rs
+++ b/crates/pistachiotrackd/src/dialect.rs
@@ -11,6 +11,7 @@
     http::{request, response},
 };
 use pistachiotrack_core::{
+    authentication::PresentedKey,
     name::Name,
     rate_limit::{RateLimit, RateLimitError},
     refusal::Refusal,
@@ -23,7 +24,7 @@
 /// Metadata that a caller sends with its request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestMetadata {
-    /// Customer on whose behalf it is sent.
+    /// Customer that the caller names; without API keys nothing proves it.
     pub customer: Option<Name>,
     /// Requested class.
     pub class: Class,
@@ -52,6 +53,8 @@
     pub endpoint: &'a Name,
     /// Time left until the deadline of the request.
     pub time_left: Duration,
+    /// Customer whose API key the caller sent.
+    pub customer: Option<&'a Name>,
 }
 
 /// Kind of an answer.
@@ -102,6 +105,13 @@
     /// Returns an error with the name of the invalid header.
     fn read_request(&self, parts: &request::Parts) -> Result<RequestMetadata, HeaderError>;
 
+    /// Returns whether callers have to name a customer where no API keys are required.
+    fn requires_customer(&self) -> bool;
+
+    /// Removes the API key, and the customer that the caller names, from the headers of a
+    /// request, and returns the key. Neither may reach an endpoint.
+    fn take_credentials(&self, fields: &mut HeaderMap) -> PresentedKey;
+
     /// Returns the ID that the caller gave its request.
     fn request_id<'a>(&self, fields: &'a HeaderMap) -> Option<&'a str>;
 
--- a/crates/pistachiotrackd/src/dialect/native.rs
+++ b/crates/pistachiotrackd/src/dialect/native.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Response, StatusCode,
-    header::{CONTENT_TYPE, HeaderValue},
+    header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue},
     http::{request, response},
 };
 use pistachiotrack_core::{
+    authentication::PresentedKey,
     header,
     name::Name,
     refusal::Refusal,
@@ -25,6 +26,9 @@
 /// Maximum length of a customer's name, in bytes.
 const MAX_CUSTOMER_BYTES: usize = 256;
 
+/// Scheme of an `Authorization` header with an API key.
+const BEARER: &[u8] = b"Bearer ";
+
 /// The native dialect.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeDialect;
@@ -33,9 +37,9 @@
     fn read_request(&self, parts: &request::Parts) -> Result<RequestMetadata, HeaderError> {
         let text = |name| headers::text(&parts.headers, name);
         let header_error = |header, problem| HeaderError { header, problem };
-        let customer = text(header::CUSTOMER).unwrap_or_default();
-        if customer.is_empty() || customer.len() > MAX_CUSTOMER_BYTES {
-            let problem = format!("{customer:?} is missing or too long");
+        let customer = text(header::CUSTOMER).filter(|customer| !customer.is_empty());
+        if let Some(customer) = customer.filter(|name| name.len() > MAX_CUSTOMER_BYTES) {
+            let problem = format!("{} bytes are too long", customer.len());
             return Err(header_error(header::CUSTOMER, problem));
         }
         let class = text(header::CLASS).map(|class| {
@@ -48,13 +52,25 @@
             value.trim().parse().map(Duration::from_millis).map_err(not_a_number)
         });
         Ok(RequestMetadata {
-            customer: Some(Name::from(customer)),
+            customer: customer.map(Name::from),
             class: class.transpose()?.unwrap_or_default(),
             service: text(header::SERVICE).map(Name::from),
             time_left: time_left.transpose()?,
         })
     }
 
+    fn requires_customer(&self) -> bool {
+        true
+    }
+
+    fn take_credentials(&self, fields: &mut HeaderMap) -> PresentedKey {
+        fields.remove(header::CUSTOMER);
+        let values = fields.get_all(AUTHORIZATION).iter().map(HeaderValue::as_bytes);
+        let key = PresentedKey::from_values(values.map(bearer_token));
+        fields.remove(AUTHORIZATION);
+        key
+    }
+
     fn request_id<'a>(&self, _: &'a HeaderMap) -> Option<&'a str> {
         None
     }
@@ -64,6 +80,9 @@
             headers::set_number(fields, header::DEADLINE_MS, metadata.time_left.as_millis() as u64);
             headers::set(fields, header::REQUEST_ID, id);
         }
+        if let Some(customer) = metadata.customer {
+            headers::set(fields, header::CUSTOMER, customer);
+        }
     }
 
     fn read_answer(&self, parts: &response::Parts, _: OutgoingMetadata<'_>) -> AnswerMetadata {
@@ -125,3 +144,11 @@
         response
     }
 }
+
+/// Returns the token of an `Authorization` header; empty if it has another scheme.
+fn bearer_token(value: &[u8]) -> &[u8] {
+    match value.split_at_checked(BEARER.len()) {
+        Some((scheme, token)) if scheme.eq_ignore_ascii_case(BEARER) => token,
+        _ => &[],
+    }
+}
--- a/crates/pistachiotrackd/src/forwarded_route.rs
+++ b/crates/pistachiotrackd/src/forwarded_route.rs
@@ -15,6 +15,9 @@
     pub(crate) shard: ShardId,
     /// Customer that the request is attributed to.
     pub(crate) customer: Name,
+    /// Customer whose API key the caller sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) identified: Option<Name>,
     /// Priority.
     pub(crate) class: Class,
     /// Whether the request may be run more than once.
--- a/crates/pistachiotrackd/src/probe.rs
+++ b/crates/pistachiotrackd/src/probe.rs
@@ -55,6 +55,7 @@
             request_id: None,
             endpoint: &self.endpoint,
             time_left: self.time_limit.since(clock.now()),
+            customer: None,
         };
         let (outcome, report, answer) = match self.exchange(&pool, clock, &*dialect, metadata).await
         {
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -13,6 +13,7 @@
     http::{request, uri::Authority},
 };
 use pistachiotrack_core::{
+    authentication::{self, Caller, Unidentified},
     copies::{Copies, Undispatched},
     hash, header,
     name::Name,
@@ -30,7 +31,7 @@
     arrival::Arrival,
     body::AnswerBody,
     context::Context,
-    dialect::{Dialect, NativeDialect, RequestMetadata},
+    dialect::{Dialect, HeaderError, NativeDialect, RequestMetadata},
     entries,
     forward::{self, ForwardError, Forwarded},
     forwarded_route::ForwardedRoute,
@@ -157,20 +158,39 @@
     let (mut parts, body) = request.into_parts();
     let received = arrival(context, &parts);
     headers::strip_from_caller(&mut parts.headers);
-    let metadata = context.dialect.read_request(&parts).map_err(|error| {
-        log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
-        Reason::BadRequest
-    })?;
+    let mut metadata =
+        context.dialect.read_request(&parts).map_err(|error| malformed(fleet_id, &error))?;
     let time_left = metadata.time_left.map(|left| left.min(MAX_DEADLINE));
     let deadline = time_left.map(|left| received + left);
     let view = view_with_config(context, received, time_left).await;
     let Some(active) = &view.active else { return Err(Rejection::no_config()) };
-    let rule = decide(&metadata, context, active, &parts);
+    let config = active.index();
+    let identified = match config.api_keys_required {
+        true => {
+            metadata.customer = None;
+            authentication::identify(config, context.dialect.take_credentials(&mut parts.headers))
+        }
+        false => Err(Unidentified::Missing),
+    };
+    if !config.api_keys_required {
+        check_names_customer(context, &metadata, fleet_id)?;
+    }
+    let customer = identified.ok().map(|customer| &customer.name).or(metadata.customer.as_ref());
+    let rule = decide(customer, &metadata, context, active, &parts);
     let route = match rule {
         Some(RuleAction::Route(route)) => route,
         Some(RuleAction::Refuse(refuse)) => return Err(Rejection::by_rule(refuse)),
         None => return Err(Reason::Rule.into()),
     };
+    let caller = Caller::on_route(config, route, identified);
+    if let Caller::Unidentified(cause) = caller {
+        log::info!(
+            "event=caller_unidentified request={fleet_id} key={} config_version={}",
+            cause.as_str(),
+            config.version
+        );
+        return Err(Rejection::unidentified());
+    }
     let split_hash = hash::mix(hash::fnv(fleet_id.as_bytes()));
     let Some(service) = active.service(route.service_for(split_hash)) else {
         return Err(Reason::Rule.into());
@@ -179,8 +199,9 @@
     let forwarded_route = ForwardedRoute {
         shard: choose_shard(context, &view, service, key, id),
         // If callers give no customer, requests are accounted to the service.
-        customer: metadata.customer.clone().unwrap_or_else(|| service.name.clone()),
-        class: route.class.unwrap_or(metadata.class),
+        customer: caller.customer().or(metadata.customer.as_ref()).unwrap_or(&service.name).clone(),
+        identified: caller.customer().cloned(),
+        class: caller.class().or(route.class).unwrap_or(metadata.class),
         idempotent: route.idempotent,
         hedge: route.hedge,
         max_attempts: route.attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
@@ -189,7 +210,7 @@
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
     check_not_expired_in_pause(context, &parts, deadline)?;
     let body = read_body(context, body, deadline).await?;
-    let named_customer = metadata.customer;
+    let named_customer = forwarded_route.identified.clone().or(metadata.customer);
     let inbound = Inbound {
         id,
         fleet_id: fleet_id.clone(),
@@ -206,6 +227,24 @@
     check_not_quarantined(context, inbound)
 }
 
+fn malformed(fleet_id: &Name, error: &HeaderError) -> Reason {
+    log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
+    Reason::BadRequest
+}
+
+/// Refuses a request without a customer if callers have to name one.
+fn check_names_customer(
+    context: &Context,
+    metadata: &RequestMetadata,
+    fleet_id: &Name,
+) -> Result<(), Rejection> {
+    if metadata.customer.is_some() || !context.dialect.requires_customer() {
+        return Ok(());
+    }
+    let problem = "is missing".to_owned();
+    Err(malformed(fleet_id, &HeaderError { header: header::CUSTOMER, problem }).into())
+}
+
 /// Divisor of a request's time that yields the maximum wait for the first configuration; the rest
 /// remains to serve it.
 const FIRST_CONFIG_DIVISOR: u32 = 4;
@@ -260,6 +299,7 @@
 }
 
 fn decide<'c>(
+    customer: Option<&Name>,
     metadata: &RequestMetadata,
     context: &Context,
     active: &'c ActiveConfig,
@@ -268,7 +308,7 @@
     let fields = text_fields(&parts.headers);
     let host = host(parts);
     let attributes = RequestAttributes {
-        customer: metadata.customer.as_deref().unwrap_or_default(),
+        customer: customer.map(Name::as_str).unwrap_or_default(),
         host: &host,
         method: parts.method.as_str(),
         path: parts.uri.path(),
@@ -363,8 +403,9 @@
     headers::strip_from_caller(&mut parts.headers);
     let body = read_body(context, body, deadline).await?;
     // The VM at which the request entered has validated its head.
-    let named_customer =
-        context.dialect.read_request(&parts).ok().and_then(|metadata| metadata.customer);
+    let named_customer = route.identified.clone().or_else(|| {
+        context.dialect.read_request(&parts).ok().and_then(|metadata| metadata.customer)
+    });
     let inbound = Inbound {
         id,
         fleet_id: fleet_id.clone(),
--- a/crates/pistachiotrackd/src/rejection.rs
+++ b/crates/pistachiotrackd/src/rejection.rs
@@ -31,6 +31,11 @@
         Rejection { retry_after_ms: Some(NO_CONFIG_RETRY_MS), ..Reason::NoConfig.into() }
     }
 
+    /// Returns the rejection of a request whose caller isn't identified.
+    pub(crate) fn unidentified() -> Rejection {
+        Reason::ApiKey.into()
+    }
+
     /// Returns the rejection by a rule.
     pub(crate) fn by_rule(refuse: &Refuse) -> Rejection {
         let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
--- a/crates/pistachiotrackd/src/view.rs
+++ b/crates/pistachiotrackd/src/view.rs
@@ -32,6 +32,11 @@
         ActiveConfig { config, rules, index }
     }
 
+    /// Returns the configuration with its index.
+    pub(crate) fn index(&self) -> &IndexedConfig {
+        &self.index
+    }
+
     /// Returns a service by name.
     pub(crate) fn service(&self, name: &str) -> Option<&Service> {
         self.index.service(name)
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -169,6 +169,14 @@
     }
 }
 
+/// Returns a configuration that requires an API key.
+fn keyed_config() -> Value {
+    let mut config = config(1, &[], &[]);
+    config["api_keys_required"] = json!(true);
+    config["customers"][0]["api_keys"] = json!(["k-1"]);
+    config
+}
+
 /// Causes a refusal. The match has no default arm, so that a new reason doesn't compile
 /// without one.
 async fn refuse_for(reason: Reason) -> Refusal {
@@ -195,6 +203,7 @@
         }
         Reason::Paused => refuse_after_pause().await,
         Reason::CrashesEndpoints => refuse_after_crashes().await,
+        Reason::ApiKey => refuse_with(keyed_config(), client::get("/slots")).await,
     }
 }
 
