Keyed requests need a lease on the configuration

Cause: a VM that a change of the configuration can't reach served a key that was taken away for as long as it lived.

Each VM knows since when its configuration is known to have been the newest one: from its own reads of the platform, counted from before the question, and from the answers of peers, counted from before the query less the age they report. Past the bound of the settings it refuses keyed requests with 503; public routes go on. Two ways were built behind one interface: queries to peers along a tree below the watchers, and direct reads. A VM that gets no confirmation from its peers reads the platform itself.

A read of the registry without a wait returned without asking once the registry had been listed before; it asks at least once now. All clocks of a process now have the same start, so that times of a source and of the fleet can be compared.

--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -33,6 +33,7 @@
 };
 use crate::{
     config::{Config, ConfigError, ContentHash},
+    config_lease::LeasePeers,
     membership::{Member, MemberState},
     name::Name,
     time::Time,
@@ -102,6 +103,8 @@
     first_value: Option<FirstValue>,
     has_peer_version: bool,
     role: Option<Role>,
+    /// Time from which this VM reads the platform to renew its lease; `None` without a lease.
+    renew_at: Option<Time>,
     /// Oldest version reported by peers and not active here, and the time of the
     /// first such report.
     missing_version: Option<(u64, Time)>,
@@ -144,6 +147,7 @@
             first_value: None,
             has_peer_version: false,
             role: None,
+            renew_at: None,
             missing_version: None,
         }
     }
@@ -202,7 +206,7 @@
                 }
                 // All VMs of the fleet may have these roles at once. Each pending watch
                 // would occupy one of the platform's calls for as long as it waits.
-                Role::Cold | Role::Follower => ConfigAction::Read { after },
+                Role::Cold | Role::Follower | Role::Renewing => ConfigAction::Read { after },
             });
         }
         actions
@@ -331,6 +335,35 @@
         self.platform_schedule.time_since_response(now)
     }
 
+    /// Sets the time from which this VM reads the platform to renew its lease on the
+    /// configuration, whatever its role; `None` without a lease.
+    pub fn set_renew_at(&mut self, renew_at: Option<Time>) {
+        self.renew_at = renew_at;
+    }
+
+    /// Returns the other live VMs, ranked as they watch the platform.
+    pub fn lease_peers<'a>(&self, members: impl Iterator<Item = &'a Member>) -> LeasePeers<'a> {
+        let my_score = watch_score(&self.deployment, &self.me);
+        let mut peers = LeasePeers::default();
+        let mut before: Vec<(u64, &Vm)> = Vec::new();
+        for member in members.filter(|member| member.state == MemberState::Alive) {
+            let score = watch_score(&self.deployment, &member.vm);
+            match self.in_same_data_centre(member) {
+                false => peers.far.push(&member.vm),
+                true if score > my_score => before.push((score, &member.vm)),
+                true => peers.after.push(&member.vm),
+            }
+        }
+        before.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+        peers.before = before.into_iter().map(|(_, vm)| vm).collect();
+        peers
+    }
+
+    /// Returns the number of VMs of each data centre that watch the platform.
+    pub fn watchers_per_data_centre(&self) -> usize {
+        self.watcher_count() as usize
+    }
+
     /// Returns the role in which this VM reads the platform; `None` before the
     /// first tick.
     pub fn role(&self) -> Option<Role> {
@@ -353,7 +386,13 @@
         if self.store.config().is_none() {
             return Role::Cold;
         }
-        if self.reads_as_standby(now, higher_ranked) { Role::Standby } else { Role::Follower }
+        if self.reads_as_standby(now, higher_ranked) {
+            return Role::Standby;
+        }
+        match self.renew_at {
+            Some(renew_at) if now >= renew_at => Role::Renewing,
+            _ => Role::Follower,
+        }
     }
 
     fn watcher_count(&self) -> u32 {
--- a/crates/pistachiotrack-core/src/config_sync/platform_schedule.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform_schedule.rs
@@ -8,8 +8,6 @@
 
 /// Time after the expected end of a watch at which it counts as lost.
 const WATCH_GRACE: Duration = Duration::from_secs(10);
-/// Minimum interval between the starts of two watches that return nothing newer.
-const MIN_WATCH_GAP: Duration = Duration::from_secs(1);
 const MAX_BACKOFF_DOUBLINGS: u32 = 16;
 /// Factor by which the minimum retry delay exceeds the duration over which the first
 /// reads are spread, because retries of list reads and of value reads coincide.
@@ -30,6 +28,9 @@
     Follower,
     /// Reads in place of a watcher that gets no response from the platform.
     Standby,
+    /// Other VMs watch; no confirmation that the configuration is the newest one has reached
+    /// this VM for so long that its lease would end soon.
+    Renewing,
 }
 
 impl Role {
@@ -42,6 +43,7 @@
             Role::Cold => "cold",
             Role::Follower => "follower",
             Role::Standby => "standby",
+            Role::Renewing => "renewing",
         }
     }
 }
@@ -130,7 +132,7 @@
         self.pending_since = None;
         // Without a gap, a platform that ends watches immediately would be called
         // in a loop.
-        self.not_before = self.not_before.max(self.last_call_started + MIN_WATCH_GAP);
+        self.not_before = self.not_before.max(self.last_call_started + self.min_watch_gap());
     }
 
     /// Records that a value newer than the active one arrived.
@@ -175,15 +177,20 @@
     pub(super) fn max_response_gap(&self) -> Duration {
         let ConfigSyncSettings { watch_timeout_ms, change_gap_ms, standby_margin_ms, .. } =
             self.settings;
-        let watch = Duration::from_millis(watch_timeout_ms + change_gap_ms).max(MIN_WATCH_GAP);
+        let watch =
+            Duration::from_millis(watch_timeout_ms + change_gap_ms).max(self.min_watch_gap());
         watch + Duration::from_millis(standby_margin_ms)
     }
 
+    fn min_watch_gap(&self) -> Duration {
+        Duration::from_millis(self.settings.min_watch_gap_ms)
+    }
+
     fn backoff(&self, role: Role) -> Backoff {
         let ConfigSyncSettings { min_backoff_ms, max_backoff_ms, .. } = self.settings;
         let regular = Backoff { initial_ms: min_backoff_ms, max_ms: max_backoff_ms, min_ms: 0 };
         match role {
-            Role::Watcher => regular,
+            Role::Watcher | Role::Renewing => regular,
             Role::Standby => Backoff {
                 initial_ms: self.settings.standby_backoff_ms,
                 max_ms: self.settings.unconfirmed_read_after_ms,
@@ -215,7 +222,7 @@
                 let wait = Duration::from_millis(self.settings.cold_read_after_ms);
                 started + wait + self.spread_duration.mul_f64(self.jitter_position)
             }
-            Role::Standby => started,
+            Role::Standby | Role::Renewing => started,
             // All watchers and standbys may be cut off from the platform while this VM
             // is not. The interval grows with the fleet, so that all followers together
             // call at a fixed rate whatever their number, also while the platform is
--- a/crates/pistachiotrack-core/src/config_sync/settings.rs
+++ b/crates/pistachiotrack-core/src/config_sync/settings.rs
@@ -21,6 +21,8 @@
     pub standby_backoff_ms: u64,
     /// Time after which the platform ends a pending watch.
     pub watch_timeout_ms: u64,
+    /// Minimum interval between the starts of two watches that return nothing newer.
+    pub min_watch_gap_ms: u64,
     /// Timeout of a pull of deltas, after which another peer is queried.
     pub delta_timeout_ms: u64,
     /// Timeout of a pull of the full configuration, or of a pull after several timeouts.
@@ -66,6 +68,7 @@
             standby_margin_ms: 200,
             standby_backoff_ms: 2_000,
             watch_timeout_ms: 30_000,
+            min_watch_gap_ms: 1_000,
             delta_timeout_ms: 500,
             pull_timeout_ms: 4_000,
             // 80% of a link of 10 Mbit/s, the slowest that VMs have.
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod authentication;
 pub mod concurrency_limit;
 pub mod config;
+pub mod config_lease;
 pub mod config_sync;
 pub mod contract;
 pub mod copies;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -55,11 +55,13 @@
     CrashesEndpoints,
     /// The request has no API key, or one that no customer holds.
     ApiKey,
+    /// The VM can't confirm that its configuration is recent enough to decide on API keys.
+    ConfigUnconfirmed,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 13] = [
+    pub const ALL: [Reason; 14] = [
         Reason::QueueFull,
         Reason::WaitTooLong,
         Reason::DeadlinePassed,
@@ -73,6 +75,7 @@
         Reason::Paused,
         Reason::CrashesEndpoints,
         Reason::ApiKey,
+        Reason::ConfigUnconfirmed,
     ];
 
     /// Returns the value of [`crate::header::REASON`].
@@ -91,6 +94,7 @@
             Reason::Paused => "paused",
             Reason::CrashesEndpoints => "crashes-endpoints",
             Reason::ApiKey => "api-key",
+            Reason::ConfigUnconfirmed => "config-unconfirmed",
         }
     }
 }
--- a/crates/pistachiotrack-core/src/steering.rs
+++ b/crates/pistachiotrack-core/src/steering.rs
@@ -52,6 +52,8 @@
     pub ownership: &'a Ownership,
     /// This VM.
     pub me: &'a Vm,
+    /// Whether this VM offers itself although there are others.
+    pub offers_me: bool,
     /// Requested service.
     pub service: &'a str,
     /// Customer of the caller; empty if unknown.
@@ -66,7 +68,10 @@
     members: impl Iterator<Item = &'a Member>,
     service: &str,
 ) -> EntryResponse {
-    entries_for_query(EntryQuery { config, ownership, me, service, customer: "" }, members)
+    entries_for_query(
+        EntryQuery { config, ownership, me, offers_me: true, service, customer: "" },
+        members,
+    )
 }
 
 /// Returns the entry addresses of a service: the owners first, then alternates.
@@ -81,7 +86,7 @@
     let me = query.me;
     let alive = members.filter(|member| member.state == MemberState::Alive);
     let mut vms: Vec<&Vm> = alive.map(|member| &member.vm).collect();
-    if !query.ownership.is_leaving() || vms.is_empty() {
+    if query.offers_me && !query.ownership.is_leaving() || vms.is_empty() {
         vms.push(me);
     }
     let shards = shards(&query);
@@ -168,6 +173,8 @@
     pub ownership: &'a Ownership,
     /// This VM.
     pub me: &'a Vm,
+    /// Whether this VM offers itself although there are others.
+    pub offers_me: bool,
     /// Host of the caller's requests.
     pub host: &'a str,
     /// Data centre of the caller or the nearest one, if known.
@@ -190,7 +197,7 @@
     let usable =
         |member: &&Member| member.state == MemberState::Alive && member.config_version.is_some();
     let mut vms: Vec<&Vm> = members.filter(usable).map(|member| &member.vm).collect();
-    if !query.ownership.is_leaving() || vms.is_empty() {
+    if query.offers_me && !query.ownership.is_leaving() || vms.is_empty() {
         vms.push(query.me);
     }
     let mut chosen = dispatchers_of_host(&query, &vms);
--- a/crates/pistachiotrack-core/tests/steering.rs
+++ b/crates/pistachiotrack-core/tests/steering.rs
@@ -74,7 +74,8 @@
     customer: &str,
 ) -> EntryResponse {
     let me = vm(0);
-    let query = EntryQuery { config, ownership, me: &me, service: "booking", customer };
+    let query =
+        EntryQuery { config, ownership, me: &me, offers_me: true, service: "booking", customer };
     entries_for_query(query, members.iter())
 }
 
--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -103,6 +103,7 @@
         | Reason::NoConfig
         | Reason::NoEndpoint
         | Reason::Paused
-        | Reason::CrashesEndpoints => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::CrashesEndpoints
+        | Reason::ConfigUnconfirmed => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/pistachiotrackd/src/clock.rs
+++ b/crates/pistachiotrackd/src/clock.rs
@@ -5,34 +5,34 @@
 use pistachiotrack_core::time::Time;
 use rustix::time::{ClockId, clock_gettime};
 
-/// Converts the system's boot-time clock to [`Time`].
+/// Converts the system's boot-time clock to [`Time`], the same on all clocks of a machine.
 ///
 /// `CLOCK_MONOTONIC` stops while a VM is suspended, so that requests would be
 /// sent long after their callers gave up. `CLOCK_BOOTTIME` includes suspended
 /// time: deadlines expire and the timer service detects the gap.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Duration,
+    started: Time,
 }
 
-/// Value of the clock when it is started. It is above 0 so that times shortly
-/// before the start can be represented.
-const START: Time = Time::from_millis(1_000);
+/// Value of the clock when the machine boots. It is above 0 so that times shortly before the
+/// start of a process can be represented.
+const AT_BOOT: Time = Time::from_millis(1_000);
 
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Clock {
-        Clock { start: since_boot() }
+        Clock { started: AT_BOOT + since_boot() }
     }
 
     /// Returns the time at which the clock was started.
     pub(crate) fn started(&self) -> Time {
-        START
+        self.started
     }
 
     /// Returns the current time.
     pub fn now(&self) -> Time {
-        START + since_boot().saturating_sub(self.start)
+        AT_BOOT + since_boot()
     }
 
     /// Converts a time to an instant of the runtime's timers.
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -9,10 +9,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    clock::Clock, connection_pool::ConnectionPool, dialect::Dialect, forward_stats::ForwardStats,
-    histogram::Histograms, metrics::Metrics, quarantine::QuarantineManager, settings::Settings,
-    shard_table::ShardTable, source::ConfigSource, timer::PauseGate, traffic::Traffic,
-    view::FleetView,
+    clock::Clock, connection_pool::ConnectionPool, dialect::Dialect, fleet::LeaseTimes,
+    forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics,
+    quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
+    source::ConfigSource, timer::PauseGate, traffic::Traffic, view::FleetView,
 };
 
 /// State of the daemon's lifecycle.
@@ -20,6 +20,9 @@
 pub(crate) enum LifecycleState {
     /// No configuration has been received yet.
     Starting,
+    /// Only requests that need no API key are served, until the configuration is confirmed to
+    /// be the newest one.
+    Unconfirmed,
     /// Requests are served.
     Serving,
     /// The daemon is stopping.
@@ -31,6 +34,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             LifecycleState::Starting => "starting",
+            LifecycleState::Unconfirmed => "unconfirmed",
             LifecycleState::Serving => "serving",
             LifecycleState::Leaving => "leaving",
         }
@@ -52,6 +56,8 @@
     pub(crate) gate: PauseGate,
     /// Latest snapshot of the fleet and the configuration.
     pub(crate) view: watch::Receiver<Arc<FleetView>>,
+    /// Lease on the configuration.
+    pub(crate) lease: watch::Receiver<LeaseTimes>,
     /// Whether the daemon is stopping.
     pub(crate) leaving: watch::Receiver<bool>,
     /// Shards that this VM dispatches for.
@@ -96,14 +102,33 @@
         Name::from(format!("{}-{:x}-{:x}", self.me.name, self.me.incarnation, request.0))
     }
 
+    /// Returns whether this VM may decide on API keys: its configuration is known to have been
+    /// the newest one recently enough.
+    pub(crate) fn has_lease(&self) -> bool {
+        let has_bound = self.settings.config_lease.max_age_s.is_some();
+        !has_bound || self.lease.borrow().expires_at.is_some_and(|end| self.clock.now() < end)
+    }
+
+    /// Returns whether callers should use other VMs, since the lease of this one ends soon.
+    pub(crate) fn withdraws(&self) -> bool {
+        let is_keyed =
+            self.view.borrow().active.as_ref().is_some_and(|it| it.config.api_keys_required);
+        let has_bound = self.settings.config_lease.max_age_s.is_some();
+        let is_due = || self.lease.borrow().withdraw_at.is_none_or(|at| self.clock.now() >= at);
+        is_keyed && has_bound && is_due()
+    }
+
     /// Returns the state of the lifecycle.
     pub(crate) fn lifecycle_state(&self) -> LifecycleState {
         if *self.leaving.borrow() {
             return LifecycleState::Leaving;
         }
         match self.view.borrow().active {
-            Some(_) => LifecycleState::Serving,
             None => LifecycleState::Starting,
+            Some(ref active) if active.config.api_keys_required && !self.has_lease() => {
+                LifecycleState::Unconfirmed
+            }
+            Some(_) => LifecycleState::Serving,
         }
     }
 }
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -31,7 +31,7 @@
     context::Context,
     dialect::{Dialect, NativeDialect},
     entries,
-    fleet::{Fleet, FleetArgs, Leave, SetSeeds, TICK_INTERVAL},
+    fleet::{Fleet, FleetArgs, LeaseTimes, Leave, SetSeeds, TICK_INTERVAL},
     forward_stats::ForwardStats,
     histogram::Histograms,
     listener::Listener,
@@ -147,6 +147,7 @@
         let ownership = Ownership::new(me.clone(), OwnershipSettings::default());
         let first_view = FleetView::new(None, ownership, Vec::new(), &me.data_centre);
         let (view_sender, view) = watch::channel(Arc::new(first_view));
+        let (lease_sender, lease) = watch::channel(LeaseTimes::default());
         let (leaving_sender, leaving) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
         let (superseded_sender, superseded) = watch::channel(false);
@@ -190,6 +191,7 @@
             clock,
             gate,
             view,
+            lease,
             leaving,
             shards,
             endpoints,
@@ -209,6 +211,7 @@
         let fleet_args = FleetArgs {
             context: Arc::clone(&context),
             view: view_sender,
+            lease: lease_sender,
             socket: Arc::clone(&socket),
             superseded: superseded_sender,
             seed,
--- a/crates/pistachiotrackd/src/entries.rs
+++ b/crates/pistachiotrackd/src/entries.rs
@@ -45,6 +45,7 @@
         config: &active.config,
         ownership: &view.ownership,
         me: &context.me,
+        offers_me: !context.withdraws(),
         service: &service,
         customer: headers::text(&parts.headers, header::CUSTOMER).unwrap_or_default(),
     };
@@ -75,6 +76,7 @@
         config: &active.config,
         ownership: &view.ownership,
         me: &context.me,
+        offers_me: !context.withdraws(),
         host: &requested.host,
         data_centre: requested.data_centre.as_deref(),
     };
@@ -89,6 +91,8 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     Ok(answer::plain(match context.lifecycle_state() {
         LifecycleState::Serving => StatusCode::OK,
-        LifecycleState::Starting | LifecycleState::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        LifecycleState::Starting | LifecycleState::Unconfirmed | LifecycleState::Leaving => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     }))
 }
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -2,6 +2,7 @@
 //! and the configuration.
 
 mod config_status;
+mod lease;
 mod leave;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -15,6 +16,7 @@
 };
 use pistachiotrack_core::{
     config::Config,
+    config_lease::Confirmation,
     config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings, ListReadSchedule},
     membership::{Membership, MembershipAction, MembershipSettings},
     name::Name,
@@ -29,9 +31,10 @@
     task::{AbortHandle, JoinHandle},
 };
 
-use self::config_status::ConfigLog;
+use self::{config_status::ConfigLog, lease::LeaseKeeper};
 pub(crate) use self::{
     config_status::{ConfigStatus, GetConfigStatus},
+    lease::{LEASE_TAG, LeaseDatagram, LeaseTimes},
     leave::Leave,
 };
 use crate::{
@@ -42,7 +45,7 @@
     platform::Platform,
     shard_actor::{NewConfig, Retire},
     shard_table::shard_name,
-    source::{ConfigSource, PublishedConfig, SourceError},
+    source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
     timer::TimerEvent,
     traffic::{Locality, Topic},
     udp,
@@ -66,6 +69,8 @@
     pub(crate) context: Arc<Context>,
     /// Channel that snapshots are published to.
     pub(crate) view: watch::Sender<Arc<FleetView>>,
+    /// Channel that the times of the configuration's lease are published to.
+    pub(crate) lease: watch::Sender<LeaseTimes>,
     /// Socket of the membership datagrams.
     pub(crate) socket: Arc<UdpSocket>,
     /// Set to true when a newer daemon runs under this VM's name.
@@ -88,6 +93,7 @@
     membership: Membership,
     ownership: Ownership,
     sync: ConfigSync,
+    lease: LeaseKeeper,
     config_log: ConfigLog,
     active: Option<Arc<ActiveConfig>>,
     published_revision: Option<u64>,
@@ -100,7 +106,7 @@
     type Error = Infallible;
 
     async fn on_start(args: FleetArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
-        let FleetArgs { context, view, socket, superseded, seed } = args;
+        let FleetArgs { context, view, lease, socket, superseded, seed } = args;
         let now = context.clock.now();
         let me = context.me.clone();
         let settings = &context.settings;
@@ -128,7 +134,9 @@
             ));
             Arc::new(platform)
         });
+        let lease = LeaseKeeper::new(settings.config_lease.clone(), &deployment, lease, seed);
         Ok(Fleet {
+            lease,
             membership: Membership::new(now, me.clone(), membership_settings, seed),
             ownership: Ownership::new(me.clone(), OwnershipSettings::default()),
             sync: ConfigSync::new(me, deployment, sync_settings, seed),
@@ -184,7 +192,7 @@
 }
 
 /// The configuration source's response to a read or watch.
-pub(crate) struct SourceResponse(pub(crate) Result<Option<PublishedConfig>, SourceError>);
+pub(crate) struct SourceResponse(pub(crate) Result<SourceReading, SourceError>);
 
 impl Message<SourceResponse> for Fleet {
     type Reply = ();
@@ -193,9 +201,9 @@
         let now = self.context.clock.now();
         self.watching.send_replace(false);
         match message.0 {
-            Ok(value) => {
+            Ok(SourceReading { config, asked_at }) => {
                 self.membership.on_platform_response(now);
-                let actions = match value {
+                let actions = match config {
                     Some(PublishedConfig::Assembled(config)) => {
                         self.sync.on_platform_config(now, *config)
                     }
@@ -204,7 +212,15 @@
                     }
                     None => self.sync.on_platform_value(now, None),
                 };
+                // A source that lies behind proves nothing. A value that was rejected is not in
+                // force, so that the active one stays the newest.
+                let is_behind =
+                    actions.iter().any(|action| matches!(action, ConfigAction::Stale { .. }));
                 self.apply_config(now, actions);
+                if let (Some(at), Some(version), false) = (asked_at, self.sync.version(), is_behind)
+                {
+                    self.lease.on_confirmation(Confirmation { version, at });
+                }
                 let standbys = self.sync.standbys(self.membership.members());
                 let actions = self.membership.announce(now, standbys);
                 self.apply_membership(now, actions);
@@ -287,6 +303,7 @@
         self.apply_membership(now, actions);
         let actions = self.sync.on_tick(now, self.membership.members());
         self.apply_config(now, actions);
+        self.renew_lease(now);
         self.config_log.on_tick(now, &self.sync);
         if now.since(self.ownership_updated) >= OWNERSHIP_UPDATE_INTERVAL {
             self.update_ownership(now);
@@ -425,9 +442,13 @@
             // A shard whose actor has stopped restarts with this configuration.
             let _ = shard.tell(NewConfig(Arc::clone(&config))).try_send();
         }
+        let version = config.version;
         self.active = Some(Arc::new(ActiveConfig::new(config)));
         self.update_ownership(now);
+        // A request that finds a lease must not find an older configuration after it.
+        self.lease.on_active(version);
         self.retire_shards();
+        self.renew_lease(now);
     }
 
     /// Stops the shards that the configuration no longer contains.
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -16,6 +16,7 @@
 mod context;
 mod crash_check;
 pub mod daemon;
+mod datagram;
 pub mod dialect;
 mod entries;
 mod exchange;
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -17,11 +17,12 @@
 use tokio::sync::watch;
 
 use crate::{
+    clock::Clock,
     fleet::{Fleet, VmListReceived},
     gzip::{self, GzipError},
     http_call::{self, CallError},
     settings::Settings,
-    source::{ConfigSource, PublishedConfig, SourceError},
+    source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
     traffic::{Locality, Topic, Traffic},
 };
 
@@ -63,6 +64,7 @@
 pub(crate) struct Platform {
     address: SocketAddr,
     deployment: Name,
+    clock: Clock,
     traffic: Arc<Traffic>,
 }
 
@@ -72,6 +74,7 @@
         Platform {
             address: settings.platform_address,
             deployment: settings.deployment.clone(),
+            clock: Clock::start(),
             traffic,
         }
     }
@@ -161,11 +164,12 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Option<PublishedConfig>, SourceError>> {
+    ) -> BoxFuture<'_, Result<SourceReading, SourceError>> {
         Box::pin(async move {
+            let asked_at = Some(self.clock.now());
             let path = format!("/v1/config/{}", self.deployment);
             let value = self.read_after(&path, after, wait).await.map_err(SourceError::new)?;
-            Ok(value.map(PublishedConfig::Encoded))
+            Ok(SourceReading { config: value.map(PublishedConfig::Encoded), asked_at })
         })
     }
 }
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -162,7 +162,7 @@
         context.dialect.read_request(&parts).map_err(|error| malformed(fleet_id, &error))?;
     let time_left = metadata.time_left.map(|left| left.min(MAX_DEADLINE));
     let deadline = time_left.map(|left| received + left);
-    let view = view_with_config(context, received, time_left).await;
+    let (view, has_lease) = confirmed_view(context, received, time_left).await;
     let Some(active) = &view.active else { return Err(Rejection::no_config()) };
     let config = active.index();
     let identified = match config.api_keys_required {
@@ -183,6 +183,9 @@
         None => return Err(Reason::Rule.into()),
     };
     let caller = Caller::on_route(config, route, identified);
+    if !matches!(caller, Caller::Anonymous) && !has_lease {
+        return Err(Rejection::unconfirmed());
+    }
     if let Caller::Unidentified(cause) = caller {
         log::info!(
             "event=caller_unidentified request={fleet_id} key={} config_version={}",
@@ -260,9 +263,7 @@
     received: Time,
     time_left: Option<Duration>,
 ) -> Arc<FleetView> {
-    let wait = Duration::from_millis(context.settings.limits.first_config_wait_ms);
-    let until = context.clock.started() + wait;
-    let until = time_left.map_or(until, |left| until.min(received + left / FIRST_CONFIG_DIVISOR));
+    let until = first_config_deadline(context, received, time_left);
     let mut view = context.view.clone();
     let configured = view.wait_for(|view| view.active.is_some());
     match tokio::time::timeout_at(context.clock.instant(until), configured).await {
@@ -271,6 +272,42 @@
     }
 }
 
+/// Returns the view of the fleet, and whether this VM may decide on API keys with it.
+///
+/// The lease is checked before the view is taken: if a newer configuration became active in
+/// between, the view contains it.
+async fn confirmed_view(
+    context: &Context,
+    received: Time,
+    time_left: Option<Duration>,
+) -> (Arc<FleetView>, bool) {
+    let view = view_with_config(context, received, time_left).await;
+    if !view.active.as_ref().is_some_and(|active| active.config.api_keys_required) {
+        return (view, true);
+    }
+    if !context.has_lease() {
+        wait_for_lease(context, received, time_left).await;
+    }
+    let has_lease = context.has_lease();
+    (context.view(), has_lease)
+}
+
+/// Waits for the lease on a VM that has just started, as for the first configuration.
+async fn wait_for_lease(context: &Context, received: Time, time_left: Option<Duration>) {
+    let mut lease = context.lease.clone();
+    let confirmed = lease.wait_for(|_| context.has_lease());
+    let until = first_config_deadline(context, received, time_left);
+    // Whether the lease has arrived or not is checked by the caller.
+    let _ = tokio::time::timeout_at(context.clock.instant(until), confirmed).await;
+}
+
+/// Returns the time until which requests wait for what a VM lacks after its start.
+fn first_config_deadline(context: &Context, received: Time, time_left: Option<Duration>) -> Time {
+    let wait = Duration::from_millis(context.settings.limits.first_config_wait_ms);
+    let until = context.clock.started() + wait;
+    time_left.map_or(until, |left| until.min(received + left / FIRST_CONFIG_DIVISOR))
+}
+
 /// Returns the time from which a request's deadline is counted.
 fn arrival(context: &Context, parts: &request::Parts) -> Time {
     parts.extensions.get().map_or_else(|| context.clock.now(), |Arrival(time)| *time)
--- a/crates/pistachiotrackd/src/quarantine/transport.rs
+++ b/crates/pistachiotrackd/src/quarantine/transport.rs
@@ -6,16 +6,15 @@
     fingerprint::Fingerprint,
     hash,
     membership::MemberState,
-    message::MAX_DATAGRAM_BYTES,
     name::Name,
     quarantine::{CrashUpdate, UpdateBatch},
     vm::Vm,
 };
 use rand::seq::IteratorRandom;
-use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
+    datagram::{DatagramCodec, DatagramError},
     traffic::{Topic, Traffic},
     udp,
     view::FleetView,
@@ -25,32 +24,11 @@
 /// other bytes.
 pub(crate) const QUARANTINE_TAG: u8 = 0x90;
 
-/// A quarantine datagram.
-#[derive(Debug, Serialize, Deserialize)]
-struct QuarantineDatagram {
-    deployment: u64,
-    updates: Vec<CrashUpdate>,
-}
-
-/// Why a datagram is not used.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum QuarantineError {
-    /// The datagram is longer than the maximum.
-    #[error("datagram has {0} bytes, more than the maximum")]
-    Length(usize),
-    /// The datagram can't be decoded.
-    #[error("datagram can't be decoded: {0}")]
-    Unreadable(#[from] postcard::Error),
-    /// The datagram comes from another deployment.
-    #[error("datagram is from another deployment")]
-    Deployment,
-}
-
 /// Sends updates about requests that crash endpoints to other VMs.
 #[derive(Debug)]
 pub(crate) struct QuarantineTransport {
     me: Name,
-    deployment: u64,
+    codec: DatagramCodec,
     socket: Arc<UdpSocket>,
     view: watch::Receiver<Arc<FleetView>>,
     traffic: Arc<Traffic>,
@@ -65,8 +43,8 @@
         view: watch::Receiver<Arc<FleetView>>,
         traffic: Arc<Traffic>,
     ) -> QuarantineTransport {
-        let deployment = hash::fnv(deployment.as_bytes());
-        QuarantineTransport { me: me.name.clone(), deployment, socket, view, traffic }
+        let codec = DatagramCodec::new(QUARANTINE_TAG, deployment);
+        QuarantineTransport { me: me.name.clone(), codec, socket, view, traffic }
     }
 
     /// Sends a batch to its recipients.
@@ -80,7 +58,7 @@
             }
             UpdateBatch::ForRandomVms { count, updates } => (random_members(&view, count), updates),
         };
-        let Some(bytes) = self.encode(updates) else { return };
+        let Some(bytes) = self.codec.encode(&updates) else { return };
         for to in recipients {
             self.send(to, &bytes);
         }
@@ -88,7 +66,7 @@
 
     /// Sends updates to the VM at an address.
     pub(crate) fn reply(&self, to: SocketAddr, updates: Vec<CrashUpdate>) {
-        if let Some(bytes) = self.encode(updates) {
+        if let Some(bytes) = self.codec.encode(&updates) {
             self.send(to, &bytes);
         }
     }
@@ -98,16 +76,8 @@
     /// # Errors
     ///
     /// Returns an error if the datagram is invalid or comes from another deployment.
-    pub(crate) fn read(&self, bytes: &[u8]) -> Result<Vec<CrashUpdate>, QuarantineError> {
-        if bytes.len() > MAX_DATAGRAM_BYTES {
-            return Err(QuarantineError::Length(bytes.len()));
-        }
-        let content = bytes.get(1..).unwrap_or_default();
-        let datagram: QuarantineDatagram = postcard::from_bytes(content)?;
-        if datagram.deployment != self.deployment {
-            return Err(QuarantineError::Deployment);
-        }
-        Ok(datagram.updates)
+    pub(crate) fn read(&self, bytes: &[u8]) -> Result<Vec<CrashUpdate>, DatagramError> {
+        self.codec.decode(bytes)
     }
 
     /// Returns whether this VM runs the trials of a request: of the dispatchers of its service
@@ -120,13 +90,6 @@
         dispatchers.max_by_key(|vm| score(vm)).is_none_or(|vm| vm.name == self.me)
     }
 
-    fn encode(&self, updates: Vec<CrashUpdate>) -> Option<Vec<u8>> {
-        let datagram = QuarantineDatagram { deployment: self.deployment, updates };
-        postcard::to_extend(&datagram, vec![QUARANTINE_TAG])
-            .inspect_err(|error| log::error!("event=quarantine_not_encoded error={error:?}"))
-            .ok()
-    }
-
     fn send(&self, to: SocketAddr, bytes: &[u8]) {
         let locality = self.view.borrow().locality(to);
         udp::send(&self.socket, to, bytes, &self.traffic, (Topic::Quarantine, locality));
--- a/crates/pistachiotrackd/src/registry.rs
+++ b/crates/pistachiotrackd/src/registry.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock::Clock,
-    source::{ConfigSource, PublishedConfig, SourceError},
+    source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
 };
 
 /// Changes in a registry after a revision.
@@ -68,6 +68,8 @@
     view: RegistryView,
     /// Revision up to which the view is complete; `None` if the content must be listed.
     synced_revision: Option<u64>,
+    /// Time before the last request whose response the view contains.
+    asked_at: Option<Time>,
     /// Registrations for unknown services that have been logged.
     logged_unassigned: BTreeSet<Name>,
 }
@@ -78,6 +80,7 @@
         let state = RegistryState {
             view: RegistryView::new(settings),
             synced_revision: None,
+            asked_at: None,
             logged_unassigned: BTreeSet::new(),
         };
         let active = watch::Sender::new(None);
@@ -88,35 +91,44 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> Result<Option<PublishedConfig>, RegistryError> {
+    ) -> Result<SourceReading, RegistryError> {
         let mut state = self.state.lock().await;
         let deadline = self.clock.now() + wait;
         let active = self.active.borrow().clone();
         state.apply_active_config(active.as_deref());
-        if state.synced_revision.is_none() {
+        let mut has_asked = state.synced_revision.is_none();
+        if has_asked {
+            let asked_at = self.clock.now();
             let snapshot = self.registry.list().await;
             state.apply_listing(self.clock.now(), snapshot)?;
+            state.asked_at = Some(asked_at);
         }
         loop {
             let now = self.clock.now();
             let active = self.active.borrow().clone();
             state.apply_active_config(active.as_deref());
             let due = state.view.remove_expired(now);
-            if let Some(config) = state.view.config()
-                && Some(config.version) > after
-            {
-                return Ok(Some(PublishedConfig::Assembled(Box::new(config))));
+            let config = state.view.config();
+            // Without a configuration of its own the view may lack changes that were made before
+            // the last request.
+            let asked_at = state.asked_at.filter(|_| config.is_some());
+            if let Some(config) = config.filter(|config| Some(config.version) > after) {
+                let config = Some(PublishedConfig::Assembled(Box::new(config)));
+                return Ok(SourceReading { config, asked_at });
             }
-            if now >= deadline {
-                return Ok(None);
+            if now >= deadline && has_asked {
+                return Ok(SourceReading { config: None, asked_at });
             }
             // After a failed request, the next one doesn't wait: a wait that starts
             // while the registry is unreachable could end long after it recovers.
             let deadline = if state.view.is_unreachable() { now } else { deadline };
             let until = due.map_or(deadline, |due| due.min(deadline));
             let synced_revision = state.synced_revision.unwrap_or_default();
+            let asked_at = self.clock.now();
             let changes = self.registry.changes(synced_revision, until.since(now)).await;
             state.apply_changes(self.clock.now(), changes)?;
+            state.asked_at = Some(asked_at);
+            has_asked = true;
         }
     }
 }
@@ -215,7 +227,7 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Option<PublishedConfig>, SourceError>> {
+    ) -> BoxFuture<'_, Result<SourceReading, SourceError>> {
         Box::pin(async move {
             match self.next(after, wait).await {
                 Ok(value) => Ok(value),
--- a/crates/pistachiotrackd/src/rejection.rs
+++ b/crates/pistachiotrackd/src/rejection.rs
@@ -10,6 +10,10 @@
     request_task::Served,
 };
 
+/// Retry delay sent to callers of a VM whose configuration isn't confirmed. Other VMs may serve
+/// them at once.
+const UNCONFIRMED_RETRY_MS: u64 = 100;
+
 /// Reason for a refusal before a request is sent anywhere.
 #[derive(Debug)]
 pub(crate) struct Rejection {
@@ -36,6 +40,11 @@
         Reason::ApiKey.into()
     }
 
+    /// Returns the rejection by a VM that doesn't know whether an API key is still valid.
+    pub(crate) fn unconfirmed() -> Rejection {
+        Rejection { retry_after_ms: Some(UNCONFIRMED_RETRY_MS), ..Reason::ConfigUnconfirmed.into() }
+    }
+
     /// Returns the rejection by a rule.
     pub(crate) fn by_rule(refuse: &Refuse) -> Rejection {
         let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
--- a/crates/pistachiotrackd/src/source.rs
+++ b/crates/pistachiotrackd/src/source.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use pistachiotrack_core::{admin::Counter, config::Config};
+use pistachiotrack_core::{admin::Counter, config::Config, time::Time};
 
 /// Why a read of a source failed.
 #[derive(Debug, thiserror::Error)]
@@ -18,6 +18,16 @@
     }
 }
 
+/// Result of reading a source.
+#[derive(Clone, Debug)]
+pub struct SourceReading {
+    /// A newer configuration; `None` if there is none.
+    pub config: Option<PublishedConfig>,
+    /// Time before the request whose response shows that there is nothing newer than `config`;
+    /// `None` if the source can't tell.
+    pub asked_at: Option<Time>,
+}
+
 /// A configuration as a source provides it.
 #[derive(Clone, Debug)]
 pub enum PublishedConfig {
@@ -38,11 +48,10 @@
         Vec::new()
     }
 
-    /// Returns a configuration newer than version `after`, waiting up to `wait` for
-    /// one; `None` if there is none.
+    /// Reads a configuration newer than version `after`, waiting up to `wait` for one.
     fn config(
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Option<PublishedConfig>, SourceError>>;
+    ) -> BoxFuture<'_, Result<SourceReading, SourceError>>;
 }
--- a/crates/pistachiotrackd/src/traffic.rs
+++ b/crates/pistachiotrackd/src/traffic.rs
@@ -15,6 +15,8 @@
     ShardSnapshot,
     /// Updates about requests that crash endpoints.
     Quarantine,
+    /// Confirmations that the configuration is the newest one.
+    Lease,
     /// Configuration pulls and their responses.
     Configuration,
     /// Hand-overs of a shard's state.
@@ -30,11 +32,12 @@
 }
 
 impl Topic {
-    const ALL: [Topic; 10] = [
+    const ALL: [Topic; 11] = [
         Topic::Membership,
         Topic::ShardUpdate,
         Topic::ShardSnapshot,
         Topic::Quarantine,
+        Topic::Lease,
         Topic::Configuration,
         Topic::HandOver,
         Topic::Reach,
@@ -49,6 +52,7 @@
             Topic::ShardUpdate => "news",
             Topic::ShardSnapshot => "picture",
             Topic::Quarantine => "quarantine",
+            Topic::Lease => "lease",
             Topic::Configuration => "configuration",
             Topic::HandOver => "hand_over",
             Topic::Reach => "reach",
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     context::Context,
-    fleet::{Datagram, Fleet},
+    fleet::{Datagram, Fleet, LEASE_TAG, LeaseDatagram},
     metrics::Event,
     quarantine::QUARANTINE_TAG,
     shard_update_link::{SHARD_DATAGRAM_TAGS, ShardUpdateLink},
@@ -51,6 +51,14 @@
                     context.quarantine.receive(from, bytes);
                     continue;
                 }
+                if bytes.first() == Some(&LEASE_TAG) {
+                    traffic.received(Topic::Lease, view.locality(from), length);
+                    let bytes = bytes.to_vec();
+                    if fleet.tell(LeaseDatagram { from, bytes }).try_send().is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 traffic.received(Topic::Membership, view.locality(from), length);
                 if length > MAX_DATAGRAM_BYTES {
                     continue;
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -17,7 +17,7 @@
     crashing::{CRASHING_PATH, Runs, start_endpoints},
     endpoint::{Endpoint, read_head},
     fleet::unavailable_platform,
-    platform::Platform,
+    platform::{Platform, PlatformFault},
     process::DaemonProcess,
 };
 use tokio::{
@@ -177,6 +177,24 @@
     config
 }
 
+/// Returns the refusal of a VM that has not reached the platform for longer than its lease.
+async fn refuse_without_lease() -> Refusal {
+    let platform = Platform::start().await;
+    platform.publish_config(keyed_config());
+    let settings = json!({"config_lease": {"max_age_s": 0.8},
+        "config_sync": {"watch_timeout_ms": 100, "min_watch_gap_ms": 100}});
+    let vm = DaemonProcess::start_with(VM, platform.address, settings).await;
+    client::wait_until_serving(vm.admin_address).await;
+    let keyed = || client::with_header(client::get("/nowhere"), "authorization", "Bearer k-1");
+    let confirmed = client::send(vm.caller_address, keyed()).await.unwrap();
+    assert_eq!(client::header_text(&confirmed, header::REASON), Some(Reason::Rule.as_str()));
+    platform.set_fault(PlatformFault::Unavailable);
+    client::wait_for(vm.admin_address, "/status", |status| status["state"] == "unconfirmed").await;
+    let keyed = client::with_header(client::get("/slots"), "authorization", "Bearer k-1");
+    let answer = client::send(vm.caller_address, keyed).await.unwrap();
+    Refusal { vm, answer, _platform: Some(platform) }
+}
+
 /// Causes a refusal. The match has no default arm, so that a new reason doesn't compile
 /// without one.
 async fn refuse_for(reason: Reason) -> Refusal {
@@ -203,6 +221,7 @@
         }
         Reason::Paused => refuse_after_pause().await,
         Reason::CrashesEndpoints => refuse_after_crashes().await,
+        Reason::ConfigUnconfirmed => refuse_without_lease().await,
         Reason::ApiKey => refuse_with(keyed_config(), client::get("/slots")).await,
     }
 }
