Tests: a daemon that is sent STOP has stopped before the test goes on

The refusal for a pause got another reason in 2 of 6 runs (no-endpoint, deadline-passed): the request was read although it was sent after the signal. Ruled out: the old code alone (0 of 10), pauses alone (0 of 42). Suspected, not traced: a thread that runs when the signal is sent still reads.

--- a/crates/pistachiotrackd/tests/testenv/process.rs
+++ b/crates/pistachiotrackd/tests/testenv/process.rs
@@ -1,6 +1,7 @@
 //! A daemon in a separate process, which a test can pause and kill.
 
 use std::{
+    fs,
     net::SocketAddr,
     process::Stdio,
     sync::{Arc, Mutex},
@@ -15,6 +16,9 @@
 
 use super::client::HANG_LIMIT;
 
+/// Interval at which the state of a process is read.
+const STATE_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A daemon in a separate process; killed when dropped.
 pub(crate) struct DaemonProcess {
     /// Address that callers connect to.
@@ -79,6 +83,25 @@
         let pid = self.child.id().unwrap().to_string();
         let status = Command::new("kill").args([format!("-{signal}"), pid]).status().await.unwrap();
         assert!(status.success());
+        if signal == "STOP" {
+            self.wait_until_stopped().await;
+        }
+    }
+
+    /// Waits until all threads have stopped: one that is running when the signal is sent may
+    /// still read a request that is sent after it.
+    async fn wait_until_stopped(&self) {
+        let tasks = format!("/proc/{}/task", self.child.id().unwrap());
+        let is_stopped = |task: std::io::Result<fs::DirEntry>| {
+            let stat = fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
+            // The state follows the name, which is in parentheses and may contain blanks.
+            stat.rsplit_once(')').is_none_or(|(_, fields)| fields.trim_start().starts_with('T'))
+        };
+        let start = Instant::now();
+        while !fs::read_dir(&tasks).unwrap().all(is_stopped) {
+            assert!(start.elapsed() < HANG_LIMIT, "the daemon should stop in time");
+            tokio::time::sleep(STATE_POLL_INTERVAL).await;
+        }
     }
 
     /// Waits until the daemon exits and returns its exit code.
