Customers are kept to their rate limits by all VMs together

Each VM holds a token bucket for a customer and takes from it what it admits and what the others report every 100 ms; a VM that isn't heard is assumed to use its share. Beyond the limit a request is refused at once with 429 and the time at which the customer's tokens are back, spread over the refused callers.

--- /dev/null
+++ b/crates/pistachiotrack-core/src/customer_limit/bucket.rs
@@ -0,0 +1,136 @@
+//! Token bucket of a customer.
+
+use std::time::Duration;
+
+use super::{CustomerCount, REPORT_REPEATS};
+use crate::{customer::CustomerRateLimit, name::Name, time::Time};
+
+/// Time for which a VM that hears of a customer for the first time has tokens. It doesn't know
+/// what the others have admitted just before.
+const INITIAL_TIME: Duration = Duration::from_millis(250);
+/// Maximum time for which an excess is made up for. A longer one would punish a customer for
+/// what it can't know of.
+const MAX_DEBT_TIME: Duration = Duration::from_secs(5);
+/// Time without requests after which a full bucket is forgotten.
+const FORGET_TIME: Duration = Duration::from_secs(10);
+/// Maximum time after which a caller is asked to return.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Length of the period for which recent requests are counted.
+const RECENT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Token bucket of a customer. The number of tokens may be negative after VMs have admitted
+/// requests without knowing of each other; the excess is made up for before more are admitted.
+#[derive(Clone, Debug)]
+pub(super) struct Bucket {
+    limit: CustomerRateLimit,
+    depth: f64,
+    tokens: f64,
+    refilled_at: Time,
+    used_at: Time,
+    admitted: u64,
+    /// Number of reports that still have to contain the count.
+    reports_due: u8,
+    /// Requests admitted in the current and in the previous period.
+    recent: [u32; 2],
+    period_started_at: Time,
+    /// Time at which the last refused caller was asked to return.
+    next_return_at: Time,
+}
+
+impl Bucket {
+    /// Creates the bucket of a customer that this VM hears of for the first time.
+    pub(super) fn new(now: Time, limit: CustomerRateLimit, slack: f64) -> Bucket {
+        let depth = depth(limit, slack);
+        let initial = slack + limit.requests_per_second * INITIAL_TIME.as_secs_f64();
+        Bucket {
+            limit,
+            depth,
+            tokens: initial.min(depth),
+            refilled_at: now,
+            used_at: now,
+            admitted: 0,
+            reports_due: 0,
+            recent: [0; 2],
+            period_started_at: now,
+            next_return_at: now,
+        }
+    }
+
+    /// Sets the limit; tokens beyond a lower one are lost.
+    pub(super) fn set_limit(&mut self, limit: CustomerRateLimit, slack: f64) {
+        if self.limit != limit {
+            self.limit = limit;
+            self.depth = depth(limit, slack);
+            self.tokens = self.tokens.min(self.depth);
+        }
+    }
+
+    /// Adds the tokens since the last call, at a fraction of the limit.
+    pub(super) fn refill(&mut self, now: Time, fraction: f64) {
+        let elapsed_s = now.since(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        let new = elapsed_s * self.limit.requests_per_second * fraction;
+        self.tokens = (self.tokens + new).min(self.depth);
+        if now.since(self.period_started_at) >= RECENT_PERIOD {
+            self.period_started_at = now;
+            self.recent = [0, self.recent[0]];
+        }
+    }
+
+    /// Takes a token for a request of this VM.
+    pub(super) fn take(&mut self) -> bool {
+        self.used_at = self.refilled_at;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        self.admitted += 1;
+        self.recent[0] += 1;
+        self.reports_due = REPORT_REPEATS;
+        true
+    }
+
+    /// Takes the tokens for requests of another VM.
+    pub(super) fn debit(&mut self, requests: f64) {
+        self.used_at = self.refilled_at;
+        let max_debt = self.limit.requests_per_second * MAX_DEBT_TIME.as_secs_f64();
+        self.tokens = (self.tokens - requests).max(-max_debt);
+    }
+
+    /// Returns when a refused caller should return: when there is a token again, and after the
+    /// callers that were refused before it. `vms` share the tokens.
+    pub(super) fn retry_after(&mut self, now: Time, vms: usize, random: f64) -> Duration {
+        let interval_s = vms as f64 / self.limit.requests_per_second;
+        let missing_s = (1.0 - self.tokens) / self.limit.requests_per_second;
+        let earliest = now + Duration::from_secs_f64(missing_s);
+        let step = Duration::try_from_secs_f64(interval_s).unwrap_or(MAX_RETRY_AFTER);
+        let at = earliest.max(self.next_return_at) + step.min(MAX_RETRY_AFTER).mul_f64(random);
+        self.next_return_at = at.min(now + MAX_RETRY_AFTER);
+        self.next_return_at.since(now)
+    }
+
+    /// Returns whether the next report has to contain the count.
+    pub(super) fn take_unreported(&mut self) -> bool {
+        let is_due = self.reports_due > 0;
+        self.reports_due = self.reports_due.saturating_sub(1);
+        is_due
+    }
+
+    /// Returns the count for a report.
+    pub(super) fn count(&self, now: Time, customer: &Name) -> CustomerCount {
+        let last_second = match now.since(self.period_started_at) < RECENT_PERIOD / 2 {
+            true => self.recent[0] + self.recent[1] / 2,
+            false => self.recent[0],
+        };
+        CustomerCount { customer: customer.clone(), admitted: self.admitted, last_second }
+    }
+
+    /// Returns whether the bucket is as good as a new one.
+    pub(super) fn is_forgettable(&self, now: Time) -> bool {
+        self.reports_due == 0 && self.tokens >= self.depth && now.since(self.used_at) >= FORGET_TIME
+    }
+}
+
+fn depth(limit: CustomerRateLimit, slack: f64) -> f64 {
+    limit.burst_requests + slack
+}
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod contract;
 pub mod copies;
 pub mod customer;
+pub mod customer_limit;
 pub mod data_centre;
 pub mod endpoint;
 pub mod feature_flags;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -57,11 +57,13 @@
     ApiKey,
     /// The VM can't confirm that its configuration is recent enough to decide on API keys.
     ConfigUnconfirmed,
+    /// The customer's rate limit is used up.
+    RateLimited,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 14] = [
+    pub const ALL: [Reason; 15] = [
         Reason::QueueFull,
         Reason::WaitTooLong,
         Reason::DeadlinePassed,
@@ -76,6 +78,7 @@
         Reason::CrashesEndpoints,
         Reason::ApiKey,
         Reason::ConfigUnconfirmed,
+        Reason::RateLimited,
     ];
 
     /// Returns the value of [`crate::header::REASON`].
@@ -95,6 +98,7 @@
             Reason::CrashesEndpoints => "crashes-endpoints",
             Reason::ApiKey => "api-key",
             Reason::ConfigUnconfirmed => "config-unconfirmed",
+            Reason::RateLimited => "rate-limited",
         }
     }
 }
--- a/crates/pistachiotrackd/src/answer.rs
+++ b/crates/pistachiotrackd/src/answer.rs
@@ -92,7 +92,7 @@
 
 fn status(reason: Reason) -> StatusCode {
     match reason {
-        Reason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        Reason::QueueFull | Reason::RateLimited => StatusCode::TOO_MANY_REQUESTS,
         Reason::ApiKey => StatusCode::UNAUTHORIZED,
         Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         Reason::Rule => StatusCode::FORBIDDEN,
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -9,9 +9,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    clock::Clock, connection_pool::ConnectionPool, dialect::Dialect, fleet::LeaseTimes,
-    forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics,
-    quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
+    clock::Clock, connection_pool::ConnectionPool, customer_limits::CustomerLimits,
+    dialect::Dialect, fleet::LeaseTimes, forward_stats::ForwardStats, histogram::Histograms,
+    metrics::Metrics, quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
     source::ConfigSource, timer::PauseGate, traffic::Traffic, view::FleetView,
 };
 
@@ -70,6 +70,8 @@
     pub(crate) forwards: ForwardStats,
     /// Quarantine of requests that crash endpoints.
     pub(crate) quarantine: Arc<QuarantineManager>,
+    /// Rate limits of customers.
+    pub(crate) customer_limits: Arc<CustomerLimits>,
     /// Counters.
     pub(crate) metrics: Metrics,
     /// Counts of sent and received messages.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -29,6 +29,7 @@
     connection::Connector,
     connection_pool::ConnectionPool,
     context::Context,
+    customer_limits::{CustomerLimits, REPORT_INTERVAL, UsageReporter},
     dialect::{Dialect, NativeDialect},
     entries,
     fleet::{Fleet, FleetArgs, LeaseTimes, Leave, SetSeeds, TICK_INTERVAL},
@@ -174,6 +175,15 @@
             ),
             seed,
         ));
+        let customer_limits = Arc::new(CustomerLimits::new(
+            me.clone(),
+            &settings.deployment,
+            settings.customer_limit.clone(),
+            clock,
+            Arc::clone(&socket),
+            view.clone(),
+            Arc::clone(&traffic),
+        ));
         let shards = ShardTable::new(ShardTableArgs {
             clock,
             endpoints: Arc::clone(&endpoints),
@@ -198,6 +208,7 @@
             peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
             forwards: ForwardStats::new(clock.now()),
             quarantine: Arc::clone(&quarantine),
+            customer_limits: Arc::clone(&customer_limits),
             metrics,
             traffic: Arc::clone(&traffic),
             queue_latency: Histograms::default(),
@@ -232,6 +243,14 @@
         let _ = timer
             .tell(SubscribeWithInterval { recipient: rounds.recipient(), interval })
             .try_send();
+        let reporter =
+            UsageReporter::spawn_with_mailbox(UsageReporter(customer_limits), mailbox::unbounded());
+        let _ = timer
+            .tell(SubscribeWithInterval {
+                recipient: reporter.recipient(),
+                interval: REPORT_INTERVAL,
+            })
+            .try_send();
         tokio::spawn(udp::receive(socket, fleet.clone(), Arc::clone(&context), update_link));
         let admin_address = local_address("admin_address", &sockets.admin)?;
         let readiness_address = optional_address("readiness_address", &sockets.readiness)?;
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -15,6 +15,7 @@
 mod connection_pool;
 mod context;
 mod crash_check;
+mod customer_limits;
 pub mod daemon;
 mod datagram;
 pub mod dialect;
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -209,6 +209,9 @@
         hedge: route.hedge,
         max_attempts: route.attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
     };
+    if let Caller::Customer(customer) = caller {
+        context.customer_limits.admit(customer).map_err(Rejection::rate_limited)?;
+    }
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
     check_not_expired_in_pause(context, &parts, deadline)?;
--- a/crates/pistachiotrackd/src/rejection.rs
+++ b/crates/pistachiotrackd/src/rejection.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use pistachiotrack_core::{copies::Undispatched, refusal::Reason, rule::Refuse};
+use pistachiotrack_core::{
+    copies::Undispatched, customer_limit::OverLimit, refusal::Reason, rule::Refuse,
+};
 
 use crate::{
     answer::{NO_CONFIG_RETRY_MS, PendingRefusal},
@@ -45,6 +47,12 @@
         Rejection { retry_after_ms: Some(UNCONFIRMED_RETRY_MS), ..Reason::ConfigUnconfirmed.into() }
     }
 
+    /// Returns the rejection of a request beyond its customer's rate limit.
+    pub(crate) fn rate_limited(over_limit: OverLimit) -> Rejection {
+        let retry_after_ms = Some(over_limit.retry_after.as_millis() as u64);
+        Rejection { retry_after_ms, ..Reason::RateLimited.into() }
+    }
+
     /// Returns the rejection by a rule.
     pub(crate) fn by_rule(refuse: &Refuse) -> Rejection {
         let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -8,9 +8,9 @@
 
 use pistachiotrack_core::{
     config::MAX_VALUE_BYTES, config_lease::ConfigLeaseSettings, config_sync::ConfigSyncSettings,
-    data_centre::DataCentre, feature_flags::FeatureFlags, membership::MembershipSettings,
-    name::Name, quarantine::QuarantineSettings, registry_view::RegistryViewSettings,
-    service::RetryLimit,
+    customer_limit::CustomerLimitSettings, data_centre::DataCentre, feature_flags::FeatureFlags,
+    membership::MembershipSettings, name::Name, quarantine::QuarantineSettings,
+    registry_view::RegistryViewSettings, service::RetryLimit,
 };
 use serde::Deserialize;
 
@@ -79,6 +79,9 @@
     /// Settings of the lease on the configuration.
     #[serde(default)]
     pub config_lease: ConfigLeaseSettings,
+    /// Settings of the rate limits of customers.
+    #[serde(default)]
+    pub customer_limit: CustomerLimitSettings,
     /// Settings of the configuration that is assembled from a registry.
     #[serde(default)]
     pub registry: RegistrySettings,
@@ -444,6 +447,7 @@
         let hardware = self.hardware.problem();
         hardware
             .or_else(|| self.config_lease.problem())
+            .or_else(|| self.customer_limit.problem())
             .or_else(|| self.registry.problem())
             .or_else(|| self.quarantine.problem())
             .or_else(|| self.limits.problem())
--- a/crates/pistachiotrackd/src/traffic.rs
+++ b/crates/pistachiotrackd/src/traffic.rs
@@ -17,6 +17,8 @@
     Quarantine,
     /// Confirmations that the configuration is the newest one.
     Lease,
+    /// Reports of what VMs have admitted for customers.
+    CustomerUsage,
     /// Configuration pulls and their responses.
     Configuration,
     /// Hand-overs of a shard's state.
@@ -32,12 +34,13 @@
 }
 
 impl Topic {
-    const ALL: [Topic; 11] = [
+    const ALL: [Topic; 12] = [
         Topic::Membership,
         Topic::ShardUpdate,
         Topic::ShardSnapshot,
         Topic::Quarantine,
         Topic::Lease,
+        Topic::CustomerUsage,
         Topic::Configuration,
         Topic::HandOver,
         Topic::Reach,
@@ -53,6 +56,7 @@
             Topic::ShardSnapshot => "picture",
             Topic::Quarantine => "quarantine",
             Topic::Lease => "lease",
+            Topic::CustomerUsage => "customer_usage",
             Topic::Configuration => "configuration",
             Topic::HandOver => "hand_over",
             Topic::Reach => "reach",
--- a/crates/pistachiotrackd/src/udp.rs
+++ b/crates/pistachiotrackd/src/udp.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     context::Context,
+    customer_limits::USAGE_TAG,
     fleet::{Datagram, Fleet, LEASE_TAG, LeaseDatagram},
     metrics::Event,
     quarantine::QUARANTINE_TAG,
@@ -51,6 +52,11 @@
                     context.quarantine.receive(from, bytes);
                     continue;
                 }
+                if bytes.first() == Some(&USAGE_TAG) {
+                    traffic.received(Topic::CustomerUsage, view.locality(from), length);
+                    context.customer_limits.receive(from, bytes);
+                    continue;
+                }
                 if bytes.first() == Some(&LEASE_TAG) {
                     traffic.received(Topic::Lease, view.locality(from), length);
                     let bytes = bytes.to_vec();
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -195,6 +195,22 @@
     Refusal { vm, answer, _platform: Some(platform) }
 }
 
+/// Returns the first refusal of a customer that is allowed a request now and then.
+async fn refuse_beyond_limit() -> Refusal {
+    let mut config = keyed_config();
+    config["customers"][0]["rate_limit"] =
+        json!({"requests_per_second": 0.1, "burst_requests": 1.0});
+    let (platform, vm) = start(config).await;
+    loop {
+        let keyed = client::with_header(client::get("/slots"), "authorization", "Bearer k-1");
+        let answer = client::send(vm.caller_address, keyed).await.unwrap();
+        if answer.status() == 429 {
+            assert!(answer.headers().contains_key(header::RETRY_AFTER_MS), "{answer:?}");
+            return Refusal { vm, answer, _platform: Some(platform) };
+        }
+    }
+}
+
 /// Causes a refusal. The match has no default arm, so that a new reason doesn't compile
 /// without one.
 async fn refuse_for(reason: Reason) -> Refusal {
@@ -222,6 +238,7 @@
         Reason::Paused => refuse_after_pause().await,
         Reason::CrashesEndpoints => refuse_after_crashes().await,
         Reason::ConfigUnconfirmed => refuse_without_lease().await,
+        Reason::RateLimited => refuse_beyond_limit().await,
         Reason::ApiKey => refuse_with(keyed_config(), client::get("/slots")).await,
     }
 }
