Operators see keys, lease and limits: customers view, explain by key, log lines, pages

What a 401, 429 or 503 was decided by has a line of its own (key, customer, version, age of what was known); status shows the age of the confirmation, customers the limits and their use at each VM, metrics both. explain reads a key from a file, so that it is on no command line.

--- a/crates/pistachiotrack-core/src/admin.rs
+++ b/crates/pistachiotrack-core/src/admin.rs
@@ -21,6 +21,10 @@
     pub config_error: Option<String>,
     /// Time since the last response of the platform's configuration service.
     pub platform_age_ms: Option<u64>,
+    /// Time since the configuration is known to have been the newest one, if API keys are
+    /// required and the VM has a bound for it.
+    #[serde(default)]
+    pub config_confirmed_age_ms: Option<u64>,
     /// Shards that the VM owns, as `service/index`.
     pub shards: Vec<Name>,
     /// Number of known live VMs, including this one.
@@ -29,6 +33,24 @@
     pub counters: Vec<Counter>,
 }
 
+/// Element of the response to `GET /customers`: the rate limit of a customer and its use at the
+/// VM. Only customers with requests in the last seconds are listed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CustomerUsage {
+    /// Name of the customer.
+    pub customer: Name,
+    /// Limit in requests per second, over the whole fleet.
+    pub requests_per_second: f64,
+    /// Requests beyond that which may come at once.
+    pub burst_requests: f64,
+    /// Requests that the customer could send at once now; below 0 after an excess.
+    pub tokens: f64,
+    /// Requests admitted by the VM since it began to count.
+    pub admitted: u64,
+    /// Requests beyond the limit that the VM has refused since then.
+    pub refused: u64,
+}
+
 /// A counter of the daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counter {
--- a/crates/pistachiotrack-core/src/customer_limit.rs
+++ b/crates/pistachiotrack-core/src/customer_limit.rs
@@ -16,7 +16,7 @@
 
 use self::bucket::Bucket;
 pub use self::report::{CustomerCount, UsageReport};
-use crate::{customer::CustomerRateLimit, name::Name, time::Time};
+use crate::{admin::CustomerUsage, customer::CustomerRateLimit, name::Name, time::Time};
 
 /// Time without a report after which a VM is assumed to admit its share.
 const SILENCE: Duration = Duration::from_millis(700);
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Returns the limits of the customers with recent requests and their use, sorted by name.
+    pub fn usage(&self) -> Vec<CustomerUsage> {
+        let mut usage: Vec<CustomerUsage> =
+            self.buckets.iter().map(|(customer, bucket)| bucket.usage(customer)).collect();
+        usage.sort_by(|a, b| a.customer.cmp(&b.customer));
+        usage
+    }
+
     /// Returns the report that is due, if any.
     pub fn report(&mut self, now: Time) -> Option<UsageReport> {
         let share = self.share(now);
--- a/crates/pistachiotrack-core/src/customer_limit/bucket.rs
+++ b/crates/pistachiotrack-core/src/customer_limit/bucket.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{CustomerCount, REPORT_REPEATS};
-use crate::{customer::CustomerRateLimit, name::Name, time::Time};
+use crate::{admin::CustomerUsage, customer::CustomerRateLimit, name::Name, time::Time};
 
 /// Time for which a VM that hears of a customer for the first time has tokens. It doesn't know
 /// what the others have admitted just before.
@@ -28,6 +28,7 @@
     refilled_at: Time,
     used_at: Time,
     admitted: u64,
+    refused: u64,
     /// Number of reports that still have to contain the count.
     reports_due: u8,
     /// Requests admitted in the current and in the previous period.
@@ -49,6 +50,7 @@
             refilled_at: now,
             used_at: now,
             admitted: 0,
+            refused: 0,
             reports_due: 0,
             recent: [0; 2],
             period_started_at: now,
@@ -81,6 +83,7 @@
     pub(super) fn take(&mut self) -> bool {
         self.used_at = self.refilled_at;
         if self.tokens < 1.0 {
+            self.refused += 1;
             return false;
         }
         self.tokens -= 1.0;
@@ -125,6 +128,18 @@
         CustomerCount { customer: customer.clone(), admitted: self.admitted, last_second }
     }
 
+    /// Returns the limit and its use.
+    pub(super) fn usage(&self, customer: &Name) -> CustomerUsage {
+        CustomerUsage {
+            customer: customer.clone(),
+            requests_per_second: self.limit.requests_per_second,
+            burst_requests: self.limit.burst_requests,
+            tokens: self.tokens,
+            admitted: self.admitted,
+            refused: self.refused,
+        }
+    }
+
     /// Returns whether the bucket is as good as a new one.
     pub(super) fn is_forgettable(&self, now: Time) -> bool {
         self.reports_due == 0 && self.tokens >= self.depth && now.since(self.used_at) >= FORGET_TIME
--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -17,8 +17,8 @@
 
 Usage:
   pistachiotrack check [--json] FILE...
-  pistachiotrack explain --config FILE --customer CUSTOMER --method METHOD --path PATH
-                 [--host HOST] [--header NAME=VALUE]... [--class CLASS]
+  pistachiotrack explain --config FILE (--customer CUSTOMER | --api-key-file FILE)
+                 --method METHOD --path PATH [--host HOST] [--header NAME=VALUE]... [--class CLASS]
                  [--service SERVICE]
                  [--data-centre DATA_CENTRE] [--at-floor SERVICE]...
                  [--queue-wait SERVICE=MS]... [--json]
@@ -26,6 +26,7 @@
   pistachiotrack endpoints  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--all]
   pistachiotrack members    --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack histograms --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json] [--added]
+  pistachiotrack customers  --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack quarantine --admin ADDRESS[,ADDRESS]... [--timeout-ms MS] [--json]
   pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
                  [--timeout-ms MS] [--json]
@@ -38,6 +39,7 @@
   endpoints   Shows health and load of endpoints, from the owners of their shards
   members     Shows the members of the fleet as each VM reports them
   histograms  Shows latencies by customer and class
+  customers   Shows the rate limits of customers and their use
   quarantine  Shows requests during which endpoints crashed, and which are held back
   entries     Requests the entry addresses from a VM, in the way a caller does
   trace       Sorts the log lines of one request, from files or standard input, and
@@ -46,6 +48,8 @@
 Options:
   --added                  Shows the added latency: the time not spent at an endpoint
   --all                    Includes reports of VMs that own no shard of the service
+  --api-key-file FILE      Reads the caller's API key from a file, since other users
+                           of a machine see its command lines
   --at-floor SERVICE       Assumes that a service is at its floor
   --queue-wait SERVICE=MS  Assumes this expected wait in a service's queue
   --json                   Prints JSON instead of text
@@ -103,6 +107,7 @@
             parse_view(args, if all { View::AllEndpoints } else { View::Endpoints })
         }
         Some("members") => parse_view(args, View::Members),
+        Some("customers") => parse_view(args, View::Customers),
         Some("quarantine") => parse_view(args, View::Quarantine),
         Some("histograms") => {
             let added = args.contains("--added");
@@ -147,10 +152,17 @@
             Class::parse(text).ok_or("expected interactive, standard or batch")
         })
         .map_err(usage_error)?;
+    let api_key_file: Option<String> =
+        args.opt_value_from_str("--api-key-file").map_err(usage_error)?;
+    let customer = match api_key_file {
+        Some(_) => String::new(),
+        None => required(&mut args, "--customer")?,
+    };
     let config = ExplainConfig {
+        api_key_file: api_key_file.map(PathBuf::from),
+        customer,
         json: args.contains("--json"),
         file: PathBuf::from(required::<String>(&mut args, "--config")?),
-        customer: required(&mut args, "--customer")?,
         host: args.opt_value_from_str("--host").map_err(usage_error)?.unwrap_or_default(),
         method: required(&mut args, "--method")?,
         path: required(&mut args, "--path")?,
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -23,8 +23,10 @@
     pub(crate) json: bool,
     /// Configuration file with the rules.
     pub(crate) file: PathBuf,
-    /// Customer of the request.
+    /// Customer that the caller names.
     pub(crate) customer: String,
+    /// File with the caller's API key.
+    pub(crate) api_key_file: Option<PathBuf>,
     /// Host of the request.
     pub(crate) host: String,
     /// HTTP method of the request.
@@ -56,6 +58,8 @@
     AllEndpoints,
     /// Members of the fleet as each VM reports them.
     Members,
+    /// Rate limits of customers and their use.
+    Customers,
     /// Requests during which endpoints crashed.
     Quarantine,
     /// Latencies by customer and class.
@@ -64,7 +68,7 @@
     AddedHistograms,
 }
 
-/// Settings of `status`, `endpoints`, `members`, `quarantine` and `histograms`.
+/// Settings of `status`, `endpoints`, `members`, `customers`, `quarantine` and `histograms`.
 #[derive(Debug)]
 pub(crate) struct ViewConfig {
     /// Whether to print JSON.
--- a/crates/pistachiotrack/src/explain.rs
+++ b/crates/pistachiotrack/src/explain.rs
@@ -1,15 +1,18 @@
 //! `explain`: shows which rule matches a request and why no earlier one does.
 
-use std::fs;
+use std::{fs, sync::Arc};
 
 use anyhow::Context as _;
 use pistachiotrack_core::{
-    config::Config,
+    authentication::{self, Caller, PresentedKey},
+    config::{Config, IndexedConfig},
     rule::{
         Explanation, Refuse, RequestAttributes, Route, Rule, RuleAction, RuleSet, ServiceState,
     },
 };
 
+use serde::Serialize;
+
 use crate::{
     config::ExplainConfig,
     exit_codes::ExitCode,
@@ -25,27 +28,79 @@
 pub(crate) fn run(config: &ExplainConfig) -> anyhow::Result<ExitCode> {
     let file = config.file.display().to_string();
     let json = fs::read(&config.file).with_context(|| file.clone())?;
-    let rules = match Config::parse(&file, &json) {
-        Ok(value) => value.rules,
+    let value = match Config::parse(&file, &json) {
+        Ok(value) => IndexedConfig::new(Arc::new(value)),
         Err(error) => {
             eprintln!("pistachiotrack: {}", escape_control_chars(&error.to_string()));
             return Ok(ExitCode::Rejected);
         }
     };
-    let explanation = explain(&rules, config);
+    let identified = authentication::identify(&value, presented_key(config)?);
+    let customer = match (&identified, value.api_keys_required) {
+        (Ok(customer), true) => customer.name.as_str(),
+        (Err(_), true) => "",
+        (_, false) => &config.customer,
+    };
+    let explanation = explain(&value.rules, customer, config);
+    let route = explanation.matched.as_ref().and_then(|rule| match &rule.then {
+        RuleAction::Route(route) => Some(route),
+        RuleAction::Refuse(_) => None,
+    });
+    let caller = match (route, identified) {
+        (Some(route), identified) => Caller::on_route(&value, route, identified),
+        (None, _) if !value.api_keys_required => Caller::Anonymous,
+        (None, Ok(customer)) => Caller::Customer(customer),
+        (None, Err(cause)) => Caller::Unidentified(cause),
+    };
     if config.json {
-        output::print_json(&explanation)?;
+        output::print_json(&ExplainedRequest {
+            explanation: &explanation,
+            caller: text_of(caller),
+        })?;
     } else {
         output::print(&explanation_text(&explanation))?;
+        if value.api_keys_required {
+            output::print(&format!("caller: {}\n", escape_control_chars(&text_of(caller))))?;
+        }
+    }
+    let is_accepted = explanation.matched.is_some() && !matches!(caller, Caller::Unidentified(_));
+    Ok(if is_accepted { ExitCode::Success } else { ExitCode::Rejected })
+}
+
+/// An explanation, and what is known of the caller.
+#[derive(Serialize)]
+struct ExplainedRequest<'a> {
+    #[serde(flatten)]
+    explanation: &'a Explanation,
+    caller: String,
+}
+
+/// Returns the key in the file of the command line, if one is given.
+fn presented_key(config: &ExplainConfig) -> anyhow::Result<PresentedKey> {
+    let Some(file) = &config.api_key_file else { return Ok(PresentedKey::Missing) };
+    let key = fs::read(file).with_context(|| file.display().to_string())?;
+    Ok(PresentedKey::from_values([&key[..]].into_iter()))
+}
+
+fn text_of(caller: Caller<'_>) -> String {
+    match caller {
+        Caller::Anonymous => "no API key required".to_owned(),
+        Caller::Unidentified(cause) => format!("refused, reason api-key key={}", cause.as_str()),
+        Caller::Customer(customer) => {
+            let class = or_dash(customer.class.map(|class| class.as_str()));
+            let limit = or_dash(customer.rate_limit.map(|limit| limit.requests_per_second));
+            let burst = or_dash(customer.rate_limit.map(|limit| limit.burst_requests));
+            let name = &customer.name;
+            format!("customer={name} class={class} requests_per_second={limit} burst={burst}")
+        }
     }
-    Ok(if explanation.matched.is_some() { ExitCode::Success } else { ExitCode::Rejected })
 }
 
-fn explain(rules: &[Rule], config: &ExplainConfig) -> Explanation {
+fn explain(rules: &[Rule], customer: &str, config: &ExplainConfig) -> Explanation {
     let headers: Vec<(&str, &str)> =
         config.headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
     let attributes = RequestAttributes {
-        customer: &config.customer,
+        customer,
         host: &config.host,
         method: &config.method,
         path: &config.path,
--- a/crates/pistachiotrack/src/views.rs
+++ b/crates/pistachiotrack/src/views.rs
@@ -1,9 +1,11 @@
-//! Views of the admin ports' pages: `status`, `endpoints`, `members`, `quarantine` and
-//! `histograms`.
+//! Views of the admin ports' pages: `status`, `endpoints`, `members`, `customers`, `quarantine`
+//! and `histograms`.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use pistachiotrack_core::admin::{HistogramStatus, MemberStatus, QuarantineStatus, Status};
+use pistachiotrack_core::admin::{
+    CustomerUsage, HistogramStatus, MemberStatus, QuarantineStatus, Status,
+};
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::json;
 
@@ -32,6 +34,7 @@
             show(config, "/endpoints", |responses| endpoints::text(responses, &owners))
         }
         View::Members => show(config, "/members", members_text),
+        View::Customers => show(config, "/customers", customers_text),
         View::Quarantine => show(config, "/quarantine", quarantine_text),
         View::Histograms => show(config, "/histograms", histograms_text),
         View::AddedHistograms => show(config, "/histograms/added", histograms_text),
@@ -97,6 +100,7 @@
         "DEPLOYMENT",
         "CONFIG",
         "PLATFORM AGE MS",
+        "CONFIRMED AGE MS",
         "LIVE VMS",
         "SHARDS",
     ]);
@@ -110,6 +114,7 @@
             status.deployment.to_string(),
             or_dash(status.config_version),
             or_dash(status.platform_age_ms),
+            or_dash(status.config_confirmed_age_ms),
             status.live_vms.to_string(),
             shards_cell(status),
         ]);
@@ -169,6 +174,25 @@
     table.to_string()
 }
 
+/// Returns the customers with a rate limit as text, with a row for each VM that they use.
+fn customers_text(responses: &Responses<'_, Vec<CustomerUsage>>) -> String {
+    let mut table =
+        Table::new(&["CUSTOMER", "ADMIN", "LIMIT/S", "BURST", "TOKENS", "ADMITTED", "REFUSED"]);
+    for (address, usage) in rows(responses) {
+        table.push(vec![
+            usage.customer.to_string(),
+            address.to_string(),
+            usage.requests_per_second.to_string(),
+            usage.burst_requests.to_string(),
+            format!("{:.0}", usage.tokens),
+            usage.admitted.to_string(),
+            usage.refused.to_string(),
+        ]);
+    }
+    table.sort();
+    table.to_string()
+}
+
 /// Returns the requests during which endpoints crashed as text, with a row for each VM that
 /// has a record of one.
 fn quarantine_text(responses: &Responses<'_, Vec<QuarantineStatus>>) -> String {
--- a/crates/pistachiotrack/tests/explain.rs
+++ b/crates/pistachiotrack/tests/explain.rs
@@ -92,3 +92,33 @@
     assert!(output.stderr.contains(file.arg()), "{}", output.stderr);
     assert_eq!(output.stdout, "");
 }
+
+fn explain_keyed(name: &str, key: &str, path: &str) -> ToolOutput {
+    let mut config: serde_json::Value = serde_json::from_str(CONFIG).unwrap();
+    config["api_keys_required"] = json!(true);
+    config["customers"][0]["api_keys"] = json!(["k-1"]);
+    config["customers"][0]["rate_limit"] =
+        json!({"requests_per_second": 20.0, "burst_requests": 5.0});
+    let file = TempFile::new(name, &config.to_string());
+    let key_file = TempFile::new(&format!("{name}.key"), key);
+    let args = ["explain", "--config", file.arg(), "--api-key-file", key_file.arg()];
+    run(&[&args[..], &["--method", "GET", "--path", path]].concat())
+}
+
+#[test]
+fn the_caller_of_an_api_key_is_shown() {
+    let output = explain_keyed("keyed.json", "k-1\n", "/slots");
+    assert_eq!(output.code, Some(0), "{}", output.stderr);
+    let expected = "caller: customer=timeliten class=- requests_per_second=20 burst=5\n";
+    assert!(output.stdout.ends_with(expected), "{}", output.stdout);
+}
+
+/// Guards against an output that shows a key, which would end up in a ticket.
+#[test]
+fn an_unknown_api_key_is_reported_and_not_shown() {
+    let output = explain_keyed("keyed-unknown.json", "secret-9", "/slots");
+    assert_eq!(output.code, Some(1), "{}", output.stdout);
+    let expected = "caller: refused, reason api-key key=unknown\n";
+    assert!(output.stdout.ends_with(expected), "{}", output.stdout);
+    assert!(!format!("{}{}", output.stdout, output.stderr).contains("secret-9"));
+}
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -1,8 +1,11 @@
 //! State shared by all parts of the daemon.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use pistachiotrack_core::{name::Name, request::RequestId, vm::Vm};
@@ -111,6 +114,12 @@
         !has_bound || self.lease.borrow().expires_at.is_some_and(|end| self.clock.now() < end)
     }
 
+    /// Returns the time since the configuration is known to have been the newest one, if this VM
+    /// has a lease.
+    pub(crate) fn confirmed_age(&self) -> Option<Duration> {
+        self.lease.borrow().confirmed_at.map(|at| self.clock.now().since(at))
+    }
+
     /// Returns whether callers should use other VMs, since the lease of this one ends soon.
     pub(crate) fn withdraws(&self) -> bool {
         let is_keyed =
--- a/crates/pistachiotrackd/src/customer_limits.rs
+++ b/crates/pistachiotrackd/src/customer_limits.rs
@@ -12,6 +12,7 @@
     message::{Context as MessageContext, Message},
 };
 use pistachiotrack_core::{
+    admin::CustomerUsage,
     customer::Customer,
     customer_limit::{
         CustomerCount, CustomerLimitSettings, CustomerLimiter, LimitGroup, OverLimit, UsageReport,
@@ -89,6 +90,11 @@
         self.with(|limiter| limiter.admit(self.clock.now(), &customer.name, limit, random))
     }
 
+    /// Returns the limits of the customers with recent requests and their use.
+    pub(crate) fn usage(&self) -> Vec<CustomerUsage> {
+        self.with(|limiter| limiter.usage())
+    }
+
     /// Handles a datagram from another VM.
     pub(crate) fn receive(&self, from: SocketAddr, bytes: &[u8]) {
         let sent: SentReport = match self.codec.decode(bytes) {
--- a/crates/pistachiotrackd/src/exposition.rs
+++ b/crates/pistachiotrackd/src/exposition.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, sync::Arc};
 
+use pistachiotrack_core::admin::CustomerUsage;
 use prometheus_client::{
     collector::Collector,
     encoding::{DescriptorEncoder, EncodeMetric, text},
@@ -14,6 +15,9 @@
 /// Prefix of every metric name.
 const METRIC_PREFIX: &str = "pistachiotrack";
 
+/// Maximum number of customers with a metric of their own.
+const MAX_CUSTOMERS: usize = 256;
+
 /// Collects the daemon's counters and latencies when metrics are requested.
 struct DaemonCollector {
     context: Arc<Context>,
@@ -48,6 +52,7 @@
             ("config_version", version.or(Some(0))),
             ("config_behind_ms", self.config.behind_ms.or(Some(0))),
             ("platform_age_ms", self.config.platform_age_ms),
+            ("config_confirmed_age_ms", context.confirmed_age().map(|age| age.as_millis() as u64)),
         ];
         let known = gauges.into_iter().filter_map(|(name, value)| Some((name, value? as i64)));
         for (name, value) in known {
@@ -55,6 +60,7 @@
             let metric = encoder.encode_descriptor(name, "State", None, value.metric_type())?;
             value.encode(metric)?;
         }
+        encode_customers(&mut encoder, &context.customer_limits.usage())?;
         let [total, added, queued] = [
             "Time to the answer's head",
             "Part of it in which no endpoint had a hand",
@@ -92,6 +98,30 @@
     Ok(())
 }
 
+/// Encodes the requests of customers with a rate limit, of the first ones by name only.
+fn encode_customers(
+    encoder: &mut DescriptorEncoder<'_>,
+    customers: &[CustomerUsage],
+) -> Result<(), fmt::Error> {
+    let families = [
+        (
+            "customer_admitted",
+            "Requests admitted",
+            (|usage| usage.admitted) as fn(&CustomerUsage) -> u64,
+        ),
+        ("customer_over_limit", "Requests refused beyond the rate limit", |usage| usage.refused),
+    ];
+    for (name, help, value) in families {
+        let kind = ConstCounter::new(0_u64).metric_type();
+        let mut metric = encoder.encode_descriptor(name, help, None, kind)?;
+        for usage in customers.iter().take(MAX_CUSTOMERS) {
+            let labels = [("customer", usage.customer.as_str())];
+            ConstCounter::new(value(usage)).encode(metric.encode_family(&labels)?)?;
+        }
+    }
+    Ok(())
+}
+
 fn encode_latencies(
     encoder: &mut DescriptorEncoder<'_>,
     name: &str,
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -184,13 +184,20 @@
     };
     let caller = Caller::on_route(config, route, identified);
     if !matches!(caller, Caller::Anonymous) && !has_lease {
+        log::info!(
+            "event=config_unconfirmed request={fleet_id} config_version={} confirmed_age_ms={:?}",
+            config.version,
+            context.confirmed_age().map(|age| age.as_millis())
+        );
         return Err(Rejection::unconfirmed());
     }
     if let Caller::Unidentified(cause) = caller {
         log::info!(
-            "event=caller_unidentified request={fleet_id} key={} config_version={}",
+            "event=caller_unidentified request={fleet_id} key={} config_version={} \
+             confirmed_age_ms={:?}",
             cause.as_str(),
-            config.version
+            config.version,
+            context.confirmed_age().map(|age| age.as_millis())
         );
         return Err(Rejection::unidentified());
     }
@@ -210,7 +217,17 @@
         max_attempts: route.attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
     };
     if let Caller::Customer(customer) = caller {
-        context.customer_limits.admit(customer).map_err(Rejection::rate_limited)?;
+        context.customer_limits.admit(customer).map_err(|over_limit| {
+            log::info!(
+                "event=over_limit request={fleet_id} customer={} config_version={} \
+                 confirmed_age_ms={:?} retry_after_ms={}",
+                customer.name,
+                config.version,
+                context.confirmed_age().map(|age| age.as_millis()),
+                over_limit.retry_after.as_millis()
+            );
+            Rejection::rate_limited(over_limit)
+        })?;
     }
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
