--- a/crates/pistachiotrack-core/src/customer_limit.rs
+++ b/crates/pistachiotrack-core/src/customer_limit.rs
@@ -20,6 +20,8 @@
 
 /// Time without a report after which a VM is assumed to admit its share.
 const SILENCE: Duration = Duration::from_millis(700);
+/// Interval of reports while no limit is nearly used up.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of reports without any count, which show that this VM is heard.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Number of reports in which a changed count is repeated, in case one is lost.
@@ -79,6 +81,7 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     count_id: u32,
+    sequence: u32,
     heard_at: Time,
     admitted: FxHashMap<Name, u64>,
 }
@@ -100,6 +103,8 @@
     buckets: FxHashMap<Name, Bucket>,
     peers: FxHashMap<Name, Peer>,
     reported_at: Time,
+    /// Number of the last report.
+    sequence: u32,
 }
 
 impl CustomerLimiter {
@@ -112,6 +117,7 @@
             buckets: FxHashMap::default(),
             peers: FxHashMap::default(),
             reported_at: Time::ZERO,
+            sequence: 0,
         }
     }
 
@@ -156,8 +162,20 @@
         usage
     }
 
+    /// Returns whether a report may be due.
+    ///
+    /// While a limit is nearly used up, it always is: a VM that doesn't know what the others have
+    /// just admitted refuses other requests than a single bucket would.
+    pub fn is_report_due(&self, now: Time) -> bool {
+        let is_urgent = || self.buckets.values().any(Bucket::is_urgent);
+        !self.is_idle() && (now.since(self.reported_at) >= REPORT_INTERVAL || is_urgent())
+    }
+
     /// Returns the report that is due, if any.
     pub fn report(&mut self, now: Time) -> Option<UsageReport> {
+        if !self.is_report_due(now) {
+            return None;
+        }
         let share = self.share(now);
         let mut counts = Vec::new();
         self.buckets.retain(|customer, bucket| {
@@ -175,7 +193,8 @@
             return None;
         }
         self.reported_at = now;
-        Some(UsageReport { count_id: self.count_id, counts })
+        self.sequence += 1;
+        Some(UsageReport { count_id: self.count_id, sequence: self.sequence, counts })
     }
 
     /// Returns the VMs outside the group that are to get the reports too.
@@ -199,7 +218,10 @@
         let peer = self.peers.entry(from.clone()).or_default();
         if peer.count_id != report.count_id {
             *peer = Peer { count_id: report.count_id, ..Peer::default() };
+        } else if report.sequence < peer.sequence {
+            return;
         }
+        peer.sequence = report.sequence;
         // While it wasn't heard, its share was kept back.
         let kept_back = match peer.heard_at {
             Time::ZERO => Duration::ZERO,
--- a/crates/pistachiotrack-core/src/customer_limit/bucket.rs
+++ b/crates/pistachiotrack-core/src/customer_limit/bucket.rs
@@ -8,6 +8,8 @@
 /// Time for which a VM that hears of a customer for the first time has tokens. It doesn't know
 /// what the others have admitted just before.
 const INITIAL_TIME: Duration = Duration::from_millis(250);
+/// Fraction of the depth below which the other VMs should learn of each request at once.
+const URGENT_FRACTION: f64 = 0.25;
 /// Maximum time for which an excess is made up for. A longer one would punish a customer for
 /// what it can't know of.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(5);
@@ -112,6 +114,11 @@
         self.next_return_at.since(now)
     }
 
+    /// Returns whether the other VMs should learn of the last requests at once.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.reports_due > 0 && self.tokens < self.depth * URGENT_FRACTION
+    }
+
     /// Returns whether the next report has to contain the count.
     pub(super) fn take_unreported(&mut self) -> bool {
         let is_due = self.reports_due > 0;
--- a/crates/pistachiotrack-core/src/customer_limit/report.rs
+++ b/crates/pistachiotrack-core/src/customer_limit/report.rs
@@ -9,6 +9,8 @@
 pub struct UsageReport {
     /// Identifier of the counts; it differs when the VM restarts its count.
     pub count_id: u32,
+    /// Number of the report; a report that arrives after a later one is ignored.
+    pub sequence: u32,
     /// The counts.
     pub counts: Vec<CustomerCount>,
 }
--- a/crates/pistachiotrackd/src/customer_limits.rs
+++ b/crates/pistachiotrackd/src/customer_limits.rs
@@ -37,8 +37,8 @@
 
 /// First byte of the datagrams with reports.
 pub(crate) const USAGE_TAG: u8 = 0x92;
-/// Interval of reports.
-pub(crate) const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval of reports.
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_millis(20);
 /// Bytes that a datagram needs beside its counts.
 const ENVELOPE_BYTES: usize = 200;
 /// Bytes of a count beside the customer's name.
@@ -118,7 +118,7 @@
         let view = Arc::clone(&self.view.borrow());
         let Some(active) = &view.active else { return };
         let now = self.clock.now();
-        if self.with(|limiter| limiter.is_idle()) {
+        if !self.with(|limiter| limiter.is_report_due(now)) {
             return;
         }
         let group = Group::of(&view, active, &self.me);
@@ -190,7 +190,7 @@
 
 /// Splits a report into parts that fit into a datagram.
 fn split(report: UsageReport) -> Vec<UsageReport> {
-    let UsageReport { count_id, counts } = report;
+    let UsageReport { count_id, sequence, counts } = report;
     let mut parts: Vec<Vec<CustomerCount>> = vec![Vec::new()];
     let mut room = MAX_DATAGRAM_BYTES - ENVELOPE_BYTES;
     for count in counts {
@@ -202,7 +202,7 @@
         room = room.saturating_sub(bytes);
         parts.last_mut().expect("there is a first part").push(count);
     }
-    parts.into_iter().map(|counts| UsageReport { count_id, counts }).collect()
+    parts.into_iter().map(|counts| UsageReport { count_id, sequence, counts }).collect()
 }
 
 /// Actor that sends the reports.
