--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -144,6 +144,8 @@
     dispatchers: u32,
     /// Failure rate of the service.
     failure_rate: ServiceFailureRate,
+    /// Arrival of the last request that may run again.
+    last_idempotent_at: Option<Time>,
     /// Attempts that have ended and have not been reported to the other VMs yet.
     ended_attempts: Vec<(Name, EndedAttempt, Time)>,
     /// While set and not reached, requests wait for a snapshot that was requested from other VMs.
@@ -194,6 +196,7 @@
             is_shared: service.is_some_and(Service::is_shared),
             dispatchers: 1,
             failure_rate: ServiceFailureRate::default(),
+            last_idempotent_at: None,
             ended_attempts: Vec::new(),
             snapshot_deadline: None,
             feature_flags: settings.feature_flags,
@@ -236,6 +239,9 @@
     /// Accepts a request.
     pub fn on_request(&mut self, now: Time, request: Request) -> Vec<ShardAction> {
         let id = request.id;
+        if request.idempotent {
+            self.last_idempotent_at = Some(now);
+        }
         self.pool.release_due(now);
         self.refuse_expired(now);
         self.pending.insert(id, PendingRequest::new(now, request));
@@ -328,6 +334,9 @@
     pub fn on_cancel(&mut self, now: Time, request: RequestId) -> Vec<ShardAction> {
         let Some(pending) = self.pending.get(&request) else { return Vec::new() };
         let was_running = pending.phase == Phase::Running;
+        if pending.is_nearly_expired(now) {
+            self.failure_rate.record(false);
+        }
         for attempt in &pending.in_flight {
             self.pending_actions.push(ShardAction::Cancel { request, attempt: *attempt });
         }
@@ -338,6 +347,11 @@
         self.advance(now)
     }
 
+    /// Records a request for this shard's service that was refused before it came here.
+    pub fn on_refused_before(&mut self) {
+        self.failure_rate.record(false);
+    }
+
     /// Processes the result of [`ShardAction::CheckPath`].
     pub fn on_path_answer(
         &mut self,
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -47,6 +47,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Time that a caller is asked to wait while no endpoint accepts requests.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time since the last request that may run again after which a service counts as having none.
+const IDEMPOTENT_REQUEST_MEMORY: Duration = Duration::from_secs(3);
 /// Timeout of a health check.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -216,6 +218,8 @@
         self.pool.pick(PickCriteria {
             idempotent: pending.request.idempotent,
             allow_trial,
+            allow_trial_by_any: self.has_no_idempotent_requests(now),
+
             tried: &pending.tried,
             max_risk: self.max_risk(now, pending),
             now,
@@ -225,6 +229,12 @@
         })
     }
 
+    /// Returns whether no request of the service may run again, so that none would try the
+    /// endpoints that were ejected and may be healthy by now.
+    fn has_no_idempotent_requests(&self, now: Time) -> bool {
+        self.last_idempotent_at.is_none_or(|at| now.since(at) >= IDEMPOTENT_REQUEST_MEMORY)
+    }
+
     /// Returns the highest risk that a request accepts.
     ///
     /// A request that fails without an attempt left is lost. It therefore waits for an endpoint
--- a/crates/pistachiotrack-core/src/shard/pool/pick.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/pick.rs
@@ -12,6 +12,9 @@
     /// Whether an endpoint under trial may be selected because there is time for a retry if it
     /// fails.
     pub(in crate::shard) allow_trial: bool,
+    /// Whether requests that must not run twice may select such an endpoint too, because the
+    /// service has no others.
+    pub(in crate::shard) allow_trial_by_any: bool,
     pub(in crate::shard) tried: &'a [Name],
     /// Highest risk that the request accepts.
     pub(in crate::shard) max_risk: f64,
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -153,7 +153,8 @@
 fn is_eligible(entry: &PoolEntry, criteria: &PickCriteria<'_>, context: &SelectionContext) -> bool {
     let is_tried = criteria.tried.contains(&entry.endpoint.name);
     let is_trial = entry.health_state == HealthState::Trial;
-    let is_barred_trial = is_trial && (is_tried || !criteria.idempotent || !criteria.allow_trial);
+    let may_try = criteria.allow_trial && (criteria.idempotent || criteria.allow_trial_by_any);
+    let is_barred_trial = is_trial && (is_tried || !may_try);
     let is_new_or_overdue =
         is_new_and_idle(entry, criteria) || is_overdue(entry, criteria, context);
     let is_risky = entry.risk > criteria.max_risk && !is_new_or_overdue && !context.is_exploring;
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -47,7 +47,17 @@
     pub(super) owns_key: bool,
 }
 
+/// Fraction of its time after which a request whose caller leaves counts as failed. Callers that
+/// leave earlier have other reasons.
+const EXPIRED_FRACTION: f64 = 0.9;
+
 impl PendingRequest {
+    /// Returns whether a caller that leaves now has waited for about as long as it could.
+    pub(super) fn is_nearly_expired(&self, now: Time) -> bool {
+        let time = self.request.deadline.since(self.arrived);
+        now.since(self.arrived) >= time.mul_f64(EXPIRED_FRACTION)
+    }
+
     pub(super) fn new(now: Time, request: Request) -> PendingRequest {
         PendingRequest {
             arrived: now,
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -15,6 +15,7 @@
 use pistachiotrack_core::{
     authentication::{self, Caller, Unidentified},
     copies::{Copies, Undispatched},
+    customer::Customer,
     hash, header,
     name::Name,
     ownership::{ShardId, rendezvous_shard, shard_count},
@@ -44,6 +45,7 @@
     relay_server,
     request_body::{BodyLimits, RequestBody, RequestBodyError},
     request_task::{self, Served},
+    shard_actor::RefusedBefore,
     view::{ActiveConfig, FleetView},
 };
 
@@ -217,17 +219,7 @@
         max_attempts: route.attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
     };
     if let Caller::Customer(customer) = caller {
-        context.customer_limits.admit(customer).map_err(|over_limit| {
-            log::info!(
-                "event=over_limit request={fleet_id} customer={} config_version={} \
-                 confirmed_age_ms={:?} retry_after_ms={}",
-                customer.name,
-                config.version,
-                context.confirmed_age().map(|age| age.as_millis()),
-                over_limit.retry_after.as_millis()
-            );
-            Rejection::rate_limited(over_limit)
-        })?;
+        check_limit(context, customer, config.version, fleet_id, &forwarded_route.shard)?;
     }
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
@@ -268,6 +260,32 @@
     Err(malformed(fleet_id, &HeaderError { header: header::CUSTOMER, problem }).into())
 }
 
+/// Refuses a request beyond its customer's rate limit.
+///
+/// The shard counts it as not served: no healthy endpoint may be left without requests while
+/// many of a service's requests aren't served, for whatever reason.
+fn check_limit(
+    context: &Context,
+    customer: &Customer,
+    config_version: u64,
+    fleet_id: &Name,
+    shard: &ShardId,
+) -> Result<(), Rejection> {
+    let Err(over_limit) = context.customer_limits.admit(customer) else { return Ok(()) };
+    log::info!(
+        "event=over_limit request={fleet_id} customer={} config_version={config_version} \
+         confirmed_age_ms={:?} retry_after_ms={}",
+        customer.name,
+        context.confirmed_age().map(|age| age.as_millis()),
+        over_limit.retry_after.as_millis()
+    );
+    if let Some(shard) = context.shards.find(shard) {
+        // A shard whose actor has stopped has no endpoints to choose from.
+        let _ = shard.tell(RefusedBefore).try_send();
+    }
+    Err(Rejection::rate_limited(over_limit))
+}
+
 /// Divisor of a request's time that yields the maximum wait for the first configuration; the rest
 /// remains to serve it.
 const FIRST_CONFIG_DIVISOR: u32 = 4;
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -233,6 +233,17 @@
     }
 }
 
+/// Reports a request for the shard's service that this VM refused before it came to the shard.
+pub(crate) struct RefusedBefore;
+
+impl Message<RefusedBefore> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: RefusedBefore, _: &mut Context<Self, ()>) {
+        self.shard.on_refused_before();
+    }
+}
+
 /// Applies a new configuration to a shard.
 pub(crate) struct NewConfig(pub(crate) Arc<Config>);
 
