--- a/crates/pistachiotrack-core/src/config_lease/settings.rs
+++ b/crates/pistachiotrack-core/src/config_lease/settings.rs
@@ -4,8 +4,14 @@
 
 use serde::Deserialize;
 
+use crate::config_sync::ConfigSyncSettings;
+
 /// Part of the maximum age that is kept back for the granularity of clocks.
 const MARGIN: Duration = Duration::from_millis(250);
+/// Fraction of the maximum age after which a watch of the platform ends.
+const WATCH_FRACTION: f64 = 0.09;
+/// Fraction of the maximum age between the starts of two watches.
+const WATCH_GAP_FRACTION: f64 = 0.1;
 /// Fraction of the maximum age from which a VM also asks a VM other than its parent.
 const SLOW_FRACTION: f64 = 0.25;
 /// Fraction from which it asks several VMs, also in other data centres.
@@ -59,6 +65,19 @@
         self.max_age().map(|max_age| max_age.saturating_sub(MARGIN))
     }
 
+    /// Returns settings of the configuration distribution with which watches end often enough: a
+    /// confirmation is as old as the request that it comes from.
+    pub fn limit_watches(&self, settings: ConfigSyncSettings) -> ConfigSyncSettings {
+        let Some(max_age) = self.max_age() else { return settings };
+        let at_most =
+            |value_ms: u64, fraction| value_ms.min(max_age.mul_f64(fraction).as_millis() as u64);
+        ConfigSyncSettings {
+            watch_timeout_ms: at_most(settings.watch_timeout_ms, WATCH_FRACTION),
+            min_watch_gap_ms: at_most(settings.min_watch_gap_ms, WATCH_GAP_FRACTION),
+            ..settings
+        }
+    }
+
     /// Returns the interval of queries.
     pub(super) fn query_interval(&self) -> Duration {
         Duration::from_millis(self.query_interval_ms)
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -119,10 +119,10 @@
             seeds: settings.seeds(me.peer_address.port()),
             ..settings.membership.clone()
         };
-        let sync_settings = ConfigSyncSettings {
+        let sync_settings = settings.config_lease.limit_watches(ConfigSyncSettings {
             assumed_fleet_vms: settings.expected_vms,
             ..settings.config_sync.clone()
-        };
+        });
         let watch_wait = Duration::from_millis(sync_settings.watch_timeout_ms);
         let source = context.source.clone().unwrap_or_else(|| {
             let platform = Platform::new(settings, Arc::clone(&context.traffic));
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -181,8 +181,7 @@
 async fn refuse_without_lease() -> Refusal {
     let platform = Platform::start().await;
     platform.publish_config(keyed_config());
-    let settings = json!({"config_lease": {"max_age_s": 0.8},
-        "config_sync": {"watch_timeout_ms": 100, "min_watch_gap_ms": 100}});
+    let settings = json!({"config_lease": {"max_age_s": 0.8}});
     let vm = DaemonProcess::start_with(VM, platform.address, settings).await;
     client::wait_until_serving(vm.admin_address).await;
     let keyed = || client::with_header(client::get("/nowhere"), "authorization", "Bearer k-1");
