--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod process;
 mod proxy;
 mod quarantine;
+mod receive;
 mod refusal_log;
 pub mod registry;
 mod rejection;
--- a/crates/pistachiotrackd/src/relay_server.rs
+++ b/crates/pistachiotrackd/src/relay_server.rs
@@ -16,7 +16,7 @@
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     headers,
     inbound::origin_form,
-    proxy,
+    receive,
     relay_client::{RelayRequest, RelayResult},
     request_task,
 };
@@ -72,7 +72,7 @@
         headers::set(&mut parts.headers, header::REQUEST_ID, &id);
     }
     let body =
-        proxy::read_body(context, body, time_limit).await.map_err(|_| RelayResult::NotSent)?;
+        receive::read_body(context, body, time_limit).await.map_err(|_| RelayResult::NotSent)?;
     let uri = origin_form(&parts);
     let head = RequestHead { method: parts.method, uri, headers: parts.headers };
     exchange::run(&context.endpoints, context.clock, target, head, &body)
