--- a/crates/pistachiotrackd/tests/testenv/process.rs
+++ b/crates/pistachiotrackd/tests/testenv/process.rs
@@ -68,6 +68,11 @@
         wait_for_line(&self.log, parts).await
     }
 
+    /// Returns the lines written so far.
+    pub(crate) fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
     /// Returns this daemon's entry in the platform's list of VMs.
     pub(crate) fn vm_list_entry(&self, vm: &str) -> Value {
         super::vm_list_entry(vm, self.peer_address, self.caller_address)
