Soak: API keys, a key that is taken away, and a customer beyond its limit

Two promises more: no request that was sent later than the lease's bound after its key was taken away runs, and no window of a flooding customer exceeds its limit with the tolerance. The events are drawn from a generator of their own, so that the others of a seed stay.

--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response, body::Incoming, header::AUTHORIZATION};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -36,6 +36,8 @@
 pub struct Operation {
     /// Customer that the caller acts for.
     pub customer: &'static str,
+    /// API key, if it isn't the customer's default one.
+    pub api_key: Option<&'static str>,
     /// Service that the request is for.
     pub service: &'static str,
     /// HTTP method.
@@ -277,6 +279,11 @@
     if operation.method == "GET" { Bytes::new() } else { Bytes::from(id.0.to_string()) }
 }
 
+/// Returns the API key that callers of a customer send unless they are given another one.
+pub(crate) fn default_api_key(customer: &str) -> String {
+    format!("key-of-{customer}")
+}
+
 /// Returns the request for a piece of work.
 ///
 /// # Errors
@@ -288,10 +295,13 @@
     uri: String,
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let default_key = default_api_key(operation.customer);
+    let key = operation.api_key.unwrap_or(&default_key);
     Request::builder()
         .method(operation.method)
         .uri(uri)
         .header(header::CUSTOMER, operation.customer)
+        .header(AUTHORIZATION, format!("Bearer {key}"))
         .header(header::SERVICE, operation.service)
         .header(header::CLASS, operation.class.as_str())
         .header(header::DEADLINE_MS, operation.deadline_ms)
--- a/crates/pistachiotrack-standins/src/daemon.rs
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -40,6 +40,16 @@
     /// Expected number of VMs in the deployment, by which the first reads of the platform are
     /// spread over time.
     pub expected_vms: usize,
+    /// Lease on the configuration.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub config_lease: Option<ConfigLease>,
+}
+
+/// Settings of the lease on the configuration.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct ConfigLease {
+    /// Bound after which no key that was taken away is served.
+    pub max_age_s: f64,
 }
 
 /// The daemon's executable.
--- a/crates/pistachiotrack-standins/src/deployment.rs
+++ b/crates/pistachiotrack-standins/src/deployment.rs
@@ -66,6 +66,8 @@
     pub endpoints: Vec<Endpoint>,
     /// Executions recorded by the endpoints.
     pub execution_counter: Arc<ExecutionCounter>,
+    /// Bound of the VMs' lease on the configuration, if they have one.
+    pub key_max_age_s: Option<f64>,
 }
 
 impl Deployment {
@@ -101,7 +103,7 @@
         }
         let platform = Platform::start(&config.deployment).await?;
         platform.publish(&config)?;
-        Ok(Deployment { kind, config, platform, endpoints, execution_counter })
+        Ok(Deployment { kind, config, platform, endpoints, execution_counter, key_max_age_s: None })
     }
 
     /// Returns an endpoint by name.
--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     admin::AdminClient,
-    daemon::{Daemon, DaemonBinary, DaemonSettings, free_ports},
+    daemon::{ConfigLease, Daemon, DaemonBinary, DaemonSettings, free_ports},
     deployment::Deployment,
     link::{Links, PLATFORM},
     link_proxy::{LinkProxy, Senders},
@@ -274,6 +274,7 @@
             false => deployment.platform.address(),
         },
         expected_vms: count,
+        config_lease: deployment.key_max_age_s.map(|max_age_s| ConfigLease { max_age_s }),
     });
     Ok(settings.collect())
 }
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod clock;
+mod customers;
 mod environment;
 pub mod oracle;
 pub mod plan;
@@ -22,8 +23,11 @@
     caller::PersistentCaller,
     clock::RunClock,
     environment::Environment,
-    oracle::{LoggedRefusals, ObservedVersion, RequestRecord, RunRecord, Violation, violations},
-    plan::{Event, MAX_PROXIED_VMS, Plan},
+    oracle::{
+        CUSTOMER_WINDOW_MS, LoggedRefusals, ObservedVersion, RequestRecord, RunRecord, Violation,
+        violations,
+    },
+    plan::{Event, MAX_PROXIED_VMS, Plan, PlatformFault},
     vms::VmProcesses,
 };
 use crate::{
@@ -53,6 +57,8 @@
 const LATE_EXECUTION_WAIT: Duration = Duration::from_secs(3);
 /// Largest number of violations that are printed.
 const MAX_PRINTED_VIOLATIONS: usize = 10;
+/// Tolerance above a customer's rate limit in a window: a factor and a number of requests.
+const LIMIT_TOLERANCE: (f64, f64) = (1.25, 20.0);
 /// Default directory for plans and logs.
 const DIRECTORY: &str = "target/soak";
 
@@ -176,6 +182,8 @@
         // Lets several endpoints leave at the same time.
         service.floor = service.floor.min(1);
     }
+    customers::require_api_keys(&mut deployment.config)?;
+    deployment.key_max_age_s = Some(customers::KEY_MAX_AGE_S);
     deployment.config.version += 1;
     deployment.platform.publish(&deployment.config)?;
     let links = Links::new(plan.seed);
@@ -217,14 +225,25 @@
 
     requests.sort_by_key(|request| request.sent_ms);
     let (published, leaving_periods) = environment.operator_actions();
+    let (taken_keys, flood) = environment.customer_observations();
     let (rate_limit_periods, crash_runs_ms) = environment.endpoint_observations();
     let execution_counter = &environment.deployment.execution_counter;
     let logged_refusals = read_logged_refusals(directory, names)?;
     let record = RunRecord {
         executions: requests
             .iter()
-            .map(|it| (it.id, execution_counter.executions(it.id)))
+            .map(|it| it.id)
+            .chain(taken_keys.iter().flat_map(|key| &key.requests).map(|(id, _)| *id))
+            .chain(flood.iter().map(|(id, _)| *id))
+            .map(|id| (id, execution_counter.executions(id)))
             .collect(),
+        taken_keys,
+        key_limit_ms: (customers::KEY_MAX_AGE_S * 1_000.0) as u64,
+        stale_platform: faults(plan, |event| {
+            matches!(event, Event::PlatformFault { fault: PlatformFault::Stale, .. })
+        }),
+        flood,
+        flood_window_limit: flood_window_limit(),
         versions: versions.lock().unwrap_or_else(PoisonError::into_inner).clone(),
         published,
         leaving_periods,
@@ -250,6 +269,15 @@
     })
 }
 
+/// Returns how many requests the customer that floods may run in a window, with the tolerance
+/// that VMs need which don't hear each other.
+fn flood_window_limit() -> f64 {
+    let limit = customers::FLOOD_LIMIT;
+    let window_s = CUSTOMER_WINDOW_MS as f64 / 1_000.0;
+    let allowed = limit.requests_per_second * window_s + limit.burst_requests;
+    allowed * LIMIT_TOLERANCE.0 + LIMIT_TOLERANCE.1
+}
+
 fn read_logged_refusals(directory: &Path, vms: Vec<String>) -> anyhow::Result<LoggedRefusals> {
     let mut logged = LoggedRefusals { vms, ..LoggedRefusals::default() };
     for entry in fs::read_dir(directory)? {
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -12,7 +12,8 @@
 
 use super::{
     clock::RunClock,
-    oracle::{LeavingPeriod, PublishedVersion, RateLimitPeriod},
+    customers::{self, SentLookup},
+    oracle::{LeavingPeriod, PublishedVersion, RateLimitPeriod, TakenKey},
     plan::{EndpointFault, Event, PlatformFault, Step},
     vms::VmProcesses,
 };
@@ -33,6 +34,7 @@
 /// A lookup that crashes the endpoint that runs it.
 const CRASH_REQUEST: Operation = Operation {
     customer: "timeliten",
+    api_key: None,
     service: "centre-calendars",
     method: "GET",
     path: "/calendars/majorstuen?crash",
@@ -64,6 +66,9 @@
     /// Endpoints that currently announce a rate limit.
     limited_endpoints: BTreeSet<usize>,
     rate_limit_periods: Vec<RateLimitPeriod>,
+    taken_keys: Vec<TakenKey>,
+    /// Requests of the customer that floods.
+    flood: Vec<SentLookup>,
     /// Blocked link directions; one entry for each event that blocks the direction.
     cut_directions: Vec<(usize, usize)>,
     /// Currently active faults that apply to all links.
@@ -85,6 +90,8 @@
             leaving_periods: Vec::new(),
             limited_endpoints: BTreeSet::new(),
             rate_limit_periods: Vec::new(),
+            taken_keys: Vec::new(),
+            flood: Vec::new(),
             cut_directions: Vec::new(),
             link_faults: Vec::new(),
         };
@@ -114,6 +121,12 @@
                     .await;
             }
             Event::CrashingRequest { for_ms } => self.send_crash_requests(*for_ms).await,
+            Event::TakeKey { valid_ms, used_ms } => self.take_key(*valid_ms, *used_ms).await,
+            Event::Flood { for_ms } => {
+                let time = Duration::from_millis(*for_ms);
+                let sent = customers::flood(&self.addresses, &self.ids, self.clock, time).await;
+                self.lock().flood.extend(sent);
+            }
             Event::PublishInvalid => self.publish_invalid().await,
             Event::CutOneWay { from, to, for_ms } => self.cut_links(&[(*from, *to)], *for_ms).await,
             Event::CutOff { vm, for_ms } => {
@@ -216,6 +229,22 @@
         sent.join_all().await;
     }
 
+    /// Lets callers use a key, takes it away while they go on, and records their requests.
+    async fn take_key(&self, valid_ms: u64, used_ms: u64) {
+        if !self.publish(|config| customers::set_taken_key(config, true)) {
+            return;
+        }
+        let time = Duration::from_millis(valid_ms + used_ms);
+        let used = customers::use_taken_key(&self.addresses, &self.ids, self.clock, time);
+        let taken = async {
+            sleep_ms(valid_ms).await;
+            self.publish(|config| customers::set_taken_key(config, false));
+            self.clock.now_ms()
+        };
+        let (requests, taken_ms) = tokio::join!(used, taken);
+        self.lock().taken_keys.push(TakenKey { taken_ms, requests });
+    }
+
     async fn publish_invalid(&self) {
         {
             let mut state = self.lock();
@@ -284,6 +313,12 @@
         (self.lock().rate_limit_periods.clone(), runs_ms)
     }
 
+    /// Returns the keys that were taken away, and the requests of the customer that floods.
+    pub(super) fn customer_observations(&self) -> (Vec<TakenKey>, Vec<SentLookup>) {
+        let state = self.lock();
+        (state.taken_keys.clone(), state.flood.clone())
+    }
+
     /// Returns the published configurations and the periods in which endpoints were leaving.
     pub(super) fn operator_actions(&self) -> (Vec<PublishedVersion>, Vec<LeavingPeriod>) {
         let state = self.lock();
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -29,6 +29,8 @@
 const MAX_LATE_RUNS: usize = 3;
 /// Window over which requests to an endpoint with a rate limit are counted.
 const LIMIT_WINDOW_MS: u64 = 4_000;
+/// Window over which the requests of a customer with a rate limit are counted.
+pub const CUSTOMER_WINDOW_MS: u64 = 5_000;
 /// Tolerance above the rate limit: a factor and an absolute number of requests.
 const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
 
@@ -62,6 +64,10 @@
     CrashesHeldBack,
     /// An endpoint receives no more requests than its announced rate limit allows.
     LimitKept,
+    /// No request with an API key that was taken away runs after the bound.
+    TakenKeyStops,
+    /// A customer runs no more requests than its rate limit allows.
+    CustomerLimitKept,
 }
 
 /// A violation of an invariant.
@@ -146,6 +152,15 @@
     pub arrivals_ms: Vec<u64>,
 }
 
+/// An API key that was taken away, and the requests that were sent with it.
+#[derive(Clone, Debug)]
+pub struct TakenKey {
+    /// Time at which the configuration without the key had been published.
+    pub taken_ms: u64,
+    /// Requests with the times at which they were sent.
+    pub requests: Vec<(WorkId, u64)>,
+}
+
 /// A process of a VM.
 #[derive(Clone, Copy, Debug)]
 pub struct Process {
@@ -205,6 +220,17 @@
     pub leaving_periods: Vec<LeavingPeriod>,
     /// Periods in which endpoints announced a rate limit.
     pub rate_limit_periods: Vec<RateLimitPeriod>,
+    /// API keys that were taken away.
+    pub taken_keys: Vec<TakenKey>,
+    /// Bound after which no key that was taken away may be served.
+    pub key_limit_ms: u64,
+    /// Periods in which the platform answered with old configurations. It can't be asked whether a
+    /// key is still valid then.
+    pub stale_platform: Vec<(u64, u64)>,
+    /// Requests of a customer with a rate limit, with the times at which they were sent.
+    pub flood: Vec<(WorkId, u64)>,
+    /// Requests that this customer may run in [`CUSTOMER_WINDOW_MS`], with the tolerance.
+    pub flood_window_limit: f64,
     /// Times at which endpoints began to run a request that crashes them, in order.
     pub crash_runs_ms: Vec<u64>,
     /// All processes of the VMs.
@@ -244,6 +270,8 @@
     record.check_unexpected_exits(&mut report);
     record.check_late_crash_runs(&mut report);
     record.check_rate_limits(&mut report);
+    record.check_taken_keys(&mut report);
+    record.check_customer_limit(&mut report);
     if let Some(description) = record.recovery_failure() {
         report(Invariant::Recovery, description);
     }
@@ -255,6 +283,46 @@
         self.executions.get(&id).copied().unwrap_or(0)
     }
 
+    fn check_taken_keys(&self, report: &mut impl FnMut(Invariant, String)) {
+        for TakenKey { taken_ms, requests } in &self.taken_keys {
+            let last_ms = requests.iter().map(|(_, sent_ms)| *sent_ms).max().unwrap_or(0);
+            let is_stale = |(begin, end): &(u64, u64)| *begin <= last_ms && *end >= *taken_ms;
+            if self.stale_platform.iter().any(is_stale) {
+                continue;
+            }
+            let is_late = |(_, sent_ms): &&(WorkId, u64)| *sent_ms > taken_ms + self.key_limit_ms;
+            for (id, sent_ms) in requests.iter().filter(is_late) {
+                if self.executions(*id) > 0 {
+                    let description =
+                        format!("work {}: key taken at {taken_ms} ms, sent at {sent_ms} ms", id.0);
+                    report(Invariant::TakenKeyStops, description);
+                }
+            }
+        }
+    }
+
+    fn check_customer_limit(&self, report: &mut impl FnMut(Invariant, String)) {
+        let mut sent_ms: Vec<u64> = self
+            .flood
+            .iter()
+            .filter(|(id, _)| self.executions(*id) > 0)
+            .map(|(_, sent_ms)| *sent_ms)
+            .collect();
+        sent_ms.sort_unstable();
+        let mut first = 0;
+        for (index, at_ms) in sent_ms.iter().enumerate() {
+            while sent_ms[first] + CUSTOMER_WINDOW_MS <= *at_ms {
+                first += 1;
+            }
+            let count = index + 1 - first;
+            if count as f64 > self.flood_window_limit {
+                let limit = self.flood_window_limit;
+                let description = format!("{count} requests up to {at_ms} ms, limit {limit}");
+                return report(Invariant::CustomerLimitKept, description);
+            }
+        }
+    }
+
     /// Returns whether a fault or the grace time after it overlaps the given period.
     fn overlaps_fault(&self, from_ms: u64, to_ms: u64) -> bool {
         self.faults.iter().any(|(begin, end)| *begin <= to_ms && from_ms <= end + FAULT_GRACE_MS)
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -73,6 +73,18 @@
         /// Duration.
         for_ms: u64,
     },
+    /// Callers use an API key that is taken away while they go on.
+    TakeKey {
+        /// Time for which the key is valid.
+        valid_ms: u64,
+        /// Time for which it is used afterwards.
+        used_ms: u64,
+    },
+    /// A customer with a rate limit sends many times what it may.
+    Flood {
+        /// Duration.
+        for_ms: u64,
+    },
     /// An invalid configuration is published.
     PublishInvalid,
     /// VMs are killed and restarted.
@@ -177,6 +189,9 @@
 /// Mean time between two planned events, and between two faults.
 const MEAN_PLANNED_GAP_MS: u64 = 900;
 const MEAN_FAULT_GAP_MS: u64 = 700;
+/// Mean time between two events of customers. They are drawn from a generator of their own, so
+/// that the other events of a seed don't depend on them.
+const MEAN_CUSTOMER_GAP_MS: u64 = 15_000;
 /// Time before the end of the load in which no event starts.
 const FINAL_QUIET_MS: u64 = 5_000;
 /// Largest number of VMs with proxied links. A proxy holds a file descriptor for each VM that
@@ -199,6 +214,8 @@
         generator.add_events(0, end_ms, MEAN_PLANNED_GAP_MS, PlanGenerator::planned_event);
         let faults = (total_ms * FAULTS_START_TENTHS / 10, total_ms * FAULTS_END_TENTHS / 10);
         generator.add_events(faults.0, faults.1, MEAN_FAULT_GAP_MS, PlanGenerator::fault_event);
+        generator.random = Pcg64Mcg::seed_from_u64(!seed);
+        generator.add_events(0, end_ms, MEAN_CUSTOMER_GAP_MS, PlanGenerator::customer_event);
         generator.steps.sort_by_key(|step| step.at_ms);
         let dispatchers_per_data_centre = if seed.is_multiple_of(2) { 0 } else { 2 };
         Plan { seed, vms, dispatchers_per_data_centre, seconds, steps: generator.steps }
@@ -291,6 +308,8 @@
             | Event::Leave { .. }
             | Event::AnnounceRateLimit { .. }
             | Event::CutOffPlatform { .. }
+            | Event::TakeKey { .. }
+            | Event::Flood { .. }
             | Event::PublishInvalid => None,
         }
     }
@@ -351,6 +370,16 @@
         }
     }
 
+    fn customer_event(&mut self) -> Event {
+        match self.random.random_range(0..3) {
+            0 => Event::Flood { for_ms: self.random.random_range(3_000..12_000) },
+            _ => Event::TakeKey {
+                valid_ms: self.random.random_range(500..3_000),
+                used_ms: self.random.random_range(6_000..10_000),
+            },
+        }
+    }
+
     fn fault_event(&mut self) -> Event {
         loop {
             let event = self.random_fault();
--- a/crates/pistachiotrack-standins/src/workload.rs
+++ b/crates/pistachiotrack-standins/src/workload.rs
@@ -77,6 +77,7 @@
 ) -> Operation {
     Operation {
         customer,
+        api_key: None,
         service,
         method: "GET",
         path,
--- a/crates/pistachiotrack-standins/tests/endpoint.rs
+++ b/crates/pistachiotrack-standins/tests/endpoint.rs
@@ -14,6 +14,7 @@
 
 const OPERATION: Operation = Operation {
     customer: "timeliten",
+    api_key: None,
     service: "slot-search",
     method: "POST",
     path: "/bookings",
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -9,7 +9,7 @@
         oracle::{
             Invariant, LeavingPeriod, LoggedRefusals, ObservedVersion, PROPAGATION_LIMIT_MS,
             Process, PublishedVersion, RECOVERY_LIMIT_MS, RateLimitPeriod, RequestRecord,
-            RunRecord, violations,
+            RunRecord, TakenKey, violations,
         },
         plan::Plan,
     },
@@ -62,7 +62,9 @@
     };
     RunRecord {
         requests: vec![request(1, RequestOutcome::Ok), request(2, RequestOutcome::RefusedNotRun)],
-        executions: [(WorkId(1), 1)].into_iter().collect(),
+        executions: [(WorkId(1), 1), (WorkId(50), 1), (WorkId(60), 1), (WorkId(61), 1)]
+            .into_iter()
+            .collect(),
         versions: vec![seen(1_100, 1), seen(3_000, 2), seen(9_000, 2)],
         published: vec![PublishedVersion { at_ms: 2_000, version: 2 }],
         leaving_periods: vec![leaving_period],
@@ -73,6 +75,14 @@
             until_ms: 30_000,
             arrivals_ms: (0..20).map(|second| 5_000 + 1_000 * second).collect(),
         }],
+        taken_keys: vec![TakenKey {
+            taken_ms: 10_000,
+            requests: vec![(WorkId(50), 14_900), (WorkId(51), 15_100)],
+        }],
+        key_limit_ms: 5_000,
+        stale_platform: Vec::new(),
+        flood: vec![(WorkId(60), 1_000), (WorkId(61), 4_000), (WorkId(62), 4_100)],
+        flood_window_limit: 2.0,
         crash_runs_ms: vec![4_000, 4_100, 4_200, 6_900, 15_000, 16_000, 17_000],
         faults: Vec::new(),
         vm_faults: Vec::new(),
@@ -130,6 +140,18 @@
     exceeded.rate_limit_periods[0].arrivals_ms.splice(4..4, vec![9_000; 8]);
     assert_eq!(violated(&exceeded), [Invariant::LimitKept]);
 
+    let mut taken = valid_run();
+    taken.executions.insert(WorkId(51), 1);
+    assert_eq!(violated(&taken), [Invariant::TakenKeyStops]);
+    taken.stale_platform.push((9_000, 11_000));
+    assert_eq!(violated(&taken), []);
+
+    let mut flooded = valid_run();
+    flooded.executions.insert(WorkId(62), 1);
+    assert_eq!(violated(&flooded), [Invariant::CustomerLimitKept]);
+    flooded.flood[2].1 = 6_001;
+    assert_eq!(violated(&flooded), []);
+
     let mut leaving = valid_run();
     leaving.leaving_periods[0].arrivals_ms.push(1_000 + PROPAGATION_LIMIT_MS);
     assert_eq!(violated(&leaving), [Invariant::Leaving]);
