Clocks count from the start of the process; a failure rate is high from 0.085 as before

State that starts at time zero counted as recent on a clock that had just started and as long ago on one that had not.

--- a/crates/pistachiotrack-core/src/shard/failure_rate.rs
+++ b/crates/pistachiotrack-core/src/shard/failure_rate.rs
@@ -2,10 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Failure rate from which on it counts as high. It is above what gray-failure episodes of single
-/// endpoints cause, and half of the tenth from which on healthy endpoints must not be left
-/// without requests: a loss of VMs can add as much within a moment.
-const HIGH_FAILURE_RATE: f64 = 0.05;
+/// Failure rate from which on it counts as high. It is well above what gray-failure episodes of
+/// single endpoints cause, and below the tenth from which on healthy endpoints must not be left
+/// without requests.
+const HIGH_FAILURE_RATE: f64 = 0.085;
 /// Weight of one request in the moving average: about the last 100 requests of all dispatchers
 /// count, a second or two of the users' requests. Fewer can't distinguish a tenth from a
 /// twentieth.
--- a/crates/pistachiotrackd/src/clock.rs
+++ b/crates/pistachiotrackd/src/clock.rs
@@ -1,11 +1,11 @@
 //! The monotonic clock of this process.
 
-use std::time::Duration;
+use std::{sync::OnceLock, time::Duration};
 
 use pistachiotrack_core::time::Time;
 use rustix::time::{ClockId, clock_gettime};
 
-/// Converts the system's boot-time clock to [`Time`], the same on all clocks of a machine.
+/// Converts the system's boot-time clock to [`Time`], the same for all clocks of a process.
 ///
 /// `CLOCK_MONOTONIC` stops while a VM is suspended, so that requests would be
 /// sent long after their callers gave up. `CLOCK_BOOTTIME` includes suspended
@@ -15,14 +15,16 @@
     started: Time,
 }
 
-/// Value of the clock when the machine boots. It is above 0 so that times shortly before the
-/// start of a process can be represented.
-const AT_BOOT: Time = Time::from_millis(1_000);
+/// Value of the clock when the first one of the process is started. It is above 0 so that times
+/// shortly before the start can be represented.
+const START: Time = Time::from_millis(1_000);
+/// Time of the system's clock at that moment.
+static PROCESS_START: OnceLock<Duration> = OnceLock::new();
 
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Clock {
-        Clock { started: AT_BOOT + since_boot() }
+        Clock { started: since_process_start() }
     }
 
     /// Returns the time at which the clock was started.
@@ -32,7 +34,7 @@
 
     /// Returns the current time.
     pub fn now(&self) -> Time {
-        AT_BOOT + since_boot()
+        since_process_start()
     }
 
     /// Converts a time to an instant of the runtime's timers.
@@ -41,6 +43,11 @@
     }
 }
 
+fn since_process_start() -> Time {
+    let start = *PROCESS_START.get_or_init(since_boot);
+    START + since_boot().saturating_sub(start)
+}
+
 fn since_boot() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
     Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
