--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod retry_budget;
 mod state;
+mod status;
 mod subscribers;
 mod updates;
 
@@ -33,16 +34,14 @@
     state::{AttemptState, PendingRequest, Phase},
 };
 use crate::{
-    admin::EndpointStatus,
     admission::AdmissionQueue,
     config::Config,
     endpoint::Endpoint,
     feature_flags::FeatureFlags,
-    health::{AttemptKind, EjectReason, Health, HealthSettings, HealthState, PathAnswer},
+    health::{AttemptKind, Health, HealthSettings, PathAnswer},
     idempotency::{KeySettings, KeyTable, StoredAnswer},
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
-    rate_limit::RateLimit,
     request::{AttemptId, BodyEnd, EndpointReport, Outcome, Request, RequestId},
     retry::{RecentLatency, SlotTimeAverage},
     service::{DEFAULT_PROBE_PATH, Service},
@@ -414,32 +413,6 @@
         self.pending.is_empty() && self.attempts.is_empty() && self.keys.is_empty()
     }
 
-    /// Returns the status of the endpoints for the admin port.
-    pub fn endpoints(&self, _now: Time) -> Vec<EndpointStatus> {
-        let mode = self.pool.mode();
-        self.pool
-            .configured()
-            .map(|entry| {
-                let name = &entry.endpoint.name;
-                EndpointStatus {
-                    service: self.id.service.clone(),
-                    endpoint: name.clone(),
-                    state: Name::from(state_name(self.health.state(name))),
-                    in_flight: entry.in_flight,
-                    limit: entry.limit,
-                    rate_limit: entry.rate_limit().map(RateLimit::per_second),
-                    evidence: self.health.evidence(name),
-                    mode: Name::from(mode.as_str()),
-                    reason: self
-                        .health
-                        .last_ejection_reason(name)
-                        .map(EjectReason::as_str)
-                        .map(Name::from),
-                }
-            })
-            .collect()
-    }
-
     /// Performs the work that has become possible and returns all actions of the event.
     fn advance(&mut self, now: Time) -> Vec<ShardAction> {
         self.pool.release_due(now);
@@ -499,15 +472,3 @@
     let all = service.endpoints.len().max(1) as u64;
     (u64::from(service.floor) * shard_endpoints as u64).div_ceil(all) as u32
 }
-
-fn state_name(state: HealthState) -> &'static str {
-    match state {
-        HealthState::Healthy => "healthy",
-        HealthState::Suspect => "suspect",
-        HealthState::HeldByFloor => "held_by_floor",
-        HealthState::Ejected => "ejected",
-        HealthState::Trial => "trial",
-        HealthState::SlowStart => "slow_start",
-        HealthState::Draining => "draining",
-    }
-}
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/coverage.rs
@@ -0,0 +1,143 @@
+//! Which endpoints of a shared service get requests while much of its traffic isn't served.
+
+mod shared_support;
+
+use std::time::Duration;
+
+use pistachiotrack_core::{
+    admin::EndpointStatus,
+    name::Name,
+    request::{EndpointReport, Outcome, Request},
+    shard::{RequestCounts, Shard},
+    time::Time,
+};
+use shared_support::{START, answer, apply_updates, booking, dispatched, end, shard, update};
+
+/// A fifth of all bookings fails because of faults that no single endpoint causes. Then no
+/// endpoint may be left without requests, whatever its estimated risk.
+#[test]
+fn all_endpoints_get_requests_while_the_failure_rate_is_high() {
+    let mut shard = shard(10);
+    let mut now = START;
+    let peer_update = update(0, RequestCounts { served: 4, failed: 1 });
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..300 {
+        now += Duration::from_millis(20);
+        apply_updates(&mut shard, now, std::slice::from_ref(&peer_update));
+        let status = if id % 5 == 0 { 500 } else { 200 };
+        let (endpoint, _) = answer(&mut shard, now, id, status);
+        if id >= 200 {
+            used.insert(endpoint);
+        }
+    }
+    assert_eq!(used.len(), 10, "{used:?} in the last 2 s");
+}
+
+/// A service gets nothing but bookings. An endpoint that was ejected and is healthy again would
+/// stay under trial, since only requests that may run again try it.
+#[test]
+fn bookings_end_the_trial_of_an_endpoint_if_there_are_no_other_requests() {
+    let mut shard = shard(10);
+    let failing = Name::from("endpoint-0");
+    let mut now = START;
+    let mut was_ejected = false;
+    let mut used = 0;
+    for id in 0..2_000 {
+        now += Duration::from_millis(20);
+        let is_ejected = |status: &EndpointStatus| {
+            status.endpoint == failing && status.state.as_str() == "ejected"
+        };
+        was_ejected |= shard.endpoints(now).iter().any(is_ejected);
+        let dispatch = dispatched(&shard.on_request(now, booking(id, now))).unwrap();
+        used += u32::from(dispatch.endpoint == failing && id >= 1_500);
+        if dispatch.endpoint == failing && id < 300 {
+            let outcome = Outcome::ConnectFailed;
+            let retried =
+                shard.on_outcome(now, dispatch.attempt, outcome, EndpointReport::default());
+            if let Some(retry) = dispatched(&retried) {
+                end(&mut shard, now, &retry, 200);
+            }
+        } else {
+            end(&mut shard, now, &dispatch, 200);
+        }
+        shard.on_tick(now);
+    }
+    assert!(was_ejected);
+    assert!(used >= 5, "{used} of 500 bookings");
+}
+
+/// Runs 300 bookings on ten endpoints, before each of which `fail` makes requests fail and returns
+/// the endpoint of one; returns the number of endpoints used in the last two seconds.
+fn endpoints_used_while(mut fail: impl FnMut(&mut Shard, u64, Time) -> Option<Name>) -> usize {
+    let mut shard = shard(10);
+    let mut now = START;
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..300 {
+        now += Duration::from_millis(20);
+        let failed = fail(&mut shard, id, now);
+        let (endpoint, _) = answer(&mut shard, now, id, 200);
+        if id >= 200 {
+            used.extend(failed.into_iter().chain([endpoint]));
+        }
+    }
+    used.len()
+}
+
+/// Endpoints hang, and callers leave when their time is over. Their requests failed like others.
+#[test]
+fn requests_whose_callers_wait_until_their_deadline_count_as_failed() {
+    let endpoints_with = |time: Duration| {
+        endpoints_used_while(|shard, id, now| {
+            if id % 4 != 0 {
+                return None;
+            }
+            let abandoned = Request { deadline: now + time, ..booking(10_000 + id, now) };
+            let dispatch = dispatched(&shard.on_request(now, abandoned)).unwrap();
+            let left_at = now + Duration::from_millis(15);
+            shard.on_cancel(left_at, dispatch.request);
+            let (attempt, report) = (dispatch.attempt, EndpointReport::default());
+            shard.on_outcome(left_at, attempt, Outcome::Cancelled, report);
+            Some(dispatch.endpoint)
+        })
+    };
+    assert_eq!(endpoints_with(Duration::from_millis(15)), 10);
+    assert!(endpoints_with(Duration::from_millis(500)) < 10);
+}
+
+/// A customer is beyond its rate limit, and most of a service's requests are refused before they
+/// reach it.
+#[test]
+fn requests_refused_before_they_reach_the_shard_count_as_not_served() {
+    let used = endpoints_used_while(|shard, id, _| {
+        if id % 4 == 0 {
+            shard.on_refused_before();
+        }
+        None
+    });
+    assert_eq!(used, 10);
+}
+
+/// Many VMs accept a request now and then and serve it, while the VMs that most callers use fail
+/// a fifth. The failure rate is weighted by requests, not by VMs.
+#[test]
+fn vms_with_few_requests_don_t_hide_a_high_failure_rate() {
+    let mut shard = shard(10);
+    let mut now = START;
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..300_u64 {
+        now += Duration::from_millis(20);
+        let request_counts = match id % 20 {
+            0 => RequestCounts { served: 1, failed: 0 },
+            _ => RequestCounts { served: 4, failed: 1 },
+        };
+        let update = update(0, request_counts);
+        let vm =
+            if id % 20 == 0 { format!("non-dispatcher-{id}") } else { "dispatcher".to_owned() };
+        shard.on_update(now, &Name::from(vm), &update);
+        let (endpoint, _) = answer(&mut shard, now, id, 200);
+        if id >= 200 {
+            used.insert(endpoint);
+        }
+    }
+    assert_eq!(used.len(), 10, "{used:?} in the last 2 s");
+}
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -4,10 +4,13 @@
 //! own counts of executions, the active configuration versions that VMs report, and the
 //! injected events.
 
+mod customers;
+
 use std::fmt;
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
+pub use self::customers::{CUSTOMER_WINDOW_MS, TakenKey};
 use crate::{caller::RequestOutcome, work::WorkId};
 
 /// Time limit within which a configuration becomes active on all VMs and an endpoint that
@@ -29,8 +32,6 @@
 const MAX_LATE_RUNS: usize = 3;
 /// Window over which requests to an endpoint with a rate limit are counted.
 const LIMIT_WINDOW_MS: u64 = 4_000;
-/// Window over which the requests of a customer with a rate limit are counted.
-pub const CUSTOMER_WINDOW_MS: u64 = 5_000;
 /// Tolerance above the rate limit: a factor and an absolute number of requests.
 const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
 
@@ -152,15 +153,6 @@
     pub arrivals_ms: Vec<u64>,
 }
 
-/// An API key that was taken away, and the requests that were sent with it.
-#[derive(Clone, Debug)]
-pub struct TakenKey {
-    /// Time at which the configuration without the key had been published.
-    pub taken_ms: u64,
-    /// Requests with the times at which they were sent.
-    pub requests: Vec<(WorkId, u64)>,
-}
-
 /// A process of a VM.
 #[derive(Clone, Copy, Debug)]
 pub struct Process {
@@ -283,46 +275,6 @@
         self.executions.get(&id).copied().unwrap_or(0)
     }
 
-    fn check_taken_keys(&self, report: &mut impl FnMut(Invariant, String)) {
-        for TakenKey { taken_ms, requests } in &self.taken_keys {
-            let last_ms = requests.iter().map(|(_, sent_ms)| *sent_ms).max().unwrap_or(0);
-            let is_stale = |(begin, end): &(u64, u64)| *begin <= last_ms && *end >= *taken_ms;
-            if self.stale_platform.iter().any(is_stale) {
-                continue;
-            }
-            let is_late = |(_, sent_ms): &&(WorkId, u64)| *sent_ms > taken_ms + self.key_limit_ms;
-            for (id, sent_ms) in requests.iter().filter(is_late) {
-                if self.executions(*id) > 0 {
-                    let description =
-                        format!("work {}: key taken at {taken_ms} ms, sent at {sent_ms} ms", id.0);
-                    report(Invariant::TakenKeyStops, description);
-                }
-            }
-        }
-    }
-
-    fn check_customer_limit(&self, report: &mut impl FnMut(Invariant, String)) {
-        let mut sent_ms: Vec<u64> = self
-            .flood
-            .iter()
-            .filter(|(id, _)| self.executions(*id) > 0)
-            .map(|(_, sent_ms)| *sent_ms)
-            .collect();
-        sent_ms.sort_unstable();
-        let mut first = 0;
-        for (index, at_ms) in sent_ms.iter().enumerate() {
-            while sent_ms[first] + CUSTOMER_WINDOW_MS <= *at_ms {
-                first += 1;
-            }
-            let count = index + 1 - first;
-            if count as f64 > self.flood_window_limit {
-                let limit = self.flood_window_limit;
-                let description = format!("{count} requests up to {at_ms} ms, limit {limit}");
-                return report(Invariant::CustomerLimitKept, description);
-            }
-        }
-    }
-
     /// Returns whether a fault or the grace time after it overlaps the given period.
     fn overlaps_fault(&self, from_ms: u64, to_ms: u64) -> bool {
         self.faults.iter().any(|(begin, end)| *begin <= to_ms && from_ms <= end + FAULT_GRACE_MS)
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -4,10 +4,10 @@
 mod config_status;
 mod lease;
 mod leave;
+mod pull;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use kameo::{
     Actor,
     actor::{ActorRef, WeakActorRef},
@@ -23,7 +23,7 @@
     ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
     shard::ShardMode,
     time::Time,
-    vm::{Vm, VmList},
+    vm::VmList,
 };
 use tokio::{
     net::UdpSocket,
@@ -36,18 +36,17 @@
     config_status::{ConfigStatus, GetConfigStatus},
     lease::{LEASE_TAG, LeaseDatagram, LeaseTimes},
     leave::Leave,
+    pull::HandlePull,
 };
 use crate::{
     context::Context,
     metrics::Event,
-    peer_client,
-    peer_message::CONFIG_PATH,
     platform::Platform,
     shard_actor::{NewConfig, Retire},
     shard_table::shard_name,
     source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
     timer::TimerEvent,
-    traffic::{Locality, Topic},
+    traffic::Topic,
     udp,
     view::{ActiveConfig, FleetView},
 };
@@ -55,8 +54,6 @@
 /// Interval of the ticks. The fleet's timers run at intervals of a few hundred
 /// milliseconds or more, so that this interval costs little precision.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of a configuration pull from a peer.
-const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of ownership updates without a membership or configuration change;
 /// needed for changes that hysteresis delays.
 const OWNERSHIP_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -263,40 +260,6 @@
     }
 }
 
-/// Handles another VM's pull request for a newer configuration; replies `None`
-/// if the request can't be decoded.
-pub(crate) struct HandlePull(pub(crate) Bytes);
-
-impl Message<HandlePull> for Fleet {
-    type Reply = Option<Vec<u8>>;
-
-    async fn handle(
-        &mut self,
-        message: HandlePull,
-        _: &mut MessageContext<Self, Self::Reply>,
-    ) -> Option<Vec<u8>> {
-        self.sync.handle_pull(self.context.clock.now(), &message.0).ok()
-    }
-}
-
-/// Result of a configuration pull from another VM.
-pub(crate) struct PullFinished {
-    /// The VM that the request was sent to.
-    pub(crate) vm: Name,
-    /// Its encoded response; `None` if the pull failed.
-    pub(crate) response: Option<Bytes>,
-}
-
-impl Message<PullFinished> for Fleet {
-    type Reply = ();
-
-    async fn handle(&mut self, message: PullFinished, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
-        let actions = self.sync.on_pull_response(now, &message.vm, message.response.as_deref());
-        self.apply_config(now, actions);
-    }
-}
-
 impl Fleet {
     fn on_tick(&mut self, now: Time) {
         let actions = self.membership.on_tick(now);
@@ -389,29 +352,6 @@
         }
     }
 
-    fn pull(&self, vm: Vm, request: Vec<u8>) {
-        let Some(fleet) = self.actor_ref.upgrade() else { return };
-        let traffic = Arc::clone(&self.context.traffic);
-        let locality = Locality::of(&vm.data_centre, &self.context.me.data_centre);
-        tokio::spawn(async move {
-            traffic.sent(Topic::Configuration, locality, request.len());
-            let response =
-                peer_client::send_request(vm.peer_address, CONFIG_PATH, request, PULL_TIMEOUT);
-            let response = response
-                .await
-                .inspect(|response| {
-                    traffic.received(Topic::Configuration, locality, response.len())
-                })
-                .inspect_err(|error| {
-                    let error = error.to_string();
-                    log::warn!("event=config_pull_failed vm={} error={error:?}", vm.name);
-                })
-                .ok();
-            // The fleet actor stops only with the process.
-            let _ = fleet.tell(PullFinished { vm: vm.name, response }).try_send();
-        });
-    }
-
     fn watch(&mut self, after: Option<u64>) {
         self.watching.send_replace(true);
         self.read_source(after, self.watch_wait);
