--- a/crates/pistachiotrack-core/tests/customer_limit.rs
+++ b/crates/pistachiotrack-core/tests/customer_limit.rs
@@ -21,6 +21,9 @@
 const LIMIT: CustomerRateLimit =
     CustomerRateLimit { requests_per_second: 160.0, burst_requests: 160.0 };
 
+/// Bytes of reports that may be sent for a request, for each VM of the group.
+const MAX_REPORT_BYTES: f64 = 40.0;
+
 /// How a fleet of the model keeps the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Way {
@@ -74,7 +77,7 @@
 }
 
 fn customer() -> Name {
-    Name::from("sese880")
+    Name::from("timeliten")
 }
 
 impl Fleet {
@@ -213,8 +216,11 @@
         fleet.exact_admitted = 0;
         fleet.run(Duration::from_secs(30), 140.0, evenly(vms));
         assert!(fleet.served_share() >= 0.98, "{vms} VMs: {}", fleet.served_share());
-        let per_request = fleet.report_bytes as f64 / fleet.asked as f64;
-        println!("{vms} VMs: served {:.3}, {per_request:.0} bytes a request", fleet.served_share());
+        let bytes_per_request = fleet.report_bytes as f64 / fleet.asked as f64;
+        assert!(
+            bytes_per_request <= MAX_REPORT_BYTES * vms as f64,
+            "{vms} VMs: {bytes_per_request}"
+        );
     }
 }
 
@@ -229,7 +235,6 @@
         }
         fleet.served_share()
     });
-    println!("moving demand: reports {:.3}, equal parts {:.3}", shares[0], shares[1]);
     assert!(shares[0] >= 0.95, "{shares:?}");
     assert!(shares[1] < 0.5, "{shares:?}");
 }
@@ -246,7 +251,6 @@
             fleet.run(Duration::from_secs(20), 750.0, evenly(vms));
             let largest = fleet.largest_window(Time::ZERO);
             let share = fleet.served_share();
-            println!("{vms} VMs, loss {loss}: largest window {largest}, served {share:.3}");
             assert!(largest <= tolerated(LIMIT), "{vms} VMs, loss {loss}: {largest}");
             assert!(share >= 0.98, "{vms} VMs, loss {loss}: {share}");
         }
@@ -265,7 +269,6 @@
         fleet.sides.fill(0);
         fleet.run(Duration::from_secs(8), 750.0, evenly(6));
         let largest = fleet.largest_window(Time::ZERO);
-        println!("{cut} of 6 cut off: largest window {largest}, {:.3}", fleet.served_share());
         assert!(largest <= tolerated(LIMIT), "{cut} cut off: {largest}");
     }
 }
