--- a/crates/pistachiotrack-core/src/config_sync/candidates.rs
+++ b/crates/pistachiotrack-core/src/config_sync/candidates.rs
@@ -77,7 +77,8 @@
         self.activate_first_value(now)
     }
 
-    pub(super) fn first_value_version(&self) -> Option<u64> {
+    /// Returns the version of the platform's first value while it is held back.
+    pub fn first_value_version(&self) -> Option<u64> {
         self.first_value.as_ref().map(|first| first.candidate.config.version)
     }
 
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -214,9 +214,11 @@
                 let is_behind =
                     actions.iter().any(|action| matches!(action, ConfigAction::Stale { .. }));
                 self.apply_config(now, actions);
-                if let (Some(at), Some(version), false) = (asked_at, self.sync.version(), is_behind)
-                {
-                    self.lease.on_confirmation(Confirmation { version, at });
+                let confirmation = |version, at| Some(Confirmation { version: version?, at: at? });
+                if !is_behind {
+                    let confirmed = confirmation(self.sync.version(), asked_at);
+                    confirmed.into_iter().for_each(|it| self.lease.on_confirmation(it));
+                    self.lease.hold(confirmation(self.sync.first_value_version(), asked_at));
                 }
                 let standbys = self.sync.standbys(self.membership.members());
                 let actions = self.membership.announce(now, standbys);
--- a/crates/pistachiotrackd/src/fleet/lease.rs
+++ b/crates/pistachiotrackd/src/fleet/lease.rs
@@ -38,6 +38,8 @@
     settings: ConfigLeaseSettings,
     lease: ConfigLease,
     queries: PeerQueries,
+    /// Confirmation of a first value that isn't active yet.
+    held: Option<Confirmation>,
     codec: DatagramCodec,
     rng: SmallRng,
     /// Position of this VM, from 0 to 1, among those that read the platform to renew the lease.
@@ -60,6 +62,7 @@
             queries: PeerQueries::new(settings.clone(), &mut rng),
             settings,
             lease: ConfigLease::default(),
+            held: None,
             codec: DatagramCodec::new(LEASE_TAG, deployment),
             read_position: rng.random(),
             rng,
@@ -69,9 +72,17 @@
         }
     }
 
+    /// Records a confirmation of a first value that isn't active yet. It counts if the value
+    /// becomes active, and not if peers turn out to have a newer one.
+    pub(super) fn hold(&mut self, confirmation: Option<Confirmation>) {
+        self.held = confirmation.or(self.held);
+    }
+
     /// Records that a version became active.
     pub(super) fn on_active(&mut self, version: u64) {
         self.lease.on_active(version);
+        let held = self.held.take().filter(|held| held.version == version);
+        held.into_iter().for_each(|held| self.lease.on_confirmation(held));
         self.publish();
     }
 
--- a/crates/pistachiotrackd/tests/api_keys.rs
+++ b/crates/pistachiotrackd/tests/api_keys.rs
@@ -104,3 +104,23 @@
     vm.wait_for_line(&["event=config_lease_regained"]).await;
     assert_eq!((status("/bookings").await, status("/slots").await), (200, 200));
 }
+
+/// A VM that has just started holds the platform's first value back until peers have reported
+/// whether they have a newer one. Guards against a lease that is missing once the value is active,
+/// until the platform is read again.
+#[tokio::test]
+async fn a_first_value_that_was_held_back_is_confirmed_when_it_becomes_active() {
+    let (search, booking) = (Endpoint::answering("free").await, Endpoint::answering("done").await);
+    let platform = Platform::start().await;
+    platform.publish_config(keyed_config(&search, &booking));
+    let list = json!({"version": 2, "vms": [
+        {"name": "vm-02", "data_centre": "oslo-1", "peer_address": "127.0.0.1:1",
+         "caller_address": "127.0.0.1:2", "leaving": false}]});
+    platform.publish_vms(list);
+    let settings = json!({"config_lease": {"max_age_s": 60.0},
+        "config_sync": {"watch_timeout_ms": 30_000, "first_value_grace_ms": 400}});
+    let vm = DaemonProcess::start_with("vm-01", platform.address, settings).await;
+    vm.wait_for_line(&["event=config_in_force"]).await;
+    let answer = client::send(vm.caller_address, keyed("/bookings", KEY)).await.unwrap();
+    assert_eq!(answer.status(), 200, "{answer:?}");
+}
