--- a/crates/pistachiotrack/tests/views.rs
+++ b/crates/pistachiotrack/tests/views.rs
@@ -9,6 +9,7 @@
     json!({
         "vm": vm, "data_centre": "oslo-1", "state": "serving", "deployment": "timeliten",
         "config_version": config_version, "config_error": null, "platform_age_ms": 40,
+        "config_confirmed_age_ms": 700,
         "shards": ["booking/0", "slot-search/0"], "live_vms": 44,
         "counters": [{"name": "dispatched", "value": dispatched}],
     })
@@ -29,7 +30,9 @@
     assert_eq!(output.code, Some(0), "{}", output.stderr);
     let stdout = output.normalized_stdout();
     let row = |vm: &str, address, config| {
-        format!("{vm} {address} oslo-1 serving timeliten {config} 40 44 booking/0,slot-search/0")
+        format!(
+            "{vm} {address} oslo-1 serving timeliten {config} 40 700 44 booking/0,slot-search/0"
+        )
     };
     assert!(stdout.contains(&row("vm-01", first.address, 7)), "{stdout}");
     assert!(stdout.contains(&row("vm-02", second.address, 6)), "{stdout}");
