--- a/crates/pistachiotrack-core/src/config_sync.rs
+++ b/crates/pistachiotrack-core/src/config_sync.rs
@@ -336,7 +336,7 @@
     }
 
     /// Sets the time from which this VM reads the platform to renew its lease on the
-    /// configuration, whatever its role; `None` without a lease.
+    /// configuration even as a follower; `None` without a lease.
     pub fn set_renew_at(&mut self, renew_at: Option<Time>) {
         self.renew_at = renew_at;
     }
--- a/crates/pistachiotrack-core/src/customer_limit.rs
+++ b/crates/pistachiotrack-core/src/customer_limit.rs
@@ -1,10 +1,9 @@
 //! Rate limits of customers that all VMs keep to together, without shared state.
 //!
 //! Each VM holds a token bucket for a customer and takes from it what it admits itself and what
-//! the others report to have admitted. A VM that isn't heard is assumed to admit its share: the
-//! buckets of the others are refilled more slowly by that share, and it takes no more than it
-//! itself, since it hears nobody either. The parts of a divided fleet thus stay within the limit
-//! together.
+//! the others report to have admitted. A VM that isn't heard is assumed to admit its share, by
+//! which the others refill their buckets more slowly. That VM hears nobody either and refills its
+//! own bucket by its share alone. The parts of a divided fleet thus stay within the limit together.
 
 mod bucket;
 mod report;
--- a/crates/pistachiotrack-core/src/customer_limit/bucket.rs
+++ b/crates/pistachiotrack-core/src/customer_limit/bucket.rs
@@ -10,8 +10,8 @@
 const INITIAL_TIME: Duration = Duration::from_millis(250);
 /// Fraction of the depth below which the other VMs should learn of each request at once.
 const URGENT_FRACTION: f64 = 0.25;
-/// Maximum time for which an excess is made up for. A longer one would punish a customer for
-/// what it can't know of.
+/// Maximum time for which an excess is made up for. A longer one would refuse a customer
+/// that has long kept to its limit again.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(5);
 /// Time without requests after which a full bucket is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(10);
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -216,8 +216,9 @@
                 self.apply_config(now, actions);
                 let confirmation = |version, at| Some(Confirmation { version: version?, at: at? });
                 if !is_behind {
-                    let confirmed = confirmation(self.sync.version(), asked_at);
-                    confirmed.into_iter().for_each(|it| self.lease.on_confirmation(it));
+                    if let Some(confirmed) = confirmation(self.sync.version(), asked_at) {
+                        self.lease.on_confirmation(confirmed);
+                    }
                     self.lease.hold(confirmation(self.sync.first_value_version(), asked_at));
                 }
                 let standbys = self.sync.standbys(self.membership.members());
