--- a/crates/pistachiotrack-core/src/endpoint_notice.rs
+++ b/crates/pistachiotrack-core/src/endpoint_notice.rs
@@ -1,9 +1,16 @@
-//! Notices that an endpoint sends with its answers.
+//! Notices that endpoints send with their answers, and the record of those that still hold.
 
 use std::{fmt, time::Duration};
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use crate::{name::Name, time::Time};
+
+/// Time for which a notice is on record. It bounds the record, and is far longer than an endpoint
+/// takes to leave.
+const MAX_RECORD_AGE: Duration = Duration::from_secs(3_600);
+
 /// What an endpoint asks of the VM that it answers. Unlike the rest of its report, a notice is
 /// binding.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +22,9 @@
 }
 
 impl EndpointNotice {
+    /// The notice of an endpoint that is leaving.
+    pub const LEAVING: EndpointNotice = EndpointNotice { leaving: true, retry_after: None };
+
     /// Returns whether the endpoint asks for nothing.
     pub fn is_empty(self) -> bool {
         self == EndpointNotice::default()
@@ -28,3 +38,56 @@
         write!(f, "leaving={} retry_after_ms={retry_after_ms:?}", self.leaving)
     }
 }
+
+/// Notices on record, by the endpoint's name, which each incarnation has for itself.
+///
+/// The record doesn't depend on the configuration: an endpoint whose registration lapses and
+/// comes back while the registry is away has not stopped leaving.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointNotices {
+    by_endpoint: FxHashMap<Name, NoticeRecord>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct NoticeRecord {
+    /// When the endpoint last said that it leaves.
+    leaving_at: Option<Time>,
+}
+
+impl NoticeRecord {
+    fn is_leaving(&self, now: Time) -> bool {
+        self.leaving_at.is_some_and(|at| now.since(at) < MAX_RECORD_AGE)
+    }
+}
+
+impl EndpointNotices {
+    /// Records a notice; returns whether it says something new.
+    pub fn record(&mut self, now: Time, endpoint: &Name, notice: EndpointNotice) -> bool {
+        if !notice.leaving {
+            return false;
+        }
+        if !self.by_endpoint.contains_key(endpoint) {
+            self.by_endpoint.retain(|_, record| record.is_leaving(now));
+        }
+        let record = self.by_endpoint.entry(endpoint.clone()).or_default();
+        let is_new = !record.is_leaving(now);
+        record.leaving_at = Some(now);
+        is_new
+    }
+
+    /// Returns what an endpoint has asked for and still holds.
+    pub fn holding(&self, now: Time, endpoint: &str) -> EndpointNotice {
+        EndpointNotice { leaving: self.is_leaving(now, endpoint), retry_after: None }
+    }
+
+    /// Returns whether an endpoint has said that it is leaving.
+    pub fn is_leaving(&self, now: Time, endpoint: &str) -> bool {
+        self.by_endpoint.get(endpoint).is_some_and(|record| record.is_leaving(now))
+    }
+
+    /// Returns the endpoints that have said that they are leaving.
+    pub fn leaving(&self, now: Time) -> impl Iterator<Item = &Name> {
+        let leaving = self.by_endpoint.iter().filter(move |(_, record)| record.is_leaving(now));
+        leaving.map(|(endpoint, _)| endpoint)
+    }
+}
--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -343,6 +343,15 @@
         actions
     }
 
+    /// Handles that an endpoint is leaving, like the configuration's mark.
+    pub fn on_leaving(&mut self, now: Time, endpoint: &Name) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
+        let Some(&position) = self.positions.get(endpoint) else { return actions };
+        self.endpoints[position].set_leaving(now, true);
+        self.enforce_floor(now, &mut actions);
+        actions
+    }
+
     /// Discards evidence that a pause of this process explains.
     ///
     /// Must be called before any event that the pause delayed.
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod failure_rate;
 mod hand_over;
+mod notices;
 mod pool;
 mod rate_limits;
 mod relay;
@@ -37,6 +38,7 @@
     admission::AdmissionQueue,
     config::Config,
     endpoint::Endpoint,
+    endpoint_notice::EndpointNotices,
     feature_flags::FeatureFlags,
     health::{AttemptKind, Health, HealthSettings, PathAnswer},
     idempotency::{KeySettings, KeyTable, StoredAnswer},
@@ -103,12 +105,20 @@
     pub data_centre: Option<Name>,
     /// Mechanisms that are switched on.
     pub feature_flags: FeatureFlags,
+    /// What the service's endpoints have asked of this VM so far.
+    pub notices: EndpointNotices,
 }
 
 impl Default for ShardSettings {
     fn default() -> ShardSettings {
         let feature_flags = FeatureFlags::default();
-        ShardSettings { mode: ShardMode::Owner, seed: 1, data_centre: None, feature_flags }
+        ShardSettings {
+            mode: ShardMode::Owner,
+            seed: 1,
+            data_centre: None,
+            feature_flags,
+            notices: EndpointNotices::default(),
+        }
     }
 }
 
@@ -161,8 +171,9 @@
     pub fn new(now: Time, id: ShardId, config: &Config, settings: ShardSettings) -> Shard {
         let service = config.service(&id.service);
         let endpoints = service.map(|service| endpoints(service, &id)).unwrap_or_default();
-        let mut pool = Pool::new(settings.mode, settings.seed, settings.feature_flags);
-        pool.set_endpoints(endpoints.iter().copied());
+        let notices = settings.notices.clone();
+        let mut pool = Pool::new(settings.mode, settings.seed, settings.feature_flags, notices);
+        pool.set_endpoints(now, endpoints.iter().copied());
         let mut health_settings =
             HealthSettings { feature_flags: settings.feature_flags, ..HealthSettings::default() };
         if let Some(service) = service {
@@ -215,7 +226,7 @@
     pub fn on_config(&mut self, now: Time, config: &Config) -> Vec<ShardAction> {
         let service = config.service(&self.id.service);
         let endpoints = service.map(|service| endpoints(service, &self.id)).unwrap_or_default();
-        self.pool.set_endpoints(endpoints.iter().copied());
+        self.pool.set_endpoints(now, endpoints.iter().copied());
         self.set_service(now, config);
         self.remove_unused_relays();
         let floor = service.map_or(0, |service| shard_floor(service, endpoints.len()));
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
+    endpoint_notice::EndpointNotice,
     health::HealthAction,
     idempotency::StoredAnswer,
     name::Name,
@@ -124,6 +125,14 @@
     },
     /// Sends an update to the other VMs that dispatch for the shard.
     Broadcast(ShardUpdate),
+    /// Another VM reports what an endpoint asks of all VMs; to be recorded for the other shards of
+    /// the service and for later.
+    Notice {
+        /// The endpoint.
+        endpoint: Name,
+        /// What it asks.
+        notice: EndpointNotice,
+    },
     /// An endpoint has announced, changed or dropped a rate limit; for the log.
     RateLimit {
         /// The endpoint.
--- a/crates/pistachiotrack-core/src/shard/hand_over.rs
+++ b/crates/pistachiotrack-core/src/shard/hand_over.rs
@@ -28,6 +28,9 @@
     /// Idempotency keys on record, newest first, up to a maximum size.
     #[serde(default)]
     pub keys: Vec<KeyHandOver>,
+    /// Endpoints that have said that they are leaving.
+    #[serde(default)]
+    pub leaving: Vec<Name>,
 }
 
 impl Shard {
@@ -46,6 +49,7 @@
                 .value()
                 .map(|slot_time| slot_time.as_micros() as u64),
             keys: self.keys.hand_over(now),
+            leaving: self.pool.said_leaving(now).cloned().collect(),
         }
     }
 
@@ -60,6 +64,9 @@
         let actions = self.health.on_hand_over(now, &from.health);
         self.on_health_actions(now, actions);
         self.keys.on_hand_over(now, &from.keys);
+        for endpoint in &from.leaving {
+            self.on_peer_said_leaving(now, endpoint);
+        }
         if let (None, Some(slot_time_us)) = (self.slot_time.value(), from.average_slot_time_us) {
             self.slot_time.seed(Duration::from_micros(slot_time_us));
         }
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -1,5 +1,6 @@
 //! Endpoints of a shard: their slots in use and the selection of the next endpoint.
 
+mod notices;
 mod pick;
 mod ranking;
 mod rate_limits;
@@ -19,6 +20,7 @@
 use crate::{
     concurrency_limit::AdaptiveConcurrencyLimit,
     endpoint::Endpoint,
+    endpoint_notice::EndpointNotices,
     feature_flags::FeatureFlags,
     health::{ConfiguredEndpoint, Health, HealthState},
     name::Name,
@@ -99,6 +101,8 @@
 pub(super) struct Pool {
     endpoints: BTreeMap<Name, PoolEntry>,
     by_key: FxHashMap<EndpointKey, Name>,
+    /// What endpoints have asked of this VM.
+    notices: EndpointNotices,
     mode: ShardMode,
     limits_halved_until: Time,
     in_flight: u32,
@@ -121,10 +125,16 @@
 }
 
 impl Pool {
-    pub(super) fn new(mode: ShardMode, seed: u64, feature_flags: FeatureFlags) -> Pool {
+    pub(super) fn new(
+        mode: ShardMode,
+        seed: u64,
+        feature_flags: FeatureFlags,
+        notices: EndpointNotices,
+    ) -> Pool {
         Pool {
             endpoints: BTreeMap::new(),
             by_key: FxHashMap::default(),
+            notices,
             mode,
             limits_halved_until: Time::ZERO,
             in_flight: 0,
@@ -167,8 +177,13 @@
     }
 
     /// Applies the endpoints of the configuration. A removed endpoint keeps its slots in use
-    /// until they are released, and gets no new requests.
-    pub(super) fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = &'a Endpoint>) {
+    /// until they are released, and gets no new requests. One that has said that it is leaving does
+    /// so whatever the configuration says.
+    pub(super) fn set_endpoints<'a>(
+        &mut self,
+        now: Time,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+    ) {
         for entry in self.endpoints.values_mut() {
             entry.is_configured = false;
         }
@@ -194,6 +209,7 @@
             entry.is_configured = true;
             entry.adaptive_limit.set_max(endpoint.slots);
             entry.endpoint = endpoint.clone();
+            entry.endpoint.leaving |= self.notices.is_leaving(now, &endpoint.name);
         }
         self.endpoints.retain(|_, entry| entry.is_configured || entry.in_flight > 0);
         self.by_key =
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -68,6 +68,8 @@
     pub ended: Option<EndedAttempt>,
     /// The rate limit that the endpoint announces, if it does.
     pub rate: Option<RateUpdate>,
+    /// Whether the endpoint has said that it is leaving.
+    pub leaving: bool,
 }
 
 /// A VM's view of a shard's endpoints, for a VM that has just started to dispatch.
@@ -82,6 +84,21 @@
     pub sent: Vec<SendCounts>,
     /// Endpoints that announce a rate limit.
     pub rate_limits: Vec<(EndpointKey, RateUpdate)>,
+    /// Endpoints that have said that they are leaving.
+    pub leaving: Vec<EndpointKey>,
+}
+
+impl ShardSnapshot {
+    /// Creates a snapshot without any observations.
+    pub fn empty(shard: ShardId) -> ShardSnapshot {
+        ShardSnapshot {
+            shard,
+            estimates: Vec::new(),
+            sent: Vec::new(),
+            rate_limits: Vec::new(),
+            leaving: Vec::new(),
+        }
+    }
 }
 
 /// The end of an attempt at an endpoint.
@@ -157,6 +174,9 @@
         let until = now + PEER_COUNT_TTL;
         self.pool.set_peer_in_flight(now, endpoint, from, update.in_flight, until);
         self.on_peer_rate_limit(now, from, endpoint, update);
+        if update.leaving {
+            self.on_peer_said_leaving(now, endpoint);
+        }
         let Some(ended) = update.ended else { return };
         let actions = self.health.on_peer_attempt_ended(now, endpoint, ended);
         self.on_health_actions(now, actions);
@@ -169,7 +189,8 @@
     pub fn snapshot(&mut self, now: Time) -> ShardSnapshot {
         let sent = self.retry_budget.fleet().map(|budget| budget.history(now)).unwrap_or_default();
         let (estimates, rate_limits) = (self.health.estimates(now), self.pool.rate_limits(now));
-        ShardSnapshot { shard: self.id.clone(), estimates, sent, rate_limits }
+        let leaving = self.pool.said_leaving(now).map(|name| EndpointKey::of(name)).collect();
+        ShardSnapshot { shard: self.id.clone(), estimates, sent, rate_limits, leaving }
     }
 
     /// Records that a snapshot was requested from other VMs. Requests wait until one arrives, or
@@ -199,6 +220,7 @@
             budget.on_history(now, &snapshot.sent);
         }
         self.on_snapshot_rate_limits(now, &snapshot.rate_limits);
+        self.on_snapshot_leaving(now, &snapshot.leaving);
         self.pool.refresh(now, &self.health);
         self.advance(now)
     }
@@ -258,6 +280,7 @@
                     ..ended
                 }),
                 rate: self.pool.rate_update(now, name),
+                leaving: self.pool.has_said_leaving(now, name),
             };
             let endpoints = part.iter().map(endpoint).collect();
             let (shard, request_counts) = (self.id.clone(), self.failure_rate.take_unreported());
--- a/crates/pistachiotrack-core/tests/health_recovery.rs
+++ b/crates/pistachiotrack-core/tests/health_recovery.rs
@@ -147,6 +147,21 @@
     assert_eq!(simulation.dispatched[1], before);
 }
 
+/// Guards against a service below its floor: an ejected endpoint takes the place of one that
+/// leaves, which a later report can't withdraw.
+#[test]
+fn an_ejected_endpoint_replaces_a_leaving_one() {
+    let mut simulation = warm_simulation(4, 3, 0.9);
+    simulation.run(1_000, fail(2));
+    assert_eq!(simulation.state(2), HealthState::Ejected);
+    let name = simulation.names[1].clone();
+    simulation.health.on_leaving(simulation.now, &name);
+    assert_eq!(simulation.state(2), HealthState::HeldByFloor);
+    simulation.health.on_report(simulation.now, &name, EndpointReport::default());
+    simulation.run(20_000, |_| Reply::GOOD);
+    assert_eq!(simulation.state(1), HealthState::Draining);
+}
+
 /// A rollout tool marks all endpoints of a service as draining within a second, and
 /// none of them leaves. Callers would get no answers for up to a minute. The endpoint
 /// with the oldest report must stay in rotation, although each answer repeats the
--- a/crates/pistachiotrack-core/tests/shard_fuzz.rs
+++ b/crates/pistachiotrack-core/tests/shard_fuzz.rs
@@ -3,6 +3,7 @@
 mod shard_support;
 
 use pistachiotrack_core::{
+    config::Config,
     health::PathAnswer,
     name::Name,
     request::{BodyEnd, Class, EndpointReport, Outcome},
@@ -24,11 +25,12 @@
     Config { variant: u8 },
     Mode { careful: bool },
     HandOver,
+    Leaving { endpoint: u8 },
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
-        match u8::arbitrary(g) % 64 {
+        match u8::arbitrary(g) % 65 {
             0..=23 => Step::Request {
                 customer: u8::arbitrary(g),
                 class: u8::arbitrary(g),
@@ -53,7 +55,8 @@
             60 => Step::Pause { ms: u16::arbitrary(g) % 3_000 },
             61 => Step::Config { variant: u8::arbitrary(g) },
             62 => Step::Mode { careful: bool::arbitrary(g) },
-            _ => Step::HandOver,
+            63 => Step::HandOver,
+            _ => Step::Leaving { endpoint: u8::arbitrary(g) },
         }
     }
 
@@ -113,6 +116,15 @@
     }
 }
 
+/// Replaces the endpoints that are leaving by new incarnations.
+fn restart_leaving(harness: &Harness, config: &mut Config) {
+    for endpoint in &mut config.services[0].endpoints {
+        if harness.leaving.contains(&endpoint.name) {
+            endpoint.name = Name::from(format!("{}-{}", endpoint.name, harness.leaving.len()));
+        }
+    }
+}
+
 fn apply(harness: &mut Harness, step: &Step) {
     match *step {
         Step::Request { customer, class, flags, key, deadline_ms } => {
@@ -190,11 +202,19 @@
             );
             config.services[0].floor = u32::from(variant) % 3;
             config.services[0].endpoints[0].leaving = variant % 8 == 0;
+            if variant & 0x40 == 0 {
+                restart_leaving(harness, &mut config);
+            }
             harness.configure(config);
         }
         Step::Mode { careful } => {
             harness.set_mode(if careful { ShardMode::Careful } else { ShardMode::Owner });
         }
+        Step::Leaving { endpoint } => {
+            let endpoints = &harness.config.services[0].endpoints;
+            let endpoint = endpoints[usize::from(endpoint) % endpoints.len()].name.clone();
+            harness.notice_leaving(&endpoint);
+        }
         Step::HandOver => {
             let bytes = postcard::to_stdvec(&harness.shard.hand_over(harness.now)).unwrap();
             let handed: ShardHandOver = postcard::from_bytes(&bytes).unwrap();
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -1,7 +1,10 @@
 //! Test harness with a simple oracle that checks every action of a shard.
 #![allow(dead_code)]
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use pistachiotrack_core::{
     admin::EndpointStatus,
@@ -9,6 +12,7 @@
     contract::Contract,
     customer::Customer,
     endpoint::Endpoint,
+    endpoint_notice::EndpointNotice,
     idempotency::StoredAnswer,
     name::Name,
     ownership::ShardId,
@@ -123,6 +127,8 @@
     /// Endpoints that reported that they are draining, the time of their last report, and whether
     /// they have withdrawn it since.
     pub(crate) draining: BTreeMap<Name, (Time, bool)>,
+    /// Endpoints that have said for good that they are leaving.
+    pub(crate) leaving: BTreeSet<Name>,
     pub(crate) probes: Vec<(AttemptId, Name)>,
     /// Endpoints with a path check that has no result yet.
     pub(crate) path_checks: Vec<Name>,
@@ -145,6 +151,7 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             draining: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             probes: Vec::new(),
             path_checks: Vec::new(),
             answers: BTreeMap::new(),
@@ -228,6 +235,13 @@
         }
     }
 
+    /// An endpoint says for good that it is leaving.
+    pub(crate) fn notice_leaving(&mut self, endpoint: &Name) {
+        self.leaving.insert(endpoint.clone());
+        let actions = self.shard.on_notice(self.now, endpoint, EndpointNotice::LEAVING);
+        self.check(actions);
+    }
+
     pub(crate) fn body_end(&mut self, attempt: AttemptId, end: BodyEnd) {
         if let Some(record) = self.attempts.get_mut(&attempt) {
             record.state = State::MaybeRun;
@@ -406,7 +420,9 @@
                 }
                 ShardAction::CheckPath { endpoint, .. } => self.path_checks.push(endpoint),
                 ShardAction::Broadcast(update) => panic!("an owner broadcast {update:?}"),
-                ShardAction::RateLimit { .. } | ShardAction::Health(_) => {}
+                ShardAction::Notice { .. }
+                | ShardAction::RateLimit { .. }
+                | ShardAction::Health(_) => {}
             }
         }
         self.check_floor();
@@ -447,7 +463,7 @@
     fn check_endpoint(&mut self, dispatch: &Dispatch) {
         let endpoints = self.config.services[0].endpoints.clone();
         let endpoint = endpoints.iter().find(|endpoint| endpoint.name == dispatch.endpoint);
-        let takes_work = endpoint.is_some_and(|endpoint| !endpoint.leaving);
+        let takes_work = endpoint.is_some_and(|endpoint| !self.is_leaving(endpoint));
         self.expect(takes_work, || format!("{dispatch:?} to a leaving endpoint"));
         let status = self.shard.endpoints(self.now);
         let others = status.iter().any(|status| is_working(status) && !self.is_draining(status));
@@ -482,6 +498,11 @@
             < if *denied { DENIED_DRAINING_TTL } else { UNANSWERED_DRAINING_TTL }
     }
 
+    /// Returns whether the configuration or the endpoint itself says that it is leaving.
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        endpoint.leaving || self.leaving.contains(&endpoint.name)
+    }
+
     fn is_draining(&self, status: &EndpointStatus) -> bool {
         &*status.state == "draining" || self.is_reported_draining(&status.endpoint)
     }
@@ -513,7 +534,7 @@
         let (floor, working) = (self.config.services[0].floor as usize, working.count());
         self.expect(working >= floor.min(alive), || format!("{working} working, floor {floor}"));
         let mut configured = self.config.services[0].endpoints.iter();
-        let is_needed = floor > 0 && configured.any(|endpoint| !endpoint.leaving);
+        let is_needed = floor > 0 && configured.any(|endpoint| !self.is_leaving(endpoint));
         self.expect(!is_needed || status.iter().any(is_working), || "no endpoint left".to_owned());
     }
 
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -127,6 +127,7 @@
             in_flight,
             ended: None,
             rate: None,
+            leaving: false,
         }],
     }
 }
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -14,9 +14,10 @@
     connection_pool::{CheckoutError, ConnectionPool},
     context::Context,
     dialect::{AnswerKind, AnswerMetadata, OutgoingMetadata},
+    endpoint_notices::{EndpointGate, NoticeSource},
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     inbound::Inbound,
-    relay_client,
+    relay_client::{self, RelayError, RelayResult},
 };
 
 /// Time limit for reading the rest of a refusal's body, so that its connection can be reused.
@@ -60,6 +61,11 @@
         customer: inbound.route.identified.as_ref(),
     };
     let head = request_head(&context, &inbound, metadata);
+    let gate = EndpointGate {
+        notices: Arc::clone(&context.notices),
+        service: inbound.route.shard.service.clone(),
+        endpoint: dispatch.endpoint.clone(),
+    };
     let (pool, result) = match &dispatch.relay {
         None => {
             let target = Target {
@@ -69,6 +75,7 @@
                 not_after: dispatch.not_after,
                 time_limit: dispatch.time_limit,
                 abandon,
+                gate: Some(gate.clone()),
             };
             let pool = &context.endpoints;
             let result = exchange::run(pool, context.clock, target, head, &inbound.body).await;
@@ -77,6 +84,9 @@
         Some(relay) => {
             let result =
                 relay_client::send(&context, relay, &dispatch, choice, head, &inbound.body).await;
+            if let Err(RelayError::Failed(RelayResult::Closed(notice))) = &result {
+                gate.record(*notice, NoticeSource::Relay);
+            }
             let result = result.map_err(|error| (error.outcome(), error.to_string()));
             (&context.peers, result)
         }
@@ -95,14 +105,7 @@
     };
     match result {
         Ok((metadata, answer)) => {
-            if !metadata.notice().is_empty() {
-                log::info!(
-                    "event=endpoint_notice request={} endpoint={} {}",
-                    inbound.fleet_id,
-                    end.endpoint,
-                    metadata.notice()
-                );
-            }
+            gate.record(metadata.notice(), NoticeSource::Answer);
             end.set_answer(metadata, answer).await;
         }
         Err((outcome, error)) => {
@@ -189,6 +192,7 @@
             Outcome::ConnectFailed
         }
         ExchangeError::NoConnection(CheckoutError::OverBudget { .. })
+        | ExchangeError::Closed(_)
         | ExchangeError::TooLate
         | ExchangeError::BodyConsumed
         | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, customer_limits::CustomerLimits,
-    dialect::Dialect, fleet::LeaseTimes, forward_stats::ForwardStats, histogram::Histograms,
-    metrics::Metrics, quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
+    dialect::Dialect, endpoint_notices::NoticeBoard, fleet::LeaseTimes,
+    forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics,
+    quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
     source::ConfigSource, timer::PauseGate, traffic::Traffic, view::FleetView,
 };
 
@@ -65,6 +66,8 @@
     pub(crate) leaving: watch::Receiver<bool>,
     /// Shards that this VM dispatches for.
     pub(crate) shards: ShardTable,
+    /// What endpoints ask of this VM.
+    pub(crate) notices: Arc<NoticeBoard>,
     /// Connections to endpoints.
     pub(crate) endpoints: Arc<ConnectionPool>,
     /// Connections to other VMs.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -31,6 +31,7 @@
     context::Context,
     customer_limits::{CustomerLimits, REPORT_INTERVAL, UsageReporter},
     dialect::{Dialect, NativeDialect},
+    endpoint_notices::NoticeBoard,
     entries,
     fleet::{Fleet, FleetArgs, LeaseTimes, Leave, SetSeeds, TICK_INTERVAL},
     forward_stats::ForwardStats,
@@ -184,8 +185,10 @@
             view.clone(),
             Arc::clone(&traffic),
         ));
+        let notices = Arc::new(NoticeBoard::new(clock));
         let shards = ShardTable::new(ShardTableArgs {
             clock,
+            notices: Arc::clone(&notices),
             endpoints: Arc::clone(&endpoints),
             timer: timer.clone(),
             path_check,
@@ -204,6 +207,7 @@
             lease,
             leaving,
             shards,
+            notices,
             endpoints,
             peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
             forwards: ForwardStats::new(clock.now()),
--- /dev/null
+++ b/crates/pistachiotrackd/src/endpoint_notices.rs
@@ -0,0 +1,162 @@
+//! What endpoints ask of this VM: the record that all its shards share.
+//!
+//! A shard may stop and start again, and a VM passes on answers to requests that its shards did not
+//! send. The record therefore belongs to the VM, and its shards follow it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use kameo::actor::{ActorRef, WeakActorRef};
+use pistachiotrack_core::{
+    endpoint_notice::{EndpointNotice, EndpointNotices},
+    name::Name,
+};
+use rustc_hash::FxHashMap;
+
+use crate::{
+    clock::Clock,
+    shard_actor::{EndpointNoticed, ShardActor},
+};
+
+/// How this VM learned of a notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoticeSource {
+    /// In an answer to a request.
+    Answer,
+    /// In an answer to a health check.
+    Probe,
+    /// In an answer to a request that it relayed for another VM.
+    Relay,
+    /// In an answer to a request that it forwarded to another VM.
+    Forward,
+    /// In an update of another VM.
+    Peer,
+}
+
+impl NoticeSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            NoticeSource::Answer => "answer",
+            NoticeSource::Probe => "probe",
+            NoticeSource::Relay => "relay",
+            NoticeSource::Forward => "forward",
+            NoticeSource::Peer => "peer",
+        }
+    }
+}
+
+/// Record of the notices of all endpoints.
+#[derive(Debug)]
+pub(crate) struct NoticeBoard {
+    clock: Clock,
+    services: Mutex<FxHashMap<Name, ServiceNotices>>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceNotices {
+    notices: EndpointNotices,
+    /// Shards of the service that run on this VM.
+    shards: Vec<WeakActorRef<ShardActor>>,
+}
+
+impl NoticeBoard {
+    /// Creates an empty record.
+    pub(crate) fn new(clock: Clock) -> NoticeBoard {
+        NoticeBoard { clock, services: Mutex::default() }
+    }
+
+    /// Sends notices of a service's endpoints to a shard from now on; returns those on record.
+    pub(crate) fn subscribe(
+        &self,
+        service: &Name,
+        shard: &ActorRef<ShardActor>,
+    ) -> EndpointNotices {
+        self.with_service(service, |service| {
+            service.shards.retain(|shard| shard.upgrade().is_some());
+            service.shards.push(shard.downgrade());
+            service.notices.clone()
+        })
+    }
+
+    /// Records a notice and sends it to the shards of the service.
+    ///
+    /// A shard receives it before any outcome that is reported to it afterwards.
+    pub(crate) fn record(
+        &self,
+        service: &Name,
+        endpoint: &Name,
+        notice: EndpointNotice,
+        source: NoticeSource,
+    ) {
+        if notice.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let is_new = self.with_service(service, |service| {
+            let is_new = service.notices.record(now, endpoint, notice);
+            if is_new {
+                service.send(endpoint, notice);
+            }
+            is_new
+        });
+        if is_new {
+            let source = source.as_str();
+            log::info!(
+                "event=endpoint_notice service={service} endpoint={endpoint} {notice} \
+                 source={source}"
+            );
+        }
+    }
+
+    /// Returns what an endpoint has asked for and still holds.
+    pub(crate) fn holding(&self, service: &Name, endpoint: &str) -> EndpointNotice {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let notices = services.get(service).map(|service| &service.notices);
+        notices.map(|notices| notices.holding(self.clock.now(), endpoint)).unwrap_or_default()
+    }
+
+    fn with_service<T>(&self, service: &Name, change: impl FnOnce(&mut ServiceNotices) -> T) -> T {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(service) = services.get_mut(service) {
+            return change(service);
+        }
+        change(services.entry(service.clone()).or_default())
+    }
+}
+
+impl ServiceNotices {
+    fn send(&self, endpoint: &Name, notice: EndpointNotice) {
+        for shard in self.shards.iter().filter_map(WeakActorRef::upgrade) {
+            // A stopped shard needs no notice; it gets the record when it starts again.
+            let _ = shard.tell(EndpointNoticed { endpoint: endpoint.clone(), notice }).try_send();
+        }
+    }
+}
+
+/// Checks just before a request is sent that its endpoint accepts requests from this VM: the
+/// endpoint may have asked for none while the request waited for a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointGate {
+    /// The record of notices.
+    pub(crate) notices: Arc<NoticeBoard>,
+    /// Service of the endpoint.
+    pub(crate) service: Name,
+    /// The endpoint.
+    pub(crate) endpoint: Name,
+}
+
+impl EndpointGate {
+    /// Checks whether a request may be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the endpoint has asked for.
+    pub(crate) fn check(&self) -> Result<(), EndpointNotice> {
+        let notice = self.notices.holding(&self.service, &self.endpoint);
+        if notice.is_empty() { Ok(()) } else { Err(notice) }
+    }
+
+    /// Records a notice of the endpoint.
+    pub(crate) fn record(&self, notice: EndpointNotice, source: NoticeSource) {
+        self.notices.record(&self.service, &self.endpoint, notice, source);
+    }
+}
--- a/crates/pistachiotrackd/src/exchange.rs
+++ b/crates/pistachiotrackd/src/exchange.rs
@@ -6,13 +6,14 @@
     HeaderMap, Method, Request, Uri, Version, body::Incoming, client::conn::TrySendError,
     http::response::Parts,
 };
-use pistachiotrack_core::{request::ConnectionChoice, time::Time};
+use pistachiotrack_core::{endpoint_notice::EndpointNotice, request::ConnectionChoice, time::Time};
 use tokio::sync::Notify;
 
 use crate::{
     clock::Clock,
     connection::Connection,
     connection_pool::{CheckedOut, CheckoutError, ConnectionPool},
+    endpoint_notices::EndpointGate,
     request_body::{RequestBody, SendBody},
 };
 
@@ -31,6 +32,8 @@
     pub(crate) time_limit: Time,
     /// Abandons the exchange earlier.
     pub(crate) abandon: AbandonSignal,
+    /// Checked just before the request is sent, if it goes to an endpoint.
+    pub(crate) gate: Option<EndpointGate>,
 }
 
 /// Abandons an exchange without an answer as if its time limit had passed.
@@ -81,6 +84,9 @@
     /// The connection closed before the first byte was written.
     #[error("connection closed before the first byte was written")]
     ClosedUnsent,
+    /// The endpoint accepts no requests from this VM now; nothing was sent.
+    #[error("endpoint accepts no requests: {0}")]
+    Closed(EndpointNotice),
     /// The time limit for the first byte had passed; nothing was sent.
     #[error("time limit for sending has passed")]
     TooLate,
@@ -113,6 +119,7 @@
         match self {
             ExchangeError::NoConnection(_)
             | ExchangeError::ClosedUnsent
+            | ExchangeError::Closed(_)
             | ExchangeError::TooLate
             | ExchangeError::BodyConsumed => true,
             ExchangeError::CallerBody { sent } => !sent,
@@ -155,6 +162,9 @@
         let checked_out =
             pool.check_out(target.address, choice, target.budget, target.time_limit).await?;
         let fresh = checked_out.fresh;
+        if let Some(gate) = &target.gate {
+            gate.check().map_err(ExchangeError::Closed)?;
+        }
         let result = send(clock, &target, checked_out, head.clone(), body).await;
         match result {
             Err(ExchangeError::ClosedUnsent) if !fresh && body.is_available() => {
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -5,6 +5,7 @@
 use futures_util::future::{Either, select};
 use pistachiotrack_core::{
     copies::{Copies, OutstandingCopy, Undispatched},
+    endpoint_notice::EndpointNotice,
     header,
     refusal::{Refusal, RefusalDecision},
     request::{ConnectionChoice, remaining},
@@ -16,6 +17,7 @@
     attempt,
     body::{self, AnswerBody},
     context::Context,
+    endpoint_notices::NoticeSource,
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     headers,
     inbound::Inbound,
@@ -207,6 +209,7 @@
             not_after: inbound.deadline,
             time_limit: inbound.deadline + OWNER_GRACE,
             abandon: AbandonSignal::default(),
+            gate: None,
         };
         let head = request_head(context, inbound);
         let locality = Locality::of(&owner.data_centre, &context.me.data_centre);
@@ -218,7 +221,14 @@
         };
         context.traffic.received(Topic::Forwarded, locality, body::announced_bytes(&answer.body));
         match PeerResult::take_from(&mut answer.parts.headers, &inbound.fleet_id) {
-            PeerAnswer::Answer(endpoint_time) => CopyEnd::Answered(Box::new(answer), endpoint_time),
+            PeerAnswer::Answer { endpoint_time, leaving_endpoint } => {
+                if let Some(endpoint) = leaving_endpoint {
+                    let service = &inbound.route.shard.service;
+                    let (notice, source) = (EndpointNotice::LEAVING, NoticeSource::Forward);
+                    context.notices.record(service, &endpoint, notice, source);
+                }
+                CopyEnd::Answered(Box::new(answer), endpoint_time)
+            }
             PeerAnswer::Refused(result) => {
                 attempt::return_connection(&context.peers, answer).await;
                 CopyEnd::Refused(result, copy)
@@ -257,5 +267,5 @@
         None,
     );
     headers::strip_hop_by_hop(&mut parts.headers);
-    Served { answer: Ok(body::response(parts, body)), endpoint_time }
+    Served { answer: Ok(body::response(parts, body)), endpoint_time, leaving_endpoint: None }
 }
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod daemon;
 mod datagram;
 pub mod dialect;
+mod endpoint_notices;
 mod entries;
 mod exchange;
 pub mod exit_codes;
--- a/crates/pistachiotrackd/src/peer_result.rs
+++ b/crates/pistachiotrackd/src/peer_result.rs
@@ -20,6 +20,9 @@
     Answered {
         /// Time until the endpoint started its answer.
         endpoint_time_us: Option<u64>,
+        /// The endpoint, if it said that it is leaving.
+        #[serde(default)]
+        leaving_endpoint: Option<Name>,
     },
     /// The VM refused the request.
     Refused(PeerRefusal),
@@ -56,8 +59,13 @@
 /// Type of an answer from another VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerAnswer {
-    /// An answer for the caller, with the time that the endpoint took.
-    Answer(Option<Duration>),
+    /// An answer for the caller.
+    Answer {
+        /// Time that the endpoint took.
+        endpoint_time: Option<Duration>,
+        /// The endpoint, if it said that it is leaving.
+        leaving_endpoint: Option<Name>,
+    },
     /// A refusal reported by the VM.
     Refused(PeerRefusal),
     /// A refusal without a valid result for this request.
@@ -82,15 +90,16 @@
         let result =
             result.as_ref().and_then(|result| serde_json::from_slice(result.as_bytes()).ok());
         match result {
-            Some(PeerResult::Answered { endpoint_time_us }) => {
-                PeerAnswer::Answer(endpoint_time_us.map(Duration::from_micros))
+            Some(PeerResult::Answered { endpoint_time_us, leaving_endpoint }) => {
+                let endpoint_time = endpoint_time_us.map(Duration::from_micros);
+                PeerAnswer::Answer { endpoint_time, leaving_endpoint }
             }
             Some(PeerResult::Refused(result)) if result.request == *request => {
                 PeerAnswer::Refused(result)
             }
             Some(PeerResult::Refused(_)) => PeerAnswer::Unverified,
             None if fields.contains_key(header::OUTCOME) => PeerAnswer::Unverified,
-            None => PeerAnswer::Answer(None),
+            None => PeerAnswer::Answer { endpoint_time: None, leaving_endpoint: None },
         }
     }
 }
--- a/crates/pistachiotrackd/src/probe.rs
+++ b/crates/pistachiotrackd/src/probe.rs
@@ -19,6 +19,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::{AnswerKind, AnswerMetadata, Dialect, OutgoingMetadata},
+    endpoint_notices::{EndpointGate, NoticeSource},
     exchange::{self, AbandonSignal, RequestHead, StartedAnswer, Target},
     request_body::RequestBody,
     shard_actor::{AttemptOutcome, BodyEnded, ShardActor},
@@ -32,8 +33,8 @@
 pub(crate) struct Probe {
     /// ID of the attempt.
     pub(crate) attempt: AttemptId,
-    /// Endpoint to check.
-    pub(crate) endpoint: Name,
+    /// Endpoint to check, and what it asks of this VM.
+    pub(crate) gate: EndpointGate,
     /// Address of the endpoint.
     pub(crate) address: SocketAddr,
     /// Path of the health check.
@@ -53,20 +54,22 @@
     ) {
         let metadata = OutgoingMetadata {
             request_id: None,
-            endpoint: &self.endpoint,
+            endpoint: &self.gate.endpoint,
             time_left: self.time_limit.since(clock.now()),
             customer: None,
         };
         let (outcome, report, answer) = match self.exchange(&pool, clock, &*dialect, metadata).await
         {
             Ok(answer) => {
-                let AnswerMetadata { kind, report } = dialect.read_answer(&answer.parts, metadata);
+                let metadata = dialect.read_answer(&answer.parts, metadata);
+                self.gate.record(metadata.notice(), NoticeSource::Probe);
+                let AnswerMetadata { kind, report } = metadata;
                 let outcome = outcome_of_answer(kind, &answer);
                 (outcome, report, Some(answer).filter(|_| kind == AnswerKind::Answer))
             }
             Err(outcome) => (outcome, EndpointReport::default(), None),
         };
-        log::debug!("event=probe endpoint={} outcome={outcome:?}", self.endpoint);
+        log::debug!("event=probe endpoint={} outcome={outcome:?}", self.gate.endpoint);
         let attempt = self.attempt;
         // A stopped shard needs no outcome.
         let _ = shard.tell(AttemptOutcome { attempt, outcome, report }).try_send();
@@ -97,6 +100,7 @@
             not_after: self.time_limit,
             time_limit: self.time_limit,
             abandon: AbandonSignal::default(),
+            gate: Some(self.gate.clone()),
         };
         let body = RequestBody::Whole(None);
         exchange::run(pool, clock, target, head, &body).await.map_err(|e| outcome_of_error(&e))
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -95,7 +95,10 @@
     };
     let endpoint_time_us = served.endpoint_time.map(|time| time.as_micros() as u64);
     let (result, mut response) = match served.answer {
-        Ok(response) => (PeerResult::Answered { endpoint_time_us }, response),
+        Ok(response) => {
+            let leaving_endpoint = served.leaving_endpoint;
+            (PeerResult::Answered { endpoint_time_us, leaving_endpoint }, response)
+        }
         Err(PendingRefusal { refusal, status }) => {
             refusal_log::on_refusal(&context, &id, received, &refusal, RefusalRecipient::Peer);
             let result = PeerRefusal::new(&context.me.name, &id, &refusal);
--- a/crates/pistachiotrackd/src/relay_client.rs
+++ b/crates/pistachiotrackd/src/relay_client.rs
@@ -6,6 +6,7 @@
 use hyper::HeaderMap;
 use pistachiotrack_core::{
     endpoint::Endpoint,
+    endpoint_notice::EndpointNotice,
     header,
     membership::MemberState,
     name::Name,
@@ -82,6 +83,8 @@
     },
     /// The relay does not send to such an endpoint; nothing was sent.
     Refused,
+    /// The endpoint accepts no requests from the relay now; nothing was sent.
+    Closed(EndpointNotice),
     /// No connection to the endpoint could be opened; nothing was sent.
     ConnectFailed,
     /// The relay abandoned the request before the first byte; nothing was sent.
@@ -108,7 +111,7 @@
             RelayResult::Answered { .. } => Outcome::RelayFailed { sent: true },
             RelayResult::Refused => Outcome::RelayFailed { sent: false },
             RelayResult::ConnectFailed => Outcome::ConnectFailed,
-            RelayResult::NotSent => Outcome::NotSent,
+            RelayResult::Closed(_) | RelayResult::NotSent => Outcome::NotSent,
             RelayResult::Broken { fresh } => Outcome::Broken { fresh_connection: fresh },
             RelayResult::TimedOut { fresh } => Outcome::TimedOut { fresh_connection: fresh },
             RelayResult::BodyBroken => Outcome::RelayFailed { sent: true },
@@ -163,7 +166,8 @@
                 ExchangeError::NoConnection(_) | ExchangeError::ClosedUnsent => {
                     Outcome::RelayFailed { sent: false }
                 }
-                ExchangeError::TooLate
+                ExchangeError::Closed(_)
+                | ExchangeError::TooLate
                 | ExchangeError::BodyConsumed
                 | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
                 ExchangeError::CallerBody { sent: true } => Outcome::Cancelled,
@@ -203,6 +207,7 @@
         not_after: dispatch.not_after,
         time_limit: dispatch.time_limit + RELAY_RESULT_GRACE,
         abandon: AbandonSignal::default(),
+        gate: None,
     };
     let mut answer = exchange::run(&context.peers, context.clock, target, head, body).await?;
     match RelayResult::read(&answer.parts.headers) {
--- a/crates/pistachiotrackd/src/relay_server.rs
+++ b/crates/pistachiotrackd/src/relay_server.rs
@@ -6,13 +6,15 @@
 use std::{sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
-use pistachiotrack_core::{header, request::Outcome, time::Time};
+use pistachiotrack_core::{header, name::Name, request::Outcome, time::Time};
 
 use crate::{
     answer,
     attempt::outcome_of_error,
     body::{self, AnswerBody},
     context::Context,
+    dialect::OutgoingMetadata,
+    endpoint_notices::{EndpointGate, NoticeSource},
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     headers,
     inbound::origin_form,
@@ -27,9 +29,15 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let received = context.clock.now();
-    let Some((relay_request, budget)) = read_relay_request(context, request.headers()) else {
+    let Some((relay_request, service, budget)) = read_relay_request(context, request.headers())
+    else {
         return failure_response(RelayResult::Refused);
     };
+    let gate = EndpointGate {
+        notices: Arc::clone(&context.notices),
+        service,
+        endpoint: relay_request.endpoint.clone(),
+    };
     let time_limit = received + Duration::from_micros(relay_request.time_limit_us);
     let target = Target {
         address: relay_request.address,
@@ -38,25 +46,45 @@
         not_after: received + Duration::from_micros(relay_request.not_after_us),
         time_limit,
         abandon: AbandonSignal::default(),
+        gate: Some(gate.clone()),
     };
+    let id = request_id(context, request.headers());
     match run(context, request, target, time_limit).await {
-        Ok(answer) => pass_on(context, answer),
+        Ok(answer) => {
+            let metadata = OutgoingMetadata {
+                request_id: id.as_ref(),
+                endpoint: &relay_request.endpoint,
+                time_left: time_limit.since(context.clock.now()),
+                customer: None,
+            };
+            let notice = context.dialect.read_answer(&answer.parts, metadata).notice();
+            gate.record(notice, NoticeSource::Relay);
+            pass_on(context, answer)
+        }
         Err(result) => failure_response(result),
     }
 }
 
-/// Parses the relay request and returns it with the number of connections that this VM may have
-/// open to the endpoint. Returns `None` if the configuration has no such endpoint, so that an
+/// Returns the ID by which the endpoint's answer refers to the request.
+fn request_id(context: &Context, fields: &HeaderMap) -> Option<Name> {
+    let id = context.dialect.request_id(fields);
+    id.or_else(|| headers::text(fields, header::REQUEST_ID)).map(Name::from)
+}
+
+/// Parses the relay request and returns it with the endpoint's service and the number of
+/// connections that this VM may have open to the endpoint. Returns `None` if the configuration has no such endpoint, so that an
 /// invalid message can't make this VM send requests to other addresses.
-fn read_relay_request(context: &Context, fields: &HeaderMap) -> Option<(RelayRequest, u32)> {
+fn read_relay_request(context: &Context, fields: &HeaderMap) -> Option<(RelayRequest, Name, u32)> {
     let relay_request: RelayRequest =
         serde_json::from_str(headers::text(fields, header::VIA)?).ok()?;
     let view = context.view();
     let services = &view.active.as_ref()?.config.services;
-    let mut endpoints = services.iter().flat_map(|service| &service.endpoints);
-    let endpoint = endpoints.find(|endpoint| relay_request.matches(endpoint))?;
+    let (service, endpoint) = services.iter().find_map(|service| {
+        let mut endpoints = service.endpoints.iter();
+        Some((service, endpoints.find(|endpoint| relay_request.matches(endpoint))?))
+    })?;
     let budget = request_task::endpoint_budget(&view, endpoint);
-    Some((relay_request, budget))
+    Some((relay_request, service.name.clone(), budget))
 }
 
 async fn run(
@@ -81,6 +109,9 @@
 }
 
 fn result_of_error(error: ExchangeError) -> RelayResult {
+    if let ExchangeError::Closed(notice) = error {
+        return RelayResult::Closed(notice);
+    }
     match outcome_of_error(&error) {
         Outcome::ConnectFailed | Outcome::Misdirected => RelayResult::ConnectFailed,
         Outcome::Broken { fresh_connection } => RelayResult::Broken { fresh: fresh_connection },
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -50,12 +50,14 @@
     pub(crate) answer: Result<Response<AnswerBody>, PendingRefusal>,
     /// Time between sending the request and the head of the answer, if an endpoint answered.
     pub(crate) endpoint_time: Option<Duration>,
+    /// The endpoint that answered, if it said that it is leaving.
+    pub(crate) leaving_endpoint: Option<Name>,
 }
 
 impl Served {
     /// Returns the result of a refused request.
     pub(crate) fn refused(refusal: impl Into<PendingRefusal>) -> Served {
-        Served { answer: Err(refusal.into()), endpoint_time: None }
+        Served { answer: Err(refusal.into()), endpoint_time: None, leaving_endpoint: None }
     }
 }
 
@@ -146,6 +148,8 @@
     endpoint: Name,
     /// Its address, unless the request was sent through a relay.
     address: Option<SocketAddr>,
+    /// Whether the endpoint said that it is leaving.
+    is_leaving: bool,
     answer: Box<StartedAnswer>,
     pool: Arc<ConnectionPool>,
 }
@@ -200,7 +204,11 @@
             Command::Replay(stored) => {
                 self.finished = true;
                 let response = answer::replay(&stored);
-                return Some(Served { answer: Ok(response), endpoint_time: None });
+                return Some(Served {
+                    answer: Ok(response),
+                    endpoint_time: None,
+                    leaving_endpoint: None,
+                });
             }
             Command::Refuse(decision) => {
                 self.finished = true;
@@ -299,7 +307,8 @@
             let bytes = body::announced_bytes(&answer.body);
             self.context.traffic.received(Topic::Endpoint, locality, bytes);
             let AttemptEnd { endpoint, address, pool, .. } = end;
-            self.answered.push(Answered { attempt, endpoint, address, answer, pool });
+            let is_leaving = end.report.notice.leaving;
+            self.answered.push(Answered { attempt, endpoint, address, is_leaving, answer, pool });
         }
         self.report_outcome(attempt, end.outcome, end.report);
         None
@@ -336,7 +345,8 @@
 
     fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
-        let Answered { endpoint, address, answer, pool, .. } = self.answered.swap_remove(index);
+        let Answered { endpoint, address, is_leaving, answer, pool, .. } =
+            self.answered.swap_remove(index);
         self.finished = true;
         let StartedAnswer { mut parts, body, connection, sent, started_at, .. } = *answer;
         let endpoint_time = started_at.since(sent);
@@ -357,7 +367,11 @@
         headers::strip_from_endpoint(&mut parts.headers);
         self.context.dialect.write_answer(&mut parts.headers, &endpoint, &self.context.me.name);
         let response = body::response(parts, body);
-        Some(Served { answer: Ok(response), endpoint_time: Some(endpoint_time) })
+        Some(Served {
+            answer: Ok(response),
+            endpoint_time: Some(endpoint_time),
+            leaving_endpoint: is_leaving.then_some(endpoint),
+        })
     }
 
     /// Refuses the request without a decision of the shard; dropping the task reports this to the
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -17,6 +17,7 @@
 use pistachiotrack_core::{
     admin::EndpointStatus,
     config::Config,
+    endpoint_notice::EndpointNotice,
     feature_flags::FeatureFlags,
     idempotency::StoredAnswer,
     name::Name,
@@ -35,6 +36,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
+    endpoint_notices::{EndpointGate, NoticeBoard, NoticeSource},
     path_check::PathCheck,
     probe::Probe,
     shard_table::{ShardStatus, ShardStatusTable},
@@ -90,6 +92,8 @@
     pub(crate) update_link: Arc<ShardUpdateLink>,
     /// Dialect of the endpoints.
     pub(crate) dialect: Arc<dyn Dialect>,
+    /// What endpoints ask of this VM.
+    pub(crate) notices: Arc<NoticeBoard>,
     /// Idle time after which a shard that this VM doesn't own is stopped.
     pub(crate) non_owner_idle: Duration,
 }
@@ -108,6 +112,7 @@
     path_check: PathCheck,
     update_link: Arc<ShardUpdateLink>,
     dialect: Arc<dyn Dialect>,
+    notices: Arc<NoticeBoard>,
     actor_ref: WeakActorRef<ShardActor>,
     requests: FxHashMap<RequestId, UnboundedSender<Command>>,
     mode: ShardMode,
@@ -128,6 +133,7 @@
             seed: args.seed,
             data_centre: Some(args.data_centre),
             feature_flags: args.feature_flags,
+            notices: args.notices.subscribe(&args.id.service, &actor_ref),
         };
         let now = args.clock.now();
         let mut shard = Shard::new(now, args.id.clone(), &args.config, settings);
@@ -144,6 +150,7 @@
             path_check: args.path_check,
             update_link: args.update_link,
             dialect: args.dialect,
+            notices: args.notices,
             actor_ref: actor_ref.downgrade(),
             requests: FxHashMap::default(),
             mode: args.mode,
@@ -196,6 +203,24 @@
     }
 }
 
+/// Reports what an endpoint asks of this VM.
+pub(crate) struct EndpointNoticed {
+    /// The endpoint.
+    pub(crate) endpoint: Name,
+    /// What it asks.
+    pub(crate) notice: EndpointNotice,
+}
+
+impl Message<EndpointNoticed> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: EndpointNoticed, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let actions = self.shard.on_notice(now, &message.endpoint, message.notice);
+        self.apply(actions);
+    }
+}
+
 /// Reports how the body of an attempt's answer ended.
 pub(crate) struct BodyEnded {
     /// The attempt.
@@ -345,7 +370,12 @@
             }
             ShardAction::Probe { attempt, endpoint, address, path, time_limit } => {
                 let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
-                let probe = Probe { attempt, endpoint, address, path, time_limit };
+                let gate = EndpointGate {
+                    notices: Arc::clone(&self.notices),
+                    service: self.id.service.clone(),
+                    endpoint,
+                };
+                let probe = Probe { attempt, gate, address, path, time_limit };
                 let pool = Arc::clone(&self.endpoints);
                 let dialect = Arc::clone(&self.dialect);
                 tokio::spawn(probe.run(shard, pool, self.clock, dialect));
@@ -360,6 +390,9 @@
                 });
             }
             ShardAction::Broadcast(update) => self.update_link.broadcast(update),
+            ShardAction::Notice { endpoint, notice } => {
+                self.notices.record(&self.id.service, &endpoint, notice, NoticeSource::Peer);
+            }
             ShardAction::RateLimit { endpoint, limit } => {
                 let per_second = limit.map(RateLimit::per_second);
                 log::info!(
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -26,6 +26,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
+    endpoint_notices::NoticeBoard,
     path_check::PathCheck,
     shard_actor::{PeerUpdate, SendHandOver, SetMode, ShardActor, ShardArgs},
     shard_update_link::{ShardDatagram, ShardUpdateLink},
@@ -60,6 +61,8 @@
     pub(crate) update_link: Arc<ShardUpdateLink>,
     /// Dialect of the endpoints.
     pub(crate) dialect: Arc<dyn Dialect>,
+    /// What endpoints ask of this VM.
+    pub(crate) notices: Arc<NoticeBoard>,
     /// Idle time after which a shard that this VM doesn't own is stopped.
     pub(crate) non_owner_idle: Duration,
     /// Seed of all random choices.
@@ -118,6 +121,7 @@
             path_check: shared.path_check.clone(),
             update_link: Arc::clone(&shared.update_link),
             dialect: Arc::clone(&shared.dialect),
+            notices: Arc::clone(&shared.notices),
             non_owner_idle: shared.non_owner_idle,
         };
         let actor = ShardActor::spawn_with_mailbox(args, mailbox::unbounded());
--- a/crates/pistachiotrackd/src/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/shard_update_link.rs
@@ -9,13 +9,11 @@
 
 use pistachiotrack_core::{
     hash,
-    health::EndpointEstimate,
     message::MAX_DATAGRAM_BYTES,
     name::Name,
     ownership::ShardId,
-    rate_limit::RateUpdate,
-    retry::{SendCounts, VisibleDispatchers},
-    shard::{EndpointKey, ShardSnapshot, ShardUpdate, Subscribers},
+    retry::VisibleDispatchers,
+    shard::{ShardSnapshot, ShardUpdate, Subscribers},
     time::Time,
     vm::Vm,
 };
@@ -33,7 +31,7 @@
 /// with other bytes.
 pub(crate) const SHARD_DATAGRAM_TAGS: RangeInclusive<u8> = 0x80..=0x8f;
 /// First byte in this protocol version.
-const SHARD_DATAGRAM_TAG: u8 = 0x82;
+const SHARD_DATAGRAM_TAG: u8 = 0x83;
 /// Minimum interval of log lines about dropped datagrams.
 const DROP_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of dispatchers that a snapshot is requested from.
@@ -43,6 +41,8 @@
 const ESTIMATES_PER_DATAGRAM: usize = 40;
 /// Rate limits of endpoints in one datagram of a snapshot: each takes about 25 bytes.
 const RATE_LIMITS_PER_DATAGRAM: usize = 32;
+/// Leaving endpoints in one datagram of a snapshot: each takes 8 bytes.
+const LEAVING_PER_DATAGRAM: usize = 100;
 
 /// A datagram between dispatchers.
 #[derive(Debug, Serialize, Deserialize)]
@@ -187,45 +187,12 @@
     }
 
     /// Sends a snapshot to the VM at an address, split into as many datagrams as needed.
-    pub(crate) fn send_snapshot(&self, to: SocketAddr, mut snapshot: ShardSnapshot) {
+    pub(crate) fn send_snapshot(&self, to: SocketAddr, snapshot: ShardSnapshot) {
         let locality = self.view.borrow().locality(to);
-        let estimates = std::mem::take(&mut snapshot.estimates);
-        let mut parts: Vec<&[EndpointEstimate]> =
-            estimates.chunks(ESTIMATES_PER_DATAGRAM).collect();
-        if parts.is_empty() {
-            // The requesting VM waits for a response, and may need the counts of retries.
-            parts.push(&[]);
-        }
-        let rate_limits = std::mem::take(&mut snapshot.rate_limits);
-        for estimates in parts {
-            let sent = std::mem::take(&mut snapshot.sent);
-            self.send_snapshot_part(to, locality, snapshot.shard.clone(), estimates, sent, &[]);
-        }
-        for rate_limits in rate_limits.chunks(RATE_LIMITS_PER_DATAGRAM) {
-            self.send_snapshot_part(
-                to,
-                locality,
-                snapshot.shard.clone(),
-                &[],
-                Vec::new(),
-                rate_limits,
-            );
-        }
-    }
-
-    fn send_snapshot_part(
-        &self,
-        to: SocketAddr,
-        locality: Locality,
-        shard: ShardId,
-        estimates: &[EndpointEstimate],
-        sent: Vec<SendCounts>,
-        rate_limits: &[(EndpointKey, RateUpdate)],
-    ) {
-        let (estimates, rate_limits) = (estimates.to_vec(), rate_limits.to_vec());
-        let part = ShardSnapshot { shard, estimates, sent, rate_limits };
-        if let Some(bytes) = self.encode(ShardMessage::Snapshot(part)) {
-            self.send(to, &bytes, Topic::ShardSnapshot, locality);
+        for part in split(snapshot) {
+            if let Some(bytes) = self.encode(ShardMessage::Snapshot(part)) {
+                self.send(to, &bytes, Topic::ShardSnapshot, locality);
+            }
         }
     }
 
@@ -291,3 +258,23 @@
         }
     }
 }
+
+/// Splits a snapshot into parts that fit into a datagram each.
+fn split(snapshot: ShardSnapshot) -> Vec<ShardSnapshot> {
+    let ShardSnapshot { shard, estimates, sent, rate_limits, leaving } = snapshot;
+    let empty = || ShardSnapshot::empty(shard.clone());
+    let mut parts: Vec<ShardSnapshot> = estimates
+        .chunks(ESTIMATES_PER_DATAGRAM)
+        .map(|part| ShardSnapshot { estimates: part.to_vec(), ..empty() })
+        .collect();
+    if parts.is_empty() {
+        // The requesting VM waits for a response, and may need the counts of retries.
+        parts.push(empty());
+    }
+    parts[0].sent = sent;
+    let rate_limits = rate_limits.chunks(RATE_LIMITS_PER_DATAGRAM);
+    parts.extend(rate_limits.map(|part| ShardSnapshot { rate_limits: part.to_vec(), ..empty() }));
+    let leaving = leaving.chunks(LEAVING_PER_DATAGRAM);
+    parts.extend(leaving.map(|part| ShardSnapshot { leaving: part.to_vec(), ..empty() }));
+    parts
+}
--- a/crates/pistachiotrackd/tests/peer_result.rs
+++ b/crates/pistachiotrackd/tests/peer_result.rs
@@ -34,9 +34,15 @@
         assert!(fields.is_empty());
     }
     let mut fields = HeaderMap::new();
-    PeerResult::Answered { endpoint_time_us: Some(1_500) }.write_to(&mut fields);
-    let time = Duration::from_micros(1_500);
-    assert_eq!(take(&mut fields, REQUEST), PeerAnswer::Answer(Some(time)));
+    let leaving_endpoint = Some(Name::from("booking-0"));
+    let result = PeerResult::Answered {
+        endpoint_time_us: Some(1_500),
+        leaving_endpoint: leaving_endpoint.clone(),
+    };
+    result.write_to(&mut fields);
+    let endpoint_time = Some(Duration::from_micros(1_500));
+    let answer = PeerAnswer::Answer { endpoint_time, leaving_endpoint };
+    assert_eq!(take(&mut fields, REQUEST), answer);
 }
 
 /// Guards against a booking that runs twice. Something other than the VM that holds it, or a
@@ -66,5 +72,6 @@
 /// VMs of two versions run side by side during a rolling update.
 #[test]
 fn an_answer_without_a_peer_result_is_returned() {
-    assert_eq!(take(&mut HeaderMap::new(), REQUEST), PeerAnswer::Answer(None));
+    let no_details = PeerAnswer::Answer { endpoint_time: None, leaving_endpoint: None };
+    assert_eq!(take(&mut HeaderMap::new(), REQUEST), no_details);
 }
--- a/crates/pistachiotrackd/tests/relayed_requests.rs
+++ b/crates/pistachiotrackd/tests/relayed_requests.rs
@@ -231,3 +231,28 @@
     connection.abort();
     booking.wait_closed(open).await;
 }
+
+/// Guards against requests that reach a leaving endpoint through a relay. The notice is in an
+/// answer that the relay has passed on: neither of the two VMs sends anything further.
+#[tokio::test]
+async fn no_request_is_relayed_to_an_endpoint_that_has_said_that_it_leaves() {
+    let (sender, leaves) = tokio::sync::watch::channel(false);
+    let booking = Endpoint::start(move |_| {
+        let leaving = if *leaves.borrow() { "true" } else { "false" };
+        async move {
+            Response::builder().header(header::LEAVING, leaving).body(Full::from("booked")).unwrap()
+        }
+    })
+    .await;
+    let fleet = ThreeVmFleet::start(&[&booking]).await;
+    fleet.owner.set_path_blocked(booking.address, true);
+    fleet.book_until_answered().await;
+    sender.send_replace(true);
+    assert_eq!(fleet.send(booking_request()).await.body(), "booked");
+    let before = booking.received().len();
+    for _ in 0..5 {
+        let refused = fleet.send(booking_request()).await;
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("not-run"));
+    }
+    assert_eq!(booking.received().len(), before);
+}
