--- a/crates/pistachiotrackd/tests/endpoint_notices.rs
+++ b/crates/pistachiotrackd/tests/endpoint_notices.rs
@@ -1,10 +1,12 @@
-//! Endpoints that say in their answers that they leave.
+//! Endpoints that say in their answers that they leave, or for how long they want no requests.
 
 mod testenv;
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Response;
+use hyper::{Response, header::RETRY_AFTER};
 use pistachiotrack_core::header;
 use serde_json::{Value, json};
 use testenv::{
@@ -112,3 +114,26 @@
     keep_booking(&mut config["rules"], "then");
     config
 }
+
+/// Guards against an endpoint that gets requests from a VM in the time in which it asked that VM for
+/// none, as it refuses at once and so always seems to be free.
+#[tokio::test]
+async fn an_endpoint_that_refuses_with_retry_after_gets_no_requests_before_its_end() {
+    bounded(async {
+        let refusing = Endpoint::start(|_| async { refusal("1.5") }).await;
+        let other = Endpoint::answering("free").await;
+        let vm = Deployment::start(&[refusing.address, other.address], &[]).await;
+        let until = Instant::now() + Duration::from_secs(1);
+        while Instant::now() < until {
+            let answer = client::send(vm.address(), client::get("/slots")).await.unwrap();
+            assert_eq!(answer.body(), "free");
+        }
+        assert_eq!(refusing.received().len(), 1);
+    })
+    .await;
+}
+
+fn refusal(retry_after: &'static str) -> Response<Full<Bytes>> {
+    let refusal = Response::builder().status(503).header(header::NOT_RUN, "true");
+    refusal.header(RETRY_AFTER, retry_after).body(Full::default()).unwrap()
+}
