Endpoints that refuse with Retry-After get no requests from this VM for that time

Seen: an endpoint had asked a VM for three seconds without requests and got 12 from it; a booking was refused six times within 6 ms by the same three endpoints in turn, and its caller got 503 while others were free.

Cause: Retry-After of an endpoint was not used, and a refusal counts as a sign of life, so that an endpoint that refuses everything is always free and ranks first. Class: as for the leaving endpoint, what an endpoint says is not kept on each way by which this VM sends to it: first dispatches, retries, hedges, trials, health checks, requests that it relays for others, and requests that waited for a connection when the refusal came.

Requests for which all endpoints are closed wait if one opens in time, and are refused at once with the time until then otherwise, also those behind one that can wait. Admission adds that time to the expected wait. The time isn't passed on to other VMs: they were not asked.

Before: a request of the test is refused as queue-full after six dispatches; known red. After: passes.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -405,7 +405,7 @@
         if self.queue.is_empty() && self.pool.has_free_slot(now) {
             return Duration::ZERO;
         }
-        self.drain_time(self.queue.len() as f64 + 1.0)
+        self.drain_time(now, self.queue.len() as f64 + 1.0)
     }
 
     /// Returns whether other VMs dispatch to the endpoints as well.
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -121,7 +121,8 @@
             pending.may_run_again()
                 && pending.can_be_dispatched()
                 && now < pending.not_after
-                && self.pool.usable_endpoints(pending.request.idempotent) >= min_usable
+                && (self.pool.usable_endpoints(pending.request.idempotent) >= min_usable
+                    || min_usable == 1 && self.opens_in_time(now, id))
         })
     }
 
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -45,8 +45,6 @@
 const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
 /// Minimum time that a refused caller is asked to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
-/// Time that a caller is asked to wait while no endpoint accepts requests.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time since the last request that may run again after which a service counts as having none.
 const IDEMPOTENT_REQUEST_MEMORY: Duration = Duration::from_secs(3);
 /// Timeout of a health check.
@@ -103,9 +101,8 @@
         pending.not_after =
             now + (time_left - (answer_time.mul_f64(ANSWER_RESERVE_P95_FACTOR)).min(time_left / 2));
         let (customer, class) = (pending.request.customer.clone(), pending.request.class);
-        if self.pool.usable_endpoints(pending.request.idempotent) == 0 {
-            let retry_after_ms = self.jittered_retry_after_ms(NO_ENDPOINT_RETRY_AFTER);
-            return self.refuse(now, id, Reason::NoEndpoint, retry_after_ms);
+        if !self.opens_in_time(now, id) {
+            return self.refuse_as_closed(now, id);
         }
         let wait = self.expected_wait(now, &customer, class);
         let needed = wait + (answer_time * ADMISSION_RESERVE_P95_FACTOR).min(time_left / 2);
@@ -138,11 +135,16 @@
         if self.queue.is_empty() && self.pool.has_free_slot(now) {
             return Duration::ZERO;
         }
-        self.drain_time(self.queue.requests_ahead(customer, class))
+        self.drain_time(now, self.queue.requests_ahead(customer, class))
     }
 
     /// Returns the time in which `requests` requests leave the queue.
-    pub(super) fn drain_time(&self, requests: f64) -> Duration {
+    pub(super) fn drain_time(&self, now: Time, requests: f64) -> Duration {
+        let until_usable = self.pool.time_until_usable(now, true).unwrap_or_default();
+        until_usable + self.drain_time_while_usable(requests)
+    }
+
+    fn drain_time_while_usable(&self, requests: f64) -> Duration {
         let slot_time = self.slot_time.value().unwrap_or_default();
         let limited = self.pool.rate_limited_per_second() / f64::from(self.dispatchers);
         let capacity = self.pool.capacity();
@@ -162,13 +164,12 @@
             return;
         }
         while let Some(id) = self.queue.peek() {
-            let Some(pending) = self.pending.get(&id) else {
+            if !self.pending.contains_key(&id) {
                 self.queue.pop();
                 continue;
-            };
-            if self.pool.usable_endpoints(pending.request.idempotent) == 0 {
-                let retry_after_ms = self.jittered_retry_after_ms(NO_ENDPOINT_RETRY_AFTER);
-                self.refuse(now, id, Reason::NoEndpoint, retry_after_ms);
+            }
+            if !self.opens_in_time(now, id) {
+                self.refuse_as_closed(now, id);
                 continue;
             }
             let Some(pick) = self.pick(now, id, true) else { return };
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -62,6 +62,8 @@
     rate: Option<SharedRateLimiter>,
     /// Whether its rate limit leaves no share for this VM.
     is_reserved_for_peers: bool,
+    /// Until when it accepts no requests from this VM, if it has asked for that.
+    refuses_until: Option<Time>,
     /// Requests that other VMs have in flight, each count with its expiry time.
     peer_counts: Vec<(Name, u32, Time)>,
 }
@@ -78,12 +80,22 @@
         may_send && self.accepts_requests() && self.in_flight < self.limit
     }
 
+    /// Returns whether its health permits requests that may run again, or others.
+    fn is_for(&self, idempotent: bool) -> bool {
+        idempotent || self.health_state != HealthState::Trial
+    }
+
     /// Returns the rate limit that the endpoint announces.
     pub(super) fn rate_limit(&self) -> Option<RateLimit> {
         self.rate.as_ref().and_then(SharedRateLimiter::limit)
     }
 
     fn accepts_requests(&self) -> bool {
+        self.refuses_until.is_none() && self.would_accept_requests()
+    }
+
+    /// Returns whether it accepts requests except for the time in which it refuses them.
+    fn would_accept_requests(&self) -> bool {
         self.is_configured
             && !self.is_reserved_for_peers
             && !self.endpoint.leaving
@@ -204,6 +216,7 @@
                 is_untried: self.feature_flags.new_endpoints_first,
                 rate: None,
                 is_reserved_for_peers: false,
+                refuses_until: None,
                 peer_counts: Vec::new(),
             });
             entry.is_configured = true;
@@ -248,6 +261,7 @@
             entry.last_sent = entry.last_sent.max(entry.last_observed_at.unwrap_or(Time::ZERO));
             entry.is_untried &= entry.last_observed_at.is_none();
             entry.slot_share = health.share(now, name);
+            entry.refuses_until = self.notices.refuses_until(now, name);
             entry.limit = limit(entry, self.mode, are_limits_halved);
             let rate_limit = entry.rate_limit();
             entry.is_reserved_for_peers = rate_limit.is_some() && share.fraction == 0.0;
@@ -286,7 +300,7 @@
         self.endpoints
             .values()
             .filter(|entry| entry.accepts_requests())
-            .filter(|entry| idempotent || entry.health_state != HealthState::Trial)
+            .filter(|entry| entry.is_for(idempotent))
             .count()
     }
 
@@ -355,6 +369,7 @@
     pub(super) fn has_slot_for_probe(&self, name: &str) -> bool {
         self.endpoints.get(name).is_some_and(|entry| {
             entry.is_configured
+                && entry.refuses_until.is_none()
                 && entry.in_flight + entry.predecessor_in_flight + entry.peer_in_flight()
                     < entry.endpoint.slots
         })
--- a/crates/pistachiotrack-core/tests/endpoint_notices.rs
+++ b/crates/pistachiotrack-core/tests/endpoint_notices.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use pistachiotrack_core::{
-    endpoint_notice::{EndpointNotice, EndpointNotices},
+    config::Config,
+    endpoint_notice::{EndpointNotice, EndpointNotices, NoticeChange},
     name::Name,
     ownership::ShardId,
-    request::{BodyEnd, EndpointReport, Outcome},
+    refusal::Execution,
+    request::{BodyEnd, Class, EndpointReport, Outcome, Request},
     shard::{Shard, ShardAction, ShardMode, ShardSettings},
     time::Time,
 };
@@ -32,10 +34,10 @@
     shard.on_notice(START, &Name::from(LEAVER), EndpointNotice::LEAVING);
 }
 
-fn new_shard(notices: EndpointNotices) -> Shard {
+fn new_shard(config: &Config, notices: EndpointNotices) -> Shard {
     let id = ShardId { service: Name::from("booking"), index: 0 };
     let settings = ShardSettings { mode: ShardMode::Shared, notices, ..ShardSettings::default() };
-    Shard::new(START, id, &config(3), settings)
+    Shard::new(START, id, config, settings)
 }
 
 /// Guards against an endpoint that gets requests again as its registration, still marked as ready,
@@ -55,9 +57,10 @@
 #[test]
 fn a_shard_starts_with_the_notices_on_record() {
     let mut notices = EndpointNotices::default();
-    assert!(notices.record(START, &Name::from(LEAVER), EndpointNotice::LEAVING));
-    assert!(!notices.record(START, &Name::from(LEAVER), EndpointNotice::LEAVING));
-    assert_unused(&mut new_shard(notices), START);
+    let mut record = || notices.record(START, &Name::from(LEAVER), EndpointNotice::LEAVING);
+    assert_eq!(record(), Some(NoticeChange::New));
+    assert_eq!(record(), None);
+    assert_unused(&mut new_shard(&config(3), notices), START);
 }
 
 /// Guards against a leaving endpoint that counts toward the floor, so that no ejected one replaces
@@ -129,3 +132,132 @@
     notices.record(later, &Name::from("another"), EndpointNotice::LEAVING);
     assert_eq!(notices.leaving(START).count(), 1);
 }
+
+fn refuse_for(shard: &mut Shard, endpoint: usize, time: Duration) -> Vec<ShardAction> {
+    let endpoint = Name::from(format!("endpoint-{endpoint}"));
+    let notice = EndpointNotice { leaving: false, retry_after: Some(time) };
+    shard.on_notice(START, &endpoint, notice)
+}
+
+/// Returns the refusals among the actions: the request, and the time after which it may come back.
+fn refusals(actions: &[ShardAction]) -> Vec<(u64, Option<u64>)> {
+    let refusal = |action: &ShardAction| match action {
+        ShardAction::Refuse { request, refusal } => {
+            assert_eq!(refusal.execution, Execution::NotRun);
+            Some((request.0, refusal.retry_after_ms))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+/// Guards against requests to an endpoint that wants none for a time, or none after it.
+#[test]
+fn an_endpoint_gets_no_requests_for_the_time_that_it_asked_for() {
+    for ms in (0..=3_000).step_by(100) {
+        let mut shard = shard(3);
+        refuse_for(&mut shard, 0, Duration::from_secs(3));
+        refuse_for(&mut shard, 0, Duration::from_secs(1));
+        let now = START + Duration::from_millis(ms);
+        shard.on_tick(now);
+        let is_used = used(&mut shard, now).iter().any(|endpoint| endpoint.as_str() == LEAVER);
+        assert_eq!(is_used, ms == 3_000, "{ms} ms");
+    }
+}
+
+/// Guards against requests that are refused although an endpoint takes them soon enough.
+#[test]
+fn a_request_waits_for_the_end_of_a_short_time_without_endpoints() {
+    let mut shard = shard(1);
+    refuse_for(&mut shard, 0, Duration::from_millis(200));
+    assert_eq!(shard.on_request(START, booking(1, START)), []);
+    let early = START + Duration::from_millis(180);
+    assert_eq!(dispatched(&shard.on_tick(early)), None);
+    let end = START + Duration::from_millis(200);
+    assert!(dispatched(&shard.on_tick(end)).is_some());
+}
+
+/// Guards against requests that are held until their deadline although no endpoint will take them.
+#[test]
+fn requests_that_no_endpoint_takes_in_time_are_refused_at_once() {
+    let mut shard = shard(2);
+    refuse_for(&mut shard, 0, Duration::from_secs(30));
+    let slots = u64::from(shared_support::SLOTS);
+    let queued = slots..slots + 3;
+    for id in 0..queued.end {
+        shard.on_request(START, booking(id, START));
+    }
+    let refused = refusals(&refuse_for(&mut shard, 1, Duration::from_secs(20)));
+    assert!(queued.eq(refused.iter().map(|(id, _)| *id)), "{refused:?}");
+    let new = refusals(&shard.on_request(START, booking(90, START)));
+    for (_, retry_after_ms) in refused.into_iter().chain(new) {
+        assert!((20_000..=30_000).contains(&retry_after_ms.unwrap()), "{retry_after_ms:?}");
+    }
+}
+
+/// Guards against VMs that keep away from an endpoint which has asked another VM alone.
+#[test]
+fn a_time_without_requests_is_not_passed_on() {
+    let mut first = shard(2);
+    refuse_for(&mut first, 0, Duration::from_secs(3));
+    let mut other = shard(2);
+    other.on_snapshot(START, &first.snapshot(START));
+    other.on_hand_over(START, &first.hand_over(START));
+    assert!(used(&mut other, START).iter().any(|endpoint| endpoint.as_str() == LEAVER));
+}
+
+/// Guards against a request that is held until its deadline, as one that can wait is ahead of it in
+/// the queue.
+#[test]
+fn a_request_that_can_wait_does_not_hold_up_one_that_can_not() {
+    let mut shard = shard(1);
+    for id in 0..u64::from(shared_support::SLOTS) {
+        shard.on_request(START, booking(id, START));
+    }
+    let patient =
+        Request { class: Class::Interactive, deadline: after(10_000), ..booking(10, START) };
+    let urgent = Request { class: Class::Batch, deadline: after(1_000), ..booking(11, START) };
+    shard.on_request(START, patient);
+    shard.on_request(START, urgent);
+    let refused = refusals(&refuse_for(&mut shard, 0, Duration::from_secs(2)));
+    assert_eq!(refused.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [11]);
+}
+
+/// Guards against a request that is refused since the only endpoint has shed it, although the
+/// endpoint takes it soon enough.
+#[test]
+fn a_shed_request_waits_for_its_only_endpoint() {
+    let mut config = config(1);
+    config.services[0].retry_limit = None;
+    let mut shard = new_shard(&config, EndpointNotices::default());
+    let dispatch = dispatched(&shard.on_request(START, booking(1, START))).unwrap();
+    refuse_for(&mut shard, 0, Duration::from_millis(200));
+    let report = EndpointReport::default();
+    let actions = shard.on_outcome(START, dispatch.attempt, Outcome::Shed, report);
+    assert_eq!(refusals(&actions), []);
+    assert!(dispatched(&shard.on_tick(after(200))).is_some());
+}
+
+/// Guards against requests that are admitted to a queue which is not emptied for a time, and then
+/// expire in it.
+#[test]
+fn admission_adds_the_time_without_endpoints_to_the_expected_wait() {
+    let mut shard = shard(1);
+    for id in 0..20 {
+        let dispatch = dispatched(&shard.on_request(START, booking(id, START))).unwrap();
+        let outcome = Outcome::Answered { status: 200, fresh_connection: true };
+        shard.on_outcome(after(100), dispatch.attempt, outcome, EndpointReport::default());
+        shard.on_body_end(after(100), dispatch.attempt, BodyEnd::Complete);
+    }
+    let request = |id, ms| Request { deadline: after(ms), ..booking(id, START) };
+    for id in 100..112 {
+        shard.on_request(START, request(id, 10_000));
+    }
+    refuse_for(&mut shard, 0, Duration::from_secs(1));
+    assert_eq!(refusals(&shard.on_request(START, request(200, 2_500))), []);
+    assert_eq!(refusals(&shard.on_request(START, request(201, 1_500))).len(), 1);
+}
+
+fn after(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
--- a/crates/pistachiotrack-core/tests/shard.rs
+++ b/crates/pistachiotrack-core/tests/shard.rs
@@ -2,7 +2,7 @@
 
 mod shard_support;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use pistachiotrack_core::{
     health::PathAnswer,
@@ -255,6 +255,25 @@
     assert_eq!(harness.violations, Vec::<String>::new());
 }
 
+/// Guards against health checks of an endpoint that wants no requests for a time.
+#[test]
+fn an_endpoint_that_asked_for_no_requests_gets_no_health_checks() {
+    for refuses in [false, true] {
+        let mut harness = harness(2, 1);
+        let id = harness.send(1_000, |_| {});
+        let attempt = harness.attempt(id);
+        let name = endpoint(&harness, attempt);
+        let report = EndpointReport { draining: true, ..EndpointReport::default() };
+        harness.outcome_with(attempt, answered(200), report);
+        harness.body_end(attempt, BodyEnd::Complete);
+        if refuses {
+            harness.notice_refusing(&name, Duration::from_secs(60));
+        }
+        harness.tick(6_000);
+        assert_eq!(harness.probes.iter().any(|(_, probed)| *probed == name), !refuses);
+    }
+}
+
 // The owner can't be reached and every VM serves by itself. Each one uses a quarter of the slots
 // and one per endpoint, so that together they cause sheds rather than overload.
 #[test]
--- a/crates/pistachiotrack-core/tests/shard_fuzz.rs
+++ b/crates/pistachiotrack-core/tests/shard_fuzz.rs
@@ -2,6 +2,8 @@
 
 mod shard_support;
 
+use std::time::Duration;
+
 use pistachiotrack_core::{
     config::Config,
     health::PathAnswer,
@@ -26,11 +28,12 @@
     Mode { careful: bool },
     HandOver,
     Leaving { endpoint: u8 },
+    Refusing { endpoint: u8, ms: u16 },
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
-        match u8::arbitrary(g) % 65 {
+        match u8::arbitrary(g) % 67 {
             0..=23 => Step::Request {
                 customer: u8::arbitrary(g),
                 class: u8::arbitrary(g),
@@ -56,7 +59,8 @@
             61 => Step::Config { variant: u8::arbitrary(g) },
             62 => Step::Mode { careful: bool::arbitrary(g) },
             63 => Step::HandOver,
-            _ => Step::Leaving { endpoint: u8::arbitrary(g) },
+            64 => Step::Leaving { endpoint: u8::arbitrary(g) },
+            _ => Step::Refusing { endpoint: u8::arbitrary(g), ms: u16::arbitrary(g) % 2_000 },
         }
     }
 
@@ -116,6 +120,11 @@
     }
 }
 
+fn choose_endpoint(harness: &Harness, pick: u8) -> Name {
+    let endpoints = &harness.config.services[0].endpoints;
+    endpoints[usize::from(pick) % endpoints.len()].name.clone()
+}
+
 /// Replaces the endpoints that are leaving by new incarnations.
 fn restart_leaving(harness: &Harness, config: &mut Config) {
     for endpoint in &mut config.services[0].endpoints {
@@ -211,10 +220,13 @@
             harness.set_mode(if careful { ShardMode::Careful } else { ShardMode::Owner });
         }
         Step::Leaving { endpoint } => {
-            let endpoints = &harness.config.services[0].endpoints;
-            let endpoint = endpoints[usize::from(endpoint) % endpoints.len()].name.clone();
+            let endpoint = choose_endpoint(harness, endpoint);
             harness.notice_leaving(&endpoint);
         }
+        Step::Refusing { endpoint, ms } => {
+            let endpoint = choose_endpoint(harness, endpoint);
+            harness.notice_refusing(&endpoint, Duration::from_millis(u64::from(ms)));
+        }
         Step::HandOver => {
             let bytes = postcard::to_stdvec(&harness.shard.hand_over(harness.now)).unwrap();
             let handed: ShardHandOver = postcard::from_bytes(&bytes).unwrap();
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -129,6 +129,8 @@
     pub(crate) draining: BTreeMap<Name, (Time, bool)>,
     /// Endpoints that have said for good that they are leaving.
     pub(crate) leaving: BTreeSet<Name>,
+    /// Until when endpoints have asked for no requests.
+    pub(crate) refusing: BTreeMap<Name, Time>,
     pub(crate) probes: Vec<(AttemptId, Name)>,
     /// Endpoints with a path check that has no result yet.
     pub(crate) path_checks: Vec<Name>,
@@ -152,6 +154,7 @@
             attempts: BTreeMap::new(),
             draining: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            refusing: BTreeMap::new(),
             probes: Vec::new(),
             path_checks: Vec::new(),
             answers: BTreeMap::new(),
@@ -242,6 +245,15 @@
         self.check(actions);
     }
 
+    /// An endpoint asks for no requests for a time.
+    pub(crate) fn notice_refusing(&mut self, endpoint: &Name, time: Duration) {
+        let until = self.refusing.entry(endpoint.clone()).or_default();
+        *until = (*until).max(self.now + time);
+        let notice = EndpointNotice { leaving: false, retry_after: Some(time) };
+        let actions = self.shard.on_notice(self.now, endpoint, notice);
+        self.check(actions);
+    }
+
     pub(crate) fn body_end(&mut self, attempt: AttemptId, end: BodyEnd) {
         if let Some(record) = self.attempts.get_mut(&attempt) {
             record.state = State::MaybeRun;
@@ -465,6 +477,9 @@
         let endpoint = endpoints.iter().find(|endpoint| endpoint.name == dispatch.endpoint);
         let takes_work = endpoint.is_some_and(|endpoint| !self.is_leaving(endpoint));
         self.expect(takes_work, || format!("{dispatch:?} to a leaving endpoint"));
+        let is_refusing =
+            self.refusing.get(&dispatch.endpoint).is_some_and(|until| self.now < *until);
+        self.expect(!is_refusing, || format!("{dispatch:?} to a refusing endpoint"));
         let status = self.shard.endpoints(self.now);
         let others = status.iter().any(|status| is_working(status) && !self.is_draining(status));
         let is_avoidable = others && self.is_reported_draining(&dispatch.endpoint);
--- a/crates/pistachiotrackd/src/endpoint_notices.rs
+++ b/crates/pistachiotrackd/src/endpoint_notices.rs
@@ -7,7 +7,7 @@
 
 use kameo::actor::{ActorRef, WeakActorRef};
 use pistachiotrack_core::{
-    endpoint_notice::{EndpointNotice, EndpointNotices},
+    endpoint_notice::{EndpointNotice, EndpointNotices, NoticeChange},
     name::Name,
 };
 use rustc_hash::FxHashMap;
@@ -91,14 +91,14 @@
             return;
         }
         let now = self.clock.now();
-        let is_new = self.with_service(service, |service| {
-            let is_new = service.notices.record(now, endpoint, notice);
-            if is_new {
+        let change = self.with_service(service, |service| {
+            let change = service.notices.record(now, endpoint, notice);
+            if change.is_some() {
                 service.send(endpoint, notice);
             }
-            is_new
+            change
         });
-        if is_new {
+        if change == Some(NoticeChange::New) {
             let source = source.as_str();
             log::info!(
                 "event=endpoint_notice service={service} endpoint={endpoint} {notice} \
