Soak: endpoints that say that they leave, and endpoints that refuse all requests and ask for none

The stand-in for endpoints sends both notices, the plans draw them from a generator of their own, so that the other events of a seed stay as they are, and the oracle has one invariant more, NoticesKept, with a record of a violating run for each of the two. An endpoint that has left starts again under another name; the operators' marks of a leaving endpoint go by its address, since its name changes.

--- a/crates/pistachiotrack-standins/src/endpoint.rs
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -10,8 +10,12 @@
 };
 
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, body::Incoming, header::HeaderValue};
-use pistachiotrack_core::{header, service::DEFAULT_PROBE_PATH};
+use hyper::{
+    HeaderMap, Request,
+    body::Incoming,
+    header::{HeaderValue, RETRY_AFTER},
+};
+use pistachiotrack_core::{endpoint_notice::EndpointNotice, header, service::DEFAULT_PROBE_PATH};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
@@ -110,6 +114,8 @@
     peak: AtomicU32,
     /// Rate limit in requests per second that the answers announce.
     rate_limit: Mutex<Option<f64>>,
+    /// What the answers ask of the VMs.
+    notice: Mutex<EndpointNotice>,
     crash: Notify,
     /// Times at which the endpoint began to run a request that crashes it.
     crash_runs: Mutex<Vec<Instant>>,
@@ -137,6 +143,7 @@
             cancelled: AtomicU64::new(0),
             peak: AtomicU32::new(0),
             rate_limit: Mutex::default(),
+            notice: Mutex::default(),
             crash: Notify::new(),
             crash_runs: Mutex::default(),
             settings,
@@ -158,6 +165,12 @@
         *lock(&self.state.rate_limit) = per_second;
     }
 
+    /// Sets what the answers ask of the VMs. With a time for which it accepts no requests, the
+    /// endpoint refuses all.
+    pub fn set_notice(&self, notice: EndpointNotice) {
+        *lock(&self.state.notice) = notice;
+    }
+
     /// Returns the times at which the endpoint began to run a request that crashes it.
     pub fn crash_runs(&self) -> Vec<Instant> {
         lock(&self.state.crash_runs).clone()
@@ -257,7 +270,7 @@
         deadline: Option<Instant>,
         crashes: bool,
     ) -> Answer {
-        if self.faults(Instant::now()).shedding {
+        if self.faults(Instant::now()).shedding || self.notice().retry_after.is_some() {
             return self.refuse();
         }
         let Some(request_guard) = self.admit() else { return self.refuse() };
@@ -322,6 +335,16 @@
         {
             headers.insert(header::RATE_LIMIT, limit);
         }
+        let notice = self.notice();
+        if notice.leaving {
+            headers.insert(header::LEAVING, HeaderValue::from_static("true"));
+        }
+        if let Some(retry_after) =
+            notice.retry_after.filter(|_| headers.contains_key(header::NOT_RUN))
+            && let Ok(seconds) = HeaderValue::from_str(&retry_after.as_secs_f64().to_string())
+        {
+            headers.insert(RETRY_AFTER, seconds);
+        }
         if faults.draining {
             headers.insert(header::DRAINING, HeaderValue::from_static("true"));
         }
@@ -341,6 +364,10 @@
         Some(in_flight)
     }
 
+    fn notice(&self) -> EndpointNotice {
+        *lock(&self.notice)
+    }
+
     fn faults(&self, now: Instant) -> Faults {
         lock(&self.faults).active_at(now)
     }
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -248,6 +248,7 @@
         published,
         leaving_periods,
         rate_limit_periods,
+        notice_periods: environment.notice_periods(),
         crash_runs_ms,
         processes: vms.processes(),
         faults: faults(plan, |_| true),
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -7,13 +7,19 @@
     time::{Duration, Instant},
 };
 
-use pistachiotrack_core::{config::Config, request::Class};
+use pistachiotrack_core::{
+    config::Config, endpoint::Endpoint as ConfiguredEndpoint, endpoint_notice::EndpointNotice,
+    name::Name, request::Class,
+};
 use tokio::task::JoinSet;
 
 use super::{
     clock::RunClock,
     customers::{self, SentLookup},
-    oracle::{LeavingPeriod, PublishedVersion, RateLimitPeriod, TakenKey},
+    oracle::{
+        LeavingPeriod, NoticePeriod, PublishedVersion, REFUSAL_RETRY_AFTER_MS, RateLimitPeriod,
+        TakenKey,
+    },
     plan::{EndpointFault, Event, PlatformFault, Step},
     vms::VmProcesses,
 };
@@ -66,6 +72,9 @@
     /// Endpoints that currently announce a rate limit.
     limited_endpoints: BTreeSet<usize>,
     rate_limit_periods: Vec<RateLimitPeriod>,
+    /// Endpoints that currently ask for no requests.
+    noticed_endpoints: BTreeSet<usize>,
+    notice_periods: Vec<NoticePeriod>,
     taken_keys: Vec<TakenKey>,
     /// Requests of the customer that floods.
     flood: Vec<SentLookup>,
@@ -90,6 +99,8 @@
             leaving_periods: Vec::new(),
             limited_endpoints: BTreeSet::new(),
             rate_limit_periods: Vec::new(),
+            noticed_endpoints: BTreeSet::new(),
+            notice_periods: Vec::new(),
             taken_keys: Vec::new(),
             flood: Vec::new(),
             cut_directions: Vec::new(),
@@ -120,6 +131,14 @@
                 self.announce_rate_limit(*endpoint, f64::from(*tenths_per_second) / 10.0, *for_ms)
                     .await;
             }
+            Event::SayLeaving { endpoint, for_ms } => {
+                self.send_notice(*endpoint, EndpointNotice::LEAVING, *for_ms).await;
+            }
+            Event::RefuseRequests { endpoint, for_ms } => {
+                let retry_after = Duration::from_millis(REFUSAL_RETRY_AFTER_MS);
+                let notice = EndpointNotice { leaving: false, retry_after: Some(retry_after) };
+                self.send_notice(*endpoint, notice, *for_ms).await;
+            }
             Event::CrashingRequest { for_ms } => self.send_crash_requests(*for_ms).await,
             Event::TakeKey { valid_ms, used_ms } => self.take_key(*valid_ms, *used_ms).await,
             Event::Flood { for_ms } => {
@@ -173,13 +192,14 @@
 
     async fn drain_endpoint(&self, endpoint: usize, for_ms: u64) {
         let name = self.deployment.endpoints[endpoint].name().to_owned();
+        let address = self.deployment.endpoints[endpoint].address();
         let from = Instant::now();
-        if !self.publish(|config| set_leaving(config, &name, true)) {
+        if !self.publish(|config| set_leaving(config, address, true)) {
             return;
         }
         sleep_ms(for_ms).await;
         let until_ms = self.clock.now_ms();
-        self.publish(|config| set_leaving(config, &name, false));
+        self.publish(|config| set_leaving(config, address, false));
         let arrivals_ms = self.arrivals_ms(endpoint, from);
         let from_ms = self.clock.ms(from);
         let period = LeavingPeriod { endpoint: name, from_ms, until_ms, arrivals_ms };
@@ -208,6 +228,28 @@
         });
     }
 
+    /// Lets an endpoint ask for no requests. One that leaves starts again afterwards.
+    async fn send_notice(&self, endpoint: usize, notice: EndpointNotice, for_ms: u64) {
+        let sender = &self.deployment.endpoints[endpoint];
+        if !self.lock().noticed_endpoints.insert(endpoint) {
+            return;
+        }
+        let from = Instant::now();
+        sender.set_notice(notice);
+        sleep_ms(for_ms).await;
+        let until_ms = self.clock.now_ms();
+        sender.set_notice(EndpointNotice::default());
+        let arrivals_ms = self.arrivals_ms(endpoint, from);
+        if notice.leaving {
+            self.publish(|config| rename(config, sender.address()));
+        }
+        let name = sender.name().to_owned();
+        let mut state = self.lock();
+        state.noticed_endpoints.remove(&endpoint);
+        let leaving = notice.leaving;
+        state.notice_periods.push(NoticePeriod { endpoint: name, leaving, until_ms, arrivals_ms });
+    }
+
     fn arrivals_ms(&self, endpoint: usize, since: Instant) -> Vec<u64> {
         let arrivals = self.deployment.endpoints[endpoint].arrivals_since(since);
         arrivals.into_iter().map(|at| self.clock.ms(at)).collect()
@@ -313,6 +355,11 @@
         (self.lock().rate_limit_periods.clone(), runs_ms)
     }
 
+    /// Returns the periods in which endpoints asked for no requests.
+    pub(super) fn notice_periods(&self) -> Vec<NoticePeriod> {
+        self.lock().notice_periods.clone()
+    }
+
     /// Returns the keys that were taken away, and the requests of the customer that floods.
     pub(super) fn customer_observations(&self) -> (Vec<TakenKey>, Vec<SentLookup>) {
         let state = self.lock();
@@ -330,9 +377,23 @@
     }
 }
 
-fn set_leaving(config: &mut Config, endpoint: &str, leaving: bool) {
-    let endpoints = config.services.iter_mut().flat_map(|service| &mut service.endpoints);
-    endpoints.filter(|it| it.name.as_str() == endpoint).for_each(|it| it.leaving = leaving);
+fn endpoint_at(config: &mut Config, address: SocketAddr) -> Option<&mut ConfiguredEndpoint> {
+    let mut endpoints = config.services.iter_mut().flat_map(|service| &mut service.endpoints);
+    endpoints.find(|endpoint| endpoint.address == address)
+}
+
+fn set_leaving(config: &mut Config, address: SocketAddr, leaving: bool) {
+    if let Some(endpoint) = endpoint_at(config, address) {
+        endpoint.leaving = leaving;
+    }
+}
+
+/// Gives an endpoint the name of its next incarnation.
+fn rename(config: &mut Config, address: SocketAddr) {
+    let version = config.version;
+    if let Some(endpoint) = endpoint_at(config, address) {
+        endpoint.name = Name::from(format!("{}-{version}", endpoint.name));
+    }
 }
 
 fn faults(fault: EndpointFault) -> Faults {
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -5,12 +5,16 @@
 //! injected events.
 
 mod customers;
+mod notices;
 
 use std::fmt;
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-pub use self::customers::{CUSTOMER_WINDOW_MS, TakenKey};
+pub use self::{
+    customers::{CUSTOMER_WINDOW_MS, TakenKey},
+    notices::{NoticePeriod, REFUSAL_RETRY_AFTER_MS},
+};
 use crate::{caller::RequestOutcome, work::WorkId};
 
 /// Time limit within which a configuration becomes active on all VMs and an endpoint that
@@ -69,6 +73,8 @@
     TakenKeyStops,
     /// A customer runs no more requests than its rate limit allows.
     CustomerLimitKept,
+    /// An endpoint that says that it leaves, or asks for no requests, gets none.
+    NoticesKept,
 }
 
 /// A violation of an invariant.
@@ -212,6 +218,8 @@
     pub leaving_periods: Vec<LeavingPeriod>,
     /// Periods in which endpoints announced a rate limit.
     pub rate_limit_periods: Vec<RateLimitPeriod>,
+    /// Periods in which endpoints asked for no requests.
+    pub notice_periods: Vec<NoticePeriod>,
     /// API keys that were taken away.
     pub taken_keys: Vec<TakenKey>,
     /// Bound after which no key that was taken away may be served.
@@ -262,6 +270,7 @@
     record.check_unexpected_exits(&mut report);
     record.check_late_crash_runs(&mut report);
     record.check_rate_limits(&mut report);
+    record.check_notices(&mut report);
     record.check_taken_keys(&mut report);
     record.check_customer_limit(&mut report);
     if let Some(description) = record.recovery_failure() {
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -66,6 +66,20 @@
         /// Duration.
         for_ms: u64,
     },
+    /// An endpoint says for a time that it leaves, and then starts again under another name.
+    SayLeaving {
+        /// Index of the endpoint among all endpoints.
+        endpoint: usize,
+        /// Duration.
+        for_ms: u64,
+    },
+    /// An endpoint refuses all requests for a time, and asks each VM for none.
+    RefuseRequests {
+        /// Index of the endpoint among all endpoints.
+        endpoint: usize,
+        /// Duration.
+        for_ms: u64,
+    },
     /// One VM can't reach the platform; the other VMs can.
     CutOffPlatform {
         /// The VM.
@@ -192,6 +206,10 @@
 /// Mean time between two events of customers. They are drawn from a generator of their own, so
 /// that the other events of a seed don't depend on them.
 const MEAN_CUSTOMER_GAP_MS: u64 = 15_000;
+/// Mean time between two notices of endpoints, and what the seed is combined with for the generator
+/// that draws them, for the same reason.
+const MEAN_NOTICE_GAP_MS: u64 = 5_000;
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
 /// Time before the end of the load in which no event starts.
 const FINAL_QUIET_MS: u64 = 5_000;
 /// Largest number of VMs with proxied links. A proxy holds a file descriptor for each VM that
@@ -216,6 +234,8 @@
         generator.add_events(faults.0, faults.1, MEAN_FAULT_GAP_MS, PlanGenerator::fault_event);
         generator.random = Pcg64Mcg::seed_from_u64(!seed);
         generator.add_events(0, end_ms, MEAN_CUSTOMER_GAP_MS, PlanGenerator::customer_event);
+        generator.random = Pcg64Mcg::seed_from_u64(seed ^ NOTICE_SEED);
+        generator.add_events(0, end_ms, MEAN_NOTICE_GAP_MS, PlanGenerator::notice_event);
         generator.steps.sort_by_key(|step| step.at_ms);
         let dispatchers_per_data_centre = if seed.is_multiple_of(2) { 0 } else { 2 };
         Plan { seed, vms, dispatchers_per_data_centre, seconds, steps: generator.steps }
@@ -287,6 +307,8 @@
         match self {
             Event::Leave { endpoint, .. }
             | Event::AnnounceRateLimit { endpoint, .. }
+            | Event::SayLeaving { endpoint, .. }
+            | Event::RefuseRequests { endpoint, .. }
             | Event::EndpointFault { endpoint, .. } => Some(*endpoint),
             _ => None,
         }
@@ -307,6 +329,8 @@
             | Event::HangUp { .. }
             | Event::Leave { .. }
             | Event::AnnounceRateLimit { .. }
+            | Event::SayLeaving { .. }
+            | Event::RefuseRequests { .. }
             | Event::CutOffPlatform { .. }
             | Event::TakeKey { .. }
             | Event::Flood { .. }
@@ -380,6 +404,15 @@
         }
     }
 
+    fn notice_event(&mut self) -> Event {
+        let endpoint = self.endpoint();
+        let for_ms = self.random.random_range(6_000..15_000);
+        match self.random.random_range(0..2) {
+            0 => Event::SayLeaving { endpoint, for_ms },
+            _ => Event::RefuseRequests { endpoint, for_ms },
+        }
+    }
+
     fn fault_event(&mut self) -> Event {
         loop {
             let event = self.random_fault();
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -7,9 +7,9 @@
     caller::RequestOutcome,
     soak::{
         oracle::{
-            Invariant, LeavingPeriod, LoggedRefusals, ObservedVersion, PROPAGATION_LIMIT_MS,
-            Process, PublishedVersion, RECOVERY_LIMIT_MS, RateLimitPeriod, RequestRecord,
-            RunRecord, TakenKey, violations,
+            Invariant, LeavingPeriod, LoggedRefusals, NoticePeriod, ObservedVersion,
+            PROPAGATION_LIMIT_MS, Process, PublishedVersion, RECOVERY_LIMIT_MS, RateLimitPeriod,
+            RequestRecord, RunRecord, TakenKey, violations,
         },
         plan::Plan,
     },
@@ -51,6 +51,12 @@
 }
 
 /// Returns the record of a run without violations.
+/// Returns a period in which many requests arrive at first and none later.
+fn notice_period(leaving: bool) -> NoticePeriod {
+    let arrivals_ms = (25_000..25_400).step_by(50).collect();
+    NoticePeriod { endpoint: "e3".to_owned(), leaving, until_ms: 35_000, arrivals_ms }
+}
+
 fn valid_run() -> RunRecord {
     let stopping =
         Process { stop_requested_ms: Some(5_100), ended_ms: Some(6_000), ..process(1_000) };
@@ -75,6 +81,7 @@
             until_ms: 30_000,
             arrivals_ms: (0..20).map(|second| 5_000 + 1_000 * second).collect(),
         }],
+        notice_periods: vec![notice_period(true), notice_period(false)],
         taken_keys: vec![TakenKey {
             taken_ms: 10_000,
             requests: vec![(WorkId(50), 14_900), (WorkId(51), 15_100)],
@@ -140,6 +147,14 @@
     exceeded.rate_limit_periods[0].arrivals_ms.splice(4..4, vec![9_000; 8]);
     assert_eq!(violated(&exceeded), [Invariant::LimitKept]);
 
+    for index in 0..2 {
+        let mut disregarded = valid_run();
+        disregarded.notice_periods[index].arrivals_ms.extend([28_100; 2]);
+        assert_eq!(violated(&disregarded), [], "the VM may send two requests");
+        disregarded.notice_periods[index].arrivals_ms.push(28_200);
+        assert_eq!(violated(&disregarded), [Invariant::NoticesKept]);
+    }
+
     let mut taken = valid_run();
     taken.executions.insert(WorkId(51), 1);
     assert_eq!(violated(&taken), [Invariant::TakenKeyStops]);
