Demo: an unknown API key, a rotated one, and a customer beyond its rate limit

One deployment requires keys after the load; the report says how each was refused, and the demo fails if a key or the limit didn't hold.

--- a/crates/pistachiotrack-standins/src/demo.rs
+++ b/crates/pistachiotrack-standins/src/demo.rs
@@ -1,5 +1,6 @@
 //! The demo: runs both deployments in their real sizes with a faulty endpoint and a planned
-//! stop in each, and reports the outcomes that the callers observed.
+//! stop in each, then rotates an API key and exceeds a rate limit in one, and reports the outcomes
+//! that the callers observed.
 
 use std::{
     path::PathBuf,
@@ -20,6 +21,7 @@
     workload::operations,
 };
 
+mod customers;
 mod report;
 
 /// Settings of the demo.
@@ -144,6 +146,10 @@
         inject_faults(&deployment, &mut fleet, settings.duration)
     );
     let injected = injected?;
+    let customers = match kind {
+        Kind::Timeliten => Some(customers::demonstrate(&deployment, &mut fleet).await?),
+        Kind::Tlmocnik => None,
+    };
     Ok(DeploymentReport::new(report::Run {
         deployment: &deployment,
         ready,
@@ -154,6 +160,7 @@
         start,
         end: start + settings.duration,
         stop: injected.stop,
+        customers,
     }))
 }
 
--- a/crates/pistachiotrack-standins/src/demo/report.rs
+++ b/crates/pistachiotrack-standins/src/demo/report.rs
@@ -7,7 +7,7 @@
 
 use serde::Serialize;
 
-use super::faulty_endpoint;
+use super::{customers::CustomerReport, faulty_endpoint};
 use crate::{
     caller::Sample,
     deployment::Deployment,
@@ -34,6 +34,7 @@
     pub(super) start: Instant,
     pub(super) end: Instant,
     pub(super) stop: PlannedStop,
+    pub(super) customers: Option<CustomerReport>,
 }
 
 /// Results of one deployment.
@@ -65,6 +66,8 @@
     stopped_vm: String,
     stop_ms: u64,
     stop_exit_code: Option<i32>,
+    /// API keys and rate limits, if the deployment shows them.
+    customers: Option<CustomerReport>,
 }
 
 impl DeploymentReport {
@@ -106,6 +109,7 @@
             stopped_vm: run.stop.vm,
             stop_ms: millis(run.stop.duration),
             stop_exit_code: run.stop.exit_code,
+            customers: run.customers,
         }
     }
 }
@@ -147,10 +151,13 @@
         }
     }
 
-    /// Returns whether the counts are clean and all planned stops exited with code 0.
+    /// Returns whether the counts are clean, all planned stops exited with code 0, and API keys and
+    /// rate limits held.
     pub(super) fn is_clean(&self) -> bool {
+        let customers = self.deployments.iter().filter_map(|report| report.customers.as_ref());
+        let are_customers_clean = customers.into_iter().all(CustomerReport::is_clean);
         let stopped = self.deployments.iter().all(|report| report.stop_exit_code == Some(0));
-        self.counts.is_clean() && self.counts.ok > 0 && stopped
+        self.counts.is_clean() && self.counts.ok > 0 && stopped && are_customers_clean
     }
 }
 
@@ -183,6 +190,13 @@
             ("platform calls", |report| report.platform_calls.to_string()),
             ("stopped VM, ms", |report| format!("{}, {}", report.stopped_vm, report.stop_ms)),
             ("exit code of the stop", |report| optional(report.stop_exit_code)),
+            ("unknown API key", |report| customers(report, |it| reason(&it.unknown_key))),
+            ("failed while a key rotated", |report| {
+                customers(report, |it| it.failed_in_rotation.to_string())
+            }),
+            ("key that was taken away", |report| customers(report, |it| reason(&it.old_key))),
+            ("flood, served", |report| customers(report, |it| it.served.to_string())),
+            ("flood, rate-limited", |report| customers(report, |it| it.rate_limited.to_string())),
         ];
         for (name, value) in rows {
             row(f, name, self.deployments.iter().map(*value))?;
@@ -209,6 +223,14 @@
     writeln!(f)
 }
 
+fn customers(report: &DeploymentReport, value: fn(&CustomerReport) -> String) -> String {
+    report.customers.as_ref().map_or("-".to_owned(), value)
+}
+
+fn reason(reason: &Option<String>) -> String {
+    reason.clone().unwrap_or("served".to_owned())
+}
+
 fn added(added: AddedLatency) -> String {
     format!("{:.2} / {:.2}", added.p50_ms, added.p99_ms)
 }
--- a/crates/pistachiotrack-standins/src/soak/customers.rs
+++ b/crates/pistachiotrack-standins/src/soak/customers.rs
@@ -11,7 +11,6 @@
     config::Config,
     customer::{Customer, CustomerRateLimit},
     name::Name,
-    request::Class,
 };
 use tokio::task::JoinSet;
 
@@ -20,12 +19,11 @@
     caller::{Caller, Operation, default_api_key},
     load::WorkIds,
     work::WorkId,
+    workload::CALENDAR_LOOKUP,
 };
 
 /// Bound after which no VM may serve a key that was taken away.
 pub(super) const KEY_MAX_AGE_S: f64 = 5.0;
-/// Customer that the lookups of this module are sent for.
-const CUSTOMER: &str = "timeliten";
 /// Customer that floods.
 const FLOODING_CUSTOMER: &str = "flooding";
 /// Key that is taken away.
@@ -38,18 +36,6 @@
 /// Time between two requests of the flood.
 const FLOOD_INTERVAL: Duration = Duration::from_millis(15);
 
-const LOOKUP: Operation = Operation {
-    customer: CUSTOMER,
-    api_key: None,
-    service: "centre-calendars",
-    method: "GET",
-    path: "/calendars/majorstuen",
-    class: Class::Interactive,
-    non_idempotent: false,
-    deadline_ms: 1_000,
-    rate_per_s: 0.0,
-};
-
 /// A lookup and the time at which it was sent.
 pub(super) type SentLookup = (WorkId, u64);
 
@@ -74,7 +60,7 @@
 /// Adds or removes the key that is taken away.
 pub(super) fn set_taken_key(config: &mut Config, is_valid: bool) {
     let Ok(key) = TAKEN_KEY.parse::<ApiKeyDigest>() else { return };
-    let is_holder = |customer: &&mut Customer| customer.name.as_str() == CUSTOMER;
+    let is_holder = |customer: &&mut Customer| customer.name.as_str() == CALENDAR_LOOKUP.customer;
     for customer in config.customers.iter_mut().filter(is_holder) {
         customer.api_keys.retain(|other| *other != key);
         if is_valid {
@@ -90,7 +76,7 @@
     clock: RunClock,
     time: Duration,
 ) -> Vec<SentLookup> {
-    let operation = Operation { api_key: Some(TAKEN_KEY), ..LOOKUP };
+    let operation = Operation { api_key: Some(TAKEN_KEY), ..CALENDAR_LOOKUP };
     send_lookups(addresses, ids, clock, (operation, TAKEN_KEY_INTERVAL), time).await
 }
 
@@ -101,7 +87,7 @@
     clock: RunClock,
     time: Duration,
 ) -> Vec<SentLookup> {
-    let operation = Operation { customer: FLOODING_CUSTOMER, ..LOOKUP };
+    let operation = Operation { customer: FLOODING_CUSTOMER, ..CALENDAR_LOOKUP };
     send_lookups(addresses, ids, clock, (operation, FLOOD_INTERVAL), time).await
 }
 
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -9,7 +9,7 @@
 
 use pistachiotrack_core::{
     config::Config, endpoint::Endpoint as ConfiguredEndpoint, endpoint_notice::EndpointNotice,
-    name::Name, request::Class,
+    name::Name,
 };
 use tokio::task::JoinSet;
 
@@ -31,6 +31,7 @@
     link::{LinkFaults, Links, PLATFORM},
     load::WorkIds,
     platform::Availability,
+    workload::CALENDAR_LOOKUP,
 };
 
 /// Time after which a valid configuration replaces an invalid one.
@@ -38,17 +39,8 @@
 /// Time between two requests that crash endpoints.
 const CRASH_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 /// A lookup that crashes the endpoint that runs it.
-const CRASH_REQUEST: Operation = Operation {
-    customer: "timeliten",
-    api_key: None,
-    service: "centre-calendars",
-    method: "GET",
-    path: "/calendars/majorstuen?crash",
-    class: Class::Interactive,
-    non_idempotent: false,
-    deadline_ms: 2_000,
-    rate_per_s: 0.0,
-};
+const CRASH_REQUEST: Operation =
+    Operation { path: "/calendars/majorstuen?crash", deadline_ms: 2_000, ..CALENDAR_LOOKUP };
 const BLOCKED: LinkFaults = LinkFaults { blocked: true, drop_share: 0.0, delay: Duration::ZERO };
 
 /// The deployment under test, into which a plan's steps inject faults.
--- a/crates/pistachiotrack-standins/src/workload.rs
+++ b/crates/pistachiotrack-standins/src/workload.rs
@@ -15,6 +15,10 @@
     pub mix: &'static [(f64, Operation)],
 }
 
+/// A lookup that is sent outside of the workloads.
+pub const CALENDAR_LOOKUP: Operation =
+    lookup("timeliten", "centre-calendars", "/calendars/majorstuen", 1_000);
+
 /// Standard deviation of the logarithm of the service time.
 pub const SIGMA: f64 = 0.3;
 
