--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -4,6 +4,7 @@
 mod pick;
 mod ranking;
 mod rate_limits;
+mod slots;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,7 +12,7 @@
     time::Duration,
 };
 
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
@@ -375,46 +376,6 @@
         })
     }
 
-    pub(super) fn acquire(&mut self, now: Time, name: &str) {
-        if let Some(entry) = self.endpoints.get_mut(name) {
-            entry.last_sent = now;
-            entry.in_flight += 1;
-            self.in_flight += 1;
-            if let Some(rate) = &mut entry.rate {
-                rate.on_sent(now, self.rate_share, self.rng.random());
-            }
-            self.changed_endpoints.push(entry.endpoint.name.clone());
-        }
-    }
-
-    pub(super) fn release(&mut self, name: &str) {
-        let Some(entry) = self.endpoints.get_mut(name) else { return };
-        entry.in_flight -= 1;
-        self.in_flight -= 1;
-        self.changed_endpoints.push(entry.endpoint.name.clone());
-        if !entry.is_configured && entry.in_flight == 0 {
-            self.endpoints.remove(name);
-        }
-    }
-
-    /// Releases a slot at `until`.
-    ///
-    /// When a connection breaks or an attempt is abandoned, the endpoint may still be processing
-    /// it; reusing the slot immediately would give the endpoint more requests than it has slots.
-    /// Processing that continues ends within about the average slot time.
-    pub(super) fn release_later(&mut self, name: &Name, until: Time) {
-        self.next_serial += 1;
-        self.delayed_releases.insert((until, self.next_serial, name.clone()));
-    }
-
-    pub(super) fn release_due(&mut self, now: Time) {
-        while self.delayed_releases.first().is_some_and(|(until, ..)| *until <= now) {
-            if let Some((_, _, name)) = self.delayed_releases.pop_first() {
-                self.release(&name);
-            }
-        }
-    }
-
     pub(super) fn on_success(&mut self, name: &str) {
         if let Some(entry) = self.endpoints.get_mut(name) {
             entry.adaptive_limit.on_success();
@@ -428,39 +389,6 @@
         }
     }
 
-    /// Counts a predecessor's requests against an endpoint until `until`.
-    pub(super) fn set_predecessor_in_flight(&mut self, name: &str, in_flight: u32, until: Time) {
-        if let Some(entry) = self.endpoints.get_mut(name) {
-            entry.predecessor_in_flight = in_flight;
-            entry.predecessor_until = until;
-        }
-    }
-
-    /// Sets how many requests another VM has in flight; the count expires at `until`.
-    pub(super) fn set_peer_in_flight(
-        &mut self,
-        now: Time,
-        name: &str,
-        peer: &Name,
-        count: u32,
-        until: Time,
-    ) {
-        let Some(entry) = self.endpoints.get_mut(name) else { return };
-        let before = entry.peer_counts.iter().find(|(other, ..)| other == peer);
-        if count > before.map_or(0, |(_, count, _)| *count) {
-            entry.last_sent = now;
-        }
-        entry.peer_counts.retain(|(other, ..)| other != peer);
-        if count > 0 {
-            entry.peer_counts.push((peer.clone(), count, until));
-        }
-    }
-
-    /// Returns how many requests this VM has in flight at an endpoint.
-    pub(super) fn in_flight_at(&self, name: &str) -> u32 {
-        self.endpoints.get(name).map_or(0, |entry| entry.in_flight)
-    }
-
     /// Takes the endpoints whose number of requests in flight has changed, each once.
     pub(super) fn take_changed_endpoints(&mut self) -> Vec<Name> {
         let mut changed = std::mem::take(&mut self.changed_endpoints);
@@ -477,13 +405,6 @@
     pub(super) fn configured(&self) -> impl Iterator<Item = &PoolEntry> {
         self.endpoints.values().filter(|entry| entry.is_configured)
     }
-
-    pub(super) fn in_flight_by_endpoint(&self) -> impl Iterator<Item = (&Name, u32)> {
-        self.endpoints
-            .iter()
-            .filter(|(_, entry)| entry.in_flight > 0)
-            .map(|(name, entry)| (name, entry.in_flight))
-    }
 }
 
 fn limit(entry: &PoolEntry, mode: ShardMode, are_limits_halved: bool) -> u32 {
