--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, customer_limits::CustomerLimits,
-    dialect::Dialect, endpoint_notices::NoticeBoard, fleet::LeaseTimes,
+    dialect::Dialect, endpoint_notices::NoticeTable, fleet::LeaseTimes,
     forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics,
     quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
     source::ConfigSource, timer::PauseGate, traffic::Traffic, view::FleetView,
@@ -67,7 +67,7 @@
     /// Shards that this VM dispatches for.
     pub(crate) shards: ShardTable,
     /// What endpoints ask of this VM.
-    pub(crate) notices: Arc<NoticeBoard>,
+    pub(crate) notices: Arc<NoticeTable>,
     /// Connections to endpoints.
     pub(crate) endpoints: Arc<ConnectionPool>,
     /// Connections to other VMs.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -31,7 +31,7 @@
     context::Context,
     customer_limits::{CustomerLimits, REPORT_INTERVAL, UsageReporter},
     dialect::{Dialect, NativeDialect},
-    endpoint_notices::NoticeBoard,
+    endpoint_notices::NoticeTable,
     entries,
     fleet::{Fleet, FleetArgs, LeaseTimes, Leave, SetSeeds, TICK_INTERVAL},
     forward_stats::ForwardStats,
@@ -185,7 +185,7 @@
             view.clone(),
             Arc::clone(&traffic),
         ));
-        let notices = Arc::new(NoticeBoard::new(clock));
+        let notices = Arc::new(NoticeTable::new(clock));
         let shards = ShardTable::new(ShardTableArgs {
             clock,
             notices: Arc::clone(&notices),
--- a/crates/pistachiotrackd/src/endpoint_notices.rs
+++ b/crates/pistachiotrackd/src/endpoint_notices.rs
@@ -46,7 +46,7 @@
 
 /// Record of the notices of all endpoints.
 #[derive(Debug)]
-pub(crate) struct NoticeBoard {
+pub(crate) struct NoticeTable {
     clock: Clock,
     services: Mutex<FxHashMap<Name, ServiceNotices>>,
 }
@@ -58,10 +58,10 @@
     shards: Vec<WeakActorRef<ShardActor>>,
 }
 
-impl NoticeBoard {
+impl NoticeTable {
     /// Creates an empty record.
-    pub(crate) fn new(clock: Clock) -> NoticeBoard {
-        NoticeBoard { clock, services: Mutex::default() }
+    pub(crate) fn new(clock: Clock) -> NoticeTable {
+        NoticeTable { clock, services: Mutex::default() }
     }
 
     /// Sends notices of a service's endpoints to a shard from now on; returns those on record.
@@ -137,7 +137,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointGate {
     /// The record of notices.
-    pub(crate) notices: Arc<NoticeBoard>,
+    pub(crate) notices: Arc<NoticeTable>,
     /// Service of the endpoint.
     pub(crate) service: Name,
     /// The endpoint.
--- a/crates/pistachiotrackd/src/relay_server.rs
+++ b/crates/pistachiotrackd/src/relay_server.rs
@@ -72,8 +72,10 @@
 }
 
 /// Parses the relay request and returns it with the endpoint's service and the number of
-/// connections that this VM may have open to the endpoint. Returns `None` if the configuration has no such endpoint, so that an
-/// invalid message can't make this VM send requests to other addresses.
+/// connections that this VM may have open to the endpoint.
+///
+/// Returns `None` if the configuration has no such endpoint, so that an invalid message can't make
+/// this VM send requests to other addresses.
 fn read_relay_request(context: &Context, fields: &HeaderMap) -> Option<(RelayRequest, Name, u32)> {
     let relay_request: RelayRequest =
         serde_json::from_str(headers::text(fields, header::VIA)?).ok()?;
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -36,7 +36,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
-    endpoint_notices::{EndpointGate, NoticeBoard, NoticeSource},
+    endpoint_notices::{EndpointGate, NoticeSource, NoticeTable},
     path_check::PathCheck,
     probe::Probe,
     shard_table::{ShardStatus, ShardStatusTable},
@@ -93,7 +93,7 @@
     /// Dialect of the endpoints.
     pub(crate) dialect: Arc<dyn Dialect>,
     /// What endpoints ask of this VM.
-    pub(crate) notices: Arc<NoticeBoard>,
+    pub(crate) notices: Arc<NoticeTable>,
     /// Idle time after which a shard that this VM doesn't own is stopped.
     pub(crate) non_owner_idle: Duration,
 }
@@ -112,7 +112,7 @@
     path_check: PathCheck,
     update_link: Arc<ShardUpdateLink>,
     dialect: Arc<dyn Dialect>,
-    notices: Arc<NoticeBoard>,
+    notices: Arc<NoticeTable>,
     actor_ref: WeakActorRef<ShardActor>,
     requests: FxHashMap<RequestId, UnboundedSender<Command>>,
     mode: ShardMode,
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -26,7 +26,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
-    endpoint_notices::NoticeBoard,
+    endpoint_notices::NoticeTable,
     path_check::PathCheck,
     shard_actor::{PeerUpdate, SendHandOver, SetMode, ShardActor, ShardArgs},
     shard_update_link::{ShardDatagram, ShardUpdateLink},
@@ -62,7 +62,7 @@
     /// Dialect of the endpoints.
     pub(crate) dialect: Arc<dyn Dialect>,
     /// What endpoints ask of this VM.
-    pub(crate) notices: Arc<NoticeBoard>,
+    pub(crate) notices: Arc<NoticeTable>,
     /// Idle time after which a shard that this VM doesn't own is stopped.
     pub(crate) non_owner_idle: Duration,
     /// Seed of all random choices.
