The status of endpoints shows for how long one refuses requests

Operators saw an endpoint as healthy that got nothing, as it had asked for that. No decision uses it.

--- a/crates/pistachiotrack-core/src/admin.rs
+++ b/crates/pistachiotrack-core/src/admin.rs
@@ -77,6 +77,9 @@
     /// Requests per second that the endpoint accepts from all VMs, if it announces a limit.
     #[serde(default)]
     pub rate_limit: Option<f64>,
+    /// Time for which the endpoint accepts no requests from the VM, if it has asked for that.
+    #[serde(default)]
+    pub refuses_ms: Option<u64>,
     /// Evidence against the endpoint, as a log-likelihood ratio.
     pub evidence: f64,
     /// Reason of the last ejection.
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -91,6 +91,11 @@
         self.rate.as_ref().and_then(SharedRateLimiter::limit)
     }
 
+    /// Returns until when it accepts no requests from this VM, if it has asked for that.
+    pub(super) fn refuses_until(&self) -> Option<Time> {
+        self.refuses_until
+    }
+
     fn accepts_requests(&self) -> bool {
         self.refuses_until.is_none() && self.would_accept_requests()
     }
--- a/crates/pistachiotrack-core/src/shard/status.rs
+++ b/crates/pistachiotrack-core/src/shard/status.rs
@@ -11,7 +11,7 @@
 
 impl Shard {
     /// Returns the status of the endpoints for the admin port.
-    pub fn endpoints(&self, _now: Time) -> Vec<EndpointStatus> {
+    pub fn endpoints(&self, now: Time) -> Vec<EndpointStatus> {
         let mode = self.pool.mode();
         self.pool
             .configured()
@@ -24,6 +24,9 @@
                     in_flight: entry.in_flight,
                     limit: entry.limit,
                     rate_limit: entry.rate_limit().map(RateLimit::per_second),
+                    refuses_ms: entry
+                        .refuses_until()
+                        .map(|until| until.since(now).as_millis() as u64),
                     evidence: self.health.evidence(name),
                     mode: Name::from(mode.as_str()),
                     reason: self
--- a/crates/pistachiotrack-core/tests/endpoint_notices.rs
+++ b/crates/pistachiotrack-core/tests/endpoint_notices.rs
@@ -165,6 +165,14 @@
     }
 }
 
+#[test]
+fn the_status_shows_the_time_without_requests() {
+    let mut shard = shard(2);
+    refuse_for(&mut shard, 0, Duration::from_secs(3));
+    let refuses_ms = shard.endpoints(after(1_000)).into_iter().map(|status| status.refuses_ms);
+    assert_eq!(refuses_ms.collect::<Vec<_>>(), [Some(2_000), None]);
+}
+
 /// Guards against requests that are refused although an endpoint takes them soon enough.
 #[test]
 fn a_request_waits_for_the_end_of_a_short_time_without_endpoints() {
