One way to the gate of an endpoint; the demo takes reasons from core; plainer words

Found when the change was read again. Three places built the gate from its parts; the demo repeated two names of reasons and raised a version twice; queued requests are not looked through while an endpoint accepts any.

--- a/crates/pistachiotrack-core/src/shard/notices.rs
+++ b/crates/pistachiotrack-core/src/shard/notices.rs
@@ -90,6 +90,10 @@
     /// Refuses the queued requests for which no endpoint is there in time, also behind others that
     /// can wait.
     pub(super) fn refuse_closed(&mut self, now: Time) {
+        // An endpoint for requests that must not run twice is one for all.
+        if self.pool.usable_endpoints(false) > 0 {
+            return;
+        }
         let is_queued = |pending: &PendingRequest| pending.phase == Phase::Queued;
         let queued = self.pending.iter().filter(|(_, pending)| is_queued(pending));
         let mut closed: Vec<RequestId> =
--- a/crates/pistachiotrack-standins/src/demo/customers.rs
+++ b/crates/pistachiotrack-standins/src/demo/customers.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use pistachiotrack_core::{
     admin::Status, api_key::ApiKeyDigest, config::Config, customer::CustomerRateLimit,
+    refusal::Reason,
 };
 use serde::Serialize;
 
@@ -26,10 +27,6 @@
 /// Time within which a published configuration must be in force on all VMs.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
 
-/// Reasons with which requests are refused.
-const API_KEY: &str = "api-key";
-const RATE_LIMITED: &str = "rate-limited";
-
 /// What callers saw.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub(super) struct CustomerReport {
@@ -47,7 +44,8 @@
 impl CustomerReport {
     /// Returns whether the keys and the limit held.
     pub(super) fn is_clean(&self) -> bool {
-        let is_refused = |reason: &Option<String>| reason.as_deref() == Some(API_KEY);
+        let is_refused =
+            |reason: &Option<String>| reason.as_deref() == Some(Reason::ApiKey.as_str());
         is_refused(&self.unknown_key)
             && is_refused(&self.old_key)
             && self.failed_in_rotation == 0
@@ -68,7 +66,6 @@
     let caller = Caller::direct(fleet.caller_addresses());
     let mut demonstration = Demonstration { deployment, fleet, caller, ids: WorkIds::default() };
     let mut config = deployment.config.clone();
-    config.version += 1;
     demonstration.publish(&mut config, &[OLD_KEY], None).await?;
     let (_, unknown_key) = demonstration.send(UNKNOWN_KEY).await;
     let mut failed_in_rotation = 0;
@@ -85,7 +82,8 @@
     for _ in 0..FLOOD {
         flood.push(demonstration.send(NEW_KEY).await);
     }
-    let is_limited = |(_, reason): &&(_, Option<String>)| reason.as_deref() == Some(RATE_LIMITED);
+    let rate_limited = Some(Reason::RateLimited.as_str());
+    let is_limited = |(_, reason): &&(_, Option<String>)| reason.as_deref() == rate_limited;
     Ok(CustomerReport {
         unknown_key,
         failed_in_rotation,
--- a/crates/pistachiotrack-standins/src/demo/report.rs
+++ b/crates/pistachiotrack-standins/src/demo/report.rs
@@ -154,8 +154,8 @@
     /// Returns whether the counts are clean, all planned stops exited with code 0, and API keys and
     /// rate limits held.
     pub(super) fn is_clean(&self) -> bool {
-        let customers = self.deployments.iter().filter_map(|report| report.customers.as_ref());
-        let are_customers_clean = customers.into_iter().all(CustomerReport::is_clean);
+        let mut customers = self.deployments.iter().filter_map(|report| report.customers.as_ref());
+        let are_customers_clean = customers.all(CustomerReport::is_clean);
         let stopped = self.deployments.iter().all(|report| report.stop_exit_code == Some(0));
         self.counts.is_clean() && self.counts.ok > 0 && stopped && are_customers_clean
     }
--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -14,7 +14,7 @@
     connection_pool::{CheckoutError, ConnectionPool},
     context::Context,
     dialect::{AnswerKind, AnswerMetadata, OutgoingMetadata},
-    endpoint_notices::{EndpointGate, NoticeSource},
+    endpoint_notices::NoticeSource,
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     inbound::Inbound,
     relay_client::{self, RelayError, RelayResult},
@@ -61,11 +61,7 @@
         customer: inbound.route.identified.as_ref(),
     };
     let head = request_head(&context, &inbound, metadata);
-    let gate = EndpointGate {
-        notices: Arc::clone(&context.notices),
-        service: inbound.route.shard.service.clone(),
-        endpoint: dispatch.endpoint.clone(),
-    };
+    let gate = context.notices.gate(&inbound.route.shard.service, &dispatch.endpoint);
     let (pool, result) = match &dispatch.relay {
         None => {
             let target = Target {
--- a/crates/pistachiotrackd/src/endpoint_notices.rs
+++ b/crates/pistachiotrackd/src/endpoint_notices.rs
@@ -77,6 +77,12 @@
         })
     }
 
+    /// Returns the gate that requests to an endpoint pass.
+    pub(crate) fn gate(self: &Arc<Self>, service: &Name, endpoint: &Name) -> EndpointGate {
+        let notices = Arc::clone(self);
+        EndpointGate { notices, service: service.clone(), endpoint: endpoint.clone() }
+    }
+
     /// Records a notice and sends it to the shards of the service.
     ///
     /// A shard receives it before any outcome that is reported to it afterwards.
@@ -136,10 +142,8 @@
 /// endpoint may have asked for none while the request waited for a connection.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointGate {
-    /// The record of notices.
-    pub(crate) notices: Arc<NoticeTable>,
-    /// Service of the endpoint.
-    pub(crate) service: Name,
+    notices: Arc<NoticeTable>,
+    service: Name,
     /// The endpoint.
     pub(crate) endpoint: Name,
 }
--- a/crates/pistachiotrackd/src/relay_server.rs
+++ b/crates/pistachiotrackd/src/relay_server.rs
@@ -14,7 +14,7 @@
     body::{self, AnswerBody},
     context::Context,
     dialect::OutgoingMetadata,
-    endpoint_notices::{EndpointGate, NoticeSource},
+    endpoint_notices::NoticeSource,
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     headers,
     inbound::origin_form,
@@ -33,11 +33,7 @@
     else {
         return failure_response(RelayResult::Refused);
     };
-    let gate = EndpointGate {
-        notices: Arc::clone(&context.notices),
-        service,
-        endpoint: relay_request.endpoint.clone(),
-    };
+    let gate = context.notices.gate(&service, &relay_request.endpoint);
     let time_limit = received + Duration::from_micros(relay_request.time_limit_us);
     let target = Target {
         address: relay_request.address,
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -36,7 +36,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
-    endpoint_notices::{EndpointGate, NoticeSource, NoticeTable},
+    endpoint_notices::{NoticeSource, NoticeTable},
     path_check::PathCheck,
     probe::Probe,
     shard_table::{ShardStatus, ShardStatusTable},
@@ -370,11 +370,7 @@
             }
             ShardAction::Probe { attempt, endpoint, address, path, time_limit } => {
                 let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
-                let gate = EndpointGate {
-                    notices: Arc::clone(&self.notices),
-                    service: self.id.service.clone(),
-                    endpoint,
-                };
+                let gate = self.notices.gate(&self.id.service, &endpoint);
                 let probe = Probe { attempt, gate, address, path, time_limit };
                 let pool = Arc::clone(&self.endpoints);
                 let dialect = Arc::clone(&self.dialect);
