--- a/crates/pistachiotrackd/tests/quarantine.rs
+++ b/crates/pistachiotrackd/tests/quarantine.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use testenv::{
     client,
-    crashing::{CRASHING_PATH, Runs, WORK_TIME, start_endpoints, start_endpoints_crashing_until},
+    crashing::{CRASHING_PATH, Runs, WORK_TIME, start_endpoints, start_endpoints_crashing},
     endpoint::{Endpoint, read_head},
     fleet::{Vm, bounded, send_periodically, start_dispatchers},
 };
@@ -73,8 +73,7 @@
     bounded(async {
         let runs = Runs::default();
         let endpoints =
-            start_endpoints_crashing_until(CRASHES_TO_QUARANTINE, &runs, CRASHES_TO_QUARANTINE)
-                .await;
+            start_endpoints_crashing(CRASHES_TO_QUARANTINE, &runs, CRASHES_TO_QUARANTINE).await;
         let (_platform, vms) = start_dispatchers(VMS, &endpoints).await;
         let trial = Duration::from_millis(QuarantineSettings::default().first_trial_ms);
         let answers =
--- a/crates/pistachiotrackd/tests/testenv/crashing.rs
+++ b/crates/pistachiotrackd/tests/testenv/crashing.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -27,28 +30,71 @@
 
 /// Starts endpoints that crash when they run [`CRASHING_PATH`] and answer all other requests.
 pub(crate) async fn start_endpoints(count: usize, runs: &Runs) -> Vec<SocketAddr> {
-    start_endpoints_crashing_until(count, runs, usize::MAX).await
+    start_endpoints_crashing(count, runs, usize::MAX).await
 }
 
-/// Starts endpoints that crash when they run [`CRASHING_PATH`], for the first `crashing_runs` runs.
-pub(crate) async fn start_endpoints_crashing_until(
+/// Starts endpoints that crash when they run [`CRASHING_PATH`], until there have been `max_crashes`.
+///
+/// Crashes are counted, not runs: two runs at the same endpoint at the same time are one crash.
+pub(crate) async fn start_endpoints_crashing(
     count: usize,
     runs: &Runs,
-    crashing_runs: usize,
+    max_crashes: usize,
 ) -> Vec<SocketAddr> {
+    let remaining_crashes = Arc::new(Mutex::new(max_crashes));
     let mut endpoints = Vec::new();
     for _ in 0..count {
-        endpoints.push(start_endpoint(Arc::clone(runs), crashing_runs).await);
+        let crashes = Crashes { runs: Arc::clone(runs), remaining: Arc::clone(&remaining_crashes) };
+        endpoints.push(start_endpoint(crashes).await);
     }
     endpoints
 }
 
-async fn start_endpoint(runs: Runs, crashing_runs: usize) -> SocketAddr {
+/// Runs of the request that crashes endpoints, and how many crashes of all of them are still to come.
+#[derive(Clone)]
+struct Crashes {
+    runs: Runs,
+    remaining: Arc<Mutex<usize>>,
+}
+
+impl Crashes {
+    /// Takes one of the remaining crashes, if there are any.
+    fn take(&self) -> bool {
+        let mut remaining = self.remaining.lock().unwrap();
+        let is_left = *remaining > 0;
+        *remaining = remaining.saturating_sub(1);
+        is_left
+    }
+}
+
+/// Crash of one endpoint, which all its connections share.
+#[derive(Default)]
+struct Crash {
+    begun: Notify,
+    has_begun: AtomicBool,
+}
+
+impl Crash {
+    /// Begins the crash if one remains; returns whether the endpoint is crashing.
+    fn begin(&self, crashes: &Crashes) -> bool {
+        if self.has_begun.load(Ordering::SeqCst) {
+            return true;
+        }
+        let begins = crashes.take();
+        self.has_begun.store(begins, Ordering::SeqCst);
+        if begins {
+            self.begun.notify_one();
+        }
+        begins
+    }
+}
+
+async fn start_endpoint(crashes: Crashes) -> SocketAddr {
     let mut listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
-            serve_until_crash(listener, &runs, crashing_runs).await;
+            serve_until_crash(listener, &crashes).await;
             tokio::time::sleep(DOWNTIME).await;
             listener = TcpListener::bind(address).await.unwrap();
         }
@@ -56,31 +102,29 @@
     address
 }
 
-async fn serve_until_crash(listener: TcpListener, runs: &Runs, crashing_runs: usize) {
-    let crash = Arc::new(Notify::new());
+async fn serve_until_crash(listener: TcpListener, crashes: &Crashes) {
+    let crash = Arc::new(Crash::default());
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
+            biased;
+            () = crash.begun.notified() => return,
             accepted = listener.accept() => {
                 let (stream, _) = accepted.unwrap();
-                let (runs, crash) = (Arc::clone(runs), Arc::clone(&crash));
-                connections.spawn(serve(stream, runs, crashing_runs, crash));
+                connections.spawn(serve(stream, crashes.clone(), Arc::clone(&crash)));
             }
-            () = crash.notified() => return,
         }
     }
 }
 
-async fn serve(mut stream: TcpStream, runs: Runs, crashing_runs: usize, crash: Arc<Notify>) {
+async fn serve(mut stream: TcpStream, crashes: Crashes, crash: Arc<Crash>) {
     while let Some(line) = read_request_line(&mut stream).await {
-        let crashes = line.contains(CRASHING_PATH) && {
-            let mut runs = runs.lock().unwrap();
-            runs.push(Instant::now());
-            runs.len() <= crashing_runs
-        };
+        let may_crash = line.contains(CRASHING_PATH);
+        if may_crash {
+            crashes.runs.lock().unwrap().push(Instant::now());
+        }
         tokio::time::sleep(WORK_TIME).await;
-        if crashes {
-            crash.notify_one();
+        if may_crash && crash.begin(&crashes) {
             return std::future::pending().await;
         }
         let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
