A history that exceeds a customer's rate limit is kept as a test, known red

Its histories are random; this one, shrunk by quickcheck, fails in each play: 1228 requests in 5 s, 1220 tolerated, on two sides of a cut. The property test is listed too, since it meets the same fault at random; its generator, number of histories and bound are unchanged.

--- a/crates/pistachiotrack-core/tests/customer_limit.rs
+++ b/crates/pistachiotrack-core/tests/customer_limit.rs
@@ -349,25 +349,43 @@
     }
 }
 
+/// Returns the largest window of a history.
+fn largest_window_of(seed: u64, steps: &[Step]) -> f64 {
+    let mut fleet = Fleet::new(Way::Reports, 6, seed);
+    for step in steps {
+        match *step {
+            Step::Run { half_seconds, per_second, vms } => {
+                let time = Duration::from_millis(500) * u32::from(half_seconds);
+                fleet.run(time, f64::from(per_second), evenly(vms.into()));
+            }
+            Step::Cut { vms } => fleet.sides[..usize::from(vms) % 6].fill(1),
+            Step::Heal => fleet.sides.fill(0),
+            Step::Restart { vm } => fleet.restart(usize::from(vm) % 6),
+            Step::Loss { percent } => fleet.loss = f64::from(percent) / 100.0,
+        }
+    }
+    fleet.largest_window(Time::ZERO)
+}
+
 /// Whatever is cut off, lost and restarted (each VM alone): no window exceeds what is tolerated.
 #[test]
 fn no_window_exceeds_the_limit() {
     fn check(seed: u64, steps: Vec<Step>) -> bool {
-        let mut fleet = Fleet::new(Way::Reports, 6, seed);
-        for step in steps {
-            match step {
-                Step::Run { half_seconds, per_second, vms } => {
-                    let time = Duration::from_millis(500) * u32::from(half_seconds);
-                    fleet.run(time, f64::from(per_second), evenly(vms.into()));
-                }
-                Step::Cut { vms } => fleet.sides[..usize::from(vms) % 6].fill(1),
-                Step::Heal => fleet.sides.fill(0),
-                Step::Restart { vm } => fleet.restart(usize::from(vm) % 6),
-                Step::Loss { percent } => fleet.loss = f64::from(percent) / 100.0,
-            }
-        }
-        fleet.largest_window(Time::ZERO) <= tolerated(LIMIT)
+        largest_window_of(seed, &steps) <= tolerated(LIMIT)
     }
     let generator = Gen::new(20);
     QuickCheck::new().rng(generator).tests(60).quickcheck(check as fn(u64, Vec<Step>) -> bool);
 }
+
+/// Guards against a flood of which the two sides of a cut together admit more than is tolerated.
+#[test]
+fn a_flood_after_a_cut_stays_within_the_limit() {
+    let steps = [
+        Step::Run { half_seconds: 5, per_second: 68, vms: 5 },
+        Step::Cut { vms: 141 },
+        Step::Run { half_seconds: 6, per_second: 764, vms: 6 },
+        Step::Run { half_seconds: 6, per_second: 892, vms: 6 },
+    ];
+    let largest = largest_window_of(0, &steps);
+    assert!(largest <= tolerated(LIMIT), "{largest}, {} tolerated", tolerated(LIMIT));
+}
