--- a/crates/pistachiotrack-core/tests/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/tests/fleet_retry_budget.rs
@@ -32,6 +32,29 @@
     restarts: Vec<u64>,
     /// Steps at which another VM replaces a dispatcher.
     replacements: Vec<u64>,
+    partition: Option<Partition>,
+}
+
+/// Some dispatchers lose their links to all other VMs, while callers and endpoints reach them.
+#[derive(Clone, Copy, Debug)]
+struct Partition {
+    from_step: u64,
+    until_step: u64,
+    /// Number of dispatchers that are partitioned off, each on its own.
+    dispatchers: usize,
+}
+
+/// Steps after which the VMs notice a partition or its end.
+const DETECTION_STEPS: u64 = 200;
+
+impl Partition {
+    fn holds_at(&self, step: u64) -> bool {
+        (self.from_step..self.until_step).contains(&step)
+    }
+
+    fn separates(&self, a: usize, b: usize) -> bool {
+        a != b && (a < self.dispatchers || b < self.dispatchers)
+    }
 }
 
 impl Arbitrary for Scenario {
@@ -46,6 +69,7 @@
             delay_ms: 0,
             restarts: vec![first, first + 1_500],
             replacements: (0..below(g, 8)).map(|_| below(g, STEPS)).collect(),
+            partition: None,
         }
     }
 }
@@ -60,6 +84,8 @@
     delay_ms: u64,
     in_transit: VecDeque<Update>,
     sent: Vec<(Time, bool)>,
+    /// The partition, while it holds.
+    partition: Option<Partition>,
 }
 
 /// Update from one VM to another, with its arrival time.
@@ -81,6 +107,7 @@
             delay_ms: scenario.delay_ms,
             in_transit: VecDeque::new(),
             sent: Vec::new(),
+            partition: None,
         };
         fleet.restart(now);
         fleet
@@ -122,6 +149,21 @@
         }
     }
 
+    /// Sets what the VMs see of each other after they have noticed a partition or its end.
+    fn detect(&mut self, now: Time, partition: Option<Partition>) {
+        let cut_off = partition.map_or(0, |partition| partition.dispatchers);
+        for vm in 0..VMS {
+            let visible = match vm < cut_off {
+                true => VisibleDispatchers { count: 1, is_member: true },
+                false => VisibleDispatchers {
+                    count: (DISPATCHERS - cut_off) as u32,
+                    ..self.visible_to(vm)
+                },
+            };
+            self.budgets[vm].set_visible_dispatchers(now, visible);
+        }
+    }
+
     /// Sends a request, and retries it if it fails.
     fn serve(&mut self, now: Time, failed_percent: u32) {
         let is_stale_address = self.chance(10);
@@ -137,7 +179,8 @@
         }
         let (from, total) = (Name::from(format!("vm-{vm}")), self.budgets[vm].total());
         for to in self.dispatchers.clone() {
-            if to != vm && !self.chance(self.lost_percent) {
+            let is_cut = self.partition.is_some_and(|partition| partition.separates(vm, to));
+            if to != vm && !is_cut && !self.chance(self.lost_percent) {
                 let at = now + Duration::from_millis(self.delay_ms);
                 self.in_transit.push_back(Update { at, from: from.clone(), to, total });
             }
@@ -183,8 +226,17 @@
         if scenario.replacements.contains(&step) {
             fleet.replace_dispatcher(now);
         }
+        if let Some(partition) = scenario.partition {
+            fleet.partition = Some(partition).filter(|partition| partition.holds_at(step));
+            if step == partition.from_step + DETECTION_STEPS {
+                fleet.detect(now, Some(partition));
+            } else if step == partition.until_step + DETECTION_STEPS {
+                fleet.detect(now, None);
+            }
+        }
+        let is_calm = scenario.partition.is_some_and(|partition| step < partition.from_step);
         if fleet.chance(scenario.requests_percent) {
-            fleet.serve(now, scenario.failed_percent);
+            fleet.serve(now, if is_calm { 0 } else { scenario.failed_percent });
         }
     }
     fleet
@@ -218,6 +270,7 @@
             delay_ms: 400,
             restarts: Vec::new(),
             replacements: Vec::new(),
+            partition: None,
         };
         let fleet = simulate(&scenario);
         assert!(fleet.excess() <= 0.0, "{:.1} retries too many, seed {seed}", fleet.excess());
@@ -236,6 +289,7 @@
         delay_ms: 0,
         restarts: Vec::new(),
         replacements: Vec::new(),
+        partition: None,
     };
     let fleet = simulate(&scenario);
     let requests = fleet.sent.len() - fleet.retries();
@@ -270,6 +324,33 @@
     assert!(taken <= LIMIT.slack as usize / DISPATCHERS, "{taken} retries");
 }
 
+/// Endpoints begin to fail when dispatchers are partitioned off from the other VMs. Each side would
+/// use the retries that both have earned before.
+#[test]
+fn partitioned_dispatchers_do_not_use_the_same_retries() {
+    let mut worst = (f64::MIN, None);
+    for seed in 0..12 {
+        for dispatchers in [1, 2, 3] {
+            let partition = Partition { from_step: 1_500, until_step: 2_500, dispatchers };
+            let scenario = Scenario {
+                seed,
+                requests_percent: 90,
+                failed_percent: if seed < 6 { 40 } else { 70 },
+                lost_percent: 0,
+                delay_ms: 0,
+                restarts: Vec::new(),
+                replacements: Vec::new(),
+                partition: Some(partition),
+            };
+            let excess = simulate(&scenario).excess();
+            if excess > worst.0 {
+                worst = (excess, Some(scenario));
+            }
+        }
+    }
+    assert!(worst.0 <= 0.0, "{:.1} retries too many in {:?}", worst.0, worst.1);
+}
+
 /// Hedges only save time. While endpoints fail, they must leave half of the retries to requests that
 /// would fail without one.
 #[test]
