--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -14,7 +14,7 @@
     /// Budget of an owner, which sends all of the shard's requests.
     Owner(RetryBudget),
     /// Budget that the dispatchers of a shared service maintain together.
-    Fleet(FleetRetryBudget),
+    Fleet(Box<FleetRetryBudget>),
 }
 
 impl ShardRetryBudget {
@@ -35,7 +35,7 @@
             let expected = expected_dispatchers(config, service);
             let mut budget = FleetRetryBudget::new(now, limit, expected, count_id);
             budget.set_divides_remaining(settings.feature_flags.retry_division);
-            retry_budget = ShardRetryBudget::Fleet(budget);
+            retry_budget = ShardRetryBudget::Fleet(Box::new(budget));
         }
         retry_budget.configure(now, config, service);
         retry_budget
--- a/crates/pistachiotrack-core/tests/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/tests/fleet_retry_budget.rs
@@ -149,17 +149,29 @@
         }
     }
 
-    /// Sets what the VMs see of each other after they have noticed a partition or its end.
-    fn detect(&mut self, now: Time, partition: Option<Partition>) {
-        let cut_off = partition.map_or(0, |partition| partition.dispatchers);
+    /// Sets what the VMs see of each other after they have noticed a partition: each VM that is cut
+    /// off sees only itself, and the others replace it by a VM that takes a snapshot.
+    fn detect_partition(&mut self, now: Time, partition: Partition) {
+        for vm in 0..partition.dispatchers {
+            let visible = VisibleDispatchers { count: 1, is_member: true };
+            self.budgets[vm].set_visible_dispatchers(now, visible);
+        }
+        let count = DISPATCHERS as u32;
+        let source = DISPATCHERS - 1;
+        let history = self.budgets[source].history(now);
+        for new in DISPATCHERS..DISPATCHERS + partition.dispatchers {
+            let visible = VisibleDispatchers { count, is_member: true };
+            self.budgets[new].set_visible_dispatchers(now, visible);
+            self.budgets[new].on_history(now, &history);
+            self.dispatchers.push(new);
+        }
+    }
+
+    /// Sets what the VMs see of each other after they have noticed the end of a partition.
+    fn detect_end(&mut self, now: Time) {
+        self.dispatchers = (0..DISPATCHERS).collect();
         for vm in 0..VMS {
-            let visible = match vm < cut_off {
-                true => VisibleDispatchers { count: 1, is_member: true },
-                false => VisibleDispatchers {
-                    count: (DISPATCHERS - cut_off) as u32,
-                    ..self.visible_to(vm)
-                },
-            };
+            let visible = self.visible_to(vm);
             self.budgets[vm].set_visible_dispatchers(now, visible);
         }
     }
@@ -170,7 +182,7 @@
         let draw = self.rng.next_u32() as usize;
         let vm = match is_stale_address {
             true => draw % VMS,
-            false => self.dispatchers[draw % DISPATCHERS],
+            false => self.dispatchers[draw % self.dispatchers.len()],
         };
         self.budgets[vm].on_request(now);
         self.sent.push((now, false));
@@ -229,9 +241,9 @@
         if let Some(partition) = scenario.partition {
             fleet.partition = Some(partition).filter(|partition| partition.holds_at(step));
             if step == partition.from_step + DETECTION_STEPS {
-                fleet.detect(now, Some(partition));
+                fleet.detect_partition(now, partition);
             } else if step == partition.until_step + DETECTION_STEPS {
-                fleet.detect(now, None);
+                fleet.detect_end(now);
             }
         }
         let is_calm = scenario.partition.is_some_and(|partition| step < partition.from_step);
