--- a/crates/pistachiotrackd/tests/testenv/fleet.rs
+++ b/crates/pistachiotrackd/tests/testenv/fleet.rs
@@ -76,6 +76,12 @@
         self.runtime.as_ref().unwrap().spawn(async { daemon.run_until_signal().await.unwrap() })
     }
 
+    /// Blocks or unblocks the paths from this VM to endpoints.
+    pub(crate) fn set_paths_blocked(&self, endpoints: &[&Endpoint], is_blocked: bool) {
+        let daemon = self.daemon.as_ref().unwrap();
+        endpoints.iter().for_each(|endpoint| daemon.set_path_blocked(endpoint.address, is_blocked));
+    }
+
     /// Begins to stop the daemon gracefully.
     pub(crate) fn stop(&mut self) -> JoinHandle<()> {
         let daemon = self.daemon.take().unwrap();
