A VM that reaches no endpoint hands its requests to one that does

Cause: nothing concluded that the VM itself couldn't serve. Each endpoint was judged on its own, requests were dispatched to what couldn't be reached and refused where they had come in, and peers went on naming the VM to callers and choosing it as a dispatcher, since it answered them.

Ruled out: endpoints that others avoided because of it; the VMs outside the cut served what they got.

A VM now concludes it from failed connections to all endpoints that it tries and another VM that reaches one of them, so that endpoints that are down for all cut nobody off.

--- a/crates/pistachiotrack-core/benches/membership.rs
+++ b/crates/pistachiotrack-core/benches/membership.rs
@@ -265,6 +265,7 @@
             since: Time::from_millis(1),
             config_version: None,
             last_platform_response: None,
+            is_cut_off: false,
         })
         .collect()
 }
--- a/crates/pistachiotrack-core/src/copies.rs
+++ b/crates/pistachiotrack-core/src/copies.rs
@@ -38,12 +38,24 @@
 }
 
 impl Undispatched {
-    /// Creates the state of a request that this process has just read from its connection; there
-    /// is no other way to create one.
+    /// Creates the state of a request that this process has just read from its connection.
     pub fn on_arrival() -> Undispatched {
         Undispatched { sent: Vec::new() }
     }
 
+    /// Takes a refusal back that has not been given to the caller, so that the request can be sent
+    /// to another VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the request may have run.
+    pub fn from_refusal(refusal: Refusal) -> Result<Undispatched, Refusal> {
+        match refusal.execution() {
+            Execution::NotRun => Ok(Undispatched { sent: refusal.into_sent() }),
+            Execution::Unknown => Err(refusal),
+        }
+    }
+
     /// Refuses the request as not run; it can't be sent afterwards.
     pub fn refuse(self, reason: Reason, retry_after_ms: Option<u64>) -> Refusal {
         Refusal::new(Execution::NotRun, reason, retry_after_ms, self.sent)
--- a/crates/pistachiotrack-core/src/health/rotation.rs
+++ b/crates/pistachiotrack-core/src/health/rotation.rs
@@ -88,6 +88,33 @@
         self.endpoints[position].phase = Phase::PathBroken { until: now + PATH_RETRY_DELAY };
     }
 
+    /// Handles that this VM reaches endpoints again after it reached none: endpoints that were
+    /// ejected for that get requests again, with a slow start.
+    pub fn on_paths_restored(&mut self, now: Time) -> Vec<HealthAction> {
+        let mut actions = Vec::new();
+        for position in 0..self.endpoints.len() {
+            let state = &mut self.endpoints[position];
+            let is_out = matches!(
+                state.phase,
+                Phase::Ejected { .. } | Phase::PathBroken { .. } | Phase::Trial { .. }
+            );
+            let is_path = matches!(
+                state.last_ejection_reason,
+                Some(EjectReason::Unreachable | EjectReason::Slow)
+            );
+            state.path_check = PathCheck::NotRequested;
+            state.ambiguous_since = None;
+            if is_out && is_path && !state.is_replaced() {
+                state.ejections = state.ejections.saturating_sub(1);
+                self.begin_slow_start(now, position, &mut actions);
+            } else {
+                state.evidence.connect = 0.0;
+            }
+        }
+        self.enforce_floor(now, &mut actions);
+        actions
+    }
+
     /// Ejects an endpoint if the evidence against it suffices.
     pub(super) fn evaluate(&mut self, now: Time, position: usize, actions: &mut Vec<HealthAction>) {
         if !self.endpoints[position].in_rotation() || !self.feature_flags.ejection {
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pause;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reachability;
 pub mod refusal;
 pub mod registry_view;
 pub mod request;
--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -11,6 +11,7 @@
 mod local_health;
 mod probe;
 mod pull;
+mod reach;
 mod receive;
 mod settings;
 mod table;
@@ -23,7 +24,8 @@
 
 pub use self::settings::MembershipSettings;
 use self::{
-    gossip::Gossip, join::Join, local_health::LocalHealth, probe::Probes, pull::Pull, table::Table,
+    gossip::Gossip, join::Join, local_health::LocalHealth, probe::Probes, pull::Pull,
+    reach::ReachReports, table::Table,
 };
 use crate::{
     message::{Codec, Datagram, DatagramError, Identity, Message, Update, room_for_updates},
@@ -61,6 +63,8 @@
     /// Time at which the platform's configuration service last responded to the member, as
     /// far as it has reported.
     pub last_platform_response: Option<Time>,
+    /// Whether it has reported recently that it reaches no endpoint.
+    pub is_cut_off: bool,
 }
 
 /// An action that the caller of [`Membership`] has to perform, or an event for it.
@@ -112,6 +116,7 @@
     superseded: bool,
     config_version: Option<u64>,
     last_platform_response: Option<Time>,
+    reach: ReachReports,
     list_version: u64,
     now: Time,
 }
@@ -143,6 +148,7 @@
             superseded: false,
             config_version: None,
             last_platform_response: None,
+            reach: ReachReports::default(),
             list_version: 0,
             now,
         }
@@ -190,6 +196,8 @@
         self.retry_overdue_pull(now, &mut actions);
         self.query_seeds_if_due(now, &mut actions);
         self.probe_if_due(now, &mut actions);
+        self.report_reach_if_due(now, &mut actions);
+        self.expire_reach_reports(now, &mut actions);
         self.refutation_at_last_tick = self.refutation;
         actions
     }
--- a/crates/pistachiotrack-core/src/membership/receive.rs
+++ b/crates/pistachiotrack-core/src/membership/receive.rs
@@ -83,6 +83,9 @@
             Message::Nack { sequence } => self.on_nack(sequence),
             Message::TableRequest { after } => self.send_page(now, from, after, actions),
             Message::TablePage { next } => self.on_page(now, &sender.name, next, actions),
+            Message::EndpointReach { cut_off } => {
+                self.on_reach_report(now, &sender.name, cut_off, actions);
+            }
             Message::Leave | Message::Announce => {}
         }
     }
--- a/crates/pistachiotrack-core/src/membership/table.rs
+++ b/crates/pistachiotrack-core/src/membership/table.rs
@@ -155,6 +155,7 @@
                 since: now,
                 config_version: None,
                 last_platform_response: None,
+                is_cut_off: false,
             },
             state,
             alive_since: now,
--- a/crates/pistachiotrack-core/src/message.rs
+++ b/crates/pistachiotrack-core/src/message.rs
@@ -124,6 +124,11 @@
     Leave,
     /// Announces the configuration version in the sender's identity, and nothing else.
     Announce,
+    /// Announces whether the sender reaches endpoints.
+    EndpointReach {
+        /// Whether it reaches none, so that others should serve in its place.
+        cut_off: bool,
+    },
 }
 
 /// One datagram.
--- a/crates/pistachiotrack-core/src/ownership.rs
+++ b/crates/pistachiotrack-core/src/ownership.rs
@@ -109,6 +109,7 @@
     me: Vm,
     alive_since: Option<Time>,
     leaving: bool,
+    is_cut_off: bool,
     candidates: Candidates,
     shards: FxHashMap<ShardId, Shard>,
     owned: BTreeSet<ShardId>,
@@ -125,6 +126,7 @@
             me,
             alive_since: None,
             leaving: false,
+            is_cut_off: false,
             candidates: Candidates::new(settings),
             shards: FxHashMap::default(),
             owned: BTreeSet::new(),
@@ -148,8 +150,9 @@
     ) -> Vec<OwnershipChange> {
         self.now = now;
         let alive_since = *self.alive_since.get_or_insert(now);
+        let is_available = !self.leaving && !self.is_cut_off;
         let candidate_changes =
-            self.candidates.observe(now, &self.me, alive_since, self.leaving, members);
+            self.candidates.observe(now, &self.me, alive_since, is_available, members);
         let shards_changed = self.apply_config(config);
         if candidate_changes.is_empty() && !shards_changed {
             return Vec::new();
@@ -195,6 +198,17 @@
         without_me.update(now, config, members).into_iter().filter_map(lost).collect()
     }
 
+    /// Sets whether this VM reaches no endpoint; it owns no shards then and dispatches for none
+    /// unless there is no other VM.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
+    /// Returns whether this VM reaches no endpoint.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
     /// Returns whether this VM is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving
--- a/crates/pistachiotrack-core/src/ownership/candidate.rs
+++ b/crates/pistachiotrack-core/src/ownership/candidate.rs
@@ -103,21 +103,23 @@
         now: Time,
         me: &Vm,
         own_alive_since: Time,
-        leaving: bool,
+        is_available: bool,
         members: impl Iterator<Item = &'a Member>,
     ) -> CandidateChanges {
         let started = *self.started.get_or_insert(now);
         self.round += 1;
         let mut changes = CandidateChanges::default();
         let own_age_us = now.since(own_alive_since).as_micros() as i64;
-        let own = Observation { vm: me, present: !leaving, alive: !leaving, age_us: own_age_us };
+        let own =
+            Observation { vm: me, present: is_available, alive: is_available, age_us: own_age_us };
         self.observe_vm(now, &own, &mut changes);
         for member in members {
-            // Incarnation 0 is a VM of the platform's list that has never responded.
-            let known = member.vm.incarnation > 0;
-            let alive = known && member.state == MemberState::Alive;
+            // Incarnation 0 is a VM of the platform's list that has never responded. One that reaches
+            // no endpoint can't dispatch.
+            let can_dispatch = member.vm.incarnation > 0 && !member.is_cut_off;
+            let alive = can_dispatch && member.state == MemberState::Alive;
             let present =
-                known && matches!(member.state, MemberState::Alive | MemberState::Suspect);
+                can_dispatch && matches!(member.state, MemberState::Alive | MemberState::Suspect);
             if member.vm.name == me.name || !(present || self.by_name.contains_key(&member.vm.name))
             {
                 continue;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -143,6 +143,10 @@
         Refusal { decided_by: Some(vm), ..self }
     }
 
+    pub(crate) fn into_sent(self) -> Vec<CopyRecord> {
+        self.sent
+    }
+
     /// Returns whether the request may have run.
     pub fn execution(&self) -> Execution {
         self.execution
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -375,6 +375,14 @@
         self.advance(now)
     }
 
+    /// Handles that this VM reaches endpoints again after it reached none.
+    pub fn on_paths_restored(&mut self, now: Time) -> Vec<ShardAction> {
+        let actions = self.health.on_paths_restored(now);
+        self.on_health_actions(now, actions);
+        self.pool.refresh(now, &self.health);
+        self.advance(now)
+    }
+
     /// Performs all work that is due.
     pub fn on_tick(&mut self, now: Time) -> Vec<ShardAction> {
         self.remove_lost_probes(now);
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -138,6 +138,20 @@
     }
 }
 
+impl ShardUpdate {
+    /// Removes what broken connections seem to show about endpoints.
+    ///
+    /// They show nothing while this VM may have lost its own paths to all of them, and other VMs
+    /// would avoid sound endpoints.
+    #[must_use]
+    pub fn without_broken_connections(mut self) -> ShardUpdate {
+        for update in &mut self.endpoints {
+            update.ended = update.ended.filter(|ended| ended.result != AttemptResult::Broken);
+        }
+        self
+    }
+}
+
 impl Shard {
     /// Applies an update of another VM that dispatches for this shard.
     ///
--- a/crates/pistachiotrack-core/src/steering.rs
+++ b/crates/pistachiotrack-core/src/steering.rs
@@ -84,9 +84,10 @@
     members: impl Iterator<Item = &'a Member>,
 ) -> EntryResponse {
     let me = query.me;
-    let alive = members.filter(|member| member.state == MemberState::Alive);
+    let alive = members.filter(|member| member.state == MemberState::Alive && !member.is_cut_off);
     let mut vms: Vec<&Vm> = alive.map(|member| &member.vm).collect();
-    if query.offers_me && !query.ownership.is_leaving() || vms.is_empty() {
+    let is_available = !query.ownership.is_leaving() && !query.ownership.is_cut_off();
+    if query.offers_me && is_available || vms.is_empty() {
         vms.push(me);
     }
     let shards = shards(&query);
@@ -188,16 +189,18 @@
 /// Returns the entry addresses of a host whose services are shared: their dispatchers, only
 /// those in the caller's data centre if there are enough.
 ///
-/// A VM that is leaving, is suspected or has no configuration yet is omitted unless there is
-/// no other.
+/// A VM that is leaving, is suspected, reaches no endpoint or has no configuration yet is omitted
+/// unless there is no other.
 pub fn entries_for_host<'a>(
     query: HostQuery<'_>,
     members: impl Iterator<Item = &'a Member>,
 ) -> EntryResponse {
-    let usable =
-        |member: &&Member| member.state == MemberState::Alive && member.config_version.is_some();
+    let usable = |member: &&Member| {
+        member.state == MemberState::Alive && member.config_version.is_some() && !member.is_cut_off
+    };
     let mut vms: Vec<&Vm> = members.filter(usable).map(|member| &member.vm).collect();
-    if query.offers_me && !query.ownership.is_leaving() || vms.is_empty() {
+    let is_available = !query.ownership.is_leaving() && !query.ownership.is_cut_off();
+    if query.offers_me && is_available || vms.is_empty() {
         vms.push(query.me);
     }
     let mut chosen = dispatchers_of_host(&query, &vms);
@@ -215,6 +218,31 @@
     }
 }
 
+/// Returns the VMs that can serve a request of a shared service in place of this one, those in
+/// its data centre first: dispatchers of the service, then other VMs.
+///
+/// `key` spreads the requests over them.
+pub fn substitutes<'a>(
+    ownership: &Ownership,
+    me: &Vm,
+    members: impl Iterator<Item = &'a Member>,
+    service: &str,
+    key: u64,
+) -> Vec<&'a Vm> {
+    let usable = |member: &&Member| {
+        let is_alive = matches!(member.state, MemberState::Alive | MemberState::Suspect);
+        is_alive && !member.is_cut_off && member.config_version.is_some()
+    };
+    let dispatchers = ownership.dispatchers(service);
+    let rank = |vm: &Vm| {
+        let dispatches = dispatchers.iter().any(|dispatcher| dispatcher.name == vm.name);
+        (!dispatches, vm.data_centre != me.data_centre, score(key, vm))
+    };
+    let mut vms: Vec<&Vm> = members.filter(usable).map(|member| &member.vm).collect();
+    vms.sort_by_cached_key(|vm| rank(vm));
+    vms
+}
+
 fn dispatchers_of_host<'a>(query: &HostQuery<'_>, vms: &[&'a Vm]) -> Vec<&'a Vm> {
     let of_host = query
         .config
--- a/crates/pistachiotrack-core/tests/config_first_value.rs
+++ b/crates/pistachiotrack-core/tests/config_first_value.rs
@@ -28,6 +28,7 @@
         since: Time::ZERO,
         config_version,
         last_platform_response: None,
+        is_cut_off: false,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/config_support/fleet.rs
+++ b/crates/pistachiotrack-core/tests/config_support/fleet.rs
@@ -236,6 +236,7 @@
             since: Time::ZERO,
             config_version: me.reported_versions.get(&(other as u32)).copied(),
             last_platform_response: me.reported_responses.get(&(other as u32)).copied(),
+            is_cut_off: false,
         }
     }
 
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -58,6 +58,7 @@
         since: Time::ZERO,
         config_version,
         last_platform_response: None,
+        is_cut_off: false,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/dispatchers.rs
+++ b/crates/pistachiotrack-core/tests/dispatchers.rs
@@ -33,6 +33,7 @@
         since: Time::from_millis(1),
         config_version: None,
         last_platform_response: None,
+        is_cut_off: false,
     };
     capacities.iter().enumerate().map(member).collect()
 }
--- a/crates/pistachiotrack-core/tests/membership.rs
+++ b/crates/pistachiotrack-core/tests/membership.rs
@@ -385,3 +385,26 @@
     }
     assert_eq!(ours.members().count(), 0);
 }
+
+/// Guards against a VM that stays without work because its report that it reaches no endpoint
+/// outlives it or is never taken back.
+#[test]
+fn a_report_of_a_vm_that_reaches_no_endpoint_reaches_all_and_expires() {
+    let mut fleet = Fleet::settled(8, 5, 3);
+    let seen = |fleet: &Fleet| {
+        let others = fleet.nodes.iter().filter(|(number, _)| **number != 2);
+        let marks = others.map(|(_, node)| node.membership.member(&name(2)).unwrap().is_cut_off);
+        marks.filter(|is_cut_off| *is_cut_off).count()
+    };
+    fleet.set_cut_off(2, true);
+    fleet.run_until(1_500, |fleet| seen(fleet) == 7);
+    fleet.run_ms(10_000);
+    assert_eq!(seen(&fleet), 7);
+    fleet.set_cut_off(2, false);
+    fleet.run_until(500, |fleet| seen(fleet) == 0);
+
+    fleet.set_cut_off(2, true);
+    fleet.run_until(1_500, |fleet| seen(fleet) == 7);
+    fleet.crash(2);
+    fleet.run_until(5_000, |fleet| seen(fleet) == 0);
+}
--- a/crates/pistachiotrack-core/tests/membership_fleet/mod.rs
+++ b/crates/pistachiotrack-core/tests/membership_fleet/mod.rs
@@ -215,6 +215,13 @@
         self.perform(number, actions);
     }
 
+    pub(crate) fn set_cut_off(&mut self, number: usize, is_cut_off: bool) {
+        let now = self.now();
+        let Some(node) = self.nodes.get_mut(&number) else { return };
+        let actions = node.membership.set_cut_off(now, is_cut_off);
+        self.perform(number, actions);
+    }
+
     pub(crate) fn deliver_list(&mut self, list: &VmList) {
         for number in self.numbers() {
             self.deliver_list_to(number, list);
--- a/crates/pistachiotrack-core/tests/ownership.rs
+++ b/crates/pistachiotrack-core/tests/ownership.rs
@@ -36,6 +36,7 @@
         since: Time::from_millis(since_ms),
         config_version: None,
         last_platform_response: None,
+        is_cut_off: false,
     }
 }
 
--- a/crates/pistachiotrack-core/tests/platform_rate.rs
+++ b/crates/pistachiotrack-core/tests/platform_rate.rs
@@ -21,6 +21,7 @@
         since: Time::ZERO,
         config_version: None,
         last_platform_response: None,
+        is_cut_off: false,
     };
     (0..vms).map(member).collect()
 }
--- a/crates/pistachiotrack-core/tests/shared_shard.rs
+++ b/crates/pistachiotrack-core/tests/shared_shard.rs
@@ -5,13 +5,14 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use pistachiotrack_core::{
+    health::PathAnswer,
     name::Name,
     ownership::ShardId,
     refusal::Execution,
     request::{BodyEnd, EndpointReport, Outcome, Request},
     retry::VisibleDispatchers,
     service::RetryLimit,
-    shard::{Dispatch, RequestCounts, Shard, ShardAction, ShardMode, ShardSettings},
+    shard::{Dispatch, RequestCounts, Shard, ShardAction, ShardMode, ShardSettings, ShardUpdate},
     time::Time,
 };
 use shared_support::{
@@ -379,3 +380,47 @@
     assert!(retries <= 62 + 200 / 5, "{retries} retries");
     assert!(not_run > 0);
 }
+
+/// Guards against VMs that avoid sound endpoints because one that has lost all its paths reports
+/// its broken connections.
+#[test]
+fn broken_connections_of_a_vm_in_doubt_are_not_reported() {
+    let mut shard = shard(3);
+    let dispatch = dispatched(&shard.on_request(START, booking(1, START))).unwrap();
+    let outcome = Outcome::Broken { fresh_connection: false };
+    let actions = shard.on_outcome(START, dispatch.attempt, outcome, EndpointReport::default());
+    let updates = broadcasts(&actions);
+    let ended = |update: &ShardUpdate| update.endpoints.iter().any(|it| it.ended.is_some());
+    assert!(updates.iter().any(ended));
+    let stripped = updates.into_iter().map(ShardUpdate::without_broken_connections);
+    assert!(!stripped.collect::<Vec<_>>().iter().any(ended));
+}
+
+/// Guards against a VM that reaches endpoints again and leaves them without requests for as long
+/// as they seemed to be faulty.
+#[test]
+fn endpoints_get_requests_as_soon_as_the_paths_to_them_are_restored() {
+    let mut shard = shard(3);
+    let ejected = |shard: &Shard, now: Time| {
+        let endpoints = shard.endpoints(now);
+        endpoints.iter().filter(|endpoint| &*endpoint.state == "ejected").count()
+    };
+    let (mut now, mut id) = (START, 0);
+    while ejected(&shard, now) < 2 {
+        now += Duration::from_millis(50);
+        id += 1;
+        assert!(id < 1_000, "no endpoint was ejected");
+        shard.on_tick(now);
+        for dispatch in all_dispatched(&shard.on_request(now, booking(id, now))) {
+            let (attempt, report) = (dispatch.attempt, EndpointReport::default());
+            let actions = shard.on_outcome(now, attempt, Outcome::ConnectFailed, report);
+            for action in actions {
+                if let ShardAction::CheckPath { endpoint, .. } = action {
+                    shard.on_path_answer(now, &endpoint, PathAnswer::UnreachableByOthers);
+                }
+            }
+        }
+    }
+    shard.on_paths_restored(now);
+    assert_eq!(ejected(&shard, now), 0);
+}
--- a/crates/pistachiotrack-core/tests/steering.rs
+++ b/crates/pistachiotrack-core/tests/steering.rs
@@ -1,7 +1,7 @@
 //! Selection of entry addresses for callers.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddr,
 };
 
@@ -10,7 +10,10 @@
     membership::{Member, MemberState},
     name::Name,
     ownership::{Ownership, OwnershipSettings, ShardId},
-    steering::{EntryQuery, EntryResponse, MAX_ALTERNATES, MAX_OWNERS, entries, entries_for_query},
+    steering::{
+        EntryQuery, EntryResponse, MAX_ALTERNATES, MAX_OWNERS, entries, entries_for_query,
+        substitutes,
+    },
     time::Time,
     vm::{DEFAULT_CAPACITY, Vm},
 };
@@ -37,6 +40,7 @@
             since,
             config_version: None,
             last_platform_response: None,
+            is_cut_off: false,
         })
         .collect()
 }
@@ -207,3 +211,24 @@
     let response = entries(&config, &ownership, &vm(0), members.iter(), "no-such-service");
     assert_eq!(response.entries.len(), MAX_ALTERNATES);
 }
+
+/// Guards against requests that are handed to a VM which reaches no endpoint either, or all to the
+/// same one.
+#[test]
+fn requests_are_handed_to_several_vms_that_reach_endpoints() {
+    let mut members = fleet(9);
+    for member in &mut members {
+        member.config_version = Some(1);
+        member.is_cut_off = member.vm.data_centre == Name::from("oslo-1");
+    }
+    let config = config(64);
+    let ownership = ownership(&config, &members);
+    let mut first_choices = BTreeSet::new();
+    for key in 0..50 {
+        let vms = substitutes(&ownership, &vm(0), members.iter(), "booking", key);
+        assert_eq!(vms.len(), 6);
+        assert!(vms.iter().all(|vm| vm.data_centre != Name::from("oslo-1")));
+        first_choices.insert(vms[0].name.clone());
+    }
+    assert_eq!(first_choices.len(), 6);
+}
--- a/crates/pistachiotrack-standins/src/slopes/decisions.rs
+++ b/crates/pistachiotrack-standins/src/slopes/decisions.rs
@@ -88,6 +88,7 @@
             since: Time::ZERO,
             config_version: Some(1),
             last_platform_response: None,
+            is_cut_off: false,
         })
         .collect()
 }
--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -6,14 +6,18 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicU32},
+    sync::{Arc, Mutex, OnceLock, PoisonError, atomic::AtomicU32},
     time::Duration,
 };
 
+use kameo::actor::ActorRef;
 use pistachiotrack_core::{request::ConnectionChoice, time::Time};
 use rustc_hash::FxHashMap;
 
-use crate::connection::{ConnectError, Connection, Connector, OpenCount};
+use crate::{
+    connection::{ConnectError, Connection, Connector, OpenCount},
+    reach_monitor::{ConnectionTried, ReachMonitor},
+};
 
 /// Time to wait for a connection that is just completing its last exchange.
 const READY_WAIT: Duration = Duration::from_millis(5);
@@ -22,6 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     connector: Connector,
+    /// Gets the result of each attempt to open a connection, if anybody needs it.
+    observer: OnceLock<ActorRef<ReachMonitor>>,
     addresses: Mutex<FxHashMap<SocketAddr, AddressPool>>,
 }
 
@@ -72,7 +78,7 @@
 impl ConnectionPool {
     /// Creates an empty pool.
     pub(crate) fn new(connector: Connector) -> ConnectionPool {
-        ConnectionPool { connector, addresses: Mutex::default() }
+        ConnectionPool { connector, observer: OnceLock::new(), addresses: Mutex::default() }
     }
 
     /// Returns a connection to `address` that satisfies `choice`, a new one if needed.
@@ -96,14 +102,32 @@
             }
         }
         if self.is_blocked(address) {
+            self.notify(address, false);
             let source = io::ErrorKind::ConnectionRefused.into();
             return Err(ConnectError::Io { address, source }.into());
         }
         let Some(open) = self.acquire(address, budget) else {
             return Err(CheckoutError::OverBudget { address, budget });
         };
-        let connection = self.connector.open(address, open, deadline).await?;
-        Ok(CheckedOut { connection, fresh: true })
+        let opened = self.connector.open(address, open, deadline).await;
+        let is_late = self.connector.clock.now() >= deadline;
+        if !is_late || opened.is_ok() {
+            self.notify(address, opened.is_ok());
+        }
+        Ok(CheckedOut { connection: opened?, fresh: true })
+    }
+
+    /// Reports each attempt to open a connection to `observer` from now on.
+    pub(crate) fn set_observer(&self, observer: ActorRef<ReachMonitor>) {
+        // Set once at the start.
+        let _ = self.observer.set(observer);
+    }
+
+    fn notify(&self, address: SocketAddr, is_open: bool) {
+        if let Some(observer) = self.observer.get() {
+            // The monitor stops only with the process.
+            let _ = observer.tell(ConnectionTried { address, is_open }).try_send();
+        }
     }
 
     /// Checks whether `address` accepts connections.
@@ -116,6 +140,7 @@
             Err(ConnectError::Io { source, .. })
                 if source.kind() == io::ErrorKind::ConnectionRefused =>
             {
+                self.notify(address, false);
                 Listening::Refused
             }
             Err(_) => Listening::Unknown,
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -8,15 +8,16 @@
     time::Duration,
 };
 
-use pistachiotrack_core::{name::Name, request::RequestId, vm::Vm};
+use pistachiotrack_core::{name::Name, reachability::EndpointReach, request::RequestId, vm::Vm};
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, customer_limits::CustomerLimits,
     dialect::Dialect, endpoint_notices::NoticeTable, fleet::LeaseTimes,
     forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics,
-    quarantine::QuarantineManager, settings::Settings, shard_table::ShardTable,
-    source::ConfigSource, timer::PauseGate, traffic::Traffic, view::FleetView,
+    quarantine::QuarantineManager, reach_monitor::ReachView, settings::Settings,
+    shard_table::ShardTable, source::ConfigSource, timer::PauseGate, traffic::Traffic,
+    view::FleetView,
 };
 
 /// State of the daemon's lifecycle.
@@ -60,6 +61,8 @@
     pub(crate) gate: PauseGate,
     /// Latest snapshot of the fleet and the configuration.
     pub(crate) view: watch::Receiver<Arc<FleetView>>,
+    /// Whether this VM reaches endpoints.
+    pub(crate) reach: watch::Receiver<ReachView>,
     /// Lease on the configuration.
     pub(crate) lease: watch::Receiver<LeaseTimes>,
     /// Whether the daemon is stopping.
@@ -100,6 +103,11 @@
         Arc::clone(&self.view.borrow())
     }
 
+    /// Returns whether this VM reaches endpoints.
+    pub(crate) fn reach(&self) -> EndpointReach {
+        self.reach.borrow().reach
+    }
+
     /// Returns the identifier of a new request, unique within the process.
     pub(crate) fn next_request(&self) -> RequestId {
         RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
--- a/crates/pistachiotrackd/src/crash_check.rs
+++ b/crates/pistachiotrackd/src/crash_check.rs
@@ -1,11 +1,14 @@
 //! Distinguishes the crash of an endpoint from the failure of a single connection.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use pistachiotrack_core::{name::Name, request::BodyEnd};
 
 use crate::{connection_pool::Listening, context::Context, inbound::Inbound, metrics::Event};
 
+/// Time within which a VM that loses all its paths at once begins to doubt them.
+const DOUBT_TIME: Duration = Duration::from_millis(100);
+
 /// A request being run by an endpoint that may crash.
 #[derive(Debug)]
 pub(crate) struct EndpointExecution {
@@ -37,13 +40,19 @@
              listening={listening:?}",
             inbound.fleet_id
         );
-        if listening == Listening::Refused {
+        if listening == Listening::Refused && !may_be_cut_off(&context).await {
             context.metrics.count(Event::EndpointCrash);
             context.quarantine.on_crash(fingerprint, &inbound.route.shard.service, &endpoint);
         }
     }
 }
 
+/// Returns whether the endpoint may only seem to have crashed, since this VM reaches none.
+async fn may_be_cut_off(context: &Context) -> bool {
+    tokio::time::sleep(DOUBT_TIME).await;
+    context.reach.borrow().is_in_doubt
+}
+
 /// Records how an execution ends whose answer has started.
 #[derive(Debug)]
 pub(crate) struct ExecutionMonitor {
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -41,6 +41,7 @@
     path_check::PathCheck,
     peer_service, proxy,
     quarantine::{QuarantineGossip, QuarantineManager, QuarantineTransport},
+    reach_monitor::{ReachMonitor, ReachMonitorArgs, ReachView},
     settings::{Settings, SettingsFile},
     shard_table::{ShardTable, ShardTableArgs},
     shard_update_link::ShardUpdateLink,
@@ -149,6 +150,7 @@
         let ownership = Ownership::new(me.clone(), OwnershipSettings::default());
         let first_view = FleetView::new(None, ownership, Vec::new(), &me.data_centre);
         let (view_sender, view) = watch::channel(Arc::new(first_view));
+        let (reach_sender, reach) = watch::channel(ReachView::default());
         let (lease_sender, lease) = watch::channel(LeaseTimes::default());
         let (leaving_sender, leaving) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
@@ -162,6 +164,7 @@
             clock,
             Arc::clone(&socket),
             view.clone(),
+            reach.clone(),
             Arc::clone(&traffic),
         ));
         let quarantine = Arc::new(QuarantineManager::new(
@@ -191,7 +194,7 @@
             notices: Arc::clone(&notices),
             endpoints: Arc::clone(&endpoints),
             timer: timer.clone(),
-            path_check,
+            path_check: path_check.clone(),
             update_link: Arc::clone(&update_link),
             dialect: Arc::clone(&adapter.dialect),
             non_owner_idle: Duration::from_millis(settings.limits.careful_idle_ms),
@@ -204,6 +207,7 @@
             clock,
             gate,
             view,
+            reach,
             lease,
             leaving,
             shards,
@@ -239,6 +243,18 @@
                 interval: TICK_INTERVAL,
             })
             .try_send();
+        let monitor_args = ReachMonitorArgs {
+            context: Arc::clone(&context),
+            fleet: fleet.clone(),
+            path_check,
+            view: reach_sender,
+            seed,
+        };
+        let monitor = ReachMonitor::spawn_with_mailbox(monitor_args, mailbox::unbounded());
+        context.endpoints.set_observer(monitor.clone());
+        let _ = timer
+            .tell(SubscribeWithInterval { recipient: monitor.recipient(), interval: TICK_INTERVAL })
+            .try_send();
         let interval = Duration::from_millis(context.settings.quarantine.round_ms);
         let rounds = QuarantineGossip::spawn_with_mailbox(
             QuarantineGossip(quarantine),
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -252,6 +252,22 @@
     }
 }
 
+/// Sets whether this VM reaches no endpoint.
+pub(crate) struct SetCutOff(pub(crate) bool);
+
+impl Message<SetCutOff> for Fleet {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetCutOff, _: &mut MessageContext<Self, ()>) {
+        let now = self.context.clock.now();
+        self.ownership.set_cut_off(message.0);
+        let actions = self.membership.set_cut_off(now, message.0);
+        self.apply_membership(now, actions);
+        self.update_ownership(now);
+        self.publish();
+    }
+}
+
 /// Sets the seed addresses of the membership.
 pub(crate) struct SetSeeds(pub(crate) Vec<SocketAddr>);
 
--- a/crates/pistachiotrackd/src/metrics.rs
+++ b/crates/pistachiotrackd/src/metrics.rs
@@ -35,6 +35,8 @@
     ForwardFailed,
     /// A request was forwarded a second time, since its response was late.
     ForwardedAgain,
+    /// A request was handed to another VM because this one reaches no endpoint.
+    HandedOver,
     /// A request was received from another VM.
     PeerRequest,
     /// A request was dispatched to an endpoint.
@@ -55,7 +57,7 @@
 }
 
 impl Event {
-    const ALL: [Event; 16] = [
+    const ALL: [Event; 17] = [
         Event::Request,
         Event::Answer,
         Event::RefusedNotRun,
@@ -64,6 +66,7 @@
         Event::Forwarded,
         Event::ForwardFailed,
         Event::ForwardedAgain,
+        Event::HandedOver,
         Event::PeerRequest,
         Event::Dispatch,
         Event::HeldBack,
@@ -84,6 +87,7 @@
             Event::Forwarded => "forwarded",
             Event::ForwardFailed => "forward_failed",
             Event::ForwardedAgain => "forwarded_again",
+            Event::HandedOver => "handed_over",
             Event::PeerRequest => "peer_requests",
             Event::Dispatch => "dispatches",
             Event::HeldBack => "held_back",
--- a/crates/pistachiotrackd/src/path_check.rs
+++ b/crates/pistachiotrackd/src/path_check.rs
@@ -71,7 +71,7 @@
         let mut alive: Vec<&Vm> = view
             .members
             .iter()
-            .filter(|member| member.state == MemberState::Alive)
+            .filter(|member| member.state == MemberState::Alive && !member.is_cut_off)
             .map(|member| &member.vm)
             .collect();
         alive.sort_by_cached_key(|vm| {
--- a/crates/pistachiotrackd/src/peer_message.rs
+++ b/crates/pistachiotrackd/src/peer_message.rs
@@ -31,6 +31,6 @@
     Reached,
     /// No connection was established in time.
     Unreachable,
-    /// The VM's configuration doesn't contain the endpoint.
+    /// The VM's configuration doesn't contain the endpoint, or it reaches no endpoint at all.
     Unknown,
 }
--- a/crates/pistachiotrackd/src/peer_service.rs
+++ b/crates/pistachiotrackd/src/peer_service.rs
@@ -2,19 +2,10 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming};
-use kameo::actor::ActorRef;
-use pistachiotrack_core::{
-    ownership::shard_count,
-    shard::{ShardHandOver, ShardMode},
-};
-use tokio::net::TcpStream;
-
 use crate::{
     answer,
     body::AnswerBody,
+    connection_pool::Listening,
     context::Context,
     fleet::{Fleet, HandlePull},
     peer_message::{
@@ -26,6 +17,14 @@
     traffic::{Locality, Topic},
     view::ActiveConfig,
 };
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use kameo::actor::ActorRef;
+use pistachiotrack_core::{
+    ownership::shard_count,
+    shard::{ShardHandOver, ShardMode},
+};
 
 /// Timeout of the connection attempt of a reachability check.
 const REACH_TIMEOUT: Duration = Duration::from_millis(400);
@@ -100,7 +99,9 @@
     let request: ReachRequest = postcard::from_bytes(body).map_err(|_| StatusCode::BAD_REQUEST)?;
     let is_configured =
         context.view().active.as_ref().is_some_and(|active| has_endpoint(active, &request));
-    let response = if is_configured { connect(&request).await } else { ReachResponse::Unknown };
+    // A VM that reaches no endpoint can't tell whether this one accepts connections.
+    let can_tell = is_configured && !context.reach().is_cut_off();
+    let response = if can_tell { connect(context, &request).await } else { ReachResponse::Unknown };
     postcard::to_stdvec(&response).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
 
@@ -112,9 +113,10 @@
         .any(|endpoint| endpoint.name == request.endpoint && endpoint.address == request.address)
 }
 
-async fn connect(request: &ReachRequest) -> ReachResponse {
-    match tokio::time::timeout(REACH_TIMEOUT, TcpStream::connect(request.address)).await {
-        Ok(Ok(_)) => ReachResponse::Reached,
+async fn connect(context: &Context, request: &ReachRequest) -> ReachResponse {
+    let listening = context.endpoints.listening(request.address);
+    match tokio::time::timeout(REACH_TIMEOUT, listening).await {
+        Ok(Listening::Open) => ReachResponse::Reached,
         _ => ReachResponse::Unreachable,
     }
 }
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -7,6 +7,7 @@
     copies::{Copies, Undispatched},
     header,
     name::Name,
+    reachability::EndpointReach,
     refusal::{Execution, Reason},
     request::Class,
     service::Service,
@@ -21,7 +22,7 @@
     dialect::{Dialect, NativeDialect},
     entries,
     forward::{self, ForwardError, Forwarded},
-    headers,
+    hand_off, headers,
     inbound::Inbound,
     metrics::Event,
     peer_result::{PeerRefusal, PeerResult},
@@ -55,7 +56,7 @@
     let served = match receive(&context, request, number, &id).await {
         Ok(inbound) => {
             let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
-            let served = serve(&context, inbound, undispatched).await;
+            let served = serve(&context, Arc::new(inbound), undispatched).await;
             record_latency(&context, &customer, class, received, &served);
             served
         }
@@ -90,7 +91,10 @@
         .map_or_else(|| context.fleet_id(number), Name::from);
     let undispatched = Undispatched::on_arrival();
     let served = match receive_forwarded(&context, request, number, &id).await {
-        Ok(inbound) => serve_here(&context, inbound, undispatched.into()).await,
+        Ok(inbound) if is_unable_to_serve(&context, &inbound) => {
+            Served::refused(undispatched.refuse(Reason::NoEndpoint, None))
+        }
+        Ok(inbound) => serve_here(&context, Arc::new(inbound), undispatched.into()).await,
         Err(rejection) => rejection.refuse(undispatched),
     };
     let endpoint_time_us = served.endpoint_time.map(|time| time.as_micros() as u64);
@@ -138,11 +142,16 @@
 
 /// Serves a caller's request: on this VM if it owns the shard, otherwise on the owner, otherwise
 /// on this VM in careful mode.
-async fn serve(context: &Arc<Context>, inbound: Inbound, undispatched: Undispatched) -> Served {
+async fn serve(
+    context: &Arc<Context>,
+    inbound: Arc<Inbound>,
+    undispatched: Undispatched,
+) -> Served {
     let owner = {
         let view = context.view();
         if is_shared(&view, &inbound) {
-            return serve_here(context, inbound, undispatched.into()).await;
+            drop(view);
+            return hand_off::serve(context, inbound, undispatched).await;
         }
         let owner = view.ownership.owner(&inbound.route.shard);
         owner.filter(|owner| owner.name != context.me.name).cloned()
@@ -187,8 +196,17 @@
     view.active.as_ref().and_then(|active| active.service(service)).is_some_and(Service::is_shared)
 }
 
+/// Returns whether another VM should get a forwarded request, as this one reaches no endpoint.
+fn is_unable_to_serve(context: &Context, inbound: &Inbound) -> bool {
+    context.reach() == EndpointReach::CutOff && is_shared(&context.view(), inbound)
+}
+
 /// Serves a request with this VM's actor of the shard.
-async fn serve_here(context: &Arc<Context>, inbound: Inbound, copies: Copies) -> Served {
+pub(crate) async fn serve_here(
+    context: &Arc<Context>,
+    inbound: Arc<Inbound>,
+    copies: Copies,
+) -> Served {
     let shard = {
         let view = context.view();
         let Some(active) = &view.active else {
--- a/crates/pistachiotrackd/src/relay_server.rs
+++ b/crates/pistachiotrackd/src/relay_server.rs
@@ -29,6 +29,9 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let received = context.clock.now();
+    if context.reach().is_cut_off() {
+        return failure_response(RelayResult::Refused);
+    }
     let Some((relay_request, service, budget)) = read_relay_request(context, request.headers())
     else {
         return failure_response(RelayResult::Refused);
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -65,7 +65,7 @@
 pub(crate) async fn serve(
     context: &Arc<Context>,
     shard: ActorRef<ShardActor>,
-    inbound: Inbound,
+    inbound: Arc<Inbound>,
     copies: Copies,
 ) -> Served {
     let (sender, commands) = mpsc::unbounded_channel();
@@ -77,7 +77,7 @@
     let task = RequestTask {
         context: Arc::clone(context),
         shard,
-        inbound: Arc::new(inbound),
+        inbound,
         commands,
         running: Vec::new(),
         answered: Vec::new(),
--- a/crates/pistachiotrackd/src/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/shard_update_link.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     clock::Clock,
+    reach_monitor::ReachView,
     traffic::{Locality, Topic, Traffic},
     udp,
     view::FleetView,
@@ -92,6 +93,7 @@
     clock: Clock,
     socket: Arc<UdpSocket>,
     view: watch::Receiver<Arc<FleetView>>,
+    reach: watch::Receiver<ReachView>,
     traffic: Arc<Traffic>,
     subscribers: Mutex<Subscribers>,
     drop_logged_at: Mutex<Option<Time>>,
@@ -122,6 +124,7 @@
         clock: Clock,
         socket: Arc<UdpSocket>,
         view: watch::Receiver<Arc<FleetView>>,
+        reach: watch::Receiver<ReachView>,
         traffic: Arc<Traffic>,
     ) -> ShardUpdateLink {
         let deployment = hash::fnv(deployment.as_bytes());
@@ -131,6 +134,7 @@
             clock,
             socket,
             view,
+            reach,
             traffic,
             subscribers: Mutex::default(),
             drop_logged_at: Mutex::default(),
@@ -139,6 +143,8 @@
 
     /// Sends an update to the other dispatchers and the subscribers.
     pub(crate) fn broadcast(&self, update: ShardUpdate) {
+        let is_in_doubt = self.reach.borrow().is_in_doubt;
+        let update = if is_in_doubt { update.without_broken_connections() } else { update };
         let service = update.shard.service.clone();
         let Some(bytes) = self.encode(ShardMessage::Update(update)) else { return };
         let view = Arc::clone(&self.view.borrow());
@@ -186,8 +192,12 @@
         !recipients.is_empty()
     }
 
-    /// Sends a snapshot to the VM at an address, split into as many datagrams as needed.
+    /// Sends a snapshot to the VM at an address, split into as many datagrams as needed, unless
+    /// this VM reaches no endpoint: others know more about them.
     pub(crate) fn send_snapshot(&self, to: SocketAddr, snapshot: ShardSnapshot) {
+        if self.reach.borrow().reach.is_cut_off() {
+            return;
+        }
         let locality = self.view.borrow().locality(to);
         for part in split(snapshot) {
             if let Some(bytes) = self.encode(ShardMessage::Snapshot(part)) {
--- a/crates/pistachiotrackd/src/socket.rs
+++ b/crates/pistachiotrackd/src/socket.rs
@@ -6,8 +6,10 @@
 use tokio::net::TcpStream;
 
 /// TCP keep-alive: idle time before the first probe, interval between probes, and
-/// number of unacknowledged probes. A dead idle connection is detected within 7 s;
-/// connections in use are covered by their timeouts. Shorter times would cost bytes on
+/// number of unacknowledged probes. A dead idle connection is detected within 7 s, an
+/// outgoing one after the first unacknowledged probe, within 6 s: its
+/// [`UNACKNOWLEDGED_TIMEOUT`] has passed by then, and decides in place of the number.
+/// Connections in use are covered by their timeouts. Shorter times would cost bytes on
 /// every idle connection.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/pistachiotrackd/tests/endpoint_partition.rs
+++ b/crates/pistachiotrackd/tests/endpoint_partition.rs
@@ -4,9 +4,15 @@
 
 use std::time::{Duration, Instant};
 
+use hyper::Method;
+use serde_json::json;
 use testenv::{
+    BOOKING, SEARCH, client, config,
     endpoint::Endpoint,
-    fleet::{Vm, bounded, send_periodically, start_dispatchers},
+    fleet::{
+        Fleet, Vm, bounded, publish_vm_list, send_periodically, start_dispatchers, wait_until,
+    },
+    platform::Platform,
 };
 
 /// Time after which a partition must not be noticeable for callers.
@@ -48,3 +54,106 @@
     })
     .await;
 }
+
+/// Guards against callers that are sent to a VM which reaches no endpoint, and against one that
+/// stays without work when it reaches them again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_is_named_to_callers_again_once_it_reaches_endpoints() {
+    bounded(async {
+        let [first, second, third] = three_endpoints().await;
+        let endpoints = [&first, &second, &third];
+        let addresses = endpoints.map(|endpoint| endpoint.address);
+        let (_platform, vms) = start_dispatchers(4, &addresses).await;
+        let (cut_off, other) = (&vms[0], &vms[1]);
+        let is_named = || async { other.entries(SEARCH).await.contains(&cut_off.caller) };
+        wait_until(is_named).await;
+        cut_off.set_paths_blocked(&endpoints, true);
+        let until = Instant::now() + DETECTION_LIMIT;
+        served_fraction(&vms[..1], Instant::now(), until).await;
+        assert!(!is_named().await);
+        assert!(!cut_off.entries(SEARCH).await.contains(&cut_off.caller));
+
+        cut_off.set_paths_blocked(&endpoints, false);
+        wait_until(is_named).await;
+        let handed_over = cut_off.counter("handed_over").await;
+        let until = Instant::now() + Duration::from_secs(1);
+        assert!(served_fraction(&vms[..1], Instant::now(), until).await > 0.95);
+        assert_eq!(cut_off.counter("handed_over").await, handed_over);
+    })
+    .await;
+}
+
+/// Guards against VMs that hand their requests around because the endpoints are down for all.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_vm_hands_requests_over_while_no_vm_reaches_an_endpoint() {
+    bounded(async {
+        let [first, second, third] = three_endpoints().await;
+        let endpoints = [&first, &second, &third];
+        let addresses = endpoints.map(|endpoint| endpoint.address);
+        let (_platform, vms) = start_dispatchers(4, &addresses).await;
+        for vm in &vms {
+            vm.set_paths_blocked(&endpoints, true);
+        }
+        let until = Instant::now() + DETECTION_LIMIT;
+        assert_eq!(served_fraction(&vms, Instant::now(), until).await, 0.0);
+        for vm in &vms {
+            assert_eq!(vm.counter("handed_over").await, 0);
+        }
+    })
+    .await;
+}
+
+/// Guards against bookings that run twice, or are refused as not run and run, while a VM loses its
+/// paths, hands requests over and gets its paths back.
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_run_once_at_most_while_a_vm_loses_and_regains_its_paths() {
+    bounded(async {
+        let [first, second, third] = three_endpoints().await;
+        let endpoints = [&first, &second, &third];
+        let addresses = endpoints.map(|endpoint| endpoint.address);
+        let mut config = config(1, &addresses[..1], &addresses[1..]);
+        config["services"][1]["dispatchers_per_data_centre"] = json!(2);
+        let platform = Platform::start().await;
+        platform.publish_config(config);
+        let mut vms = Vec::new();
+        for index in 0..3 {
+            vms.push(Vm::start(&format!("vm-{index:02}"), platform.address).await);
+        }
+        let lines: Vec<_> = vms.iter().map(Vm::vm_list_entry).collect();
+        publish_vm_list(&platform, 2, &lines);
+        let fleet = Fleet { platform, vms };
+        for vm in &fleet.vms {
+            client::wait_until_serving(vm.admin).await;
+        }
+        let mut served = Vec::new();
+        for number in 0..160 {
+            let vm = &fleet.vms[0];
+            match number {
+                30 | 110 => vm.set_paths_blocked(&endpoints, true),
+                80 => vm.set_paths_blocked(&endpoints, false),
+                _ => {}
+            }
+            let body = format!("{BOOKING} {number}");
+            let request = client::request(Method::POST, "/bookings", body.clone());
+            let response = client::send(vm.caller, request).await.unwrap();
+            if response.status() == 200 {
+                served.push(body);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let ran: Vec<String> = endpoints
+            .iter()
+            .flat_map(|endpoint| endpoint.received())
+            .map(|request| String::from_utf8(request.body().to_vec()).unwrap())
+            .filter(|body| body.starts_with(BOOKING))
+            .collect();
+        let mut once = ran.clone();
+        once.sort();
+        once.dedup();
+        assert_eq!(once.len(), ran.len());
+        assert!(served.iter().all(|body| once.contains(body)));
+        assert!(served.len() > 120, "{} of 160 bookings were served", served.len());
+        assert!(fleet.vms[0].counter("handed_over").await > 20);
+    })
+    .await;
+}
