Soak: VMs that reach no endpoint, in three forms, and the promise for their callers

Half of the VMs, all but one or one lose their paths to all endpoints, while callers, the platform and other VMs reach them: open connections break and new ones are refused or hang, or only new ones are refused. EndpointCutBridged: from three seconds on they serve their callers at least two thirds as often as the others do, beyond ten requests and two in a hundred.

On loopback an address can't be unreachable for one process alone, so the daemon simulates it on command, if the settings allow it (fault_injection, off by default).

--- a/crates/pistachiotrack-standins/src/admin.rs
+++ b/crates/pistachiotrack-standins/src/admin.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
+use hyper::Request;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -54,6 +55,19 @@
         self.fetch(address, "/members").await
     }
 
+    /// Injects a fault of the paths from the VM to endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the VM doesn't accept it in time.
+    pub async fn set_endpoint_paths(&self, address: SocketAddr, fault: &str) -> anyhow::Result<()> {
+        let uri = format!("http://{address}/faults/endpoint-paths/{fault}");
+        let request = Request::post(uri).body(Empty::new())?;
+        let answer = tokio::time::timeout(TIMEOUT, self.client.request(request)).await??;
+        anyhow::ensure!(answer.status().is_success(), "status {}", answer.status());
+        Ok(())
+    }
+
     async fn fetch<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
--- a/crates/pistachiotrack-standins/src/daemon.rs
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -40,6 +40,8 @@
     /// Expected number of VMs in the deployment, by which the first reads of the platform are
     /// spread over time.
     pub expected_vms: usize,
+    /// Whether the daemon accepts faults to inject.
+    pub fault_injection: bool,
     /// Lease on the configuration.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub config_lease: Option<ConfigLease>,
--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -273,6 +273,7 @@
             true => local(ports[4]),
             false => deployment.platform.address(),
         },
+        fault_injection: true,
         expected_vms: count,
         config_lease: deployment.key_max_age_s.map(|max_age_s| ConfigLease { max_age_s }),
     });
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -59,6 +59,8 @@
 const MAX_PRINTED_VIOLATIONS: usize = 10;
 /// Tolerance above a customer's rate limit in a window: a factor and a number of requests.
 const LIMIT_TOLERANCE: (f64, f64) = (1.25, 20.0);
+/// Time in which a VM gets its lease back after it couldn't reach the platform.
+const LEASE_RETURN_MS: u64 = 3_000;
 /// Default directory for plans and logs.
 const DIRECTORY: &str = "target/soak";
 
@@ -249,6 +251,8 @@
         leaving_periods,
         rate_limit_periods,
         notice_periods: environment.notice_periods(),
+        endpoint_cuts: environment.endpoint_cuts(),
+        platform_cuts: platform_cuts(plan),
         crash_runs_ms,
         processes: vms.processes(),
         faults: faults(plan, |_| true),
@@ -296,6 +300,18 @@
     plan.steps.iter().filter(|step| counts(&step.event)).filter_map(fault).collect()
 }
 
+/// Returns the periods in which VMs can't reach the platform, with the time after them in which
+/// they may still have no lease.
+fn platform_cuts(plan: &Plan) -> Vec<(u64, u64)> {
+    let cut = |step: &plan::Step| match step.event {
+        Event::CutOffPlatform { for_ms, .. } => {
+            Some((step.at_ms, step.at_ms + for_ms + LEASE_RETURN_MS))
+        }
+        _ => None,
+    };
+    plan.steps.iter().filter_map(cut).collect()
+}
+
 /// Sends requests for the plan's duration and returns their records.
 async fn load(
     plan: &Plan,
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -17,10 +17,10 @@
     clock::RunClock,
     customers::{self, SentLookup},
     oracle::{
-        LeavingPeriod, NoticePeriod, PublishedVersion, REFUSAL_RETRY_AFTER_MS, RateLimitPeriod,
-        TakenKey,
+        EndpointCutPeriod, LeavingPeriod, NoticePeriod, PublishedVersion, REFUSAL_RETRY_AFTER_MS,
+        RateLimitPeriod, TakenKey,
     },
-    plan::{EndpointFault, Event, PlatformFault, Step},
+    plan::{EndpointCut, EndpointFault, Event, PlatformFault, Step},
     vms::VmProcesses,
 };
 use crate::{
@@ -36,6 +36,8 @@
 
 /// Time after which a valid configuration replaces an invalid one.
 const INVALID_CONFIG_DURATION: Duration = Duration::from_millis(1_500);
+/// Interval at which a VM is cut off from endpoints again, since a new process isn't.
+const ENDPOINT_CUT_REFRESH: Duration = Duration::from_millis(250);
 /// Time between two requests that crash endpoints.
 const CRASH_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 /// A lookup that crashes the endpoint that runs it.
@@ -67,6 +69,9 @@
     /// Endpoints that currently ask for no requests.
     noticed_endpoints: BTreeSet<usize>,
     notice_periods: Vec<NoticePeriod>,
+    /// Whether VMs are cut off from endpoints now.
+    has_endpoint_cut: bool,
+    endpoint_cuts: Vec<EndpointCutPeriod>,
     taken_keys: Vec<TakenKey>,
     /// Requests of the customer that floods.
     flood: Vec<SentLookup>,
@@ -93,6 +98,8 @@
             rate_limit_periods: Vec::new(),
             noticed_endpoints: BTreeSet::new(),
             notice_periods: Vec::new(),
+            has_endpoint_cut: false,
+            endpoint_cuts: Vec::new(),
             taken_keys: Vec::new(),
             flood: Vec::new(),
             cut_directions: Vec::new(),
@@ -149,6 +156,9 @@
             Event::CutOffPlatform { vm, for_ms } => {
                 self.cut_links(&[(*vm, PLATFORM), (PLATFORM, *vm)], *for_ms).await;
             }
+            Event::CutOffEndpoints { vms, form, for_ms } => {
+                self.cut_off_endpoints(vms, *form, *for_ms).await;
+            }
             Event::DegradedLinks { lost_percent, delay_ms, for_ms } => {
                 let drop_share = f64::from(*lost_percent) / 100.0;
                 let delay = Duration::from_millis(*delay_ms);
@@ -320,6 +330,30 @@
         self.set_links();
     }
 
+    /// Cuts VMs off from all endpoints, unless another such step is under way. A process that
+    /// starts meanwhile is cut off as well.
+    async fn cut_off_endpoints(&self, vms: &[usize], form: EndpointCut, for_ms: u64) {
+        if std::mem::replace(&mut self.lock().has_endpoint_cut, true) {
+            return;
+        }
+        let from_ms = self.clock.now_ms();
+        let until_ms = from_ms + for_ms;
+        while self.clock.now_ms() < until_ms {
+            self.vms.set_endpoint_paths(vms, form.admin_name()).await;
+            tokio::time::sleep(ENDPOINT_CUT_REFRESH).await;
+        }
+        let until_ms = self.clock.now_ms();
+        self.vms.set_endpoint_paths(vms, "none").await;
+        let mut state = self.lock();
+        state.has_endpoint_cut = false;
+        state.endpoint_cuts.push(EndpointCutPeriod { vms: vms.to_vec(), from_ms, until_ms });
+    }
+
+    /// Returns the periods in which VMs were cut off from all endpoints.
+    pub(super) fn endpoint_cuts(&self) -> Vec<EndpointCutPeriod> {
+        self.lock().endpoint_cuts.clone()
+    }
+
     async fn degrade_links(&self, link: LinkFaults, for_ms: u64) {
         self.lock().link_faults.push(link);
         self.set_links();
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -5,6 +5,7 @@
 //! injected events.
 
 mod customers;
+mod endpoint_cuts;
 mod notices;
 
 use std::fmt;
@@ -13,6 +14,7 @@
 
 pub use self::{
     customers::{CUSTOMER_WINDOW_MS, TakenKey},
+    endpoint_cuts::EndpointCutPeriod,
     notices::{NoticePeriod, REFUSAL_RETRY_AFTER_MS},
 };
 use crate::{caller::RequestOutcome, work::WorkId};
@@ -75,6 +77,8 @@
     CustomerLimitKept,
     /// An endpoint that says that it leaves, or asks for no requests, gets none.
     NoticesKept,
+    /// VMs that reach no endpoint serve their callers nearly as often as the others.
+    EndpointCutBridged,
 }
 
 /// A violation of an invariant.
@@ -220,6 +224,10 @@
     pub rate_limit_periods: Vec<RateLimitPeriod>,
     /// Periods in which endpoints asked for no requests.
     pub notice_periods: Vec<NoticePeriod>,
+    /// Periods in which VMs reached no endpoint.
+    pub endpoint_cuts: Vec<EndpointCutPeriod>,
+    /// Periods in which a VM couldn't reach the platform; it may serve no keyed requests then.
+    pub platform_cuts: Vec<(u64, u64)>,
     /// API keys that were taken away.
     pub taken_keys: Vec<TakenKey>,
     /// Bound after which no key that was taken away may be served.
@@ -271,6 +279,7 @@
     record.check_late_crash_runs(&mut report);
     record.check_rate_limits(&mut report);
     record.check_notices(&mut report);
+    record.check_endpoint_cuts(&mut report);
     record.check_taken_keys(&mut report);
     record.check_customer_limit(&mut report);
     if let Some(description) = record.recovery_failure() {
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -87,6 +87,16 @@
         /// Duration.
         for_ms: u64,
     },
+    /// Some VMs reach no endpoint; callers, the platform and other VMs reach them.
+    CutOffEndpoints {
+        /// The VMs.
+        vms: Vec<usize>,
+        /// What becomes of their connections to endpoints.
+        #[serde(rename = "how")]
+        form: EndpointCut,
+        /// Duration.
+        for_ms: u64,
+    },
     /// Callers use an API key that is taken away while they go on.
     TakeKey {
         /// Time for which the key is valid.
@@ -168,6 +178,29 @@
     },
 }
 
+/// What becomes of the connections from a VM that reaches no endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointCut {
+    /// Open connections break, and new ones are refused.
+    Refused,
+    /// Open connections break, and new ones get no answer.
+    Silent,
+    /// Open connections live on, and new ones are refused.
+    NewRefused,
+}
+
+impl EndpointCut {
+    /// Returns the name that the daemon's admin port uses.
+    pub fn admin_name(self) -> &'static str {
+        match self {
+            EndpointCut::Refused => "refused",
+            EndpointCut::Silent => "silent",
+            EndpointCut::NewRefused => "new-refused",
+        }
+    }
+}
+
 /// Faults of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -210,6 +243,9 @@
 /// that draws them, for the same reason.
 const MEAN_NOTICE_GAP_MS: u64 = 5_000;
 const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
+/// The same for VMs that are cut off from endpoints.
+const MEAN_ENDPOINT_CUT_GAP_MS: u64 = 9_000;
+const ENDPOINT_CUT_SEED: u64 = 0x7061_7468;
 /// Time before the end of the load in which no event starts.
 const FINAL_QUIET_MS: u64 = 5_000;
 /// Largest number of VMs with proxied links. A proxy holds a file descriptor for each VM that
@@ -236,6 +272,8 @@
         generator.add_events(0, end_ms, MEAN_CUSTOMER_GAP_MS, PlanGenerator::customer_event);
         generator.random = Pcg64Mcg::seed_from_u64(seed ^ NOTICE_SEED);
         generator.add_events(0, end_ms, MEAN_NOTICE_GAP_MS, PlanGenerator::notice_event);
+        generator.random = Pcg64Mcg::seed_from_u64(seed ^ ENDPOINT_CUT_SEED);
+        generator.add_events(0, end_ms, MEAN_ENDPOINT_CUT_GAP_MS, PlanGenerator::endpoint_cut);
         generator.steps.sort_by_key(|step| step.at_ms);
         let dispatchers_per_data_centre = if seed.is_multiple_of(2) { 0 } else { 2 };
         Plan { seed, vms, dispatchers_per_data_centre, seconds, steps: generator.steps }
@@ -287,7 +325,7 @@
             | Event::CutOff { vm, .. }
             | Event::CutOffPlatform { vm, .. } => vec![*vm],
             Event::CutOneWay { from, to, .. } => vec![*from, *to],
-            Event::Kill { vms, .. } => vms.clone(),
+            Event::Kill { vms, .. } | Event::CutOffEndpoints { vms, .. } => vms.clone(),
             _ => Vec::new(),
         }
     }
@@ -332,6 +370,7 @@
             | Event::SayLeaving { .. }
             | Event::RefuseRequests { .. }
             | Event::CutOffPlatform { .. }
+            | Event::CutOffEndpoints { .. }
             | Event::TakeKey { .. }
             | Event::Flood { .. }
             | Event::PublishInvalid => None,
@@ -413,6 +452,20 @@
         }
     }
 
+    /// Cuts off half of the VMs, all but one, or a single one.
+    fn endpoint_cut(&mut self) -> Event {
+        let forms = [EndpointCut::Refused, EndpointCut::Silent, EndpointCut::NewRefused];
+        let form = *forms.choose(&mut self.random).unwrap_or(&EndpointCut::Refused);
+        let count = match self.random.random_range(0..3) {
+            0 => self.vms / 2,
+            1 => self.vms - 1,
+            _ => 1,
+        };
+        let first = self.vm();
+        let vms = (0..count).map(|offset| (first + offset) % self.vms).collect();
+        Event::CutOffEndpoints { vms, form, for_ms: self.random.random_range(4_000..9_000) }
+    }
+
     fn fault_event(&mut self) -> Event {
         loop {
             let event = self.random_fault();
--- a/crates/pistachiotrack-standins/src/soak/vms.rs
+++ b/crates/pistachiotrack-standins/src/soak/vms.rs
@@ -147,6 +147,15 @@
         }
     }
 
+    /// Sets the state of the paths from VMs to endpoints. A VM that is down gets it later.
+    pub(super) async fn set_endpoint_paths(&self, vms: &[usize], state: &str) {
+        let admin = AdminClient::default();
+        let addresses: Vec<_> = vms.iter().map(|vm| self.address_and_process(*vm).0).collect();
+        let sent = addresses.into_iter().map(|address| admin.set_endpoint_paths(address, state));
+        // A process that is paused or down has no answer.
+        futures_util::future::join_all(sent).await;
+    }
+
     fn address_and_process(&self, vm: usize) -> (std::net::SocketAddr, u32) {
         let vm = self.lock(vm);
         (vm.settings.admin_address, vm.processes.len() as u32 - 1)
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -7,9 +7,9 @@
     caller::RequestOutcome,
     soak::{
         oracle::{
-            Invariant, LeavingPeriod, LoggedRefusals, NoticePeriod, ObservedVersion,
-            PROPAGATION_LIMIT_MS, Process, PublishedVersion, RECOVERY_LIMIT_MS, RateLimitPeriod,
-            RequestRecord, RunRecord, TakenKey, violations,
+            EndpointCutPeriod, Invariant, LeavingPeriod, LoggedRefusals, NoticePeriod,
+            ObservedVersion, PROPAGATION_LIMIT_MS, Process, PublishedVersion, RECOVERY_LIMIT_MS,
+            RateLimitPeriod, RequestRecord, RunRecord, TakenKey, violations,
         },
         plan::Plan,
     },
@@ -82,6 +82,8 @@
             arrivals_ms: (0..20).map(|second| 5_000 + 1_000 * second).collect(),
         }],
         notice_periods: vec![notice_period(true), notice_period(false)],
+        endpoint_cuts: vec![EndpointCutPeriod { vms: vec![1], from_ms: 40_000, until_ms: 50_000 }],
+        platform_cuts: Vec::new(),
         taken_keys: vec![TakenKey {
             taken_ms: 10_000,
             requests: vec![(WorkId(50), 14_900), (WorkId(51), 15_100)],
@@ -270,3 +272,39 @@
     assert!(unknown.contains("explode"), "{unknown}");
     assert!(Plan::read(Path::new("nowhere.json"), ENDPOINTS).is_err());
 }
+
+/// Returns a run in which a VM that reaches no endpoint serves every third request, and another VM all.
+fn run_with_endpoint_cut() -> RunRecord {
+    let mut run = RunRecord { published: Vec::new(), ..valid_run() };
+    run.processes = vec![Process { vm: 1, ..process(1_000) }, process(1_000)];
+    for number in 0..60 {
+        for (vm, is_served) in [(0, true), (1, number % 3 == 0)] {
+            let outcome = if is_served { RequestOutcome::Ok } else { RequestOutcome::Lost };
+            let sent_ms = 44_000 + 50 * number;
+            let id = 1_000 + 2 * number + vm as u64;
+            run.requests.push(RequestRecord {
+                vm: Some(vm),
+                sent_ms,
+                ended_ms: sent_ms + 10,
+                ..request(id, outcome)
+            });
+        }
+    }
+    run
+}
+
+#[test]
+fn a_vm_that_reaches_no_endpoint_and_fails_its_callers_is_found() {
+    assert_eq!(violated(&run_with_endpoint_cut()), [Invariant::EndpointCutBridged]);
+}
+
+/// Guards against a check that blames a cut for what another fault does.
+#[test]
+fn a_cut_beside_another_fault_is_excused() {
+    let mut beside_fault = run_with_endpoint_cut();
+    beside_fault.faults = vec![(41_000, 42_000)];
+    assert!(!violated(&beside_fault).contains(&Invariant::EndpointCutBridged));
+    let mut beside_platform_cut = run_with_endpoint_cut();
+    beside_platform_cut.platform_cuts = vec![(38_000, 43_000)];
+    assert_eq!(violated(&beside_platform_cut), []);
+}
--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -16,16 +16,23 @@
     context::Context,
     exposition,
     fleet::{ConfigStatus, Fleet, GetConfigStatus},
+    path_fault::UnknownPathFault,
     shard_actor::Endpoints,
     shard_table::shard_name,
 };
 
+/// Prefix of the paths that inject faults of the paths to endpoints.
+const PATH_FAULTS: &str = "/faults/endpoint-paths/";
+
 /// Handles a request to the admin port.
 pub(crate) async fn handle(
     context: Arc<Context>,
     fleet: ActorRef<Fleet>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
+    if request.method() == Method::POST && context.settings.fault_injection {
+        return Ok(answer::plain(inject_fault(&context, request.uri().path())));
+    }
     if request.method() != Method::GET {
         return Ok(answer::plain(StatusCode::METHOD_NOT_ALLOWED));
     }
@@ -43,6 +50,21 @@
     })
 }
 
+/// Injects a fault of the paths to endpoints, or ends it.
+fn inject_fault(context: &Context, path: &str) -> StatusCode {
+    let Some(name) = path.strip_prefix(PATH_FAULTS) else { return StatusCode::NOT_FOUND };
+    let fault = match name {
+        "none" => None,
+        name => match name.parse() {
+            Ok(fault) => Some(fault),
+            Err(UnknownPathFault) => return StatusCode::NOT_FOUND,
+        },
+    };
+    log::warn!("event=fault_injected paths={name}");
+    context.endpoints.set_fault(fault);
+    StatusCode::OK
+}
+
 /// Returns the counters and latencies in the text format of metrics collectors.
 async fn metrics(context: &Arc<Context>, fleet: &ActorRef<Fleet>) -> Response<AnswerBody> {
     match exposition::text(context, config_status(fleet).await) {
--- a/crates/pistachiotrackd/src/connection.rs
+++ b/crates/pistachiotrackd/src/connection.rs
@@ -44,6 +44,13 @@
     _open: OpenCount,
 }
 
+impl Connection {
+    /// Returns a handle that breaks the connection.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.driver.clone()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -13,9 +13,11 @@
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{request::ConnectionChoice, time::Time};
 use rustc_hash::FxHashMap;
+use tokio::task::AbortHandle;
 
 use crate::{
     connection::{ConnectError, Connection, Connector, OpenCount},
+    path_fault::PathFault,
     reach_monitor::{ConnectionTried, ReachMonitor},
 };
 
@@ -28,6 +30,8 @@
     connector: Connector,
     /// Gets the result of each attempt to open a connection, if anybody needs it.
     observer: OnceLock<ActorRef<ReachMonitor>>,
+    /// Fault of the paths to all addresses that a test has injected.
+    fault: Mutex<Option<PathFault>>,
     addresses: Mutex<FxHashMap<SocketAddr, AddressPool>>,
 }
 
@@ -35,6 +39,8 @@
 struct AddressPool {
     idle: Vec<Connection>,
     open: Arc<AtomicU32>,
+    /// Open connections, idle or in use.
+    drivers: Vec<AbortHandle>,
     /// Whether a test has blocked connections to the address.
     is_blocked: bool,
 }
@@ -78,7 +84,12 @@
 impl ConnectionPool {
     /// Creates an empty pool.
     pub(crate) fn new(connector: Connector) -> ConnectionPool {
-        ConnectionPool { connector, observer: OnceLock::new(), addresses: Mutex::default() }
+        ConnectionPool {
+            connector,
+            observer: OnceLock::new(),
+            fault: Mutex::default(),
+            addresses: Mutex::default(),
+        }
     }
 
     /// Returns a connection to `address` that satisfies `choice`, a new one if needed.
@@ -101,10 +112,9 @@
                 }
             }
         }
-        if self.is_blocked(address) {
+        if let Err(error) = self.check_path(address).await {
             self.notify(address, false);
-            let source = io::ErrorKind::ConnectionRefused.into();
-            return Err(ConnectError::Io { address, source }.into());
+            return Err(error.into());
         }
         let Some(open) = self.acquire(address, budget) else {
             return Err(CheckoutError::OverBudget { address, budget });
@@ -114,7 +124,46 @@
         if !is_late || opened.is_ok() {
             self.notify(address, opened.is_ok());
         }
-        Ok(CheckedOut { connection: opened?, fresh: true })
+        let connection = opened?;
+        self.record_open(&connection);
+        Ok(CheckedOut { connection, fresh: true })
+    }
+
+    fn record_open(&self, connection: &Connection) {
+        let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        let drivers = &mut addresses.entry(connection.address).or_default().drivers;
+        drivers.retain(|driver| !driver.is_finished());
+        drivers.push(connection.abort_handle());
+    }
+
+    /// Injects a fault of the paths to all addresses, or ends it.
+    pub(crate) fn set_fault(&self, fault: Option<PathFault>) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        if !fault.is_some_and(PathFault::breaks_open_connections) {
+            return;
+        }
+        let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        for pool in addresses.values_mut() {
+            pool.idle.clear();
+            pool.drivers.drain(..).for_each(|driver| driver.abort());
+        }
+    }
+
+    /// Returns the error with which a fault that a test has injected ends a new connection.
+    async fn check_path(&self, address: SocketAddr) -> Result<(), ConnectError> {
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        match fault {
+            None if !self.is_blocked(address) => Ok(()),
+            Some(PathFault::Silent) => {
+                let limit = Duration::from_millis(self.connector.limits.connect_timeout_ms);
+                tokio::time::sleep(limit).await;
+                Err(ConnectError::TimedOut { address, limit })
+            }
+            _ => {
+                let source = io::ErrorKind::ConnectionRefused.into();
+                Err(ConnectError::Io { address, source })
+            }
+        }
     }
 
     /// Reports each attempt to open a connection to `observer` from now on.
@@ -135,7 +184,11 @@
         if self.is_blocked(address) {
             return Listening::Unknown;
         }
-        match self.connector.try_connect(address).await {
+        let result = match self.check_path(address).await {
+            Ok(()) => self.connector.try_connect(address).await,
+            error => error,
+        };
+        match result {
             Ok(()) => Listening::Open,
             Err(ConnectError::Io { source, .. })
                 if source.kind() == io::ErrorKind::ConnectionRefused =>
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod logging;
 mod metrics;
 mod path_check;
+mod path_fault;
 mod peer_client;
 mod peer_message;
 pub mod peer_result;
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -67,6 +67,9 @@
     /// Output of log lines.
     #[serde(default)]
     pub log_output: LogOutput,
+    /// Whether the admin port accepts faults to inject, for tests of a deployment.
+    #[serde(default)]
+    pub fault_injection: bool,
     /// Hardware of the VM.
     #[serde(default)]
     pub hardware: Hardware,
