Customers' limits: the sides of a cut don't spend the same tokens

Two tests were known red: three VMs and three, cut off from each other as a flood begins, admitted 1228 requests in 5 s; 1220 are tolerated. Cause, traced: each side had the customer's full bucket, so the burst was admitted twice, and both refilled at the full rate until silence showed. The class is that of the retry limit: a share computed from others' reports when these have stopped.

Ruled out: fewer tokens from the detection on. The burst is spent within 0.5 s, before silence shows.

A VM that falls silent is now assumed to have taken its share of the tokens that there were within the last second, which are given back if it is heard again and hasn't.

--- a/crates/pistachiotrack-core/src/customer_limit.rs
+++ b/crates/pistachiotrack-core/src/customer_limit.rs
@@ -2,8 +2,9 @@
 //!
 //! Each VM holds a token bucket for a customer and takes from it what it admits itself and what
 //! the others report to have admitted. A VM that isn't heard is assumed to admit its share, by
-//! which the others refill their buckets more slowly. That VM hears nobody either and refills its
-//! own bucket by its share alone. The parts of a divided fleet thus stay within the limit together.
+//! which the others refill their buckets more slowly, and its share of the tokens that there were
+//! when it was last heard. That VM hears nobody either and does the same. The parts of a divided
+//! fleet thus stay within the limit together.
 
 mod bucket;
 mod report;
@@ -83,6 +84,8 @@
     sequence: u32,
     heard_at: Time,
     admitted: FxHashMap<Name, u64>,
+    /// Tokens that it is assumed to have taken since it fell silent.
+    assumed: Option<FxHashMap<Name, f64>>,
 }
 
 /// Why a request isn't admitted.
@@ -175,6 +178,7 @@
         if !self.is_report_due(now) {
             return None;
         }
+        self.take_for_silent_vms(now);
         let share = self.share(now);
         let mut counts = Vec::new();
         self.buckets.retain(|customer, bucket| {
@@ -221,6 +225,11 @@
             return;
         }
         peer.sequence = report.sequence;
+        for (customer, tokens) in peer.assumed.take().unwrap_or_default() {
+            if let Some(bucket) = self.buckets.get_mut(&customer) {
+                bucket.credit(tokens);
+            }
+        }
         // While it wasn't heard, its share was kept back.
         let kept_back = match peer.heard_at {
             Time::ZERO => Duration::ZERO,
@@ -246,6 +255,24 @@
         }
     }
 
+    /// Takes the share of the tokens that members of the group may have used since they were last
+    /// heard.
+    fn take_for_silent_vms(&mut self, now: Time) {
+        let vms = self.group.expected.max(1) as f64;
+        for name in &self.group.others {
+            let Some(peer) = self.peers.get_mut(name) else { continue };
+            if peer.assumed.is_some() || now.since(peer.heard_at) < SILENCE {
+                continue;
+            }
+            let assumed = peer.assumed.insert(FxHashMap::default());
+            for (customer, bucket) in &mut self.buckets {
+                let tokens = bucket.recent_tokens() / vms;
+                bucket.debit(tokens);
+                assumed.insert(customer.clone(), tokens);
+            }
+        }
+    }
+
     fn bucket(&mut self, now: Time, customer: &Name, limit: CustomerRateLimit) -> &mut Bucket {
         let slack = self.settings.depth();
         let bucket =
--- a/crates/pistachiotrack-core/src/customer_limit/bucket.rs
+++ b/crates/pistachiotrack-core/src/customer_limit/bucket.rs
@@ -17,6 +17,10 @@
 const FORGET_TIME: Duration = Duration::from_secs(10);
 /// Maximum time after which a caller is asked to return.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Interval and number of the samples of the number of tokens that are kept. They reach back beyond
+/// the time in which the silence of a VM shows.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+const SAMPLES: usize = 4;
 /// Length of the period for which recent requests are counted.
 const RECENT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -36,6 +40,9 @@
     /// Requests admitted in the current and in the previous period.
     recent: [u32; 2],
     period_started_at: Time,
+    /// Recent numbers of tokens, newest first.
+    samples: [f64; SAMPLES],
+    sampled_at: Time,
     /// Time at which the last refused caller was asked to return.
     next_return_at: Time,
 }
@@ -56,6 +63,8 @@
             reports_due: 0,
             recent: [0; 2],
             period_started_at: now,
+            samples: [0.0; SAMPLES],
+            sampled_at: now,
             next_return_at: now,
         }
     }
@@ -75,6 +84,11 @@
         self.refilled_at = self.refilled_at.max(now);
         let new = elapsed_s * self.limit.requests_per_second * fraction;
         self.tokens = (self.tokens + new).min(self.depth);
+        if now.since(self.sampled_at) >= SAMPLE_INTERVAL {
+            self.sampled_at = now;
+            self.samples.rotate_right(1);
+            self.samples[0] = self.tokens;
+        }
         if now.since(self.period_started_at) >= RECENT_PERIOD {
             self.period_started_at = now;
             self.recent = [0, self.recent[0]];
@@ -102,6 +116,16 @@
         self.tokens = (self.tokens - requests).max(-max_debt);
     }
 
+    /// Gives tokens back that were taken for another VM which didn't use them.
+    pub(super) fn credit(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.depth);
+    }
+
+    /// Returns the largest number of tokens that there were within the last second.
+    pub(super) fn recent_tokens(&self) -> f64 {
+        self.samples.iter().copied().fold(self.tokens.max(0.0), f64::max)
+    }
+
     /// Returns when a refused caller should return: when there is a token again, and after the
     /// callers that were refused before it. `vms` share the tokens.
     pub(super) fn retry_after(&mut self, now: Time, vms: usize, random: f64) -> Duration {
