A request that nobody else serves keeps the reason and the time of its refusal

A VM that reaches no endpoint replaced them when no other VM was left to serve a request that it had refused; and it tried the same VMs twice.

--- a/crates/pistachiotrackd/src/hand_off.rs
+++ b/crates/pistachiotrackd/src/hand_off.rs
@@ -31,12 +31,12 @@
 pub(crate) async fn serve(
     context: &Arc<Context>,
     inbound: Arc<Inbound>,
-    mut request: Undispatched,
+    request: Undispatched,
 ) -> Served {
     if !serves_itself(context, inbound.id) {
-        request = match hand_over(context, &inbound, request).await {
-            Ok(served) => return served,
-            Err(request) => request,
+        return match hand_over(context, &inbound, request).await {
+            Ok(served) => served,
+            Err(request) => proxy::serve_here(context, inbound, request.into()).await,
         };
     }
     let served = proxy::serve_here(context, Arc::clone(&inbound), request.into()).await;
@@ -44,13 +44,14 @@
         Err(refused) if is_without_endpoint(&refused) && context.reach().is_cut_off() => refused,
         answer => return Served { answer, ..served },
     };
+    let (reason, retry_after_ms) = (refusal.reason(), refusal.retry_after_ms());
     let request = match Undispatched::from_refusal(refusal) {
         Ok(request) => request,
         Err(refusal) => return Served::refused(PendingRefusal { refusal, status }),
     };
     match hand_over(context, &inbound, request).await {
         Ok(served) => served,
-        Err(request) => Served::refused(request.refuse(Reason::NoEndpoint, None)),
+        Err(request) => Served::refused(request.refuse(reason, retry_after_ms)),
     }
 }
 
