Connections that hang count before their request is given up

With a connect timeout of a second, the default, a request is often given up first, and then nothing was reported; the tries of a check took longer than the check.

An attempt without an answer for a quarter of a second counts now, whatever becomes of its request, and a try has 0.4 s.

--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -21,6 +21,8 @@
     reach_monitor::{ConnectionTried, ReachMonitor},
 };
 
+/// Time without an answer after which an attempt to open a connection counts as failed.
+const UNANSWERED_CONNECT_TIME: Duration = Duration::from_millis(250);
 /// Time to wait for a connection that is just completing its last exchange.
 const READY_WAIT: Duration = Duration::from_millis(5);
 
@@ -112,18 +114,15 @@
                 }
             }
         }
-        if let Err(error) = self.check_path(address).await {
-            self.notify(address, false);
-            return Err(error.into());
-        }
         let Some(open) = self.acquire(address, budget) else {
             return Err(CheckoutError::OverBudget { address, budget });
         };
-        let opened = self.connector.open(address, open, deadline).await;
-        let is_late = self.connector.clock.now() >= deadline;
-        if !is_late || opened.is_ok() {
-            self.notify(address, opened.is_ok());
-        }
+        let attempt = ConnectAttempt::begin(self, address);
+        let opened = match self.check_path(address).await {
+            Ok(()) => self.connector.open(address, open, deadline).await,
+            Err(error) => Err(error),
+        };
+        attempt.end(&opened);
         let connection = opened?;
         self.record_open(&connection);
         Ok(CheckedOut { connection, fresh: true })
@@ -299,6 +298,39 @@
     }
 }
 
+/// An attempt to open a connection, of which the observer learns.
+struct ConnectAttempt<'a> {
+    pool: &'a ConnectionPool,
+    address: SocketAddr,
+    started_at: Time,
+    has_ended: bool,
+}
+
+impl ConnectAttempt<'_> {
+    fn begin(pool: &ConnectionPool, address: SocketAddr) -> ConnectAttempt<'_> {
+        let started_at = pool.connector.clock.now();
+        ConnectAttempt { pool, address, started_at, has_ended: false }
+    }
+
+    fn end(mut self, opened: &Result<Connection, ConnectError>) {
+        // One that ran out of time has failed only if it had enough.
+        if !matches!(opened, Err(ConnectError::TimedOut { .. })) {
+            self.has_ended = true;
+            self.pool.notify(self.address, opened.is_ok());
+        }
+    }
+}
+
+/// Reports an attempt that got no answer, also if its request was given up meanwhile.
+impl Drop for ConnectAttempt<'_> {
+    fn drop(&mut self) {
+        let waited = self.pool.connector.clock.now().since(self.started_at);
+        if !self.has_ended && waited >= UNANSWERED_CONNECT_TIME {
+            self.pool.notify(self.address, false);
+        }
+    }
+}
+
 async fn is_ready(connection: &mut Connection) -> bool {
     if connection.sender.is_ready() {
         return true;
--- a/crates/pistachiotrackd/src/reach_monitor.rs
+++ b/crates/pistachiotrackd/src/reach_monitor.rs
@@ -1,6 +1,6 @@
 //! Detects that this VM reaches no endpoint, although other VMs do.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use kameo::{
@@ -26,6 +26,9 @@
     view::ActiveConfig,
 };
 
+/// Time limit for a connection that is only tried: well below the time that a check takes.
+const TRY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Whether this VM reaches endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ReachView {
@@ -195,7 +198,8 @@
             let pool = Arc::clone(&self.context.endpoints);
             tokio::spawn(async move {
                 // A refusal shows nothing: a firewall may have sent it.
-                let is_reached = pool.listening(address).await == Listening::Open;
+                let listening = tokio::time::timeout(TRY_TIMEOUT, pool.listening(address)).await;
+                let is_reached = listening == Ok(Listening::Open);
                 // The monitor stops only with the process.
                 let _ = monitor.tell(EndpointTried { address, is_reached }).try_send();
             });
--- a/crates/pistachiotrackd/tests/endpoint_partition.rs
+++ b/crates/pistachiotrackd/tests/endpoint_partition.rs
@@ -55,6 +55,37 @@
     .await;
 }
 
+/// Sets the state of the paths from a VM to all endpoints.
+async fn set_paths(vm: &Vm, state: &str) {
+    let path = format!("/faults/endpoint-paths/{state}");
+    let response = client::send(vm.admin, client::request(Method::POST, &path, "")).await.unwrap();
+    assert_eq!(response.status(), 200);
+}
+
+/// Guards against cuts that only show by connections that hang, or that leave open ones alive.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_form_of_a_partition_is_bridged() {
+    bounded(async {
+        let [first, second, third] = three_endpoints().await;
+        let addresses = [&first, &second, &third].map(|endpoint| endpoint.address);
+        let (_platform, vms) = start_dispatchers(3, &addresses).await;
+        for form in ["silent", "new-refused", "refused"] {
+            for vm in &vms[..2] {
+                set_paths(vm, form).await;
+            }
+            let cut_at = Instant::now();
+            let until = cut_at + DETECTION_LIMIT + Duration::from_secs(2);
+            let served = served_fraction(&vms[..2], cut_at + DETECTION_LIMIT, until).await;
+            assert!(served > 0.95, "{form}: {served:.2} of the requests were served");
+            for vm in &vms[..2] {
+                set_paths(vm, "none").await;
+            }
+            tokio::time::sleep(Duration::from_secs(3)).await;
+        }
+    })
+    .await;
+}
+
 /// Guards against callers that are sent to a VM which reaches no endpoint, and against one that
 /// stays without work when it reaches them again.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -43,6 +43,7 @@
         "platform_address": platform,
         "expected_vms": 4,
         "entry_drain_ms": 0,
+        "fault_injection": true,
         "limits": limits,
     });
     Settings::parse(Path::new("test.json"), json.to_string().as_bytes()).unwrap()
