--- a/crates/pistachiotrack-core/src/retry.rs
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -1,13 +1,15 @@
 //! Budgets of retries and hedges, and the latency statistics that they are based on.
 
 mod fleet_retry_budget;
+mod send_window;
 
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 
-pub use self::fleet_retry_budget::{
-    CumulativeCounts, FleetRetryBudget, SendCounts, VisibleDispatchers,
+pub use self::{
+    fleet_retry_budget::{CumulativeCounts, FleetRetryBudget, VisibleDispatchers},
+    send_window::SendCounts,
 };
 use crate::{service::RetryLimit, time::Time};
 
--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
@@ -4,16 +4,14 @@
 //! many retries remain for all of them. Dividing the limit among them instead would leave most
 //! of it unused, because failures come in bursts and not evenly at all VMs.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use super::send_window::{SendCounts, SlidingWindow};
 use crate::{name::Name, service::RetryLimit, time::Time};
 
-/// Steps into which a window is divided; one more is kept, so that a whole window is covered
-/// at any time.
-const STEPS: usize = 20;
 /// Fraction of the slack used by dispatchers that know the whole last window. The rest covers
 /// what they don't know yet: two VMs taking the last retry at the same moment, datagrams in
 /// transit, and dispatchers that have just started.
@@ -42,38 +40,6 @@
 /// Number of windows without an update after which a VM is removed.
 const PEER_EXPIRY_WINDOWS: u32 = 10;
 
-/// Number of requests and retries sent to endpoints.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SendCounts {
-    /// Requests, each counted once, when it is first sent.
-    pub requests: u64,
-    /// Number of times a request was sent again.
-    pub retries: u64,
-}
-
-impl SendCounts {
-    fn plus(self, other: SendCounts) -> SendCounts {
-        SendCounts {
-            requests: self.requests.saturating_add(other.requests),
-            retries: self.retries.saturating_add(other.retries),
-        }
-    }
-
-    fn minus(self, other: SendCounts) -> SendCounts {
-        SendCounts {
-            requests: self.requests.saturating_sub(other.requests),
-            retries: self.retries.saturating_sub(other.retries),
-        }
-    }
-
-    fn max(self, other: SendCounts) -> SendCounts {
-        SendCounts {
-            requests: self.requests.max(other.requests),
-            retries: self.retries.max(other.retries),
-        }
-    }
-}
-
 /// Total counts of what a VM has sent as a dispatcher.
 ///
 /// Totals are sent instead of differences, so that the next datagram makes up for a lost one.
@@ -106,7 +72,9 @@
     fn record(&mut self, now: Time, limit: RetryLimit, added: SendCounts) {
         self.last_update_at = now;
         if added != SendCounts::default() {
-            self.window.get_or_insert_with(|| SlidingWindow::new(now, limit)).record(now, added);
+            self.window
+                .get_or_insert_with(|| SlidingWindow::new(now, window(limit)))
+                .record(now, added);
         }
         if added.retries > 0 {
             self.retried_at = Some(now);
@@ -212,9 +180,9 @@
             joining_until: None,
             total: CumulativeCounts { count_id, sent: SendCounts::default() },
             peers: FxHashMap::default(),
-            non_dispatcher_window: SlidingWindow::new(now, limit),
-            own_window: SlidingWindow::new(now, limit),
-            fleet_window: SlidingWindow::new(now, limit),
+            non_dispatcher_window: SlidingWindow::new(now, window(limit)),
+            own_window: SlidingWindow::new(now, window(limit)),
+            fleet_window: SlidingWindow::new(now, window(limit)),
             window_known_at: now + window(limit),
             created_at: now,
             allowance: Allowance::default(),
@@ -235,9 +203,9 @@
     /// Sets the limit and the expected number of dispatchers.
     pub fn configure(&mut self, now: Time, limit: RetryLimit, expected: u32) {
         if window(limit) != window(self.limit) {
-            self.non_dispatcher_window = SlidingWindow::new(now, limit);
-            self.own_window = SlidingWindow::new(now, limit);
-            self.fleet_window = SlidingWindow::new(now, limit);
+            self.non_dispatcher_window = SlidingWindow::new(now, window(limit));
+            self.own_window = SlidingWindow::new(now, window(limit));
+            self.fleet_window = SlidingWindow::new(now, window(limit));
             self.window_known_at = now + window(limit);
             for peer in self.peers.values_mut() {
                 peer.window = None;
@@ -467,62 +435,6 @@
     }
 }
 
-/// Sliding window of counts.
-#[derive(Clone, Debug)]
-struct SlidingWindow {
-    step: Duration,
-    /// Newest first.
-    steps: VecDeque<SendCounts>,
-    newest_started_at: Time,
-}
-
-impl SlidingWindow {
-    fn new(now: Time, limit: RetryLimit) -> SlidingWindow {
-        SlidingWindow {
-            step: window(limit) / STEPS as u32,
-            steps: VecDeque::from(vec![SendCounts::default(); STEPS + 1]),
-            newest_started_at: now,
-        }
-    }
-
-    fn record(&mut self, now: Time, sent: SendCounts) {
-        self.advance(now);
-        if let Some(newest) = self.steps.front_mut() {
-            *newest = newest.plus(sent);
-        }
-    }
-
-    /// Returns the retries of slightly more than a window and the requests of slightly less, so
-    /// that errors are on the safe side.
-    fn sum(&mut self, now: Time) -> SendCounts {
-        self.advance(now);
-        let sum = self.steps.iter().copied().fold(SendCounts::default(), SendCounts::plus);
-        let oldest = self.steps.back().map_or(0, |step| step.requests);
-        SendCounts { requests: sum.requests.saturating_sub(oldest), ..sum }
-    }
-
-    /// Merges the counts of another VM, whose steps may be shifted by one.
-    fn merge(&mut self, now: Time, others: &[SendCounts]) {
-        self.advance(now);
-        for (step, other) in self.steps.iter_mut().zip(others) {
-            *step = step.max(*other);
-        }
-    }
-
-    fn advance(&mut self, now: Time) {
-        let mut elapsed_steps = 0;
-        while now.since(self.newest_started_at) >= self.step && elapsed_steps <= STEPS {
-            self.steps.pop_back();
-            self.steps.push_front(SendCounts::default());
-            self.newest_started_at += self.step;
-            elapsed_steps += 1;
-        }
-        if elapsed_steps > STEPS {
-            self.newest_started_at = now;
-        }
-    }
-}
-
 fn window(limit: RetryLimit) -> Duration {
     Duration::from_millis(limit.window_ms.max(1))
 }
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -1,10 +1,10 @@
 //! Plans of soak runs: generated from a seed, written and read as JSON.
 
+mod generator;
+
 use std::{fs, path::Path};
 
 use anyhow::Context;
-use rand::{RngExt, SeedableRng, seq::IndexedRandom};
-use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
 /// The size, duration and events of a run.
@@ -229,54 +229,15 @@
     Stale,
 }
 
-/// Phase boundaries in tenths of a run: planned events only, then faults in addition, then
-/// planned events only, in which the fleet has to recover.
-const FAULTS_START_TENTHS: u64 = 3;
-const FAULTS_END_TENTHS: u64 = 6;
-/// Mean time between two planned events, and between two faults.
-const MEAN_PLANNED_GAP_MS: u64 = 900;
-const MEAN_FAULT_GAP_MS: u64 = 700;
-/// Mean time between two events of customers. They are drawn from a generator of their own, so
-/// that the other events of a seed don't depend on them.
-const MEAN_CUSTOMER_GAP_MS: u64 = 15_000;
-/// Mean time between two notices of endpoints, and what the seed is combined with for the generator
-/// that draws them, for the same reason.
-const MEAN_NOTICE_GAP_MS: u64 = 5_000;
-const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
-/// The same for VMs that are cut off from endpoints.
-const MEAN_ENDPOINT_CUT_GAP_MS: u64 = 9_000;
-const ENDPOINT_CUT_SEED: u64 = 0x7061_7468;
-/// Time before the end of the load in which no event starts.
-const FINAL_QUIET_MS: u64 = 5_000;
 /// Largest number of VMs with proxied links. A proxy holds a file descriptor for each VM that
 /// sends to it, and 200 VMs exceeded the limit of 20,000 descriptors of a process.
 pub const MAX_PROXIED_VMS: usize = 120;
-/// One in this many kill events kills all VMs.
-const KILL_ALL_ONE_IN: u32 = 15;
-
 impl Plan {
     /// Generates a plan from a seed.
     pub fn new(seed: u64, vms: usize, seconds: u64, endpoints: usize) -> Plan {
-        let mut generator = PlanGenerator {
-            random: Pcg64Mcg::seed_from_u64(seed),
-            vms,
-            endpoints,
-            steps: Vec::new(),
-        };
-        let total_ms = seconds * 1_000;
-        let end_ms = total_ms.saturating_sub(FINAL_QUIET_MS);
-        generator.add_events(0, end_ms, MEAN_PLANNED_GAP_MS, PlanGenerator::planned_event);
-        let faults = (total_ms * FAULTS_START_TENTHS / 10, total_ms * FAULTS_END_TENTHS / 10);
-        generator.add_events(faults.0, faults.1, MEAN_FAULT_GAP_MS, PlanGenerator::fault_event);
-        generator.random = Pcg64Mcg::seed_from_u64(!seed);
-        generator.add_events(0, end_ms, MEAN_CUSTOMER_GAP_MS, PlanGenerator::customer_event);
-        generator.random = Pcg64Mcg::seed_from_u64(seed ^ NOTICE_SEED);
-        generator.add_events(0, end_ms, MEAN_NOTICE_GAP_MS, PlanGenerator::notice_event);
-        generator.random = Pcg64Mcg::seed_from_u64(seed ^ ENDPOINT_CUT_SEED);
-        generator.add_events(0, end_ms, MEAN_ENDPOINT_CUT_GAP_MS, PlanGenerator::endpoint_cut);
-        generator.steps.sort_by_key(|step| step.at_ms);
+        let steps = generator::steps(seed, vms, seconds, endpoints);
         let dispatchers_per_data_centre = if seed.is_multiple_of(2) { 0 } else { 2 };
-        Plan { seed, vms, dispatchers_per_data_centre, seconds, steps: generator.steps }
+        Plan { seed, vms, dispatchers_per_data_centre, seconds, steps }
     }
 
     /// Reads a plan from a file.
@@ -377,141 +338,3 @@
         }
     }
 }
-
-struct PlanGenerator {
-    random: Pcg64Mcg,
-    vms: usize,
-    endpoints: usize,
-    steps: Vec<Step>,
-}
-
-impl PlanGenerator {
-    fn add_events(
-        &mut self,
-        from_ms: u64,
-        to_ms: u64,
-        gap_ms: u64,
-        event: fn(&mut PlanGenerator) -> Event,
-    ) {
-        let mut at_ms = from_ms;
-        loop {
-            at_ms += self.random.random_range(1..2 * gap_ms);
-            if at_ms >= to_ms {
-                return;
-            }
-            let event = event(self);
-            self.steps.push(Step { at_ms, event });
-        }
-    }
-
-    fn vm(&mut self) -> usize {
-        self.random.random_range(0..self.vms)
-    }
-
-    fn endpoint(&mut self) -> usize {
-        self.random.random_range(0..self.endpoints)
-    }
-
-    fn planned_event(&mut self) -> Event {
-        let vm = self.vm();
-        match self.random.random_range(0..13) {
-            0..5 => Event::Terminate { vm, restart_after_ms: self.random.random_range(50..2_000) },
-            5..7 => Event::HangUp { vm },
-            7..9 => Event::Leave {
-                endpoint: self.endpoint(),
-                for_ms: self.random.random_range(500..20_000),
-            },
-            9 => Event::PublishInvalid,
-            10 if self.vms <= MAX_PROXIED_VMS => {
-                Event::CutOffPlatform { vm, for_ms: self.random.random_range(8_000..20_000) }
-            }
-            _ => Event::AnnounceRateLimit {
-                endpoint: self.endpoint(),
-                tenths_per_second: self.random.random_range(5..50),
-                for_ms: self.random.random_range(8_000..25_000),
-            },
-        }
-    }
-
-    fn customer_event(&mut self) -> Event {
-        match self.random.random_range(0..3) {
-            0 => Event::Flood { for_ms: self.random.random_range(3_000..12_000) },
-            _ => Event::TakeKey {
-                valid_ms: self.random.random_range(500..3_000),
-                used_ms: self.random.random_range(6_000..10_000),
-            },
-        }
-    }
-
-    fn notice_event(&mut self) -> Event {
-        let endpoint = self.endpoint();
-        let for_ms = self.random.random_range(6_000..15_000);
-        match self.random.random_range(0..2) {
-            0 => Event::SayLeaving { endpoint, for_ms },
-            _ => Event::RefuseRequests { endpoint, for_ms },
-        }
-    }
-
-    /// Cuts off half of the VMs, all but one, or a single one.
-    fn endpoint_cut(&mut self) -> Event {
-        let forms = [EndpointCut::Refused, EndpointCut::Silent, EndpointCut::NewRefused];
-        let form = *forms.choose(&mut self.random).unwrap_or(&EndpointCut::Refused);
-        let count = match self.random.random_range(0..3) {
-            0 => self.vms / 2,
-            1 => self.vms - 1,
-            _ => 1,
-        };
-        let first = self.vm();
-        let vms = (0..count).map(|offset| (first + offset) % self.vms).collect();
-        Event::CutOffEndpoints { vms, form, for_ms: self.random.random_range(4_000..9_000) }
-    }
-
-    fn fault_event(&mut self) -> Event {
-        loop {
-            let event = self.random_fault();
-            if self.vms <= MAX_PROXIED_VMS || !event.needs_link_proxies() {
-                return event;
-            }
-        }
-    }
-
-    fn random_fault(&mut self) -> Event {
-        let vm = self.vm();
-        let for_ms = self.random.random_range(200..5_000);
-        match self.random.random_range(0..13) {
-            0..2 => self.kill(vm, for_ms),
-            2..4 => Event::Pause { vm, for_ms },
-            4..6 => Event::CutOneWay { from: vm, to: self.vm(), for_ms },
-            6 => Event::CutOff { vm, for_ms },
-            7 => Event::DegradedLinks {
-                lost_percent: self.random.random_range(1..30),
-                delay_ms: self.random.random_range(0..50),
-                for_ms,
-            },
-            12 => Event::CrashingRequest { for_ms: self.random.random_range(3_000..15_000) },
-            8..10 => {
-                let faults = [
-                    EndpointFault::Gray,
-                    EndpointFault::Straggler,
-                    EndpointFault::Hang,
-                    EndpointFault::Shed,
-                    EndpointFault::SilentConnections,
-                ];
-                let fault = *faults.choose(&mut self.random).unwrap_or(&EndpointFault::Gray);
-                Event::EndpointFault { endpoint: self.endpoint(), fault, for_ms }
-            }
-            _ => {
-                let faults =
-                    [PlatformFault::Refusing, PlatformFault::Hanging, PlatformFault::Stale];
-                let fault = *faults.choose(&mut self.random).unwrap_or(&PlatformFault::Refusing);
-                Event::PlatformFault { fault, for_ms }
-            }
-        }
-    }
-
-    fn kill(&mut self, vm: usize, restart_after_ms: u64) -> Event {
-        let all = self.random.random_range(0..KILL_ALL_ONE_IN) == 0;
-        let vms = if all { (0..self.vms).collect() } else { vec![vm] };
-        Event::Kill { vms, restart_after_ms }
-    }
-}
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -31,7 +31,9 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc::UnboundedSender;
 
-pub(crate) use self::peers::{PathChecked, PeerUpdate, ReceiveHandOver, SendHandOver};
+pub(crate) use self::peers::{
+    PathChecked, PathsRestored, PeerUpdate, ReceiveHandOver, SendHandOver,
+};
 use crate::{
     clock::Clock,
     connection_pool::ConnectionPool,
@@ -269,18 +271,6 @@
     }
 }
 
-/// Reports that this VM reaches endpoints again after it reached none.
-pub(crate) struct PathsRestored;
-
-impl Message<PathsRestored> for ShardActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: PathsRestored, _: &mut Context<Self, ()>) {
-        let actions = self.shard.on_paths_restored(self.clock.now());
-        self.apply(actions);
-    }
-}
-
 /// Applies a new configuration to a shard.
 pub(crate) struct NewConfig(pub(crate) Arc<Config>);
 
--- a/crates/pistachiotrackd/src/shard_actor/peers.rs
+++ b/crates/pistachiotrackd/src/shard_actor/peers.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// Reports that this VM reaches endpoints again after it reached none.
+pub(crate) struct PathsRestored;
+
+impl Message<PathsRestored> for ShardActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: PathsRestored, _: &mut Context<Self, ()>) {
+        let actions = self.shard.on_paths_restored(self.clock.now());
+        self.apply(actions);
+    }
+}
+
 /// Sends the shard's state to its new owner.
 pub(crate) struct SendHandOver {
     /// The new owner.
