Soak: one key at a time is used and taken away

There is one such key; a step that begins while another uses it is left out now, like overlapping limits and notices. The check and its bound stay as they are.

--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -72,6 +72,8 @@
     /// Whether VMs are cut off from endpoints now.
     has_endpoint_cut: bool,
     endpoint_cuts: Vec<EndpointCutPeriod>,
+    /// Whether callers use the key that is taken away.
+    uses_taken_key: bool,
     taken_keys: Vec<TakenKey>,
     /// Requests of the customer that floods.
     flood: Vec<SentLookup>,
@@ -100,6 +102,7 @@
             notice_periods: Vec::new(),
             has_endpoint_cut: false,
             endpoint_cuts: Vec::new(),
+            uses_taken_key: false,
             taken_keys: Vec::new(),
             flood: Vec::new(),
             cut_directions: Vec::new(),
@@ -273,8 +276,17 @@
         sent.join_all().await;
     }
 
-    /// Lets callers use a key, takes it away while they go on, and records their requests.
+    /// Lets callers use a key, takes it away while they go on, and records their requests. There is
+    /// one such key: a second step would make it valid again for the requests of the first.
     async fn take_key(&self, valid_ms: u64, used_ms: u64) {
+        if std::mem::replace(&mut self.lock().uses_taken_key, true) {
+            return;
+        }
+        self.use_and_take_key(valid_ms, used_ms).await;
+        self.lock().uses_taken_key = false;
+    }
+
+    async fn use_and_take_key(&self, valid_ms: u64, used_ms: u64) {
         if !self.publish(|config| customers::set_taken_key(config, true)) {
             return;
         }
