Crashes of endpoints count while a VM doubts its paths, and it tries again before it concludes

Cause: crashes didn't count while three connections in a row had failed, and a request that crashes all endpoints causes just that. Now they are left out only at a VM that is cut off; one in doubt waits for the result of its check, 0.7 s at most.

The same look: endpoints that crash and start again were down when the VM tried them and up when another did, which cut it off. It tries these again before it concludes. Test in logical time, 40 such rounds.

--- a/crates/pistachiotrack-core/src/reachability.rs
+++ b/crates/pistachiotrack-core/src/reachability.rs
@@ -26,8 +26,9 @@
 const CHECKED_ENDPOINTS: usize = 8;
 /// Number of endpoints that other VMs are asked about in a check.
 const ASKED_ENDPOINTS: usize = 3;
-/// Time after which a check without a result ends; it allows for a connection that hangs.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after which a check without a result ends; it allows for two connections that hang, one
+/// after the other.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Interval at which a VM that reaches no endpoint tries some again.
 const TRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of endpoints that it tries each time.
@@ -98,9 +99,11 @@
 }
 
 /// A check whether this VM reaches any endpoint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Check {
     started_at: Time,
+    /// Endpoints that other VMs are asked about.
+    asked: Vec<SocketAddr>,
     /// Number of endpoints whose result is outstanding.
     outstanding: usize,
     reached_by_others: bool,
@@ -197,7 +200,7 @@
         if self.failures < FAILURES_TO_CHECK {
             return Vec::new();
         }
-        if self.check.is_some_and(|check| !check.is_overdue(now)) {
+        if self.check.as_ref().is_some_and(|check| !check.is_overdue(now)) {
             return Vec::new();
         }
         self.start_check(now)
@@ -217,12 +220,18 @@
     }
 
     /// Handles the result of [`ReachAction::AskVms`]: whether another VM reaches an endpoint that
-    /// this one doesn't.
-    pub fn on_vms_answered(&mut self, now: Time, reached: bool) -> Vec<ReachAction> {
-        if let Some(check) = &mut self.check {
-            check.reached_by_others |= reached;
-        }
-        self.conclude_check(now)
+    /// this one didn't.
+    ///
+    /// This one tries again then: an endpoint that crashes and starts again may have been down when
+    /// it tried, and up when the other VM did.
+    pub fn on_vms_answered(&mut self, reached: bool) -> Vec<ReachAction> {
+        let Some(check) = self.check.as_mut().filter(|check| reached && !check.reached_by_others)
+        else {
+            return Vec::new();
+        };
+        check.reached_by_others = true;
+        check.outstanding += check.asked.len();
+        vec![ReachAction::TryEndpoints(check.asked.clone())]
     }
 
     /// Handles a pause of this process: connections that it delayed are no evidence.
@@ -240,7 +249,7 @@
     pub fn on_tick(&mut self, now: Time) -> Vec<ReachAction> {
         match self.reach {
             EndpointReach::Normal => {
-                self.check = self.check.filter(|check| !check.is_overdue(now));
+                self.check.take_if(|check| check.is_overdue(now));
                 if self.partitions > 0 && now.since(self.returned_at) >= FORGET_TIME {
                     self.partitions = 0;
                 }
@@ -262,18 +271,25 @@
 
     fn start_check(&mut self, now: Time) -> Vec<ReachAction> {
         let tried = self.sample(CHECKED_ENDPOINTS);
-        self.check =
-            Some(Check { started_at: now, outstanding: tried.len(), reached_by_others: false });
         let mut failed: Vec<(Time, SocketAddr)> =
             self.failed.iter().map(|(address, at)| (*at, *address)).collect();
         failed.sort_unstable_by(|a, b| b.cmp(a));
-        let asked = failed.into_iter().take(ASKED_ENDPOINTS).map(|(_, address)| address).collect();
+        let asked: Vec<SocketAddr> =
+            failed.into_iter().take(ASKED_ENDPOINTS).map(|(_, address)| address).collect();
+        self.check = Some(Check {
+            started_at: now,
+            asked: asked.clone(),
+            outstanding: tried.len(),
+            reached_by_others: false,
+        });
         vec![ReachAction::TryEndpoints(tried), ReachAction::AskVms(asked)]
     }
 
     fn conclude_check(&mut self, now: Time) -> Vec<ReachAction> {
-        let is_confirmed =
-            self.check.is_some_and(|check| check.outstanding == 0 && check.reached_by_others);
+        let is_confirmed = self
+            .check
+            .as_ref()
+            .is_some_and(|check| check.outstanding == 0 && check.reached_by_others);
         if is_confirmed && self.reach == EndpointReach::Normal {
             return self.cut_off(now);
         }
--- a/crates/pistachiotrack-core/tests/reachability.rs
+++ b/crates/pistachiotrack-core/tests/reachability.rs
@@ -83,7 +83,7 @@
                 ReachAction::AskVms(addresses) => {
                     let is_reached =
                         addresses.iter().any(|address| self.reached_by_others.contains(address));
-                    self.reachability.on_vms_answered(self.now, is_reached)
+                    self.reachability.on_vms_answered(is_reached)
                 }
                 ReachAction::Changed(reach) => {
                     self.changes.push((self.now, reach));
@@ -193,6 +193,31 @@
     assert!(returned <= 3, "returned {returned} times in 60 s");
 }
 
+/// Guards against a VM that hands its work over because endpoints crash and start again: they were
+/// down when it tried them, and up when another VM did.
+#[test]
+fn endpoints_that_crash_and_start_again_cut_no_vm_off() {
+    let mut vm = Vm::new();
+    for _ in 0..40 {
+        vm.cut_off();
+        let actions: Vec<ReachAction> = (0..3)
+            .flat_map(|number| vm.reachability.on_connect_failed(vm.now, endpoint(number)))
+            .collect();
+        for action in actions {
+            if let ReachAction::TryEndpoints(addresses) = action {
+                for address in addresses {
+                    vm.reachability.on_tried(vm.now, address, false);
+                }
+            }
+        }
+        vm.heal();
+        let tried_again = vm.reachability.on_vms_answered(true);
+        vm.apply(tried_again);
+        vm.run(STEP);
+    }
+    assert_eq!(vm.changes, []);
+}
+
 /// Guards against a VM that a pause of its process cuts off: connections that it delayed fail.
 #[test]
 fn failures_during_a_pause_do_not_count() {
--- a/crates/pistachiotrackd/src/crash_check.rs
+++ b/crates/pistachiotrackd/src/crash_check.rs
@@ -4,10 +4,15 @@
 
 use pistachiotrack_core::{name::Name, request::BodyEnd};
 
-use crate::{connection_pool::Listening, context::Context, inbound::Inbound, metrics::Event};
+use crate::{
+    connection_pool::Listening, context::Context, inbound::Inbound, metrics::Event,
+    reach_monitor::ReachView,
+};
 
 /// Time within which a VM that loses all its paths at once begins to doubt them.
 const DOUBT_TIME: Duration = Duration::from_millis(100);
+/// Time within which the doubt is usually settled.
+const MAX_DOUBT_TIME: Duration = Duration::from_millis(600);
 
 /// A request being run by an endpoint that may crash.
 #[derive(Debug)]
@@ -40,17 +45,22 @@
              listening={listening:?}",
             inbound.fleet_id
         );
-        if listening == Listening::Refused && !may_be_cut_off(&context).await {
+        if listening == Listening::Refused && !is_cut_off(&context).await {
             context.metrics.count(Event::EndpointCrash);
             context.quarantine.on_crash(fingerprint, &inbound.route.shard.service, &endpoint);
         }
     }
 }
 
-/// Returns whether the endpoint may only seem to have crashed, since this VM reaches none.
-async fn may_be_cut_off(context: &Context) -> bool {
+/// Returns whether the endpoint only seems to have crashed, since this VM reaches none. While that is
+/// in doubt, it waits for the result; a request that crashes all endpoints raises the doubt too.
+async fn is_cut_off(context: &Context) -> bool {
     tokio::time::sleep(DOUBT_TIME).await;
-    context.reach.borrow().is_in_doubt
+    let mut reach = context.reach.clone();
+    let is_known = |view: &ReachView| view.reach.is_cut_off() || !view.is_in_doubt;
+    // Without a result in time, the crash counts.
+    let _ = tokio::time::timeout(MAX_DOUBT_TIME, reach.wait_for(is_known)).await;
+    context.reach().is_cut_off()
 }
 
 /// Records how an execution ends whose answer has started.
--- a/crates/pistachiotrackd/src/reach_monitor.rs
+++ b/crates/pistachiotrackd/src/reach_monitor.rs
@@ -133,8 +133,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: VmsAnswered, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
-        let actions = self.reachability.on_vms_answered(now, message.is_reached);
+        let actions = self.reachability.on_vms_answered(message.is_reached);
         self.apply(actions);
     }
 }
