One broken path cuts no VM off; two endpoints that others reach are needed

A VM now concludes that only if others reach two endpoints that it doesn't. Test in logical time: one_endpoint_that_only_others_reach_cuts_no_vm_off; the relay's tests pass.

--- a/crates/pistachiotrack-core/src/reachability.rs
+++ b/crates/pistachiotrack-core/src/reachability.rs
@@ -4,7 +4,7 @@
 //! itself, takes requests and refuses them while other VMs could serve them. It shows as
 //! connections that fail to all endpoints of all services at once. The guard holds because such
 //! a VM hands its requests over, and because no VM concludes that from its own failures alone:
-//! another VM has to reach an endpoint that this one doesn't. If the endpoints themselves are
+//! other VMs have to reach endpoints that this one doesn't. If the endpoints themselves are
 //! down, no VM hands anything over.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -25,7 +25,9 @@
 /// Number of other endpoints that are tried in a check.
 const CHECKED_ENDPOINTS: usize = 8;
 /// Number of endpoints that other VMs are asked about in a check.
-const ASKED_ENDPOINTS: usize = 3;
+const ASKED_ENDPOINTS: usize = 5;
+/// Number of these that other VMs must reach: a single one may have a broken path of its own.
+const MIN_REACHED_BY_OTHERS: usize = 2;
 /// Time after which a check without a result ends; it allows for two connections that hang, one
 /// after the other.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -106,7 +108,8 @@
     asked: Vec<SocketAddr>,
     /// Number of endpoints whose result is outstanding.
     outstanding: usize,
-    reached_by_others: bool,
+    /// Number of endpoints that other VMs reach.
+    reached_by_others: usize,
 }
 
 impl Check {
@@ -225,11 +228,11 @@
     /// This one tries again then: an endpoint that crashes and starts again may have been down when
     /// it tried, and up when the other VM did.
     pub fn on_vms_answered(&mut self, reached: bool) -> Vec<ReachAction> {
-        let Some(check) = self.check.as_mut().filter(|check| reached && !check.reached_by_others)
-        else {
+        let Some(check) = self.check.as_mut().filter(|_| reached) else { return Vec::new() };
+        check.reached_by_others += 1;
+        if check.reached_by_others != MIN_REACHED_BY_OTHERS {
             return Vec::new();
-        };
-        check.reached_by_others = true;
+        }
         check.outstanding += check.asked.len();
         vec![ReachAction::TryEndpoints(check.asked.clone())]
     }
@@ -274,22 +277,22 @@
         let mut failed: Vec<(Time, SocketAddr)> =
             self.failed.iter().map(|(address, at)| (*at, *address)).collect();
         failed.sort_unstable_by(|a, b| b.cmp(a));
-        let asked: Vec<SocketAddr> =
-            failed.into_iter().take(ASKED_ENDPOINTS).map(|(_, address)| address).collect();
+        let mut asked: Vec<SocketAddr> = failed.into_iter().map(|(_, address)| address).collect();
+        asked.extend(tried.iter().filter(|address| !self.failed.contains_key(address)));
+        asked.truncate(ASKED_ENDPOINTS);
         self.check = Some(Check {
             started_at: now,
             asked: asked.clone(),
             outstanding: tried.len(),
-            reached_by_others: false,
+            reached_by_others: 0,
         });
         vec![ReachAction::TryEndpoints(tried), ReachAction::AskVms(asked)]
     }
 
     fn conclude_check(&mut self, now: Time) -> Vec<ReachAction> {
-        let is_confirmed = self
-            .check
-            .as_ref()
-            .is_some_and(|check| check.outstanding == 0 && check.reached_by_others);
+        let is_confirmed = self.check.as_ref().is_some_and(|check| {
+            check.outstanding == 0 && check.reached_by_others >= MIN_REACHED_BY_OTHERS
+        });
         if is_confirmed && self.reach == EndpointReach::Normal {
             return self.cut_off(now);
         }
