--- a/crates/pistachiotrack-core/src/health/risk.rs
+++ b/crates/pistachiotrack-core/src/health/risk.rs
@@ -17,8 +17,8 @@
     time::Time,
 };
 
-/// A VM's estimate about one endpoint, sent to other VMs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A VM's estimate of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointEstimate {
     /// The endpoint.
     pub endpoint: Name,
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -10,6 +10,7 @@
 mod rate_limits;
 mod relay;
 mod retry_budget;
+mod snapshot;
 mod state;
 mod status;
 mod subscribers;
@@ -23,10 +24,9 @@
     action::{Dispatch, SelectionDetails, SelectionReason, ShardAction},
     failure_rate::RequestCounts,
     hand_over::ShardHandOver,
+    snapshot::{ShardSnapshot, SnapshotEstimate},
     subscribers::Subscribers,
-    updates::{
-        AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardSnapshot, ShardUpdate,
-    },
+    updates::{AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardUpdate},
 };
 use self::{
     failure_rate::ServiceFailureRate,
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -11,12 +11,11 @@
 use super::{RequestCounts, Shard, ShardAction, state::AttemptState};
 use crate::{
     hash,
-    health::EndpointEstimate,
     name::Name,
     ownership::ShardId,
     rate_limit::RateUpdate,
     request::{AttemptId, Class, FIRST_FAILURE_STATUS},
-    retry::{CumulativeCounts, SendCounts},
+    retry::CumulativeCounts,
     time::Time,
 };
 
@@ -24,10 +23,6 @@
 /// no further update; few requests take longer than this.
 const PEER_COUNT_TTL: Duration = Duration::from_secs(3);
 
-/// Time for which requests wait for a snapshot: some round trips between data centres of one
-/// region. It bounds the cost of a snapshot that is lost or that no VM has.
-const SNAPSHOT_WAIT: Duration = Duration::from_millis(20);
-
 /// Maximum number of endpoints in one message: each takes about 20 bytes of the 1,200 that a
 /// message may have.
 const MAX_ENDPOINTS_PER_UPDATE: usize = 32;
@@ -72,35 +67,6 @@
     pub leaving: bool,
 }
 
-/// A VM's view of a shard's endpoints, for a VM that has just started to dispatch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ShardSnapshot {
-    /// The shard.
-    pub shard: ShardId,
-    /// Estimates of the endpoints that the VM has observed.
-    pub estimates: Vec<EndpointEstimate>,
-    /// What all dispatchers have sent in the last window of the retry limit, newest first; empty
-    /// if the sender has no such record.
-    pub sent: Vec<SendCounts>,
-    /// Endpoints that announce a rate limit.
-    pub rate_limits: Vec<(EndpointKey, RateUpdate)>,
-    /// Endpoints that have said that they are leaving.
-    pub leaving: Vec<EndpointKey>,
-}
-
-impl ShardSnapshot {
-    /// Creates a snapshot without any observations.
-    pub fn empty(shard: ShardId) -> ShardSnapshot {
-        ShardSnapshot {
-            shard,
-            estimates: Vec::new(),
-            sent: Vec::new(),
-            rate_limits: Vec::new(),
-            leaving: Vec::new(),
-        }
-    }
-}
-
 /// The end of an attempt at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedAttempt {
@@ -199,46 +165,6 @@
         }
     }
 
-    /// Returns a snapshot of this VM's view of the endpoints.
-    pub fn snapshot(&mut self, now: Time) -> ShardSnapshot {
-        let sent = self.retry_budget.fleet().map(|budget| budget.history(now)).unwrap_or_default();
-        let (estimates, rate_limits) = (self.health.estimates(now), self.pool.rate_limits(now));
-        let leaving = self.pool.said_leaving(now).map(|name| EndpointKey::of(name)).collect();
-        ShardSnapshot { shard: self.id.clone(), estimates, sent, rate_limits, leaving }
-    }
-
-    /// Records that a snapshot was requested from other VMs. Requests wait until one arrives, or
-    /// until none can be expected any more.
-    ///
-    /// A VM with few requests has no recent observations of the endpoints and would send a
-    /// request to any of them, so that many of these requests would fail. A snapshot arrives
-    /// within a round trip. It doesn't help in the first second after the loss of all VMs, when
-    /// no VM has observations.
-    pub fn on_snapshot_requested(&mut self, now: Time) {
-        self.snapshot_deadline = self.feature_flags.snapshot_wait.then(|| now + SNAPSHOT_WAIT);
-    }
-
-    pub(super) fn awaits_snapshot(&self, now: Time) -> bool {
-        self.snapshot_deadline.is_some_and(|due| now < due)
-    }
-
-    /// Applies another VM's snapshot.
-    pub fn on_snapshot(&mut self, now: Time, snapshot: &ShardSnapshot) -> Vec<ShardAction> {
-        if snapshot.shard != self.id {
-            return Vec::new();
-        }
-        self.snapshot_deadline = None;
-        let actions = self.health.on_estimates(now, &snapshot.estimates);
-        self.on_health_actions(now, actions);
-        if let Some(budget) = self.retry_budget.fleet() {
-            budget.on_history(now, &snapshot.sent);
-        }
-        self.on_snapshot_rate_limits(now, &snapshot.rate_limits);
-        self.on_snapshot_leaving(now, &snapshot.leaving);
-        self.pool.refresh(now, &self.health);
-        self.advance(now)
-    }
-
     /// Queues a failure for the other VMs as soon as it is known, so that their next requests
     /// avoid the endpoint.
     pub(super) fn queue_failure_report(&mut self, attempt: AttemptId) {
--- a/crates/pistachiotrack-core/tests/shard_updates.rs
+++ b/crates/pistachiotrack-core/tests/shard_updates.rs
@@ -1,4 +1,4 @@
-//! Updates between dispatchers: their size, and the age of what they report.
+//! Updates and snapshots between dispatchers: their size, and the age of what they report.
 
 mod shared_support;
 
@@ -6,6 +6,7 @@
 
 use pistachiotrack_core::{
     endpoint::incarnation_name,
+    message::MAX_DATAGRAM_BYTES,
     name::Name,
     ownership::ShardId,
     request::{BodyEnd, EndpointReport, Outcome},
@@ -66,3 +67,40 @@
     let sent = dispatched(&actions).or_else(|| dispatched(&shard.on_tick(at)));
     sent.expect("the booking is sent").selection.risk_permille
 }
+
+/// A VM that has just started knows nothing of the endpoints and asks for a snapshot. If a part of
+/// it is too long for a datagram, the VM drops it and sends its first bookings to endpoints that
+/// the others know to fail.
+#[test]
+fn every_part_of_a_large_snapshot_fits_into_a_datagram_and_arrives() {
+    const ENDPOINTS: u32 = 101;
+    // The deployment, the sender and the length prefixes of a datagram.
+    const HEADER_BYTES: usize = 64;
+    let mut config = config(ENDPOINTS);
+    for (index, endpoint) in config.services[0].endpoints.iter_mut().enumerate() {
+        let name = format!("i-2b3b66a6{index:02x}");
+        endpoint.name = incarnation_name(&name, Some(1_796_285_640_001));
+    }
+    config.services[0].shard_endpoints = ENDPOINTS;
+    let id = ShardId { service: Name::from("booking"), index: 0 };
+    let settings = ShardSettings { mode: ShardMode::Shared, ..ShardSettings::default() };
+    let new_shard = || Shard::new(START, id.clone(), &config, settings.clone());
+    let mut informed = new_shard();
+    for request in 0..u64::from(ENDPOINTS) {
+        let sent = dispatched(&informed.on_request(START, booking(request, START))).unwrap();
+        let failed = Outcome::Answered { status: 500, fresh_connection: true };
+        informed.on_outcome(START, sent.attempt, failed, EndpointReport::default());
+        informed.on_body_end(START, sent.attempt, BodyEnd::Complete);
+    }
+
+    let parts = informed.snapshot(START).into_parts();
+    let mut new = new_shard();
+    for part in &parts {
+        let length = postcard::to_stdvec(part).unwrap().len();
+        assert!(length + HEADER_BYTES <= MAX_DATAGRAM_BYTES, "a part of {length} bytes");
+        new.on_snapshot(START, part);
+    }
+    let known = new.snapshot(START).estimates.len();
+    assert_eq!(known, informed.snapshot(START).estimates.len());
+    assert!(known > 90, "{known} of {ENDPOINTS} endpoints were observed");
+}
--- a/crates/pistachiotrackd/src/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/shard_update_link.rs
@@ -32,19 +32,11 @@
 /// with other bytes.
 pub(crate) const SHARD_DATAGRAM_TAGS: RangeInclusive<u8> = 0x80..=0x8f;
 /// First byte in this protocol version.
-const SHARD_DATAGRAM_TAG: u8 = 0x83;
+const SHARD_DATAGRAM_TAG: u8 = 0x84;
 /// Minimum interval of log lines about dropped datagrams.
 const DROP_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of dispatchers that a snapshot is requested from.
 const SNAPSHOT_SOURCES: usize = 2;
-/// Endpoint estimates in one datagram of a snapshot: each takes about 20 bytes of the
-/// maximum of 1,200.
-const ESTIMATES_PER_DATAGRAM: usize = 40;
-/// Rate limits of endpoints in one datagram of a snapshot: each takes about 25 bytes.
-const RATE_LIMITS_PER_DATAGRAM: usize = 32;
-/// Leaving endpoints in one datagram of a snapshot: each takes 8 bytes.
-const LEAVING_PER_DATAGRAM: usize = 100;
-
 /// A datagram between dispatchers.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct ShardDatagram {
@@ -199,7 +191,7 @@
             return;
         }
         let locality = self.view.borrow().locality(to);
-        for part in split(snapshot) {
+        for part in snapshot.into_parts() {
             if let Some(bytes) = self.encode(ShardMessage::Snapshot(part)) {
                 self.send(to, &bytes, Topic::ShardSnapshot, locality);
             }
@@ -268,23 +260,3 @@
         }
     }
 }
-
-/// Splits a snapshot into parts that fit into a datagram each.
-fn split(snapshot: ShardSnapshot) -> Vec<ShardSnapshot> {
-    let ShardSnapshot { shard, estimates, sent, rate_limits, leaving } = snapshot;
-    let empty = || ShardSnapshot::empty(shard.clone());
-    let mut parts: Vec<ShardSnapshot> = estimates
-        .chunks(ESTIMATES_PER_DATAGRAM)
-        .map(|part| ShardSnapshot { estimates: part.to_vec(), ..empty() })
-        .collect();
-    if parts.is_empty() {
-        // The requesting VM waits for a response, and may need the counts of retries.
-        parts.push(empty());
-    }
-    parts[0].sent = sent;
-    let rate_limits = rate_limits.chunks(RATE_LIMITS_PER_DATAGRAM);
-    parts.extend(rate_limits.map(|part| ShardSnapshot { rate_limits: part.to_vec(), ..empty() }));
-    let leaving = leaving.chunks(LEAVING_PER_DATAGRAM);
-    parts.extend(leaving.map(|part| ShardSnapshot { leaving: part.to_vec(), ..empty() }));
-    parts
-}
