--- a/crates/pistachiotrack-core/src/service.rs
+++ b/crates/pistachiotrack-core/src/service.rs
@@ -31,6 +31,9 @@
     /// fleet if missing.
     #[serde(default)]
     pub retry_limit: Option<RetryLimit>,
+    /// Mechanisms for times in which the endpoints have too few slots.
+    #[serde(default)]
+    pub contention: Contention,
     /// Path of the health check.
     #[serde(default = "default_probe_path")]
     pub probe_path: Name,
@@ -38,6 +41,21 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// Mechanisms of a service with several dispatchers for times in which its endpoints have too few
+/// slots, each off unless set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Contention {
+    /// Whether the dispatchers tell each other how many requests wait, and leave a free slot to
+    /// the VM whose next request is ahead of the others.
+    pub fleet_queue: bool,
+    /// Whether a request that endpoints refused and that may not be sent again yet, because of
+    /// the retry limit, is held until it may be, if there is time.
+    pub hold_retries: bool,
+    /// Whether the measured speed of endpoints decides among those of similar risk.
+    pub endpoint_speed: bool,
+}
+
 /// Limit of the attempts that all VMs together send beyond the first of each request.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -14,7 +14,7 @@
     endpoint::Endpoint,
     name::Name,
     rule::{Conditions, Route, Rule, RuleAction},
-    service::Service,
+    service::{Contention, Service},
     vm::{DEFAULT_CAPACITY, Vm},
 };
 
@@ -75,6 +75,7 @@
         shard_endpoints: 64,
         dispatchers_per_data_centre: 0,
         retry_limit: None,
+        contention: Contention::default(),
         probe_path: Name::from("/healthz"),
         endpoints: own.map(|endpoint| self::endpoint(endpoint, sizes)).collect(),
     }
--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -11,7 +11,7 @@
         OperatorConfig, Registration, RegistryChange, RegistrySnapshot, RegistryView,
         RegistryViewSettings,
     },
-    service::Service,
+    service::{Contention, Service},
     time::Time,
 };
 
@@ -28,6 +28,7 @@
         shard_endpoints: 64,
         dispatchers_per_data_centre: 2,
         retry_limit: None,
+        contention: Contention::default(),
         probe_path: Name::from("/healthz"),
         endpoints: Vec::new(),
     };
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -22,7 +22,7 @@
         AttemptId, BodyEnd, Class, DEFAULT_MAX_ATTEMPTS, EndpointReport, Outcome, Request,
         RequestId,
     },
-    service::Service,
+    service::{Contention, Service},
     shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
     time::Time,
 };
@@ -57,6 +57,7 @@
             shard_endpoints: 64,
             dispatchers_per_data_centre: 0,
             retry_limit: None,
+            contention: Contention::default(),
             probe_path: Name::from("/healthz"),
             endpoints: (0..endpoints).map(endpoint).collect(),
         }],
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -13,7 +13,7 @@
     ownership::ShardId,
     request::{BodyEnd, Class, DEFAULT_MAX_ATTEMPTS, EndpointReport, Outcome, Request, RequestId},
     retry::CumulativeCounts,
-    service::{RetryLimit, Service},
+    service::{Contention, RetryLimit, Service},
     shard::{
         Dispatch, EndpointKey, EndpointUpdate, RequestCounts, Shard, ShardAction, ShardMode,
         ShardSettings, ShardUpdate,
@@ -47,6 +47,7 @@
             shard_endpoints: 64,
             dispatchers_per_data_centre: 2,
             retry_limit: Some(RetryLimit { ratio: 0.2, slack: 62, window_ms: 10_000 }),
+            contention: Contention::default(),
             probe_path: Name::from("/healthz"),
             endpoints: (0..endpoints).map(endpoint).collect(),
         }],
--- a/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
@@ -9,7 +9,9 @@
     endpoint::{DEFAULT_CONNECTIONS, Endpoint},
     name::Name,
     request::{Class, DEFAULT_MAX_ATTEMPTS, Request, RequestId},
-    service::{DEFAULT_PROBE_PATH, DEFAULT_QUEUE_LIMIT, DEFAULT_SHARD_ENDPOINTS, Service},
+    service::{
+        Contention, DEFAULT_PROBE_PATH, DEFAULT_QUEUE_LIMIT, DEFAULT_SHARD_ENDPOINTS, Service,
+    },
     time::Time,
 };
 use rand::{RngExt, SeedableRng};
@@ -85,6 +87,7 @@
             shard_endpoints: DEFAULT_SHARD_ENDPOINTS,
             dispatchers_per_data_centre: 0,
             retry_limit: None,
+            contention: Contention::default(),
             probe_path: Name::from(DEFAULT_PROBE_PATH),
             endpoints: (0..ENDPOINTS).map(endpoint).collect(),
         }],
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -11,7 +11,9 @@
     endpoint::{DEFAULT_CONNECTIONS, Endpoint},
     name::Name,
     rule::{Conditions, Route, Rule, RuleAction},
-    service::{DEFAULT_PROBE_PATH, DEFAULT_QUEUE_LIMIT, DEFAULT_SHARD_ENDPOINTS, Service},
+    service::{
+        Contention, DEFAULT_PROBE_PATH, DEFAULT_QUEUE_LIMIT, DEFAULT_SHARD_ENDPOINTS, Service,
+    },
     vm::{DEFAULT_CAPACITY, ListedVm, Vm, VmList},
 };
 use serde_json::Value;
@@ -147,6 +149,7 @@
         shard_endpoints: DEFAULT_SHARD_ENDPOINTS,
         dispatchers_per_data_centre: 0,
         retry_limit: None,
+        contention: Contention::default(),
         probe_path: Name::from(DEFAULT_PROBE_PATH),
         endpoints: (first..last).map(endpoint).collect(),
     }
--- a/crates/pistachiotrackd/src/settings.rs
+++ b/crates/pistachiotrackd/src/settings.rs
@@ -7,10 +7,17 @@
 };
 
 use pistachiotrack_core::{
-    config::MAX_VALUE_BYTES, config_lease::ConfigLeaseSettings, config_sync::ConfigSyncSettings,
-    customer_limit::CustomerLimitSettings, data_centre::DataCentre, feature_flags::FeatureFlags,
-    membership::MembershipSettings, name::Name, quarantine::QuarantineSettings,
-    registry_view::RegistryViewSettings, service::RetryLimit,
+    config::MAX_VALUE_BYTES,
+    config_lease::ConfigLeaseSettings,
+    config_sync::ConfigSyncSettings,
+    customer_limit::CustomerLimitSettings,
+    data_centre::DataCentre,
+    feature_flags::FeatureFlags,
+    membership::MembershipSettings,
+    name::Name,
+    quarantine::QuarantineSettings,
+    registry_view::RegistryViewSettings,
+    service::{Contention, RetryLimit},
 };
 use serde::Deserialize;
 
@@ -170,6 +177,8 @@
     pub retry_slack: f64,
     /// Length of the retry window.
     pub retry_window_s: f64,
+    /// Mechanisms of all services for times in which endpoints have too few slots.
+    pub contention: Contention,
     /// Maximum size of a value in the registry.
     pub value_bytes: usize,
 }
@@ -186,6 +195,7 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window_s: 10.0,
+            contention: Contention::default(),
             value_bytes: MAX_VALUE_BYTES,
         }
     }
