--- a/crates/pistachiotrack/src/cli.rs
+++ b/crates/pistachiotrack/src/cli.rs
@@ -7,11 +7,15 @@
 
 use crate::{
     config::{
-        CheckConfig, DEFAULT_TIMEOUT, EntriesConfig, ExplainConfig, TraceConfig, View, ViewConfig,
+        CheckConfig, ContentionConfig, DEFAULT_TIMEOUT, DEFAULT_WINDOW_S, EntriesConfig,
+        ExplainConfig, TraceConfig, View, ViewConfig,
     },
     error::Error,
 };
 
+/// Longest window of `contention`, a day.
+const MAX_WINDOW_S: u32 = 86_400;
+
 const HELP: &str = "\
 Command-line tool for operators of the pistachiotrack proxy fleet.
 
@@ -31,6 +35,7 @@
   pistachiotrack entries --vm ADDRESS --service SERVICE --customer CUSTOMER
                  [--timeout-ms MS] [--json]
   pistachiotrack trace REQUEST [--json] [FILE]...
+  pistachiotrack contention [--window-s SECONDS] [--json] [FILE]...
 
 Commands:
   check       Checks whether the daemon would accept configuration files
@@ -44,6 +49,8 @@
   entries     Requests the entry addresses from a VM, in the way a caller does
   trace       Sorts the log lines of one request, from files or standard input, and
               shows the line that decided its outcome
+  contention  Counts failed attempts and refusals in the logs of many VMs, from files or
+              standard input, by window of time
 
 Options:
   --added                  Shows the added latency: the time not spent at an endpoint
@@ -54,13 +61,14 @@
   --queue-wait SERVICE=MS  Assumes this expected wait in a service's queue
   --json                   Prints JSON instead of text
   --timeout-ms MS          Timeout for each address [default: 2000]
+  --window-s SECONDS       Length of a window of time [default: 2]
   -h, --help               Prints this help
   -V, --version            Prints the version
 
 Exit codes:
   0  success
-  1  negative result: a file is not accepted, no rule matches, the VM refuses, or
-     no log has the request
+  1  negative result: a file is not accepted, no rule matches, the VM refuses, no
+     log has the request, or no log has a failed attempt or a refusal
   2  the command line is invalid
   3  at least one address sent no usable response
   4  any other failure, such as a file that can't be read
@@ -83,6 +91,8 @@
     Entries(EntriesConfig),
     /// Sorts the log lines of a request.
     Trace(TraceConfig),
+    /// Counts failed attempts and refusals by window of time.
+    Contention(ContentionConfig),
 }
 
 /// Parses the command line.
@@ -114,6 +124,7 @@
             parse_view(args, if added { View::AddedHistograms } else { View::Histograms })
         }
         Some("trace") => parse_trace(args).map(Invocation::Trace),
+        Some("contention") => parse_contention(args).map(Invocation::Contention),
         Some("entries") => parse_entries(args).map(Invocation::Entries),
         Some(other) => Err(Error::usage(format!("unknown command '{other}'"))),
         None => Err(Error::usage("no command given")),
@@ -146,6 +157,25 @@
     Ok(TraceConfig { json, request, files: rest.map(PathBuf::from).collect() })
 }
 
+fn parse_contention(mut args: Arguments) -> anyhow::Result<ContentionConfig> {
+    let json = args.contains("--json");
+    let window_s = args.opt_value_from_fn("--window-s", parse_window_s).map_err(usage_error)?;
+    let rest = args.finish();
+    if let Some(option) = rest.iter().find(|arg| is_option(arg)) {
+        return Err(unexpected_argument(option));
+    }
+    Ok(ContentionConfig {
+        json,
+        window_s: window_s.unwrap_or(DEFAULT_WINDOW_S),
+        files: rest.into_iter().map(PathBuf::from).collect(),
+    })
+}
+
+fn parse_window_s(text: &str) -> Result<u32, &'static str> {
+    let window_s = text.parse().ok().filter(|window_s| (1..=MAX_WINDOW_S).contains(window_s));
+    window_s.ok_or("expected whole seconds from 1 to 86400")
+}
+
 fn parse_explain(mut args: Arguments) -> anyhow::Result<ExplainConfig> {
     let class = args
         .opt_value_from_fn("--class", |text| {
--- a/crates/pistachiotrack/src/config.rs
+++ b/crates/pistachiotrack/src/config.rs
@@ -7,6 +7,9 @@
 /// Timeout of a request if the command line sets none.
 pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Length of a window of `contention` if the command line sets none.
+pub(crate) const DEFAULT_WINDOW_S: u32 = 2;
+
 /// Settings of `check`.
 #[derive(Debug)]
 pub(crate) struct CheckConfig {
@@ -106,3 +109,14 @@
     /// Log files of VMs; standard input if there are none.
     pub(crate) files: Vec<PathBuf>,
 }
+
+/// Settings of `contention`.
+#[derive(Debug)]
+pub(crate) struct ContentionConfig {
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+    /// Length of a window in seconds.
+    pub(crate) window_s: u32,
+    /// Log files of VMs; standard input if there are none.
+    pub(crate) files: Vec<PathBuf>,
+}
--- a/crates/pistachiotrack/src/exit_codes.rs
+++ b/crates/pistachiotrack/src/exit_codes.rs
@@ -8,7 +8,8 @@
     /// The command succeeded and its result is positive.
     Success,
     /// The command succeeded and its result is negative: a file is not accepted, no rule
-    /// matches, a VM refuses, or no log has the request.
+    /// matches, a VM refuses, no log has the request, or no log has a failed attempt or a
+    /// refusal.
     Rejected,
     /// The command line is invalid.
     Usage,
--- a/crates/pistachiotrack/src/main.rs
+++ b/crates/pistachiotrack/src/main.rs
@@ -4,12 +4,14 @@
 mod check;
 mod cli;
 mod config;
+mod contention;
 mod endpoints;
 mod entries;
 mod error;
 mod exit_codes;
 mod explain;
 mod http_client;
+mod log_line;
 mod output;
 mod trace;
 mod views;
@@ -35,5 +37,6 @@
         Invocation::View(config) => views::run(&config),
         Invocation::Entries(config) => entries::run(&config),
         Invocation::Trace(config) => trace::run(&config),
+        Invocation::Contention(config) => contention::run(&config),
     }
 }
--- a/crates/pistachiotrack/src/trace.rs
+++ b/crates/pistachiotrack/src/trace.rs
@@ -12,6 +12,7 @@
 use crate::{
     config::TraceConfig,
     exit_codes::ExitCode,
+    log_line::field,
     output::{self, escape_control_chars},
 };
 
@@ -64,11 +65,6 @@
     }
 }
 
-/// Returns the value of a `key=value` pair of a line.
-fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    line.split_whitespace().find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
-}
-
 fn trace_text(trace: &Trace) -> String {
     let Some(deciding) = &trace.deciding else {
         let request = escape_control_chars(&trace.request);
--- a/crates/pistachiotrack/tests/command_line.rs
+++ b/crates/pistachiotrack/tests/command_line.rs
@@ -9,7 +9,18 @@
     let output = run(&["--help"]);
 
     assert_eq!(output.code, Some(0));
-    for command in ["check", "explain", "status", "endpoints", "members", "histograms", "entries"] {
+    let commands = [
+        "check",
+        "explain",
+        "status",
+        "endpoints",
+        "members",
+        "histograms",
+        "entries",
+        "trace",
+        "contention",
+    ];
+    for command in commands {
         let listed = output.stdout.lines().any(|line| line.starts_with(&format!("  {command} ")));
         assert!(listed, "{command} is missing in\n{}", output.stdout);
     }
@@ -28,7 +39,7 @@
 
 #[test]
 fn usage_errors_exit_with_2_and_name_the_problem() {
-    let cases: [(&[&str], &str); 10] = [
+    let cases: [(&[&str], &str); 14] = [
         (&[], "no command"),
         (&["paint"], "paint"),
         (&["check"], "no file"),
@@ -39,6 +50,10 @@
         (&["status", "--admin", "127.0.0.1:1", "--timeout-ms", "soon"], "soon"),
         (&["explain", "--config", "x.json", "--customer", "c", "--method", "GET"], "--path"),
         (&["entries", "--vm", "127.0.0.1:1", "--service", "s"], "--customer"),
+        (&["contention", "--window-s", "0"], "from 1 to 86400"),
+        (&["contention", "--window-s", "0.5"], "from 1 to 86400"),
+        (&["contention", "--window-s"], "--window-s"),
+        (&["contention", "--fast", "x.log"], "--fast"),
     ];
     for (args, problem) in cases {
         let output = run(args);
--- a/crates/pistachiotrack/tests/testenv/mod.rs
+++ b/crates/pistachiotrack/tests/testenv/mod.rs
@@ -8,7 +8,7 @@
     io::{BufRead as _, BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
-    process::{self, Command},
+    process::{self, Command, Output, Stdio},
     sync::mpsc::{self, Receiver, Sender},
     thread,
 };
@@ -49,10 +49,30 @@
         .args(args)
         .output()
         .expect("the tool starts");
-    ToolOutput {
-        code: output.status.code(),
-        stdout: String::from_utf8(output.stdout).expect("UTF-8"),
-        stderr: String::from_utf8(output.stderr).expect("UTF-8"),
+    ToolOutput::from(output)
+}
+
+/// Runs the tool with this standard input.
+pub fn run_with_input(args: &[&str], input: &[u8]) -> ToolOutput {
+    let mut tool = Command::new(env!("CARGO_BIN_EXE_pistachiotrack"))
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the tool starts");
+    // The tool prints only after it has read all input, so neither side waits for the other.
+    tool.stdin.take().expect("a pipe").write_all(input).expect("the tool reads its input");
+    ToolOutput::from(tool.wait_with_output().expect("the tool ends"))
+}
+
+impl From<Output> for ToolOutput {
+    fn from(output: Output) -> ToolOutput {
+        ToolOutput {
+            code: output.status.code(),
+            stdout: String::from_utf8(output.stdout).expect("UTF-8"),
+            stderr: String::from_utf8(output.stderr).expect("UTF-8"),
+        }
     }
 }
 
--- a/crates/pistachiotrack/tests/trace.rs
+++ b/crates/pistachiotrack/tests/trace.rs
@@ -61,3 +61,16 @@
     assert_eq!(output.code, Some(4));
     assert!(output.stderr.contains("/no/such/file.log"), "{}", output.stderr);
 }
+
+/// A log collector put its own pairs before the daemon's line, and a value in braces has spaces.
+/// The pairs after `time=` are those of the line.
+#[test]
+fn a_prefix_and_a_value_in_braces_do_not_hide_the_request() {
+    const COLLECTED: &str = "\
+request=collector-5 front-oslo-a-3 time=2026-02-05T07:31:17.100+00:00 level=warn \
+event=attempt_ended outcome=Answered { status: 500, fresh_connection: true } request=9c41
+";
+    let file = TempFile::new("collected.log", COLLECTED);
+    assert_eq!(run(&["trace", "9c41", file.arg()]).code, Some(0));
+    assert_eq!(run(&["trace", "collector-5", file.arg()]).code, Some(1));
+}
