A request is drawn once for exploration, and explores only while retries are to spare

Cause: whether a request that may run again explores an endpoint with an elevated risk was drawn at each look at the queue. A request that waits for a proven endpoint is looked at with each event, so that nearly all that waited were sent to endpoints known to fail; and each such failure needs a retry, or the caller gets it.

Change: drawn when the request comes in; the first attempt explores only while less than half of the allowed retries are used, as for hedges.

--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
@@ -279,8 +279,13 @@
     /// Takes a retry for a hedge, which only saves time, and returns whether there was one: half
     /// of the allowed retries are reserved for retries of failed requests.
     pub fn take_for_hedge(&mut self, now: Time) -> bool {
+        self.has_spare_retries(now) && self.take(now)
+    }
+
+    /// Returns whether less than half of the allowed retries are used.
+    pub fn has_spare_retries(&mut self, now: Time) -> bool {
         let usage = self.usage(now);
-        usage.spent + 1.0 <= usage.allowed / 2.0 && self.take(now)
+        usage.spent + 1.0 <= usage.allowed / 2.0
     }
 
     /// Returns the counts to report to the other VMs.
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -254,7 +254,8 @@
         }
         self.pool.release_due(now);
         self.refuse_expired(now);
-        self.pending.insert(id, PendingRequest::new(now, request));
+        let explores = request.idempotent && self.pool.draw_exploration();
+        self.pending.insert(id, PendingRequest { explores, ..PendingRequest::new(now, request) });
         self.process_request(now, id);
         self.advance(now)
     }
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -208,6 +208,9 @@
     }
 
     fn pick(&mut self, now: Time, id: RequestId, allow_already_tried: bool) -> Option<Pick> {
+        let may_explore = |pending: &PendingRequest| pending.explores && pending.tried.is_empty();
+        let explores = self.pending.get(&id).is_some_and(may_explore)
+            && self.retry_budget.has_spare_retries(now);
         let pending = self.pending.get(&id)?;
         let time_left = remaining(pending.request.deadline, now);
         let needed = self
@@ -221,6 +224,7 @@
             allow_trial,
             allow_trial_by_any: self.has_no_idempotent_requests(now),
 
+            explores,
             tried: &pending.tried,
             max_risk: self.max_risk(now, pending),
             now,
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -365,6 +365,12 @@
         best.map(|(_, entry)| Pick::of(entry, SelectionReason::Best))
     }
 
+    /// Draws whether the first attempt of a new request that may run again explores an endpoint.
+    pub(super) fn draw_exploration(&mut self) -> bool {
+        let is_drawn = self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN);
+        self.is_ranked_by_risk && self.feature_flags.exploration && is_drawn
+    }
+
     /// Returns the address of a configured endpoint.
     pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
         let entry = self.endpoints.get(name).filter(|entry| entry.is_configured)?;
--- a/crates/pistachiotrack-core/src/shard/pool/pick.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/pick.rs
@@ -15,6 +15,8 @@
     /// Whether requests that must not run twice may select such an endpoint too, because the
     /// service has no others.
     pub(in crate::shard) allow_trial_by_any: bool,
+    /// Whether the attempt explores an endpoint with an elevated risk, if there is one.
+    pub(in crate::shard) explores: bool,
     pub(in crate::shard) tried: &'a [Name],
     /// Highest risk that the request accepts.
     pub(in crate::shard) max_risk: f64,
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use super::{EXPLORE_ONE_IN, Pick, PickCriteria, Pool, PoolEntry};
+use super::{Pick, PickCriteria, Pool, PoolEntry};
 use crate::{health::HealthState, shard::SelectionReason, time::Time};
 
 /// Sort key: whether the endpoint was already tried, rank of its risk, load, and a random
@@ -41,10 +41,7 @@
     /// detected by a failure. Requests that may run again explore the other endpoints.
     pub(super) fn pick_by_risk(&mut self, criteria: PickCriteria<'_>) -> Option<Pick> {
         let context = SelectionContext {
-            is_exploring: self.feature_flags.exploration
-                && criteria.idempotent
-                && criteria.tried.is_empty()
-                && self.rng.next_u32().is_multiple_of(EXPLORE_ONE_IN),
+            is_exploring: criteria.explores,
             overdue_since: self.overdue_since(&criteria),
         };
         let mut best: Option<(RiskOrder, &PoolEntry)> = None;
--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// Returns whether more retries remain than half of what is allowed.
+    ///
+    /// A request that explores an endpoint with an elevated risk fails there more often than not
+    /// and needs a retry. Without one, its caller gets the failure.
+    pub(super) fn has_spare_retries(&mut self, now: Time) -> bool {
+        match self {
+            ShardRetryBudget::Owner(_) => true,
+            ShardRetryBudget::Fleet(budget) => budget.has_spare_retries(now),
+        }
+    }
+
     /// Returns the budget that is maintained together with other VMs, if it is one.
     pub(super) fn fleet(&mut self) -> Option<&mut FleetRetryBudget> {
         match self {
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -45,6 +45,8 @@
     pub(super) failure_status_retried: bool,
     /// Whether it is the original request with its idempotency key.
     pub(super) owns_key: bool,
+    /// Whether its first attempt may explore an endpoint with an elevated risk.
+    pub(super) explores: bool,
 }
 
 /// Fraction of its time after which a request whose caller leaves counts as failed. Callers that
@@ -71,6 +73,7 @@
             needs_fresh_connection: false,
             failure_status_retried: false,
             owns_key: false,
+            explores: false,
         }
     }
 
