Types that several modules of the daemon share are in modules of their own

Cause: LeaseTimes, ReachView, ShardStatus and shard_name were defined in the modules that publish them, so that every reader depended on the fleet actor, the reach monitor or the table of shards.

Change: they move to lease_times, reach_view and shard_status, which import nothing of the daemon.

Measured: the circle shrinks from 22 modules to 21 (hand_over leaves it).

--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -18,7 +18,7 @@
     fleet::{ConfigStatus, Fleet, GetConfigStatus},
     path_fault::UnknownPathFault,
     shard_actor::Endpoints,
-    shard_table::shard_name,
+    shard_status::shard_name,
 };
 
 /// Prefix of the paths that inject faults of the paths to endpoints.
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -13,9 +13,9 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, customer_limits::CustomerLimits,
-    dialect::Dialect, endpoint_notices::NoticeTable, fleet::LeaseTimes,
-    forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics,
-    quarantine::QuarantineManager, reach_monitor::ReachView, settings::Settings,
+    dialect::Dialect, endpoint_notices::NoticeTable, forward_stats::ForwardStats,
+    histogram::Histograms, lease_times::LeaseTimes, metrics::Metrics,
+    quarantine::QuarantineManager, reach_view::ReachView, settings::Settings,
     shard_table::ShardTable, source::ConfigSource, timer::PauseGate, traffic::Traffic,
     view::FleetView,
 };
--- a/crates/pistachiotrackd/src/crash_check.rs
+++ b/crates/pistachiotrackd/src/crash_check.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     connection_pool::Listening, context::Context, inbound::Inbound, metrics::Event,
-    reach_monitor::ReachView,
+    reach_view::ReachView,
 };
 
 /// Time within which a VM that loses all its paths at once begins to doubt them.
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -34,16 +34,17 @@
 use self::{config_status::ConfigLog, lease::LeaseKeeper};
 pub(crate) use self::{
     config_status::{ConfigStatus, GetConfigStatus},
-    lease::{LEASE_TAG, LeaseDatagram, LeaseTimes},
+    lease::{LEASE_TAG, LeaseDatagram},
     leave::Leave,
     pull::HandlePull,
 };
 use crate::{
     context::Context,
+    lease_times::LeaseTimes,
     metrics::Event,
     platform::Platform,
     shard_actor::{NewConfig, Retire},
-    shard_table::shard_name,
+    shard_status::shard_name,
     source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
     timer::TimerEvent,
     traffic::Topic,
--- a/crates/pistachiotrackd/src/fleet/lease.rs
+++ b/crates/pistachiotrackd/src/fleet/lease.rs
@@ -15,6 +15,7 @@
 use super::Fleet;
 use crate::{
     datagram::DatagramCodec,
+    lease_times::LeaseTimes,
     traffic::{Locality, Topic},
     udp,
 };
@@ -22,17 +23,6 @@
 /// First byte of the datagrams about confirmations.
 pub(crate) const LEASE_TAG: u8 = 0x91;
 
-/// Times until which this VM may rely on its configuration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LeaseTimes {
-    /// Latest time at which the configuration is known to have been the newest one.
-    pub(crate) confirmed_at: Option<Time>,
-    /// Time from which this VM doesn't offer itself to callers.
-    pub(crate) withdraw_at: Option<Time>,
-    /// Time from which requests with an API key are refused.
-    pub(crate) expires_at: Option<Time>,
-}
-
 /// The lease, and the queries that renew it.
 pub(super) struct LeaseKeeper {
     settings: ConfigLeaseSettings,
--- a/crates/pistachiotrackd/src/peer_service.rs
+++ b/crates/pistachiotrackd/src/peer_service.rs
@@ -13,7 +13,7 @@
     },
     proxy,
     shard_actor::ReceiveHandOver,
-    shard_table::shard_name,
+    shard_status::shard_name,
     traffic::{Locality, Topic},
     view::ActiveConfig,
 };
--- a/crates/pistachiotrackd/src/reach_monitor.rs
+++ b/crates/pistachiotrackd/src/reach_monitor.rs
@@ -21,6 +21,7 @@
     context::Context,
     fleet::{Fleet, SetCutOff},
     path_check::PathCheck,
+    reach_view::ReachView,
     shard_actor::PathsRestored,
     timer::TimerEvent,
     view::ActiveConfig,
@@ -29,21 +30,6 @@
 /// Time limit for a connection that is only tried: well below the time that a check takes.
 const TRY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Whether this VM reaches endpoints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct ReachView {
-    /// Whether it does.
-    pub(crate) reach: EndpointReach,
-    /// Whether broken connections say nothing about endpoints.
-    pub(crate) is_in_doubt: bool,
-}
-
-impl Default for ReachView {
-    fn default() -> ReachView {
-        ReachView { reach: EndpointReach::Normal, is_in_doubt: false }
-    }
-}
-
 /// Arguments of the monitor.
 pub(crate) struct ReachMonitorArgs {
     /// State shared by all parts of the daemon.
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -41,7 +41,7 @@
     endpoint_notices::{NoticeSource, NoticeTable},
     path_check::PathCheck,
     probe::Probe,
-    shard_table::{ShardStatus, ShardStatusTable},
+    shard_status::{ShardStatus, ShardStatusTable},
     shard_update_link::ShardUpdateLink,
     timer::TimerEvent,
 };
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -29,23 +29,12 @@
     endpoint_notices::NoticeTable,
     path_check::PathCheck,
     shard_actor::{PeerUpdate, SendHandOver, SetMode, ShardActor, ShardArgs},
+    shard_status::{ShardStatus, ShardStatusTable},
     shard_update_link::{ShardDatagram, ShardUpdateLink},
     timer::{Subscribe, TimerService},
     view::FleetView,
 };
 
-/// Current status of a shard, used by the conditions of rules.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ShardStatus {
-    /// Whether no further endpoint is ejected because the minimum is reached.
-    pub(crate) at_floor: bool,
-    /// Expected queueing time of a new request.
-    pub(crate) queue_wait_ms: u64,
-}
-
-/// Status of all shards that run on this VM.
-pub(crate) type ShardStatusTable = Arc<RwLock<FxHashMap<ShardId, ShardStatus>>>;
-
 /// Arguments that all shards of a VM share.
 #[derive(Debug)]
 pub(crate) struct ShardTableArgs {
@@ -221,8 +210,3 @@
             .unwrap_or(0)
     }
 }
-
-/// Returns the name of a shard in logs and on the admin port.
-pub(crate) fn shard_name(shard: &ShardId) -> Name {
-    Name::from(format!("{}/{}", shard.service, shard.index))
-}
--- a/crates/pistachiotrackd/src/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/shard_update_link.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     clock::Clock,
-    reach_monitor::ReachView,
+    reach_view::ReachView,
     traffic::{Locality, Topic, Traffic},
     udp,
     view::FleetView,
--- a/crates/pistachiotrackd/tests/module_order.rs
+++ b/crates/pistachiotrackd/tests/module_order.rs
@@ -24,7 +24,6 @@
     "exchange",
     "fleet",
     "forward",
-    "hand_over",
     "platform",
     "probe",
     "quarantine",
