Datagrams are routed by a module of its own

Cause: udp both sent datagrams, which low modules do, and passed received ones to the fleet actor, the shards, the quarantine and the customer limits. Each of these imported udp to send, and udp imported each of them.

Change: udp only sends. datagram_router receives, with a struct of the handlers in place of the whole context.

Measured: the circle shrinks from 21 modules to 17 (customer_limits, quarantine, shard_update_link and udp leave it).

--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -68,7 +68,7 @@
     /// Whether the daemon is stopping.
     pub(crate) leaving: watch::Receiver<bool>,
     /// Shards that this VM dispatches for.
-    pub(crate) shards: ShardTable,
+    pub(crate) shards: Arc<ShardTable>,
     /// What endpoints ask of this VM.
     pub(crate) notices: Arc<NoticeTable>,
     /// Connections to endpoints.
@@ -82,7 +82,7 @@
     /// Rate limits of customers.
     pub(crate) customer_limits: Arc<CustomerLimits>,
     /// Counters.
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
     /// Counts of sent and received messages.
     pub(crate) traffic: Arc<Traffic>,
     /// Time from a request's arrival to its first dispatch to an endpoint.
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -30,6 +30,7 @@
     connection_pool::ConnectionPool,
     context::Context,
     customer_limits::{CustomerLimits, REPORT_INTERVAL, UsageReporter},
+    datagram_router::{self, DatagramHandlers},
     dialect::{Dialect, NativeDialect},
     endpoint_notices::NoticeTable,
     entries,
@@ -50,7 +51,6 @@
     source::ConfigSource,
     timer::{PauseGate, SubscribeWithInterval, TimerArgs, TimerService},
     traffic::Traffic,
-    udp,
     view::FleetView,
 };
 
@@ -137,7 +137,7 @@
     /// Returns an error if an address can't be bound.
     pub async fn start_with(settings: Settings, adapter: Adapter) -> Result<Daemon, StartError> {
         let sockets = Sockets::bind(&settings).await?;
-        let metrics = Metrics::new(settings.statsd_address)?;
+        let metrics = Arc::new(Metrics::new(settings.statsd_address)?);
         let clock = Clock::start();
         let threshold = Duration::from_millis(settings.limits.pause_threshold_ms);
         let gate = PauseGate::new(clock.now(), threshold);
@@ -191,7 +191,7 @@
             Arc::clone(&traffic),
         ));
         let notices = Arc::new(NoticeTable::new(clock));
-        let shards = ShardTable::new(ShardTableArgs {
+        let shards = Arc::new(ShardTable::new(ShardTableArgs {
             clock,
             notices: Arc::clone(&notices),
             endpoints: Arc::clone(&endpoints),
@@ -203,7 +203,7 @@
             seed,
             data_centre: me.data_centre.clone(),
             feature_flags: settings.feature_flags,
-        });
+        }));
         let context = Arc::new(Context {
             me,
             clock,
@@ -273,7 +273,17 @@
                 interval: REPORT_INTERVAL,
             })
             .try_send();
-        tokio::spawn(udp::receive(socket, fleet.clone(), Arc::clone(&context), update_link));
+        let handlers = DatagramHandlers {
+            fleet: fleet.clone(),
+            shards: Arc::clone(&context.shards),
+            link: update_link,
+            quarantine: Arc::clone(&context.quarantine),
+            customer_limits: Arc::clone(&context.customer_limits),
+            view: context.view.clone(),
+            metrics: Arc::clone(&context.metrics),
+            traffic: Arc::clone(&context.traffic),
+        };
+        tokio::spawn(datagram_router::receive(socket, handlers));
         let admin_address = local_address("admin_address", &sockets.admin)?;
         let readiness_address = optional_address("readiness_address", &sockets.readiness)?;
         let directory_address = optional_address("directory_address", &sockets.directory)?;
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -18,6 +18,7 @@
 mod customer_limits;
 pub mod daemon;
 mod datagram;
+mod datagram_router;
 pub mod dialect;
 mod endpoint_notices;
 mod entries;
--- a/crates/pistachiotrackd/src/receive.rs
+++ b/crates/pistachiotrackd/src/receive.rs
@@ -303,7 +303,7 @@
         service: metadata.service.as_deref(),
         data_centre: &context.me.data_centre,
     };
-    active.rules.decide(&attributes, &context.shards).map(|rule| &rule.then)
+    active.rules.decide(&attributes, &*context.shards).map(|rule| &rule.then)
 }
 
 /// Returns the host of a request, in lower case and without a port.
--- a/crates/pistachiotrackd/tests/module_order.rs
+++ b/crates/pistachiotrackd/tests/module_order.rs
@@ -19,21 +19,17 @@
     "connection_pool",
     "context",
     "crash_check",
-    "customer_limits",
     "endpoint_notices",
     "exchange",
     "fleet",
     "forward",
     "platform",
     "probe",
-    "quarantine",
     "reach_monitor",
     "relay_client",
     "request_task",
     "shard_actor",
     "shard_table",
-    "shard_update_link",
-    "udp",
 ];
 
 /// Modules that each module imports.
