Reports upwards go through recipients that the lower module owns

Cause: the connection pool named the reach monitor, the record of notices named the shards' actor, the client of the platform named the fleet actor, and the reach monitor named the fleet actor and the whole context, only to send each one a message.

Change: the message belongs to the module that sends it (ConnectionTried, EndpointNoticed, VmListReceived, SetCutOff), which holds a Recipient of it. The reach monitor takes the five things it needs in place of the context.

--- a/crates/pistachiotrackd/src/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connection_pool.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use kameo::actor::ActorRef;
+use kameo::actor::Recipient;
 use pistachiotrack_core::{request::ConnectionChoice, time::Time};
 use rustc_hash::FxHashMap;
 use tokio::task::AbortHandle;
@@ -18,7 +18,6 @@
 use crate::{
     connection::{ConnectError, Connection, Connector, OpenCount},
     path_fault::PathFault,
-    reach_monitor::{ConnectionTried, ReachMonitor},
 };
 
 /// Time without an answer after which an attempt to open a connection counts as failed.
@@ -31,7 +30,7 @@
 pub(crate) struct ConnectionPool {
     connector: Connector,
     /// Gets the result of each attempt to open a connection, if anybody needs it.
-    observer: OnceLock<ActorRef<ReachMonitor>>,
+    observer: OnceLock<Recipient<ConnectionTried>>,
     /// Fault of the paths to all addresses that a test has injected.
     fault: Mutex<Option<PathFault>>,
     addresses: Mutex<FxHashMap<SocketAddr, AddressPool>>,
@@ -58,6 +57,15 @@
     Unknown,
 }
 
+/// Reports whether a connection to an endpoint was opened for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionTried {
+    /// Address of the endpoint.
+    pub(crate) address: SocketAddr,
+    /// Whether it was.
+    pub(crate) is_open: bool,
+}
+
 /// A connection for one exchange.
 #[derive(Debug)]
 pub(crate) struct CheckedOut {
@@ -166,7 +174,7 @@
     }
 
     /// Reports each attempt to open a connection to `observer` from now on.
-    pub(crate) fn set_observer(&self, observer: ActorRef<ReachMonitor>) {
+    pub(crate) fn set_observer(&self, observer: Recipient<ConnectionTried>) {
         // Set once at the start.
         let _ = self.observer.set(observer);
     }
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -11,7 +11,7 @@
 };
 
 use kameo::{
-    actor::{ActorRef, Spawn},
+    actor::{ActorRef, Recipient, Spawn},
     mailbox,
 };
 use pistachiotrack_core::ownership::{Ownership, OwnershipSettings};
@@ -49,7 +49,7 @@
     shard_table::{ShardTable, ShardTableArgs},
     shard_update_link::ShardUpdateLink,
     source::ConfigSource,
-    timer::{PauseGate, SubscribeWithInterval, TimerArgs, TimerService},
+    timer::{PauseGate, SubscribeWithInterval, TimerArgs, TimerEvent, TimerService},
     traffic::Traffic,
     view::FleetView,
 };
@@ -238,41 +238,29 @@
             seed,
         };
         let fleet = Fleet::spawn_with_mailbox(fleet_args, mailbox::unbounded());
-        // Can't fail: the timer service has just been started.
-        let _ = timer
-            .tell(SubscribeWithInterval {
-                recipient: fleet.clone().recipient(),
-                interval: TICK_INTERVAL,
-            })
-            .try_send();
+        subscribe(&timer, fleet.clone().recipient(), TICK_INTERVAL);
         let monitor_args = ReachMonitorArgs {
-            context: Arc::clone(&context),
-            fleet: fleet.clone(),
+            clock,
+            fleet_view: context.view.clone(),
+            endpoints: Arc::clone(&context.endpoints),
+            shards: Arc::clone(&context.shards),
+            fleet: fleet.clone().recipient(),
             path_check,
             view: reach_sender,
             seed,
         };
         let monitor = ReachMonitor::spawn_with_mailbox(monitor_args, mailbox::unbounded());
-        context.endpoints.set_observer(monitor.clone());
-        let _ = timer
-            .tell(SubscribeWithInterval { recipient: monitor.recipient(), interval: TICK_INTERVAL })
-            .try_send();
+        context.endpoints.set_observer(monitor.clone().recipient());
+        subscribe(&timer, monitor.recipient(), TICK_INTERVAL);
         let interval = Duration::from_millis(context.settings.quarantine.round_ms);
         let rounds = QuarantineGossip::spawn_with_mailbox(
             QuarantineGossip(quarantine),
             mailbox::unbounded(),
         );
-        let _ = timer
-            .tell(SubscribeWithInterval { recipient: rounds.recipient(), interval })
-            .try_send();
+        subscribe(&timer, rounds.recipient(), interval);
         let reporter =
             UsageReporter::spawn_with_mailbox(UsageReporter(customer_limits), mailbox::unbounded());
-        let _ = timer
-            .tell(SubscribeWithInterval {
-                recipient: reporter.recipient(),
-                interval: REPORT_INTERVAL,
-            })
-            .try_send();
+        subscribe(&timer, reporter.recipient(), REPORT_INTERVAL);
         let handlers = DatagramHandlers {
             fleet: fleet.clone(),
             shards: Arc::clone(&context.shards),
@@ -471,6 +459,12 @@
     }
 }
 
+/// Sends ticks to an actor at an interval.
+fn subscribe(timer: &ActorRef<TimerService>, recipient: Recipient<TimerEvent>, interval: Duration) {
+    // Can't fail: the timer service has just been started.
+    let _ = timer.tell(SubscribeWithInterval { recipient, interval }).try_send();
+}
+
 impl LeavingDaemon {
     /// Serves until the last entry response that lists this VM has expired, then
     /// accepts no further connections.
--- a/crates/pistachiotrackd/src/endpoint_notices.rs
+++ b/crates/pistachiotrackd/src/endpoint_notices.rs
@@ -5,17 +5,22 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use kameo::actor::{ActorRef, WeakActorRef};
+use kameo::actor::{Recipient, WeakRecipient};
 use pistachiotrack_core::{
     endpoint_notice::{EndpointNotice, EndpointNotices, NoticeChange},
     name::Name,
 };
 use rustc_hash::FxHashMap;
 
-use crate::{
-    clock::Clock,
-    shard_actor::{EndpointNoticed, ShardActor},
-};
+use crate::clock::Clock;
+
+/// Reports what an endpoint asks of this VM.
+pub(crate) struct EndpointNoticed {
+    /// The endpoint.
+    pub(crate) endpoint: Name,
+    /// What it asks.
+    pub(crate) notice: EndpointNotice,
+}
 
 /// How this VM learned of a notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +60,7 @@
 struct ServiceNotices {
     notices: EndpointNotices,
     /// Shards of the service that run on this VM.
-    shards: Vec<WeakActorRef<ShardActor>>,
+    shards: Vec<WeakRecipient<EndpointNoticed>>,
 }
 
 impl NoticeTable {
@@ -68,7 +73,7 @@
     pub(crate) fn subscribe(
         &self,
         service: &Name,
-        shard: &ActorRef<ShardActor>,
+        shard: &Recipient<EndpointNoticed>,
     ) -> EndpointNotices {
         self.with_service(service, |service| {
             service.shards.retain(|shard| shard.upgrade().is_some());
@@ -131,7 +136,7 @@
 
 impl ServiceNotices {
     fn send(&self, endpoint: &Name, notice: EndpointNotice) {
-        for shard in self.shards.iter().filter_map(WeakActorRef::upgrade) {
+        for shard in self.shards.iter().filter_map(WeakRecipient::upgrade) {
             // A stopped shard needs no notice; it gets the record when it starts again.
             let _ = shard.tell(EndpointNoticed { endpoint: endpoint.clone(), notice }).try_send();
         }
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -23,7 +23,6 @@
     ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
     shard::ShardMode,
     time::Time,
-    vm::VmList,
 };
 use tokio::{
     net::UdpSocket,
@@ -42,7 +41,8 @@
     context::Context,
     lease_times::LeaseTimes,
     metrics::Event,
-    platform::Platform,
+    platform::{Platform, VmListReceived},
+    reach_monitor::SetCutOff,
     shard_actor::{NewConfig, Retire},
     shard_status::shard_name,
     source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
@@ -126,7 +126,7 @@
             let platform = Platform::new(settings, Arc::clone(&context.traffic));
             let list_schedule = ListReadSchedule::new(sync_settings.clone(), seed);
             tokio::spawn(platform.clone().maintain_vm_list(
-                actor_ref.clone(),
+                actor_ref.clone().recipient(),
                 is_watching,
                 list_schedule,
             ));
@@ -234,9 +234,6 @@
     }
 }
 
-/// The VM list as read from the platform.
-pub(crate) struct VmListReceived(pub(crate) VmList);
-
 impl Message<VmListReceived> for Fleet {
     type Reply = ();
 
@@ -253,9 +250,6 @@
     }
 }
 
-/// Sets whether this VM reaches no endpoint.
-pub(crate) struct SetCutOff(pub(crate) bool);
-
 impl Message<SetCutOff> for Fleet {
     type Reply = ();
 
--- a/crates/pistachiotrackd/src/platform.rs
+++ b/crates/pistachiotrackd/src/platform.rs
@@ -10,7 +10,7 @@
     Method, Request, Response, StatusCode,
     header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST, HeaderValue},
 };
-use kameo::actor::ActorRef;
+use kameo::actor::Recipient;
 use pistachiotrack_core::{
     config::MAX_VALUE_BYTES, config_sync::ListReadSchedule, name::Name, vm::VmList,
 };
@@ -18,7 +18,6 @@
 
 use crate::{
     clock::Clock,
-    fleet::{Fleet, VmListReceived},
     gzip::{self, GzipError},
     http_call::{self, CallError},
     settings::Settings,
@@ -59,6 +58,9 @@
     TimedOut,
 }
 
+/// The VM list as read from the platform.
+pub(crate) struct VmListReceived(pub(crate) VmList);
+
 /// Client that reads a deployment's values from the platform.
 #[derive(Clone, Debug)]
 pub(crate) struct Platform {
@@ -86,7 +88,7 @@
     /// of the whole fleet doesn't.
     pub(crate) async fn maintain_vm_list(
         self,
-        fleet: ActorRef<Fleet>,
+        fleet: Recipient<VmListReceived>,
         watching: watch::Receiver<bool>,
         mut reads: ListReadSchedule,
     ) {
--- a/crates/pistachiotrackd/src/reach_monitor.rs
+++ b/crates/pistachiotrackd/src/reach_monitor.rs
@@ -5,7 +5,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use kameo::{
     Actor,
-    actor::{ActorRef, WeakActorRef},
+    actor::{ActorRef, Recipient, WeakActorRef},
     error::Infallible,
     message::{Context as MessageContext, Message},
 };
@@ -17,14 +17,14 @@
 use tokio::sync::watch;
 
 use crate::{
-    connection_pool::Listening,
-    context::Context,
-    fleet::{Fleet, SetCutOff},
+    clock::Clock,
+    connection_pool::{ConnectionPool, ConnectionTried, Listening},
     path_check::PathCheck,
     reach_view::ReachView,
     shard_actor::PathsRestored,
+    shard_table::ShardTable,
     timer::TimerEvent,
-    view::ActiveConfig,
+    view::{ActiveConfig, FleetView},
 };
 
 /// Time limit for a connection that is only tried: well below the time that a check takes.
@@ -32,10 +32,16 @@
 
 /// Arguments of the monitor.
 pub(crate) struct ReachMonitorArgs {
-    /// State shared by all parts of the daemon.
-    pub(crate) context: Arc<Context>,
-    /// The actor that reports to the other VMs.
-    pub(crate) fleet: ActorRef<Fleet>,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Latest snapshot of the fleet.
+    pub(crate) fleet_view: watch::Receiver<Arc<FleetView>>,
+    /// Connections to endpoints.
+    pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Shards that learn when the paths are restored.
+    pub(crate) shards: Arc<ShardTable>,
+    /// Gets each change, for the other VMs.
+    pub(crate) fleet: Recipient<SetCutOff>,
     /// Queries other VMs.
     pub(crate) path_check: PathCheck,
     /// Channel that the state is published to.
@@ -44,10 +50,16 @@
     pub(crate) seed: u64,
 }
 
+/// Sets whether this VM reaches no endpoint.
+pub(crate) struct SetCutOff(pub(crate) bool);
+
 /// The actor that detects that this VM reaches no endpoint.
 pub(crate) struct ReachMonitor {
-    context: Arc<Context>,
-    fleet: ActorRef<Fleet>,
+    clock: Clock,
+    fleet_view: watch::Receiver<Arc<FleetView>>,
+    endpoints: Arc<ConnectionPool>,
+    shards: Arc<ShardTable>,
+    fleet: Recipient<SetCutOff>,
     path_check: PathCheck,
     view: watch::Sender<ReachView>,
     reachability: Reachability,
@@ -63,27 +75,26 @@
         args: ReachMonitorArgs,
         actor_ref: ActorRef<Self>,
     ) -> Result<Self, Infallible> {
-        let ReachMonitorArgs { context, fleet, path_check, view, seed } = args;
-        let reachability = Reachability::new(context.clock.now(), seed);
-        let actor_ref = actor_ref.downgrade();
-        Ok(ReachMonitor { context, fleet, path_check, view, reachability, config: None, actor_ref })
+        Ok(ReachMonitor {
+            reachability: Reachability::new(args.clock.now(), args.seed),
+            clock: args.clock,
+            fleet_view: args.fleet_view,
+            endpoints: args.endpoints,
+            shards: args.shards,
+            fleet: args.fleet,
+            path_check: args.path_check,
+            view: args.view,
+            config: None,
+            actor_ref: actor_ref.downgrade(),
+        })
     }
 }
 
-/// Reports whether a connection to an endpoint was opened for a request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ConnectionTried {
-    /// Address of the endpoint.
-    pub(crate) address: SocketAddr,
-    /// Whether it was.
-    pub(crate) is_open: bool,
-}
-
 impl Message<ConnectionTried> for ReachMonitor {
     type Reply = ();
 
     async fn handle(&mut self, message: ConnectionTried, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         let ConnectionTried { address, is_open } = message;
         let actions = match is_open {
             true => self.reachability.on_connected(now),
@@ -104,7 +115,7 @@
 
     async fn handle(&mut self, message: EndpointTried, _: &mut MessageContext<Self, ()>) {
         let EndpointTried { address, is_reached } = message;
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         let actions = self.reachability.on_tried(now, address, is_reached);
         self.apply(actions);
     }
@@ -142,7 +153,7 @@
 
 impl ReachMonitor {
     fn update_endpoints(&mut self) {
-        let view = self.context.view();
+        let view = Arc::clone(&self.fleet_view.borrow());
         let is_same = match (&self.config, &view.active) {
             (Some(known), Some(active)) => Arc::ptr_eq(known, active),
             (None, None) => true,
@@ -180,7 +191,7 @@
     fn try_endpoints(&self, addresses: Vec<SocketAddr>) {
         for address in addresses {
             let Some(monitor) = self.actor_ref.upgrade() else { return };
-            let pool = Arc::clone(&self.context.endpoints);
+            let pool = Arc::clone(&self.endpoints);
             tokio::spawn(async move {
                 // A refusal shows nothing: a firewall may have sent it.
                 let listening = tokio::time::timeout(TRY_TIMEOUT, pool.listening(address)).await;
@@ -222,7 +233,7 @@
         // The fleet actor and the shards stop only with the process, or need no news then.
         let _ = self.fleet.tell(SetCutOff(reach.is_cut_off())).try_send();
         if matches!(reach, EndpointReach::Returning { .. }) {
-            for (_, shard) in self.context.shards.running() {
+            for (_, shard) in self.shards.running() {
                 let _ = shard.tell(PathsRestored).try_send();
             }
         }
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -17,7 +17,6 @@
 use pistachiotrack_core::{
     admin::EndpointStatus,
     config::Config,
-    endpoint_notice::EndpointNotice,
     feature_flags::FeatureFlags,
     idempotency::StoredAnswer,
     name::Name,
@@ -38,7 +37,7 @@
     clock::Clock,
     connection_pool::ConnectionPool,
     dialect::Dialect,
-    endpoint_notices::{NoticeSource, NoticeTable},
+    endpoint_notices::{EndpointNoticed, NoticeSource, NoticeTable},
     path_check::PathCheck,
     probe::Probe,
     shard_status::{ShardStatus, ShardStatusTable},
@@ -135,7 +134,7 @@
             seed: args.seed,
             data_centre: Some(args.data_centre),
             feature_flags: args.feature_flags,
-            notices: args.notices.subscribe(&args.id.service, &actor_ref),
+            notices: args.notices.subscribe(&args.id.service, &actor_ref.clone().recipient()),
         };
         let now = args.clock.now();
         let mut shard = Shard::new(now, args.id.clone(), &args.config, settings);
@@ -205,14 +204,6 @@
     }
 }
 
-/// Reports what an endpoint asks of this VM.
-pub(crate) struct EndpointNoticed {
-    /// The endpoint.
-    pub(crate) endpoint: Name,
-    /// What it asks.
-    pub(crate) notice: EndpointNotice,
-}
-
 impl Message<EndpointNoticed> for ShardActor {
     type Reply = ();
 
