--- a/crates/pistachiotrackd/src/attempt.rs
+++ b/crates/pistachiotrackd/src/attempt.rs
@@ -9,18 +9,33 @@
 };
 
 use crate::{
+    clock::Clock,
     connection_pool::ConnectionPool,
-    context::Context,
-    dialect::{AnswerKind, AnswerMetadata, OutgoingMetadata},
-    endpoint_notices::NoticeSource,
+    dialect::{AnswerKind, AnswerMetadata, Dialect, OutgoingMetadata},
+    endpoint_notices::{NoticeSource, NoticeTable},
     exchange::{
         self, AbandonSignal, RequestHead, StartedAnswer, Target, outcome_of_answer,
         outcome_of_error, return_connection,
     },
     inbound::Inbound,
-    relay_client::{self, RelayError, RelayResult},
+    relay_client::{self, RelayClient, RelayError, RelayResult},
 };
 
+/// What attempts need.
+#[derive(Debug)]
+pub(crate) struct AttemptHandle {
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Protocol of endpoints.
+    pub(crate) dialect: Arc<dyn Dialect>,
+    /// What endpoints ask of this VM.
+    pub(crate) notices: Arc<NoticeTable>,
+    /// Connections to endpoints.
+    pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Sends requests through relays.
+    pub(crate) relays: RelayClient,
+}
+
 /// Result of an attempt, or the start of its answer.
 #[derive(Debug)]
 pub(crate) struct AttemptEnd {
@@ -44,22 +59,22 @@
 
 /// Sends the request of `inbound` to the endpoint selected in `dispatch`.
 pub(crate) async fn run(
-    context: Arc<Context>,
+    handle: Arc<AttemptHandle>,
     inbound: Arc<Inbound>,
     dispatch: Dispatch,
     budget: u32,
     abandon: AbandonSignal,
 ) -> AttemptEnd {
-    let started_at = context.clock.now();
+    let started_at = handle.clock.now();
     let choice = connection_choice(&inbound, dispatch.connection);
     let metadata = OutgoingMetadata {
         request_id: Some(&inbound.fleet_id),
         endpoint: &dispatch.endpoint,
-        time_left: remaining(inbound.deadline, context.clock.now()),
+        time_left: remaining(inbound.deadline, handle.clock.now()),
         customer: inbound.route.identified.as_ref(),
     };
-    let head = request_head(&context, &inbound, metadata);
-    let gate = context.notices.gate(&inbound.route.shard.service, &dispatch.endpoint);
+    let head = request_head(&*handle.dialect, &inbound, metadata);
+    let gate = handle.notices.gate(&inbound.route.shard.service, &dispatch.endpoint);
     let (pool, result) = match &dispatch.relay {
         None => {
             let target = Target {
@@ -71,27 +86,28 @@
                 abandon,
                 gate: Some(gate.clone()),
             };
-            let pool = &context.endpoints;
-            let result = exchange::run(pool, context.clock, target, head, &inbound.body).await;
+            let pool = &handle.endpoints;
+            let result = exchange::run(pool, handle.clock, target, head, &inbound.body).await;
             (pool, result.map_err(|error| (outcome_of_error(&error), error.to_string())))
         }
         Some(relay) => {
             let result =
-                relay_client::send(&context, relay, &dispatch, choice, head, &inbound.body).await;
+                relay_client::send(&handle.relays, relay, &dispatch, choice, head, &inbound.body)
+                    .await;
             if let Err(RelayError::Failed(RelayResult::Closed(notice))) = &result {
                 gate.record(*notice, NoticeSource::Relay);
             }
             let result = result.map_err(|error| (error.outcome(), error.to_string()));
-            (&context.peers, result)
+            (&handle.relays.peers, result)
         }
     };
-    let read = |answer: &StartedAnswer| context.dialect.read_answer(&answer.parts, metadata);
+    let read = |answer: &StartedAnswer| handle.dialect.read_answer(&answer.parts, metadata);
     let result = result.map(|answer| (read(&answer), answer));
     let mut end = AttemptEnd {
         endpoint: dispatch.endpoint.clone(),
         address: dispatch.relay.is_none().then_some(dispatch.address),
         selection: dispatch.selection,
-        elapsed: context.clock.now().since(started_at),
+        elapsed: handle.clock.now().since(started_at),
         outcome: Outcome::NotSent,
         report: EndpointReport::default(),
         answer: None,
@@ -128,12 +144,12 @@
 }
 
 fn request_head(
-    context: &Context,
+    dialect: &dyn Dialect,
     inbound: &Inbound,
     metadata: OutgoingMetadata<'_>,
 ) -> RequestHead {
     let mut fields = inbound.headers.clone();
-    context.dialect.write_request(&mut fields, metadata);
+    dialect.write_request(&mut fields, metadata);
     RequestHead { method: inbound.method.clone(), uri: inbound.uri.clone(), headers: fields }
 }
 
--- a/crates/pistachiotrackd/src/context.rs
+++ b/crates/pistachiotrackd/src/context.rs
@@ -13,11 +13,11 @@
 
 use crate::{
     clock::Clock, connection_pool::ConnectionPool, customer_limits::CustomerLimits,
-    dialect::Dialect, endpoint_notices::NoticeTable, forward_stats::ForwardStats,
-    histogram::Histograms, lease_times::LeaseTimes, metrics::Metrics,
-    quarantine::QuarantineManager, reach_view::ReachView, settings::Settings,
-    shard_table::ShardTable, source::ConfigSource, timer::PauseGate, traffic::Traffic,
-    view::FleetView,
+    dialect::Dialect, endpoint_notices::NoticeTable, forward::Forwarder,
+    forward_stats::ForwardStats, histogram::Histograms, lease_times::LeaseTimes, metrics::Metrics,
+    quarantine::QuarantineManager, reach_view::ReachView, request_task::RequestHandle,
+    settings::Settings, shard_table::ShardTable, source::ConfigSource, timer::PauseGate,
+    traffic::Traffic, view::FleetView,
 };
 
 /// State of the daemon's lifecycle.
@@ -73,10 +73,12 @@
     pub(crate) notices: Arc<NoticeTable>,
     /// Connections to endpoints.
     pub(crate) endpoints: Arc<ConnectionPool>,
-    /// Connections to other VMs.
-    pub(crate) peers: Arc<ConnectionPool>,
+    /// Forwards requests to other VMs.
+    pub(crate) forwarder: Forwarder,
     /// Record of forwarded requests and their results.
-    pub(crate) forwards: ForwardStats,
+    pub(crate) forwards: Arc<ForwardStats>,
+    /// What the tasks of requests need.
+    pub(crate) requests: Arc<RequestHandle>,
     /// Quarantine of requests that crash endpoints.
     pub(crate) quarantine: Arc<QuarantineManager>,
     /// Rate limits of customers.
@@ -86,7 +88,7 @@
     /// Counts of sent and received messages.
     pub(crate) traffic: Arc<Traffic>,
     /// Time from a request's arrival to its first dispatch to an endpoint.
-    pub(crate) queue_latency: Histograms,
+    pub(crate) queue_latency: Arc<Histograms>,
     /// Source of configurations; the platform's configuration service if `None`.
     pub(crate) source: Option<Arc<dyn ConfigSource>>,
     /// Time from a request's arrival to the head of its response.
--- a/crates/pistachiotrackd/src/crash_check.rs
+++ b/crates/pistachiotrackd/src/crash_check.rs
@@ -3,9 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use pistachiotrack_core::{name::Name, request::BodyEnd};
+use tokio::sync::watch;
 
 use crate::{
-    connection_pool::Listening, context::Context, inbound::Inbound, metrics::Event,
+    connection_pool::{ConnectionPool, Listening},
+    inbound::Inbound,
+    metrics::{Event, Metrics},
+    quarantine::QuarantineManager,
     reach_view::ReachView,
 };
 
@@ -14,11 +18,24 @@
 /// Time within which the doubt is usually settled.
 const MAX_DOUBT_TIME: Duration = Duration::from_millis(600);
 
+/// Checks whether endpoints have crashed, and reports those that have.
+#[derive(Debug)]
+pub(crate) struct CrashCheck {
+    /// Connections to endpoints.
+    pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Whether this VM reaches endpoints.
+    pub(crate) reach: watch::Receiver<ReachView>,
+    /// Quarantine of requests that crash endpoints.
+    pub(crate) quarantine: Arc<QuarantineManager>,
+    /// Counters.
+    pub(crate) metrics: Arc<Metrics>,
+}
+
 /// A request being run by an endpoint that may crash.
 #[derive(Debug)]
 pub(crate) struct EndpointExecution {
-    /// Shared state of the daemon.
-    pub(crate) context: Arc<Context>,
+    /// Checks whether the endpoint has crashed.
+    pub(crate) check: Arc<CrashCheck>,
     /// The request.
     pub(crate) inbound: Arc<Inbound>,
     /// The endpoint.
@@ -37,30 +54,33 @@
     }
 
     async fn check_listening(self, address: SocketAddr) {
-        let EndpointExecution { context, inbound, endpoint, .. } = self;
-        let listening = context.endpoints.listening(address).await;
+        let EndpointExecution { check, inbound, endpoint, .. } = self;
+        let listening = check.endpoints.listening(address).await;
         let fingerprint = inbound.fingerprint();
         log::info!(
             "event=endpoint_checked request={} fingerprint={fingerprint} endpoint={endpoint} \
              listening={listening:?}",
             inbound.fleet_id
         );
-        if listening == Listening::Refused && !is_cut_off(&context).await {
-            context.metrics.count(Event::EndpointCrash);
-            context.quarantine.on_crash(fingerprint, &inbound.route.shard.service, &endpoint);
+        if listening == Listening::Refused && !check.is_cut_off().await {
+            check.metrics.count(Event::EndpointCrash);
+            check.quarantine.on_crash(fingerprint, &inbound.route.shard.service, &endpoint);
         }
     }
 }
 
-/// Returns whether the endpoint only seems to have crashed, since this VM reaches none. While that is
-/// in doubt, it waits for the result; a request that crashes all endpoints raises the doubt too.
-async fn is_cut_off(context: &Context) -> bool {
-    tokio::time::sleep(DOUBT_TIME).await;
-    let mut reach = context.reach.clone();
-    let is_known = |view: &ReachView| view.reach.is_cut_off() || !view.is_in_doubt;
-    // Without a result in time, the crash counts.
-    let _ = tokio::time::timeout(MAX_DOUBT_TIME, reach.wait_for(is_known)).await;
-    context.reach().is_cut_off()
+impl CrashCheck {
+    /// Returns whether the endpoint only seems to have crashed, since this VM reaches none. While
+    /// that is in doubt, it waits for the result; a request that crashes all endpoints raises the
+    /// doubt too.
+    async fn is_cut_off(&self) -> bool {
+        tokio::time::sleep(DOUBT_TIME).await;
+        let mut reach = self.reach.clone();
+        let is_known = |view: &ReachView| view.reach.is_cut_off() || !view.is_in_doubt;
+        // Without a result in time, the crash counts.
+        let _ = tokio::time::timeout(MAX_DOUBT_TIME, reach.wait_for(is_known)).await;
+        self.reach.borrow().reach.is_cut_off()
+    }
 }
 
 /// Records how an execution ends whose answer has started.
@@ -77,7 +97,7 @@
     pub(crate) fn finish(self, end: BodyEnd) {
         match end {
             BodyEnd::Complete if !self.is_failure => {
-                self.execution.context.quarantine.on_answered(&self.execution.inbound);
+                self.execution.check.quarantine.on_answered(&self.execution.inbound);
             }
             BodyEnd::Truncated => self.execution.check_endpoint(),
             BodyEnd::Complete | BodyEnd::CallerGone => {}
--- a/crates/pistachiotrackd/src/daemon.rs
+++ b/crates/pistachiotrackd/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon's lifecycle: startup, serving and graceful shutdown.
 
+mod listeners;
 mod sockets;
 
 use std::{
@@ -16,7 +17,6 @@
 };
 use pistachiotrack_core::ownership::{Ownership, OwnershipSettings};
 use tokio::{
-    net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::watch,
 };
@@ -24,27 +24,28 @@
 
 use self::sockets::{Sockets, local_address, optional_address};
 use crate::{
-    admin,
+    attempt::AttemptHandle,
     clock::Clock,
     connection::Connector,
     connection_pool::ConnectionPool,
     context::Context,
+    crash_check::CrashCheck,
     customer_limits::{CustomerLimits, REPORT_INTERVAL, UsageReporter},
     datagram_router::{self, DatagramHandlers},
     dialect::{Dialect, NativeDialect},
     endpoint_notices::NoticeTable,
-    entries,
     fleet::{Fleet, FleetArgs, Leave, SetSeeds, TICK_INTERVAL},
+    forward::Forwarder,
     forward_stats::ForwardStats,
     histogram::Histograms,
     lease_times::LeaseTimes,
-    listener::Listener,
     metrics::Metrics,
     path_check::PathCheck,
-    peer_service, proxy,
     quarantine::{QuarantineGossip, QuarantineManager, QuarantineTransport},
     reach_monitor::{ReachMonitor, ReachMonitorArgs},
     reach_view::ReachView,
+    relay_client::RelayClient,
+    request_task::RequestHandle,
     settings::{Settings, SettingsFile},
     shard_table::{ShardTable, ShardTableArgs},
     shard_update_link::ShardUpdateLink,
@@ -54,9 +55,6 @@
     view::FleetView,
 };
 
-/// Maximum number of concurrent connections to the admin port.
-const MAX_ADMIN_CONNECTIONS: usize = 32;
-
 /// Why the daemon could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -204,6 +202,52 @@
             data_centre: me.data_centre.clone(),
             feature_flags: settings.feature_flags,
         }));
+        let peers = Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector }));
+        let forwards = Arc::new(ForwardStats::new(clock.now()));
+        let queue_latency = Arc::new(Histograms::default());
+        let body_idle = Duration::from_millis(settings.limits.body_idle_ms);
+        let forwarder = Forwarder {
+            me: me.clone(),
+            clock,
+            peers: Arc::clone(&peers),
+            forwards: Arc::clone(&forwards),
+            notices: Arc::clone(&notices),
+            metrics: Arc::clone(&metrics),
+            traffic: Arc::clone(&traffic),
+            body_idle,
+        };
+        let relays = RelayClient {
+            me: me.name.clone(),
+            clock,
+            view: view.clone(),
+            peers: Arc::clone(&peers),
+        };
+        let attempts = AttemptHandle {
+            clock,
+            dialect: Arc::clone(&adapter.dialect),
+            notices: Arc::clone(&notices),
+            endpoints: Arc::clone(&endpoints),
+            relays,
+        };
+        let crash_check = CrashCheck {
+            endpoints: Arc::clone(&endpoints),
+            reach: reach.clone(),
+            quarantine: Arc::clone(&quarantine),
+            metrics: Arc::clone(&metrics),
+        };
+        let requests = RequestHandle {
+            me: me.clone(),
+            clock,
+            dialect: Arc::clone(&adapter.dialect),
+            view: view.clone(),
+            quarantine: Arc::clone(&quarantine),
+            metrics: Arc::clone(&metrics),
+            traffic: Arc::clone(&traffic),
+            queue_latency: Arc::clone(&queue_latency),
+            body_idle,
+            attempts: Arc::new(attempts),
+            crash_check: Arc::new(crash_check),
+        };
         let context = Arc::new(Context {
             me,
             clock,
@@ -215,13 +259,14 @@
             shards,
             notices,
             endpoints,
-            peers: Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector })),
-            forwards: ForwardStats::new(clock.now()),
+            forwarder,
+            forwards,
+            requests: Arc::new(requests),
             quarantine: Arc::clone(&quarantine),
             customer_limits: Arc::clone(&customer_limits),
             metrics,
             traffic: Arc::clone(&traffic),
-            queue_latency: Histograms::default(),
+            queue_latency,
             source: adapter.source,
             total_latency: Histograms::default(),
             added_latency: Histograms::default(),
@@ -230,7 +275,15 @@
             settings,
         });
         let fleet_args = FleetArgs {
-            context: Arc::clone(&context),
+            me: context.me.clone(),
+            clock,
+            settings: context.settings.clone(),
+            source: context.source.clone(),
+            shards: Arc::clone(&context.shards),
+            endpoints: Arc::clone(&context.endpoints),
+            peers,
+            metrics: Arc::clone(&context.metrics),
+            traffic: Arc::clone(&traffic),
             view: view_sender,
             lease: lease_sender,
             socket: Arc::clone(&socket),
@@ -298,53 +351,6 @@
         Ok(daemon)
     }
 
-    fn spawn_listeners(
-        &self,
-        caller: TcpListener,
-        peer: TcpListener,
-        admin: TcpListener,
-        stopping: &watch::Receiver<bool>,
-    ) {
-        let limits = &self.context.settings.limits;
-        let callers = self.listener(caller, limits.caller_connections, stopping);
-        tokio::spawn(callers.serve(Arc::clone(&self.context), proxy::handle_caller));
-        let peers = self.listener(peer, limits.peer_connections, stopping);
-        let fleet = self.fleet.clone();
-        let handler = move |context, request| peer_service::handle(context, fleet.clone(), request);
-        tokio::spawn(peers.serve(Arc::clone(&self.context), handler));
-        let operators = self.listener(admin, MAX_ADMIN_CONNECTIONS, stopping);
-        let fleet = self.fleet.clone();
-        let handler = move |context, request| admin::handle(context, fleet.clone(), request);
-        tokio::spawn(operators.serve(Arc::clone(&self.context), handler));
-    }
-
-    fn spawn_platform_listeners(
-        &self,
-        readiness: Option<TcpListener>,
-        directory: Option<TcpListener>,
-        stopping: &watch::Receiver<bool>,
-    ) {
-        let max_connections = self.context.settings.limits.caller_connections;
-        if let Some(socket) = readiness {
-            let listener = self.listener(socket, max_connections, stopping);
-            tokio::spawn(listener.serve(Arc::clone(&self.context), entries::readiness));
-        }
-        if let Some(socket) = directory {
-            let listener = self.listener(socket, max_connections, stopping);
-            tokio::spawn(listener.serve(Arc::clone(&self.context), entries::handle));
-        }
-    }
-
-    fn listener(
-        &self,
-        socket: TcpListener,
-        max_connections: usize,
-        stopping: &watch::Receiver<bool>,
-    ) -> Listener {
-        let (stopping, connections) = (stopping.clone(), self.connections.clone());
-        Listener { socket, max_connections, stopping, connections }
-    }
-
     /// Returns the address that callers connect to.
     pub fn caller_address(&self) -> SocketAddr {
         self.context.me.caller_address
--- a/crates/pistachiotrackd/src/fleet.rs
+++ b/crates/pistachiotrackd/src/fleet.rs
@@ -23,6 +23,7 @@
     ownership::{Ownership, OwnershipChange, OwnershipSettings, shard_count},
     shard::ShardMode,
     time::Time,
+    vm::Vm,
 };
 use tokio::{
     net::UdpSocket,
@@ -38,16 +39,19 @@
     pull::HandlePull,
 };
 use crate::{
-    context::Context,
+    clock::Clock,
+    connection_pool::ConnectionPool,
     lease_times::LeaseTimes,
-    metrics::Event,
+    metrics::{Event, Metrics},
     platform::{Platform, VmListReceived},
     reach_monitor::SetCutOff,
+    settings::Settings,
     shard_actor::{NewConfig, Retire},
     shard_status::shard_name,
+    shard_table::ShardTable,
     source::{ConfigSource, PublishedConfig, SourceError, SourceReading},
     timer::TimerEvent,
-    traffic::Topic,
+    traffic::{Topic, Traffic},
     udp,
     view::{ActiveConfig, FleetView},
 };
@@ -63,8 +67,24 @@
 
 /// Arguments of the fleet actor.
 pub(crate) struct FleetArgs {
-    /// State shared by all parts of the daemon.
-    pub(crate) context: Arc<Context>,
+    /// The local VM.
+    pub(crate) me: Vm,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Settings of this VM.
+    pub(crate) settings: Settings,
+    /// Source of configurations; the platform's configuration service if `None`.
+    pub(crate) source: Option<Arc<dyn ConfigSource>>,
+    /// Shards that this VM dispatches for.
+    pub(crate) shards: Arc<ShardTable>,
+    /// Connections to endpoints.
+    pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Connections to other VMs.
+    pub(crate) peers: Arc<ConnectionPool>,
+    /// Counters.
+    pub(crate) metrics: Arc<Metrics>,
+    /// Counts of sent and received messages.
+    pub(crate) traffic: Arc<Traffic>,
     /// Channel that snapshots are published to.
     pub(crate) view: watch::Sender<Arc<FleetView>>,
     /// Channel that the times of the configuration's lease are published to.
@@ -79,7 +99,13 @@
 
 /// The actor that maintains this VM's view of the fleet.
 pub(crate) struct Fleet {
-    context: Arc<Context>,
+    me: Vm,
+    clock: Clock,
+    shards: Arc<ShardTable>,
+    endpoints: Arc<ConnectionPool>,
+    peers: Arc<ConnectionPool>,
+    metrics: Arc<Metrics>,
+    traffic: Arc<Traffic>,
     view: watch::Sender<Arc<FleetView>>,
     socket: Arc<UdpSocket>,
     source: Arc<dyn ConfigSource>,
@@ -104,10 +130,8 @@
     type Error = Infallible;
 
     async fn on_start(args: FleetArgs, actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
-        let FleetArgs { context, view, lease, socket, superseded, seed } = args;
-        let now = context.clock.now();
-        let me = context.me.clone();
-        let settings = &context.settings;
+        let FleetArgs { me, clock, settings, traffic, seed, .. } = args;
+        let now = clock.now();
         let (watching, is_watching) = watch::channel(false);
         let deployment = settings.deployment.clone();
         // The deployment is checked since datagrams of another deployment may
@@ -122,8 +146,8 @@
             ..settings.config_sync.clone()
         });
         let watch_wait = Duration::from_millis(sync_settings.watch_timeout_ms);
-        let source = context.source.clone().unwrap_or_else(|| {
-            let platform = Platform::new(settings, Arc::clone(&context.traffic));
+        let source = args.source.unwrap_or_else(|| {
+            let platform = Platform::new(&settings, Arc::clone(&traffic));
             let list_schedule = ListReadSchedule::new(sync_settings.clone(), seed);
             tokio::spawn(platform.clone().maintain_vm_list(
                 actor_ref.clone().recipient(),
@@ -132,21 +156,27 @@
             ));
             Arc::new(platform)
         });
-        let lease = LeaseKeeper::new(settings.config_lease.clone(), &deployment, lease, seed);
+        let lease = LeaseKeeper::new(settings.config_lease, &deployment, args.lease, seed);
         Ok(Fleet {
             lease,
             membership: Membership::new(now, me.clone(), membership_settings, seed),
             ownership: Ownership::new(me.clone(), OwnershipSettings::default()),
-            sync: ConfigSync::new(me, deployment, sync_settings, seed),
+            sync: ConfigSync::new(me.clone(), deployment, sync_settings, seed),
             config_log: ConfigLog::default(),
-            context,
-            view,
-            socket,
+            me,
+            clock,
+            shards: args.shards,
+            endpoints: args.endpoints,
+            peers: args.peers,
+            metrics: args.metrics,
+            traffic,
+            view: args.view,
+            socket: args.socket,
             source,
             watch_wait,
             watching,
             waiting_watch: None,
-            superseded,
+            superseded: args.superseded,
             actor_ref: actor_ref.downgrade(),
             active: None,
             published_revision: None,
@@ -179,7 +209,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: Datagram, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         match self.membership.on_datagram(now, message.from, &message.bytes) {
             Ok(actions) => self.apply_membership(now, actions),
             Err(error) => {
@@ -196,7 +226,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: SourceResponse, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         self.watching.send_replace(false);
         match message.0 {
             Ok(SourceReading { config, asked_at }) => {
@@ -238,8 +268,8 @@
     type Reply = ();
 
     async fn handle(&mut self, message: VmListReceived, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
-        let me = &self.context.me.name;
+        let now = self.clock.now();
+        let me = &self.me.name;
         let others = message.0.vms.iter().filter(|vm| vm.name != *me).count();
         self.sync.on_listed_vms(others + 1);
         let actions = self.membership.on_vm_list(now, &message.0);
@@ -254,7 +284,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: SetCutOff, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         self.ownership.set_cut_off(message.0);
         let actions = self.membership.set_cut_off(now, message.0);
         self.apply_membership(now, actions);
@@ -287,8 +317,8 @@
         }
         if now.since(self.last_pool_cleanup) >= POOL_CLEANUP_INTERVAL {
             self.last_pool_cleanup = now;
-            self.context.endpoints.close_expired();
-            self.context.peers.close_expired();
+            self.endpoints.close_expired();
+            self.peers.close_expired();
         }
     }
 
@@ -297,9 +327,9 @@
         for action in actions {
             match action {
                 MembershipAction::Send { to, bytes } => {
-                    let locality = self.context.view.borrow().locality(to);
+                    let locality = self.view.borrow().locality(to);
                     let label = (Topic::Membership, locality);
-                    udp::send(&self.socket, to, &bytes, &self.context.traffic, label);
+                    udp::send(&self.socket, to, &bytes, &self.traffic, label);
                 }
                 MembershipAction::StateChanged { vm } => {
                     self.log_member(&vm);
@@ -329,7 +359,7 @@
             first
         };
         if self.superseded.send_if_modified(set_once) {
-            log::error!("event=superseded vm={}", self.context.me.name);
+            log::error!("event=superseded vm={}", self.me.name);
         }
     }
 
@@ -353,7 +383,7 @@
                 ConfigAction::Pull { vm, request } => self.pull(vm, request),
                 ConfigAction::Activate(config) => self.activate(now, config),
                 ConfigAction::Rejected(error) => {
-                    self.context.metrics.count(Event::ConfigRejected);
+                    self.metrics.count(Event::ConfigRejected);
                     log::error!("event=config_rejected error={:?}", error.to_string());
                 }
                 ConfigAction::Stale { offered } => {
@@ -392,7 +422,7 @@
         log::info!("event=config_in_force version={} rules={}", config.version, config.rules.len());
         self.membership.set_config_version(config.version);
         self.source.on_active_config(&config);
-        for (_, shard) in self.context.shards.running() {
+        for (_, shard) in self.shards.running() {
             // A shard whose actor has stopped restarts with this configuration.
             let _ = shard.tell(NewConfig(Arc::clone(&config))).try_send();
         }
@@ -411,12 +441,12 @@
         let exists = |shard: &pistachiotrack_core::ownership::ShardId| {
             active.service(&shard.service).is_some_and(|service| shard.index < shard_count(service))
         };
-        for (id, shard) in self.context.shards.running() {
+        for (id, shard) in self.shards.running() {
             if !exists(&id) {
                 let _ = shard.tell(Retire).try_send();
             }
         }
-        self.context.shards.retain(exists);
+        self.shards.retain(exists);
     }
 
     fn update_ownership(&mut self, now: Time) {
@@ -440,13 +470,13 @@
         match change {
             OwnershipChange::Gained(shard) => {
                 log::info!("event=shard_gained shard={}", shard_name(&shard));
-                self.context.shards.become_owner(&shard, config);
+                self.shards.become_owner(&shard, config);
             }
             OwnershipChange::Lost { shard, to } => {
                 log::info!("event=shard_lost shard={} to={to}", shard_name(&shard));
                 let to = self.membership.member(&to).map(|member| member.vm.clone());
                 let mode = ShardMode::without_ownership(config.service(&shard.service));
-                self.context.shards.release_ownership(&shard, to, mode);
+                self.shards.release_ownership(&shard, to, mode);
             }
         }
     }
@@ -454,7 +484,7 @@
     fn publish(&self) {
         let members = self.membership.members().cloned().collect();
         let (active, ownership) = (self.active.clone(), self.ownership.clone());
-        let view = FleetView::new(active, ownership, members, &self.context.me.data_centre);
+        let view = FleetView::new(active, ownership, members, &self.me.data_centre);
         self.view.send_replace(Arc::new(view));
     }
 }
--- a/crates/pistachiotrackd/src/fleet/config_status.rs
+++ b/crates/pistachiotrackd/src/fleet/config_status.rs
@@ -35,7 +35,7 @@
         _: GetConfigStatus,
         _: &mut MessageContext<Self, ConfigStatus>,
     ) -> ConfigStatus {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         let lag = self.sync.version_lag();
         ConfigStatus {
             error: self.sync.last_error().map(ToString::to_string),
--- a/crates/pistachiotrackd/src/fleet/lease.rs
+++ b/crates/pistachiotrackd/src/fleet/lease.rs
@@ -134,7 +134,7 @@
         let age = keeper.lease.age(now);
         let queries = keeper.queries.on_tick(now, age, watchers, &peers, &mut keeper.rng);
         for LeaseQuery { vm, sequence } in queries {
-            let locality = Locality::of(&vm.data_centre, &self.context.me.data_centre);
+            let locality = Locality::of(&vm.data_centre, &self.me.data_centre);
             self.send_lease(vm.peer_address, locality, LeaseMessage::Query { sequence });
         }
     }
@@ -147,14 +147,14 @@
 
     fn send_lease(&self, to: SocketAddr, locality: Locality, message: LeaseMessage) {
         let Some(bytes) = self.lease.codec.encode(&message) else { return };
-        udp::send(&self.socket, to, &bytes, &self.context.traffic, (Topic::Lease, locality));
+        udp::send(&self.socket, to, &bytes, &self.traffic, (Topic::Lease, locality));
     }
 
     fn answer_query(&self, from: SocketAddr, sequence: u32) {
-        let age = self.lease.lease.age(self.context.clock.now());
+        let age = self.lease.lease.age(self.clock.now());
         let (Some(version), Some(age)) = (self.sync.version(), age) else { return };
         let age_us = age.as_micros() as u64;
-        let locality = self.context.view.borrow().locality(from);
+        let locality = self.view.borrow().locality(from);
         self.send_lease(from, locality, LeaseMessage::Answer { sequence, version, age_us });
     }
 }
--- a/crates/pistachiotrackd/src/fleet/leave.rs
+++ b/crates/pistachiotrackd/src/fleet/leave.rs
@@ -20,7 +20,7 @@
 
     async fn handle(&mut self, _: Leave, _: &mut Context<Self, ()>) {
         let Some(fleet) = self.actor_ref.upgrade() else { return };
-        let mut handed_over = self.hand_over_exclusive_shards(self.context.clock.now());
+        let mut handed_over = self.hand_over_exclusive_shards(self.clock.now());
         tokio::spawn(async move {
             // Returns when all hand-overs have dropped their senders.
             handed_over.recv().await;
@@ -37,7 +37,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: AnnounceLeaving, _: &mut Context<Self, ()>) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         let actions = self.membership.leave(now);
         self.apply_membership(now, actions);
         self.ownership.set_leaving(true);
@@ -57,7 +57,7 @@
                 continue;
             }
             if let Some(successor) = self.membership.member(&successor) {
-                self.context.shards.hand_over(&shard, successor.vm.clone(), Some(done.clone()));
+                self.shards.hand_over(&shard, successor.vm.clone(), Some(done.clone()));
             }
         }
         all_done
--- a/crates/pistachiotrackd/src/fleet/pull.rs
+++ b/crates/pistachiotrackd/src/fleet/pull.rs
@@ -28,7 +28,7 @@
         message: HandlePull,
         _: &mut MessageContext<Self, Self::Reply>,
     ) -> Option<Vec<u8>> {
-        self.sync.handle_pull(self.context.clock.now(), &message.0).ok()
+        self.sync.handle_pull(self.clock.now(), &message.0).ok()
     }
 }
 
@@ -44,7 +44,7 @@
     type Reply = ();
 
     async fn handle(&mut self, message: PullFinished, _: &mut MessageContext<Self, ()>) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         let actions = self.sync.on_pull_response(now, &message.vm, message.response.as_deref());
         self.apply_config(now, actions);
     }
@@ -53,8 +53,8 @@
 impl Fleet {
     pub(super) fn pull(&self, vm: Vm, request: Vec<u8>) {
         let Some(fleet) = self.actor_ref.upgrade() else { return };
-        let traffic = Arc::clone(&self.context.traffic);
-        let locality = Locality::of(&vm.data_centre, &self.context.me.data_centre);
+        let traffic = Arc::clone(&self.traffic);
+        let locality = Locality::of(&vm.data_centre, &self.me.data_centre);
         tokio::spawn(async move {
             traffic.sent(Topic::Configuration, locality, request.len());
             let response =
--- a/crates/pistachiotrackd/src/forward.rs
+++ b/crates/pistachiotrackd/src/forward.rs
@@ -16,15 +16,17 @@
 use crate::{
     answer::Served,
     body::{self, AnswerBody},
-    context::Context,
-    endpoint_notices::NoticeSource,
+    clock::Clock,
+    connection_pool::ConnectionPool,
+    endpoint_notices::{NoticeSource, NoticeTable},
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
+    forward_stats::ForwardStats,
     headers,
     inbound::Inbound,
-    metrics::Event,
+    metrics::{Event, Metrics},
     peer_client::PEER_BUDGET,
     peer_result::{PeerAnswer, PeerRefusal, PeerResult},
-    traffic::{Locality, Topic},
+    traffic::{Locality, Topic, Traffic},
 };
 
 /// Time after the deadline during which the owner's own refusal is awaited.
@@ -76,9 +78,30 @@
     Failed(ForwardError),
 }
 
+/// Forwards requests to other VMs.
+#[derive(Debug)]
+pub(crate) struct Forwarder {
+    /// The local VM.
+    pub(crate) me: Vm,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Connections to other VMs.
+    pub(crate) peers: Arc<ConnectionPool>,
+    /// Record of forwarded requests and their results.
+    pub(crate) forwards: Arc<ForwardStats>,
+    /// What endpoints ask of this VM.
+    pub(crate) notices: Arc<NoticeTable>,
+    /// Counters.
+    pub(crate) metrics: Arc<Metrics>,
+    /// Counts of sent and received messages.
+    pub(crate) traffic: Arc<Traffic>,
+    /// Time without data after which the body of an answer is abandoned.
+    pub(crate) body_idle: Duration,
+}
+
 /// A request being forwarded to its owner.
 struct Forward<'a> {
-    context: &'a Context,
+    forwarder: &'a Forwarder,
     owner: &'a Vm,
     inbound: &'a Inbound,
     sent: Time,
@@ -86,13 +109,13 @@
 
 /// Forwards a request to `owner` and returns the result.
 pub(crate) async fn send(
-    context: &Context,
+    forwarder: &Forwarder,
     owner: &Vm,
     inbound: &Inbound,
     undispatched: Undispatched,
 ) -> Forwarded {
-    let sent = context.clock.now();
-    let forward = Forward { context, owner, inbound, sent };
+    let sent = forwarder.clock.now();
+    let forward = Forward { forwarder, owner, inbound, sent };
     let (copies, copy) = undispatched.send(owner.name.clone(), sent);
     match inbound.route.idempotent && inbound.body.is_repeatable() {
         true => forward.send_with_retry(copies, copy).await,
@@ -111,19 +134,19 @@
     /// on them would then wait until their deadline although both VMs are healthy. The answer on
     /// the new connection is used, and the first connection and all idle ones are closed.
     async fn send_with_retry(&self, mut copies: Copies, copy: OutstandingCopy) -> Forwarded {
-        let Forward { context, owner, inbound, .. } = self;
+        let Forward { forwarder, owner, inbound, .. } = self;
         let mut first = pin!(self.exchange(ConnectionChoice::RecentlyUsed, copy));
-        let time_left = remaining(inbound.deadline, context.clock.now());
+        let time_left = remaining(inbound.deadline, forwarder.clock.now());
         let retry_delay =
-            context.forwards.retry_delay(&inbound.route.shard).unwrap_or(time_left / 2);
+            forwarder.forwards.retry_delay(&inbound.route.shard).unwrap_or(time_left / 2);
         if let Ok(end) = tokio::time::timeout(retry_delay, first.as_mut()).await {
             return self.conclude(copies, end);
         }
-        let now = context.clock.now();
-        if now >= inbound.deadline || !context.forwards.take_retry(now) {
+        let now = forwarder.clock.now();
+        if now >= inbound.deadline || !forwarder.forwards.take_retry(now) {
             return self.conclude(copies, first.await);
         }
-        context.metrics.count(Event::ForwardedAgain);
+        forwarder.metrics.count(Event::ForwardedAgain);
         let copy = copies.send(owner.name.clone(), now);
         let second = pin!(self.exchange(ConnectionChoice::Fresh, copy));
         match select(first, second).await {
@@ -133,7 +156,7 @@
             },
             Either::Right((end, first)) => match self.record(&mut copies, end) {
                 Ok(served) => {
-                    context.peers.close_idle(owner.peer_address);
+                    forwarder.peers.close_idle(owner.peer_address);
                     Forwarded::Answered(served)
                 }
                 // No new connection could be opened: the owner can't be reached, and this VM
@@ -179,9 +202,9 @@
     fn record(&self, copies: &mut Copies, end: CopyEnd) -> Result<Served, CopyFailure> {
         match end {
             CopyEnd::Answered(answer, endpoint_time) => {
-                let latency = self.context.clock.now().since(self.sent);
-                self.context.forwards.on_answer(&self.inbound.route.shard, latency);
-                Ok(served(self.context, *answer, endpoint_time))
+                let latency = self.forwarder.clock.now().since(self.sent);
+                self.forwarder.forwards.on_answer(&self.inbound.route.shard, latency);
+                Ok(served(self.forwarder, *answer, endpoint_time))
             }
             CopyEnd::Refused(result, copy) => {
                 if let Some(copy) = copy.on_reported_execution(result.execution) {
@@ -199,7 +222,7 @@
     }
 
     async fn exchange(&self, choice: ConnectionChoice, copy: OutstandingCopy) -> CopyEnd {
-        let Forward { context, owner, inbound, .. } = self;
+        let Forward { forwarder, owner, inbound, .. } = self;
         let target = Target {
             address: owner.peer_address,
             choice,
@@ -209,26 +232,27 @@
             abandon: AbandonSignal::default(),
             gate: None,
         };
-        let head = request_head(context, inbound);
-        let locality = Locality::of(&owner.data_centre, &context.me.data_centre);
-        context.traffic.sent(Topic::Forwarded, locality, inbound.body.announced_bytes());
-        let ended = exchange::run(&context.peers, context.clock, target, head, &inbound.body).await;
+        let head = request_head(forwarder, inbound);
+        let locality = Locality::of(&owner.data_centre, &forwarder.me.data_centre);
+        forwarder.traffic.sent(Topic::Forwarded, locality, inbound.body.announced_bytes());
+        let ended =
+            exchange::run(&forwarder.peers, forwarder.clock, target, head, &inbound.body).await;
         let mut answer = match ended {
             Ok(answer) => answer,
             Err(error) => return CopyEnd::Failed(error.into(), copy),
         };
-        context.traffic.received(Topic::Forwarded, locality, body::announced_bytes(&answer.body));
+        forwarder.traffic.received(Topic::Forwarded, locality, body::announced_bytes(&answer.body));
         match PeerResult::take_from(&mut answer.parts.headers, &inbound.fleet_id) {
             PeerAnswer::Answer { endpoint_time, leaving_endpoint } => {
                 if let Some(endpoint) = leaving_endpoint {
                     let service = &inbound.route.shard.service;
                     let (notice, source) = (EndpointNotice::LEAVING, NoticeSource::Forward);
-                    context.notices.record(service, &endpoint, notice, source);
+                    forwarder.notices.record(service, &endpoint, notice, source);
                 }
                 CopyEnd::Answered(Box::new(answer), endpoint_time)
             }
             PeerAnswer::Refused(result) => {
-                exchange::return_connection(&context.peers, answer).await;
+                exchange::return_connection(&forwarder.peers, answer).await;
                 CopyEnd::Refused(result, copy)
             }
             PeerAnswer::Unverified => CopyEnd::Failed(ForwardError::Unverified, copy),
@@ -242,25 +266,24 @@
     copies.refuse_with(RefusalDecision { execution, reason, retry_after_ms }).decided_by(vm)
 }
 
-fn request_head(context: &Context, inbound: &Inbound) -> RequestHead {
+fn request_head(forwarder: &Forwarder, inbound: &Inbound) -> RequestHead {
     let mut fields = inbound.headers.clone();
-    let left_ms = remaining(inbound.deadline, context.clock.now()).as_millis() as u64;
+    let left_ms = remaining(inbound.deadline, forwarder.clock.now()).as_millis() as u64;
     headers::set_number(&mut fields, header::DEADLINE_MS, left_ms);
     headers::set(&mut fields, header::REQUEST_ID, &inbound.fleet_id);
-    headers::set(&mut fields, header::HOP, &context.me.name);
+    headers::set(&mut fields, header::HOP, &forwarder.me.name);
     headers::set(&mut fields, header::ROUTE, &inbound.route.encode());
     RequestHead { method: inbound.method.clone(), uri: inbound.uri.clone(), headers: fields }
 }
 
-fn served(context: &Context, answer: StartedAnswer, endpoint_time: Option<Duration>) -> Served {
+fn served(forwarder: &Forwarder, answer: StartedAnswer, endpoint_time: Option<Duration>) -> Served {
     let StartedAnswer { mut parts, body, connection, .. } = answer;
-    let idle_limit = Duration::from_millis(context.settings.limits.body_idle_ms);
     let body = AnswerBody::streaming(
         &parts,
         body,
         connection,
-        Arc::clone(&context.peers),
-        idle_limit,
+        Arc::clone(&forwarder.peers),
+        forwarder.body_idle,
         false,
         None,
     );
--- a/crates/pistachiotrackd/src/hand_off.rs
+++ b/crates/pistachiotrackd/src/hand_off.rs
@@ -84,7 +84,7 @@
             break;
         }
         context.metrics.count(Event::HandedOver);
-        let returned = match forward::send(context, &vm, inbound, request).await {
+        let returned = match forward::send(&context.forwarder, &vm, inbound, request).await {
             Forwarded::Answered(served) => return Ok(served),
             Forwarded::Refused(refusal) if refusal.reason() == Reason::NoEndpoint => {
                 Undispatched::from_refusal(refusal)
--- a/crates/pistachiotrackd/src/local_dispatch.rs
+++ b/crates/pistachiotrackd/src/local_dispatch.rs
@@ -26,5 +26,5 @@
         };
         context.shards.find_or_start(&inbound.route.shard, &active.config, mode)
     };
-    request_task::serve(context, shard, inbound, copies).await
+    request_task::serve(&context.requests, shard, inbound, copies).await
 }
--- a/crates/pistachiotrackd/src/proxy.rs
+++ b/crates/pistachiotrackd/src/proxy.rs
@@ -161,11 +161,12 @@
         return local_dispatch::serve(context, inbound, undispatched.into()).await;
     };
     context.metrics.count(Event::Forwarded);
-    let (error, copies) = match forward::send(context, &owner, &inbound, undispatched).await {
-        Forwarded::Answered(served) => return served,
-        Forwarded::Refused(refusal) => return Served::refused(refusal),
-        Forwarded::Failed { error, copies } => (error, copies),
-    };
+    let (error, copies) =
+        match forward::send(&context.forwarder, &owner, &inbound, undispatched).await {
+            Forwarded::Answered(served) => return served,
+            Forwarded::Refused(refusal) => return Served::refused(refusal),
+            Forwarded::Failed { error, copies } => (error, copies),
+        };
     context.metrics.count(Event::ForwardFailed);
     log::info!(
         "event=forward_failed request={} owner={} error={:?}",
--- a/crates/pistachiotrackd/src/relay_client.rs
+++ b/crates/pistachiotrackd/src/relay_client.rs
@@ -1,7 +1,7 @@
 //! Sends a request to an endpoint through a relay: a VM that reaches the endpoint when this one
 //! doesn't.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::HeaderMap;
 use pistachiotrack_core::{
@@ -15,13 +15,16 @@
     time::Time,
 };
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::{
-    context::Context,
+    clock::Clock,
+    connection_pool::ConnectionPool,
     exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     headers,
     peer_client::PEER_BUDGET,
     request_body::RequestBody,
+    view::FleetView,
 };
 
 /// Time after an attempt's time limit during which the relay's own result is awaited.
@@ -179,6 +182,19 @@
     }
 }
 
+/// Sends requests through relays.
+#[derive(Debug)]
+pub(crate) struct RelayClient {
+    /// Name of this VM.
+    pub(crate) me: Name,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Latest snapshot of the fleet.
+    pub(crate) view: watch::Receiver<Arc<FleetView>>,
+    /// Connections to other VMs.
+    pub(crate) peers: Arc<ConnectionPool>,
+}
+
 /// Sends a request to the endpoint of `dispatch` through `relay` and returns the endpoint's
 /// answer.
 ///
@@ -186,7 +202,7 @@
 ///
 /// Returns an error that indicates whether the endpoint may have received the request.
 pub(crate) async fn send(
-    context: &Context,
+    client: &RelayClient,
     relay: &Name,
     dispatch: &Dispatch,
     choice: ConnectionChoice,
@@ -194,12 +210,12 @@
     body: &RequestBody,
 ) -> Result<StartedAnswer, RelayError> {
     let address =
-        peer_address(context, relay).ok_or_else(|| RelayError::RelayNotAlive(relay.clone()))?;
-    let relay_request = RelayRequest::new(dispatch, choice, context.clock.now());
+        peer_address(client, relay).ok_or_else(|| RelayError::RelayNotAlive(relay.clone()))?;
+    let relay_request = RelayRequest::new(dispatch, choice, client.clock.now());
     if let Ok(text) = serde_json::to_string(&relay_request) {
         headers::set(&mut head.headers, header::VIA, &text);
     }
-    headers::set(&mut head.headers, header::HOP, &context.me.name);
+    headers::set(&mut head.headers, header::HOP, &client.me);
     let target = Target {
         address,
         choice: ConnectionChoice::RecentlyUsed,
@@ -209,7 +225,7 @@
         abandon: AbandonSignal::default(),
         gate: None,
     };
-    let mut answer = exchange::run(&context.peers, context.clock, target, head, body).await?;
+    let mut answer = exchange::run(&client.peers, client.clock, target, head, body).await?;
     match RelayResult::read(&answer.parts.headers) {
         Some(RelayResult::Answered { fresh }) => {
             answer.fresh = fresh;
@@ -220,8 +236,8 @@
     }
 }
 
-fn peer_address(context: &Context, relay: &Name) -> Option<SocketAddr> {
-    let view = context.view();
+fn peer_address(client: &RelayClient, relay: &Name) -> Option<SocketAddr> {
+    let view = client.view.borrow();
     let member = view.members.iter().find(|member| member.vm.name == *relay)?;
     let is_usable = matches!(member.state, MemberState::Alive | MemberState::Suspect);
     is_usable.then_some(member.vm.peer_address)
--- a/crates/pistachiotrackd/src/request_task.rs
+++ b/crates/pistachiotrackd/src/request_task.rs
@@ -21,32 +21,66 @@
     request::{AttemptId, BodyEnd, EndpointReport, FIRST_FAILURE_STATUS, Outcome},
     shard::Dispatch,
     time::Time,
+    vm::Vm,
+};
+use tokio::sync::{
+    mpsc::{self, UnboundedReceiver},
+    watch,
 };
-use tokio::sync::mpsc::{self, UnboundedReceiver};
 
 use crate::{
     answer::{self, Served},
-    attempt::{self, AttemptEnd},
+    attempt::{self, AttemptEnd, AttemptHandle},
     attempt_report::{AttemptOutcome, BodyEnded},
     body::{self, AnswerBody, AnswerCopy, AnswerMonitor},
+    clock::Clock,
     connection_pool::ConnectionPool,
-    context::Context,
-    crash_check::{EndpointExecution, ExecutionMonitor},
+    crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
+    dialect::Dialect,
     exchange::{AbandonSignal, StartedAnswer},
     headers,
+    histogram::Histograms,
     inbound::Inbound,
-    metrics::Event,
+    metrics::{Event, Metrics},
+    quarantine::QuarantineManager,
     shard_actor::{CallerGone, Command, ShardActor, Submit},
-    traffic::{Locality, Topic},
+    traffic::{Locality, Topic, Traffic},
     view::FleetView,
 };
 
 /// Time after the deadline during which the shard's own refusal is awaited.
 const WATCHDOG_GRACE: Duration = Duration::from_millis(500);
 
+/// What the tasks of requests need.
+#[derive(Debug)]
+pub(crate) struct RequestHandle {
+    /// The local VM.
+    pub(crate) me: Vm,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// Protocol of callers and endpoints.
+    pub(crate) dialect: Arc<dyn Dialect>,
+    /// Latest snapshot of the fleet and the configuration.
+    pub(crate) view: watch::Receiver<Arc<FleetView>>,
+    /// Quarantine of requests that crash endpoints.
+    pub(crate) quarantine: Arc<QuarantineManager>,
+    /// Counters.
+    pub(crate) metrics: Arc<Metrics>,
+    /// Counts of sent and received messages.
+    pub(crate) traffic: Arc<Traffic>,
+    /// Time from a request's arrival to its first dispatch to an endpoint.
+    pub(crate) queue_latency: Arc<Histograms>,
+    /// Time without data after which the body of an answer is abandoned.
+    pub(crate) body_idle: Duration,
+    /// What attempts need.
+    pub(crate) attempts: Arc<AttemptHandle>,
+    /// Checks whether endpoints have crashed.
+    pub(crate) crash_check: Arc<CrashCheck>,
+}
+
 /// Serves a request with a shard of this VM.
 pub(crate) async fn serve(
-    context: &Arc<Context>,
+    handle: &Arc<RequestHandle>,
     shard: ActorRef<ShardActor>,
     inbound: Arc<Inbound>,
     copies: Copies,
@@ -58,14 +92,14 @@
         return Served::refused(copies.refuse(Reason::NoEndpoint, None));
     }
     let task = RequestTask {
-        context: Arc::clone(context),
+        handle: Arc::clone(handle),
         shard,
         inbound,
         commands,
         running: Vec::new(),
         answered: Vec::new(),
         copies,
-        started_at: context.clock.now(),
+        started_at: handle.clock.now(),
         was_dispatched: false,
         finished: false,
     };
@@ -76,17 +110,17 @@
 /// endpoint's location relative to this VM. The number is this VM's share of the connections that
 /// the endpoint accepts, but at least the number of the endpoint's slots.
 fn connection_budget_and_locality(
-    context: &Context,
+    handle: &RequestHandle,
     service: &str,
     endpoint: &str,
 ) -> (u32, Locality) {
-    let view = context.view();
+    let view = Arc::clone(&handle.view.borrow());
     let endpoint =
         view.active.as_ref().and_then(|active| active.service(service)).and_then(|service| {
             service.endpoints.iter().find(|candidate| candidate.name.as_str() == endpoint)
         });
     let Some(endpoint) = endpoint else { return (MIN_CONNECTION_BUDGET, Locality::Unknown) };
-    let locality = Locality::of(&endpoint.data_centre, &context.me.data_centre);
+    let locality = Locality::of(&endpoint.data_centre, &handle.me.data_centre);
     (endpoint_budget(&view, endpoint), locality)
 }
 
@@ -112,7 +146,7 @@
 /// Dropping it cancels all its attempts by closing their connections and reports this to the
 /// shard. This happens when the caller disconnects.
 struct RequestTask {
-    context: Arc<Context>,
+    handle: Arc<RequestHandle>,
     shard: ActorRef<ShardActor>,
     inbound: Arc<Inbound>,
     commands: UnboundedReceiver<Command>,
@@ -153,7 +187,7 @@
 
 impl RequestTask {
     async fn run(mut self) -> Served {
-        let overdue = self.context.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
+        let overdue = self.handle.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
         let watchdog = tokio::time::sleep_until(overdue);
         tokio::pin!(watchdog);
         loop {
@@ -216,25 +250,26 @@
             self.report_outcome(attempt, Outcome::NotSent, EndpointReport::default());
             return Some(self.refuse_unilaterally(Reason::NoEndpoint));
         }
-        if let DispatchDecision::Held { retry_after } = self.context.quarantine.admit(&self.inbound)
+        if let DispatchDecision::Held { retry_after } = self.handle.quarantine.admit(&self.inbound)
         {
             return self.refuse_quarantined(attempt, retry_after);
         }
-        self.context.metrics.count(Event::Dispatch);
-        let context = Arc::clone(&self.context);
+        self.handle.metrics.count(Event::Dispatch);
+        let handle = Arc::clone(&self.handle);
         let inbound = Arc::clone(&self.inbound);
         let service = &inbound.route.shard.service;
         let (budget, locality) =
-            connection_budget_and_locality(&context, service, &dispatch.endpoint);
-        context.traffic.sent(Topic::Endpoint, locality, inbound.body.announced_bytes());
+            connection_budget_and_locality(&handle, service, &dispatch.endpoint);
+        handle.traffic.sent(Topic::Endpoint, locality, inbound.body.announced_bytes());
         if !self.was_dispatched {
             self.was_dispatched = true;
-            let queued = context.clock.now().since(self.started_at);
-            context.queue_latency.record(&inbound.route.customer, inbound.route.class, queued);
+            let queued = handle.clock.now().since(self.started_at);
+            handle.queue_latency.record(&inbound.route.customer, inbound.route.class, queued);
         }
         let abandon = AbandonSignal::default();
-        let copy = self.copies.send(dispatch.endpoint.clone(), context.clock.now());
-        let end = Box::pin(attempt::run(context, inbound, dispatch, budget, abandon.clone()));
+        let copy = self.copies.send(dispatch.endpoint.clone(), handle.clock.now());
+        let attempts = Arc::clone(&handle.attempts);
+        let end = Box::pin(attempt::run(attempts, inbound, dispatch, budget, abandon.clone()));
         self.running.push(RunningAttempt { attempt, copy, end, locality, abandon });
         None
     }
@@ -284,11 +319,11 @@
             self.execution_at(&end.endpoint, end.address).check_endpoint();
         }
         if end.outcome == Outcome::NotSent {
-            self.context.metrics.count(Event::HeldBack);
+            self.handle.metrics.count(Event::HeldBack);
         }
         if let Some(answer) = end.answer {
             let bytes = body::announced_bytes(&answer.body);
-            self.context.traffic.received(Topic::Endpoint, locality, bytes);
+            self.handle.traffic.received(Topic::Endpoint, locality, bytes);
             let AttemptEnd { endpoint, address, pool, .. } = end;
             let is_leaving = end.report.notice.leaving;
             self.answered.push(Answered { attempt, endpoint, address, is_leaving, answer, pool });
@@ -298,8 +333,8 @@
     }
 
     fn execution_at(&self, endpoint: &Name, address: Option<SocketAddr>) -> EndpointExecution {
-        let (context, inbound) = (Arc::clone(&self.context), Arc::clone(&self.inbound));
-        EndpointExecution { context, inbound, endpoint: endpoint.clone(), address }
+        let (check, inbound) = (Arc::clone(&self.handle.crash_check), Arc::clone(&self.inbound));
+        EndpointExecution { check, inbound, endpoint: endpoint.clone(), address }
     }
 
     /// Logs how an attempt ended; failures are logged at the warning level.
@@ -344,12 +379,12 @@
             body,
             connection,
             pool,
-            Duration::from_millis(self.context.settings.limits.body_idle_ms),
-            self.context.dialect.ends_answers_by_closing(),
+            self.handle.body_idle,
+            self.handle.dialect.ends_answers_by_closing(),
             Some(monitor),
         );
         headers::strip_from_endpoint(&mut parts.headers);
-        self.context.dialect.write_answer(&mut parts.headers, &endpoint, &self.context.me.name);
+        self.handle.dialect.write_answer(&mut parts.headers, &endpoint, &self.handle.me.name);
         let response = body::response(parts, body);
         Some(Served {
             answer: Ok(response),
@@ -423,7 +458,7 @@
             self.report_body_end(answered.attempt);
         }
         if !self.finished {
-            self.context.metrics.count(Event::CallerGone);
+            self.handle.metrics.count(Event::CallerGone);
             let _ = self.shard.tell(CallerGone(self.inbound.id)).try_send();
         }
     }
