--- a/crates/pistachiotrackd/src/fleet/lease.rs
+++ b/crates/pistachiotrackd/src/fleet/lease.rs
@@ -15,6 +15,7 @@
 use super::Fleet;
 use crate::{
     datagram::DatagramCodec,
+    lease_times::LeaseTimes,
     traffic::{Locality, Topic},
     udp,
 };
@@ -22,17 +23,6 @@
 /// First byte of the datagrams about confirmations.
 pub(crate) const LEASE_TAG: u8 = 0x91;
 
-/// Times until which this VM may rely on its configuration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LeaseTimes {
-    /// Latest time at which the configuration is known to have been the newest one.
-    pub(crate) confirmed_at: Option<Time>,
-    /// Time from which this VM doesn't offer itself to callers.
-    pub(crate) withdraw_at: Option<Time>,
-    /// Time from which requests with an API key are refused.
-    pub(crate) expires_at: Option<Time>,
-}
-
 /// The lease, and the queries that renew it.
 pub(super) struct LeaseKeeper {
     settings: ConfigLeaseSettings,
@@ -144,7 +134,7 @@
         let age = keeper.lease.age(now);
         let queries = keeper.queries.on_tick(now, age, watchers, &peers, &mut keeper.rng);
         for LeaseQuery { vm, sequence } in queries {
-            let locality = Locality::of(&vm.data_centre, &self.context.me.data_centre);
+            let locality = Locality::of(&vm.data_centre, &self.me.data_centre);
             self.send_lease(vm.peer_address, locality, LeaseMessage::Query { sequence });
         }
     }
@@ -157,14 +147,14 @@
 
     fn send_lease(&self, to: SocketAddr, locality: Locality, message: LeaseMessage) {
         let Some(bytes) = self.lease.codec.encode(&message) else { return };
-        udp::send(&self.socket, to, &bytes, &self.context.traffic, (Topic::Lease, locality));
+        udp::send(&self.socket, to, &bytes, &self.traffic, (Topic::Lease, locality));
     }
 
     fn answer_query(&self, from: SocketAddr, sequence: u32) {
-        let age = self.lease.lease.age(self.context.clock.now());
+        let age = self.lease.lease.age(self.clock.now());
         let (Some(version), Some(age)) = (self.sync.version(), age) else { return };
         let age_us = age.as_micros() as u64;
-        let locality = self.context.view.borrow().locality(from);
+        let locality = self.view.borrow().locality(from);
         self.send_lease(from, locality, LeaseMessage::Answer { sequence, version, age_us });
     }
 }
