Requests that endpoints refused wait for the retry limit (hold_retries)

Cause: a request that endpoints refuse is refused to its caller as soon as the retry limit is used up, with most of its time left.

Change: with hold_retries such a request waits in a phase of its own until the retry budget has room, in the order of class and time left. The budget forecasts from its window when retries become available; a request that can't be sent in time is refused with that time as Retry-After.

--- a/crates/pistachiotrack-core/src/retry.rs
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -1,6 +1,7 @@
 //! Budgets of retries and hedges, and the latency statistics that they are based on.
 
 mod fleet_retry_budget;
+mod forecast;
 mod send_window;
 
 use std::time::Duration;
@@ -9,6 +10,7 @@
 
 pub use self::{
     fleet_retry_budget::{CumulativeCounts, FleetRetryBudget, VisibleDispatchers},
+    forecast::RetryForecast,
     send_window::SendCounts,
 };
 use crate::{service::RetryLimit, time::Time};
@@ -24,6 +26,9 @@
     pub burst: f64,
 }
 
+/// Interval of the times of a forecast of an owner's retries, and their number.
+const FORECAST_STEP: Duration = Duration::from_millis(500);
+const FORECAST_STEPS: u32 = 64;
 /// Fraction of a limit that an owner uses, so that it and its successor together stay within it.
 const LIMIT_FRACTION: f64 = 0.75;
 /// Fraction of a window's slack that may be spent at once.
@@ -94,6 +99,16 @@
         true
     }
 
+    /// Returns when retries will be available if no request succeeds until then.
+    pub fn forecast(&mut self, now: Time) -> RetryForecast {
+        self.refill(now);
+        let point = |step: u32| {
+            let time = FORECAST_STEP * step;
+            (now + time, self.tokens + time.as_secs_f64() * self.settings.per_second)
+        };
+        RetryForecast::new((0..FORECAST_STEPS).map(point).collect())
+    }
+
     fn refill(&mut self, now: Time) {
         let earned = now.since(self.refilled_at).as_secs_f64() * self.settings.per_second;
         self.refilled_at = now;
--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
@@ -4,11 +4,14 @@
 //! many retries remain for all of them. Dividing the limit among them instead would leave most
 //! of it unused, because failures come in bursts and not evenly at all VMs.
 
+mod backlog;
+
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use self::backlog::BacklogAllowance;
 use super::send_window::{SendCounts, SlidingWindow};
 use crate::{name::Name, service::RetryLimit, time::Time};
 
@@ -141,6 +144,7 @@
     window_known_at: Time,
     created_at: Time,
     allowance: Allowance,
+    backlog: BacklogAllowance,
     /// Whether the remaining retries are divided while several VMs need some.
     divides_remaining: bool,
 }
@@ -186,6 +190,7 @@
             window_known_at: now + window(limit),
             created_at: now,
             allowance: Allowance::default(),
+            backlog: BacklogAllowance::default(),
             divides_remaining: true,
         }
     }
--- /dev/null
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
@@ -0,0 +1,120 @@
+//! Retries for a backlog of requests that wait for them.
+
+use std::time::Duration;
+
+use super::{ALLOWANCE_TIME, FleetRetryBudget, window};
+use crate::{
+    retry::{
+        RetryForecast,
+        send_window::{STEPS, SendCounts},
+    },
+    time::Time,
+};
+
+/// Steps of a window until a retry no longer counts.
+const RETRY_STEPS: usize = STEPS + 1;
+/// Steps that a forecast covers: three windows, which exceeds the deadlines of callers.
+const FORECAST_STEPS: usize = 3 * RETRY_STEPS;
+/// Number of windows for which a VM that has sent a retry counts as having a backlog as well.
+/// After a burst of retries, no VM can send any for a whole window.
+const BACKLOG_WINDOWS: u32 = 2;
+
+/// Part of the remaining retries that this VM may take for its backlog.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct BacklogAllowance {
+    remaining: f64,
+    /// What the previous allowance left, at most one.
+    carried_over: f64,
+    is_granted: bool,
+    valid_until: Time,
+}
+
+impl FleetRetryBudget {
+    /// Takes one retry for a backlog of requests and returns whether there was one.
+    ///
+    /// All VMs have a backlog at the same time. When retries sent a window ago cease to count,
+    /// dozens become available at once, and each VM would take all of them before it hears of
+    /// the others. Each therefore takes its share only, also while many remain.
+    pub fn take_for_backlog(&mut self, now: Time) -> bool {
+        let remaining = self.remaining(now);
+        if remaining < 1.0 {
+            return false;
+        }
+        if self.visible.is_member {
+            let share = self.backlog_share(now);
+            let allowance = &mut self.backlog;
+            if now >= allowance.valid_until {
+                allowance.carried_over = allowance.remaining.min(1.0);
+                allowance.is_granted = false;
+                allowance.valid_until = now + ALLOWANCE_TIME;
+            }
+            // Nothing has been taken from an allowance below one retry, so that it can be
+            // computed again before it expires.
+            if !allowance.is_granted {
+                allowance.remaining = allowance.carried_over + remaining * share;
+                allowance.is_granted = allowance.remaining >= 1.0;
+                if allowance.is_granted {
+                    allowance.valid_until = now + ALLOWANCE_TIME;
+                }
+            }
+            if allowance.remaining < 1.0 {
+                return false;
+            }
+            allowance.remaining -= 1.0;
+        }
+        self.record_retry(now);
+        true
+    }
+
+    /// Returns when this VM's share of the retries will be available for a backlog.
+    ///
+    /// The mean rate of a window would be wrong in both directions: after a burst of retries,
+    /// none becomes available for the rest of the window, and then as many as in the burst.
+    pub fn forecast(&mut self, now: Time) -> RetryForecast {
+        let remaining = self.remaining(now).max(0.0);
+        let usage = self.usage(now);
+        let is_member = self.visible.is_member;
+        let share = if is_member { self.backlog_share(now) } else { 1.0 };
+        let used = if is_member { &self.fleet_window } else { &self.non_dispatcher_window };
+        let sent: Vec<SendCounts> = used.steps.iter().copied().collect();
+        let (started_at, step) = (used.newest_started_at, used.step);
+        let requests_per_step =
+            sent.iter().take(STEPS).map(|step| step.requests as f64).sum::<f64>() / STEPS as f64;
+        // Slack, and what this VM leaves to others that it doesn't hear.
+        let constant = remaining - usage.remaining() + usage.allowed
+            - self.limit.ratio * requests_per_step * STEPS as f64;
+        let mut available = vec![remaining];
+        for shift in 1..FORECAST_STEPS {
+            let kept = RETRY_STEPS.saturating_sub(shift);
+            let retries: u64 = sent.iter().take(kept).map(|step| step.retries).sum();
+            let requests: u64 =
+                sent.iter().take(kept.saturating_sub(1)).map(|step| step.requests).sum();
+            let expected = requests as f64 + requests_per_step * shift.min(STEPS) as f64;
+            let expired = shift.checked_sub(RETRY_STEPS).map_or(0.0, |earlier| available[earlier]);
+            let free = constant + self.limit.ratio * expected - retries as f64 + expired;
+            available.push(free.max(available[shift - 1]));
+        }
+        let time = |shift: usize| match shift {
+            0 => now,
+            _ => started_at + step * shift as u32,
+        };
+        let points = available.iter().enumerate();
+        RetryForecast::new(points.map(|(shift, all)| (time(shift), all * share)).collect())
+    }
+
+    /// Returns this VM's share of the retries for backlogs: its share of the requests that were
+    /// sent by all VMs that need retries.
+    fn backlog_share(&mut self, now: Time) -> f64 {
+        let memory: Duration = window(self.limit) * BACKLOG_WINDOWS;
+        let own = self.own_window.sum(now).requests as f64;
+        let needs_retries =
+            |retried_at: Option<Time>| retried_at.is_some_and(|at| now.since(at) < memory);
+        let others = self.peers.values_mut().filter(|peer| needs_retries(peer.retried_at));
+        let (mut count, mut requests) = (0_u32, 0.0);
+        for window in others.filter_map(|peer| peer.window.as_mut()) {
+            count += 1;
+            requests += window.sum(now).requests as f64;
+        }
+        if own > 0.0 { own / (own + requests) } else { 1.0 / f64::from(count + 1) }
+    }
+}
--- a/crates/pistachiotrack-core/src/retry/send_window.rs
+++ b/crates/pistachiotrack-core/src/retry/send_window.rs
@@ -8,7 +8,7 @@
 
 /// Steps into which a window is divided; one more is kept, so that a whole window is covered
 /// at any time.
-const STEPS: usize = 20;
+pub(super) const STEPS: usize = 20;
 
 /// Number of requests and retries sent to endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,10 +45,10 @@
 /// Sliding window of counts.
 #[derive(Clone, Debug)]
 pub(super) struct SlidingWindow {
-    step: Duration,
+    pub(super) step: Duration,
     /// Newest first.
     pub(super) steps: VecDeque<SendCounts>,
-    newest_started_at: Time,
+    pub(super) newest_started_at: Time,
 }
 
 impl SlidingWindow {
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod failure_rate;
 mod hand_over;
+mod held_retries;
 mod notices;
 mod pool;
 mod rate_limits;
@@ -24,12 +25,14 @@
     action::{Dispatch, SelectionDetails, SelectionReason, ShardAction},
     failure_rate::RequestCounts,
     hand_over::ShardHandOver,
+    held_retries::HeldRetryCounts,
     snapshot::{ShardSnapshot, SnapshotEstimate},
     subscribers::Subscribers,
     updates::{AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardUpdate},
 };
 use self::{
     failure_rate::ServiceFailureRate,
+    held_retries::HeldRetries,
     pool::Pool,
     retry_budget::ShardRetryBudget,
     state::{AttemptState, PendingRequest, Phase},
@@ -40,7 +43,7 @@
     endpoint::Endpoint,
     endpoint_notice::EndpointNotices,
     feature_flags::FeatureFlags,
-    health::{AttemptKind, Health, HealthSettings, PathAnswer},
+    health::{Health, HealthSettings, PathAnswer},
     idempotency::{KeySettings, KeyTable, StoredAnswer},
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
@@ -55,8 +58,6 @@
 /// Length of a pause of this process after which another VM may have taken the shard over and
 /// handed it back.
 const MIN_TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
-/// Time after its time limit at which a health check whose outcome was never reported is dropped.
-const LOST_PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Share of the endpoints' slots that this VM may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -144,6 +145,7 @@
     relays: FxHashMap<Name, Vec<Name>>,
     keys: KeyTable,
     retry_budget: ShardRetryBudget,
+    held_retries: HeldRetries,
     latency: RecentLatency,
     slot_time: SlotTimeAverage,
     next_attempt: u64,
@@ -200,6 +202,7 @@
             relays: FxHashMap::default(),
             keys: KeyTable::new(KeySettings::default()),
             retry_budget,
+            held_retries: HeldRetries::default(),
             latency: RecentLatency::default(),
             slot_time: SlotTimeAverage::default(),
             next_attempt: 1,
@@ -438,6 +441,7 @@
         let waiters = self.keys.on_tick(now);
         self.refuse_waiters(now, waiters);
         self.refuse_expired(now);
+        self.send_held(now);
         self.dispatch_queue(now);
         self.dispatch_hedges(now);
         self.abandon_due(now);
@@ -454,6 +458,7 @@
         self.probe_path = service.probe_path.clone();
         self.is_shared = service.is_shared();
         self.retry_budget.configure(now, config, service);
+        self.held_retries.configure(service);
         self.takeover_grace = Duration::from_millis(service.timeout_ms).min(MAX_TAKEOVER_GRACE);
         let weights = config
             .customers
@@ -466,20 +471,6 @@
             .collect();
         self.queue.set_weights(weights);
     }
-
-    /// Releases the slots of health checks whose outcome was never reported.
-    fn remove_lost_probes(&mut self, now: Time) {
-        let lost: Vec<AttemptId> = self
-            .attempts
-            .iter()
-            .filter(|(_, state)| state.kind == AttemptKind::Probe)
-            .filter(|(_, state)| now >= state.time_limit + LOST_PROBE_TIMEOUT)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        for attempt in lost {
-            self.end_attempt(now, attempt, true);
-        }
-    }
 }
 
 fn endpoints<'a>(service: &'a Service, id: &ShardId) -> Vec<&'a Endpoint> {
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -21,13 +21,16 @@
 const DEFAULT_SLOT_RELEASE_DELAY: Duration = Duration::from_millis(100);
 /// Upper bound, in average slot times, of the duration recorded for a timed-out attempt.
 const MAX_TIMEOUT_FACTOR: u32 = 4;
+/// Time after its time limit at which a health check whose outcome was never reported is dropped.
+const LOST_PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 
 impl Shard {
     /// Processes the head of an answer.
     ///
     /// A failure status of an idempotent request is retried on another endpoint because a
     /// gray-failing endpoint answers that way. It is passed on unchanged if there is no other
-    /// attempt to wait for and no retry left.
+    /// attempt to wait for and no retry left. One is retried, or as many as attempts and budget
+    /// allow where retries are held.
     pub(super) fn on_answer(&mut self, now: Time, attempt: AttemptId, id: RequestId, status: u16) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let is_failure = status >= FIRST_FAILURE_STATUS && pending.request.idempotent;
@@ -37,7 +40,8 @@
             self.pending_actions.push(ShardAction::Cancel { request: id, attempt });
             return;
         }
-        if is_failure && !pending.failure_status_retried {
+        let may_repeat = self.held_retries.is_enabled() || !pending.failure_status_retried;
+        if is_failure && may_repeat {
             pending.may_have_run = true;
             if self.can_retry(now, id, 2) && self.retry_budget.take(now) {
                 self.pending_actions.push(ShardAction::Cancel { request: id, attempt });
@@ -83,6 +87,9 @@
         );
         let execution = pending.execution();
         let is_late = now >= pending.not_after;
+        if self.is_held_after(state, outcome) {
+            return self.hold(now, id);
+        }
         if outcome != Outcome::Cancelled
             && self.can_retry(now, id, 1)
             && self.try_take_retry(now, state, outcome)
@@ -116,7 +123,7 @@
         }
     }
 
-    fn can_retry(&self, now: Time, id: RequestId, min_usable: usize) -> bool {
+    pub(super) fn can_retry(&self, now: Time, id: RequestId, min_usable: usize) -> bool {
         self.pending.get(&id).is_some_and(|pending| {
             pending.may_run_again()
                 && pending.can_be_dispatched()
@@ -262,6 +269,10 @@
                 self.queue.remove(&request.customer, request.class, queue_entry);
                 self.dispatch_deadlines.remove(&(pending.not_after, id));
             }
+            Phase::Held => {
+                self.held_retries.remove(&pending);
+                self.dispatch_deadlines.remove(&(pending.not_after, id));
+            }
             Phase::AwaitingOriginal => {
                 if let Some(key) = &request.key {
                     self.keys.remove_waiter(&request.customer, key, id);
@@ -289,6 +300,20 @@
         }
     }
 
+    /// Releases the slots of health checks whose outcome was never reported.
+    pub(super) fn remove_lost_probes(&mut self, now: Time) {
+        let lost: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, state)| state.kind == AttemptKind::Probe)
+            .filter(|(_, state)| now >= state.time_limit + LOST_PROBE_TIMEOUT)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in lost {
+            self.end_attempt(now, attempt, true);
+        }
+    }
+
     /// Performs the actions that the health checker returned.
     pub(super) fn on_health_actions(&mut self, now: Time, actions: Vec<HealthAction>) {
         for action in actions {
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -184,7 +184,7 @@
     /// Sends a second attempt for requests whose first is slow.
     ///
     /// Only idle slots are used: while requests are queued, a hedge would displace a request that
-    /// has not had its first attempt.
+    /// has not had its first attempt. Nor does a hedge take the retry of a held request.
     pub(super) fn dispatch_hedges(&mut self, now: Time) {
         while let Some((at, id)) = self.hedge_times.first().copied() {
             if at > now {
@@ -197,7 +197,7 @@
                     && pending.can_be_dispatched()
                     && now < pending.not_after
             });
-            if !is_due || !self.queue.is_empty() {
+            if !is_due || !self.queue.is_empty() || !self.held_retries.is_empty() {
                 continue;
             }
             let Some(pick) = self.pick(now, id, false) else { continue };
--- a/crates/pistachiotrack-core/src/shard/notices.rs
+++ b/crates/pistachiotrack-core/src/shard/notices.rs
@@ -87,14 +87,15 @@
         self.refuse(now, id, reason, retry_after_ms);
     }
 
-    /// Refuses the queued requests for which no endpoint is there in time, also behind others that
-    /// can wait.
+    /// Refuses the queued and held requests for which no endpoint is there in time, also behind
+    /// others that can wait.
     pub(super) fn refuse_closed(&mut self, now: Time) {
         // An endpoint for requests that must not run twice is one for all.
         if self.pool.usable_endpoints(false) > 0 {
             return;
         }
-        let is_queued = |pending: &PendingRequest| pending.phase == Phase::Queued;
+        let is_queued =
+            |pending: &PendingRequest| matches!(pending.phase, Phase::Queued | Phase::Held);
         let queued = self.pending.iter().filter(|(_, pending)| is_queued(pending));
         let mut closed: Vec<RequestId> =
             queued.map(|(id, _)| *id).filter(|id| !self.opens_in_time(now, *id)).collect();
--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -4,7 +4,7 @@
 use crate::{
     config::Config,
     hash,
-    retry::{BudgetSettings, FleetRetryBudget, RetryBudget, VisibleDispatchers},
+    retry::{BudgetSettings, FleetRetryBudget, RetryBudget, RetryForecast, VisibleDispatchers},
     service::Service,
     time::Time,
 };
@@ -82,6 +82,23 @@
         }
     }
 
+    /// Takes one retry for one of several requests that wait for it and returns whether there was
+    /// one.
+    pub(super) fn take_for_backlog(&mut self, now: Time) -> bool {
+        match self {
+            ShardRetryBudget::Owner(budget) => budget.take(now),
+            ShardRetryBudget::Fleet(budget) => budget.take_for_backlog(now),
+        }
+    }
+
+    /// Returns when retries will be available.
+    pub(super) fn forecast(&mut self, now: Time) -> RetryForecast {
+        match self {
+            ShardRetryBudget::Owner(budget) => budget.forecast(now),
+            ShardRetryBudget::Fleet(budget) => budget.forecast(now),
+        }
+    }
+
     /// Takes a retry that only reduces latency and returns whether one could be spared.
     pub(super) fn take_for_hedge(&mut self, now: Time) -> bool {
         match self {
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -23,6 +23,8 @@
     AwaitingOriginal,
     /// At least one attempt is in flight.
     Running,
+    /// Endpoints refused it; it waits until it may be sent again.
+    Held,
 }
 
 /// A request without a final answer.
@@ -45,6 +47,10 @@
     pub(super) failure_status_retried: bool,
     /// Whether it is the original request with its idempotency key.
     pub(super) owns_key: bool,
+    /// Number of endpoints that refused it, as far as retries of it are held.
+    pub(super) refusals: u32,
+    /// Maximum number of attempts, including those that got no connection.
+    pub(super) max_dispatches: usize,
 }
 
 /// Fraction of its time after which a request whose caller leaves counts as failed. Callers that
@@ -71,6 +77,8 @@
             needs_fresh_connection: false,
             failure_status_retried: false,
             owns_key: false,
+            refusals: 0,
+            max_dispatches: MAX_DISPATCHES,
         }
     }
 
@@ -79,7 +87,7 @@
     /// Attempts that certainly did not run don't count towards the request's maximum, but the
     /// total is bounded so that a request that is refused everywhere ends.
     pub(super) fn can_be_dispatched(&self) -> bool {
-        self.possible_runs < self.request.max_attempts && self.tried.len() < MAX_DISPATCHES
+        self.possible_runs < self.request.max_attempts && self.tried.len() < self.max_dispatches
     }
 
     /// Returns whether it may have run, either by an attempt or by the original request with its
