--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{ALLOWANCE_TIME, FleetRetryBudget, window};
+use super::{FleetRetryBudget, window};
 use crate::{
     retry::{
         RetryForecast,
@@ -19,6 +19,10 @@
 /// After a burst of retries, no VM can send any for a whole window.
 const BACKLOG_WINDOWS: u32 = 2;
 
+/// Time for which an allowance for a backlog is valid. Retries become available in steps of half a
+/// second, and updates on a saturated link are late by less than that.
+const BACKLOG_ALLOWANCE_TIME: Duration = Duration::from_millis(500);
+
 /// Part of the remaining retries that this VM may take for its backlog.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct BacklogAllowance {
@@ -46,7 +50,7 @@
             if now >= allowance.valid_until {
                 allowance.carried_over = allowance.remaining.min(1.0);
                 allowance.is_granted = false;
-                allowance.valid_until = now + ALLOWANCE_TIME;
+                allowance.valid_until = now + BACKLOG_ALLOWANCE_TIME;
             }
             // Nothing has been taken from an allowance below one retry, so that it can be
             // computed again before it expires.
@@ -54,7 +58,7 @@
                 allowance.remaining = allowance.carried_over + remaining * share;
                 allowance.is_granted = allowance.remaining >= 1.0;
                 if allowance.is_granted {
-                    allowance.valid_until = now + ALLOWANCE_TIME;
+                    allowance.valid_until = now + BACKLOG_ALLOWANCE_TIME;
                 }
             }
             if allowance.remaining < 1.0 {
@@ -75,31 +79,36 @@
         let usage = self.usage(now);
         let is_member = self.visible.is_member;
         let share = if is_member { self.backlog_share(now) } else { 1.0 };
-        let used = if is_member { &self.fleet_window } else { &self.non_dispatcher_window };
+        let used = if is_member { &mut self.fleet_window } else { &mut self.non_dispatcher_window };
+        let counted = used.sum(now);
         let sent: Vec<SendCounts> = used.steps.iter().copied().collect();
         let (started_at, step) = (used.newest_started_at, used.step);
-        let requests_per_step =
-            sent.iter().take(STEPS).map(|step| step.requests as f64).sum::<f64>() / STEPS as f64;
-        // Slack, and what this VM leaves to others that it doesn't hear.
-        let constant = remaining - usage.remaining() + usage.allowed
-            - self.limit.ratio * requests_per_step * STEPS as f64;
+        let completed: u64 = sent.iter().skip(1).map(|step| step.requests).sum();
+        let requests_per_step = completed as f64 / STEPS as f64;
+        // Slack, less what this VM leaves to others that it doesn't hear.
+        let constant = remaining - usage.remaining() + usage.allowed - self.earned(counted);
         let mut available = vec![remaining];
         for shift in 1..FORECAST_STEPS {
             let kept = RETRY_STEPS.saturating_sub(shift);
             let retries: u64 = sent.iter().take(kept).map(|step| step.retries).sum();
-            let requests: u64 =
-                sent.iter().take(kept.saturating_sub(1)).map(|step| step.requests).sum();
-            let expected = requests as f64 + requests_per_step * shift.min(STEPS) as f64;
+            let old = sent.iter().take(kept.saturating_sub(1)).skip(1);
+            let requests = old.map(|step| step.requests).sum::<u64>() as f64
+                + requests_per_step * (shift.min(STEPS - 1) as f64 + 0.5);
             let expired = shift.checked_sub(RETRY_STEPS).map_or(0.0, |earlier| available[earlier]);
-            let free = constant + self.limit.ratio * expected - retries as f64 + expired;
+            let free = constant + self.limit.ratio * requests - retries as f64 + expired;
             available.push(free.max(available[shift - 1]));
         }
+        // The middle of each step: requests earn retries throughout it.
         let time = |shift: usize| match shift {
             0 => now,
-            _ => started_at + step * shift as u32,
+            _ => started_at + step * shift as u32 + step / 2,
         };
         let points = available.iter().enumerate();
-        RetryForecast::new(points.map(|(shift, all)| (time(shift), all * share)).collect())
+        let forecast =
+            RetryForecast::new(points.map(|(shift, all)| (time(shift), all * share)).collect());
+        // A VM that ceases to be a dispatcher, as in a planned stop, has no retries left, but its
+        // callers go to the others, where all retries of a window are available again after it.
+        if is_member { forecast } else { forecast.with_fallback(now + window(self.limit)) }
     }
 
     /// Returns this VM's share of the retries for backlogs: its share of the requests that were
--- a/crates/pistachiotrack-core/src/retry/forecast.rs
+++ b/crates/pistachiotrack-core/src/retry/forecast.rs
@@ -10,12 +10,20 @@
 pub struct RetryForecast {
     /// Times with the cumulative number of retries until then, both ascending.
     points: Vec<(Time, f64)>,
+    /// Time at which callers may try again if no point has enough retries.
+    fallback: Time,
 }
 
 impl RetryForecast {
     /// Creates a forecast from times and cumulative numbers, both ascending.
     pub(super) fn new(points: Vec<(Time, f64)>) -> RetryForecast {
-        RetryForecast { points }
+        let fallback = points.last().map_or(Time::ZERO, |(time, _)| *time);
+        RetryForecast { points, fallback }
+    }
+
+    /// Sets the time at which callers may try again if the forecast has too few retries.
+    pub(super) fn with_fallback(self, fallback: Time) -> RetryForecast {
+        RetryForecast { fallback, ..self }
     }
 
     /// Returns the time at which the `count`-th retry can be sent, or none if that is later than
@@ -25,10 +33,9 @@
         self.points.get(index).map(|(time, _)| *time)
     }
 
-    /// Returns the time until the `count`-th retry can be sent, or until the end of the forecast
-    /// if that is sooner.
+    /// Returns the time until the `count`-th retry can be sent, or if the forecast has too few,
+    /// until its end.
     pub fn wait_for(&self, now: Time, count: usize) -> Duration {
-        let end = self.points.last().map_or(now, |(time, _)| *time);
-        self.time_of(count).unwrap_or(end).since(now)
+        self.time_of(count).unwrap_or(self.fallback).since(now)
     }
 }
--- a/crates/pistachiotrack-core/src/shard/held_retries.rs
+++ b/crates/pistachiotrack-core/src/shard/held_retries.rs
@@ -118,6 +118,13 @@
         }
     }
 
+    #[allow(missing_docs)]
+    pub fn debug_forecast(&mut self, now: Time) -> String {
+        let forecast = self.retry_budget.forecast(now);
+        let at = |n| forecast.wait_for(now, n).as_millis();
+        format!("{} {} {} {} {} {}", at(1), at(20), at(50), at(100), at(150), at(200))
+    }
+
     /// Returns whether the request of an attempt is held: an endpoint refused it, and another
     /// attempt counts against the retry limit.
     pub(super) fn is_held_after(&self, state: &AttemptState, outcome: Outcome) -> bool {
