Held retries keep a reserve of the limit, and a margin when one is admitted

Cause: windows that begin with many requests and end with few exceeded the limit by up to 23 retries, and requests were held that could not be sent.

Change: retries that can wait leave a sixteenth of the slack and count the requests at the current rate; a new one needs a tenth more room.

--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
@@ -23,6 +23,12 @@
 /// second, and updates on a saturated link are late by less than that.
 const BACKLOG_ALLOWANCE_TIME: Duration = Duration::from_millis(500);
 
+/// Fraction of the slack that is not used for requests that can wait. It covers a window that has
+/// fewer requests than the one before.
+const HELD_RESERVE_FRACTION: f64 = 0.0625;
+/// Steps from which the current rate of requests is computed.
+const RATE_STEPS: usize = 4;
+
 /// Part of the remaining retries that this VM may take for its backlog.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct BacklogAllowance {
@@ -34,13 +40,19 @@
 }
 
 impl FleetRetryBudget {
-    /// Takes one retry for a backlog of requests and returns whether there was one.
+    /// Takes one retry for a request that can wait for it and returns whether there was one.
+    pub fn take_for_held(&mut self, now: Time) -> bool {
+        self.remaining_for_held(now) >= 1.0 && self.take(now)
+    }
+
+    /// Takes one retry for one of several requests that can wait for it and returns whether there
+    /// was one.
     ///
     /// All VMs have a backlog at the same time. When retries sent a window ago cease to count,
     /// dozens become available at once, and each VM would take all of them before it hears of
     /// the others. Each therefore takes its share only, also while many remain.
     pub fn take_for_backlog(&mut self, now: Time) -> bool {
-        let remaining = self.remaining(now);
+        let remaining = self.remaining_for_held(now);
         if remaining < 1.0 {
             return false;
         }
@@ -75,7 +87,7 @@
     /// The mean rate of a window would be wrong in both directions: after a burst of retries,
     /// none becomes available for the rest of the window, and then as many as in the burst.
     pub fn forecast(&mut self, now: Time) -> RetryForecast {
-        let remaining = self.remaining(now).max(0.0);
+        let remaining = self.remaining_for_held(now);
         let usage = self.usage(now);
         let is_member = self.visible.is_member;
         let share = if is_member { self.backlog_share(now) } else { 1.0 };
@@ -87,7 +99,7 @@
         let requests_per_step = completed as f64 / STEPS as f64;
         // Slack, less what this VM leaves to others that it doesn't hear.
         let constant = remaining - usage.remaining() + usage.allowed - self.earned(counted);
-        let mut available = vec![remaining];
+        let mut available = vec![remaining.max(0.0)];
         for shift in 1..FORECAST_STEPS {
             let kept = RETRY_STEPS.saturating_sub(shift);
             let retries: u64 = sent.iter().take(kept).map(|step| step.retries).sum();
@@ -111,6 +123,25 @@
         if is_member { forecast } else { forecast.with_fallback(now + window(self.limit)) }
     }
 
+    /// Returns the number of retries that remain for requests that can wait.
+    ///
+    /// A window may begin with many requests and end with few, as when the endpoints become slower,
+    /// and what the first ones earned would then exceed the limit of the second half. So the
+    /// requests count as far as they still come at that rate.
+    fn remaining_for_held(&mut self, now: Time) -> f64 {
+        let remaining = self.remaining(now);
+        let reserve = f64::from(self.limit.slack) * HELD_RESERVE_FRACTION;
+        let used = match self.visible.is_member {
+            true => &mut self.fleet_window,
+            false => &mut self.non_dispatcher_window,
+        };
+        let counted = used.sum(now).requests as f64;
+        let recent = used.steps.iter().skip(1).take(RATE_STEPS).map(|step| step.requests);
+        let at_recent_rate = recent.sum::<u64>() as f64 * (STEPS / RATE_STEPS) as f64;
+        let fewer = (counted - at_recent_rate).max(0.0);
+        remaining - reserve - self.limit.ratio * fewer
+    }
+
     /// Returns this VM's share of the retries for backlogs: its share of the requests that were
     /// sent by all VMs that need retries.
     fn backlog_share(&mut self, now: Time) -> f64 {
--- a/crates/pistachiotrack-core/src/shard/held_retries.rs
+++ b/crates/pistachiotrack-core/src/shard/held_retries.rs
@@ -31,6 +31,10 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Interval at which held requests that can't be sent in time are refused.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+/// Factor of the number of held requests before another one when it is decided whether to hold it,
+/// and once it is held.
+const NEW_MARGIN: f64 = 1.1;
+const HELD_MARGIN: f64 = 0.9;
 
 /// Numbers of requests whose retries were held.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -150,7 +154,7 @@
         self.held_retries.insert(pending, ready_at);
         self.dispatch_deadlines.insert((pending.not_after, id));
         self.send_held(now);
-        self.refuse_late_retries(now);
+        self.refuse_late_retries(now, Some(id));
         if self.pending.get(&id).is_some_and(|pending| pending.phase == Phase::Held) {
             self.held_retries.held_total += 1;
         }
@@ -166,7 +170,7 @@
         self.held_retries.end_backoffs(now);
         while let Some((.., id)) = self.held_retries.ready.first().copied() {
             let has_retry = match self.held_retries.ready.len() {
-                1 => self.retry_budget.take(now),
+                1 => self.retry_budget.take_for_held(now),
                 _ => self.retry_budget.take_for_backlog(now),
             };
             if !has_retry {
@@ -178,13 +182,17 @@
             self.enqueue(id);
         }
         if now >= self.held_retries.next_review_at {
-            self.refuse_late_retries(now);
+            self.refuse_late_retries(now, None);
         }
     }
 
     /// Refuses the held requests that can't be sent in time, or all of them if retries are no
     /// longer held.
-    fn refuse_late_retries(&mut self, now: Time) {
+    ///
+    /// The forecast varies with the requests that arrive. So that requests are refused when their
+    /// attempt fails rather than after a wait, one that has been held stays so while it is late by
+    /// less than the forecast is uncertain.
+    fn refuse_late_retries(&mut self, now: Time, new: Option<RequestId>) {
         if self.held_retries.is_empty() {
             return;
         }
@@ -194,7 +202,12 @@
         let mut sendable = 0;
         let mut late = Vec::new();
         for ((_, not_after, id), ready_at) in &self.held_retries.held {
-            let sent_at = forecast.time_of(sendable + 1).map(|time| time.max(*ready_at));
+            let uncertainty = match new == Some(*id) {
+                true => NEW_MARGIN,
+                false => HELD_MARGIN,
+            };
+            let ahead = (sendable as f64 * uncertainty) as usize;
+            let sent_at = forecast.time_of(ahead + 1).map(|time| time.max(*ready_at));
             if is_enabled && sent_at.is_some_and(|sent_at| sent_at < *not_after) {
                 sendable += 1;
             } else {
--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Takes one retry for a request that can wait for it and returns whether there was one.
+    pub(super) fn take_for_held(&mut self, now: Time) -> bool {
+        match self {
+            ShardRetryBudget::Owner(budget) => budget.take(now),
+            ShardRetryBudget::Fleet(budget) => budget.take_for_held(now),
+        }
+    }
+
     /// Takes one retry for one of several requests that wait for it and returns whether there was
     /// one.
     pub(super) fn take_for_backlog(&mut self, now: Time) -> bool {
