--- a/crates/pistachiotrack-core/src/shard/held_retries.rs
+++ b/crates/pistachiotrack-core/src/shard/held_retries.rs
@@ -31,10 +31,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Interval at which held requests that can't be sent in time are refused.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
-/// Factor of the number of held requests before another one when it is decided whether to hold it,
-/// and once it is held.
-const NEW_MARGIN: f64 = 1.1;
-const HELD_MARGIN: f64 = 0.9;
+/// One in this many held requests before another one counts twice when it is decided whether to hold
+/// that, and doesn't count once it is held.
+const MARGIN_DIVISOR: usize = 10;
 
 /// Numbers of requests whose retries were held.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -122,13 +121,6 @@
         }
     }
 
-    #[allow(missing_docs)]
-    pub fn debug_forecast(&mut self, now: Time) -> String {
-        let forecast = self.retry_budget.forecast(now);
-        let at = |n| forecast.wait_for(now, n).as_millis();
-        format!("{} {} {} {} {} {}", at(1), at(20), at(50), at(100), at(150), at(200))
-    }
-
     /// Returns whether the request of an attempt is held: an endpoint refused it, and another
     /// attempt counts against the retry limit.
     pub(super) fn is_held_after(&self, state: &AttemptState, outcome: Outcome) -> bool {
@@ -202,11 +194,11 @@
         let mut sendable = 0;
         let mut late = Vec::new();
         for ((_, not_after, id), ready_at) in &self.held_retries.held {
-            let uncertainty = match new == Some(*id) {
-                true => NEW_MARGIN,
-                false => HELD_MARGIN,
+            let margin = sendable / MARGIN_DIVISOR;
+            let ahead = match new == Some(*id) {
+                true => sendable + margin,
+                false => sendable - margin,
             };
-            let ahead = (sendable as f64 * uncertainty) as usize;
             let sent_at = forecast.time_of(ahead + 1).map(|time| time.max(*ready_at));
             if is_enabled && sent_at.is_some_and(|sent_at| sent_at < *not_after) {
                 sendable += 1;
--- a/crates/pistachiotrackd/src/admin.rs
+++ b/crates/pistachiotrackd/src/admin.rs
@@ -18,6 +18,7 @@
     fleet::{ConfigStatus, Fleet, GetConfigStatus},
     path_fault::UnknownPathFault,
     shard_actor::Endpoints,
+    shard_status::held_retry_counters,
     shard_table::shard_name,
 };
 
@@ -88,6 +89,7 @@
     shards.sort();
     let mut counters = context.metrics.counters();
     counters.extend(context.traffic.counters());
+    counters.extend(held_retry_counters(context.shards.held_retries()));
     Status {
         vm: context.me.name.clone(),
         data_centre: context.me.data_centre.clone(),
--- a/crates/pistachiotrackd/src/exposition.rs
+++ b/crates/pistachiotrackd/src/exposition.rs
@@ -2,11 +2,11 @@
 
 use std::{fmt, sync::Arc};
 
-use pistachiotrack_core::admin::CustomerUsage;
+use pistachiotrack_core::{admin::CustomerUsage, shard::HeldRetryCounts};
 use prometheus_client::{
     collector::Collector,
     encoding::{DescriptorEncoder, EncodeMetric, text},
-    metrics::{counter::ConstCounter, gauge::ConstGauge},
+    metrics::{MetricType, counter::ConstCounter, gauge::ConstGauge},
     registry::Registry,
 };
 
@@ -60,6 +60,7 @@
             let metric = encoder.encode_descriptor(name, "State", None, value.metric_type())?;
             value.encode(metric)?;
         }
+        encode_held_retries(&mut encoder, context.shards.held_retries())?;
         encode_customers(&mut encoder, &context.customer_limits.usage())?;
         let [total, added, queued] = [
             "Time to the answer's head",
@@ -98,6 +99,29 @@
     Ok(())
 }
 
+/// Encodes the numbers of requests whose retries were held.
+///
+/// A counter is named without the ending `_total`, which its format adds. The gauge and the
+/// counter of held requests would have the same name then, so the counter has no type.
+fn encode_held_retries(
+    encoder: &mut DescriptorEncoder<'_>,
+    counts: HeldRetryCounts,
+) -> Result<(), fmt::Error> {
+    let numbers = [
+        ("retries_held", "Requests held now", MetricType::Gauge, counts.held),
+        ("retries_held_total", "Requests held", MetricType::Unknown, counts.held_total),
+    ];
+    for (name, help, kind, value) in numbers {
+        let metric = encoder.encode_descriptor(name, help, None, kind)?;
+        ConstGauge::new(value as i64).encode(metric)?;
+    }
+    let refused = ConstCounter::new(counts.refused_total);
+    let help = "Held requests refused because they could not be sent in time";
+    let metric =
+        encoder.encode_descriptor("retries_held_refused", help, None, refused.metric_type())?;
+    refused.encode(metric)
+}
+
 /// Encodes the requests of customers with a rate limit, of the first ones by name only.
 fn encode_customers(
     encoder: &mut DescriptorEncoder<'_>,
--- a/crates/pistachiotrackd/src/lib.rs
+++ b/crates/pistachiotrackd/src/lib.rs
@@ -61,6 +61,7 @@
 mod request_task;
 pub mod settings;
 mod shard_actor;
+mod shard_status;
 mod shard_table;
 mod shard_update_link;
 mod socket;
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -41,7 +41,7 @@
     endpoint_notices::{NoticeSource, NoticeTable},
     path_check::PathCheck,
     probe::Probe,
-    shard_table::{ShardStatus, ShardStatusTable},
+    shard_status::{ShardStatus, ShardStatusTable},
     shard_update_link::ShardUpdateLink,
     timer::TimerEvent,
 };
@@ -484,6 +484,7 @@
         let status = ShardStatus {
             at_floor: self.shard.at_floor(),
             queue_wait_ms: self.shard.queue_wait(now).as_millis() as u64,
+            held_retries: self.shard.held_retries(),
         };
         let mut table = self.statuses.write().unwrap_or_else(PoisonError::into_inner);
         table.insert(self.id.clone(), status);
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -16,7 +16,7 @@
     name::Name,
     ownership::{ShardId, shard_count},
     rule::ServiceState,
-    shard::ShardMode,
+    shard::{HeldRetryCounts, ShardMode},
     vm::Vm,
 };
 use rustc_hash::FxHashMap;
@@ -29,23 +29,12 @@
     endpoint_notices::NoticeTable,
     path_check::PathCheck,
     shard_actor::{PeerUpdate, SendHandOver, SetMode, ShardActor, ShardArgs},
+    shard_status::ShardStatusTable,
     shard_update_link::{ShardDatagram, ShardUpdateLink},
     timer::{Subscribe, TimerService},
     view::FleetView,
 };
 
-/// Current status of a shard, used by the conditions of rules.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ShardStatus {
-    /// Whether no further endpoint is ejected because the minimum is reached.
-    pub(crate) at_floor: bool,
-    /// Expected queueing time of a new request.
-    pub(crate) queue_wait_ms: u64,
-}
-
-/// Status of all shards that run on this VM.
-pub(crate) type ShardStatusTable = Arc<RwLock<FxHashMap<ShardId, ShardStatus>>>;
-
 /// Arguments that all shards of a VM share.
 #[derive(Debug)]
 pub(crate) struct ShardTableArgs {
@@ -193,32 +182,24 @@
         let mut actors = self.actors.write().unwrap_or_else(PoisonError::into_inner);
         actors.retain(|id, _| keep(id));
         let mut statuses = self.statuses.write().unwrap_or_else(PoisonError::into_inner);
-        statuses.retain(|id, _| keep(id));
+        statuses.retain(keep);
     }
 
-    fn statuses_of<'a>(
-        statuses: &'a FxHashMap<ShardId, ShardStatus>,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a ShardStatus> {
-        statuses
-            .iter()
-            .filter(move |(id, _)| id.service.as_str() == service)
-            .map(|(_, status)| status)
+    /// Returns the numbers of requests whose retries were held on this VM.
+    pub(crate) fn held_retries(&self) -> HeldRetryCounts {
+        self.statuses.read().unwrap_or_else(PoisonError::into_inner).held_retries()
     }
 }
 
 impl ServiceState for ShardTable {
     fn service_at_floor(&self, service: &str) -> bool {
         let statuses = self.statuses.read().unwrap_or_else(PoisonError::into_inner);
-        ShardTable::statuses_of(&statuses, service).any(|status| status.at_floor)
+        statuses.of(service).any(|status| status.at_floor)
     }
 
     fn queue_wait_ms(&self, service: &str) -> u64 {
         let statuses = self.statuses.read().unwrap_or_else(PoisonError::into_inner);
-        ShardTable::statuses_of(&statuses, service)
-            .map(|status| status.queue_wait_ms)
-            .max()
-            .unwrap_or(0)
+        statuses.of(service).map(|status| status.queue_wait_ms).max().unwrap_or(0)
     }
 }
 
