--- a/crates/pistachiotrack-core/src/shard/held_retries.rs
+++ b/crates/pistachiotrack-core/src/shard/held_retries.rs
@@ -31,9 +31,11 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Interval at which held requests that can't be sent in time are refused.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
-/// One in this many held requests before another one counts twice when it is decided whether to hold
-/// that, and doesn't count once it is held.
-const MARGIN_DIVISOR: usize = 10;
+/// One in this many held requests before a new one counts twice when it is decided whether to hold
+/// the new one.
+const NEW_MARGIN_DIVISOR: usize = 7;
+/// One in this many held requests before another one doesn't count once that is held.
+const HELD_MARGIN_DIVISOR: usize = 10;
 
 /// Numbers of requests whose retries were held.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -194,10 +196,9 @@
         let mut sendable = 0;
         let mut late = Vec::new();
         for ((_, not_after, id), ready_at) in &self.held_retries.held {
-            let margin = sendable / MARGIN_DIVISOR;
             let ahead = match new == Some(*id) {
-                true => sendable + margin,
-                false => sendable - margin,
+                true => sendable + sendable / NEW_MARGIN_DIVISOR,
+                false => sendable - sendable / HELD_MARGIN_DIVISOR,
             };
             let sent_at = forecast.time_of(ahead + 1).map(|time| time.max(*ready_at));
             if is_enabled && sent_at.is_some_and(|sent_at| sent_at < *not_after) {
--- a/crates/pistachiotrackd/tests/metrics.rs
+++ b/crates/pistachiotrackd/tests/metrics.rs
@@ -66,3 +66,25 @@
     .await;
     assert_eq!(vm.status().await["state"], "serving");
 }
+
+/// Operators see by these numbers whether held requests are served or refused. The gauge and the
+/// counter of held requests must not get the same name, which collectors reject.
+#[tokio::test]
+async fn the_numbers_of_held_retries_are_shown() {
+    let booking = Endpoint::answering("booked").await;
+    let deployment = Deployment::start(&[], &[booking.address]).await;
+    let admin = deployment.daemon.admin_address();
+    let text = metrics(admin).await;
+    for name in ["retries_held", "retries_held_total", "retries_held_refused_total"] {
+        assert_eq!(value(&text, &format!("pistachiotrack_{name}")), Some(0), "{text}");
+    }
+    let mut types: Vec<&str> = text.lines().filter(|line| line.starts_with("# TYPE")).collect();
+    let count = types.len();
+    types.sort_unstable_by_key(|line| line.split(' ').nth(2));
+    types.dedup_by_key(|line| line.split(' ').nth(2));
+    assert_eq!(types.len(), count, "{text}");
+    let response = client::send(admin, client::get("/status")).await.unwrap();
+    let status: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+    let counters = status["counters"].as_array().unwrap();
+    assert!(counters.contains(&json!({"name": "retries_held", "value": 0})), "{status}");
+}
