--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -458,6 +458,7 @@
         let status = ShardStatus {
             at_floor: self.shard.at_floor(),
             queue_wait_ms: self.shard.queue_wait(now).as_millis() as u64,
+            held_retries: self.shard.held_retries(),
         };
         let mut table = self.statuses.write().unwrap_or_else(PoisonError::into_inner);
         table.insert(self.id.clone(), status);
