The forecast of retries has the beginning and the end of each step

Cause: with one point for each step, requests were refused whose time ended between a step's beginning and its middle; 33 of 1,367 had had room.

--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
@@ -99,25 +99,28 @@
         let requests_per_step = completed as f64 / STEPS as f64;
         // Slack, less what this VM leaves to others that it doesn't hear.
         let constant = remaining - usage.remaining() + usage.allowed - self.earned(counted);
-        let mut available = vec![remaining.max(0.0)];
+        let earned_per_step = self.limit.ratio * requests_per_step;
+        // Numbers at the beginning and at the end of each step.
+        let mut available = vec![(remaining.max(0.0), remaining.max(0.0))];
         for shift in 1..FORECAST_STEPS {
             let kept = RETRY_STEPS.saturating_sub(shift);
             let retries: u64 = sent.iter().take(kept).map(|step| step.retries).sum();
             let old = sent.iter().take(kept.saturating_sub(1)).skip(1);
-            let requests = old.map(|step| step.requests).sum::<u64>() as f64
-                + requests_per_step * (shift.min(STEPS - 1) as f64 + 0.5);
-            let expired = shift.checked_sub(RETRY_STEPS).map_or(0.0, |earlier| available[earlier]);
-            let free = constant + self.limit.ratio * requests - retries as f64 + expired;
-            available.push(free.max(available[shift - 1]));
+            let old: u64 = old.map(|step| step.requests).sum();
+            let earned =
+                self.limit.ratio * old as f64 + earned_per_step * shift.min(STEPS - 1) as f64;
+            let expired =
+                shift.checked_sub(RETRY_STEPS).map_or(0.0, |earlier| available[earlier].1);
+            let free = constant + earned - retries as f64 + expired;
+            let begin = free.max(available[shift - 1].1);
+            available.push((begin, begin.max(free + earned_per_step)));
         }
-        // The middle of each step: requests earn retries throughout it.
-        let time = |shift: usize| match shift {
-            0 => now,
-            _ => started_at + step * shift as u32 + step / 2,
-        };
-        let points = available.iter().enumerate();
-        let forecast =
-            RetryForecast::new(points.map(|(shift, all)| (time(shift), all * share)).collect());
+        let mut points = vec![(now, available[0].0 * share)];
+        for (shift, (begin, end)) in available.iter().enumerate().skip(1) {
+            let started_at = started_at + step * shift as u32;
+            points.extend([(started_at, begin * share), (started_at + step, end * share)]);
+        }
+        let forecast = RetryForecast::new(points);
         // A VM that ceases to be a dispatcher, as in a planned stop, has no retries left, but its
         // callers go to the others, where all retries of a window are available again after it.
         if is_member { forecast } else { forecast.with_fallback(now + window(self.limit)) }
