Held retries use what earlier requests of the window have earned

Cause: retries for requests that wait were limited to what requests at the current rate earn, to keep any ten seconds within a fifth of their own requests. The limit that users state counts the requests of the window, of the one before it or of the one half a window before it, whichever are most.

--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget/backlog.rs
@@ -23,11 +23,9 @@
 /// second, and updates on a saturated link are late by less than that.
 const BACKLOG_ALLOWANCE_TIME: Duration = Duration::from_millis(500);
 
-/// Fraction of the slack that is not used for requests that can wait. It covers a window that has
-/// fewer requests than the one before.
+/// Fraction of the slack that is not used for requests that can wait. It covers retries of other
+/// VMs that this one has not heard of yet.
 const HELD_RESERVE_FRACTION: f64 = 0.0625;
-/// Steps from which the current rate of requests is computed.
-const RATE_STEPS: usize = 4;
 
 /// Part of the remaining retries that this VM may take for its backlog.
 #[derive(Clone, Copy, Debug, Default)]
@@ -127,22 +125,8 @@
     }
 
     /// Returns the number of retries that remain for requests that can wait.
-    ///
-    /// A window may begin with many requests and end with few, as when the endpoints become slower,
-    /// and what the first ones earned would then exceed the limit of the second half. So the
-    /// requests count as far as they still come at that rate.
     fn remaining_for_held(&mut self, now: Time) -> f64 {
-        let remaining = self.remaining(now);
-        let reserve = f64::from(self.limit.slack) * HELD_RESERVE_FRACTION;
-        let used = match self.visible.is_member {
-            true => &mut self.fleet_window,
-            false => &mut self.non_dispatcher_window,
-        };
-        let counted = used.sum(now).requests as f64;
-        let recent = used.steps.iter().skip(1).take(RATE_STEPS).map(|step| step.requests);
-        let at_recent_rate = recent.sum::<u64>() as f64 * (STEPS / RATE_STEPS) as f64;
-        let fewer = (counted - at_recent_rate).max(0.0);
-        remaining - reserve - self.limit.ratio * fewer
+        self.remaining(now) - f64::from(self.limit.slack) * HELD_RESERVE_FRACTION
     }
 
     /// Returns this VM's share of the retries for backlogs: its share of the requests that were
