A queue over the fleet: dispatchers order queued requests over all of them

Cause: each dispatcher of a shared service ordered its own queue only, and a free slot went to whichever VM checked first.

Change: with Service::contention.fleet_queue, updates carry a summary of the sender's queue. core::shard::peer_queues keeps those of the peers and leaves a free slot to them for up to 50 ms while their requests precede. Expected waits count the queues of all dispatchers against all slots, and requests of one class with unequal times wait in proportion to their times. /metrics shows what is queued and how often slots were left to peers. The flag takes effect with the configuration.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -4,8 +4,10 @@
 mod completion;
 mod dispatch;
 mod failure_rate;
+mod fleet_queue;
 mod hand_over;
 mod notices;
+mod peer_queues;
 mod pool;
 mod rate_limits;
 mod relay;
@@ -23,13 +25,18 @@
 pub use self::{
     action::{Dispatch, SelectionDetails, SelectionReason, ShardAction},
     failure_rate::RequestCounts,
+    fleet_queue::FleetQueueStatus,
     hand_over::ShardHandOver,
+    peer_queues::{
+        ClassSummary, DeferralCounts, PeerQueues, QueueHead, QueueSummary, SlotDecision,
+    },
     snapshot::{ShardSnapshot, SnapshotEstimate},
     subscribers::Subscribers,
     updates::{AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardUpdate},
 };
 use self::{
     failure_rate::ServiceFailureRate,
+    fleet_queue::FleetQueue,
     pool::Pool,
     retry_budget::ShardRetryBudget,
     state::{AttemptState, PendingRequest, Phase},
@@ -129,6 +136,7 @@
     pool: Pool,
     health: Health,
     queue: AdmissionQueue,
+    fleet_queue: FleetQueue,
     queue_limit: usize,
     probe_path: Name,
     takeover_grace: Duration,
@@ -189,6 +197,7 @@
             pool,
             health,
             queue: AdmissionQueue::default(),
+            fleet_queue: FleetQueue::new(settings.seed ^ now.as_micros()),
             queue_limit: 0,
             probe_path: Name::from(DEFAULT_PROBE_PATH),
             takeover_grace: MAX_TAKEOVER_GRACE,
@@ -400,6 +409,7 @@
     pub fn on_pause(&mut self, now: Time, gap: Duration) -> Vec<ShardAction> {
         self.health.on_pause(now, gap);
         self.hedge_times.clear();
+        self.fleet_queue.on_pause(now);
         self.refuse_expired(now);
         if gap >= MIN_TAKEOVER_PAUSE {
             self.pool.halve_limits_until(now + self.takeover_grace);
@@ -408,14 +418,6 @@
         std::mem::take(&mut self.pending_actions)
     }
 
-    /// Returns the expected queueing time of a new request.
-    pub fn queue_wait(&self, now: Time) -> Duration {
-        if self.queue.is_empty() && self.pool.has_free_slot(now) {
-            return Duration::ZERO;
-        }
-        self.drain_time(now, self.queue.len() as f64 + 1.0)
-    }
-
     /// Returns whether other VMs dispatch to the endpoints as well.
     pub fn is_shared(&self) -> bool {
         self.is_shared
@@ -453,6 +455,7 @@
         self.queue_limit = service.queue_limit.div_ceil(shard_count(service)) as usize;
         self.probe_path = service.probe_path.clone();
         self.is_shared = service.is_shared();
+        self.fleet_queue.set_enabled(service.contention.fleet_queue);
         self.retry_budget.configure(now, config, service);
         self.takeover_grace = Duration::from_millis(service.timeout_ms).min(MAX_TAKEOVER_GRACE);
         let weights = config
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -261,6 +261,7 @@
                 let queue_entry = QueueEntry { deadline: request.deadline, request: id };
                 self.queue.remove(&request.customer, request.class, queue_entry);
                 self.dispatch_deadlines.remove(&(pending.not_after, id));
+                self.fleet_queue.remove(id, &pending);
             }
             Phase::AwaitingOriginal => {
                 if let Some(key) = &request.key {
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -101,11 +101,13 @@
         pending.not_after =
             now + (time_left - (answer_time.mul_f64(ANSWER_RESERVE_P95_FACTOR)).min(time_left / 2));
         let (customer, class) = (pending.request.customer.clone(), pending.request.class);
+        let pending_time = pending.not_after.since(pending.arrived);
         if !self.opens_in_time(now, id) {
             return self.refuse_as_closed(now, id);
         }
-        let wait = self.expected_wait(now, &customer, class);
-        let needed = wait + (answer_time * ADMISSION_RESERVE_P95_FACTOR).min(time_left / 2);
+        let wait = self.expected_wait(now, &customer, class, pending_time);
+        let reserve = (answer_time * ADMISSION_RESERVE_P95_FACTOR).min(time_left / 2);
+        let needed = wait + self.fleet_reserve(reserve, time_left, class, pending_time);
         if !wait.is_zero() && needed > time_left {
             let retry_after_ms = self.jittered_retry_after_ms(needed - time_left);
             return self.refuse(now, id, Reason::WaitTooLong, retry_after_ms);
@@ -128,14 +130,7 @@
         let queue_entry = QueueEntry { deadline: pending.request.deadline, request: id };
         self.queue.push(&pending.request.customer, pending.request.class, queue_entry);
         self.dispatch_deadlines.insert((pending.not_after, id));
-    }
-
-    /// Returns the expected queueing time of a customer's new request.
-    pub(super) fn expected_wait(&self, now: Time, customer: &Name, class: Class) -> Duration {
-        if self.queue.is_empty() && self.pool.has_free_slot(now) {
-            return Duration::ZERO;
-        }
-        self.drain_time(now, self.queue.requests_ahead(customer, class))
+        self.fleet_queue.insert(id, pending);
     }
 
     /// Returns the time in which `requests` requests leave the queue.
@@ -146,8 +141,8 @@
 
     fn drain_time_while_usable(&self, requests: f64) -> Duration {
         let slot_time = self.slot_time.value().unwrap_or_default();
-        let limited = self.pool.rate_limited_per_second() / f64::from(self.dispatchers);
-        let capacity = self.pool.capacity();
+        let (capacity, senders) = self.draining_capacity();
+        let limited = self.pool.rate_limited_per_second() / f64::from(senders);
         match (capacity, limited > 0.0) {
             (_, false) => slot_time.mul_f64(requests / f64::from(capacity.max(1))),
             (0, true) => Duration::from_secs_f64(requests / limited),
@@ -172,10 +167,14 @@
                 self.refuse_as_closed(now, id);
                 continue;
             }
+            if self.defers_to_peers(now, id) {
+                return;
+            }
             let Some(pick) = self.pick(now, id, true) else { return };
             self.queue.pop();
             if let Some(pending) = self.pending.get(&id) {
                 self.dispatch_deadlines.remove(&(pending.not_after, id));
+                self.fleet_queue.remove(id, pending);
             }
             self.dispatch(now, id, pick);
         }
@@ -197,7 +196,7 @@
                     && pending.can_be_dispatched()
                     && now < pending.not_after
             });
-            if !is_due || !self.queue.is_empty() {
+            if !is_due || !self.queue.is_empty() || self.are_peers_queueing(now) {
                 continue;
             }
             let Some(pick) = self.pick(now, id, false) else { continue };
@@ -242,7 +241,7 @@
     /// that has answered recently, for a share of its time, as long as all waiting requests get
     /// their turn within it; beyond that, all slots are needed. An endpoint that fails
     /// immediately always has free slots and would otherwise attract all waiting requests.
-    fn max_risk(&self, now: Time, pending: &PendingRequest) -> f64 {
+    pub(super) fn max_risk(&self, now: Time, pending: &PendingRequest) -> f64 {
         let share = if pending.request.idempotent {
             LOW_RISK_WAIT_SHARES.0
         } else {
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -1,5 +1,6 @@
 //! Endpoints of a shard: their slots in use and the selection of the next endpoint.
 
+mod free_slots;
 mod notices;
 mod pick;
 mod ranking;
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RequestCounts, Shard, ShardAction, state::AttemptState};
+use super::{QueueSummary, RequestCounts, Shard, ShardAction, state::AttemptState};
 use crate::{
     hash,
     name::Name,
@@ -50,6 +50,8 @@
     pub sent: CumulativeCounts,
     /// Endpoints whose state has changed.
     pub endpoints: Vec<EndpointUpdate>,
+    /// What the sender has queued, if the service has a queue over the fleet.
+    pub queue: Option<QueueSummary>,
 }
 
 /// An update on one endpoint.
@@ -132,6 +134,7 @@
             return Vec::new();
         }
         self.failure_rate.on_peer_counts(update.request_counts);
+        self.fleet_queue.on_summary(now, from, update.queue);
         if let Some(budget) = self.retry_budget.fleet() {
             budget.on_peer_counts(now, from, update.sent);
         }
@@ -212,6 +215,7 @@
         }
         let sent = self.retry_budget.fleet().map(|budget| budget.total()).unwrap_or_default();
         for part in changes.chunks(MAX_ENDPOINTS_PER_UPDATE) {
+            let queue = self.take_queue_summary(now);
             let endpoint = |(name, ended): &EndpointChange| EndpointUpdate {
                 endpoint: EndpointKey::of(name),
                 in_flight: self.pool.in_flight_at(name),
@@ -229,7 +233,9 @@
                 request_counts,
                 sent,
                 endpoints,
+                queue,
             }));
         }
+        self.broadcast_queue_summary(now);
     }
 }
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -130,6 +130,7 @@
             rate: None,
             leaving: false,
         }],
+        queue: None,
     }
 }
 
--- a/crates/pistachiotrackd/src/exposition.rs
+++ b/crates/pistachiotrackd/src/exposition.rs
@@ -1,5 +1,7 @@
 //! Metrics in the text format of Prometheus.
 
+mod fleet_queue;
+
 use std::{fmt, sync::Arc};
 
 use pistachiotrack_core::admin::CustomerUsage;
@@ -61,6 +63,7 @@
             value.encode(metric)?;
         }
         encode_customers(&mut encoder, &context.customer_limits.usage())?;
+        fleet_queue::encode(&mut encoder, &context.shards.fleet_queues())?;
         let [total, added, queued] = [
             "Time to the answer's head",
             "Part of it in which no endpoint had a hand",
--- a/crates/pistachiotrackd/src/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shard_actor.rs
@@ -1,6 +1,7 @@
 //! Actor that executes the decisions of one shard.
 
 mod peers;
+mod wake;
 
 use std::{
     collections::VecDeque,
@@ -122,6 +123,8 @@
     last_use: Time,
     /// Time of the last update from another VM or of the last request for a snapshot.
     last_update_at: Time,
+    /// Time of the wake-up that is scheduled for slots that are left to other VMs.
+    wake_at: Option<Time>,
     retired: bool,
 }
 
@@ -159,6 +162,7 @@
             non_owner_idle: args.non_owner_idle,
             last_use: now,
             last_update_at: now,
+            wake_at: None,
             retired: false,
         })
     }
@@ -349,6 +353,7 @@
         while let Some(action) = pending.pop_front() {
             pending.extend(self.apply_one(action));
         }
+        self.schedule_wake();
     }
 
     /// Executes an action and returns the actions that follow from its failure.
@@ -457,6 +462,8 @@
     /// It therefore requests a snapshot, and is restricted until the snapshot arrives.
     fn update_dispatchers(&mut self, now: Time) {
         let dispatchers = self.update_link.dispatchers(&self.id.service);
+        let (me, names) = self.update_link.dispatcher_names(&self.id.service);
+        self.shard.set_dispatcher_names(&me, &names);
         if self.shard.set_dispatchers(now, dispatchers) {
             self.update_link.request_snapshot(&self.id);
         }
@@ -484,6 +491,7 @@
         let status = ShardStatus {
             at_floor: self.shard.at_floor(),
             queue_wait_ms: self.shard.queue_wait(now).as_millis() as u64,
+            fleet_queue: self.shard.fleet_queue_status(now),
         };
         let mut table = self.statuses.write().unwrap_or_else(PoisonError::into_inner);
         table.insert(self.id.clone(), status);
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -16,7 +16,7 @@
     name::Name,
     ownership::{ShardId, shard_count},
     rule::ServiceState,
-    shard::ShardMode,
+    shard::{FleetQueueStatus, ShardMode},
     vm::Vm,
 };
 use rustc_hash::FxHashMap;
@@ -41,6 +41,8 @@
     pub(crate) at_floor: bool,
     /// Expected queueing time of a new request.
     pub(crate) queue_wait_ms: u64,
+    /// What is queued over all dispatchers, if the service has a queue over the fleet.
+    pub(crate) fleet_queue: Option<FleetQueueStatus>,
 }
 
 /// Status of all shards that run on this VM.
@@ -196,6 +198,15 @@
         statuses.retain(|id, _| keep(id));
     }
 
+    /// Returns what is queued over all dispatchers of each shard of a service with a queue over the fleet.
+    pub(crate) fn fleet_queues(&self) -> Vec<(Name, FleetQueueStatus)> {
+        let statuses = self.statuses.read().unwrap_or_else(PoisonError::into_inner);
+        statuses
+            .iter()
+            .filter_map(|(id, status)| Some((shard_name(id), status.fleet_queue?)))
+            .collect()
+    }
+
     fn statuses_of<'a>(
         statuses: &'a FxHashMap<ShardId, ShardStatus>,
         service: &'a str,
--- a/crates/pistachiotrackd/src/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/shard_update_link.rs
@@ -250,6 +250,13 @@
         member.is_none_or(|member| member.vm.data_centre == self.me.data_centre)
     }
 
+    /// Returns the names of this VM and of the dispatchers of a service in its view.
+    pub(crate) fn dispatcher_names(&self, service: &str) -> (Name, Vec<Name>) {
+        let view = self.view.borrow();
+        let dispatchers = view.ownership.dispatchers(service);
+        (self.me.name.clone(), dispatchers.iter().map(|vm| vm.name.clone()).collect())
+    }
+
     /// Returns the dispatchers of a service in this VM's view.
     pub(crate) fn dispatchers(&self, service: &str) -> VisibleDispatchers {
         let view = self.view.borrow();
