--- a/crates/pistachiotrackd/src/shard_status.rs
+++ b/crates/pistachiotrackd/src/shard_status.rs
@@ -2,7 +2,12 @@
 
 use std::sync::{Arc, RwLock};
 
-use pistachiotrack_core::{admin::Counter, name::Name, ownership::ShardId, shard::HeldRetryCounts};
+use pistachiotrack_core::{
+    admin::Counter,
+    name::Name,
+    ownership::ShardId,
+    shard::{FleetQueueStatus, HeldRetryCounts},
+};
 use rustc_hash::FxHashMap;
 
 /// Current status of a shard, used by the conditions of rules and the metrics.
@@ -14,6 +19,8 @@
     pub(crate) queue_wait_ms: u64,
     /// Requests whose retries were held.
     pub(crate) held_retries: HeldRetryCounts,
+    /// What is queued over all dispatchers, if the service has a queue over the fleet.
+    pub(crate) fleet_queue: Option<FleetQueueStatus>,
 }
 
 /// Status of all shards that run on this VM.
@@ -55,6 +62,14 @@
             .map(|(_, status)| status)
     }
 
+    /// Returns what is queued over all dispatchers of each shard whose service has a queue over the
+    /// fleet.
+    pub(crate) fn fleet_queues(&self) -> Vec<(Name, FleetQueueStatus)> {
+        let status =
+            |(id, status): (&ShardId, &ShardStatus)| Some((shard_name(id), status.fleet_queue?));
+        self.by_shard.iter().filter_map(status).collect()
+    }
+
     /// Returns the numbers of requests whose retries were held on this VM.
     pub(crate) fn held_retries(&self) -> HeldRetryCounts {
         self.by_shard.values().fold(self.stopped, |sum, status| HeldRetryCounts {
--- a/crates/pistachiotrackd/src/shard_table.rs
+++ b/crates/pistachiotrackd/src/shard_table.rs
@@ -16,7 +16,7 @@
     name::Name,
     ownership::{ShardId, shard_count},
     rule::ServiceState,
-    shard::{HeldRetryCounts, ShardMode},
+    shard::{FleetQueueStatus, HeldRetryCounts, ShardMode},
     vm::Vm,
 };
 use rustc_hash::FxHashMap;
@@ -189,6 +189,12 @@
     pub(crate) fn held_retries(&self) -> HeldRetryCounts {
         self.statuses.read().unwrap_or_else(PoisonError::into_inner).held_retries()
     }
+
+    /// Returns what is queued over all dispatchers of each shard whose service has a queue over the
+    /// fleet.
+    pub(crate) fn fleet_queues(&self) -> Vec<(Name, FleetQueueStatus)> {
+        self.statuses.read().unwrap_or_else(PoisonError::into_inner).fleet_queues()
+    }
 }
 
 impl ServiceState for ShardTable {
