Endpoint speed: estimate, evidence, placing decision and status

Among endpoints of similar risk the least loaded one was selected, so a slow endpoint was treated like a fast one. With Service::contention.endpoint_speed the endpoint with the least expected time comes first.

--- a/crates/pistachiotrack-core/src/admin.rs
+++ b/crates/pistachiotrack-core/src/admin.rs
@@ -80,6 +80,13 @@
     /// Time for which the endpoint accepts no requests from the VM, if it has asked for that.
     #[serde(default)]
     pub refuses_ms: Option<u64>,
+    /// Speed relative to the mean of the service while at most two thirds of the slots are in use,
+    /// if it is estimated: 0.5 if its answers take twice as long.
+    #[serde(default)]
+    pub relative_speed: Option<f64>,
+    /// The same while more of the slots are in use.
+    #[serde(default)]
+    pub relative_speed_nearly_full: Option<f64>,
     /// Evidence against the endpoint, as a log-likelihood ratio.
     pub evidence: f64,
     /// Reason of the last ejection.
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -11,6 +11,7 @@
 mod relay;
 mod retry_budget;
 mod snapshot;
+mod speed;
 mod state;
 mod status;
 mod subscribers;
@@ -25,6 +26,7 @@
     failure_rate::RequestCounts,
     hand_over::ShardHandOver,
     snapshot::{ShardSnapshot, SnapshotEstimate},
+    speed::{DispatchConditions, SnapshotSpeed},
     subscribers::Subscribers,
     updates::{AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardUpdate},
 };
@@ -399,6 +401,7 @@
     /// this call, and after a long pause the limits are halved as after a takeover.
     pub fn on_pause(&mut self, now: Time, gap: Duration) -> Vec<ShardAction> {
         self.health.on_pause(now, gap);
+        self.pool.on_pause(now);
         self.hedge_times.clear();
         self.refuse_expired(now);
         if gap >= MIN_TAKEOVER_PAUSE {
@@ -453,6 +456,7 @@
         self.queue_limit = service.queue_limit.div_ceil(shard_count(service)) as usize;
         self.probe_path = service.probe_path.clone();
         self.is_shared = service.is_shared();
+        self.pool.set_endpoint_speed(self.is_shared && service.contention.endpoint_speed);
         self.retry_budget.configure(now, config, service);
         self.takeover_grace = Duration::from_millis(service.timeout_ms).min(MAX_TAKEOVER_GRACE);
         let weights = config
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -157,6 +157,7 @@
                 if status < FIRST_FAILURE_STATUS && state.kind != AttemptKind::Probe =>
             {
                 self.latency.record(age);
+                self.pool.on_own_answer(now, state, age);
             }
             Outcome::Shed => self.pool.on_shed(now, &state.endpoint, self.slot_release_delay()),
             Outcome::TimedOut { .. } => {
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -325,6 +325,7 @@
                 is_abandoned: false,
                 class,
                 unreported: None,
+                conditions: self.pool.dispatch_conditions(&pick.name, pending.request.idempotent),
             },
         );
         self.pending_actions.push(ShardAction::Dispatch(Dispatch {
@@ -446,6 +447,7 @@
             is_abandoned: false,
             class: Class::Batch,
             unreported: None,
+            conditions: None,
         };
         self.attempts.insert(attempt, probe);
     }
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -5,6 +5,7 @@
 mod ranking;
 mod rate_limits;
 mod slots;
+mod speed;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -17,7 +18,8 @@
 use rustc_hash::FxHashMap;
 
 pub(super) use self::pick::{Pick, PickCriteria};
-use super::{EndpointKey, SelectionReason, ShardMode};
+use self::speed::ServiceSpeeds;
+use super::{EndpointKey, SelectionReason, ShardMode, speed::EndpointSpeed};
 use crate::{
     concurrency_limit::AdaptiveConcurrencyLimit,
     endpoint::Endpoint,
@@ -67,6 +69,8 @@
     refuses_until: Option<Time>,
     /// Requests that other VMs have in flight, each count with its expiry time.
     peer_counts: Vec<(Name, u32, Time)>,
+    /// Its speed relative to the other endpoints.
+    speed: EndpointSpeed,
 }
 
 impl PoolEntry {
@@ -137,6 +141,7 @@
     /// Whether endpoints are ranked by their risk.
     is_ranked_by_risk: bool,
     feature_flags: FeatureFlags,
+    speeds: ServiceSpeeds,
     /// Data centre of this VM.
     local_data_centre: Option<Name>,
     rng: Pcg32,
@@ -165,6 +170,7 @@
             changed_endpoints: Vec::new(),
             is_ranked_by_risk: false,
             feature_flags,
+            speeds: ServiceSpeeds::default(),
             local_data_centre: None,
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -224,6 +230,7 @@
                 is_reserved_for_peers: false,
                 refuses_until: None,
                 peer_counts: Vec::new(),
+                speed: EndpointSpeed::default(),
             });
             entry.is_configured = true;
             entry.adaptive_limit.set_max(endpoint.slots);
@@ -252,6 +259,7 @@
     /// Recomputes the limits.
     pub(super) fn refresh(&mut self, now: Time, health: &Health) {
         let are_limits_halved = now < self.limits_halved_until;
+        self.decay_speeds(now);
         let mut all_slots = 0;
         self.capacity = 0;
         self.rate_limited_per_second = 0.0;
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -7,9 +7,10 @@
 use super::{EXPLORE_ONE_IN, Pick, PickCriteria, Pool, PoolEntry};
 use crate::{health::HealthState, shard::SelectionReason, time::Time};
 
-/// Sort key: whether the endpoint was already tried, rank of its risk, load, and a random
-/// tie-break. The least is selected.
-type RiskOrder = (bool, u64, u32, u32);
+/// Sort key: whether the endpoint was already tried, rank of its risk, whether it is at the limit
+/// of its best throughput, expected time in steps, load, and a random tie-break. The least is
+/// selected.
+type RiskOrder = (bool, u64, bool, i32, u32, u32);
 
 /// Minimum share of the endpoints that get a request in any two seconds. Users require seven in
 /// ten, and VMs see each other's requests with a small delay.
@@ -55,9 +56,11 @@
             }
             let is_tried = criteria.tried.contains(&entry.endpoint.name);
             let rank = self.rank(entry, &criteria, &context);
-            let busy = entry.in_flight + entry.peer_in_flight();
-            let load = busy * 1000 / entry.endpoint.slots.max(1);
-            let key = (is_tried, rank, load, self.rng.next_u32());
+            let (busy, slots) = (entry.busy(), entry.endpoint.slots);
+            let is_at_limit = entry.speed.is_at_limit(busy);
+            let time = entry.speed.steps(busy, slots);
+            let load = busy * 1000 / slots.max(1);
+            let key = (is_tried, rank, is_at_limit, time, load, self.rng.next_u32());
             if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
                 best = Some((key, entry));
             }
--- a/crates/pistachiotrack-core/src/shard/snapshot.rs
+++ b/crates/pistachiotrack-core/src/shard/snapshot.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EndpointKey, Shard, ShardAction};
+use super::{EndpointKey, Shard, ShardAction, SnapshotSpeed};
 use crate::{
     health::{EndpointEstimate, LastObservation},
     name::Name,
@@ -17,7 +17,7 @@
 /// Time for which requests wait for a snapshot: some round trips between data centres of one
 /// region. It bounds the cost of a snapshot that is lost or that no VM has.
 const SNAPSHOT_WAIT: Duration = Duration::from_millis(20);
-/// Endpoint estimates in one part of a snapshot: each takes at most 15 bytes of the 1,200 that a
+/// Endpoint estimates in one part of a snapshot: each takes at most 18 bytes of the 1,200 that a
 /// datagram may have.
 const ESTIMATES_PER_PART: usize = 40;
 /// Rate limits of endpoints in one part: each takes about 25 bytes.
@@ -50,6 +50,8 @@
     pub last_observation: LastObservation,
     /// Age of the observation.
     pub age_ms: u32,
+    /// Speed of the endpoint, if the VM estimates it.
+    pub speed: Option<SnapshotSpeed>,
 }
 
 impl ShardSnapshot {
@@ -98,6 +100,7 @@
             endpoint: EndpointKey::of(&estimate.endpoint),
             last_observation: estimate.last_observation,
             age_ms: estimate.age_ms,
+            speed: self.pool.snapshot_speed(now, &estimate.endpoint),
         };
         let estimates = self.health.estimates(now).into_iter().map(keyed).collect();
         let rate_limits = self.pool.rate_limits(now);
@@ -134,6 +137,13 @@
         };
         let estimates: Vec<EndpointEstimate> =
             snapshot.estimates.iter().filter_map(named).collect();
+        for estimate in &snapshot.estimates {
+            if let (Some(speed), Some(name)) =
+                (estimate.speed, self.pool.endpoint_by_key(estimate.endpoint))
+            {
+                self.pool.adopt_speed(now, &name, speed);
+            }
+        }
         let actions = self.health.on_estimates(now, &estimates);
         self.on_health_actions(now, actions);
         if let Some(budget) = self.retry_budget.fleet() {
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -5,7 +5,7 @@
     name::Name,
     refusal::Execution,
     request::{AttemptId, Class, Request, RequestId},
-    shard::AttemptResult,
+    shard::{AttemptResult, DispatchConditions},
     time::Time,
 };
 
@@ -121,4 +121,6 @@
     pub(super) class: Class,
     /// Its result and the time of it, until the other VMs are informed.
     pub(super) unreported: Option<(AttemptResult, Time)>,
+    /// Conditions at its dispatch; none for health checks.
+    pub(super) conditions: Option<DispatchConditions>,
 }
--- a/crates/pistachiotrack-core/src/shard/status.rs
+++ b/crates/pistachiotrack-core/src/shard/status.rs
@@ -17,6 +17,7 @@
             .configured()
             .map(|entry| {
                 let name = &entry.endpoint.name;
+                let speeds = entry.relative_speeds(now);
                 EndpointStatus {
                     service: self.id.service.clone(),
                     endpoint: name.clone(),
@@ -27,6 +28,8 @@
                     refuses_ms: entry
                         .refuses_until()
                         .map(|until| until.since(now).as_millis() as u64),
+                    relative_speed: speeds.map(|[below, _]| below),
+                    relative_speed_nearly_full: speeds.map(|[_, nearly_full]| nearly_full),
                     evidence: self.health.evidence(name),
                     mode: Name::from(mode.as_str()),
                     reason: self
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RequestCounts, Shard, ShardAction, state::AttemptState};
+use super::{DispatchConditions, RequestCounts, Shard, ShardAction, state::AttemptState};
 use crate::{
     hash,
     name::Name,
@@ -78,6 +78,8 @@
     pub latency_us: u64,
     /// Time since then.
     pub age_us: u64,
+    /// Conditions at the dispatch, if the time is evidence about the endpoint's speed.
+    pub conditions: Option<DispatchConditions>,
 }
 
 /// Unreported change of an endpoint: the end of an attempt there and its time, if one has ended.
@@ -162,6 +164,7 @@
         self.on_health_actions(now, actions);
         if !ended.result.is_failure() {
             self.latency.record(Duration::from_micros(ended.latency_us));
+            self.pool.on_peer_answer(now, endpoint, ended);
         }
     }
 
@@ -192,7 +195,8 @@
             return;
         }
         let latency_us = ended_at.since(state.dispatched_at).as_micros() as u64;
-        let ended = EndedAttempt { class: state.class, result, latency_us, age_us: 0 };
+        let conditions = self.pool.speed_conditions(state);
+        let ended = EndedAttempt { class: state.class, result, latency_us, age_us: 0, conditions };
         self.ended_attempts.push((state.endpoint.clone(), ended, ended_at));
     }
 
--- a/crates/pistachiotrack/src/endpoints.rs
+++ b/crates/pistachiotrack/src/endpoints.rs
@@ -64,6 +64,8 @@
         "LIMIT",
         "RATE LIMIT",
         "REFUSES MS",
+        "SPEED",
+        "FULL SPEED",
         "EVIDENCE",
         "REASON",
         "ADMIN",
@@ -77,6 +79,10 @@
     table.to_string()
 }
 
+fn two_decimals(value: f64) -> String {
+    format!("{value:.2}")
+}
+
 fn row(address: SocketAddr, endpoint: &EndpointStatus) -> Vec<String> {
     vec![
         endpoint.service.to_string(),
@@ -86,6 +92,8 @@
         endpoint.limit.to_string(),
         or_dash(endpoint.rate_limit),
         or_dash(endpoint.refuses_ms),
+        or_dash(endpoint.relative_speed.map(two_decimals)),
+        or_dash(endpoint.relative_speed_nearly_full.map(two_decimals)),
         format!("{:.2}", endpoint.evidence),
         or_dash(endpoint.reason.as_ref()),
         address.to_string(),
