--- a/crates/pistachiotrack-core/src/shard/speed.rs
+++ b/crates/pistachiotrack-core/src/shard/speed.rs
@@ -14,8 +14,9 @@
 const WINDOW_ANSWERS: f64 = 20.0;
 /// Time in which an estimate without new answers moves half of the way to the service's mean.
 const HALF_LIFE: Duration = Duration::from_secs(10);
-/// Weight of the prior in answers. It keeps an estimate from few answers close to the mean.
-const PRIOR_ANSWERS: f64 = 2.0;
+/// Weight of the prior in answers. It keeps an estimate from few answers close to the mean: one
+/// answer that takes twice the usual time moves it by less than [`LN_STEP`].
+const PRIOR_ANSWERS: f64 = 4.0;
 /// Weight in answers of an estimate taken from a snapshot.
 const SNAPSHOT_ANSWERS: f64 = 10.0;
 /// Bound of the logarithm of one answer's relative time. At the full weight of an estimate, one
@@ -25,6 +26,16 @@
 /// error of an estimate from 20 answers whose logarithms have a standard deviation of 0.5, so that
 /// endpoints of equal speed share the load.
 const LN_STEP: f64 = 0.2;
+/// Confidence that an estimate needs to decide about an endpoint's limit: that of four answers.
+///
+/// While the endpoint is known too little below the limit, the limit holds for the few answers that
+/// change this. An endpoint that is always preferred would otherwise be full all the time, and
+/// that it is faster with fewer requests would not be observed any more.
+const MIN_CONFIDENCE: f64 = 0.5;
+/// Confidence in the estimate of a nearly full endpoint at which its limit is lifted, so that new
+/// answers confirm or correct the estimate: two half-lives after the last such answer. Each time
+/// costs about as many slow answers as the endpoint has slots.
+const MIN_CONFIDENCE_TO_KEEP: f64 = 0.25;
 /// Number of answers over which the usual time of a kind of request averages.
 const USUAL_TIME_ANSWERS: f64 = 200.0;
 /// Number of kinds of requests: each class, for requests that may run again and for others.
@@ -160,9 +171,22 @@
         self.steps_below = (below / LN_STEP).round() as i32;
         self.steps_nearly_full = (nearly_full / LN_STEP).round() as i32;
         let limit = largest_not_nearly_full(slots);
-        let throughput = |in_use: u32, ln_time: f64| f64::from(in_use) * (-ln_time).exp();
-        let is_faster_below = throughput(slots, nearly_full) < throughput(limit, below);
-        self.limit = if is_faster_below { limit } else { u32::MAX };
+        self.limit = if self.is_limited(now, slots, limit) { limit } else { u32::MAX };
+    }
+
+    /// Returns whether an endpoint's limit is `limit` instead of all its slots: its throughput is
+    /// higher with it, or it isn't known any more how fast it is with fewer requests.
+    fn is_limited(&self, now: Time, slots: u32, limit: u32) -> bool {
+        let is_limited = self.limit != u32::MAX;
+        let min_confidence = if is_limited { MIN_CONFIDENCE_TO_KEEP } else { MIN_CONFIDENCE };
+        if self.below.confidence(now) < MIN_CONFIDENCE {
+            return true;
+        }
+        if self.nearly_full.confidence(now) < min_confidence {
+            return false;
+        }
+        let ln_slowdown = self.nearly_full.mean() - self.below.mean();
+        ln_slowdown > (f64::from(slots) / f64::from(limit)).ln()
     }
 
     /// Returns the expected relative time of a request, in steps of its logarithm, if `busy`
@@ -171,6 +195,14 @@
         if is_nearly_full(busy + 1, slots) { self.steps_nearly_full } else { self.steps_below }
     }
 
+    /// Returns how many of an endpoint's slots give its best throughput.
+    ///
+    /// Load is in proportion to these. In proportion to all slots, a limited endpoint counted as the
+    /// least loaded one until it was at its limit, and several VMs took it beyond it at once.
+    pub(super) fn best_slots(&self, slots: u32) -> u32 {
+        self.limit.min(slots)
+    }
+
     /// Returns whether more than `busy` requests in flight would lower the endpoint's throughput.
     pub(super) fn is_at_limit(&self, busy: u32) -> bool {
         busy >= self.limit
--- a/crates/pistachiotrack/tests/views.rs
+++ b/crates/pistachiotrack/tests/views.rs
@@ -110,6 +110,13 @@
     endpoint
 }
 
+/// Returns an endpoint with relative speeds: not nearly full, and nearly full.
+fn with_speeds(mut endpoint: Value, speed: f64, nearly_full: f64) -> Value {
+    endpoint["relative_speed"] = json!(speed);
+    endpoint["relative_speed_nearly_full"] = json!(nearly_full);
+    endpoint
+}
+
 /// Returns an endpoint that accepts no requests from the VM for some time.
 fn refusing(mut endpoint: Value, refuses_ms: u64) -> Value {
     endpoint["refuses_ms"] = json!(refuses_ms);
@@ -127,7 +134,11 @@
     )]);
     let second = FakeVm::with_pages(&[(
         "/endpoints",
-        json!([refusing(endpoint("booking", "booking-1", "healthy", Value::Null), 1_200)]),
+        json!([with_speeds(
+            refusing(endpoint("booking", "booking-1", "healthy", Value::Null), 1_200),
+            0.5,
+            0.333
+        )]),
     )]);
 
     let output = run(&["endpoints", "--admin", &format!("{},{}", first.address, second.address)]);
@@ -135,10 +146,13 @@
     let stdout = output.normalized_stdout();
     let lines: Vec<&str> = stdout.lines().collect();
     assert_eq!(lines.len(), 3, "{stdout}");
-    assert_eq!(lines[1], format!("booking booking-1 healthy 1 2 - 1200 3.46 - {}", second.address));
+    assert_eq!(
+        lines[1],
+        format!("booking booking-1 healthy 1 2 - 1200 0.50 0.33 3.46 - {}", second.address)
+    );
     assert_eq!(
         lines[2],
-        format!("slot-search search-1 ejected 1 2 2.5 - 3.46 straggling {}", first.address)
+        format!("slot-search search-1 ejected 1 2 2.5 - - - 3.46 straggling {}", first.address)
     );
 }
 
@@ -164,7 +178,7 @@
     let all = run(&["endpoints", "--all", "--admin", &addresses]).normalized_stdout();
 
     let row = |service, state, vm: &FakeVm| {
-        format!("{service} endpoint-1 {state} 1 2 - - 3.46 - {}", vm.address)
+        format!("{service} endpoint-1 {state} 1 2 - - - - 3.46 - {}", vm.address)
     };
     assert!(owners.contains(&row("booking", "ejected", &owner)), "{owners}");
     assert!(owners.contains(&row("calendar", "trial", &other)), "{owners}");
