Endpoint speed: limits and estimates that keep few requests on slow endpoints

Estimates count four answers of a prior; an estimate is stale after two half-lives instead of when it has half of its confidence; the decay of an estimate counts for one request in flight; load is in proportion to the limit.

--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -59,7 +59,7 @@
             let (busy, slots) = (entry.busy(), entry.endpoint.slots);
             let is_at_limit = entry.speed.is_at_limit(busy);
             let time = entry.speed.steps(busy, slots);
-            let load = busy * 1000 / entry.speed.best_slots(slots).max(1);
+            let load = entry.speed.load_permille(busy, slots);
             let key = (is_tried, rank, is_at_limit, time, load, self.rng.next_u32());
             if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
                 best = Some((key, entry));
--- a/crates/pistachiotrack-core/src/shard/speed.rs
+++ b/crates/pistachiotrack-core/src/shard/speed.rs
@@ -26,16 +26,20 @@
 /// error of an estimate from 20 answers whose logarithms have a standard deviation of 0.5, so that
 /// endpoints of equal speed share the load.
 const LN_STEP: f64 = 0.2;
-/// Confidence that an estimate needs to decide about an endpoint's limit: that of four answers.
-///
-/// While the endpoint is known too little below the limit, the limit holds for the few answers that
-/// change this. An endpoint that is always preferred would otherwise be full all the time, and
-/// that it is faster with fewer requests would not be observed any more.
+/// Confidence in the estimate of a nearly full endpoint from which its limit is set: that of four
+/// answers.
 const MIN_CONFIDENCE: f64 = 0.5;
-/// Confidence in the estimate of a nearly full endpoint at which its limit is lifted, so that new
-/// answers confirm or correct the estimate: two half-lives after the last such answer. Each time
-/// costs about as many slow answers as the endpoint has slots.
-const MIN_CONFIDENCE_TO_KEEP: f64 = 0.25;
+/// Confidence, two half-lives after the last answer, at which an estimate must be confirmed.
+///
+/// If it is that of a nearly full endpoint with a limit, the limit is lifted. If it is that of an
+/// endpoint that isn't nearly full, the limit holds for the few answers that change this: an
+/// endpoint that is always preferred would otherwise be full all the time, and that it is faster
+/// with fewer requests would not be observed any more.
+const STALE_CONFIDENCE: f64 = 0.25;
+/// Number of requests in flight up to which the decay of an estimate counts in a selection. A slow
+/// endpoint that has got nothing for some time is tried with so many requests. It got as many as
+/// it has slots before, until the first of them was answered.
+const DECAYED_REQUESTS: u32 = 1;
 /// Number of answers over which the usual time of a kind of request averages.
 const USUAL_TIME_ANSWERS: f64 = 200.0;
 /// Number of kinds of requests: each class, for requests that may run again and for others.
@@ -63,6 +67,10 @@
     ((2 * u64::from(slots) / 3) as u32).max(1)
 }
 
+fn in_steps(ln_time: f64) -> i32 {
+    (ln_time / LN_STEP).round() as i32
+}
+
 /// Usual times of the kinds of requests of a service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UsualTimes([UsualTime; KINDS]);
@@ -129,6 +137,7 @@
     below: LnMean,
     nearly_full: LnMean,
     /// Derived values for the selection, which reads them for every request.
+    steps_idle: i32,
     steps_below: i32,
     steps_nearly_full: i32,
     limit: u32,
@@ -139,6 +148,7 @@
         EndpointSpeed {
             below: LnMean::default(),
             nearly_full: LnMean::default(),
+            steps_idle: 0,
             steps_below: 0,
             steps_nearly_full: 0,
             limit: u32::MAX,
@@ -168,8 +178,8 @@
     /// Recomputes what [`EndpointSpeed::steps`] and [`EndpointSpeed::is_at_limit`] use.
     pub(super) fn refresh(&mut self, now: Time, slots: u32) {
         let [below, nearly_full] = self.ln_times(now);
-        self.steps_below = (below / LN_STEP).round() as i32;
-        self.steps_nearly_full = (nearly_full / LN_STEP).round() as i32;
+        self.steps_idle = in_steps(if is_nearly_full(1, slots) { nearly_full } else { below });
+        [self.steps_below, self.steps_nearly_full] = self.ln_times_without_decay().map(in_steps);
         let limit = largest_not_nearly_full(slots);
         self.limit = if self.is_limited(now, slots, limit) { limit } else { u32::MAX };
     }
@@ -178,8 +188,8 @@
     /// higher with it, or it isn't known any more how fast it is with fewer requests.
     fn is_limited(&self, now: Time, slots: u32, limit: u32) -> bool {
         let is_limited = self.limit != u32::MAX;
-        let min_confidence = if is_limited { MIN_CONFIDENCE_TO_KEEP } else { MIN_CONFIDENCE };
-        if self.below.confidence(now) < MIN_CONFIDENCE {
+        let min_confidence = if is_limited { STALE_CONFIDENCE } else { MIN_CONFIDENCE };
+        if self.below.confidence(now) < STALE_CONFIDENCE {
             return true;
         }
         if self.nearly_full.confidence(now) < min_confidence {
@@ -191,16 +201,25 @@
 
     /// Returns the expected relative time of a request, in steps of its logarithm, if `busy`
     /// requests are in flight before it.
+    ///
+    /// The decay counts while few requests are in flight, see [`DECAYED_REQUESTS`].
     pub(super) fn steps(&self, busy: u32, slots: u32) -> i32 {
-        if is_nearly_full(busy + 1, slots) { self.steps_nearly_full } else { self.steps_below }
+        if busy < DECAYED_REQUESTS {
+            self.steps_idle
+        } else if is_nearly_full(busy + 1, slots) {
+            self.steps_nearly_full
+        } else {
+            self.steps_below
+        }
     }
 
-    /// Returns how many of an endpoint's slots give its best throughput.
+    /// Returns the load with `busy` requests in flight, in thousandths of the slots that give the
+    /// best throughput.
     ///
-    /// Load is in proportion to these. In proportion to all slots, a limited endpoint counted as the
-    /// least loaded one until it was at its limit, and several VMs took it beyond it at once.
-    pub(super) fn best_slots(&self, slots: u32) -> u32 {
-        self.limit.min(slots)
+    /// In proportion to all slots, an endpoint with a limit would count as the least loaded one
+    /// until it is at its limit.
+    pub(super) fn load_permille(&self, busy: u32, slots: u32) -> u32 {
+        busy * 1000 / self.limit.min(slots).max(1)
     }
 
     /// Returns whether more than `busy` requests in flight would lower the endpoint's throughput.
@@ -216,7 +235,16 @@
     /// Returns the logarithms of the expected relative times: while the endpoint isn't nearly
     /// full, and while it is.
     pub(super) fn ln_times(&self, now: Time) -> [f64; 2] {
-        let (below, full) = (self.below.confidence(now), self.nearly_full.confidence(now));
+        self.ln_times_with(self.below.confidence(now), self.nearly_full.confidence(now))
+    }
+
+    /// Returns the same at the times of the last answers.
+    fn ln_times_without_decay(&self) -> [f64; 2] {
+        let confidence = |mean: &LnMean| mean.confidence(mean.at);
+        self.ln_times_with(confidence(&self.below), confidence(&self.nearly_full))
+    }
+
+    fn ln_times_with(&self, below: f64, full: f64) -> [f64; 2] {
         let (below_mean, full_mean) = (below * self.below.mean(), full * self.nearly_full.mean());
         [below_mean + (1.0 - below) * full_mean, full_mean + (1.0 - full) * below_mean]
     }
