--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod retry_budget;
 mod snapshot;
+mod speed;
 mod state;
 mod status;
 mod subscribers;
@@ -33,6 +34,7 @@
         ClassSummary, DeferralCounts, PeerQueues, QueueHead, QueueSummary, SlotDecision,
     },
     snapshot::{ShardSnapshot, SnapshotEstimate},
+    speed::{DispatchConditions, SnapshotSpeed},
     subscribers::Subscribers,
     updates::{AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardUpdate},
 };
@@ -412,6 +414,7 @@
     /// this call, and after a long pause the limits are halved as after a takeover.
     pub fn on_pause(&mut self, now: Time, gap: Duration) -> Vec<ShardAction> {
         self.health.on_pause(now, gap);
+        self.pool.on_pause(now);
         self.hedge_times.clear();
         self.fleet_queue.on_pause(now);
         self.refuse_expired(now);
@@ -461,6 +464,7 @@
         self.probe_path = service.probe_path.clone();
         self.is_shared = service.is_shared();
         self.fleet_queue.set_enabled(service.contention.fleet_queue);
+        self.pool.set_endpoint_speed(self.is_shared && service.contention.endpoint_speed);
         self.retry_budget.configure(now, config, service);
         self.held_retries.configure(service);
         self.takeover_grace = Duration::from_millis(service.timeout_ms).min(MAX_TAKEOVER_GRACE);
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -329,6 +329,7 @@
                 is_abandoned: false,
                 class,
                 unreported: None,
+                conditions: self.pool.dispatch_conditions(&pick.name, pending.request.idempotent),
             },
         );
         self.pending_actions.push(ShardAction::Dispatch(Dispatch {
@@ -450,6 +451,7 @@
             is_abandoned: false,
             class: Class::Batch,
             unreported: None,
+            conditions: None,
         };
         self.attempts.insert(attempt, probe);
     }
