--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -4,13 +4,17 @@
 mod completion;
 mod dispatch;
 mod failure_rate;
+mod fleet_queue;
 mod hand_over;
+mod held_retries;
 mod notices;
+mod peer_queues;
 mod pool;
 mod rate_limits;
 mod relay;
 mod retry_budget;
 mod snapshot;
+mod speed;
 mod state;
 mod status;
 mod subscribers;
@@ -23,13 +27,21 @@
 pub use self::{
     action::{Dispatch, SelectionDetails, SelectionReason, ShardAction},
     failure_rate::RequestCounts,
+    fleet_queue::FleetQueueStatus,
     hand_over::ShardHandOver,
+    held_retries::HeldRetryCounts,
+    peer_queues::{
+        ClassSummary, DeferralCounts, PeerQueues, QueueHead, QueueSummary, SlotDecision,
+    },
     snapshot::{ShardSnapshot, SnapshotEstimate},
+    speed::{DispatchConditions, SnapshotSpeed},
     subscribers::Subscribers,
     updates::{AttemptResult, EndedAttempt, EndpointKey, EndpointUpdate, ShardUpdate},
 };
 use self::{
     failure_rate::ServiceFailureRate,
+    fleet_queue::FleetQueue,
+    held_retries::HeldRetries,
     pool::Pool,
     retry_budget::ShardRetryBudget,
     state::{AttemptState, PendingRequest, Phase},
@@ -40,7 +52,7 @@
     endpoint::Endpoint,
     endpoint_notice::EndpointNotices,
     feature_flags::FeatureFlags,
-    health::{AttemptKind, Health, HealthSettings, PathAnswer},
+    health::{Health, HealthSettings, PathAnswer},
     idempotency::{KeySettings, KeyTable, StoredAnswer},
     name::Name,
     ownership::{ShardId, shard_count, shard_endpoints},
@@ -55,8 +67,6 @@
 /// Length of a pause of this process after which another VM may have taken the shard over and
 /// handed it back.
 const MIN_TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
-/// Time after its time limit at which a health check whose outcome was never reported is dropped.
-const LOST_PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Share of the endpoints' slots that this VM may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,6 +139,7 @@
     pool: Pool,
     health: Health,
     queue: AdmissionQueue,
+    fleet_queue: FleetQueue,
     queue_limit: usize,
     probe_path: Name,
     takeover_grace: Duration,
@@ -144,6 +155,7 @@
     relays: FxHashMap<Name, Vec<Name>>,
     keys: KeyTable,
     retry_budget: ShardRetryBudget,
+    held_retries: HeldRetries,
     latency: RecentLatency,
     slot_time: SlotTimeAverage,
     next_attempt: u64,
@@ -189,6 +201,7 @@
             pool,
             health,
             queue: AdmissionQueue::default(),
+            fleet_queue: FleetQueue::new(settings.seed ^ now.as_micros()),
             queue_limit: 0,
             probe_path: Name::from(DEFAULT_PROBE_PATH),
             takeover_grace: MAX_TAKEOVER_GRACE,
@@ -200,6 +213,7 @@
             relays: FxHashMap::default(),
             keys: KeyTable::new(KeySettings::default()),
             retry_budget,
+            held_retries: HeldRetries::default(),
             latency: RecentLatency::default(),
             slot_time: SlotTimeAverage::default(),
             next_attempt: 1,
@@ -400,7 +414,9 @@
     /// this call, and after a long pause the limits are halved as after a takeover.
     pub fn on_pause(&mut self, now: Time, gap: Duration) -> Vec<ShardAction> {
         self.health.on_pause(now, gap);
+        self.pool.on_pause(now);
         self.hedge_times.clear();
+        self.fleet_queue.on_pause(now);
         self.refuse_expired(now);
         if gap >= MIN_TAKEOVER_PAUSE {
             self.pool.halve_limits_until(now + self.takeover_grace);
@@ -409,14 +425,6 @@
         std::mem::take(&mut self.pending_actions)
     }
 
-    /// Returns the expected queueing time of a new request.
-    pub fn queue_wait(&self, now: Time) -> Duration {
-        if self.queue.is_empty() && self.pool.has_free_slot(now) {
-            return Duration::ZERO;
-        }
-        self.drain_time(now, self.queue.len() as f64 + 1.0)
-    }
-
     /// Returns whether other VMs dispatch to the endpoints as well.
     pub fn is_shared(&self) -> bool {
         self.is_shared
@@ -439,6 +447,7 @@
         let waiters = self.keys.on_tick(now);
         self.refuse_waiters(now, waiters);
         self.refuse_expired(now);
+        self.send_held(now);
         self.dispatch_queue(now);
         self.dispatch_hedges(now);
         self.abandon_due(now);
@@ -454,7 +463,10 @@
         self.queue_limit = service.queue_limit.div_ceil(shard_count(service)) as usize;
         self.probe_path = service.probe_path.clone();
         self.is_shared = service.is_shared();
+        self.fleet_queue.set_enabled(service.contention.fleet_queue);
+        self.pool.set_endpoint_speed(self.is_shared && service.contention.endpoint_speed);
         self.retry_budget.configure(now, config, service);
+        self.held_retries.configure(service);
         self.takeover_grace = Duration::from_millis(service.timeout_ms).min(MAX_TAKEOVER_GRACE);
         let weights = config
             .customers
@@ -467,20 +479,6 @@
             .collect();
         self.queue.set_weights(weights);
     }
-
-    /// Releases the slots of health checks whose outcome was never reported.
-    fn remove_lost_probes(&mut self, now: Time) {
-        let lost: Vec<AttemptId> = self
-            .attempts
-            .iter()
-            .filter(|(_, state)| state.kind == AttemptKind::Probe)
-            .filter(|(_, state)| now >= state.time_limit + LOST_PROBE_TIMEOUT)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        for attempt in lost {
-            self.end_attempt(now, attempt, true);
-        }
-    }
 }
 
 fn endpoints<'a>(service: &'a Service, id: &ShardId) -> Vec<&'a Endpoint> {
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -5,7 +5,7 @@
     name::Name,
     refusal::Execution,
     request::{AttemptId, Class, Request, RequestId},
-    shard::AttemptResult,
+    shard::{AttemptResult, DispatchConditions},
     time::Time,
 };
 
@@ -23,6 +23,8 @@
     AwaitingOriginal,
     /// At least one attempt is in flight.
     Running,
+    /// Endpoints refused it; it waits until it may be sent again.
+    Held,
 }
 
 /// A request without a final answer.
@@ -47,6 +49,10 @@
     pub(super) owns_key: bool,
     /// Whether its first attempt may explore an endpoint with an elevated risk.
     pub(super) explores: bool,
+    /// Number of endpoints that refused it, as far as retries of it are held.
+    pub(super) refusals: u32,
+    /// Maximum number of attempts, including those that got no connection.
+    pub(super) max_dispatches: usize,
 }
 
 /// Fraction of its time after which a request whose caller leaves counts as failed. Callers that
@@ -74,6 +80,8 @@
             failure_status_retried: false,
             owns_key: false,
             explores: false,
+            refusals: 0,
+            max_dispatches: MAX_DISPATCHES,
         }
     }
 
@@ -82,7 +90,7 @@
     /// Attempts that certainly did not run don't count towards the request's maximum, but the
     /// total is bounded so that a request that is refused everywhere ends.
     pub(super) fn can_be_dispatched(&self) -> bool {
-        self.possible_runs < self.request.max_attempts && self.tried.len() < MAX_DISPATCHES
+        self.possible_runs < self.request.max_attempts && self.tried.len() < self.max_dispatches
     }
 
     /// Returns whether it may have run, either by an attempt or by the original request with its
@@ -124,4 +132,6 @@
     pub(super) class: Class,
     /// Its result and the time of it, until the other VMs are informed.
     pub(super) unreported: Option<(AttemptResult, Time)>,
+    /// Conditions at its dispatch; none for health checks.
+    pub(super) conditions: Option<DispatchConditions>,
 }
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -8,7 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RequestCounts, Shard, ShardAction, state::AttemptState};
+use super::{
+    DispatchConditions, QueueSummary, RequestCounts, Shard, ShardAction, state::AttemptState,
+};
 use crate::{
     hash,
     name::Name,
@@ -50,6 +52,8 @@
     pub sent: CumulativeCounts,
     /// Endpoints whose state has changed.
     pub endpoints: Vec<EndpointUpdate>,
+    /// What the sender has queued, if the service has a queue over the fleet.
+    pub queue: Option<QueueSummary>,
 }
 
 /// An update on one endpoint.
@@ -78,6 +82,8 @@
     pub latency_us: u64,
     /// Time since then.
     pub age_us: u64,
+    /// Conditions at the dispatch, if the time is evidence about the endpoint's speed.
+    pub conditions: Option<DispatchConditions>,
 }
 
 /// Unreported change of an endpoint: the end of an attempt there and its time, if one has ended.
@@ -132,6 +138,7 @@
             return Vec::new();
         }
         self.failure_rate.on_peer_counts(update.request_counts);
+        self.fleet_queue.on_summary(now, from, update.queue);
         if let Some(budget) = self.retry_budget.fleet() {
             budget.on_peer_counts(now, from, update.sent);
         }
@@ -162,6 +169,7 @@
         self.on_health_actions(now, actions);
         if !ended.result.is_failure() {
             self.latency.record(Duration::from_micros(ended.latency_us));
+            self.pool.on_peer_answer(now, endpoint, ended);
         }
     }
 
@@ -192,7 +200,8 @@
             return;
         }
         let latency_us = ended_at.since(state.dispatched_at).as_micros() as u64;
-        let ended = EndedAttempt { class: state.class, result, latency_us, age_us: 0 };
+        let conditions = self.pool.speed_conditions(state);
+        let ended = EndedAttempt { class: state.class, result, latency_us, age_us: 0, conditions };
         self.ended_attempts.push((state.endpoint.clone(), ended, ended_at));
     }
 
@@ -212,6 +221,7 @@
         }
         let sent = self.retry_budget.fleet().map(|budget| budget.total()).unwrap_or_default();
         for part in changes.chunks(MAX_ENDPOINTS_PER_UPDATE) {
+            let queue = self.take_queue_summary(now);
             let endpoint = |(name, ended): &EndpointChange| EndpointUpdate {
                 endpoint: EndpointKey::of(name),
                 in_flight: self.pool.in_flight_at(name),
@@ -229,7 +239,9 @@
                 request_counts,
                 sent,
                 endpoints,
+                queue,
             }));
         }
+        self.broadcast_queue_summary(now);
     }
 }
