--- a/crates/pistachiotrack-core/src/shard/pool/speed.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/speed.rs
@@ -46,13 +46,14 @@
         self.speeds.resumed_at = now;
     }
 
-    /// Returns the conditions of an attempt that is about to be dispatched.
+    /// Returns the conditions of an attempt that is about to be dispatched, if speeds are estimated.
+    /// Otherwise they would only add to the size of updates.
     pub(in crate::shard) fn dispatch_conditions(
         &self,
         name: &str,
         idempotent: bool,
     ) -> Option<DispatchConditions> {
-        let entry = self.endpoints.get(name)?;
+        let entry = self.endpoints.get(name).filter(|_| self.speeds.is_enabled)?;
         let nearly_full = is_nearly_full(entry.busy() + 1, entry.endpoint.slots);
         Some(DispatchConditions { idempotent, nearly_full })
     }
