A VM checks its paths to endpoints at most once a second

Cause: what a check tries counts as failed connections too, twice where it is refused. A connection that opens ends the check, and the refused ones of the same check start the next one at once, again and again while many endpoints refuse.

Change: a check starts at least a second after the start of the last one.

--- a/crates/pistachiotrack-core/src/reachability.rs
+++ b/crates/pistachiotrack-core/src/reachability.rs
@@ -31,6 +31,10 @@
 /// Time after which a check without a result ends; it allows for two connections that hang, one
 /// after the other.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Minimum time between the starts of two checks. While some endpoints refuse connections, those
+/// that a check itself tries would otherwise start the next one as soon as another endpoint has
+/// ended it, again and again.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which a VM that reaches no endpoint tries some again.
 const TRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of endpoints that it tries each time.
@@ -131,6 +135,8 @@
     /// Number of failed connections since then.
     failures: u32,
     check: Option<Check>,
+    /// Time before which no other check starts.
+    next_check_at: Time,
     next_try_at: Time,
     successes: u32,
     /// Number of recent partitions.
@@ -148,6 +154,7 @@
             failed: BTreeMap::new(),
             failures: 0,
             check: None,
+            next_check_at: now,
             next_try_at: now,
             successes: 0,
             partitions: 0,
@@ -200,7 +207,7 @@
             let is_cut_off = self.failures >= FAILURES_ON_RETURN;
             return if is_cut_off { self.cut_off(now) } else { Vec::new() };
         }
-        if self.failures < FAILURES_TO_CHECK {
+        if self.failures < FAILURES_TO_CHECK || now < self.next_check_at {
             return Vec::new();
         }
         if self.check.as_ref().is_some_and(|check| !check.is_overdue(now)) {
@@ -273,6 +280,7 @@
     }
 
     fn start_check(&mut self, now: Time) -> Vec<ReachAction> {
+        self.next_check_at = now + CHECK_INTERVAL;
         let tried = self.sample(CHECKED_ENDPOINTS);
         let mut failed: Vec<(Time, SocketAddr)> =
             self.failed.iter().map(|(address, at)| (*at, *address)).collect();
--- a/crates/pistachiotrack-core/tests/reachability.rs
+++ b/crates/pistachiotrack-core/tests/reachability.rs
@@ -1,6 +1,6 @@
 //! Detection that a VM reaches no endpoint.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
 use pistachiotrack_core::{
     reachability::{EndpointReach, ReachAction, Reachability},
@@ -244,3 +244,54 @@
     vm.reachability.on_pause();
     assert_eq!(vm.reachability.on_connect_failed(START, endpoint(2)), []);
 }
+
+/// Most endpoints refuse this VM's connections. What a check tries is refused too, and must not start
+/// the next check as soon as a connection to another endpoint has ended it: each VM opened hundreds
+/// of connections a second.
+#[test]
+fn refused_connections_of_a_check_do_not_start_the_next_one() {
+    const DELAY: Duration = Duration::from_millis(1);
+    const TIME: Duration = Duration::from_secs(10);
+    let mut reachability = Reachability::new(START, 7);
+    reachability.set_endpoints((0..ENDPOINTS).map(endpoint).collect());
+    let is_open = |address: &SocketAddr| address.port() % 4 == 0;
+    let mut results = VecDeque::new();
+    let mut answers = 0;
+    let mut tried = 0;
+    let mut now = START;
+    let mut next = 0;
+    while now < START + TIME {
+        now += DELAY;
+        let mut actions = Vec::new();
+        for _ in 0..std::mem::take(&mut answers) {
+            actions.extend(reachability.on_vms_answered(true));
+        }
+        for (address, is_try) in std::mem::take(&mut results) {
+            // A refusal is reported by the connection and by the one who tried.
+            actions.extend(match is_open(&address) {
+                true => reachability.on_connected(now),
+                false => reachability.on_connect_failed(now, address),
+            });
+            if is_try {
+                actions.extend(reachability.on_tried(now, address, is_open(&address)));
+            }
+        }
+        if now.as_millis() % 50 == 0 {
+            results.push_back((endpoint(next % ENDPOINTS), false));
+            next += 1;
+            actions.extend(reachability.on_tick(now));
+        }
+        for action in actions {
+            match action {
+                ReachAction::TryEndpoints(addresses) => {
+                    tried += addresses.len();
+                    results.extend(addresses.into_iter().map(|address| (address, true)));
+                }
+                ReachAction::AskVms(addresses) => answers += addresses.len(),
+                ReachAction::Changed(_) => {}
+            }
+        }
+        // Eight endpoints for each check and five again once other VMs reach them; one check a second.
+        assert!(tried <= (8 + 5) * 10, "{tried} connections in {:?}", now.since(START));
+    }
+}
