--- a/crates/pistachiotrack-core/tests/reachability.rs
+++ b/crates/pistachiotrack-core/tests/reachability.rs
@@ -254,7 +254,7 @@
     const TIME: Duration = Duration::from_secs(10);
     let mut reachability = Reachability::new(START, 7);
     reachability.set_endpoints((0..ENDPOINTS).map(endpoint).collect());
-    let is_open = |address: &SocketAddr| address.port() % 4 == 0;
+    let is_open = |address: &SocketAddr| address.port().is_multiple_of(4);
     let mut results = VecDeque::new();
     let mut answers = 0;
     let mut tried = 0;
@@ -276,7 +276,7 @@
                 actions.extend(reachability.on_tried(now, address, is_open(&address)));
             }
         }
-        if now.as_millis() % 50 == 0 {
+        if now.as_millis().is_multiple_of(50) {
             results.push_back((endpoint(next % ENDPOINTS), false));
             next += 1;
             actions.extend(reachability.on_tick(now));
