--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -463,7 +463,7 @@
         self.queue_limit = service.queue_limit.div_ceil(shard_count(service)) as usize;
         self.probe_path = service.probe_path.clone();
         self.is_shared = service.is_shared();
-        self.fleet_queue.set_enabled(service.contention.fleet_queue);
+        self.fleet_queue.set_enabled(self.is_shared && service.contention.fleet_queue);
         self.pool.set_endpoint_speed(self.is_shared && service.contention.endpoint_speed);
         self.retry_budget.configure(now, config, service);
         self.held_retries.configure(service);
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -223,7 +223,6 @@
             idempotent: pending.request.idempotent,
             allow_trial,
             allow_trial_by_any: self.has_no_idempotent_requests(now),
-
             explores,
             tried: &pending.tried,
             max_risk: self.max_risk(now, pending),
--- a/crates/pistachiotrack-core/src/shard/fleet_queue.rs
+++ b/crates/pistachiotrack-core/src/shard/fleet_queue.rs
@@ -132,8 +132,7 @@
 
     /// Returns what is queued over all dispatchers, if the service has a queue over the fleet.
     pub fn fleet_queue_status(&self, now: Time) -> Option<FleetQueueStatus> {
-        let is_enabled = self.is_shared && self.fleet_queue.is_enabled;
-        is_enabled.then(|| FleetQueueStatus {
+        self.fleet_queue.is_enabled.then(|| FleetQueueStatus {
             queued: self.queue.len() as u64,
             queued_at_peers: self.fleet_queue.queued_at_peers(now, Class::Batch),
             deferrals: self.fleet_queue.peers.counts(),
@@ -145,7 +144,7 @@
     ///
     /// Where peers' queues are counted, so are the slots that peers use.
     pub(super) fn draining_capacity(&self) -> (u32, u32) {
-        if self.is_shared && self.fleet_queue.is_enabled {
+        if self.fleet_queue.is_enabled {
             (self.pool.fleet_capacity(), 1)
         } else {
             (self.pool.capacity(), self.dispatchers)
@@ -176,7 +175,7 @@
             return Duration::ZERO;
         }
         let ahead = self.queue.requests_ahead(customer, class);
-        if !self.is_shared || !self.fleet_queue.is_enabled {
+        if !self.fleet_queue.is_enabled {
             return self.drain_time(now, ahead);
         }
         let same_class = self.fleet_queue.by_class[class as usize].len() as f64;
@@ -204,7 +203,7 @@
         class: Class,
         time: Duration,
     ) -> Duration {
-        if !self.is_shared || !self.fleet_queue.is_enabled {
+        if !self.fleet_queue.is_enabled {
             return reserve;
         }
         let of_dispatch = time_left.saturating_sub(time);
@@ -214,7 +213,7 @@
 
     /// Returns whether the free slots are left to peers whose requests precede this VM's next one.
     pub(super) fn defers_to_peers(&mut self, now: Time, id: RequestId) -> bool {
-        if !self.is_shared || !self.fleet_queue.is_enabled {
+        if !self.fleet_queue.is_enabled {
             return false;
         }
         let Some(pending) = self.pending.get(&id) else { return false };
--- a/crates/pistachiotrack-core/src/shard/held_retries.rs
+++ b/crates/pistachiotrack-core/src/shard/held_retries.rs
@@ -1,7 +1,7 @@
 //! Held retries: requests that endpoints refused and that wait until they may be sent again.
 //!
 //! Failure guarded against: all endpoints of a service refuse half of the requests for some
-//! seconds, the retry limit is used up within two of them, and requests are refused although the
+//! seconds, the retry limit is used up in the first two, and requests are refused although the
 //! limit has room again long before their time is over.
 
 use std::{
--- a/crates/pistachiotrack-core/src/shard/speed.rs
+++ b/crates/pistachiotrack-core/src/shard/speed.rs
@@ -37,8 +37,8 @@
 /// with fewer requests would not be observed any more.
 const STALE_CONFIDENCE: f64 = 0.25;
 /// Number of requests in flight up to which the decay of an estimate counts in a selection. A slow
-/// endpoint that has got nothing for some time is tried with so many requests. It got as many as
-/// it has slots before, until the first of them was answered.
+/// endpoint that has got nothing for some time is tried with so many requests. Without a bound it
+/// would get as many as it has slots before the first of them is answered.
 const DECAYED_REQUESTS: u32 = 1;
 /// Number of answers over which the usual time of a kind of request averages.
 const USUAL_TIME_ANSWERS: f64 = 200.0;
--- a/crates/pistachiotrack-core/tests/reachability.rs
+++ b/crates/pistachiotrack-core/tests/reachability.rs
@@ -246,7 +246,7 @@
 }
 
 /// Most endpoints refuse this VM's connections. What a check tries is refused too, and must not start
-/// the next check as soon as a connection to another endpoint has ended it: each VM opened hundreds
+/// the next check as soon as a connection to another endpoint has ended it, or the VM opens hundreds
 /// of connections a second.
 #[test]
 fn refused_connections_of_a_check_do_not_start_the_next_one() {
--- a/crates/pistachiotrackd/tests/module_order.rs
+++ b/crates/pistachiotrackd/tests/module_order.rs
@@ -17,8 +17,8 @@
 /// Modules that each module imports.
 type Imports = BTreeMap<String, BTreeSet<String>>;
 
-/// Guards against a new import that makes a lower module depend on a higher one. Such imports grew
-/// into a circle of 22 modules, none of which could be used without the others.
+/// Guards against a new import that makes a lower module depend on a higher one, so that neither can
+/// be used without the other.
 #[test]
 fn modules_form_no_circles() {
     let imports = imports_of(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"));
