Retries: each dispatcher has rights of its own and hands them over

Cause: a dispatcher computed what is left to all from what the others had reported, and supposed that nobody takes the same at that moment. Each cut, each new dispatcher and each late report is a way in which both do.

Change: a VM may use what its own requests have earned and, as one of most of the expected dispatchers for a whole window, its part of the slack. One that needs more asks others, which take from their own before they answer. Earned is a fifth of the fewest requests of any window that ended within the last one, so that in any window all retries are earned by the requests of the window before it, wherever callers go.

Held retries' faults have six times the slack for one of six dispatchers; after a pause of over a window the held request is sent a window later, as others may have used this VM's part.

--- a/crates/pistachiotrack-core/src/feature_flags.rs
+++ b/crates/pistachiotrack-core/src/feature_flags.rs
@@ -33,9 +33,8 @@
     /// Prefers endpoints in this VM's data centre.
     #[serde(rename = "home_first")]
     pub local_endpoints_first: bool,
-    /// Divides the remaining retries among the VMs that need some.
-    #[serde(rename = "retry_shares")]
-    pub retry_division: bool,
+    /// Asks other VMs for rights to send retries.
+    pub retry_exchange: bool,
     /// Lets requests wait for a requested snapshot.
     #[serde(rename = "picture_wait")]
     pub snapshot_wait: bool,
@@ -60,7 +59,7 @@
             exploration: true,
             new_endpoints_first: true,
             local_endpoints_first: true,
-            retry_division: true,
+            retry_exchange: true,
             snapshot_wait: true,
             adaptive_limits: true,
             ejection: true,
--- a/crates/pistachiotrack-core/src/retry.rs
+++ b/crates/pistachiotrack-core/src/retry.rs
@@ -2,16 +2,17 @@
 
 mod fleet_retry_budget;
 mod forecast;
-mod send_window;
+mod rights;
+mod send_history;
 
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 
 pub use self::{
-    fleet_retry_budget::{CumulativeCounts, FleetRetryBudget, VisibleDispatchers},
+    fleet_retry_budget::{FleetRetryBudget, RightsGrant, RightsRequest, VisibleDispatchers},
     forecast::RetryForecast,
-    send_window::SendCounts,
+    rights::RetryRights,
 };
 use crate::{service::RetryLimit, time::Time};
 
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -417,6 +417,9 @@
         self.pool.on_pause(now);
         self.hedge_times.clear();
         self.fleet_queue.on_pause(now);
+        if let Some(budget) = self.retry_budget.fleet().filter(|_| gap >= MIN_TAKEOVER_PAUSE) {
+            budget.on_pause(now);
+        }
         self.refuse_expired(now);
         if gap >= MIN_TAKEOVER_PAUSE {
             self.pool.halve_limits_until(now + self.takeover_grace);
@@ -451,6 +454,7 @@
         self.dispatch_queue(now);
         self.dispatch_hedges(now);
         self.abandon_due(now);
+        self.request_retry_rights(now);
         self.broadcast_updates(now);
         std::mem::take(&mut self.pending_actions)
     }
--- a/crates/pistachiotrack-core/src/shard/action.rs
+++ b/crates/pistachiotrack-core/src/shard/action.rs
@@ -10,6 +10,7 @@
     rate_limit::RateLimit,
     refusal::RefusalDecision,
     request::{AttemptId, ConnectionChoice, RequestId},
+    retry::RightsRequest,
     shard::ShardUpdate,
     time::Time,
 };
@@ -125,6 +126,13 @@
     },
     /// Sends an update to the other VMs that dispatch for the shard.
     Broadcast(ShardUpdate),
+    /// Asks another VM that dispatches for the shard for rights to send retries.
+    RequestRetryRights {
+        /// The other VM.
+        to: Name,
+        /// The request.
+        request: RightsRequest,
+    },
     /// Another VM reports what an endpoint asks of all VMs; to be recorded for the other shards of
     /// the service and for later.
     Notice {
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -134,8 +134,7 @@
     }
 
     /// Takes a retry from the budget if the failed attempt reached an endpoint, even one that it
-    /// wasn't meant for. A trial is started by the fleet itself and never counts against the
-    /// caller.
+    /// wasn't meant for.
     ///
     /// Requests that another endpoint rejected count as well: when endpoints restart under
     /// other names and the VMs have not been informed yet, a hundred requests in ten seconds can
@@ -149,11 +148,10 @@
         if never_arrived || state.is_abandoned {
             return true;
         }
-        if state.kind == AttemptKind::Trial {
-            self.retry_budget.record_retry(now);
-            return true;
+        match state.kind {
+            AttemptKind::Trial => self.retry_budget.take_after_trial(now),
+            _ => self.retry_budget.take(now),
         }
-        self.retry_budget.take(now)
     }
 
     /// Records what an outcome shows about load and latency.
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -211,14 +211,17 @@
         let may_explore = |pending: &PendingRequest| pending.explores && pending.tried.is_empty();
         let explores = self.pending.get(&id).is_some_and(may_explore)
             && self.retry_budget.has_spare_retries(now);
+        let allows_trial = self.retry_budget.allows_trial(now);
         let pending = self.pending.get(&id)?;
         let time_left = remaining(pending.request.deadline, now);
         let needed = self
             .slot_time
             .value()
             .map_or(DEFAULT_TRIAL_TIME_LEFT, |slot_time| slot_time * TRIAL_SLOT_TIME_FACTOR);
-        let allow_trial =
-            pending.tried.is_empty() && time_left >= needed && self.pool.usable_endpoints(true) > 1;
+        let allow_trial = allows_trial
+            && pending.tried.is_empty()
+            && time_left >= needed
+            && self.pool.usable_endpoints(true) > 1;
         self.pool.pick(PickCriteria {
             idempotent: pending.request.idempotent,
             allow_trial,
--- a/crates/pistachiotrack-core/src/shard/fleet_queue.rs
+++ b/crates/pistachiotrack-core/src/shard/fleet_queue.rs
@@ -270,11 +270,11 @@
             return;
         }
         let queue = self.take_queue_summary(now);
-        let sent = self.retry_budget.fleet().map(|budget| budget.total()).unwrap_or_default();
+        let spare_retries = self.spare_retries(now);
         self.pending_actions.push(ShardAction::Broadcast(ShardUpdate {
             shard: self.id.clone(),
             request_counts: self.failure_rate.take_unreported(),
-            sent,
+            spare_retries,
             endpoints: Vec::new(),
             queue,
         }));
--- a/crates/pistachiotrack-core/src/shard/held_retries.rs
+++ b/crates/pistachiotrack-core/src/shard/held_retries.rs
@@ -83,6 +83,10 @@
         self.held.is_empty()
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.held.len()
+    }
+
     /// Removes a request.
     pub(super) fn remove(&mut self, pending: &PendingRequest) {
         let key = key(pending);
@@ -163,11 +167,7 @@
         self.refuse_closed(now);
         self.held_retries.end_backoffs(now);
         while let Some((.., id)) = self.held_retries.ready.first().copied() {
-            let has_retry = match self.held_retries.ready.len() {
-                1 => self.retry_budget.take_for_held(now),
-                _ => self.retry_budget.take_for_backlog(now),
-            };
-            if !has_retry {
+            if !self.retry_budget.take_for_held(now) {
                 break;
             }
             if let Some(pending) = self.pending.get(&id) {
--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -1,10 +1,13 @@
 //! Retry budget of a shard.
 
-use super::{Shard, ShardSettings};
+use super::{Shard, ShardAction, ShardSettings};
 use crate::{
     config::Config,
     hash,
-    retry::{BudgetSettings, FleetRetryBudget, RetryBudget, RetryForecast, VisibleDispatchers},
+    retry::{
+        BudgetSettings, FleetRetryBudget, RetryBudget, RetryForecast, RetryRights, RightsGrant,
+        RightsRequest, VisibleDispatchers,
+    },
     service::Service,
     time::Time,
 };
@@ -28,13 +31,12 @@
             ShardRetryBudget::Owner(RetryBudget::new(now, BudgetSettings::default()));
         let Some(service) = config.service(name) else { return retry_budget };
         if let (true, Some(limit)) = (service.is_shared(), service.retry_limit) {
-            // A shard that this process starts again needs a new counter, so the id differs at
-            // each start.
+            // An answer to an earlier start of this shard must not be taken for one to this start.
             let start_seed = settings.seed ^ now.as_micros();
-            let count_id = hash::fnv(&start_seed.to_le_bytes()) as u32;
+            let first_request_id = hash::fnv(&start_seed.to_le_bytes()) as u32;
             let expected = expected_dispatchers(config, service);
-            let mut budget = FleetRetryBudget::new(now, limit, expected, count_id);
-            budget.set_divides_remaining(settings.feature_flags.retry_division);
+            let mut budget = FleetRetryBudget::new(now, limit, expected, first_request_id);
+            budget.set_exchanges_rights(settings.feature_flags.retry_exchange);
             retry_budget = ShardRetryBudget::Fleet(Box::new(budget));
         }
         retry_budget.configure(now, config, service);
@@ -67,10 +69,20 @@
         }
     }
 
-    /// Records a retry that is sent regardless of the limit.
-    pub(super) fn record_retry(&mut self, now: Time) {
-        if let ShardRetryBudget::Fleet(budget) = self {
-            budget.record_retry(now);
+    /// Takes a retry after a failed trial and returns whether there was one. An owner's limit has
+    /// room for it.
+    pub(super) fn take_after_trial(&mut self, now: Time) -> bool {
+        match self {
+            ShardRetryBudget::Owner(_) => true,
+            ShardRetryBudget::Fleet(budget) => budget.take(now),
+        }
+    }
+
+    /// Returns whether a trial may be started: if it fails, its request needs a retry.
+    pub(super) fn allows_trial(&mut self, now: Time) -> bool {
+        match self {
+            ShardRetryBudget::Owner(_) => true,
+            ShardRetryBudget::Fleet(budget) => budget.has_retry(now),
         }
     }
 
@@ -82,7 +94,7 @@
         }
     }
 
-    /// Takes one retry for a request that can wait for it and returns whether there was one.
+    /// Takes one retry for a held request and returns whether there was one.
     pub(super) fn take_for_held(&mut self, now: Time) -> bool {
         match self {
             ShardRetryBudget::Owner(budget) => budget.take(now),
@@ -90,15 +102,6 @@
         }
     }
 
-    /// Takes one retry for one of several requests that wait for it and returns whether there was
-    /// one.
-    pub(super) fn take_for_backlog(&mut self, now: Time) -> bool {
-        match self {
-            ShardRetryBudget::Owner(budget) => budget.take(now),
-            ShardRetryBudget::Fleet(budget) => budget.take_for_backlog(now),
-        }
-    }
-
     /// Returns when retries will be available.
     pub(super) fn forecast(&mut self, now: Time) -> RetryForecast {
         match self {
@@ -144,6 +147,33 @@
         self.pool.set_rate_share(share);
         self.retry_budget.fleet().is_some_and(|budget| budget.set_visible_dispatchers(now, visible))
     }
+
+    /// Answers another VM that has asked for rights to send retries.
+    pub fn on_rights_request(&mut self, now: Time, request: RightsRequest) -> Option<RightsGrant> {
+        Some(self.retry_budget.fleet()?.on_rights_request(now, request))
+    }
+
+    /// Applies the rights that another VM has given.
+    pub fn on_rights_grant(&mut self, now: Time, grant: RightsGrant) -> Vec<ShardAction> {
+        if let Some(budget) = self.retry_budget.fleet() {
+            budget.on_rights_grant(now, grant);
+        }
+        self.advance(now)
+    }
+
+    /// Returns the rights to send retries that this VM would give to others.
+    pub(super) fn spare_retries(&mut self, now: Time) -> RetryRights {
+        self.retry_budget.fleet().map(|budget| budget.spare(now)).unwrap_or_default()
+    }
+
+    /// Asks other VMs for rights to send retries if this one will need more than it has.
+    pub(super) fn request_retry_rights(&mut self, now: Time) {
+        let held = self.held_retries.len();
+        let Some(budget) = self.retry_budget.fleet() else { return };
+        let requests = budget.rights_requests(now, held);
+        let action = |(to, request)| ShardAction::RequestRetryRights { to, request };
+        self.pending_actions.extend(requests.into_iter().map(action));
+    }
 }
 
 fn expected_dispatchers(config: &Config, service: &Service) -> u32 {
--- a/crates/pistachiotrack-core/src/shard/snapshot.rs
+++ b/crates/pistachiotrack-core/src/shard/snapshot.rs
@@ -10,7 +10,6 @@
     name::Name,
     ownership::ShardId,
     rate_limit::RateUpdate,
-    retry::SendCounts,
     time::Time,
 };
 
@@ -32,9 +31,6 @@
     pub shard: ShardId,
     /// Estimates of the endpoints that the VM has observed.
     pub estimates: Vec<SnapshotEstimate>,
-    /// What all dispatchers have sent in the last window of the retry limit, newest first; empty
-    /// if the sender has no such record.
-    pub sent: Vec<SendCounts>,
     /// Endpoints that announce a rate limit.
     pub rate_limits: Vec<(EndpointKey, RateUpdate)>,
     /// Endpoints that have said that they are leaving.
@@ -57,13 +53,7 @@
 impl ShardSnapshot {
     /// Creates a snapshot without any observations.
     pub fn empty(shard: ShardId) -> ShardSnapshot {
-        ShardSnapshot {
-            shard,
-            estimates: Vec::new(),
-            sent: Vec::new(),
-            rate_limits: Vec::new(),
-            leaving: Vec::new(),
-        }
+        ShardSnapshot { shard, estimates: Vec::new(), rate_limits: Vec::new(), leaving: Vec::new() }
     }
 
     /// Splits the snapshot into parts that fit into a datagram each; there is at least one, since
@@ -72,7 +62,7 @@
     /// Endpoints go by a key of fixed length. Their names grow with what the registry appends to
     /// them, and a part that is too long for a datagram is dropped by its receiver.
     pub fn into_parts(self) -> Vec<ShardSnapshot> {
-        let ShardSnapshot { shard, estimates, sent, rate_limits, leaving } = self;
+        let ShardSnapshot { shard, estimates, rate_limits, leaving } = self;
         let empty = || ShardSnapshot::empty(shard.clone());
         let mut parts: Vec<ShardSnapshot> = estimates
             .chunks(ESTIMATES_PER_PART)
@@ -81,7 +71,6 @@
         if parts.is_empty() {
             parts.push(empty());
         }
-        parts[0].sent = sent;
         let rate_limits = rate_limits.chunks(RATE_LIMITS_PER_PART);
         parts.extend(
             rate_limits.map(|part| ShardSnapshot { rate_limits: part.to_vec(), ..empty() }),
@@ -95,7 +84,6 @@
 impl Shard {
     /// Returns a snapshot of this VM's view of the endpoints.
     pub fn snapshot(&mut self, now: Time) -> ShardSnapshot {
-        let sent = self.retry_budget.fleet().map(|budget| budget.history(now)).unwrap_or_default();
         let keyed = |estimate: EndpointEstimate| SnapshotEstimate {
             endpoint: EndpointKey::of(&estimate.endpoint),
             last_observation: estimate.last_observation,
@@ -105,7 +93,7 @@
         let estimates = self.health.estimates(now).into_iter().map(keyed).collect();
         let rate_limits = self.pool.rate_limits(now);
         let leaving = self.pool.said_leaving(now).map(|name| EndpointKey::of(name)).collect();
-        ShardSnapshot { shard: self.id.clone(), estimates, sent, rate_limits, leaving }
+        ShardSnapshot { shard: self.id.clone(), estimates, rate_limits, leaving }
     }
 
     /// Records that a snapshot was requested from other VMs. Requests wait until one arrives, or
@@ -146,9 +134,6 @@
         }
         let actions = self.health.on_estimates(now, &estimates);
         self.on_health_actions(now, actions);
-        if let Some(budget) = self.retry_budget.fleet() {
-            budget.on_history(now, &snapshot.sent);
-        }
         self.on_snapshot_rate_limits(now, &snapshot.rate_limits);
         self.on_snapshot_leaving(now, &snapshot.leaving);
         self.pool.refresh(now, &self.health);
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -17,7 +17,7 @@
     ownership::ShardId,
     rate_limit::RateUpdate,
     request::{AttemptId, Class, FIRST_FAILURE_STATUS},
-    retry::CumulativeCounts,
+    retry::RetryRights,
     time::Time,
 };
 
@@ -48,8 +48,8 @@
     pub shard: ShardId,
     /// The sender's requests that have completed since its last update.
     pub request_counts: RequestCounts,
-    /// Totals of what the sender has sent as a dispatcher.
-    pub sent: CumulativeCounts,
+    /// Rights to send retries that the sender would give to others.
+    pub spare_retries: RetryRights,
     /// Endpoints whose state has changed.
     pub endpoints: Vec<EndpointUpdate>,
     /// What the sender has queued, if the service has a queue over the fleet.
@@ -140,7 +140,7 @@
         self.failure_rate.on_peer_counts(update.request_counts);
         self.fleet_queue.on_summary(now, from, update.queue);
         if let Some(budget) = self.retry_budget.fleet() {
-            budget.on_peer_counts(now, from, update.sent);
+            budget.on_peer_spare(now, from, update.spare_retries);
         }
         for entry in &update.endpoints {
             if let Some(endpoint) = self.pool.endpoint_by_key(entry.endpoint) {
@@ -219,7 +219,7 @@
                 changes.push((endpoint, None));
             }
         }
-        let sent = self.retry_budget.fleet().map(|budget| budget.total()).unwrap_or_default();
+        let spare_retries = self.spare_retries(now);
         for part in changes.chunks(MAX_ENDPOINTS_PER_UPDATE) {
             let queue = self.take_queue_summary(now);
             let endpoint = |(name, ended): &EndpointChange| EndpointUpdate {
@@ -237,7 +237,7 @@
             self.pending_actions.push(ShardAction::Broadcast(ShardUpdate {
                 shard,
                 request_counts,
-                sent,
+                spare_retries,
                 endpoints,
                 queue,
             }));
--- a/crates/pistachiotrack-core/tests/shard_support/oracle.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/oracle.rs
@@ -72,6 +72,7 @@
                 }
                 ShardAction::CheckPath { endpoint, .. } => self.path_checks.push(endpoint),
                 ShardAction::Broadcast(update) => panic!("an owner broadcast {update:?}"),
+                ShardAction::RequestRetryRights { to, .. } => panic!("an owner asked {to}"),
                 ShardAction::Notice { .. }
                 | ShardAction::RateLimit { .. }
                 | ShardAction::Health(_) => {}
--- a/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/balancer.rs
@@ -124,6 +124,7 @@
         | ShardAction::Probe { .. }
         | ShardAction::CheckPath { .. }
         | ShardAction::Broadcast(_)
+        | ShardAction::RequestRetryRights { .. }
         | ShardAction::Notice { .. }
         | ShardAction::RateLimit { .. }
         | ShardAction::Health(_) => None,
--- a/crates/pistachiotrackd/src/peers/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/peers/shard_update_link.rs
@@ -12,7 +12,7 @@
     message::MAX_DATAGRAM_BYTES,
     name::Name,
     ownership::ShardId,
-    retry::VisibleDispatchers,
+    retry::{RightsGrant, RightsRequest, VisibleDispatchers},
     shard::{ShardSnapshot, ShardUpdate, Subscribers},
     time::Time,
     vm::Vm,
@@ -32,7 +32,7 @@
 /// with other bytes.
 pub(crate) const SHARD_DATAGRAM_TAGS: RangeInclusive<u8> = 0x80..=0x8f;
 /// First byte in this protocol version.
-const SHARD_DATAGRAM_TAG: u8 = 0x84;
+const SHARD_DATAGRAM_TAG: u8 = 0x85;
 /// Minimum interval of log lines about dropped datagrams.
 const DROP_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of dispatchers that a snapshot is requested from.
@@ -56,6 +56,20 @@
     SnapshotRequest(ShardId),
     /// The sender's state of the shard.
     Snapshot(ShardSnapshot),
+    /// Request for rights to send retries.
+    RightsRequest {
+        /// Shard whose retries are limited.
+        shard: ShardId,
+        /// The request.
+        request: RightsRequest,
+    },
+    /// Answer to it.
+    RightsGrant {
+        /// Shard of the request.
+        shard: ShardId,
+        /// Rights that the sender has given.
+        grant: RightsGrant,
+    },
 }
 
 impl ShardMessage {
@@ -65,6 +79,9 @@
             ShardMessage::Update(update) => &update.shard,
             ShardMessage::SnapshotRequest(shard) => shard,
             ShardMessage::Snapshot(snapshot) => &snapshot.shard,
+            ShardMessage::RightsRequest { shard, .. } | ShardMessage::RightsGrant { shard, .. } => {
+                shard
+            }
         }
     }
 
@@ -73,6 +90,9 @@
         match self {
             ShardMessage::Update(_) => Topic::ShardUpdate,
             ShardMessage::SnapshotRequest(_) | ShardMessage::Snapshot(_) => Topic::ShardSnapshot,
+            ShardMessage::RightsRequest { .. } | ShardMessage::RightsGrant { .. } => {
+                Topic::RetryRights
+            }
         }
     }
 }
@@ -154,6 +174,26 @@
         }
     }
 
+    /// Asks another dispatcher for rights to send retries.
+    pub(crate) fn request_rights(&self, shard: &ShardId, to: &Name, request: RightsRequest) {
+        let view = Arc::clone(&self.view.borrow());
+        let dispatchers = view.ownership.dispatchers(&shard.service);
+        let Some(vm) = dispatchers.iter().find(|vm| vm.name == *to) else { return };
+        let content = ShardMessage::RightsRequest { shard: shard.clone(), request };
+        if let Some(bytes) = self.encode(content) {
+            self.send(vm.peer_address, &bytes, Topic::RetryRights, self.locality(vm));
+        }
+    }
+
+    /// Sends rights to the VM at an address that has asked for them.
+    pub(crate) fn send_rights(&self, to: SocketAddr, shard: &ShardId, grant: RightsGrant) {
+        let content = ShardMessage::RightsGrant { shard: shard.clone(), grant };
+        if let Some(bytes) = self.encode(content) {
+            let locality = self.view.borrow().locality(to);
+            self.send(to, &bytes, Topic::RetryRights, locality);
+        }
+    }
+
     fn locality(&self, vm: &Vm) -> Locality {
         Locality::of(&vm.data_centre, &self.me.data_centre)
     }
--- a/crates/pistachiotrackd/src/shards/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shards/shard_actor.rs
@@ -370,6 +370,9 @@
                 });
             }
             ShardAction::Broadcast(update) => self.update_link.broadcast(update),
+            ShardAction::RequestRetryRights { to, request } => {
+                self.update_link.request_rights(&self.id, &to, request);
+            }
             ShardAction::Notice { endpoint, notice } => {
                 self.notices.record(&self.id.service, &endpoint, notice, NoticeSource::Peer);
             }
--- a/crates/pistachiotrackd/src/shards/shard_actor/peers.rs
+++ b/crates/pistachiotrackd/src/shards/shard_actor/peers.rs
@@ -35,6 +35,13 @@
                 self.update_link.send_snapshot(message.address, self.shard.snapshot(now));
                 Vec::new()
             }
+            ShardMessage::RightsRequest { request, .. } => {
+                if let Some(grant) = self.shard.on_rights_request(now, request) {
+                    self.update_link.send_rights(message.address, &self.id, grant);
+                }
+                Vec::new()
+            }
+            ShardMessage::RightsGrant { grant, .. } => self.shard.on_rights_grant(now, grant),
         };
         self.apply(actions);
     }
--- a/crates/pistachiotrackd/src/stats/traffic.rs
+++ b/crates/pistachiotrackd/src/stats/traffic.rs
@@ -13,6 +13,8 @@
     ShardUpdate,
     /// Snapshots of a shard's state, and requests for them.
     ShardSnapshot,
+    /// Rights to send retries, and requests for them.
+    RetryRights,
     /// Updates about requests that crash endpoints.
     Quarantine,
     /// Confirmations that the configuration is the newest one.
@@ -34,10 +36,11 @@
 }
 
 impl Topic {
-    const ALL: [Topic; 12] = [
+    const ALL: [Topic; 13] = [
         Topic::Membership,
         Topic::ShardUpdate,
         Topic::ShardSnapshot,
+        Topic::RetryRights,
         Topic::Quarantine,
         Topic::Lease,
         Topic::CustomerUsage,
@@ -54,6 +57,7 @@
             Topic::Membership => "membership",
             Topic::ShardUpdate => "news",
             Topic::ShardSnapshot => "picture",
+            Topic::RetryRights => "retry_rights",
             Topic::Quarantine => "quarantine",
             Topic::Lease => "lease",
             Topic::CustomerUsage => "customer_usage",
