--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
@@ -130,7 +130,8 @@
         is_available
     }
 
-    /// Takes one retry for a request that waits for it and returns whether there was one.
+    /// Takes one retry for a request that waits for it and returns whether there was one. It is tried
+    /// again and again, so that a refusal doesn't count as another retry that is needed.
     pub fn take_for_held(&mut self, now: Time) -> bool {
         self.has_retry(now) && self.take(now)
     }
--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -417,12 +417,12 @@
         self.pool.on_pause(now);
         self.hedge_times.clear();
         self.fleet_queue.on_pause(now);
-        if let Some(budget) = self.retry_budget.fleet().filter(|_| gap >= MIN_TAKEOVER_PAUSE) {
-            budget.on_pause(now);
-        }
         self.refuse_expired(now);
         if gap >= MIN_TAKEOVER_PAUSE {
             self.pool.halve_limits_until(now + self.takeover_grace);
+            if let Some(budget) = self.retry_budget.fleet() {
+                budget.on_pause(now);
+            }
         }
         self.pool.refresh(now, &self.health);
         std::mem::take(&mut self.pending_actions)
