--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
@@ -37,7 +37,8 @@
 /// Failure guarded against: all VMs together send more retries than the endpoints can handle
 /// (retry storm). It shows as load that grows while fewer requests are answered. The guard
 /// holds because the rights of all VMs together stay within the limit, whatever they know of each
-/// other.
+/// other. The exception is a process in its first two windows, which knows too little of what it and
+/// its predecessor have sent.
 ///
 /// VMs on two sides of a partition may both see themselves as the dispatchers. Only a VM that sees
 /// most of the expected dispatchers therefore has a part of the slack, and only after it has seen
--- a/crates/pistachiotrack-core/src/retry/send_history.rs
+++ b/crates/pistachiotrack-core/src/retry/send_history.rs
@@ -66,8 +66,8 @@
     ///
     /// The retries in a window then are earned by the requests of the window before it. If all
     /// requests of the last window earned rights, VMs would exceed the limit together when callers
-    /// move from one to another, since both have had their requests. Windows before the process
-    /// started don't count, so that it may use at once what it earns.
+    /// move from one to another, since both have had their requests. Windows that began before the
+    /// process started are left out, so that it may use at once what it earns.
     pub(super) fn earning_requests(&mut self, now: Time) -> u64 {
         self.advance(now);
         let known = self.known_steps(now);
