--- a/crates/pistachiotrackd/tests/endpoint_partition.rs
+++ b/crates/pistachiotrackd/tests/endpoint_partition.rs
@@ -9,10 +9,7 @@
 use testenv::{
     BOOKING, SEARCH, client, config,
     endpoint::Endpoint,
-    fleet::{
-        Fleet, Vm, bounded, publish_vm_list, send_periodically, start_dispatchers, wait_until,
-    },
-    platform::Platform,
+    fleet::{Vm, bounded, send_periodically, start_dispatchers, start_with_config, wait_until},
 };
 
 /// Time after which a partition must not be noticeable for callers.
@@ -144,21 +141,10 @@
         let addresses = endpoints.map(|endpoint| endpoint.address);
         let mut config = config(1, &addresses[..1], &addresses[1..]);
         config["services"][1]["dispatchers_per_data_centre"] = json!(2);
-        let platform = Platform::start().await;
-        platform.publish_config(config);
-        let mut vms = Vec::new();
-        for index in 0..3 {
-            vms.push(Vm::start(&format!("vm-{index:02}"), platform.address).await);
-        }
-        let lines: Vec<_> = vms.iter().map(Vm::vm_list_entry).collect();
-        publish_vm_list(&platform, 2, &lines);
-        let fleet = Fleet { platform, vms };
-        for vm in &fleet.vms {
-            client::wait_until_serving(vm.admin).await;
-        }
+        let (_platform, vms) = start_with_config(3, config).await;
         let mut served = Vec::new();
         for number in 0..160 {
-            let vm = &fleet.vms[0];
+            let vm = &vms[0];
             match number {
                 30 | 110 => vm.set_paths_blocked(&endpoints, true),
                 80 => vm.set_paths_blocked(&endpoints, false),
@@ -184,7 +170,7 @@
         assert_eq!(once.len(), ran.len());
         assert!(served.iter().all(|body| once.contains(body)));
         assert!(served.len() > 120, "{} of 160 bookings were served", served.len());
-        assert!(fleet.vms[0].counter("handed_over").await > 20);
+        assert!(vms[0].counter("handed_over").await > 20);
     })
     .await;
 }
--- a/crates/pistachiotrackd/tests/testenv/fleet.rs
+++ b/crates/pistachiotrackd/tests/testenv/fleet.rs
@@ -228,8 +228,18 @@
 
 /// Starts VMs, two of which in each data centre are dispatchers of [`SEARCH`](super::SEARCH).
 pub(crate) async fn start_dispatchers(count: usize, search: &[SocketAddr]) -> (Platform, Vec<Vm>) {
+    start_with_config(count, dispatched_config(search)).await
+}
+
+/// Returns a configuration with two dispatchers of [`SEARCH`](super::SEARCH) in each data centre.
+pub(crate) fn dispatched_config(search: &[SocketAddr]) -> Value {
     let mut config = config(1, search, &[]);
     config["services"][0]["dispatchers_per_data_centre"] = json!(2);
+    config
+}
+
+/// Starts VMs and waits until all see each other.
+pub(crate) async fn start_with_config(count: usize, config: Value) -> (Platform, Vec<Vm>) {
     let platform = Platform::start().await;
     platform.publish_config(config);
     let mut vms = Vec::new();
