Attempts travel with a request: copies, other VMs and lost owners don't begin anew

Callers' requests ran at up to four endpoints of two allowed. Each VM counted the attempts of what it worked on: a second copy that a VM sends when an answer is late (after 100 ms at least), and a request that its entry VM served after its owner was lost, had all attempts again. Their arrivals also counted as requests towards the retry limit, and earned retries.

Attempts, endpoints tried and whether the request is counted go with each copy and come back with a refusal. A copy joins the request that is being served, or gets what it left; a process that may not remember the first copy refuses the second. Of three attempts or more, a VM keeps one back when it forwards to an owner.

Ruled out: relays that report a run attempt as not run, hedges, held retries; both failing tests pass without a change there.

--- a/crates/pistachiotrack-core/src/header.rs
+++ b/crates/pistachiotrack-core/src/header.rs
@@ -27,6 +27,8 @@
 pub const HOP: &str = "pistachiotrack-hop";
 /// Between VMs: routing decision of the entry VM, so that rules are evaluated once.
 pub const ROUTE: &str = "pistachiotrack-route";
+/// Between VMs: which copy of which request this is, and the request's attempts so far.
+pub const TRANSFER: &str = "pistachiotrack-transfer";
 /// Between VMs: requests that the receiver relay the request to an endpoint that
 /// the sender can't reach.
 pub const VIA: &str = "pistachiotrack-via";
--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{endpoint_notice::EndpointNotice, name::Name, rate_limit::RateLimit, time::Time};
+use crate::{
+    endpoint_notice::EndpointNotice, name::Name, prior_attempts::PriorAttempts,
+    rate_limit::RateLimit, time::Time,
+};
 
 /// Identifies a request within one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -76,6 +79,8 @@
     /// Whether the caller marked it as a repeat of a request whose outcome it
     /// doesn't know.
     pub repeat: bool,
+    /// Its attempts so far, by other VMs or in earlier copies.
+    pub prior: PriorAttempts,
 }
 
 /// Requirement for the connection of an attempt.
@@ -128,6 +133,14 @@
 }
 
 impl Outcome {
+    /// Returns whether it is certain that the endpoint didn't receive the request.
+    pub fn never_arrived(self) -> bool {
+        matches!(
+            self,
+            Outcome::ConnectFailed | Outcome::NotSent | Outcome::RelayFailed { sent: false }
+        )
+    }
+
     /// Returns whether it is certain that the endpoint did not run the request.
     pub fn certainly_not_run(self) -> bool {
         matches!(
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -141,11 +141,7 @@
     /// be rejected at the old addresses, and resending them all would exceed the service's
     /// retry limit.
     fn try_take_retry(&mut self, now: Time, state: &AttemptState, outcome: Outcome) -> bool {
-        let never_arrived = matches!(
-            outcome,
-            Outcome::ConnectFailed | Outcome::NotSent | Outcome::RelayFailed { sent: false }
-        );
-        if never_arrived || state.is_abandoned {
+        if outcome.never_arrived() || state.is_abandoned {
             return true;
         }
         match state.kind {
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -120,6 +120,25 @@
             };
             self.refuse(now, evicted, Reason::QueueFull, retry_after_ms);
         }
+        self.enqueue_admitted(now, id);
+    }
+
+    /// Puts an admitted request into the queue, as a retry if an endpoint has received it before.
+    fn enqueue_admitted(&mut self, now: Time, id: RequestId) {
+        let Some(pending) = self.pending.get(&id) else { return };
+        if !pending.request.prior.has_arrived() {
+            return self.enqueue(id);
+        }
+        if !self.can_retry(now, id, 1) {
+            return self.refuse(now, id, Reason::AnswerLost, None);
+        }
+        if self.held_retries.is_enabled() {
+            return self.hold(now, id);
+        }
+        if !self.retry_budget.take(now) {
+            let retry_after_ms = self.jittered_retry_after_ms(self.queue_wait(now));
+            return self.refuse(now, id, Reason::QueueFull, retry_after_ms);
+        }
         self.enqueue(id);
     }
 
@@ -301,7 +320,7 @@
         } else {
             connection_choice(pending, pick.health_state)
         };
-        if pending.tried.is_empty() {
+        if !std::mem::replace(&mut pending.is_counted, true) {
             self.retry_budget.on_request(now);
         }
         pending.phase = Phase::Running;
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -39,6 +39,8 @@
     pub(super) tried: Vec<Name>,
     /// Number of attempts that may have run.
     pub(super) possible_runs: u32,
+    /// Whether it counts as a request towards the retry limit.
+    pub(super) is_counted: bool,
     /// Whether an ended attempt may have run.
     pub(super) may_have_run: bool,
     /// Whether the next attempt needs a new connection.
@@ -70,12 +72,13 @@
         PendingRequest {
             arrived: now,
             not_after: request.deadline,
-            request,
             phase: Phase::New,
             in_flight: Vec::new(),
-            tried: Vec::new(),
-            possible_runs: 0,
-            may_have_run: false,
+            tried: request.prior.endpoints.clone(),
+            possible_runs: request.prior.possible_runs,
+            may_have_run: request.prior.possible_runs > 0,
+            is_counted: request.prior.is_counted,
+            request,
             needs_fresh_connection: false,
             failure_status_retried: false,
             owns_key: false,
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -81,6 +81,7 @@
         idempotent: true,
         hedge: false,
         max_attempts: DEFAULT_MAX_ATTEMPTS,
+        prior: Default::default(),
         key: None,
         repeat: false,
     }
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -73,6 +73,7 @@
         idempotent: false,
         hedge: false,
         max_attempts: DEFAULT_MAX_ATTEMPTS,
+        prior: Default::default(),
         key: None,
         repeat: false,
     }
--- a/crates/pistachiotrack-core/tests/speed_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/speed_support/mod.rs
@@ -360,6 +360,7 @@
         idempotent: job.idempotent,
         hedge: false,
         max_attempts: 1,
+        prior: Default::default(),
         key: None,
         repeat: false,
     }
--- a/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
@@ -146,6 +146,7 @@
             idempotent,
             hedge: idempotent && self.rng.random_bool(HEDGE_FRACTION / IDEMPOTENT_FRACTION),
             max_attempts: DEFAULT_MAX_ATTEMPTS,
+            prior: Default::default(),
             key: None,
             repeat: false,
         };
--- a/crates/pistachiotrack-standins/src/slopes/owner.rs
+++ b/crates/pistachiotrack-standins/src/slopes/owner.rs
@@ -89,6 +89,7 @@
         idempotent: true,
         hedge: false,
         max_attempts: DEFAULT_MAX_ATTEMPTS,
+        prior: Default::default(),
         key: None,
         repeat: false,
     }
--- a/crates/pistachiotrackd/src/formats.rs
+++ b/crates/pistachiotrackd/src/formats.rs
@@ -11,3 +11,4 @@
 pub mod peer_result;
 pub(crate) mod reach_view;
 pub(crate) mod request_body;
+pub(crate) mod transferred_copy;
--- a/crates/pistachiotrackd/src/formats/headers.rs
+++ b/crates/pistachiotrackd/src/formats/headers.rs
@@ -17,7 +17,8 @@
 const PROXY_CONNECTION: &str = "proxy-connection";
 
 /// Headers exchanged between VMs; callers may not set them.
-const INTERNAL_REQUEST: [&str; 4] = [header::HOP, header::ROUTE, header::REQUEST_ID, header::VIA];
+const INTERNAL_REQUEST: [&str; 5] =
+    [header::HOP, header::ROUTE, header::REQUEST_ID, header::TRANSFER, header::VIA];
 
 /// Headers from the fleet to callers; endpoints may not set them.
 const INTERNAL_ANSWER: [&str; 7] = [
--- a/crates/pistachiotrackd/src/formats/inbound.rs
+++ b/crates/pistachiotrackd/src/formats/inbound.rs
@@ -1,6 +1,9 @@
 //! A received request and the decisions about it.
 
-use std::{sync::OnceLock, time::Duration};
+use std::{
+    sync::{Mutex, MutexGuard, OnceLock, PoisonError},
+    time::Duration,
+};
 
 use hyper::{
     HeaderMap, Method, Uri,
@@ -11,11 +14,16 @@
     fingerprint::Fingerprint,
     header,
     name::Name,
+    prior_attempts::PriorAttempts,
     request::{Request, RequestId},
     time::Time,
+    transfers::TransferId,
 };
 
-use crate::formats::{forwarded_route::ForwardedRoute, headers, request_body::RequestBody};
+use crate::formats::{
+    forwarded_route::ForwardedRoute, headers, request_body::RequestBody,
+    transferred_copy::TransferredCopy,
+};
 
 /// A received request and the decisions about it.
 #[derive(Debug)]
@@ -24,6 +32,8 @@
     pub(crate) id: RequestId,
     /// ID within the fleet.
     pub(crate) fleet_id: Name,
+    /// ID when it is sent to another VM; unlike `fleet_id`, callers can't choose it.
+    pub(crate) transfer_id: TransferId,
     /// Version of the configuration used for routing; `None` if another VM routed the request.
     pub(crate) config_version: Option<u64>,
     /// Destination and options.
@@ -40,6 +50,10 @@
     pub(crate) deadline: Time,
     /// Customer given by the caller, if any.
     pub(crate) named_customer: Option<Name>,
+    /// The copy that another VM sent, if it did; none of it otherwise.
+    pub(crate) copy: TransferredCopy,
+    /// Attempts so far.
+    pub(crate) attempts: Mutex<PriorAttempts>,
     /// Fingerprint, computed on first use.
     pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
@@ -74,13 +88,24 @@
             class: self.route.class,
             deadline: self.deadline,
             idempotent: self.route.idempotent,
-            hedge: self.route.hedge && self.route.idempotent && self.body.is_repeatable(),
+            hedge: self.route.hedge && self.is_repeatable(),
             max_attempts: self.route.max_attempts,
             key: self.key().map(Name::from),
             repeat: headers::text(&self.headers, header::REPEAT) == Some("true"),
+            prior: self.attempts().clone(),
         }
     }
 
+    /// Returns whether the request may be sent more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.route.idempotent && self.body.is_repeatable()
+    }
+
+    /// Returns the attempts so far.
+    pub(crate) fn attempts(&self) -> MutexGuard<'_, PriorAttempts> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the idempotency key given by the caller.
     pub(crate) fn key(&self) -> Option<&str> {
         headers::text(&self.headers, header::IDEMPOTENCY_KEY)
--- a/crates/pistachiotrackd/src/formats/peer_result.rs
+++ b/crates/pistachiotrackd/src/formats/peer_result.rs
@@ -6,6 +6,7 @@
 use pistachiotrack_core::{
     header,
     name::Name,
+    prior_attempts::PriorAttempts,
     refusal::{Execution, Reason, Refusal},
 };
 use serde::{Deserialize, Serialize};
@@ -41,17 +42,26 @@
     pub reason: Reason,
     /// Time after which the caller may retry.
     pub retry_after_ms: Option<u64>,
+    /// Attempts of the request so far; VMs of earlier versions report none.
+    #[serde(default)]
+    pub attempts: PriorAttempts,
 }
 
 impl PeerRefusal {
     /// Creates the report of a refusal of `request` by `vm`.
-    pub fn new(vm: &Name, request: &Name, refusal: &Refusal) -> PeerRefusal {
+    pub fn new(
+        vm: &Name,
+        request: &Name,
+        refusal: &Refusal,
+        attempts: PriorAttempts,
+    ) -> PeerRefusal {
         PeerRefusal {
             request: request.clone(),
             vm: vm.clone(),
             execution: refusal.execution(),
             reason: refusal.reason(),
             retry_after_ms: refusal.retry_after_ms(),
+            attempts,
         }
     }
 }
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -49,7 +49,7 @@
     },
     request::{
         attempt::AttemptHandle, crash_check::CrashCheck, forward::Forwarder,
-        relay_client::RelayClient, request_task::RequestHandle,
+        relay_client::RelayClient, request_task::RequestHandle, transfer_table::TransferTable,
     },
     runtime::{
         clock::Clock,
@@ -255,6 +255,7 @@
             attempts: Arc::new(attempts),
             crash_check: Arc::new(crash_check),
         };
+        let transfers = Arc::new(TransferTable::new(clock, Arc::clone(&metrics)));
         let context = Arc::new(Context {
             me,
             clock,
@@ -267,6 +268,7 @@
             notices,
             endpoints,
             forwarder,
+            transfers,
             forwards,
             requests: Arc::new(requests),
             quarantine: Arc::clone(&quarantine),
--- a/crates/pistachiotrackd/src/request.rs
+++ b/crates/pistachiotrackd/src/request.rs
@@ -8,3 +8,4 @@
 pub(crate) mod rejection;
 pub(crate) mod relay_client;
 pub(crate) mod request_task;
+pub(crate) mod transfer_table;
--- a/crates/pistachiotrackd/src/request/forward.rs
+++ b/crates/pistachiotrackd/src/request/forward.rs
@@ -7,6 +7,7 @@
     copies::{Copies, OutstandingCopy, Undispatched},
     endpoint_notice::EndpointNotice,
     header,
+    prior_attempts::PriorAttempts,
     refusal::{Refusal, RefusalDecision},
     request::{ConnectionChoice, remaining},
     time::Time,
@@ -19,9 +20,11 @@
         exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     },
     formats::{
+        forwarded_route::ForwardedRoute,
         headers,
         inbound::Inbound,
         peer_result::{PeerAnswer, PeerRefusal, PeerResult},
+        transferred_copy::TransferredCopy,
     },
     peers::{
         endpoint_notices::{NoticeSource, NoticeTable},
@@ -114,23 +117,31 @@
     forwarder: &'a Forwarder,
     owner: &'a Vm,
     inbound: &'a Inbound,
+    /// Routing decision as it is sent.
+    route: ForwardedRoute,
+    /// Attempts before the request is sent.
+    prior: PriorAttempts,
     sent: Time,
 }
 
-/// Forwards a request to `owner` and returns the result.
+/// Forwards a request to `owner`, which may make its attempts up to `max_attempts`, and returns the
+/// result.
 pub(crate) async fn send(
     forwarder: &Forwarder,
     owner: &Vm,
     inbound: &Inbound,
+    max_attempts: u32,
     undispatched: Undispatched,
 ) -> Forwarded {
     let sent = forwarder.clock.now();
-    let forward = Forward { forwarder, owner, inbound, sent };
+    let prior = inbound.attempts().clone();
+    let route = ForwardedRoute { max_attempts, ..inbound.route.clone() };
+    let forward = Forward { forwarder, owner, inbound, route, prior, sent };
     let (copies, copy) = undispatched.send(owner.name.clone(), sent);
-    match inbound.route.idempotent && inbound.body.is_repeatable() {
+    match inbound.is_repeatable() {
         true => forward.send_with_retry(copies, copy).await,
         false => {
-            let end = forward.exchange(ConnectionChoice::RecentlyUsed, copy).await;
+            let end = forward.exchange(ConnectionChoice::RecentlyUsed, None, copy).await;
             forward.conclude(copies, end)
         }
     }
@@ -145,7 +156,7 @@
     /// the new connection is used, and the first connection and all idle ones are closed.
     async fn send_with_retry(&self, mut copies: Copies, copy: OutstandingCopy) -> Forwarded {
         let Forward { forwarder, owner, inbound, .. } = self;
-        let mut first = pin!(self.exchange(ConnectionChoice::RecentlyUsed, copy));
+        let mut first = pin!(self.exchange(ConnectionChoice::RecentlyUsed, None, copy));
         let time_left = remaining(inbound.deadline, forwarder.clock.now());
         let retry_delay =
             forwarder.forwards.retry_delay(&inbound.route.shard).unwrap_or(time_left / 2);
@@ -158,7 +169,8 @@
         }
         forwarder.metrics.count(Event::ForwardedAgain);
         let copy = copies.send(owner.name.clone(), now);
-        let second = pin!(self.exchange(ConnectionChoice::Fresh, copy));
+        let first_sent_ago = Some(now.since(self.sent));
+        let second = pin!(self.exchange(ConnectionChoice::Fresh, first_sent_ago, copy));
         match select(first, second).await {
             Either::Left((end, second)) => match self.record(&mut copies, end) {
                 Ok(served) => Forwarded::Answered(served),
@@ -172,6 +184,7 @@
                 // No new connection could be opened: the owner can't be reached, and this VM
                 // serves the request itself.
                 Err(CopyFailure::Failed(error)) if error.is_unsent() => {
+                    self.inbound.attempts().on_vm_lost(self.route.max_attempts);
                     Forwarded::Failed { error, copies }
                 }
                 Err(earlier) => self.conclude_two(copies, earlier, first.await),
@@ -217,6 +230,7 @@
                 Ok(served(self.forwarder, *answer, endpoint_time))
             }
             CopyEnd::Refused(result, copy) => {
+                self.inbound.attempts().on_reported(result.attempts.clone());
                 if let Some(copy) = copy.on_reported_execution(result.execution) {
                     copies.record_not_run(copy);
                 }
@@ -225,13 +239,20 @@
             CopyEnd::Failed(error, copy) => {
                 if error.is_unsent() {
                     copies.record_not_run(copy.unsent());
+                } else {
+                    self.inbound.attempts().on_vm_lost(self.route.max_attempts);
                 }
                 Err(CopyFailure::Failed(error))
             }
         }
     }
 
-    async fn exchange(&self, choice: ConnectionChoice, copy: OutstandingCopy) -> CopyEnd {
+    async fn exchange(
+        &self,
+        choice: ConnectionChoice,
+        first_sent_ago: Option<Duration>,
+        copy: OutstandingCopy,
+    ) -> CopyEnd {
         let Forward { forwarder, owner, inbound, .. } = self;
         let target = Target {
             address: owner.peer_address,
@@ -242,7 +263,7 @@
             abandon: AbandonSignal::default(),
             gate: None,
         };
-        let head = request_head(forwarder, inbound);
+        let head = self.request_head(first_sent_ago);
         let locality = Locality::of(&owner.data_centre, &forwarder.me.data_centre);
         forwarder.traffic.sent(Topic::Forwarded, locality, inbound.body.announced_bytes());
         let ended =
@@ -268,6 +289,23 @@
             PeerAnswer::Unverified => CopyEnd::Failed(ForwardError::Unverified, copy),
         }
     }
+
+    fn request_head(&self, first_sent_ago: Option<Duration>) -> RequestHead {
+        let Forward { forwarder, inbound, .. } = self;
+        let mut fields = inbound.headers.clone();
+        let left_ms = remaining(inbound.deadline, forwarder.clock.now()).as_millis() as u64;
+        headers::set_number(&mut fields, header::DEADLINE_MS, left_ms);
+        headers::set(&mut fields, header::REQUEST_ID, &inbound.fleet_id);
+        headers::set(&mut fields, header::HOP, &forwarder.me.name);
+        headers::set(&mut fields, header::ROUTE, &self.route.encode());
+        let copy = TransferredCopy {
+            id: inbound.is_repeatable().then(|| inbound.transfer_id.clone()),
+            first_sent_ms_ago: first_sent_ago.map(|ago| ago.as_millis() as u64),
+            prior: self.prior.clone(),
+        };
+        copy.write_to(&mut fields);
+        RequestHead { method: inbound.method.clone(), uri: inbound.uri.clone(), headers: fields }
+    }
 }
 
 /// Returns the refusal of a request that its owner refused.
@@ -276,16 +314,6 @@
     copies.refuse_with(RefusalDecision { execution, reason, retry_after_ms }).decided_by(vm)
 }
 
-fn request_head(forwarder: &Forwarder, inbound: &Inbound) -> RequestHead {
-    let mut fields = inbound.headers.clone();
-    let left_ms = remaining(inbound.deadline, forwarder.clock.now()).as_millis() as u64;
-    headers::set_number(&mut fields, header::DEADLINE_MS, left_ms);
-    headers::set(&mut fields, header::REQUEST_ID, &inbound.fleet_id);
-    headers::set(&mut fields, header::HOP, &forwarder.me.name);
-    headers::set(&mut fields, header::ROUTE, &inbound.route.encode());
-    RequestHead { method: inbound.method.clone(), uri: inbound.uri.clone(), headers: fields }
-}
-
 fn served(forwarder: &Forwarder, answer: StartedAnswer, endpoint_time: Option<Duration>) -> Served {
     let StartedAnswer { mut parts, body, connection, .. } = answer;
     let body = AnswerBody::streaming(
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -271,6 +271,7 @@
             handle.queue_latency.record(&inbound.route.customer, inbound.route.class, queued);
         }
         let abandon = AbandonSignal::default();
+        inbound.attempts().on_sent(&dispatch.endpoint);
         let copy = self.copies.send(dispatch.endpoint.clone(), handle.clock.now());
         let attempts = Arc::clone(&handle.attempts);
         let end = Box::pin(attempt::run(attempts, inbound, dispatch, budget, abandon.clone()));
@@ -315,6 +316,7 @@
 
     fn on_end(&mut self, ended: Ended) -> Option<Served> {
         let Ended { attempt, copy, locality, end } = ended;
+        self.inbound.attempts().on_outcome(&end.endpoint, end.outcome);
         if let Some(copy) = copy.on_outcome(end.outcome) {
             self.copies.record_not_run(copy);
         }
--- a/crates/pistachiotrackd/src/serving/context.rs
+++ b/crates/pistachiotrackd/src/serving/context.rs
@@ -19,7 +19,7 @@
         customer_limits::CustomerLimits, endpoint_notices::NoticeTable,
         quarantine::QuarantineManager,
     },
-    request::{forward::Forwarder, request_task::RequestHandle},
+    request::{forward::Forwarder, request_task::RequestHandle, transfer_table::TransferTable},
     runtime::{clock::Clock, timer::PauseGate},
     shards::shard_table::ShardTable,
     stats::{
@@ -82,6 +82,8 @@
     pub(crate) endpoints: Arc<ConnectionPool>,
     /// Forwards requests to other VMs.
     pub(crate) forwarder: Forwarder,
+    /// Requests that other VMs have sent to this one.
+    pub(crate) transfers: Arc<TransferTable>,
     /// Record of forwarded requests and their results.
     pub(crate) forwards: Arc<ForwardStats>,
     /// What the tasks of requests need.
--- a/crates/pistachiotrackd/src/serving/hand_off.rs
+++ b/crates/pistachiotrackd/src/serving/hand_off.rs
@@ -85,7 +85,10 @@
             break;
         }
         context.metrics.count(Event::HandedOver);
-        let returned = match forward::send(&context.forwarder, &vm, inbound, request).await {
+        let max_attempts = inbound.route.max_attempts;
+        let forwarded =
+            forward::send(&context.forwarder, &vm, inbound, max_attempts, request).await;
+        let returned = match forwarded {
             Forwarded::Answered(served) => return Ok(served),
             Forwarded::Refused(refusal) if refusal.reason() == Reason::NoEndpoint => {
                 Undispatched::from_refusal(refusal)
--- a/crates/pistachiotrackd/src/serving/proxy.rs
+++ b/crates/pistachiotrackd/src/serving/proxy.rs
@@ -7,6 +7,7 @@
     copies::Undispatched,
     header,
     name::Name,
+    prior_attempts::PriorAttempts,
     reachability::EndpointReach,
     refusal::{Execution, Reason},
     request::Class,
@@ -39,6 +40,9 @@
 
 /// Prefix of the paths that the daemon answers itself.
 const RESERVED_PATH_PREFIX: &str = "/pistachiotrack/";
+/// Number of attempts of a route from which on one is kept back from the owner. With fewer, the
+/// owner could not try a second endpoint.
+const MIN_ATTEMPTS_TO_KEEP_ONE: u32 = 3;
 
 /// Handles a request from a caller.
 pub(crate) async fn handle_caller(
@@ -94,14 +98,14 @@
     let id = headers::text(request.headers(), header::REQUEST_ID)
         .map_or_else(|| context.fleet_id(number), Name::from);
     let undispatched = Undispatched::on_arrival();
-    let served = match receive_forwarded(&context, request, number, &id).await {
-        Ok(inbound) if is_unable_to_serve(&context, &inbound) => {
-            Served::refused(undispatched.refuse(Reason::NoEndpoint, None))
-        }
+    let (served, attempts) = match receive_forwarded(&context, request, number, &id).await {
         Ok(inbound) => {
-            local_dispatch::serve(&context, Arc::new(inbound), undispatched.into()).await
+            let serve = |inbound, undispatched| {
+                serve_forwarded(Arc::clone(&context), inbound, undispatched)
+            };
+            context.transfers.serve(Arc::new(inbound), undispatched, serve).await
         }
-        Err(rejection) => rejection.refuse(undispatched),
+        Err(rejection) => (rejection.refuse(undispatched), PriorAttempts::default()),
     };
     let endpoint_time_us = served.endpoint_time.map(|time| time.as_micros() as u64);
     let (result, mut response) = match served.answer {
@@ -111,7 +115,7 @@
         }
         Err(PendingRefusal { refusal, status }) => {
             refusal_log::on_refusal(&context, &id, received, &refusal, RefusalRecipient::Peer);
-            let result = PeerRefusal::new(&context.me.name, &id, &refusal);
+            let result = PeerRefusal::new(&context.me.name, &id, &refusal, attempts);
             let response = NativeDialect.write_refusal(Some(&id), &refusal, status);
             (PeerResult::Refused(result), response.map(AnswerBody::whole))
         }
@@ -120,6 +124,19 @@
     Ok(response)
 }
 
+/// Serves a request that another VM has sent, unless a VM that reaches endpoints should get it.
+async fn serve_forwarded(
+    context: Arc<Context>,
+    inbound: Arc<Inbound>,
+    undispatched: Undispatched,
+) -> Served {
+    let is_cut_off = context.reach() == EndpointReach::CutOff;
+    if is_cut_off && is_shared(&context.view(), &inbound) {
+        return Served::refused(undispatched.refuse(Reason::NoEndpoint, None));
+    }
+    local_dispatch::serve(&context, inbound, undispatched.into()).await
+}
+
 fn record_latency(
     context: &Context,
     customer: &Name,
@@ -166,12 +183,14 @@
         return local_dispatch::serve(context, inbound, undispatched.into()).await;
     };
     context.metrics.count(Event::Forwarded);
-    let (error, copies) =
-        match forward::send(&context.forwarder, &owner, &inbound, undispatched).await {
-            Forwarded::Answered(served) => return served,
-            Forwarded::Refused(refusal) => return Served::refused(refusal),
-            Forwarded::Failed { error, copies } => (error, copies),
-        };
+    let max_attempts = attempts_of_owner(&inbound);
+    let forwarded =
+        forward::send(&context.forwarder, &owner, &inbound, max_attempts, undispatched).await;
+    let (error, copies) = match forwarded {
+        Forwarded::Answered(served) => return served,
+        Forwarded::Refused(refusal) => return Served::refused(refusal),
+        Forwarded::Failed { error, copies } => (error, copies),
+    };
     context.metrics.count(Event::ForwardFailed);
     log::info!(
         "event=forward_failed request={} owner={} error={:?}",
@@ -185,13 +204,24 @@
     Served::refused(copies.refuse(Reason::AnswerLost, None))
 }
 
+/// Returns the number of attempts that a request's owner may make.
+///
+/// One of several is kept back, so that this VM can serve the request if the owner is lost with it.
+fn attempts_of_owner(inbound: &Inbound) -> u32 {
+    match inbound.route.max_attempts {
+        attempts if attempts >= MIN_ATTEMPTS_TO_KEEP_ONE && inbound.is_repeatable() => attempts - 1,
+        attempts => attempts,
+    }
+}
+
 /// Returns whether a request may be served on this VM after forwarding it has failed.
 ///
 /// The owner may have dispatched a booking before it became unreachable. If this VM dispatched it
 /// again, it would run twice. A request that must not be repeated is therefore served here only
 /// if no byte of it was sent to the owner.
 fn may_serve_after(context: &Context, inbound: &Inbound, error: &ForwardError) -> bool {
-    if !inbound.body.is_available() || context.clock.now() >= inbound.deadline {
+    let has_attempt = inbound.attempts().possible_runs < inbound.route.max_attempts;
+    if !has_attempt || !inbound.body.is_available() || context.clock.now() >= inbound.deadline {
         return false;
     }
     error.is_unsent()
@@ -204,8 +234,3 @@
     let service = &inbound.route.shard.service;
     view.active.as_ref().and_then(|active| active.service(service)).is_some_and(Service::is_shared)
 }
-
-/// Returns whether another VM should get a forwarded request, as this one reaches no endpoint.
-fn is_unable_to_serve(context: &Context, inbound: &Inbound) -> bool {
-    context.reach() == EndpointReach::CutOff && is_shared(&context.view(), inbound)
-}
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -1,7 +1,7 @@
 //! Receives requests: identifies the caller, finds the route, and refuses what can't be served.
 
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
 
@@ -23,6 +23,7 @@
     rule::{RequestAttributes, Route, RuleAction},
     service::Service,
     time::Time,
+    transfers::TransferId,
 };
 
 use crate::{
@@ -34,6 +35,7 @@
         headers,
         inbound::{Inbound, MAX_DEADLINE, caller_deadline, origin_form},
         request_body::{BodyLimits, RequestBody, RequestBodyError},
+        transferred_copy::TransferredCopy,
     },
     request::rejection::Rejection,
     serving::context::Context,
@@ -105,6 +107,7 @@
     let inbound = Inbound {
         id,
         fleet_id: fleet_id.clone(),
+        transfer_id: TransferId(context.fleet_id(id)),
         config_version: Some(active.config.version),
         route: forwarded_route,
         method: parts.method.clone(),
@@ -113,6 +116,8 @@
         body,
         deadline,
         named_customer,
+        copy: TransferredCopy::default(),
+        attempts: Mutex::default(),
         fingerprint: OnceLock::new(),
     };
     check_not_quarantined(context, inbound)
@@ -392,6 +397,7 @@
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
     check_not_expired_in_pause(context, &parts, deadline)?;
+    let copy = TransferredCopy::read(&parts.headers);
     headers::strip_from_caller(&mut parts.headers);
     let body = read_body(context, body, deadline).await?;
     // The VM at which the request entered has validated its head.
@@ -401,6 +407,7 @@
     let inbound = Inbound {
         id,
         fleet_id: fleet_id.clone(),
+        transfer_id: TransferId(context.fleet_id(id)),
         config_version: None,
         route,
         method: parts.method.clone(),
@@ -409,6 +416,8 @@
         body,
         deadline,
         named_customer,
+        attempts: Mutex::new(copy.prior.clone()),
+        copy,
         fingerprint: OnceLock::new(),
     };
     check_not_quarantined(context, inbound)
--- a/crates/pistachiotrackd/src/stats/metrics.rs
+++ b/crates/pistachiotrackd/src/stats/metrics.rs
@@ -37,6 +37,8 @@
     ForwardedAgain,
     /// A request was handed to another VM because this one reaches no endpoint.
     HandedOver,
+    /// A request arrived from another VM once more while it was being served.
+    CopyJoined,
     /// A request was received from another VM.
     PeerRequest,
     /// A request was dispatched to an endpoint.
@@ -57,7 +59,7 @@
 }
 
 impl Event {
-    const ALL: [Event; 17] = [
+    const ALL: [Event; 18] = [
         Event::Request,
         Event::Answer,
         Event::RefusedNotRun,
@@ -67,6 +69,7 @@
         Event::ForwardFailed,
         Event::ForwardedAgain,
         Event::HandedOver,
+        Event::CopyJoined,
         Event::PeerRequest,
         Event::Dispatch,
         Event::HeldBack,
@@ -88,6 +91,7 @@
             Event::ForwardFailed => "forward_failed",
             Event::ForwardedAgain => "forwarded_again",
             Event::HandedOver => "handed_over",
+            Event::CopyJoined => "copies_joined",
             Event::PeerRequest => "peer_requests",
             Event::Dispatch => "dispatches",
             Event::HeldBack => "held_back",
--- a/crates/pistachiotrackd/tests/attempts.rs
+++ b/crates/pistachiotrackd/tests/attempts.rs
@@ -25,7 +25,7 @@
     let mut endpoints = Vec::new();
     for _ in 0..N {
         let handler = |request: Received| async move {
-            if request.uri().path().contains("slow") {
+            if is_slow(&request) {
                 future::pending::<()>().await;
             }
             hyper::Response::new("found".into())
@@ -35,6 +35,10 @@
     endpoints.try_into().unwrap_or_else(|_| panic!("{N} endpoints"))
 }
 
+fn is_slow(request: &Received) -> bool {
+    request.uri().path().contains("slow")
+}
+
 /// Sets the number of endpoints to which lookups may be sent.
 fn with_attempts(mut config: Value, attempts: usize) -> Value {
     config["rules"][0]["then"]["route"]["attempts"] = json!(attempts);
@@ -46,7 +50,8 @@
 fn beyond_attempts(endpoints: &[Endpoint]) -> Vec<(String, usize)> {
     let mut ran_at: BTreeMap<String, BTreeSet<SocketAddr>> = BTreeMap::new();
     for endpoint in endpoints {
-        for request in endpoint.received() {
+        // Health checks have no ID.
+        for request in endpoint.received().into_iter().filter(is_slow) {
             let id = request.headers()[header::REQUEST_ID].to_str().unwrap().to_owned();
             ran_at.entry(id).or_default().insert(endpoint.address);
         }
--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -268,6 +268,32 @@
     .await;
 }
 
+/// Guards against a lookup that runs twice because the connection between the VMs turns silent while
+/// an endpoint works on it: the copy on a new connection gets the answer to the first.
+#[tokio::test]
+async fn a_lookup_is_run_once_when_its_connection_turns_silent() {
+    let (search, release) = blocking_endpoint().await;
+    let booking = Endpoint::answering("booked").await;
+    let paths = [NetworkPath::open().await, NetworkPath::open().await];
+    let settings = paths.each_ref().map(
+        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+    );
+    let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
+    let (owner, entry) = fleet.owner("slot-search").await;
+    let lookup = client::with_header(client::get("/slots"), header::DEADLINE_MS, "2000");
+    let answer = tokio::spawn(client::send(fleet.vms[entry].caller_address, lookup));
+    search.wait_received(1).await;
+    paths[owner].drop_open_connections();
+    client::wait_for(fleet.vms[owner].admin_address, "/status", |status| {
+        let counters = status["counters"].as_array().unwrap();
+        counters.contains(&json!({"name": "copies_joined", "value": 1}))
+    })
+    .await;
+    release.send_replace(true);
+    assert_eq!(answer.await.unwrap().unwrap().body(), "done");
+    assert_eq!(search.received().len(), 1);
+}
+
 /// Guards against a lookup that is refused as not run while an endpoint works on it. The
 /// answer is slow, and the entry VM sends a second copy to the owner; the owner's queue is
 /// full by then, and it refuses the second copy at once. The entry VM must not return that
--- a/crates/pistachiotrackd/tests/peer_result.rs
+++ b/crates/pistachiotrackd/tests/peer_result.rs
@@ -7,6 +7,7 @@
     copies::{Copies, Undispatched},
     header,
     name::Name,
+    prior_attempts::PriorAttempts,
     refusal::{Execution, Reason, RefusalDecision},
 };
 use pistachiotrackd::peer_result::{PeerAnswer, PeerRefusal, PeerResult};
@@ -17,7 +18,9 @@
     let decision =
         RefusalDecision { execution, reason: Reason::QueueFull, retry_after_ms: Some(40) };
     let refusal = Copies::from(Undispatched::on_arrival()).refuse_with(decision);
-    PeerRefusal::new(&Name::from("vm-02"), &Name::from(REQUEST), &refusal)
+    let mut attempts = PriorAttempts::default();
+    attempts.on_sent(&Name::from("booking-0"));
+    PeerRefusal::new(&Name::from("vm-02"), &Name::from(REQUEST), &refusal, attempts)
 }
 
 fn take(fields: &mut HeaderMap, request: &str) -> PeerAnswer {
