Soak: no request runs more often than the attempts of its route

The endpoints count the runs of each request. Routes have three attempts where a shard has an owner and two where VMs dispatch side by side, so that both ways on which copies arise are watched. A record of a violating run is found by the test.

--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -17,6 +17,7 @@
     time::Duration,
 };
 
+use pistachiotrack_core::{request::DEFAULT_MAX_ATTEMPTS, rule::RuleAction};
 use tokio::{sync::watch, task::JoinSet};
 
 use self::{
@@ -184,6 +185,11 @@
         // Lets several endpoints leave at the same time.
         service.floor = service.floor.min(1);
     }
+    for rule in &mut deployment.config.rules {
+        if let RuleAction::Route(route) = &mut rule.then {
+            route.attempts = Some(max_attempts(plan));
+        }
+    }
     customers::require_api_keys(&mut deployment.config)?;
     deployment.key_max_age_s = Some(customers::KEY_MAX_AGE_S);
     deployment.config.version += 1;
@@ -239,6 +245,7 @@
             .chain(flood.iter().map(|(id, _)| *id))
             .map(|id| (id, execution_counter.executions(id)))
             .collect(),
+        max_attempts: max_attempts(plan),
         taken_keys,
         key_limit_ms: (customers::KEY_MAX_AGE_S * 1_000.0) as u64,
         stale_platform: faults(plan, |event| {
@@ -274,6 +281,15 @@
     })
 }
 
+/// Returns the attempts that a request may have: as many as an owner's requests have by default, and
+/// the fewest that allow a retry elsewhere.
+fn max_attempts(plan: &Plan) -> u32 {
+    match plan.dispatchers_per_data_centre {
+        0 => DEFAULT_MAX_ATTEMPTS,
+        _ => 2,
+    }
+}
+
 /// Returns how many requests the customer that floods may run in a window, with the tolerance
 /// that VMs need which don't hear each other.
 fn flood_window_limit() -> f64 {
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -79,6 +79,8 @@
     NoticesKept,
     /// VMs that reach no endpoint serve their callers nearly as often as the others.
     EndpointCutBridged,
+    /// A request runs no more often than its route allows attempts.
+    AttemptsKept,
 }
 
 /// A violation of an invariant.
@@ -214,6 +216,8 @@
     pub requests: Vec<RequestRecord>,
     /// Number of times that endpoints began to run each piece of work.
     pub executions: FxHashMap<WorkId, u32>,
+    /// Attempts that a request may have.
+    pub max_attempts: u32,
     /// Active configuration versions in the order in which they were observed.
     pub versions: Vec<ObservedVersion>,
     /// Published configurations in order.
@@ -304,6 +308,9 @@
             _ if request.non_idempotent && executions > 1 => {
                 Some((Invariant::AtMostOnce, "ran more than once"))
             }
+            _ if executions > self.max_attempts => {
+                Some((Invariant::AttemptsKept, "ran more often than its attempts allow"))
+            }
             RequestOutcome::RefusedNotRun | RequestOutcome::NoVm if executions > 0 => {
                 Some((Invariant::NotRunIsTrue, "ran though it was refused as not run"))
             }
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -71,6 +71,7 @@
         executions: [(WorkId(1), 1), (WorkId(50), 1), (WorkId(60), 1), (WorkId(61), 1)]
             .into_iter()
             .collect(),
+        max_attempts: 3,
         versions: vec![seen(1_100, 1), seen(3_000, 2), seen(9_000, 2)],
         published: vec![PublishedVersion { at_ms: 2_000, version: 2 }],
         leaving_periods: vec![leaving_period],
@@ -119,6 +120,13 @@
     twice.executions.insert(WorkId(1), 2);
     assert_eq!(violated(&twice), [Invariant::AtMostOnce]);
 
+    let mut often = valid_run();
+    often.requests.push(RequestRecord { non_idempotent: false, ..request(3, RequestOutcome::Ok) });
+    often.executions.insert(WorkId(3), 3);
+    assert_eq!(violated(&often), []);
+    often.executions.insert(WorkId(3), 4);
+    assert_eq!(violated(&often), [Invariant::AttemptsKept]);
+
     let mut ran = valid_run();
     ran.executions.insert(WorkId(2), 1);
     assert_eq!(violated(&ran), [Invariant::NotRunIsTrue]);
