Answers that don't end: limits until an answer starts, for refusals, health checks and bodies

An endpoint that sends interim answers without end kept a lookup for 1.5 s though another endpoint could answer it. The rest of a refusal was read for as long as parts of it came within 5 ms each (90 MB of one endpoint, 200 MB behind a relay), the body of a health check for a second, and a body without end as long as its caller read.

Now 256 KB may arrive before an answer starts (eight heads of the maximum size), a refusal's connection is reused only after 16 KB and 5 ms at most, a health check reads 64 KB, and a body that still arrives 10 s after the deadline is cut, so that the caller sees that it is incomplete (body_overrun_ms).

Tests by form, with and without a relay: interim answers failed before at 1.52 s (1 s allowed); with the old reading of refusals both forms fail at 90 and 200 MB. The limit of health checks has no test.

--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -170,6 +170,8 @@
     pub header_read_timeout_ms: u64,
     /// Timeout between two parts of a body.
     pub body_idle_ms: u64,
+    /// Time after a request's deadline at which an answer whose body still arrives is abandoned.
+    pub body_overrun_ms: u64,
     /// Maximum number of concurrent caller connections.
     pub caller_connections: usize,
     /// Maximum number of concurrent peer connections in each direction.
@@ -204,6 +206,7 @@
             buffered_body_bytes: 64 * 1024,
             header_read_timeout_ms: 15_000,
             body_idle_ms: 10_000,
+            body_overrun_ms: 10_000,
             caller_connections: 4_096,
             peer_connections: 1_024,
             connect_timeout_ms: 1_000,
--- a/crates/pistachiotrackd/src/connections/connection.rs
+++ b/crates/pistachiotrackd/src/connections/connection.rs
@@ -24,6 +24,10 @@
     runtime::{clock::Clock, socket, timer::PauseGate},
 };
 
+/// Number of heads of the maximum size that may arrive before an answer has started: interim answers,
+/// and the beginning of a body that is read together with the head.
+const HEADS_BEFORE_ANSWER: u64 = 8;
+
 /// An open connection. Dropping it closes the socket immediately, which signals to an endpoint
 /// that its request was cancelled.
 #[derive(Debug)]
@@ -165,7 +169,8 @@
         let stream = self.connect_within(address, deadline.since(self.clock.now())).await?;
         socket::configure_outgoing(&stream)
             .map_err(|source| ConnectError::Io { address, source })?;
-        let guard = ExchangeGuard::new(self.clock, self.gate.clone());
+        let max_before_answer_bytes = self.limits.header_bytes as u64 * HEADS_BEFORE_ANSWER;
+        let guard = ExchangeGuard::new(self.clock, self.gate.clone(), max_before_answer_bytes);
         let stream = GuardedStream::new(stream, Arc::clone(&guard));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(self.limits.header_bytes)
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -2,11 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Uri, Version,
-    body::{Body, Incoming},
-    client::conn::TrySendError,
+    HeaderMap, Method, Request, Uri, Version, body::Incoming, client::conn::TrySendError,
     http::response::Parts,
 };
 use pistachiotrack_core::{
@@ -29,8 +27,9 @@
     runtime::clock::Clock,
 };
 
-/// Time limit for reading the rest of a refusal's body, so that its connection can be reused.
+/// Limits of the body of a refusal that is read so that its connection can be reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(5);
+const REFUSAL_BODY_BYTES: usize = 16 * 1024;
 
 /// Destination and time limits of a request.
 #[derive(Clone, Debug)]
@@ -218,6 +217,7 @@
     .unwrap_or_default();
     match answer {
         Some(Ok(response)) => {
+            connection.guard.on_answer();
             let (parts, incoming) = response.into_parts();
             Ok(StartedAnswer {
                 parts,
@@ -266,14 +266,12 @@
 }
 
 /// Returns the connection of a refusal to the pool if its short body has already arrived.
-pub(crate) async fn return_connection(pool: &ConnectionPool, mut answer: StartedAnswer) {
-    while !answer.body.is_end_stream() {
-        let frame = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, answer.body.frame()).await;
-        if !matches!(frame, Ok(Some(Ok(_)))) {
-            return;
-        }
+pub(crate) async fn return_connection(pool: &ConnectionPool, answer: StartedAnswer) {
+    let StartedAnswer { body, connection, .. } = answer;
+    let body = Limited::new(body, REFUSAL_BODY_BYTES).collect();
+    if matches!(tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_))) {
+        pool.check_in(connection);
     }
-    pool.check_in(answer.connection);
 }
 
 /// Returns the outcome of an attempt whose answer has started.
--- a/crates/pistachiotrackd/src/connections/guarded_stream.rs
+++ b/crates/pistachiotrackd/src/connections/guarded_stream.rs
@@ -1,5 +1,5 @@
-//! A TCP stream that tracks whether any byte of an exchange was written, and fails the first
-//! write if it comes too late.
+//! A TCP stream that tracks whether any byte of an exchange was written, fails the first write if it
+//! comes too late, and ends when bytes arrive and no answer.
 
 use std::{
     io,
@@ -39,26 +39,44 @@
     not_after_us: AtomicU64,
     state: AtomicU8,
     too_late: AtomicBool,
+    /// Bytes that may still arrive before the answer has started.
+    left_before_answer_bytes: AtomicU64,
+    max_before_answer_bytes: u64,
 }
 
 impl ExchangeGuard {
     /// Creates the guard of a connection on which nothing was written.
-    pub(crate) fn new(clock: Clock, gate: PauseGate) -> Arc<ExchangeGuard> {
+    ///
+    /// At most `max_before_answer_bytes` are read before an answer has started. Otherwise an endpoint
+    /// that sends interim answers without end would hold its request until the time limit.
+    pub(crate) fn new(
+        clock: Clock,
+        gate: PauseGate,
+        max_before_answer_bytes: u64,
+    ) -> Arc<ExchangeGuard> {
         Arc::new(ExchangeGuard {
             clock,
             gate,
             not_after_us: AtomicU64::new(0),
             state: AtomicU8::new(NOT_WRITTEN),
             too_late: AtomicBool::new(false),
+            left_before_answer_bytes: AtomicU64::new(max_before_answer_bytes),
+            max_before_answer_bytes,
         })
     }
 
     /// Starts an exchange whose first byte may be written until `not_after`.
     pub(crate) fn begin(&self, not_after: Time) {
         self.not_after_us.store(not_after.as_micros(), Ordering::Release);
+        self.left_before_answer_bytes.store(self.max_before_answer_bytes, Ordering::Release);
         self.state.store(NOT_WRITTEN, Ordering::Release);
     }
 
+    /// Records that the answer of the exchange has started.
+    pub(crate) fn on_answer(&self) {
+        self.left_before_answer_bytes.store(u64::MAX, Ordering::Release);
+    }
+
     /// Closes the exchange and returns whether it is certain that no byte of it was or will be
     /// sent.
     pub(crate) fn close(&self) -> bool {
@@ -89,6 +107,24 @@
         Ok(true)
     }
 
+    fn after_read(&self, bytes: u64) -> io::Result<()> {
+        let left = self.left_before_answer_bytes.load(Ordering::Acquire);
+        // No limit applies once the answer has started.
+        if left == u64::MAX {
+            return Ok(());
+        }
+        let left = left
+            .checked_sub(bytes)
+            .ok_or_else(|| io::Error::other("too many bytes before an answer"))?;
+        // Does nothing if the answer has started meanwhile.
+        let _ = self.left_before_answer_bytes.fetch_update(
+            Ordering::AcqRel,
+            Ordering::Acquire,
+            |before| (before != u64::MAX).then_some(left),
+        );
+        Ok(())
+    }
+
     fn after_write(&self, first: bool, result: &Poll<io::Result<usize>>) {
         let written = matches!(result, Poll::Ready(Ok(bytes)) if *bytes > 0);
         if first && !written {
@@ -117,7 +153,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if let Poll::Ready(Ok(())) = &result {
+            self.guard.after_read((buf.filled().len() - filled) as u64)?;
+        }
+        result
     }
 }
 
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -48,7 +48,7 @@
         shard_update_link::ShardUpdateLink,
     },
     request::{
-        attempt::AttemptHandle, crash_check::CrashCheck, forward::Forwarder,
+        attempt::AttemptHandle, body::BodyTimeouts, crash_check::CrashCheck, forward::Forwarder,
         relay_client::RelayClient, request_task::RequestHandle, transfer_table::TransferTable,
     },
     runtime::{
@@ -212,7 +212,7 @@
         let peers = Arc::new(ConnectionPool::new(Connector { source: peer_source, ..connector }));
         let forwards = Arc::new(ForwardStats::new(clock.now()));
         let queue_latency = Arc::new(Histograms::default());
-        let body_idle = Duration::from_millis(settings.limits.body_idle_ms);
+        let body_timeouts = BodyTimeouts::from(&settings.limits);
         let forwarder = Forwarder {
             me: me.clone(),
             clock,
@@ -221,7 +221,7 @@
             notices: Arc::clone(&notices),
             metrics: Arc::clone(&metrics),
             traffic: Arc::clone(&traffic),
-            body_idle,
+            body_timeouts,
         };
         let relays = RelayClient {
             me: me.name.clone(),
@@ -251,7 +251,7 @@
             metrics: Arc::clone(&metrics),
             traffic: Arc::clone(&traffic),
             queue_latency: Arc::clone(&queue_latency),
-            body_idle,
+            body_timeouts,
             attempts: Arc::new(attempts),
             crash_check: Arc::new(crash_check),
         };
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -20,9 +20,10 @@
     idempotency::{MAX_STORED_BODY_BYTES, StoredAnswer},
     request::{AttemptId, BodyEnd, RequestId},
 };
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use crate::{
+    config::settings::Limits,
     connections::{connection::Connection, connection_pool::ConnectionPool},
     request::crash_check::ExecutionMonitor,
     stats::attempt_report::BodyEnded,
@@ -37,11 +38,48 @@
     /// No data arrived within the idle limit.
     #[error("answer timed out: no data within the idle limit")]
     Stalled,
+    /// Data still arrived long after the deadline.
+    #[error("answer timed out: its body does not end")]
+    Overdue,
     /// The answer had no length, so its end can't be distinguished from a broken connection.
     #[error("answer without a length ended; it may be incomplete")]
     NoLength,
 }
 
+/// Time limits for the bodies of answers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyTimeouts {
+    /// Time without data after which a body is abandoned.
+    pub(crate) idle: Duration,
+    /// Time after a request's deadline at which a body that still arrives is abandoned.
+    pub(crate) overrun: Duration,
+}
+
+impl From<&Limits> for BodyTimeouts {
+    fn from(limits: &Limits) -> BodyTimeouts {
+        BodyTimeouts {
+            idle: Duration::from_millis(limits.body_idle_ms),
+            overrun: Duration::from_millis(limits.body_overrun_ms),
+        }
+    }
+}
+
+impl BodyTimeouts {
+    /// Returns the limits for the answer to a request with this deadline.
+    pub(crate) fn limits(self, deadline: Instant) -> BodyLimits {
+        BodyLimits { idle: self.idle, until: deadline + self.overrun }
+    }
+}
+
+/// Limits for the body of one answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// Time without data after which it is abandoned.
+    idle: Duration,
+    /// Time at which it is abandoned if it still arrives.
+    until: Instant,
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
@@ -63,7 +101,7 @@
         incoming: Incoming,
         connection: Connection,
         pool: Arc<ConnectionPool>,
-        idle_limit: Duration,
+        limits: BodyLimits,
         ends_by_closing: bool,
         monitor: Option<AnswerMonitor>,
     ) -> AnswerBody {
@@ -74,7 +112,7 @@
             incoming,
             connection: Some(connection),
             pool,
-            idle_limit,
+            limits,
             idle: None,
             has_length,
             monitor,
@@ -134,7 +172,7 @@
     incoming: Incoming,
     connection: Option<Connection>,
     pool: Arc<ConnectionPool>,
-    idle_limit: Duration,
+    limits: BodyLimits,
     idle: Option<Pin<Box<Sleep>>>,
     has_length: bool,
     monitor: Option<AnswerMonitor>,
@@ -149,6 +187,10 @@
             return self.poll_idle(cx);
         };
         self.idle = None;
+        if frame.is_some() && Instant::now() >= self.limits.until {
+            self.finish(BodyEnd::Truncated);
+            return Poll::Ready(Some(Err(AnswerBodyError::Overdue)));
+        }
         match frame {
             Some(Ok(frame)) => {
                 if let (Some(monitor), Some(data)) = (&mut self.monitor, frame.data_ref()) {
@@ -178,7 +220,7 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        let idle_limit = self.idle_limit;
+        let idle_limit = self.limits.idle;
         let idle = self.idle.get_or_insert_with(|| Box::pin(tokio::time::sleep(idle_limit)));
         std::task::ready!(idle.as_mut().poll(cx));
         self.finish(BodyEnd::Truncated);
--- a/crates/pistachiotrackd/src/request/forward.rs
+++ b/crates/pistachiotrackd/src/request/forward.rs
@@ -32,7 +32,7 @@
     },
     request::{
         answer::Served,
-        body::{self, AnswerBody},
+        body::{self, AnswerBody, BodyTimeouts},
     },
     runtime::clock::Clock,
     stats::{
@@ -108,8 +108,8 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Counts of sent and received messages.
     pub(crate) traffic: Arc<Traffic>,
-    /// Time without data after which the body of an answer is abandoned.
-    pub(crate) body_idle: Duration,
+    /// Time limits for the bodies of answers.
+    pub(crate) body_timeouts: BodyTimeouts,
 }
 
 /// A request being forwarded to its owner.
@@ -227,7 +227,7 @@
             CopyEnd::Answered(answer, endpoint_time) => {
                 let latency = self.forwarder.clock.now().since(self.sent);
                 self.forwarder.forwards.on_answer(&self.inbound.route.shard, latency);
-                Ok(served(self.forwarder, *answer, endpoint_time))
+                Ok(served(self.forwarder, self.inbound.deadline, *answer, endpoint_time))
             }
             CopyEnd::Refused(result, copy) => {
                 self.inbound.attempts().on_reported(result.attempts.clone());
@@ -314,14 +314,19 @@
     copies.refuse_with(RefusalDecision { execution, reason, retry_after_ms }).decided_by(vm)
 }
 
-fn served(forwarder: &Forwarder, answer: StartedAnswer, endpoint_time: Option<Duration>) -> Served {
+fn served(
+    forwarder: &Forwarder,
+    deadline: Time,
+    answer: StartedAnswer,
+    endpoint_time: Option<Duration>,
+) -> Served {
     let StartedAnswer { mut parts, body, connection, .. } = answer;
     let body = AnswerBody::streaming(
         &parts,
         body,
         connection,
         Arc::clone(&forwarder.peers),
-        forwarder.body_idle,
+        forwarder.body_timeouts.limits(forwarder.clock.instant(deadline)),
         false,
         None,
     );
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -39,7 +39,7 @@
     request::{
         answer::{self, Served},
         attempt::{self, AttemptEnd, AttemptHandle},
-        body::{self, AnswerBody, AnswerCopy, AnswerMonitor},
+        body::{self, AnswerBody, AnswerCopy, AnswerMonitor, BodyTimeouts},
         crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
     },
     runtime::clock::Clock,
@@ -74,8 +74,8 @@
     pub(crate) traffic: Arc<Traffic>,
     /// Time from a request's arrival to its first dispatch to an endpoint.
     pub(crate) queue_latency: Arc<Histograms>,
-    /// Time without data after which the body of an answer is abandoned.
-    pub(crate) body_idle: Duration,
+    /// Time limits for the bodies of answers.
+    pub(crate) body_timeouts: BodyTimeouts,
     /// What attempts need.
     pub(crate) attempts: Arc<AttemptHandle>,
     /// Checks whether endpoints have crashed.
@@ -385,7 +385,7 @@
             body,
             connection,
             pool,
-            self.handle.body_idle,
+            self.handle.body_timeouts.limits(self.handle.clock.instant(self.inbound.deadline)),
             self.handle.dialect.ends_answers_by_closing(),
             Some(monitor),
         );
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -16,7 +16,7 @@
     peers::endpoint_notices::NoticeSource,
     request::{
         answer,
-        body::{self, AnswerBody},
+        body::{self, AnswerBody, BodyTimeouts},
         relay_client::{RelayRequest, RelayResult},
         request_task,
     },
@@ -58,7 +58,7 @@
             };
             let notice = context.dialect.read_answer(&answer.parts, metadata).notice();
             gate.record(notice, NoticeSource::Relay);
-            pass_on(context, answer)
+            pass_on(context, answer, time_limit)
         }
         Err(result) => failure_response(result),
     }
@@ -122,11 +122,12 @@
     }
 }
 
-fn pass_on(context: &Context, answer: StartedAnswer) -> Response<AnswerBody> {
+fn pass_on(context: &Context, answer: StartedAnswer, time_limit: Time) -> Response<AnswerBody> {
     let StartedAnswer { mut parts, body, connection, fresh, .. } = answer;
-    let idle_limit = Duration::from_millis(context.settings.limits.body_idle_ms);
+    let timeouts = BodyTimeouts::from(&context.settings.limits);
+    let limits = timeouts.limits(context.clock.instant(time_limit));
     let pool = Arc::clone(&context.endpoints);
-    let body = AnswerBody::streaming(&parts, body, connection, pool, idle_limit, false, None);
+    let body = AnswerBody::streaming(&parts, body, connection, pool, limits, false, None);
     headers::strip_from_endpoint(&mut parts.headers);
     RelayResult::Answered { fresh }.write_to(&mut parts.headers);
     body::response(parts, body)
--- a/crates/pistachiotrackd/src/shards/probe.rs
+++ b/crates/pistachiotrackd/src/shards/probe.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Method, Uri,
     header::{HOST, HeaderValue},
@@ -34,6 +34,9 @@
 /// Health checks are not limited by the connection budget of requests.
 const PROBE_BUDGET: u32 = u32::MAX;
 
+/// Maximum size of the body of a health check's answer.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
 /// Recipients of the result of a health check.
 pub(crate) struct ProbeReports {
     /// Gets the outcome.
@@ -122,24 +125,18 @@
 
     async fn read_body(
         &self,
-        mut answer: StartedAnswer,
+        answer: StartedAnswer,
         pool: &ConnectionPool,
         clock: Clock,
     ) -> BodyEnd {
-        let whole = async {
-            while let Some(frame) = answer.body.frame().await {
-                if frame.is_err() {
-                    return BodyEnd::Truncated;
-                }
+        let StartedAnswer { body, connection, .. } = answer;
+        let body = Limited::new(body, MAX_BODY_BYTES).collect();
+        match tokio::time::timeout_at(clock.instant(self.time_limit), body).await {
+            Ok(Ok(_)) => {
+                pool.check_in(connection);
+                BodyEnd::Complete
             }
-            BodyEnd::Complete
-        };
-        let end = tokio::time::timeout_at(clock.instant(self.time_limit), whole)
-            .await
-            .unwrap_or(BodyEnd::Truncated);
-        if end == BodyEnd::Complete {
-            pool.check_in(answer.connection);
+            _ => BodyEnd::Truncated,
         }
-        end
     }
 }
--- /dev/null
+++ b/crates/pistachiotrackd/tests/endless_answers.rs
@@ -0,0 +1,211 @@
+//! Endpoints whose answers don't end, at each place that reads from an endpoint.
+
+mod testenv;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use pistachiotrack_core::header;
+use serde_json::json;
+use testenv::{
+    Deployment, client, config,
+    endpoint::{Endpoint, read_request_line},
+    fleet::{Fleet, bounded, wait_until},
+};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+/// Bytes that are taken of an answer that doesn't end, with those that buffers hold on the way.
+const MAX_TAKEN_BYTES: u64 = 8 * 1024 * 1024;
+/// Time after the outcome of a request within which its connection must be closed.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+/// Time in which a request must be answered that an endless answer has delayed.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+const FOUND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfound";
+
+/// An endpoint that begins an answer and then sends the same bytes until its peer closes.
+struct EndlessEndpoint {
+    endpoint: Endpoint,
+    written_bytes: Arc<AtomicU64>,
+    /// Connections on which an answer without end is being written.
+    writing: Arc<AtomicU64>,
+}
+
+impl EndlessEndpoint {
+    /// Starts an endpoint that answers requests so, and health checks properly.
+    async fn start(head: String, repeated: String) -> EndlessEndpoint {
+        let written_bytes = Arc::new(AtomicU64::new(0));
+        let writing = Arc::new(AtomicU64::new(0));
+        let counts = (Arc::clone(&written_bytes), Arc::clone(&writing));
+        let endpoint = Endpoint::serve(move |mut stream| {
+            let (head, repeated, (count, writing)) =
+                (head.clone(), repeated.clone(), counts.clone());
+            async move {
+                while let Some(line) = read_request_line(&mut stream).await {
+                    if line.contains("/slots") {
+                        writing.fetch_add(1, Ordering::SeqCst);
+                        write_endlessly(&mut stream, &head, &repeated, &count).await;
+                        writing.fetch_sub(1, Ordering::SeqCst);
+                        return;
+                    }
+                    if stream.write_all(FOUND.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        })
+        .await;
+        EndlessEndpoint { endpoint, written_bytes, writing }
+    }
+
+    /// Waits until all connections with an endless answer have been closed.
+    async fn wait_until_closed(&self, what: &str) {
+        let deadline = Instant::now() + CLOSE_LIMIT;
+        while self.writing.load(Ordering::SeqCst) > 0 {
+            let written = self.written_bytes.load(Ordering::SeqCst);
+            assert!(Instant::now() < deadline, "{what}: open after {written} bytes");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+async fn write_endlessly(stream: &mut TcpStream, head: &str, repeated: &str, count: &AtomicU64) {
+    let mut bytes = head.as_bytes();
+    while stream.write_all(bytes).await.is_ok() {
+        count.fetch_add(bytes.len() as u64, Ordering::SeqCst);
+        bytes = repeated.as_bytes();
+        tokio::task::yield_now().await;
+    }
+}
+
+fn chunk() -> String {
+    format!("1000\r\n{}\r\n", "x".repeat(0x1000))
+}
+
+/// Answers that are no final answer of an endpoint, or make its request go to another one.
+fn endless_forms() -> [(&'static str, String, String); 7] {
+    let early_hints = "HTTP/1.1 103 Early Hints\r\nlink: </style.css>\r\n\r\n".to_owned();
+    let chunked = |status: &str| format!("HTTP/1.1 {status}\r\n{CHUNKED}");
+    [
+        ("interim answers", String::new(), early_hints),
+        ("a status line", "HTTP/1.1 200 ".to_owned(), "O".repeat(4_096)),
+        ("a header", "HTTP/1.1 200 OK\r\nset-cookie: ".to_owned(), "x".repeat(4_096)),
+        ("headers", "HTTP/1.1 200 OK\r\n".to_owned(), "x-more: yes\r\n".to_owned()),
+        ("other bytes", String::new(), "no answer ".to_owned()),
+        ("a failure", chunked("500 Internal Server Error"), chunk()),
+        ("a refusal", chunked("503 Service Unavailable\r\npistachiotrack-not-run: true"), chunk()),
+    ]
+}
+
+/// Guards against callers that wait for an answer that doesn't end while another endpoint could
+/// give one, and against a VM that goes on reading it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_is_answered_by_another_endpoint_than_one_that_does_not_end() {
+    for (form, head, repeated) in endless_forms() {
+        bounded(async {
+            let endless = EndlessEndpoint::start(head, repeated).await;
+            let sound = Endpoint::answering("found").await;
+            let addresses = [endless.endpoint.address, sound.address];
+            let deployment = Deployment::start(&addresses, &[]).await;
+            for number in 0..8 {
+                let sent = Instant::now();
+                let answer = client::send(deployment.address(), client::get("/slots/7")).await;
+                let answer = answer.unwrap_or_else(|error| panic!("{form}, {number}: {error}"));
+                assert_eq!(answer.body(), "found", "{form}, {number}: {answer:?}");
+                assert!(sent.elapsed() < ANSWER_LIMIT, "{form}, {number}: {:?}", sent.elapsed());
+            }
+            assert!(endless.endpoint.connections() > 0, "{form}");
+            endless.wait_until_closed(form).await;
+            let written = endless.written_bytes.load(Ordering::SeqCst);
+            let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
+            assert!(written < limit, "{form}: {written} bytes");
+        })
+        .await;
+    }
+}
+
+/// Guards against an answer that begins well and doesn't end, which would be passed on for as long as
+/// the caller reads: it is cut, and doesn't look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_does_not_end_is_cut_after_its_deadline() {
+    for (form, length) in [("chunks", CHUNKED), ("no length", "\r\n")] {
+        bounded(async {
+            let head = format!("HTTP/1.1 200 OK\r\n{length}");
+            let endless = EndlessEndpoint::start(head, chunk()).await;
+            let limits = json!({"body_overrun_ms": 300});
+            let deployment =
+                Deployment::start_with_limits(&[endless.endpoint.address], &[], limits).await;
+            let lookup = client::with_header(client::get("/slots/7"), header::DEADLINE_MS, "500");
+            let sent = Instant::now();
+            client::send(deployment.address(), lookup).await.unwrap_err();
+            assert!(sent.elapsed() < Duration::from_secs(2), "{form}: {:?}", sent.elapsed());
+            endless.wait_until_closed(form).await;
+        })
+        .await;
+    }
+}
+
+/// Guards against an endpoint that goes on sending to a caller that has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_does_not_end_is_closed_when_its_caller_leaves() {
+    bounded(async {
+        let head = format!("HTTP/1.1 200 OK\r\n{CHUNKED}");
+        let endless = EndlessEndpoint::start(head, chunk()).await;
+        let deployment = Deployment::start(&[endless.endpoint.address], &[]).await;
+        let mut caller = client::Connection::open(deployment.address()).await;
+        let answer = caller.begin(client::get("/slots/7")).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        caller.abort();
+        endless.endpoint.wait_closed(1).await;
+    })
+    .await;
+}
+
+/// Guards against a connection that stays in use while its endpoint sends bytes after its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_on_which_bytes_follow_the_answer_is_closed() {
+    bounded(async {
+        let (head, more) = (FOUND.to_owned(), "more".to_owned());
+        let endless = EndlessEndpoint::start(head, more).await;
+        let deployment = Deployment::start(&[endless.endpoint.address], &[]).await;
+        for _ in 0..5 {
+            let answer = client::send(deployment.address(), client::get("/slots/7")).await.unwrap();
+            assert_eq!(answer.body(), "found");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        endless.wait_until_closed("bytes after an answer").await;
+        assert_eq!(endless.endpoint.connections(), 5);
+    })
+    .await;
+}
+
+/// Guards against a relay that reads an answer without end for the VM that it relays for.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_does_not_end_is_closed_by_a_relay() {
+    for (form, head, repeated) in endless_forms() {
+        bounded(async {
+            let endless = EndlessEndpoint::start(head, repeated).await;
+            let sound = Endpoint::answering("found").await;
+            let addresses = [endless.endpoint.address, sound.address];
+            let fleet = Fleet::start(3, config(1, &addresses, &[])).await;
+            let owner = &fleet.vms[fleet.owner("slot-search/0").await];
+            owner.set_paths_blocked(&[&endless.endpoint], true);
+            let relayed = || async {
+                let answer = client::send(owner.caller, client::get("/slots/7")).await.unwrap();
+                assert_eq!(answer.body(), "found", "{form}: {answer:?}");
+                endless.endpoint.connections() > 0
+            };
+            wait_until(relayed).await;
+            endless.wait_until_closed(form).await;
+            let written = endless.written_bytes.load(Ordering::SeqCst);
+            let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
+            assert!(written < limit, "{form}: {written} bytes");
+        })
+        .await;
+    }
+}
