VMs find out that they reach no endpoint though nearly all others are cut off too

With 14 of 16 VMs cut off and connections that hang, 0.00 of the requests at them were served from the third second on. The two VMs that a check asks were cut off as well; a connection that hung was reported after a second; a VM whose endpoints all looked bad sent nothing more and so had no third failure; and the VM that the others handed their requests to waited for slots that only seemed taken, found nothing out for 3.7 s, and held them until their deadline.

If a few VMs don't reach the endpoints, a check asks up to 16 more, less and less often while none does. A refused try counts once.

--- a/crates/pistachiotrack-core/src/reachability.rs
+++ b/crates/pistachiotrack-core/src/reachability.rs
@@ -7,7 +7,11 @@
 //! other VMs have to reach endpoints that this one doesn't. If the endpoints themselves are
 //! down, no VM hands anything over.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -20,6 +24,9 @@
 /// The same after which a VM that has only just reached endpoints again is cut off. Single
 /// endpoints may be down all the while.
 const FAILURES_ON_RETURN: u32 = 5;
+/// Time without an open connection after a failed one after which some endpoints are tried. A VM
+/// whose endpoints all look bad may send nothing by which it would find out.
+const UNCONFIRMED_TIME: Duration = Duration::from_millis(500);
 /// Time for which a failed connection counts.
 const FAILURE_TTL: Duration = Duration::from_secs(5);
 /// Number of other endpoints that are tried in a check.
@@ -28,9 +35,13 @@
 const ASKED_ENDPOINTS: usize = 5;
 /// Number of these that other VMs must reach: a single one may have a broken path of its own.
 const MIN_REACHED_BY_OTHERS: usize = 2;
-/// Time after which a check without a result ends; it allows for two connections that hang, one
-/// after the other.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time after which a check without a result ends; it allows for three connections that hang, one
+/// after the other: of the VMs that are asked first, of those asked next, and of this one.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Minimum time between two checks that ask many VMs. It doubles while no VM reaches the endpoints, up
+/// to the maximum.
+const MANY_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_MANY_INTERVAL: Duration = Duration::from_secs(32);
 /// Minimum time between the starts of two checks. While some endpoints refuse connections, those
 /// that a check itself tries would otherwise start the next one as soon as another endpoint has
 /// ended it, again and again.
@@ -98,12 +109,27 @@
     /// Opens a connection to each endpoint and reports the results with
     /// [`Reachability::on_tried`].
     TryEndpoints(Vec<SocketAddr>),
-    /// Asks other VMs whether they reach any of these endpoints.
-    AskVms(Vec<SocketAddr>),
+    /// Asks other VMs whether they reach these endpoints, and reports the results with
+    /// [`Reachability::on_vms_answered`].
+    AskVms {
+        /// The endpoints.
+        endpoints: Vec<SocketAddr>,
+        /// Number of VMs to ask about each.
+        vms: AskedVms,
+    },
     /// The state has changed.
     Changed(EndpointReach),
 }
 
+/// Number of VMs that are asked about an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskedVms {
+    /// A few of them.
+    Few,
+    /// Many others: the few may be cut off as well.
+    Many,
+}
+
 /// A check whether this VM reaches any endpoint.
 #[derive(Clone, Debug)]
 struct Check {
@@ -112,8 +138,11 @@
     asked: Vec<SocketAddr>,
     /// Number of endpoints whose result is outstanding.
     outstanding: usize,
-    /// Number of endpoints that other VMs reach.
-    reached_by_others: usize,
+    /// Number of endpoints about which no answer has arrived.
+    unanswered: usize,
+    /// Endpoints that other VMs reach.
+    reached_by_others: BTreeSet<SocketAddr>,
+    has_asked_many: bool,
 }
 
 impl Check {
@@ -137,7 +166,13 @@
     check: Option<Check>,
     /// Time before which no other check starts.
     next_check_at: Time,
+    /// Time before which no check asks many VMs.
+    next_many_at: Time,
+    many_interval: Duration,
     next_try_at: Time,
+    last_connected_at: Time,
+    /// Number of other VMs that report that they reach no endpoint.
+    cut_off_vms: usize,
     successes: u32,
     /// Number of recent partitions.
     partitions: u32,
@@ -155,7 +190,11 @@
             failures: 0,
             check: None,
             next_check_at: now,
+            next_many_at: now,
+            many_interval: MANY_INTERVAL,
             next_try_at: now,
+            last_connected_at: now,
+            cut_off_vms: 0,
             successes: 0,
             partitions: 0,
             returned_at: now,
@@ -183,6 +222,8 @@
     /// Handles that a connection to an endpoint was opened.
     pub fn on_connected(&mut self, now: Time) -> Vec<ReachAction> {
         self.forget_failures();
+        self.many_interval = MANY_INTERVAL;
+        self.last_connected_at = now;
         if self.reach != EndpointReach::CutOff {
             return Vec::new();
         }
@@ -201,7 +242,11 @@
             return Vec::new();
         }
         self.failed.retain(|_, failed_at| now.since(*failed_at) < FAILURE_TTL);
-        self.failures = if self.failed.is_empty() { 1 } else { self.failures + 1 };
+        if self.failed.is_empty() {
+            self.failures = 0;
+            self.next_try_at = now + UNCONFIRMED_TIME;
+        }
+        self.failures += 1;
         self.failed.insert(endpoint, now);
         if self.reach.is_cut_off() {
             let is_cut_off = self.failures >= FAILURES_ON_RETURN;
@@ -234,14 +279,47 @@
     ///
     /// This one tries again then: an endpoint that crashes and starts again may have been down when
     /// it tried, and up when the other VM did.
-    pub fn on_vms_answered(&mut self, reached: bool) -> Vec<ReachAction> {
-        let Some(check) = self.check.as_mut().filter(|_| reached) else { return Vec::new() };
-        check.reached_by_others += 1;
-        if check.reached_by_others != MIN_REACHED_BY_OTHERS {
+    pub fn on_vms_answered(
+        &mut self,
+        now: Time,
+        endpoint: SocketAddr,
+        reached: bool,
+    ) -> Vec<ReachAction> {
+        let Some(check) = &mut self.check else { return Vec::new() };
+        check.unanswered = check.unanswered.saturating_sub(1);
+        let is_new = reached && check.reached_by_others.insert(endpoint);
+        if is_new && check.reached_by_others.len() == MIN_REACHED_BY_OTHERS {
+            check.outstanding += check.asked.len();
+            return vec![ReachAction::TryEndpoints(check.asked.clone())];
+        }
+        let is_open = check.reached_by_others.len() < MIN_REACHED_BY_OTHERS;
+        if check.unanswered > 0 || !is_open || check.has_asked_many || now < self.next_many_at {
+            return Vec::new();
+        }
+        check.has_asked_many = true;
+        let reached = &check.reached_by_others;
+        let endpoints: Vec<SocketAddr> =
+            check.asked.iter().filter(|asked| !reached.contains(asked)).copied().collect();
+        check.unanswered = endpoints.len();
+        self.next_many_at = now + self.many_interval;
+        self.many_interval = (self.many_interval * 2).min(MAX_MANY_INTERVAL);
+        vec![ReachAction::AskVms { endpoints, vms: AskedVms::Many }]
+    }
+
+    /// Handles the number of other VMs that report that they reach no endpoint.
+    ///
+    /// If it grows, and this VM has opened no connection lately, it tries some endpoints. Requests that
+    /// others hand to it may wait for slots that only seem taken, so that none of its own fails.
+    pub fn on_cut_off_vms(&mut self, now: Time, count: usize) -> Vec<ReachAction> {
+        let is_growing = count > self.cut_off_vms;
+        let is_idle = now.since(self.last_connected_at) >= UNCONFIRMED_TIME;
+        if !is_growing || !is_idle || self.reach.is_cut_off() || now < self.next_check_at {
+            // What doesn't lead to a try now counts as growth later.
+            self.cut_off_vms = self.cut_off_vms.min(count);
             return Vec::new();
         }
-        check.outstanding += check.asked.len();
-        vec![ReachAction::TryEndpoints(check.asked.clone())]
+        self.cut_off_vms = count;
+        vec![ReachAction::TryEndpoints(self.sample(FAILURES_TO_CHECK as usize))]
     }
 
     /// Handles a pause of this process: connections that it delayed are no evidence.
@@ -263,7 +341,12 @@
                 if self.partitions > 0 && now.since(self.returned_at) >= FORGET_TIME {
                     self.partitions = 0;
                 }
-                Vec::new()
+                let is_unconfirmed = (1..FAILURES_TO_CHECK).contains(&self.failures);
+                if !is_unconfirmed || now < self.next_try_at {
+                    return Vec::new();
+                }
+                self.next_try_at = now + CHECK_INTERVAL;
+                vec![ReachAction::TryEndpoints(self.sample(TRIED_ENDPOINTS))]
             }
             EndpointReach::Returning { until, .. } if now >= until => {
                 self.returned_at = now;
@@ -292,14 +375,17 @@
             started_at: now,
             asked: asked.clone(),
             outstanding: tried.len(),
-            reached_by_others: 0,
+            unanswered: asked.len(),
+            reached_by_others: BTreeSet::new(),
+            has_asked_many: false,
         });
-        vec![ReachAction::TryEndpoints(tried), ReachAction::AskVms(asked)]
+        let ask = ReachAction::AskVms { endpoints: asked, vms: AskedVms::Few };
+        vec![ReachAction::TryEndpoints(tried), ask]
     }
 
     fn conclude_check(&mut self, now: Time) -> Vec<ReachAction> {
         let is_confirmed = self.check.as_ref().is_some_and(|check| {
-            check.outstanding == 0 && check.reached_by_others >= MIN_REACHED_BY_OTHERS
+            check.outstanding == 0 && check.reached_by_others.len() >= MIN_REACHED_BY_OTHERS
         });
         if is_confirmed && self.reach == EndpointReach::Normal {
             return self.cut_off(now);
--- a/crates/pistachiotrack-core/tests/reachability.rs
+++ b/crates/pistachiotrack-core/tests/reachability.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
 use pistachiotrack_core::{
-    reachability::{EndpointReach, ReachAction, Reachability},
+    reachability::{AskedVms, EndpointReach, ReachAction, Reachability},
     time::Time,
 };
 
@@ -23,6 +23,10 @@
     reached: Vec<SocketAddr>,
     /// Endpoints that the other VMs reach.
     reached_by_others: Vec<SocketAddr>,
+    /// Whether the few VMs that are asked first reach none.
+    are_few_cut_off: bool,
+    /// Times at which many VMs were asked.
+    many_asked_at: Vec<Time>,
     /// States with the time at which they began.
     changes: Vec<(Time, EndpointReach)>,
     next: u16,
@@ -38,6 +42,8 @@
             now: START,
             reached: all.clone(),
             reached_by_others: all,
+            are_few_cut_off: false,
+            many_asked_at: Vec::new(),
             changes: Vec::new(),
             next: 0,
         }
@@ -80,13 +86,17 @@
                         self.reachability.on_tried(self.now, address, is_reached)
                     })
                     .collect(),
-                ReachAction::AskVms(addresses) => addresses
-                    .into_iter()
-                    .flat_map(|address| {
-                        let is_reached = self.reached_by_others.contains(&address);
-                        self.reachability.on_vms_answered(is_reached)
-                    })
-                    .collect(),
+                ReachAction::AskVms { endpoints, vms } => {
+                    if vms == AskedVms::Many {
+                        self.many_asked_at.push(self.now);
+                    }
+                    let reach_none = vms == AskedVms::Few && self.are_few_cut_off;
+                    let answer = |address| {
+                        let is_reached = !reach_none && self.reached_by_others.contains(&address);
+                        self.reachability.on_vms_answered(self.now, address, is_reached)
+                    };
+                    endpoints.into_iter().flat_map(answer).collect()
+                }
                 ReachAction::Changed(reach) => {
                     self.changes.push((self.now, reach));
                     Vec::new()
@@ -102,6 +112,53 @@
     }
 }
 
+/// Guards against a VM that isn't cut off because the VMs that it asks first are cut off as well.
+#[test]
+fn a_vm_is_cut_off_within_a_second_if_only_a_few_vms_reach_endpoints() {
+    let mut vm = Vm::new();
+    vm.are_few_cut_off = true;
+    vm.cut_off();
+    let cut_at = vm.now;
+    vm.run(Duration::from_secs(3));
+    assert!(vm.cut_off_times()[0].since(cut_at) <= Duration::from_secs(1), "{:?}", vm.changes);
+}
+
+/// Guards against a VM that sends nothing itself and goes on taking requests from VMs that are cut off.
+#[test]
+fn a_vm_without_requests_is_cut_off_after_others_report_that_they_are() {
+    let mut vm = Vm::new();
+    vm.run(Duration::from_secs(1));
+    vm.cut_off();
+    vm.now += Duration::from_secs(1);
+    let actions = vm.reachability.on_cut_off_vms(vm.now, 1);
+    vm.apply(actions);
+    assert_eq!(vm.changes.last().map(|(_, reach)| *reach), Some(EndpointReach::CutOff));
+}
+
+/// Guards against VMs that try endpoints all the while because some VM is cut off.
+#[test]
+fn a_vm_tries_endpoints_once_for_each_vm_that_is_cut_off() {
+    let mut vm = Vm::new();
+    vm.now += Duration::from_secs(1);
+    assert!(!vm.reachability.on_cut_off_vms(vm.now, 1).is_empty());
+    for _ in 0..20 {
+        vm.now += Duration::from_secs(1);
+        assert_eq!(vm.reachability.on_cut_off_vms(vm.now, 1), []);
+    }
+    assert!(!vm.reachability.on_cut_off_vms(vm.now, 2).is_empty());
+}
+
+/// Guards against VMs that all ask each other again and again while the endpoints are down.
+#[test]
+fn many_vms_are_asked_less_and_less_often_while_no_vm_reaches_an_endpoint() {
+    let mut vm = Vm::new();
+    vm.cut_off();
+    vm.reached_by_others.clear();
+    vm.run(Duration::from_secs(60));
+    assert!(vm.many_asked_at.len() <= 6, "{:?}", vm.many_asked_at);
+    assert_eq!(vm.changes, []);
+}
+
 /// Guards against a VM that goes on taking requests for seconds after it has lost all endpoints.
 #[test]
 fn a_vm_that_reaches_no_endpoint_is_cut_off_within_a_second() {
@@ -213,8 +270,8 @@
             }
         }
         vm.heal();
-        for _ in 0..2 {
-            let tried_again = vm.reachability.on_vms_answered(true);
+        for number in 0..2 {
+            let tried_again = vm.reachability.on_vms_answered(vm.now, endpoint(number), true);
             vm.apply(tried_again);
         }
         vm.run(STEP);
@@ -256,15 +313,15 @@
     reachability.set_endpoints((0..ENDPOINTS).map(endpoint).collect());
     let is_open = |address: &SocketAddr| address.port().is_multiple_of(4);
     let mut results = VecDeque::new();
-    let mut answers = 0;
+    let mut answers = Vec::new();
     let mut tried = 0;
     let mut now = START;
     let mut next = 0;
     while now < START + TIME {
         now += DELAY;
         let mut actions = Vec::new();
-        for _ in 0..std::mem::take(&mut answers) {
-            actions.extend(reachability.on_vms_answered(true));
+        for address in std::mem::take(&mut answers) {
+            actions.extend(reachability.on_vms_answered(now, address, true));
         }
         for (address, is_try) in std::mem::take(&mut results) {
             // A refusal is reported by the connection and by the one who tried.
@@ -287,7 +344,7 @@
                     tried += addresses.len();
                     results.extend(addresses.into_iter().map(|address| (address, true)));
                 }
-                ReachAction::AskVms(addresses) => answers += addresses.len(),
+                ReachAction::AskVms { endpoints, .. } => answers.extend(endpoints),
                 ReachAction::Changed(_) => {}
             }
         }
--- a/crates/pistachiotrackd/src/connections/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connections/connection_pool.rs
@@ -4,8 +4,10 @@
 //! would run a booking twice.
 
 use std::{
+    future::Future,
     io,
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, Mutex, OnceLock, PoisonError, atomic::AtomicU32},
     time::Duration,
 };
@@ -125,17 +127,43 @@
         let Some(open) = self.acquire(address, budget) else {
             return Err(CheckoutError::OverBudget { address, budget });
         };
-        let attempt = ConnectAttempt::begin(self, address);
-        let opened = match self.check_path(address).await {
-            Ok(()) => self.connector.open(address, open, deadline).await,
-            Err(error) => Err(error),
+        let opening = async {
+            self.check_path(address).await?;
+            self.connector.open(address, open, deadline).await
         };
-        attempt.end(&opened);
+        let opened = self.observe(address, opening).await;
         let connection = opened?;
         self.record_open(&connection);
         Ok(CheckedOut { connection, fresh: true })
     }
 
+    /// Opens a connection and reports the result to the observer, a failure as soon as there has been
+    /// no answer for some time: the request may be given up before the attempt ends.
+    async fn observe(
+        &self,
+        address: SocketAddr,
+        opening: impl Future<Output = Result<Connection, ConnectError>>,
+    ) -> Result<Connection, ConnectError> {
+        let mut opening = pin!(opening);
+        let in_time = tokio::time::timeout(UNANSWERED_CONNECT_TIME, opening.as_mut()).await;
+        let is_unanswered = in_time.is_err();
+        if is_unanswered {
+            self.notify(address, false);
+        }
+        let opened = match in_time {
+            Ok(opened) => opened,
+            Err(_) => opening.await,
+        };
+        match &opened {
+            Ok(_) => self.notify(address, true),
+            // One that ran out of time has failed only if it had enough.
+            Err(ConnectError::TimedOut { .. }) => {}
+            Err(_) if is_unanswered => {}
+            Err(_) => self.notify(address, false),
+        }
+        opened
+    }
+
     fn record_open(&self, connection: &Connection) {
         let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
         let drivers = &mut addresses.entry(connection.address).or_default().drivers;
@@ -186,8 +214,17 @@
         }
     }
 
-    /// Checks whether `address` accepts connections.
+    /// Checks whether `address` accepts connections, and reports a refusal to the observer.
     pub(crate) async fn listening(&self, address: SocketAddr) -> Listening {
+        let listening = self.try_address(address).await;
+        if listening == Listening::Refused {
+            self.notify(address, false);
+        }
+        listening
+    }
+
+    /// Checks whether `address` accepts connections.
+    pub(crate) async fn try_address(&self, address: SocketAddr) -> Listening {
         if self.is_blocked(address) {
             return Listening::Unknown;
         }
@@ -200,7 +237,6 @@
             Err(ConnectError::Io { source, .. })
                 if source.kind() == io::ErrorKind::ConnectionRefused =>
             {
-                self.notify(address, false);
                 Listening::Refused
             }
             Err(_) => Listening::Unknown,
@@ -306,39 +342,6 @@
     }
 }
 
-/// An attempt to open a connection, of which the observer learns.
-struct ConnectAttempt<'a> {
-    pool: &'a ConnectionPool,
-    address: SocketAddr,
-    started_at: Time,
-    has_ended: bool,
-}
-
-impl ConnectAttempt<'_> {
-    fn begin(pool: &ConnectionPool, address: SocketAddr) -> ConnectAttempt<'_> {
-        let started_at = pool.connector.clock.now();
-        ConnectAttempt { pool, address, started_at, has_ended: false }
-    }
-
-    fn end(mut self, opened: &Result<Connection, ConnectError>) {
-        // One that ran out of time has failed only if it had enough.
-        if !matches!(opened, Err(ConnectError::TimedOut { .. })) {
-            self.has_ended = true;
-            self.pool.notify(self.address, opened.is_ok());
-        }
-    }
-}
-
-/// Reports an attempt that got no answer, also if its request was given up meanwhile.
-impl Drop for ConnectAttempt<'_> {
-    fn drop(&mut self) {
-        let waited = self.pool.connector.clock.now().since(self.started_at);
-        if !self.has_ended && waited >= UNANSWERED_CONNECT_TIME {
-            self.pool.notify(self.address, false);
-        }
-    }
-}
-
 async fn is_ready(connection: &mut Connection) -> bool {
     if connection.sender.is_ready() {
         return true;
--- a/crates/pistachiotrackd/src/membership/reach_monitor.rs
+++ b/crates/pistachiotrackd/src/membership/reach_monitor.rs
@@ -12,7 +12,7 @@
 use pistachiotrack_core::{
     health::PathAnswer,
     name::Name,
-    reachability::{EndpointReach, ReachAction, Reachability},
+    reachability::{AskedVms, EndpointReach, ReachAction, Reachability},
 };
 use tokio::sync::watch;
 
@@ -121,6 +121,7 @@
 
 /// Reports whether other VMs reach an endpoint that this one doesn't.
 struct VmsAnswered {
+    address: SocketAddr,
     is_reached: bool,
 }
 
@@ -128,7 +129,9 @@
     type Reply = ();
 
     async fn handle(&mut self, message: VmsAnswered, _: &mut MessageContext<Self, ()>) {
-        let actions = self.reachability.on_vms_answered(message.is_reached);
+        let VmsAnswered { address, is_reached } = message;
+        let now = self.clock.now();
+        let actions = self.reachability.on_vms_answered(now, address, is_reached);
         self.apply(actions);
     }
 }
@@ -139,7 +142,11 @@
     async fn handle(&mut self, event: TimerEvent, _: &mut MessageContext<Self, ()>) {
         self.update_endpoints();
         let actions = match event {
-            TimerEvent::Tick(now) => self.reachability.on_tick(now),
+            TimerEvent::Tick(now) => {
+                let mut actions = self.reachability.on_tick(now);
+                actions.extend(self.reachability.on_cut_off_vms(now, self.cut_off_vms()));
+                actions
+            }
             TimerEvent::Paused { .. } => {
                 self.reachability.on_pause();
                 Vec::new()
@@ -150,6 +157,11 @@
 }
 
 impl ReachMonitor {
+    /// Returns the number of other VMs that report that they reach no endpoint.
+    fn cut_off_vms(&self) -> usize {
+        self.fleet_view.borrow().members.iter().filter(|member| member.is_cut_off).count()
+    }
+
     fn update_endpoints(&mut self) {
         let view = Arc::clone(&self.fleet_view.borrow());
         let is_same = match (&self.config, &view.active) {
@@ -173,7 +185,7 @@
         for action in actions {
             match action {
                 ReachAction::TryEndpoints(addresses) => self.try_endpoints(addresses),
-                ReachAction::AskVms(addresses) => self.ask_vms(addresses),
+                ReachAction::AskVms { endpoints, vms } => self.ask_vms(endpoints, vms),
                 ReachAction::Changed(reach) => self.on_changed(reach),
             }
         }
@@ -192,7 +204,7 @@
             let pool = Arc::clone(&self.endpoints);
             tokio::spawn(async move {
                 // A refusal shows nothing: a firewall may have sent it.
-                let listening = tokio::time::timeout(TRY_TIMEOUT, pool.listening(address)).await;
+                let listening = tokio::time::timeout(TRY_TIMEOUT, pool.try_address(address)).await;
                 let is_reached = listening == Ok(Listening::Open);
                 // The monitor stops only with the process.
                 let _ = monitor.tell(EndpointTried { address, is_reached }).try_send();
@@ -200,22 +212,22 @@
         }
     }
 
-    fn ask_vms(&self, addresses: Vec<SocketAddr>) {
+    fn ask_vms(&self, addresses: Vec<SocketAddr>, vms: AskedVms) {
         let Some(monitor) = self.actor_ref.upgrade() else { return };
         let queries: FuturesUnordered<_> = addresses
             .into_iter()
             .filter_map(|address| Some((self.endpoint_at(address)?, address)))
             .map(|(endpoint, address)| {
                 let check = self.path_check.clone();
-                async move { check.query(endpoint, address).await.0 }
+                async move { (address, check.query(endpoint, address, vms).await.0) }
             })
             .collect();
         tokio::spawn(async move {
             let mut answers = queries;
-            while let Some(answer) = answers.next().await {
+            while let Some((address, answer)) = answers.next().await {
                 let is_reached = answer == PathAnswer::ReachedByOthers;
                 // The monitor stops only with the process.
-                let _ = monitor.tell(VmsAnswered { is_reached }).try_send();
+                let _ = monitor.tell(VmsAnswered { address, is_reached }).try_send();
             }
         });
     }
--- a/crates/pistachiotrackd/src/peers/path_check.rs
+++ b/crates/pistachiotrackd/src/peers/path_check.rs
@@ -3,7 +3,9 @@
 use std::{hash::BuildHasher, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use pistachiotrack_core::{health::PathAnswer, membership::MemberState, name::Name, vm::Vm};
+use pistachiotrack_core::{
+    health::PathAnswer, membership::MemberState, name::Name, reachability::AskedVms, vm::Vm,
+};
 use rustc_hash::FxBuildHasher;
 use tokio::sync::watch;
 
@@ -15,6 +17,8 @@
 
 /// Time limit for an answer.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
+/// Number of VMs that are queried about an endpoint after a few didn't reach it.
+const MANY_VMS: usize = 16;
 
 /// Queries other VMs whether they reach an endpoint.
 ///
@@ -39,12 +43,13 @@
         &self,
         endpoint: Name,
         address: SocketAddr,
+        vms: AskedVms,
     ) -> (PathAnswer, Vec<Name>) {
         let Ok(request) = postcard::to_stdvec(&ReachRequest { endpoint, address }) else {
             return (PathAnswer::NoAnswer, Vec::new());
         };
         let mut queries: FuturesUnordered<_> = self
-            .probing_vms(address)
+            .probing_vms(address, vms)
             .into_iter()
             .map(|vm| {
                 let request = request.clone();
@@ -64,9 +69,9 @@
         (answer, Vec::new())
     }
 
-    /// Returns the VMs to query: from two data centres, not from this VM's own if there are others,
-    /// and different ones for each endpoint and querying VM.
-    fn probing_vms(&self, endpoint: SocketAddr) -> Vec<Vm> {
+    /// Returns the VMs to query, different ones for each endpoint and querying VM: a few from two data
+    /// centres, not from this VM's own if there are others, or many of the remaining ones.
+    fn probing_vms(&self, endpoint: SocketAddr, vms: AskedVms) -> Vec<Vm> {
         let view = Arc::clone(&self.view.borrow());
         let mut alive: Vec<&Vm> = view
             .members
@@ -81,7 +86,14 @@
         let Some(first) = alive.first().copied() else { return Vec::new() };
         let rest = &alive[1..];
         let second = rest.iter().find(|vm| vm.data_centre != first.data_centre).or(rest.first());
-        std::iter::once(first).chain(second.copied()).cloned().collect()
+        let few: Vec<&Vm> = std::iter::once(first).chain(second.copied()).collect();
+        match vms {
+            AskedVms::Few => few.into_iter().cloned().collect(),
+            AskedVms::Many => {
+                let others = rest.iter().filter(|vm| few.iter().all(|asked| asked.name != vm.name));
+                others.take(MANY_VMS).map(|vm| Vm::clone(vm)).collect()
+            }
+        }
     }
 }
 
--- a/crates/pistachiotrackd/src/shards/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shards/shard_actor.rs
@@ -23,6 +23,7 @@
     name::Name,
     ownership::ShardId,
     rate_limit::RateLimit,
+    reachability::AskedVms,
     refusal::RefusalDecision,
     request::{AttemptId, EndpointReport, Outcome, Request, RequestId},
     shard::{Dispatch, Shard, ShardAction, ShardMode, ShardSettings},
@@ -364,7 +365,8 @@
                 let Some(shard) = self.actor_ref.upgrade() else { return Vec::new() };
                 let check = self.path_check.clone();
                 tokio::spawn(async move {
-                    let (answer, relays) = check.query(endpoint.clone(), address).await;
+                    let (answer, relays) =
+                        check.query(endpoint.clone(), address, AskedVms::Few).await;
                     // A stopped shard needs no answer.
                     let _ = shard.tell(PathChecked { endpoint, answer, relays }).try_send();
                 });
--- a/crates/pistachiotrackd/tests/endpoint_partition.rs
+++ b/crates/pistachiotrackd/tests/endpoint_partition.rs
@@ -83,6 +83,32 @@
     .await;
 }
 
+/// Guards against VMs that don't find out that they reach no endpoint because nearly all VMs that they
+/// ask are cut off as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partition_of_all_vms_but_two_is_bridged() {
+    bounded(async {
+        let [first, second, third] = three_endpoints().await;
+        let addresses = [&first, &second, &third].map(|endpoint| endpoint.address);
+        let (_platform, vms) = start_dispatchers(16, &addresses).await;
+        let cut_off = &vms[..14];
+        for form in ["silent", "refused"] {
+            for vm in cut_off {
+                set_paths(vm, form).await;
+            }
+            let cut_at = Instant::now();
+            let until = cut_at + DETECTION_LIMIT + Duration::from_secs(4);
+            let served = served_fraction(cut_off, cut_at + DETECTION_LIMIT, until).await;
+            assert!(served > 0.9, "{form}: {served:.2} of the requests were served");
+            for vm in cut_off {
+                set_paths(vm, "none").await;
+            }
+            tokio::time::sleep(Duration::from_secs(3)).await;
+        }
+    })
+    .await;
+}
+
 /// Guards against callers that are sent to a VM which reaches no endpoint, and against one that
 /// stays without work when it reaches them again.
 #[tokio::test(flavor = "multi_thread")]
