--- a/crates/pistachiotrack-core/src/prior_attempts.rs
+++ b/crates/pistachiotrack-core/src/prior_attempts.rs
@@ -28,7 +28,7 @@
     /// Returns whether an endpoint may have received the request, so that another attempt is a
     /// retry.
     pub fn has_arrived(&self) -> bool {
-        self.possible_runs + self.refusals > 0
+        self.possible_runs > 0 || self.refusals > 0
     }
 
     /// Records that the request is sent to an endpoint.
@@ -43,13 +43,13 @@
         if !outcome.certainly_not_run() {
             return;
         }
-        self.possible_runs -= 1;
+        self.possible_runs = self.possible_runs.saturating_sub(1);
         if outcome.never_arrived() {
             if let Some(index) = self.endpoints.iter().rposition(|sent| sent == endpoint) {
                 self.endpoints.remove(index);
             }
         } else {
-            self.refusals += 1;
+            self.refusals = self.refusals.saturating_add(1);
         }
     }
 
--- a/crates/pistachiotrack-core/src/reachability.rs
+++ b/crates/pistachiotrack-core/src/reachability.rs
@@ -38,9 +38,9 @@
 /// Time after which a check without a result ends; it allows for three connections that hang, one
 /// after the other: of the VMs that are asked first, of those asked next, and of this one.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Minimum time between two checks that ask many VMs. It doubles while no VM reaches the endpoints, up
-/// to the maximum.
-const MANY_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between two checks that ask many VMs. It doubles while no VM reaches the endpoints.
+const MIN_MANY_INTERVAL: Duration = Duration::from_secs(1);
+/// Upper bound of that time.
 const MAX_MANY_INTERVAL: Duration = Duration::from_secs(32);
 /// Minimum time between the starts of two checks. While some endpoints refuse connections, those
 /// that a check itself tries would otherwise start the next one as soon as another endpoint has
@@ -191,7 +191,7 @@
             check: None,
             next_check_at: now,
             next_many_at: now,
-            many_interval: MANY_INTERVAL,
+            many_interval: MIN_MANY_INTERVAL,
             next_try_at: now,
             last_connected_at: now,
             cut_off_vms: 0,
@@ -222,7 +222,7 @@
     /// Handles that a connection to an endpoint was opened.
     pub fn on_connected(&mut self, now: Time) -> Vec<ReachAction> {
         self.forget_failures();
-        self.many_interval = MANY_INTERVAL;
+        self.many_interval = MIN_MANY_INTERVAL;
         self.last_connected_at = now;
         if self.reach != EndpointReach::CutOff {
             return Vec::new();
--- a/crates/pistachiotrack-core/src/transfers.rs
+++ b/crates/pistachiotrack-core/src/transfers.rs
@@ -44,7 +44,7 @@
     /// What became of each, none while it is being served.
     records: FxHashMap<TransferId, Option<PriorAttempts>>,
     expiries: BTreeSet<(Time, TransferId)>,
-    /// Time since which no request that may still be repeated has been forgotten.
+    /// Time since which all requests are on record that may be sent again.
     complete_since: Time,
 }
 
--- a/crates/pistachiotrackd/src/connections/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connections/connection_pool.rs
@@ -131,8 +131,7 @@
             self.check_path(address).await?;
             self.connector.open(address, open, deadline).await
         };
-        let opened = self.observe(address, opening).await;
-        let connection = opened?;
+        let connection = self.observe(address, opening).await?;
         self.record_open(&connection);
         Ok(CheckedOut { connection, fresh: true })
     }
--- a/crates/pistachiotrackd/src/connections/guarded_stream.rs
+++ b/crates/pistachiotrackd/src/connections/guarded_stream.rs
@@ -26,6 +26,9 @@
 /// No byte of the exchange was written and none will be.
 const CLOSED: u8 = 2;
 
+/// The answer has started; no limit of bytes before it applies.
+const ANSWERED: u64 = u64::MAX;
+
 /// State of the current exchange of a connection.
 ///
 /// A request must not be reported as not run after a part of it was sent, and must not be sent
@@ -39,7 +42,7 @@
     not_after_us: AtomicU64,
     state: AtomicU8,
     too_late: AtomicBool,
-    /// Bytes that may still arrive before the answer has started.
+    /// Bytes that may still arrive before the answer starts, or [`ANSWERED`].
     left_before_answer_bytes: AtomicU64,
     max_before_answer_bytes: u64,
 }
@@ -74,7 +77,7 @@
 
     /// Records that the answer of the exchange has started.
     pub(crate) fn on_answer(&self) {
-        self.left_before_answer_bytes.store(u64::MAX, Ordering::Release);
+        self.left_before_answer_bytes.store(ANSWERED, Ordering::Release);
     }
 
     /// Closes the exchange and returns whether it is certain that no byte of it was or will be
@@ -109,8 +112,7 @@
 
     fn after_read(&self, bytes: u64) -> io::Result<()> {
         let left = self.left_before_answer_bytes.load(Ordering::Acquire);
-        // No limit applies once the answer has started.
-        if left == u64::MAX {
+        if left == ANSWERED {
             return Ok(());
         }
         let left = left
@@ -120,7 +122,7 @@
         let _ = self.left_before_answer_bytes.fetch_update(
             Ordering::AcqRel,
             Ordering::Acquire,
-            |before| (before != u64::MAX).then_some(left),
+            |before| (before != ANSWERED).then_some(left),
         );
         Ok(())
     }
--- a/crates/pistachiotrackd/src/formats/inbound.rs
+++ b/crates/pistachiotrackd/src/formats/inbound.rs
@@ -50,7 +50,7 @@
     pub(crate) deadline: Time,
     /// Customer given by the caller, if any.
     pub(crate) named_customer: Option<Name>,
-    /// The copy that another VM sent, if it did; none of it otherwise.
+    /// Which copy of it another VM sent; the default if it came from a caller.
     pub(crate) copy: TransferredCopy,
     /// Attempts so far.
     pub(crate) attempts: Mutex<PriorAttempts>,
