Coverage: an attempt that never arrived is no request to its endpoint

Cause: an endpoint counted as used for 1.75 s once any dispatcher had sent it an attempt, whether that arrived or not. Dispatchers without a path to it tried it as soon as it was overdue, got no connection after 300 ms, and all others left it alone meanwhile. One request tried several such endpoints one after the other.

Change: an endpoint is used when an attempt that may have arrived has ended, or one is in flight. A VM whose last attempt at it found no connection comes after the others when it is overdue, and leaves it to them for five seconds.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -306,6 +306,7 @@
         self.on_health_actions(now, actions);
         self.record_evidence(now, &state, outcome);
         self.on_relay_outcome(now, &state, outcome);
+        self.pool.on_own_outcome(now, &state, outcome);
         self.pool.refresh(now, &self.health);
         if let Outcome::Answered { status, .. } = outcome {
             self.queue_failure_report(attempt);
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -7,6 +7,7 @@
 mod rate_limits;
 mod slots;
 mod speed;
+mod usage;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,7 +20,10 @@
 use rustc_hash::FxHashMap;
 
 pub(super) use self::pick::{Pick, PickCriteria};
-use self::speed::ServiceSpeeds;
+use self::{
+    speed::ServiceSpeeds,
+    usage::{EndpointUsage, PeerCount},
+};
 use super::{EndpointKey, SelectionReason, ShardMode, speed::EndpointSpeed};
 use crate::{
     concurrency_limit::AdaptiveConcurrencyLimit,
@@ -60,8 +64,7 @@
     last_observed_at: Option<Time>,
     /// Whether that answer was a failure.
     has_failed_last: bool,
-    /// Time of the last request that any VM is known to have sent.
-    last_sent: Time,
+    usage: EndpointUsage,
     /// Whether it was added while this VM was running, and no VM has tried it yet.
     is_untried: bool,
     /// Rate that may be used, if the endpoint has ever announced a rate limit.
@@ -70,8 +73,8 @@
     is_reserved_for_peers: bool,
     /// Until when it accepts no requests from this VM, if it has asked for that.
     refuses_until: Option<Time>,
-    /// Requests that other VMs have in flight, each count with its expiry time.
-    peer_counts: Vec<(Name, u32, Time)>,
+    /// Requests that other VMs have in flight.
+    peer_counts: Vec<PeerCount>,
     /// Its speed relative to the other endpoints.
     speed: EndpointSpeed,
 }
@@ -79,7 +82,7 @@
 impl PoolEntry {
     /// Returns how many requests the other VMs have in flight.
     fn peer_in_flight(&self) -> u32 {
-        self.peer_counts.iter().map(|(_, count, _)| count).sum()
+        self.peer_counts.iter().map(|peer| peer.in_flight).sum()
     }
 
     /// Returns whether it accepts requests and has a slot for one more now.
@@ -228,7 +231,7 @@
                 risk: 0.0,
                 last_observed_at: None,
                 has_failed_last: false,
-                last_sent: Time::ZERO,
+                usage: EndpointUsage::default(),
                 is_untried: self.feature_flags.new_endpoints_first,
                 rate: None,
                 is_reserved_for_peers: false,
@@ -273,11 +276,11 @@
             if now >= entry.predecessor_until {
                 entry.predecessor_in_flight = 0;
             }
-            entry.peer_counts.retain(|(_, _, until)| now < *until);
+            entry.peer_counts.retain(|peer| now < peer.expires_at);
             entry.risk = health.avoidable_risk(now, name);
             entry.last_observed_at = health.last_observed_at(name);
             entry.has_failed_last = health.has_failed_last(name);
-            entry.last_sent = entry.last_sent.max(health.last_used_at(name).unwrap_or(Time::ZERO));
+            entry.usage.on_received(health.last_used_at(name).unwrap_or(Time::ZERO));
             entry.is_untried &= entry.last_observed_at.is_none();
             entry.slot_share = health.share(now, name);
             entry.refuses_until = self.notices.refuses_until(now, name);
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -23,6 +23,12 @@
 /// Time for which an endpoint whose last request failed is overdue later than others, for the same
 /// two kinds of requests. Users count it as sound again two seconds after the failure.
 const FAILED_DELAY: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(3));
+/// How much later an endpoint is overdue for a VM whose last attempt didn't reach it, so that VMs with
+/// a path to it come first.
+const UNREACHED_DELAY: Duration = Duration::from_millis(600);
+/// Time for which such a VM leaves the endpoint to the others in any case. It is shorter than the six
+/// seconds after which users count an endpoint as sound that nobody has reached.
+const UNREACHED_TIME: Duration = Duration::from_secs(5);
 /// Highest rank of overdue endpoints, which come before all others.
 const MAX_OVERDUE_RANK: u64 = 1_000;
 /// Risk from which on requests that may run again explore an endpoint.
@@ -112,11 +118,16 @@
         let (mut all, mut covered) = (0, 0);
         for entry in usable {
             all += 1;
-            covered += usize::from(entry.last_sent >= unused_since);
+            covered += usize::from(entry.last_used_at() >= unused_since);
         }
         let wanted_percent = if criteria.is_failure_rate_high { 100 } else { MIN_COVERED_PERCENT };
         let includes_unsound = covered * 100 < all * wanted_percent;
-        Coverage { unused_since, failed_before: unused_since.before(delay), includes_unsound }
+        Coverage {
+            unused_since,
+            unreached_since: criteria.now.before(UNREACHED_TIME),
+            failed_before: unused_since.before(delay),
+            includes_unsound,
+        }
     }
 
     fn risk_rank(&self, entry: &PoolEntry, idempotent: bool) -> u64 {
@@ -144,6 +155,8 @@
 struct Coverage {
     /// Endpoints without a request since then are overdue.
     unused_since: Time,
+    /// Those that this VM hasn't reached since then are left to the others.
+    unreached_since: Time,
     /// Those whose last request failed must have failed before then.
     failed_before: Time,
     /// Whether this includes those that failed later, and degraded ones.
@@ -151,11 +164,26 @@
 }
 
 impl Coverage {
+    /// Returns since when an endpoint must have had no request to be overdue for this VM, unless it
+    /// is left to the others.
+    fn unused_since(self, entry: &PoolEntry) -> Option<Time> {
+        match entry.usage.unreached_at {
+            None => Some(self.unused_since),
+            Some(at) if at < self.unreached_since => {
+                Some(self.unused_since.before(UNREACHED_DELAY))
+            }
+            Some(_) => None,
+        }
+    }
+
     fn is_overdue(self, entry: &PoolEntry) -> bool {
         let has_failed_lately =
             entry.has_failed_last && entry.last_observed_at >= Some(self.failed_before);
         let may_be_sound = || !has_failed_lately && !entry.speed.is_degraded();
-        entry.last_sent < self.unused_since && (self.includes_unsound || may_be_sound())
+        let Some(unused_since) = self.unused_since(entry) else { return false };
+        entry.last_used_at() < unused_since
+            && entry.usage.sent_at < unused_since
+            && (self.includes_unsound || may_be_sound())
     }
 }
 
--- a/crates/pistachiotrack-core/src/shard/pool/slots.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/slots.rs
@@ -2,13 +2,13 @@
 
 use rand::RngExt;
 
-use super::Pool;
+use super::{Pool, usage::PeerCount};
 use crate::{name::Name, time::Time};
 
 impl Pool {
     pub(in crate::shard) fn acquire(&mut self, now: Time, name: &str) {
         if let Some(entry) = self.endpoints.get_mut(name) {
-            entry.last_sent = now;
+            entry.usage.on_sent(now);
             entry.in_flight += 1;
             self.in_flight += 1;
             if let Some(rate) = &mut entry.rate {
@@ -59,24 +59,26 @@
         }
     }
 
-    /// Sets how many requests another VM has in flight; the count expires at `until`.
+    /// Sets how many requests another VM has in flight; the count expires at `expires_at`.
     pub(in crate::shard) fn set_peer_in_flight(
         &mut self,
         now: Time,
         name: &str,
-        peer: &Name,
-        count: u32,
-        until: Time,
+        vm: &Name,
+        in_flight: u32,
+        expires_at: Time,
     ) {
         let Some(entry) = self.endpoints.get_mut(name) else { return };
-        let before = entry.peer_counts.iter().find(|(other, ..)| other == peer);
-        if count > before.map_or(0, |(_, count, _)| *count) {
-            entry.last_sent = now;
-        }
-        entry.peer_counts.retain(|(other, ..)| other != peer);
-        if count > 0 {
-            entry.peer_counts.push((peer.clone(), count, until));
+        let before = entry.peer_counts.iter().position(|peer| peer.vm == *vm);
+        let before = before.map(|index| entry.peer_counts.swap_remove(index));
+        if in_flight == 0 {
+            return;
         }
+        let last_sent_at = match before {
+            Some(before) if in_flight <= before.in_flight => before.last_sent_at,
+            _ => now,
+        };
+        entry.peer_counts.push(PeerCount { vm: vm.clone(), in_flight, last_sent_at, expires_at });
     }
 
     /// Returns how many requests this VM has in flight at an endpoint.
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -165,6 +165,9 @@
             self.on_peer_said_leaving(now, endpoint);
         }
         let Some(ended) = update.ended else { return };
+        let sent_at =
+            now.before(Duration::from_micros(ended.age_us.saturating_add(ended.latency_us)));
+        self.pool.on_peer_request_received(endpoint, sent_at);
         let actions = self.health.on_peer_attempt_ended(now, endpoint, ended);
         self.on_health_actions(now, actions);
         if !ended.result.is_failure() {
--- a/crates/pistachiotrack-core/tests/coverage_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/coverage_support/mod.rs
@@ -109,6 +109,7 @@
 
 /// A moment at which too few sound endpoints had had requests.
 #[derive(Clone, Copy, Debug)]
+#[expect(dead_code, reason = "read through its debug format when a test fails")]
 pub(crate) struct TooFew {
     pub(crate) at: Time,
     pub(crate) sound: usize,
