Soak: all VMs together keep to the retry limit of a service

Endpoints record which work arrived; services of the soak have a limit of a fifth and 8 in ten seconds.

--- a/crates/pistachiotrack-standins/src/endpoint.rs
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -107,7 +107,7 @@
     faults: Mutex<Faults>,
     random: Mutex<Pcg64Mcg>,
     execution_counter: Arc<ExecutionCounter>,
-    arrivals: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<(Instant, WorkId)>>,
     probes: AtomicU64,
     shed: AtomicU64,
     cancelled: AtomicU64,
@@ -199,7 +199,13 @@
 
     /// Returns the times at which requests arrived, from `since` on.
     pub fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
-        lock(&self.state.arrivals).iter().copied().filter(|at| *at >= since).collect()
+        let arrivals = self.work_arrivals().into_iter().map(|(at, _)| at);
+        arrivals.filter(|at| *at >= since).collect()
+    }
+
+    /// Returns the times at which requests arrived, with their work.
+    pub fn work_arrivals(&self) -> Vec<(Instant, WorkId)> {
+        lock(&self.state.arrivals).clone()
     }
 }
 
@@ -256,7 +262,7 @@
         let Some(id) = work_id(request.headers()) else { return empty(400) };
         let crashes = request.uri().query() == Some(CRASH_QUERY);
         let deadline = remaining_time(request.headers()).map(|left| arrived + left);
-        lock(&self.arrivals).push(arrived);
+        lock(&self.arrivals).push((arrived, id));
         let cancelled = CancellationGuard::new(&self.cancelled);
         let answer = self.run_until_deadline(id, request, deadline, crashes).await;
         cancelled.disarm();
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -17,7 +17,11 @@
     time::Duration,
 };
 
-use pistachiotrack_core::{request::DEFAULT_MAX_ATTEMPTS, rule::RuleAction};
+use pistachiotrack_core::{
+    request::DEFAULT_MAX_ATTEMPTS,
+    rule::RuleAction,
+    service::{RetryLimit, Service},
+};
 use tokio::{sync::watch, task::JoinSet};
 
 use self::{
@@ -25,8 +29,8 @@
     clock::RunClock,
     environment::Environment,
     oracle::{
-        CUSTOMER_WINDOW_MS, LoggedRefusals, ObservedVersion, RequestRecord, RunRecord, Violation,
-        violations,
+        CUSTOMER_WINDOW_MS, LoggedRefusals, ObservedVersion, RequestRecord, RunRecord,
+        ServiceArrivals, Violation, violations,
     },
     plan::{Event, MAX_PROXIED_VMS, Plan, PlatformFault},
     vms::VmProcesses,
@@ -35,10 +39,12 @@
     caller::{Caller, RequestOutcome, Sample},
     daemon::DaemonBinary,
     deployment::{Deployment, Kind},
+    endpoint::Endpoint,
     fleet::Fleet,
     link::Links,
     load::{LoadSettings, WorkIds, generate_load},
     runtime,
+    work::WorkId,
     workload::operations,
 };
 
@@ -48,6 +54,8 @@
 const SECONDS: u64 = 60;
 /// Share of the slots that the load uses; low because all processes share one machine.
 const LOAD: f64 = 0.04;
+/// Retry limit of each service.
+const RETRY_LIMIT: RetryLimit = RetryLimit { ratio: 0.2, slack: 8, window_ms: 10_000 };
 /// Callers that use the first entry address that a VM returns; one more caller uses the last.
 const STEERED_CALLERS: usize = 3;
 /// VMs that have a caller with a persistent connection.
@@ -184,6 +192,7 @@
         service.dispatchers_per_data_centre = plan.dispatchers_per_data_centre;
         // Lets several endpoints leave at the same time.
         service.floor = service.floor.min(1);
+        service.retry_limit = Some(RETRY_LIMIT);
     }
     for rule in &mut deployment.config.rules {
         if let RuleAction::Route(route) = &mut rule.then {
@@ -245,6 +254,7 @@
             .chain(flood.iter().map(|(id, _)| *id))
             .map(|id| (id, execution_counter.executions(id)))
             .collect(),
+        service_arrivals: service_arrivals(&environment.deployment, clock),
         max_attempts: max_attempts(plan),
         taken_keys,
         key_limit_ms: (customers::KEY_MAX_AGE_S * 1_000.0) as u64,
@@ -290,6 +300,24 @@
     }
 }
 
+/// Returns the arrivals at the endpoints of each service.
+fn service_arrivals(deployment: &Deployment, clock: RunClock) -> Vec<ServiceArrivals> {
+    let of_service = |service: &Service| {
+        let is_of_service = |endpoint: &&Endpoint| {
+            service.endpoints.iter().any(|it| it.address == endpoint.address())
+        };
+        let endpoints = deployment.endpoints.iter().filter(is_of_service);
+        let mut arrivals_ms: Vec<(u64, WorkId)> = endpoints
+            .flat_map(Endpoint::work_arrivals)
+            .map(|(at, id)| (clock.ms(at), id))
+            .collect();
+        arrivals_ms.sort_unstable_by_key(|(at_ms, _)| *at_ms);
+        let service = service.name.to_string();
+        ServiceArrivals { service, limit: RETRY_LIMIT, arrivals_ms }
+    };
+    deployment.config.services.iter().map(of_service).collect()
+}
+
 /// Returns how many requests the customer that floods may run in a window, with the tolerance
 /// that VMs need which don't hear each other.
 fn flood_window_limit() -> f64 {
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -7,6 +7,7 @@
 mod customers;
 mod endpoint_cuts;
 mod notices;
+mod retries;
 
 use std::fmt;
 
@@ -16,6 +17,7 @@
     customers::{CUSTOMER_WINDOW_MS, TakenKey},
     endpoint_cuts::EndpointCutPeriod,
     notices::{NoticePeriod, REFUSAL_RETRY_AFTER_MS},
+    retries::ServiceArrivals,
 };
 use crate::{caller::RequestOutcome, work::WorkId};
 
@@ -81,6 +83,8 @@
     EndpointCutBridged,
     /// A request runs no more often than its route allows attempts.
     AttemptsKept,
+    /// All VMs together send a service no more retries than its limit allows.
+    RetryLimitKept,
 }
 
 /// A violation of an invariant.
@@ -216,6 +220,8 @@
     pub requests: Vec<RequestRecord>,
     /// Number of times that endpoints began to run each piece of work.
     pub executions: FxHashMap<WorkId, u32>,
+    /// Arrivals at the endpoints of each service.
+    pub service_arrivals: Vec<ServiceArrivals>,
     /// Attempts that a request may have.
     pub max_attempts: u32,
     /// Active configuration versions in the order in which they were observed.
@@ -286,6 +292,7 @@
     record.check_endpoint_cuts(&mut report);
     record.check_taken_keys(&mut report);
     record.check_customer_limit(&mut report);
+    record.check_retry_limits(&mut report);
     if let Some(description) = record.recovery_failure() {
         report(Invariant::Recovery, description);
     }
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -3,13 +3,14 @@
 
 use std::path::Path;
 
+use pistachiotrack_core::service::RetryLimit;
 use pistachiotrack_standins::{
     caller::RequestOutcome,
     soak::{
         oracle::{
             EndpointCutPeriod, Invariant, LeavingPeriod, LoggedRefusals, NoticePeriod,
             ObservedVersion, PROPAGATION_LIMIT_MS, Process, PublishedVersion, RECOVERY_LIMIT_MS,
-            RateLimitPeriod, RequestRecord, RunRecord, TakenKey, violations,
+            RateLimitPeriod, RequestRecord, RunRecord, ServiceArrivals, TakenKey, violations,
         },
         plan::Plan,
     },
@@ -71,6 +72,11 @@
         executions: [(WorkId(1), 1), (WorkId(50), 1), (WorkId(60), 1), (WorkId(61), 1)]
             .into_iter()
             .collect(),
+        service_arrivals: vec![ServiceArrivals {
+            service: "booking".to_owned(),
+            limit: RetryLimit { ratio: 0.5, slack: 1, window_ms: 10_000 },
+            arrivals_ms: vec![(100, WorkId(1)), (200, WorkId(1)), (300, WorkId(1))],
+        }],
         max_attempts: 3,
         versions: vec![seen(1_100, 1), seen(3_000, 2), seen(9_000, 2)],
         published: vec![PublishedVersion { at_ms: 2_000, version: 2 }],
@@ -127,6 +133,10 @@
     often.executions.insert(WorkId(3), 4);
     assert_eq!(violated(&often), [Invariant::AttemptsKept]);
 
+    let mut repeated = valid_run();
+    repeated.service_arrivals[0].arrivals_ms.push((400, WorkId(1)));
+    assert_eq!(violated(&repeated), [Invariant::RetryLimitKept]);
+
     let mut ran = valid_run();
     ran.executions.insert(WorkId(2), 1);
     assert_eq!(violated(&ran), [Invariant::NotRunIsTrue]);
