--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -354,8 +354,10 @@
         daemon.spawn_platform_listeners(sockets.readiness, sockets.directory, &stopping);
         daemon.spawn_listeners(sockets.caller, sockets.peer, sockets.admin, &stopping);
         log::info!(
-            "event=started vm={} caller_address={} peer_address={} admin_address={admin_address}",
+            "event=started vm={} first_start={} caller_address={} peer_address={} \
+             admin_address={admin_address}",
             daemon.context.me.name,
+            daemon.context.settings.first_start,
             daemon.caller_address(),
             daemon.peer_address()
         );
