Retry limit: the slack is shared by the part of the fleet that a VM sees

Callers of an overloaded service got more retries at its endpoints than the limit allows while VMs were partitioned from each other for longer than a window.

Cause: a VM had its part of the slack if it saw most of the expected number of dispatchers. On each side of a partition other VMs replace the dispatchers that are gone, so that both sides saw all of them and used the slack twice.

Change: a VM's part follows the part of the fleet that it sees: VMs alive, of those that it or another dispatcher knows (new in updates, version 0x86), and those that left in an orderly way not counted. Processes that started in a partition have joined, and have a part, once they have seen most of the seeds or a dispatcher that has. A VM uses the smallest part that it had in the last window, which replaces the time from which it might use all of it.

In the model VMs now have seeds in their settings, as the daemon has; histories, limit and seeds of the tests are unchanged.

--- a/crates/pistachiotrack-core/src/membership.rs
+++ b/crates/pistachiotrack-core/src/membership.rs
@@ -15,6 +15,7 @@
 mod receive;
 mod settings;
 mod table;
+mod visible_fleet;
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
@@ -22,11 +23,11 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-pub use self::settings::MembershipSettings;
 use self::{
     gossip::Gossip, join::Join, local_health::LocalHealth, probe::Probes, pull::Pull,
     reach::ReachReports, table::Table,
 };
+pub use self::{settings::MembershipSettings, visible_fleet::VisibleFleet};
 use crate::{
     message::{Codec, Datagram, DatagramError, Identity, Message, Update, room_for_updates},
     name::Name,
@@ -174,6 +175,7 @@
         let mut actions = Vec::new();
         if !self.superseded {
             self.receive(now, from, datagram, &mut actions);
+            self.record_seen_seeds(&actions);
         }
         Ok(actions)
     }
--- a/crates/pistachiotrack-core/src/membership/join.rs
+++ b/crates/pistachiotrack-core/src/membership/join.rs
@@ -1,8 +1,8 @@
 //! Joining the fleet through seeds, the addresses in the settings.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use super::{Actions, MemberState, Membership};
+use super::{Actions, MemberState, Membership, MembershipAction};
 use crate::{message::Message, name::Name, time::Time};
 
 /// Time between two queries while the fleet may still be starting, and the time for which
@@ -21,12 +21,14 @@
     next_query_at: Time,
     /// Last name of the last page received.
     cursor: Option<Name>,
+    /// Seeds that have been alive since the start.
+    seen_seeds: BTreeSet<SocketAddr>,
 }
 
 impl Join {
     /// Creates the state with a query due at once.
     pub(super) fn new(now: Time) -> Join {
-        Join { started: now, next_query_at: now, cursor: None }
+        Join { started: now, next_query_at: now, cursor: None, seen_seeds: BTreeSet::new() }
     }
 
     /// Records the start of the next page.
@@ -58,4 +60,25 @@
             self.send(seed, Message::TableRequest { after }, Vec::new(), actions);
         }
     }
+
+    /// Records which seeds are alive, if the state of any member has changed.
+    pub(super) fn record_seen_seeds(&mut self, actions: &Actions) {
+        let is_change = |action| matches!(action, &MembershipAction::StateChanged { .. });
+        if self.has_seen_most_seeds() || !actions.iter().any(is_change) {
+            return;
+        }
+        let alive = self.members().filter(|member| member.state == MemberState::Alive);
+        let addresses: BTreeSet<_> = alive.map(|member| member.vm.peer_address).collect();
+        let seeds = self.settings.seeds.iter().copied();
+        self.join.seen_seeds.extend(seeds.filter(|seed| addresses.contains(seed)));
+    }
+
+    /// Returns whether this VM has seen most of the seeds, or is one of them, since its start.
+    pub(super) fn has_seen_most_seeds(&self) -> bool {
+        let seeds = &self.settings.seeds;
+        let is_seen = |seed: &&SocketAddr| {
+            **seed == self.me.peer_address || self.join.seen_seeds.contains(*seed)
+        };
+        seeds.is_empty() || seeds.iter().filter(is_seen).count() * 2 > seeds.len()
+    }
 }
--- a/crates/pistachiotrack-core/src/membership/table.rs
+++ b/crates/pistachiotrack-core/src/membership/table.rs
@@ -40,6 +40,8 @@
     pub(super) listed: bool,
     /// Incarnation to which the platform's leaving mark applies.
     pub(super) leaving_mark: Option<u64>,
+    /// Whether it was leaving when it was declared dead.
+    pub(super) has_left: bool,
     /// Whether its last response came without a relay.
     pub(super) direct: bool,
     /// Whether it is in the current round of probes.
@@ -164,6 +166,7 @@
             own_suspicion: false,
             listed,
             leaving_mark,
+            has_left: false,
             direct: false,
             in_round,
             queued,
@@ -179,6 +182,10 @@
         if entry.state == MemberState::Dead && state != MemberState::Dead {
             entry.alive_since = now;
         }
+        if entry.state != state {
+            let was_leaving = entry.member.state == MemberState::Leaving;
+            entry.has_left = state == MemberState::Dead && was_leaving;
+        }
         entry.state = state;
         if matches!(state, MemberState::Alive | MemberState::Dead) {
             entry.expires_at = None;
--- a/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/src/retry/fleet_retry_budget.rs
@@ -8,14 +8,16 @@
 
 mod demand;
 mod exchange;
+mod fleet_size;
 mod forecast;
+mod slack_part;
 
 use std::time::Duration;
 
 pub use self::exchange::{RightsGrant, RightsRequest};
-use self::{demand::Demand, exchange::Exchange};
+use self::{demand::Demand, exchange::Exchange, fleet_size::FleetSize, slack_part::SlackPart};
 use super::{PriorRetries, RetryRights, send_history::SendHistory};
-use crate::{name::Name, service::RetryLimit, time::Time};
+use crate::{membership::VisibleFleet, name::Name, service::RetryLimit, time::Time};
 
 /// Fraction of the slack that the dispatchers use. The rest covers retries that are sent some time
 /// after they were counted.
@@ -30,6 +32,8 @@
     pub count: u32,
     /// Whether this VM is one of them.
     pub is_member: bool,
+    /// The part of the fleet that this VM sees.
+    pub fleet: VisibleFleet,
 }
 
 /// Retry budget of one VM under a limit that all VMs share.
@@ -40,17 +44,20 @@
 /// other. A process that has just started earns none for a window, in which retries of the process
 /// before it still count, and sends only what others hand over to it.
 ///
-/// VMs on two sides of a partition may both see themselves as the dispatchers. Only a VM that sees
-/// most of the expected dispatchers therefore has a part of the slack, and only after it has seen
-/// them for a whole window, since those that it replaces may just have used theirs.
+/// VMs on two sides of a partition may both see themselves as the dispatchers, as others replace
+/// those that are gone. They therefore have the part of the slack that corresponds to the part of
+/// the fleet that they see. They have none if they see only a minority of the expected dispatchers,
+/// or if neither they nor a dispatcher that they see has joined through most of the seeds: they
+/// can't know then how large the fleet is. A larger part than before can only be used after a whole
+/// window, since a VM that this one replaces may just have used it.
 #[derive(Clone, Debug)]
 pub struct FleetRetryBudget {
     limit: RetryLimit,
     /// Expected number of dispatchers.
     expected: u32,
     visible: VisibleDispatchers,
-    /// Time from which this VM may use its part of the slack, if it sees most dispatchers.
-    slack_from: Option<Time>,
+    fleet_size: FleetSize,
+    slack_part: SlackPart,
     history: SendHistory,
     exchange: Exchange,
     demand: Demand,
@@ -73,7 +80,8 @@
             limit,
             expected,
             visible: VisibleDispatchers::default(),
-            slack_from: None,
+            fleet_size: FleetSize::default(),
+            slack_part: SlackPart::default(),
             history: SendHistory::new(now, window(limit), prior),
             exchange: Exchange::new(first_request_id),
             demand: Demand::default(),
@@ -106,15 +114,25 @@
     pub fn set_visible_dispatchers(&mut self, now: Time, visible: VisibleDispatchers) -> bool {
         let becomes_dispatcher = visible.is_member && !self.visible.is_member;
         self.visible = visible;
-        let has_part = visible.is_member && visible.count * 2 > self.expected;
-        let slack_from = self.slack_from.unwrap_or(now + window(self.limit));
-        self.slack_from = has_part.then_some(slack_from);
+        self.update_slack_part(now);
         becomes_dispatcher
     }
 
+    /// Returns the number of VMs to report to the other dispatchers, if this VM has joined the fleet.
+    pub fn known_vms(&self) -> Option<u32> {
+        let VisibleFleet { known_vms, has_joined, .. } = self.visible.fleet;
+        has_joined.then_some(known_vms)
+    }
+
+    /// Records how many VMs another dispatcher knows.
+    pub fn on_peer_known_vms(&mut self, now: Time, from: &Name, known_vms: Option<u32>) {
+        self.fleet_size.record(now, from, known_vms);
+        self.update_slack_part(now);
+    }
+
     /// Records that this process was paused: others may have replaced this VM meanwhile.
     pub fn on_pause(&mut self, now: Time) {
-        self.slack_from = self.slack_from.map(|_| now + window(self.limit));
+        self.slack_part.reset(now);
     }
 
     /// Records the first sending of a request.
@@ -224,14 +242,27 @@
     }
 
     fn slack(&self, now: Time) -> f64 {
-        let is_usable = self.slack_from.is_some_and(|from| now >= from);
-        if is_usable { self.slack_part() } else { 0.0 }
+        self.slack_part.smallest(now, window(self.limit))
     }
 
-    /// Returns the part of the slack of each dispatcher.
-    fn slack_part(&self) -> f64 {
-        let dispatchers = self.expected.max(self.visible.count).max(1);
-        f64::from(self.limit.slack) * USED_SLACK_FRACTION / f64::from(dispatchers)
+    fn update_slack_part(&mut self, now: Time) {
+        self.slack_part.forget(now, window(self.limit));
+        self.slack_part.set(now, self.current_slack_part());
+    }
+
+    /// Returns the part of the slack that this VM may have by what it sees of the fleet now.
+    fn current_slack_part(&self) -> f64 {
+        let VisibleDispatchers { count, is_member, fleet } = self.visible;
+        let Some(known_vms) = self.known_vms().max(self.fleet_size.largest()) else { return 0.0 };
+        if !is_member || count * 2 <= self.expected {
+            return 0.0;
+        }
+        let live_vms = fleet.live_vms.max(1);
+        let fleet_vms = known_vms.max(live_vms);
+        // VMs that this one doesn't see may have replaced dispatchers as often as those it sees.
+        let dispatchers = f64::from(count) * f64::from(fleet_vms) / f64::from(live_vms);
+        let dispatchers = dispatchers.max(f64::from(self.expected));
+        f64::from(self.limit.slack) * USED_SLACK_FRACTION / dispatchers
     }
 
     fn earned(&self, requests: u64) -> f64 {
--- a/crates/pistachiotrack-core/src/shard/fleet_queue.rs
+++ b/crates/pistachiotrack-core/src/shard/fleet_queue.rs
@@ -270,11 +270,12 @@
             return;
         }
         let queue = self.take_queue_summary(now);
-        let spare_retries = self.spare_retries(now);
+        let (spare_retries, known_vms) = (self.spare_retries(now), self.known_vms());
         self.pending_actions.push(ShardAction::Broadcast(ShardUpdate {
             shard: self.id.clone(),
             request_counts: self.failure_rate.take_unreported(),
             spare_retries,
+            known_vms,
             endpoints: Vec::new(),
             queue,
         }));
--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -172,6 +172,11 @@
         self.retry_budget.fleet().map(|budget| budget.spare(now)).unwrap_or_default()
     }
 
+    /// Returns the number of VMs to report to the other dispatchers, if this one has joined.
+    pub(super) fn known_vms(&mut self) -> Option<u32> {
+        self.retry_budget.fleet()?.known_vms()
+    }
+
     /// Asks other VMs for rights to send retries if this one will need more than it has.
     pub(super) fn request_retry_rights(&mut self, now: Time) {
         let held = self.held_retries.len();
--- a/crates/pistachiotrack-core/src/shard/updates.rs
+++ b/crates/pistachiotrack-core/src/shard/updates.rs
@@ -50,6 +50,8 @@
     pub request_counts: RequestCounts,
     /// Rights to send retries that the sender would give to others.
     pub spare_retries: RetryRights,
+    /// Number of VMs that the sender knows, if it has joined the fleet.
+    pub known_vms: Option<u32>,
     /// Endpoints whose state has changed.
     pub endpoints: Vec<EndpointUpdate>,
     /// What the sender has queued, if the service has a queue over the fleet.
@@ -141,6 +143,7 @@
         self.fleet_queue.on_summary(now, from, update.queue);
         if let Some(budget) = self.retry_budget.fleet() {
             budget.on_peer_spare(now, from, update.spare_retries);
+            budget.on_peer_known_vms(now, from, update.known_vms);
         }
         for entry in &update.endpoints {
             if let Some(endpoint) = self.pool.endpoint_by_key(entry.endpoint) {
@@ -222,7 +225,7 @@
                 changes.push((endpoint, None));
             }
         }
-        let spare_retries = self.spare_retries(now);
+        let (spare_retries, known_vms) = (self.spare_retries(now), self.known_vms());
         for part in changes.chunks(MAX_ENDPOINTS_PER_UPDATE) {
             let queue = self.take_queue_summary(now);
             let endpoint = |(name, ended): &EndpointChange| EndpointUpdate {
@@ -241,6 +244,7 @@
                 shard,
                 request_counts,
                 spare_retries,
+                known_vms,
                 endpoints,
                 queue,
             }));
--- a/crates/pistachiotrack-core/tests/attempts_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/attempts_support/mod.rs
@@ -125,7 +125,10 @@
     let settings = ShardSettings { mode: ShardMode::Shared, ..ShardSettings::default() };
     let id = ShardId { service: Name::from("booking"), index: 0 };
     let mut shard = Shard::new(now, id, &limited_config(retries), settings);
-    shard.set_dispatchers(now, VisibleDispatchers { count: VMS as u32, is_member: true });
+    shard.set_dispatchers(
+        now,
+        VisibleDispatchers { count: VMS as u32, is_member: true, ..VisibleDispatchers::default() },
+    );
     shard
 }
 
--- a/crates/pistachiotrack-core/tests/coverage_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/coverage_support/mod.rs
@@ -151,7 +151,11 @@
             let seed = history.seed.wrapping_add(vm as u64);
             let settings = ShardSettings { mode: ShardMode::Shared, seed, ..Default::default() };
             let mut shard = Shard::new(START, id.clone(), &config, settings);
-            let visible = VisibleDispatchers { count: VMS as u32, is_member: true };
+            let visible = VisibleDispatchers {
+                count: VMS as u32,
+                is_member: true,
+                ..VisibleDispatchers::default()
+            };
             shard.set_dispatchers(START, visible);
             let names: Vec<Name> = (0..VMS).map(vm_name).collect();
             shard.set_dispatcher_names(&vm_name(vm), &names);
--- a/crates/pistachiotrack-core/tests/exploration.rs
+++ b/crates/pistachiotrack-core/tests/exploration.rs
@@ -28,7 +28,10 @@
     let id = ShardId { service: Name::from("booking"), index: 0 };
     let settings = ShardSettings { mode: ShardMode::Shared, seed, ..ShardSettings::default() };
     let mut shard = Shard::new(START, id, &config(2), settings);
-    shard.set_dispatchers(START, VisibleDispatchers { count: 2, is_member: true });
+    shard.set_dispatchers(
+        START,
+        VisibleDispatchers { count: 2, is_member: true, ..VisibleDispatchers::default() },
+    );
     // Its part of the slack is usable after a window.
     let mut now = START + Duration::from_secs(10);
     let (failing, _) = answer(&mut shard, now, 1, 500);
--- a/crates/pistachiotrack-core/tests/fleet_queue_faults.rs
+++ b/crates/pistachiotrack-core/tests/fleet_queue_faults.rs
@@ -48,6 +48,7 @@
         shard: ShardId { service: Name::from("booking"), index: 0 },
         request_counts: RequestCounts::default(),
         spare_retries: RetryRights::NONE,
+        known_vms: Some(1),
         endpoints: Vec::new(),
         queue,
     }
--- a/crates/pistachiotrack-core/tests/fleet_queue_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/fleet_queue_support/mod.rs
@@ -50,7 +50,10 @@
     let seed = 7 + vm as u64;
     let settings = ShardSettings { mode: ShardMode::Shared, seed, ..ShardSettings::default() };
     let mut shard = Shard::new(now, id, config, settings);
-    shard.set_dispatchers(now, VisibleDispatchers { count: vms as u32, is_member: true });
+    shard.set_dispatchers(
+        now,
+        VisibleDispatchers { count: vms as u32, is_member: true, ..VisibleDispatchers::default() },
+    );
     let names: Vec<Name> = (0..vms).map(vm_name).collect();
     shard.set_dispatcher_names(&vm_name(vm), &names);
     shard
--- a/crates/pistachiotrack-core/tests/fleet_retry_budget.rs
+++ b/crates/pistachiotrack-core/tests/fleet_retry_budget.rs
@@ -138,7 +138,11 @@
 
     fn visible_to(&self, vm: usize) -> VisibleDispatchers {
         let count = self.dispatchers.len() as u32;
-        VisibleDispatchers { count, is_member: self.dispatchers.contains(&vm) }
+        VisibleDispatchers {
+            count,
+            is_member: self.dispatchers.contains(&vm),
+            ..VisibleDispatchers::default()
+        }
     }
 
     fn chance(&mut self, percent: u32) -> bool {
@@ -160,12 +164,14 @@
     /// off sees only itself, and the others replace it.
     fn detect_partition(&mut self, now: Time, partition: Partition) {
         for vm in 0..partition.dispatchers {
-            let visible = VisibleDispatchers { count: 1, is_member: true };
+            let visible =
+                VisibleDispatchers { count: 1, is_member: true, ..VisibleDispatchers::default() };
             self.budgets[vm].set_visible_dispatchers(now, visible);
         }
         let count = DISPATCHERS as u32;
         for new in DISPATCHERS..DISPATCHERS + partition.dispatchers {
-            let visible = VisibleDispatchers { count, is_member: true };
+            let visible =
+                VisibleDispatchers { count, is_member: true, ..VisibleDispatchers::default() };
             self.budgets[new].set_visible_dispatchers(now, visible);
             self.dispatchers.push(new);
         }
@@ -427,7 +433,10 @@
 fn partitioned_dispatcher_uses_only_its_part() {
     let window_known = START + Duration::from_millis(LIMIT.window_ms);
     let mut budget = FleetRetryBudget::new(START, LIMIT, DISPATCHERS as u32, 1, PriorRetries::None);
-    budget.set_visible_dispatchers(START, VisibleDispatchers { count: 1, is_member: true });
+    budget.set_visible_dispatchers(
+        START,
+        VisibleDispatchers { count: 1, is_member: true, ..VisibleDispatchers::default() },
+    );
     let taken = (0..100).take_while(|_| budget.take(window_known)).count();
     assert!(taken <= LIMIT.slack as usize / DISPATCHERS, "{taken} retries");
 }
@@ -467,7 +476,11 @@
     let mut budget = FleetRetryBudget::new(START, LIMIT, DISPATCHERS as u32, 1, PriorRetries::None);
     budget.set_visible_dispatchers(
         START,
-        VisibleDispatchers { count: DISPATCHERS as u32, is_member: true },
+        VisibleDispatchers {
+            count: DISPATCHERS as u32,
+            is_member: true,
+            ..VisibleDispatchers::default()
+        },
     );
     let hedges = (0..100).take_while(|_| budget.take_for_hedge(window_known)).count();
     let retries = (0..100).take_while(|_| budget.take(window_known)).count();
--- a/crates/pistachiotrack-core/tests/held_retries_faults.rs
+++ b/crates/pistachiotrack-core/tests/held_retries_faults.rs
@@ -248,7 +248,10 @@
 fn a_planned_stop_refuses_held_requests() {
     let mut stand = Stand::without_retries();
     let id = stand.hold(15_000, |_| {});
-    stand.shard.set_dispatchers(stand.now, VisibleDispatchers { count: 6, is_member: false });
+    stand.shard.set_dispatchers(
+        stand.now,
+        VisibleDispatchers { count: 6, is_member: false, ..VisibleDispatchers::default() },
+    );
     let refused = refusals(&stand.advance(100));
     assert_eq!((refused[0].0, refused[0].1.execution), (id, Execution::NotRun));
     assert!(refused[0].1.retry_after_ms.unwrap() <= 3_000, "{refused:?}");
@@ -260,7 +263,10 @@
 fn held_requests_are_refused_in_a_minority() {
     let mut stand = Stand::without_retries();
     let id = stand.hold(10_000, |_| {});
-    stand.shard.set_dispatchers(stand.now, VisibleDispatchers { count: 2, is_member: true });
+    stand.shard.set_dispatchers(
+        stand.now,
+        VisibleDispatchers { count: 2, is_member: true, ..VisibleDispatchers::default() },
+    );
     assert_eq!(refusals(&stand.advance(100))[0].0, id);
 }
 
--- a/crates/pistachiotrack-core/tests/held_retries_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/held_retries_support/mod.rs
@@ -78,7 +78,10 @@
     let id = ShardId { service: Name::from("booking"), index: 0 };
     let settings = ShardSettings { mode: ShardMode::Shared, seed, ..ShardSettings::default() };
     let mut shard = Shard::new(START, id, config, settings);
-    shard.set_dispatchers(START, VisibleDispatchers { count: dispatchers, is_member: true });
+    shard.set_dispatchers(
+        START,
+        VisibleDispatchers { count: dispatchers, is_member: true, ..VisibleDispatchers::default() },
+    );
     shard
 }
 
--- a/crates/pistachiotrack-core/tests/retry_limit.rs
+++ b/crates/pistachiotrack-core/tests/retry_limit.rs
@@ -29,6 +29,24 @@
     assert_none_exceeds(histories_with_restarts_in_series());
 }
 
+/// VMs are restarted in a partition, beside others that know of the other side. They would take their own
+/// side for the whole fleet.
+#[test]
+fn no_restart_of_some_vms_in_a_partition_exceeds_the_retry_limit() {
+    assert_none_exceeds(histories_with_restarts_in_partitions(false));
+}
+
+/// All VMs of one side of a partition are restarted, and none of them knows of the other side.
+#[test]
+fn no_restart_of_a_side_of_a_partition_exceeds_the_retry_limit() {
+    assert_none_exceeds(histories_with_restarts_in_partitions(true));
+}
+
+fn histories_with_restarts_in_partitions(whole_side: bool) -> impl Iterator<Item = History> {
+    let mut random = Gen::from_size_and_seed(40, 62);
+    (0..HISTORIES).map(move |_| History::of_restart_in_partition(&mut random, whole_side))
+}
+
 fn histories_with_restarts_in_series() -> impl Iterator<Item = History> {
     let mut random = Gen::from_size_and_seed(40, 61);
     let history = move |_| History::arbitrary(&mut random).with_restarts_in_series(&mut random);
--- a/crates/pistachiotrack-core/tests/retry_limit_support/history.rs
+++ b/crates/pistachiotrack-core/tests/retry_limit_support/history.rs
@@ -97,6 +97,22 @@
         self
     }
 
+    /// Returns a long partition, in which some VMs of one side or all of them are restarted before endpoints fail.
+    pub(crate) fn of_restart_in_partition(g: &mut Gen, whole_side: bool) -> History {
+        let side = u32::arbitrary(g) & ((1 << VMS) - 1);
+        let one_vm = side & side.wrapping_neg();
+        let restarted = if whole_side { side } else { side & u32::arbitrary(g) & !one_vm };
+        let until = STEPS - 500;
+        History {
+            failures: vec![(Span { from: 2_400, until }, 100)],
+            troubles: vec![
+                Trouble::Cut { vms: side, together: true, span: Span { from: 300, until } },
+                Trouble::Restart { vms: restarted, span: Span { from: 1_000, until: 1_020 } },
+            ],
+            ..History::arbitrary(g)
+        }
+    }
+
     /// Removes all partitions.
     pub(crate) fn without_cuts(mut self) -> History {
         self.troubles.retain(|trouble| !matches!(trouble, Trouble::Cut { .. }));
--- a/crates/pistachiotrack-core/tests/retry_limit_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/retry_limit_support/mod.rs
@@ -6,6 +6,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use pistachiotrack_core::{
+    membership::VisibleFleet,
     name::Name,
     retry::{
         FleetRetryBudget, PriorRetries, RetryRights, RightsGrant, RightsRequest, VisibleDispatchers,
@@ -18,6 +19,8 @@
 use self::history::{History, LIMIT, START, STEP_MS, STEPS, SentTimes, Span, Trouble, VMS};
 
 pub(crate) const DISPATCHERS: usize = 6;
+/// VMs whose addresses are in the settings of all.
+const SEEDS: [usize; 3] = [0, 7, 14];
 /// Steps after which a VM notices that others are gone or back.
 const DETECTION_STEPS: u64 = 200;
 /// Steps for which a process that has just started knows no other VM.
@@ -29,7 +32,7 @@
 
 #[derive(Clone, Debug)]
 enum Message {
-    Spare(RetryRights),
+    Report { spare: RetryRights, known_vms: Option<u32> },
     Request(RightsRequest),
     Grant(RightsGrant),
 }
@@ -202,18 +205,34 @@
         for vm in (0..VMS).filter(|vm| self.is_active(*vm)).collect::<Vec<_>>() {
             let dispatchers = self.dispatchers_seen_by(step, vm);
             let count = dispatchers.len() as u32;
-            let visible = VisibleDispatchers { count, is_member: dispatchers.contains(&vm) };
+            let is_member = dispatchers.contains(&vm);
+            let visible =
+                VisibleDispatchers { count, is_member, fleet: self.fleet_seen_by(step, vm) };
             let now = time(step);
             self.vms[vm].budget.set_visible_dispatchers(now, visible);
         }
     }
 
+    fn is_seen_by(&self, step: u64, vm: usize, other: usize) -> bool {
+        let reached_at = self.vms[vm].reached_at[other];
+        other == vm || reached_at > 0 && step < reached_at + DETECTION_STEPS
+    }
+
     fn dispatchers_seen_by(&self, step: u64, vm: usize) -> Vec<usize> {
-        let is_seen = |other: &usize| {
-            let reached_at = self.vms[vm].reached_at[*other];
-            *other == vm || reached_at > 0 && step < reached_at + DETECTION_STEPS
-        };
-        self.ranks.iter().copied().filter(is_seen).take(DISPATCHERS).collect()
+        let seen = self.ranks.iter().copied().filter(|other| self.is_seen_by(step, vm, *other));
+        seen.take(DISPATCHERS).collect()
+    }
+
+    fn fleet_seen_by(&self, step: u64, vm: usize) -> VisibleFleet {
+        let live_vms = (0..VMS).filter(|other| self.is_seen_by(step, vm, *other)).count();
+        let is_known = |other: &usize| *other == vm || self.vms[vm].reached_at[*other] > 0;
+        let known_vms = (0..VMS).filter(is_known).count();
+        let known_seeds = SEEDS.into_iter().filter(is_known).count();
+        VisibleFleet {
+            live_vms: live_vms as u32,
+            known_vms: known_vms as u32,
+            has_joined: known_seeds * 2 > SEEDS.len(),
+        }
     }
 
     fn send(&mut self, step: u64, from: usize, to: usize, message: Message) {
@@ -240,7 +259,10 @@
     fn receive(&mut self, step: u64, from: usize, to: usize, message: Message) {
         let now = time(step);
         match message {
-            Message::Spare(spare) => self.vms[to].budget.on_peer_spare(now, &name(from), spare),
+            Message::Report { spare, known_vms } => {
+                self.vms[to].budget.on_peer_spare(now, &name(from), spare);
+                self.vms[to].budget.on_peer_known_vms(now, &name(from), known_vms);
+            }
             Message::Request(request) => {
                 let grant = self.vms[to].budget.on_rights_request(now, request);
                 self.send(step, to, from, Message::Grant(grant));
@@ -289,8 +311,9 @@
             self.send(step, vm, to, Message::Request(request));
         }
         let spare = self.vms[vm].budget.spare(now);
+        let known_vms = self.vms[vm].budget.known_vms();
         for to in self.dispatchers_seen_by(step, vm).into_iter().filter(|to| *to != vm) {
-            self.send(step, vm, to, Message::Spare(spare));
+            self.send(step, vm, to, Message::Report { spare, known_vms });
         }
     }
 }
--- a/crates/pistachiotrack-core/tests/shared_shard.rs
+++ b/crates/pistachiotrack-core/tests/shared_shard.rs
@@ -334,7 +334,10 @@
 #[test]
 fn the_retry_of_a_misdirected_request_is_counted() {
     let mut shard = shard(4);
-    shard.set_dispatchers(START, VisibleDispatchers { count: 2, is_member: true });
+    shard.set_dispatchers(
+        START,
+        VisibleDispatchers { count: 2, is_member: true, ..VisibleDispatchers::default() },
+    );
     // What the VM can give to others is what it hasn't used itself.
     let left = |shard: &mut Shard, now: Time| {
         let all = RightsRequest { id: 1, rights: RetryRights::from_retries(1_000.0) };
@@ -358,7 +361,10 @@
 #[test]
 fn misdirected_requests_stay_within_the_retry_limit() {
     let mut shard = shard(8);
-    shard.set_dispatchers(START, VisibleDispatchers { count: 1, is_member: true });
+    shard.set_dispatchers(
+        START,
+        VisibleDispatchers { count: 1, is_member: true, ..VisibleDispatchers::default() },
+    );
     let mut now = START + Duration::from_secs(20);
     let (mut retries, mut not_run) = (0, 0);
     for id in 1..=200 {
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -125,6 +125,7 @@
         shard: ShardId { service: Name::from("booking"), index: 0 },
         request_counts,
         spare_retries: RetryRights::NONE,
+        known_vms: Some(1),
         endpoints: vec![EndpointUpdate {
             endpoint: EndpointKey::of(endpoint),
             in_flight,
--- a/crates/pistachiotrack-core/tests/trials_of_dispatchers.rs
+++ b/crates/pistachiotrack-core/tests/trials_of_dispatchers.rs
@@ -21,7 +21,10 @@
 /// Returns a shard with an endpoint that is due for a trial.
 fn shard_with_a_due_trial() -> (Shard, Time) {
     let mut shard = shard(3);
-    shard.set_dispatchers(START, VisibleDispatchers { count: 2, is_member: true });
+    shard.set_dispatchers(
+        START,
+        VisibleDispatchers { count: 2, is_member: true, ..VisibleDispatchers::default() },
+    );
     let (mut now, mut id) = (START, 0);
     while count(&shard, now, "ejected") == 0 {
         now += Duration::from_millis(50);
--- a/crates/pistachiotrackd/src/config/view.rs
+++ b/crates/pistachiotrackd/src/config/view.rs
@@ -5,7 +5,7 @@
 
 use pistachiotrack_core::{
     config::{Config, IndexedConfig},
-    membership::{Member, MemberState},
+    membership::{Member, MemberState, VisibleFleet},
     ownership::Ownership,
     rule::RuleSet,
     service::Service,
@@ -52,6 +52,8 @@
     pub(crate) ownership: Ownership,
     /// The other members.
     pub(crate) members: Vec<Member>,
+    /// The part of the fleet that this VM sees.
+    pub(crate) visible_fleet: VisibleFleet,
     /// Localities of the other members by peer address.
     localities: FxHashMap<SocketAddr, Locality>,
 }
@@ -62,13 +64,14 @@
         active: Option<Arc<ActiveConfig>>,
         ownership: Ownership,
         members: Vec<Member>,
+        visible_fleet: VisibleFleet,
         data_centre: &str,
     ) -> FleetView {
         let locality = |Member { vm, .. }: &Member| {
             (vm.peer_address, Locality::of(&vm.data_centre, data_centre))
         };
         let localities = members.iter().map(locality).collect();
-        FleetView { active, ownership, members, localities }
+        FleetView { active, ownership, members, visible_fleet, localities }
     }
 
     /// Returns the locality of the VM at a peer address.
--- a/crates/pistachiotrackd/src/membership/fleet.rs
+++ b/crates/pistachiotrackd/src/membership/fleet.rs
@@ -489,7 +489,9 @@
     fn publish(&self) {
         let members = self.membership.members().cloned().collect();
         let (active, ownership) = (self.active.clone(), self.ownership.clone());
-        let view = FleetView::new(active, ownership, members, &self.me.data_centre);
+        let visible_fleet = self.membership.visible_fleet();
+        let data_centre = &self.me.data_centre;
+        let view = FleetView::new(active, ownership, members, visible_fleet, data_centre);
         self.view.send_replace(Arc::new(view));
     }
 }
--- a/crates/pistachiotrackd/src/peers/shard_update_link.rs
+++ b/crates/pistachiotrackd/src/peers/shard_update_link.rs
@@ -32,7 +32,7 @@
 /// with other bytes.
 pub(crate) const SHARD_DATAGRAM_TAGS: RangeInclusive<u8> = 0x80..=0x8f;
 /// First byte in this protocol version.
-const SHARD_DATAGRAM_TAG: u8 = 0x85;
+const SHARD_DATAGRAM_TAG: u8 = 0x86;
 /// Minimum interval of log lines about dropped datagrams.
 const DROP_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of dispatchers that a snapshot is requested from.
@@ -304,6 +304,7 @@
         VisibleDispatchers {
             count: dispatchers.len() as u32,
             is_member: dispatchers.iter().any(|vm| vm.name == self.me.name),
+            fleet: view.visible_fleet,
         }
     }
 }
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -15,7 +15,10 @@
     actor::{ActorRef, Recipient, Spawn},
     mailbox,
 };
-use pistachiotrack_core::ownership::{Ownership, OwnershipSettings};
+use pistachiotrack_core::{
+    membership::VisibleFleet,
+    ownership::{Ownership, OwnershipSettings},
+};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
@@ -155,7 +158,8 @@
         let connector = Connector { clock, gate: gate.clone(), limits, source: None };
         let endpoints = Arc::new(ConnectionPool::new(connector.clone()));
         let ownership = Ownership::new(me.clone(), OwnershipSettings::default());
-        let first_view = FleetView::new(None, ownership, Vec::new(), &me.data_centre);
+        let first_view =
+            FleetView::new(None, ownership, Vec::new(), VisibleFleet::default(), &me.data_centre);
         let (view_sender, view) = watch::channel(Arc::new(first_view));
         let (reach_sender, reach) = watch::channel(ReachView::default());
         let (lease_sender, lease) = watch::channel(LeaseTimes::default());
