--- a/crates/pistachiotrack-core/tests/visible_fleet.rs
+++ b/crates/pistachiotrack-core/tests/visible_fleet.rs
@@ -1,7 +1,5 @@
 //! The part of the fleet that a VM sees.
 
-// Not all of the simulation is needed here.
-#[allow(dead_code)]
 mod membership_fleet;
 
 use membership_fleet::{Fleet, address};
