--- a/crates/pistachiotrack-core/tests/rate_limit.rs
+++ b/crates/pistachiotrack-core/tests/rate_limit.rs
@@ -156,7 +156,10 @@
 /// Returns a shard with one endpoint on a VM that sees `visible` dispatchers.
 fn dispatcher(visible: u32, is_member: bool) -> Shard {
     let mut shard = shard(1);
-    shard.set_dispatchers(START, VisibleDispatchers { count: visible, is_member });
+    shard.set_dispatchers(
+        START,
+        VisibleDispatchers { count: visible, is_member, ..VisibleDispatchers::default() },
+    );
     shard
 }
 
