Soak: a request counts towards the retry limit of its own service only

RetryLimitKept counted a request that arrived nowhere for every service, as the record didn't tell which it was for. While VMs are restarted in series many arrive nowhere, so that the limit seemed larger than it is. Requests now carry their service; the oracle's test has a case with requests for another one.

--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -78,6 +78,8 @@
 pub struct Sample {
     /// Id of the work.
     pub id: WorkId,
+    /// Service that it was for.
+    pub service: &'static str,
     /// Whether the request must not be repeated.
     pub non_idempotent: bool,
     /// Whether the caller used the first of the entry addresses that a VM returned.
@@ -180,6 +182,7 @@
             exchange.unwrap_or(lost(NO_ANSWER));
         Sample {
             id,
+            service: operation.service,
             non_idempotent: operation.non_idempotent,
             steered: self.selection == AddressSelection::Steered,
             sent,
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -389,6 +389,7 @@
     let sent_ms = clock.ms(sample.sent);
     RequestRecord {
         id: sample.id,
+        service: sample.service,
         non_idempotent: sample.non_idempotent,
         vm: None,
         sent_ms,
--- a/crates/pistachiotrack-standins/src/soak/caller.rs
+++ b/crates/pistachiotrack-standins/src/soak/caller.rs
@@ -78,9 +78,10 @@
             let exchange_result = exchange_result.unwrap_or(Some(RequestOutcome::Lost.into()));
             if let Some(Exchange { outcome, request_id, .. }) = exchange_result {
                 let (vm, ended_ms) = (Some(self.vm), self.clock.now_ms());
-                let non_idempotent = operation.non_idempotent;
+                let Operation { service, non_idempotent, .. } = *operation;
                 requests.push(RequestRecord {
                     id,
+                    service,
                     non_idempotent,
                     vm,
                     sent_ms,
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -107,6 +107,8 @@
 pub struct RequestRecord {
     /// Id of the work.
     pub id: WorkId,
+    /// Service that it was for.
+    pub service: &'static str,
     /// Whether the request must not be repeated.
     pub non_idempotent: bool,
     /// The VM, if the caller has a persistent connection.
--- a/crates/pistachiotrack-standins/src/soak/oracle/retries.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle/retries.rs
@@ -1,7 +1,7 @@
 //! Retries that all VMs together send to the endpoints of a service.
 
 use pistachiotrack_core::service::RetryLimit;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashSet;
 
 use super::{Invariant, RunRecord};
 use crate::work::WorkId;
@@ -24,28 +24,18 @@
 
 impl RunRecord {
     pub(super) fn check_retry_limits(&self, report: &mut impl FnMut(Invariant, String)) {
-        let sent_ms: FxHashMap<WorkId, u64> =
-            self.requests.iter().map(|request| (request.id, request.sent_ms)).collect();
-        let arrived: FxHashSet<WorkId> = self
-            .service_arrivals
-            .iter()
-            .flat_map(|service| service.arrivals_ms.iter().map(|(_, id)| *id))
-            .collect();
-        // It isn't known to which service a request was sent that arrived nowhere.
-        let never_arrived: Vec<u64> = self
-            .requests
-            .iter()
-            .filter(|request| !arrived.contains(&request.id))
-            .map(|request| request.sent_ms)
-            .collect();
+        let recorded: FxHashSet<WorkId> = self.requests.iter().map(|request| request.id).collect();
         for service in &self.service_arrivals {
-            let (mut requests_ms, mut retries_ms) = (never_arrived.clone(), Vec::new());
+            let requests =
+                self.requests.iter().filter(|request| request.service == service.service);
+            let mut requests_ms: Vec<u64> = requests.map(|request| request.sent_ms).collect();
+            let mut retries_ms = Vec::new();
             let mut seen = FxHashSet::default();
             for (at_ms, id) in &service.arrivals_ms {
-                if seen.insert(*id) {
-                    requests_ms.push(sent_ms.get(id).copied().unwrap_or(*at_ms));
-                } else {
+                if !seen.insert(*id) {
                     retries_ms.push(*at_ms);
+                } else if !recorded.contains(id) {
+                    requests_ms.push(*at_ms);
                 }
             }
             requests_ms.sort_unstable();
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -19,6 +19,7 @@
 
 const ENDPOINTS: usize = 34;
 const REQUEST: &str = "vm-01-1a23-7";
+const SERVICE: &str = "booking";
 
 fn request(id: u64, outcome: RequestOutcome) -> RequestRecord {
     let id = WorkId(id);
@@ -26,6 +27,7 @@
     let request_id = is_refused.then(|| Box::from(REQUEST));
     RequestRecord {
         id,
+        service: SERVICE,
         non_idempotent: true,
         vm: Some(0),
         sent_ms: 5_000,
@@ -73,7 +75,7 @@
             .into_iter()
             .collect(),
         service_arrivals: vec![ServiceArrivals {
-            service: "booking".to_owned(),
+            service: SERVICE.to_owned(),
             limit: RetryLimit { ratio: 0.5, slack: 1, window_ms: 10_000 },
             arrivals_ms: vec![(100, WorkId(1)), (200, WorkId(1)), (300, WorkId(1))],
         }],
@@ -136,6 +138,12 @@
     let mut repeated = valid_run();
     repeated.service_arrivals[0].arrivals_ms.push((400, WorkId(1)));
     assert_eq!(violated(&repeated), [Invariant::RetryLimitKept]);
+    let elsewhere = (3..10).map(|id| RequestRecord {
+        service: "slot-search",
+        ..request(id, RequestOutcome::RefusedNotRun)
+    });
+    repeated.requests.extend(elsewhere);
+    assert_eq!(violated(&repeated), [Invariant::RetryLimitKept]);
 
     let mut ran = valid_run();
     ran.executions.insert(WorkId(2), 1);
--- a/crates/pistachiotrack-standins/tests/summary.rs
+++ b/crates/pistachiotrack-standins/tests/summary.rs
@@ -13,6 +13,7 @@
 fn sample(id: u64, outcome: RequestOutcome) -> Sample {
     Sample {
         id: WorkId(id),
+        service: "booking",
         non_idempotent: true,
         steered: true,
         sent: Instant::now(),
