--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -166,7 +166,7 @@
 impl Coverage {
     /// Returns since when an endpoint must have had no request to be overdue for this VM, unless it
     /// is left to the others.
-    fn unused_since(self, entry: &PoolEntry) -> Option<Time> {
+    fn overdue_unless_used_since(self, entry: &PoolEntry) -> Option<Time> {
         match entry.usage.unreached_at {
             None => Some(self.unused_since),
             Some(at) if at < self.unreached_since => {
@@ -180,7 +180,7 @@
         let has_failed_lately =
             entry.has_failed_last && entry.last_observed_at >= Some(self.failed_before);
         let may_be_sound = || !has_failed_lately && !entry.speed.is_degraded();
-        let Some(unused_since) = self.unused_since(entry) else { return false };
+        let Some(unused_since) = self.overdue_unless_used_since(entry) else { return false };
         entry.last_used_at() < unused_since
             && entry.usage.sent_at < unused_since
             && (self.includes_unsound || may_be_sound())
--- a/crates/pistachiotrack-core/src/shard/pool/usage.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/usage.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EndpointUsage {
     /// When the last request was sent that has ended and may have arrived, from any VM.
-    received_at: Time,
+    last_arrival_sent_at: Time,
     /// When this VM last sent it a request.
     pub(super) sent_at: Time,
     /// When an attempt of this VM last failed to reach it, unless one has reached it since.
@@ -21,7 +21,7 @@
 
 impl Default for EndpointUsage {
     fn default() -> EndpointUsage {
-        EndpointUsage { received_at: Time::ZERO, sent_at: Time::ZERO, unreached_at: None }
+        EndpointUsage { last_arrival_sent_at: Time::ZERO, sent_at: Time::ZERO, unreached_at: None }
     }
 }
 
@@ -32,7 +32,7 @@
 
     /// Records that the endpoint has received a request that was sent at `sent_at`.
     pub(super) fn on_received(&mut self, sent_at: Time) {
-        self.received_at = self.received_at.max(sent_at);
+        self.last_arrival_sent_at = self.last_arrival_sent_at.max(sent_at);
     }
 }
 
@@ -52,7 +52,7 @@
     pub(super) fn last_used_at(&self) -> Time {
         let own = if self.in_flight > 0 { self.usage.sent_at } else { Time::ZERO };
         let peers = self.peer_counts.iter().map(|peer| peer.last_sent_at);
-        peers.fold(self.usage.received_at.max(own), Ord::max)
+        peers.fold(self.usage.last_arrival_sent_at.max(own), Ord::max)
     }
 }
 
--- a/crates/pistachiotrackd/src/shards/shard_table.rs
+++ b/crates/pistachiotrackd/src/shards/shard_table.rs
@@ -41,6 +41,9 @@
     stats::shard_status::ShardStatusTable,
 };
 
+/// Time after the first start of the fleet within which its shards start.
+const FIRST_START_TIME: Duration = Duration::from_secs(5);
+
 /// Arguments that all shards of a VM share.
 #[derive(Debug)]
 pub(crate) struct ShardTableArgs {
@@ -72,9 +75,6 @@
     pub(crate) started_at: Time,
 }
 
-/// Time after the first start of the fleet within which its shards start.
-const FIRST_START_TIME: Duration = Duration::from_secs(5);
-
 impl ShardTableArgs {
     /// Returns what a shard that starts now knows of the retries that were sent before.
     fn prior_retries(&self) -> PriorRetries {
