--- a/review/standins/consumer.rs
+++ b/review/standins/consumer.rs
@@ -1,17 +1,34 @@
 //! Consumers: one attempt of a request, on a kept connection.
 
 use std::{
-    io::{self, BufReader},
+    io::{self, BufReader, Read},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{http, http::Message, record::Record};
 
+/// The reading half of a connection, on which a read fails after the consumer's time budget.
+struct TimedReader {
+    stream: TcpStream,
+    until: Instant,
+}
+
+impl Read for TimedReader {
+    fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        let left = self.until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        self.stream.read(bytes)
+    }
+}
+
 /// A consumer's connection to one machine.
 pub struct Consumer {
     address: SocketAddr,
-    connection: Option<(BufReader<TcpStream>, TcpStream)>,
+    connection: Option<(BufReader<TimedReader>, TcpStream)>,
 }
 
 /// A request as a consumer sends it.
@@ -66,16 +83,17 @@
     }
 
     fn exchange(&mut self, request: &Request<'_>) -> io::Result<Message> {
-        let time_left = Duration::from_millis(request.deadline_ms);
+        let until = Instant::now() + Duration::from_millis(request.deadline_ms);
         if self.connection.is_none() {
             let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
             stream.set_nodelay(true)?;
-            self.connection = Some((BufReader::new(stream.try_clone()?), stream));
+            let reader = TimedReader { stream: stream.try_clone()?, until };
+            self.connection = Some((BufReader::new(reader), stream));
         }
         let Some((reader, writer)) = &mut self.connection else {
             return Err(io::ErrorKind::NotConnected.into());
         };
-        writer.set_read_timeout(Some(time_left))?;
+        reader.get_mut().until = until;
         http::write(writer, &request.bytes())?;
         let answer = http::read(reader)?;
         answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -1,7 +1,7 @@
 //! As much of HTTP/1.1 as the stand-ins need.
 
 use std::{
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, Write},
     net::TcpStream,
 };
 
@@ -32,7 +32,7 @@
 }
 
 /// Reads a message; `None` if the connection ended before one.
-pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+pub fn read(reader: &mut impl BufRead) -> io::Result<Option<Message>> {
     let mut message = Message::default();
     if reader.read_line(&mut message.start)? == 0 {
         return Ok(None);
@@ -62,7 +62,7 @@
     Ok(Some(message))
 }
 
-fn read_chunks(reader: &mut BufReader<TcpStream>, body: &mut Vec<u8>) -> io::Result<()> {
+fn read_chunks(reader: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<()> {
     loop {
         let mut line = String::new();
         reader.read_line(&mut line)?;
--- a/review/standins/upstream.rs
+++ b/review/standins/upstream.rs
@@ -27,6 +27,9 @@
     /// Runs it, sends the head and the first half of the answer after `work`, and the rest after
     /// `pause`.
     RunInTwoParts { work: Duration, pause: Duration },
+    /// Sends the head and the beginning of an answer after `work`, and then byte after byte without
+    /// end, one each `pause`, until the connection is closed.
+    RunWithoutEnd { work: Duration, pause: Duration },
 }
 
 /// Decides what an upstream does with the request of an ID.
@@ -207,6 +210,9 @@
                     extra = copies.then_some(answer);
                 }
                 Action::Run { work } => self.run(&id, &request, work, None, &mut writer)?,
+                Action::RunWithoutEnd { work, pause } => {
+                    return self.run_without_end(&id, work, pause, &mut writer);
+                }
                 Action::RunWithExtra { work } => {
                     self.run(&id, &request, work, None, &mut writer)?;
                     self.record
@@ -279,6 +285,34 @@
         Some(())
     }
 
+    fn run_without_end(
+        &self,
+        id: &str,
+        work: Duration,
+        pause: Duration,
+        writer: &mut TcpStream,
+    ) -> Option<()> {
+        let _slot = self.slot()?;
+        self.seen.runs.lock().unwrap().push(self.event(id));
+        self.record.note(&format!("server {} answers {id} with bytes without end", self.id));
+        let mut next = work;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Pistachiotrack-Request-Id: {id}\r\n\
+             X-Pistachiotrack-Server-Signature: {}.{id}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        let mut bytes = head.into_bytes();
+        while sleep_while_open(writer, next) {
+            bytes.extend(b"1\r\nx\r\n");
+            http::write(writer, &bytes).ok()?;
+            bytes.clear();
+            next = pause;
+        }
+        self.seen.ends.lock().unwrap().push(self.event(id));
+        self.record.note(&format!("server {} drops {id}: its connection closed", self.id));
+        None
+    }
+
     /// Waits for a slot; `None` if the queue is full.
     fn slot(&self) -> Option<Slot<'_>> {
         let mut busy = self.busy.0.lock().unwrap();
