--- a/review/standins/scenarios.rs
+++ b/review/standins/scenarios.rs
@@ -6,6 +6,7 @@
 mod extra_answer;
 mod foreign_answer;
 mod gone;
+mod own_failure;
 mod silence;
 pub mod traffic;
 
@@ -20,6 +21,7 @@
         "drain" => drain::run(record, trouble),
         "foreign-answer" => foreign_answer::run(record, trouble),
         "gone" => gone::run(record, trouble),
+        "own-failure" => own_failure::run(record, trouble),
         "silence" => silence::run(record, trouble),
         _ => Err(io::Error::other(format!("no scenario {name}"))),
     }
--- a/review/standins/upstream.rs
+++ b/review/standins/upstream.rs
@@ -18,6 +18,8 @@
 pub enum Action {
     /// Runs it and answers 200 after `work`.
     Run { work: Duration },
+    /// Runs it and answers 503 after `work`, without saying that it wasn't executed.
+    RunAndFail { work: Duration },
     /// Like `Run`; a 421 with the ID of this request comes as an extra answer where the next answer
     /// on the connection is expected.
     RunWithExtra { work: Duration },
@@ -210,6 +212,17 @@
                     extra = copies.then_some(answer);
                 }
                 Action::Run { work } => self.run(&id, &request, work, None, &mut writer)?,
+                Action::RunAndFail { work } => {
+                    let _slot = self.slot()?;
+                    self.seen.runs.lock().unwrap().push(self.event(&id));
+                    if !sleep_while_open(&writer, work) {
+                        return None;
+                    }
+                    self.record.note(&format!("server {} ran {id} and answers 503", self.id));
+                    let headers = [("X-Pistachiotrack-Request-Id", id.as_str())];
+                    let answer = http::response("503 Service Unavailable", &headers, b"");
+                    http::write(&mut writer, &answer).ok()?;
+                }
                 Action::RunWithoutEnd { work, pause } => {
                     return self.run_without_end(&id, work, pause, &mut writer);
                 }
