--- a/review/standins/scenarios/extra_answer.rs
+++ b/review/standins/scenarios/extra_answer.rs
@@ -32,9 +32,11 @@
 const EXTRA_SHARE: f64 = 0.03;
 const WORK: Duration = Duration::from_millis(60);
 
-/// Answers of an upstream in spells in which some come twice.
+/// Answers of an upstream in the present spell. The share holds within each spell: what one leaves
+/// unused isn't carried over to the next.
 #[derive(Default)]
 struct Answers {
+    spell: f64,
     all: f64,
     twice: f64,
     /// Requests that it has rejected.
@@ -49,7 +51,11 @@
     Arc::new(move |id| {
         let mut state = state.lock().unwrap();
         let (random, answers) = &mut *state;
-        let in_spell = record.now().as_secs_f64() % PERIOD_S;
+        let now = record.now().as_secs_f64();
+        let (spell, in_spell) = ((now / PERIOD_S).floor(), now % PERIOD_S);
+        if answers.spell != spell {
+            (answers.spell, answers.all, answers.twice) = (spell, 0.0, 0.0);
+        }
         let sheds = in_spell < SHED_S && random.next() < SHED_SHARE;
         let is_spell = sends_twice && in_spell < EXTRA_S;
         if is_spell {
--- a/review/standins/scenarios/foreign_answer.rs
+++ b/review/standins/scenarios/foreign_answer.rs
@@ -27,14 +27,19 @@
 const WORK: Duration = Duration::from_millis(60);
 
 fn behaviour(record: &Record, sends_extra: bool) -> Behaviour {
-    let counts = Arc::new(Mutex::new((0.0, 0.0)));
+    let counts = Arc::new(Mutex::new((0.0, 0.0, 0.0)));
     let record = record.clone();
     Arc::new(move |_| {
         let mut counts = counts.lock().unwrap();
-        let (answers, extra) = &mut *counts;
-        if !sends_extra || record.now().as_secs_f64() % PERIOD_S >= EXTRA_S {
+        let (spell, answers, extra) = &mut *counts;
+        let now = record.now().as_secs_f64();
+        if !sends_extra || now % PERIOD_S >= EXTRA_S {
             return Action::Run { work: WORK };
         }
+        // The share holds within each spell.
+        if *spell != (now / PERIOD_S).floor() {
+            (*spell, *answers, *extra) = ((now / PERIOD_S).floor(), 0.0, 0.0);
+        }
         *answers += 1.0;
         if *extra + 1.0 > *answers * EXTRA_SHARE {
             return Action::Run { work: WORK };
@@ -55,7 +60,7 @@
         host: BOOKING.host,
         path: "/xapu221/ny95/2f",
         deadline_ms: 2_500,
-        pause_s: (0.05, 0.2),
+        pause_s: (0.02, 0.1),
         until: LENGTH,
     };
     let sent = traffic.start(record, &deployment.machines).finish();
