Log: the connection and the exchange of each attempt's answer

An answer that an endpoint repeats late arrives on the connection on which it sent it before, and bears the same ID for all sendings of a request. The log lines of attempts had neither, so that they couldn't tell whether a refusal belonged to the sending that it ended. event=attempt_ended now has the local port of the connection, the number of the exchange on it and whether the answer states an ID.

--- a/crates/pistachiotrackd/src/connections/connection.rs
+++ b/crates/pistachiotrackd/src/connections/connection.rs
@@ -42,6 +42,10 @@
     pub(crate) opened: Time,
     /// Time of the last complete answer, if there was one.
     pub(crate) last_answer: Option<Time>,
+    /// Local port, by which both ends' logs name the connection.
+    pub(crate) local_port: u16,
+    /// Number of exchanges that were begun on it.
+    pub(crate) exchanges: u32,
     driver: AbortHandle,
     _open: OpenCount,
 }
@@ -169,6 +173,7 @@
         let stream = self.connect_within(address, deadline.since(self.clock.now())).await?;
         socket::configure_outgoing(&stream)
             .map_err(|source| ConnectError::Io { address, source })?;
+        let local_port = stream.local_addr().map_or(0, |address| address.port());
         let max_before_answer_bytes = self.limits.header_bytes as u64 * HEADS_BEFORE_ANSWER;
         let guard = ExchangeGuard::new(self.clock, self.gate.clone(), max_before_answer_bytes);
         let stream = GuardedStream::new(stream, Arc::clone(&guard));
@@ -189,6 +194,8 @@
             guard,
             opened: self.clock.now(),
             last_answer: None,
+            local_port,
+            exchanges: 0,
             driver: driver.abort_handle(),
             _open: open,
         })
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -205,6 +205,7 @@
     let request = request(head, send_body);
     connection.guard.begin(target.not_after);
     let sent = clock.now();
+    connection.exchanges += 1;
     let answer = connection.sender.try_send_request(request);
     let answer = tokio::time::timeout_at(clock.instant(target.time_limit), async {
         tokio::select! {
--- a/crates/pistachiotrackd/src/formats/dialect.rs
+++ b/crates/pistachiotrackd/src/formats/dialect.rs
@@ -77,6 +77,8 @@
 pub struct AnswerMetadata {
     /// Kind of the answer.
     pub kind: AnswerKind,
+    /// Whether the answer states the ID of the request.
+    pub names_request: bool,
     /// State that the endpoint reports about itself.
     pub report: EndpointReport,
 }
--- a/crates/pistachiotrackd/src/formats/dialect/native.rs
+++ b/crates/pistachiotrackd/src/formats/dialect/native.rs
@@ -92,6 +92,7 @@
             && text(header::NOT_RUN) == Some("true");
         AnswerMetadata {
             kind: if is_shed { AnswerKind::NotRun } else { AnswerKind::Answer },
+            names_request: text(header::REQUEST_ID).is_some(),
             report: EndpointReport {
                 in_flight: text(header::LOAD).and_then(|load| load.trim().parse().ok()),
                 draining: text(header::DRAINING) == Some("true"),
--- a/crates/pistachiotrackd/src/request/attempt.rs
+++ b/crates/pistachiotrackd/src/request/attempt.rs
@@ -55,12 +55,38 @@
     pub(crate) outcome: Outcome,
     /// State that the endpoint reports about itself.
     pub(crate) report: EndpointReport,
+    /// The answer that ended the attempt, if one did.
+    pub(crate) origin: Option<AnswerOrigin>,
     /// The answer, if it has started.
     pub(crate) answer: Option<Box<StartedAnswer>>,
     /// Pool that the answer's connection belongs to.
     pub(crate) pool: Arc<ConnectionPool>,
 }
 
+/// Where an answer came from, for the log.
+///
+/// An endpoint can repeat an answer late, on the connection on which it sent it before. The place
+/// of the exchange on its connection shows whether an answer can be such a one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AnswerOrigin {
+    /// Local port of the connection.
+    pub(crate) local_port: u16,
+    /// Number of the exchange on the connection, from 1 on.
+    pub(crate) exchange: u32,
+    /// Whether the answer states the ID of a request.
+    pub(crate) names_request: bool,
+}
+
+impl AnswerOrigin {
+    fn of(metadata: AnswerMetadata, answer: &StartedAnswer) -> AnswerOrigin {
+        AnswerOrigin {
+            local_port: answer.connection.local_port,
+            exchange: answer.connection.exchanges,
+            names_request: metadata.names_request,
+        }
+    }
+}
+
 /// Sends the request of `inbound` to the endpoint selected in `dispatch`.
 pub(crate) async fn run(
     handle: Arc<AttemptHandle>,
@@ -114,6 +140,7 @@
         elapsed: handle.clock.now().since(started_at),
         outcome: Outcome::NotSent,
         report: EndpointReport::default(),
+        origin: None,
         answer: None,
         pool: Arc::clone(pool),
     };
@@ -167,6 +194,7 @@
     async fn set_answer(&mut self, metadata: AnswerMetadata, answer: StartedAnswer) {
         self.outcome = outcome_of_answer(metadata.kind, &answer);
         self.report = metadata.report;
+        self.origin = Some(AnswerOrigin::of(metadata, &answer));
         match metadata.kind {
             AnswerKind::Answer => self.answer = Some(Box::new(answer)),
             AnswerKind::NotRun => return_connection(&self.pool, answer).await,
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -352,7 +352,8 @@
         log::log!(
             level,
             "event=attempt_ended request={} fingerprint={} config_version={:?} service={} \
-             endpoint={} idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={}",
+             endpoint={} idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={} \
+             connection_port={:?} exchange={:?} names_request={:?}",
             self.inbound.fleet_id,
             self.inbound.fingerprint(),
             self.inbound.config_version,
@@ -363,7 +364,10 @@
             end.selection.reason,
             f64::from(end.selection.risk_permille) / 10.0,
             end.selection.last_seen_ms_ago,
-            end.elapsed.as_millis()
+            end.elapsed.as_millis(),
+            end.origin.map(|origin| origin.local_port),
+            end.origin.map(|origin| origin.exchange),
+            end.origin.map(|origin| origin.names_request)
         );
     }
 
--- a/crates/pistachiotrackd/src/shards/probe.rs
+++ b/crates/pistachiotrackd/src/shards/probe.rs
@@ -80,7 +80,7 @@
             Ok(answer) => {
                 let metadata = dialect.read_answer(&answer.parts, metadata);
                 self.gate.record(metadata.notice(), NoticeSource::Probe);
-                let AnswerMetadata { kind, report } = metadata;
+                let AnswerMetadata { kind, report, .. } = metadata;
                 let outcome = outcome_of_answer(kind, &answer);
                 (outcome, report, Some(answer).filter(|_| kind == AnswerKind::Answer))
             }
