Connections: no request is sent on a connection that has carried it

Cause: an endpoint refuses a booking, the connection goes back to the pool, and the booking is sent again on it after its backoff. A copy of the first refusal that arrives late bears the same ID, since endpoints echo one ID for all sendings, and was taken for the answer to the second sending, which was running.

Change: a connection knows the requests that it has carried until their deadline, and the pool gives a request none that carried it. The copy arrives on the connection of the sending that it repeats, at whatever later place, so that a refusal with the request's ID is the one to this sending. The same holds for relays, which know the request by the endpoint's ID, and between VMs. Closing the connection after each refusal would do as well, at the price of a new connection a refusal; this way one is opened only if no other is idle.

Ruled out: the ID (same for all sendings); the time of the last answer (a copy can come after others have used the connection).

--- a/crates/pistachiotrackd/src/connections/connection.rs
+++ b/crates/pistachiotrackd/src/connections/connection.rs
@@ -19,7 +19,10 @@
 
 use crate::{
     config::settings::Limits,
-    connections::guarded_stream::{ExchangeGuard, GuardedStream},
+    connections::{
+        carried_requests::CarriedRequests,
+        guarded_stream::{ExchangeGuard, GuardedStream},
+    },
     formats::request_body::SendBody,
     runtime::{clock::Clock, socket, timer::PauseGate},
 };
@@ -46,6 +49,8 @@
     pub(crate) local_port: u16,
     /// Number of exchanges that were begun on it.
     pub(crate) exchanges: u32,
+    /// Requests that may not be sent on it.
+    pub(crate) carried: CarriedRequests,
     driver: AbortHandle,
     _open: OpenCount,
 }
@@ -196,6 +201,7 @@
             last_answer: None,
             local_port,
             exchanges: 0,
+            carried: CarriedRequests::default(),
             driver: driver.abort_handle(),
             _open: open,
         })
--- a/crates/pistachiotrackd/src/connections/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connections/connection_pool.rs
@@ -18,7 +18,10 @@
 use tokio::task::AbortHandle;
 
 use crate::{
-    connections::connection::{ConnectError, Connection, Connector, OpenCount},
+    connections::{
+        carried_requests::SentRequest,
+        connection::{ConnectError, Connection, Connector, OpenCount},
+    },
     runtime::path_fault::PathFault,
 };
 
@@ -104,7 +107,8 @@
         }
     }
 
-    /// Returns a connection to `address` that satisfies `choice`, a new one if needed.
+    /// Returns a connection to `address` that satisfies `choice` and has not carried `request`, a new
+    /// one if needed.
     ///
     /// # Errors
     ///
@@ -114,11 +118,12 @@
         &self,
         address: SocketAddr,
         choice: ConnectionChoice,
+        request: Option<SentRequest>,
         budget: u32,
         deadline: Time,
     ) -> Result<CheckedOut, CheckoutError> {
         if choice != ConnectionChoice::Fresh {
-            while let Some(mut connection) = self.take_idle(address, choice) {
+            while let Some(mut connection) = self.take_idle(address, choice, request) {
                 if is_ready(&mut connection).await {
                     return Ok(CheckedOut { connection, fresh: false });
                 }
@@ -289,24 +294,25 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr, choice: ConnectionChoice) -> Option<Connection> {
+    /// Takes the idle connection with the latest answer that satisfies `choice` and has not carried
+    /// `request`; others stay in the pool.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+        request: Option<SentRequest>,
+    ) -> Option<Connection> {
         let now = self.connector.clock.now();
         let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = &mut addresses.get_mut(&address).filter(|pool| !pool.is_blocked)?.idle;
-        while let Some(connection) = idle.pop() {
-            if connection.sender.is_closed() || !self.is_usable(&connection, now) {
-                continue;
-            }
-            if choice == ConnectionChoice::RecentlyUsed && !self.is_recently_used(&connection, now)
-            {
-                // Idle connections are ordered by their last answer, so no other one was used
-                // more recently. This one stays in the pool for requests that may be repeated.
-                idle.push(connection);
-                return None;
-            }
-            return Some(connection);
-        }
-        None
+        idle.retain(|connection| !connection.sender.is_closed() && self.is_usable(connection, now));
+        let index = idle.iter().rposition(|connection| {
+            let has_carried = request.is_some_and(|request| connection.carried.contains(request));
+            let satisfies =
+                choice != ConnectionChoice::RecentlyUsed || self.is_recently_used(connection, now);
+            satisfies && !has_carried
+        })?;
+        Some(idle.remove(index))
     }
 
     fn acquire(&self, address: SocketAddr, budget: u32) -> Option<OpenCount> {
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     connections::{
+        carried_requests::SentRequest,
         connection::Connection,
         connection_pool::{CheckedOut, CheckoutError, ConnectionPool},
     },
@@ -38,6 +39,8 @@
     pub(crate) address: SocketAddr,
     /// Which connections may be used.
     pub(crate) choice: ConnectionChoice,
+    /// The request; `None` for a health check.
+    pub(crate) request: Option<SentRequest>,
     /// Maximum number of open connections to the address.
     pub(crate) budget: u32,
     /// Time after which the first byte may no longer be written.
@@ -173,8 +176,8 @@
 ) -> Result<StartedAnswer, ExchangeError> {
     let mut choice = target.choice;
     loop {
-        let checked_out =
-            pool.check_out(target.address, choice, target.budget, target.time_limit).await?;
+        let Target { address, request, budget, time_limit, .. } = target;
+        let checked_out = pool.check_out(address, choice, request, budget, time_limit).await?;
         let fresh = checked_out.fresh;
         if let Some(gate) = &target.gate {
             gate.check().map_err(ExchangeError::Closed)?;
@@ -206,6 +209,9 @@
     connection.guard.begin(target.not_after);
     let sent = clock.now();
     connection.exchanges += 1;
+    if let Some(request) = target.request {
+        connection.carried.record(sent, request);
+    }
     let answer = connection.sender.try_send_request(request);
     let answer = tokio::time::timeout_at(clock.instant(target.time_limit), async {
         tokio::select! {
--- a/crates/pistachiotrackd/src/request/attempt.rs
+++ b/crates/pistachiotrackd/src/request/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     connections::{
+        carried_requests::SentRequest,
         connection_pool::ConnectionPool,
         exchange::{
             self, AbandonSignal, RequestHead, StartedAnswer, Target, outcome_of_answer,
@@ -110,6 +111,7 @@
             let target = Target {
                 address: dispatch.address,
                 choice,
+                request: Some(SentRequest::from(&*inbound)),
                 budget,
                 not_after: dispatch.not_after,
                 time_limit: dispatch.time_limit,
@@ -122,8 +124,7 @@
         }
         Some(relay) => {
             let result =
-                relay_client::send(&handle.relays, relay, &dispatch, choice, head, &inbound.body)
-                    .await;
+                relay_client::send(&handle.relays, relay, &dispatch, choice, head, &inbound).await;
             if let Err(RelayError::Failed(RelayResult::Closed(notice))) = &result {
                 gate.record(*notice, NoticeSource::Relay);
             }
--- a/crates/pistachiotrackd/src/request/forward.rs
+++ b/crates/pistachiotrackd/src/request/forward.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     connections::{
+        carried_requests::SentRequest,
         connection_pool::ConnectionPool,
         exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     },
@@ -257,6 +258,7 @@
         let target = Target {
             address: owner.peer_address,
             choice,
+            request: Some(SentRequest::from(*inbound)),
             budget: PEER_BUDGET,
             not_after: inbound.deadline,
             time_limit: inbound.deadline + OWNER_GRACE,
--- a/crates/pistachiotrackd/src/request/relay_client.rs
+++ b/crates/pistachiotrackd/src/request/relay_client.rs
@@ -20,10 +20,11 @@
 use crate::{
     config::view::FleetView,
     connections::{
+        carried_requests::SentRequest,
         connection_pool::ConnectionPool,
         exchange::{self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target},
     },
-    formats::{headers, request_body::RequestBody},
+    formats::{headers, inbound::Inbound},
     peers::peer_client::PEER_BUDGET,
     runtime::clock::Clock,
 };
@@ -208,7 +209,7 @@
     dispatch: &Dispatch,
     choice: ConnectionChoice,
     mut head: RequestHead,
-    body: &RequestBody,
+    inbound: &Inbound,
 ) -> Result<StartedAnswer, RelayError> {
     let address =
         peer_address(client, relay).ok_or_else(|| RelayError::RelayNotAlive(relay.clone()))?;
@@ -220,13 +221,15 @@
     let target = Target {
         address,
         choice: ConnectionChoice::RecentlyUsed,
+        request: Some(SentRequest::from(inbound)),
         budget: PEER_BUDGET,
         not_after: dispatch.not_after,
         time_limit: dispatch.time_limit + RELAY_RESULT_GRACE,
         abandon: AbandonSignal::default(),
         gate: None,
     };
-    let mut answer = exchange::run(&client.peers, client.clock, target, head, body).await?;
+    let mut answer =
+        exchange::run(&client.peers, client.clock, target, head, &inbound.body).await?;
     match RelayResult::read(&answer.parts.headers) {
         Some(RelayResult::Answered { fresh }) => {
             answer.fresh = fresh;
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -5,14 +5,22 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, http::request::Parts};
 use pistachiotrack_core::{header, name::Name, request::Outcome, time::Time};
 
 use crate::{
-    connections::exchange::{
-        self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target, outcome_of_error,
+    connections::{
+        carried_requests::SentRequest,
+        exchange::{
+            self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target,
+            outcome_of_error,
+        },
+    },
+    formats::{
+        dialect::OutgoingMetadata,
+        headers,
+        inbound::{MAX_DEADLINE, origin_form},
     },
-    formats::{dialect::OutgoingMetadata, headers, inbound::origin_form},
     peers::endpoint_notices::NoticeSource,
     request::{
         answer,
@@ -41,14 +49,18 @@
     let target = Target {
         address: relay_request.address,
         choice: relay_request.choice(),
+        request: None,
         budget,
         not_after: received + Duration::from_micros(relay_request.not_after_us),
         time_limit,
         abandon: AbandonSignal::default(),
         gate: Some(gate.clone()),
     };
-    let id = request_id(context, request.headers());
-    match run(context, request, target, time_limit).await {
+    let (parts, body) = request.into_parts();
+    let id = request_id(context, &parts.headers);
+    let deadline = received + request_time_left(context, &parts);
+    let request = id.as_ref().map(|id| SentRequest::new(id, deadline));
+    match run(context, parts, body, Target { request, ..target }, time_limit).await {
         Ok(answer) => {
             let metadata = OutgoingMetadata {
                 request_id: id.as_ref(),
@@ -70,6 +82,12 @@
     id.or_else(|| headers::text(fields, header::REQUEST_ID)).map(Name::from)
 }
 
+/// Returns the time until the request's deadline, the longest possible if it doesn't state one.
+fn request_time_left(context: &Context, parts: &Parts) -> Duration {
+    let metadata = context.dialect.read_request(parts).ok();
+    metadata.and_then(|metadata| metadata.time_left).unwrap_or(MAX_DEADLINE)
+}
+
 /// Parses the relay request and returns it with the endpoint's service and the number of
 /// connections that this VM may have open to the endpoint.
 ///
@@ -90,11 +108,11 @@
 
 async fn run(
     context: &Context,
-    request: Request<Incoming>,
+    mut parts: Parts,
+    body: Incoming,
     target: Target,
     time_limit: Time,
 ) -> Result<StartedAnswer, RelayResult> {
-    let (mut parts, body) = request.into_parts();
     let id = headers::text(&parts.headers, header::REQUEST_ID).map(String::from);
     headers::strip_from_caller(&mut parts.headers);
     if let Some(id) = id {
--- a/crates/pistachiotrackd/src/shards/probe.rs
+++ b/crates/pistachiotrackd/src/shards/probe.rs
@@ -113,6 +113,7 @@
         let target = Target {
             address: self.address,
             choice: ConnectionChoice::Fresh,
+            request: None,
             budget: PROBE_BUDGET,
             not_after: self.time_limit,
             time_limit: self.time_limit,
