--- a/crates/pistachiotrackd/tests/relayed_requests.rs
+++ b/crates/pistachiotrackd/tests/relayed_requests.rs
@@ -3,11 +3,15 @@
 
 mod testenv;
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
 use pistachiotrack_core::header;
 use pistachiotrackd::daemon::Daemon;
 use serde_json::{Value, json};
@@ -18,6 +22,10 @@
     process::DaemonProcess,
     settings, vm_list_entry,
 };
+use tokio::sync::{
+    mpsc::{self, UnboundedSender},
+    watch,
+};
 
 /// Name of the VM that owns the bookings among these three.
 const OWNER: &str = "vm-01";
@@ -256,3 +264,54 @@
     }
     assert_eq!(booking.received().len(), before);
 }
+
+/// Starts an endpoint that refuses each booking once `refuses` is set, and sends the ID of each
+/// booking that arrives with the number of its connection.
+async fn refusing_endpoint(
+    refuses: watch::Receiver<bool>,
+    arrivals: UnboundedSender<(String, usize)>,
+) -> Endpoint {
+    let connections = AtomicUsize::new(0);
+    Endpoint::serve(move |stream| {
+        let (refuses, arrivals) = (refuses.clone(), arrivals.clone());
+        let connection = connections.fetch_add(1, Ordering::Relaxed);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let id = request.headers()[header::REQUEST_ID].to_str().unwrap().to_owned();
+            arrivals.send((id, connection)).unwrap();
+            let answer = match *refuses.borrow() {
+                false => Response::builder().status(200),
+                true => Response::builder().status(503).header(header::NOT_RUN, "true"),
+            };
+            async move { answer.body(Full::<Bytes>::from("booked")) }
+        });
+        async move {
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        }
+    })
+    .await
+}
+
+/// Guards against a booking that runs twice because of a refusal that arrives late: a relay sends no
+/// request on a connection that has carried it.
+#[tokio::test]
+async fn a_relay_sends_a_booking_on_a_connection_once() {
+    let (refuses, is_refusing) = watch::channel(false);
+    let (sender, mut arrivals) = mpsc::unbounded_channel();
+    let booking = refusing_endpoint(is_refusing, sender).await;
+    let mut fleet = ThreeVmFleet::start(&[&booking]).await;
+    fleet.owner.set_path_blocked(booking.address, true);
+    fleet.others[1].kill().await;
+    for _ in 0..20 {
+        fleet.book_until_answered().await;
+    }
+    while arrivals.try_recv().is_ok() {}
+    refuses.send_replace(true);
+    let refused = fleet.send(booking_request()).await;
+    assert_eq!(client::header_text(&refused, header::OUTCOME), Some("not-run"));
+    let mut seen = Vec::new();
+    while let Ok(arrival) = arrivals.try_recv() {
+        assert!(!seen.contains(&arrival), "sent again on a connection: {arrival:?}");
+        seen.push(arrival);
+    }
+    assert!(seen.len() > 1, "the booking was sent only once");
+}
