Answers: a refusal that states no ID or another one is not believed on a used connection

Cause: the platform's dialect took each 421 for the answer to the present request before it looked at the ID, and a refusal without an ID for that of any request. A late answer to an earlier request on the connection then counted as "not run" for a booking that was running, and its Retry-After for a rest that the endpoint asks.

Change: the ID is compared first, for all statuses. An answer that states none is believed only as the first one of a connection, which can belong to no other request; endpoints of the native dialect need not state IDs, and one that states another is dropped there too. This is decided in one place for attempts, relays and health checks, which are always the first on their connection. A relay that gets another request's answer reports a broken connection and closes it; until now it passed the answer on and used the connection again.

Ruled out as related: what an unrelated answer reports (load, rate limit) does not reach the shard's decisions, which read it only from answers and refusals.

--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -21,7 +21,7 @@
         connection_pool::{CheckedOut, CheckoutError, ConnectionPool},
     },
     formats::{
-        dialect::AnswerKind,
+        dialect::{AnswerKind, AnswerMetadata, Dialect, OutgoingMetadata},
         request_body::{RequestBody, SendBody},
     },
     peers::endpoint_notices::EndpointGate,
@@ -281,6 +281,23 @@
     }
 }
 
+/// Reads the head of an endpoint's answer.
+///
+/// An endpoint can send an answer late, where the answer to a later request on its connection is
+/// expected. A refusal shows that a request was not run only if it is certainly the answer to it:
+/// if it states the request's ID, or is the first answer of a connection.
+pub(crate) fn read_answer(
+    dialect: &dyn Dialect,
+    answer: &StartedAnswer,
+    metadata: OutgoingMetadata<'_>,
+) -> AnswerMetadata {
+    let mut read = dialect.read_answer(&answer.parts, metadata);
+    if dialect.answers_name_requests() && !read.names_request && !answer.fresh {
+        read.kind = AnswerKind::Unrelated;
+    }
+    read
+}
+
 /// Returns the outcome of an attempt whose answer has started.
 pub(crate) fn outcome_of_answer(kind: AnswerKind, answer: &StartedAnswer) -> Outcome {
     let fresh_connection = answer.fresh;
--- a/crates/pistachiotrackd/src/formats/dialect.rs
+++ b/crates/pistachiotrackd/src/formats/dialect.rs
@@ -154,6 +154,10 @@
         metadata: OutgoingMetadata<'_>,
     ) -> AnswerMetadata;
 
+    /// Returns whether endpoints state the ID of the request in each answer. If not, an answer without
+    /// one is taken for that to the last request on its connection.
+    fn answers_name_requests(&self) -> bool;
+
     /// Writes the endpoint and the VM that answered to the headers of an answer to a caller.
     fn write_answer(&self, fields: &mut HeaderMap, endpoint: &Name, vm: &Name);
 
--- a/crates/pistachiotrackd/src/formats/dialect/native.rs
+++ b/crates/pistachiotrackd/src/formats/dialect/native.rs
@@ -86,13 +86,24 @@
         }
     }
 
-    fn read_answer(&self, parts: &response::Parts, _: OutgoingMetadata<'_>) -> AnswerMetadata {
+    fn read_answer(
+        &self,
+        parts: &response::Parts,
+        metadata: OutgoingMetadata<'_>,
+    ) -> AnswerMetadata {
         let text = |name| headers::text(&parts.headers, name);
         let is_shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
             && text(header::NOT_RUN) == Some("true");
+        let stated_id = text(header::REQUEST_ID);
+        let names_request = stated_id == metadata.request_id.map(Name::as_str);
+        let kind = match stated_id {
+            Some(_) if !names_request => AnswerKind::Unrelated,
+            _ if is_shed => AnswerKind::NotRun,
+            _ => AnswerKind::Answer,
+        };
         AnswerMetadata {
-            kind: if is_shed { AnswerKind::NotRun } else { AnswerKind::Answer },
-            names_request: text(header::REQUEST_ID).is_some(),
+            kind,
+            names_request,
             report: EndpointReport {
                 in_flight: text(header::LOAD).and_then(|load| load.trim().parse().ok()),
                 draining: text(header::DRAINING) == Some("true"),
@@ -105,6 +116,10 @@
         }
     }
 
+    fn answers_name_requests(&self) -> bool {
+        false
+    }
+
     fn write_answer(&self, fields: &mut HeaderMap, endpoint: &Name, vm: &Name) {
         headers::set(fields, header::ENDPOINT, endpoint);
         headers::set(fields, header::OWNER, vm);
--- a/crates/pistachiotrackd/src/request/attempt.rs
+++ b/crates/pistachiotrackd/src/request/attempt.rs
@@ -132,8 +132,10 @@
             (&handle.relays.peers, result)
         }
     };
-    let read = |answer: &StartedAnswer| handle.dialect.read_answer(&answer.parts, metadata);
-    let result = result.map(|answer| (read(&answer), answer));
+    let result = result.map(|answer| {
+        let metadata = exchange::read_answer(&*handle.dialect, &answer, metadata);
+        (metadata, answer)
+    });
     let mut end = AttemptEnd {
         endpoint: dispatch.endpoint.clone(),
         address: dispatch.relay.is_none().then_some(dispatch.address),
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -17,7 +17,7 @@
         },
     },
     formats::{
-        dialect::OutgoingMetadata,
+        dialect::{AnswerKind, OutgoingMetadata},
         headers,
         inbound::{MAX_DEADLINE, origin_form},
     },
@@ -68,9 +68,14 @@
                 time_left: time_limit.since(context.clock.now()),
                 customer: None,
             };
-            let notice = context.dialect.read_answer(&answer.parts, metadata).notice();
-            gate.record(notice, NoticeSource::Relay);
-            pass_on(context, answer, time_limit)
+            let metadata = exchange::read_answer(&*context.dialect, &answer, metadata);
+            gate.record(metadata.notice(), NoticeSource::Relay);
+            match metadata.kind {
+                AnswerKind::Unrelated => {
+                    failure_response(RelayResult::Broken { fresh: answer.fresh })
+                }
+                _ => pass_on(context, answer, time_limit),
+            }
         }
         Err(result) => failure_response(result),
     }
--- a/crates/pistachiotrackd/src/shards/probe.rs
+++ b/crates/pistachiotrackd/src/shards/probe.rs
@@ -78,7 +78,7 @@
         let (outcome, report, answer) = match self.exchange(&pool, clock, &*dialect, metadata).await
         {
             Ok(answer) => {
-                let metadata = dialect.read_answer(&answer.parts, metadata);
+                let metadata = exchange::read_answer(&*dialect, &answer, metadata);
                 self.gate.record(metadata.notice(), NoticeSource::Probe);
                 let AnswerMetadata { kind, report, .. } = metadata;
                 let outcome = outcome_of_answer(kind, &answer);
