Registry: a watch that was cut is no outage

Cause: a single call that failed counted as an outage of the registry, after which a missing entry is taken for one that expired and its endpoint is kept for 2.2 s. The first answer came only after the backoff of the failed watch, so that both together were longer than the endpoint's time to drain.

Shorter outages in series add up, cuts don't, as the call after them succeeds. An entry that was written too lately to have expired isn't kept either. A retention ends only once the registry has answered after it; until now live endpoints were dropped in a second outage that began just after the first. The first call after a cut watch starts at once: its delay counts from the start of the call that failed. event=registry_regained says how long calls failed and whether endpoints are retained.

Ruled out: the backoff alone (with the cut still an outage an endpoint is kept for 2.2 s); how many VMs watch (a third one only hides it).

The tests of the view that had one failed call for an outage now lose the registry for five seconds and check that it counts as one; their assertions on what is retained are the same.

--- a/crates/pistachiotrack-core/src/config_sync/platform_schedule.rs
+++ b/crates/pistachiotrack-core/src/config_sync/platform_schedule.rs
@@ -56,6 +56,9 @@
     max_ms: u64,
     /// Lower bound, which takes precedence over the other two.
     min_ms: u64,
+    /// Whether the delay after the first failure counts from the start of the call: a watch that is
+    /// cut after some time needs no further delay.
+    first_from_start: bool,
 }
 
 /// The schedule of one VM's calls to the platform.
@@ -150,11 +153,13 @@
     pub(super) fn on_failure(&mut self, now: Time, rng: &mut impl Rng) {
         self.pending_since = None;
         let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
-        let Backoff { initial_ms, max_ms, min_ms } = self.backoff;
+        let Backoff { initial_ms, max_ms, min_ms, first_from_start } = self.backoff;
         let delay_ms = initial_ms.saturating_mul(1 << doublings).min(max_ms).max(min_ms);
+        let is_first = self.failures == 0;
         self.failures = self.failures.saturating_add(1);
         let jittered_ms = delay_ms as f64 * rng.random_range(0.5..1.5);
-        self.not_before = now + Duration::from_millis(jittered_ms as u64);
+        let from = if is_first && first_from_start { self.last_call_started } else { now };
+        self.not_before = now.max(from + Duration::from_millis(jittered_ms as u64));
     }
 
     /// Records that a newer version arrived from a peer.
@@ -188,13 +193,18 @@
 
     fn backoff(&self, role: Role) -> Backoff {
         let ConfigSyncSettings { min_backoff_ms, max_backoff_ms, .. } = self.settings;
-        let regular = Backoff { initial_ms: min_backoff_ms, max_ms: max_backoff_ms, min_ms: 0 };
+        let regular = Backoff {
+            initial_ms: min_backoff_ms,
+            max_ms: max_backoff_ms,
+            min_ms: 0,
+            first_from_start: false,
+        };
         match role {
-            Role::Watcher | Role::Renewing => regular,
+            Role::Watcher | Role::Renewing => Backoff { first_from_start: true, ..regular },
             Role::Standby => Backoff {
                 initial_ms: self.settings.standby_backoff_ms,
                 max_ms: self.settings.unconfirmed_read_after_ms,
-                min_ms: 0,
+                ..regular
             },
             // Watchers that know peers are few. The whole fleet may have these roles at once,
             // and short retry delays of all its VMs would keep the platform overloaded.
--- a/crates/pistachiotrack-core/src/registry_view.rs
+++ b/crates/pistachiotrack-core/src/registry_view.rs
@@ -3,11 +3,12 @@
 //!
 //! Registrations expire unless they are renewed. An endpoint that stops and an outage of
 //! the registry, in which no endpoint can renew, both end in expiry; [`RegistryView`] keeps
-//! endpoints for a grace period after an outage.
+//! endpoints for a grace period after an outage, see [`outage`].
 //!
 //! The registry may also lose its last writes and be restored from an older copy, see
 //! [`restore`].
 
+mod outage;
 mod position;
 mod restore;
 
@@ -17,8 +18,8 @@
     time::Duration,
 };
 
-pub use self::{position::RegistryPosition, restore::RESTORE_HOLD};
-use self::{position::VERSIONS_PER_REVISION, restore::Restore};
+use self::{outage::Outages, position::VERSIONS_PER_REVISION, restore::Restore};
+pub use self::{outage::Recovery, position::RegistryPosition, restore::RESTORE_HOLD};
 use crate::{
     config::{Config, ConfigError},
     endpoint::{self, Endpoint},
@@ -163,19 +164,23 @@
     /// Their registrations expired while they couldn't be renewed; a live endpoint
     /// registers again within about two seconds.
     pub recovery_grace_ms: u64,
+    /// Time between two heartbeats with which an endpoint renews its registration.
+    pub heartbeat_ms: u64,
     /// Percentage of a service's endpoints that stay in rotation whatever their health.
     pub floor_percent: u32,
 }
 
 impl Default for RegistryViewSettings {
     fn default() -> RegistryViewSettings {
-        RegistryViewSettings { recovery_grace_ms: 2_200, floor_percent: 50 }
+        RegistryViewSettings { recovery_grace_ms: 2_200, heartbeat_ms: 1_500, floor_percent: 50 }
     }
 }
 
 #[derive(Clone, Debug)]
 struct Entry {
     registration: Registration,
+    /// Time after which it was last written; `None` if unknown.
+    written_after: Option<Time>,
     /// Set if the registry no longer contains the registration.
     retained: Option<Retained>,
 }
@@ -198,42 +203,49 @@
     restore: Restore,
     /// Revision of the newest entry of the last snapshot, until all changes up to it are known.
     incomplete_until: Option<u64>,
-    is_unreachable: bool,
-    recovered_at: Option<Time>,
+    outages: Outages,
 }
 
 impl RegistryView {
     /// Creates an empty view.
     pub fn new(settings: RegistryViewSettings) -> RegistryView {
         RegistryView {
+            outages: Outages::new(Duration::from_millis(settings.heartbeat_ms)),
             settings,
             operators: None,
             entries: BTreeMap::new(),
             position: RegistryPosition::default(),
             restore: Restore::default(),
             incomplete_until: None,
-            is_unreachable: false,
-            recovered_at: None,
         }
     }
 
-    /// Records that the registry doesn't respond; returns whether it responded before.
-    pub fn on_unreachable(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_unreachable, true)
+    /// Records that a call to the registry failed that was made at `asked_at`; returns whether the
+    /// one before it succeeded.
+    pub fn on_unreachable(&mut self, now: Time, asked_at: Time) -> bool {
+        self.outages.on_failure(now, asked_at)
     }
 
     /// Returns whether the last request to the registry failed.
     pub fn is_unreachable(&self) -> bool {
-        self.is_unreachable
+        self.outages.is_failing()
     }
 
-    /// Records a response of the registry; returns whether it was unreachable before.
-    pub fn on_response(&mut self, now: Time) -> bool {
-        let was_unreachable = std::mem::replace(&mut self.is_unreachable, false);
-        if was_unreachable {
-            self.recovered_at = Some(now);
+    /// Records a response of the registry; returns what it ends if calls have failed before it.
+    ///
+    /// Endpoints that are retained since an outage just before couldn't register again in this one.
+    pub fn on_response(&mut self, now: Time) -> Option<Recovery> {
+        let recovery = self.outages.on_response(now)?;
+        if recovery.is_outage {
+            let until = now + self.recovery_grace();
+            let retained = self.entries.values_mut().filter_map(|entry| entry.retained.as_mut());
+            retained.for_each(|retained| retained.until = until);
         }
-        was_unreachable
+        Some(recovery)
+    }
+
+    fn recovery_grace(&self) -> Duration {
+        Duration::from_millis(self.settings.recovery_grace_ms)
     }
 
     /// Returns the position in the registry's history up to which changes are known.
@@ -271,7 +283,7 @@
             self.deregister(now, revision, &name);
         }
         for registration in listed.into_values() {
-            self.register(now, registration);
+            self.register(now, registration, None);
         }
         if let Some(operators) = operators {
             self.set_operators(now, operators);
@@ -290,7 +302,9 @@
     pub fn on_change(&mut self, now: Time, revision: u64, change: RegistryChange) {
         match change {
             RegistryChange::Operators(operators) => self.set_operators(now, *operators),
-            RegistryChange::Registered(registration) => self.register(now, registration),
+            RegistryChange::Registered(registration) => {
+                self.register(now, registration, self.outages.written_after());
+            }
             RegistryChange::Deregistered(name) => self.deregister(now, revision, &name),
             RegistryChange::Invalid(name) => {
                 self.entries.remove(&name);
@@ -301,10 +315,15 @@
 
     /// Removes endpoints whose retention has ended, and an operators' part that the registry
     /// has lost for good; returns when the next one ends.
+    ///
+    /// A retention ends only once the registry has answered after it: in a further outage the
+    /// endpoints can't register again.
     pub fn remove_expired(&mut self, now: Time) -> Option<Time> {
-        self.entries.retain(|_, entry| entry.retained.is_none_or(|retained| now < retained.until));
-        let retained = self.entries.values().filter_map(|entry| Some(entry.retained?.until)).min();
         let held = self.end_hold(now);
+        let answered_at = self.outages.last_response().unwrap_or(now);
+        self.entries
+            .retain(|_, entry| entry.retained.is_none_or(|retained| answered_at < retained.until));
+        let retained = self.entries.values().filter_map(|entry| Some(entry.retained?.until)).min();
         retained.into_iter().chain(held).min()
     }
 
@@ -363,7 +382,8 @@
                     create_revision: known.map_or(0, |known| known.create_revision),
                     sequence: 0,
                 };
-                self.entries.insert(key, Entry { registration, retained: None });
+                let entry = Entry { registration, written_after: None, retained: None };
+                self.entries.insert(key, entry);
             }
         }
     }
@@ -410,14 +430,15 @@
     /// A write from before the endpoint restarted or began to drain may reach the registry
     /// late; requests would then go to an endpoint that has left or to an ended incarnation.
     /// Endpoints number their reports within each incarnation, which gives the order.
-    fn register(&mut self, now: Time, registration: Registration) {
+    fn register(&mut self, now: Time, registration: Registration, written_after: Option<Time>) {
         let known = self.entries.get(&registration.key).map(|entry| &entry.registration);
         if known.is_some_and(|known| registration.precedes(known))
             || self.restore.is_outdated(now, known, &registration)
         {
             return;
         }
-        self.entries.insert(registration.key.clone(), Entry { registration, retained: None });
+        let entry = Entry { registration, written_after, retained: None };
+        self.entries.insert(entry.registration.key.clone(), entry);
     }
 
     /// Removes an endpoint, at once or after the grace period.
@@ -426,14 +447,9 @@
     /// removals would leave a service without endpoints though all are healthy. Every live
     /// endpoint registers again within the grace period; a draining one is removed at once.
     fn deregister(&mut self, now: Time, revision: u64, name: &Name) {
-        let grace = Duration::from_millis(self.settings.recovery_grace_ms);
-        let until = match (self.is_unreachable, self.recovered_at) {
-            (true, _) => Some(now + grace),
-            (false, Some(regained)) if now < regained + grace => Some(regained + grace),
-            _ => None,
-        };
+        let grace = self.recovery_grace();
         let Some(entry) = self.entries.get_mut(name) else { return };
-        match until {
+        match self.outages.retention_end(now, entry.written_after, grace) {
             Some(until) if !entry.registration.endpoint.leaving => {
                 let position = RegistryPosition { revision, ..self.position };
                 entry.retained.get_or_insert(Retained { until, position });
--- a/crates/pistachiotrack-core/src/registry_view/restore.rs
+++ b/crates/pistachiotrack-core/src/registry_view/restore.rs
@@ -83,7 +83,7 @@
         self.incomplete_until = None;
         if has_content {
             self.restore.until = Some(now + RESTORE_HOLD);
-            self.recovered_at = Some(now);
+            self.outages.on_replaced(now);
         }
     }
 
--- a/crates/pistachiotrack-core/tests/config_sync.rs
+++ b/crates/pistachiotrack-core/tests/config_sync.rs
@@ -156,6 +156,29 @@
     }
 }
 
+/// Guards against changes that reach a watcher late because its watch was cut: the next call starts at
+/// once, and calls that fail at once are delayed as before.
+#[test]
+fn a_watch_that_was_cut_is_repeated_at_once() {
+    for seed in 0..20 {
+        let settings = ConfigSyncSettings::default();
+        let min_backoff = Duration::from_millis(settings.min_backoff_ms) / 2;
+        let mut node = ConfigSync::new(vm(1, 3), Name::from(DEPLOYMENT), settings, seed);
+        let members = [member(2, MemberState::Alive, None)];
+        let start = Time::from_millis(60_000);
+        // The first call is spread over some time after the start.
+        node.on_tick(Time::ZERO, members.iter());
+        node.on_platform_value(Time::ZERO, None);
+        assert!(calls(&node.on_tick(start, members.iter())), "seed {seed}");
+        let cut = start + Duration::from_millis(900);
+        node.on_platform_error(cut);
+        assert!(calls(&node.on_tick(cut, members.iter())), "seed {seed}");
+        node.on_platform_error(cut);
+        let early = cut + min_backoff.mul_f64(0.9);
+        assert!(!calls(&node.on_tick(early, members.iter())), "seed {seed}");
+    }
+}
+
 /// The platform is down for an hour. VMs must keep their configuration, and all of them
 /// together must not call more often than before.
 #[test]
--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -79,6 +79,15 @@
     view
 }
 
+/// Lets the registry be away until [`START`], for as long as registrations need to expire.
+fn lose_registry(view: &mut RegistryView) {
+    let lost = Time::from_millis(START.as_millis() - 5_000);
+    view.on_response(lost);
+    assert!(view.on_unreachable(lost + Duration::from_secs(1), lost));
+    let recovery = view.on_response(START).expect("calls have failed");
+    assert!(recovery.is_outage, "{recovery:?}");
+}
+
 fn at(revision: u64) -> RegistryPosition {
     RegistryPosition { era: 0, revision }
 }
@@ -114,8 +123,7 @@
 #[test]
 fn endpoints_that_expire_in_an_outage_are_retained_for_the_grace_period() {
     let mut view = view();
-    assert!(view.on_unreachable());
-    assert!(view.on_response(START));
+    lose_registry(&mut view);
     view.on_change(START, 11, RegistryChange::Deregistered(Name::from("a")));
     view.on_change(START, 12, RegistryChange::Deregistered(Name::from("b")));
     assert_eq!(names(&view), ["a", "b"]);
@@ -123,6 +131,7 @@
     view.on_change(back, 13, RegistryChange::Registered(registration("a", 1, 13, false)));
     let due = view.remove_expired(back).unwrap();
     assert!(due.since(START) <= Duration::from_millis(2_500));
+    view.on_response(due);
     assert_eq!(view.remove_expired(due), None);
     assert_eq!(names(&view), ["a"]);
 }
@@ -131,8 +140,7 @@
 fn a_draining_endpoint_is_not_retained() {
     let mut view = view();
     view.on_change(START, 11, RegistryChange::Registered(registration("a", 1, 1, true)));
-    view.on_unreachable();
-    view.on_response(START);
+    lose_registry(&mut view);
     view.on_change(START, 12, RegistryChange::Deregistered(Name::from("a")));
     assert_eq!(names(&view), ["b"]);
 }
@@ -144,8 +152,7 @@
 fn a_vm_that_alone_lost_the_registry_restores_no_endpoint() {
     let (mut disconnected, mut connected) = (view(), view());
     connected.on_change(START, 11, RegistryChange::Deregistered(Name::from("a")));
-    disconnected.on_unreachable();
-    disconnected.on_response(START);
+    lose_registry(&mut disconnected);
     disconnected.on_change(START, 11, RegistryChange::Deregistered(Name::from("a")));
     assert!(version(&disconnected) < version(&connected), "the view that retains fewer is newer");
     disconnected.on_active_config(START, &connected.config().unwrap());
@@ -158,8 +165,7 @@
 #[test]
 fn a_version_with_retained_endpoints_removes_none() {
     let mut view = view();
-    view.on_unreachable();
-    view.on_response(START);
+    lose_registry(&mut view);
     view.on_change(START, 11, RegistryChange::Deregistered(Name::from("a")));
     let config = view.config().unwrap();
     view.on_active_config(START, &config);
@@ -186,8 +192,7 @@
     let (mut stale, mut current) = (view(), view());
     current.on_change(START, 11, RegistryChange::Registered(registration("a", 1, 1, true)));
     current.on_change(START, 12, RegistryChange::Deregistered(Name::from("a")));
-    stale.on_unreachable();
-    stale.on_response(START);
+    lose_registry(&mut stale);
     assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(12)));
     stale.on_snapshot(START, snapshot(14, None, vec![registration("b", 2, 2, false)]));
     assert_eq!(names(&stale), ["b"]);
@@ -302,8 +307,7 @@
 #[test]
 fn an_invalid_entry_is_removed_at_once_and_returns_when_valid() {
     let mut view = view();
-    view.on_unreachable();
-    view.on_response(START);
+    lose_registry(&mut view);
     view.on_change(START, 11, RegistryChange::Invalid(Name::from("a")));
     assert_eq!(names(&view), ["b"]);
     view.on_change(START, 12, RegistryChange::Registered(registration("a", 1, 1, false)));
--- a/crates/pistachiotrack-core/tests/restored_registry_fleet.rs
+++ b/crates/pistachiotrack-core/tests/restored_registry_fleet.rs
@@ -280,7 +280,7 @@
             let index = self.rng.random_range(0..VMS);
             let vm = &mut self.vms[index];
             if self.away_until.is_some() {
-                vm.view.on_unreachable();
+                vm.view.on_unreachable(self.now, self.now);
             } else {
                 vm.read(self.now, self.era, &self.content);
             }
--- a/crates/pistachiotrackd/src/config/registry.rs
+++ b/crates/pistachiotrackd/src/config/registry.rs
@@ -119,7 +119,7 @@
         if has_asked {
             let asked_at = self.clock.now();
             let snapshot = self.registry.list().await;
-            if state.apply_listing(self.clock.now(), snapshot)? {
+            if state.apply_listing(self.clock.now(), asked_at, snapshot)? {
                 self.restores.fetch_add(1, Ordering::Relaxed);
             }
             state.asked_at = Some(asked_at);
@@ -147,7 +147,7 @@
             let synced = state.synced.unwrap_or_default();
             let asked_at = self.clock.now();
             let changes = self.registry.changes(synced.revision, until.since(now)).await;
-            state.apply_changes(self.clock.now(), changes)?;
+            state.apply_changes(self.clock.now(), asked_at, changes)?;
             state.asked_at = Some(asked_at);
             has_asked = true;
         }
@@ -166,9 +166,10 @@
     fn apply_listing(
         &mut self,
         now: Time,
+        asked_at: Time,
         snapshot: Result<RegistrySnapshot, RegistryError>,
     ) -> Result<bool, RegistryError> {
-        let snapshot = self.record_response(now, snapshot)?;
+        let snapshot = self.record_response(now, asked_at, snapshot)?;
         let before = self.view.position();
         let era = snapshot.era.unwrap_or(before.era);
         let position = RegistryPosition { era, revision: snapshot.revision };
@@ -194,9 +195,11 @@
     fn apply_changes(
         &mut self,
         now: Time,
+        asked_at: Time,
         changes: Result<Changes, RegistryError>,
     ) -> Result<(), RegistryError> {
-        let Changes { era, revision, changes } = match self.record_response(now, changes) {
+        let response = self.record_response(now, asked_at, changes);
+        let Changes { era, revision, changes } = match response {
             Err(RegistryError::HistoryGone) => {
                 self.synced = None;
                 return Err(RegistryError::HistoryGone);
@@ -240,17 +243,26 @@
     fn record_response<T>(
         &mut self,
         now: Time,
+        asked_at: Time,
         response: Result<T, RegistryError>,
     ) -> Result<T, RegistryError> {
         match &response {
             Err(RegistryError::Unavailable(error)) => {
-                if self.view.on_unreachable() {
-                    log::warn!("event=registry_lost error={:?}", error.to_string());
+                if self.view.on_unreachable(now, asked_at) {
+                    log::warn!(
+                        "event=registry_lost error={:?} asked_ms_ago={}",
+                        error.to_string(),
+                        now.since(asked_at).as_millis()
+                    );
                 }
             }
             _ => {
-                if self.view.on_response(now) {
-                    log::info!("event=registry_regained");
+                if let Some(recovery) = self.view.on_response(now) {
+                    log::info!(
+                        "event=registry_regained lost_for_ms={} retains_endpoints={}",
+                        recovery.failing_for.as_millis(),
+                        recovery.is_outage
+                    );
                 }
             }
         }
--- a/crates/pistachiotrackd/src/config/settings/registry.rs
+++ b/crates/pistachiotrackd/src/config/settings/registry.rs
@@ -35,6 +35,9 @@
     pub contention: Contention,
     /// Maximum size of a value in the registry.
     pub value_bytes: usize,
+    /// Time between two heartbeats with which an endpoint renews its entry. An entry expires after
+    /// three heartbeats without one.
+    pub heartbeat_s: f64,
 }
 
 impl Default for RegistrySettings {
@@ -51,6 +54,7 @@
             retry_window_s: 10.0,
             contention: Contention::default(),
             value_bytes: MAX_VALUE_BYTES,
+            heartbeat_s: 1.5,
         }
     }
 }
@@ -60,6 +64,7 @@
     pub fn view_settings(&self) -> RegistryViewSettings {
         RegistryViewSettings {
             floor_percent: self.floor_percent,
+            heartbeat_ms: (self.heartbeat_s * 1000.0) as u64,
             ..RegistryViewSettings::default()
         }
     }
@@ -92,6 +97,9 @@
             let problem = format!("{slack} in {window_s} s is no limit");
             return Some(("registry.retry_slack", problem));
         }
+        if self.heartbeat_s <= 0.0 {
+            return Some(("registry.heartbeat_s", format!("{} is not above 0", self.heartbeat_s)));
+        }
         if self.value_bytes == 0 {
             return Some(("registry.value_bytes", "0 is not above 0".to_owned()));
         }
