Registry: cuts in series are not failures in series

Cause: after a cut one read of the source asks without waiting and then goes on to wait. If that second call was cut too, the whole read failed, whatever had been answered before, so that each cut doubled the delay of the next call, up to 1.2 s. That is longer than a cut, and such times add up to an outage.

Change: a failed read says whether the source responded before it failed. This counts as a response: the next failure is a first one, standbys learn of it, and a lease on the configuration is confirmed by it.

--- a/crates/pistachiotrackd/src/config/registry.rs
+++ b/crates/pistachiotrackd/src/config/registry.rs
@@ -132,13 +132,13 @@
             let config = state.view.config();
             // Without a configuration of its own the view may lack changes that were made before
             // the last request.
-            let asked_at = state.asked_at.filter(|_| config.is_some());
+            let confirmed_at = state.asked_at.filter(|_| config.is_some());
             if let Some(config) = config.filter(|config| Some(config.version) > after) {
                 let config = Some(PublishedConfig::Assembled(Box::new(config)));
-                return Ok(SourceReading { config, asked_at });
+                return Ok(SourceReading { config, asked_at: confirmed_at });
             }
             if now >= deadline && has_asked {
-                return Ok(SourceReading { config: None, asked_at });
+                return Ok(SourceReading { config: None, asked_at: confirmed_at });
             }
             // After a failed request, the next one doesn't wait: a wait that starts
             // while the registry is unreachable could end long after it recovers.
@@ -147,7 +147,14 @@
             let synced = state.synced.unwrap_or_default();
             let asked_at = self.clock.now();
             let changes = self.registry.changes(synced.revision, until.since(now)).await;
-            state.apply_changes(self.clock.now(), asked_at, changes)?;
+            let confirmed_at = confirmed_at.filter(|_| has_asked);
+            let applied = state.apply_changes(self.clock.now(), asked_at, changes);
+            applied.map_err(|error| match error {
+                RegistryError::Unavailable(error) => {
+                    RegistryError::Unavailable(error.after_response(confirmed_at))
+                }
+                error => error,
+            })?;
             state.asked_at = Some(asked_at);
             has_asked = true;
         }
--- a/crates/pistachiotrackd/src/config/source.rs
+++ b/crates/pistachiotrackd/src/config/source.rs
@@ -8,13 +8,28 @@
 
 /// Why a read of a source failed.
 #[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-pub struct SourceError(#[from] Box<dyn std::error::Error + Send + Sync>);
+#[error("{error}")]
+pub struct SourceError {
+    error: Box<dyn std::error::Error + Send + Sync>,
+    /// Time before an earlier request of the same read whose response showed nothing newer.
+    asked_at: Option<Time>,
+}
 
 impl SourceError {
     /// Wraps an error.
     pub fn new(error: impl std::error::Error + Send + Sync + 'static) -> SourceError {
-        SourceError(Box::new(error))
+        SourceError { error: Box::new(error), asked_at: None }
+    }
+
+    /// Adds the time before an earlier request of the same read whose response showed nothing newer.
+    pub fn after_response(self, asked_at: Option<Time>) -> SourceError {
+        SourceError { asked_at, ..self }
+    }
+
+    /// Returns the time before an earlier request of the same read whose response showed nothing
+    /// newer.
+    pub fn asked_at(&self) -> Option<Time> {
+        self.asked_at
     }
 }
 
--- a/crates/pistachiotrackd/src/membership/fleet.rs
+++ b/crates/pistachiotrackd/src/membership/fleet.rs
@@ -234,34 +234,14 @@
         let now = self.clock.now();
         self.watching.send_replace(false);
         match message.0 {
-            Ok(SourceReading { config, asked_at }) => {
-                self.membership.on_platform_response(now);
-                let actions = match config {
-                    Some(PublishedConfig::Assembled(config)) => {
-                        self.sync.on_platform_config(now, *config)
-                    }
-                    Some(PublishedConfig::Encoded(value)) => {
-                        self.sync.on_platform_value(now, Some(&value))
-                    }
-                    None => self.sync.on_platform_value(now, None),
-                };
-                // A source that lies behind proves nothing. A value that was rejected is not in
-                // force, so that the active one stays the newest.
-                let is_behind =
-                    actions.iter().any(|action| matches!(action, ConfigAction::Stale { .. }));
-                self.apply_config(now, actions);
-                let confirmation = |version, at| Some(Confirmation { version: version?, at: at? });
-                if !is_behind {
-                    if let Some(confirmed) = confirmation(self.sync.version(), asked_at) {
-                        self.lease.on_confirmation(confirmed);
-                    }
-                    self.lease.hold(confirmation(self.sync.first_value_version(), asked_at));
-                }
-                let standbys = self.sync.standbys(self.membership.members());
-                let actions = self.membership.announce(now, standbys);
-                self.apply_membership(now, actions);
-            }
+            Ok(reading) => self.on_source_reading(now, now, reading),
             Err(error) => {
+                // Otherwise watches that are cut one after the other would count as failures in
+                // series, and each delay the next call for longer.
+                if let Some(asked_at) = error.asked_at() {
+                    let reading = SourceReading { config: None, asked_at: Some(asked_at) };
+                    self.on_source_reading(now, asked_at, reading);
+                }
                 log::warn!("event=config_unavailable error={:?}", error.to_string());
                 self.sync.on_platform_error(now);
             }
@@ -269,6 +249,33 @@
     }
 }
 
+impl Fleet {
+    /// Processes what the source has responded at `responded_at`.
+    fn on_source_reading(&mut self, now: Time, responded_at: Time, reading: SourceReading) {
+        let SourceReading { config, asked_at } = reading;
+        self.membership.on_platform_response(responded_at);
+        let actions = match config {
+            Some(PublishedConfig::Assembled(config)) => self.sync.on_platform_config(now, *config),
+            Some(PublishedConfig::Encoded(value)) => self.sync.on_platform_value(now, Some(&value)),
+            None => self.sync.on_platform_value(responded_at, None),
+        };
+        // A source that lies behind proves nothing. A value that was rejected is not in
+        // force, so that the active one stays the newest.
+        let is_behind = actions.iter().any(|action| matches!(action, ConfigAction::Stale { .. }));
+        self.apply_config(now, actions);
+        let confirmation = |version, at| Some(Confirmation { version: version?, at: at? });
+        if !is_behind {
+            if let Some(confirmed) = confirmation(self.sync.version(), asked_at) {
+                self.lease.on_confirmation(confirmed);
+            }
+            self.lease.hold(confirmation(self.sync.first_value_version(), asked_at));
+        }
+        let standbys = self.sync.standbys(self.membership.members());
+        let actions = self.membership.announce(now, standbys);
+        self.apply_membership(now, actions);
+    }
+}
+
 impl Message<VmListReceived> for Fleet {
     type Reply = ();
 
