Membership: a VM whose clock was set back takes its place again

Cause: a VM's incarnation is the time of day at its start. The members still knew the higher one of the process before, told the new process of it, and it stopped as one that had been replaced.

Change: a higher incarnation at this VM's own address, or one that is dead, can only be that of the process before while this one has just started; it takes the next higher incarnation. A process that runs for longer stops as before: one that was paused can have been replaced at its address.

Before: a_vm_whose_clock_was_set_back_takes_its_place_again fails (superseded); after, it passes, and replacement_supersedes_the_paused_vm still does.

--- a/crates/pistachiotrack-core/src/membership/receive.rs
+++ b/crates/pistachiotrack-core/src/membership/receive.rs
@@ -13,6 +13,9 @@
 /// Time alive after which all members are assumed to have received the update about a VM.
 const ESTABLISHED_MS: u32 = 60_000;
 
+/// Time after its start for which a VM may learn of the process before it at its address.
+const PREDECESSOR_TIME: Duration = Duration::from_secs(10);
+
 impl Membership {
     pub(super) fn receive(
         &mut self,
@@ -23,7 +26,9 @@
     ) {
         let Datagram { sender, message, updates } = datagram;
         if sender.name == self.me.name {
-            self.superseded |= sender.incarnation > self.me.incarnation;
+            if sender.incarnation > self.me.incarnation {
+                self.on_higher_incarnation(now, sender.incarnation, Some(from));
+            }
             return;
         }
         if self.is_outdated(&sender) {
@@ -251,8 +256,14 @@
     /// Refutes a suspicion against this VM, or detects that a newer incarnation replaced it.
     fn on_update_about_self(&mut self, now: Time, update: &Update) {
         if update.incarnation > self.me.incarnation {
-            self.superseded = true;
-            return;
+            let address = update.details.as_ref().map(|details| details.peer_address);
+            return match update.state {
+                // A dead process replaces none.
+                MemberState::Dead => {
+                    self.on_higher_incarnation(now, update.incarnation, Some(self.me.peer_address));
+                }
+                _ => self.on_higher_incarnation(now, update.incarnation, address),
+            };
         }
         let is_suspicion = matches!(update.state, MemberState::Suspect | MemberState::Dead);
         if update.incarnation < self.me.incarnation || !is_suspicion {
@@ -277,6 +288,21 @@
         }
     }
 
+    /// Handles a higher incarnation of this VM: that of a process that has replaced this one, or of
+    /// the process before it, which was started while the clock was ahead.
+    ///
+    /// The process before had this one's address, so that it can't run any more; members that still know
+    /// it would ignore this one. Only a process that has just started takes its place: one that
+    /// was paused can itself have been replaced at its address.
+    fn on_higher_incarnation(&mut self, now: Time, incarnation: u64, address: Option<SocketAddr>) {
+        let is_same_address = address == Some(self.me.peer_address);
+        if is_same_address && now.since(self.started) < PREDECESSOR_TIME {
+            self.me.incarnation = incarnation.saturating_add(1);
+        } else {
+            self.superseded = true;
+        }
+    }
+
     fn on_update(&mut self, now: Time, update: &Update, actions: &mut Actions) {
         if !self.is_newer(update) {
             self.on_stale_update(now, update);
--- a/crates/pistachiotrack-core/tests/membership_join.rs
+++ b/crates/pistachiotrack-core/tests/membership_join.rs
@@ -112,6 +112,28 @@
     assert_eq!(sees(4), 4, "the VMs 1, 2, 3 and 5");
 }
 
+/// Guards against a VM that ends by itself after a restart: its clock was ahead when the process
+/// before was started, so that the members know a higher incarnation at its address.
+#[test]
+fn a_vm_whose_clock_was_set_back_takes_its_place_again() {
+    for down in [0, 300, 4_000] {
+        let mut fleet = Fleet::start(6, &[0, 1]);
+        fleet.run(Duration::from_secs(3));
+        fleet.vms.remove(&address(4));
+        fleet.run(Duration::from_millis(down));
+        let settings = MembershipSettings {
+            seeds: vec![address(0), address(1)],
+            verify_burst: 64,
+            ..MembershipSettings::default()
+        };
+        let restarted = Vm { incarnation: 400, ..vm(4) };
+        fleet.vms.insert(address(4), Membership::new(fleet.now, restarted, settings, 44));
+        fleet.run(Duration::from_secs(12));
+        assert!(!fleet.vms[&address(4)].is_superseded(), "down for {down} ms");
+        assert!(fleet.all_see_all(), "down for {down} ms");
+    }
+}
+
 /// A VM reads a new configuration. The others must have it within 2 s, which the regular
 /// datagrams don't ensure: the VM announces it to the members with an older version, and only
 /// to these.
