Answers: a pause within the deadline doesn't end an answer

Cause: a body without data for body_idle_ms was abandoned, whatever time the request had left.

Change: the idle limit ends a body only once the deadline has passed.

Before: an_answer_with_a_long_pause_is_complete fails (incomplete body); after, it passes, as do the tests of stalled and endless bodies. A relay goes by the time limit of its attempt, as before.

--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -49,7 +49,7 @@
 /// Time limits for the bodies of answers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyTimeouts {
-    /// Time without data after which a body is abandoned.
+    /// Time without data after which a body is abandoned, once the deadline has passed.
     pub(crate) idle: Duration,
     /// Time after a request's deadline at which a body that still arrives is abandoned.
     pub(crate) overrun: Duration,
@@ -67,15 +67,18 @@
 impl BodyTimeouts {
     /// Returns the limits for the answer to a request with this deadline.
     pub(crate) fn limits(self, deadline: Instant) -> BodyLimits {
-        BodyLimits { idle: self.idle, until: deadline + self.overrun }
+        BodyLimits { idle: self.idle, deadline, until: deadline + self.overrun }
     }
 }
 
 /// Limits for the body of one answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyLimits {
-    /// Time without data after which it is abandoned.
+    /// Time without data after which it is abandoned, once the deadline has passed.
     idle: Duration,
+    /// Deadline of the request. An endpoint may be at work between two parts of an answer, for
+    /// as long as the caller waits.
+    deadline: Instant,
     /// Time at which it is abandoned if it still arrives.
     until: Instant,
 }
@@ -220,8 +223,10 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        let idle_limit = self.limits.idle;
-        let idle = self.idle.get_or_insert_with(|| Box::pin(tokio::time::sleep(idle_limit)));
+        let BodyLimits { idle, deadline, .. } = self.limits;
+        let idle = self.idle.get_or_insert_with(|| {
+            Box::pin(tokio::time::sleep_until(deadline.max(Instant::now() + idle)))
+        });
         std::task::ready!(idle.as_mut().poll(cx));
         self.finish(BodyEnd::Truncated);
         Poll::Ready(Some(Err(AnswerBodyError::Stalled)))
--- a/crates/pistachiotrackd/tests/truncated_answers.rs
+++ b/crates/pistachiotrackd/tests/truncated_answers.rs
@@ -67,6 +67,24 @@
     search.wait_closed(1).await;
 }
 
+/// Guards against an answer that is cut while its endpoint is at work: it pauses for longer than the
+/// idle limit between two parts, within the deadline.
+#[tokio::test]
+async fn an_answer_with_a_long_pause_is_complete() {
+    let search = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+        write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf").await;
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        write(&mut stream, "half").await;
+        read_to_end(&mut stream).await;
+    })
+    .await;
+    let limits = json!({"body_idle_ms": 50});
+    let deployment = Deployment::start_with_limits(&[search.address], &[], limits).await;
+    let answer = client::send(deployment.address(), client::get("/slots")).await.unwrap();
+    assert_eq!(answer.body(), "halfhalf");
+}
+
 /// Guards against a truncated answer that the caller takes for a complete one. The endpoint
 /// hangs in the middle of an answer without a length; the fleet times out and must not end
 /// the answer normally, because no length shows the caller that a part is missing.
