--- a/crates/pistachiotrack-standins/src/endpoint.rs
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -26,6 +26,7 @@
 use crate::{
     execution_counter::ExecutionCounter,
     fault::Faults,
+    late_copies::LateCopies,
     server::{Answer, Server, empty},
     work::{SERVICE_US, WORK_ID, WORKED_BY, WorkId, answer_body},
 };
@@ -105,6 +106,7 @@
     slots: Semaphore,
     in_flight: AtomicU32,
     faults: Mutex<Faults>,
+    late_copies: Arc<LateCopies>,
     random: Mutex<Pcg64Mcg>,
     execution_counter: Arc<ExecutionCounter>,
     arrivals: Mutex<Vec<(Instant, WorkId)>>,
@@ -135,6 +137,7 @@
             slots: Semaphore::new(settings.slots as usize),
             in_flight: AtomicU32::new(0),
             faults: Mutex::default(),
+            late_copies: Arc::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(settings.seed)),
             execution_counter,
             arrivals: Mutex::default(),
@@ -183,6 +186,7 @@
 
     /// Replaces the injected faults.
     pub fn set_faults(&self, faults: Faults) {
+        self.state.late_copies.set_active(faults.repeats_refusals);
         *lock(&self.state.faults) = faults;
     }
 
@@ -211,8 +215,9 @@
 
 impl EndpointState {
     async fn serve(self: Arc<Self>, address: SocketAddr) -> std::io::Result<Server> {
+        let copies = Arc::clone(&self.late_copies);
         let handler = move |request, opened| Arc::clone(&self).answer(request, opened);
-        Server::start_at(address, handler).await
+        Server::start_at(address, copies, handler).await
     }
 
     /// Closes the port and all connections at each crash, and restarts after [`CRASH_DOWNTIME`].
@@ -236,6 +241,7 @@
         if self.faults(arrived).is_connection_silent(opened) {
             return std::future::pending().await;
         }
+        let request_id = request.headers().get(header::REQUEST_ID).cloned();
         let mut answer = match request.uri().path() {
             DEFAULT_PROBE_PATH => self.handle_probe().await,
             _ => self.handle_request(request, arrived).await,
@@ -244,6 +250,9 @@
             return std::future::pending().await;
         }
         self.add_report_headers(answer.headers_mut());
+        if let Some(request_id) = request_id {
+            answer.headers_mut().insert(header::REQUEST_ID, request_id);
+        }
         answer
     }
 
@@ -276,7 +285,10 @@
         deadline: Option<Instant>,
         crashes: bool,
     ) -> Answer {
-        if self.faults(Instant::now()).shedding || self.notice().retry_after.is_some() {
+        let faults = self.faults(Instant::now());
+        let is_shed =
+            faults.shed_share > 0.0 && faults.shed_share > lock(&self.random).random::<f64>();
+        if is_shed || self.notice().retry_after.is_some() {
             return self.refuse();
         }
         let Some(request_guard) = self.admit() else { return self.refuse() };
--- a/crates/pistachiotrack-standins/src/fault.rs
+++ b/crates/pistachiotrack-standins/src/fault.rs
@@ -17,8 +17,10 @@
     pub flapping: Option<Flapping>,
     /// Start of a cold start, during which requests are slower.
     pub cold_since: Option<Instant>,
-    /// Whether all requests are refused without being run.
-    pub shedding: bool,
+    /// Share of the requests that are refused without being run.
+    pub shed_share: f64,
+    /// Whether some of the refusals are sent a second time, late.
+    pub repeats_refusals: bool,
     /// Whether the endpoint announces that it is draining.
     pub draining: bool,
     /// Load that is reported instead of the actual one.
@@ -34,7 +36,8 @@
             silent_before: None,
             flapping: None,
             cold_since: None,
-            shedding: false,
+            shed_share: 0.0,
+            repeats_refusals: false,
             draining: false,
             reported_load: None,
         }
@@ -85,7 +88,12 @@
 
     /// Refuses all requests without running them.
     pub fn shedding() -> Faults {
-        Faults { shedding: true, ..Faults::default() }
+        Faults { shed_share: 1.0, ..Faults::default() }
+    }
+
+    /// Refuses half of the requests, and sends some of the refusals a second time, late.
+    pub fn repeating_refusals() -> Faults {
+        Faults { shed_share: 0.5, repeats_refusals: true, ..Faults::default() }
     }
 
     /// Announces that the endpoint is draining.
--- a/crates/pistachiotrack-standins/src/lib.rs
+++ b/crates/pistachiotrack-standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod experiment;
 pub mod fault;
 pub mod fleet;
+mod late_copies;
 pub mod link;
 pub mod link_proxy;
 pub mod load;
--- a/crates/pistachiotrack-standins/src/server.rs
+++ b/crates/pistachiotrack-standins/src/server.rs
@@ -4,6 +4,7 @@
     convert::Infallible,
     future::Future,
     net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
     time::Instant,
 };
 
@@ -16,6 +17,8 @@
     task::{JoinHandle, JoinSet},
 };
 
+use crate::late_copies::{LateCopies, RepeatingStream};
+
 /// An answer of a stand-in.
 pub type Answer = Response<Full<Bytes>>;
 
@@ -40,22 +43,27 @@
         H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Answer> + Send + 'static,
     {
-        Server::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), handler).await
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Server::start_at(any, Arc::default(), handler).await
     }
 
-    /// Starts a server on an address.
+    /// Starts a server on an address, which repeats answers as `copies` says.
     ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
-    pub async fn start_at<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Server>
+    pub(crate) async fn start_at<H, F>(
+        address: SocketAddr,
+        copies: Arc<LateCopies>,
+        handler: H,
+    ) -> std::io::Result<Server>
     where
         H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Answer> + Send + 'static,
     {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        Ok(Server { address, task: tokio::spawn(accept(listener, handler)) })
+        Ok(Server { address, task: tokio::spawn(accept(listener, copies, handler)) })
     }
 
     /// Returns the address that the server listens on.
@@ -70,7 +78,7 @@
     }
 }
 
-async fn accept<H, F>(listener: TcpListener, handler: H)
+async fn accept<H, F>(listener: TcpListener, copies: Arc<LateCopies>, handler: H)
 where
     H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
@@ -80,7 +88,7 @@
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(serve(stream, handler.clone()));
+                    connections.spawn(serve(stream, Arc::clone(&copies), handler.clone()));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -88,7 +96,7 @@
     }
 }
 
-async fn serve<H, F>(stream: TcpStream, handler: H)
+async fn serve<H, F>(stream: TcpStream, copies: Arc<LateCopies>, handler: H)
 where
     H: Fn(Request<Incoming>, Instant) -> F + Send + Sync,
     F: Future<Output = Answer> + Send,
@@ -102,7 +110,7 @@
     // An error here means that the client closed the connection early.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(RepeatingStream::new(stream, copies)), service)
         .await;
 }
 
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -441,6 +441,7 @@
         EndpointFault::Hang => Faults::hang(),
         EndpointFault::Shed => Faults::shedding(),
         EndpointFault::SilentConnections => Faults::silent_connections(Instant::now()),
+        EndpointFault::RepeatRefusals => Faults::repeating_refusals(),
     }
 }
 
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -215,6 +215,8 @@
     Shed,
     /// Open connections become silent; new connections work.
     SilentConnections,
+    /// Half of the requests are refused, and some of the refusals are sent a second time, late.
+    RepeatRefusals,
 }
 
 /// Faults of the platform's services.
--- a/crates/pistachiotrack-standins/src/soak/plan/generator.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan/generator.rs
@@ -22,6 +22,9 @@
 /// The same for VMs that are cut off from endpoints.
 const MEAN_ENDPOINT_CUT_GAP_MS: u64 = 9_000;
 const ENDPOINT_CUT_SEED: u64 = 0x7061_7468;
+/// The same for endpoints that repeat refusals.
+const MEAN_REPEAT_GAP_MS: u64 = 3_000;
+const REPEAT_SEED: u64 = 0x7265_7065_6174;
 /// Time before the end of the load in which no event starts.
 const FINAL_QUIET_MS: u64 = 5_000;
 /// One in this many kill events kills all VMs.
@@ -42,6 +45,9 @@
     generator.add_events(0, end_ms, MEAN_NOTICE_GAP_MS, PlanGenerator::notice_event);
     generator.random = Pcg64Mcg::seed_from_u64(seed ^ ENDPOINT_CUT_SEED);
     generator.add_events(0, end_ms, MEAN_ENDPOINT_CUT_GAP_MS, PlanGenerator::endpoint_cut);
+    generator.random = Pcg64Mcg::seed_from_u64(seed ^ REPEAT_SEED);
+    let repeats = PlanGenerator::repeated_refusals;
+    generator.add_events(faults.0, faults.1, MEAN_REPEAT_GAP_MS, repeats);
     generator.steps.sort_by_key(|step| step.at_ms);
     generator.steps
 }
@@ -120,6 +126,14 @@
         }
     }
 
+    fn repeated_refusals(&mut self) -> Event {
+        Event::EndpointFault {
+            endpoint: self.endpoint(),
+            fault: EndpointFault::RepeatRefusals,
+            for_ms: self.random.random_range(3_000..8_000),
+        }
+    }
+
     /// Cuts off half of the VMs, all but one, or a single one.
     fn endpoint_cut(&mut self) -> Event {
         let forms = [EndpointCut::Refused, EndpointCut::Silent, EndpointCut::NewRefused];
