--- a/crates/pistachiotrack-core/tests/registry_outages.rs
+++ b/crates/pistachiotrack-core/tests/registry_outages.rs
@@ -1,24 +1,22 @@
 //! A view of the registry through outages, in which registrations expire, and watches that are cut
 //! while the registry is well.
 
+mod registry_support;
+
 use std::time::Duration;
 
 use pistachiotrack_core::{
-    config::Config,
-    data_centre::DataCentre,
     endpoint::Endpoint,
     name::Name,
     registry_view::{
-        OperatorConfig, Registration, RegistryChange, RegistrySnapshot, RegistryView,
-        RegistryViewSettings,
+        Registration, RegistryChange, RegistrySnapshot, RegistryView, RegistryViewSettings,
     },
-    service::{Contention, Service},
     time::Time,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use registry_support::{SERVICE, operators};
 
-const SERVICE: &str = "booking";
 const ENDPOINTS: usize = 4;
 /// Step of the simulation.
 const STEP_MS: u64 = 10;
@@ -105,34 +103,6 @@
     Registration { key: name(index), service, endpoint, create_revision: 1, sequence: 0 }
 }
 
-fn operators() -> OperatorConfig {
-    let service = Service {
-        name: Name::from(SERVICE),
-        floor: 0,
-        sensitivity: 1.0,
-        timeout_ms: 1_000,
-        queue_limit: 16,
-        shard_endpoints: 64,
-        dispatchers_per_data_centre: 2,
-        retry_limit: None,
-        contention: Contention::default(),
-        probe_path: Name::from("/healthz"),
-        endpoints: Vec::new(),
-    };
-    let config = Config {
-        version: 0,
-        deployment: Name::from("timeliten"),
-        entry_lifetime_ms: 1_000,
-        data_centres: vec![DataCentre { name: Name::from("oslo-1"), region: Name::from("oslo") }],
-        services: vec![service],
-        customers: Vec::new(),
-        rules: Vec::new(),
-        api_keys_required: false,
-        operators_version: None,
-    };
-    OperatorConfig::new(config, Default::default()).unwrap()
-}
-
 impl World {
     fn new(seed: u64) -> World {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -1,51 +1,21 @@
 //! The view of the registry: registrations, outages of the registry and late updates.
 
+mod registry_support;
+
 use std::time::Duration;
 
 use pistachiotrack_core::{
-    config::Config,
-    data_centre::DataCentre,
     endpoint::{Endpoint, incarnation_name, registered_name, started_unix_ms},
     name::Name,
     registry_view::{
         OperatorConfig, Registration, RegistryChange, RegistryPosition, RegistrySnapshot,
         RegistryView, RegistryViewSettings,
     },
-    service::{Contention, Service},
     time::Time,
 };
+use registry_support::{SERVICE, operators};
 
 const START: Time = Time::from_millis(10_000);
-const SERVICE: &str = "booking";
-
-fn operators() -> OperatorConfig {
-    let service = Service {
-        name: Name::from(SERVICE),
-        floor: 0,
-        sensitivity: 1.0,
-        timeout_ms: 1_000,
-        queue_limit: 16,
-        shard_endpoints: 64,
-        dispatchers_per_data_centre: 2,
-        retry_limit: None,
-        contention: Contention::default(),
-        probe_path: Name::from("/healthz"),
-        endpoints: Vec::new(),
-    };
-    let config = Config {
-        version: 0,
-        deployment: Name::from("timeliten"),
-        entry_lifetime_ms: 1_000,
-        data_centres: vec![DataCentre { name: Name::from("oslo-1"), region: Name::from("oslo") }],
-        services: vec![service],
-        customers: Vec::new(),
-        rules: Vec::new(),
-        api_keys_required: false,
-        operators_version: None,
-    };
-    OperatorConfig::new(config, [(Name::from(SERVICE), 90)].into()).unwrap()
-}
-
 fn registration(name: &str, port: u16, create_revision: u64, leaving: bool) -> Registration {
     let endpoint = Endpoint {
         name: Name::from(name),
