--- a/crates/pistachiotrackd/tests/repeat.rs
+++ b/crates/pistachiotrackd/tests/repeat.rs
@@ -99,6 +99,27 @@
     assert!(!full.received().is_empty());
 }
 
+/// Guards against a booking that runs twice: the refusal of another request, which its ID tells, comes
+/// where the answer is expected.
+#[tokio::test]
+async fn a_refusal_with_the_id_of_another_request_is_not_believed() {
+    let booking = Endpoint::start(|request| async move {
+        let id = match &request.headers()[header::REQUEST_ID] {
+            id if request.body() == "slot 7" => id.clone(),
+            _ => hyper::header::HeaderValue::from_static("another"),
+        };
+        let answer = Response::builder().status(503).header(header::NOT_RUN, "true");
+        answer.header(header::REQUEST_ID, id).body(Full::default()).unwrap()
+    })
+    .await;
+    let deployment = Deployment::start(&[], &[booking.address]).await;
+    for (slot, outcome) in [("slot 7", "not-run"), ("slot 8", "unknown")] {
+        let booked = client::request(Method::POST, "/bookings", slot);
+        let refused = client::send(deployment.address(), booked).await.unwrap();
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some(outcome));
+    }
+}
+
 /// Guards against a lookup that fails on a pooled connection which the endpoint has just
 /// closed. Nothing of the request was written to it yet.
 #[tokio::test]
