--- a/crates/pistachiotrack-core/src/membership/join.rs
+++ b/crates/pistachiotrack-core/src/membership/join.rs
@@ -17,7 +17,7 @@
 /// State of the queries to the seeds.
 #[derive(Clone, Debug)]
 pub(super) struct Join {
-    started: Time,
+    pub(super) started: Time,
     next_query_at: Time,
     /// Last name of the last page received.
     cursor: Option<Name>,
--- a/crates/pistachiotrack-core/src/membership/receive.rs
+++ b/crates/pistachiotrack-core/src/membership/receive.rs
@@ -296,7 +296,7 @@
     /// was paused can itself have been replaced at its address.
     fn on_higher_incarnation(&mut self, now: Time, incarnation: u64, address: Option<SocketAddr>) {
         let is_same_address = address == Some(self.me.peer_address);
-        if is_same_address && now.since(self.started) < PREDECESSOR_TIME {
+        if is_same_address && now.since(self.join.started) < PREDECESSOR_TIME {
             self.me.incarnation = incarnation.saturating_add(1);
         } else {
             self.superseded = true;
--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -143,14 +143,7 @@
 
     /// Returns whether it is certain that the endpoint did not run the request.
     pub fn certainly_not_run(self) -> bool {
-        matches!(
-            self,
-            Outcome::Shed
-                | Outcome::ConnectFailed
-                | Outcome::Misdirected
-                | Outcome::NotSent
-                | Outcome::RelayFailed { sent: false }
-        )
+        self.never_arrived() || matches!(self, Outcome::Shed | Outcome::Misdirected)
     }
 }
 
--- a/crates/pistachiotrackd/src/connections/guarded_stream.rs
+++ b/crates/pistachiotrackd/src/connections/guarded_stream.rs
@@ -111,20 +111,12 @@
     }
 
     fn after_read(&self, bytes: u64) -> io::Result<()> {
-        let left = self.left_before_answer_bytes.load(Ordering::Acquire);
-        if left == ANSWERED {
-            return Ok(());
-        }
-        let left = left
-            .checked_sub(bytes)
-            .ok_or_else(|| io::Error::other("too many bytes before an answer"))?;
-        // Does nothing if the answer has started meanwhile.
-        let _ = self.left_before_answer_bytes.fetch_update(
-            Ordering::AcqRel,
-            Ordering::Acquire,
-            |before| (before != ANSWERED).then_some(left),
-        );
-        Ok(())
+        let subtract =
+            |left: u64| if left == ANSWERED { Some(left) } else { left.checked_sub(bytes) };
+        self.left_before_answer_bytes
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, subtract)
+            .map(drop)
+            .map_err(|_| io::Error::other("too many bytes before an answer"))
     }
 
     fn after_write(&self, first: bool, result: &Poll<io::Result<usize>>) {
