--- a/crates/pistachiotrack-core/src/registry_view/outage.rs
+++ b/crates/pistachiotrack-core/src/registry_view/outage.rs
@@ -122,6 +122,8 @@
         self.previous_response
     }
 
+    /// Returns whether registrations may have expired before the response at `now`.
+    ///
     /// A live endpoint's last heartbeat is up to one heartbeat old when an outage begins, so that
     /// its registration expires only if the outage lasts for the rest of the time.
     fn is_outage(&mut self, now: Time, failing: Failing, failing_for: Duration) -> bool {
--- a/crates/pistachiotrackd/src/request/attempt.rs
+++ b/crates/pistachiotrackd/src/request/attempt.rs
@@ -74,7 +74,7 @@
     pub(crate) local_port: u16,
     /// Number of the exchange on the connection, from 1 on.
     pub(crate) exchange: u32,
-    /// Whether the answer states the ID of a request.
+    /// Whether the answer states the ID of the request.
     pub(crate) names_request: bool,
 }
 
