Membership: a suspicion of the process before doesn't end a restarted VM

A VM that has just started now leaves it out; the members find out soon whether the suspected process is alive, and say so with its address, or that it is dead.

The test tried restarts after 0, 0.3 and 4 s only.

--- a/crates/pistachiotrack-core/src/membership/receive.rs
+++ b/crates/pistachiotrack-core/src/membership/receive.rs
@@ -256,14 +256,13 @@
     /// Refutes a suspicion against this VM, or detects that a newer incarnation replaced it.
     fn on_update_about_self(&mut self, now: Time, update: &Update) {
         if update.incarnation > self.me.incarnation {
-            let address = update.details.as_ref().map(|details| details.peer_address);
-            return match update.state {
+            let address = match update.state {
                 // A dead process replaces none.
-                MemberState::Dead => {
-                    self.on_higher_incarnation(now, update.incarnation, Some(self.me.peer_address));
-                }
-                _ => self.on_higher_incarnation(now, update.incarnation, address),
+                MemberState::Dead => Some(self.me.peer_address),
+                _ => update.details.as_ref().map(|details| details.peer_address),
             };
+            self.on_higher_incarnation(now, update.incarnation, address);
+            return;
         }
         let is_suspicion = matches!(update.state, MemberState::Suspect | MemberState::Dead);
         if update.incarnation < self.me.incarnation || !is_suspicion {
@@ -293,13 +292,16 @@
     ///
     /// The process before had this one's address, so that it can't run any more; members that still know
     /// it would ignore this one. Only a process that has just started takes its place: one that
-    /// was paused can itself have been replaced at its address.
+    /// was paused can itself have been replaced at its address. A suspicion has no address, and the
+    /// members find out soon whether the suspected process is alive.
     fn on_higher_incarnation(&mut self, now: Time, incarnation: u64, address: Option<SocketAddr>) {
-        let is_same_address = address == Some(self.me.peer_address);
-        if is_same_address && now.since(self.join.started) < PREDECESSOR_TIME {
-            self.me.incarnation = incarnation.saturating_add(1);
-        } else {
-            self.superseded = true;
+        let has_just_started = now.since(self.join.started) < PREDECESSOR_TIME;
+        match address {
+            Some(address) if has_just_started && address == self.me.peer_address => {
+                self.me.incarnation = incarnation.saturating_add(1);
+            }
+            None if has_just_started => {}
+            _ => self.superseded = true,
         }
     }
 
--- a/crates/pistachiotrack-core/tests/membership_join.rs
+++ b/crates/pistachiotrack-core/tests/membership_join.rs
@@ -116,7 +116,8 @@
 /// before was started, so that the members know a higher incarnation at its address.
 #[test]
 fn a_vm_whose_clock_was_set_back_takes_its_place_again() {
-    for down in [0, 300, 4_000] {
+    let mut broken = Vec::new();
+    for down in (0..12_000).step_by(100) {
         let mut fleet = Fleet::start(6, &[0, 1]);
         fleet.run(Duration::from_secs(3));
         fleet.vms.remove(&address(4));
@@ -129,9 +130,12 @@
         let restarted = Vm { incarnation: 400, ..vm(4) };
         fleet.vms.insert(address(4), Membership::new(fleet.now, restarted, settings, 44));
         fleet.run(Duration::from_secs(12));
-        assert!(!fleet.vms[&address(4)].is_superseded(), "down for {down} ms");
-        assert!(fleet.all_see_all(), "down for {down} ms");
+        let is_superseded = fleet.vms[&address(4)].is_superseded();
+        if is_superseded || !fleet.all_see_all() {
+            broken.push((down, is_superseded));
+        }
     }
+    assert!(broken.is_empty(), "{} of 120: {broken:?}", broken.len());
 }
 
 /// A VM reads a new configuration. The others must have it within 2 s, which the regular
