Log: the status of each answer, and whether it states that the request was not run

Cause: the lines of an attempt show the connection and whether the answer states the request's ID, but not whether it states that the request was not run, so that a believed status and a late copy look alike. Change: status and states_not_run of event=attempt_ended. The dialect reads the statement; nothing is decided by it yet. Result: no change of logic.

--- a/crates/pistachiotrackd/src/formats/dialect.rs
+++ b/crates/pistachiotrackd/src/formats/dialect.rs
@@ -79,6 +79,8 @@
     pub kind: AnswerKind,
     /// Whether the answer states the ID of the request.
     pub names_request: bool,
+    /// Whether the answer states that the endpoint did not run the request.
+    pub states_not_run: bool,
     /// State that the endpoint reports about itself.
     pub report: EndpointReport,
 }
--- a/crates/pistachiotrackd/src/formats/dialect/native.rs
+++ b/crates/pistachiotrackd/src/formats/dialect/native.rs
@@ -104,6 +104,7 @@
         AnswerMetadata {
             kind,
             names_request,
+            states_not_run: is_shed,
             report: EndpointReport {
                 in_flight: text(header::LOAD).and_then(|load| load.trim().parse().ok()),
                 draining: text(header::DRAINING) == Some("true"),
--- a/crates/pistachiotrackd/src/request/attempt.rs
+++ b/crates/pistachiotrackd/src/request/attempt.rs
@@ -57,33 +57,39 @@
     /// State that the endpoint reports about itself.
     pub(crate) report: EndpointReport,
     /// The answer that ended the attempt, if one did.
-    pub(crate) origin: Option<AnswerOrigin>,
+    pub(crate) answer_details: Option<AnswerDetails>,
     /// The answer, if it has started.
     pub(crate) answer: Option<Box<StartedAnswer>>,
     /// Pool that the answer's connection belongs to.
     pub(crate) pool: Arc<ConnectionPool>,
 }
 
-/// Where an answer came from, for the log.
+/// What an answer states and where it came from, for the log.
 ///
 /// An endpoint can repeat an answer late, on the connection on which it sent it before. The place
 /// of the exchange on its connection shows whether an answer can be such a one.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AnswerOrigin {
+pub(crate) struct AnswerDetails {
     /// Local port of the connection.
     pub(crate) local_port: u16,
     /// Number of the exchange on the connection, from 1 on.
     pub(crate) exchange: u32,
+    /// HTTP status.
+    pub(crate) status: u16,
     /// Whether the answer states the ID of the request.
     pub(crate) names_request: bool,
+    /// Whether the answer states that the endpoint did not run the request.
+    pub(crate) states_not_run: bool,
 }
 
-impl AnswerOrigin {
-    fn of(metadata: AnswerMetadata, answer: &StartedAnswer) -> AnswerOrigin {
-        AnswerOrigin {
+impl AnswerDetails {
+    fn of(metadata: AnswerMetadata, answer: &StartedAnswer) -> AnswerDetails {
+        AnswerDetails {
             local_port: answer.connection.local_port,
             exchange: answer.connection.exchanges,
+            status: answer.parts.status.as_u16(),
             names_request: metadata.names_request,
+            states_not_run: metadata.states_not_run,
         }
     }
 }
@@ -143,7 +149,7 @@
         elapsed: handle.clock.now().since(started_at),
         outcome: Outcome::NotSent,
         report: EndpointReport::default(),
-        origin: None,
+        answer_details: None,
         answer: None,
         pool: Arc::clone(pool),
     };
@@ -197,7 +203,7 @@
     async fn set_answer(&mut self, metadata: AnswerMetadata, answer: StartedAnswer) {
         self.outcome = outcome_of_answer(metadata.kind, &answer);
         self.report = metadata.report;
-        self.origin = Some(AnswerOrigin::of(metadata, &answer));
+        self.answer_details = Some(AnswerDetails::of(metadata, &answer));
         match metadata.kind {
             AnswerKind::Answer => self.answer = Some(Box::new(answer)),
             AnswerKind::NotRun => return_connection(&self.pool, answer).await,
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -353,7 +353,7 @@
             level,
             "event=attempt_ended request={} fingerprint={} config_version={:?} service={} \
              endpoint={} idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={} \
-             connection_port={:?} exchange={:?} names_request={:?}",
+             connection_port={:?} exchange={:?} names_request={:?} status={:?} states_not_run={:?}",
             self.inbound.fleet_id,
             self.inbound.fingerprint(),
             self.inbound.config_version,
@@ -365,9 +365,11 @@
             f64::from(end.selection.risk_permille) / 10.0,
             end.selection.last_seen_ms_ago,
             end.elapsed.as_millis(),
-            end.origin.map(|origin| origin.local_port),
-            end.origin.map(|origin| origin.exchange),
-            end.origin.map(|origin| origin.names_request)
+            end.answer_details.map(|details| details.local_port),
+            end.answer_details.map(|details| details.exchange),
+            end.answer_details.map(|details| details.names_request),
+            end.answer_details.map(|details| details.status),
+            end.answer_details.map(|details| details.states_not_run)
         );
     }
 
