--- a/crates/pistachiotrack-core/tests/at_most_once.rs
+++ b/crates/pistachiotrack-core/tests/at_most_once.rs
@@ -61,6 +61,39 @@
     }
 }
 
+// A booking that ran is answered with the status of a refusal, and its caller or a duplicate takes it
+// for not run.
+#[test]
+fn an_answer_that_reads_as_a_refusal_is_unknown_and_not_stored() {
+    for key in [None, Some("k")] {
+        let mut harness = harness();
+        let settings = ShardSettings { refusal_statuses: &[429], ..ShardSettings::default() };
+        harness.shard = Shard::new(harness.now, shard_id(), &harness.config, settings);
+        let first = book(&mut harness, key, false);
+        let duplicate = key.map(|_| book(&mut harness, key, true));
+        harness.outcome(harness.attempt(first), answered(429));
+        for id in [Some(first), duplicate].into_iter().flatten() {
+            assert_eq!(harness.refusal(id).unwrap().0, Execution::Unknown, "key {key:?}");
+        }
+        assert_eq!(harness.attempts_of(first).len(), 1);
+        assert_eq!(harness.violations, Vec::<String>::new());
+    }
+}
+
+// Another endpoint has the address and does not state that it did not run the booking, which must not be
+// sent again.
+#[test]
+fn a_booking_is_retried_after_another_endpoint_s_answer_only_if_that_states_not_run() {
+    for states_not_run in [false, true] {
+        let mut harness = harness();
+        let id = book(&mut harness, None, false);
+        harness.outcome(harness.attempt(id), Outcome::Misdirected { states_not_run });
+        let refusal = (!states_not_run).then_some((Execution::Unknown, Reason::AnswerLost));
+        assert_eq!(harness.refusal(id), refusal);
+        assert_eq!(harness.attempts_of(id).len(), 1 + usize::from(states_not_run));
+    }
+}
+
 // A caller times out and repeats the booking with its key while the original is in flight. Both
 // requests get the same answer.
 #[test]
