Log: answers with the status of a refusal are logged as warnings

Cause: an answer with 408 or 429 that is withheld from the caller had its line at the debug level, so that a booking answered with 502 had no cause in the logs. Change: its attempt_ended has the warning level. Result: no change of logic.

--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -343,10 +343,16 @@
         EndpointExecution { check, inbound, endpoint: endpoint.clone(), address }
     }
 
-    /// Logs how an attempt ended; failures are logged at the warning level.
+    /// Logs how an attempt ended; failures, and answers that may be withheld from the caller, are
+    /// logged at the warning level.
     fn log_end(&self, end: &AttemptEnd) {
+        let is_refusal = |status| self.handle.dialect.refusal_statuses().contains(&status);
         let level = match end.outcome {
-            Outcome::Answered { status, .. } if status < FIRST_FAILURE_STATUS => log::Level::Debug,
+            Outcome::Answered { status, .. }
+                if status < FIRST_FAILURE_STATUS && !is_refusal(status) =>
+            {
+                log::Level::Debug
+            }
             _ => log::Level::Warn,
         };
         log::log!(
