Answers: a body without a length is never passed on as HTTP/1.0

Callers saw: an endpoint answered in HTTP/1.0 without a length and reset its connection within the body. Cause: the head of an endpoint's answer was passed on with its version. HTTP/1.0 has no chunks, so that the server ended the body by closing the connection, and closes it in the same way when the body has failed. Through a relay the dispatching VM got it as complete, too. Change: answers are passed on as HTTP/1.1, directly, forwarded and relayed. Test: an_answer_without_a_length_that_ends_with_a_reset_is_not_complete; before, it failed for HTTP/1.0 (200 with the part, relayed and directly), and passed for HTTP/1.1. Not changed: callers that send HTTP/1.0 themselves get bodies without a length ended by their connection, as there is no other way.

--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hyper::{
-    Response,
+    Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
     http::response::Parts,
@@ -299,7 +299,11 @@
     }
 }
 
-/// Returns the response with `parts` and `body`.
-pub(crate) fn response(parts: Parts, body: AnswerBody) -> Response<AnswerBody> {
+/// Returns the response with the head of an answer and `body`.
+///
+/// HTTP/1.0 has no chunks. A body without a length would end with its connection, and one that has
+/// failed would look complete.
+pub(crate) fn response(mut parts: Parts, body: AnswerBody) -> Response<AnswerBody> {
+    parts.version = Version::HTTP_11;
     Response::from_parts(parts, body)
 }
