Relays: an answer without a length is complete when its connection ends

Callers saw: a booking that a relay had sent to an endpoint got a connection that was cut, though the endpoint had answered: its answer had no length and ended with its connection, as PROTOCOL allows on this platform. Cause: the relay passed answers on as if the dialect didn't allow that; only the dispatching VM asked the dialect. Change: the relay asks the dialect, too. A reset stays an error. Test: a_relayed_answer_without_a_length_is_complete failed before (the body broke) and passes; an_answer_without_a_length_that_ends_with_a_reset holds.

--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -150,7 +150,8 @@
     let timeouts = BodyTimeouts::from(&context.settings.limits);
     let limits = timeouts.limits(context.clock.instant(time_limit));
     let pool = Arc::clone(&context.endpoints);
-    let body = AnswerBody::streaming(&parts, body, connection, pool, limits, false, None);
+    let ends_by_closing = context.dialect.ends_answers_by_closing();
+    let body = AnswerBody::streaming(&parts, body, connection, pool, limits, ends_by_closing, None);
     headers::strip_from_endpoint(&mut parts.headers);
     RelayResult::Answered { fresh }.write_to(&mut parts.headers);
     body::response(parts, body)
