--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -174,7 +174,7 @@
     pub header_read_timeout_ms: u64,
     /// Timeout between two parts of a body.
     pub body_idle_ms: u64,
-    /// Time after a request's deadline at which an answer whose body still arrives is abandoned.
+    /// Time after a request's deadline at which an answer whose body isn't complete is abandoned.
     pub body_overrun_ms: u64,
     /// Maximum number of concurrent caller connections.
     pub caller_connections: usize,
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -38,7 +38,7 @@
     /// No data arrived within the idle limit.
     #[error("answer timed out: no data within the idle limit")]
     Stalled,
-    /// Data still arrived long after the deadline.
+    /// The body was not complete some time after the deadline.
     #[error("answer timed out: its body does not end")]
     Overdue,
     /// The answer had no length, so its end can't be distinguished from a broken connection.
@@ -51,7 +51,7 @@
 pub(crate) struct BodyTimeouts {
     /// Time without data after which a body is abandoned, once the deadline has passed.
     pub(crate) idle: Duration,
-    /// Time after a request's deadline at which a body that still arrives is abandoned.
+    /// Time after a request's deadline at which a body that isn't complete is abandoned.
     pub(crate) overrun: Duration,
 }
 
@@ -79,7 +79,7 @@
     /// Deadline of the request. An endpoint may be at work between two parts of an answer, for
     /// as long as the caller waits.
     deadline: Instant,
-    /// Time at which it is abandoned if it still arrives.
+    /// Time at which it is abandoned if it isn't complete.
     until: Instant,
 }
 
@@ -223,13 +223,16 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        let BodyLimits { idle, deadline, .. } = self.limits;
+        let BodyLimits { idle, deadline, until } = self.limits;
         let idle = self.idle.get_or_insert_with(|| {
-            Box::pin(tokio::time::sleep_until(deadline.max(Instant::now() + idle)))
+            let stalled_at = deadline.max(Instant::now() + idle);
+            Box::pin(tokio::time::sleep_until(stalled_at.min(until)))
         });
         std::task::ready!(idle.as_mut().poll(cx));
         self.finish(BodyEnd::Truncated);
-        Poll::Ready(Some(Err(AnswerBodyError::Stalled)))
+        let is_overdue = Instant::now() >= until;
+        let error = if is_overdue { AnswerBodyError::Overdue } else { AnswerBodyError::Stalled };
+        Poll::Ready(Some(Err(error)))
     }
 
     fn finish(&mut self, end: BodyEnd) {
--- a/crates/pistachiotrackd/tests/endless_answers.rs
+++ b/crates/pistachiotrackd/tests/endless_answers.rs
@@ -25,6 +25,8 @@
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 /// Time in which a request must be answered that an endless answer has delayed.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+/// Time between two bytes of an answer that drips.
+const DRIP_INTERVAL: Duration = Duration::from_secs(3);
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 const FOUND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfound";
 
@@ -150,6 +152,30 @@
     }
 }
 
+/// Guards against an answer that drips and is passed on for longer than one that arrives steadily: its
+/// next byte comes long after the time at which it is cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_drips_is_cut_after_its_deadline() {
+    bounded(async {
+        let dripping = Endpoint::serve(|mut stream| async move {
+            read_request_line(&mut stream).await;
+            let mut bytes = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n";
+            while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                tokio::time::sleep(DRIP_INTERVAL).await;
+                bytes = "x";
+            }
+        })
+        .await;
+        let limits = json!({"body_overrun_ms": 200});
+        let deployment = Deployment::start_with_limits(&[dripping.address], &[], limits).await;
+        let lookup = client::with_header(client::get("/slots/7"), header::DEADLINE_MS, "500");
+        let sent = Instant::now();
+        client::send(deployment.address(), lookup).await.unwrap_err();
+        assert!(sent.elapsed() < Duration::from_millis(1_200), "{:?}", sent.elapsed());
+    })
+    .await;
+}
+
 /// Guards against an endpoint that goes on sending to a caller that has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_does_not_end_is_closed_when_its_caller_leaves() {
