Connections: a caller's close is noticed while its further requests wait

Cause: the HTTP server reads no further request before it has answered the one before, so that it didn't reach the end of the stream behind the waiting bytes. The request is then dropped with its connection, as for a caller without further requests.

--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -18,7 +18,10 @@
 
 use crate::{
     config::settings::Limits,
-    connections::{arrival::ArrivalTracker, stall_guard::StallGuard},
+    connections::{
+        arrival::ArrivalTracker,
+        stall_guard::{PeerMonitor, StallGuard},
+    },
     request::body::AnswerBody,
     runtime::socket,
     serving::context::Context,
@@ -92,11 +95,12 @@
     let arrivals = Arc::new(ArrivalTracker::new(context.clock, context.gate.clone()));
     let idle_limit = Duration::from_millis(limits.body_idle_ms);
     let stream = StallGuard::new(stream, idle_limit, Arc::clone(&arrivals));
+    let peer = stream.peer_monitor();
     let service = service_fn(move |mut request| {
         if let Some(arrival) = arrivals.arrival_before_resume() {
             request.extensions_mut().insert(arrival);
         }
-        answer(Arc::clone(&context), &handler, request)
+        answer(Arc::clone(&context), &handler, request, peer.clone())
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -112,8 +116,13 @@
     }
 }
 
+/// The peer closed its connection before its request was answered.
+#[derive(Debug, thiserror::Error)]
+#[error("the peer closed its connection before its request was answered")]
+struct PeerGone;
+
 /// Handles a request and closes its connection after the answer while the daemon is shutting
-/// down.
+/// down. A request whose peer has left is dropped with its connection.
 ///
 /// If a stopping daemon closes a keep-alive connection while a caller sends a
 /// request on it, the caller can't know whether the request ran. Each connection used during the
@@ -122,14 +131,18 @@
     context: Arc<Context>,
     handler: &H,
     request: Request<Incoming>,
-) -> impl Future<Output = Result<Response<AnswerBody>, Infallible>> + use<H, F>
+    peer: PeerMonitor,
+) -> impl Future<Output = Result<Response<AnswerBody>, PeerGone>> + use<H, F>
 where
     H: Fn(Arc<Context>, Request<Incoming>) -> F,
     F: Future<Output = Result<Response<AnswerBody>, Infallible>>,
 {
     let answered = handler(Arc::clone(&context), request);
     async move {
-        let mut response = answered.await?;
+        let Ok(mut response) = tokio::select! {
+            answered = answered => answered,
+            () = peer.closed() => return Err(PeerGone),
+        };
         if *context.leaving.borrow() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/pistachiotrackd/tests/truncated_answers.rs
+++ b/crates/pistachiotrackd/tests/truncated_answers.rs
@@ -14,7 +14,7 @@
 use pistachiotrack_core::header;
 use serde_json::json;
 use testenv::{
-    Deployment, client,
+    CUSTOMER, Deployment, client,
     endpoint::{Endpoint, read_head, read_to_end},
 };
 use tokio::{
@@ -162,6 +162,33 @@
     client::wait_for(admin, "/endpoints", in_flight(0)).await;
 }
 
+/// Guards against an endpoint that goes on working for a caller that has left with further requests
+/// behind the first one, whose bytes wait on the connection.
+#[tokio::test]
+async fn a_caller_that_disconnects_with_requests_waiting_cancels_its_request() {
+    let search = Endpoint::serve(|mut stream| async move {
+        read_head(&mut stream).await;
+        read_to_end(&mut stream).await;
+    })
+    .await;
+    let deployment = Deployment::start(&[search.address], &[]).await;
+    let lookup =
+        format!("GET /slots HTTP/1.1\r\nhost: fleet\r\n{}: {CUSTOMER}\r\n\r\n", header::CUSTOMER);
+    let mut caller = TcpStream::connect(deployment.address()).await.unwrap();
+    for _ in 0..3 {
+        write(&mut caller, &lookup).await;
+    }
+    let admin = deployment.daemon.admin_address();
+    client::wait_for(admin, "/endpoints", |endpoints| {
+        endpoints.as_array().unwrap().iter().any(|endpoint| endpoint["in_flight"] == 1)
+    })
+    .await;
+    drop(caller);
+    let closed = tokio::time::timeout(Duration::from_millis(500), search.wait_closed(1)).await;
+    closed.expect("the endpoint still works half a second later");
+    assert_eq!(search.connections(), 1);
+}
+
 /// Guards against a booking that reaches its endpoint when too little time is left to answer
 /// it. The endpoint's accept queue is full; the connection opens at the second SYN of the VM's
 /// system, after the latest moment at which the booking may be sent.
