Soak: endpoints answer with misleading statuses in spells

Cause: the soak's endpoints refused and failed with the statuses of the native protocol only, and always stated the ID. Change: in spells, half of the requests of an endpoint are run and answered with 400, 408, 421, 429, 500 or 503, half of these without the ID. The events of a seed that were there before stay the same.

--- a/crates/pistachiotrack-standins/src/endpoint.rs
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -16,7 +16,7 @@
     header::{HeaderValue, RETRY_AFTER},
 };
 use pistachiotrack_core::{endpoint_notice::EndpointNotice, header, service::DEFAULT_PROBE_PATH};
-use rand::{RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
     sync::{Notify, Semaphore, SemaphorePermit},
@@ -250,7 +250,8 @@
             return std::future::pending().await;
         }
         self.add_report_headers(answer.headers_mut());
-        if let Some(request_id) = request_id {
+        let is_anonymous = answer.extensions().get::<Anonymous>().is_some();
+        if let Some(request_id) = request_id.filter(|_| !is_anonymous) {
             answer.headers_mut().insert(header::REQUEST_ID, request_id);
         }
         answer
@@ -320,13 +321,26 @@
             return std::future::pending().await;
         }
         tokio::time::sleep(self.service_time(faults.latency_factor(start))).await;
-        let failed = faults.failing_share > lock(&self.random).random::<f64>();
-        let mut answer = if failed { empty(500) } else { Answer::new(Full::new(answer_body(id))) };
+        let mut answer =
+            self.failure(&faults).unwrap_or_else(|| Answer::new(Full::new(answer_body(id))));
         let service_us = start.elapsed().as_micros() as u64;
         answer.headers_mut().insert(SERVICE_US, HeaderValue::from(service_us));
         answer
     }
 
+    /// Returns the answer of a request that fails, if this one does.
+    fn failure(&self, faults: &Faults) -> Option<Answer> {
+        let random = &mut *lock(&self.random);
+        if faults.failing_share <= random.random() {
+            return None;
+        }
+        let mut answer = empty(*faults.failure_statuses.choose(random)?);
+        if faults.anonymous_share > random.random() {
+            answer.extensions_mut().insert(Anonymous);
+        }
+        Some(answer)
+    }
+
     fn service_time(&self, factor: f64) -> Duration {
         let (left, right): (f64, f64) = {
             let mut random = lock(&self.random);
@@ -391,6 +405,10 @@
     }
 }
 
+/// Marks an answer that doesn't state the ID of its request.
+#[derive(Clone, Copy, Debug)]
+struct Anonymous;
+
 /// A request in flight, queued or running; dropping it frees its place.
 struct InFlightRequest<'a> {
     state: &'a EndpointState,
--- a/crates/pistachiotrack-standins/src/fault.rs
+++ b/crates/pistachiotrack-standins/src/fault.rs
@@ -5,8 +5,12 @@
 /// Faults of an endpoint; several can be active at the same time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Faults {
-    /// Share of the requests that fail with status 500 while the health check passes.
+    /// Share of the requests that are run and fail while the health check passes.
     pub failing_share: f64,
+    /// Statuses of these failures, of which each gets one at random.
+    pub failure_statuses: &'static [u16],
+    /// Share of these failures that don't state the ID of their request.
+    pub anonymous_share: f64,
     /// Factor on the service time of requests; health checks are not slowed down.
     pub slow_factor: f64,
     /// Whether requests and health checks are accepted and never answered.
@@ -31,6 +35,8 @@
     fn default() -> Faults {
         Faults {
             failing_share: 0.0,
+            failure_statuses: &[500],
+            anonymous_share: 0.0,
             slow_factor: 1.0,
             hang: false,
             silent_before: None,
@@ -60,12 +66,25 @@
 /// Factor on the service time of a straggler.
 pub const STRAGGLER_FACTOR: f64 = 20.0;
 
+/// Statuses by which servers usually refuse a request, and of failures.
+const MISLEADING_STATUSES: [u16; 6] = [400, 408, 421, 429, 500, 503];
+
 impl Faults {
     /// Fails all requests while the health check passes.
     pub fn gray() -> Faults {
         Faults { failing_share: 1.0, ..Faults::default() }
     }
 
+    /// Runs half of the requests and answers with statuses that often mean that a request was not run.
+    pub fn misleading_statuses() -> Faults {
+        Faults {
+            failing_share: 0.5,
+            failure_statuses: &MISLEADING_STATUSES,
+            anonymous_share: 0.5,
+            ..Faults::default()
+        }
+    }
+
     /// Slows requests down while the health check stays fast.
     pub fn straggler() -> Faults {
         Faults { slow_factor: STRAGGLER_FACTOR, ..Faults::default() }
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -442,6 +442,7 @@
         EndpointFault::Shed => Faults::shedding(),
         EndpointFault::SilentConnections => Faults::silent_connections(Instant::now()),
         EndpointFault::RepeatRefusals => Faults::repeating_refusals(),
+        EndpointFault::MisleadingStatuses => Faults::misleading_statuses(),
     }
 }
 
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -217,6 +217,9 @@
     SilentConnections,
     /// Half of the requests are refused, and some of the refusals are sent a second time, late.
     RepeatRefusals,
+    /// Half of the requests are run and answered with statuses that often mean that a request was not
+    /// run, some without the ID of the request.
+    MisleadingStatuses,
 }
 
 /// Faults of the platform's services.
--- a/crates/pistachiotrack-standins/src/soak/plan/generator.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan/generator.rs
@@ -25,6 +25,9 @@
 /// The same for endpoints that repeat refusals.
 const MEAN_REPEAT_GAP_MS: u64 = 3_000;
 const REPEAT_SEED: u64 = 0x7265_7065_6174;
+/// The same for endpoints that answer with misleading statuses.
+const MEAN_MISLEADING_GAP_MS: u64 = 3_000;
+const MISLEADING_SEED: u64 = 0x7374_6174_7573;
 /// Time before the end of the load in which no event starts.
 const FINAL_QUIET_MS: u64 = 5_000;
 /// One in this many kill events kills all VMs.
@@ -48,6 +51,9 @@
     generator.random = Pcg64Mcg::seed_from_u64(seed ^ REPEAT_SEED);
     let repeats = PlanGenerator::repeated_refusals;
     generator.add_events(faults.0, faults.1, MEAN_REPEAT_GAP_MS, repeats);
+    generator.random = Pcg64Mcg::seed_from_u64(seed ^ MISLEADING_SEED);
+    let misleading = PlanGenerator::misleading_statuses;
+    generator.add_events(faults.0, faults.1, MEAN_MISLEADING_GAP_MS, misleading);
     generator.steps.sort_by_key(|step| step.at_ms);
     generator.steps
 }
@@ -127,11 +133,16 @@
     }
 
     fn repeated_refusals(&mut self) -> Event {
-        Event::EndpointFault {
-            endpoint: self.endpoint(),
-            fault: EndpointFault::RepeatRefusals,
-            for_ms: self.random.random_range(3_000..8_000),
-        }
+        self.endpoint_spell(EndpointFault::RepeatRefusals)
+    }
+
+    fn misleading_statuses(&mut self) -> Event {
+        self.endpoint_spell(EndpointFault::MisleadingStatuses)
+    }
+
+    fn endpoint_spell(&mut self, fault: EndpointFault) -> Event {
+        let endpoint = self.endpoint();
+        Event::EndpointFault { endpoint, fault, for_ms: self.random.random_range(3_000..8_000) }
     }
 
     /// Cuts off half of the VMs, all but one, or a single one.
