--- a/crates/pistachiotrackd/src/connections.rs
+++ b/crates/pistachiotrackd/src/connections.rs
@@ -6,4 +6,5 @@
 pub(crate) mod connection_pool;
 pub(crate) mod exchange;
 pub(crate) mod guarded_stream;
+pub(crate) mod peer_monitor;
 pub(crate) mod stall_guard;
--- /dev/null
+++ b/crates/pistachiotrackd/src/connections/peer_monitor.rs
@@ -0,0 +1,59 @@
+//! Notices that the peer of a connection has closed it, also while unread bytes wait on it.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use futures_util::FutureExt;
+use tokio::{io::Interest, net::TcpStream};
+
+/// Interval at which a connection is checked for its peer's close.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A TCP stream that the server of its connection and a monitor share.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedStream(Arc<Mutex<TcpStream>>);
+
+impl SharedStream {
+    /// Creates a stream that can be shared.
+    pub(crate) fn new(stream: TcpStream) -> SharedStream {
+        SharedStream(Arc::new(Mutex::new(stream)))
+    }
+
+    /// Returns the stream, which must not be held across an await.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, TcpStream> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Monitors the peer of a connection.
+///
+/// The HTTP server reads no further request before it has answered the one before, so that it doesn't
+/// reach the end of the stream behind the bytes of further requests.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerMonitor(SharedStream);
+
+impl PeerMonitor {
+    /// Creates a monitor of the peer of `stream`.
+    pub(crate) fn new(stream: SharedStream) -> PeerMonitor {
+        PeerMonitor(stream)
+    }
+
+    /// Waits until the peer has closed the connection.
+    pub(crate) async fn closed(&self) {
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            if self.is_closed() {
+                return;
+            }
+        }
+    }
+
+    fn is_closed(&self) -> bool {
+        // The state is known without waiting if there is anything to read, which the end of the
+        // stream is, too.
+        let state = self.0.lock().ready(Interest::READABLE).now_or_never();
+        state.is_some_and(|state| state.is_ok_and(|state| state.is_read_closed()))
+    }
+}
--- a/crates/pistachiotrackd/src/connections/stall_guard.rs
+++ b/crates/pistachiotrackd/src/connections/stall_guard.rs
@@ -1,49 +1,24 @@
-//! A TCP stream that fails if a write makes no progress for too long, and whose peer can be monitored.
+//! A TCP stream that fails if a write makes no progress for too long.
 
 use std::{
     future::Future,
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
-use futures_util::FutureExt;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::Sleep,
 };
 
-use crate::connections::arrival::ArrivalTracker;
-
-/// Interval at which a connection is checked for its peer's close while bytes wait on it.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Notices that the peer of a connection has closed it, also while unread bytes wait on it.
-///
-/// A server reads no further request before it has answered the one before, so that it doesn't reach
-/// the end of the stream behind those bytes.
-#[derive(Clone, Debug)]
-pub(crate) struct PeerMonitor(Arc<Mutex<TcpStream>>);
-
-impl PeerMonitor {
-    /// Waits until the peer has closed the connection.
-    pub(crate) async fn closed(&self) {
-        loop {
-            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
-            if self.is_closed() {
-                return;
-            }
-        }
-    }
-
-    fn is_closed(&self) -> bool {
-        let state = lock(&self.0).ready(Interest::READABLE).now_or_never();
-        state.is_some_and(|state| state.is_ok_and(|state| state.is_read_closed()))
-    }
-}
+use crate::connections::{
+    arrival::ArrivalTracker,
+    peer_monitor::{PeerMonitor, SharedStream},
+};
 
 /// A TCP stream that fails if a write makes no progress for too long, and that tracks its reads.
 ///
@@ -51,7 +26,7 @@
 /// pending write. All pending writes therefore share a timer that only progress resets.
 #[derive(Debug)]
 pub(crate) struct StallGuard {
-    inner: Arc<Mutex<TcpStream>>,
+    inner: SharedStream,
     limit: Duration,
     stalled: Option<Pin<Box<Sleep>>>,
     arrivals: Arc<ArrivalTracker>,
@@ -64,12 +39,12 @@
         limit: Duration,
         arrivals: Arc<ArrivalTracker>,
     ) -> StallGuard {
-        StallGuard { inner: Arc::new(Mutex::new(inner)), limit, stalled: None, arrivals }
+        StallGuard { inner: SharedStream::new(inner), limit, stalled: None, arrivals }
     }
 
     /// Returns a monitor of the stream's peer.
     pub(crate) fn peer_monitor(&self) -> PeerMonitor {
-        PeerMonitor(Arc::clone(&self.inner))
+        PeerMonitor::new(self.inner.clone())
     }
 
     fn check<T>(
@@ -94,7 +69,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut *lock(&self.inner)).poll_read(cx, buf);
+        let result = Pin::new(&mut *self.inner.lock()).poll_read(cx, buf);
         match &result {
             Poll::Pending => self.arrivals.on_drained(),
             Poll::Ready(_) => self.arrivals.on_bytes(),
@@ -109,7 +84,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut *lock(&self.inner)).poll_write(cx, bytes);
+        let result = Pin::new(&mut *self.inner.lock()).poll_write(cx, bytes);
         self.check(cx, result)
     }
 
@@ -118,23 +93,19 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut *lock(&self.inner)).poll_write_vectored(cx, slices);
+        let result = Pin::new(&mut *self.inner.lock()).poll_write_vectored(cx, slices);
         self.check(cx, result)
     }
 
     fn is_write_vectored(&self) -> bool {
-        lock(&self.inner).is_write_vectored()
+        self.inner.lock().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *lock(&self.inner)).poll_flush(cx)
+        Pin::new(&mut *self.inner.lock()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *lock(&self.inner)).poll_shutdown(cx)
+        Pin::new(&mut *self.inner.lock()).poll_shutdown(cx)
     }
 }
-
-fn lock(stream: &Mutex<TcpStream>) -> MutexGuard<'_, TcpStream> {
-    stream.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -18,10 +18,7 @@
 
 use crate::{
     config::settings::Limits,
-    connections::{
-        arrival::ArrivalTracker,
-        stall_guard::{PeerMonitor, StallGuard},
-    },
+    connections::{arrival::ArrivalTracker, peer_monitor::PeerMonitor, stall_guard::StallGuard},
     request::body::AnswerBody,
     runtime::socket,
     serving::context::Context,
