Log: each request that a stop cuts, with its age and where it was

Cause: of the requests in flight at the end of a stop only the number of their connections was logged, so that nothing told whether they were queued, at an endpoint or finished, and how long after the signal they were cut. Change: a table of the requests in flight; at the exit a line for each (event=request_cut, with ID, age, place and time since the stop began), lines for the steps of a stop with the number in flight, and one for a connection that is closed with unread bytes, which resets it. stop_grace_s tells the daemon how long it has; so far it is only logged.

--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -6,6 +6,7 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 use pistachiotrack_core::{
@@ -51,6 +52,9 @@
     /// entry response.
     #[serde(default = "default_entry_drain_ms")]
     pub entry_drain_ms: u64,
+    /// Time that a process has between the signal to stop and its end by whoever stops it.
+    #[serde(default = "default_stop_grace_s")]
+    pub stop_grace_s: f64,
     /// Expected number of VMs of the fleet; used to spread the first reads of the
     /// platform until the list of VMs is known.
     #[serde(default = "default_expected_vms")]
@@ -231,6 +235,9 @@
 /// Default of [`Settings::entry_drain_ms`].
 const DEFAULT_ENTRY_DRAIN_MS: u64 = 6_000;
 
+/// Default of [`Settings::stop_grace_s`].
+const DEFAULT_STOP_GRACE_S: f64 = 36.0;
+
 /// Default of [`Settings::expected_vms`].
 const DEFAULT_EXPECTED_VMS: u32 = 48;
 
@@ -246,6 +253,10 @@
     DEFAULT_ENTRY_DRAIN_MS
 }
 
+fn default_stop_grace_s() -> f64 {
+    DEFAULT_STOP_GRACE_S
+}
+
 /// Why the settings are invalid.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -370,6 +381,10 @@
             let problem = "0 leaves other VMs without an answer".to_owned();
             return Some(("config_sync.answer_bytes_per_second", problem));
         }
+        if Duration::try_from_secs_f64(self.stop_grace_s).is_err() || self.stop_grace_s == 0.0 {
+            let problem = format!("{} is not a time above 0", self.stop_grace_s);
+            return Some(("stop_grace_s", problem));
+        }
         let hardware = self.hardware.problem();
         hardware
             .or_else(|| self.config_lease.problem())
--- a/crates/pistachiotrackd/src/connections/peer_monitor.rs
+++ b/crates/pistachiotrackd/src/connections/peer_monitor.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Returns the number of bytes that the peer has sent and nobody has read.
+    pub(crate) fn unread_bytes(&self) -> u64 {
+        // An error means that the connection is gone, and nothing can be read from it.
+        rustix::io::ioctl_fionread(&*self.0.lock()).unwrap_or_default()
+    }
+
     fn is_closed(&self) -> bool {
         // The state is known without waiting if there is anything to read, which the end of the
         // stream is, too.
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -18,6 +18,7 @@
 use pistachiotrack_core::{
     membership::VisibleFleet,
     ownership::{Ownership, OwnershipSettings},
+    time::Time,
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -52,7 +53,8 @@
     },
     request::{
         attempt::AttemptHandle, body::BodyTimeouts, crash_check::CrashCheck, forward::Forwarder,
-        relay_client::RelayClient, request_task::RequestHandle, transfer_table::TransferTable,
+        in_flight::InFlightTable, relay_client::RelayClient, request_task::RequestHandle,
+        transfer_table::TransferTable,
     },
     runtime::{
         clock::Clock,
@@ -122,11 +124,17 @@
 /// A daemon that has announced that it is leaving and still serves callers that
 /// hold its address.
 #[must_use]
-pub struct LeavingDaemon(Daemon);
+pub struct LeavingDaemon {
+    daemon: Daemon,
+    began_at: Time,
+}
 
 /// A daemon that accepts no further requests and finishes those in flight.
 #[must_use]
-pub struct StoppingDaemon(Daemon);
+pub struct StoppingDaemon {
+    daemon: Daemon,
+    began_at: Time,
+}
 
 impl Daemon {
     /// Binds the addresses in the settings and starts all components.
@@ -219,12 +227,14 @@
         let forwards = Arc::new(ForwardStats::new(clock.now()));
         let queue_latency = Arc::new(Histograms::default());
         let body_timeouts = BodyTimeouts::from(&settings.limits);
+        let in_flight = Arc::new(InFlightTable::new(clock));
         let forwarder = Forwarder {
             me: me.clone(),
             clock,
             peers: Arc::clone(&peers),
             forwards: Arc::clone(&forwards),
             notices: Arc::clone(&notices),
+            in_flight: Arc::clone(&in_flight),
             metrics: Arc::clone(&metrics),
             traffic: Arc::clone(&traffic),
             body_timeouts,
@@ -254,6 +264,7 @@
             dialect: Arc::clone(&adapter.dialect),
             view: view.clone(),
             quarantine: Arc::clone(&quarantine),
+            in_flight: Arc::clone(&in_flight),
             metrics: Arc::clone(&metrics),
             traffic: Arc::clone(&traffic),
             queue_latency: Arc::clone(&queue_latency),
@@ -273,6 +284,7 @@
             shards,
             notices,
             endpoints,
+            in_flight,
             forwarder,
             transfers,
             forwards,
@@ -471,7 +483,8 @@
         self.leaving.send_replace(true);
         // The fleet actor stops only with the process.
         let _ = self.fleet.tell(Leave).try_send();
-        LeavingDaemon(self)
+        let began_at = self.context.clock.now();
+        LeavingDaemon { daemon: self, began_at }
     }
 
     /// Returns how long callers may still use entry responses that list this VM.
@@ -492,23 +505,44 @@
     /// Serves until the last entry response that lists this VM has expired, then
     /// accepts no further connections.
     pub async fn drain(self) -> StoppingDaemon {
-        let entry_drain = self.0.entry_drain();
-        log::info!("event=leaving entry_drain_ms={}", entry_drain.as_millis());
+        let LeavingDaemon { daemon, began_at } = self;
+        let entry_drain = daemon.entry_drain();
+        log::info!(
+            "event=leaving grace_s={} entry_drain_ms={} requests_in_flight={}",
+            daemon.context.settings.stop_grace_s,
+            entry_drain.as_millis(),
+            daemon.context.in_flight.len()
+        );
         tokio::time::sleep(entry_drain).await;
-        self.0.stopping.send_replace(true);
-        self.0.connections.close();
-        StoppingDaemon(self.0)
+        daemon.stopping.send_replace(true);
+        daemon.connections.close();
+        log::info!(
+            "event=listeners_closed since_stop_ms={} connections={} requests_in_flight={}",
+            daemon.context.clock.now().since(began_at).as_millis(),
+            daemon.connections.len(),
+            daemon.context.in_flight.len()
+        );
+        StoppingDaemon { daemon, began_at }
     }
 }
 
 impl StoppingDaemon {
     /// Waits for requests in flight, up to `limits.shutdown_ms` of the settings.
     pub async fn finish(self) {
-        let Daemon { context, connections, .. } = self.0;
+        let StoppingDaemon { daemon: Daemon { context, connections, .. }, began_at } = self;
         let limit = Duration::from_millis(context.settings.limits.shutdown_ms);
-        match tokio::time::timeout(limit, connections.wait()).await {
-            Ok(()) => log::info!("event=stopped"),
-            Err(_) => log::error!("event=stopped connections_cut={}", connections.len()),
+        let finished = tokio::time::timeout(limit, connections.wait()).await;
+        let since_stop = context.clock.now().since(began_at);
+        if finished.is_ok() {
+            log::info!("event=stopped since_stop_ms={}", since_stop.as_millis());
+            return;
         }
+        context.in_flight.log_cut(since_stop);
+        log::error!(
+            "event=stopped connections_cut={} requests_cut={} since_stop_ms={}",
+            connections.len(),
+            context.in_flight.len(),
+            since_stop.as_millis()
+        );
     }
 }
--- a/crates/pistachiotrackd/src/request.rs
+++ b/crates/pistachiotrackd/src/request.rs
@@ -5,6 +5,7 @@
 pub(crate) mod body;
 pub(crate) mod crash_check;
 pub(crate) mod forward;
+pub(crate) mod in_flight;
 pub(crate) mod rejection;
 pub(crate) mod relay_client;
 pub(crate) mod request_task;
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -25,7 +25,10 @@
 use crate::{
     config::settings::Limits,
     connections::{connection::Connection, connection_pool::ConnectionPool},
-    request::crash_check::ExecutionMonitor,
+    request::{
+        crash_check::ExecutionMonitor,
+        in_flight::{InFlightGuard, Stage},
+    },
     stats::attempt_report::BodyEnded,
 };
 
@@ -85,17 +88,36 @@
 
 /// The body of an answer.
 #[derive(Debug)]
-pub(crate) enum AnswerBody {
+pub(crate) struct AnswerBody {
+    content: Content,
+    /// The request, which is in flight until the body has been written.
+    _in_flight: Option<InFlightGuard>,
+}
+
+#[derive(Debug)]
+enum Content {
     /// A whole body in memory.
     Whole(Option<Bytes>),
     /// A body that is forwarded as it arrives.
     Streaming(Box<StreamingBody>),
 }
 
+impl From<Content> for AnswerBody {
+    fn from(content: Content) -> AnswerBody {
+        AnswerBody { content, _in_flight: None }
+    }
+}
+
 impl AnswerBody {
     /// Returns a body from memory.
     pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
-        AnswerBody::Whole((!bytes.is_empty()).then_some(bytes))
+        Content::Whole((!bytes.is_empty()).then_some(bytes)).into()
+    }
+
+    /// Returns the body as that of a request, which is in flight until it has been written.
+    pub(crate) fn of_request(self, in_flight: InFlightGuard) -> AnswerBody {
+        in_flight.set_stage(Stage::Answering);
+        AnswerBody { _in_flight: Some(in_flight), ..self }
     }
 
     /// Returns a body that is forwarded from a connection as it arrives.
@@ -123,7 +145,7 @@
         if body.incoming.is_end_stream() {
             body.finish(BodyEnd::Complete);
         }
-        AnswerBody::Streaming(Box::new(body))
+        Content::Streaming(Box::new(body)).into()
     }
 }
 
@@ -140,27 +162,25 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        match self.get_mut() {
-            AnswerBody::Whole(bytes) => {
-                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
-            }
-            AnswerBody::Streaming(streaming) => streaming.poll(cx),
+        match &mut self.get_mut().content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Content::Streaming(streaming) => streaming.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            AnswerBody::Whole(bytes) => bytes.is_none(),
-            AnswerBody::Streaming(streaming) => streaming.incoming.is_end_stream(),
+        match &self.content {
+            Content::Whole(bytes) => bytes.is_none(),
+            Content::Streaming(streaming) => streaming.incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            AnswerBody::Whole(bytes) => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            AnswerBody::Streaming(streaming) => streaming.incoming.size_hint(),
+            Content::Streaming(streaming) => streaming.incoming.size_hint(),
         }
     }
 }
--- a/crates/pistachiotrackd/src/request/forward.rs
+++ b/crates/pistachiotrackd/src/request/forward.rs
@@ -34,6 +34,7 @@
     request::{
         answer::Served,
         body::{self, AnswerBody, BodyTimeouts},
+        in_flight::{InFlightTable, Stage},
     },
     runtime::clock::Clock,
     stats::{
@@ -105,6 +106,8 @@
     pub(crate) forwards: Arc<ForwardStats>,
     /// What endpoints ask of this VM.
     pub(crate) notices: Arc<NoticeTable>,
+    /// Requests that are being served.
+    pub(crate) in_flight: Arc<InFlightTable>,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Counts of sent and received messages.
@@ -139,6 +142,7 @@
     let route = ForwardedRoute { max_attempts, ..inbound.route.clone() };
     let forward = Forward { forwarder, owner, inbound, route, prior, sent };
     let (copies, copy) = undispatched.send(owner.name.clone(), sent);
+    forwarder.in_flight.set_stage(inbound.id, Stage::AtVm(owner.name.clone()));
     match inbound.is_repeatable() {
         true => forward.send_with_retry(copies, copy).await,
         false => {
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -41,6 +41,7 @@
         attempt::{self, AttemptEnd, AttemptHandle},
         body::{self, AnswerBody, AnswerCopy, AnswerMonitor, BodyTimeouts},
         crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
+        in_flight::{InFlightTable, Stage},
     },
     runtime::clock::Clock,
     shards::shard_actor::{CallerGone, Command, ShardActor, Submit},
@@ -68,6 +69,8 @@
     pub(crate) view: watch::Receiver<Arc<FleetView>>,
     /// Quarantine of requests that crash endpoints.
     pub(crate) quarantine: Arc<QuarantineManager>,
+    /// Requests that are being served.
+    pub(crate) in_flight: Arc<InFlightTable>,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Counts of sent and received messages.
@@ -91,6 +94,7 @@
 ) -> Served {
     let (sender, commands) = mpsc::unbounded_channel();
     let request = inbound.request();
+    handle.in_flight.set_stage(inbound.id, Stage::Queued);
     let submit = Submit { request, commands: sender };
     if shard.tell(submit).try_send().is_err() {
         return Served::refused(copies.refuse(Reason::NoEndpoint, None));
@@ -272,6 +276,7 @@
         }
         let abandon = AbandonSignal::default();
         inbound.attempts().on_sent(&dispatch.endpoint);
+        handle.in_flight.set_stage(inbound.id, Stage::AtEndpoint(dispatch.endpoint.clone()));
         let copy = self.copies.send(dispatch.endpoint.clone(), handle.clock.now());
         let attempts = Arc::clone(&handle.attempts);
         let end = Box::pin(attempt::run(attempts, inbound, dispatch, budget, abandon.clone()));
--- a/crates/pistachiotrackd/src/serving/context.rs
+++ b/crates/pistachiotrackd/src/serving/context.rs
@@ -19,7 +19,10 @@
         customer_limits::CustomerLimits, endpoint_notices::NoticeTable,
         quarantine::QuarantineManager,
     },
-    request::{forward::Forwarder, request_task::RequestHandle, transfer_table::TransferTable},
+    request::{
+        forward::Forwarder, in_flight::InFlightTable, request_task::RequestHandle,
+        transfer_table::TransferTable,
+    },
     runtime::{clock::Clock, timer::PauseGate},
     shards::shard_table::ShardTable,
     stats::{
@@ -80,6 +83,8 @@
     pub(crate) notices: Arc<NoticeTable>,
     /// Connections to endpoints.
     pub(crate) endpoints: Arc<ConnectionPool>,
+    /// Requests that are being served.
+    pub(crate) in_flight: Arc<InFlightTable>,
     /// Forwards requests to other VMs.
     pub(crate) forwarder: Forwarder,
     /// Requests that other VMs have sent to this one.
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -93,6 +93,7 @@
     let idle_limit = Duration::from_millis(limits.body_idle_ms);
     let stream = StallGuard::new(stream, idle_limit, Arc::clone(&arrivals));
     let peer = stream.peer_monitor();
+    let (stopped_context, monitor) = (Arc::clone(&context), peer.clone());
     let service = service_fn(move |mut request| {
         if let Some(arrival) = arrivals.arrival_before_resume() {
             request.extensions_mut().insert(arrival);
@@ -108,11 +109,23 @@
             connection.await
         }
     };
+    if *stopped_context.leaving.borrow() {
+        log_unread_bytes(&monitor);
+    }
     if let Err(error) = ended {
         log::debug!("event=connection_ended error={error:?}");
     }
 }
 
+/// Writes a log line if a connection ends with bytes that nobody has read: the system resets it then,
+/// and drops what the peer hasn't received yet.
+fn log_unread_bytes(connection: &PeerMonitor) {
+    let unread_bytes = connection.unread_bytes();
+    if unread_bytes > 0 {
+        log::warn!("event=connection_reset_by_close unread_bytes={unread_bytes}");
+    }
+}
+
 /// The peer closed its connection before its request was answered.
 #[derive(Debug, thiserror::Error)]
 #[error("the peer closed its connection before its request was answered")]
--- a/crates/pistachiotrackd/src/serving/proxy.rs
+++ b/crates/pistachiotrackd/src/serving/proxy.rs
@@ -27,6 +27,7 @@
         answer::{self, PendingRefusal, Served},
         body::AnswerBody,
         forward::{self, ForwardError, Forwarded},
+        in_flight::Sender,
     },
     serving::{
         context::Context,
@@ -60,6 +61,7 @@
     let number = context.next_request();
     let id = context.dialect.request_id(request.headers()).map(Name::from);
     let id = id.unwrap_or_else(|| context.fleet_id(number));
+    let in_flight = context.in_flight.add(number, &id, Sender::Caller);
     let undispatched = Undispatched::on_arrival();
     let served = match receive(&context, request, number, &id).await {
         Ok(inbound) => {
@@ -71,7 +73,7 @@
         Err(rejection) => rejection.refuse(undispatched),
     };
     count_answer(&context, &served);
-    Ok(served.answer.unwrap_or_else(|refused| {
+    let response = served.answer.unwrap_or_else(|refused| {
         refusal_log::on_refusal(
             &context,
             &id,
@@ -81,7 +83,8 @@
         );
         let response = context.dialect.write_refusal(Some(&id), &refused.refusal, refused.status);
         response.map(AnswerBody::whole)
-    }))
+    });
+    Ok(response.map(|body| body.of_request(in_flight)))
 }
 
 /// Handles a request that another VM forwards.
@@ -97,6 +100,7 @@
     let number = context.next_request();
     let id = headers::text(request.headers(), header::REQUEST_ID)
         .map_or_else(|| context.fleet_id(number), Name::from);
+    let in_flight = context.in_flight.add(number, &id, Sender::Vm);
     let undispatched = Undispatched::on_arrival();
     let (served, attempts) = match receive_forwarded(&context, request, number, &id).await {
         Ok(inbound) => {
@@ -121,7 +125,7 @@
         }
     };
     result.write_to(response.headers_mut());
-    Ok(response)
+    Ok(response.map(|body| body.of_request(in_flight)))
 }
 
 /// Serves a request that another VM has sent, unless a VM that reaches endpoints should get it.
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -25,6 +25,7 @@
     request::{
         answer,
         body::{self, AnswerBody, BodyTimeouts},
+        in_flight::{Sender, Stage},
         relay_client::{RelayRequest, RelayResult},
         request_task,
     },
@@ -58,6 +59,10 @@
     };
     let (parts, body) = request.into_parts();
     let id = request_id(context, &parts.headers);
+    let number = context.next_request();
+    let fleet_id = id.clone().unwrap_or_else(|| context.fleet_id(number));
+    let in_flight = context.in_flight.add(number, &fleet_id, Sender::Vm);
+    in_flight.set_stage(Stage::AtEndpoint(relay_request.endpoint.clone()));
     let deadline = received + request_time_left(context, &parts);
     let request = id.as_ref().map(|id| SentRequest::new(id, deadline));
     match run(context, parts, body, Target { request, ..target }, time_limit).await {
@@ -74,7 +79,7 @@
                 AnswerKind::Unrelated => {
                     failure_response(RelayResult::Broken { fresh: answer.fresh })
                 }
-                _ => pass_on(context, answer, time_limit),
+                _ => pass_on(context, answer, time_limit).map(|body| body.of_request(in_flight)),
             }
         }
         Err(result) => failure_response(result),
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -103,6 +103,8 @@
         ("peer_address", json!("oslo:1"), vec!["vm.json", "peer_address:"]),
         ("log_level", json!("loud"), vec!["vm.json", "log_level:", "\"loud\""]),
         ("colour", json!("red"), vec!["vm.json", "colour"]),
+        ("stop_grace_s", json!(0), vec!["stop_grace_s: 0"]),
+        ("stop_grace_s", json!(-3), vec!["stop_grace_s: -3"]),
         ("limits", json!({"idle_ms": -4}), vec!["vm.json", "limits.idle_ms:", "-4"]),
         ("limits", json!({"header_count": 0}), vec!["limits.header_count:", "0"]),
         ("membership", json!({"seeds": []}), vec!["vm.json", "membership.seeds", "seeds"]),
