Stops: the times of a stop follow from the grace that the process has

What callers saw: bookings that a stopping VM had read and sent to an endpoint, which ran them, ended with their connection and no answer. Cause: a stop served for entry_drain_ms or the lifetime of entries and 2 s, and cut what was in flight limits.shutdown_ms later: 5.3 s after the signal on all deployments, with 6 or 10 s of grace, and whatever the routes' timeouts were. A limit of ours that didn't know the limit of what surrounds it. Change: core::stop plans a stop from stop_grace_s, which the platform's settings give. A request is taken only if its time and the overrun of its answer end before the process has to exit, from whoever it comes; else it is refused at once as not run. The same for what is queued when the stop begins. What is at work is waited for until half a second before the end of the grace, and then refused as possibly run, with a line. limits.shutdown_ms is gone.

--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod service;
 pub mod shard;
 pub mod steering;
+pub mod stop;
 pub mod time;
 pub mod transfers;
 pub mod vm;
--- a/crates/pistachiotrack-core/src/refusal.rs
+++ b/crates/pistachiotrack-core/src/refusal.rs
@@ -59,11 +59,13 @@
     ConfigUnconfirmed,
     /// The customer's rate limit is used up.
     RateLimited,
+    /// The VM is stopping and may have to exit before the request is finished.
+    Stopping,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 15] = [
+    pub const ALL: [Reason; 16] = [
         Reason::QueueFull,
         Reason::WaitTooLong,
         Reason::DeadlinePassed,
@@ -79,6 +81,7 @@
         Reason::ApiKey,
         Reason::ConfigUnconfirmed,
         Reason::RateLimited,
+        Reason::Stopping,
     ];
 
     /// Returns the value of [`crate::header::REASON`].
@@ -99,6 +102,7 @@
             Reason::ApiKey => "api-key",
             Reason::ConfigUnconfirmed => "config-unconfirmed",
             Reason::RateLimited => "rate-limited",
+            Reason::Stopping => "stopping",
         }
     }
 }
--- /dev/null
+++ b/crates/pistachiotrack-core/src/stop.rs
@@ -0,0 +1,47 @@
+//! Times of a graceful stop, which follow from the time that the process has for it.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Time at the end of the grace in which the last answers are sent and the process exits.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Divisor of a short grace that yields the largest part of it that may be spent so.
+const EXIT_MARGIN_DIVISOR: u32 = 12;
+
+/// The times of a stop that has begun.
+///
+/// A request is taken only if its time ends before the process has to: one that is cut at an
+/// endpoint may have run, and its caller can't know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// Time at which the stop began.
+    pub began_at: Time,
+    /// Time until which connections are accepted.
+    pub accepts_until: Time,
+    /// Time until which requests may be at work.
+    pub answers_until: Time,
+    /// Time at which the process exits, whatever is in flight.
+    pub exits_at: Time,
+}
+
+impl StopSchedule {
+    /// Plans a stop of a process that has `grace` for it, and that callers use for `entry_drain`
+    /// after its beginning.
+    pub fn new(began_at: Time, grace: Duration, entry_drain: Duration) -> StopSchedule {
+        let margin = EXIT_MARGIN.min(grace / EXIT_MARGIN_DIVISOR);
+        let answers_until = began_at + (grace - margin);
+        StopSchedule {
+            began_at,
+            accepts_until: answers_until.min(began_at + entry_drain),
+            answers_until,
+            exits_at: answers_until + margin / 2,
+        }
+    }
+
+    /// Returns whether a request is certainly finished in time that has its final answer by
+    /// `answered_by`.
+    pub fn leaves_time_for(&self, answered_by: Time) -> bool {
+        answered_by <= self.answers_until
+    }
+}
--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -200,8 +200,6 @@
     /// Time without requests after which the state of a shard that this VM doesn't own
     /// is dropped.
     pub careful_idle_ms: u64,
-    /// Time limit for requests in flight to finish during shutdown.
-    pub shutdown_ms: u64,
 }
 
 impl Default for Limits {
@@ -224,7 +222,6 @@
             first_config_wait_ms: 500,
             pause_threshold_ms: 500,
             careful_idle_ms: 60_000,
-            shutdown_ms: 30_000,
         }
     }
 }
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -18,6 +18,7 @@
 use pistachiotrack_core::{
     membership::VisibleFleet,
     ownership::{Ownership, OwnershipSettings},
+    stop::StopSchedule,
     time::Time,
 };
 use tokio::{
@@ -108,12 +109,16 @@
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time after a pause within which signals that came during the pause have been read.
+const SIGNAL_DELAY: Duration = Duration::from_secs(1);
+
 /// A running daemon.
 pub struct Daemon {
     context: Arc<Context>,
     fleet: ActorRef<Fleet>,
-    leaving: watch::Sender<bool>,
+    stop: watch::Sender<Option<StopSchedule>>,
     stopping: watch::Sender<bool>,
+    grace_over: watch::Sender<bool>,
     connections: TaskTracker,
     superseded: watch::Receiver<bool>,
     admin_address: SocketAddr,
@@ -126,14 +131,14 @@
 #[must_use]
 pub struct LeavingDaemon {
     daemon: Daemon,
-    began_at: Time,
+    schedule: StopSchedule,
 }
 
 /// A daemon that accepts no further requests and finishes those in flight.
 #[must_use]
 pub struct StoppingDaemon {
     daemon: Daemon,
-    began_at: Time,
+    schedule: StopSchedule,
 }
 
 impl Daemon {
@@ -171,7 +176,8 @@
         let (view_sender, view) = watch::channel(Arc::new(first_view));
         let (reach_sender, reach) = watch::channel(ReachView::default());
         let (lease_sender, lease) = watch::channel(LeaseTimes::default());
-        let (leaving_sender, leaving) = watch::channel(false);
+        let (stop_sender, stop) = watch::channel(None);
+        let (grace_over_sender, grace_over) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
         let (superseded_sender, superseded) = watch::channel(false);
         let traffic = Arc::new(Traffic::default());
@@ -265,6 +271,7 @@
             view: view.clone(),
             quarantine: Arc::clone(&quarantine),
             in_flight: Arc::clone(&in_flight),
+            stop: stop.clone(),
             metrics: Arc::clone(&metrics),
             traffic: Arc::clone(&traffic),
             queue_latency: Arc::clone(&queue_latency),
@@ -280,7 +287,8 @@
             view,
             reach,
             lease,
-            leaving,
+            stop,
+            grace_over,
             shards,
             notices,
             endpoints,
@@ -359,8 +367,9 @@
         let daemon = Daemon {
             context,
             fleet,
-            leaving: leaving_sender,
+            stop: stop_sender,
             stopping: stopping_sender,
+            grace_over: grace_over_sender,
             connections,
             superseded,
             admin_address,
@@ -480,11 +489,21 @@
 
     /// Hands this VM's shards over and announces to the other VMs that it leaves.
     pub fn leave(self) -> LeavingDaemon {
-        self.leaving.send_replace(true);
+        let grace = Duration::from_secs_f64(self.context.settings.stop_grace_s);
+        let schedule = StopSchedule::new(self.stop_began_at(), grace, self.entry_drain());
+        self.stop.send_replace(Some(schedule));
         // The fleet actor stops only with the process.
         let _ = self.fleet.tell(Leave).try_send();
-        let began_at = self.context.clock.now();
-        LeavingDaemon { daemon: self, began_at }
+        LeavingDaemon { daemon: self, schedule }
+    }
+
+    /// Returns the earliest time at which the signal to stop can have come: one that came during a
+    /// pause of the process is read only after it.
+    fn stop_began_at(&self) -> Time {
+        let now = self.context.clock.now();
+        let pause = self.context.gate.pause_at(now);
+        let recent = pause.filter(|pause| now.since(pause.ended_at) < SIGNAL_DELAY);
+        recent.map_or(now, |pause| pause.began_at)
     }
 
     /// Returns how long callers may still use entry responses that list this VM.
@@ -505,35 +524,49 @@
     /// Serves until the last entry response that lists this VM has expired, then
     /// accepts no further connections.
     pub async fn drain(self) -> StoppingDaemon {
-        let LeavingDaemon { daemon, began_at } = self;
-        let entry_drain = daemon.entry_drain();
+        let LeavingDaemon { daemon, schedule } = self;
+        let after_ms = |time: Time| time.since(schedule.began_at).as_millis();
+        let context = &daemon.context;
         log::info!(
-            "event=leaving grace_s={} entry_drain_ms={} requests_in_flight={}",
-            daemon.context.settings.stop_grace_s,
-            entry_drain.as_millis(),
-            daemon.context.in_flight.len()
+            "event=leaving accepts_until_ms={} answers_until_ms={} since_stop_ms={} \
+             requests_in_flight={}",
+            after_ms(schedule.accepts_until),
+            after_ms(schedule.answers_until),
+            context.since_stop().as_millis(),
+            context.in_flight.len()
         );
-        tokio::time::sleep(entry_drain).await;
+        context.clock.sleep_until(schedule.accepts_until).await;
         daemon.stopping.send_replace(true);
         daemon.connections.close();
         log::info!(
             "event=listeners_closed since_stop_ms={} connections={} requests_in_flight={}",
-            daemon.context.clock.now().since(began_at).as_millis(),
+            context.since_stop().as_millis(),
             daemon.connections.len(),
-            daemon.context.in_flight.len()
+            context.in_flight.len()
         );
-        StoppingDaemon { daemon, began_at }
+        StoppingDaemon { daemon, schedule }
     }
 }
 
 impl StoppingDaemon {
-    /// Waits for requests in flight, up to `limits.shutdown_ms` of the settings.
+    /// Waits for requests in flight. Those that are still at work when the grace is nearly over are
+    /// refused as possibly run; what can't be sent by the time of the exit is cut.
     pub async fn finish(self) {
-        let StoppingDaemon { daemon: Daemon { context, connections, .. }, began_at } = self;
-        let limit = Duration::from_millis(context.settings.limits.shutdown_ms);
-        let finished = tokio::time::timeout(limit, connections.wait()).await;
-        let since_stop = context.clock.now().since(began_at);
-        if finished.is_ok() {
+        let StoppingDaemon { daemon, schedule } = self;
+        let Daemon { context, connections, .. } = &daemon;
+        let is_finished = tokio::select! {
+            () = connections.wait() => true,
+            () = context.clock.sleep_until(schedule.answers_until) => false,
+        };
+        if !is_finished {
+            daemon.grace_over.send_replace(true);
+            tokio::select! {
+                () = connections.wait() => {}
+                () = context.clock.sleep_until(schedule.exits_at) => {}
+            }
+        }
+        let since_stop = context.since_stop();
+        if connections.is_empty() {
             log::info!("event=stopped since_stop_ms={}", since_stop.as_millis());
             return;
         }
--- a/crates/pistachiotrackd/src/request/answer.rs
+++ b/crates/pistachiotrackd/src/request/answer.rs
@@ -124,6 +124,7 @@
         | Reason::NoEndpoint
         | Reason::Paused
         | Reason::CrashesEndpoints
-        | Reason::ConfigUnconfirmed => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::ConfigUnconfirmed
+        | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/pistachiotrackd/src/request/in_flight.rs
+++ b/crates/pistachiotrackd/src/request/in_flight.rs
@@ -56,6 +56,22 @@
     stage: Stage,
 }
 
+impl InFlight {
+    fn log_cut(&self, now: Time, since_stop: Duration, cause: &str) {
+        let InFlight { fleet_id, sender, received, stage } = self;
+        let from = match sender {
+            Sender::Caller => "caller",
+            Sender::Vm => "vm",
+        };
+        log::error!(
+            "event=request_cut request={fleet_id} from={from} at={stage} age_ms={} \
+             since_stop_ms={} cause={cause}",
+            now.since(*received).as_millis(),
+            since_stop.as_millis()
+        );
+    }
+}
+
 /// The requests that this VM has taken and not finished.
 #[derive(Debug)]
 pub(crate) struct InFlightTable {
@@ -98,17 +114,8 @@
     /// began.
     pub(crate) fn log_cut(&self, since_stop: Duration) {
         let now = self.clock.now();
-        for InFlight { fleet_id, sender, received, stage } in self.lock().values() {
-            let from = match sender {
-                Sender::Caller => "caller",
-                Sender::Vm => "vm",
-            };
-            log::error!(
-                "event=request_cut request={fleet_id} from={from} at={stage} age_ms={} \
-                 since_stop_ms={} cause=exit",
-                now.since(*received).as_millis(),
-                since_stop.as_millis()
-            );
+        for request in self.lock().values() {
+            request.log_cut(now, since_stop, "exit");
         }
     }
 
@@ -131,6 +138,15 @@
     }
 }
 
+impl InFlightGuard {
+    /// Writes a log line for the request, which is given up `since_stop` after the stop began.
+    pub(crate) fn log_cut(&self, since_stop: Duration) {
+        if let Some(request) = self.table.lock().get(&self.id) {
+            request.log_cut(self.table.clock.now(), since_stop, "grace_over");
+        }
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.table.lock().remove(&self.id);
--- a/crates/pistachiotrackd/src/request/rejection.rs
+++ b/crates/pistachiotrackd/src/request/rejection.rs
@@ -9,9 +9,8 @@
 
 use crate::request::answer::{NO_CONFIG_RETRY_MS, PendingRefusal, Served};
 
-/// Retry delay sent to callers of a VM whose configuration isn't confirmed. Other VMs may serve
-/// them at once.
-const UNCONFIRMED_RETRY_MS: u64 = 100;
+/// Retry delay sent to callers that other VMs may serve at once.
+pub(crate) const OTHER_VM_RETRY_MS: u64 = 100;
 
 /// Reason for a refusal before a request is sent anywhere.
 #[derive(Debug)]
@@ -41,7 +40,12 @@
 
     /// Returns the rejection by a VM that doesn't know whether an API key is still valid.
     pub(crate) fn unconfirmed() -> Rejection {
-        Rejection { retry_after_ms: Some(UNCONFIRMED_RETRY_MS), ..Reason::ConfigUnconfirmed.into() }
+        Rejection { retry_after_ms: Some(OTHER_VM_RETRY_MS), ..Reason::ConfigUnconfirmed.into() }
+    }
+
+    /// Returns the rejection by a VM whose stop leaves no time for a request.
+    pub(crate) fn stopping() -> Rejection {
+        Rejection { retry_after_ms: Some(OTHER_VM_RETRY_MS), ..Reason::Stopping.into() }
     }
 
     /// Returns the rejection of a request beyond its customer's rate limit.
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -20,6 +20,7 @@
     refusal::Reason,
     request::{AttemptId, BodyEnd, EndpointReport, FIRST_FAILURE_STATUS, Outcome},
     shard::Dispatch,
+    stop::StopSchedule,
     time::Time,
     vm::Vm,
 };
@@ -42,6 +43,7 @@
         body::{self, AnswerBody, AnswerCopy, AnswerMonitor, BodyTimeouts},
         crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
         in_flight::{InFlightTable, Stage},
+        rejection::OTHER_VM_RETRY_MS,
     },
     runtime::clock::Clock,
     shards::shard_actor::{CallerGone, Command, ShardActor, Submit},
@@ -71,6 +73,8 @@
     pub(crate) quarantine: Arc<QuarantineManager>,
     /// Requests that are being served.
     pub(crate) in_flight: Arc<InFlightTable>,
+    /// The stop of this VM, once it has begun.
+    pub(crate) stop: watch::Receiver<Option<StopSchedule>>,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Counts of sent and received messages.
@@ -191,16 +195,21 @@
     Command(Option<Command>),
     Ended(Ended),
     Overdue,
+    /// The VM has begun to stop and may have to exit before the request is finished.
+    Stopping,
 }
 
 impl RequestTask {
     async fn run(mut self) -> Served {
         let overdue = self.handle.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
         let watchdog = tokio::time::sleep_until(overdue);
-        tokio::pin!(watchdog);
+        let answered_by = self.inbound.deadline + self.handle.body_timeouts.overrun;
+        let stopping = stop_without_time_for(self.handle.stop.clone(), answered_by);
+        tokio::pin!(watchdog, stopping);
         loop {
             let step = tokio::select! {
                 biased;
+                () = &mut stopping, if self.copies.is_certainly_not_run() => Step::Stopping,
                 command = self.commands.recv() => Step::Command(command),
                 ended = next_end(&mut self.running) => Step::Ended(ended),
                 () = &mut watchdog => Step::Overdue,
@@ -210,6 +219,10 @@
                 Step::Command(None) => Some(self.refuse_unilaterally(Reason::NoEndpoint)),
                 Step::Ended(ended) => self.on_end(ended),
                 Step::Overdue => Some(self.refuse_unilaterally(Reason::DeadlinePassed)),
+                Step::Stopping => {
+                    let copies = self.copies.finish();
+                    Some(Served::refused(copies.refuse(Reason::Stopping, Some(OTHER_VM_RETRY_MS))))
+                }
             };
             if let Some(served) = served {
                 return served;
@@ -487,6 +500,16 @@
     }
 }
 
+/// Waits until this VM begins a stop that may end before `answered_by`.
+async fn stop_without_time_for(mut stop: watch::Receiver<Option<StopSchedule>>, answered_by: Time) {
+    let is_too_short =
+        |stop: &Option<StopSchedule>| stop.is_some_and(|stop| !stop.leaves_time_for(answered_by));
+    if stop.wait_for(is_too_short).await.is_err() {
+        // The daemon was dropped without a stop.
+        std::future::pending().await
+    }
+}
+
 /// Waits until one of the running attempts ends, and removes it.
 async fn next_end(running: &mut Vec<RunningAttempt>) -> Ended {
     poll_fn(|cx| {
--- a/crates/pistachiotrackd/src/runtime/clock.rs
+++ b/crates/pistachiotrackd/src/runtime/clock.rs
@@ -15,6 +15,8 @@
     started: Time,
 }
 
+/// Time after which a wait compares its end with the clock again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Value of the clock when the first one of the process is started. It is above 0 so that times
 /// shortly before the start can be represented.
 const START: Time = Time::from_millis(1_000);
@@ -37,6 +39,14 @@
         since_process_start()
     }
 
+    /// Waits until a time of this clock, also if the VM is suspended meanwhile, which the runtime's
+    /// timers don't count.
+    pub(crate) async fn sleep_until(&self, time: Time) {
+        while self.now() < time {
+            tokio::time::sleep(time.since(self.now()).min(RECHECK_INTERVAL)).await;
+        }
+    }
+
     /// Converts a time to an instant of the runtime's timers.
     pub(crate) fn instant(&self, time: Time) -> tokio::time::Instant {
         tokio::time::Instant::now() + time.since(self.now())
--- a/crates/pistachiotrackd/src/serving/hand_off.rs
+++ b/crates/pistachiotrackd/src/serving/hand_off.rs
@@ -90,7 +90,7 @@
             forward::send(&context.forwarder, &vm, inbound, max_attempts, request).await;
         let returned = match forwarded {
             Forwarded::Answered(served) => return Ok(served),
-            Forwarded::Refused(refusal) if refusal.reason() == Reason::NoEndpoint => {
+            Forwarded::Refused(refusal) if is_declined(refusal.reason()) => {
                 Undispatched::from_refusal(refusal)
             }
             Forwarded::Refused(refusal) => Err(refusal),
@@ -113,6 +113,11 @@
     Err(request)
 }
 
+/// Returns whether a VM has refused a request for a reason that another VM may not have.
+fn is_declined(reason: Reason) -> bool {
+    matches!(reason, Reason::NoEndpoint | Reason::Stopping)
+}
+
 fn substitutes(context: &Context, inbound: &Inbound) -> Vec<Vm> {
     let view = context.view();
     let service = &inbound.route.shard.service;
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -109,7 +109,7 @@
             connection.await
         }
     };
-    if *stopped_context.leaving.borrow() {
+    if stopped_context.is_leaving() {
         log_unread_bytes(&monitor);
     }
     if let Err(error) = ended {
@@ -153,7 +153,7 @@
             answered = answered => answered,
             () = peer.closed() => return Err(PeerGone),
         };
-        if *context.leaving.borrow() {
+        if context.is_leaving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
--- a/crates/pistachiotrackd/src/serving/proxy.rs
+++ b/crates/pistachiotrackd/src/serving/proxy.rs
@@ -4,13 +4,13 @@
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use pistachiotrack_core::{
-    copies::Undispatched,
+    copies::{Copies, Undispatched},
     header,
     name::Name,
     prior_attempts::PriorAttempts,
     reachability::EndpointReach,
     refusal::{Execution, Reason},
-    request::Class,
+    request::{Class, RequestId},
     service::Service,
     time::Time,
 };
@@ -27,7 +27,8 @@
         answer::{self, PendingRefusal, Served},
         body::AnswerBody,
         forward::{self, ForwardError, Forwarded},
-        in_flight::Sender,
+        in_flight::{InFlightGuard, Sender},
+        rejection::Rejection,
     },
     serving::{
         context::Context,
@@ -62,15 +63,10 @@
     let id = context.dialect.request_id(request.headers()).map(Name::from);
     let id = id.unwrap_or_else(|| context.fleet_id(number));
     let in_flight = context.in_flight.add(number, &id, Sender::Caller);
-    let undispatched = Undispatched::on_arrival();
-    let served = match receive(&context, request, number, &id).await {
-        Ok(inbound) => {
-            let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
-            let served = serve(&context, Arc::new(inbound), undispatched).await;
-            record_latency(&context, &customer, class, received, &served);
-            served
-        }
-        Err(rejection) => rejection.refuse(undispatched),
+    let served = tokio::select! {
+        biased;
+        served = receive_and_serve(&context, request, number, &id) => served,
+        () = context.grace_over() => cut(&context, &in_flight),
     };
     count_answer(&context, &served);
     let response = served.answer.unwrap_or_else(|refused| {
@@ -87,6 +83,31 @@
     Ok(response.map(|body| body.of_request(in_flight)))
 }
 
+async fn receive_and_serve(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+    number: RequestId,
+    id: &Name,
+) -> Served {
+    let received = context.clock.now();
+    let undispatched = Undispatched::on_arrival();
+    let inbound = match receive(context, request, number, id).await {
+        Ok(inbound) => inbound,
+        Err(rejection) => return rejection.refuse(undispatched),
+    };
+    let (customer, class) = (inbound.route.customer.clone(), inbound.route.class);
+    let served = serve(context, Arc::new(inbound), undispatched).await;
+    record_latency(context, &customer, class, received, &served);
+    served
+}
+
+/// Refuses a request that is still at work when this VM has to exit. It may have run.
+fn cut(context: &Context, in_flight: &InFlightGuard) -> Served {
+    in_flight.log_cut(context.since_stop());
+    let copies = Copies::from(Undispatched::on_arrival());
+    Served::refused(copies.refuse_as_unknown(Reason::Stopping))
+}
+
 /// Handles a request that another VM forwards.
 pub(crate) async fn handle_peer(
     context: Arc<Context>,
@@ -101,15 +122,10 @@
     let id = headers::text(request.headers(), header::REQUEST_ID)
         .map_or_else(|| context.fleet_id(number), Name::from);
     let in_flight = context.in_flight.add(number, &id, Sender::Vm);
-    let undispatched = Undispatched::on_arrival();
-    let (served, attempts) = match receive_forwarded(&context, request, number, &id).await {
-        Ok(inbound) => {
-            let serve = |inbound, undispatched| {
-                serve_forwarded(Arc::clone(&context), inbound, undispatched)
-            };
-            context.transfers.serve(Arc::new(inbound), undispatched, serve).await
-        }
-        Err(rejection) => (rejection.refuse(undispatched), PriorAttempts::default()),
+    let (served, attempts) = tokio::select! {
+        biased;
+        served = receive_and_serve_forwarded(&context, request, number, &id) => served,
+        () = context.grace_over() => (cut(&context, &in_flight), PriorAttempts::default()),
     };
     let endpoint_time_us = served.endpoint_time.map(|time| time.as_micros() as u64);
     let (result, mut response) = match served.answer {
@@ -128,6 +144,23 @@
     Ok(response.map(|body| body.of_request(in_flight)))
 }
 
+async fn receive_and_serve_forwarded(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+    number: RequestId,
+    id: &Name,
+) -> (Served, PriorAttempts) {
+    let undispatched = Undispatched::on_arrival();
+    match receive_forwarded(context, request, number, id).await {
+        Ok(inbound) => {
+            let serve =
+                |inbound, undispatched| serve_forwarded(Arc::clone(context), inbound, undispatched);
+            context.transfers.serve(Arc::new(inbound), undispatched, serve).await
+        }
+        Err(rejection) => (rejection.refuse(undispatched), PriorAttempts::default()),
+    }
+}
+
 /// Serves a request that another VM has sent, unless a VM that reaches endpoints should get it.
 async fn serve_forwarded(
     context: Arc<Context>,
@@ -174,6 +207,10 @@
     inbound: Arc<Inbound>,
     undispatched: Undispatched,
 ) -> Served {
+    // The stop may have begun while the body arrived.
+    if !context.has_time_for(inbound.deadline) {
+        return Rejection::stopping().refuse(undispatched);
+    }
     let owner = {
         let view = context.view();
         if is_shared(&view, &inbound) {
@@ -192,6 +229,12 @@
         forward::send(&context.forwarder, &owner, &inbound, max_attempts, undispatched).await;
     let (error, copies) = match forwarded {
         Forwarded::Answered(served) => return served,
+        Forwarded::Refused(refusal) if refusal.reason() == Reason::Stopping => {
+            return match Undispatched::from_refusal(refusal) {
+                Ok(request) => local_dispatch::serve(context, inbound, request.into()).await,
+                Err(refusal) => Served::refused(refusal),
+            };
+        }
         Forwarded::Refused(refusal) => return Served::refused(refusal),
         Forwarded::Failed { error, copies } => (error, copies),
     };
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -96,11 +96,12 @@
         hedge: route.hedge,
         max_attempts: route.attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS),
     };
+    let limit = received + Duration::from_millis(timeout_ms(route, service));
+    let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
+    check_finishes_before_exit(context, deadline)?;
     if let Caller::Customer(customer) = caller {
         check_limit(context, customer, config.version, fleet_id, &forwarded_route.shard)?;
     }
-    let limit = received + Duration::from_millis(timeout_ms(route, service));
-    let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
     check_not_expired_in_pause(context, &parts, deadline)?;
     let body = read_body(context, body, deadline).await?;
     let named_customer = forwarded_route.identified.clone().or(metadata.customer);
@@ -279,6 +280,11 @@
     if expired { Err(Reason::Paused.into()) } else { Ok(()) }
 }
 
+/// Refuses a request that this VM, which is stopping, may have to cut.
+fn check_finishes_before_exit(context: &Context, deadline: Time) -> Result<(), Rejection> {
+    if context.has_time_for(deadline) { Ok(()) } else { Err(Rejection::stopping()) }
+}
+
 /// Refuses a request that is held in quarantine because it crashes endpoints.
 fn check_not_quarantined(context: &Context, inbound: Inbound) -> Result<Inbound, Rejection> {
     match context.quarantine.remaining_hold(&inbound) {
@@ -396,6 +402,7 @@
         .ok_or_else(bad_request)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
+    check_finishes_before_exit(context, deadline)?;
     check_not_expired_in_pause(context, &parts, deadline)?;
     let copy = TransferredCopy::read(&parts.headers);
     headers::strip_from_caller(&mut parts.headers);
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -47,6 +47,9 @@
     };
     let gate = context.notices.gate(&service, &relay_request.endpoint);
     let time_limit = received + Duration::from_micros(relay_request.time_limit_us);
+    if !context.has_time_for(time_limit) {
+        return failure_response(RelayResult::Refused);
+    }
     let target = Target {
         address: relay_request.address,
         choice: relay_request.choice(),
--- a/crates/pistachiotrackd/tests/refusals.rs
+++ b/crates/pistachiotrackd/tests/refusals.rs
@@ -210,6 +210,21 @@
     }
 }
 
+/// Returns the refusal of a booking that may outlast the stop of its VM.
+async fn refuse_while_stopping() -> Refusal {
+    let booking = closing_endpoint().await;
+    let platform = Platform::start().await;
+    platform.publish_config(config(1, &[], &[booking.address]));
+    let grace = json!({"stop_grace_s": 5});
+    let vm = DaemonProcess::start_with(VM, platform.address, grace).await;
+    client::wait_until_serving(vm.admin_address).await;
+    vm.signal("TERM").await;
+    vm.wait_for_line(&["event=leaving"]).await;
+    let answer = client::send(vm.caller_address, booking_request()).await.unwrap();
+    assert!(answer.headers().contains_key(header::RETRY_AFTER_MS), "{answer:?}");
+    Refusal { vm, answer, _platform: Some(platform) }
+}
+
 /// Causes a refusal. The match has no default arm, so that a new reason doesn't compile
 /// without one.
 async fn refuse_for(reason: Reason) -> Refusal {
@@ -238,6 +253,7 @@
         Reason::CrashesEndpoints => refuse_after_crashes().await,
         Reason::ConfigUnconfirmed => refuse_without_lease().await,
         Reason::RateLimited => refuse_beyond_limit().await,
+        Reason::Stopping => refuse_while_stopping().await,
         Reason::ApiKey => refuse_with(keyed_config(), client::get("/slots")).await,
     }
 }
--- /dev/null
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -0,0 +1,99 @@
+//! Stops of a daemon process while requests are in flight.
+
+mod testenv;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response};
+use pistachiotrack_core::header;
+use serde_json::{Value, json};
+use testenv::{
+    client, config, endpoint::Endpoint, fleet::bounded, platform::Platform, process::DaemonProcess,
+};
+use tokio::sync::watch;
+
+/// Grace of a stop, shorter than the time that bookings have.
+const GRACE_S: f64 = 3.0;
+
+/// Starts an endpoint that answers bookings only once it has been released.
+async fn blocked_endpoint() -> (Endpoint, watch::Sender<bool>) {
+    let (release, released) = watch::channel(false);
+    let endpoint = Endpoint::start(move |request| {
+        let mut released = released.clone();
+        async move {
+            if request.method() == Method::POST {
+                released.wait_for(|released| *released).await.unwrap();
+            }
+            Response::new(Full::new(Bytes::from_static(b"booked")))
+        }
+    })
+    .await;
+    (endpoint, release)
+}
+
+fn one_slot(endpoint: &Endpoint) -> Value {
+    let mut config = config(1, &[], &[endpoint.address]);
+    config["services"][1]["endpoints"][0]["slots"] = json!(1);
+    config
+}
+
+async fn start(config: Value) -> (Platform, DaemonProcess) {
+    let platform = Platform::start().await;
+    platform.publish_config(config);
+    let grace = json!({"stop_grace_s": GRACE_S});
+    let vm = DaemonProcess::start_with("vm-01", platform.address, grace).await;
+    client::wait_until_serving(vm.admin_address).await;
+    (platform, vm)
+}
+
+fn booking(id: &'static str) -> Request<Full<Bytes>> {
+    client::request(Method::POST, "/bookings", id)
+}
+
+fn outcome(answer: &Response<Bytes>) -> (Option<&str>, Option<&str>) {
+    let text = |name| client::header_text(answer, name);
+    (text(header::OUTCOME), text(header::REASON))
+}
+
+/// Guards against a request that ends with the process and appears in no log.
+#[tokio::test]
+async fn a_request_that_outlasts_the_grace_has_a_line_and_an_answer() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let (_platform, mut vm) = start(one_slot(&endpoint)).await;
+        let answer = tokio::spawn(client::send(vm.caller_address, booking("slot 7")));
+        endpoint.wait_received(1).await;
+        vm.signal("TERM").await;
+        let answer = answer.await.unwrap().unwrap();
+        assert_eq!(outcome(&answer), (Some("unknown"), Some("stopping")));
+        let id = client::header_text(&answer, header::REQUEST_ID).unwrap();
+        let request = format!(" request={id} ");
+        vm.wait_for_line(&["event=request_cut", &request, " at=endpoint/booking-0 "]).await;
+        assert_eq!(vm.exit_code().await, Some(0));
+    })
+    .await;
+}
+
+/// Guards against a request that is still queued when a stop begins, and is sent to an endpoint though
+/// it may be cut there.
+#[tokio::test]
+async fn a_queued_request_that_may_outlast_the_grace_is_refused_when_the_stop_begins() {
+    bounded(async {
+        let (endpoint, release) = blocked_endpoint().await;
+        let (_platform, vm) = start(one_slot(&endpoint)).await;
+        let first = tokio::spawn(client::send(vm.caller_address, booking("first")));
+        endpoint.wait_received(1).await;
+        let queued = tokio::spawn(client::send(vm.caller_address, booking("queued")));
+        client::wait_for(vm.admin_address, "/status", |status| {
+            testenv::fleet::counter(status, "requests") == 2
+        })
+        .await;
+        vm.signal("TERM").await;
+        assert_eq!(outcome(&queued.await.unwrap().unwrap()), (Some("not-run"), Some("stopping")));
+        release.send_replace(true);
+        assert_eq!(first.await.unwrap().unwrap().body(), "booked");
+        let bookings = endpoint.received();
+        assert!(!bookings.iter().any(|request| request.body() == "queued"));
+    })
+    .await;
+}
