Connections: the last answer is received before bytes that wait can reset the connection

What callers saw: an answer of which the end is missing, with a reset, from a VM that stops; also a refusal that is answered before the body has arrived. Cause: a stopping VM closes each connection after its next answer. If bytes that nobody has read wait on it (further requests, the rest of a body), the system resets it at the close and drops what it hasn't sent yet. Change: after its last answer a connection is read, and what comes is dropped, until the caller closes it, for a second at most. An idle connection that a stop closes is not read: a request that crosses the close stays unread.

--- a/crates/pistachiotrackd/src/connections/peer_monitor.rs
+++ b/crates/pistachiotrackd/src/connections/peer_monitor.rs
@@ -1,7 +1,10 @@
 //! Notices that the peer of a connection has closed it, also while unread bytes wait on it.
 
 use std::{
+    future::poll_fn,
+    io,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Poll, ready},
     time::Duration,
 };
 
@@ -11,6 +14,9 @@
 /// Interval at which a connection is checked for its peer's close.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Bytes that are read at once from a connection that is about to be closed.
+const DRAIN_BUFFER_BYTES: usize = 4 * 1024;
+
 /// A TCP stream that the server of its connection and a monitor share.
 #[derive(Clone, Debug)]
 pub(crate) struct SharedStream(Arc<Mutex<TcpStream>>);
@@ -50,6 +56,28 @@
         }
     }
 
+    /// Reads and drops what the peer still sends, until it closes the connection or for `limit`.
+    ///
+    /// If a connection is closed while bytes wait that nobody has read, the system resets it and drops
+    /// what it hasn't sent yet, which may be the end of the last answer.
+    pub(crate) async fn drain(&self, limit: Duration) {
+        let drained = poll_fn(|cx| {
+            loop {
+                let stream = self.0.lock();
+                ready!(stream.poll_read_ready(cx))?;
+                match stream.try_read(&mut [0; DRAIN_BUFFER_BYTES]) {
+                    Ok(0) => return Poll::Ready(io::Result::Ok(())),
+                    Err(error) if error.kind() != io::ErrorKind::WouldBlock => {
+                        return Poll::Ready(Err(error));
+                    }
+                    Ok(_) | Err(_) => {}
+                }
+            }
+        });
+        // All answers have been written, so that no end of the connection is an error.
+        let _ = tokio::time::timeout(limit, drained).await;
+    }
+
     /// Returns the number of bytes that the peer has sent and nobody has read.
     pub(crate) fn unread_bytes(&self) -> u64 {
         // An error means that the connection is gone, and nothing can be read from it.
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -1,6 +1,14 @@
 //! Accepts connections and serves HTTP/1.1 on them within limits.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use hyper::{
     Request, Response,
@@ -27,6 +35,8 @@
 
 /// Delay after the operating system failed to accept a connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Time for the peer to receive the last answer of a connection and to close it.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A listening port of the daemon.
 pub(crate) struct Listener {
@@ -94,27 +104,33 @@
     let stream = StallGuard::new(stream, idle_limit, Arc::clone(&arrivals));
     let peer = stream.peer_monitor();
     let (stopped_context, monitor) = (Arc::clone(&context), peer.clone());
+    let ends_with_answer = Arc::new(AtomicBool::new(false));
+    let was_last = Arc::clone(&ends_with_answer);
     let service = service_fn(move |mut request| {
         if let Some(arrival) = arrivals.arrival_before_resume() {
             request.extensions_mut().insert(arrival);
         }
-        answer(Arc::clone(&context), &handler, request, peer.clone())
+        answer(Arc::clone(&context), &handler, request, peer.clone(), Arc::clone(&was_last))
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+    let (ended, by_stop) = tokio::select! {
+        ended = connection.as_mut() => (ended, false),
         () = stopped(&mut stopping) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            (connection.await, true)
         }
     };
+    match ended {
+        // Of an idle connection that is closed by the stop nothing more is read: a request that crosses
+        // the close is then known to be unread.
+        Ok(()) if by_stop && !ends_with_answer.load(Ordering::Relaxed) => {}
+        Ok(()) => monitor.drain(CLOSE_TIMEOUT).await,
+        Err(error) => log::debug!("event=connection_ended error={error:?}"),
+    }
     if stopped_context.is_leaving() {
         log_unread_bytes(&monitor);
     }
-    if let Err(error) = ended {
-        log::debug!("event=connection_ended error={error:?}");
-    }
 }
 
 /// Writes a log line if a connection ends with bytes that nobody has read: the system resets it then,
@@ -142,6 +158,7 @@
     handler: &H,
     request: Request<Incoming>,
     peer: PeerMonitor,
+    is_last: Arc<AtomicBool>,
 ) -> impl Future<Output = Result<Response<AnswerBody>, PeerGone>> + use<H, F>
 where
     H: Fn(Arc<Context>, Request<Incoming>) -> F,
@@ -155,6 +172,7 @@
         };
         if context.is_leaving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            is_last.store(true, Ordering::Relaxed);
         }
         Ok(response)
     }
