Signals: received before the first connection is accepted

Cause: the handlers were installed after the listeners had been started, so that a signal in between had its default action and ended the process with what it had accepted. By reading; the moment is too short for a test. Change: the process receives its signals before it binds an address. Result: new tests of a stop without a configuration, and of one by SIGINT with SIGHUP, SIGTERM and SIGINT behind it: what waits is refused as not run, what is at work is answered, exit code 0.

--- a/crates/pistachiotrackd/src/program.rs
+++ b/crates/pistachiotrackd/src/program.rs
@@ -3,3 +3,4 @@
 pub mod daemon;
 pub mod logging;
 pub mod process;
+mod signals;
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -21,10 +21,7 @@
     stop::StopSchedule,
     time::Time,
 };
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-};
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use self::sockets::{Sockets, local_address, optional_address};
@@ -52,6 +49,7 @@
         quarantine::{QuarantineGossip, QuarantineManager, QuarantineTransport},
         shard_update_link::ShardUpdateLink,
     },
+    program::signals::Signals,
     request::{
         attempt::AttemptHandle, body::BodyTimeouts, crash_check::CrashCheck, forward::Forwarder,
         in_flight::InFlightTable, relay_client::RelayClient, request_task::RequestHandle,
@@ -431,23 +429,18 @@
     ///
     /// Returns an error if the process's signals can't be received.
     pub async fn run_until_signal(self) -> io::Result<()> {
-        self.run(None).await
+        self.run(Signals::receive()?, None).await;
+        Ok(())
     }
 
     /// Like [`Daemon::run_until_signal`], and reloads the settings in `file` on
     /// SIGHUP, and periodically since they may change without a signal.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the process's signals can't be received.
-    pub async fn run_with_settings_file(self, file: &Path) -> io::Result<()> {
-        self.run(Some(SettingsFile::new(file))).await
+    pub(crate) async fn run_with_settings_file(self, signals: Signals, file: &Path) {
+        self.run(signals, Some(SettingsFile::new(file))).await;
     }
 
-    async fn run(mut self, mut file: Option<SettingsFile>) -> io::Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let mut hang_up = signal(SignalKind::hangup())?;
+    async fn run(mut self, signals: Signals, mut file: Option<SettingsFile>) {
+        let Signals { mut terminate, mut interrupt, mut hang_up } = signals;
         let mut check = tokio::time::interval(SETTINGS_CHECK_INTERVAL);
         let mut superseded = self.superseded.clone();
         loop {
@@ -461,7 +454,6 @@
             }
         }
         self.stop().await;
-        Ok(())
     }
 
     /// Applies the settings that can change at runtime; invalid settings are
--- a/crates/pistachiotrackd/src/program/process.rs
+++ b/crates/pistachiotrackd/src/program/process.rs
@@ -9,6 +9,7 @@
     program::{
         daemon::{Adapter, Daemon, StartError},
         logging,
+        signals::Signals,
     },
     runtime::exit_codes::ExitCode,
 };
@@ -62,6 +63,14 @@
 }
 
 async fn serve(settings: Settings, adapter: Adapter, file: &Path) -> ExitCode {
+    // Before any connection is accepted: a signal's default action would cut what it carries.
+    let signals = match Signals::receive() {
+        Ok(signals) => signals,
+        Err(error) => {
+            log::error!("event=signals_failed error={:?}", error.to_string());
+            return ExitCode::RuntimeError;
+        }
+    };
     let daemon = match Daemon::start_with(settings, adapter).await {
         Ok(daemon) => daemon,
         Err(error @ StartError::Bind { .. }) => {
@@ -73,11 +82,6 @@
             return ExitCode::RuntimeError;
         }
     };
-    match daemon.run_with_settings_file(file).await {
-        Ok(()) => ExitCode::Success,
-        Err(error) => {
-            log::error!("event=signals_failed error={:?}", error.to_string());
-            ExitCode::RuntimeError
-        }
-    }
+    daemon.run_with_settings_file(signals, file).await;
+    ExitCode::Success
 }
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -8,7 +8,11 @@
 use pistachiotrack_core::header;
 use serde_json::{Value, json};
 use testenv::{
-    client, config, endpoint::Endpoint, fleet::bounded, platform::Platform, process::DaemonProcess,
+    client, config,
+    endpoint::Endpoint,
+    fleet::{bounded, counter, unavailable_platform},
+    platform::Platform,
+    process::DaemonProcess,
 };
 use tokio::sync::watch;
 
@@ -84,10 +88,8 @@
         let first = tokio::spawn(client::send(vm.caller_address, booking("first")));
         endpoint.wait_received(1).await;
         let queued = tokio::spawn(client::send(vm.caller_address, booking("queued")));
-        client::wait_for(vm.admin_address, "/status", |status| {
-            testenv::fleet::counter(status, "requests") == 2
-        })
-        .await;
+        client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 2)
+            .await;
         vm.signal("TERM").await;
         assert_eq!(outcome(&queued.await.unwrap().unwrap()), (Some("not-run"), Some("stopping")));
         release.send_replace(true);
@@ -97,3 +99,41 @@
     })
     .await;
 }
+
+/// Guards against a VM that can't be stopped before it has a configuration, or cuts the requests that
+/// wait for it.
+#[tokio::test]
+async fn a_vm_without_a_configuration_refuses_what_waits_and_stops() {
+    bounded(async {
+        let settings = json!({"stop_grace_s": GRACE_S, "limits": {"first_config_wait_ms": 1_500}});
+        let platform = unavailable_platform().await;
+        let mut vm = DaemonProcess::start_with("vm-01", platform, settings).await;
+        let waiting = tokio::spawn(client::send(vm.caller_address, booking("slot 7")));
+        client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 1)
+            .await;
+        vm.signal("TERM").await;
+        assert_eq!(outcome(&waiting.await.unwrap().unwrap()), (Some("not-run"), Some("no-config")));
+        assert_eq!(vm.exit_code().await, Some(0));
+    })
+    .await;
+}
+
+/// Guards against another signal than the usual one, or further ones, that cut what is at work.
+#[tokio::test]
+async fn a_stop_by_interrupt_and_further_signals_cut_nothing() {
+    bounded(async {
+        let (endpoint, release) = blocked_endpoint().await;
+        let (_platform, mut vm) = start(one_slot(&endpoint)).await;
+        let answer = tokio::spawn(client::send(vm.caller_address, booking("slot 7")));
+        endpoint.wait_received(1).await;
+        for signal in ["INT", "HUP", "TERM", "INT", "HUP"] {
+            vm.signal(signal).await;
+        }
+        vm.wait_for_line(&["event=listeners_closed"]).await;
+        vm.signal("TERM").await;
+        release.send_replace(true);
+        assert_eq!(answer.await.unwrap().unwrap().body(), "booked");
+        assert_eq!(vm.exit_code().await, Some(0));
+    })
+    .await;
+}
