Stops: a grace that has changed in the settings counts

Cause: the settings can change while the process runs, with or without SIGHUP, and a stop was planned with those of the start. Change: a reload takes stop_grace_s over.

--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -117,6 +117,8 @@
     stop: watch::Sender<Option<StopSchedule>>,
     stopping: watch::Sender<bool>,
     grace_over: watch::Sender<bool>,
+    /// Time that the process has for a stop, as in the latest settings.
+    stop_grace_s: f64,
     connections: TaskTracker,
     superseded: watch::Receiver<bool>,
     admin_address: SocketAddr,
@@ -362,12 +364,14 @@
         let readiness_address = optional_address("readiness_address", &sockets.readiness)?;
         let directory_address = optional_address("directory_address", &sockets.directory)?;
         let connections = TaskTracker::new();
+        let stop_grace_s = context.settings.stop_grace_s;
         let daemon = Daemon {
             context,
             fleet,
             stop: stop_sender,
             stopping: stopping_sender,
             grace_over: grace_over_sender,
+            stop_grace_s,
             connections,
             superseded,
             admin_address,
@@ -463,6 +467,7 @@
         match file.read_if_changed() {
             Ok(Some(settings)) => {
                 log::info!("event=settings_changed asked={is_requested}");
+                self.stop_grace_s = settings.stop_grace_s;
                 let seeds = settings.seeds(self.peer_address().port());
                 // The fleet actor stops only with the process.
                 let _ = self.fleet.tell(SetSeeds(seeds)).try_send();
@@ -481,7 +486,7 @@
 
     /// Hands this VM's shards over and announces to the other VMs that it leaves.
     pub fn leave(self) -> LeavingDaemon {
-        let grace = Duration::from_secs_f64(self.context.settings.stop_grace_s);
+        let grace = Duration::from_secs_f64(self.stop_grace_s);
         let schedule = StopSchedule::new(self.stop_began_at(), grace, self.entry_drain());
         self.stop.send_replace(Some(schedule));
         // The fleet actor stops only with the process.
--- a/crates/pistachiotrackd/tests/process.rs
+++ b/crates/pistachiotrackd/tests/process.rs
@@ -31,6 +31,7 @@
     caller: SocketAddr,
     peer: SocketAddr,
     admin: SocketAddr,
+    settings: PathBuf,
     log: PathBuf,
 }
 
@@ -48,8 +49,8 @@
         let file = settings_file(test, &settings);
         let log = file.with_extension("log");
         let stderr = fs::File::create(&log).unwrap();
-        let child = daemon().arg("--settings").arg(file).stderr(stderr).spawn().unwrap();
-        Process { child, caller, peer, admin, log }
+        let child = daemon().arg("--settings").arg(&file).stderr(stderr).spawn().unwrap();
+        Process { child, caller, peer, admin, settings: file, log }
     }
 
     fn signal(&self, signal: &str) {
@@ -172,6 +173,25 @@
     .await;
 }
 
+/// Guards against a stop that is planned with the grace of settings that have changed since.
+#[tokio::test]
+async fn a_stop_is_planned_with_the_latest_settings() {
+    bounded(async {
+        let process = Process::start("grace", Platform::start().await.address);
+        wait_until(|| async { process.has_logged("event=started") }).await;
+        let mut settings: Value =
+            serde_json::from_slice(&fs::read(&process.settings).unwrap()).unwrap();
+        settings["stop_grace_s"] = json!(3);
+        fs::write(&process.settings, settings.to_string()).unwrap();
+        process.signal("-HUP");
+        wait_until(|| async { process.has_logged("event=settings_changed") }).await;
+        process.signal("-TERM");
+        wait_until(|| async { process.has_logged(" answers_until_ms=2750 ") }).await;
+        assert_eq!(process.exit_code().await, Some(0));
+    })
+    .await;
+}
+
 /// A VM stops while a caller keeps its connection open for further requests. If
 /// the daemon closed the connection without notice, a request sent at that moment
 /// would fail and its caller wouldn't know whether it was executed.
