Stops: what the handlers of requests know of a stop has a module of its own

Cause: the time that a stop leaves was asked for in two places, each with its own channel and its own sum of deadline and overrun. Change: StopMonitor, which the context and the tasks of requests share. No logic changed.

--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -53,7 +53,7 @@
     request::{
         attempt::AttemptHandle, body::BodyTimeouts, crash_check::CrashCheck, forward::Forwarder,
         in_flight::InFlightTable, relay_client::RelayClient, request_task::RequestHandle,
-        transfer_table::TransferTable,
+        stop_monitor::StopMonitor, transfer_table::TransferTable,
     },
     runtime::{
         clock::Clock,
@@ -114,7 +114,7 @@
 pub struct Daemon {
     context: Arc<Context>,
     fleet: ActorRef<Fleet>,
-    stop: watch::Sender<Option<StopSchedule>>,
+    schedule: watch::Sender<Option<StopSchedule>>,
     stopping: watch::Sender<bool>,
     grace_over: watch::Sender<bool>,
     /// Time that the process has for a stop, as in the latest settings.
@@ -176,7 +176,7 @@
         let (view_sender, view) = watch::channel(Arc::new(first_view));
         let (reach_sender, reach) = watch::channel(ReachView::default());
         let (lease_sender, lease) = watch::channel(LeaseTimes::default());
-        let (stop_sender, stop) = watch::channel(None);
+        let (schedule_sender, schedule) = watch::channel(None);
         let (grace_over_sender, grace_over) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
         let (superseded_sender, superseded) = watch::channel(false);
@@ -234,6 +234,7 @@
         let queue_latency = Arc::new(Histograms::default());
         let body_timeouts = BodyTimeouts::from(&settings.limits);
         let in_flight = Arc::new(InFlightTable::new(clock));
+        let stop = StopMonitor { schedule, grace_over, overrun: body_timeouts.overrun };
         let forwarder = Forwarder {
             me: me.clone(),
             clock,
@@ -288,7 +289,6 @@
             reach,
             lease,
             stop,
-            grace_over,
             shards,
             notices,
             endpoints,
@@ -368,7 +368,7 @@
         let daemon = Daemon {
             context,
             fleet,
-            stop: stop_sender,
+            schedule: schedule_sender,
             stopping: stopping_sender,
             grace_over: grace_over_sender,
             stop_grace_s,
@@ -488,7 +488,7 @@
     pub fn leave(self) -> LeavingDaemon {
         let grace = Duration::from_secs_f64(self.stop_grace_s);
         let schedule = StopSchedule::new(self.stop_began_at(), grace, self.entry_drain());
-        self.stop.send_replace(Some(schedule));
+        self.schedule.send_replace(Some(schedule));
         // The fleet actor stops only with the process.
         let _ = self.fleet.tell(Leave).try_send();
         LeavingDaemon { daemon: self, schedule }
@@ -529,7 +529,7 @@
              requests_in_flight={}",
             after_ms(schedule.accepts_until),
             after_ms(schedule.answers_until),
-            context.since_stop().as_millis(),
+            context.stop.elapsed(context.clock.now()).as_millis(),
             context.in_flight.len()
         );
         context.clock.sleep_until(schedule.accepts_until).await;
@@ -537,7 +537,7 @@
         daemon.connections.close();
         log::info!(
             "event=listeners_closed since_stop_ms={} connections={} requests_in_flight={}",
-            context.since_stop().as_millis(),
+            context.stop.elapsed(context.clock.now()).as_millis(),
             daemon.connections.len(),
             context.in_flight.len()
         );
@@ -562,7 +562,7 @@
                 () = context.clock.sleep_until(schedule.exits_at) => {}
             }
         }
-        let since_stop = context.since_stop();
+        let since_stop = context.stop.elapsed(context.clock.now());
         if connections.is_empty() {
             log::info!("event=stopped since_stop_ms={}", since_stop.as_millis());
             return;
--- a/crates/pistachiotrackd/src/request.rs
+++ b/crates/pistachiotrackd/src/request.rs
@@ -9,4 +9,5 @@
 pub(crate) mod rejection;
 pub(crate) mod relay_client;
 pub(crate) mod request_task;
+pub(crate) mod stop_monitor;
 pub(crate) mod transfer_table;
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -20,7 +20,6 @@
     refusal::Reason,
     request::{AttemptId, BodyEnd, EndpointReport, FIRST_FAILURE_STATUS, Outcome},
     shard::Dispatch,
-    stop::StopSchedule,
     time::Time,
     vm::Vm,
 };
@@ -44,6 +43,7 @@
         crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
         in_flight::{InFlightTable, Stage},
         rejection::OTHER_VM_RETRY_MS,
+        stop_monitor::StopMonitor,
     },
     runtime::clock::Clock,
     shards::shard_actor::{CallerGone, Command, ShardActor, Submit},
@@ -73,8 +73,8 @@
     pub(crate) quarantine: Arc<QuarantineManager>,
     /// Requests that are being served.
     pub(crate) in_flight: Arc<InFlightTable>,
-    /// The stop of this VM, once it has begun.
-    pub(crate) stop: watch::Receiver<Option<StopSchedule>>,
+    /// The stop of this VM.
+    pub(crate) stop: StopMonitor,
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Counts of sent and received messages.
@@ -203,8 +203,8 @@
     async fn run(mut self) -> Served {
         let overdue = self.handle.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
         let watchdog = tokio::time::sleep_until(overdue);
-        let answered_by = self.inbound.deadline + self.handle.body_timeouts.overrun;
-        let stopping = stop_without_time_for(self.handle.stop.clone(), answered_by);
+        let stop = self.handle.stop.clone();
+        let stopping = stop.without_time_for(self.inbound.deadline);
         tokio::pin!(watchdog, stopping);
         loop {
             let step = tokio::select! {
@@ -500,16 +500,6 @@
     }
 }
 
-/// Waits until this VM begins a stop that may end before `answered_by`.
-async fn stop_without_time_for(mut stop: watch::Receiver<Option<StopSchedule>>, answered_by: Time) {
-    let is_too_short =
-        |stop: &Option<StopSchedule>| stop.is_some_and(|stop| !stop.leaves_time_for(answered_by));
-    if stop.wait_for(is_too_short).await.is_err() {
-        // The daemon was dropped without a stop.
-        std::future::pending().await
-    }
-}
-
 /// Waits until one of the running attempts ends, and removes it.
 async fn next_end(running: &mut Vec<RunningAttempt>) -> Ended {
     poll_fn(|cx| {
--- a/crates/pistachiotrackd/src/serving/context.rs
+++ b/crates/pistachiotrackd/src/serving/context.rs
@@ -8,10 +8,7 @@
     time::Duration,
 };
 
-use pistachiotrack_core::{
-    name::Name, reachability::EndpointReach, request::RequestId, stop::StopSchedule, time::Time,
-    vm::Vm,
-};
+use pistachiotrack_core::{name::Name, reachability::EndpointReach, request::RequestId, vm::Vm};
 use tokio::sync::watch;
 
 use crate::{
@@ -24,7 +21,7 @@
     },
     request::{
         forward::Forwarder, in_flight::InFlightTable, request_task::RequestHandle,
-        transfer_table::TransferTable,
+        stop_monitor::StopMonitor, transfer_table::TransferTable,
     },
     runtime::{clock::Clock, timer::PauseGate},
     shards::shard_table::ShardTable,
@@ -78,10 +75,8 @@
     pub(crate) reach: watch::Receiver<ReachView>,
     /// Lease on the configuration.
     pub(crate) lease: watch::Receiver<LeaseTimes>,
-    /// The stop of this VM, once it has begun.
-    pub(crate) stop: watch::Receiver<Option<StopSchedule>>,
-    /// Whether the stop leaves no time for requests that are still at work.
-    pub(crate) grace_over: watch::Receiver<bool>,
+    /// The stop of this VM.
+    pub(crate) stop: StopMonitor,
     /// Shards that this VM dispatches for.
     pub(crate) shards: Arc<ShardTable>,
     /// What endpoints ask of this VM.
@@ -161,34 +156,9 @@
         is_keyed && has_bound && is_due()
     }
 
-    /// Returns whether this VM has begun to stop.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.stop.borrow().is_some()
-    }
-
-    /// Returns whether a request with this deadline is certainly finished before this VM exits.
-    pub(crate) fn has_time_for(&self, deadline: Time) -> bool {
-        let answered_by = deadline + Duration::from_millis(self.settings.limits.body_overrun_ms);
-        self.stop.borrow().is_none_or(|stop| stop.leaves_time_for(answered_by))
-    }
-
-    /// Returns the time since this VM began to stop.
-    pub(crate) fn since_stop(&self) -> Duration {
-        let began_at = self.stop.borrow().map(|stop| stop.began_at);
-        began_at.map_or(Duration::ZERO, |began_at| self.clock.now().since(began_at))
-    }
-
-    /// Waits until a stop leaves no time for requests that are still at work.
-    pub(crate) async fn grace_over(&self) {
-        if self.grace_over.clone().wait_for(|is_over| *is_over).await.is_err() {
-            // The daemon was dropped without a stop.
-            std::future::pending().await
-        }
-    }
-
     /// Returns the state of the lifecycle.
     pub(crate) fn lifecycle_state(&self) -> LifecycleState {
-        if self.is_leaving() {
+        if self.stop.has_begun() {
             return LifecycleState::Leaving;
         }
         match self.view.borrow().active {
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -128,7 +128,7 @@
         Ok(()) => monitor.drain(CLOSE_TIMEOUT).await,
         Err(error) => log::debug!("event=connection_ended error={error:?}"),
     }
-    if stopped_context.is_leaving() {
+    if stopped_context.stop.has_begun() {
         log_unread_bytes(&monitor);
     }
 }
@@ -170,7 +170,7 @@
             answered = answered => answered,
             () = peer.closed() => return Err(PeerGone),
         };
-        if context.is_leaving() {
+        if context.stop.has_begun() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             is_last.store(true, Ordering::Relaxed);
         }
--- a/crates/pistachiotrackd/src/serving/proxy.rs
+++ b/crates/pistachiotrackd/src/serving/proxy.rs
@@ -66,7 +66,7 @@
     let served = tokio::select! {
         biased;
         served = receive_and_serve(&context, request, number, &id) => served,
-        () = context.grace_over() => cut(&context, &in_flight),
+        () = context.stop.grace_over() => cut(&context, &in_flight),
     };
     count_answer(&context, &served);
     let response = served.answer.unwrap_or_else(|refused| {
@@ -103,7 +103,7 @@
 
 /// Refuses a request that is still at work when this VM has to exit. It may have run.
 fn cut(context: &Context, in_flight: &InFlightGuard) -> Served {
-    in_flight.log_cut(context.since_stop());
+    in_flight.log_cut(context.stop.elapsed(context.clock.now()));
     let copies = Copies::from(Undispatched::on_arrival());
     Served::refused(copies.refuse_as_unknown(Reason::Stopping))
 }
@@ -125,7 +125,7 @@
     let (served, attempts) = tokio::select! {
         biased;
         served = receive_and_serve_forwarded(&context, request, number, &id) => served,
-        () = context.grace_over() => (cut(&context, &in_flight), PriorAttempts::default()),
+        () = context.stop.grace_over() => (cut(&context, &in_flight), PriorAttempts::default()),
     };
     let endpoint_time_us = served.endpoint_time.map(|time| time.as_micros() as u64);
     let (result, mut response) = match served.answer {
@@ -208,7 +208,7 @@
     undispatched: Undispatched,
 ) -> Served {
     // The stop may have begun while the body arrived.
-    if !context.has_time_for(inbound.deadline) {
+    if !context.stop.has_time_for(inbound.deadline) {
         return Rejection::stopping().refuse(undispatched);
     }
     let owner = {
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -282,7 +282,7 @@
 
 /// Refuses a request that this VM, which is stopping, may have to cut.
 fn check_finishes_before_exit(context: &Context, deadline: Time) -> Result<(), Rejection> {
-    if context.has_time_for(deadline) { Ok(()) } else { Err(Rejection::stopping()) }
+    if context.stop.has_time_for(deadline) { Ok(()) } else { Err(Rejection::stopping()) }
 }
 
 /// Refuses a request that is held in quarantine because it crashes endpoints.
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -47,7 +47,7 @@
     };
     let gate = context.notices.gate(&service, &relay_request.endpoint);
     let time_limit = received + Duration::from_micros(relay_request.time_limit_us);
-    if !context.has_time_for(time_limit) {
+    if !context.stop.has_time_for(time_limit) {
         return failure_response(RelayResult::Refused);
     }
     let target = Target {
