Stops: a request whose body is still arriving is refused when the stop begins

What callers saw: a booking whose body arrived slowly was answered as possibly run at the end of the grace, though it had been sent nowhere. Cause: the time that a stop leaves was asked for on arrival and in the queue, and not while the body was read. Change: reading a body ends when a stop begins that leaves no time for the request.

--- a/crates/pistachiotrackd/src/serving/proxy.rs
+++ b/crates/pistachiotrackd/src/serving/proxy.rs
@@ -28,7 +28,6 @@
         body::AnswerBody,
         forward::{self, ForwardError, Forwarded},
         in_flight::{InFlightGuard, Sender},
-        rejection::Rejection,
     },
     serving::{
         context::Context,
@@ -207,10 +206,6 @@
     inbound: Arc<Inbound>,
     undispatched: Undispatched,
 ) -> Served {
-    // The stop may have begun while the body arrived.
-    if !context.stop.has_time_for(inbound.deadline) {
-        return Rejection::stopping().refuse(undispatched);
-    }
     let owner = {
         let view = context.view();
         if is_shared(&view, &inbound) {
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -374,7 +374,12 @@
         idle: Duration::from_millis(limits.body_idle_ms),
     };
     let read = RequestBody::read(body, limits);
-    match tokio::time::timeout_at(context.clock.instant(deadline), read).await {
+    let read = tokio::select! {
+        biased;
+        read = tokio::time::timeout_at(context.clock.instant(deadline), read) => read,
+        () = context.stop.without_time_for(deadline) => return Err(Rejection::stopping()),
+    };
+    match read {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(RequestBodyError::TooLarge { .. })) => Err(Rejection::too_large()),
         Ok(Err(_)) => Err(Reason::BadRequest.into()),
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -14,7 +14,11 @@
     platform::Platform,
     process::DaemonProcess,
 };
-use tokio::sync::watch;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
 
 /// Grace of a stop, shorter than the time that bookings have.
 const GRACE_S: f64 = 3.0;
@@ -137,3 +141,28 @@
     })
     .await;
 }
+
+/// Guards against a booking that was sent nowhere, and is answered as possibly run because its body was
+/// still arriving at the end of the grace.
+#[tokio::test]
+async fn a_request_whose_body_is_still_arriving_is_refused_as_not_run() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
+        let mut caller = TcpStream::connect(vm.caller_address).await.unwrap();
+        let head = format!(
+            "POST /bookings HTTP/1.1\r\nhost: fleet\r\n{}: {}\r\ncontent-length: 9\r\n\r\nslot",
+            header::CUSTOMER,
+            testenv::CUSTOMER
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 1)
+            .await;
+        vm.signal("TERM").await;
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.contains("pistachiotrack-outcome: not-run"), "{answer}");
+        assert!(endpoint.received().is_empty());
+    })
+    .await;
+}
