Stops: a possible duplicate is not refused as not run

What callers saw: a duplicate of a booking, with its idempotency key, was refused as not run while the original was at an endpoint. Another VM to which the owner's refusal came back sent the booking to a second endpoint. Cause: the refusals of a stop look at the copies of the request itself; only the shard knows of its original.

--- a/crates/pistachiotrackd/src/request/rejection.rs
+++ b/crates/pistachiotrackd/src/request/rejection.rs
@@ -4,7 +4,10 @@
 
 use hyper::StatusCode;
 use pistachiotrack_core::{
-    copies::Undispatched, customer_limit::OverLimit, refusal::Reason, rule::Refuse,
+    copies::{Copies, Undispatched},
+    customer_limit::OverLimit,
+    refusal::{Execution, Reason, RefusalDecision},
+    rule::Refuse,
 };
 
 use crate::request::answer::{NO_CONFIG_RETRY_MS, PendingRefusal, Served};
@@ -15,6 +18,7 @@
 /// Reason for a refusal before a request is sent anywhere.
 #[derive(Debug)]
 pub(crate) struct Rejection {
+    execution: Execution,
     reason: Reason,
     retry_after_ms: Option<u64>,
     /// Status that replaces the default one of the reason.
@@ -23,7 +27,7 @@
 
 impl From<Reason> for Rejection {
     fn from(reason: Reason) -> Rejection {
-        Rejection { reason, retry_after_ms: None, status: None }
+        Rejection { execution: Execution::NotRun, reason, retry_after_ms: None, status: None }
     }
 }
 
@@ -58,7 +62,7 @@
     pub(crate) fn by_rule(refuse: &Refuse) -> Rejection {
         let status = StatusCode::from_u16(refuse.status).unwrap_or(StatusCode::FORBIDDEN);
         let retry_after_ms = refuse.retry_after_ms;
-        Rejection { reason: Reason::Rule, retry_after_ms, status: Some(status) }
+        Rejection { retry_after_ms, status: Some(status), ..Reason::Rule.into() }
     }
 
     /// Returns the rejection of a request that crashes endpoints.
@@ -72,10 +76,16 @@
         Rejection { status: Some(StatusCode::PAYLOAD_TOO_LARGE), ..Reason::BadRequest.into() }
     }
 
+    /// Returns the rejection as one of a request that may be a duplicate, whose original may have run.
+    pub(crate) fn of_possible_duplicate(self) -> Rejection {
+        Rejection { execution: Execution::Unknown, ..self }
+    }
+
     /// Refuses the request.
     pub(crate) fn refuse(self, undispatched: Undispatched) -> Served {
-        let mut refused =
-            PendingRefusal::from(undispatched.refuse(self.reason, self.retry_after_ms));
+        let Rejection { execution, reason, retry_after_ms, .. } = self;
+        let decision = RefusalDecision { execution, reason, retry_after_ms };
+        let mut refused = PendingRefusal::from(Copies::from(undispatched).refuse_with(decision));
         refused.status = self.status.unwrap_or(refused.status);
         Served::refused(refused)
     }
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -98,7 +98,7 @@
     };
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
-    check_finishes_before_exit(context, deadline)?;
+    check_finishes_before_exit(context, deadline, &parts.headers)?;
     if let Caller::Customer(customer) = caller {
         check_limit(context, customer, config.version, fleet_id, &forwarded_route.shard)?;
     }
@@ -281,8 +281,18 @@
 }
 
 /// Refuses a request that this VM, which is stopping, may have to cut.
-fn check_finishes_before_exit(context: &Context, deadline: Time) -> Result<(), Rejection> {
-    if context.stop.has_time_for(deadline) { Ok(()) } else { Err(Rejection::stopping()) }
+fn check_finishes_before_exit(
+    context: &Context,
+    deadline: Time,
+    fields: &HeaderMap,
+) -> Result<(), Rejection> {
+    if context.stop.has_time_for(deadline) {
+        return Ok(());
+    }
+    match fields.contains_key(header::IDEMPOTENCY_KEY) {
+        true => Err(Rejection::stopping().of_possible_duplicate()),
+        false => Err(Rejection::stopping()),
+    }
 }
 
 /// Refuses a request that is held in quarantine because it crashes endpoints.
@@ -407,7 +417,7 @@
         .ok_or_else(bad_request)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
-    check_finishes_before_exit(context, deadline)?;
+    check_finishes_before_exit(context, deadline, &parts.headers)?;
     check_not_expired_in_pause(context, &parts, deadline)?;
     let copy = TransferredCopy::read(&parts.headers);
     headers::strip_from_caller(&mut parts.headers);
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -142,6 +142,49 @@
     .await;
 }
 
+/// Guards against a duplicate that waits for its original's answer, and is refused as not run when a stop
+/// begins though the original is at an endpoint.
+#[tokio::test]
+async fn a_duplicate_that_waits_for_its_original_is_not_refused_as_not_run() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
+        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
+        let original = tokio::spawn(client::send(vm.caller_address, keyed()));
+        endpoint.wait_received(1).await;
+        let repeat = client::with_header(keyed(), header::REPEAT, "true");
+        let duplicate = tokio::spawn(client::send(vm.caller_address, repeat));
+        client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 2)
+            .await;
+        vm.signal("TERM").await;
+        let duplicate = duplicate.await.unwrap().unwrap();
+        assert_eq!(outcome(&duplicate).0, Some("unknown"), "{:?}", duplicate.headers());
+        assert_eq!(endpoint.received().len(), 1);
+        drop(original);
+    })
+    .await;
+}
+
+/// Guards against a duplicate that arrives during a stop, and is refused as not run though its original
+/// is at an endpoint.
+#[tokio::test]
+async fn a_duplicate_that_arrives_during_a_stop_is_not_refused_as_not_run() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
+        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
+        let original = tokio::spawn(client::send(vm.caller_address, keyed()));
+        endpoint.wait_received(1).await;
+        vm.signal("TERM").await;
+        vm.wait_for_line(&["event=leaving"]).await;
+        let repeat = client::with_header(keyed(), header::REPEAT, "true");
+        let duplicate = client::send(vm.caller_address, repeat).await.unwrap();
+        assert_eq!(outcome(&duplicate).0, Some("unknown"), "{:?}", duplicate.headers());
+        drop(original);
+    })
+    .await;
+}
+
 /// Guards against a booking that was sent nowhere, and is answered as possibly run because its body was
 /// still arriving at the end of the grace.
 #[tokio::test]
