Connections: an answer that began before a stop is drained like others

What callers saw: a long answer of which the end is missing, with a reset. Cause: a connection was drained only if its last answer had begun during the stop; one that began before and ended later was closed like an idle connection. Change: a connection is busy from its request until the body of the answer has been written, and only one that isn't is closed without being read.

--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -3,7 +3,10 @@
 use std::{
     future::Future,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
     time::Duration,
 };
@@ -92,6 +95,26 @@
     content: Content,
     /// The request, which is in flight until the body has been written.
     _in_flight: Option<InFlightGuard>,
+    /// The connection, which is busy until the body has been written.
+    _busy: Option<BusyGuard>,
+}
+
+/// Marks a connection as busy with a request until it is dropped.
+#[derive(Debug)]
+pub(crate) struct BusyGuard(Arc<AtomicBool>);
+
+impl BusyGuard {
+    /// Marks a connection as busy by setting `is_busy`.
+    pub(crate) fn new(is_busy: &Arc<AtomicBool>) -> BusyGuard {
+        is_busy.store(true, Ordering::Relaxed);
+        BusyGuard(Arc::clone(is_busy))
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
 }
 
 #[derive(Debug)]
@@ -104,7 +127,7 @@
 
 impl From<Content> for AnswerBody {
     fn from(content: Content) -> AnswerBody {
-        AnswerBody { content, _in_flight: None }
+        AnswerBody { content, _in_flight: None, _busy: None }
     }
 }
 
@@ -120,6 +143,11 @@
         AnswerBody { _in_flight: Some(in_flight), ..self }
     }
 
+    /// Returns the body as that of an answer on a connection, which is busy until it has been written.
+    pub(crate) fn on_connection(self, busy: BusyGuard) -> AnswerBody {
+        AnswerBody { _busy: Some(busy), ..self }
+    }
+
     /// Returns a body that is forwarded from a connection as it arrives.
     pub(crate) fn streaming(
         parts: &Parts,
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -27,7 +27,7 @@
 use crate::{
     config::settings::Limits,
     connections::{arrival::ArrivalTracker, peer_monitor::PeerMonitor, stall_guard::StallGuard},
-    request::body::AnswerBody,
+    request::body::{AnswerBody, BusyGuard},
     runtime::socket,
     serving::context::Context,
     stats::metrics::Event,
@@ -104,27 +104,28 @@
     let stream = StallGuard::new(stream, idle_limit, Arc::clone(&arrivals));
     let peer = stream.peer_monitor();
     let (stopped_context, monitor) = (Arc::clone(&context), peer.clone());
-    let ends_with_answer = Arc::new(AtomicBool::new(false));
-    let was_last = Arc::clone(&ends_with_answer);
+    let is_busy = Arc::new(AtomicBool::new(false));
+    let busy = Arc::clone(&is_busy);
     let service = service_fn(move |mut request| {
         if let Some(arrival) = arrivals.arrival_before_resume() {
             request.extensions_mut().insert(arrival);
         }
-        answer(Arc::clone(&context), &handler, request, peer.clone(), Arc::clone(&was_last))
+        answer(Arc::clone(&context), &handler, request, peer.clone(), &busy)
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let (ended, by_stop) = tokio::select! {
+    let (ended, was_idle) = tokio::select! {
         ended = connection.as_mut() => (ended, false),
         () = stopped(&mut stopping) => {
+            let was_idle = !is_busy.load(Ordering::Relaxed);
             connection.as_mut().graceful_shutdown();
-            (connection.await, true)
+            (connection.await, was_idle)
         }
     };
     match ended {
-        // Of an idle connection that is closed by the stop nothing more is read: a request that crosses
+        // Of an idle connection that the stop closes nothing more is read: a request that crosses
         // the close is then known to be unread.
-        Ok(()) if by_stop && !ends_with_answer.load(Ordering::Relaxed) => {}
+        Ok(()) if was_idle => {}
         Ok(()) => monitor.drain(CLOSE_TIMEOUT).await,
         Err(error) => log::debug!("event=connection_ended error={error:?}"),
     }
@@ -158,12 +159,13 @@
     handler: &H,
     request: Request<Incoming>,
     peer: PeerMonitor,
-    is_last: Arc<AtomicBool>,
+    is_busy: &Arc<AtomicBool>,
 ) -> impl Future<Output = Result<Response<AnswerBody>, PeerGone>> + use<H, F>
 where
     H: Fn(Arc<Context>, Request<Incoming>) -> F,
     F: Future<Output = Result<Response<AnswerBody>, Infallible>>,
 {
+    let busy = BusyGuard::new(is_busy);
     let answered = handler(Arc::clone(&context), request);
     async move {
         let Ok(mut response) = tokio::select! {
@@ -172,9 +174,8 @@
         };
         if context.stop.has_begun() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            is_last.store(true, Ordering::Relaxed);
         }
-        Ok(response)
+        Ok(response.map(|body| body.on_connection(busy)))
     }
 }
 
