Connections: what a caller sends behind its last answer is read up to a bound

Change: up to 256 KiB are read; then the connection is closed. Result: an_endless_body_of_a_refused_request_is_not_read fails without the bound (67 MB of 67 were read, where it ends) and passes.

--- a/crates/pistachiotrackd/src/connections/peer_monitor.rs
+++ b/crates/pistachiotrackd/src/connections/peer_monitor.rs
@@ -16,6 +16,8 @@
 
 /// Bytes that are read at once from a connection that is about to be closed.
 const DRAIN_BUFFER_BYTES: usize = 4 * 1024;
+/// Bytes after which a peer that sends on without end is cut off.
+const MAX_DRAIN_BYTES: usize = 256 * 1024;
 
 /// A TCP stream that the server of its connection and a monitor share.
 #[derive(Clone, Debug)]
@@ -56,21 +58,25 @@
         }
     }
 
-    /// Reads and drops what the peer still sends, until it closes the connection or for `limit`.
+    /// Reads and drops what the peer still sends, until it closes the connection, for `limit` or up to
+    /// [`MAX_DRAIN_BYTES`].
     ///
     /// If a connection is closed while bytes wait that nobody has read, the system resets it and drops
     /// what it hasn't sent yet, which may be the end of the last answer.
     pub(crate) async fn drain(&self, limit: Duration) {
+        let mut left_bytes = MAX_DRAIN_BYTES;
         let drained = poll_fn(|cx| {
             loop {
                 let stream = self.0.lock();
                 ready!(stream.poll_read_ready(cx))?;
                 match stream.try_read(&mut [0; DRAIN_BUFFER_BYTES]) {
                     Ok(0) => return Poll::Ready(io::Result::Ok(())),
+                    Ok(bytes) if bytes >= left_bytes => return Poll::Ready(Ok(())),
+                    Ok(bytes) => left_bytes -= bytes,
                     Err(error) if error.kind() != io::ErrorKind::WouldBlock => {
                         return Poll::Ready(Err(error));
                     }
-                    Ok(_) | Err(_) => {}
+                    Err(_) => {}
                 }
             }
         });
--- a/crates/pistachiotrackd/tests/limits.rs
+++ b/crates/pistachiotrackd/tests/limits.rs
@@ -14,6 +14,9 @@
     net::TcpStream,
 };
 
+/// Bytes that the buffers of both ends of a connection can hold.
+const MAX_KERNEL_BYTES: usize = 16 * 1024 * 1024;
+
 /// Callers that send an incomplete head and then nothing would use up all
 /// connections if the daemon waited for the rest.
 #[tokio::test]
@@ -58,6 +61,22 @@
     assert!(booking.received().is_empty());
 }
 
+/// Guards against a caller whose request is refused and that goes on to send its body: the VM reads it
+/// for as long as the caller sends.
+#[tokio::test]
+async fn an_endless_body_of_a_refused_request_is_not_read() {
+    let deployment = Deployment::start(&[], &[]).await;
+    let mut stream = TcpStream::connect(deployment.address()).await.unwrap();
+    let head = "POST /bookings HTTP/1.1\r\nhost: fleet\r\ncontent-length: 1000000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut sent_bytes = 0;
+    while sent_bytes < 4 * MAX_KERNEL_BYTES {
+        let Ok(bytes) = stream.write(&[b'b'; 64 * 1024]).await else { break };
+        sent_bytes += bytes;
+    }
+    assert!(sent_bytes < MAX_KERNEL_BYTES, "{sent_bytes} bytes were read");
+}
+
 #[tokio::test]
 async fn a_body_over_the_buffer_size_is_streamed_completely() {
     let booking = Endpoint::answering("booked").await;
