Stops: what is still at work has its last answer also if the process lags

What callers saw: a connection that ends without the refusal, and without answers that had arrived, from a VM that was short of processor time at the end of its grace. Cause: if the wait for the end of the grace returned later than the time of the exit, the process exited at once: with one worker its tasks weren't polled again. Change: 100 ms at least lie between the end of the grace and the exit.

--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -107,6 +107,10 @@
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Least time for the answers of what is still at work when the grace is nearly over, also if the
+/// process lags behind its own timers.
+const MIN_LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// Time after a pause within which signals that came during the pause have been read.
 const SIGNAL_DELAY: Duration = Duration::from_secs(1);
 
@@ -557,9 +561,10 @@
         };
         if !is_finished {
             daemon.grace_over.send_replace(true);
+            let exits_at = schedule.exits_at.max(context.clock.now() + MIN_LAST_ANSWERS_TIME);
             tokio::select! {
                 () = connections.wait() => {}
-                () = context.clock.sleep_until(schedule.exits_at) => {}
+                () = context.clock.sleep_until(exits_at) => {}
             }
         }
         let since_stop = context.stop.elapsed(context.clock.now());
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -2,6 +2,8 @@
 
 mod testenv;
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response};
@@ -209,3 +211,30 @@
     })
     .await;
 }
+
+/// Guards against a process that lags behind its own times at the end of a stop, and exits without the
+/// refusals of what is still at work.
+#[tokio::test]
+async fn a_vm_that_lags_at_the_end_of_its_grace_still_answers() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let mut config = config(1, &[], &[endpoint.address]);
+        config["services"][1]["timeout_ms"] = json!(10_000);
+        let platform = Platform::start().await;
+        platform.publish_config(config);
+        let grace = json!({"stop_grace_s": 6.0, "limits": {"worker_threads": 1}});
+        let vm = DaemonProcess::start_with("vm-01", platform.address, grace).await;
+        client::wait_until_serving(vm.admin_address).await;
+        let answer = tokio::spawn(client::send(vm.caller_address, booking("slot 7")));
+        endpoint.wait_received(1).await;
+        let began_at = Instant::now();
+        vm.signal("TERM").await;
+        tokio::time::sleep_until((began_at + Duration::from_millis(5_400)).into()).await;
+        vm.signal("STOP").await;
+        tokio::time::sleep_until((began_at + Duration::from_millis(5_800)).into()).await;
+        vm.signal("CONT").await;
+        let answer = answer.await.unwrap().expect("the booking has no answer");
+        assert_eq!(outcome(&answer), (Some("unknown"), Some("stopping")));
+    })
+    .await;
+}
