--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -12,7 +12,7 @@
 use testenv::{
     client, config,
     endpoint::Endpoint,
-    fleet::{bounded, counter, unavailable_platform},
+    fleet::{self, bounded, counter, unavailable_platform},
     platform::Platform,
     process::DaemonProcess,
 };
@@ -25,6 +25,9 @@
 /// Grace of a stop, shorter than the time that bookings have.
 const GRACE_S: f64 = 3.0;
 
+/// Names of the VMs of a fleet.
+const VMS: [&str; 3] = ["vm-01", "vm-02", "vm-03"];
+
 /// Starts an endpoint that answers bookings only once it has been released.
 async fn blocked_endpoint() -> (Endpoint, watch::Sender<bool>) {
     let (release, released) = watch::channel(false);
@@ -238,3 +241,44 @@
     })
     .await;
 }
+
+/// Guards against a booking that runs twice: a VM serves the duplicate by itself since the stopping owner
+/// refuses it as not run, though the original is at an endpoint and the successor holds no record yet.
+#[tokio::test]
+async fn a_duplicate_is_not_run_by_another_vm_while_the_stopping_owner_holds_its_record() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let platform = Platform::start().await;
+        platform.publish_config(config(1, &[], &[endpoint.address]));
+        let settings = json!({"stop_grace_s": GRACE_S, "first_start": true});
+        let mut vms = Vec::new();
+        for name in VMS {
+            vms.push(DaemonProcess::start_with(name, platform.address, settings.clone()).await);
+        }
+        let entries: Vec<Value> =
+            vms.iter().zip(VMS).map(|(vm, name)| vm.vm_list_entry(name)).collect();
+        fleet::publish_vm_list(&platform, 2, &entries);
+        let admins: Vec<_> = vms.iter().map(|vm| vm.admin_address).collect();
+        fleet::wait_until(|| fleet::has_converged(&admins)).await;
+        let mut owner = None;
+        for (index, vm) in vms.iter().enumerate() {
+            if fleet::owns(&client::admin(vm.admin_address, "/status").await, "booking/0") {
+                owner = Some(index);
+            }
+        }
+        let owner = vms.swap_remove(owner.unwrap());
+        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
+        let original = tokio::spawn(client::send(owner.caller_address, keyed()));
+        endpoint.wait_received(1).await;
+        let (successor, other) = (&vms[0], &vms[1]);
+        successor.signal("STOP").await;
+        owner.signal("TERM").await;
+        owner.wait_for_line(&["event=leaving"]).await;
+        let duplicate = client::send(other.caller_address, keyed());
+        // If it is sent to the endpoint, it has no answer.
+        let _ = tokio::time::timeout(Duration::from_secs(1), duplicate).await;
+        assert_eq!(endpoint.received().len(), 1);
+        drop(original);
+    })
+    .await;
+}
