Stops: a pause that had ended before the signal doesn't count as part of the grace

What callers saw: a booking that a VM had read after a pause of 3 s was cut 2 ms later, as the stop that began then was taken for one of 3 s. Cause: a signal within a second of a pause's end counted from the pause's beginning. Change: within 100 ms, in which a signal that came during the pause has been read; any other counts from the last tick of the timer, so that a short lag counts too.

--- a/crates/pistachiotrack-core/src/pause.rs
+++ b/crates/pistachiotrack-core/src/pause.rs
@@ -63,6 +63,11 @@
         Some(pause)
     }
 
+    /// Returns the time of the last tick.
+    pub fn last_tick(&self) -> Time {
+        self.last_tick
+    }
+
     /// Returns whether the time since the last tick amounts to a pause.
     pub fn is_stale(&self, now: Time) -> bool {
         now.since(self.last_tick) >= self.threshold
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -112,7 +112,7 @@
 const MIN_LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 
 /// Time after a pause within which signals that came during the pause have been read.
-const SIGNAL_DELAY: Duration = Duration::from_secs(1);
+const SIGNAL_DELAY: Duration = Duration::from_millis(100);
 
 /// A running daemon.
 pub struct Daemon {
@@ -499,12 +499,13 @@
     }
 
     /// Returns the earliest time at which the signal to stop can have come: one that came during a
-    /// pause of the process is read only after it.
+    /// pause of the process, however short, is read only after it.
     fn stop_began_at(&self) -> Time {
+        let gate = &self.context.gate;
         let now = self.context.clock.now();
-        let pause = self.context.gate.pause_at(now);
+        let pause = gate.pause_at(now);
         let recent = pause.filter(|pause| now.since(pause.ended_at) < SIGNAL_DELAY);
-        recent.map_or(now, |pause| pause.began_at)
+        recent.map_or(gate.last_tick(), |pause| pause.began_at)
     }
 
     /// Returns how long callers may still use entry responses that list this VM.
--- a/crates/pistachiotrackd/src/runtime/timer.rs
+++ b/crates/pistachiotrackd/src/runtime/timer.rs
@@ -64,6 +64,11 @@
         self.detector.lock().unwrap_or_else(PoisonError::into_inner).pause_at(now)
     }
 
+    /// Returns the time of the last tick.
+    pub(crate) fn last_tick(&self) -> Time {
+        self.detector.lock().unwrap_or_else(PoisonError::into_inner).last_tick()
+    }
+
     fn on_tick(&self, now: Time) -> Option<Duration> {
         self.detector.lock().unwrap_or_else(PoisonError::into_inner).on_tick(now)
     }
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -282,3 +282,46 @@
     })
     .await;
 }
+
+/// Guards against a stop that begins after a long pause has ended, and is taken for one that has lasted as
+/// long as the pause: all that is at work is cut at once.
+#[tokio::test]
+async fn a_stop_shortly_after_a_pause_leaves_its_requests_time() {
+    bounded(async {
+        let (endpoint, release) = blocked_endpoint().await;
+        let mut config = config(1, &[], &[endpoint.address]);
+        config["services"][1]["timeout_ms"] = json!(10_000);
+        let (_platform, vm) = start(config).await;
+        vm.signal("STOP").await;
+        tokio::time::sleep(Duration::from_secs_f64(GRACE_S)).await;
+        vm.signal("CONT").await;
+        vm.wait_for_line(&["event=paused"]).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let answer = tokio::spawn(client::send(vm.caller_address, booking("slot 7")));
+        endpoint.wait_received(1).await;
+        vm.signal("TERM").await;
+        vm.wait_for_line(&["event=leaving"]).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        release.send_replace(true);
+        assert_eq!(answer.await.unwrap().unwrap().body(), "booked", "{:#?}", vm.log());
+    })
+    .await;
+}
+
+/// Guards against a grace that is counted from the end of a pause in which the signal came.
+#[tokio::test]
+async fn a_signal_during_a_pause_counts_from_its_beginning() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
+        vm.signal("STOP").await;
+        vm.signal("TERM").await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        vm.signal("CONT").await;
+        let line = vm.wait_for_line(&["event=leaving"]).await;
+        let since_stop = line.split_once(" since_stop_ms=").unwrap().1;
+        let since_stop_ms: u64 = since_stop.split(' ').next().unwrap().parse().unwrap();
+        assert!(since_stop_ms >= 1_000, "{line}");
+    })
+    .await;
+}
