--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -2,7 +2,10 @@
 
 mod testenv;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -242,12 +245,21 @@
     .await;
 }
 
-/// Guards against a booking that runs twice: a VM serves the duplicate by itself since the stopping owner
-/// refuses it as not run, though the original is at an endpoint and the successor holds no record yet.
-#[tokio::test]
-async fn a_duplicate_is_not_run_by_another_vm_while_the_stopping_owner_holds_its_record() {
-    bounded(async {
-        let (endpoint, _release) = blocked_endpoint().await;
+/// Three VMs of which one owns the bookings' shard and stops, while its successor is halted and gets no
+/// hand-over.
+struct StoppingOwner {
+    owner: DaemonProcess,
+    other: DaemonProcess,
+    _successor: DaemonProcess,
+    _platform: Platform,
+}
+
+impl StoppingOwner {
+    /// Starts the VMs, calls `before` with the owner's address and begins the stop.
+    async fn start<F: Future<Output = ()>>(
+        endpoint: &Endpoint,
+        before: impl FnOnce(SocketAddr) -> F,
+    ) -> StoppingOwner {
         let platform = Platform::start().await;
         platform.publish_config(config(1, &[], &[endpoint.address]));
         let settings = json!({"stop_grace_s": GRACE_S, "first_start": true});
@@ -261,24 +273,51 @@
         let admins: Vec<_> = vms.iter().map(|vm| vm.admin_address).collect();
         fleet::wait_until(|| fleet::has_converged(&admins)).await;
         let mut owner = None;
-        for (index, vm) in vms.iter().enumerate() {
-            if fleet::owns(&client::admin(vm.admin_address, "/status").await, "booking/0") {
+        for (index, admin) in admins.into_iter().enumerate() {
+            if fleet::owns(&client::admin(admin, "/status").await, "booking/0") {
                 owner = Some(index);
             }
         }
         let owner = vms.swap_remove(owner.unwrap());
-        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
-        let original = tokio::spawn(client::send(owner.caller_address, keyed()));
-        endpoint.wait_received(1).await;
-        let (successor, other) = (&vms[0], &vms[1]);
+        before(owner.caller_address).await;
+        let [successor, other] = <[DaemonProcess; 2]>::try_from(vms).ok().unwrap();
         successor.signal("STOP").await;
         owner.signal("TERM").await;
         owner.wait_for_line(&["event=leaving"]).await;
-        let duplicate = client::send(other.caller_address, keyed());
+        StoppingOwner { owner, other, _successor: successor, _platform: platform }
+    }
+}
+
+/// Guards against a booking that runs twice: a VM serves the duplicate by itself since the stopping owner
+/// refuses it as not run, though the original is at an endpoint and the successor holds no record yet.
+#[tokio::test]
+async fn a_duplicate_is_not_run_by_another_vm_while_the_stopping_owner_holds_its_record() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
+        let vms = StoppingOwner::start(&endpoint, |owner| {
+            tokio::spawn(client::send(owner, keyed()));
+            endpoint.wait_received(1)
+        })
+        .await;
+        let duplicate = client::send(vms.other.caller_address, keyed());
         // If it is sent to the endpoint, it has no answer.
         let _ = tokio::time::timeout(Duration::from_secs(1), duplicate).await;
         assert_eq!(endpoint.received().len(), 1);
-        drop(original);
+    })
+    .await;
+}
+
+/// Guards against a booking that is refused because it was forwarded to an owner that stops, though its
+/// own VM can serve it.
+#[tokio::test]
+async fn a_booking_that_a_stopping_owner_does_not_take_is_served_by_its_entry_vm() {
+    bounded(async {
+        let endpoint = Endpoint::answering("booked").await;
+        let vms = StoppingOwner::start(&endpoint, |_| std::future::ready(())).await;
+        let answer = client::send(vms.other.caller_address, booking("slot 7")).await.unwrap();
+        assert_eq!(answer.body(), "booked");
+        vms.owner.wait_for_line(&["event=refused", " to=vm ", " reason=stopping "]).await;
     })
     .await;
 }
