--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -30,8 +30,8 @@
     /// A failure status of an idempotent request is retried on another endpoint because a
     /// gray-failing endpoint answers that way. It is passed on unchanged if there is no other
     /// attempt to wait for and no retry left. One is retried, or as many as attempts and budget
-    /// allow where retries are held. The answer to another request is passed on unless its status
-    /// would tell the caller that the request was not run.
+    /// allow where retries are held. The answer to a request that must not be repeated is passed on
+    /// unless its status would tell the caller that the request was not run.
     pub(super) fn on_answer(&mut self, now: Time, attempt: AttemptId, id: RequestId, status: u16) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let is_failure = status >= FIRST_FAILURE_STATUS && pending.request.idempotent;
