Exchanges: a status that is none of a final answer is no answer

Callers got what endpoints sent with the status 101, and with 600 to 999 where no other endpoint served them: with the endpoint's signature, as if it were an answer. A 101 counted as a success of the endpoint, so that one that sends nothing else kept its share of the requests and passed its health checks; callers with an idempotency key got it, too.

The HTTP client skips interim answers, rejects what isn't three digits from 100 on, and takes everything else for an answer; it takes a 101 for an upgrade, whoever asked for it. Nothing of ours looked at the status.

Now one function says what a final status is (200 to 599). An exchange with a caller's request, a relay, another VM or a health check, and a control call to another VM or the platform, end with an error after any other: the connection is closed, the request counts as possibly run, and health counts a failure of the endpoint. Interim answers before the final one are skipped as before.

--- a/crates/pistachiotrack-core/src/request.rs
+++ b/crates/pistachiotrack-core/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests, attempts and their outcomes.
 
-use std::{fmt, time::Duration};
+use std::{fmt, ops::RangeInclusive, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +54,16 @@
 /// Lowest HTTP status that is a failure of the endpoint.
 pub const FIRST_FAILURE_STATUS: u16 = 500;
 
+/// HTTP statuses that end an exchange. Those below belong to interim answers, and to a change of the
+/// protocol, which no VM asks for; HTTP defines none above.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Returns whether an answer with this HTTP status ends its exchange. Anything else is no answer,
+/// whatever follows it.
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 /// Default number of endpoints that a request may be sent to, unless its rule sets one.
 pub const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -9,7 +9,7 @@
 };
 use pistachiotrack_core::{
     endpoint_notice::EndpointNotice,
-    request::{ConnectionChoice, Outcome},
+    request::{ConnectionChoice, Outcome, is_final_status},
     time::Time,
 };
 use tokio::sync::Notify;
@@ -122,6 +122,12 @@
         /// Whether the connection was opened for this exchange.
         fresh: bool,
     },
+    /// The peer sent what is no answer.
+    #[error("{status} is no status of an answer")]
+    NoFinalStatus {
+        /// HTTP status.
+        status: u16,
+    },
     /// No answer started before the time limit; bytes may have been sent.
     #[error("no answer within the time limit")]
     TimedOut {
@@ -140,7 +146,9 @@
             | ExchangeError::TooLate
             | ExchangeError::BodyConsumed => true,
             ExchangeError::CallerBody { sent } => !sent,
-            ExchangeError::Broken { .. } | ExchangeError::TimedOut { .. } => false,
+            ExchangeError::Broken { .. }
+            | ExchangeError::NoFinalStatus { .. }
+            | ExchangeError::TimedOut { .. } => false,
         }
     }
 }
@@ -161,6 +169,9 @@
 
 /// Sends a request and returns the answer when its head has arrived.
 ///
+/// What has another status than a final one is no answer: its connection is closed, and the request
+/// counts as possibly run.
+///
 /// If a pooled connection turns out to be closed before any byte was written, a new one is used.
 /// Nothing else is retried.
 ///
@@ -223,6 +234,9 @@
     .await
     .unwrap_or_default();
     match answer {
+        Some(Ok(response)) if !is_final_status(response.status().as_u16()) => {
+            Err(ExchangeError::NoFinalStatus { status: response.status().as_u16() })
+        }
         Some(Ok(response)) => {
             connection.guard.on_answer();
             let (parts, incoming) = response.into_parts();
@@ -325,6 +339,8 @@
         | ExchangeError::BodyConsumed
         | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
         ExchangeError::CallerBody { sent: true } => Outcome::Cancelled,
+        // Unlike the end of an open connection it can't come from a device on the path.
+        ExchangeError::NoFinalStatus { .. } => Outcome::Broken { fresh_connection: true },
         ExchangeError::Broken { fresh } => Outcome::Broken { fresh_connection: *fresh },
         ExchangeError::TimedOut { fresh } => Outcome::TimedOut { fresh_connection: *fresh },
     }
--- a/crates/pistachiotrackd/src/request/relay_client.rs
+++ b/crates/pistachiotrackd/src/request/relay_client.rs
@@ -176,9 +176,9 @@
                 | ExchangeError::BodyConsumed
                 | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
                 ExchangeError::CallerBody { sent: true } => Outcome::Cancelled,
-                ExchangeError::Broken { .. } | ExchangeError::TimedOut { .. } => {
-                    Outcome::RelayFailed { sent: true }
-                }
+                ExchangeError::Broken { .. }
+                | ExchangeError::NoFinalStatus { .. }
+                | ExchangeError::TimedOut { .. } => Outcome::RelayFailed { sent: true },
             },
         }
     }
--- a/crates/pistachiotrackd/src/runtime/http_call.rs
+++ b/crates/pistachiotrackd/src/runtime/http_call.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use pistachiotrack_core::request::is_final_status;
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::runtime::socket;
@@ -19,6 +20,9 @@
     /// The exchange failed.
     #[error("http: {0}")]
     Http(#[from] hyper::Error),
+    /// The peer sent what is no answer.
+    #[error("{0} is no status of an answer")]
+    NoFinalStatus(u16),
     /// The body of the answer is incomplete.
     #[error("body: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
@@ -98,7 +102,11 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     let connection = AbortOnDrop(connection.abort_handle());
-    Ok((sender.send_request(request).await?, connection))
+    let answer = sender.send_request(request).await?;
+    match answer.status().as_u16() {
+        status if is_final_status(status) => Ok((answer, connection)),
+        status => Err(CallError::NoFinalStatus(status)),
+    }
 }
 
 async fn collect(body: Incoming, max_bytes: usize, chunk: Duration) -> Result<Bytes, CallError> {
--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -294,6 +294,34 @@
     assert_eq!(search.received().len(), 1);
 }
 
+/// Guards against what is no answer of another VM and reaches the caller, and against a booking that is
+/// sent again after it: its owner has had it run.
+#[tokio::test]
+async fn an_answer_of_the_owner_without_a_final_status_is_no_answer() {
+    let search = Endpoint::answering("free slots").await;
+    let booking = Endpoint::answering("booked").await;
+    let paths = [NetworkPath::open().await, NetworkPath::open().await];
+    let settings = paths.each_ref().map(
+        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+    );
+    let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
+    let (search_owner, search_entry) = fleet.owner("slot-search").await;
+    let (booking_owner, booking_entry) = fleet.owner("booking").await;
+    for (count, status) in (1..).zip(["000", "099", "101", "600", "700", "999", "20", "abc"]) {
+        paths[search_owner].replace_status(Some(status));
+        let found = fleet.send(search_entry, client::get("/slots")).await.unwrap();
+        assert_eq!((found.status().as_u16(), &found.body()[..]), (200, &b"free slots"[..]));
+        paths[search_owner].replace_status(None);
+
+        paths[booking_owner].replace_status(Some(status));
+        let refused = fleet.send(booking_entry, booking_request()).await.unwrap();
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{status}");
+        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{status}");
+        assert_eq!(booking.received().len(), count, "{status}");
+        paths[booking_owner].replace_status(None);
+    }
+}
+
 /// Guards against a lookup that is refused as not run while an endpoint works on it. The
 /// answer is slow, and the entry VM sends a second copy to the owner; the owner's queue is
 /// full by then, and it refuses the second copy at once. The entry VM must not return that
--- a/crates/pistachiotrackd/tests/http_call.rs
+++ b/crates/pistachiotrackd/tests/http_call.rs
@@ -1,4 +1,4 @@
-//! Control calls, to other VMs and to the platform, whose answers stop before their end.
+//! Control calls, to other VMs and to the platform, whose answers stop before their end or are none.
 
 mod testenv;
 
@@ -21,10 +21,14 @@
 }
 
 /// Starts a server that sends the first `length` bytes of `answer` to each call and closes.
-async fn start(answer: &'static str, length: usize) -> Endpoint {
-    Endpoint::serve(move |mut stream| async move {
-        read_head(&mut stream).await;
-        stream.write_all(&answer.as_bytes()[..length]).await.unwrap();
+async fn start(answer: &str, length: usize) -> Endpoint {
+    let answer = answer[..length].to_owned();
+    Endpoint::serve(move |mut stream| {
+        let answer = answer.clone();
+        async move {
+            read_head(&mut stream).await;
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
     })
     .await
 }
@@ -54,3 +58,27 @@
         assert_eq!(calls(server.address).await, [true; 2], "{answer:?}");
     }
 }
+
+/// Guards against an answer that is none and counts as one of a VM or the platform.
+#[tokio::test]
+async fn an_answer_without_a_final_status_is_an_error() {
+    let below = (0..200).map(|status| format!("{status:03}"));
+    let above = (600..=999).map(|status| status.to_string());
+    let others = ["2", "20", "2000", "0200", "2OO", "abc", "-20"].map(String::from);
+    for status in below.chain(above).chain(others) {
+        let answer = format!("HTTP/1.1 {status} Status\r\ncontent-length: 5\r\n\r\nslots");
+        let server = start(&answer, answer.len()).await;
+        assert_eq!(calls(server.address).await, [false; 2], "{status}");
+    }
+}
+
+/// Guards against an interim answer that fails a call.
+#[tokio::test]
+async fn an_interim_answer_before_the_final_one_is_skipped() {
+    for status in [100, 102, 103, 199] {
+        let interim = format!("HTTP/1.1 {status} Interim\r\n\r\n");
+        let answer = format!("{interim}{interim}HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nslots");
+        let server = start(&answer, answer.len()).await;
+        assert_eq!(calls(server.address).await, [true; 2], "{status}");
+    }
+}
--- a/crates/pistachiotrackd/tests/testenv/network_path.rs
+++ b/crates/pistachiotrackd/tests/testenv/network_path.rs
@@ -1,6 +1,7 @@
 //! A network path to a VM that can drop the state of connections, as a firewall or NAT does.
 
 use std::{
+    borrow::Cow,
     net::SocketAddr,
     sync::{
         Arc,
@@ -18,6 +19,10 @@
 
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 65_536;
+/// Bytes before the status of an answer.
+const STATUS_START: &[u8] = b"HTTP/1.1 ";
+/// Length of a status.
+const STATUS_BYTES: usize = 3;
 
 /// A path to one VM: other VMs reach it at `address`.
 pub(crate) struct NetworkPath {
@@ -29,6 +34,7 @@
     connections: Arc<AtomicU32>,
     cut: watch::Sender<bool>,
     held: watch::Sender<bool>,
+    status: watch::Sender<Option<&'static str>>,
 }
 
 impl NetworkPath {
@@ -43,6 +49,7 @@
         let connections = Arc::new(AtomicU32::new(0));
         let (cut, is_dropping) = watch::channel(false);
         let (held, is_held) = watch::channel(false);
+        let (status, replaced) = watch::channel(None);
         let (dropped, count) = (dropped_up_to.clone(), Arc::clone(&connections));
         tokio::spawn(async move {
             loop {
@@ -52,6 +59,7 @@
                 }
                 let number = count.fetch_add(1, Ordering::SeqCst) + 1;
                 let (mut is_held, dropped) = (is_held.clone(), dropped.clone());
+                let replaced = replaced.clone();
                 tokio::spawn(async move {
                     is_held.wait_for(|held| !*held).await.unwrap();
                     let Ok(to) = TcpStream::connect(vm_address).await else { return };
@@ -62,17 +70,19 @@
                         to_writer,
                         number,
                         dropped.subscribe(),
+                        None,
                     ));
                     tokio::spawn(forward_stream(
                         to_reader,
                         from_writer,
                         number,
                         dropped.subscribe(),
+                        Some(replaced),
                     ));
                 });
             }
         });
-        NetworkPath { address, vm_address, dropped_up_to, connections, cut, held }
+        NetworkPath { address, vm_address, dropped_up_to, connections, cut, held, status }
     }
 
     /// Closes new connections from now on; datagrams still pass.
@@ -85,6 +95,11 @@
         self.held.send_replace(held);
     }
 
+    /// Replaces the status of each answer of the VM, or no longer does.
+    pub(crate) fn replace_status(&self, status: Option<&'static str>) {
+        self.status.send_replace(status);
+    }
+
     /// Returns the number of connections opened so far.
     pub(crate) fn connections(&self) -> u32 {
         self.connections.load(Ordering::SeqCst)
@@ -102,13 +117,16 @@
     mut to: tcp::OwnedWriteHalf,
     number: u32,
     dropped_up_to: watch::Receiver<u32>,
+    replaced_status: Option<watch::Receiver<Option<&'static str>>>,
 ) {
     let mut bytes = vec![0; DATAGRAM_BYTES];
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
         if *dropped_up_to.borrow() >= number {
             continue;
         }
-        if to.write_all(&bytes[..count]).await.is_err() {
+        let status = replaced_status.as_ref().and_then(|status| *status.borrow());
+        let sent = with_status(&bytes[..count], status);
+        if to.write_all(&sent).await.is_err() {
             return;
         }
     }
@@ -118,6 +136,16 @@
     }
 }
 
+/// Returns these bytes with another status if an answer begins with them.
+fn with_status<'a>(bytes: &'a [u8], status: Option<&str>) -> Cow<'a, [u8]> {
+    match (status, bytes.strip_prefix(STATUS_START)) {
+        (Some(status), Some(rest)) if rest.len() > STATUS_BYTES => {
+            [STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat().into()
+        }
+        _ => bytes.into(),
+    }
+}
+
 async fn forward_datagrams(socket: UdpSocket, vm_address: SocketAddr) {
     let mut bytes = vec![0; DATAGRAM_BYTES];
     let mut peer = None;
