Health: bytes that are no answer count as a failure on an open connection, too

An endpoint that sends bytes that can't be read as an answer (a status 000, letters) on an open connection counted half as much as one that answers 500, and its next good answer took half of that away: the outcome was that of an open connection that ends, which a device on the path can cause. An endpoint that sends such bytes in between stayed healthy where one that fails as often was suspect.

Such bytes come from the endpoint. Their exchange now ends with an error of its own, and its outcome is that of a failure on a new connection, as for a status that is none of a final answer. A relay reports it so.

--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -122,6 +122,9 @@
         /// Whether the connection was opened for this exchange.
         fresh: bool,
     },
+    /// The peer sent bytes that can't be read as an answer.
+    #[error("bytes that are no answer: {0}")]
+    Unreadable(hyper::Error),
     /// The peer sent what is no answer.
     #[error("{status} is no status of an answer")]
     NoFinalStatus {
@@ -147,6 +150,7 @@
             | ExchangeError::BodyConsumed => true,
             ExchangeError::CallerBody { sent } => !sent,
             ExchangeError::Broken { .. }
+            | ExchangeError::Unreadable(_)
             | ExchangeError::NoFinalStatus { .. }
             | ExchangeError::TimedOut { .. } => false,
         }
@@ -268,6 +272,9 @@
     if error.error().is_user() {
         return ExchangeError::CallerBody { sent };
     }
+    if sent && error.error().is_parse() {
+        return ExchangeError::Unreadable(error.into_error());
+    }
     if sent {
         return ExchangeError::Broken { fresh };
     }
@@ -339,8 +346,10 @@
         | ExchangeError::BodyConsumed
         | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
         ExchangeError::CallerBody { sent: true } => Outcome::Cancelled,
-        // Unlike the end of an open connection it can't come from a device on the path.
-        ExchangeError::NoFinalStatus { .. } => Outcome::Broken { fresh_connection: true },
+        // Unlike the end of an open connection they can't come from a device on the path.
+        ExchangeError::Unreadable(_) | ExchangeError::NoFinalStatus { .. } => {
+            Outcome::Broken { fresh_connection: true }
+        }
         ExchangeError::Broken { fresh } => Outcome::Broken { fresh_connection: *fresh },
         ExchangeError::TimedOut { fresh } => Outcome::TimedOut { fresh_connection: *fresh },
     }
--- a/crates/pistachiotrackd/src/request/relay_client.rs
+++ b/crates/pistachiotrackd/src/request/relay_client.rs
@@ -177,6 +177,7 @@
                 | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
                 ExchangeError::CallerBody { sent: true } => Outcome::Cancelled,
                 ExchangeError::Broken { .. }
+                | ExchangeError::Unreadable(_)
                 | ExchangeError::NoFinalStatus { .. }
                 | ExchangeError::TimedOut { .. } => Outcome::RelayFailed { sent: true },
             },
