Control calls: an answer that doesn't end is read for a bounded number of bytes

Seen by the new test on: a call to the store or to another VM reads interim answers without end until its time limit (227 MB in 10 s). With a limit before the answer only, the digits of a chunk's size were read the same way (147 MB in 10 s). All other of the 13 forms ended by hyper's limits or by that of the body.

At most 512 KiB are read before an answer has started, and twice the body's limit and 512 KiB after that. The test failed before and passes.

Nine forms of bodies without end of endpoints (chunk sizes, extensions and trailers were missing) join the test of the cut after the deadline; they passed without a change of the code.

--- a/crates/pistachiotrackd/src/runtime/http_call.rs
+++ b/crates/pistachiotrackd/src/runtime/http_call.rs
@@ -1,16 +1,34 @@
 //! An HTTP exchange on its own connection, for control traffic.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use pistachiotrack_core::request::is_final_status;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::timeout,
+};
 
 use crate::runtime::socket;
 
+/// Maximum number of bytes before an answer has started, and beside its body. Interim answers or
+/// the digits of a chunk's size could otherwise be read without end.
+const MAX_BYTES_BESIDE_BODY: u64 = 512 << 10;
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -65,7 +83,7 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
-    let (answer, _connection) = open(address, request).await?;
+    let (answer, _connection) = open(address, request, max_bytes).await?;
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|error| body_error(error, max_bytes))?;
@@ -85,7 +103,7 @@
     max_bytes: usize,
     timeouts: ResponseTimeouts,
 ) -> Result<Response<Bytes>, CallError> {
-    let answer = timeout(timeouts.head, open(address, request)).await;
+    let answer = timeout(timeouts.head, open(address, request, max_bytes)).await;
     let (answer, _connection) = answer.map_err(|_| CallError::NoAnswer(timeouts.head))??;
     let (head, body) = answer.into_parts();
     let body = timeout(timeouts.body, collect(body, max_bytes, timeouts.chunk)).await;
@@ -96,13 +114,17 @@
 async fn open(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    max_bytes: usize,
 ) -> Result<(Response<Incoming>, AbortOnDrop), CallError> {
     let stream = TcpStream::connect(address).await?;
     socket::configure_outgoing(&stream)?;
+    let left_bytes = Arc::new(AtomicU64::new(MAX_BYTES_BESIDE_BODY));
+    let stream = LimitedStream { inner: stream, left_bytes: Arc::clone(&left_bytes) };
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     let connection = AbortOnDrop(connection.abort_handle());
     let answer = sender.send_request(request).await?;
+    left_bytes.store(2 * max_bytes as u64 + MAX_BYTES_BESIDE_BODY, Ordering::Release);
     match answer.status().as_u16() {
         status if is_final_status(status) => Ok((answer, connection)),
         status => Err(CallError::NoFinalStatus(status)),
@@ -138,3 +160,56 @@
         self.0.abort();
     }
 }
+
+/// A TCP stream that fails when too many bytes have been read.
+struct LimitedStream {
+    inner: TcpStream,
+    left_bytes: Arc<AtomicU64>,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let bytes = (buf.filled().len() - filled) as u64;
+        let subtract = |left: u64| left.checked_sub(bytes);
+        match self.left_bytes.fetch_update(Ordering::AcqRel, Ordering::Acquire, subtract) {
+            Ok(_) => result,
+            Err(_) => Poll::Ready(Err(io::Error::other("too many bytes beside the body"))),
+        }
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/crates/pistachiotrackd/tests/endless_answers.rs
+++ b/crates/pistachiotrackd/tests/endless_answers.rs
@@ -104,6 +104,24 @@
     ]
 }
 
+/// Answers that begin well.
+fn endless_bodies() -> [(&'static str, String, String); 9] {
+    let found = |rest: &str| format!("HTTP/1.1 200 OK\r\n{rest}");
+    let chunked = |rest: &str| format!("HTTP/1.1 200 OK\r\n{CHUNKED}{rest}");
+    let long = "x".repeat(4_096);
+    [
+        ("a length", found("content-length: 99999999999\r\n\r\n"), long.clone()),
+        ("no length", found("\r\n"), long.clone()),
+        ("chunks", chunked(""), chunk()),
+        ("one chunk", chunked("fffffffff\r\n"), long.clone()),
+        ("a chunk size", chunked(""), "0".repeat(4_096)),
+        ("a chunk extension", chunked("1;"), long.clone()),
+        ("chunk extensions", chunked(""), format!("1;{}\r\nx\r\n", "y".repeat(1_000))),
+        ("a trailer", chunked("0\r\nx-more: "), long),
+        ("trailers", chunked("0\r\n"), "x-more: yes\r\n".to_owned()),
+    ]
+}
+
 /// Guards against callers that wait for an answer that doesn't end while another endpoint could
 /// give one, and against a VM that goes on reading it.
 #[tokio::test(flavor = "multi_thread")]
@@ -135,21 +153,18 @@
 /// the caller reads: it is cut, and doesn't look complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_does_not_end_is_cut_after_its_deadline() {
-    for (form, length) in [("chunks", CHUNKED), ("no length", "\r\n")] {
-        bounded(async {
-            let head = format!("HTTP/1.1 200 OK\r\n{length}");
-            let endless = EndlessEndpoint::start(head, chunk()).await;
-            let limits = json!({"body_overrun_ms": 300});
-            let deployment =
-                Deployment::start_with_limits(&[endless.endpoint.address], &[], limits).await;
-            let lookup = client::with_header(client::get("/slots/7"), header::DEADLINE_MS, "500");
-            let sent = Instant::now();
-            client::send(deployment.address(), lookup).await.unwrap_err();
-            assert!(sent.elapsed() < Duration::from_secs(2), "{form}: {:?}", sent.elapsed());
-            endless.wait_until_closed(form).await;
-        })
-        .await;
-    }
+    let cuts = endless_bodies().map(|(form, head, repeated)| async move {
+        let endless = EndlessEndpoint::start(head, repeated).await;
+        let limits = json!({"body_overrun_ms": 300});
+        let deployment =
+            Deployment::start_with_limits(&[endless.endpoint.address], &[], limits).await;
+        let lookup = client::with_header(client::get("/slots/7"), header::DEADLINE_MS, "500");
+        let sent = Instant::now();
+        client::send(deployment.address(), lookup).await.unwrap_err();
+        assert!(sent.elapsed() < Duration::from_secs(2), "{form}: {:?}", sent.elapsed());
+        endless.wait_until_closed(form).await;
+    });
+    bounded(futures_util::future::join_all(cuts)).await;
 }
 
 /// Guards against an answer that drips and is passed on for longer than one that arrives steadily: its
--- a/crates/pistachiotrackd/tests/http_call.rs
+++ b/crates/pistachiotrackd/tests/http_call.rs
@@ -2,7 +2,14 @@
 
 mod testenv;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -82,3 +89,81 @@
         assert_eq!(calls(server.address).await, [true; 2], "{status}");
     }
 }
+
+/// Time limit of a part of an answer without end.
+const SHORT: Duration = Duration::from_millis(500);
+/// Bytes that are taken of an answer without end, with those that buffers hold on the way.
+const MAX_TAKEN_BYTES: u64 = 8 << 20;
+
+/// Guards against a VM that keeps the bytes of a store or of another VM whose answer doesn't end, or
+/// that reads them until its time limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_does_not_end_is_cut_after_a_bounded_number_of_bytes() {
+    const OK: &str = "HTTP/1.1 200 OK\r\n";
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let long = "x".repeat(4_096);
+    let chunk = format!("1000\r\n{long}\r\n");
+    let forms = [
+        ("interim answers", String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned()),
+        ("a status line", "HTTP/1.1 200 ".to_owned(), long.clone()),
+        ("a header", format!("{OK}x-more: "), long.clone()),
+        ("headers", OK.to_owned(), "x-more: yes\r\n".to_owned()),
+        ("other bytes", String::new(), long.clone()),
+        ("a body with a length", format!("{OK}content-length: 99999999999\r\n\r\n"), long.clone()),
+        ("a body without a length", format!("{OK}\r\n"), long.clone()),
+        ("chunks", CHUNKED.to_owned(), chunk),
+        ("a chunk size", CHUNKED.to_owned(), "0".repeat(4_096)),
+        ("a chunk extension", format!("{CHUNKED}1;"), long.clone()),
+        ("chunk extensions", CHUNKED.to_owned(), format!("1;{}\r\nx\r\n", "y".repeat(1_000))),
+        ("a trailer", format!("{CHUNKED}0\r\nx-more: "), long.clone()),
+        ("trailers", format!("{CHUNKED}0\r\n"), "x-more: yes\r\n".to_owned()),
+    ];
+    for (form, head, repeated) in forms {
+        let written = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&written);
+        let server = Endpoint::serve(move |mut stream| {
+            let (head, repeated, count) = (head.clone(), repeated.repeat(8), Arc::clone(&count));
+            async move {
+                read_head(&mut stream).await;
+                let mut bytes = head.as_bytes();
+                while stream.write_all(bytes).await.is_ok() {
+                    count.fetch_add(bytes.len() as u64, Ordering::SeqCst);
+                    bytes = repeated.as_bytes();
+                    tokio::task::yield_now().await;
+                }
+            }
+        })
+        .await;
+        let begun = Instant::now();
+        let calls = calls(server.address);
+        let answered = tokio::time::timeout(TIMEOUT, calls).await.unwrap_or_else(|_| {
+            panic!("{form}: open after {} bytes", written.load(Ordering::SeqCst));
+        });
+        assert_eq!(answered, [false; 2], "{form}");
+        let written = written.load(Ordering::SeqCst);
+        assert!(written < 2 * MAX_TAKEN_BYTES, "{form}: {written} bytes");
+        assert!(begun.elapsed() < Duration::from_secs(2), "{form}: {:?}", begun.elapsed());
+    }
+}
+
+/// Guards against a call that lasts for as long as a byte arrives each moment.
+#[tokio::test]
+async fn an_answer_that_drips_is_cut_at_the_limit_of_its_part() {
+    let heads = ["", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"];
+    for head in heads {
+        let server = Endpoint::serve(move |mut stream| async move {
+            read_head(&mut stream).await;
+            let mut bytes = head;
+            while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                tokio::time::sleep(SHORT / 10).await;
+                bytes = "H";
+            }
+        })
+        .await;
+        let timeouts = ResponseTimeouts { head: SHORT, chunk: SHORT, body: SHORT };
+        let begun = Instant::now();
+        let call = http_call::call_with_timeouts(server.address, request(), MAX_BYTES, timeouts);
+        assert!(call.await.is_err(), "{head:?}");
+        assert!(begun.elapsed() < 3 * SHORT, "{head:?}: {:?}", begun.elapsed());
+    }
+}
