--- a/crates/pistachiotrack-core/src/registry_view.rs
+++ b/crates/pistachiotrack-core/src/registry_view.rs
@@ -19,7 +19,11 @@
 };
 
 use self::{outage::Outages, position::VERSIONS_PER_REVISION, restore::Restore};
-pub use self::{outage::Recovery, position::RegistryPosition, restore::RESTORE_HOLD};
+pub use self::{
+    outage::Recovery,
+    position::{MAX_REVISION, RegistryPosition},
+    restore::RESTORE_HOLD,
+};
 use crate::{
     config::{Config, ConfigError},
     endpoint::{self, Endpoint},
--- a/crates/pistachiotrack-core/src/registry_view/position.rs
+++ b/crates/pistachiotrack-core/src/registry_view/position.rs
@@ -6,7 +6,8 @@
 /// Number of low bits of a version that hold the revision and the version within it.
 const ERA_SHIFT: u32 = 48;
 const MAX_ERA: u64 = u64::MAX >> ERA_SHIFT;
-const MAX_REVISION: u64 = (1 << ERA_SHIFT) / VERSIONS_PER_REVISION - 1;
+/// Maximum revision; the versions of configurations have no room for a larger one.
+pub const MAX_REVISION: u64 = (1 << ERA_SHIFT) / VERSIONS_PER_REVISION - 1;
 
 /// A position in the registry's history.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
