Customers' limits: a rate close to 0 doesn't panic

The time until there is a token again was converted without a limit, unlike the time between two tokens beside it. It is limited in the same way. The test failed before and passes.

--- a/crates/pistachiotrack-core/src/customer_limit/bucket.rs
+++ b/crates/pistachiotrack-core/src/customer_limit/bucket.rs
@@ -129,10 +129,12 @@
     /// Returns when a refused caller should return: when there is a token again, and after the
     /// callers that were refused before it. `vms` share the tokens.
     pub(super) fn retry_after(&mut self, now: Time, vms: usize, random: f64) -> Duration {
-        let interval_s = vms as f64 / self.limit.requests_per_second;
-        let missing_s = (1.0 - self.tokens) / self.limit.requests_per_second;
-        let earliest = now + Duration::from_secs_f64(missing_s);
-        let step = Duration::try_from_secs_f64(interval_s).unwrap_or(MAX_RETRY_AFTER);
+        let time_for = |tokens: f64| {
+            let time_s = tokens / self.limit.requests_per_second;
+            Duration::try_from_secs_f64(time_s).unwrap_or(MAX_RETRY_AFTER)
+        };
+        let earliest = now + time_for(1.0 - self.tokens);
+        let step = time_for(vms as f64);
         let at = earliest.max(self.next_return_at) + step.min(MAX_RETRY_AFTER).mul_f64(random);
         self.next_return_at = at.min(now + MAX_RETRY_AFTER);
         self.next_return_at.since(now)
