--- a/crates/pistachiotrack-standins/src/caller.rs
+++ b/crates/pistachiotrack-standins/src/caller.rs
@@ -22,12 +22,14 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::Mutex;
 
-use crate::work::{SERVICE_US, WORK_ID, WorkId, is_answer_to};
+use crate::work::{SERVICE_US, WORK_ID, WORKED_BY, WorkId, is_answer_to};
 
 /// Timeout of a request for entry addresses.
 const ENTRIES_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time that a caller waits beyond the request's deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(1_500);
+/// Bytes of a wrong answer's body that its description has.
+const DESCRIBED_BYTES: usize = 24;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -82,6 +84,8 @@
     pub service: &'static str,
     /// Whether the request must not be repeated.
     pub non_idempotent: bool,
+    /// Deadline of the request.
+    pub deadline_ms: u64,
     /// Whether the caller used the first of the entry addresses that a VM returned.
     pub steered: bool,
     /// Time at which it was sent.
@@ -103,7 +107,7 @@
 pub(crate) struct Exchange {
     pub(crate) outcome: RequestOutcome,
     service_us: Option<u64>,
-    reason: Option<Box<str>>,
+    pub(crate) reason: Option<Box<str>>,
     pub(crate) request_id: Option<Box<str>>,
 }
 
@@ -184,6 +188,7 @@
             id,
             service: operation.service,
             non_idempotent: operation.non_idempotent,
+            deadline_ms: operation.deadline_ms,
             steered: self.selection == AddressSelection::Steered,
             sent,
             latency_us: sent.elapsed().as_micros() as u64,
@@ -314,23 +319,44 @@
 
 /// Reads a complete answer and classifies its outcome.
 pub(crate) async fn classify_response(id: WorkId, answer: Response<Incoming>) -> Exchange {
-    let refusal = header_text(&answer, header::OUTCOME).map(str::to_owned);
-    let reason = header_text(&answer, header::REASON).map(Box::from);
-    let request_id =
-        refusal.as_ref().and_then(|_| header_text(&answer, header::REQUEST_ID)).map(Box::from);
-    let service_us = header_text(&answer, SERVICE_US).and_then(|value| value.parse().ok());
-    let status = answer.status();
-    let Ok(body) = answer.into_body().collect().await else { return lost(CONNECTION_CLOSED) };
-    let outcome = match refusal.as_deref() {
+    let (head, body) = answer.into_parts();
+    match body.collect().await {
+        Ok(body) => classify_answer(id, &Response::from_parts(head, body.to_bytes())),
+        Err(_) => lost(CONNECTION_CLOSED),
+    }
+}
+
+/// Classifies the outcome of a complete answer.
+pub(crate) fn classify_answer(id: WorkId, answer: &Response<Bytes>) -> Exchange {
+    let refusal = header_text(answer, header::OUTCOME);
+    let mut reason = header_text(answer, header::REASON).map(Box::from);
+    let request_id = refusal.and_then(|_| header_text(answer, header::REQUEST_ID)).map(Box::from);
+    let service_us = header_text(answer, SERVICE_US).and_then(|value| value.parse().ok());
+    let outcome = match refusal {
         Some("not-run") => RequestOutcome::RefusedNotRun,
         Some(_) => RequestOutcome::Unknown,
-        None if !status.is_success() => RequestOutcome::Failed,
-        None if is_answer_to(id, &body.to_bytes()) => RequestOutcome::Ok,
+        None if !answer.status().is_success() => RequestOutcome::Failed,
+        None if is_answer_to(id, answer.body()) => RequestOutcome::Ok,
         None => RequestOutcome::WrongAnswer,
     };
+    if outcome == RequestOutcome::WrongAnswer {
+        reason = Some(describe(answer).into());
+    }
     Exchange { outcome, service_us, reason, request_id }
 }
 
-fn header_text<'a>(answer: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
+/// Describes an answer by its status, the endpoint that made it, and the beginning of its body.
+fn describe(answer: &Response<Bytes>) -> String {
+    let endpoint = header_text(answer, WORKED_BY);
+    let request_id = header_text(answer, header::REQUEST_ID);
+    let body = &answer.body()[..answer.body().len().min(DESCRIBED_BYTES)];
+    format!(
+        "status={} endpoint={endpoint:?} request={request_id:?} body={:?}",
+        answer.status(),
+        String::from_utf8_lossy(body)
+    )
+}
+
+fn header_text<'a>(answer: &'a Response<Bytes>, name: &str) -> Option<&'a str> {
     answer.headers().get(name)?.to_str().ok()
 }
--- a/crates/pistachiotrack-standins/src/daemon.rs
+++ b/crates/pistachiotrack-standins/src/daemon.rs
@@ -40,6 +40,12 @@
     /// Expected number of VMs in the deployment, by which the first reads of the platform are
     /// spread over time.
     pub expected_vms: usize,
+    /// Time that the daemon has for a stop.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stop_grace_s: Option<f64>,
+    /// Shortest time for which a VM that stops still accepts connections.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub entry_drain_ms: Option<u64>,
     /// Whether the daemon accepts faults to inject.
     pub fault_injection: bool,
     /// Lease on the configuration.
@@ -76,6 +82,15 @@
             build(directory)?;
         }
         anyhow::ensure!(path.exists(), "{} is missing", path.display());
+        DaemonBinary::at(path, log_directory)
+    }
+
+    /// Uses another executable, such as that of another version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the directory of the logs can't be created.
+    pub fn at(path: PathBuf, log_directory: Option<PathBuf>) -> anyhow::Result<DaemonBinary> {
         if let Some(directory) = &log_directory {
             fs::create_dir_all(directory)?;
         }
@@ -146,6 +161,11 @@
         self.signal(libc::SIGTERM);
     }
 
+    /// Sends SIGINT, on which the daemon stops gracefully as well.
+    pub fn interrupt(&self) {
+        self.signal(libc::SIGINT);
+    }
+
     /// Pauses the process with SIGSTOP.
     pub fn pause(&self) {
         self.signal(libc::SIGSTOP);
--- a/crates/pistachiotrack-standins/src/deployment.rs
+++ b/crates/pistachiotrack-standins/src/deployment.rs
@@ -68,6 +68,10 @@
     pub execution_counter: Arc<ExecutionCounter>,
     /// Bound of the VMs' lease on the configuration, if they have one.
     pub key_max_age_s: Option<f64>,
+    /// Time that the VMs have for a stop, if it isn't their default.
+    pub stop_grace_s: Option<f64>,
+    /// Shortest time for which VMs that stop still accept connections, if it isn't their default.
+    pub entry_drain_ms: Option<u64>,
 }
 
 impl Deployment {
@@ -103,7 +107,16 @@
         }
         let platform = Platform::start(&config.deployment).await?;
         platform.publish(&config)?;
-        Ok(Deployment { kind, config, platform, endpoints, execution_counter, key_max_age_s: None })
+        Ok(Deployment {
+            kind,
+            config,
+            platform,
+            endpoints,
+            execution_counter,
+            key_max_age_s: None,
+            stop_grace_s: None,
+            entry_drain_ms: None,
+        })
     }
 
     /// Returns an endpoint by name.
--- a/crates/pistachiotrack-standins/src/endpoint.rs
+++ b/crates/pistachiotrack-standins/src/endpoint.rs
@@ -19,6 +19,7 @@
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
+    net::TcpSocket,
     sync::{Notify, Semaphore, SemaphorePermit},
     task::JoinHandle,
 };
@@ -27,8 +28,9 @@
     execution_counter::ExecutionCounter,
     fault::Faults,
     late_copies::LateCopies,
-    server::{Answer, Server, empty},
+    server::{Answer, Server, empty, reserve},
     work::{SERVICE_US, WORK_ID, WORKED_BY, WorkId, answer_body},
+    work_log::{SlowWork, WorkLog, WorkSpan},
 };
 
 /// Settings of an endpoint.
@@ -84,7 +86,7 @@
 /// Time for which a crashed endpoint accepts no connections.
 pub const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Delay before the next attempt to bind a crashed endpoint's address.
-const REBIND_PAUSE: Duration = Duration::from_millis(100);
+const REBIND_PAUSE: Duration = Duration::from_millis(2);
 
 /// A running endpoint.
 #[derive(Debug)]
@@ -110,6 +112,9 @@
     random: Mutex<Pcg64Mcg>,
     execution_counter: Arc<ExecutionCounter>,
     arrivals: Mutex<Vec<(Instant, WorkId)>>,
+    work_log: WorkLog,
+    /// Requests whose work lasts longer.
+    slow_work: Mutex<Option<SlowWork>>,
     probes: AtomicU64,
     shed: AtomicU64,
     cancelled: AtomicU64,
@@ -141,6 +146,8 @@
             random: Mutex::new(Pcg64Mcg::seed_from_u64(settings.seed)),
             execution_counter,
             arrivals: Mutex::default(),
+            work_log: WorkLog::default(),
+            slow_work: Mutex::default(),
             probes: AtomicU64::new(0),
             shed: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
@@ -152,7 +159,7 @@
             settings,
         });
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let server = Arc::clone(&state).serve(any).await?;
+        let server = Arc::clone(&state).serve(reserve(any)?)?;
         let address = server.address();
         let task = tokio::spawn(Arc::clone(&state).serve_with_restarts(server));
         Ok(Endpoint { state, address, task })
@@ -174,6 +181,16 @@
         *lock(&self.state.notice) = notice;
     }
 
+    /// Sets which requests' work lasts longer than usual.
+    pub fn set_slow_work(&self, slow_work: Option<SlowWork>) {
+        *lock(&self.state.slow_work) = slow_work;
+    }
+
+    /// Returns the time that each request spent at the endpoint.
+    pub fn work_spans(&self) -> Vec<WorkSpan> {
+        self.state.work_log.spans()
+    }
+
     /// Returns the times at which the endpoint began to run a request that crashes it.
     pub fn crash_runs(&self) -> Vec<Instant> {
         lock(&self.state.crash_runs).clone()
@@ -214,10 +231,11 @@
 }
 
 impl EndpointState {
-    async fn serve(self: Arc<Self>, address: SocketAddr) -> std::io::Result<Server> {
+    fn serve(self: Arc<Self>, reserved: TcpSocket) -> std::io::Result<Server> {
         let copies = Arc::clone(&self.late_copies);
-        let handler = move |request, opened| Arc::clone(&self).answer(request, opened);
-        Server::start_at(address, copies, handler).await
+        Server::start_on(reserved, copies, move |request, opened| {
+            Arc::clone(&self).answer(request, opened)
+        })
     }
 
     /// Closes the port and all connections at each crash, and restarts after [`CRASH_DOWNTIME`].
@@ -226,9 +244,15 @@
         loop {
             self.crash.notified().await;
             drop(server);
-            tokio::time::sleep(CRASH_DOWNTIME).await;
+            let crashed = Instant::now();
             server = loop {
-                match Arc::clone(&self).serve(address).await {
+                // Another process that took the port would get the requests of this endpoint.
+                let Ok(reserved) = reserve(address) else {
+                    tokio::time::sleep(REBIND_PAUSE).await;
+                    continue;
+                };
+                tokio::time::sleep(CRASH_DOWNTIME.saturating_sub(crashed.elapsed())).await;
+                match Arc::clone(&self).serve(reserved) {
                     Ok(server) => break server,
                     Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
                 }
@@ -273,9 +297,11 @@
         let crashes = request.uri().query() == Some(CRASH_QUERY);
         let deadline = remaining_time(request.headers()).map(|left| arrived + left);
         lock(&self.arrivals).push((arrived, id));
+        let span = self.work_log.begin(id, arrived);
         let cancelled = CancellationGuard::new(&self.cancelled);
         let answer = self.run_until_deadline(id, request, deadline, crashes).await;
         cancelled.disarm();
+        span.answered();
         answer
     }
 
@@ -309,18 +335,22 @@
             return std::future::pending().await;
         }
         tokio::select! {
-            answer = self.execute(id) => answer,
+            answer = self.execute(id, deadline) => answer,
             () = deadline_reached(deadline) => empty(504),
         }
     }
 
-    async fn execute(&self, id: WorkId) -> Answer {
+    async fn execute(&self, id: WorkId, deadline: Option<Instant>) -> Answer {
         let start = Instant::now();
         let faults = self.faults(start);
         if faults.hang {
             return std::future::pending().await;
         }
-        tokio::time::sleep(self.service_time(faults.latency_factor(start))).await;
+        let time_left = deadline.map(|at| at.saturating_duration_since(start));
+        let slow_work = *lock(&self.slow_work);
+        let slow_time = slow_work.and_then(|slow_work| slow_work.time(id, time_left));
+        let service_time = self.service_time(faults.latency_factor(start));
+        tokio::time::sleep(slow_time.unwrap_or(service_time)).await;
         let mut answer =
             self.failure(&faults).unwrap_or_else(|| Answer::new(Full::new(answer_body(id))));
         let service_us = start.elapsed().as_micros() as u64;
--- a/crates/pistachiotrack-standins/src/fleet.rs
+++ b/crates/pistachiotrack-standins/src/fleet.rs
@@ -273,6 +273,8 @@
             true => local(ports[4]),
             false => deployment.platform.address(),
         },
+        stop_grace_s: deployment.stop_grace_s,
+        entry_drain_ms: deployment.entry_drain_ms,
         fault_injection: true,
         expected_vms: count,
         config_lease: deployment.key_max_age_s.map(|max_age_s| ConfigLease { max_age_s }),
--- a/crates/pistachiotrack-standins/src/lib.rs
+++ b/crates/pistachiotrack-standins/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod soak;
 pub mod summary;
 pub mod work;
+pub mod work_log;
 pub mod workload;
--- a/crates/pistachiotrack-standins/src/main.rs
+++ b/crates/pistachiotrack-standins/src/main.rs
@@ -21,8 +21,10 @@
   slopes [--json] [--only GROUP] [--rounds N]
                                         measure the cost of decisions
   soak [--seed N] [--seeds COUNT] [--seconds N] [--vms N] [--logs DIRECTORY]
-       [--plan FILE] [--show]           inject faults into real processes and check
+       [--plan FILE] [--stops] [--daemon FILE] [--show]
+                                        inject faults into real processes and check
                                         invariants; exits with 1 on a violation.
+                                        --stops has no faults, only stops in series,
                                         --show only prints the plans
   help                                  show this text
 ";
--- a/crates/pistachiotrack-standins/src/server.rs
+++ b/crates/pistachiotrack-standins/src/server.rs
@@ -13,12 +13,15 @@
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     task::{JoinHandle, JoinSet},
 };
 
 use crate::late_copies::{LateCopies, RepeatingStream};
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// An answer of a stand-in.
 pub type Answer = Response<Full<Bytes>>;
 
@@ -44,16 +47,16 @@
         F: Future<Output = Answer> + Send + 'static,
     {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        Server::start_at(any, Arc::default(), handler).await
+        Server::start_on(reserve(any)?, Arc::default(), handler)
     }
 
-    /// Starts a server on an address, which repeats answers as `copies` says.
+    /// Starts a server on a reserved address, which repeats answers as `copies` says.
     ///
     /// # Errors
     ///
-    /// Returns an error if the address can't be bound.
-    pub(crate) async fn start_at<H, F>(
-        address: SocketAddr,
+    /// Returns an error if the server can't listen on the address.
+    pub(crate) fn start_on<H, F>(
+        reserved: TcpSocket,
         copies: Arc<LateCopies>,
         handler: H,
     ) -> std::io::Result<Server>
@@ -61,7 +64,7 @@
         H: Fn(Request<Incoming>, Instant) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Answer> + Send + 'static,
     {
-        let listener = TcpListener::bind(address).await?;
+        let listener = reserved.listen(BACKLOG)?;
         let address = listener.local_addr()?;
         Ok(Server { address, task: tokio::spawn(accept(listener, copies, handler)) })
     }
@@ -72,6 +75,18 @@
     }
 }
 
+/// Reserves an address: connections to it are refused, and no other process can bind it.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub(crate) fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/pistachiotrack-standins/src/soak.rs
+++ b/crates/pistachiotrack-standins/src/soak.rs
@@ -3,11 +3,13 @@
 
 mod caller;
 mod clock;
+mod config_changes;
 mod customers;
 mod environment;
 pub mod oracle;
 pub mod plan;
 mod vms;
+mod wire_caller;
 
 use std::{
     fs,
@@ -22,21 +24,23 @@
     rule::RuleAction,
     service::{RetryLimit, Service},
 };
+use rustc_hash::FxHashMap;
 use tokio::{sync::watch, task::JoinSet};
 
 use self::{
-    caller::PersistentCaller,
+    caller::{FAILURE_INTERVAL, PersistentCaller, REQUEST_INTERVAL},
     clock::RunClock,
     environment::Environment,
     oracle::{
-        CUSTOMER_WINDOW_MS, LoggedRefusals, ObservedVersion, RequestRecord, RunRecord,
-        ServiceArrivals, Violation, violations,
+        CUSTOMER_WINDOW_MS, EndpointWork, LoggedRefusals, ObservedVersion, RequestRecord,
+        RunRecord, ServiceArrivals, Violation, violations,
     },
-    plan::{Event, MAX_PROXIED_VMS, Plan, PlatformFault},
+    plan::{Event, MAX_PROXIED_VMS, Plan, PlatformFault, Stops},
     vms::VmProcesses,
+    wire_caller::{WireCaller, WireForm},
 };
 use crate::{
-    caller::{Caller, RequestOutcome, Sample},
+    caller::{Caller, Operation, RequestOutcome, Sample},
     daemon::DaemonBinary,
     deployment::{Deployment, Kind},
     endpoint::Endpoint,
@@ -45,6 +49,7 @@
     load::{LoadSettings, WorkIds, generate_load},
     runtime,
     work::WorkId,
+    work_log::WorkSpan,
     workload::operations,
 };
 
@@ -70,6 +75,13 @@
 const LIMIT_TOLERANCE: (f64, f64) = (1.25, 20.0);
 /// Time in which a VM gets its lease back after it couldn't reach the platform.
 const LEASE_RETURN_MS: u64 = 3_000;
+/// Time that the daemon has for a stop by default.
+const DEFAULT_STOP_GRACE_MS: u64 = 36_000;
+/// Callers that only send requests which must not be repeated, for each VM that has a caller with a
+/// persistent connection.
+const BOOKING_CALLERS: usize = 2;
+/// Reason of a refusal by a VM that is stopping.
+const STOPPING: &str = "stopping";
 /// Default directory for plans and logs.
 const DIRECTORY: &str = "target/soak";
 
@@ -84,6 +96,10 @@
     pub vms: usize,
     /// Duration of each run's load.
     pub seconds: u64,
+    /// Whether plans have stops in series and no faults.
+    pub stops: bool,
+    /// Daemon to run instead of the one of this build.
+    pub daemon: Option<PathBuf>,
     /// Plan file to run instead of a plan generated from the seed.
     pub plan: Option<PathBuf>,
     /// Directory for plans and logs.
@@ -104,6 +120,8 @@
             seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(1),
             vms: arguments.opt_value_from_str("--vms")?.unwrap_or(VMS),
             seconds: arguments.opt_value_from_str("--seconds")?.unwrap_or(SECONDS),
+            stops: arguments.contains("--stops"),
+            daemon: arguments.opt_value_from_str("--daemon")?,
             plan: arguments.opt_value_from_str("--plan")?,
             directory: arguments
                 .opt_value_from_str("--logs")?
@@ -122,6 +140,8 @@
 struct RunResult {
     requests: usize,
     served: usize,
+    /// Requests that were refused as not run since their VM was stopping.
+    refused_by_stops: usize,
     starts: usize,
     descriptors: (usize, usize),
     violations: Vec<Violation>,
@@ -145,7 +165,11 @@
         let _ = fs::remove_dir_all(&directory);
         fs::create_dir_all(&directory)?;
         fs::write(directory.join("plan.json"), serde_json::to_vec_pretty(&plan)?)?;
-        let result = runtime::run(run_plan(&plan, &directory))?;
+        let binary = match &settings.daemon {
+            Some(daemon) => DaemonBinary::at(daemon.clone(), Some(directory.clone()))?,
+            None => DaemonBinary::find(Some(directory.clone()))?,
+        };
+        let result = runtime::run(run_plan(&plan, binary, &directory))?;
         print(&plan, &result, &directory);
         failed += u64::from(!result.violations.is_empty());
     }
@@ -157,14 +181,16 @@
     let endpoints = services.iter().map(|service| service.endpoints.len()).sum();
     match &settings.plan {
         Some(file) => Plan::read(file, endpoints),
+        None if settings.stops => Ok(Plan::of_stops(seed, settings.vms, settings.seconds)),
         None => Ok(Plan::new(seed, settings.vms, settings.seconds, endpoints)),
     }
 }
 
 fn print(plan: &Plan, result: &RunResult, directory: &Path) {
-    let RunResult { requests, served, starts, descriptors, violations } = result;
+    let RunResult { requests, served, refused_by_stops, starts, descriptors, violations } = result;
     println!(
-        "seed={} vms={} dispatchers={} steps={} requests={requests} served={served} starts={starts} \
+        "seed={} vms={} dispatchers={} steps={} requests={requests} served={served} \
+         refused_by_stops={refused_by_stops} starts={starts} \
          descriptors_before={} descriptors_after={} broken={}",
         plan.seed,
         plan.vms,
@@ -185,8 +211,11 @@
     }
 }
 
-async fn run_plan(plan: &Plan, directory: &Path) -> anyhow::Result<RunResult> {
-    let binary = DaemonBinary::find(Some(directory.to_owned()))?;
+async fn run_plan(
+    plan: &Plan,
+    binary: DaemonBinary,
+    directory: &Path,
+) -> anyhow::Result<RunResult> {
     let mut deployment = Deployment::start(Kind::Timeliten, plan.seed).await?;
     for service in &mut deployment.config.services {
         service.dispatchers_per_data_centre = plan.dispatchers_per_data_centre;
@@ -201,6 +230,11 @@
     }
     customers::require_api_keys(&mut deployment.config)?;
     deployment.key_max_age_s = Some(customers::KEY_MAX_AGE_S);
+    if let Some(Stops { grace_s, entry_lifetime_ms, entry_drain_ms }) = plan.stops {
+        deployment.stop_grace_s = Some(f64::from(grace_s));
+        deployment.entry_drain_ms = Some(entry_drain_ms);
+        deployment.config.entry_lifetime_ms = entry_lifetime_ms;
+    }
     deployment.config.version += 1;
     deployment.platform.publish(&deployment.config)?;
     let links = Links::new(plan.seed);
@@ -215,7 +249,7 @@
     let names: Vec<String> =
         fleet.daemons().iter().map(|daemon| daemon.settings().vm.clone()).collect();
     let daemons = names.iter().map(|vm| fleet.take(vm)).collect::<anyhow::Result<_>>()?;
-    let vms = VmProcesses::new(daemons, binary, clock);
+    let vms = VmProcesses::new(daemons, binary, clock, stop_grace_ms(plan));
     let descriptors_before = vms.descriptors().into_iter().max().unwrap_or(0);
     let ids = WorkIds::default();
     let environment =
@@ -255,6 +289,9 @@
             .map(|id| (id, execution_counter.executions(id)))
             .collect(),
         service_arrivals: service_arrivals(&environment.deployment, clock),
+        endpoint_work: endpoint_work(&environment.deployment, clock),
+        stop_grace_ms: stop_grace_ms(plan),
+        scaled_timeouts: environment.scaled_timeouts(),
         max_attempts: max_attempts(plan),
         taken_keys,
         key_limit_ms: (customers::KEY_MAX_AGE_S * 1_000.0) as u64,
@@ -285,6 +322,14 @@
             .iter()
             .filter(|request| request.outcome == RequestOutcome::Ok)
             .count(),
+        refused_by_stops: record
+            .requests
+            .iter()
+            .filter(|request| {
+                request.outcome == RequestOutcome::RefusedNotRun
+                    && request.reason.as_deref() == Some(STOPPING)
+            })
+            .count(),
         starts: record.processes.len(),
         descriptors: (descriptors_before, descriptors_after),
         violations: violations(&record),
@@ -318,6 +363,21 @@
     deployment.config.services.iter().map(of_service).collect()
 }
 
+/// Returns the time that each request spent at endpoints.
+fn endpoint_work(deployment: &Deployment, clock: RunClock) -> FxHashMap<WorkId, Vec<EndpointWork>> {
+    let mut work: FxHashMap<WorkId, Vec<EndpointWork>> = FxHashMap::default();
+    for span in deployment.endpoints.iter().flat_map(Endpoint::work_spans) {
+        let WorkSpan { id, arrived, ended, is_answered } = span;
+        let (from_ms, until_ms) = (clock.ms(arrived), ended.map(|ended| clock.ms(ended)));
+        work.entry(id).or_default().push(EndpointWork { from_ms, until_ms, is_answered });
+    }
+    work
+}
+
+fn stop_grace_ms(plan: &Plan) -> u64 {
+    plan.stops.map_or(DEFAULT_STOP_GRACE_MS, |stops| u64::from(stops.grace_s) * 1_000)
+}
+
 /// Returns how many requests the customer that floods may run in a window, with the tolerance
 /// that VMs need which don't hear each other.
 fn flood_window_limit() -> f64 {
@@ -365,19 +425,28 @@
     ids: WorkIds,
 ) -> Vec<RequestRecord> {
     let operations = operations(Kind::Timeliten.work(), &environment.deployment.config, LOAD);
+    let open_loop = operations.clone();
+    let operations = Arc::new(operations);
     let (stop, stopped) = watch::channel(false);
     let mut persistent = JoinSet::new();
     for (vm, address) in addresses.iter().copied().enumerate().take(PERSISTENT_CALLERS) {
-        let operations = Arc::new(operations.clone());
-        let caller = PersistentCaller { vm, address, operations, ids: ids.clone(), clock };
+        let caller = PersistentCaller {
+            vm,
+            address,
+            operations: Arc::clone(&operations),
+            ids: ids.clone(),
+            clock,
+            failure_interval: REQUEST_INTERVAL,
+        };
         persistent.spawn(caller.run(stopped.clone()));
+        spawn_late_callers((vm, address), &operations, (&ids, clock), &stopped, &mut persistent);
     }
     let mut callers: Vec<Caller> =
         (0..STEERED_CALLERS).map(|_| Caller::new(addresses.clone())).collect();
     callers.push(Caller::unsteered(addresses));
     let duration = Duration::from_secs(plan.seconds);
     let settings = LoadSettings { duration, ids, seed: plan.seed };
-    let samples = generate_load(&callers, &operations, settings).await;
+    let samples = generate_load(&callers, &open_loop, settings).await;
     stop.send_replace(true);
     let mut requests: Vec<RequestRecord> =
         samples.iter().map(|sample| request_record(sample, clock)).collect();
@@ -385,6 +454,30 @@
     requests
 }
 
+/// Starts callers whose requests are late on their connections: behind others, with bodies that
+/// arrive slowly, or such that must not be repeated.
+fn spawn_late_callers(
+    (vm, address): (usize, std::net::SocketAddr),
+    operations: &Arc<Vec<Operation>>,
+    (ids, clock): (&WorkIds, RunClock),
+    stopped: &watch::Receiver<bool>,
+    callers: &mut JoinSet<Vec<RequestRecord>>,
+) {
+    let bookings = operations.iter().filter(|operation| operation.non_idempotent);
+    let bookings: Arc<Vec<Operation>> = Arc::new(bookings.cloned().collect());
+    for (form, operations) in [(WireForm::Pipelined, operations), (WireForm::SlowBody, &bookings)] {
+        let (operations, ids) = (Arc::clone(operations), ids.clone());
+        let caller = WireCaller { vm, address, form, operations, ids, clock };
+        callers.spawn(caller.run(stopped.clone()));
+    }
+    for _ in 0..BOOKING_CALLERS {
+        let (operations, ids) = (Arc::clone(&bookings), ids.clone());
+        let failure_interval = FAILURE_INTERVAL;
+        let caller = PersistentCaller { vm, address, operations, ids, clock, failure_interval };
+        callers.spawn(caller.run(stopped.clone()));
+    }
+}
+
 fn request_record(sample: &Sample, clock: RunClock) -> RequestRecord {
     let sent_ms = clock.ms(sample.sent);
     RequestRecord {
@@ -392,9 +485,13 @@
         service: sample.service,
         non_idempotent: sample.non_idempotent,
         vm: None,
+        deadline_ms: sample.deadline_ms,
         sent_ms,
+        whole_ms: Some(sent_ms),
+        behind_until_ms: None,
         ended_ms: sent_ms + sample.latency_us / 1_000,
         outcome: sample.outcome,
+        reason: sample.reason.clone(),
         request_id: sample.request_id.clone(),
     }
 }
--- a/crates/pistachiotrack-standins/src/soak/caller.rs
+++ b/crates/pistachiotrack-standins/src/soak/caller.rs
@@ -20,11 +20,14 @@
 };
 
 /// Time between two requests on one connection.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+pub(super) const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Time until the next request of a caller that waits after one that was not served. Callers that
+/// don't would send a stopping VM most of all requests.
+pub(super) const FAILURE_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay before the next attempt to connect.
-const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+pub(super) const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 /// Time beyond its deadline after which a request counts as lost; only a hang takes as long.
-const HANG_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const HANG_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A caller with a persistent connection to one VM.
 #[derive(Clone, Debug)]
@@ -39,6 +42,8 @@
     pub(super) ids: WorkIds,
     /// Clock of the run.
     pub(super) clock: RunClock,
+    /// Time until the next request after one that was not served.
+    pub(super) failure_interval: Duration,
 }
 
 impl PersistentCaller {
@@ -71,26 +76,37 @@
             let operation = &self.operations[requests.len() % self.operations.len()];
             let id = self.ids.next();
             let sent_ms = self.clock.now_ms();
-            let Ok(request) = build_direct_request(self.address, operation, id) else { break };
+            let Ok(request) = build_direct_request(self.address, operation, id, Bytes::new())
+            else {
+                break;
+            };
             let timeout = Duration::from_millis(operation.deadline_ms) + HANG_TIMEOUT;
             let exchange_result =
                 tokio::time::timeout(timeout, exchange(&mut sender, request, id)).await;
+            let mut interval = REQUEST_INTERVAL;
             let exchange_result = exchange_result.unwrap_or(Some(RequestOutcome::Lost.into()));
-            if let Some(Exchange { outcome, request_id, .. }) = exchange_result {
+            if let Some(Exchange { outcome, reason, request_id, .. }) = exchange_result {
+                if outcome != RequestOutcome::Ok {
+                    interval = self.failure_interval;
+                }
                 let (vm, ended_ms) = (Some(self.vm), self.clock.now_ms());
-                let Operation { service, non_idempotent, .. } = *operation;
+                let Operation { service, non_idempotent, deadline_ms, .. } = *operation;
                 requests.push(RequestRecord {
                     id,
                     service,
                     non_idempotent,
                     vm,
+                    deadline_ms,
                     sent_ms,
+                    whole_ms: Some(sent_ms),
+                    behind_until_ms: None,
                     ended_ms,
                     outcome,
+                    reason,
                     request_id,
                 });
             }
-            tokio::time::sleep(REQUEST_INTERVAL).await;
+            tokio::time::sleep(interval).await;
         }
         connection.abort();
     }
@@ -110,12 +126,13 @@
 }
 
 /// Builds a request for a direct connection to the VM, with its address as `Host`.
-fn build_direct_request(
+pub(super) fn build_direct_request(
     address: SocketAddr,
     operation: &Operation,
     id: WorkId,
+    body: Bytes,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    let mut request = build_request(operation, id, operation.path.to_owned(), Bytes::new())?;
+    let mut request = build_request(operation, id, operation.path.to_owned(), body)?;
     request.headers_mut().insert(HOST, HeaderValue::try_from(address.to_string())?);
     Ok(request)
 }
--- a/crates/pistachiotrack-standins/src/soak/environment.rs
+++ b/crates/pistachiotrack-standins/src/soak/environment.rs
@@ -7,18 +7,16 @@
     time::{Duration, Instant},
 };
 
-use pistachiotrack_core::{
-    config::Config, endpoint::Endpoint as ConfiguredEndpoint, endpoint_notice::EndpointNotice,
-    name::Name,
-};
+use pistachiotrack_core::{config::Config, endpoint_notice::EndpointNotice};
 use tokio::task::JoinSet;
 
 use super::{
     clock::RunClock,
+    config_changes,
     customers::{self, SentLookup},
     oracle::{
         EndpointCutPeriod, LeavingPeriod, NoticePeriod, PublishedVersion, REFUSAL_RETRY_AFTER_MS,
-        RateLimitPeriod, TakenKey,
+        RateLimitPeriod, ScaledTimeouts, TakenKey,
     },
     plan::{EndpointCut, EndpointFault, Event, PlatformFault, Step},
     vms::VmProcesses,
@@ -31,6 +29,7 @@
     link::{LinkFaults, Links, PLATFORM},
     load::WorkIds,
     platform::Availability,
+    work_log::SlowWork,
     workload::CALENDAR_LOOKUP,
 };
 
@@ -72,6 +71,7 @@
     /// Whether VMs are cut off from endpoints now.
     has_endpoint_cut: bool,
     endpoint_cuts: Vec<EndpointCutPeriod>,
+    scaled_timeouts: Vec<ScaledTimeouts>,
     /// Whether callers use the key that is taken away.
     uses_taken_key: bool,
     taken_keys: Vec<TakenKey>,
@@ -102,6 +102,7 @@
             notice_periods: Vec::new(),
             has_endpoint_cut: false,
             endpoint_cuts: Vec::new(),
+            scaled_timeouts: Vec::new(),
             uses_taken_key: false,
             taken_keys: Vec::new(),
             flood: Vec::new(),
@@ -115,8 +116,21 @@
     pub(super) async fn run_step(&self, step: &Step, vms: usize) {
         self.clock.wait_until_ms(step.at_ms).await;
         match &step.event {
-            Event::Terminate { vm, restart_after_ms } => {
-                self.vms.terminate(*vm, Duration::from_millis(*restart_after_ms));
+            Event::Terminate { vm, restart_after_ms, signal, repeat_after_ms } => {
+                let restart_after = Duration::from_millis(*restart_after_ms);
+                let process = self.vms.stop(*vm, *signal, restart_after);
+                if let Some(repeat_after_ms) = repeat_after_ms {
+                    sleep_ms(*repeat_after_ms).await;
+                    self.vms.repeat_stop(*vm, process, *signal);
+                }
+            }
+            Event::SlowWork { share_percent, up_to_ms, for_ms } => {
+                let up_to = Duration::from_millis(*up_to_ms);
+                let share = f64::from(*share_percent) / 100.0;
+                self.slow_down(SlowWork { share, up_to }, *for_ms).await;
+            }
+            Event::ScaleTimeouts { percent, for_ms } => {
+                self.scale_timeouts(*percent, *for_ms).await;
             }
             Event::HangUp { vm } => self.vms.hang_up(*vm),
             Event::Kill { vms, restart_after_ms } => {
@@ -179,6 +193,30 @@
         }
     }
 
+    async fn slow_down(&self, slow_work: SlowWork, for_ms: u64) {
+        let endpoints = &self.deployment.endpoints;
+        endpoints.iter().for_each(|endpoint| endpoint.set_slow_work(Some(slow_work)));
+        sleep_ms(for_ms).await;
+        endpoints.iter().for_each(|endpoint| endpoint.set_slow_work(None));
+    }
+
+    async fn scale_timeouts(&self, percent: u32, for_ms: u64) {
+        let from_ms = self.clock.now_ms();
+        let usual = &self.deployment.config.rules;
+        if !self.publish(|config| config_changes::scale_timeouts(config, usual, percent)) {
+            return;
+        }
+        sleep_ms(for_ms).await;
+        self.publish(|config| config_changes::scale_timeouts(config, usual, 100));
+        let until_ms = self.clock.now_ms();
+        self.lock().scaled_timeouts.push(ScaledTimeouts { from_ms, until_ms, percent });
+    }
+
+    /// Returns the periods in which the timeouts of the routes were changed.
+    pub(super) fn scaled_timeouts(&self) -> Vec<ScaledTimeouts> {
+        self.lock().scaled_timeouts.clone()
+    }
+
     async fn interrupt_platform(&self, fault: PlatformFault, for_ms: u64) {
         let platform = &self.deployment.platform;
         match fault {
@@ -199,12 +237,12 @@
         let name = self.deployment.endpoints[endpoint].name().to_owned();
         let address = self.deployment.endpoints[endpoint].address();
         let from = Instant::now();
-        if !self.publish(|config| set_leaving(config, address, true)) {
+        if !self.publish(|config| config_changes::set_leaving(config, address, true)) {
             return;
         }
         sleep_ms(for_ms).await;
         let until_ms = self.clock.now_ms();
-        self.publish(|config| set_leaving(config, address, false));
+        self.publish(|config| config_changes::set_leaving(config, address, false));
         let arrivals_ms = self.arrivals_ms(endpoint, from);
         let from_ms = self.clock.ms(from);
         let period = LeavingPeriod { endpoint: name, from_ms, until_ms, arrivals_ms };
@@ -246,7 +284,7 @@
         sender.set_notice(EndpointNotice::default());
         let arrivals_ms = self.arrivals_ms(endpoint, from);
         if notice.leaving {
-            self.publish(|config| rename(config, sender.address()));
+            self.publish(|config| config_changes::rename(config, sender.address()));
         }
         let name = sender.name().to_owned();
         let mut state = self.lock();
@@ -415,25 +453,6 @@
     }
 }
 
-fn endpoint_at(config: &mut Config, address: SocketAddr) -> Option<&mut ConfiguredEndpoint> {
-    let mut endpoints = config.services.iter_mut().flat_map(|service| &mut service.endpoints);
-    endpoints.find(|endpoint| endpoint.address == address)
-}
-
-fn set_leaving(config: &mut Config, address: SocketAddr, leaving: bool) {
-    if let Some(endpoint) = endpoint_at(config, address) {
-        endpoint.leaving = leaving;
-    }
-}
-
-/// Gives an endpoint the name of its next incarnation.
-fn rename(config: &mut Config, address: SocketAddr) {
-    let version = config.version;
-    if let Some(endpoint) = endpoint_at(config, address) {
-        endpoint.name = Name::from(format!("{}-{version}", endpoint.name));
-    }
-}
-
 fn faults(fault: EndpointFault) -> Faults {
     match fault {
         EndpointFault::Gray => Faults::gray(),
--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -6,18 +6,22 @@
 
 mod customers;
 mod endpoint_cuts;
+mod logged_refusals;
 mod notices;
 mod retries;
+mod stops;
 
 use std::fmt;
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 
 pub use self::{
     customers::{CUSTOMER_WINDOW_MS, TakenKey},
     endpoint_cuts::EndpointCutPeriod,
+    logged_refusals::LoggedRefusals,
     notices::{NoticePeriod, REFUSAL_RETRY_AFTER_MS},
     retries::ServiceArrivals,
+    stops::{EndpointWork, ScaledTimeouts},
 };
 use crate::{caller::RequestOutcome, work::WorkId};
 
@@ -43,9 +47,6 @@
 /// Tolerance above the rate limit: a factor and an absolute number of requests.
 const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
 
-/// Time from a decision until its line is written to the log.
-const LOG_FLUSH_MS: u64 = 1_000;
-
 /// A property that must hold for users in every run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Invariant {
@@ -57,6 +58,8 @@
     OwnAnswer,
     /// A planned stop interrupts no request.
     PlannedStop,
+    /// A process that is asked to stop ends within its grace.
+    StopsInTime,
     /// A VM's active configuration version never decreases while its process lives.
     NeverOlder,
     /// A published configuration becomes active on every VM in time.
@@ -113,12 +116,20 @@
     pub non_idempotent: bool,
     /// The VM, if the caller has a persistent connection.
     pub vm: Option<usize>,
+    /// Time that the caller gives it, which is the usual timeout of its route.
+    pub deadline_ms: u64,
     /// Time at which it was sent.
     pub sent_ms: u64,
+    /// Time at which its last byte was sent, if it was.
+    pub whole_ms: Option<u64>,
+    /// Time at which the request before it ended, if it was sent behind one on its connection.
+    pub behind_until_ms: Option<u64>,
     /// Time at which it ended.
     pub ended_ms: u64,
     /// Its outcome.
     pub outcome: RequestOutcome,
+    /// Reason of the refusal, if it was refused.
+    pub reason: Option<Box<str>>,
     /// The fleet's id of the request, if it was refused.
     pub request_id: Option<Box<str>>,
 }
@@ -184,37 +195,14 @@
     pub stop_requested_ms: Option<u64>,
     /// Time at which it was killed.
     pub killed_ms: Option<u64>,
+    /// Time at which it was killed since the grace of its stop was over.
+    pub grace_ended_ms: Option<u64>,
     /// Time at which its exit was noticed.
     pub ended_ms: Option<u64>,
     /// Whether it was killed or asked to stop.
     pub exit_expected: bool,
 }
 
-/// The refusals that the VMs logged.
-#[derive(Clone, Debug, Default)]
-pub struct LoggedRefusals {
-    /// Ids of the requests whose refusal was logged.
-    pub request_ids: FxHashSet<Box<str>>,
-    /// Whether a VM omitted log lines.
-    pub has_omitted_lines: bool,
-    /// Names of the VMs, which are the prefixes of their request ids.
-    pub vms: Vec<String>,
-}
-
-impl LoggedRefusals {
-    /// Adds the refusals in a log.
-    pub fn read(&mut self, log: &str) {
-        for line in log.lines() {
-            let has = |pair: &str| line.split_whitespace().any(|word| word == pair);
-            let request_id = line.split_whitespace().find_map(|word| word.strip_prefix("request="));
-            if has("event=refused") && has("to=caller") {
-                self.request_ids.extend(request_id.map(Box::from));
-            }
-            self.has_omitted_lines |= has("event=log_lines_left_out");
-        }
-    }
-}
-
 /// Everything that was observed in a run.
 #[derive(Clone, Debug, Default)]
 pub struct RunRecord {
@@ -222,6 +210,12 @@
     pub requests: Vec<RequestRecord>,
     /// Number of times that endpoints began to run each piece of work.
     pub executions: FxHashMap<WorkId, u32>,
+    /// The time that each request spent at endpoints.
+    pub endpoint_work: FxHashMap<WorkId, Vec<EndpointWork>>,
+    /// Time that a process has for a stop.
+    pub stop_grace_ms: u64,
+    /// Periods in which the routes had other timeouts.
+    pub scaled_timeouts: Vec<ScaledTimeouts>,
     /// Arrivals at the endpoints of each service.
     pub service_arrivals: Vec<ServiceArrivals>,
     /// Attempts that a request may have.
@@ -272,14 +266,17 @@
         |invariant, description: String| found.push(Violation { invariant, description });
     for request in &record.requests {
         if let Some((invariant, what)) = record.violated_by_request(request) {
-            let RequestRecord { id, vm, sent_ms, ended_ms, outcome, request_id, .. } = request;
+            let RequestRecord { id, vm, sent_ms, ended_ms, outcome, reason, request_id, .. } =
+                request;
             let request_id = request_id.as_deref().unwrap_or("unknown");
+            let reason = reason.as_deref().unwrap_or("none");
             report(
                 invariant,
                 format!(
                     "work {} {what}: request={request_id} vm={vm:?} {sent_ms} to {ended_ms} ms \
-                     {outcome:?}",
-                    id.0
+                     {outcome:?} reason={reason} executions={}",
+                    id.0,
+                    record.executions(*id)
                 ),
             );
         }
@@ -288,6 +285,7 @@
     record.check_version_propagation(&mut report);
     record.check_late_arrivals(&mut report);
     record.check_unexpected_exits(&mut report);
+    record.check_graces(&mut report);
     record.check_late_crash_runs(&mut report);
     record.check_rate_limits(&mut report);
     record.check_notices(&mut report);
@@ -329,46 +327,10 @@
             {
                 Some((Invariant::RefusalLogged, "was refused without a line in a log"))
             }
-            RequestOutcome::Lost if self.is_interrupted_by_stop(request) => {
-                Some((Invariant::PlannedStop, "was interrupted by a planned stop"))
-            }
-            _ => None,
+            _ => self.interruption(request).map(|what| (Invariant::PlannedStop, what)),
         }
     }
 
-    /// Returns whether a refusal was logged, or its line may be missing because a VM omitted
-    /// lines or was killed before it wrote the line.
-    fn has_log_line(&self, request: &RequestRecord) -> bool {
-        let Some(request_id) = request.request_id.as_deref() else { return false };
-        let vm = self.logged_refusals.vms.iter().position(|vm| {
-            request_id.strip_prefix(vm.as_str()).is_some_and(|rest| rest.starts_with('-'))
-        });
-        let was_killed = self.processes.iter().any(|process| {
-            let unwritten = request.sent_ms..=request.ended_ms + LOG_FLUSH_MS;
-            Some(process.vm) == vm && process.killed_ms.is_some_and(|at| unwritten.contains(&at))
-        });
-        self.logged_refusals.has_omitted_lines
-            || was_killed
-            || self.logged_refusals.request_ids.contains(request_id)
-    }
-
-    /// Returns whether a planned stop, and no fault, interrupted an accepted request.
-    fn is_interrupted_by_stop(&self, request: &RequestRecord) -> bool {
-        let Some(vm) = request.vm else { return false };
-        let was_accepted = self.executions(request.id) > 0
-            || request.ended_ms.saturating_sub(request.sent_ms) > CLOSE_RACE_MS;
-        let stops = self.processes.iter().filter(|process| process.vm == vm);
-        let stops = stops.filter_map(|process| {
-            let ended_ms = process.ended_ms.unwrap_or(u64::MAX);
-            Some((process.stop_requested_ms?, ended_ms.saturating_add(CLOSE_RACE_MS)))
-        });
-        let mut overlapping_stops =
-            stops.filter(|(from, to)| *from <= request.ended_ms && request.sent_ms <= *to);
-        was_accepted
-            && overlapping_stops.next().is_some()
-            && !self.overlaps_fault(request.sent_ms, request.ended_ms)
-    }
-
     fn check_version_regressions(&self, report: &mut impl FnMut(Invariant, String)) {
         let mut last: FxHashMap<(usize, u32), Option<u64>> = FxHashMap::default();
         for ObservedVersion { at_ms, vm, process, version } in self.versions.iter().copied() {
--- a/crates/pistachiotrack-standins/src/soak/plan.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan.rs
@@ -19,10 +19,25 @@
     pub dispatchers_per_data_centre: u32,
     /// Time for which callers send requests.
     pub seconds: u64,
+    /// How VMs stop; without it, in the default time of the daemon.
+    #[serde(default)]
+    pub stops: Option<Stops>,
     /// Events with their times, in any order.
     pub steps: Vec<Step>,
 }
 
+/// How VMs stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stops {
+    /// Time that a process has for a stop; it is killed afterwards.
+    pub grace_s: u32,
+    /// Lifetime of entry addresses, for which callers use a VM that stops.
+    pub entry_lifetime_ms: u64,
+    /// Shortest time for which a VM that stops still accepts connections.
+    pub entry_drain_ms: u64,
+}
+
 /// An event and its time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -43,6 +58,12 @@
         vm: usize,
         /// Time from its exit to its restart.
         restart_after_ms: u64,
+        /// The signal.
+        #[serde(default)]
+        signal: StopSignal,
+        /// Time until the signal is sent once more, if it is.
+        #[serde(default)]
+        repeat_after_ms: Option<u64>,
     },
     /// A VM receives SIGHUP and reloads its settings.
     HangUp {
@@ -109,6 +130,23 @@
         /// Duration.
         for_ms: u64,
     },
+    /// The work of a part of the requests lasts long at all endpoints, within the time that the
+    /// request has.
+    SlowWork {
+        /// Percentage of the requests.
+        share_percent: u32,
+        /// Longest time that the work lasts.
+        up_to_ms: u64,
+        /// Duration.
+        for_ms: u64,
+    },
+    /// The timeouts of all routes are changed for a time.
+    ScaleTimeouts {
+        /// The timeouts, as a percentage of the usual ones.
+        percent: u32,
+        /// Duration.
+        for_ms: u64,
+    },
     /// An invalid configuration is published.
     PublishInvalid,
     /// VMs are killed and restarted.
@@ -178,6 +216,17 @@
     },
 }
 
+/// Signals that stop a VM gracefully.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StopSignal {
+    /// SIGTERM.
+    #[default]
+    Terminate,
+    /// SIGINT.
+    Interrupt,
+}
+
 /// What becomes of the connections from a VM that reaches no endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -241,8 +290,19 @@
     /// Generates a plan from a seed.
     pub fn new(seed: u64, vms: usize, seconds: u64, endpoints: usize) -> Plan {
         let steps = generator::steps(seed, vms, seconds, endpoints);
+        Plan::with_steps(seed, vms, seconds, steps)
+    }
+
+    /// Generates a plan from a seed that has no faults, only stops in series with what overlaps them:
+    /// faults excuse what happens beside them.
+    pub fn of_stops(seed: u64, vms: usize, seconds: u64) -> Plan {
+        Plan::with_steps(seed, vms, seconds, generator::stop_steps(seed, vms, seconds))
+    }
+
+    fn with_steps(seed: u64, vms: usize, seconds: u64, steps: Vec<Step>) -> Plan {
         let dispatchers_per_data_centre = if seed.is_multiple_of(2) { 0 } else { 2 };
-        Plan { seed, vms, dispatchers_per_data_centre, seconds, steps }
+        let stops = Some(generator::stops(seed));
+        Plan { seed, vms, dispatchers_per_data_centre, seconds, stops, steps }
     }
 
     /// Reads a plan from a file.
@@ -339,6 +399,8 @@
             | Event::CutOffEndpoints { .. }
             | Event::TakeKey { .. }
             | Event::Flood { .. }
+            | Event::SlowWork { .. }
+            | Event::ScaleTimeouts { .. }
             | Event::PublishInvalid => None,
         }
     }
--- a/crates/pistachiotrack-standins/src/soak/plan/generator.rs
+++ b/crates/pistachiotrack-standins/src/soak/plan/generator.rs
@@ -3,7 +3,9 @@
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 
-use super::{EndpointCut, EndpointFault, Event, MAX_PROXIED_VMS, PlatformFault, Step};
+use super::{
+    EndpointCut, EndpointFault, Event, MAX_PROXIED_VMS, PlatformFault, Step, StopSignal, Stops,
+};
 
 /// Phase boundaries in tenths of a run: planned events only, then faults in addition, then
 /// planned events only, in which the fleet has to recover.
@@ -28,6 +30,18 @@
 /// The same for endpoints that answer with misleading statuses.
 const MEAN_MISLEADING_GAP_MS: u64 = 3_000;
 const MISLEADING_SEED: u64 = 0x7374_6174_7573;
+/// The same for stops in series and what overlaps them.
+const MEAN_SERIES_GAP_MS: u64 = 6_000;
+const MEAN_TIMEOUTS_GAP_MS: u64 = 3_000;
+const STOP_SEED: u64 = 0x7374_6f70;
+/// Percentages of the requests whose work lasts, in plans with faults and in plans of stops.
+const SLOW_PERCENT: std::ops::Range<u32> = 5..20;
+const SLOW_PERCENT_OF_STOPS: std::ops::Range<u32> = 20..50;
+/// Times that processes have for a stop.
+const GRACES_S: [u32; 2] = [6, 10];
+/// Lifetimes of entry addresses.
+const ENTRY_LIFETIMES_MS: [u64; 2] = [1_000, 5_000];
+const ENTRY_DRAIN_MS: u64 = 2_500;
 /// Time before the end of the load in which no event starts.
 const FINAL_QUIET_MS: u64 = 5_000;
 /// One in this many kill events kills all VMs.
@@ -54,10 +68,31 @@
     generator.random = Pcg64Mcg::seed_from_u64(seed ^ MISLEADING_SEED);
     let misleading = PlanGenerator::misleading_statuses;
     generator.add_events(faults.0, faults.1, MEAN_MISLEADING_GAP_MS, misleading);
+    generator.random = Pcg64Mcg::seed_from_u64(seed ^ STOP_SEED);
+    generator.add_stops(total_ms, SLOW_PERCENT);
     generator.steps.sort_by_key(|step| step.at_ms);
     generator.steps
 }
 
+/// Returns the steps of a plan that has no faults, in order.
+pub(super) fn stop_steps(seed: u64, vms: usize, seconds: u64) -> Vec<Step> {
+    let random = Pcg64Mcg::seed_from_u64(seed ^ STOP_SEED);
+    let mut generator = PlanGenerator { random, vms, endpoints: 0, steps: Vec::new() };
+    generator.add_stops(seconds * 1_000, SLOW_PERCENT_OF_STOPS);
+    generator.steps.sort_by_key(|step| step.at_ms);
+    generator.steps
+}
+
+/// Returns how the VMs of a plan stop.
+pub(super) fn stops(seed: u64) -> Stops {
+    let mut random = Pcg64Mcg::seed_from_u64(!(seed ^ STOP_SEED));
+    Stops {
+        grace_s: GRACES_S[random.random_range(0..GRACES_S.len())],
+        entry_lifetime_ms: ENTRY_LIFETIMES_MS[random.random_range(0..ENTRY_LIFETIMES_MS.len())],
+        entry_drain_ms: ENTRY_DRAIN_MS,
+    }
+}
+
 struct PlanGenerator {
     random: Pcg64Mcg,
     vms: usize,
@@ -95,7 +130,12 @@
     fn planned_event(&mut self) -> Event {
         let vm = self.vm();
         match self.random.random_range(0..13) {
-            0..5 => Event::Terminate { vm, restart_after_ms: self.random.random_range(50..2_000) },
+            0..5 => Event::Terminate {
+                vm,
+                restart_after_ms: self.random.random_range(50..2_000),
+                signal: StopSignal::Terminate,
+                repeat_after_ms: None,
+            },
             5..7 => Event::HangUp { vm },
             7..9 => Event::Leave {
                 endpoint: self.endpoint(),
@@ -113,6 +153,54 @@
         }
     }
 
+    /// Adds work that lasts, stops in series and changes of the routes' timeouts.
+    fn add_stops(&mut self, total_ms: u64, slow_percent: std::ops::Range<u32>) {
+        let event = Event::SlowWork {
+            share_percent: self.random.random_range(slow_percent),
+            up_to_ms: self.random.random_range(2_000..10_000),
+            for_ms: total_ms,
+        };
+        self.steps.push(Step { at_ms: 0, event });
+        let end_ms = total_ms.saturating_sub(FINAL_QUIET_MS);
+        self.add_events(0, end_ms, MEAN_TIMEOUTS_GAP_MS, PlanGenerator::scaled_timeouts);
+        let mut at_ms = self.random.random_range(0..MEAN_SERIES_GAP_MS / 2);
+        while at_ms < end_ms {
+            at_ms = self.add_series(at_ms) + self.random.random_range(0..2 * MEAN_SERIES_GAP_MS);
+        }
+    }
+
+    /// Stops up to all VMs but one, one after the other, with further signals beside some of the
+    /// stops. Returns the time of the last stop.
+    fn add_series(&mut self, mut at_ms: u64) -> u64 {
+        let first = self.vm();
+        let count = self.random.random_range(1..self.vms.max(2));
+        let gap_ms = self.random.random_range(500..1_500);
+        for vm in (first..first + count).map(|vm| vm % self.vms) {
+            let signal = match self.random.random_range(0..4) {
+                0 => StopSignal::Interrupt,
+                _ => StopSignal::Terminate,
+            };
+            let repeats = self.random.random_range(0..3) == 0;
+            let repeat_after_ms = repeats.then(|| self.random.random_range(1..5_000));
+            let restart_after_ms = self.random.random_range(50..1_000);
+            let event = Event::Terminate { vm, restart_after_ms, signal, repeat_after_ms };
+            self.steps.push(Step { at_ms, event });
+            if self.random.random_range(0..3) == 0 {
+                let at_ms = at_ms + self.random.random_range(0..4_000);
+                self.steps.push(Step { at_ms, event: Event::HangUp { vm } });
+            }
+            at_ms += gap_ms;
+        }
+        at_ms
+    }
+
+    fn scaled_timeouts(&mut self) -> Event {
+        Event::ScaleTimeouts {
+            percent: self.random.random_range(40..160),
+            for_ms: self.random.random_range(500..5_000),
+        }
+    }
+
     fn customer_event(&mut self) -> Event {
         match self.random.random_range(0..3) {
             0 => Event::Flood { for_ms: self.random.random_range(3_000..12_000) },
--- a/crates/pistachiotrack-standins/src/soak/vms.rs
+++ b/crates/pistachiotrack-standins/src/soak/vms.rs
@@ -8,6 +8,7 @@
 use super::{
     clock::RunClock,
     oracle::{ObservedVersion, Process},
+    plan::StopSignal,
 };
 use crate::{
     admin::AdminClient,
@@ -25,6 +26,8 @@
     vms: Arc<Vec<Mutex<Vm>>>,
     binary: DaemonBinary,
     clock: RunClock,
+    /// Time after which a process that was asked to stop is killed.
+    grace_ms: u64,
 }
 
 #[derive(Debug)]
@@ -44,11 +47,33 @@
         process.exit_expected = true;
         Some(process)
     }
+
+    fn send(&self, signal: StopSignal) {
+        match signal {
+            StopSignal::Terminate => self.daemon.terminate(),
+            StopSignal::Interrupt => self.daemon.interrupt(),
+        }
+    }
+
+    /// Kills the process if the grace of its stop is over.
+    fn end_grace(&mut self, now_ms: u64, grace_ms: u64) {
+        let Some(process) = self.processes.last_mut() else { return };
+        let is_over = process.stop_requested_ms.is_some_and(|at| now_ms >= at + grace_ms);
+        if is_over && process.grace_ended_ms.is_none() {
+            process.grace_ended_ms = Some(now_ms);
+            self.daemon.start_kill();
+        }
+    }
 }
 
 impl VmProcesses {
     /// Takes over running daemons, in the order of their VMs.
-    pub(super) fn new(daemons: Vec<Daemon>, binary: DaemonBinary, clock: RunClock) -> VmProcesses {
+    pub(super) fn new(
+        daemons: Vec<Daemon>,
+        binary: DaemonBinary,
+        clock: RunClock,
+        grace_ms: u64,
+    ) -> VmProcesses {
         let vm = |(index, daemon): (usize, Daemon)| {
             Mutex::new(Vm {
                 settings: daemon.settings().clone(),
@@ -62,17 +87,28 @@
             vms: Arc::new(daemons.into_iter().enumerate().map(vm).collect()),
             binary,
             clock,
+            grace_ms,
         }
     }
 
-    /// Stops a VM gracefully; it is restarted `restart_after` its exit.
-    pub(super) fn terminate(&self, vm: usize, restart_after: Duration) {
+    /// Stops a VM gracefully; it is restarted `restart_after` its exit. Returns the number of its
+    /// process.
+    pub(super) fn stop(&self, vm: usize, signal: StopSignal, restart_after: Duration) -> u32 {
         let now_ms = self.clock.now_ms();
         let mut vm = self.lock(vm);
         if let Some(process) = vm.expect_exit(restart_after) {
             process.stop_requested_ms.get_or_insert(now_ms);
         }
-        vm.daemon.terminate();
+        vm.send(signal);
+        vm.processes.len() as u32 - 1
+    }
+
+    /// Sends a signal once more to a process that was asked to stop, unless it has ended.
+    pub(super) fn repeat_stop(&self, vm: usize, process: u32, signal: StopSignal) {
+        let vm = self.lock(vm);
+        if vm.processes.len() as u32 - 1 == process {
+            vm.send(signal);
+        }
     }
 
     /// Kills a VM; it is restarted `restart_after` its exit.
@@ -115,11 +151,13 @@
         }
     }
 
-    /// Records the exit of a process; returns the settings once the restart is due.
+    /// Records the exit of a process; returns the settings once the restart is due. A process that
+    /// outlives the grace of its stop is killed.
     fn poll_restart(&self, vm: usize) -> Option<DaemonSettings> {
         let now_ms = self.clock.now_ms();
         let mut vm = self.lock(vm);
         if vm.daemon.is_running() {
+            vm.end_grace(now_ms, self.grace_ms);
             return None;
         }
         let restart_after = vm.restart_after;
@@ -183,6 +221,7 @@
         started_ms,
         stop_requested_ms: None,
         killed_ms: None,
+        grace_ended_ms: None,
         ended_ms: None,
         exit_expected: false,
     }
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -8,11 +8,12 @@
     caller::RequestOutcome,
     soak::{
         oracle::{
-            EndpointCutPeriod, Invariant, LeavingPeriod, LoggedRefusals, NoticePeriod,
-            ObservedVersion, PROPAGATION_LIMIT_MS, Process, PublishedVersion, RECOVERY_LIMIT_MS,
-            RateLimitPeriod, RequestRecord, RunRecord, ServiceArrivals, TakenKey, violations,
+            EndpointCutPeriod, EndpointWork, Invariant, LeavingPeriod, LoggedRefusals,
+            NoticePeriod, ObservedVersion, PROPAGATION_LIMIT_MS, Process, PublishedVersion,
+            RECOVERY_LIMIT_MS, RateLimitPeriod, RequestRecord, RunRecord, ScaledTimeouts,
+            ServiceArrivals, TakenKey, violations,
         },
-        plan::Plan,
+        plan::{Event, Plan},
     },
     work::WorkId,
 };
@@ -30,9 +31,13 @@
         service: SERVICE,
         non_idempotent: true,
         vm: Some(0),
+        deadline_ms: 4_000,
         sent_ms: 5_000,
+        whole_ms: Some(5_000),
+        behind_until_ms: None,
         ended_ms: 5_400,
         outcome,
+        reason: None,
         request_id,
     }
 }
@@ -44,6 +49,7 @@
         started_ms,
         stop_requested_ms: None,
         killed_ms: None,
+        grace_ended_ms: None,
         ended_ms: None,
         exit_expected: false,
     }
@@ -74,6 +80,9 @@
         executions: [(WorkId(1), 1), (WorkId(50), 1), (WorkId(60), 1), (WorkId(61), 1)]
             .into_iter()
             .collect(),
+        endpoint_work: Default::default(),
+        stop_grace_ms: 6_000,
+        scaled_timeouts: Vec::new(),
         service_arrivals: vec![ServiceArrivals {
             service: SERVICE.to_owned(),
             limit: RetryLimit { ratio: 0.5, slack: 1, window_ms: 10_000 },
@@ -107,6 +116,7 @@
         logged_refusals: LoggedRefusals {
             request_ids: [Box::from(REQUEST)].into_iter().collect(),
             vms: vec!["vm-01".to_owned(), "vm-02".to_owned()],
+            decided_by: Default::default(),
             has_omitted_lines: false,
         },
         end_ms: 60_000,
@@ -334,3 +344,184 @@
     beside_platform_cut.platform_cuts = vec![(38_000, 43_000)];
     assert_eq!(violated(&beside_platform_cut), []);
 }
+
+/// Returns a run in which a VM is asked to stop at 10 s, with 6 s for it, and a request that an endpoint
+/// works on ends at 14 s.
+fn run_with_stop(outcome: RequestOutcome) -> RunRecord {
+    let mut run = valid_run();
+    run.processes[0] = Process {
+        vm: 1,
+        stop_requested_ms: Some(10_000),
+        ended_ms: Some(14_000),
+        exit_expected: true,
+        ..process(1_000)
+    };
+    run.requests.push(RequestRecord {
+        vm: Some(1),
+        sent_ms: 12_000,
+        whole_ms: Some(12_000),
+        ended_ms: 14_000,
+        ..request(3, outcome)
+    });
+    run.executions.insert(WorkId(3), 1);
+    let work = EndpointWork { from_ms: 12_010, until_ms: Some(13_990), is_answered: false };
+    run.endpoint_work.insert(WorkId(3), vec![work]);
+    run
+}
+
+fn with_request(mut run: RunRecord, change: impl FnOnce(&mut RequestRecord)) -> Vec<Invariant> {
+    run.requests.last_mut().map(change).expect("the run has requests");
+    violated(&run)
+}
+
+/// Guards against a stop that breaks a request off at its endpoint and answers in its place.
+#[test]
+fn a_request_that_a_stop_refuses_while_its_endpoint_works_is_found() {
+    assert_eq!(violated(&run_with_stop(RequestOutcome::Lost)), [Invariant::PlannedStop]);
+    let refused = run_with_stop(RequestOutcome::Unknown);
+    assert_eq!(violated(&refused), [Invariant::PlannedStop]);
+    let mut answered = refused;
+    let answer = EndpointWork { from_ms: 12_010, until_ms: Some(13_000), is_answered: true };
+    answered.endpoint_work.insert(WorkId(3), vec![answer]);
+    assert_eq!(violated(&answered), [], "the endpoint was not at work any more");
+}
+
+/// Guards against a check that blames a stop for connections to endpoints that a cut broke.
+#[test]
+fn a_stop_is_not_blamed_for_a_cut_from_endpoints() {
+    let beside_cut = |outcome| {
+        let mut run = run_with_stop(outcome);
+        run.endpoint_cuts =
+            vec![EndpointCutPeriod { vms: vec![1], from_ms: 13_990, until_ms: 18_000 }];
+        violated(&run)
+    };
+    assert_eq!(beside_cut(RequestOutcome::Unknown), []);
+    assert_eq!(
+        beside_cut(RequestOutcome::Lost),
+        [Invariant::PlannedStop],
+        "a cut from endpoints closes no caller's connection"
+    );
+}
+
+/// Guards against a check that takes requests of no grace for such that were at work at its end.
+#[test]
+fn only_early_requests_are_excused_at_the_end_of_the_grace() {
+    let last_part = |sent_ms, ended_ms| {
+        let mut run = run_with_stop(RequestOutcome::Lost);
+        run.processes[0].ended_ms = Some(ended_ms);
+        let work = EndpointWork { from_ms: sent_ms, until_ms: Some(ended_ms), is_answered: false };
+        run.endpoint_work.insert(WorkId(3), vec![work]);
+        with_request(run, |request| {
+            *request = RequestRecord {
+                deadline_ms: 9_000,
+                sent_ms,
+                whole_ms: Some(sent_ms),
+                ended_ms,
+                ..request.clone()
+            };
+        })
+    };
+    assert_eq!(last_part(9_500, 15_100), [], "it was sent before the stop");
+    assert_eq!(last_part(13_000, 15_100), []);
+    assert_eq!(last_part(13_100, 15_100), [Invariant::PlannedStop], "it was sent late");
+    assert_eq!(last_part(12_000, 14_900), [Invariant::PlannedStop], "it was cut early");
+}
+
+/// Guards against a check that blames the VM that took a request for the end of the grace of the one
+/// that had sent it to its endpoint.
+#[test]
+fn a_forwarded_request_ends_with_the_grace_of_the_vm_that_dispatched_it() {
+    let refused_by = |vm: &str, its_stop_ms| {
+        let mut run = run_with_stop(RequestOutcome::Unknown);
+        run.processes[1] = Process {
+            stop_requested_ms: Some(its_stop_ms),
+            ended_ms: Some(14_100),
+            exit_expected: true,
+            ..process(0)
+        };
+        run.logged_refusals.read(&format!(
+            "time=9 level=warn event=refused request={REQUEST} to=caller decided_by={vm} sent=none"
+        ));
+        violated(&run)
+    };
+    assert_eq!(refused_by("vm-01", 9_000), []);
+    assert_eq!(refused_by("vm-01", 8_900), [Invariant::PlannedStop], "it was sent late");
+    assert_eq!(refused_by("vm-01", 9_100), [Invariant::PlannedStop], "it was cut early");
+    assert_eq!(refused_by("vm-02", 9_000), [Invariant::PlannedStop], "it was not forwarded");
+}
+
+/// Guards against a check that blames a stop for the end of the request's own time, or excuses what
+/// ends earlier.
+#[test]
+fn a_request_whose_time_is_over_is_not_interrupted() {
+    let lasting = |deadline_ms| {
+        with_request(run_with_stop(RequestOutcome::Unknown), |request| {
+            request.deadline_ms = deadline_ms;
+        })
+    };
+    assert_eq!(lasting(2_000), []);
+    assert_eq!(lasting(2_001), [Invariant::PlannedStop]);
+    assert_eq!(lasting(900), [Invariant::PlannedStop], "it hung beyond its time");
+    let mut shortened = run_with_stop(RequestOutcome::Unknown);
+    let scaled = ScaledTimeouts { from_ms: 1_000, until_ms: 3_000, percent: 50 };
+    shortened.scaled_timeouts.push(scaled);
+    assert_eq!(violated(&shortened), [], "a VM may not have the usual timeouts again");
+    shortened.scaled_timeouts[0].until_ms = 1_999;
+    assert_eq!(violated(&shortened), [Invariant::PlannedStop]);
+}
+
+/// Guards against a check that blames a stop for requests that the VM never read.
+#[test]
+fn a_request_behind_another_counts_only_once_it_was_passed_on() {
+    let mut unread = run_with_stop(RequestOutcome::Lost);
+    unread.executions.remove(&WorkId(3));
+    unread.endpoint_work.clear();
+    let behind = |request: &mut RequestRecord| request.behind_until_ms = Some(12_500);
+    assert_eq!(violated(&unread), [Invariant::PlannedStop], "it was first on its connection");
+    assert_eq!(with_request(unread.clone(), behind), []);
+    assert_eq!(with_request(unread, |request| request.whole_ms = None), []);
+    assert_eq!(
+        with_request(run_with_stop(RequestOutcome::Lost), behind),
+        [Invariant::PlannedStop],
+        "it was passed on"
+    );
+}
+
+/// Guards against a refusal by a stopping VM that says that a request has not run though it has.
+#[test]
+fn a_request_that_ran_though_a_stopping_vm_refused_it_is_found() {
+    let refused = run_with_stop(RequestOutcome::RefusedNotRun);
+    let ran = with_request(refused.clone(), |request| request.reason = Some(Box::from("stopping")));
+    assert_eq!(ran, [Invariant::NotRunIsTrue]);
+    let mut not_run = refused;
+    not_run.executions.remove(&WorkId(3));
+    assert_eq!(violated(&not_run), []);
+}
+
+/// Guards against a process that doesn't end before the platform kills it.
+#[test]
+fn a_process_that_outlives_its_grace_is_found() {
+    let mut run = run_with_stop(RequestOutcome::Ok);
+    run.processes[0].grace_ended_ms = Some(16_000);
+    run.processes[0].ended_ms = Some(16_010);
+    assert_eq!(violated(&run), [Invariant::StopsInTime]);
+    run.faults.push((11_000, 11_500));
+    assert!(!violated(&run).contains(&Invariant::StopsInTime));
+}
+
+#[test]
+fn plans_have_slow_work_and_stops_in_series() {
+    let is_stop = |event: &Event| matches!(event, Event::Terminate { .. });
+    let is_slow_work = |event: &Event| matches!(event, Event::SlowWork { .. });
+    for seed in 0..20 {
+        for plan in [Plan::new(seed, 6, 45, ENDPOINTS), Plan::of_stops(seed, 6, 45)] {
+            assert!(plan.stops.is_some());
+            assert!(plan.steps.iter().any(|step| is_slow_work(&step.event)));
+            let stops = plan.steps.iter().filter(|step| is_stop(&step.event)).count();
+            assert!(stops >= 4, "seed {seed}: {stops} stops");
+        }
+        let plan = Plan::of_stops(seed, 6, 45);
+        assert_eq!(plan, Plan::of_stops(seed, 6, 45));
+        assert!(plan.steps.iter().all(|step| step.event.fault_ms().is_none()));
+    }
+}
--- a/crates/pistachiotrack-standins/tests/summary.rs
+++ b/crates/pistachiotrack-standins/tests/summary.rs
@@ -15,6 +15,7 @@
         id: WorkId(id),
         service: "booking",
         non_idempotent: true,
+        deadline_ms: 4_000,
         steered: true,
         sent: Instant::now(),
         latency_us: 31_000 + id,
