--- a/crates/pistachiotrack-standins/src/soak/oracle/stops.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle/stops.rs
@@ -117,7 +117,7 @@
         let sent_ms = request.whole_ms.unwrap_or(request.sent_ms);
         sent_ms <= stop_ms + LATE_REQUEST_MS
             && request.ended_ms >= last_part_ms
-            && self.is_at_work(request.id, last_part_ms)
+            && self.is_at_work(request.id, request.ended_ms)
     }
 
     /// Returns whether VMs lost their connections to endpoints. The VM that sent the request to its
