--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -6,7 +6,6 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
-    time::Duration,
 };
 
 use pistachiotrack_core::{
@@ -234,6 +233,8 @@
 
 /// Default of [`Settings::stop_grace_s`].
 const DEFAULT_STOP_GRACE_S: f64 = 36.0;
+/// Maximum of [`Settings::stop_grace_s`], a day.
+const MAX_STOP_GRACE_S: f64 = 86_400.0;
 
 /// Default of [`Settings::expected_vms`].
 const DEFAULT_EXPECTED_VMS: u32 = 48;
@@ -378,8 +379,8 @@
             let problem = "0 leaves other VMs without an answer".to_owned();
             return Some(("config_sync.answer_bytes_per_second", problem));
         }
-        if Duration::try_from_secs_f64(self.stop_grace_s).is_err() || self.stop_grace_s == 0.0 {
-            let problem = format!("{} is not a time above 0", self.stop_grace_s);
+        if self.stop_grace_s <= 0.0 || self.stop_grace_s > MAX_STOP_GRACE_S {
+            let problem = format!("{} is not between 0 and {MAX_STOP_GRACE_S}", self.stop_grace_s);
             return Some(("stop_grace_s", problem));
         }
         let hardware = self.hardware.problem();
--- a/crates/pistachiotrackd/tests/life_cycle.rs
+++ b/crates/pistachiotrackd/tests/life_cycle.rs
@@ -105,6 +105,7 @@
         ("colour", json!("red"), vec!["vm.json", "colour"]),
         ("stop_grace_s", json!(0), vec!["stop_grace_s: 0"]),
         ("stop_grace_s", json!(-3), vec!["stop_grace_s: -3"]),
+        ("stop_grace_s", json!(1e17), vec!["stop_grace_s: 100000000000000000"]),
         ("limits", json!({"idle_ms": -4}), vec!["vm.json", "limits.idle_ms:", "-4"]),
         ("limits", json!({"header_count": 0}), vec!["limits.header_count:", "0"]),
         ("membership", json!({"seeds": []}), vec!["vm.json", "membership.seeds", "seeds"]),
