--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -103,7 +103,7 @@
     let idle_limit = Duration::from_millis(limits.body_idle_ms);
     let stream = StallGuard::new(stream, idle_limit, Arc::clone(&arrivals));
     let peer = stream.peer_monitor();
-    let (stopped_context, monitor) = (Arc::clone(&context), peer.clone());
+    let (stop, monitor) = (context.stop.clone(), peer.clone());
     let is_busy = Arc::new(AtomicBool::new(false));
     let busy = Arc::clone(&is_busy);
     let service = service_fn(move |mut request| {
@@ -129,7 +129,7 @@
         Ok(()) => monitor.drain(CLOSE_TIMEOUT).await,
         Err(error) => log::debug!("event=connection_ended error={error:?}"),
     }
-    if stopped_context.stop.has_begun() {
+    if stop.has_begun() {
         log_unread_bytes(&monitor);
     }
 }
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -66,6 +66,15 @@
     client::request(Method::POST, "/bookings", id)
 }
 
+fn keyed_booking() -> Request<Full<Bytes>> {
+    client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4")
+}
+
+/// Returns a duplicate of [`keyed_booking`] that says so.
+fn repeated_booking() -> Request<Full<Bytes>> {
+    client::with_header(keyed_booking(), header::REPEAT, "true")
+}
+
 fn outcome(answer: &Response<Bytes>) -> (Option<&str>, Option<&str>) {
     let text = |name| client::header_text(answer, name);
     (text(header::OUTCOME), text(header::REASON))
@@ -157,11 +166,9 @@
     bounded(async {
         let (endpoint, _release) = blocked_endpoint().await;
         let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
-        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
-        let original = tokio::spawn(client::send(vm.caller_address, keyed()));
+        let original = tokio::spawn(client::send(vm.caller_address, keyed_booking()));
         endpoint.wait_received(1).await;
-        let repeat = client::with_header(keyed(), header::REPEAT, "true");
-        let duplicate = tokio::spawn(client::send(vm.caller_address, repeat));
+        let duplicate = tokio::spawn(client::send(vm.caller_address, repeated_booking()));
         client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 2)
             .await;
         vm.signal("TERM").await;
@@ -180,13 +187,11 @@
     bounded(async {
         let (endpoint, _release) = blocked_endpoint().await;
         let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
-        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
-        let original = tokio::spawn(client::send(vm.caller_address, keyed()));
+        let original = tokio::spawn(client::send(vm.caller_address, keyed_booking()));
         endpoint.wait_received(1).await;
         vm.signal("TERM").await;
         vm.wait_for_line(&["event=leaving"]).await;
-        let repeat = client::with_header(keyed(), header::REPEAT, "true");
-        let duplicate = client::send(vm.caller_address, repeat).await.unwrap();
+        let duplicate = client::send(vm.caller_address, repeated_booking()).await.unwrap();
         assert_eq!(outcome(&duplicate).0, Some("unknown"), "{:?}", duplicate.headers());
         drop(original);
     })
@@ -294,13 +299,12 @@
 async fn a_duplicate_is_not_run_by_another_vm_while_the_stopping_owner_holds_its_record() {
     bounded(async {
         let (endpoint, _release) = blocked_endpoint().await;
-        let keyed = || client::with_header(booking("slot 7"), header::IDEMPOTENCY_KEY, "clerk-4");
         let vms = StoppingOwner::start(&endpoint, |owner| {
-            tokio::spawn(client::send(owner, keyed()));
+            tokio::spawn(client::send(owner, keyed_booking()));
             endpoint.wait_received(1)
         })
         .await;
-        let duplicate = client::send(vms.other.caller_address, keyed());
+        let duplicate = client::send(vms.other.caller_address, keyed_booking());
         // If it is sent to the endpoint, it has no answer.
         let _ = tokio::time::timeout(Duration::from_secs(1), duplicate).await;
         assert_eq!(endpoint.received().len(), 1);
