Control calls: only the reading half of a connection is wrapped

The wrapper that bounds the bytes of an answer also passed each write on by hand, as other streams of the project do. The reading half alone has the bound now, joined with the plain writing half. The error of a status that is not final says so. The bounds are unchanged; the tests of control calls pass.

--- a/crates/pistachiotrackd/src/runtime/http_call.rs
+++ b/crates/pistachiotrackd/src/runtime/http_call.rs
@@ -18,8 +18,8 @@
 use hyper_util::rt::TokioIo;
 use pistachiotrack_core::request::is_final_status;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    io::{AsyncRead, ReadBuf},
+    net::{TcpStream, tcp::OwnedReadHalf},
     time::timeout,
 };
 
@@ -38,8 +38,8 @@
     /// The exchange failed.
     #[error("http: {0}")]
     Http(#[from] hyper::Error),
-    /// The peer sent what is no answer.
-    #[error("{0} is no status of an answer")]
+    /// The answer has a status that no final answer has.
+    #[error("{0} is not the status of a final answer")]
     NoFinalStatus(u16),
     /// The body of the answer is incomplete.
     #[error("body: {0}")]
@@ -119,7 +119,9 @@
     let stream = TcpStream::connect(address).await?;
     socket::configure_outgoing(&stream)?;
     let left_bytes = Arc::new(AtomicU64::new(MAX_BYTES_BESIDE_BODY));
-    let stream = LimitedStream { inner: stream, left_bytes: Arc::clone(&left_bytes) };
+    let (reader, writer) = stream.into_split();
+    let reader = LimitedReader { inner: reader, left_bytes: Arc::clone(&left_bytes) };
+    let stream = tokio::io::join(reader, writer);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     let connection = AbortOnDrop(connection.abort_handle());
@@ -161,13 +163,13 @@
     }
 }
 
-/// A TCP stream that fails when too many bytes have been read.
-struct LimitedStream {
-    inner: TcpStream,
+/// The reading half of a TCP stream, which fails when too many bytes have been read.
+struct LimitedReader {
+    inner: OwnedReadHalf,
     left_bytes: Arc<AtomicU64>,
 }
 
-impl AsyncRead for LimitedStream {
+impl AsyncRead for LimitedReader {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -183,33 +185,3 @@
         }
     }
 }
-
-impl AsyncWrite for LimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
