Read again: names and places of what a stop knows

The source of a request was named like a channel's sender; the guard of a busy connection stood among the bodies of answers; the daemon asked its own monitor for times that its schedule holds; two impl blocks are one; some comments named nobody in particular. No behaviour changed.

--- a/crates/pistachiotrack-core/src/stop.rs
+++ b/crates/pistachiotrack-core/src/stop.rs
@@ -6,7 +6,7 @@
 
 /// Time at the end of the grace in which the last answers are sent and the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
-/// Divisor of a short grace that yields the largest part of it that may be spent so.
+/// Divisor of the grace that yields the maximum of that time, for a short grace.
 const EXIT_MARGIN_DIVISOR: u32 = 12;
 
 /// The times of a stop that has begun.
--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -51,7 +51,7 @@
     /// entry response.
     #[serde(default = "default_entry_drain_ms")]
     pub entry_drain_ms: u64,
-    /// Time that a process has between the signal to stop and its end by whoever stops it.
+    /// Time between the signal to stop and the moment at which a process that still runs is killed.
     #[serde(default = "default_stop_grace_s")]
     pub stop_grace_s: f64,
     /// Expected number of VMs of the fleet; used to spread the first reads of the
--- a/crates/pistachiotrackd/src/connections.rs
+++ b/crates/pistachiotrackd/src/connections.rs
@@ -1,6 +1,7 @@
 //! Connections of callers and to endpoints, and single exchanges on them.
 
 pub(crate) mod arrival;
+pub(crate) mod busy_guard;
 pub(crate) mod carried_requests;
 pub(crate) mod connection;
 pub(crate) mod connection_pool;
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -125,8 +125,8 @@
     /// The peer sent bytes that can't be read as an answer.
     #[error("bytes that are no answer: {0}")]
     Unreadable(hyper::Error),
-    /// The peer sent what is no answer.
-    #[error("{status} is no status of an answer")]
+    /// The answer has a status that no final answer has.
+    #[error("{status} is not the status of a final answer")]
     NoFinalStatus {
         /// HTTP status.
         status: u16,
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -534,7 +534,7 @@
              requests_in_flight={}",
             after_ms(schedule.accepts_until),
             after_ms(schedule.answers_until),
-            context.stop.elapsed(context.clock.now()).as_millis(),
+            after_ms(context.clock.now()),
             context.in_flight.len()
         );
         context.clock.sleep_until(schedule.accepts_until).await;
@@ -542,7 +542,7 @@
         daemon.connections.close();
         log::info!(
             "event=listeners_closed since_stop_ms={} connections={} requests_in_flight={}",
-            context.stop.elapsed(context.clock.now()).as_millis(),
+            after_ms(context.clock.now()),
             daemon.connections.len(),
             context.in_flight.len()
         );
@@ -568,7 +568,7 @@
                 () = context.clock.sleep_until(exits_at) => {}
             }
         }
-        let since_stop = context.stop.elapsed(context.clock.now());
+        let since_stop = context.clock.now().since(schedule.began_at);
         if connections.is_empty() {
             log::info!("event=stopped since_stop_ms={}", since_stop.as_millis());
             return;
--- a/crates/pistachiotrackd/src/program/signals.rs
+++ b/crates/pistachiotrackd/src/program/signals.rs
@@ -4,8 +4,7 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// The signals that the process handles in place of their default actions, from when they are
-/// received on.
+/// The signals that the process handles in place of their default actions.
 #[derive(Debug)]
 pub(crate) struct Signals {
     /// SIGTERM.
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -3,10 +3,7 @@
 use std::{
     future::Future,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -27,7 +24,7 @@
 
 use crate::{
     config::settings::Limits,
-    connections::{connection::Connection, connection_pool::ConnectionPool},
+    connections::{busy_guard::BusyGuard, connection::Connection, connection_pool::ConnectionPool},
     request::{
         crash_check::ExecutionMonitor,
         in_flight::{InFlightGuard, Stage},
@@ -99,24 +96,6 @@
     _busy: Option<BusyGuard>,
 }
 
-/// Marks a connection as busy with a request until it is dropped.
-#[derive(Debug)]
-pub(crate) struct BusyGuard(Arc<AtomicBool>);
-
-impl BusyGuard {
-    /// Marks a connection as busy by setting `is_busy`.
-    pub(crate) fn new(is_busy: &Arc<AtomicBool>) -> BusyGuard {
-        is_busy.store(true, Ordering::Relaxed);
-        BusyGuard(Arc::clone(is_busy))
-    }
-}
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.store(false, Ordering::Relaxed);
-    }
-}
-
 #[derive(Debug)]
 enum Content {
     /// A whole body in memory.
--- a/crates/pistachiotrackd/src/request/in_flight.rs
+++ b/crates/pistachiotrackd/src/request/in_flight.rs
@@ -13,7 +13,7 @@
 
 /// Who sent a request to this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Sender {
+pub(crate) enum RequestSource {
     /// A caller.
     Caller,
     /// Another VM.
@@ -51,17 +51,17 @@
 #[derive(Clone, Debug)]
 struct InFlight {
     fleet_id: Name,
-    sender: Sender,
+    source: RequestSource,
     received: Time,
     stage: Stage,
 }
 
 impl InFlight {
     fn log_cut(&self, now: Time, since_stop: Duration, cause: &str) {
-        let InFlight { fleet_id, sender, received, stage } = self;
-        let from = match sender {
-            Sender::Caller => "caller",
-            Sender::Vm => "vm",
+        let InFlight { fleet_id, source, received, stage } = self;
+        let from = match source {
+            RequestSource::Caller => "caller",
+            RequestSource::Vm => "vm",
         };
         log::error!(
             "event=request_cut request={fleet_id} from={from} at={stage} age_ms={} \
@@ -90,11 +90,11 @@
         self: &Arc<Self>,
         id: RequestId,
         fleet_id: &Name,
-        sender: Sender,
+        source: RequestSource,
     ) -> InFlightGuard {
         let received = self.clock.now();
         let stage = Stage::Arriving;
-        self.lock().insert(id, InFlight { fleet_id: fleet_id.clone(), sender, received, stage });
+        self.lock().insert(id, InFlight { fleet_id: fleet_id.clone(), source, received, stage });
         InFlightGuard { table: Arc::clone(self), id }
     }
 
@@ -136,9 +136,7 @@
     pub(crate) fn set_stage(&self, stage: Stage) {
         self.table.set_stage(self.id, stage);
     }
-}
 
-impl InFlightGuard {
     /// Writes a log line for the request, which is given up `since_stop` after the stop began.
     pub(crate) fn log_cut(&self, since_stop: Duration) {
         if let Some(request) = self.table.lock().get(&self.id) {
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -209,7 +209,7 @@
         loop {
             let step = tokio::select! {
                 biased;
-                () = &mut stopping, if self.is_unknown_to_endpoints() => Step::Stopping,
+                () = &mut stopping, if self.is_at_no_endpoint() => Step::Stopping,
                 command = self.commands.recv() => Step::Command(command),
                 ended = next_end(&mut self.running) => Step::Ended(ended),
                 () = &mut watchdog => Step::Overdue,
@@ -313,8 +313,8 @@
         Some(Served::refused(copies.refuse(Reason::CrashesEndpoints, retry_after_ms)))
     }
 
-    /// Returns whether neither the request nor one that it may be a duplicate of can be at an endpoint.
-    fn is_unknown_to_endpoints(&self) -> bool {
+    /// Returns whether certainly neither the request nor one that it duplicates is at an endpoint.
+    fn is_at_no_endpoint(&self) -> bool {
         self.copies.is_certainly_not_run() && self.inbound.key().is_none()
     }
 
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -26,8 +26,11 @@
 
 use crate::{
     config::settings::Limits,
-    connections::{arrival::ArrivalTracker, peer_monitor::PeerMonitor, stall_guard::StallGuard},
-    request::body::{AnswerBody, BusyGuard},
+    connections::{
+        arrival::ArrivalTracker, busy_guard::BusyGuard, peer_monitor::PeerMonitor,
+        stall_guard::StallGuard,
+    },
+    request::body::AnswerBody,
     runtime::socket,
     serving::context::Context,
     stats::metrics::Event,
--- a/crates/pistachiotrackd/src/serving/proxy.rs
+++ b/crates/pistachiotrackd/src/serving/proxy.rs
@@ -27,7 +27,7 @@
         answer::{self, PendingRefusal, Served},
         body::AnswerBody,
         forward::{self, ForwardError, Forwarded},
-        in_flight::{InFlightGuard, Sender},
+        in_flight::{InFlightGuard, RequestSource},
     },
     serving::{
         context::Context,
@@ -61,7 +61,7 @@
     let number = context.next_request();
     let id = context.dialect.request_id(request.headers()).map(Name::from);
     let id = id.unwrap_or_else(|| context.fleet_id(number));
-    let in_flight = context.in_flight.add(number, &id, Sender::Caller);
+    let in_flight = context.in_flight.add(number, &id, RequestSource::Caller);
     let served = tokio::select! {
         biased;
         served = receive_and_serve(&context, request, number, &id) => served,
@@ -120,7 +120,7 @@
     let number = context.next_request();
     let id = headers::text(request.headers(), header::REQUEST_ID)
         .map_or_else(|| context.fleet_id(number), Name::from);
-    let in_flight = context.in_flight.add(number, &id, Sender::Vm);
+    let in_flight = context.in_flight.add(number, &id, RequestSource::Vm);
     let (served, attempts) = tokio::select! {
         biased;
         served = receive_and_serve_forwarded(&context, request, number, &id) => served,
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -25,7 +25,7 @@
     request::{
         answer,
         body::{self, AnswerBody, BodyTimeouts},
-        in_flight::{Sender, Stage},
+        in_flight::{RequestSource, Stage},
         relay_client::{RelayRequest, RelayResult},
         request_task,
     },
@@ -64,7 +64,7 @@
     let id = request_id(context, &parts.headers);
     let number = context.next_request();
     let fleet_id = id.clone().unwrap_or_else(|| context.fleet_id(number));
-    let in_flight = context.in_flight.add(number, &fleet_id, Sender::Vm);
+    let in_flight = context.in_flight.add(number, &fleet_id, RequestSource::Vm);
     in_flight.set_stage(Stage::AtEndpoint(relay_request.endpoint.clone()));
     let deadline = received + request_time_left(context, &parts);
     let request = id.as_ref().map(|id| SentRequest::new(id, deadline));
