--- a/crates/pistachiotrackd/tests/endless_answers.rs
+++ b/crates/pistachiotrackd/tests/endless_answers.rs
@@ -132,14 +132,16 @@
             let sound = Endpoint::answering("found").await;
             let addresses = [endless.endpoint.address, sound.address];
             let deployment = Deployment::start(&addresses, &[]).await;
-            for number in 0..8 {
+            // Which of two idle endpoints gets a request is drawn.
+            let mut number = 0;
+            while number < 8 || endless.endpoint.connections() == 0 {
+                number += 1;
                 let sent = Instant::now();
                 let answer = client::send(deployment.address(), client::get("/slots/7")).await;
                 let answer = answer.unwrap_or_else(|error| panic!("{form}, {number}: {error}"));
                 assert_eq!(answer.body(), "found", "{form}, {number}: {answer:?}");
                 assert!(sent.elapsed() < ANSWER_LIMIT, "{form}, {number}: {:?}", sent.elapsed());
             }
-            assert!(endless.endpoint.connections() > 0, "{form}");
             endless.wait_until_closed(form).await;
             let written = endless.written_bytes.load(Ordering::SeqCst);
             let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
