Health: a suspicion that only fades with time is still checked

An endpoint without requests that was barely suspect (two failures: 4.54 of the 4.5 that make it suspect) fell below that by the decay of its evidence within its first second without requests, before a health check was due, and then counted as healthy without any answer of its own.

The health check now depends on whether the endpoint was suspect after its last exchange. The new test fails without the change: no health check.

--- a/crates/pistachiotrack-core/src/health.rs
+++ b/crates/pistachiotrack-core/src/health.rs
@@ -362,6 +362,7 @@
         for endpoint in &mut self.endpoints {
             endpoint.evidence.revert_to_last_tick(now);
             endpoint.ambiguous_since = None;
+            endpoint.last_suspect_at = None;
             endpoint.path_check = state::PathCheck::NotRequested;
         }
         self.last_tick = now;
--- a/crates/pistachiotrack-core/src/health/schedule.rs
+++ b/crates/pistachiotrack-core/src/health/schedule.rs
@@ -136,6 +136,9 @@
         if state.leaving || state.is_replaced() || state.relay_route.is_some() {
             return;
         }
+        if state.in_rotation() && state.evidence.strength(threshold) >= threshold / 2.0 {
+            state.last_suspect_at = Some(now);
+        }
         let since_probe = now.since(state.last_probe_at);
         let idle = now.since(state.last_dispatch_at);
         let is_due = if state.is_draining() {
@@ -143,9 +146,8 @@
         } else if matches!(state.phase, Phase::Trial { .. }) {
             since_probe >= SLOW_PROBE_INTERVAL && idle >= SLOW_PROBE_INTERVAL
         } else if state.in_rotation() && since_probe >= PROBE_INTERVAL {
-            let is_suspect = state.evidence.strength(threshold) >= threshold / 2.0;
             let is_ambiguous = state.evidence.ambiguous_total() >= threshold / 2.0;
-            is_ambiguous || (is_suspect && idle >= IDLE_BEFORE_PROBE)
+            is_ambiguous || (state.is_suspicion_open() && idle >= IDLE_BEFORE_PROBE)
         } else {
             false
         };
--- a/crates/pistachiotrack-core/src/health/state.rs
+++ b/crates/pistachiotrack-core/src/health/state.rs
@@ -109,6 +109,8 @@
     pub(super) last_answer_at: Time,
     pub(super) last_dispatch_at: Time,
     pub(super) last_probe_at: Time,
+    /// When it was last suspect while in rotation.
+    pub(super) last_suspect_at: Option<Time>,
     /// When a health check last passed.
     pub(super) probe_passed_at: Option<Time>,
     /// Since when ambiguous evidence alone has been above the threshold.
@@ -141,6 +143,7 @@
             last_answer_at: now,
             last_dispatch_at: now,
             last_probe_at: now,
+            last_suspect_at: None,
             probe_passed_at: None,
             ambiguous_since: None,
         }
@@ -223,6 +226,14 @@
         if self.is_cold() { COLD_LATENCY_TOLERANCE } else { LATENCY_TOLERANCE }
     }
 
+    /// Returns whether nothing has been sent to the endpoint, nor answered by it, since it was
+    /// suspect. Evidence that has only decayed since then refutes nothing.
+    pub(super) fn is_suspicion_open(&self) -> bool {
+        let last_exchange_at =
+            self.last_dispatch_at.max(self.last_answer_at).max(self.last_probe_at);
+        self.last_suspect_at.is_some_and(|suspect_at| suspect_at > last_exchange_at)
+    }
+
     /// Returns whether the endpoint is new and has given few answers so far.
     pub(super) fn is_cold(&self) -> bool {
         self.cold && self.answers < COLD_ANSWERS
--- a/crates/pistachiotrack-core/tests/health_faults.rs
+++ b/crates/pistachiotrack-core/tests/health_faults.rs
@@ -267,3 +267,23 @@
         assert!(!actions.iter().any(|action| matches!(action, HealthAction::Ejected { .. })));
     }
 }
+
+/// Guards against an endpoint without requests whose suspicion fades before a health check could
+/// confirm it: two failures leave it barely suspect.
+#[test]
+fn a_suspect_endpoint_without_requests_gets_a_health_check() {
+    let mut simulation = Simulation::new(4, 1, 0.5);
+    simulation.load = 0.0;
+    let name = Name::from("e0");
+    for index in 0..2 {
+        let attempt = AttemptId(1_000_000 + index);
+        let now = simulation.now;
+        simulation.health.on_dispatch(now, attempt, &name, Class::Standard, AttemptKind::Request);
+        let outcome = Outcome::Answered { status: 500, fresh_connection: true };
+        simulation.health.on_outcome(now, attempt, outcome);
+        simulation.run(27, |_| Reply::GOOD);
+    }
+    assert_eq!(simulation.state(0), HealthState::Suspect);
+    simulation.run(1_500, |_| Reply::GOOD);
+    assert_eq!(simulation.probes, [1, 0, 0, 0]);
+}
