Stops: a request with a long timeout is taken while its usual work fits

Cause: the only time known of a request was the one it may take. Now the daemon also records what attempts of each service took from dispatch to the end of the body (core::work_time). A caller's request is sent while twice the longest of the last 30 to 60 s fits into the grace, only until the callers know of the stop, and its deadline is cut to the end of the grace. With fewer than 30 attempts the timeout counts as before, and so it does for what other VMs forward or relay. A queued request, or one whose body arrives, is refused as not run when its latest start comes.

The booking that is taken fails without the change (not-run, stopping). The check of a request that ends exactly with the grace moves by a microsecond: such a deadline is now also that of a request that isn't certain to end.

--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -47,3 +47,4 @@
 pub mod time;
 pub mod transfers;
 pub mod vm;
+pub mod work_time;
--- a/crates/pistachiotrack-core/src/stop.rs
+++ b/crates/pistachiotrack-core/src/stop.rs
@@ -11,8 +11,8 @@
 
 /// The times of a stop that has begun.
 ///
-/// A request is taken only if its time ends before the process has to: one that is cut at an
-/// endpoint may have run, and its caller can't know.
+/// A request is sent to an endpoint only if its time ends before the process has to, or if it is
+/// expected to: one that is cut at an endpoint may have run, and its caller can't know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
     /// Time at which the stop began.
@@ -39,9 +39,16 @@
         }
     }
 
-    /// Returns whether a request is certainly finished in time that has its final answer by
-    /// `answered_by`.
-    pub fn leaves_time_for(&self, answered_by: Time) -> bool {
-        answered_by <= self.answers_until
+    /// Returns the time until which a request may be sent to an endpoint that has its final answer
+    /// by `answered_by`, and for which an endpoint is expected to take `work`, if that is known.
+    ///
+    /// Work is only expected while callers may not know of the stop: others have a VM to go to that
+    /// serves them for certain.
+    pub fn sends_until(&self, answered_by: Time, work: Option<Duration>) -> Time {
+        if answered_by < self.answers_until {
+            return self.answers_until;
+        }
+        let starts_until = work.map(|work| self.answers_until.before(work).min(self.accepts_until));
+        starts_until.unwrap_or(self.began_at).max(self.began_at)
     }
 }
--- /dev/null
+++ b/crates/pistachiotrack-core/tests/work_time.rs
@@ -0,0 +1,42 @@
+//! How long attempts are expected to take.
+
+use std::time::Duration;
+
+use pistachiotrack_core::{time::Time, work_time::WorkTime};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn record(work_time: &mut WorkTime, now_ms: u64, attempts: u32, took: Duration) {
+    (0..attempts).for_each(|_| work_time.record(Time::from_millis(now_ms), took));
+}
+
+/// Guards against an expectation that the slow ones among a service's requests exceed.
+#[test]
+fn the_longest_attempt_counts() {
+    let mut work_time = WorkTime::new(Time::ZERO);
+    record(&mut work_time, 1_000, 99, 20 * MS);
+    record(&mut work_time, 1_100, 1, 700 * MS);
+    record(&mut work_time, 1_200, 99, 20 * MS);
+    assert_eq!(work_time.expected(Time::from_millis(1_200)), Some(1_400 * MS));
+}
+
+/// Guards against an expectation from a few attempts, which may all have been quick by chance.
+#[test]
+fn a_few_attempts_say_nothing() {
+    let mut work_time = WorkTime::new(Time::ZERO);
+    record(&mut work_time, 1_000, 29, 20 * MS);
+    assert_eq!(work_time.expected(Time::from_millis(1_000)), None);
+}
+
+/// Guards against an expectation that an endpoint's past fault keeps high for ever, or that is made of
+/// requests long ago.
+#[test]
+fn attempts_count_for_half_a_minute_at_least_and_a_minute_at_most() {
+    let mut work_time = WorkTime::new(Time::ZERO);
+    record(&mut work_time, 29_000, 30, 700 * MS);
+    record(&mut work_time, 31_000, 30, 20 * MS);
+    assert_eq!(work_time.expected(Time::from_millis(59_000)), Some(1_400 * MS));
+    record(&mut work_time, 62_000, 30, 20 * MS);
+    assert_eq!(work_time.expected(Time::from_millis(62_000)), Some(40 * MS));
+    assert_eq!(work_time.expected(Time::from_millis(123_000)), None);
+}
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -63,6 +63,7 @@
     shards::shard_table::{ShardTable, ShardTableArgs},
     stats::{
         forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics, traffic::Traffic,
+        work_times::WorkTimes,
     },
 };
 
@@ -238,7 +239,13 @@
         let queue_latency = Arc::new(Histograms::default());
         let body_timeouts = BodyTimeouts::from(&settings.limits);
         let in_flight = Arc::new(InFlightTable::new(clock));
-        let stop = StopMonitor { schedule, grace_over, overrun: body_timeouts.overrun };
+        let stop = StopMonitor {
+            clock,
+            schedule,
+            grace_over,
+            overrun: body_timeouts.overrun,
+            work_times: Arc::new(WorkTimes::new(clock)),
+        };
         let forwarder = Forwarder {
             me: me.clone(),
             clock,
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -29,7 +29,7 @@
         crash_check::ExecutionMonitor,
         in_flight::{InFlightGuard, Stage},
     },
-    stats::attempt_report::BodyEnded,
+    stats::{attempt_report::BodyEnded, work_times::AttemptTimer},
 };
 
 /// Why the body of an answer is incomplete.
@@ -290,6 +290,8 @@
     pub(crate) copy: Option<AnswerCopy>,
     /// Execution of the request that produced the answer.
     pub(crate) execution: ExecutionMonitor,
+    /// Measures the attempt.
+    pub(crate) timer: AttemptTimer,
 }
 
 impl AnswerMonitor {
@@ -303,6 +305,7 @@
     }
 
     fn finish(self, end: BodyEnd) {
+        drop(self.timer);
         self.execution.finish(end);
         let stored =
             self.copy.filter(|_| end == BodyEnd::Complete).map(|copy| (copy.request, copy.answer));
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -43,7 +43,7 @@
         crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
         in_flight::{InFlightTable, Stage},
         rejection::OTHER_VM_RETRY_MS,
-        stop_monitor::StopMonitor,
+        stop_monitor::{RequestTime, StopMonitor},
     },
     runtime::clock::Clock,
     shards::shard_actor::{CallerGone, Command, ShardActor, Submit},
@@ -52,6 +52,7 @@
         histogram::Histograms,
         metrics::{Event, Metrics},
         traffic::{Locality, Topic, Traffic},
+        work_times::AttemptTimer,
     },
 };
 
@@ -151,6 +152,7 @@
     end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
     locality: Locality,
     abandon: AbandonSignal,
+    timer: AttemptTimer,
 }
 
 /// A request for which a shard makes the decisions.
@@ -181,6 +183,7 @@
     is_leaving: bool,
     answer: Box<StartedAnswer>,
     pool: Arc<ConnectionPool>,
+    timer: AttemptTimer,
 }
 
 /// An attempt that has ended or whose answer has started.
@@ -188,6 +191,7 @@
     attempt: AttemptId,
     copy: OutstandingCopy,
     locality: Locality,
+    timer: AttemptTimer,
     end: AttemptEnd,
 }
 
@@ -195,7 +199,7 @@
     Command(Option<Command>),
     Ended(Ended),
     Overdue,
-    /// The VM has begun to stop and may have to exit before the request is finished.
+    /// The VM has begun to stop and would have to exit before the request is finished.
     Stopping,
 }
 
@@ -204,7 +208,7 @@
         let overdue = self.handle.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
         let watchdog = tokio::time::sleep_until(overdue);
         let stop = self.handle.stop.clone();
-        let stopping = stop.without_time_for(self.inbound.deadline);
+        let stopping = stop.without_time_for(RequestTime::of(&self.inbound));
         tokio::pin!(watchdog, stopping);
         loop {
             let step = tokio::select! {
@@ -291,9 +295,10 @@
         inbound.attempts().on_sent(&dispatch.endpoint);
         handle.in_flight.set_stage(inbound.id, Stage::AtEndpoint(dispatch.endpoint.clone()));
         let copy = self.copies.send(dispatch.endpoint.clone(), handle.clock.now());
+        let timer = handle.stop.work_times.begin(service);
         let attempts = Arc::clone(&handle.attempts);
         let end = Box::pin(attempt::run(attempts, inbound, dispatch, budget, abandon.clone()));
-        self.running.push(RunningAttempt { attempt, copy, end, locality, abandon });
+        self.running.push(RunningAttempt { attempt, copy, end, locality, abandon, timer });
         None
     }
 
@@ -338,7 +343,7 @@
     }
 
     fn on_end(&mut self, ended: Ended) -> Option<Served> {
-        let Ended { attempt, copy, locality, end } = ended;
+        let Ended { attempt, copy, locality, timer, end } = ended;
         self.inbound.attempts().on_outcome(&end.endpoint, end.outcome);
         if let Some(copy) = copy.on_outcome(end.outcome) {
             self.copies.record_not_run(copy);
@@ -355,7 +360,15 @@
             self.handle.traffic.received(Topic::Endpoint, locality, bytes);
             let AttemptEnd { endpoint, address, pool, .. } = end;
             let is_leaving = end.report.notice.leaving;
-            self.answered.push(Answered { attempt, endpoint, address, is_leaving, answer, pool });
+            self.answered.push(Answered {
+                attempt,
+                endpoint,
+                address,
+                is_leaving,
+                answer,
+                pool,
+                timer,
+            });
         }
         self.report_outcome(attempt, end.outcome, end.report);
         None
@@ -404,7 +417,7 @@
 
     fn deliver(&mut self, attempt: AttemptId) -> Option<Served> {
         let index = self.answered.iter().position(|answered| answered.attempt == attempt)?;
-        let Answered { endpoint, address, is_leaving, answer, pool, .. } =
+        let Answered { endpoint, address, is_leaving, answer, pool, timer, .. } =
             self.answered.swap_remove(index);
         self.finished = true;
         let StartedAnswer { mut parts, body, connection, sent, started_at, .. } = *answer;
@@ -414,7 +427,7 @@
         let execution =
             ExecutionMonitor { execution: self.execution_at(&endpoint, address), is_failure };
         let shard = self.shard.clone().recipient();
-        let monitor = AnswerMonitor { shard, attempt, copy, execution };
+        let monitor = AnswerMonitor { shard, attempt, copy, execution, timer };
         let body = AnswerBody::streaming(
             &parts,
             body,
@@ -510,8 +523,9 @@
     poll_fn(|cx| {
         for index in 0..running.len() {
             if let Poll::Ready(end) = running[index].end.as_mut().poll(cx) {
-                let RunningAttempt { attempt, copy, locality, .. } = running.swap_remove(index);
-                return Poll::Ready(Ended { attempt, copy, locality, end });
+                let RunningAttempt { attempt, copy, locality, timer, .. } =
+                    running.swap_remove(index);
+                return Poll::Ready(Ended { attempt, copy, locality, timer, end });
             }
         }
         Poll::Pending
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -37,7 +37,7 @@
         request_body::{BodyLimits, RequestBody, RequestBodyError},
         transferred_copy::TransferredCopy,
     },
-    request::rejection::Rejection,
+    request::{rejection::Rejection, stop_monitor::RequestTime},
     serving::context::Context,
     shards::shard_actor::RefusedBefore,
 };
@@ -98,12 +98,14 @@
     };
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
-    check_finishes_before_exit(context, deadline, &parts.headers)?;
+    let time = RequestTime { deadline, service: Some(service.name.clone()) };
+    let time = limit_to_stop(context, time, &parts.headers)?;
+    let deadline = time.deadline;
     if let Caller::Customer(customer) = caller {
         check_limit(context, customer, config.version, fleet_id, &forwarded_route.shard)?;
     }
     check_not_expired_in_pause(context, &parts, deadline)?;
-    let body = read_body(context, body, deadline).await?;
+    let body = read_body(context, body, time).await?;
     let named_customer = forwarded_route.identified.clone().or(metadata.customer);
     let inbound = Inbound {
         id,
@@ -280,14 +282,18 @@
     if expired { Err(Reason::Paused.into()) } else { Ok(()) }
 }
 
-/// Refuses a request that this VM, which is stopping, may have to cut.
-fn check_finishes_before_exit(
+/// Returns the time of a request that this VM can finish before a stop ends it.
+///
+/// # Errors
+///
+/// Returns why the request is refused: this VM, which is stopping, may have to cut it.
+fn limit_to_stop(
     context: &Context,
-    deadline: Time,
+    time: RequestTime,
     fields: &HeaderMap,
-) -> Result<(), Rejection> {
-    if context.stop.has_time_for(deadline) {
-        return Ok(());
+) -> Result<RequestTime, Rejection> {
+    if context.stop.has_time_for(&time) {
+        return Ok(RequestTime { deadline: context.stop.limit_deadline(time.deadline), ..time });
     }
     match fields.contains_key(header::IDEMPOTENCY_KEY) {
         true => Err(Rejection::stopping().of_possible_duplicate()),
@@ -375,7 +381,7 @@
 pub(crate) async fn read_body(
     context: &Context,
     body: Incoming,
-    deadline: Time,
+    time: RequestTime,
 ) -> Result<RequestBody, Rejection> {
     let limits = &context.settings.limits;
     let limits = BodyLimits {
@@ -386,8 +392,8 @@
     let read = RequestBody::read(body, limits);
     let read = tokio::select! {
         biased;
-        read = tokio::time::timeout_at(context.clock.instant(deadline), read) => read,
-        () = context.stop.without_time_for(deadline) => return Err(Rejection::stopping()),
+        read = tokio::time::timeout_at(context.clock.instant(time.deadline), read) => read,
+        () = context.stop.without_time_for(time) => return Err(Rejection::stopping()),
     };
     match read {
         Ok(Ok(body)) => Ok(body),
@@ -417,11 +423,12 @@
         .ok_or_else(bad_request)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
-    check_finishes_before_exit(context, deadline, &parts.headers)?;
+    let time = limit_to_stop(context, RequestTime { deadline, service: None }, &parts.headers)?;
+    let deadline = time.deadline;
     check_not_expired_in_pause(context, &parts, deadline)?;
     let copy = TransferredCopy::read(&parts.headers);
     headers::strip_from_caller(&mut parts.headers);
-    let body = read_body(context, body, deadline).await?;
+    let body = read_body(context, body, time).await?;
     // The VM at which the request entered has validated its head.
     let named_customer = route.identified.clone().or_else(|| {
         context.dialect.read_request(&parts).ok().and_then(|metadata| metadata.customer)
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -28,6 +28,7 @@
         in_flight::{RequestSource, Stage},
         relay_client::{RelayRequest, RelayResult},
         request_task,
+        stop_monitor::RequestTime,
     },
     serving::{context::Context, receive},
 };
@@ -47,7 +48,7 @@
     };
     let gate = context.notices.gate(&service, &relay_request.endpoint);
     let time_limit = received + Duration::from_micros(relay_request.time_limit_us);
-    if !context.stop.has_time_for(time_limit) {
+    if !context.stop.has_time_for(&RequestTime { deadline: time_limit, service: None }) {
         return failure_response(RelayResult::Refused);
     }
     let target = Target {
@@ -132,7 +133,9 @@
         headers::set(&mut parts.headers, header::REQUEST_ID, &id);
     }
     let body =
-        receive::read_body(context, body, time_limit).await.map_err(|_| RelayResult::NotSent)?;
+        receive::read_body(context, body, RequestTime { deadline: time_limit, service: None })
+            .await
+            .map_err(|_| RelayResult::NotSent)?;
     let uri = origin_form(&parts);
     let head = RequestHead { method: parts.method, uri, headers: parts.headers };
     exchange::run(&context.endpoints, context.clock, target, head, &body)
--- a/crates/pistachiotrackd/src/stats.rs
+++ b/crates/pistachiotrackd/src/stats.rs
@@ -6,3 +6,4 @@
 pub(crate) mod metrics;
 pub(crate) mod shard_status;
 pub(crate) mod traffic;
+pub(crate) mod work_times;
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -121,6 +121,65 @@
     .await;
 }
 
+/// Number of bookings after which a VM knows how long they usually take.
+const USUAL_BOOKINGS: usize = 40;
+
+/// Books a few times, stops the VM, and returns the answer to a booking during the stop. The endpoint
+/// answers after `usual`, and this one booking after `last`.
+async fn book_during_a_stop(usual: Duration, last: Duration) -> Response<Bytes> {
+    let endpoint = Endpoint::start(move |request| async move {
+        let is_last = request.body() == "last";
+        tokio::time::sleep(if is_last { last } else { usual }).await;
+        Response::new(Full::new(Bytes::from_static(b"booked")))
+    })
+    .await;
+    let mut config = config(1, &[], &[endpoint.address]);
+    config["services"][1]["endpoints"][0]["slots"] = json!(USUAL_BOOKINGS);
+    let (_platform, vm) = start(config).await;
+    let usual_bookings =
+        (0..USUAL_BOOKINGS).map(|_| client::send(vm.caller_address, booking("usual")));
+    for answer in futures_util::future::join_all(usual_bookings).await {
+        assert_eq!(answer.unwrap().body(), "booked");
+    }
+    vm.signal("TERM").await;
+    vm.wait_for_line(&["event=leaving"]).await;
+    client::send(vm.caller_address, booking("last")).await.unwrap()
+}
+
+/// Guards against a stop that refuses all that callers give more time than the grace, though it takes
+/// far less.
+#[tokio::test]
+async fn a_booking_that_usually_ends_within_the_grace_is_taken_during_a_stop() {
+    bounded(async {
+        let usual = Duration::from_millis(50);
+        assert_eq!(book_during_a_stop(usual, usual).await.body(), "booked");
+    })
+    .await;
+}
+
+/// Guards against a booking that is taken during a stop though bookings usually take too long for it.
+#[tokio::test]
+async fn a_booking_that_usually_takes_too_long_is_not_taken_during_a_stop() {
+    bounded(async {
+        let usual = Duration::from_millis(1_500);
+        let answer = book_during_a_stop(usual, Duration::ZERO).await;
+        assert_eq!(outcome(&answer), (Some("not-run"), Some("stopping")));
+    })
+    .await;
+}
+
+/// Guards against a connection that ends without an answer because its booking takes longer than such
+/// bookings did.
+#[tokio::test]
+async fn a_booking_that_takes_longer_than_usual_is_answered_within_the_grace() {
+    bounded(async {
+        let usual = Duration::from_millis(50);
+        let answer = book_during_a_stop(usual, Duration::from_secs(10)).await;
+        assert_eq!(outcome(&answer).0, Some("unknown"));
+    })
+    .await;
+}
+
 /// Guards against a VM that can't be stopped before it has a configuration, or cuts the requests that
 /// wait for it.
 #[tokio::test]
