Retries: the numbers of those that the limit granted and denied

Where a service's requests fail more often, nothing told whether the retry limit had left no retry for them, or whether they had no attempt or time left: the shard only counted held requests. Now each shard counts the decisions after failed attempts, and the VM shows them as retries_granted_total and retries_denied_total in its metrics and status. Retries that wait (hold_retries), hedges and attempts that are given up early ask again and again and aren't counted.

No decision changes.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -33,6 +33,7 @@
     peer_queues::{
         ClassSummary, DeferralCounts, PeerQueues, QueueHead, QueueSummary, SlotDecision,
     },
+    retry_budget::RetryCounts,
     snapshot::{ShardSnapshot, SnapshotEstimate},
     speed::{DispatchConditions, SnapshotSpeed},
     subscribers::Subscribers,
@@ -161,6 +162,7 @@
     relays: FxHashMap<Name, Vec<Name>>,
     keys: KeyTable,
     retry_budget: ShardRetryBudget,
+    retry_counts: RetryCounts,
     held_retries: HeldRetries,
     latency: RecentLatency,
     slot_time: SlotTimeAverage,
@@ -221,6 +223,7 @@
             relays: FxHashMap::default(),
             keys: KeyTable::new(KeySettings::default()),
             retry_budget,
+            retry_counts: RetryCounts::default(),
             held_retries: HeldRetries::default(),
             latency: RecentLatency::default(),
             slot_time: SlotTimeAverage::default(),
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -44,7 +44,7 @@
         let may_repeat = self.held_retries.is_enabled() || !pending.failure_status_retried;
         if is_failure && may_repeat {
             pending.may_have_run = true;
-            if self.can_retry(now, id, 2) && self.retry_budget.take(now) {
+            if self.can_retry(now, id, 2) && self.take_retry(now) {
                 self.pending_actions.push(ShardAction::Cancel { request: id, attempt });
                 if let Some(pending) = self.pending.get_mut(&id) {
                     pending.failure_status_retried = true;
@@ -165,8 +165,8 @@
             return true;
         }
         match state.kind {
-            AttemptKind::Trial => self.retry_budget.take_after_trial(now),
-            _ => self.retry_budget.take(now),
+            AttemptKind::Trial => self.take_retry_after_trial(now),
+            _ => self.take_retry(now),
         }
     }
 
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -135,7 +135,7 @@
         if self.held_retries.is_enabled() {
             return self.hold(now, id);
         }
-        if !self.retry_budget.take(now) {
+        if !self.take_retry(now) {
             let retry_after_ms = self.jittered_retry_after_ms(self.queue_wait(now));
             return self.refuse(now, id, Reason::QueueFull, retry_after_ms);
         }
--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -12,6 +12,22 @@
     time::Time,
 };
 
+/// Numbers of requests that could be sent again after a failed attempt, by what the retry limit said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryCounts {
+    /// Those for which it left a retry, since the shard was created.
+    pub granted_total: u64,
+    /// Those for which it left none, since then.
+    pub denied_total: u64,
+}
+
+impl RetryCounts {
+    fn record(&mut self, is_granted: bool) {
+        let total = if is_granted { &mut self.granted_total } else { &mut self.denied_total };
+        *total += 1;
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) enum ShardRetryBudget {
     /// Budget of an owner, which sends all of the shard's requests.
@@ -145,6 +161,25 @@
 }
 
 impl Shard {
+    /// Returns for how many requests the retry limit left a retry, and for how many none.
+    pub fn retries(&self) -> RetryCounts {
+        self.retry_counts
+    }
+
+    /// Takes a retry for a request whose last attempt has failed, and returns whether there was one.
+    pub(super) fn take_retry(&mut self, now: Time) -> bool {
+        let is_granted = self.retry_budget.take(now);
+        self.retry_counts.record(is_granted);
+        is_granted
+    }
+
+    /// Does the same after a failed trial.
+    pub(super) fn take_retry_after_trial(&mut self, now: Time) -> bool {
+        let is_granted = self.retry_budget.take_after_trial(now);
+        self.retry_counts.record(is_granted);
+        is_granted
+    }
+
     /// Applies the set of dispatchers that this VM sees; returns whether this VM has just become
     /// one of them and has to request a snapshot.
     pub fn set_dispatchers(&mut self, now: Time, visible: VisibleDispatchers) -> bool {
--- a/crates/pistachiotrack-core/tests/shard.rs
+++ b/crates/pistachiotrack-core/tests/shard.rs
@@ -201,6 +201,26 @@
     assert!(retries <= 10 + 60 + 1, "{retries} retries in a minute without an answer");
 }
 
+/// Guards against lookups that fail for want of a retry without a number that says so.
+#[test]
+fn retries_that_the_limit_denies_are_counted() {
+    let mut config = config(4, 2, &[("a", 1)]);
+    config.services[0].floor = 4;
+    let mut harness = Harness::new(config);
+    for _ in 0..60 {
+        harness.send(200, |_| {});
+        while let Some(attempt) = harness.in_flight().first().copied() {
+            harness.outcome(attempt, Outcome::Broken { fresh_connection: true });
+        }
+        harness.now += std::time::Duration::from_millis(10);
+    }
+    let counts = harness.shard.retries();
+    let sent: BTreeSet<RequestId> =
+        harness.attempts.values().map(|record| record.dispatch.request).collect();
+    assert_eq!(counts.granted_total, (harness.attempts.len() - sent.len()) as u64);
+    assert!(counts.denied_total > 0);
+}
+
 // One endpoint is slow. A hedged lookup is sent to a second one when the first is slower than 95
 // in 100 answers; the first answer is passed on, the other attempt is cancelled, and its late
 // answer is dropped.
--- a/crates/pistachiotrackd/src/serving/admin.rs
+++ b/crates/pistachiotrackd/src/serving/admin.rs
@@ -16,7 +16,7 @@
     runtime::path_fault::UnknownPathFault,
     serving::{context::Context, exposition},
     shards::shard_actor::Endpoints,
-    stats::shard_status::{held_retry_counters, shard_name},
+    stats::shard_status::{held_retry_counters, retry_counters, shard_name},
 };
 
 /// Prefix of the paths that inject faults of the paths to endpoints.
@@ -86,6 +86,7 @@
     shards.sort();
     let mut counters = context.metrics.counters();
     counters.extend(context.traffic.counters());
+    counters.extend(retry_counters(context.shards.retries()));
     counters.extend(held_retry_counters(context.shards.held_retries()));
     Status {
         vm: context.me.name.clone(),
--- a/crates/pistachiotrackd/src/serving/exposition.rs
+++ b/crates/pistachiotrackd/src/serving/exposition.rs
@@ -4,7 +4,10 @@
 
 use std::{fmt, sync::Arc};
 
-use pistachiotrack_core::{admin::CustomerUsage, shard::HeldRetryCounts};
+use pistachiotrack_core::{
+    admin::CustomerUsage,
+    shard::{HeldRetryCounts, RetryCounts},
+};
 use prometheus_client::{
     collector::Collector,
     encoding::{DescriptorEncoder, EncodeMetric, text},
@@ -64,6 +67,7 @@
             let metric = encoder.encode_descriptor(name, "State", None, value.metric_type())?;
             value.encode(metric)?;
         }
+        encode_retries(&mut encoder, context.shards.retries())?;
         encode_held_retries(&mut encoder, context.shards.held_retries())?;
         encode_customers(&mut encoder, &context.customer_limits.usage())?;
         fleet_queue::encode(&mut encoder, &context.shards.fleet_queues())?;
@@ -104,6 +108,23 @@
     Ok(())
 }
 
+/// Encodes for how many requests the retry limit left a retry, and for how many none.
+fn encode_retries(
+    encoder: &mut DescriptorEncoder<'_>,
+    counts: RetryCounts,
+) -> Result<(), fmt::Error> {
+    let totals = [
+        ("retries_granted", "Failed attempts after which a retry was left", counts.granted_total),
+        ("retries_denied", "Failed attempts after which none was left", counts.denied_total),
+    ];
+    for (name, help, total) in totals {
+        let total = ConstCounter::new(total);
+        let metric = encoder.encode_descriptor(name, help, None, total.metric_type())?;
+        total.encode(metric)?;
+    }
+    Ok(())
+}
+
 /// Encodes the numbers of requests whose retries were held.
 ///
 /// A counter is named without the ending `_total`, which its format adds. The gauge and the
--- a/crates/pistachiotrackd/src/shards/shard_actor.rs
+++ b/crates/pistachiotrackd/src/shards/shard_actor.rs
@@ -479,6 +479,7 @@
             at_floor: self.shard.at_floor(),
             queue_wait_ms: self.shard.queue_wait(now).as_millis() as u64,
             held_retries: self.shard.held_retries(),
+            retries: self.shard.retries(),
             fleet_queue: self.shard.fleet_queue_status(now),
         };
         let mut table = self.statuses.write().unwrap_or_else(PoisonError::into_inner);
--- a/crates/pistachiotrackd/src/shards/shard_table.rs
+++ b/crates/pistachiotrackd/src/shards/shard_table.rs
@@ -17,7 +17,7 @@
     ownership::{ShardId, shard_count},
     retry::PriorRetries,
     rule::ServiceState,
-    shard::{FleetQueueStatus, HeldRetryCounts, ShardMode},
+    shard::{FleetQueueStatus, HeldRetryCounts, RetryCounts, ShardMode},
     time::Time,
     vm::Vm,
 };
@@ -207,6 +207,11 @@
         statuses.retain(keep);
     }
 
+    /// Returns for how many requests on this VM the retry limit left a retry, and for how many none.
+    pub(crate) fn retries(&self) -> RetryCounts {
+        self.statuses.read().unwrap_or_else(PoisonError::into_inner).retries()
+    }
+
     /// Returns the numbers of requests whose retries were held on this VM.
     pub(crate) fn held_retries(&self) -> HeldRetryCounts {
         self.statuses.read().unwrap_or_else(PoisonError::into_inner).held_retries()
--- a/crates/pistachiotrackd/src/stats/shard_status.rs
+++ b/crates/pistachiotrackd/src/stats/shard_status.rs
@@ -6,7 +6,7 @@
     admin::Counter,
     name::Name,
     ownership::ShardId,
-    shard::{FleetQueueStatus, HeldRetryCounts},
+    shard::{FleetQueueStatus, HeldRetryCounts, RetryCounts},
 };
 use rustc_hash::FxHashMap;
 
@@ -19,6 +19,8 @@
     pub(crate) queue_wait_ms: u64,
     /// Requests whose retries were held.
     pub(crate) held_retries: HeldRetryCounts,
+    /// Requests that could be sent again, by what the retry limit said.
+    pub(crate) retries: RetryCounts,
     /// What is queued over all dispatchers, if the service has a queue over the fleet.
     pub(crate) fleet_queue: Option<FleetQueueStatus>,
 }
@@ -29,6 +31,7 @@
     by_shard: FxHashMap<ShardId, ShardStatus>,
     /// Totals of the shards that have stopped, so that the VM's totals don't decrease.
     stopped: HeldRetryCounts,
+    stopped_retries: RetryCounts,
 }
 
 /// Shared status of all shards.
@@ -45,6 +48,7 @@
         if let Some(status) = self.by_shard.remove(shard) {
             self.stopped.held_total += status.held_retries.held_total;
             self.stopped.refused_total += status.held_retries.refused_total;
+            self.stopped_retries = sum(self.stopped_retries, status.retries);
         }
     }
 
@@ -70,6 +74,12 @@
         self.by_shard.iter().filter_map(status).collect()
     }
 
+    /// Returns for how many requests on this VM the retry limit left a retry, and for how many none.
+    pub(crate) fn retries(&self) -> RetryCounts {
+        let by_shard = self.by_shard.values().map(|status| status.retries);
+        by_shard.fold(self.stopped_retries, sum)
+    }
+
     /// Returns the numbers of requests whose retries were held on this VM.
     pub(crate) fn held_retries(&self) -> HeldRetryCounts {
         self.by_shard.values().fold(self.stopped, |sum, status| HeldRetryCounts {
@@ -80,6 +90,19 @@
     }
 }
 
+fn sum(a: RetryCounts, b: RetryCounts) -> RetryCounts {
+    RetryCounts {
+        granted_total: a.granted_total + b.granted_total,
+        denied_total: a.denied_total + b.denied_total,
+    }
+}
+
+/// Returns the numbers of retries as the admin port shows them.
+pub(crate) fn retry_counters(counts: RetryCounts) -> [Counter; 2] {
+    [("retries_granted_total", counts.granted_total), ("retries_denied_total", counts.denied_total)]
+        .map(|(name, value)| Counter { name: Name::from(name), value })
+}
+
 /// Returns the numbers of held retries as the admin port shows them.
 pub(crate) fn held_retry_counters(counts: HeldRetryCounts) -> [Counter; 3] {
     [
--- a/crates/pistachiotrackd/tests/metrics.rs
+++ b/crates/pistachiotrackd/tests/metrics.rs
@@ -75,7 +75,13 @@
     let deployment = Deployment::start(&[], &[booking.address]).await;
     let admin = deployment.daemon.admin_address();
     let text = metrics(admin).await;
-    for name in ["retries_held", "retries_held_total", "retries_held_refused_total"] {
+    for name in [
+        "retries_granted_total",
+        "retries_denied_total",
+        "retries_held",
+        "retries_held_total",
+        "retries_held_refused_total",
+    ] {
         assert_eq!(value(&text, &format!("pistachiotrack_{name}")), Some(0), "{text}");
     }
     let mut types: Vec<&str> = text.lines().filter(|line| line.starts_with("# TYPE")).collect();
