Stops: a duplicate whose body is still arriving may have run

A caller that repeats a booking by its idempotency key while a stop begins, and whose body has not arrived whole, got a refusal as not run though the original was at an endpoint. It may then book again elsewhere, as another VM does that forwarded such a duplicate.

Cause: only the check of the head looked at the key; the wait for the body refused all as not run. Both now make the same refusal. The new test fails without the change (outcome not-run).

--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -105,7 +105,7 @@
         check_limit(context, customer, config.version, fleet_id, &forwarded_route.shard)?;
     }
     check_not_expired_in_pause(context, &parts, deadline)?;
-    let body = read_body(context, body, time).await?;
+    let body = read_body(context, body, time, &parts.headers).await?;
     let named_customer = forwarded_route.identified.clone().or(metadata.customer);
     let inbound = Inbound {
         id,
@@ -295,9 +295,15 @@
     if context.stop.has_time_for(&time) {
         return Ok(RequestTime { deadline: context.stop.limit_deadline(time.deadline), ..time });
     }
+    Err(stopping(fields))
+}
+
+/// Refuses a request that this VM, which is stopping, may have to cut. One with an idempotency key may
+/// be a duplicate of a request that is at an endpoint.
+fn stopping(fields: &HeaderMap) -> Rejection {
     match fields.contains_key(header::IDEMPOTENCY_KEY) {
-        true => Err(Rejection::stopping().of_possible_duplicate()),
-        false => Err(Rejection::stopping()),
+        true => Rejection::stopping().of_possible_duplicate(),
+        false => Rejection::stopping(),
     }
 }
 
@@ -378,10 +384,16 @@
     rotated.find(is_mine).unwrap_or_else(|| shard(first))
 }
 
+/// Reads the body of a request with the header `fields`.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
 pub(crate) async fn read_body(
     context: &Context,
     body: Incoming,
     time: RequestTime,
+    fields: &HeaderMap,
 ) -> Result<RequestBody, Rejection> {
     let limits = &context.settings.limits;
     let limits = BodyLimits {
@@ -393,7 +405,7 @@
     let read = tokio::select! {
         biased;
         read = tokio::time::timeout_at(context.clock.instant(time.deadline), read) => read,
-        () = context.stop.without_time_for(time) => return Err(Rejection::stopping()),
+        () = context.stop.without_time_for(time) => return Err(stopping(fields)),
     };
     match read {
         Ok(Ok(body)) => Ok(body),
@@ -428,7 +440,7 @@
     check_not_expired_in_pause(context, &parts, deadline)?;
     let copy = TransferredCopy::read(&parts.headers);
     headers::strip_from_caller(&mut parts.headers);
-    let body = read_body(context, body, time).await?;
+    let body = read_body(context, body, time, &parts.headers).await?;
     // The VM at which the request entered has validated its head.
     let named_customer = route.identified.clone().or_else(|| {
         context.dialect.read_request(&parts).ok().and_then(|metadata| metadata.customer)
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -132,10 +132,10 @@
     if let Some(id) = id {
         headers::set(&mut parts.headers, header::REQUEST_ID, &id);
     }
-    let body =
-        receive::read_body(context, body, RequestTime { deadline: time_limit, service: None })
-            .await
-            .map_err(|_| RelayResult::NotSent)?;
+    let time = RequestTime { deadline: time_limit, service: None };
+    let body = receive::read_body(context, body, time, &parts.headers)
+        .await
+        .map_err(|_| RelayResult::NotSent)?;
     let uri = origin_form(&parts);
     let head = RequestHead { method: parts.method, uri, headers: parts.headers };
     exchange::run(&context.endpoints, context.clock, target, head, &body)
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -257,6 +257,19 @@
     .await;
 }
 
+/// Begins a booking whose body doesn't arrive whole, with further header fields, and returns its
+/// connection.
+async fn half_a_booking(vm: SocketAddr, fields: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(vm).await.unwrap();
+    let head = format!(
+        "POST /bookings HTTP/1.1\r\nhost: fleet\r\n{}: {}\r\n{fields}content-length: 9\r\n\r\nslot",
+        header::CUSTOMER,
+        testenv::CUSTOMER
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller
+}
+
 /// Guards against a booking that was sent nowhere, and is answered as possibly run because its body was
 /// still arriving at the end of the grace.
 #[tokio::test]
@@ -264,13 +277,7 @@
     bounded(async {
         let (endpoint, _release) = blocked_endpoint().await;
         let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
-        let mut caller = TcpStream::connect(vm.caller_address).await.unwrap();
-        let head = format!(
-            "POST /bookings HTTP/1.1\r\nhost: fleet\r\n{}: {}\r\ncontent-length: 9\r\n\r\nslot",
-            header::CUSTOMER,
-            testenv::CUSTOMER
-        );
-        caller.write_all(head.as_bytes()).await.unwrap();
+        let mut caller = half_a_booking(vm.caller_address, "").await;
         client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 1)
             .await;
         vm.signal("TERM").await;
@@ -282,6 +289,28 @@
     .await;
 }
 
+/// Guards against a duplicate whose body is still arriving when a stop begins, and that is refused as not
+/// run though its original is at an endpoint.
+#[tokio::test]
+async fn a_duplicate_whose_body_is_still_arriving_is_not_refused_as_not_run() {
+    bounded(async {
+        let (endpoint, _release) = blocked_endpoint().await;
+        let (_platform, vm) = start(config(1, &[], &[endpoint.address])).await;
+        let original = tokio::spawn(client::send(vm.caller_address, keyed_booking()));
+        endpoint.wait_received(1).await;
+        let key = format!("{}: clerk-4\r\n", header::IDEMPOTENCY_KEY);
+        let mut duplicate = half_a_booking(vm.caller_address, &key).await;
+        client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 2)
+            .await;
+        vm.signal("TERM").await;
+        let mut answer = String::new();
+        duplicate.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.contains("pistachiotrack-outcome: unknown"), "{answer}");
+        drop(original);
+    })
+    .await;
+}
+
 /// Guards against a process that lags behind its own times at the end of a stop, and exits without the
 /// refusals of what is still at work.
 #[tokio::test]
