Stops: attempts without an answer say nothing of how long requests take

During a stop, a booking with a timeout beyond the grace was sent to an endpoint and answered as possibly run at the end of the grace, though no booking of its service had ever been finished: 40 bookings whose callers had left after a fraction of a second counted as 40 quick ones.

Cause: each attempt counted, also those that were cancelled, never sent, refused by the endpoint, or failed. Only answers that were received whole and are no failures count now. How long the others took is still a lower bound of the longest time. The test of a daemon fails without the change (outcome unknown).

--- a/crates/pistachiotrack-core/src/work_time.rs
+++ b/crates/pistachiotrack-core/src/work_time.rs
@@ -6,14 +6,14 @@
 
 /// Time that a window covers.
 const WINDOW: Duration = Duration::from_secs(30);
-/// Number of attempts from which on the longest of them says how long one takes.
-const MIN_ATTEMPTS: u32 = 30;
+/// Number of completed attempts from which on the longest time says how long one takes.
+const MIN_COMPLETED: u32 = 30;
 /// Multiple of the longest time within which a further attempt is expected to end.
 const MARGIN: u32 = 2;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
-    attempts: u32,
+    completed: u32,
     longest: Duration,
 }
 
@@ -31,20 +31,25 @@
         WorkTime { window_began_at: now, current: Window::default(), previous: Window::default() }
     }
 
-    /// Records an attempt that took `took` until its end, whatever that was.
-    pub fn record(&mut self, now: Time, took: Duration) {
+    /// Records an attempt that took `took` until its answer had been received.
+    pub fn record_completed(&mut self, now: Time, took: Duration) {
+        self.record_incomplete(now, took);
+        self.current.completed = self.current.completed.saturating_add(1);
+    }
+
+    /// Records an attempt that ended otherwise after `took`: an endpoint takes that long at least.
+    pub fn record_incomplete(&mut self, now: Time, took: Duration) {
         self.advance(now);
-        self.current.attempts = self.current.attempts.saturating_add(1);
         self.current.longest = self.current.longest.max(took);
     }
 
     /// Returns the time in which a further attempt is expected to end; `None` after too few
-    /// attempts.
+    /// completed attempts.
     pub fn expected(&mut self, now: Time) -> Option<Duration> {
         self.advance(now);
-        let attempts = self.current.attempts.saturating_add(self.previous.attempts);
+        let completed = self.current.completed.saturating_add(self.previous.completed);
         let longest = self.current.longest.max(self.previous.longest);
-        (attempts >= MIN_ATTEMPTS).then(|| longest * MARGIN)
+        (completed >= MIN_COMPLETED).then(|| longest * MARGIN)
     }
 
     fn advance(&mut self, now: Time) {
--- a/crates/pistachiotrack-core/tests/work_time.rs
+++ b/crates/pistachiotrack-core/tests/work_time.rs
@@ -7,7 +7,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 fn record(work_time: &mut WorkTime, now_ms: u64, attempts: u32, took: Duration) {
-    (0..attempts).for_each(|_| work_time.record(Time::from_millis(now_ms), took));
+    (0..attempts).for_each(|_| work_time.record_completed(Time::from_millis(now_ms), took));
 }
 
 /// Guards against an expectation that the slow ones among a service's requests exceed.
@@ -28,6 +28,21 @@
     assert_eq!(work_time.expected(Time::from_millis(1_000)), None);
 }
 
+/// Guards against attempts that were never sent, refused or given up, and that count as if endpoints had
+/// finished them as quickly.
+#[test]
+fn attempts_without_an_answer_are_no_quick_ones() {
+    let mut work_time = WorkTime::new(Time::ZERO);
+    let now = Time::from_millis(1_000);
+    (0..99).for_each(|_| work_time.record_incomplete(now, 20 * MS));
+    record(&mut work_time, 1_000, 29, 20 * MS);
+    assert_eq!(work_time.expected(now), None);
+    record(&mut work_time, 1_000, 1, 20 * MS);
+    assert_eq!(work_time.expected(now), Some(40 * MS));
+    work_time.record_incomplete(now, 700 * MS);
+    assert_eq!(work_time.expected(now), Some(1_400 * MS));
+}
+
 /// Guards against an expectation that an endpoint's past fault keeps high for ever, or that is made of
 /// requests long ago.
 #[test]
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -305,7 +305,9 @@
     }
 
     fn finish(self, end: BodyEnd) {
-        drop(self.timer);
+        if end == BodyEnd::Complete && !self.execution.is_failure {
+            self.timer.complete();
+        }
         self.execution.finish(end);
         let stored =
             self.copy.filter(|_| end == BodyEnd::Complete).map(|copy| (copy.request, copy.answer));
--- a/crates/pistachiotrackd/src/stats/work_times.rs
+++ b/crates/pistachiotrackd/src/stats/work_times.rs
@@ -30,7 +30,8 @@
     /// Begins an attempt of a request of `service`, which lasts until the timer is dropped.
     pub(crate) fn begin(self: &Arc<Self>, service: &Name) -> AttemptTimer {
         let started = self.clock.now();
-        AttemptTimer { work_times: Arc::clone(self), service: service.clone(), started }
+        let work_times = Arc::clone(self);
+        AttemptTimer { work_times, service: service.clone(), started, is_completed: false }
     }
 
     /// Returns the time in which an attempt of `service` is expected to end, if that is known.
@@ -39,14 +40,18 @@
         self.lock().get_mut(service).and_then(|work_time| work_time.expected(now))
     }
 
-    fn record(&self, service: &Name, started: Time) {
+    fn record(&self, service: &Name, started: Time, is_completed: bool) {
         let now = self.clock.now();
         let mut by_service = self.lock();
         if by_service.len() >= MAX_SERVICES && !by_service.contains_key(service) {
             return;
         }
         let work_time = by_service.entry(service.clone()).or_insert_with(|| WorkTime::new(now));
-        work_time.record(now, now.since(started));
+        let took = now.since(started);
+        match is_completed {
+            true => work_time.record_completed(now, took),
+            false => work_time.record_incomplete(now, took),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, FxHashMap<Name, WorkTime>> {
@@ -54,16 +59,24 @@
     }
 }
 
-/// Measures an attempt from its dispatch to the end of its answer's body.
+/// Measures an attempt from its dispatch until it is dropped.
 #[derive(Debug)]
 pub(crate) struct AttemptTimer {
     work_times: Arc<WorkTimes>,
     service: Name,
     started: Time,
+    is_completed: bool,
+}
+
+impl AttemptTimer {
+    /// Ends an attempt whose answer was received whole and isn't a failure.
+    pub(crate) fn complete(mut self) {
+        self.is_completed = true;
+    }
 }
 
 impl Drop for AttemptTimer {
     fn drop(&mut self) {
-        self.work_times.record(&self.service, self.started);
+        self.work_times.record(&self.service, self.started, self.is_completed);
     }
 }
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use testenv::{
     client, config,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, Received},
     fleet::{self, bounded, counter, unavailable_platform},
     platform::Platform,
     process::DaemonProcess,
@@ -124,35 +124,58 @@
 /// Number of bookings after which a VM knows how long they usually take.
 const USUAL_BOOKINGS: usize = 40;
 
-/// Books a few times, stops the VM, and returns the answer to a booking during the stop. The endpoint
-/// answers after `usual`, and this one booking after `last`.
-async fn book_during_a_stop(usual: Duration, last: Duration) -> Response<Bytes> {
+/// Starts an endpoint with slots for all usual bookings, and a VM that knows it. The endpoint answers a
+/// request after the time that `work` returns for it.
+async fn start_with_work(work: fn(&Received) -> Duration) -> (Endpoint, Platform, DaemonProcess) {
     let endpoint = Endpoint::start(move |request| async move {
-        let is_last = request.body() == "last";
-        tokio::time::sleep(if is_last { last } else { usual }).await;
+        tokio::time::sleep(work(&request)).await;
         Response::new(Full::new(Bytes::from_static(b"booked")))
     })
     .await;
     let mut config = config(1, &[], &[endpoint.address]);
-    config["services"][1]["endpoints"][0]["slots"] = json!(USUAL_BOOKINGS);
-    let (_platform, vm) = start(config).await;
-    let usual_bookings =
-        (0..USUAL_BOOKINGS).map(|_| client::send(vm.caller_address, booking("usual")));
-    for answer in futures_util::future::join_all(usual_bookings).await {
+    config["services"][1]["endpoints"][0]["slots"] = json!(2 * USUAL_BOOKINGS);
+    let (platform, vm) = start(config).await;
+    (endpoint, platform, vm)
+}
+
+/// Sends the usual number of requests at once, and waits for their answers.
+async fn send_usual(vm: &DaemonProcess, request: impl Fn() -> Request<Full<Bytes>>) {
+    let sent = (0..USUAL_BOOKINGS).map(|_| client::send(vm.caller_address, request()));
+    for answer in futures_util::future::join_all(sent).await {
         assert_eq!(answer.unwrap().body(), "booked");
     }
+}
+
+/// Stops the VM, and returns the answer to the last booking.
+async fn book_last(vm: &DaemonProcess) -> Response<Bytes> {
     vm.signal("TERM").await;
     vm.wait_for_line(&["event=leaving"]).await;
     client::send(vm.caller_address, booking("last")).await.unwrap()
 }
 
+/// Books a few times, stops the VM, and returns the answer to a booking during the stop.
+async fn book_during_a_stop(work: fn(&Received) -> Duration) -> Response<Bytes> {
+    let (_endpoint, _platform, vm) = start_with_work(work).await;
+    send_usual(&vm, || booking("usual")).await;
+    book_last(&vm).await
+}
+
+/// Work of the usual bookings.
+const USUAL_WORK: Duration = Duration::from_millis(50);
+/// Work of a booking that doesn't end within the grace.
+const ENDLESS_WORK: Duration = Duration::from_secs(10);
+
+/// Returns the usual work for usual bookings, and one that doesn't end within the grace for others.
+fn usual_or_endless(request: &Received) -> Duration {
+    if request.body() == "usual" { USUAL_WORK } else { ENDLESS_WORK }
+}
+
 /// Guards against a stop that refuses all that callers give more time than the grace, though it takes
 /// far less.
 #[tokio::test]
 async fn a_booking_that_usually_ends_within_the_grace_is_taken_during_a_stop() {
     bounded(async {
-        let usual = Duration::from_millis(50);
-        assert_eq!(book_during_a_stop(usual, usual).await.body(), "booked");
+        assert_eq!(book_during_a_stop(|_| USUAL_WORK).await.body(), "booked");
     })
     .await;
 }
@@ -161,8 +184,7 @@
 #[tokio::test]
 async fn a_booking_that_usually_takes_too_long_is_not_taken_during_a_stop() {
     bounded(async {
-        let usual = Duration::from_millis(1_500);
-        let answer = book_during_a_stop(usual, Duration::ZERO).await;
+        let answer = book_during_a_stop(|_| Duration::from_secs_f64(GRACE_S / 2.0)).await;
         assert_eq!(outcome(&answer), (Some("not-run"), Some("stopping")));
     })
     .await;
@@ -173,13 +195,30 @@
 #[tokio::test]
 async fn a_booking_that_takes_longer_than_usual_is_answered_within_the_grace() {
     bounded(async {
-        let usual = Duration::from_millis(50);
-        let answer = book_during_a_stop(usual, Duration::from_secs(10)).await;
+        let answer = book_during_a_stop(usual_or_endless).await;
         assert_eq!(outcome(&answer).0, Some("unknown"));
     })
     .await;
 }
 
+/// Guards against bookings whose callers left early, and that count as if an endpoint had finished them as
+/// quickly: the next one is cut.
+#[tokio::test]
+async fn bookings_whose_callers_leave_do_not_count_as_quick_ones() {
+    bounded(async {
+        let (endpoint, _platform, vm) = start_with_work(|_| ENDLESS_WORK).await;
+        let sent: Vec<_> = (0..USUAL_BOOKINGS)
+            .map(|_| tokio::spawn(client::send(vm.caller_address, booking("given up"))))
+            .collect();
+        endpoint.wait_received(USUAL_BOOKINGS).await;
+        sent.iter().for_each(tokio::task::JoinHandle::abort);
+        let all_gone = |status: &Value| counter(status, "callers_gone") == USUAL_BOOKINGS as u64;
+        client::wait_for(vm.admin_address, "/status", all_gone).await;
+        assert_eq!(outcome(&book_last(&vm).await), (Some("not-run"), Some("stopping")));
+    })
+    .await;
+}
+
 /// Guards against a VM that can't be stopped before it has a configuration, or cuts the requests that
 /// wait for it.
 #[tokio::test]
