Stops: an attempt that hangs counts before it has ended

During a stop, a booking with a timeout beyond the grace was sent to an endpoint at which an earlier one had been hanging for half of the grace, and was answered as possibly run at the end.

Cause: the longest time was that of attempts that had ended, and a hang ends last of all. The age of the oldest running attempt of the service now counts, too. The test of a daemon fails without the change (outcome unknown). An attempt costs a second lock of the record, at its beginning.

--- a/crates/pistachiotrack-core/src/work_time.rs
+++ b/crates/pistachiotrack-core/src/work_time.rs
@@ -1,6 +1,6 @@
 //! How long attempts of a service's requests lately took.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::time::Time;
 
@@ -17,9 +17,17 @@
     longest: Duration,
 }
 
-/// The longest time that attempts at endpoints took in the current window and the one before it.
+/// Number of an attempt, in the order in which they began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptNumber(u64);
+
+/// The longest time that attempts at endpoints took in the current window and the one before it, or
+/// have taken so far.
 #[derive(Clone, Debug)]
 pub struct WorkTime {
+    /// Times at which the attempts began that haven't ended.
+    running: BTreeMap<AttemptNumber, Time>,
+    next_attempt: AttemptNumber,
     window_began_at: Time,
     current: Window,
     previous: Window,
@@ -28,19 +36,34 @@
 impl WorkTime {
     /// Creates a record without attempts, whose first window begins at `now`.
     pub fn new(now: Time) -> WorkTime {
-        WorkTime { window_began_at: now, current: Window::default(), previous: Window::default() }
+        WorkTime {
+            running: BTreeMap::new(),
+            next_attempt: AttemptNumber(0),
+            window_began_at: now,
+            current: Window::default(),
+            previous: Window::default(),
+        }
+    }
+
+    /// Records that an attempt begins.
+    pub fn begin(&mut self, now: Time) -> AttemptNumber {
+        let attempt = self.next_attempt;
+        self.next_attempt = AttemptNumber(attempt.0 + 1);
+        self.running.insert(attempt, now);
+        attempt
     }
 
-    /// Records an attempt that took `took` until its answer had been received.
-    pub fn record_completed(&mut self, now: Time, took: Duration) {
-        self.record_incomplete(now, took);
+    /// Records the end of an attempt whose answer has been received.
+    pub fn complete(&mut self, now: Time, attempt: AttemptNumber) {
+        self.abandon(now, attempt);
         self.current.completed = self.current.completed.saturating_add(1);
     }
 
-    /// Records an attempt that ended otherwise after `took`: an endpoint takes that long at least.
-    pub fn record_incomplete(&mut self, now: Time, took: Duration) {
+    /// Records another end of an attempt: an endpoint would have taken at least as long.
+    pub fn abandon(&mut self, now: Time, attempt: AttemptNumber) {
         self.advance(now);
-        self.current.longest = self.current.longest.max(took);
+        let began_at = self.running.remove(&attempt).unwrap_or(now);
+        self.current.longest = self.current.longest.max(now.since(began_at));
     }
 
     /// Returns the time in which a further attempt is expected to end; `None` after too few
@@ -48,7 +71,9 @@
     pub fn expected(&mut self, now: Time) -> Option<Duration> {
         self.advance(now);
         let completed = self.current.completed.saturating_add(self.previous.completed);
-        let longest = self.current.longest.max(self.previous.longest);
+        let oldest = self.running.first_key_value().map(|(_, began_at)| now.since(*began_at));
+        let longest =
+            self.current.longest.max(self.previous.longest).max(oldest.unwrap_or_default());
         (completed >= MIN_COMPLETED).then(|| longest * MARGIN)
     }
 
--- a/crates/pistachiotrack-core/tests/work_time.rs
+++ b/crates/pistachiotrack-core/tests/work_time.rs
@@ -7,7 +7,19 @@
 const MS: Duration = Duration::from_millis(1);
 
 fn record(work_time: &mut WorkTime, now_ms: u64, attempts: u32, took: Duration) {
-    (0..attempts).for_each(|_| work_time.record_completed(Time::from_millis(now_ms), took));
+    let now = Time::from_millis(now_ms);
+    for _ in 0..attempts {
+        let attempt = work_time.begin(now.before(took));
+        work_time.complete(now, attempt);
+    }
+}
+
+fn abandon(work_time: &mut WorkTime, now_ms: u64, attempts: u32, took: Duration) {
+    let now = Time::from_millis(now_ms);
+    for _ in 0..attempts {
+        let attempt = work_time.begin(now.before(took));
+        work_time.abandon(now, attempt);
+    }
 }
 
 /// Guards against an expectation that the slow ones among a service's requests exceed.
@@ -34,15 +46,27 @@
 fn attempts_without_an_answer_are_no_quick_ones() {
     let mut work_time = WorkTime::new(Time::ZERO);
     let now = Time::from_millis(1_000);
-    (0..99).for_each(|_| work_time.record_incomplete(now, 20 * MS));
+    abandon(&mut work_time, 1_000, 99, 20 * MS);
     record(&mut work_time, 1_000, 29, 20 * MS);
     assert_eq!(work_time.expected(now), None);
     record(&mut work_time, 1_000, 1, 20 * MS);
     assert_eq!(work_time.expected(now), Some(40 * MS));
-    work_time.record_incomplete(now, 700 * MS);
+    abandon(&mut work_time, 1_000, 1, 700 * MS);
     assert_eq!(work_time.expected(now), Some(1_400 * MS));
 }
 
+/// Guards against attempts that hang, and that count only once they have ended.
+#[test]
+fn an_attempt_counts_while_it_runs() {
+    let mut work_time = WorkTime::new(Time::ZERO);
+    let first = work_time.begin(Time::from_millis(1_000));
+    work_time.begin(Time::from_millis(1_500));
+    record(&mut work_time, 1_900, 30, 20 * MS);
+    assert_eq!(work_time.expected(Time::from_millis(2_000)), Some(2_000 * MS));
+    work_time.complete(Time::from_millis(2_000), first);
+    assert_eq!(work_time.expected(Time::from_millis(3_000)), Some(3_000 * MS));
+}
+
 /// Guards against an expectation that an endpoint's past fault keeps high for ever, or that is made of
 /// requests long ago.
 #[test]
--- a/crates/pistachiotrackd/src/stats/work_times.rs
+++ b/crates/pistachiotrackd/src/stats/work_times.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use pistachiotrack_core::{name::Name, time::Time, work_time::WorkTime};
+use pistachiotrack_core::{
+    name::Name,
+    work_time::{AttemptNumber, WorkTime},
+};
 use rustc_hash::FxHashMap;
 
 use crate::runtime::clock::Clock;
@@ -29,9 +32,15 @@
 
     /// Begins an attempt of a request of `service`, which lasts until the timer is dropped.
     pub(crate) fn begin(self: &Arc<Self>, service: &Name) -> AttemptTimer {
-        let started = self.clock.now();
+        let now = self.clock.now();
+        let mut by_service = self.lock();
+        let has_place = by_service.len() < MAX_SERVICES || by_service.contains_key(service);
+        let attempt = has_place.then(|| {
+            by_service.entry(service.clone()).or_insert_with(|| WorkTime::new(now)).begin(now)
+        });
+        drop(by_service);
         let work_times = Arc::clone(self);
-        AttemptTimer { work_times, service: service.clone(), started, is_completed: false }
+        AttemptTimer { work_times, service: service.clone(), attempt, is_completed: false }
     }
 
     /// Returns the time in which an attempt of `service` is expected to end, if that is known.
@@ -40,17 +49,13 @@
         self.lock().get_mut(service).and_then(|work_time| work_time.expected(now))
     }
 
-    fn record(&self, service: &Name, started: Time, is_completed: bool) {
+    fn record(&self, service: &Name, attempt: AttemptNumber, is_completed: bool) {
         let now = self.clock.now();
         let mut by_service = self.lock();
-        if by_service.len() >= MAX_SERVICES && !by_service.contains_key(service) {
-            return;
-        }
-        let work_time = by_service.entry(service.clone()).or_insert_with(|| WorkTime::new(now));
-        let took = now.since(started);
+        let Some(work_time) = by_service.get_mut(service) else { return };
         match is_completed {
-            true => work_time.record_completed(now, took),
-            false => work_time.record_incomplete(now, took),
+            true => work_time.complete(now, attempt),
+            false => work_time.abandon(now, attempt),
         }
     }
 
@@ -64,7 +69,8 @@
 pub(crate) struct AttemptTimer {
     work_times: Arc<WorkTimes>,
     service: Name,
-    started: Time,
+    /// Its number, unless there are too many services.
+    attempt: Option<AttemptNumber>,
     is_completed: bool,
 }
 
@@ -77,6 +83,8 @@
 
 impl Drop for AttemptTimer {
     fn drop(&mut self) {
-        self.work_times.record(&self.service, self.started, self.is_completed);
+        if let Some(attempt) = self.attempt {
+            self.work_times.record(&self.service, attempt, self.is_completed);
+        }
     }
 }
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -219,6 +219,21 @@
     .await;
 }
 
+/// Guards against a booking that is sent to endpoints of which one hangs, because its earlier bookings ended
+/// quickly and the one that hangs hasn't ended yet.
+#[tokio::test]
+async fn a_booking_that_hangs_counts_before_it_ends() {
+    bounded(async {
+        let (endpoint, _platform, vm) = start_with_work(usual_or_endless).await;
+        send_usual(&vm, || booking("usual")).await;
+        tokio::spawn(client::send(vm.caller_address, booking("hangs")));
+        endpoint.wait_received(USUAL_BOOKINGS + 1).await;
+        tokio::time::sleep(Duration::from_secs_f64(GRACE_S / 2.0)).await;
+        assert_eq!(outcome(&book_last(&vm).await), (Some("not-run"), Some("stopping")));
+    })
+    .await;
+}
+
 /// Guards against a VM that can't be stopped before it has a configuration, or cuts the requests that
 /// wait for it.
 #[tokio::test]
