Stops: quick lookups don't count as quick bookings of their service

During a stop, a booking with a timeout beyond the grace was sent to an endpoint and answered as possibly run at the end of the grace, though no booking of its service had been seen: 40 lookups of the same service, which took 50 ms each, counted as 40 bookings.

Cause: one record for all requests of a service. Requests that may be repeated and those that may not now have one each. The test of a daemon fails without the change (outcome unknown). A service with both kinds needs 30 answers to each before a VM knows it.

--- a/crates/pistachiotrack-core/src/work_time.rs
+++ b/crates/pistachiotrack-core/src/work_time.rs
@@ -1,4 +1,4 @@
-//! How long attempts of a service's requests lately took.
+//! How long attempts of one kind of request lately took.
 
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -52,7 +52,7 @@
         histogram::Histograms,
         metrics::{Event, Metrics},
         traffic::{Locality, Topic, Traffic},
-        work_times::AttemptTimer,
+        work_times::{AttemptTimer, RequestKind},
     },
 };
 
@@ -295,7 +295,7 @@
         inbound.attempts().on_sent(&dispatch.endpoint);
         handle.in_flight.set_stage(inbound.id, Stage::AtEndpoint(dispatch.endpoint.clone()));
         let copy = self.copies.send(dispatch.endpoint.clone(), handle.clock.now());
-        let timer = handle.stop.work_times.begin(service);
+        let timer = handle.stop.work_times.begin(RequestKind::of(&inbound.route));
         let attempts = Arc::clone(&handle.attempts);
         let end = Box::pin(attempt::run(attempts, inbound, dispatch, budget, abandon.clone()));
         self.running.push(RunningAttempt { attempt, copy, end, locality, abandon, timer });
--- a/crates/pistachiotrackd/src/request/stop_monitor.rs
+++ b/crates/pistachiotrackd/src/request/stop_monitor.rs
@@ -2,10 +2,14 @@
 
 use std::{future::pending, sync::Arc, time::Duration};
 
-use pistachiotrack_core::{name::Name, stop::StopSchedule, time::Time};
+use pistachiotrack_core::{stop::StopSchedule, time::Time};
 use tokio::sync::watch;
 
-use crate::{formats::inbound::Inbound, runtime::clock::Clock, stats::work_times::WorkTimes};
+use crate::{
+    formats::inbound::Inbound,
+    runtime::clock::Clock,
+    stats::work_times::{RequestKind, WorkTimes},
+};
 
 /// Tells the handlers of requests that this VM stops, and how much time that leaves.
 #[derive(Clone, Debug)]
@@ -27,9 +31,9 @@
 pub(crate) struct RequestTime {
     /// Deadline of the request.
     pub(crate) deadline: Time,
-    /// Service whose usual work counts if the deadline is too late; `None` for requests that other
+    /// Requests whose usual work counts if the deadline is too late; `None` for those that other
     /// VMs have sent, since these can serve them for certain.
-    pub(crate) service: Option<Name>,
+    pub(crate) kind: Option<RequestKind>,
 }
 
 impl RequestTime {
@@ -38,7 +42,7 @@
         let is_of_caller = inbound.config_version.is_some();
         RequestTime {
             deadline: inbound.deadline,
-            service: is_of_caller.then(|| inbound.route.shard.service.clone()),
+            kind: is_of_caller.then(|| RequestKind::of(&inbound.route)),
         }
     }
 }
@@ -81,7 +85,7 @@
     }
 
     fn sends_until(&self, stop: StopSchedule, request: &RequestTime) -> Time {
-        let work = request.service.as_ref().and_then(|service| self.work_times.expected(service));
+        let work = request.kind.as_ref().and_then(|kind| self.work_times.expected(kind));
         stop.sends_until(request.deadline + self.overrun, work)
     }
 
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -40,6 +40,7 @@
     request::{rejection::Rejection, stop_monitor::RequestTime},
     serving::context::Context,
     shards::shard_actor::RefusedBefore,
+    stats::work_times::RequestKind,
 };
 
 /// Receives a caller's request and routes it.
@@ -98,7 +99,7 @@
     };
     let limit = received + Duration::from_millis(timeout_ms(route, service));
     let deadline = deadline.map_or(limit, |deadline| deadline.min(limit));
-    let time = RequestTime { deadline, service: Some(service.name.clone()) };
+    let time = RequestTime { deadline, kind: Some(RequestKind::of(&forwarded_route)) };
     let time = limit_to_stop(context, time, &parts.headers)?;
     let deadline = time.deadline;
     if let Caller::Customer(customer) = caller {
@@ -435,7 +436,7 @@
         .ok_or_else(bad_request)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
-    let time = limit_to_stop(context, RequestTime { deadline, service: None }, &parts.headers)?;
+    let time = limit_to_stop(context, RequestTime { deadline, kind: None }, &parts.headers)?;
     let deadline = time.deadline;
     check_not_expired_in_pause(context, &parts, deadline)?;
     let copy = TransferredCopy::read(&parts.headers);
--- a/crates/pistachiotrackd/src/stats/work_times.rs
+++ b/crates/pistachiotrackd/src/stats/work_times.rs
@@ -1,4 +1,4 @@
-//! How long requests of each service lately took at endpoints.
+//! How long requests of each kind lately took at endpoints.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -11,56 +11,70 @@
 };
 use rustc_hash::FxHashMap;
 
-use crate::runtime::clock::Clock;
+use crate::{formats::forwarded_route::ForwardedRoute, runtime::clock::Clock};
 
-/// Maximum number of services with a record, so that a configuration that renames services again
+/// Maximum number of kinds with a record, so that a configuration that renames services again
 /// and again can't make memory grow without bound.
-const MAX_SERVICES: usize = 1_024;
+const MAX_KINDS: usize = 2_048;
 
-/// The times that attempts at endpoints took, by service.
+/// Requests that take about equally long: lookups of a service are often quick where its bookings
+/// aren't.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct RequestKind {
+    service: Name,
+    idempotent: bool,
+}
+
+impl RequestKind {
+    /// Returns the kind of a request with this route.
+    pub(crate) fn of(route: &ForwardedRoute) -> RequestKind {
+        RequestKind { service: route.shard.service.clone(), idempotent: route.idempotent }
+    }
+}
+
+/// The times that attempts at endpoints took, by the kind of their requests.
 #[derive(Debug)]
 pub(crate) struct WorkTimes {
     clock: Clock,
-    by_service: Mutex<FxHashMap<Name, WorkTime>>,
+    by_kind: Mutex<FxHashMap<RequestKind, WorkTime>>,
 }
 
 impl WorkTimes {
     /// Creates a record without attempts.
     pub(crate) fn new(clock: Clock) -> WorkTimes {
-        WorkTimes { clock, by_service: Mutex::default() }
+        WorkTimes { clock, by_kind: Mutex::default() }
     }
 
-    /// Begins an attempt of a request of `service`, which lasts until the timer is dropped.
-    pub(crate) fn begin(self: &Arc<Self>, service: &Name) -> AttemptTimer {
+    /// Begins an attempt of a request, which lasts until the timer is dropped.
+    pub(crate) fn begin(self: &Arc<Self>, kind: RequestKind) -> AttemptTimer {
         let now = self.clock.now();
-        let mut by_service = self.lock();
-        let has_place = by_service.len() < MAX_SERVICES || by_service.contains_key(service);
-        let attempt = has_place.then(|| {
-            by_service.entry(service.clone()).or_insert_with(|| WorkTime::new(now)).begin(now)
-        });
-        drop(by_service);
+        let mut by_kind = self.lock();
+        let has_place = by_kind.len() < MAX_KINDS || by_kind.contains_key(&kind);
+        let attempt = has_place
+            .then(|| by_kind.entry(kind.clone()).or_insert_with(|| WorkTime::new(now)).begin(now));
+        drop(by_kind);
         let work_times = Arc::clone(self);
-        AttemptTimer { work_times, service: service.clone(), attempt, is_completed: false }
+        AttemptTimer { work_times, kind, attempt, is_completed: false }
     }
 
-    /// Returns the time in which an attempt of `service` is expected to end, if that is known.
-    pub(crate) fn expected(&self, service: &Name) -> Option<Duration> {
+    /// Returns the time in which an attempt of `kind` is expected to end, if that is known.
+    pub(crate) fn expected(&self, kind: &RequestKind) -> Option<Duration> {
         let now = self.clock.now();
-        self.lock().get_mut(service).and_then(|work_time| work_time.expected(now))
+        self.lock().get_mut(kind).and_then(|work_time| work_time.expected(now))
     }
 
-    fn record(&self, service: &Name, attempt: AttemptNumber, is_completed: bool) {
+    fn record(&self, kind: &RequestKind, attempt: AttemptNumber, is_completed: bool) {
         let now = self.clock.now();
-        let mut by_service = self.lock();
-        let Some(work_time) = by_service.get_mut(service) else { return };
+        let mut by_kind = self.lock();
+        let Some(work_time) = by_kind.get_mut(kind) else { return };
         match is_completed {
             true => work_time.complete(now, attempt),
             false => work_time.abandon(now, attempt),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, FxHashMap<Name, WorkTime>> {
-        self.by_service.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, FxHashMap<RequestKind, WorkTime>> {
+        self.by_kind.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -68,8 +82,8 @@
 #[derive(Debug)]
 pub(crate) struct AttemptTimer {
     work_times: Arc<WorkTimes>,
-    service: Name,
-    /// Its number, unless there are too many services.
+    kind: RequestKind,
+    /// Its number, unless there are too many kinds.
     attempt: Option<AttemptNumber>,
     is_completed: bool,
 }
@@ -84,7 +98,7 @@
 impl Drop for AttemptTimer {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt {
-            self.work_times.record(&self.service, attempt, self.is_completed);
+            self.work_times.record(&self.kind, attempt, self.is_completed);
         }
     }
 }
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -134,6 +134,9 @@
     .await;
     let mut config = config(1, &[], &[endpoint.address]);
     config["services"][1]["endpoints"][0]["slots"] = json!(2 * USUAL_BOOKINGS);
+    let quick = json!({"name": "quick", "when": {"path_prefix": "/quick"},
+        "then": {"route": {"service": testenv::BOOKING, "idempotent": true}}});
+    config["rules"].as_array_mut().unwrap().push(quick);
     let (platform, vm) = start(config).await;
     (endpoint, platform, vm)
 }
@@ -234,6 +237,22 @@
     .await;
 }
 
+/// Guards against a booking that is cut because quick lookups of the same service count as if they were
+/// bookings.
+#[tokio::test]
+async fn quick_lookups_do_not_count_as_quick_bookings() {
+    bounded(async {
+        let work = |request: &Received| match *request.method() {
+            Method::GET => USUAL_WORK,
+            _ => ENDLESS_WORK,
+        };
+        let (_endpoint, _platform, vm) = start_with_work(work).await;
+        send_usual(&vm, || client::get("/quick")).await;
+        assert_eq!(outcome(&book_last(&vm).await), (Some("not-run"), Some("stopping")));
+    })
+    .await;
+}
+
 /// Guards against a VM that can't be stopped before it has a configuration, or cuts the requests that
 /// wait for it.
 #[tokio::test]
