Stops: attempts count for a minute at most also if few follow

A VM that had seen nothing of a service for over a minute could still expect its requests to be as quick as before, for up to two minutes, and send them during a stop.

Cause: a window ended only with the next record or question, and began anew at that moment. Windows now follow each other every 30 s. The new test fails without the change (40 ms in place of nothing).

--- a/crates/pistachiotrack-core/src/work_time.rs
+++ b/crates/pistachiotrack-core/src/work_time.rs
@@ -84,6 +84,7 @@
         }
         let current = std::mem::take(&mut self.current);
         self.previous = if age < 2 * WINDOW { current } else { Window::default() };
-        self.window_began_at = now;
+        let windows = (age.as_micros() / WINDOW.as_micros()) as u32;
+        self.window_began_at += WINDOW * windows;
     }
 }
--- a/crates/pistachiotrack-core/tests/work_time.rs
+++ b/crates/pistachiotrack-core/tests/work_time.rs
@@ -79,3 +79,13 @@
     assert_eq!(work_time.expected(Time::from_millis(62_000)), Some(40 * MS));
     assert_eq!(work_time.expected(Time::from_millis(123_000)), None);
 }
+
+/// Guards against attempts of a service with few requests that count for longer, because nothing is
+/// recorded at the end of their window.
+#[test]
+fn attempts_count_for_a_minute_at_most_if_few_follow() {
+    let mut work_time = WorkTime::new(Time::ZERO);
+    record(&mut work_time, 1_000, 30, 20 * MS);
+    assert_eq!(work_time.expected(Time::from_millis(59_000)), Some(40 * MS));
+    assert_eq!(work_time.expected(Time::from_millis(62_000)), None);
+}
