Stops: what waits during a stop is compared with what others take meanwhile

A booking that came early in a stop, with a timeout beyond the grace, waited for an endpoint while the one before it worked for half of the grace. It was then sent, had half of the grace left, and was answered as possibly run at the end.

Cause: until when a request may be sent was computed once, when it came or the stop began. It is now computed again every 100 ms while the request waits or its body arrives.

--- a/crates/pistachiotrackd/src/request/stop_monitor.rs
+++ b/crates/pistachiotrackd/src/request/stop_monitor.rs
@@ -11,6 +11,9 @@
     stats::work_times::{RequestKind, WorkTimes},
 };
 
+/// Interval at which requests that wait during a stop are compared with what others take meanwhile.
+const WORK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Tells the handlers of requests that this VM stops, and how much time that leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct StopMonitor {
@@ -79,8 +82,13 @@
             // The daemon was dropped without a stop.
             return pending().await;
         };
-        if let Some(stop) = stop {
-            self.clock.sleep_until(self.sends_until(stop, &request)).await;
+        let Some(stop) = stop else { return };
+        loop {
+            let (now, until) = (self.clock.now(), self.sends_until(stop, &request));
+            if now >= until {
+                return;
+            }
+            self.clock.sleep_until(until.min(now + WORK_CHECK_INTERVAL)).await;
         }
     }
 
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -253,6 +253,34 @@
     .await;
 }
 
+/// Guards against a booking that waits for an endpoint during a stop, and is sent because bookings were
+/// quick when it came, though the one before it has taken long since.
+#[tokio::test]
+async fn a_queued_booking_is_not_sent_once_bookings_take_too_long() {
+    bounded(async {
+        let endpoint = Endpoint::start(|request| async move {
+            if request.body() != "usual" {
+                tokio::time::sleep(Duration::from_secs_f64(GRACE_S / 2.0)).await;
+            }
+            Response::new(Full::new(Bytes::from_static(b"booked")))
+        })
+        .await;
+        let (_platform, vm) = start(one_slot(&endpoint)).await;
+        for _ in 0..USUAL_BOOKINGS {
+            client::send(vm.caller_address, booking("usual")).await.unwrap();
+        }
+        vm.signal("TERM").await;
+        vm.wait_for_line(&["event=leaving"]).await;
+        let first = tokio::spawn(client::send(vm.caller_address, booking("first")));
+        endpoint.wait_received(USUAL_BOOKINGS + 1).await;
+        let queued = client::send(vm.caller_address, booking("queued")).await.unwrap();
+        assert_eq!(outcome(&queued), (Some("not-run"), Some("stopping")));
+        assert_eq!(first.await.unwrap().unwrap().body(), "booked");
+        assert_eq!(endpoint.received().len(), USUAL_BOOKINGS + 1);
+    })
+    .await;
+}
+
 /// Guards against a VM that can't be stopped before it has a configuration, or cuts the requests that
 /// wait for it.
 #[tokio::test]
