Tests of retries: the endpoint that is to get a request gets one for certain

Which of two idle endpoints gets a request is drawn. The test of a hedge needed one of 6 lookups at the endpoint that hangs, that of a shed booking one of 8 at the full endpoint: by calculation they fail once in 64 and once in 256 runs. The tests now send at least as many as before, and go on until the endpoint has got one. What is checked of each answer stays.

--- a/crates/pistachiotrackd/tests/repeat.rs
+++ b/crates/pistachiotrackd/tests/repeat.rs
@@ -45,16 +45,22 @@
     assert_eq!(booking.received().len(), 1);
 }
 
+/// Number of requests of which at least one certainly gets to either of two idle endpoints.
+const MAX_DRAWS: usize = 100;
+
 /// Guards against a lookup that waits for a slow endpoint while another one is idle. The
 /// first attempt hangs, the hedge is answered, and the first attempt is cancelled.
 #[tokio::test]
 async fn a_hedge_answers_and_the_slow_attempt_is_cancelled() {
     let (hang, hanging) = watch::channel(false);
+    let hung_lookups = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&hung_lookups);
     let serve = move |mut stream: tokio::net::TcpStream| {
-        let hanging = hanging.clone();
+        let (hanging, count) = (hanging.clone(), Arc::clone(&count));
         async move {
             while read_head(&mut stream).await {
                 if *hanging.borrow() {
+                    count.fetch_add(1, Ordering::SeqCst);
                     return read_to_end(&mut stream).await;
                 }
                 let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfree";
@@ -71,7 +77,11 @@
     }
     assert!(slow.connections() > 0);
     hang.send_replace(true);
-    for _ in 0..6 {
+    // Which of two idle endpoints gets a lookup is drawn.
+    let mut sent = 0;
+    while sent < 6 || hung_lookups.load(Ordering::SeqCst) == 0 {
+        assert!(sent < MAX_DRAWS, "the slow endpoint gets no lookup");
+        sent += 1;
         assert_eq!(caller.send(client::get("/hedged")).await.unwrap().body(), "free");
     }
     slow.wait_closed(1).await;
@@ -90,13 +100,16 @@
     .await;
     let free = Endpoint::answering("booked").await;
     let deployment = Deployment::start(&[], &[full.address, free.address]).await;
-    for _ in 0..8 {
+    // Which of two idle endpoints gets a booking first is drawn.
+    let mut sent = 0;
+    while sent < 8 || full.received().is_empty() {
+        assert!(sent < MAX_DRAWS, "the full endpoint gets no booking");
+        sent += 1;
         let request = client::request(Method::POST, "/bookings", "slot 7");
         let booked = client::send(deployment.address(), request).await.unwrap();
         assert_eq!(booked.body(), "booked");
     }
-    assert_eq!(free.received().len(), 8);
-    assert!(!full.received().is_empty());
+    assert_eq!(free.received().len(), sent);
 }
 
 /// Guards against a booking that runs twice: the refusal of another request, which its ID tells, comes
