Callers: what keeps to the operators' limits is taken

What callers see: a request that keeps to the limits which operators tell callers is refused with 431 or 413, or its connection is closed, where these limits are larger than the VM's own; and with 431 whenever its head has more than 100 fields, since operators limit only its size. Callers don't send such a request again.

Cause: the adapter did not read the limits in the operators' configuration. They change with it while the processes run; the VM's own are settings.

A connection takes the larger of the VM's and the operators' when it opens. When they rise, connections that were opened before end: idle ones of callers at once, those of other VMs with their next answer, since a request that crosses the close would be lost to the other VM. Heads that VMs send each other have room for what the sender adds.

Ruled out: making the smaller limit hold. A VM refuses nothing that it can take.

The encoding of a configuration between VMs has a field more, as with api_keys_required. VMs of an earlier build beside newer ones were not tried.

--- a/crates/pistachiotrack-core/src/config.rs
+++ b/crates/pistachiotrack-core/src/config.rs
@@ -17,7 +17,8 @@
     warning::ConfigWarning,
 };
 use crate::{
-    customer::Customer, data_centre::DataCentre, name::Name, rule::Rule, service::Service,
+    caller_limits::CallerLimits, customer::Customer, data_centre::DataCentre, name::Name,
+    rule::Rule, service::Service,
 };
 
 /// Maximum length of a value in the platform's configuration service.
@@ -56,6 +57,9 @@
     pub api_keys_required: bool,
     /// Rules in order of evaluation.
     pub rules: Vec<Rule>,
+    /// What callers may send.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
     /// Version that operators gave their part, if the configuration was assembled from it and
     /// registered endpoints. It isn't part of the content.
     #[serde(skip)]
--- a/crates/pistachiotrack-core/src/config/delta.rs
+++ b/crates/pistachiotrack-core/src/config/delta.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     api_key::ApiKeyDigest,
+    caller_limits::CallerLimits,
     config::{Config, ContentHash, ContentSummary},
     customer::Customer,
     data_centre::DataCentre,
@@ -37,6 +38,7 @@
     customers: Vec<DeltaOp<CustomerDelta>>,
     rules: Vec<DeltaOp<Rule>>,
     api_keys_required: bool,
+    caller_limits: CallerLimits,
     /// [`Config::operators_version`] of the result.
     #[serde(skip)]
     pub operators_version: Option<u64>,
@@ -115,6 +117,7 @@
             customers: diff_customers(&base.customers, &new.customers),
             rules: diff(&base.rules, &new.rules, |item| &item.name),
             api_keys_required: new.api_keys_required,
+            caller_limits: new.caller_limits,
             operators_version: new.operators_version,
         }
     }
@@ -137,6 +140,7 @@
             customers: apply_customer_ops(&base.customers, self.customers)?,
             rules: apply_ops(&base.rules, self.rules)?,
             api_keys_required: self.api_keys_required,
+            caller_limits: self.caller_limits,
             operators_version: self.operators_version,
         })
     }
--- a/crates/pistachiotrack-core/src/lib.rs
+++ b/crates/pistachiotrack-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod api_key;
 pub mod authentication;
+pub mod caller_limits;
 pub mod concurrency_limit;
 pub mod config;
 pub mod config_lease;
--- a/crates/pistachiotrack-core/tests/config_delta.rs
+++ b/crates/pistachiotrack-core/tests/config_delta.rs
@@ -22,13 +22,14 @@
     Contract(u8, u8),
     RemoveService(u8),
     RenameService(u8),
+    HeaderBytes(u8),
     Lifetime(u8),
 }
 
 impl Arbitrary for Edit {
     fn arbitrary(g: &mut Gen) -> Edit {
         let (a, b) = (u8::arbitrary(g), u8::arbitrary(g));
-        match u8::arbitrary(g) % 10 {
+        match u8::arbitrary(g) % 11 {
             0 => Edit::Slots(a, b),
             1 => Edit::RemoveEndpoint(a),
             2 => Edit::AddEndpoint(a),
@@ -38,6 +39,7 @@
             6 => Edit::Contract(a, b),
             7 => Edit::RemoveService(a),
             8 => Edit::RenameService(a),
+            9 => Edit::HeaderBytes(a),
             _ => Edit::Lifetime(a),
         }
     }
@@ -98,6 +100,7 @@
                 service.name = name("fresh-service", suffix);
             }
         }
+        Edit::HeaderBytes(bytes) => config.caller_limits.header_bytes = Some(u64::from(bytes)),
         Edit::Lifetime(lifetime) => config.entry_lifetime_ms = 1 + u64::from(lifetime),
     }
 }
--- a/crates/pistachiotrack-core/tests/config_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/config_support/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::{Config, DEFAULT_ENTRY_LIFETIME_MS},
     contract::Contract,
     customer::Customer,
@@ -57,6 +58,7 @@
         customers: (0..sizes.customers).map(|index| customer(index, sizes)).collect(),
         rules: (0..sizes.rules).map(|index| rule(index, sizes)).collect(),
         api_keys_required: false,
+        caller_limits: CallerLimits::default(),
         operators_version: None,
     }
 }
--- a/crates/pistachiotrack-core/tests/registry_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/registry_support/mod.rs
@@ -1,6 +1,7 @@
 //! Operators' part of a registry with one service.
 
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::Config,
     data_centre::DataCentre,
     name::Name,
@@ -35,6 +36,7 @@
         customers: Vec::new(),
         rules: Vec::new(),
         api_keys_required: false,
+        caller_limits: CallerLimits::default(),
         operators_version: None,
     };
     OperatorConfig::new(config, [(Name::from(SERVICE), 90)].into()).unwrap()
--- a/crates/pistachiotrack-core/tests/shard_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shard_support/mod.rs
@@ -9,6 +9,7 @@
 };
 
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::Config,
     contract::Contract,
     customer::Customer,
@@ -64,6 +65,7 @@
         customers: contracts.iter().map(customer).collect(),
         rules: Vec::new(),
         api_keys_required: false,
+        caller_limits: CallerLimits::default(),
         operators_version: None,
     }
 }
--- a/crates/pistachiotrack-core/tests/shared_support/mod.rs
+++ b/crates/pistachiotrack-core/tests/shared_support/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::Config,
     data_centre::DataCentre,
     endpoint::Endpoint,
@@ -54,6 +55,7 @@
         customers: Vec::new(),
         rules: Vec::new(),
         api_keys_required: false,
+        caller_limits: CallerLimits::default(),
         operators_version: None,
     }
 }
--- a/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
+++ b/crates/pistachiotrack-standins/src/experiment/overload/workload.rs
@@ -3,6 +3,7 @@
 use std::{f64::consts::TAU, time::Duration};
 
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::Config,
     contract::Contract,
     customer::Customer,
@@ -94,6 +95,7 @@
         customers: CUSTOMERS.iter().map(customer).collect(),
         rules: Vec::new(),
         api_keys_required: false,
+        caller_limits: CallerLimits::default(),
         operators_version: None,
     }
 }
--- a/crates/pistachiotrack-standins/src/slopes/sample.rs
+++ b/crates/pistachiotrack-standins/src/slopes/sample.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::{Config, DEFAULT_ENTRY_LIFETIME_MS},
     config_sync::ConfigSyncSettings,
     contract::Contract,
@@ -38,6 +39,7 @@
         customers: (0..size.customers).map(|index| customer(index, size)).collect(),
         rules: (0..size.routes).map(|index| rule(index, size)).collect(),
         api_keys_required: false,
+        caller_limits: CallerLimits::default(),
         operators_version: None,
     }
 }
@@ -82,6 +84,7 @@
         "queue_limit" => *field == DEFAULT_QUEUE_LIMIT,
         "shard_endpoints" => *field == DEFAULT_SHARD_ENDPOINTS,
         "probe_path" => *field == DEFAULT_PROBE_PATH,
+        "caller_limits" => *field == serde_json::json!(CallerLimits::default()),
         "entry_lifetime_ms" => *field == DEFAULT_ENTRY_LIFETIME_MS,
         _ => field.is_null() || *field == false,
     }
--- a/crates/pistachiotrackd/src/membership/fleet.rs
+++ b/crates/pistachiotrackd/src/membership/fleet.rs
@@ -16,6 +16,7 @@
     message::{Context as MessageContext, Message},
 };
 use pistachiotrack_core::{
+    caller_limits::CallerLimits,
     config::Config,
     config_sync::{ConfigAction, ConfigSync, ConfigSyncSettings, ListReadSchedule},
     membership::{Membership, MembershipAction, MembershipSettings},
@@ -94,6 +95,8 @@
     pub(crate) view: watch::Sender<Arc<FleetView>>,
     /// Channel that the times of the configuration's lease are published to.
     pub(crate) lease: watch::Sender<LeaseTimes>,
+    /// Channel that the limits of callers are published to.
+    pub(crate) caller_limits: watch::Sender<Option<CallerLimits>>,
     /// Socket of the membership datagrams.
     pub(crate) socket: Arc<UdpSocket>,
     /// Set to true when a newer daemon runs under this VM's name.
@@ -112,6 +115,7 @@
     metrics: Arc<Metrics>,
     traffic: Arc<Traffic>,
     view: watch::Sender<Arc<FleetView>>,
+    caller_limits: watch::Sender<Option<CallerLimits>>,
     socket: Arc<UdpSocket>,
     source: Arc<dyn ConfigSource>,
     watch_wait: Duration,
@@ -176,6 +180,7 @@
             metrics: args.metrics,
             traffic,
             view: args.view,
+            caller_limits: args.caller_limits,
             socket: args.socket,
             source,
             watch_wait,
@@ -371,6 +376,9 @@
             // A shard whose actor has stopped restarts with this configuration.
             let _ = shard.tell(NewConfig(Arc::clone(&config))).try_send();
         }
+        self.caller_limits.send_if_modified(|limits| {
+            limits.replace(config.caller_limits) != Some(config.caller_limits)
+        });
         let version = config.version;
         self.active = Some(Arc::new(ActiveConfig::new(config)));
         self.update_ownership(now);
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -156,6 +156,7 @@
         let (view_sender, view) = watch::channel(Arc::new(first_view));
         let (reach_sender, reach) = watch::channel(ReachView::default());
         let (lease_sender, lease) = watch::channel(LeaseTimes::default());
+        let (caller_limits_sender, caller_limits) = watch::channel(None);
         let (schedule_sender, schedule) = watch::channel(None);
         let (grace_over_sender, grace_over) = watch::channel(false);
         let (stopping_sender, stopping) = watch::channel(false);
@@ -274,6 +275,7 @@
             view,
             reach,
             lease,
+            caller_limits,
             stop,
             shards,
             notices,
@@ -307,6 +309,7 @@
             traffic: Arc::clone(&traffic),
             view: view_sender,
             lease: lease_sender,
+            caller_limits: caller_limits_sender,
             socket: Arc::clone(&socket),
             superseded: superseded_sender,
             seed,
--- a/crates/pistachiotrackd/src/serving/context.rs
+++ b/crates/pistachiotrackd/src/serving/context.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use pistachiotrack_core::{name::Name, reachability::EndpointReach, request::RequestId, vm::Vm};
+use pistachiotrack_core::{
+    caller_limits::CallerLimits, name::Name, reachability::EndpointReach, request::RequestId,
+    vm::Vm,
+};
 use tokio::sync::watch;
 
 use crate::{
@@ -24,6 +27,7 @@
         stop_monitor::StopMonitor, transfer_table::TransferTable,
     },
     runtime::{clock::Clock, timer::PauseGate},
+    serving::connection_limits::{ConnectionLimits, Senders},
     shards::shard_table::ShardTable,
     stats::{
         forward_stats::ForwardStats, histogram::Histograms, metrics::Metrics, traffic::Traffic,
@@ -75,6 +79,8 @@
     pub(crate) reach: watch::Receiver<ReachView>,
     /// Lease on the configuration.
     pub(crate) lease: watch::Receiver<LeaseTimes>,
+    /// What callers may send; `None` before the first configuration.
+    pub(crate) caller_limits: watch::Receiver<Option<CallerLimits>>,
     /// The stop of this VM.
     pub(crate) stop: StopMonitor,
     /// Shards that this VM dispatches for.
@@ -114,6 +120,12 @@
 }
 
 impl Context {
+    /// Returns the limits that are in force for the requests of `senders`.
+    pub(crate) fn connection_limits(&self, senders: Senders) -> ConnectionLimits {
+        let promised = self.caller_limits.borrow();
+        ConnectionLimits::new(&self.settings.limits, promised.as_ref(), senders)
+    }
+
     /// Returns the current snapshot of the fleet.
     pub(crate) fn view(&self) -> Arc<FleetView> {
         Arc::clone(&self.view.borrow())
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -25,14 +25,16 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
-    config::settings::Limits,
     connections::{
         arrival::ArrivalTracker, busy_guard::BusyGuard, peer_monitor::PeerMonitor,
         stall_guard::StallGuard,
     },
     request::body::AnswerBody,
     runtime::socket,
-    serving::context::Context,
+    serving::{
+        connection_limits::{ConnectionLimits, Senders},
+        context::Context,
+    },
     stats::metrics::Event,
 };
 
@@ -47,6 +49,8 @@
     pub(crate) socket: TcpListener,
     /// Maximum number of open connections.
     pub(crate) max_connections: usize,
+    /// Who sends requests to it.
+    pub(crate) senders: Senders,
     /// Becomes true when no more requests are accepted.
     pub(crate) stopping: watch::Receiver<bool>,
     /// Tracks the connections that are still served.
@@ -81,7 +85,8 @@
             };
             let context = Arc::clone(&context);
             let stopping = self.stopping.clone();
-            self.connections.spawn(connection(stream, permit, context, handler.clone(), stopping));
+            let (handler, senders) = (handler.clone(), self.senders);
+            self.connections.spawn(connection(stream, permit, context, handler, senders, stopping));
         }
     }
 }
@@ -91,6 +96,7 @@
     _permit: OwnedSemaphorePermit,
     context: Arc<Context>,
     handler: H,
+    senders: Senders,
     mut stopping: watch::Receiver<bool>,
 ) where
     H: Fn(Arc<Context>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -100,10 +106,11 @@
         log::debug!("event=connection_ended error={:?}", error.to_string());
         return;
     }
-    let limits = &context.settings.limits;
-    let builder = builder(limits);
+    let limits = OpenedWith { limits: context.connection_limits(senders), senders };
+    let builder = builder(&limits.limits);
+    let outgrown = limits.outgrown(Arc::clone(&context));
     let arrivals = Arc::new(ArrivalTracker::new(context.clock, context.gate.clone()));
-    let idle_limit = Duration::from_millis(limits.body_idle_ms);
+    let idle_limit = Duration::from_millis(context.settings.limits.body_idle_ms);
     let stream = StallGuard::new(stream, idle_limit, Arc::clone(&arrivals));
     let peer = stream.peer_monitor();
     let (stop, monitor) = (context.stop.clone(), peer.clone());
@@ -113,20 +120,26 @@
         if let Some(arrival) = arrivals.arrival_before_resume() {
             request.extensions_mut().insert(arrival);
         }
-        answer(Arc::clone(&context), &handler, request, peer.clone(), &busy)
+        answer(Arc::clone(&context), &handler, request, peer.clone(), &busy, limits)
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let closing = async {
+        tokio::select! {
+            () = stopped(&mut stopping) => {}
+            () = outgrown => {}
+        }
+    };
     let (ended, was_idle) = tokio::select! {
         ended = connection.as_mut() => (ended, false),
-        () = stopped(&mut stopping) => {
+        () = closing => {
             let was_idle = !is_busy.load(Ordering::Relaxed);
             connection.as_mut().graceful_shutdown();
             (connection.await, was_idle)
         }
     };
     match ended {
-        // Of an idle connection that the stop closes nothing more is read: a request that crosses
+        // Of an idle connection that this VM closes nothing more is read: a request that crosses
         // the close is then known to be unread.
         Ok(()) if was_idle => {}
         Ok(()) => monitor.drain(CLOSE_TIMEOUT).await,
@@ -137,6 +150,36 @@
     }
 }
 
+/// The limits in force when a connection was opened, which the HTTP implementation keeps to its end.
+#[derive(Clone, Copy, Debug)]
+struct OpenedWith {
+    limits: ConnectionLimits,
+    senders: Senders,
+}
+
+impl OpenedWith {
+    /// Returns whether requests are allowed by now that the connection would refuse.
+    fn is_outgrown(&self, context: &Context) -> bool {
+        !self.limits.covers(&context.connection_limits(self.senders))
+    }
+
+    /// Returns when requests are allowed that the connection would refuse.
+    ///
+    /// Never returns for a connection of another VM: a request that crosses the close is lost to that
+    /// VM, whereas callers send it again. Such a connection ends with its next answer.
+    async fn outgrown(self, context: Arc<Context>) {
+        let mut promised = context.caller_limits.clone();
+        let outgrown = promised.wait_for(|promised| {
+            let settings = &context.settings.limits;
+            let in_force = ConnectionLimits::new(settings, promised.as_ref(), self.senders);
+            !self.limits.covers(&in_force)
+        });
+        if self.senders == Senders::Vms || outgrown.await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
+
 /// Writes a log line if a connection ends with bytes that nobody has read: the system resets it then,
 /// and drops what the peer hasn't received yet.
 fn log_unread_bytes(connection: &PeerMonitor) {
@@ -151,8 +194,8 @@
 #[error("the peer closed its connection before its request was answered")]
 struct PeerGone;
 
-/// Handles a request and closes its connection after the answer while the daemon is shutting
-/// down. A request whose peer has left is dropped with its connection.
+/// Handles a request, and closes its connection after the answer while the daemon is shutting
+/// down or if the connection would refuse what is allowed by now. A request whose peer has left is dropped with its connection.
 ///
 /// If a stopping daemon closes a keep-alive connection while a caller sends a
 /// request on it, the caller can't know whether the request ran. Each connection used during the
@@ -163,6 +206,7 @@
     request: Request<Incoming>,
     peer: PeerMonitor,
     is_busy: &Arc<AtomicBool>,
+    limits: OpenedWith,
 ) -> impl Future<Output = Result<Response<AnswerBody>, PeerGone>> + use<H, F>
 where
     H: Fn(Arc<Context>, Request<Incoming>) -> F,
@@ -175,7 +219,7 @@
             answered = answered => answered,
             () = peer.closed() => return Err(PeerGone),
         };
-        if context.stop.has_begun() {
+        if context.stop.has_begun() || limits.is_outgrown(&context) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response.map(|body| body.on_connection(busy)))
@@ -187,11 +231,11 @@
     let _ = stopping.wait_for(|stopping| *stopping).await;
 }
 
-fn builder(limits: &Limits) -> http1::Builder {
+fn builder(limits: &ConnectionLimits) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.header_read_timeout_ms))
+        .header_read_timeout(limits.header_read_timeout)
         .max_headers(limits.header_count)
         .max_buf_size(limits.header_bytes);
     builder
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -38,7 +38,7 @@
         transferred_copy::TransferredCopy,
     },
     request::{rejection::Rejection, stop_monitor::RequestTime},
-    serving::context::Context,
+    serving::{connection_limits::Senders, context::Context},
     shards::shard_actor::RefusedBefore,
     stats::work_times::RequestKind,
 };
@@ -398,7 +398,7 @@
 ) -> Result<RequestBody, Rejection> {
     let limits = &context.settings.limits;
     let limits = BodyLimits {
-        body_bytes: limits.body_bytes,
+        body_bytes: context.connection_limits(Senders::Callers).body_bytes,
         buffered_bytes: limits.buffered_body_bytes,
         idle: Duration::from_millis(limits.body_idle_ms),
     };
