--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -179,6 +179,8 @@
     pub body_idle_ms: u64,
     /// Time after a request's deadline at which an answer whose body isn't complete is abandoned.
     pub body_overrun_ms: u64,
+    /// Time after a request's deadline at which it is refused if the VM that it was sent to is silent.
+    pub refusal_overrun_ms: u64,
     /// Maximum number of concurrent caller connections.
     pub caller_connections: usize,
     /// Maximum number of concurrent peer connections in each direction.
@@ -212,6 +214,7 @@
             header_read_timeout_ms: 15_000,
             body_idle_ms: 10_000,
             body_overrun_ms: 10_000,
+            refusal_overrun_ms: 750,
             caller_connections: 4_096,
             peer_connections: 1_024,
             connect_timeout_ms: 1_000,
@@ -410,6 +413,7 @@
             ("limits.header_count", self.header_count as u64),
             ("limits.header_read_timeout_ms", self.header_read_timeout_ms),
             ("limits.body_idle_ms", self.body_idle_ms),
+            ("limits.refusal_overrun_ms", self.refusal_overrun_ms),
             ("limits.caller_connections", self.caller_connections as u64),
             ("limits.peer_connections", self.peer_connections as u64),
             ("limits.connect_timeout_ms", self.connect_timeout_ms),
--- a/crates/pistachiotrackd/src/program/daemon.rs
+++ b/crates/pistachiotrackd/src/program/daemon.rs
@@ -214,6 +214,7 @@
         let forwards = Arc::new(ForwardStats::new(clock.now()));
         let queue_latency = Arc::new(Histograms::default());
         let body_timeouts = BodyTimeouts::from(&settings.limits);
+        let refusal_overrun = Duration::from_millis(settings.limits.refusal_overrun_ms);
         let in_flight = Arc::new(InFlightTable::new(clock));
         let stop = StopMonitor {
             clock,
@@ -232,6 +233,7 @@
             metrics: Arc::clone(&metrics),
             traffic: Arc::clone(&traffic),
             body_timeouts,
+            refusal_overrun,
         };
         let relays = RelayClient {
             me: me.name.clone(),
@@ -264,6 +266,7 @@
             traffic: Arc::clone(&traffic),
             queue_latency: Arc::clone(&queue_latency),
             body_timeouts,
+            refusal_overrun,
             attempts: Arc::new(attempts),
             crash_check: Arc::new(crash_check),
         };
--- a/crates/pistachiotrackd/src/request/forward.rs
+++ b/crates/pistachiotrackd/src/request/forward.rs
@@ -44,9 +44,6 @@
     },
 };
 
-/// Time after the deadline during which the owner's own refusal is awaited.
-const OWNER_GRACE: Duration = Duration::from_millis(750);
-
 /// Why no answer was received from the owner.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ForwardError {
@@ -114,6 +111,8 @@
     pub(crate) traffic: Arc<Traffic>,
     /// Time limits for the bodies of answers.
     pub(crate) body_timeouts: BodyTimeouts,
+    /// Time after the deadline during which another VM's own refusal is awaited.
+    pub(crate) refusal_overrun: Duration,
 }
 
 /// A request being forwarded to its owner.
@@ -265,7 +264,7 @@
             request: Some(SentRequest::from(*inbound)),
             budget: PEER_BUDGET,
             not_after: inbound.deadline,
-            time_limit: inbound.deadline + OWNER_GRACE,
+            time_limit: inbound.deadline + forwarder.refusal_overrun,
             abandon: AbandonSignal::default(),
             gate: None,
         };
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -56,8 +56,9 @@
     },
 };
 
-/// Time after the deadline during which the shard's own refusal is awaited.
-const WATCHDOG_GRACE: Duration = Duration::from_millis(500);
+/// Share of the time for another VM's refusal in which the shard's own is awaited: a request that has
+/// been forwarded is refused here while the VM that forwarded it still waits.
+const SHARD_REFUSAL_SHARE: (u32, u32) = (2, 3);
 
 /// What the tasks of requests need.
 #[derive(Debug)]
@@ -84,6 +85,8 @@
     pub(crate) queue_latency: Arc<Histograms>,
     /// Time limits for the bodies of answers.
     pub(crate) body_timeouts: BodyTimeouts,
+    /// Time after the deadline during which another VM's own refusal is awaited.
+    pub(crate) refusal_overrun: Duration,
     /// What attempts need.
     pub(crate) attempts: Arc<AttemptHandle>,
     /// Checks whether endpoints have crashed.
@@ -205,7 +208,9 @@
 
 impl RequestTask {
     async fn run(mut self) -> Served {
-        let overdue = self.handle.clock.instant(self.inbound.deadline + WATCHDOG_GRACE);
+        let (share, of) = SHARD_REFUSAL_SHARE;
+        let grace = self.handle.refusal_overrun * share / of;
+        let overdue = self.handle.clock.instant(self.inbound.deadline + grace);
         let watchdog = tokio::time::sleep_until(overdue);
         let stop = self.handle.stop.clone();
         let stopping = stop.without_time_for(RequestTime::of(&self.inbound));
