Uploads: a caller may pause for as long as its request has time

What callers see: an upload that pauses for ten seconds is refused with 400, though its route allows more. Callers don't send a request again after 400.

Cause: the body of a request was given up after body_idle_ms without data. The limit is a setting; the routes' timeouts come with the configuration.

Evidence: an_upload_with_a_pause_is_served and an_upload_that_stops_is_refused_at_its_deadline got 400 before, 200 and not run now.

Why this works: the read already ends at the request's deadline, which is bounded by the route's timeout in force, and at the stop of the VM. The pause has no limit of its own any more, as for answers before their deadline.

Ruled out: a longer body_idle_ms, which the next longer timeout would exceed again.

--- a/crates/pistachiotrackd/src/config/settings.rs
+++ b/crates/pistachiotrackd/src/config/settings.rs
@@ -175,7 +175,8 @@
     /// Timeout for the head of the next request on a caller's connection; also the
     /// idle timeout of these connections.
     pub header_read_timeout_ms: u64,
-    /// Timeout between two parts of a body.
+    /// Timeout between two parts of an answer once its request's deadline has passed, and for a caller to
+    /// read the next part.
     pub body_idle_ms: u64,
     /// Time after a request's deadline at which an answer whose body isn't complete is abandoned.
     pub body_overrun_ms: u64,
--- a/crates/pistachiotrackd/src/formats/request_body.rs
+++ b/crates/pistachiotrackd/src/formats/request_body.rs
@@ -4,7 +4,6 @@
     pin::Pin,
     sync::{Mutex, PoisonError},
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -21,9 +20,6 @@
         /// Maximum length in bytes.
         limit_bytes: u64,
     },
-    /// No data arrived within the idle limit.
-    #[error("body timed out: no data within the idle limit")]
-    Stalled,
     /// The connection failed.
     #[error("reading the body failed: {0}")]
     Broken(#[from] hyper::Error),
@@ -132,17 +128,15 @@
     pub(crate) body_bytes: u64,
     /// Maximum length of a body that is kept in memory.
     pub(crate) buffered_bytes: usize,
-    /// Time limit for the next data to arrive.
-    pub(crate) idle: Duration,
 }
 
 impl RequestBody {
     /// Reads a small body completely, so that no slot of an endpoint waits for a slow caller. Of
-    /// a larger body only the start is read.
+    /// a larger body only the start is read. A caller may pause for as long as it gives its request.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is too large, times out or can't be read.
+    /// Returns an error if the body is too large or can't be read.
     pub(crate) async fn read(
         mut incoming: Incoming,
         limits: BodyLimits,
@@ -157,10 +151,7 @@
         let mut start = BytesMut::new();
         if incoming.size_hint().lower() <= limits.buffered_bytes as u64 {
             while start.len() <= limits.buffered_bytes {
-                let frame = tokio::time::timeout(limits.idle, incoming.frame())
-                    .await
-                    .map_err(|_| RequestBodyError::Stalled)?;
-                let Some(frame) = frame.transpose()? else {
+                let Some(frame) = incoming.frame().await.transpose()? else {
                     return Ok(RequestBody::Whole(Some(start.freeze())));
                 };
                 if let Ok(data) = frame.into_data() {
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -400,7 +400,6 @@
     let limits = BodyLimits {
         body_bytes: context.connection_limits(Senders::Callers).body_bytes,
         buffered_bytes: limits.buffered_body_bytes,
-        idle: Duration::from_millis(limits.body_idle_ms),
     };
     let read = RequestBody::read(body, limits);
     let read = tokio::select! {
--- a/crates/pistachiotrackd/tests/limits.rs
+++ b/crates/pistachiotrackd/tests/limits.rs
@@ -2,6 +2,8 @@
 
 mod testenv;
 
+use std::{net::SocketAddr, time::Duration};
+
 use hyper::{Method, StatusCode};
 use pistachiotrack_core::header;
 use serde_json::json;
@@ -129,6 +131,55 @@
     assert_eq!(client::header_text(&answer, header::OUTCOME), Some("not-run"));
 }
 
+/// Time between two parts of a body, of which VMs wait for less.
+const UPLOAD_PAUSE: Duration = Duration::from_millis(400);
+/// Idle limit of the VMs for bodies.
+const BODY_IDLE_MS: u64 = 50;
+
+/// Sends the head of a booking and the first half of its body.
+async fn begin_upload(vm: SocketAddr, deadline: Duration) -> TcpStream {
+    let mut stream = TcpStream::connect(vm).await.unwrap();
+    let head = format!(
+        "POST /bookings HTTP/1.1\r\nhost: fleet\r\ncontent-length: 6\r\n{}: timeliten\r\n\
+         {}: {}\r\nconnection: close\r\n\r\nslo",
+        header::CUSTOMER,
+        header::DEADLINE_MS,
+        deadline.as_millis()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against a slow upload that is refused with 400 though its request has time left.
+#[tokio::test]
+async fn an_upload_with_a_pause_is_served() {
+    let booking = Endpoint::answering("booked").await;
+    let limits = json!({"body_idle_ms": BODY_IDLE_MS});
+    let deployment = Deployment::start_with_limits(&[], &[booking.address], limits).await;
+    let mut stream = begin_upload(deployment.address(), Duration::from_secs(3)).await;
+    tokio::time::sleep(UPLOAD_PAUSE).await;
+    stream.write_all(b"t 7").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert_eq!(booking.received()[0].body(), "slot 7");
+}
+
+/// Guards against an upload that stops and is waited for without end, and against one whose refusal
+/// callers take for final.
+#[tokio::test]
+async fn an_upload_that_stops_is_refused_at_its_deadline() {
+    let booking = Endpoint::answering("booked").await;
+    let limits = json!({"body_idle_ms": BODY_IDLE_MS});
+    let deployment = Deployment::start_with_limits(&[], &[booking.address], limits).await;
+    let mut stream = begin_upload(deployment.address(), UPLOAD_PAUSE).await;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert!(answer.contains(&format!("{}: not-run", header::OUTCOME)), "{answer}");
+    assert!(booking.received().is_empty());
+}
+
 /// A caller requests a large response and stops reading without closing its
 /// connection. The blocked response must not occupy the endpoint's slot forever.
 #[tokio::test]
