Endpoints: bytes beside the data of an answer are bounded

An endpoint that began an answer in chunks and then sent the digits of a chunk's size without end was read at full speed until the time limit: neither the HTTP library nor the guard of the connection counts such bytes, and no data goes to the caller that would slow the reading down. Seen before: 92 MB taken of one lookup's answer, 18 to 24 MB of the answer to a health check, whose limit of 64 KiB counts data only. The caller got a cut answer after its deadline.

The guard that limits bytes before an answer now also limits them from its start to its data, and between two parts of that, to the same number.

Health checks get the two tests that were missing: of all endless forms and bodies. All other forms were bounded before.

--- a/crates/pistachiotrackd/src/connections/connection.rs
+++ b/crates/pistachiotrackd/src/connections/connection.rs
@@ -27,9 +27,9 @@
     runtime::{clock::Clock, socket, timer::PauseGate},
 };
 
-/// Number of heads of the maximum size that may arrive before an answer has started: interim answers,
+/// Number of heads of the maximum size that may arrive beside the data of an answer: interim answers,
 /// and the beginning of a body that is read together with the head.
-const HEADS_BEFORE_ANSWER: u64 = 8;
+const HEADS_BESIDE_DATA: u64 = 8;
 
 /// An open connection. Dropping it closes the socket immediately, which signals to an endpoint
 /// that its request was cancelled.
@@ -179,8 +179,8 @@
         socket::configure_outgoing(&stream)
             .map_err(|source| ConnectError::Io { address, source })?;
         let local_port = stream.local_addr().map_or(0, |address| address.port());
-        let max_before_answer_bytes = self.limits.header_bytes as u64 * HEADS_BEFORE_ANSWER;
-        let guard = ExchangeGuard::new(self.clock, self.gate.clone(), max_before_answer_bytes);
+        let max_beside_data_bytes = self.limits.header_bytes as u64 * HEADS_BESIDE_DATA;
+        let guard = ExchangeGuard::new(self.clock, self.gate.clone(), max_beside_data_bytes);
         let stream = GuardedStream::new(stream, Arc::clone(&guard));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(self.limits.header_bytes)
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -242,7 +242,7 @@
             Err(ExchangeError::NoFinalStatus { status: response.status().as_u16() })
         }
         Some(Ok(response)) => {
-            connection.guard.on_answer();
+            connection.guard.on_progress();
             let (parts, incoming) = response.into_parts();
             Ok(StartedAnswer {
                 parts,
--- a/crates/pistachiotrackd/src/connections/guarded_stream.rs
+++ b/crates/pistachiotrackd/src/connections/guarded_stream.rs
@@ -1,5 +1,5 @@
 //! A TCP stream that tracks whether any byte of an exchange was written, fails the first write if it
-//! comes too late, and ends when bytes arrive and no answer.
+//! comes too late, and ends when bytes arrive that are neither an answer nor data of one.
 
 use std::{
     io,
@@ -26,9 +26,6 @@
 /// No byte of the exchange was written and none will be.
 const CLOSED: u8 = 2;
 
-/// The answer has started; no limit of bytes before it applies.
-const ANSWERED: u64 = u64::MAX;
-
 /// State of the current exchange of a connection.
 ///
 /// A request must not be reported as not run after a part of it was sent, and must not be sent
@@ -42,20 +39,21 @@
     not_after_us: AtomicU64,
     state: AtomicU8,
     too_late: AtomicBool,
-    /// Bytes that may still arrive before the answer starts, or [`ANSWERED`].
-    left_before_answer_bytes: AtomicU64,
-    max_before_answer_bytes: u64,
+    /// Bytes that may still arrive before the answer starts or goes on.
+    left_beside_data_bytes: AtomicU64,
+    max_beside_data_bytes: u64,
 }
 
 impl ExchangeGuard {
     /// Creates the guard of a connection on which nothing was written.
     ///
-    /// At most `max_before_answer_bytes` are read before an answer has started. Otherwise an endpoint
-    /// that sends interim answers without end would hold its request until the time limit.
+    /// At most `max_beside_data_bytes` are read before an answer starts, and from there to its data,
+    /// and between two parts of that. Otherwise an endpoint that sends interim answers or the digits of
+    /// a chunk's size without end would keep this VM busy until the time limit.
     pub(crate) fn new(
         clock: Clock,
         gate: PauseGate,
-        max_before_answer_bytes: u64,
+        max_beside_data_bytes: u64,
     ) -> Arc<ExchangeGuard> {
         Arc::new(ExchangeGuard {
             clock,
@@ -63,21 +61,21 @@
             not_after_us: AtomicU64::new(0),
             state: AtomicU8::new(NOT_WRITTEN),
             too_late: AtomicBool::new(false),
-            left_before_answer_bytes: AtomicU64::new(max_before_answer_bytes),
-            max_before_answer_bytes,
+            left_beside_data_bytes: AtomicU64::new(max_beside_data_bytes),
+            max_beside_data_bytes,
         })
     }
 
     /// Starts an exchange whose first byte may be written until `not_after`.
     pub(crate) fn begin(&self, not_after: Time) {
         self.not_after_us.store(not_after.as_micros(), Ordering::Release);
-        self.left_before_answer_bytes.store(self.max_before_answer_bytes, Ordering::Release);
+        self.on_progress();
         self.state.store(NOT_WRITTEN, Ordering::Release);
     }
 
-    /// Records that the answer of the exchange has started.
-    pub(crate) fn on_answer(&self) {
-        self.left_before_answer_bytes.store(ANSWERED, Ordering::Release);
+    /// Records that the answer of the exchange has started, or that a part of its body has arrived.
+    pub(crate) fn on_progress(&self) {
+        self.left_beside_data_bytes.store(self.max_beside_data_bytes, Ordering::Release);
     }
 
     /// Closes the exchange and returns whether it is certain that no byte of it was or will be
@@ -111,12 +109,11 @@
     }
 
     fn after_read(&self, bytes: u64) -> io::Result<()> {
-        let subtract =
-            |left: u64| if left == ANSWERED { Some(left) } else { left.checked_sub(bytes) };
-        self.left_before_answer_bytes
+        let subtract = |left: u64| left.checked_sub(bytes);
+        self.left_beside_data_bytes
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, subtract)
             .map(drop)
-            .map_err(|_| io::Error::other("too many bytes before an answer"))
+            .map_err(|_| io::Error::other("too many bytes beside the data of an answer"))
     }
 
     fn after_write(&self, first: bool, result: &Poll<io::Result<usize>>) {
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -223,6 +223,9 @@
         }
         match frame {
             Some(Ok(frame)) => {
+                if let Some(connection) = &self.connection {
+                    connection.guard.on_progress();
+                }
                 if let (Some(monitor), Some(data)) = (&mut self.monitor, frame.data_ref()) {
                     monitor.record(data);
                 }
--- a/crates/pistachiotrackd/tests/endless_answers.rs
+++ b/crates/pistachiotrackd/tests/endless_answers.rs
@@ -11,7 +11,7 @@
 };
 
 use pistachiotrack_core::header;
-use serde_json::json;
+use serde_json::{Value, json};
 use testenv::{
     Deployment, client, config,
     endpoint::{Endpoint, read_request_line},
@@ -25,9 +25,13 @@
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 /// Time in which a request must be answered that an endless answer has delayed.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+/// Time after which a health check is abandoned.
+const HEALTH_CHECK_LIMIT: Duration = Duration::from_secs(1);
 /// Time between two bytes of an answer that drips.
 const DRIP_INTERVAL: Duration = Duration::from_secs(3);
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+const HEALTH_PATH: &str = "/healthz";
+const FAILED: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 6\r\n\r\nfailed";
 const FOUND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfound";
 
 /// An endpoint that begins an answer and then sends the same bytes until its peer closes.
@@ -41,6 +45,16 @@
 impl EndlessEndpoint {
     /// Starts an endpoint that answers requests so, and health checks properly.
     async fn start(head: String, repeated: String) -> EndlessEndpoint {
+        EndlessEndpoint::start_for("/slots", FOUND, head, repeated).await
+    }
+
+    /// Starts an endpoint that answers requests for `path` so, and others with `other`.
+    async fn start_for(
+        path: &'static str,
+        other: &'static str,
+        head: String,
+        repeated: String,
+    ) -> EndlessEndpoint {
         let written_bytes = Arc::new(AtomicU64::new(0));
         let writing = Arc::new(AtomicU64::new(0));
         let counts = (Arc::clone(&written_bytes), Arc::clone(&writing));
@@ -49,13 +63,13 @@
                 (head.clone(), repeated.clone(), counts.clone());
             async move {
                 while let Some(line) = read_request_line(&mut stream).await {
-                    if line.contains("/slots") {
+                    if line.contains(path) {
                         writing.fetch_add(1, Ordering::SeqCst);
                         write_endlessly(&mut stream, &head, &repeated, &count).await;
                         writing.fetch_sub(1, Ordering::SeqCst);
                         return;
                     }
-                    if stream.write_all(FOUND.as_bytes()).await.is_err() {
+                    if stream.write_all(other.as_bytes()).await.is_err() {
                         return;
                     }
                 }
@@ -169,6 +183,22 @@
     bounded(futures_util::future::join_all(cuts)).await;
 }
 
+/// Guards against a VM that reads bytes that are no data of an answer, such as the digits of a chunk's
+/// size, for as long as the endpoint sends them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_data_that_does_not_end_is_cut_after_a_bounded_number_of_bytes() {
+    bounded(async {
+        let head = format!("HTTP/1.1 200 OK\r\n{CHUNKED}");
+        let endless = EndlessEndpoint::start(head, "0".repeat(4_096)).await;
+        let deployment = Deployment::start(&[endless.endpoint.address], &[]).await;
+        client::send(deployment.address(), client::get("/slots/7")).await.unwrap_err();
+        endless.wait_until_closed("a chunk size").await;
+        let written = endless.written_bytes.load(Ordering::SeqCst);
+        assert!(written < MAX_TAKEN_BYTES, "{written} bytes");
+    })
+    .await;
+}
+
 /// Guards against an answer that drips and is passed on for longer than one that arrives steadily: its
 /// next byte comes long after the time at which it is cut.
 #[tokio::test(flavor = "multi_thread")]
@@ -252,3 +282,67 @@
         .await;
     }
 }
+
+async fn endpoint_state(deployment: &Deployment, endpoint: &str) -> String {
+    let endpoints = client::admin(deployment.daemon.admin_address(), "/endpoints").await;
+    let is_named = |one: &&Value| one["endpoint"] == endpoint;
+    let state = &endpoints.as_array().unwrap().iter().find(is_named).unwrap()["state"];
+    state.as_str().unwrap().to_owned()
+}
+
+/// Starts a VM with an endpoint that fails lookups and answers health checks without an end, and sends
+/// lookups until it is suspect.
+async fn start_health_checks(head: String, repeated: String) -> (EndlessEndpoint, Deployment) {
+    let endless = EndlessEndpoint::start_for(HEALTH_PATH, FAILED, head, repeated).await;
+    let mut addresses = vec![endless.endpoint.address];
+    for _ in 0..3 {
+        addresses.push(Endpoint::answering("found").await.address);
+    }
+    let deployment = Deployment::start(&addresses, &[]).await;
+    while endpoint_state(&deployment, "slot-search-0").await == "healthy" {
+        client::send(deployment.address(), client::get("/slots/7")).await.unwrap();
+    }
+    assert_eq!(endpoint_state(&deployment, "slot-search-0").await, "suspect");
+    (endless, deployment)
+}
+
+/// Waits for a health check and its end, and checks what was taken of its answer.
+async fn check_health_check(form: &str, endless: &EndlessEndpoint) {
+    wait_until(|| async { endless.written_bytes.load(Ordering::SeqCst) > 0 }).await;
+    tokio::time::sleep(HEALTH_CHECK_LIMIT).await;
+    endless.wait_until_closed(form).await;
+    let written = endless.written_bytes.load(Ordering::SeqCst);
+    let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
+    assert!(written < limit, "{form}: {written} bytes");
+}
+
+/// Guards against an endpoint that counts as a sound one because its answer to a health check never
+/// ends, and against a VM that goes on reading it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_health_check_whose_answer_does_not_end_fails() {
+    let checks = endless_forms().map(|(form, head, repeated)| async move {
+        // A refusal shows that the endpoint has no slot, and not that it fails.
+        let is_failure = form != "a refusal";
+        let (endless, deployment) = start_health_checks(head, repeated).await;
+        check_health_check(form, &endless).await;
+        if is_failure {
+            let admin = deployment.daemon.admin_address();
+            client::wait_for(admin, "/endpoints", |endpoints| {
+                let mut endpoints = endpoints.as_array().unwrap().iter();
+                endpoints.any(|one| one["endpoint"] == "slot-search-0" && one["state"] == "ejected")
+            })
+            .await;
+        }
+    });
+    bounded(futures_util::future::join_all(checks)).await;
+}
+
+/// Guards against a health check that goes on reading an answer that begins well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_health_check_whose_body_does_not_end_is_closed() {
+    let checks = endless_bodies().map(|(form, head, repeated)| async move {
+        let (endless, _deployment) = start_health_checks(head, repeated).await;
+        check_health_check(form, &endless).await;
+    });
+    bounded(futures_util::future::join_all(checks)).await;
+}
