Requests with CONNECT are refused

A CONNECT whose path a rule allows was sent to an endpoint. A success to it is an upgrade for the HTTP library, on both connections: the endpoint had run the request, and the caller's connection was closed without any answer. No bytes went through a tunnel. Seen with CONNECT /slots/7 and CONNECT http://fleet/slots/7; other targets match no rule and were refused (403) before.

A VM offers no tunnels, so that it now answers 400, not run, also to another VM that forwards one. Other odd methods, such as BREW or a lower-case connect, are answered by the endpoint, as before.

--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -6,7 +6,7 @@
 };
 
 use hyper::{
-    HeaderMap, Request,
+    HeaderMap, Method, Request,
     body::Incoming,
     header::HOST,
     http::{request, uri::Authority},
@@ -56,6 +56,7 @@
 ) -> Result<Inbound, Rejection> {
     let (mut parts, body) = request.into_parts();
     let received = arrival(context, &parts);
+    check_method(&parts.method, fleet_id)?;
     headers::strip_from_caller(&mut parts.headers);
     let mut metadata =
         context.dialect.read_request(&parts).map_err(|error| malformed(fleet_id, &error))?;
@@ -169,6 +170,18 @@
     Reason::BadRequest
 }
 
+/// Refuses a request for a tunnel, which this VM doesn't offer: an endpoint's success would open one on
+/// both connections, and its answer would be lost.
+fn check_method(method: &Method, fleet_id: &Name) -> Result<(), Rejection> {
+    if method != Method::CONNECT {
+        return Ok(());
+    }
+    log::info!(
+        "event=request_malformed request={fleet_id} error=\"method CONNECT isn't supported\""
+    );
+    Err(Reason::BadRequest.into())
+}
+
 /// Refuses a request without a customer if callers have to name one.
 fn check_names_customer(
     context: &Context,
@@ -433,6 +446,7 @@
         .and_then(ForwardedRoute::decode)
         .filter(|_| parts.headers.contains_key(header::HOP))
         .ok_or_else(bad_request)?;
+    check_method(&parts.method, fleet_id)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
     let time = limit_to_stop(context, RequestTime { deadline, kind: None }, &parts.headers)?;
