Tests of statuses that are none, sent by relays

A relay's own answer with such a status: bookings are unknown (502) and run once, lookups go to another endpoint. The answer of an owner is now tried with four digits and letters, too.

--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -21,6 +21,9 @@
 /// Names of the two VMs of every test.
 const VMS: [&str; 2] = ["vm-01", "vm-02"];
 
+/// Statuses that no final answer has.
+const NO_FINAL_STATUSES: [&str; 10] =
+    ["000", "099", "101", "600", "700", "999", "20", "2000", "2OO", "abc"];
 /// Lookups that fill an endpoint's slots.
 const LOOKUPS: usize = 4;
 
@@ -307,7 +310,7 @@
     let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
     let (search_owner, search_entry) = fleet.owner("slot-search").await;
     let (booking_owner, booking_entry) = fleet.owner("booking").await;
-    for (count, status) in (1..).zip(["000", "099", "101", "600", "700", "999", "20", "abc"]) {
+    for (count, status) in (1..).zip(NO_FINAL_STATUSES) {
         paths[search_owner].replace_status(Some(status));
         let found = fleet.send(search_entry, client::get("/slots")).await.unwrap();
         assert_eq!((found.status().as_u16(), &found.body()[..]), (200, &b"free slots"[..]));
--- a/crates/pistachiotrackd/tests/relayed_requests.rs
+++ b/crates/pistachiotrackd/tests/relayed_requests.rs
@@ -10,7 +10,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use pistachiotrack_core::header;
 use pistachiotrackd::daemon::Daemon;
@@ -18,6 +20,7 @@
 use testenv::{
     client, config,
     endpoint::{Endpoint, read_head},
+    network_path::NetworkPath,
     platform::Platform,
     process::DaemonProcess,
     settings, vm_list_entry,
@@ -31,6 +34,10 @@
 const OWNER: &str = "vm-01";
 const OTHERS: [&str; 2] = ["vm-02", "vm-03"];
 
+/// Statuses that no final answer has.
+const NO_FINAL_STATUSES: [&str; 10] =
+    ["000", "099", "101", "600", "700", "999", "20", "2000", "2OO", "abc"];
+
 /// An owner in the test's process, whose paths to endpoints can be cut, and two
 /// other VMs in separate processes, which can be killed.
 struct ThreeVmFleet {
@@ -41,14 +48,19 @@
 
 impl ThreeVmFleet {
     async fn start(booking: &[&Endpoint]) -> ThreeVmFleet {
-        let platform = Platform::start().await;
         let addresses: Vec<_> = booking.iter().map(|endpoint| endpoint.address).collect();
-        platform.publish_config(config(1, &[], &addresses));
+        ThreeVmFleet::start_with_settings(config(1, &[], &addresses), [json!({}), json!({})]).await
+    }
+
+    /// Starts the VMs with a configuration and additional settings for each of the others.
+    async fn start_with_settings(config: Value, settings_of_others: [Value; 2]) -> ThreeVmFleet {
+        let platform = Platform::start().await;
+        platform.publish_config(config);
         let owner = Daemon::start(settings(OWNER, platform.address, json!({}))).await.unwrap();
         let mut list = vec![vm_list_entry(OWNER, owner.peer_address(), owner.caller_address())];
         let mut others = Vec::new();
-        for name in OTHERS {
-            let other = DaemonProcess::start(name, platform.address).await;
+        for (name, additional) in OTHERS.into_iter().zip(settings_of_others) {
+            let other = DaemonProcess::start_with(name, platform.address, additional).await;
             list.push(other.vm_list_entry(name));
             others.push(other);
         }
@@ -315,3 +327,63 @@
     }
     assert!(seen.len() > 1, "the booking was sent only once");
 }
+
+/// Starts three VMs, the two others of which are reached through paths.
+async fn start_with_paths(config: Value) -> (ThreeVmFleet, [NetworkPath; 2]) {
+    let paths = [NetworkPath::open().await, NetworkPath::open().await];
+    let settings = paths.each_ref().map(
+        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+    );
+    (ThreeVmFleet::start_with_settings(config, settings).await, paths)
+}
+
+/// Guards against what is no answer of a relay and reaches the caller, and against a booking that is sent
+/// again, or reported as not run, after it: the relay has had it run.
+#[tokio::test]
+async fn a_booking_is_unknown_when_its_relay_sends_no_final_status() {
+    let booking = Endpoint::answering("booked").await;
+    let (fleet, paths) = start_with_paths(config(1, &[], &[booking.address])).await;
+    fleet.owner.set_path_blocked(booking.address, true);
+    for status in NO_FINAL_STATUSES {
+        fleet.book_until_answered().await;
+        let before = booking.received().len();
+        paths.iter().for_each(|path| path.replace_status(Some(status)));
+        let refused = fleet.send(booking_request()).await;
+        paths.iter().for_each(|path| path.replace_status(None));
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{status}");
+        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{status}");
+        assert_eq!(booking.received().len(), before + 1, "{status}");
+    }
+}
+
+/// Guards against a lookup that fails because a relay sends what is no answer, while another endpoint
+/// would bring an answer.
+#[tokio::test]
+async fn a_lookup_whose_relay_sends_no_final_status_is_answered() {
+    let relayed = Endpoint::answering("free slots").await;
+    let direct = Endpoint::answering("free slots").await;
+    let mut config = config(1, &[], &[relayed.address, direct.address]);
+    config["rules"][2]["then"]["route"]["idempotent"] = json!(true);
+    let (fleet, paths) = start_with_paths(config).await;
+    fleet.owner.set_path_blocked(relayed.address, true);
+    let lookup = async |status| {
+        let found = fleet.send(booking_request()).await;
+        assert_eq!(found.body(), "free slots", "{status}: {found:?}");
+    };
+    let replaced = || paths.iter().map(NetworkPath::replaced_statuses).sum::<u32>();
+    for status in NO_FINAL_STATUSES {
+        let start = std::time::Instant::now();
+        let before = relayed.received().len();
+        while relayed.received().len() == before {
+            lookup(status).await;
+            assert!(start.elapsed() < client::HANG_LIMIT, "{status}: no relay is used");
+        }
+        let (before, replaced_before) = (relayed.received().len(), replaced());
+        paths.iter().for_each(|path| path.replace_status(Some(status)));
+        while relayed.received().len() == before || replaced() == replaced_before {
+            lookup(status).await;
+            assert!(start.elapsed() < client::HANG_LIMIT, "{status}: no relay is used");
+        }
+        paths.iter().for_each(|path| path.replace_status(None));
+    }
+}
--- a/crates/pistachiotrackd/tests/testenv/network_path.rs
+++ b/crates/pistachiotrackd/tests/testenv/network_path.rs
@@ -35,6 +35,7 @@
     cut: watch::Sender<bool>,
     held: watch::Sender<bool>,
     status: watch::Sender<Option<&'static str>>,
+    replaced_statuses: Arc<AtomicU32>,
 }
 
 impl NetworkPath {
@@ -50,6 +51,9 @@
         let (cut, is_dropping) = watch::channel(false);
         let (held, is_held) = watch::channel(false);
         let (status, replaced) = watch::channel(None);
+        let replaced_statuses = Arc::new(AtomicU32::new(0));
+        let replaced =
+            StatusReplacement { status: replaced, count: Arc::clone(&replaced_statuses) };
         let (dropped, count) = (dropped_up_to.clone(), Arc::clone(&connections));
         tokio::spawn(async move {
             loop {
@@ -82,7 +86,16 @@
                 });
             }
         });
-        NetworkPath { address, vm_address, dropped_up_to, connections, cut, held, status }
+        NetworkPath {
+            address,
+            vm_address,
+            dropped_up_to,
+            connections,
+            cut,
+            held,
+            status,
+            replaced_statuses,
+        }
     }
 
     /// Closes new connections from now on; datagrams still pass.
@@ -100,6 +113,11 @@
         self.status.send_replace(status);
     }
 
+    /// Returns the number of answers so far whose status was replaced.
+    pub(crate) fn replaced_statuses(&self) -> u32 {
+        self.replaced_statuses.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of connections opened so far.
     pub(crate) fn connections(&self) -> u32 {
         self.connections.load(Ordering::SeqCst)
@@ -117,15 +135,17 @@
     mut to: tcp::OwnedWriteHalf,
     number: u32,
     dropped_up_to: watch::Receiver<u32>,
-    replaced_status: Option<watch::Receiver<Option<&'static str>>>,
+    replaced_status: Option<StatusReplacement>,
 ) {
     let mut bytes = vec![0; DATAGRAM_BYTES];
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
         if *dropped_up_to.borrow() >= number {
             continue;
         }
-        let status = replaced_status.as_ref().and_then(|status| *status.borrow());
-        let sent = with_status(&bytes[..count], status);
+        let sent = match &replaced_status {
+            Some(replacement) => replacement.apply(&bytes[..count]),
+            None => Cow::from(&bytes[..count]),
+        };
         if to.write_all(&sent).await.is_err() {
             return;
         }
@@ -136,13 +156,23 @@
     }
 }
 
-/// Returns these bytes with another status if an answer begins with them.
-fn with_status<'a>(bytes: &'a [u8], status: Option<&str>) -> Cow<'a, [u8]> {
-    match (status, bytes.strip_prefix(STATUS_START)) {
-        (Some(status), Some(rest)) if rest.len() > STATUS_BYTES => {
-            [STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat().into()
+/// The status that replaces those of answers, if one does.
+#[derive(Clone)]
+struct StatusReplacement {
+    status: watch::Receiver<Option<&'static str>>,
+    count: Arc<AtomicU32>,
+}
+
+impl StatusReplacement {
+    /// Returns these bytes with the other status if an answer begins with them.
+    fn apply<'a>(&self, bytes: &'a [u8]) -> Cow<'a, [u8]> {
+        match (*self.status.borrow(), bytes.strip_prefix(STATUS_START)) {
+            (Some(status), Some(rest)) if rest.len() > STATUS_BYTES => {
+                self.count.fetch_add(1, Ordering::SeqCst);
+                [STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat().into()
+            }
+            _ => bytes.into(),
         }
-        _ => bytes.into(),
     }
 }
 
