Stops: what waits for the first configuration is refused when the stop begins

A VM that is told to stop before it has a configuration, or the lease that decisions on API keys need, kept its requests waiting for up to first_config_wait_ms; where that is longer than the grace they were answered as possibly run, though they had been sent nowhere. With the default of 500 ms they only waited longer than they needed.

Cause: the wait didn't know of the stop. It now ends with it, and the refusal is the usual one (not run, with a retry delay).

--- a/crates/pistachiotrackd/src/request/stop_monitor.rs
+++ b/crates/pistachiotrackd/src/request/stop_monitor.rs
@@ -56,6 +56,14 @@
         self.schedule.borrow().is_some()
     }
 
+    /// Waits until the stop has begun.
+    pub(crate) async fn begun(&self) {
+        if self.schedule.clone().wait_for(Option::is_some).await.is_err() {
+            // The daemon was dropped without a stop.
+            pending().await
+        }
+    }
+
     /// Returns the time since the stop began.
     pub(crate) fn elapsed(&self, now: Time) -> Duration {
         self.schedule.borrow().map_or(Duration::ZERO, |stop| now.since(stop.began_at))
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -236,13 +236,10 @@
     received: Time,
     time_left: Option<Duration>,
 ) -> Arc<FleetView> {
-    let until = first_config_deadline(context, received, time_left);
     let mut view = context.view.clone();
-    let configured = view.wait_for(|view| view.active.is_some());
-    match tokio::time::timeout_at(context.clock.instant(until), configured).await {
-        Ok(Ok(view)) => Arc::clone(&view),
-        Ok(Err(_)) | Err(_) => context.view(),
-    }
+    let configured = async { view.wait_for(|view| view.active.is_some()).await.is_ok() };
+    wait_after_start(context, received, time_left, configured).await;
+    context.view()
 }
 
 /// Returns the view of the fleet, and whether this VM may decide on API keys with it.
@@ -268,10 +265,25 @@
 /// Waits for the lease on a VM that has just started, as for the first configuration.
 async fn wait_for_lease(context: &Context, received: Time, time_left: Option<Duration>) {
     let mut lease = context.lease.clone();
-    let confirmed = lease.wait_for(|_| context.has_lease());
+    let confirmed = async { lease.wait_for(|_| context.has_lease()).await.is_ok() };
+    wait_after_start(context, received, time_left, confirmed).await;
+}
+
+/// Waits until what a VM lacks after its start has `arrived`, or requests no longer wait for it. If the
+/// VM stops, other VMs can serve them.
+async fn wait_after_start(
+    context: &Context,
+    received: Time,
+    time_left: Option<Duration>,
+    arrived: impl Future<Output = bool>,
+) {
     let until = first_config_deadline(context, received, time_left);
-    // Whether the lease has arrived or not is checked by the caller.
-    let _ = tokio::time::timeout_at(context.clock.instant(until), confirmed).await;
+    tokio::select! {
+        biased;
+        // Whether it has arrived is checked by the caller.
+        _ = tokio::time::timeout_at(context.clock.instant(until), arrived) => {}
+        () = context.stop.begun() => {}
+    }
 }
 
 /// Returns the time until which requests wait for what a VM lacks after its start.
--- a/crates/pistachiotrackd/tests/stops.rs
+++ b/crates/pistachiotrackd/tests/stops.rs
@@ -299,6 +299,24 @@
     .await;
 }
 
+/// Guards against a request that waits for the first configuration of a VM that stops, and is answered as
+/// possibly run at the end of the grace.
+#[tokio::test]
+async fn a_vm_without_a_configuration_refuses_what_waits_when_it_stops() {
+    bounded(async {
+        let settings = json!({"stop_grace_s": GRACE_S, "limits": {"first_config_wait_ms": 60_000}});
+        let platform = unavailable_platform().await;
+        let vm = DaemonProcess::start_with("vm-01", platform, settings).await;
+        let booking = client::with_header(booking("slot 7"), header::DEADLINE_MS, "30000");
+        let waiting = tokio::spawn(client::send(vm.caller_address, booking));
+        client::wait_for(vm.admin_address, "/status", |status| counter(status, "requests") == 1)
+            .await;
+        vm.signal("TERM").await;
+        assert_eq!(outcome(&waiting.await.unwrap().unwrap()), (Some("not-run"), Some("no-config")));
+    })
+    .await;
+}
+
 /// Guards against another signal than the usual one, or further ones, that cut what is at work.
 #[tokio::test]
 async fn a_stop_by_interrupt_and_further_signals_cut_nothing() {
