--- a/crates/pistachiotrack-core/src/stop.rs
+++ b/crates/pistachiotrack-core/src/stop.rs
@@ -39,11 +39,11 @@
         }
     }
 
-    /// Returns the time until which a request may be sent to an endpoint that has its final answer
-    /// by `answered_by`, and for which an endpoint is expected to take `work`, if that is known.
+    /// Returns the time until which a request may be sent to an endpoint.
     ///
-    /// Work is only expected while callers may not know of the stop: others have a VM to go to that
-    /// serves them for certain.
+    /// `answered_by` is when its final answer is due at the latest, and `work` the time that an
+    /// endpoint is expected to take, if that is known. Expected work counts only while callers may
+    /// not know of the stop: later ones have a VM to go to that serves them for certain.
     pub fn sends_until(&self, answered_by: Time, work: Option<Duration>) -> Time {
         if answered_by < self.answers_until {
             return self.answers_until;
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -308,7 +308,7 @@
     if expired { Err(Reason::Paused.into()) } else { Ok(()) }
 }
 
-/// Returns the time of a request that this VM can finish before a stop ends it.
+/// Returns `time` with a deadline within what a stop leaves, if one has begun.
 ///
 /// # Errors
 ///
