Shards: extreme counts of other VMs neither panic nor stop requests

- Counts of requests in flight of 2^32 - 1, of a predecessor or of several VMs, panicked with 'attempt to add with overflow' in a build with checks; one without them takes the endpoint for less busy.
They saturate now.
- A count of requests sent within a rate limit delayed later ones without a bound: 2^32 - 1 at the lowest limit, 0.1/s, is more than a thousand years.
No request was dispatched within 150 s.
Now it is 60 s.

A count that is lower than the last one is taken for that of a restarted VM, so that one that arrives late counts all of its requests as new (read in the code, not played). The bound limits that, too; telling the two apart remains.

--- a/crates/pistachiotrack-core/src/rate_limit.rs
+++ b/crates/pistachiotrack-core/src/rate_limit.rs
@@ -12,6 +12,9 @@
 /// Maximum random delay before a request that several VMs may send. It is several times the
 /// delay of an update, so that most VMs learn which VM has sent before they send too.
 const MAX_JITTER: Duration = Duration::from_millis(200);
+/// Longest time for which requests that have been sent delay later ones. A count of another VM may be
+/// wrong: an older one that arrives late looks like that of a VM that has restarted.
+const MAX_DEBT: Duration = Duration::from_secs(60);
 /// Minimum rate at which requests are sent, so that the end of a limit near zero is noticed.
 const MIN_REQUESTS_PER_SECOND: f64 = 0.1;
 
@@ -163,7 +166,7 @@
         let Some(limit) = self.limit else { return };
         let interval = interval(limit, share);
         let from = self.next_send_at.max(now.before(MAX_BURST_TIME));
-        self.next_send_at = from + interval * requests;
+        self.next_send_at = (from + interval * requests).min(now + MAX_DEBT);
         self.jitter = jitter(interval, share, random);
     }
 }
--- a/crates/pistachiotrack-core/src/shard/pool.rs
+++ b/crates/pistachiotrack-core/src/shard/pool.rs
@@ -82,7 +82,7 @@
 impl PoolEntry {
     /// Returns how many requests the other VMs have in flight.
     fn peer_in_flight(&self) -> u32 {
-        self.peer_counts.iter().map(|peer| peer.in_flight).sum()
+        self.peer_counts.iter().fold(0, |sum, peer| sum.saturating_add(peer.in_flight))
     }
 
     /// Returns whether it accepts requests and has a slot for one more now.
@@ -398,8 +398,7 @@
         self.endpoints.get(name).is_some_and(|entry| {
             entry.is_configured
                 && entry.refuses_until.is_none()
-                && entry.in_flight + entry.predecessor_in_flight + entry.peer_in_flight()
-                    < entry.endpoint.slots
+                && entry.busy().saturating_add(entry.predecessor_in_flight) < entry.endpoint.slots
         })
     }
 
--- a/crates/pistachiotrack-core/src/shard/pool/free_slots.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/free_slots.rs
@@ -21,7 +21,9 @@
         self.endpoints
             .values()
             .filter(|entry| entry.accepts_requests() && entry.rate_limit().is_none())
-            .map(|entry| (entry.limit + entry.peer_in_flight()).min(entry.endpoint.slots))
+            .map(|entry| {
+                entry.limit.saturating_add(entry.peer_in_flight()).min(entry.endpoint.slots)
+            })
             .sum()
     }
 }
--- a/crates/pistachiotrack-core/src/shard/pool/ranking.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/ranking.rs
@@ -216,7 +216,7 @@
 
 /// Returns whether an endpoint was added recently and no VM has tried it yet.
 fn is_new_and_idle(entry: &PoolEntry, criteria: &PickCriteria<'_>) -> bool {
-    let is_idle = entry.in_flight + entry.peer_in_flight() == 0;
+    let is_idle = entry.busy() == 0;
     entry.is_untried && is_idle && !criteria.tried.contains(&entry.endpoint.name)
 }
 
--- a/crates/pistachiotrack-core/src/shard/pool/speed.rs
+++ b/crates/pistachiotrack-core/src/shard/pool/speed.rs
@@ -136,7 +136,7 @@
 impl PoolEntry {
     /// Returns how many requests all VMs have in flight.
     pub(super) fn busy(&self) -> u32 {
-        self.in_flight + self.peer_in_flight()
+        self.in_flight.saturating_add(self.peer_in_flight())
     }
 
     /// Returns the speeds relative to the mean of the service, if they are estimated: while the
