Shard: an attempt without an answer goes on until its retry is sent

Cause: an attempt that had no answer for half of its time was abandoned if an endpoint was usable and a retry was left, and the retry then waited in the queue for a slot. None became free before it was too late to send it, and the request was refused with nothing in flight.

Now the retry is queued while the attempt goes on, and the attempt is abandoned when the retry is dispatched. What ends the wait of such a retry (too late, no budget, no endpoint, displaced from a full queue) ends only the wait. The answer of the first attempt takes the request out of the queue.

Price: where silent attempts have all slots of a service, none is freed before the first of their deadlines. An attempt through a relay still ends at its own time limit, whether its retry finds a slot or not.

--- a/crates/pistachiotrack-core/src/shard.rs
+++ b/crates/pistachiotrack-core/src/shard.rs
@@ -1,5 +1,6 @@
 //! Scheduling for one shard: decides when each request is dispatched and to which endpoint.
 
+mod abandonment;
 mod action;
 mod completion;
 mod dispatch;
@@ -156,7 +157,7 @@
     dispatch_deadlines: BTreeSet<(Time, RequestId)>,
     /// Requests in flight by the time at which a hedge is due.
     hedge_times: BTreeSet<(Time, RequestId)>,
-    /// Attempts by the time at which they are abandoned in favour of a retry.
+    /// Attempts by the time from which on a retry may take their place.
     abandon_times: BTreeSet<(Time, AttemptId)>,
     /// For each endpoint that only this VM can't reach, the VMs that can relay requests to it.
     relays: FxHashMap<Name, Vec<Name>>,
@@ -464,9 +465,9 @@
         self.refuse_waiters(now, waiters);
         self.refuse_expired(now);
         self.send_held(now);
+        self.queue_due_retries(now);
         self.dispatch_queue(now);
         self.dispatch_hedges(now);
-        self.abandon_due(now);
         self.request_retry_rights(now);
         self.broadcast_updates(now);
         std::mem::take(&mut self.pending_actions)
--- a/crates/pistachiotrack-core/src/shard/completion.rs
+++ b/crates/pistachiotrack-core/src/shard/completion.rs
@@ -7,7 +7,6 @@
     state::{AttemptState, Phase},
 };
 use crate::{
-    admission::QueueEntry,
     health::{AttemptKind, HealthAction},
     refusal::{Execution, Reason, RefusalDecision},
     request::{AttemptId, BodyEnd, FIRST_FAILURE_STATUS, Outcome, RequestId},
@@ -33,6 +32,7 @@
     /// allow where retries are held. The answer to a request that must not be repeated is passed on
     /// unless its status would tell the caller that the request was not run.
     pub(super) fn on_answer(&mut self, now: Time, attempt: AttemptId, id: RequestId, status: u16) {
+        self.leave_queue(id);
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let is_failure = status >= FIRST_FAILURE_STATUS && pending.request.idempotent;
         if is_failure && pending.in_flight.len() > 1 {
@@ -107,6 +107,7 @@
         );
         let execution = pending.execution();
         let is_late = now >= pending.not_after;
+        self.leave_queue(id);
         if self.is_held_after(state, outcome) {
             return self.hold(now, id);
         }
@@ -161,7 +162,7 @@
     /// be rejected at the old addresses, and resending them all would exceed the service's
     /// retry limit.
     fn try_take_retry(&mut self, now: Time, state: &AttemptState, outcome: Outcome) -> bool {
-        if outcome.never_arrived() || state.is_abandoned {
+        if outcome.never_arrived() {
             return true;
         }
         match state.kind {
@@ -245,7 +246,8 @@
         }
     }
 
-    /// Refuses a request; no other action for it follows.
+    /// Refuses a request; no other action for it follows. One that waits for a retry while its
+    /// attempt is in flight isn't refused, since the endpoint may still answer.
     pub(super) fn refuse(
         &mut self,
         now: Time,
@@ -254,6 +256,9 @@
         retry_after_ms: Option<u64>,
     ) {
         let Some(pending) = self.pending.get(&id) else { return };
+        if pending.phase == Phase::Queued && !pending.in_flight.is_empty() {
+            return self.keep_attempt(now, id);
+        }
         let execution = pending.execution();
         let retry_after_ms = retry_after_ms.filter(|_| execution == Execution::NotRun);
         let Some(owns_key) = self.remove_request(id) else { return };
@@ -275,16 +280,11 @@
 
     /// Removes a request from all collections; returns whether it owned its idempotency key.
     pub(super) fn remove_request(&mut self, id: RequestId) -> Option<bool> {
+        self.leave_queue(id);
         let pending = self.pending.remove(&id)?;
         let request = &pending.request;
         match pending.phase {
-            Phase::New | Phase::Running => {}
-            Phase::Queued => {
-                let queue_entry = QueueEntry { deadline: request.deadline, request: id };
-                self.queue.remove(&request.customer, request.class, queue_entry);
-                self.dispatch_deadlines.remove(&(pending.not_after, id));
-                self.fleet_queue.remove(id, &pending);
-            }
+            Phase::New | Phase::Queued | Phase::Running => {}
             Phase::Held => {
                 self.held_retries.remove(&pending);
                 self.dispatch_deadlines.remove(&(pending.not_after, id));
--- a/crates/pistachiotrack-core/src/shard/dispatch.rs
+++ b/crates/pistachiotrack-core/src/shard/dispatch.rs
@@ -28,9 +28,6 @@
 const TRIAL_SLOT_TIME_FACTOR: u32 = 4;
 /// Time that it must have left while the average slot time is unknown.
 const DEFAULT_TRIAL_TIME_LEFT: Duration = Duration::from_millis(500);
-/// Multiple of the 95th percentile of the answer time after which an attempt that can be retried
-/// is abandoned.
-const ABANDON_P95_FACTOR: u32 = 4;
 /// Highest risk that a request accepts while it can wait; an endpoint without any observations is
 /// below it.
 const MAX_RISK_WHILE_WAITING: f64 = 0.25;
@@ -39,8 +36,6 @@
 const LOW_RISK_WAIT_SHARES: (f64, f64) = (0.5, 0.85);
 /// Queue length up to which requests always wait for a low-risk endpoint.
 const LOW_RISK_WAIT_QUEUE_LEN: usize = 8;
-/// Interval at which an attempt without an answer is checked again if it couldn't be abandoned.
-const ABANDON_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum age of an attempt at which a hedge is sent.
 const MIN_HEDGE_AGE: Duration = Duration::from_millis(2);
 /// Minimum time that a refused caller is asked to wait.
@@ -152,6 +147,20 @@
         self.fleet_queue.insert(id, pending);
     }
 
+    /// Takes a request out of the queue if it is queued.
+    pub(super) fn leave_queue(&mut self, id: RequestId) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        if pending.phase != Phase::Queued {
+            return;
+        }
+        pending.phase = Phase::Running;
+        let request = &pending.request;
+        let queue_entry = QueueEntry { deadline: request.deadline, request: id };
+        self.queue.remove(&request.customer, request.class, queue_entry);
+        self.dispatch_deadlines.remove(&(pending.not_after, id));
+        self.fleet_queue.remove(id, pending);
+    }
+
     /// Returns the time in which `requests` requests leave the queue.
     pub(super) fn drain_time(&self, now: Time, requests: f64) -> Duration {
         let until_usable = self.pool.time_until_usable(now, true).unwrap_or_default();
@@ -190,6 +199,10 @@
                 return;
             }
             let Some(pick) = self.pick(now, id, true) else { return };
+            if !self.abandon_predecessor(now, id) {
+                self.keep_attempt(now, id);
+                continue;
+            }
             self.queue.pop();
             if let Some(pending) = self.pending.get(&id) {
                 self.dispatch_deadlines.remove(&(pending.not_after, id));
@@ -328,10 +341,14 @@
         pending.tried.push(pick.name.clone());
         pending.possible_runs += 1;
         let class = pending.request.class;
+        let is_abandoned =
+            |other: &AttemptId| self.attempts.get(other).is_some_and(|state| state.is_abandoned);
+        let is_only =
+            pending.in_flight.iter().all(|other| *other == attempt || is_abandoned(other));
         if pending.request.idempotent
             && pending.request.hedge
             && self.feature_flags.hedges
-            && pending.in_flight.len() == 1
+            && is_only
             && let Some(age) = self.latency.p95()
         {
             self.hedge_times.insert((now + age.max(MIN_HEDGE_AGE), id));
@@ -381,68 +398,6 @@
         }
     }
 
-    /// Abandons attempts that have had no answer for long, if they can be retried.
-    ///
-    /// The retry is taken from the budget before the attempt is abandoned, and an attempt without
-    /// a retry continues. Otherwise an attempt could be aborted with no time, retry or endpoint
-    /// left for another, and the caller would get "unknown" long before the deadline while the
-    /// endpoint is still working.
-    pub(super) fn abandon_due(&mut self, now: Time) {
-        while let Some((at, attempt)) = self.abandon_times.first().copied() {
-            if at > now {
-                return;
-            }
-            self.abandon_times.pop_first();
-            let Some(request) = self.unanswered_request(now, attempt) else { continue };
-            if self.pool.usable_endpoints(true) > 1 && self.retry_budget.take(now) {
-                if let Some(state) = self.attempts.get_mut(&attempt) {
-                    state.is_abandoned = true;
-                }
-                self.pending_actions.push(ShardAction::Abandon { request, attempt });
-            } else {
-                self.abandon_times.insert((now + ABANDON_RECHECK_INTERVAL, attempt));
-            }
-        }
-    }
-
-    /// Returns the request of an attempt that is its only one and has no answer yet, if it may be
-    /// sent to another endpoint.
-    fn unanswered_request(&self, now: Time, attempt: AttemptId) -> Option<RequestId> {
-        let state = self.attempts.get(&attempt).filter(|state| !state.answered)?;
-        let request = state.request?;
-        let pending = self.pending.get(&request)?;
-        let may_follow = pending.in_flight == [attempt]
-            && pending.can_be_dispatched()
-            && now < pending.not_after;
-        may_follow.then_some(request)
-    }
-
-    /// Returns the time at which an attempt is abandoned, if it can be retried.
-    ///
-    /// A hanging endpoint sends nothing until the deadline, when it is too late for a retry. An
-    /// idempotent request that has another endpoint left is therefore abandoned halfway, unless
-    /// half of its time is within the usual latencies.
-    fn abandon_at(&self, now: Time, id: RequestId, health_state: HealthState) -> Option<Time> {
-        let pending = self.pending.get(&id)?;
-        let deadline = pending.request.deadline;
-        let can_retry = self.feature_flags.attempt_abandonment
-            && pending.request.idempotent
-            && pending.possible_runs + 1 < pending.request.max_attempts
-            && self.pool.usable_endpoints(true) > 1;
-        if !can_retry {
-            return None;
-        }
-        let half = remaining(deadline, now) / 2;
-        let p95_limit = self.latency.p95().map(|p95| p95 * ABANDON_P95_FACTOR);
-        let allowed = match p95_limit {
-            Some(p95_limit) if health_state == HealthState::Trial => half.min(p95_limit),
-            Some(p95_limit) => half.max(p95_limit),
-            None => half,
-        };
-        let abandon_at = now + allowed;
-        (abandon_at < pending.not_after).then_some(abandon_at)
-    }
-
     /// Sends a health check if a slot is free for it.
     pub(super) fn start_probe(&mut self, now: Time, endpoint: Name) {
         let Some(address) = self.pool.address(&endpoint) else { return };
--- a/crates/pistachiotrack-core/src/shard/state.rs
+++ b/crates/pistachiotrack-core/src/shard/state.rs
@@ -17,7 +17,7 @@
 pub(super) enum Phase {
     /// It has just arrived.
     New,
-    /// It waits for a slot.
+    /// It waits for a slot. An attempt without an answer may be in flight meanwhile.
     Queued,
     /// It waits for the answer to the original request with its idempotency key.
     AwaitingOriginal,
@@ -130,7 +130,7 @@
     pub(super) time_limit: Time,
     /// Whether the head of the answer has arrived.
     pub(super) answered: bool,
-    /// Whether it was abandoned for a retry, which has already been taken from the budget.
+    /// Whether it was abandoned for a retry, which has been sent.
     pub(super) is_abandoned: bool,
     pub(super) class: Class,
     /// Its result and the time of it, until the other VMs are informed.
