Soak: a hold-up of the soak's own process is measured, and no stop is blamed for it

Cause: the soak itself, with its callers, endpoints and signals, was held up.

Nothing else is excused, and a run without one is judged as before; a test has a request before, in and after one.

--- a/crates/pistachiotrack-standins/src/soak/oracle.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle.rs
@@ -253,6 +253,8 @@
     pub faults: Vec<(u64, u64)>,
     /// Start and end times of the faults other than requests that crash endpoints.
     pub vm_faults: Vec<(u64, u64)>,
+    /// Start and end times of the periods in which the process of the soak itself was held up.
+    pub stalls: Vec<(u64, u64)>,
     /// The refusals that the VMs logged.
     pub logged_refusals: LoggedRefusals,
     /// End of the load.
--- a/crates/pistachiotrack-standins/src/soak/oracle/stops.rs
+++ b/crates/pistachiotrack-standins/src/soak/oracle/stops.rs
@@ -56,6 +56,7 @@
             .then(|| self.overlapping_stop(request, self.deciding_vm(request)?))
             .flatten();
         if self.overlaps_fault(request.sent_ms, request.ended_ms)
+            || self.overlaps_stall(request)
             || self.is_time_over(request)
             || self.ends_with_grace(request, forwarded.unwrap_or(stop_ms))
         {
@@ -120,6 +121,14 @@
             && self.is_at_work(request.id, request.ended_ms)
     }
 
+    /// Returns whether this process was held up meanwhile. Its callers read late what a VM had sent
+    /// in time, its endpoints were silent, and its signals came late.
+    fn overlaps_stall(&self, request: &RequestRecord) -> bool {
+        self.stalls
+            .iter()
+            .any(|(from_ms, until_ms)| *from_ms <= request.ended_ms && request.sent_ms <= *until_ms)
+    }
+
     /// Returns whether VMs lost their connections to endpoints. The VM that sent the request to its
     /// endpoint may be another than the one that took it.
     fn overlaps_endpoint_cut(&self, request: &RequestRecord) -> bool {
--- a/crates/pistachiotrack-standins/tests/soak.rs
+++ b/crates/pistachiotrack-standins/tests/soak.rs
@@ -113,6 +113,7 @@
         crash_runs_ms: vec![4_000, 4_100, 4_200, 6_900, 15_000, 16_000, 17_000],
         faults: Vec::new(),
         vm_faults: Vec::new(),
+        stalls: Vec::new(),
         logged_refusals: LoggedRefusals {
             request_ids: [Box::from(REQUEST)].into_iter().collect(),
             vms: vec!["vm-01".to_owned(), "vm-02".to_owned()],
@@ -473,6 +474,19 @@
     assert_eq!(violated(&shortened), [Invariant::PlannedStop]);
 }
 
+/// Guards against a check that blames a stop for answers that the soak itself read late.
+#[test]
+fn a_request_is_not_interrupted_while_the_soak_is_held_up() {
+    let beside_stall = |stall| {
+        let mut run = run_with_stop(RequestOutcome::Unknown);
+        run.stalls.push(stall);
+        violated(&run)
+    };
+    assert_eq!(beside_stall((13_400, 13_990)), []);
+    assert_eq!(beside_stall((11_000, 11_999)), [Invariant::PlannedStop], "it was sent later");
+    assert_eq!(beside_stall((14_001, 15_000)), [Invariant::PlannedStop], "it had ended");
+}
+
 /// Guards against a check that blames a stop for requests that the VM never read.
 #[test]
 fn a_request_behind_another_counts_only_once_it_was_passed_on() {
