--- a/crates/pistachiotrackd/src/request.rs
+++ b/crates/pistachiotrackd/src/request.rs
@@ -3,6 +3,7 @@
 pub(crate) mod answer;
 pub(crate) mod attempt;
 pub(crate) mod body;
+pub(crate) mod connection_budget;
 pub(crate) mod crash_check;
 pub(crate) mod forward;
 pub(crate) mod in_flight;
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -1,20 +1,14 @@
 //! Task of a request at the VM that dispatches it: executes the decisions of the shard and builds
 //! the answer.
 
-use std::{
-    future::{Future, poll_fn},
-    net::SocketAddr,
-    pin::Pin,
-    sync::Arc,
-    task::Poll,
-    time::Duration,
-};
+mod running;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::FutureExt;
 use kameo::actor::ActorRef;
 use pistachiotrack_core::{
-    copies::{Copies, OutstandingCopy},
-    endpoint::Endpoint,
+    copies::Copies,
     name::Name,
     quarantine::DispatchDecision,
     refusal::Reason,
@@ -28,6 +22,7 @@
     watch,
 };
 
+use self::running::{Ended, RunningAttempt, next_end};
 use crate::{
     config::view::FleetView,
     connections::{
@@ -40,6 +35,7 @@
         answer::{self, Served},
         attempt::{self, AttemptEnd, AttemptHandle},
         body::{self, AnswerBody, AnswerCopy, AnswerMonitor, BodyTimeouts},
+        connection_budget,
         crash_check::{CrashCheck, EndpointExecution, ExecutionMonitor},
         in_flight::{InFlightTable, Stage},
         rejection::OTHER_VM_RETRY_MS,
@@ -51,7 +47,7 @@
         attempt_report::{AttemptOutcome, BodyEnded},
         histogram::Histograms,
         metrics::{Event, Metrics},
-        traffic::{Locality, Topic, Traffic},
+        traffic::{Topic, Traffic},
         work_times::{AttemptTimer, RequestKind},
     },
 };
@@ -122,42 +118,6 @@
     task.run().await
 }
 
-/// Returns the number of connections that this VM may have open to an endpoint, and the
-/// endpoint's location relative to this VM. The number is this VM's share of the connections that
-/// the endpoint accepts, but at least the number of the endpoint's slots.
-fn connection_budget_and_locality(
-    handle: &RequestHandle,
-    service: &str,
-    endpoint: &str,
-) -> (u32, Locality) {
-    let view = Arc::clone(&handle.view.borrow());
-    let endpoint =
-        view.active.as_ref().and_then(|active| active.service(service)).and_then(|service| {
-            service.endpoints.iter().find(|candidate| candidate.name.as_str() == endpoint)
-        });
-    let Some(endpoint) = endpoint else { return (MIN_CONNECTION_BUDGET, Locality::Unknown) };
-    let locality = Locality::of(&endpoint.data_centre, &handle.me.data_centre);
-    (endpoint_budget(&view, endpoint), locality)
-}
-
-/// Returns the number of connections that this VM may have open to `endpoint`.
-pub(crate) fn endpoint_budget(view: &FleetView, endpoint: &Endpoint) -> u32 {
-    (endpoint.connections / view.live_vms()).max(endpoint.slots).max(MIN_CONNECTION_BUDGET)
-}
-
-/// Minimum number of connections that a VM may have open to an endpoint.
-const MIN_CONNECTION_BUDGET: u32 = 2;
-
-/// An attempt whose answer has not started.
-struct RunningAttempt {
-    attempt: AttemptId,
-    copy: OutstandingCopy,
-    end: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
-    locality: Locality,
-    abandon: AbandonSignal,
-    timer: AttemptTimer,
-}
-
 /// A request for which a shard makes the decisions.
 ///
 /// Dropping it cancels all its attempts by closing their connections and reports this to the
@@ -189,15 +149,6 @@
     timer: AttemptTimer,
 }
 
-/// An attempt that has ended or whose answer has started.
-struct Ended {
-    attempt: AttemptId,
-    copy: OutstandingCopy,
-    locality: Locality,
-    timer: AttemptTimer,
-    end: AttemptEnd,
-}
-
 enum Step {
     Command(Option<Command>),
     Ended(Ended),
@@ -288,8 +239,12 @@
         let handle = Arc::clone(&self.handle);
         let inbound = Arc::clone(&self.inbound);
         let service = &inbound.route.shard.service;
-        let (budget, locality) =
-            connection_budget_and_locality(&handle, service, &dispatch.endpoint);
+        let (budget, locality) = connection_budget::budget_and_locality(
+            &handle.view.borrow(),
+            &handle.me,
+            service,
+            &dispatch.endpoint,
+        );
         handle.traffic.sent(Topic::Endpoint, locality, inbound.body.announced_bytes());
         if !self.was_dispatched {
             self.was_dispatched = true;
@@ -522,18 +477,3 @@
         }
     }
 }
-
-/// Waits until one of the running attempts ends, and removes it.
-async fn next_end(running: &mut Vec<RunningAttempt>) -> Ended {
-    poll_fn(|cx| {
-        for index in 0..running.len() {
-            if let Poll::Ready(end) = running[index].end.as_mut().poll(cx) {
-                let RunningAttempt { attempt, copy, locality, timer, .. } =
-                    running.swap_remove(index);
-                return Poll::Ready(Ended { attempt, copy, locality, timer, end });
-            }
-        }
-        Poll::Pending
-    })
-    .await
-}
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -25,9 +25,9 @@
     request::{
         answer,
         body::{self, AnswerBody, BodyTimeouts},
+        connection_budget,
         in_flight::{RequestSource, Stage},
         relay_client::{RelayRequest, RelayResult},
-        request_task,
         stop_monitor::RequestTime,
     },
     serving::{context::Context, receive},
@@ -116,7 +116,7 @@
         let mut endpoints = service.endpoints.iter();
         Some((service, endpoints.find(|endpoint| relay_request.matches(endpoint))?))
     })?;
-    let budget = request_task::endpoint_budget(&view, endpoint);
+    let budget = connection_budget::endpoint_budget(&view, endpoint);
     Some((relay_request, service.name.clone(), budget))
 }
 
