--- a/crates/pistachiotrack-standins/src/work_log.rs
+++ b/crates/pistachiotrack-standins/src/work_log.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use pistachiotrack_core::hash;
+
 use crate::work::WorkId;
 
 /// Least part of the longest time that slow work lasts.
@@ -24,7 +26,7 @@
 impl SlowWork {
     /// Returns how long the work lasts if it is slow. A repeated request is as slow as before.
     pub fn time(&self, id: WorkId, time_left: Option<Duration>) -> Option<Duration> {
-        let bits = mix(id.0);
+        let bits = hash::mix(id.0);
         let (selects, lasts) = (bits as u32, (bits >> 32) as u32);
         let fraction = |bits: u32| f64::from(bits) / f64::from(u32::MAX);
         let time_left = time_left.map(|left| left.mul_f64(MAX_PART_OF_TIME_LEFT));
@@ -34,14 +36,6 @@
     }
 }
 
-/// Spreads consecutive numbers over all bits (the finalizer of SplitMix64).
-fn mix(number: u64) -> u64 {
-    let mut bits = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
-}
-
 /// The time that a request spent at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkSpan {
