Retries and work times: plainer names, and sums with an operator

What ends an attempt without an answer is WorkTime::end, which complete builds on: abandon means something else in the shard. RetryCounts are added with an operator in place of a function of the status table, whose totals of stopped shards say of what. The times of requests of other VMs have a constructor. No behaviour changes.

--- a/crates/pistachiotrack-core/src/shard/retry_budget.rs
+++ b/crates/pistachiotrack-core/src/shard/retry_budget.rs
@@ -1,5 +1,7 @@
 //! Retry budget of a shard.
 
+use std::ops::Add;
+
 use super::{Shard, ShardAction, ShardSettings};
 use crate::{
     config::Config,
@@ -21,6 +23,17 @@
     pub denied_total: u64,
 }
 
+impl Add for RetryCounts {
+    type Output = RetryCounts;
+
+    fn add(self, other: RetryCounts) -> RetryCounts {
+        RetryCounts {
+            granted_total: self.granted_total + other.granted_total,
+            denied_total: self.denied_total + other.denied_total,
+        }
+    }
+}
+
 impl RetryCounts {
     fn record(&mut self, is_granted: bool) {
         let total = if is_granted { &mut self.granted_total } else { &mut self.denied_total };
--- a/crates/pistachiotrack-core/src/work_time.rs
+++ b/crates/pistachiotrack-core/src/work_time.rs
@@ -55,12 +55,12 @@
 
     /// Records the end of an attempt whose answer has been received.
     pub fn complete(&mut self, now: Time, attempt: AttemptNumber) {
-        self.abandon(now, attempt);
+        self.end(now, attempt);
         self.current.completed = self.current.completed.saturating_add(1);
     }
 
     /// Records another end of an attempt: an endpoint would have taken at least as long.
-    pub fn abandon(&mut self, now: Time, attempt: AttemptNumber) {
+    pub fn end(&mut self, now: Time, attempt: AttemptNumber) {
         self.advance(now);
         let began_at = self.running.remove(&attempt).unwrap_or(now);
         self.current.longest = self.current.longest.max(now.since(began_at));
--- a/crates/pistachiotrack-core/tests/work_time.rs
+++ b/crates/pistachiotrack-core/tests/work_time.rs
@@ -18,7 +18,7 @@
     let now = Time::from_millis(now_ms);
     for _ in 0..attempts {
         let attempt = work_time.begin(now.before(took));
-        work_time.abandon(now, attempt);
+        work_time.end(now, attempt);
     }
 }
 
--- a/crates/pistachiotrackd/src/request/stop_monitor.rs
+++ b/crates/pistachiotrackd/src/request/stop_monitor.rs
@@ -40,6 +40,11 @@
 }
 
 impl RequestTime {
+    /// Returns the time of a request that another VM has sent.
+    pub(crate) fn of_other_vm(deadline: Time) -> RequestTime {
+        RequestTime { deadline, kind: None }
+    }
+
     /// Returns the time of a request of a caller or of another VM.
     pub(crate) fn of(inbound: &Inbound) -> RequestTime {
         let is_of_caller = inbound.config_version.is_some();
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -461,7 +461,7 @@
     check_method(&parts.method, fleet_id)?;
     let deadline =
         caller_deadline(&parts.headers, received).ok().flatten().ok_or_else(bad_request)?;
-    let time = limit_to_stop(context, RequestTime { deadline, kind: None }, &parts.headers)?;
+    let time = limit_to_stop(context, RequestTime::of_other_vm(deadline), &parts.headers)?;
     let deadline = time.deadline;
     check_not_expired_in_pause(context, &parts, deadline)?;
     let copy = TransferredCopy::read(&parts.headers);
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -48,7 +48,7 @@
     };
     let gate = context.notices.gate(&service, &relay_request.endpoint);
     let time_limit = received + Duration::from_micros(relay_request.time_limit_us);
-    if !context.stop.has_time_for(&RequestTime { deadline: time_limit, kind: None }) {
+    if !context.stop.has_time_for(&RequestTime::of_other_vm(time_limit)) {
         return failure_response(RelayResult::Refused);
     }
     let target = Target {
@@ -132,7 +132,7 @@
     if let Some(id) = id {
         headers::set(&mut parts.headers, header::REQUEST_ID, &id);
     }
-    let time = RequestTime { deadline: time_limit, kind: None };
+    let time = RequestTime::of_other_vm(time_limit);
     let body = receive::read_body(context, body, time, &parts.headers)
         .await
         .map_err(|_| RelayResult::NotSent)?;
--- a/crates/pistachiotrackd/src/stats/shard_status.rs
+++ b/crates/pistachiotrackd/src/stats/shard_status.rs
@@ -1,6 +1,9 @@
 //! Status of the shards that run on this VM, which the shards publish.
 
-use std::sync::{Arc, RwLock};
+use std::{
+    ops::Add,
+    sync::{Arc, RwLock},
+};
 
 use pistachiotrack_core::{
     admin::Counter,
@@ -30,7 +33,7 @@
 pub(crate) struct ShardStatuses {
     by_shard: FxHashMap<ShardId, ShardStatus>,
     /// Totals of the shards that have stopped, so that the VM's totals don't decrease.
-    stopped: HeldRetryCounts,
+    stopped_held_retries: HeldRetryCounts,
     stopped_retries: RetryCounts,
 }
 
@@ -46,9 +49,9 @@
     /// Removes a shard that has stopped.
     pub(crate) fn remove(&mut self, shard: &ShardId) {
         if let Some(status) = self.by_shard.remove(shard) {
-            self.stopped.held_total += status.held_retries.held_total;
-            self.stopped.refused_total += status.held_retries.refused_total;
-            self.stopped_retries = sum(self.stopped_retries, status.retries);
+            self.stopped_held_retries.held_total += status.held_retries.held_total;
+            self.stopped_held_retries.refused_total += status.held_retries.refused_total;
+            self.stopped_retries = self.stopped_retries + status.retries;
         }
     }
 
@@ -77,12 +80,12 @@
     /// Returns for how many requests on this VM the retry limit left a retry, and for how many none.
     pub(crate) fn retries(&self) -> RetryCounts {
         let by_shard = self.by_shard.values().map(|status| status.retries);
-        by_shard.fold(self.stopped_retries, sum)
+        by_shard.fold(self.stopped_retries, Add::add)
     }
 
     /// Returns the numbers of requests whose retries were held on this VM.
     pub(crate) fn held_retries(&self) -> HeldRetryCounts {
-        self.by_shard.values().fold(self.stopped, |sum, status| HeldRetryCounts {
+        self.by_shard.values().fold(self.stopped_held_retries, |sum, status| HeldRetryCounts {
             held: sum.held + status.held_retries.held,
             held_total: sum.held_total + status.held_retries.held_total,
             refused_total: sum.refused_total + status.held_retries.refused_total,
@@ -90,13 +93,6 @@
     }
 }
 
-fn sum(a: RetryCounts, b: RetryCounts) -> RetryCounts {
-    RetryCounts {
-        granted_total: a.granted_total + b.granted_total,
-        denied_total: a.denied_total + b.denied_total,
-    }
-}
-
 /// Returns the numbers of retries as the admin port shows them.
 pub(crate) fn retry_counters(counts: RetryCounts) -> [Counter; 2] {
     [("retries_granted_total", counts.granted_total), ("retries_denied_total", counts.denied_total)]
--- a/crates/pistachiotrackd/src/stats/work_times.rs
+++ b/crates/pistachiotrackd/src/stats/work_times.rs
@@ -69,7 +69,7 @@
         let Some(work_time) = by_kind.get_mut(kind) else { return };
         match is_completed {
             true => work_time.complete(now, attempt),
-            false => work_time.abandon(now, attempt),
+            false => work_time.end(now, attempt),
         }
     }
 
