--- a/crates/pistachiotrackd/tests/endless_answers.rs
+++ b/crates/pistachiotrackd/tests/endless_answers.rs
@@ -93,6 +93,13 @@
         self.wait_until_closed_within(CLOSE_LIMIT, what).await;
     }
 
+    /// Asserts that a bounded number of bytes was taken on each connection.
+    fn assert_bounded(&self, what: &str) {
+        let written = self.written_bytes.load(Ordering::SeqCst);
+        let limit = MAX_TAKEN_BYTES * u64::from(self.endpoint.connections());
+        assert!(written < limit, "{what}: {written} bytes");
+    }
+
     async fn wait_until_closed_within(&self, limit: Duration, what: &str) {
         let deadline = Instant::now() + limit;
         while self.writing.load(Ordering::SeqCst) > 0 {
@@ -170,9 +177,7 @@
                 assert!(sent.elapsed() < ANSWER_LIMIT, "{form}, {number}: {:?}", sent.elapsed());
             }
             endless.wait_until_closed(form).await;
-            let written = endless.written_bytes.load(Ordering::SeqCst);
-            let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
-            assert!(written < limit, "{form}: {written} bytes");
+            endless.assert_bounded(form);
         })
         .await;
     }
@@ -288,21 +293,12 @@
             };
             wait_until(relayed).await;
             endless.wait_until_closed(form).await;
-            let written = endless.written_bytes.load(Ordering::SeqCst);
-            let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
-            assert!(written < limit, "{form}: {written} bytes");
+            endless.assert_bounded(form);
         })
         .await;
     }
 }
 
-async fn endpoint_state(deployment: &Deployment, endpoint: &str) -> String {
-    let endpoints = client::admin(deployment.daemon.admin_address(), "/endpoints").await;
-    let is_named = |one: &&Value| one["endpoint"] == endpoint;
-    let state = &endpoints.as_array().unwrap().iter().find(is_named).unwrap()["state"];
-    state.as_str().unwrap().to_owned()
-}
-
 /// Starts a VM with an endpoint that fails lookups and answers health checks without an end, and sends
 /// lookups until it is suspect.
 async fn start_health_checks(head: String, repeated: String) -> (EndlessEndpoint, Deployment) {
@@ -312,10 +308,10 @@
         addresses.push(Endpoint::answering("found").await.address);
     }
     let deployment = Deployment::start(&addresses, &[]).await;
-    while endpoint_state(&deployment, "slot-search-0").await == "healthy" {
+    while deployment.endpoint_state("slot-search-0").await == "healthy" {
         client::send(deployment.address(), client::get("/slots/7")).await.unwrap();
     }
-    assert_eq!(endpoint_state(&deployment, "slot-search-0").await, "suspect");
+    assert_eq!(deployment.endpoint_state("slot-search-0").await, "suspect");
     (endless, deployment)
 }
 
@@ -324,9 +320,7 @@
     wait_until(|| async { endless.written_bytes.load(Ordering::SeqCst) > 0 }).await;
     tokio::time::sleep(HEALTH_CHECK_LIMIT).await;
     endless.wait_until_closed(form).await;
-    let written = endless.written_bytes.load(Ordering::SeqCst);
-    let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
-    assert!(written < limit, "{form}: {written} bytes");
+    endless.assert_bounded(form);
 }
 
 /// Guards against an endpoint that counts as a sound one because its answer to a health check never
@@ -339,12 +333,7 @@
         let (endless, deployment) = start_health_checks(head, repeated).await;
         check_health_check(form, &endless).await;
         if is_failure {
-            let admin = deployment.daemon.admin_address();
-            client::wait_for(admin, "/endpoints", |endpoints| {
-                let mut endpoints = endpoints.as_array().unwrap().iter();
-                endpoints.any(|one| one["endpoint"] == "slot-search-0" && one["state"] == "ejected")
-            })
-            .await;
+            deployment.wait_until_ejected("slot-search-0").await;
         }
     });
     bounded(futures_util::future::join_all(checks)).await;
@@ -395,9 +384,7 @@
             let forwarded = vms[entry].counter("forwarded").await - forwarded_before;
             assert_eq!(forwarded, number, "{form}");
             endless.wait_until_closed(form).await;
-            let written = endless.written_bytes.load(Ordering::SeqCst);
-            let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
-            assert!(written < limit, "{form}: {written} bytes");
+            endless.assert_bounded(form);
         })
         .await;
     }
@@ -482,9 +469,7 @@
         bounded(async {
             // Fewer and longer parts, so that the endpoint takes less of the processor.
             let endless = send_beside_endless(form, head, repeated.repeat(16)).await;
-            let written = endless.written_bytes.load(Ordering::SeqCst);
-            let limit = MAX_TAKEN_BYTES * u64::from(endless.endpoint.connections());
-            assert!(written < limit, "{form}: {written} bytes");
+            endless.assert_bounded(form);
         })
         .await;
     }
--- a/crates/pistachiotrackd/tests/no_final_status.rs
+++ b/crates/pistachiotrackd/tests/no_final_status.rs
@@ -12,7 +12,6 @@
 use http_body_util::Full;
 use hyper::{Method, Request};
 use pistachiotrack_core::header;
-use serde_json::Value;
 use testenv::{
     Deployment, client,
     endpoint::{Endpoint, read_request_line},
@@ -27,14 +26,6 @@
     stream.write_all(answer.as_bytes()).await.is_ok()
 }
 
-/// Returns the state of an endpoint.
-async fn state(deployment: &Deployment, endpoint: &str) -> String {
-    let endpoints = client::admin(deployment.daemon.admin_address(), "/endpoints").await;
-    let is_named = |one: &&Value| one["endpoint"] == endpoint;
-    let state = &endpoints.as_array().unwrap().iter().find(is_named).unwrap()["state"];
-    state.as_str().unwrap().to_owned()
-}
-
 /// Sends lookups until the first endpoint, which fails them, is suspect, and waits until it is ejected.
 async fn check_health_checks(status: &'static str) {
     let health_checks = Arc::<AtomicUsize>::default();
@@ -58,16 +49,11 @@
         addresses.push(Endpoint::answering("free slots").await.address);
     }
     let deployment = Deployment::start(&addresses, &[]).await;
-    while state(&deployment, "slot-search-0").await == "healthy" {
+    while deployment.endpoint_state("slot-search-0").await == "healthy" {
         client::send(deployment.address(), client::get("/slots")).await.unwrap();
     }
-    assert_eq!(state(&deployment, "slot-search-0").await, "suspect", "{status}");
-    let admin = deployment.daemon.admin_address();
-    client::wait_for(admin, "/endpoints", |endpoints| {
-        let mut endpoints = endpoints.as_array().unwrap().iter();
-        endpoints.any(|one| one["endpoint"] == "slot-search-0" && one["state"] == "ejected")
-    })
-    .await;
+    assert_eq!(deployment.endpoint_state("slot-search-0").await, "suspect", "{status}");
+    deployment.wait_until_ejected("slot-search-0").await;
     assert!(health_checks.load(Ordering::SeqCst) > 0, "{status}: no health check was sent");
 }
 
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -124,6 +124,23 @@
     pub(crate) fn address(&self) -> SocketAddr {
         self.daemon.caller_address()
     }
+
+    /// Returns the health state of an endpoint.
+    pub(crate) async fn endpoint_state(&self, endpoint: &str) -> String {
+        let endpoints = client::admin(self.daemon.admin_address(), "/endpoints").await;
+        state_of(&endpoints, endpoint).to_owned()
+    }
+
+    /// Waits until an endpoint is ejected.
+    pub(crate) async fn wait_until_ejected(&self, endpoint: &str) {
+        let is_ejected = |endpoints: &Value| state_of(endpoints, endpoint) == "ejected";
+        client::wait_for(self.daemon.admin_address(), "/endpoints", is_ejected).await;
+    }
+}
+
+fn state_of<'a>(endpoints: &'a Value, endpoint: &str) -> &'a str {
+    let mut endpoints = endpoints.as_array().unwrap().iter();
+    endpoints.find(|one| one["endpoint"] == endpoint).unwrap()["state"].as_str().unwrap()
 }
 
 /// Returns an entry of the platform's list of VMs.
