--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -7,7 +7,7 @@
     env, fs,
     io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    os::fd::AsRawFd,
+    os::{fd::AsRawFd, unix::process::CommandExt},
     path::PathBuf,
     process::{Child, Command, Stdio, exit},
     sync::{Arc, Condvar, Mutex},
@@ -18,6 +18,7 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn prctl(option: i32, argument: u64, unused3: u64, unused4: u64, unused5: u64) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -25,6 +26,7 @@
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
+const PR_SET_PDEATHSIG: i32 = 1;
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
 
@@ -655,7 +657,14 @@
 
 fn spawn(settings: &PathBuf) -> Child {
     let log = fs::File::create(settings.with_extension("log")).unwrap();
-    let child = Command::new(PROGRAM)
+    let mut command = Command::new(PROGRAM);
+    // A process of the fleet ends with this script, also if that is killed.
+    let die_with_script = || {
+        unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0) };
+        Ok(())
+    };
+    unsafe { command.pre_exec(die_with_script) };
+    let child = command
         .env_clear()
         .env("PISTACHIOTRACK_SETTINGS", settings)
         .stdin(Stdio::null())
