Answers: framing ends at the VM that receives it

Cause: strip_hop_by_hop removed Transfer-Encoding from the head that is passed on and left Content-Length, which the former overrides. The HTTP client decodes the chunks, so that the length of the body is unknown; the HTTP server then keeps to the length in the head, and drops the rest of the body without an error. That the endpoint's connection or the caller's are at fault was ruled out by the same with the answer relayed and forwarded.

Change: the framing is taken off where an answer is received, before anything reads its head, and an answer is framed anew by its body. Chunks win over a length. The connection isn't used again. Another coding than chunks can't be decoded and is no answer; headers that Connection names end before the head is read, so that a signature named there is none; a length of an answer without a body is passed on for HEAD only. In depth, the bytes that are passed on are counted against what the head announces.

Passing on the chunks was taken rather than a 502 and another attempt: their end is marked, a booking that ran keeps its answer, and a lookup runs once.

--- a/crates/pistachiotrackd/src/connections/connection.rs
+++ b/crates/pistachiotrackd/src/connections/connection.rs
@@ -49,6 +49,8 @@
     pub(crate) local_port: u16,
     /// Number of exchanges that were begun on it.
     pub(crate) exchanges: u32,
+    /// Whether no further request may be sent on it.
+    pub(crate) is_last_exchange: bool,
     /// Requests that may not be sent on it.
     pub(crate) carried: CarriedRequests,
     driver: AbortHandle,
@@ -201,6 +203,7 @@
             last_answer: None,
             local_port,
             exchanges: 0,
+            is_last_exchange: false,
             carried: CarriedRequests::default(),
             driver: driver.abort_handle(),
             _open: open,
--- a/crates/pistachiotrackd/src/connections/connection_pool.rs
+++ b/crates/pistachiotrackd/src/connections/connection_pool.rs
@@ -251,7 +251,10 @@
     pub(crate) fn check_in(&self, mut connection: Connection) {
         let now = self.connector.clock.now();
         connection.last_answer = Some(now);
-        if connection.sender.is_closed() || !self.is_within_max_age(&connection, now) {
+        if connection.is_last_exchange
+            || connection.sender.is_closed()
+            || !self.is_within_max_age(&connection, now)
+        {
             return;
         }
         let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -22,6 +22,8 @@
     },
     formats::{
         dialect::{AnswerKind, AnswerMetadata, Dialect, OutgoingMetadata},
+        framing::{AnswerFraming, UnsupportedCoding},
+        headers,
         request_body::{RequestBody, SendBody},
     },
     peers::endpoint_notices::EndpointGate,
@@ -78,8 +80,10 @@
 /// An answer whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct StartedAnswer {
-    /// Status and headers.
+    /// Status and headers, without those that apply to the connection.
     pub(crate) parts: Parts,
+    /// How the end of the body is found.
+    pub(crate) framing: AnswerFraming,
     /// The body, still arriving.
     pub(crate) body: Incoming,
     /// Connection of the exchange.
@@ -131,6 +135,9 @@
         /// HTTP status.
         status: u16,
     },
+    /// The answer's body can't be decoded.
+    #[error(transparent)]
+    Undecodable(#[from] UnsupportedCoding),
     /// No answer started before the time limit; bytes may have been sent.
     #[error("no answer within the time limit")]
     TimedOut {
@@ -152,6 +159,7 @@
             ExchangeError::Broken { .. }
             | ExchangeError::Unreadable(_)
             | ExchangeError::NoFinalStatus { .. }
+            | ExchangeError::Undecodable(_)
             | ExchangeError::TimedOut { .. } => false,
         }
     }
@@ -173,8 +181,8 @@
 
 /// Sends a request and returns the answer when its head has arrived.
 ///
-/// What has another status than a final one is no answer: its connection is closed, and the request
-/// counts as possibly run.
+/// What has another status than a final one, or a body that can't be decoded, is no answer: its
+/// connection is closed, and the request counts as possibly run.
 ///
 /// If a pooled connection turns out to be closed before any byte was written, a new one is used.
 /// Nothing else is retried.
@@ -220,6 +228,7 @@
 ) -> Result<StartedAnswer, ExchangeError> {
     let CheckedOut { mut connection, fresh } = checked_out;
     let Some(send_body) = body.take() else { return Err(ExchangeError::BodyConsumed) };
+    let method = head.method.clone();
     let request = request(head, send_body);
     connection.guard.begin(target.not_after);
     let sent = clock.now();
@@ -243,9 +252,11 @@
         }
         Some(Ok(response)) => {
             connection.guard.on_progress();
-            let (parts, incoming) = response.into_parts();
+            let (mut parts, incoming) = response.into_parts();
+            let framing = take_framing(&method, &mut parts, &mut connection)?;
             Ok(StartedAnswer {
                 parts,
+                framing,
                 body: incoming,
                 connection,
                 fresh,
@@ -259,6 +270,30 @@
     }
 }
 
+/// Removes the headers that apply to the connection from the head of an answer, and returns how the
+/// end of its body is found.
+///
+/// This happens before the head is read: an answer that names its endpoint's signature as a header
+/// of the connection has none.
+fn take_framing(
+    method: &Method,
+    parts: &mut Parts,
+    connection: &mut Connection,
+) -> Result<AnswerFraming, UnsupportedCoding> {
+    let framing = AnswerFraming::take_from(method, parts)?;
+    headers::strip_hop_by_hop(&mut parts.headers);
+    if framing.is_ambiguous() {
+        connection.is_last_exchange = true;
+        log::warn!(
+            "event=answer_framed_twice address={} local_port={} exchange={} used=chunks",
+            connection.address,
+            connection.local_port,
+            connection.exchanges
+        );
+    }
+    Ok(framing)
+}
+
 fn failure(
     connection: &Connection,
     fresh: bool,
@@ -347,9 +382,9 @@
         | ExchangeError::CallerBody { sent: false } => Outcome::NotSent,
         ExchangeError::CallerBody { sent: true } => Outcome::Cancelled,
         // Unlike the end of an open connection they can't come from a device on the path.
-        ExchangeError::Unreadable(_) | ExchangeError::NoFinalStatus { .. } => {
-            Outcome::Broken { fresh_connection: true }
-        }
+        ExchangeError::Unreadable(_)
+        | ExchangeError::NoFinalStatus { .. }
+        | ExchangeError::Undecodable(_) => Outcome::Broken { fresh_connection: true },
         ExchangeError::Broken { fresh } => Outcome::Broken { fresh_connection: *fresh },
         ExchangeError::TimedOut { fresh } => Outcome::TimedOut { fresh_connection: *fresh },
     }
--- a/crates/pistachiotrackd/src/formats.rs
+++ b/crates/pistachiotrackd/src/formats.rs
@@ -3,6 +3,7 @@
 pub(crate) mod datagram;
 pub mod dialect;
 pub(crate) mod forwarded_route;
+pub(crate) mod framing;
 pub mod gzip;
 pub(crate) mod headers;
 pub(crate) mod inbound;
--- a/crates/pistachiotrackd/src/formats/headers.rs
+++ b/crates/pistachiotrackd/src/formats/headers.rs
@@ -59,9 +59,8 @@
     }
 }
 
-/// Removes the headers of an endpoint's answer that must not reach a caller.
+/// Removes the headers of an endpoint's answer that only VMs may set.
 pub(crate) fn strip_from_endpoint(headers: &mut HeaderMap) {
-    strip_hop_by_hop(headers);
     for name in INTERNAL_ANSWER {
         headers.remove(name);
     }
--- a/crates/pistachiotrackd/src/request.rs
+++ b/crates/pistachiotrackd/src/request.rs
@@ -7,6 +7,7 @@
 pub(crate) mod crash_check;
 pub(crate) mod forward;
 pub(crate) mod in_flight;
+pub(crate) mod length_check;
 pub(crate) mod rejection;
 pub(crate) mod relay_client;
 pub(crate) mod request_task;
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -4,7 +4,7 @@
     future::Future,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -12,7 +12,7 @@
 use hyper::{
     Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    header::CONTENT_TYPE,
     http::response::Parts,
 };
 use kameo::actor::Recipient;
@@ -25,9 +25,11 @@
 use crate::{
     config::settings::Limits,
     connections::{busy_guard::BusyGuard, connection::Connection, connection_pool::ConnectionPool},
+    formats::framing::AnswerFraming,
     request::{
         crash_check::ExecutionMonitor,
         in_flight::{InFlightGuard, Stage},
+        length_check::{LengthCheck, LengthMismatch},
     },
     stats::{attempt_report::BodyEnded, work_times::AttemptTimer},
 };
@@ -47,6 +49,9 @@
     /// The answer had no length, so its end can't be distinguished from a broken connection.
     #[error("answer without a length ended; it may be incomplete")]
     NoLength,
+    /// The body has another length than the answer's head announces.
+    #[error(transparent)]
+    LengthMismatch(#[from] LengthMismatch),
 }
 
 /// Time limits for the bodies of answers.
@@ -90,6 +95,8 @@
 #[derive(Debug)]
 pub(crate) struct AnswerBody {
     content: Content,
+    /// Compares the body with its announced length.
+    length: Option<LengthCheck>,
     /// The request, which is in flight until the body has been written.
     _in_flight: Option<InFlightGuard>,
     /// The connection, which is busy until the body has been written.
@@ -106,7 +113,7 @@
 
 impl From<Content> for AnswerBody {
     fn from(content: Content) -> AnswerBody {
-        AnswerBody { content, _in_flight: None, _busy: None }
+        AnswerBody { content, length: None, _in_flight: None, _busy: None }
     }
 }
 
@@ -127,9 +134,30 @@
         AnswerBody { _busy: Some(busy), ..self }
     }
 
+    /// Returns the body as that of an answer whose head announces its length.
+    pub(crate) fn with_announced_length(self, bytes: u64) -> AnswerBody {
+        AnswerBody { length: Some(LengthCheck::new(bytes)), ..self }
+    }
+
+    /// Counts a part of the body, or its end.
+    fn check_length(
+        &mut self,
+        frame: Option<Frame<Bytes>>,
+    ) -> Option<Result<Frame<Bytes>, AnswerBodyError>> {
+        let Some(length) = &mut self.length else { return frame.map(Ok) };
+        let checked = match &frame {
+            Some(frame) => length.on_data(frame.data_ref().map_or(0, Bytes::len)),
+            None => length.on_end(),
+        };
+        let Err(mismatch) = checked else { return frame.map(Ok) };
+        log::error!("event=answer_length_mismatch error={:?}", mismatch.to_string());
+        self.length = None;
+        Some(Err(mismatch.into()))
+    }
+
     /// Returns a body that is forwarded from a connection as it arrives.
     pub(crate) fn streaming(
-        parts: &Parts,
+        framing: AnswerFraming,
         incoming: Incoming,
         connection: Connection,
         pool: Arc<ConnectionPool>,
@@ -137,16 +165,13 @@
         ends_by_closing: bool,
         monitor: Option<AnswerMonitor>,
     ) -> AnswerBody {
-        let has_length = ends_by_closing
-            || parts.headers.contains_key(CONTENT_LENGTH)
-            || parts.headers.contains_key(TRANSFER_ENCODING);
         let mut body = StreamingBody {
             incoming,
             connection: Some(connection),
             pool,
             limits,
             idle: None,
-            has_length,
+            has_known_end: ends_by_closing || framing.marks_end(),
             monitor,
         };
         if body.incoming.is_end_stream() {
@@ -169,10 +194,15 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        match &mut self.get_mut().content {
-            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Content::Streaming(streaming) => streaming.poll(cx),
-        }
+        let body = self.get_mut();
+        let frame = match &mut body.content {
+            Content::Whole(bytes) => bytes.take().map(Frame::data),
+            Content::Streaming(streaming) => match ready!(streaming.poll(cx)).transpose() {
+                Ok(frame) => frame,
+                Err(error) => return Poll::Ready(Some(Err(error))),
+            },
+        };
+        Poll::Ready(body.check_length(frame))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -204,7 +234,8 @@
     pool: Arc<ConnectionPool>,
     limits: BodyLimits,
     idle: Option<Pin<Box<Sleep>>>,
-    has_length: bool,
+    /// Whether the end of the connection can't be taken for the end of the body by mistake.
+    has_known_end: bool,
     monitor: Option<AnswerMonitor>,
 }
 
@@ -238,7 +269,7 @@
                 self.finish(BodyEnd::Truncated);
                 Poll::Ready(Some(Err(AnswerBodyError::Broken(error))))
             }
-            None if self.has_length || self.connection.is_none() => {
+            None if self.has_known_end || self.connection.is_none() => {
                 self.finish(BodyEnd::Complete);
                 Poll::Ready(None)
             }
@@ -258,7 +289,7 @@
             let stalled_at = deadline.max(Instant::now() + idle);
             Box::pin(tokio::time::sleep_until(stalled_at.min(until)))
         });
-        std::task::ready!(idle.as_mut().poll(cx));
+        ready!(idle.as_mut().poll(cx));
         self.finish(BodyEnd::Truncated);
         let is_overdue = Instant::now() >= until;
         let error = if is_overdue { AnswerBodyError::Overdue } else { AnswerBodyError::Stalled };
@@ -341,7 +372,12 @@
 ///
 /// HTTP/1.0 has no chunks. A body without a length would end with its connection, and one that has
 /// failed would look complete.
-pub(crate) fn response(mut parts: Parts, body: AnswerBody) -> Response<AnswerBody> {
+pub(crate) fn response(
+    mut parts: Parts,
+    framing: AnswerFraming,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
     parts.version = Version::HTTP_11;
+    framing.write_to(&mut parts.headers);
     Response::from_parts(parts, body)
 }
--- a/crates/pistachiotrackd/src/request/forward.rs
+++ b/crates/pistachiotrackd/src/request/forward.rs
@@ -325,9 +325,9 @@
     answer: StartedAnswer,
     endpoint_time: Option<Duration>,
 ) -> Served {
-    let StartedAnswer { mut parts, body, connection, .. } = answer;
+    let StartedAnswer { parts, framing, body, connection, .. } = answer;
     let body = AnswerBody::streaming(
-        &parts,
+        framing,
         body,
         connection,
         Arc::clone(&forwarder.peers),
@@ -335,6 +335,6 @@
         false,
         None,
     );
-    headers::strip_hop_by_hop(&mut parts.headers);
-    Served { answer: Ok(body::response(parts, body)), endpoint_time, leaving_endpoint: None }
+    let response = body::response(parts, framing, body);
+    Served { answer: Ok(response), endpoint_time, leaving_endpoint: None }
 }
--- a/crates/pistachiotrackd/src/request/relay_client.rs
+++ b/crates/pistachiotrackd/src/request/relay_client.rs
@@ -179,6 +179,7 @@
                 ExchangeError::Broken { .. }
                 | ExchangeError::Unreadable(_)
                 | ExchangeError::NoFinalStatus { .. }
+                | ExchangeError::Undecodable(_)
                 | ExchangeError::TimedOut { .. } => Outcome::RelayFailed { sent: true },
             },
         }
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -380,7 +380,7 @@
         let Answered { endpoint, address, is_leaving, answer, pool, timer, .. } =
             self.answered.swap_remove(index);
         self.finished = true;
-        let StartedAnswer { mut parts, body, connection, sent, started_at, .. } = *answer;
+        let StartedAnswer { mut parts, framing, body, connection, sent, started_at, .. } = *answer;
         let endpoint_time = started_at.since(sent);
         let copy = self.inbound.key().map(|_| AnswerCopy::begin(self.inbound.id, &parts));
         let is_failure = parts.status.as_u16() >= FIRST_FAILURE_STATUS;
@@ -389,7 +389,7 @@
         let shard = self.shard.clone().recipient();
         let monitor = AnswerMonitor { shard, attempt, copy, execution, timer };
         let body = AnswerBody::streaming(
-            &parts,
+            framing,
             body,
             connection,
             pool,
@@ -399,7 +399,7 @@
         );
         headers::strip_from_endpoint(&mut parts.headers);
         self.handle.dialect.write_answer(&mut parts.headers, &endpoint, &self.handle.me.name);
-        let response = body::response(parts, body);
+        let response = body::response(parts, framing, body);
         Some(Served {
             answer: Ok(response),
             endpoint_time: Some(endpoint_time),
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -29,6 +29,7 @@
         arrival::ArrivalTracker, busy_guard::BusyGuard, peer_monitor::PeerMonitor,
         stall_guard::StallGuard,
     },
+    formats::framing,
     request::body::AnswerBody,
     runtime::socket,
     serving::{
@@ -222,7 +223,15 @@
         if context.stop.has_begun() || limits.is_outgrown(&context) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(response.map(|body| body.on_connection(busy)))
+        let response = response.map(|body| body.on_connection(busy));
+        Ok(with_announced_length(response))
+    }
+}
+
+fn with_announced_length(response: Response<AnswerBody>) -> Response<AnswerBody> {
+    match framing::announced_bytes(response.headers(), response.body()) {
+        Some(bytes) => response.map(|body| body.with_announced_length(bytes)),
+        None => response,
     }
 }
 
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -157,15 +157,16 @@
 }
 
 fn pass_on(context: &Context, answer: StartedAnswer, time_limit: Time) -> Response<AnswerBody> {
-    let StartedAnswer { mut parts, body, connection, fresh, .. } = answer;
+    let StartedAnswer { mut parts, framing, body, connection, fresh, .. } = answer;
     let timeouts = BodyTimeouts::from(&context.settings.limits);
     let limits = timeouts.limits(context.clock.instant(time_limit));
     let pool = Arc::clone(&context.endpoints);
     let ends_by_closing = context.dialect.ends_answers_by_closing();
-    let body = AnswerBody::streaming(&parts, body, connection, pool, limits, ends_by_closing, None);
+    let body =
+        AnswerBody::streaming(framing, body, connection, pool, limits, ends_by_closing, None);
     headers::strip_from_endpoint(&mut parts.headers);
     RelayResult::Answered { fresh }.write_to(&mut parts.headers);
-    body::response(parts, body)
+    body::response(parts, framing, body)
 }
 
 fn failure_response(result: RelayResult) -> Response<AnswerBody> {
