Answers to HTTP/1.0: a broken one ends with a reset

A caller that speaks HTTP/1.0 took a part of an answer for the whole if its endpoint broke off: HTTP/1.0 has no chunks, so that a body of unknown length ends with its connection, and the connection of a broken answer was closed in the same way. The doc comment of body::response, which sets the version to avoid this, doesn't reach it: the HTTP library answers in the caller's version.

Found while going through who decides where an answer ends. The connection is reset now. a_broken_answer_to_http_1_0_ends_with_a_reset failed before.

--- a/crates/pistachiotrackd/src/connections/peer_monitor.rs
+++ b/crates/pistachiotrackd/src/connections/peer_monitor.rs
@@ -84,6 +84,14 @@
         let _ = tokio::time::timeout(limit, drained).await;
     }
 
+    /// Lets the connection be reset when it is closed, so that its peer takes no answer for complete
+    /// that ends with the connection.
+    pub(crate) fn reset(&self) {
+        if let Err(error) = self.0.lock().set_zero_linger() {
+            log::warn!("event=connection_not_reset error={:?}", error.to_string());
+        }
+    }
+
     /// Returns the number of bytes that the peer has sent and nobody has read.
     pub(crate) fn unread_bytes(&self) -> u64 {
         // An error means that the connection is gone, and nothing can be read from it.
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -11,7 +11,7 @@
 };
 
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
@@ -116,8 +116,10 @@
     let peer = stream.peer_monitor();
     let (stop, monitor) = (context.stop.clone(), peer.clone());
     let is_busy = Arc::new(AtomicBool::new(false));
-    let busy = Arc::clone(&is_busy);
-    let service = service_fn(move |mut request| {
+    let is_http_10 = Arc::new(AtomicBool::new(false));
+    let (busy, http_10) = (Arc::clone(&is_busy), Arc::clone(&is_http_10));
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        http_10.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         if let Some(arrival) = arrivals.arrival_before_resume() {
             request.extensions_mut().insert(arrival);
         }
@@ -144,7 +146,14 @@
         // the close is then known to be unread.
         Ok(()) if was_idle => {}
         Ok(()) => monitor.drain(CLOSE_TIMEOUT).await,
-        Err(error) => log::debug!("event=connection_ended error={error:?}"),
+        Err(error) => {
+            log::debug!("event=connection_ended error={error:?}");
+            // HTTP/1.0 has no chunks: the end of the connection would make the part of the answer
+            // that was sent look like the whole.
+            if error.is_user() && is_http_10.load(Ordering::Relaxed) {
+                monitor.reset();
+            }
+        }
     }
     if stop.has_begun() {
         log_unread_bytes(&monitor);
