Answers: trailers don't end a body

An endpoint whose answers have trailers lost its connection after each, and its requests counted as given up by their callers: the HTTP server takes trailers for the end of a body and drops it, before the end has been seen. Trailers are dropped where they arrive; no caller got any before either. the_trailers_of_an_answer_end_at_the_vm failed before.

--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -244,8 +244,14 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
-            return self.poll_idle(cx);
+        let frame = loop {
+            match Pin::new(&mut self.incoming).poll_frame(cx) {
+                // Trailers belong to the connection to the endpoint. The HTTP server would drop them,
+                // and would take them for the end of the body.
+                Poll::Ready(Some(Ok(frame))) if frame.is_trailers() => {}
+                Poll::Ready(frame) => break frame,
+                Poll::Pending => return self.poll_idle(cx),
+            }
         };
         self.idle = None;
         if frame.is_some() && Instant::now() >= self.limits.until {
