Requests: bodies are framed for the connection that they are sent on

A body in chunks that is too long for memory was lost if its method was GET or HEAD: the HTTP client sends none unless its length is known. It is sent in chunks now. A request in gzip, chunked reached its endpoint as gzip without the header that says so; it is refused as malformed.

--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -22,7 +22,7 @@
     },
     formats::{
         dialect::{AnswerKind, AnswerMetadata, Dialect, OutgoingMetadata},
-        framing::{AnswerFraming, UnsupportedCoding},
+        framing::{self, AnswerFraming, UnsupportedCoding},
         headers,
         request_body::{RequestBody, SendBody},
     },
@@ -320,11 +320,13 @@
 }
 
 fn request(head: RequestHead, body: SendBody) -> Request<SendBody> {
+    let RequestHead { method, uri, headers: mut fields } = head;
+    framing::write_request(&mut fields, &body);
     let mut request = Request::new(body);
-    *request.method_mut() = head.method;
-    *request.uri_mut() = head.uri;
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
     *request.version_mut() = Version::HTTP_11;
-    *request.headers_mut() = head.headers;
+    *request.headers_mut() = fields;
     request
 }
 
--- a/crates/pistachiotrackd/src/formats/framing.rs
+++ b/crates/pistachiotrackd/src/formats/framing.rs
@@ -90,6 +90,33 @@
     }
 }
 
+/// Returns an error if the body of a request has a coding that isn't removed from it.
+///
+/// The HTTP server removes chunks. What is left of `gzip, chunked` would reach an endpoint without
+/// the header that names its coding.
+pub(crate) fn check_request(fields: &HeaderMap) -> Result<(), UnsupportedCoding> {
+    match transfer_codings(fields) {
+        Some(codings) if codings != CHUNKED => Err(UnsupportedCoding(codings)),
+        _ => Ok(()),
+    }
+}
+
+/// Frames a request's body for the connection that it is sent on.
+///
+/// The HTTP client takes a GET or HEAD without a stated length for one without a body.
+pub(crate) fn write_request(fields: &mut HeaderMap, body: &impl Body) {
+    match body.size_hint().exact() {
+        Some(bytes) if fields.contains_key(CONTENT_LENGTH) => {
+            fields.insert(CONTENT_LENGTH, HeaderValue::from(bytes));
+        }
+        Some(_) => {}
+        None => {
+            fields.remove(CONTENT_LENGTH);
+            fields.insert(TRANSFER_ENCODING, HeaderValue::from_static(CHUNKED));
+        }
+    }
+}
+
 /// Returns the length of the body that the head of a message announces together with `body`.
 pub(crate) fn announced_bytes(fields: &HeaderMap, body: &impl Body) -> Option<u64> {
     fields.get(CONTENT_LENGTH).and_then(parse).or_else(|| body.size_hint().exact())
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -32,7 +32,7 @@
     formats::{
         dialect::{HeaderError, RequestMetadata},
         forwarded_route::ForwardedRoute,
-        headers,
+        framing, headers,
         inbound::{Inbound, MAX_DEADLINE, caller_deadline, origin_form},
         request_body::{BodyLimits, RequestBody, RequestBodyError},
         transferred_copy::TransferredCopy,
@@ -57,6 +57,7 @@
     let (mut parts, body) = request.into_parts();
     let received = arrival(context, &parts);
     check_method(&parts.method, fleet_id)?;
+    check_framing(&parts.headers, fleet_id)?;
     headers::strip_from_caller(&mut parts.headers);
     let mut metadata =
         context.dialect.read_request(&parts).map_err(|error| malformed(fleet_id, &error))?;
@@ -182,6 +183,14 @@
     Err(Reason::BadRequest.into())
 }
 
+/// Refuses a request whose body would reach the endpoint in a coding that no header names.
+fn check_framing(fields: &HeaderMap, fleet_id: &Name) -> Result<(), Rejection> {
+    framing::check_request(fields).map_err(|error| {
+        log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
+        Reason::BadRequest.into()
+    })
+}
+
 /// Refuses a request without a customer if callers have to name one.
 fn check_names_customer(
     context: &Context,
