Answers: a length in the head that isn't the body's is dropped

A check in depth behind the framing of answers: the HTTP server ends a body at the length in the head, and writes nothing at all of one whose stated length is 0, which a count of its bytes can't show.

--- a/crates/pistachiotrackd/src/formats/framing.rs
+++ b/crates/pistachiotrackd/src/formats/framing.rs
@@ -117,9 +117,20 @@
     }
 }
 
-/// Returns the length of the body that the head of a message announces together with `body`.
-pub(crate) fn announced_bytes(fields: &HeaderMap, body: &impl Body) -> Option<u64> {
-    fields.get(CONTENT_LENGTH).and_then(parse).or_else(|| body.size_hint().exact())
+/// Removes a length from the head of an answer whose body has another one, or none that is known,
+/// and returns it.
+///
+/// The HTTP server ends a body at the length in the head and drops the rest, so that the caller would
+/// take a part for the whole.
+pub(crate) fn remove_other_length(
+    fields: &mut HeaderMap,
+    body_bytes: Option<u64>,
+) -> Option<HeaderValue> {
+    let stated = fields.get(CONTENT_LENGTH)?;
+    if body_bytes.is_some() && parse(stated) == body_bytes {
+        return None;
+    }
+    fields.remove(CONTENT_LENGTH)
 }
 
 fn is_bodyless(method: &Method, status: StatusCode) -> bool {
--- a/crates/pistachiotrackd/src/request/length_check.rs
+++ b/crates/pistachiotrackd/src/request/length_check.rs
@@ -12,8 +12,7 @@
 
 /// Counts the bytes of a body whose length was announced.
 ///
-/// The HTTP server ends a body at the announced length and drops the rest, so that the caller would
-/// take a part for the whole.
+/// The HTTP server ends a body at the announced length and drops the rest without an error.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LengthCheck {
     announced_bytes: u64,
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -12,7 +12,7 @@
 
 use hyper::{
     Request, Response, Version,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
@@ -237,8 +237,16 @@
     }
 }
 
-fn with_announced_length(response: Response<AnswerBody>) -> Response<AnswerBody> {
-    match framing::announced_bytes(response.headers(), response.body()) {
+/// Lets the body be compared with the length that the head of the answer announces.
+fn with_announced_length(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    if response.body().is_end_stream() {
+        return response;
+    }
+    let body_bytes = response.body().size_hint().exact();
+    if let Some(stated) = framing::remove_other_length(response.headers_mut(), body_bytes) {
+        log::error!("event=answer_length_mismatch stated={stated:?} body_bytes={body_bytes:?}");
+    }
+    match body_bytes {
         Some(bytes) => response.map(|body| body.with_announced_length(bytes)),
         None => response,
     }
