--- a/crates/pistachiotrack-core/src/api_key.rs
+++ b/crates/pistachiotrack-core/src/api_key.rs
@@ -134,11 +134,29 @@
     if !deserializer.is_human_readable() {
         return Vec::deserialize(deserializer);
     }
-    let Value::Array(keys) = Value::deserialize(deserializer)? else {
-        return Err(D::Error::custom("not a list of keys"));
-    };
+    keys_from_json(&Value::deserialize(deserializer)?)
+}
+
+/// As [`deserialize_keys`]; null stands for no keys.
+///
+/// A list that were refused would leave the keys of the version before in force.
+///
+/// # Errors
+///
+/// Returns an error with the position of the invalid key.
+pub fn deserialize_optional_keys<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<ApiKeyDigest>, D::Error> {
+    match Value::deserialize(deserializer)? {
+        Value::Null => Ok(Vec::new()),
+        keys => keys_from_json(&keys),
+    }
+}
+
+fn keys_from_json<E: serde::de::Error>(value: &Value) -> Result<Vec<ApiKeyDigest>, E> {
+    let Value::Array(keys) = value else { return Err(E::custom("not a list of keys")) };
     let key = |(index, key): (usize, &Value)| {
-        key_from_json(key).map_err(|problem| D::Error::custom(format!("[{index}]: {problem}")))
+        key_from_json(key).map_err(|problem| E::custom(format!("[{index}]: {problem}")))
     };
     keys.iter().enumerate().map(key).collect()
 }
--- a/crates/pistachiotrack-core/src/authentication.rs
+++ b/crates/pistachiotrack-core/src/authentication.rs
@@ -1,7 +1,11 @@
 //! Identification of callers by the API key in their request.
 
 use crate::{
-    api_key::ApiKeyDigest, config::IndexedConfig, customer::Customer, name::Name, request::Class,
+    api_key::ApiKeyDigest,
+    config::{Config, IndexedConfig},
+    customer::Customer,
+    name::Name,
+    request::Class,
     rule::Route,
 };
 
@@ -68,10 +72,54 @@
     }
 }
 
+/// What API keys decide under a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyPolicy {
+    /// A request needs the key of a customer, except on public routes.
+    Required,
+    /// No request needs a key. A key that a caller sends anyway has been taken away with the
+    /// configuration's other keys, and its request is refused, except on public routes.
+    Revoked,
+    /// No request needs a key, and nothing is known of keys.
+    Ignored,
+}
+
+impl KeyPolicy {
+    /// Returns the policy under `config`, given whether the deployment bounds the time in which a key
+    /// that was taken away is still served.
+    ///
+    /// A deployment with such a bound has keys. If its configuration doesn't speak of them, operators
+    /// have withdrawn all, and no VM can know which ones there were before it started.
+    pub fn new(config: &Config, bounds_revocation: bool) -> KeyPolicy {
+        match (config.api_keys_required, bounds_revocation) {
+            (true, _) => KeyPolicy::Required,
+            (false, true) => KeyPolicy::Revoked,
+            (false, false) => KeyPolicy::Ignored,
+        }
+    }
+
+    /// Identifies the customer that a request is sent for, given what is in the place of its key.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the caller isn't identified.
+    pub fn identify(
+        self,
+        config: &IndexedConfig,
+        key: PresentedKey,
+    ) -> Result<&Customer, Unidentified> {
+        match (self, identify(config, key)) {
+            (KeyPolicy::Required, identified) => identified,
+            (_, Ok(_)) => Err(Unidentified::Unknown),
+            (_, Err(cause)) => Err(cause),
+        }
+    }
+}
+
 /// Whether a request needs a key, and whose it is.
 #[derive(Clone, Copy, Debug)]
 pub enum Caller<'c> {
-    /// The configuration or the route requires no key.
+    /// The configuration or the route requires no key, and the configuration revokes none.
     Anonymous,
     /// The key is that of a customer.
     Customer(&'c Customer),
@@ -80,18 +128,18 @@
 }
 
 impl<'c> Caller<'c> {
-    /// Decides on a request for `route`, given the result of [`identify`].
+    /// Decides on a request for `route`, given the result of [`KeyPolicy::identify`].
     pub fn on_route(
-        config: &IndexedConfig,
+        policy: KeyPolicy,
         route: &Route,
         identified: Result<&'c Customer, Unidentified>,
     ) -> Caller<'c> {
-        if !config.api_keys_required || route.public {
-            return Caller::Anonymous;
-        }
-        match identified {
-            Ok(customer) => Caller::Customer(customer),
-            Err(cause) => Caller::Unidentified(cause),
+        match (policy, identified) {
+            _ if route.public => Caller::Anonymous,
+            (KeyPolicy::Ignored, _) => Caller::Anonymous,
+            (KeyPolicy::Revoked, Err(Unidentified::Missing)) => Caller::Anonymous,
+            (_, Ok(customer)) => Caller::Customer(customer),
+            (_, Err(cause)) => Caller::Unidentified(cause),
         }
     }
 
--- a/crates/pistachiotrack-core/src/config/warning.rs
+++ b/crates/pistachiotrack-core/src/config/warning.rs
@@ -23,11 +23,23 @@
 
 /// Returns all warnings about `config`.
 pub(super) fn warnings(config: &Config) -> Vec<ConfigWarning> {
-    let mut warnings = capacity_warnings(config);
+    let mut warnings = key_warnings(config);
+    warnings.extend(capacity_warnings(config));
     warnings.extend(unreachable_rules(config));
     warnings
 }
 
+/// Warns about keys that are required and that nobody has, and about keys that aren't looked at.
+fn key_warnings(config: &Config) -> Vec<ConfigWarning> {
+    let has_keys = config.customers.iter().any(|customer| !customer.api_keys.is_empty());
+    let problem = match (config.api_keys_required, has_keys) {
+        (true, false) => "no customer has a key: all requests are refused, except on public routes",
+        (false, true) => "the keys of customers are not looked at",
+        _ => return Vec::new(),
+    };
+    vec![ConfigWarning { field: "api_keys_required".to_owned(), problem: problem.to_owned() }]
+}
+
 /// Warns about oversold and empty services. Overselling is allowed, since contracts are
 /// weights when capacity is short, and an error here would reject the very change that
 /// marks endpoints as leaving.
--- a/crates/pistachiotrack-core/tests/config_check.rs
+++ b/crates/pistachiotrack-core/tests/config_check.rs
@@ -204,6 +204,23 @@
     assert_eq!(fields, ["services[0]", "services[1]", "services[1].endpoints"]);
 }
 
+/// Guards against keys that are given out and never looked at, and against a deployment whose last key
+/// is taken away unnoticed.
+#[test]
+fn keys_without_use_and_use_without_keys_are_warnings() {
+    let mut value = config(7, CURRENT_SIZES);
+    let fields = |value: &Config| -> Vec<String> {
+        value.warnings().into_iter().map(|it| it.field).collect()
+    };
+    value.customers[0].api_keys = vec!["k-1".parse().unwrap()];
+    assert_eq!(fields(&value), ["api_keys_required"]);
+    value.api_keys_required = true;
+    assert_eq!(value.warnings(), []);
+    value.customers[0].api_keys.clear();
+    assert_eq!(value.check("f"), []);
+    assert_eq!(fields(&value), ["api_keys_required"]);
+}
+
 #[test]
 fn indexed_and_linear_lookups_agree() {
     let value = std::sync::Arc::new(config(7, CURRENT_SIZES));
--- a/crates/pistachiotrack/src/explain.rs
+++ b/crates/pistachiotrack/src/explain.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use pistachiotrack_core::{
-    authentication::{self, Caller, PresentedKey},
+    authentication::{Caller, KeyPolicy, PresentedKey},
     config::{Config, IndexedConfig},
     rule::{
         Explanation, Refuse, RequestAttributes, Route, Rule, RuleAction, RuleSet, ServiceState,
@@ -35,7 +35,9 @@
             return Ok(ExitCode::Rejected);
         }
     };
-    let identified = authentication::identify(&value, presented_key(config)?);
+    let policy = KeyPolicy::new(&value, false);
+    let key = presented_key(config)?;
+    let identified = policy.identify(&value, key);
     let customer = match (&identified, value.api_keys_required) {
         (Ok(customer), true) => customer.name.as_str(),
         (Err(_), true) => "",
@@ -47,8 +49,8 @@
         RuleAction::Refuse(_) => None,
     });
     let caller = match (route, identified) {
-        (Some(route), identified) => Caller::on_route(&value, route, identified),
-        (None, _) if !value.api_keys_required => Caller::Anonymous,
+        (Some(route), identified) => Caller::on_route(policy, route, identified),
+        (None, _) if policy != KeyPolicy::Required => Caller::Anonymous,
         (None, Ok(customer)) => Caller::Customer(customer),
         (None, Err(cause)) => Caller::Unidentified(cause),
     };
@@ -59,8 +61,12 @@
         })?;
     } else {
         output::print(&explanation_text(&explanation))?;
-        if value.api_keys_required {
+        if policy == KeyPolicy::Required {
             output::print(&format!("caller: {}\n", escape_control_chars(&text_of(caller))))?;
+        } else if key != PresentedKey::Missing {
+            output::print(
+                "caller: no API key required; VMs with config_lease.max_age_s refuse any key\n",
+            )?;
         }
     }
     let is_accepted = explanation.matched.is_some() && !matches!(caller, Caller::Unidentified(_));
--- a/crates/pistachiotrack/tests/explain.rs
+++ b/crates/pistachiotrack/tests/explain.rs
@@ -94,8 +94,12 @@
 }
 
 fn explain_keyed(name: &str, key: &str, path: &str) -> ToolOutput {
+    explain_with_key(name, key, path, true)
+}
+
+fn explain_with_key(name: &str, key: &str, path: &str, is_required: bool) -> ToolOutput {
     let mut config: serde_json::Value = serde_json::from_str(CONFIG).unwrap();
-    config["api_keys_required"] = json!(true);
+    config["api_keys_required"] = json!(is_required);
     config["customers"][0]["api_keys"] = json!(["k-1"]);
     config["customers"][0]["rate_limit"] =
         json!({"requests_per_second": 20.0, "burst_requests": 5.0});
@@ -122,3 +126,11 @@
     assert!(output.stdout.ends_with(expected), "{}", output.stdout);
     assert!(!format!("{}{}", output.stdout, output.stderr).contains("secret-9"));
 }
+
+/// Guards against an operator who takes a key for one that is checked.
+#[test]
+fn a_key_that_is_not_required_is_shown_as_such() {
+    let output = explain_with_key("unkeyed.json", "k-1", "/slots", false);
+    let expected = "caller: no API key required; VMs with config_lease.max_age_s refuse any key\n";
+    assert!(output.stdout.ends_with(expected), "{}", output.stdout);
+}
--- a/crates/pistachiotrackd/src/membership/fleet.rs
+++ b/crates/pistachiotrackd/src/membership/fleet.rs
@@ -369,7 +369,13 @@
     }
 
     fn activate(&mut self, now: Time, config: Arc<Config>) {
-        log::info!("event=config_in_force version={} rules={}", config.version, config.rules.len());
+        log::info!(
+            "event=config_in_force version={} rules={} customers={} api_keys_required={}",
+            config.version,
+            config.rules.len(),
+            config.customers.len(),
+            config.api_keys_required
+        );
         self.membership.set_config_version(config.version);
         self.source.on_active_config(&config);
         for (_, shard) in self.shards.running() {
--- a/crates/pistachiotrackd/src/serving.rs
+++ b/crates/pistachiotrackd/src/serving.rs
@@ -1,6 +1,7 @@
 //! Handlers of what arrives: requests of callers and of peers, and operators' questions.
 
 pub(crate) mod admin;
+pub(crate) mod caller_check;
 pub(crate) mod connection_limits;
 pub(crate) mod context;
 pub(crate) mod entries;
--- a/crates/pistachiotrackd/src/serving/context.rs
+++ b/crates/pistachiotrackd/src/serving/context.rs
@@ -9,8 +9,8 @@
 };
 
 use pistachiotrack_core::{
-    caller_limits::CallerLimits, name::Name, reachability::EndpointReach, request::RequestId,
-    vm::Vm,
+    authentication::KeyPolicy, caller_limits::CallerLimits, config::Config, name::Name,
+    reachability::EndpointReach, request::RequestId, vm::Vm,
 };
 use tokio::sync::watch;
 
@@ -146,6 +146,11 @@
         Name::from(format!("{}-{:x}-{:x}", self.me.name, self.me.incarnation, request.0))
     }
 
+    /// Returns what API keys decide under `config`.
+    pub(crate) fn key_policy(&self, config: &Config) -> KeyPolicy {
+        KeyPolicy::new(config, self.settings.config_lease.max_age_s.is_some())
+    }
+
     /// Returns whether this VM may decide on API keys: its configuration is known to have been
     /// the newest one recently enough.
     pub(crate) fn has_lease(&self) -> bool {
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -12,8 +12,7 @@
     http::{request, uri::Authority},
 };
 use pistachiotrack_core::{
-    authentication::{self, Caller, Unidentified},
-    config::IndexedConfig,
+    authentication::{Caller, KeyPolicy},
     customer::Customer,
     hash, header,
     name::Name,
@@ -38,7 +37,11 @@
         transferred_copy::TransferredCopy,
     },
     request::{rejection::Rejection, stop_monitor::RequestTime},
-    serving::{connection_limits::Senders, context::Context},
+    serving::{
+        caller_check::{check_caller, identify},
+        connection_limits::Senders,
+        context::Context,
+    },
     shards::shard_actor::RefusedBefore,
     stats::work_times::RequestKind,
 };
@@ -66,16 +69,14 @@
     let (view, has_lease) = confirmed_view(context, received, time_left).await;
     let Some(active) = &view.active else { return Err(Rejection::no_config()) };
     let config = active.index();
-    let identified = match config.api_keys_required {
-        true => {
-            metadata.customer = None;
-            authentication::identify(config, context.dialect.take_credentials(&mut parts.headers))
-        }
-        false => {
+    let policy = context.key_policy(config);
+    match policy {
+        KeyPolicy::Required => metadata.customer = None,
+        KeyPolicy::Revoked | KeyPolicy::Ignored => {
             check_names_customer(context, &metadata, fleet_id)?;
-            Err(Unidentified::Missing)
         }
-    };
+    }
+    let identified = identify(context, policy, config, &mut parts.headers);
     let customer = identified.ok().map(|customer| &customer.name).or(metadata.customer.as_ref());
     let rule = decide(customer, &metadata, context, active, &parts);
     let route = match rule {
@@ -83,7 +84,8 @@
         Some(RuleAction::Refuse(refuse)) => return Err(Rejection::by_rule(refuse)),
         None => return Err(Reason::Rule.into()),
     };
-    let caller = check_caller(context, config, route, identified, has_lease, fleet_id)?;
+    let caller = Caller::on_route(policy, route, identified);
+    check_caller(context, config, &caller, has_lease, fleet_id)?;
     let split_hash = hash::mix(hash::fnv(fleet_id.as_bytes()));
     let Some(service) = active.service(route.service_for(split_hash)) else {
         return Err(Reason::Rule.into());
@@ -129,43 +131,6 @@
     check_not_quarantined(context, inbound)
 }
 
-/// Refuses a request that needs an API key and has none that this VM knows to be valid.
-fn check_caller<'c>(
-    context: &Context,
-    config: &IndexedConfig,
-    route: &Route,
-    identified: Result<&'c Customer, Unidentified>,
-    has_lease: bool,
-    fleet_id: &Name,
-) -> Result<Caller<'c>, Rejection> {
-    let caller = Caller::on_route(config, route, identified);
-    let confirmed_age_ms = || context.confirmed_age().map(|age| age.as_millis());
-    match caller {
-        Caller::Anonymous => Ok(caller),
-        // Without a lease it is unknown whether a key has been added or taken away.
-        Caller::Customer(_) | Caller::Unidentified(_) if !has_lease => {
-            log::info!(
-                "event=config_unconfirmed request={fleet_id} config_version={} \
-                 confirmed_age_ms={:?}",
-                config.version,
-                confirmed_age_ms()
-            );
-            Err(Rejection::unconfirmed())
-        }
-        Caller::Customer(_) => Ok(caller),
-        Caller::Unidentified(cause) => {
-            log::info!(
-                "event=caller_unidentified request={fleet_id} key={} config_version={} \
-                 confirmed_age_ms={:?}",
-                cause.as_str(),
-                config.version,
-                confirmed_age_ms()
-            );
-            Err(Rejection::unidentified())
-        }
-    }
-}
-
 fn malformed(fleet_id: &Name, error: &HeaderError) -> Reason {
     log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
     Reason::BadRequest
