Registry: a view that took over a configuration lists what that doesn't tell

Cause: a VM whose registry view is older than a configuration that another VM assembled replaces the view by it and reads on behind its position. The configuration has no registrations of services that aren't listed; nobody reads them again. Each VM that reads comes to it between two reads. A lost or late listing was ruled out (the route answered 503, not 404), and ejections.

Change: such a view keeps what it may have skipped in mind, and the VM lists the registry before it assembles a configuration for which that matters: a service is listed that wasn't, or no longer, or gets its first endpoint, operators withdraw a maximum of connections, or an address had another holder. If the list fails, the configuration's version gives way to that of a VM which lacks nothing. Changes of endpoints of listed services need no further call. Log lines and a counter tell of gaps, and of services without endpoints.

--- a/crates/pistachiotrack-core/src/registry_view.rs
+++ b/crates/pistachiotrack-core/src/registry_view.rs
@@ -7,7 +7,11 @@
 //!
 //! The registry may also lose its last writes and be restored from an older copy, see
 //! [`restore`].
+//!
+//! A configuration that another VM has read replaces an older view, though it tells less than the
+//! registry does, see [`adoption`].
 
+mod adoption;
 mod outage;
 mod position;
 mod restore;
@@ -18,7 +22,7 @@
     time::Duration,
 };
 
-use self::{outage::Outages, position::VERSIONS_PER_REVISION, restore::Restore};
+use self::{adoption::Gap, outage::Outages, restore::Restore};
 pub use self::{
     outage::Recovery,
     position::{MAX_REVISION, RegistryPosition},
@@ -208,6 +212,8 @@
     /// Revision of the newest entry of the last snapshot, until all changes up to it are known.
     incomplete_until: Option<u64>,
     outages: Outages,
+    /// Changes that this view doesn't contain, and whether they matter.
+    gap: Option<Gap>,
 }
 
 impl RegistryView {
@@ -221,6 +227,7 @@
             position: RegistryPosition::default(),
             restore: Restore::default(),
             incomplete_until: None,
+            gap: None,
         }
     }
 
@@ -294,6 +301,7 @@
         }
         self.position.revision = self.position.revision.max(revision);
         self.incomplete_until = Some(newest_revision);
+        self.gap = None;
         self.on_complete_up_to(revision);
     }
 
@@ -331,81 +339,22 @@
         retained.into_iter().chain(held).min()
     }
 
-    /// Applies the active configuration, which may come from another VM. If it is newer
-    /// than this view, returns the position up to which the view is now complete.
-    ///
-    /// A VM that alone lost the registry, or that hasn't watched it for a while, still has
-    /// endpoints that have left, and its next version would add them again on all VMs, so
-    /// that requests reach endpoints after they left. A version without retained endpoints
-    /// was made by a VM that saw each removal as it happened: endpoints retained since its
-    /// revision or earlier are removed, and a newer version replaces the whole view.
-    pub fn on_active_config(&mut self, now: Time, config: &Config) -> Option<RegistryPosition> {
-        let position = RegistryPosition::of_version(config.version);
-        if position.era < self.position.era {
-            self.carry_over(now, config);
-            return None;
-        }
-        if config.version % VERSIONS_PER_REVISION != VERSIONS_PER_REVISION - 1 {
-            return None;
-        }
-        self.entries
-            .retain(|_, entry| entry.retained.is_none_or(|retained| retained.position > position));
-        if position <= self.position {
-            return None;
-        }
-        if position.era > self.position.era {
-            self.begin_era(now, position.era);
-        }
-        self.replace_from_config(now, config);
-        self.position = position;
-        self.on_complete_up_to(position.revision);
-        Some(position)
-    }
-
-    /// Replaces the content with that of a newer configuration. This includes the operators'
-    /// part, since changes to it up to that revision aren't read again.
-    fn replace_from_config(&mut self, now: Time, config: &Config) {
-        self.operators = Some(OperatorConfig::from_config(config, self.operators.take()));
-        let known = std::mem::take(&mut self.entries);
-        let remaining: BTreeSet<&str> = config
-            .services
-            .iter()
-            .flat_map(|service| &service.endpoints)
-            .map(|endpoint| endpoint::registered_name(&endpoint.name))
-            .collect();
-        let removed = known.values().filter(|entry| !remaining.contains(&*entry.registration.key));
-        removed.for_each(|entry| self.restore.record_removed(now, &entry.registration));
-        for service in &config.services {
-            for endpoint in &service.endpoints {
-                let key = Name::from(endpoint::registered_name(&endpoint.name));
-                let known = known.get(&key).map(|entry| &entry.registration);
-                let registration = Registration {
-                    key: key.clone(),
-                    service: service.name.clone(),
-                    endpoint: endpoint.clone(),
-                    create_revision: known.map_or(0, |known| known.create_revision),
-                    sequence: 0,
-                };
-                let entry = Entry { registration, written_after: None, retained: None };
-                self.entries.insert(key, entry);
-            }
-        }
-    }
-
     /// Builds the configuration. Returns `None` before there is an operators' configuration,
     /// and while the last snapshot has an entry newer than its revision: under that revision's
     /// version, another VM's older configuration could replace it.
     ///
     /// The version is derived from the registry's position, so it never decreases. At one
     /// revision two VMs may retain different endpoints; the one that retains fewer saw more
-    /// removals, so its version is the higher one.
+    /// removals, so its version is the higher one. One that may lack registrations has a lower one.
     pub fn config(&self) -> Option<Config> {
         if self.incomplete_until.is_some() {
             return None;
         }
         let OperatorConfig { mut config, connections } = self.operators.clone()?;
         let retained = self.entries.values().filter(|entry| entry.retained.is_some()).count();
-        let differences = retained + usize::from(self.restore.is_holding());
+        let differences = retained
+            + usize::from(self.restore.is_holding())
+            + usize::from(self.lacks_registrations());
         config.version = self.position.version(differences);
         let mut endpoints = self.endpoints_by_service(&config);
         for service in &mut config.services {
--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -11,6 +11,7 @@
         OperatorConfig, Registration, RegistryChange, RegistryPosition, RegistrySnapshot,
         RegistryView, RegistryViewSettings,
     },
+    service::Service,
     time::Time,
 };
 use registry_support::{SERVICE, operators};
@@ -260,6 +261,99 @@
     assert!(stale.config().unwrap().services[0].endpoints[0].leaving);
 }
 
+/// Returns the operators' part with a second service.
+fn operators_with(service: &str) -> OperatorConfig {
+    let mut config = operators().config().clone();
+    let added = Service { name: Name::from(service), ..config.services[0].clone() };
+    config.services.push(added);
+    let mut connections = operators().connections().clone();
+    connections.insert(Name::from(service), 90);
+    OperatorConfig::new(config, connections).unwrap()
+}
+
+/// Returns a registration for a service other than the first one.
+fn registration_for(service: &str, name: &str, port: u16) -> Registration {
+    Registration { service: Name::from(service), ..registration(name, port, 5, false) }
+}
+
+/// Returns a stale view and one that has followed a change since, both with an endpoint of a service
+/// that isn't listed.
+fn views_with_unlisted_endpoint() -> (RegistryView, RegistryView) {
+    let mut view = RegistryView::new(RegistryViewSettings::default());
+    let endpoints = vec![registration("a", 1, 1, false), registration_for("orders", "o", 9)];
+    view.on_snapshot(START, snapshot(10, Some(operators()), endpoints));
+    let mut current = view.clone();
+    current.on_change(START, 11, RegistryChange::Registered(registration("b", 2, 11, false)));
+    (view, current)
+}
+
+fn endpoints_of(view: &RegistryView, service: &str) -> Vec<String> {
+    let config = view.config().unwrap();
+    let endpoints = &config.service(service).unwrap().endpoints;
+    endpoints.iter().map(|endpoint| endpoint.name.to_string()).collect()
+}
+
+/// Guards against a service that has no endpoints for good on a VM that took a configuration from
+/// another one before operators listed the service: such a configuration doesn't contain them.
+#[test]
+fn endpoints_of_a_service_that_is_listed_later_are_read_again() {
+    let (mut stale, mut current) = views_with_unlisted_endpoint();
+    assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(11)));
+    assert!(!stale.lacks_registrations(), "the listed service is known");
+    for view in [&mut stale, &mut current] {
+        let listed = RegistryChange::Operators(Box::new(operators_with("orders")));
+        view.on_change(START, 12, listed);
+    }
+    assert!(stale.lacks_registrations());
+    assert!(version(&stale) < version(&current), "a view that lacks endpoints gives way");
+    let endpoints = vec![
+        registration("a", 1, 1, false),
+        registration("b", 2, 11, false),
+        registration_for("orders", "o", 9),
+    ];
+    stale.on_snapshot(START, snapshot(12, Some(operators_with("orders")), endpoints));
+    assert!(!stale.lacks_registrations());
+    assert_eq!(endpoints_of(&stale, "orders"), ["o"]);
+    assert_eq!(stale.config(), current.config());
+}
+
+/// Guards against the same where a listed service is taken away and put back.
+#[test]
+fn endpoints_of_a_service_that_is_put_back_are_read_again() {
+    let (mut stale, mut current) = views_with_unlisted_endpoint();
+    for view in [&mut stale, &mut current] {
+        let listed = RegistryChange::Operators(Box::new(operators_with("orders")));
+        view.on_change(START, 12, listed);
+        assert_eq!(endpoints_of(view, "orders"), ["o"]);
+    }
+    current.on_change(START, 13, RegistryChange::Operators(Box::new(operators())));
+    assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(13)));
+    let listed = RegistryChange::Operators(Box::new(operators_with("orders")));
+    stale.on_change(START, 14, listed);
+    assert!(stale.lacks_registrations());
+}
+
+/// Guards against calls to the registry that aren't needed: as long as only endpoints of listed
+/// services change, an adopted configuration tells all.
+#[test]
+fn changes_of_listed_services_need_no_further_read() {
+    let (mut stale, mut current) = views_with_unlisted_endpoint();
+    stale.on_active_config(START, &current.config().unwrap());
+    let changes = [
+        RegistryChange::Registered(registration("c", 3, 12, false)),
+        RegistryChange::Registered(registration("c", 3, 12, true)),
+        RegistryChange::Deregistered(Name::from("a")),
+        RegistryChange::Operators(Box::new(operators())),
+        RegistryChange::Deregistered(Name::from("c")),
+    ];
+    for (revision, change) in (12..).zip(changes) {
+        stale.on_change(START, revision, change.clone());
+        current.on_change(START, revision, change);
+        assert!(!stale.lacks_registrations(), "after revision {revision}");
+        assert_eq!(stale.config(), current.config(), "after revision {revision}");
+    }
+}
+
 /// A registration for an unknown service has the address of a live endpoint, which must keep
 /// its address.
 #[test]
--- a/crates/pistachiotrackd/src/config/registry.rs
+++ b/crates/pistachiotrackd/src/config/registry.rs
@@ -78,6 +78,8 @@
     active: watch::Sender<Option<Arc<Config>>>,
     /// Number of times that the registry was found restored from a copy.
     restores: AtomicU64,
+    /// Number of times that the registry was listed, since skipped changes mattered.
+    gaps: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -103,7 +105,8 @@
         let active = watch::Sender::new(None);
         let state = Mutex::new(state);
         let restores = AtomicU64::new(0);
-        RegistrySource { registry, clock: Clock::start(), state, active, restores }
+        let gaps = AtomicU64::new(0);
+        RegistrySource { registry, clock: Clock::start(), state, active, restores, gaps }
     }
 
     async fn next(
@@ -117,17 +120,15 @@
         state.apply_active_config(self.clock.now(), active.as_deref());
         let mut has_asked = state.synced.is_none();
         if has_asked {
-            let asked_at = self.clock.now();
-            let snapshot = self.registry.list().await;
-            if state.apply_listing(self.clock.now(), asked_at, snapshot)? {
-                self.restores.fetch_add(1, Ordering::Relaxed);
-            }
-            state.asked_at = Some(asked_at);
+            self.list(&mut state).await?;
         }
         loop {
-            let now = self.clock.now();
             let active = self.active.borrow().clone();
-            state.apply_active_config(now, active.as_deref());
+            state.apply_active_config(self.clock.now(), active.as_deref());
+            if state.view.lacks_registrations() {
+                self.fill_gap(&mut state).await;
+            }
+            let now = self.clock.now();
             let due = state.view.remove_expired(now);
             let config = state.view.config();
             // Without a configuration of its own the view may lack changes that were made before
@@ -159,6 +160,29 @@
             has_asked = true;
         }
     }
+
+    async fn list(&self, state: &mut RegistryState) -> Result<(), RegistryError> {
+        let asked_at = self.clock.now();
+        let snapshot = self.registry.list().await;
+        if state.apply_listing(self.clock.now(), asked_at, snapshot)? {
+            self.restores.fetch_add(1, Ordering::Relaxed);
+        }
+        state.asked_at = Some(asked_at);
+        Ok(())
+    }
+
+    /// Lists the registry, since the view has skipped changes that matter now.
+    ///
+    /// If that fails, the other changes take effect all the same, under a version that gives way to
+    /// that of a VM which lacks nothing; the gap is filled later.
+    async fn fill_gap(&self, state: &mut RegistryState) {
+        let position = state.view.position();
+        log::info!("event=registry_gap era={} revision={}", position.era, position.revision);
+        self.gaps.fetch_add(1, Ordering::Relaxed);
+        if let Err(error) = self.list(state).await {
+            log::warn!("event=registry_gap_remains error={:?}", error.to_string());
+        }
+    }
 }
 
 impl RegistryState {
@@ -279,9 +303,13 @@
 
 impl<R: Registry> ConfigSource for RegistrySource<R> {
     fn counters(&self) -> Vec<Counter> {
-        let value = self.restores.load(Ordering::Relaxed);
-        let restores = Counter { name: Name::from("registry_restores"), value };
-        self.registry.calls().into_iter().chain([restores]).collect()
+        let counter = |name: &'static str, value: &AtomicU64| Counter {
+            name: Name::from(name),
+            value: value.load(Ordering::Relaxed),
+        };
+        let own =
+            [counter("registry_restores", &self.restores), counter("registry_gaps", &self.gaps)];
+        self.registry.calls().into_iter().chain(own).collect()
     }
 
     fn on_active_config(&self, config: &Arc<Config>) {
--- a/crates/pistachiotrackd/src/membership/fleet.rs
+++ b/crates/pistachiotrackd/src/membership/fleet.rs
@@ -369,13 +369,7 @@
     }
 
     fn activate(&mut self, now: Time, config: Arc<Config>) {
-        log::info!(
-            "event=config_in_force version={} rules={} customers={} api_keys_required={}",
-            config.version,
-            config.rules.len(),
-            config.customers.len(),
-            config.api_keys_required
-        );
+        self.config_log.on_activate(&config);
         self.membership.set_config_version(config.version);
         self.source.on_active_config(&config);
         for (_, shard) in self.shards.running() {
--- a/crates/pistachiotrackd/src/membership/fleet/config_status.rs
+++ b/crates/pistachiotrackd/src/membership/fleet/config_status.rs
@@ -1,10 +1,12 @@
 //! Status of the configuration sync for logs and metrics.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use kameo::message::{Context as MessageContext, Message};
 use pistachiotrack_core::{
+    config::Config,
     config_sync::{ConfigSync, Role},
+    name::Name,
     time::Time,
 };
 
@@ -45,11 +47,13 @@
     }
 }
 
-/// Logs changes of the sync role and version lag.
+/// Logs changes of the sync role, version lag, and what becomes active.
 #[derive(Debug, Default)]
 pub(super) struct ConfigLog {
     role: Option<Role>,
     lag_logged_at: Option<Time>,
+    /// Services of the active configuration that have no endpoints.
+    without_endpoints: BTreeSet<Name>,
 }
 
 impl ConfigLog {
@@ -60,6 +64,27 @@
         self.log_lag(now, sync);
     }
 
+    /// Logs that a configuration becomes active, and which services have no endpoints under it.
+    pub(super) fn on_activate(&mut self, config: &Config) {
+        log::info!(
+            "event=config_in_force version={} rules={} customers={} api_keys_required={} endpoints={}",
+            config.version,
+            config.rules.len(),
+            config.customers.len(),
+            config.api_keys_required,
+            config.services.iter().map(|service| service.endpoints.len()).sum::<usize>()
+        );
+        let empty = config.services.iter().filter(|service| service.endpoints.is_empty());
+        let empty: BTreeSet<Name> = empty.map(|service| service.name.clone()).collect();
+        for service in empty.difference(&self.without_endpoints) {
+            log::warn!(
+                "event=service_without_endpoints service={service} version={}",
+                config.version
+            );
+        }
+        self.without_endpoints = empty;
+    }
+
     fn log_role(&mut self, now: Time, sync: &ConfigSync) {
         let role = sync.role();
         if std::mem::replace(&mut self.role, role) == role {
