Registry: an adopted view knows what leaves, and what isn't known to have left

Two faults of the same kind, found by going through what a configuration of another VM doesn't tell. An endpoint known from one is leaving, and a report of it from before reaches the registry late: the VM sent it requests again, as it knows no sequence number. And endpoints of services that aren't listed counted as having left, so that they were left out when the registry was restored from a copy.

--- a/crates/pistachiotrack-core/src/registry_view.rs
+++ b/crates/pistachiotrack-core/src/registry_view.rs
@@ -387,6 +387,7 @@
         let known = self.entries.get(&registration.key).map(|entry| &entry.registration);
         if known.is_some_and(|known| registration.precedes(known))
             || self.restore.is_outdated(now, known, &registration)
+            || self.takes_back_leaving(&registration)
         {
             return;
         }
--- a/crates/pistachiotrack-core/src/registry_view/adoption.rs
+++ b/crates/pistachiotrack-core/src/registry_view/adoption.rs
@@ -103,8 +103,12 @@
             .flat_map(|service| &service.endpoints)
             .map(|endpoint| endpoint::registered_name(&endpoint.name))
             .collect();
-        let removed = known.values().filter(|entry| !remaining.contains(&*entry.registration.key));
-        removed.for_each(|entry| self.restore.record_removed(now, &entry.registration));
+        let listed: BTreeSet<&Name> = config.services.iter().map(|service| &service.name).collect();
+        // Of services that aren't listed it isn't known which endpoints have left.
+        let removed = known.values().map(|entry| &entry.registration).filter(|registration| {
+            listed.contains(&registration.service) && !remaining.contains(&*registration.key)
+        });
+        removed.for_each(|registration| self.restore.record_removed(now, registration));
         for service in &config.services {
             for endpoint in &service.endpoints {
                 let key = Name::from(endpoint::registered_name(&endpoint.name));
@@ -167,4 +171,16 @@
             })
         })
     }
+
+    /// Returns whether a registration is older than the known one, which was adopted: an endpoint that is
+    /// leaving doesn't take that back, but an earlier report may reach the registry late.
+    pub(super) fn takes_back_leaving(&self, registration: &Registration) -> bool {
+        let known = self.entries.get(&registration.key).map(|entry| &entry.registration);
+        known.is_some_and(|known| {
+            known.sequence == UNKNOWN
+                && known.endpoint.name == registration.endpoint.name
+                && known.endpoint.leaving
+                && !registration.endpoint.leaving
+        })
+    }
 }
--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -333,6 +333,18 @@
     assert!(stale.lacks_registrations());
 }
 
+/// Guards against an endpoint that counts as gone, though nobody said so, when the registry is restored
+/// from a copy: its service wasn't listed in a configuration that came from another VM.
+#[test]
+fn an_endpoint_of_an_unlisted_service_has_not_left_when_the_registry_is_restored() {
+    let (mut stale, current) = views_with_unlisted_endpoint();
+    stale.on_active_config(START, &current.config().unwrap());
+    let endpoints = vec![registration("a", 1, 1, false), registration_for("orders", "o", 9)];
+    let restored = snapshot(9, Some(operators_with("orders")), endpoints);
+    stale.on_snapshot(START, RegistrySnapshot { era: Some(1), ..restored });
+    assert_eq!(endpoints_of(&stale, "orders"), ["o"]);
+}
+
 /// Guards against calls to the registry that aren't needed: as long as only endpoints of listed
 /// services change, an adopted configuration tells all.
 #[test]
@@ -354,6 +366,19 @@
     }
 }
 
+/// Guards against an endpoint that gets requests after it said that it leaves: an earlier report of it
+/// reaches the registry late, at a VM that knows its leaving from another one.
+#[test]
+fn an_adopted_endpoint_that_leaves_is_not_taken_back_by_a_late_report() {
+    let (mut stale, mut current) = (view(), view());
+    current.on_change(START, 11, reported(2_000, 3, true));
+    assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(11)));
+    stale.on_change(START, 12, reported(2_000, 2, false));
+    assert!(stale.config().unwrap().services[0].endpoints[0].leaving);
+    stale.on_change(START, 13, reported(3_000, 1, false));
+    assert!(!stale.config().unwrap().services[0].endpoints[0].leaving, "it has started again");
+}
+
 /// A registration for an unknown service has the address of a live endpoint, which must keep
 /// its address.
 #[test]
