Names and comments of the last changes, and one way to log malformed requests

The three refusals of malformed requests write their line in one place. The two lines of answer_length_mismatch have the same keys. precedes_adopted replaces a name that was hard to read; comments say what a view that took over a configuration knows, why an answer's version is set, and why explain doesn't bound the time of revocation. Nothing else changes.

--- a/crates/pistachiotrack-core/src/api_key.rs
+++ b/crates/pistachiotrack-core/src/api_key.rs
@@ -139,7 +139,7 @@
 
 /// As [`deserialize_keys`]; null stands for no keys.
 ///
-/// A list that were refused would leave the keys of the version before in force.
+/// Refusing it would leave the keys of the previous version in force.
 ///
 /// # Errors
 ///
--- a/crates/pistachiotrack-core/src/registry_view.rs
+++ b/crates/pistachiotrack-core/src/registry_view.rs
@@ -8,8 +8,8 @@
 //! The registry may also lose its last writes and be restored from an older copy, see
 //! [`restore`].
 //!
-//! A configuration that another VM has read replaces an older view, though it tells less than the
-//! registry does, see [`adoption`].
+//! A newer configuration of another VM replaces the view, though it contains less than the registry,
+//! see [`adoption`].
 
 mod adoption;
 mod outage;
@@ -212,7 +212,7 @@
     /// Revision of the newest entry of the last snapshot, until all changes up to it are known.
     incomplete_until: Option<u64>,
     outages: Outages,
-    /// Changes that this view doesn't contain, and whether they matter.
+    /// Changes that this view has skipped since the registry was last listed.
     gap: Option<Gap>,
 }
 
@@ -387,7 +387,7 @@
         let known = self.entries.get(&registration.key).map(|entry| &entry.registration);
         if known.is_some_and(|known| registration.precedes(known))
             || self.restore.is_outdated(now, known, &registration)
-            || self.takes_back_leaving(&registration)
+            || self.precedes_adopted(&registration)
         {
             return;
         }
--- a/crates/pistachiotrack-core/src/registry_view/adoption.rs
+++ b/crates/pistachiotrack-core/src/registry_view/adoption.rs
@@ -42,7 +42,8 @@
 
 impl RegistryView {
     /// Applies the active configuration, which may come from another VM. If it is newer
-    /// than this view, returns the position up to which the view is now complete.
+    /// than this view, returns the position up to which the view now knows the endpoints of
+    /// listed services.
     ///
     /// A VM that alone lost the registry, or that hasn't watched it for a while, still has
     /// endpoints that have left, and its next version would add them again on all VMs, so
@@ -93,7 +94,7 @@
     }
 
     /// Replaces the content with that of a newer configuration. This includes the operators'
-    /// part, since changes to it up to that revision aren't read again.
+    /// part, since changes to it up to that revision aren't read again unless the registry is listed.
     fn replace_from_config(&mut self, now: Time, config: &Config) {
         self.operators = Some(OperatorConfig::from_config(config, self.operators.take()));
         let known = std::mem::take(&mut self.entries);
@@ -172,9 +173,10 @@
         })
     }
 
-    /// Returns whether a registration is older than the known one, which was adopted: an endpoint that is
-    /// leaving doesn't take that back, but an earlier report may reach the registry late.
-    pub(super) fn takes_back_leaving(&self, registration: &Registration) -> bool {
+    /// Returns whether the endpoint wrote a registration before the known one, which was adopted and has
+    /// no sequence number: an endpoint that is leaving doesn't become ready again, but an earlier report
+    /// may reach the registry late.
+    pub(super) fn precedes_adopted(&self, registration: &Registration) -> bool {
         let known = self.entries.get(&registration.key).map(|entry| &entry.registration);
         known.is_some_and(|known| {
             known.sequence == UNKNOWN
--- a/crates/pistachiotrack/src/explain.rs
+++ b/crates/pistachiotrack/src/explain.rs
@@ -35,6 +35,7 @@
             return Ok(ExitCode::Rejected);
         }
     };
+    // Whether the time of revocation is bounded is a setting of the VMs.
     let policy = KeyPolicy::new(&value, false);
     let key = presented_key(config)?;
     let identified = policy.identify(&value, key);
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -150,7 +150,11 @@
             None => length.on_end(),
         };
         let Err(mismatch) = checked else { return frame.map(Ok) };
-        log::error!("event=answer_length_mismatch error={:?}", mismatch.to_string());
+        log::error!(
+            "event=answer_length_mismatch announced_bytes={} body_bytes={}",
+            mismatch.announced_bytes,
+            mismatch.body_bytes
+        );
         self.length = None;
         Some(Err(mismatch.into()))
     }
@@ -376,8 +380,8 @@
 
 /// Returns the response with the head of an answer and `body`.
 ///
-/// HTTP/1.0 has no chunks. A body without a length would end with its connection, and one that has
-/// failed would look complete.
+/// An endpoint may answer in HTTP/1.0, which has no chunks. In that version a body without a length
+/// would end with its connection, and one that has failed would look complete.
 pub(crate) fn response(
     mut parts: Parts,
     framing: AnswerFraming,
--- a/crates/pistachiotrackd/src/serving/listener.rs
+++ b/crates/pistachiotrackd/src/serving/listener.rs
@@ -243,8 +243,10 @@
         return response;
     }
     let body_bytes = response.body().size_hint().exact();
-    if let Some(stated) = framing::remove_other_length(response.headers_mut(), body_bytes) {
-        log::error!("event=answer_length_mismatch stated={stated:?} body_bytes={body_bytes:?}");
+    if let Some(announced) = framing::remove_other_length(response.headers_mut(), body_bytes) {
+        log::error!(
+            "event=answer_length_mismatch announced_bytes={announced:?} body_bytes={body_bytes:?}"
+        );
     }
     match body_bytes {
         Some(bytes) => response.map(|body| body.with_announced_length(bytes)),
--- a/crates/pistachiotrackd/src/serving/receive.rs
+++ b/crates/pistachiotrackd/src/serving/receive.rs
@@ -1,6 +1,7 @@
 //! Receives requests: identifies the caller, finds the route, and refuses what can't be served.
 
 use std::{
+    fmt::Display,
     sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
@@ -131,7 +132,7 @@
     check_not_quarantined(context, inbound)
 }
 
-fn malformed(fleet_id: &Name, error: &HeaderError) -> Reason {
+fn malformed(fleet_id: &Name, error: &impl Display) -> Reason {
     log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
     Reason::BadRequest
 }
@@ -142,18 +143,12 @@
     if method != Method::CONNECT {
         return Ok(());
     }
-    log::info!(
-        "event=request_malformed request={fleet_id} error=\"method CONNECT isn't supported\""
-    );
-    Err(Reason::BadRequest.into())
+    Err(malformed(fleet_id, &"method CONNECT isn't supported").into())
 }
 
 /// Refuses a request whose body would reach the endpoint in a coding that no header names.
 fn check_framing(fields: &HeaderMap, fleet_id: &Name) -> Result<(), Rejection> {
-    framing::check_request(fields).map_err(|error| {
-        log::info!("event=request_malformed request={fleet_id} error={:?}", error.to_string());
-        Reason::BadRequest.into()
-    })
+    framing::check_request(fields).map_err(|error| malformed(fleet_id, &error).into())
 }
 
 /// Refuses a request without a customer if callers have to name one.
