--- a/crates/pistachiotrack-core/tests/registry_view.rs
+++ b/crates/pistachiotrack-core/tests/registry_view.rs
@@ -345,6 +345,53 @@
     assert_eq!(endpoints_of(&stale, "orders"), ["o"]);
 }
 
+/// Guards against an endpoint that gets more connections than it accepts: operators lowered the maximum
+/// of its service while that had no endpoints, which a configuration doesn't contain.
+#[test]
+fn the_maximum_of_a_service_without_endpoints_is_read_again_with_its_first_one() {
+    let (mut stale, mut current) = (view(), view());
+    for (revision, name) in (11..).zip(["a", "b"]) {
+        current.on_change(START, revision, RegistryChange::Deregistered(Name::from(name)));
+    }
+    let lowered = [(Name::from(SERVICE), 60)].into();
+    let operators = OperatorConfig::new(operators().config().clone(), lowered).unwrap();
+    current.on_change(START, 13, RegistryChange::Operators(Box::new(operators)));
+    assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(13)));
+    assert!(!stale.lacks_registrations(), "nothing connects to a service without endpoints");
+    stale.on_change(START, 14, RegistryChange::Registered(registration("d", 4, 14, false)));
+    assert!(stale.lacks_registrations());
+}
+
+/// Guards against an address that an older registration takes from a newer one: the newer one is known
+/// from another VM, without its creation revision.
+#[test]
+fn registrations_of_one_address_that_have_no_order_are_read_again() {
+    let (mut stale, mut current) = (view(), view());
+    current.on_change(START, 11, RegistryChange::Registered(registration("c", 3, 11, false)));
+    assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(11)));
+    let mut newer = stale.clone();
+    newer.on_change(START, 12, RegistryChange::Registered(registration("d", 3, 12, false)));
+    assert!(!newer.lacks_registrations(), "one that was created since is the newer one");
+    stale.on_change(START, 12, RegistryChange::Registered(registration("d", 3, 9, false)));
+    assert!(stale.lacks_registrations());
+}
+
+/// Guards against an endpoint that is missing once its address is free again: another one held it in the
+/// configuration of another VM, and has left since.
+#[test]
+fn an_endpoint_whose_address_is_free_again_is_read_again() {
+    let (mut stale, mut current) = (view(), view());
+    current.on_change(START, 11, RegistryChange::Registered(registration("c", 1, 11, false)));
+    assert_eq!(names(&current), ["b", "c"]);
+    assert_eq!(stale.on_active_config(START, &current.config().unwrap()), Some(at(11)));
+    assert!(!stale.lacks_registrations(), "the address is held");
+    for view in [&mut stale, &mut current] {
+        view.on_change(START, 12, RegistryChange::Deregistered(Name::from("c")));
+    }
+    assert_eq!(names(&current), ["a", "b"]);
+    assert!(stale.lacks_registrations());
+}
+
 /// Guards against calls to the registry that aren't needed: as long as only endpoints of listed
 /// services change, an adopted configuration tells all.
 #[test]
