Answers: only ASCII blanks may surround the name of a transfer coding

A client got a complete answer with the sizes of the chunks in its body, or a part of the body, from an endpoint whose head says `Transfer-Encoding: chunked` with U+0085, U+00A0 or another blank of Unicode before or behind it.

Cause: `framing` trimmed the value as Unicode text and took it for `chunked`. The HTTP client doesn't: it decodes no chunks, reads until the connection ends, and each part of the body went on as data. All ways from an endpoint to a client share that check, so that all were affected.

Change: only ASCII blanks are taken off. Such an answer is now none, as with any coding other than chunks: the connection is closed, a lookup goes to another endpoint, a booking is reported as possibly run.

Tests: one table of malformed answers, each with what refuses it (the parser of the HTTP client, the check of the status, `framing`, the decoder of chunks), is played on the way of a direct request, a lookup that another endpoint serves, a forwarded, relayed, forwarded and relayed, and handed-over request; a fuzz test puts random bytes into valid heads.

--- a/crates/pistachiotrackd/src/formats/framing.rs
+++ b/crates/pistachiotrackd/src/formats/framing.rs
@@ -138,11 +138,14 @@
 }
 
 /// Returns the transfer codings in lower case, in the order in which they were applied.
+///
+/// Only ASCII blanks are taken off (RFC 9110, 5.6.3). The HTTP client doesn't decode the chunks of a
+/// coding with another blank around it, so that it must not look like `chunked` here.
 fn transfer_codings(fields: &HeaderMap) -> Option<String> {
     let mut values = fields.get_all(TRANSFER_ENCODING).iter().peekable();
     values.peek()?;
     let values: Vec<_> = values.map(|value| String::from_utf8_lossy(value.as_bytes())).collect();
-    Some(values.join(",").trim().to_ascii_lowercase())
+    Some(values.join(",").trim_ascii().to_ascii_lowercase())
 }
 
 fn parse(value: &HeaderValue) -> Option<u64> {
--- a/crates/pistachiotrackd/tests/testenv/mod.rs
+++ b/crates/pistachiotrackd/tests/testenv/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod endpoint;
 pub(crate) mod fleet;
 pub(crate) mod host;
+pub(crate) mod malformed_answer;
 pub(crate) mod network_path;
 pub(crate) mod platform;
 pub(crate) mod process;
