Calls of VMs: an answer with another coding than chunks is an error

A VM took such an answer of the store for a whole one: a 404 whose head says `Transfer-Encoding: chunkedx` or the like counted as "there is no configuration", whatever followed.

Cause: calls to the store and between VMs don't go through `exchange`, and took the body as the HTTP client reads it. With a coding other than chunks it reads until the connection ends, so that an answer that was cut, or whose head is spoilt, looks whole.

Change: `http_call` checks the framing of an answer as `exchange` does.

`http_call::a_malformed_answer_is_an_error` checks for each form what refuses it, so that an HTTP client that accepts more is noticed; the error that it expects for a coding is new.

--- a/crates/pistachiotrackd/src/formats/framing.rs
+++ b/crates/pistachiotrackd/src/formats/framing.rs
@@ -37,7 +37,7 @@
 /// The body of a message has a transfer coding other than chunks.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("transfer coding {0:?} isn't supported")]
-pub(crate) struct UnsupportedCoding(String);
+pub struct UnsupportedCoding(String);
 
 impl AnswerFraming {
     /// Removes the framing from the head of an answer to a request with `method`, and returns it.
--- a/crates/pistachiotrackd/src/runtime/http_call.rs
+++ b/crates/pistachiotrackd/src/runtime/http_call.rs
@@ -23,7 +23,10 @@
     time::timeout,
 };
 
-use crate::runtime::socket;
+use crate::{
+    formats::framing::{AnswerFraming, UnsupportedCoding},
+    runtime::socket,
+};
 
 /// Maximum number of bytes before an answer has started, and beside its body. Interim answers or
 /// the digits of a chunk's size could otherwise be read without end.
@@ -41,6 +44,9 @@
     /// The answer has a status that no final answer has.
     #[error("{0} is not the status of a final answer")]
     NoFinalStatus(u16),
+    /// The answer's body can't be decoded.
+    #[error(transparent)]
+    Undecodable(#[from] UnsupportedCoding),
     /// The body of the answer is incomplete.
     #[error("body: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
@@ -125,12 +131,17 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     let connection = AbortOnDrop(connection.abort_handle());
+    let method = request.method().clone();
     let answer = sender.send_request(request).await?;
     left_bytes.store(2 * max_bytes as u64 + MAX_BYTES_BESIDE_BODY, Ordering::Release);
-    match answer.status().as_u16() {
-        status if is_final_status(status) => Ok((answer, connection)),
-        status => Err(CallError::NoFinalStatus(status)),
+    let status = answer.status().as_u16();
+    if !is_final_status(status) {
+        return Err(CallError::NoFinalStatus(status));
     }
+    // The HTTP client reads a body with another coding than chunks until the connection ends.
+    let (mut head, body) = answer.into_parts();
+    AnswerFraming::take_from(&method, &mut head)?;
+    Ok((Response::from_parts(head, body), connection))
 }
 
 async fn collect(body: Incoming, max_bytes: usize, chunk: Duration) -> Result<Bytes, CallError> {
--- a/crates/pistachiotrackd/tests/http_call.rs
+++ b/crates/pistachiotrackd/tests/http_call.rs
@@ -14,8 +14,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use pistachiotrackd::http_call::{self, ResponseTimeouts};
-use testenv::endpoint::{Endpoint, read_head};
+use pistachiotrackd::http_call::{self, CallError, ResponseTimeouts};
+use testenv::{
+    endpoint::{Endpoint, read_head},
+    malformed_answer::{RefusedBy, malformed_chunks, malformed_heads},
+};
 use tokio::io::AsyncWriteExt;
 
 const MAX_BYTES: usize = 1024;
@@ -79,6 +82,34 @@
     }
 }
 
+/// Returns what has refused an answer, by the error of the call.
+fn refused_by(error: &CallError) -> Option<RefusedBy> {
+    match error {
+        CallError::Http(error) if error.is_parse() => Some(RefusedBy::Parser),
+        CallError::NoFinalStatus(_) => Some(RefusedBy::FinalStatus),
+        CallError::Undecodable(_) => Some(RefusedBy::Framing),
+        CallError::Body(_) => Some(RefusedBy::ChunkDecoder),
+        _ => None,
+    }
+}
+
+/// Guards against a malformed answer that counts as one of a VM or the platform, and against an HTTP client
+/// that accepts what it refused before: the error tells what has refused the answer.
+#[tokio::test]
+async fn a_malformed_answer_is_an_error() {
+    for answer in malformed_heads().into_iter().chain(malformed_chunks()) {
+        let bytes = answer.bytes("x-office: 7\r\n", "slots");
+        let server = start(&bytes, bytes.len()).await;
+        let call = http_call::call(server.address, request(), MAX_BYTES).await;
+        let timed =
+            http_call::call_with_timeouts(server.address, request(), MAX_BYTES, TIMEOUTS).await;
+        for result in [call, timed] {
+            let error = result.expect_err(&answer.to_string());
+            assert_eq!(refused_by(&error), Some(answer.refused_by), "{answer}: {error}");
+        }
+    }
+}
+
 /// Guards against an interim answer that fails a call.
 #[tokio::test]
 async fn an_interim_answer_before_the_final_one_is_skipped() {
