--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -12,6 +12,7 @@
 use testenv::{
     client, config,
     endpoint::{Endpoint, read_head},
+    malformed_answer::malformed_lines,
     network_path::NetworkPath,
     platform::Platform,
     process::DaemonProcess,
@@ -325,6 +326,37 @@
     }
 }
 
+/// Guards against a malformed answer of another VM that reaches the caller, and against a booking that is
+/// sent again after it: its owner has had it run.
+#[tokio::test]
+async fn a_malformed_answer_of_the_owner_is_no_answer() {
+    let search = Endpoint::answering("free slots").await;
+    let booking = Endpoint::answering("booked").await;
+    let paths = [NetworkPath::open().await, NetworkPath::open().await];
+    let settings = paths.each_ref().map(
+        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+    );
+    let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
+    let (search_owner, search_entry) = fleet.owner("slot-search").await;
+    let (booking_owner, booking_entry) = fleet.owner("booking").await;
+    for (count, answer) in (1..).zip(malformed_lines()) {
+        paths[search_owner].replace_answer(Some(&answer));
+        let found = fleet.send(search_entry, client::get("/slots")).await.unwrap();
+        // It is sent again while retries are earned.
+        let is_found = found.status() == 200 && &found.body()[..] == b"free slots";
+        let is_lost = client::header_text(&found, header::OUTCOME) == Some("unknown");
+        assert!(is_found || found.status() == 502 && is_lost, "{answer}: {found:?}");
+        paths[search_owner].replace_answer(None);
+
+        paths[booking_owner].replace_answer(Some(&answer));
+        let refused = fleet.send(booking_entry, booking_request()).await.unwrap();
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{answer}");
+        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{answer}");
+        assert_eq!(booking.received().len(), count, "{answer}");
+        paths[booking_owner].replace_answer(None);
+    }
+}
+
 /// Guards against a lookup that is refused as not run while an endpoint works on it. The
 /// answer is slow, and the entry VM sends a second copy to the owner; the owner's queue is
 /// full by then, and it refuses the second copy at once. The entry VM must not return that
--- a/crates/pistachiotrackd/tests/relayed_requests.rs
+++ b/crates/pistachiotrackd/tests/relayed_requests.rs
@@ -20,6 +20,7 @@
 use testenv::{
     client, config,
     endpoint::{Endpoint, read_head},
+    malformed_answer::malformed_lines,
     network_path::NetworkPath,
     platform::Platform,
     process::DaemonProcess,
@@ -359,6 +360,25 @@
     }
 }
 
+/// Guards against a malformed answer of a relay that reaches the caller, and against a booking that is sent
+/// again, or reported as not run, after it: the relay has had it run.
+#[tokio::test]
+async fn a_booking_is_unknown_when_the_answer_of_its_relay_is_malformed() {
+    let booking = Endpoint::answering("booked").await;
+    let (fleet, paths) = start_with_paths(config(1, &[], &[booking.address])).await;
+    fleet.owner.set_path_blocked(booking.address, true);
+    for answer in malformed_lines() {
+        fleet.book_until_answered().await;
+        let before = booking.received().len();
+        paths.iter().for_each(|path| path.replace_answer(Some(&answer)));
+        let refused = fleet.send(booking_request()).await;
+        paths.iter().for_each(|path| path.replace_answer(None));
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{answer}");
+        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{answer}");
+        assert_eq!(booking.received().len(), before + 1, "{answer}");
+    }
+}
+
 /// Sends lookups until one has met a relay that sends this status, and checks that each is answered.
 async fn check_lookups(status: &'static str) {
     let relayed = Endpoint::answering("free slots").await;
@@ -378,7 +398,7 @@
     }
     let before = relayed.received().len();
     paths.iter().for_each(|path| path.replace_status(Some(status)));
-    let replaced = || paths.iter().map(NetworkPath::replaced_statuses).sum::<u32>();
+    let replaced = || paths.iter().map(NetworkPath::replaced_answers).sum::<u32>();
     while relayed.received().len() == before || replaced() == 0 {
         lookup().await;
     }
--- a/crates/pistachiotrackd/tests/testenv/network_path.rs
+++ b/crates/pistachiotrackd/tests/testenv/network_path.rs
@@ -15,7 +15,10 @@
     sync::watch,
 };
 
-use super::host::{free_address, unique_loopback_host};
+use super::{
+    host::{free_address, unique_loopback_host},
+    malformed_answer::MalformedAnswer,
+};
 
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 65_536;
@@ -34,8 +37,8 @@
     connections: Arc<AtomicU32>,
     cut: watch::Sender<bool>,
     held: watch::Sender<bool>,
-    status: watch::Sender<Option<&'static str>>,
-    replaced_statuses: Arc<AtomicU32>,
+    replacement: watch::Sender<Option<Replacement>>,
+    replaced_answers: Arc<AtomicU32>,
 }
 
 impl NetworkPath {
@@ -50,10 +53,10 @@
         let connections = Arc::new(AtomicU32::new(0));
         let (cut, is_dropping) = watch::channel(false);
         let (held, is_held) = watch::channel(false);
-        let (status, replaced) = watch::channel(None);
-        let replaced_statuses = Arc::new(AtomicU32::new(0));
+        let (replacement, current) = watch::channel(None);
+        let replaced_answers = Arc::new(AtomicU32::new(0));
         let replaced =
-            StatusReplacement { status: replaced, count: Arc::clone(&replaced_statuses) };
+            AnswerReplacement { replacement: current, count: Arc::clone(&replaced_answers) };
         let (dropped, count) = (dropped_up_to.clone(), Arc::clone(&connections));
         tokio::spawn(async move {
             loop {
@@ -93,8 +96,8 @@
             connections,
             cut,
             held,
-            status,
-            replaced_statuses,
+            replacement,
+            replaced_answers,
         }
     }
 
@@ -110,12 +113,17 @@
 
     /// Replaces the status of each answer of the VM, or no longer does.
     pub(crate) fn replace_status(&self, status: Option<&'static str>) {
-        self.status.send_replace(status);
+        self.replacement.send_replace(status.map(Replacement::Status));
+    }
+
+    /// Replaces each answer of the VM by a malformed one with its fields and body, or no longer does.
+    pub(crate) fn replace_answer(&self, answer: Option<&MalformedAnswer>) {
+        self.replacement.send_replace(answer.cloned().map(Replacement::Malformed));
     }
 
-    /// Returns the number of answers so far whose status was replaced.
-    pub(crate) fn replaced_statuses(&self) -> u32 {
-        self.replaced_statuses.load(Ordering::SeqCst)
+    /// Returns the number of answers so far that were replaced.
+    pub(crate) fn replaced_answers(&self) -> u32 {
+        self.replaced_answers.load(Ordering::SeqCst)
     }
 
     /// Returns the number of connections opened so far.
@@ -135,18 +143,18 @@
     mut to: tcp::OwnedWriteHalf,
     number: u32,
     dropped_up_to: watch::Receiver<u32>,
-    replaced_status: Option<StatusReplacement>,
+    replaced: Option<AnswerReplacement>,
 ) {
     let mut bytes = vec![0; DATAGRAM_BYTES];
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
         if *dropped_up_to.borrow() >= number {
             continue;
         }
-        let sent = match &replaced_status {
+        let (sent, is_last) = match &replaced {
             Some(replacement) => replacement.apply(&bytes[..count]),
-            None => Cow::from(&bytes[..count]),
+            None => (Cow::from(&bytes[..count]), false),
         };
-        if to.write_all(&sent).await.is_err() {
+        if to.write_all(&sent).await.is_err() || is_last {
             return;
         }
     }
@@ -156,23 +164,39 @@
     }
 }
 
-/// The status that replaces those of answers, if one does.
+/// What replaces an answer.
 #[derive(Clone)]
-struct StatusReplacement {
-    status: watch::Receiver<Option<&'static str>>,
+enum Replacement {
+    /// The answer with another status.
+    Status(&'static str),
+    /// A malformed answer, behind which the connection ends.
+    Malformed(MalformedAnswer),
+}
+
+/// What replaces answers at present, if anything does.
+#[derive(Clone)]
+struct AnswerReplacement {
+    replacement: watch::Receiver<Option<Replacement>>,
     count: Arc<AtomicU32>,
 }
 
-impl StatusReplacement {
-    /// Returns these bytes with the other status if an answer begins with them.
-    fn apply<'a>(&self, bytes: &'a [u8]) -> Cow<'a, [u8]> {
-        match (*self.status.borrow(), bytes.strip_prefix(STATUS_START)) {
-            (Some(status), Some(rest)) if rest.len() > STATUS_BYTES => {
+impl AnswerReplacement {
+    /// Returns what is sent in place of these bytes if an answer begins with them, and whether the
+    /// connection ends behind it.
+    fn apply<'a>(&self, bytes: &'a [u8]) -> (Cow<'a, [u8]>, bool) {
+        let replaced = match (&*self.replacement.borrow(), bytes.strip_prefix(STATUS_START)) {
+            (Some(Replacement::Status(status)), Some(rest)) if rest.len() > STATUS_BYTES => {
+                [STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat()
+            }
+            (Some(Replacement::Malformed(answer)), Some(_)) => {
+                let whole = answer.replacing(&String::from_utf8_lossy(bytes));
                 self.count.fetch_add(1, Ordering::SeqCst);
-                [STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat().into()
+                return (whole.expect("an answer is written at once").into_bytes().into(), true);
             }
-            _ => bytes.into(),
-        }
+            _ => return (bytes.into(), false),
+        };
+        self.count.fetch_add(1, Ordering::SeqCst);
+        (replaced.into(), false)
     }
 }
 
