Logs: say what was wrong with an answer, and whose it was

An operator could see that an attempt ended `Broken` or that an endpoint was ejected, but not that it sends malformed answers, nor which: the reason stood at the level debug only, a health check's and a relay's in no line, and an answer that broke off after its head had been passed on left none at all.

Change: `attempt_ended` has an `error`. New are `answer_broken` (request, endpoint, address, connection, cause), `probe_failed` (at warn for a malformed answer, at debug for none) and `relayed_request_failed`. No decision changes.

--- a/crates/pistachiotrackd/src/connections/exchange.rs
+++ b/crates/pistachiotrackd/src/connections/exchange.rs
@@ -166,6 +166,16 @@
 }
 
 impl ExchangeError {
+    /// Returns whether the peer sent what is no answer.
+    pub(crate) fn is_malformed_answer(&self) -> bool {
+        matches!(
+            self,
+            ExchangeError::Unreadable(_)
+                | ExchangeError::NoFinalStatus { .. }
+                | ExchangeError::Undecodable(_)
+        )
+    }
+
     /// Returns whether the idle connections to the address should be closed.
     ///
     /// A middlebox (firewall, NAT) on the path can drop the state of all connections at once. Each
--- a/crates/pistachiotrackd/src/request/attempt.rs
+++ b/crates/pistachiotrackd/src/request/attempt.rs
@@ -54,6 +54,8 @@
     pub(crate) elapsed: Duration,
     /// Outcome that is reported to the shard.
     pub(crate) outcome: Outcome,
+    /// Why no answer was received, if none was.
+    pub(crate) error: Option<String>,
     /// State that the endpoint reports about itself.
     pub(crate) report: EndpointReport,
     /// The answer that ended the attempt, if one did.
@@ -148,6 +150,7 @@
         selection: dispatch.selection,
         elapsed: handle.clock.now().since(started_at),
         outcome: Outcome::NotSent,
+        error: None,
         report: EndpointReport::default(),
         answer_details: None,
         answer: None,
@@ -166,6 +169,7 @@
                 dispatch.relay.as_deref().unwrap_or_default()
             );
             end.outcome = outcome;
+            end.error = Some(error);
         }
     }
     end
--- a/crates/pistachiotrackd/src/request/body.rs
+++ b/crates/pistachiotrackd/src/request/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers sent to callers.
 
 use std::{
+    error::Error,
     future::Future,
     pin::Pin,
     sync::Arc,
@@ -38,7 +39,7 @@
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum AnswerBodyError {
     /// The connection failed.
-    #[error("connection failed while reading the answer: {0}")]
+    #[error("connection failed while reading the answer: {}", with_cause(.0))]
     Broken(#[from] hyper::Error),
     /// No data arrived within the idle limit.
     #[error("answer timed out: no data within the idle limit")]
@@ -54,6 +55,14 @@
     LengthMismatch(#[from] LengthMismatch),
 }
 
+/// Returns the message of an error with that of its cause, which says what was wrong with a body.
+fn with_cause(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 /// Time limits for the bodies of answers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyTimeouts {
@@ -259,8 +268,7 @@
         };
         self.idle = None;
         if frame.is_some() && Instant::now() >= self.limits.until {
-            self.finish(BodyEnd::Truncated);
-            return Poll::Ready(Some(Err(AnswerBodyError::Overdue)));
+            return self.fail(AnswerBodyError::Overdue);
         }
         match frame {
             Some(Ok(frame)) => {
@@ -275,18 +283,12 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Some(Err(error)) => {
-                self.finish(BodyEnd::Truncated);
-                Poll::Ready(Some(Err(AnswerBodyError::Broken(error))))
-            }
+            Some(Err(error)) => self.fail(AnswerBodyError::Broken(error)),
             None if self.has_known_end || self.connection.is_none() => {
                 self.finish(BodyEnd::Complete);
                 Poll::Ready(None)
             }
-            None => {
-                self.finish(BodyEnd::Truncated);
-                Poll::Ready(Some(Err(AnswerBodyError::NoLength)))
-            }
+            None => self.fail(AnswerBodyError::NoLength),
         }
     }
 
@@ -300,9 +302,29 @@
             Box::pin(tokio::time::sleep_until(stalled_at.min(until)))
         });
         ready!(idle.as_mut().poll(cx));
-        self.finish(BodyEnd::Truncated);
         let is_overdue = Instant::now() >= until;
-        let error = if is_overdue { AnswerBodyError::Overdue } else { AnswerBodyError::Stalled };
+        self.fail(if is_overdue { AnswerBodyError::Overdue } else { AnswerBodyError::Stalled })
+    }
+
+    /// Ends the body as one that is incomplete.
+    fn fail(
+        &mut self,
+        error: AnswerBodyError,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        if let Some(connection) = &self.connection {
+            let execution = self.monitor.as_ref().map(|monitor| &monitor.execution.execution);
+            log::warn!(
+                "event=answer_broken request={} endpoint={} address={} local_port={} exchange={} \
+                 error={:?}",
+                execution.map_or("", |execution| &*execution.inbound.fleet_id),
+                execution.map_or("", |execution| &*execution.endpoint),
+                connection.address,
+                connection.local_port,
+                connection.exchanges,
+                error.to_string()
+            );
+        }
+        self.finish(BodyEnd::Truncated);
         Poll::Ready(Some(Err(error)))
     }
 
--- a/crates/pistachiotrackd/src/request/request_task.rs
+++ b/crates/pistachiotrackd/src/request/request_task.rs
@@ -355,7 +355,7 @@
             level,
             "event=attempt_ended request={} fingerprint={} config_version={:?} service={} \
              endpoint={} idempotent={} outcome={:?} choice={:?} risk_percent={:.1} last_seen_ms_ago={:?} took_ms={} \
-             connection_port={:?} exchange={:?} names_request={:?} status={:?} states_not_run={:?}",
+             connection_port={:?} exchange={:?} names_request={:?} status={:?} states_not_run={:?} error={:?}",
             self.inbound.fleet_id,
             self.inbound.fingerprint(),
             self.inbound.config_version,
@@ -371,7 +371,8 @@
             end.answer_details.map(|details| details.exchange),
             end.answer_details.map(|details| details.names_request),
             end.answer_details.map(|details| details.status),
-            end.answer_details.map(|details| details.states_not_run)
+            end.answer_details.map(|details| details.states_not_run),
+            end.error.as_deref().unwrap_or_default()
         );
     }
 
--- a/crates/pistachiotrackd/src/serving/relay_server.rs
+++ b/crates/pistachiotrackd/src/serving/relay_server.rs
@@ -129,8 +129,8 @@
 ) -> Result<StartedAnswer, RelayResult> {
     let id = headers::text(&parts.headers, header::REQUEST_ID).map(String::from);
     headers::strip_from_caller(&mut parts.headers);
-    if let Some(id) = id {
-        headers::set(&mut parts.headers, header::REQUEST_ID, &id);
+    if let Some(id) = &id {
+        headers::set(&mut parts.headers, header::REQUEST_ID, id);
     }
     let time = RequestTime::of_other_vm(time_limit);
     let body = receive::read_body(context, body, time, &parts.headers)
@@ -138,9 +138,16 @@
         .map_err(|_| RelayResult::NotSent)?;
     let uri = origin_form(&parts);
     let head = RequestHead { method: parts.method, uri, headers: parts.headers };
-    exchange::run(&context.endpoints, context.clock, target, head, &body)
-        .await
-        .map_err(result_of_error)
+    let address = target.address;
+    let result = exchange::run(&context.endpoints, context.clock, target, head, &body).await;
+    result.map_err(|error| {
+        log::warn!(
+            "event=relayed_request_failed request={} address={address} error={:?}",
+            id.as_deref().unwrap_or_default(),
+            error.to_string()
+        );
+        result_of_error(error)
+    })
 }
 
 fn result_of_error(error: ExchangeError) -> RelayResult {
--- a/crates/pistachiotrackd/src/shards/probe.rs
+++ b/crates/pistachiotrackd/src/shards/probe.rs
@@ -10,7 +10,7 @@
 use kameo::actor::Recipient;
 use pistachiotrack_core::{
     name::Name,
-    request::{AttemptId, BodyEnd, ConnectionChoice, EndpointReport, Outcome},
+    request::{AttemptId, BodyEnd, ConnectionChoice, EndpointReport},
     time::Time,
 };
 
@@ -18,8 +18,8 @@
     connections::{
         connection_pool::ConnectionPool,
         exchange::{
-            self, AbandonSignal, RequestHead, StartedAnswer, Target, outcome_of_answer,
-            outcome_of_error,
+            self, AbandonSignal, ExchangeError, RequestHead, StartedAnswer, Target,
+            outcome_of_answer, outcome_of_error,
         },
     },
     formats::{
@@ -84,7 +84,10 @@
                 let AnswerMetadata { kind, report, .. } = metadata;
                 (outcome, report, Some(answer).filter(|_| kind == AnswerKind::Answer))
             }
-            Err(outcome) => (outcome, EndpointReport::default(), None),
+            Err(error) => {
+                self.log_error(&error);
+                (outcome_of_error(&error), EndpointReport::default(), None)
+            }
         };
         log::debug!("event=probe endpoint={} outcome={outcome:?}", self.gate.endpoint);
         let attempt = self.attempt;
@@ -102,7 +105,7 @@
         clock: Clock,
         dialect: &dyn Dialect,
         metadata: OutgoingMetadata<'_>,
-    ) -> Result<StartedAnswer, Outcome> {
+    ) -> Result<StartedAnswer, ExchangeError> {
         let uri: Uri = self.path.parse().unwrap_or_default();
         let mut headers = HeaderMap::new();
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
@@ -121,7 +124,20 @@
             gate: Some(self.gate.clone()),
         };
         let body = RequestBody::Whole(None);
-        exchange::run(pool, clock, target, head, &body).await.map_err(|e| outcome_of_error(&e))
+        exchange::run(pool, clock, target, head, &body).await
+    }
+
+    /// Logs why the health check has failed. An endpoint that is down fails many of them; one that
+    /// sends malformed answers needs to be repaired.
+    fn log_error(&self, error: &ExchangeError) {
+        let level = if error.is_malformed_answer() { log::Level::Warn } else { log::Level::Debug };
+        log::log!(
+            level,
+            "event=probe_failed endpoint={} address={} error={:?}",
+            self.gate.endpoint,
+            self.address,
+            error.to_string()
+        );
     }
 
     async fn read_body(
