Tests: each malformed length on all ways

The table's lines that tell a length badly shared an empty name, so that the ways that play one form of each line took only the first of 33.

--- a/crates/pistachiotrackd/tests/testenv/malformed_answer.rs
+++ b/crates/pistachiotrackd/tests/testenv/malformed_answer.rs
@@ -262,8 +262,11 @@
 
 /// Returns answers whose head doesn't tell the length of the body, though it seems to.
 fn with_other_length() -> Vec<MalformedAnswer> {
-    let lengths = LENGTHS
-        .map(|line| MalformedAnswer { last: format!("{line}\r\n"), ..MalformedAnswer::default() });
+    let lengths = LENGTHS.map(|line| MalformedAnswer {
+        malformed: line.to_owned(),
+        last: format!("{line}\r\n"),
+        ..MalformedAnswer::default()
+    });
     lengths.into_iter().collect()
 }
 
@@ -322,8 +325,8 @@
     parts.into_iter().flatten().collect()
 }
 
-/// Returns one of these answers for each malformed line: in turn those with one framing or place of the
-/// line and another.
+/// Returns one of these answers for each malformed line. From line to line it is the next of those that
+/// differ in the place of the line and in what else tells the length of the body.
 pub(crate) fn malformed_lines() -> Vec<MalformedAnswer> {
     let heads = malformed_heads();
     let groups = heads.chunk_by(|one, other| one.malformed == other.malformed);
