--- a/crates/pistachiotrackd/tests/forward.rs
+++ b/crates/pistachiotrackd/tests/forward.rs
@@ -298,31 +298,66 @@
     assert_eq!(search.received().len(), 1);
 }
 
+/// Two VMs behind paths that can replace their answers, and the endpoint of bookings.
+struct VmsBehindPaths {
+    fleet: TwoVmFleet,
+    paths: [NetworkPath; 2],
+    booking: Endpoint,
+    /// The owner of each service and the other VM.
+    search_vms: (usize, usize),
+    booking_vms: (usize, usize),
+}
+
+impl VmsBehindPaths {
+    async fn start() -> VmsBehindPaths {
+        let search = Endpoint::answering("free slots").await;
+        let booking = Endpoint::answering("booked").await;
+        let paths = [NetworkPath::open().await, NetworkPath::open().await];
+        let settings = paths.each_ref().map(
+            |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
+        );
+        let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
+        let search_vms = fleet.owner("slot-search").await;
+        let booking_vms = fleet.owner("booking").await;
+        VmsBehindPaths { fleet, paths, booking, search_vms, booking_vms }
+    }
+
+    /// Sends a request to the VM `entry` while the owner's answers are replaced.
+    async fn send(
+        &self,
+        (owner, entry): (usize, usize),
+        request: Request<Full<Bytes>>,
+        replace: impl Fn(&NetworkPath),
+    ) -> Response<Bytes> {
+        replace(&self.paths[owner]);
+        let answer = self.fleet.send(entry, request).await.unwrap();
+        self.paths[owner].replace_answer(None);
+        answer
+    }
+
+    async fn find(&self, replace: impl Fn(&NetworkPath)) -> Response<Bytes> {
+        self.send(self.search_vms, client::get("/slots"), replace).await
+    }
+
+    /// Checks that a booking whose answer is replaced is unknown and has run once.
+    async fn check_booking(&self, replace: impl Fn(&NetworkPath), case: &str) {
+        let before = self.booking.received().len();
+        let refused = self.send(self.booking_vms, booking_request(), replace).await;
+        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{case}");
+        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{case}");
+        assert_eq!(self.booking.received().len(), before + 1, "{case}");
+    }
+}
+
 /// Guards against what is no answer of another VM and reaches the caller, and against a booking that is
 /// sent again after it: its owner has had it run.
 #[tokio::test]
 async fn an_answer_of_the_owner_without_a_final_status_is_no_answer() {
-    let search = Endpoint::answering("free slots").await;
-    let booking = Endpoint::answering("booked").await;
-    let paths = [NetworkPath::open().await, NetworkPath::open().await];
-    let settings = paths.each_ref().map(
-        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
-    );
-    let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
-    let (search_owner, search_entry) = fleet.owner("slot-search").await;
-    let (booking_owner, booking_entry) = fleet.owner("booking").await;
-    for (count, status) in (1..).zip(NO_FINAL_STATUSES) {
-        paths[search_owner].replace_status(Some(status));
-        let found = fleet.send(search_entry, client::get("/slots")).await.unwrap();
+    let vms = VmsBehindPaths::start().await;
+    for status in NO_FINAL_STATUSES {
+        let found = vms.find(|path| path.replace_status(Some(status))).await;
         assert_eq!((found.status().as_u16(), &found.body()[..]), (200, &b"free slots"[..]));
-        paths[search_owner].replace_status(None);
-
-        paths[booking_owner].replace_status(Some(status));
-        let refused = fleet.send(booking_entry, booking_request()).await.unwrap();
-        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{status}");
-        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{status}");
-        assert_eq!(booking.received().len(), count, "{status}");
-        paths[booking_owner].replace_status(None);
+        vms.check_booking(|path| path.replace_status(Some(status)), status).await;
     }
 }
 
@@ -330,30 +365,14 @@
 /// sent again after it: its owner has had it run.
 #[tokio::test]
 async fn a_malformed_answer_of_the_owner_is_no_answer() {
-    let search = Endpoint::answering("free slots").await;
-    let booking = Endpoint::answering("booked").await;
-    let paths = [NetworkPath::open().await, NetworkPath::open().await];
-    let settings = paths.each_ref().map(
-        |path| json!({"peer_address": path.vm_address, "advertised_peer_address": path.address}),
-    );
-    let fleet = TwoVmFleet::start_with_settings(&search, &booking, settings).await;
-    let (search_owner, search_entry) = fleet.owner("slot-search").await;
-    let (booking_owner, booking_entry) = fleet.owner("booking").await;
-    for (count, answer) in (1..).zip(malformed_lines()) {
-        paths[search_owner].replace_answer(Some(&answer));
-        let found = fleet.send(search_entry, client::get("/slots")).await.unwrap();
+    let vms = VmsBehindPaths::start().await;
+    for answer in malformed_lines() {
+        let found = vms.find(|path| path.replace_answer(Some(&answer))).await;
         // It is sent again while retries are earned.
         let is_found = found.status() == 200 && &found.body()[..] == b"free slots";
         let is_lost = client::header_text(&found, header::OUTCOME) == Some("unknown");
         assert!(is_found || found.status() == 502 && is_lost, "{answer}: {found:?}");
-        paths[search_owner].replace_answer(None);
-
-        paths[booking_owner].replace_answer(Some(&answer));
-        let refused = fleet.send(booking_entry, booking_request()).await.unwrap();
-        assert_eq!(client::header_text(&refused, header::OUTCOME), Some("unknown"), "{answer}");
-        assert_eq!(refused.status(), StatusCode::BAD_GATEWAY, "{answer}");
-        assert_eq!(booking.received().len(), count, "{answer}");
-        paths[booking_owner].replace_answer(None);
+        vms.check_booking(|path| path.replace_answer(Some(&answer)), &answer.to_string()).await;
     }
 }
 
--- a/crates/pistachiotrackd/tests/malformed_answers.rs
+++ b/crates/pistachiotrackd/tests/malformed_answers.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
-use pistachiotrack_core::header;
+use pistachiotrack_core::{header, service::DEFAULT_PROBE_PATH};
 use testenv::{
     Deployment, client,
     endpoint::{Endpoint, read_request_line},
@@ -32,17 +32,21 @@
     format!("HTTP/1.1 {status} Status\r\ncontent-length: 5\r\n\r\nslots")
 }
 
-/// Sends lookups until the first endpoint, which fails them, is suspect, and waits until it is ejected
-/// for its `answer` to health checks, behind which it closes the connection if `closes`.
-async fn check_health_checks(answer: String, closes: bool) {
-    let health_checks = Arc::<AtomicUsize>::default();
-    let (count, sent) = (Arc::clone(&health_checks), Arc::<str>::from(&*answer));
-    let faulty = Endpoint::serve(move |mut stream| {
-        let (count, sent) = (Arc::clone(&count), Arc::clone(&sent));
+/// Starts an endpoint that fails lookups and sends `answer` to other requests, behind which it closes the
+/// connection if `closes`. Returns it with the number of its requests of `counted_path`.
+async fn start_endpoint(
+    answer: &str,
+    closes: bool,
+    counted_path: &'static str,
+) -> (Endpoint, Arc<AtomicUsize>) {
+    let count = Arc::<AtomicUsize>::default();
+    let (counted, sent) = (Arc::clone(&count), Arc::<str>::from(answer));
+    let endpoint = Endpoint::serve(move |mut stream| {
+        let (counted, sent) = (Arc::clone(&counted), Arc::clone(&sent));
         async move {
             while let Some(line) = read_request_line(&mut stream).await {
                 let is_lookup = line.contains("/slots");
-                count.fetch_add(usize::from(!is_lookup), Ordering::SeqCst);
+                counted.fetch_add(usize::from(line.contains(counted_path)), Ordering::SeqCst);
                 let bytes = if is_lookup { answer_with("500") } else { sent.to_string() };
                 let is_written = stream.write_all(bytes.as_bytes()).await.is_ok();
                 if !is_written || closes && !is_lookup {
@@ -52,6 +56,13 @@
         }
     })
     .await;
+    (endpoint, count)
+}
+
+/// Sends lookups until the first endpoint, which fails them, is suspect, and waits until it is ejected
+/// for its `answer` to health checks, behind which it closes the connection if `closes`.
+async fn check_health_checks(answer: String, closes: bool) {
+    let (faulty, health_checks) = start_endpoint(&answer, closes, DEFAULT_PROBE_PATH).await;
     let mut addresses = vec![faulty.address];
     for _ in 0..3 {
         addresses.push(Endpoint::answering("free slots").await.address);
@@ -116,20 +127,7 @@
 
 /// Sends a booking and its duplicate to an endpoint with this answer, and checks that neither gets one.
 async fn check_duplicate(answer: String, closes: bool) {
-    let runs = Arc::<AtomicUsize>::default();
-    let (count, sent) = (Arc::clone(&runs), Arc::<str>::from(&*answer));
-    let booking = Endpoint::serve(move |mut stream| {
-        let (count, sent) = (Arc::clone(&count), Arc::clone(&sent));
-        async move {
-            while let Some(line) = read_request_line(&mut stream).await {
-                count.fetch_add(usize::from(line.contains("/bookings")), Ordering::SeqCst);
-                if stream.write_all(sent.as_bytes()).await.is_err() || closes {
-                    return;
-                }
-            }
-        }
-    })
-    .await;
+    let (booking, runs) = start_endpoint(&answer, closes, "/bookings").await;
     let deployment = Deployment::start(&[], &[booking.address]).await;
     for _ in 0..2 {
         let refused = client::send(deployment.address(), keyed_booking()).await.unwrap();
--- a/crates/pistachiotrackd/tests/testenv/network_path.rs
+++ b/crates/pistachiotrackd/tests/testenv/network_path.rs
@@ -184,19 +184,19 @@
     /// Returns what is sent in place of these bytes if an answer begins with them, and whether the
     /// connection ends behind it.
     fn apply<'a>(&self, bytes: &'a [u8]) -> (Cow<'a, [u8]>, bool) {
-        let replaced = match (&*self.replacement.borrow(), bytes.strip_prefix(STATUS_START)) {
+        let (sent, is_last) = match (&*self.replacement.borrow(), bytes.strip_prefix(STATUS_START))
+        {
             (Some(Replacement::Status(status)), Some(rest)) if rest.len() > STATUS_BYTES => {
-                [STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat()
+                ([STATUS_START, status.as_bytes(), &rest[STATUS_BYTES..]].concat(), false)
             }
             (Some(Replacement::Malformed(answer)), Some(_)) => {
                 let whole = answer.replacing(&String::from_utf8_lossy(bytes));
-                self.count.fetch_add(1, Ordering::SeqCst);
-                return (whole.expect("an answer is written at once").into_bytes().into(), true);
+                (whole.expect("an answer is written at once").into_bytes(), true)
             }
             _ => return (bytes.into(), false),
         };
         self.count.fetch_add(1, Ordering::SeqCst);
-        (replaced.into(), false)
+        (sent.into(), is_last)
     }
 }
 
